--- /dev/null
+++ b/crates/skylarkctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/skylarkctl/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
--- /dev/null
+++ b/crates/skylarkshore-core/src/event.rs
@@ -0,0 +1,170 @@
+//! What happens to a process.
+
+use crate::catalogue::ModelTarget;
+use crate::id::{
+    AttemptId, CallId, CallerId, Digest, HostId, Incarnation, OrderId, RequestId, ServiceName, StoreRevision,
+    UpstreamId,
+};
+use crate::peer::PeerMessage;
+use crate::rules::MinuteOfDay;
+use crate::store::{RecordedAnswer, StoreResult, Versioned};
+use crate::time::Time;
+use crate::upstream::{EngineReport, OrderAnswer, Upstream};
+
+/// What a request is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// A model or an adapter.
+    Model(ModelTarget),
+    /// A plain service.
+    Service(ServiceName),
+}
+
+/// Whether a request may run a second time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// It may be sent again when its outcome is unknown.
+    Allowed,
+    /// It runs at most once under this key.
+    Once {
+        /// The digest of the idempotency key, the caller and the service.
+        key: Digest,
+    },
+}
+
+/// A checked request of a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// Who asks.
+    pub caller: CallerId,
+    /// What it is for.
+    pub target: Target,
+    /// Whether it may run a second time.
+    pub repeat: Repeat,
+    /// The digest of method, path and body.
+    pub digest: Digest,
+    /// The digest of the prompt's beginning, which engines cache; for routing.
+    pub prefix: Option<Digest>,
+    /// By when it has to be answered.
+    pub deadline: Time,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// The whole answer came, and was passed on unless it is kept here.
+    Whole {
+        /// The answer, where it is held back to be recorded first.
+        held: Option<RecordedAnswer>,
+    },
+    /// The whole answer came but is larger than what may be held; it was passed on.
+    WholeTooLarge,
+    /// Nothing of the request reached the upstream.
+    NotSent,
+    /// The upstream said that it did nothing.
+    Rejected(Rejection),
+    /// The connection broke, the answer was cut short or the time ran out.
+    Lost {
+        /// Whether a part of the answer was passed on to the caller.
+        passed_on: bool,
+        /// Whether the upstream seems to have died, and not just to be slow.
+        died: bool,
+    },
+}
+
+/// Why an upstream did nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rejection {
+    /// The model or adapter isn't loaded there.
+    NotLoaded,
+    /// It has too much to do.
+    Busy,
+    /// It is about to go.
+    Leaving,
+}
+
+/// Something that happens to a process.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// Time has passed; comes about twenty times a second.
+    Tick {
+        /// The time of day, for the rules.
+        at: MinuteOfDay,
+    },
+    /// The process is asked to end.
+    Shutdown,
+    /// The host list was read.
+    HostList(Vec<Upstream>),
+    /// A call to the key-value service ended.
+    Store {
+        /// The call.
+        call: CallId,
+        /// What became of it.
+        result: StoreResult,
+    },
+    /// The watch has seen changes.
+    Watched {
+        /// The changes.
+        changes: Vec<Versioned>,
+        /// The revision up to which nothing is missing.
+        upto: StoreRevision,
+    },
+    /// The watch broke and may have missed changes.
+    WatchBroken,
+    /// A message from a peer, whose identity was checked.
+    Peer {
+        /// The sender.
+        from: HostId,
+        /// What it tells.
+        message: PeerMessage,
+    },
+    /// Nothing accepts connections any more where a live host had this life of a process.
+    PeerRefused {
+        /// The host.
+        host: HostId,
+        /// The life of the process that has ended.
+        incarnation: Incarnation,
+    },
+    /// An order ended.
+    Order {
+        /// The engine.
+        upstream: UpstreamId,
+        /// The order.
+        order: OrderId,
+        /// How it ended.
+        answer: OrderAnswer,
+    },
+    /// An engine was asked how it stands.
+    Report {
+        /// The engine.
+        upstream: UpstreamId,
+        /// When it was asked, so that older orders are known to be older.
+        asked: Time,
+        /// Its answer, or none when it can't be reached.
+        report: Option<EngineReport>,
+    },
+    /// A caller's request.
+    Arrived {
+        /// The request.
+        request: RequestId,
+        /// What is asked.
+        arrival: Arrival,
+    },
+    /// The caller went away.
+    CallerGone {
+        /// The request.
+        request: RequestId,
+    },
+    /// The first part of an answer came.
+    AnswerStarted {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// An attempt ended.
+    AttemptEnded {
+        /// The attempt.
+        attempt: AttemptId,
+        /// How.
+        end: AttemptEnd,
+    },
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/id.rs
@@ -0,0 +1,197 @@
+//! Identifiers, each a type of its own.
+
+use std::str::FromStr;
+use std::sync::Arc;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+/// The longest name that is accepted, in bytes.
+pub const MAX_NAME_LEN: usize = 128;
+
+/// A text that can't be a name.
+#[derive(Debug, Display, Error, PartialEq, Eq)]
+#[display("'{text}' is not a name; use 1 to {MAX_NAME_LEN} letters, digits or any of . _ : / @ -")]
+pub struct InvalidName {
+    text: String,
+}
+
+fn check(s: &str) -> Result<(), InvalidName> {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"._:/@-".contains(&b);
+    if s.is_empty() || s.len() > MAX_NAME_LEN || !s.bytes().all(plain) {
+        let text = s.chars().take(MAX_NAME_LEN).collect();
+        return Err(InvalidName { text });
+    }
+    Ok(())
+}
+
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = InvalidName;
+
+            fn from_str(s: &str) -> Result<Self, Self::Err> {
+                check(s)?;
+                Ok(Self(s.into()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = InvalidName;
+
+            fn try_from(s: String) -> Result<Self, Self::Error> {
+                s.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.as_str().to_owned()
+            }
+        }
+    };
+}
+
+macro_rules! number {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, Display, derive_more::FromStr, PartialEq, Eq, PartialOrd, Ord, Hash,
+            Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// Returns the number that follows.
+            #[must_use]
+            pub const fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+    };
+}
+
+name! {
+    /// An entry host that runs one skylarkshore process.
+    HostId
+}
+name! {
+    /// A data centre.
+    DataCentre
+}
+name! {
+    /// A site that lies under one power cap.
+    SiteName
+}
+name! {
+    /// A base model.
+    ModelName
+}
+name! {
+    /// An adapter on a base model.
+    AdapterName
+}
+name! {
+    /// The version of a model's weights.
+    ModelVersion
+}
+name! {
+    /// A model engine or a replica of a plain service.
+    UpstreamId
+}
+name! {
+    /// A plain service.
+    ServiceName
+}
+name! {
+    /// The caller on whose behalf a request is made.
+    CallerId
+}
+
+number! {
+    /// One life of a process; a later life has a higher number.
+    Incarnation
+}
+number! {
+    /// A fencing number; an engine that checks it refuses lower ones.
+    Fence
+}
+number! {
+    /// The key-value service's revision at which a key was last changed.
+    StoreRevision
+}
+number! {
+    /// The operators' revision of the rules document.
+    RulesRevision
+}
+number! {
+    /// A call to the key-value service, unique within a process.
+    CallId
+}
+number! {
+    /// An order to an engine, unique within a process.
+    OrderId
+}
+number! {
+    /// A request of a caller, unique within a process.
+    RequestId
+}
+number! {
+    /// One try at having a request answered by an upstream.
+    AttemptId
+}
+number! {
+    /// A lease at the key-value service.
+    LeaseId
+}
+
+/// The SHA-256 digest of a request's body or of an idempotency key.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[display("{}", self.to_hex())]
+pub struct Digest(pub [u8; 32]);
+
+impl Digest {
+    /// Returns the digest as 64 hexadecimal digits.
+    pub fn to_hex(self) -> String {
+        use std::fmt::Write;
+
+        self.0.iter().fold(String::with_capacity(64), |mut hex, byte| {
+            // Writing to a string can't fail.
+            _ = write!(hex, "{byte:02x}");
+            hex
+        })
+    }
+}
+
+/// A text that is no digest.
+#[derive(Debug, Display, Error, PartialEq, Eq)]
+#[display("a digest has 64 hexadecimal digits; read it again from its source")]
+pub struct InvalidDigest;
+
+impl FromStr for Digest {
+    type Err = InvalidDigest;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        if s.len() != 64 || !s.is_ascii() {
+            return Err(InvalidDigest);
+        }
+        let mut digest = [0; 32];
+        for (i, byte) in digest.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&s[2 * i..2 * i + 2], 16).map_err(|_invalid| InvalidDigest)?;
+        }
+        Ok(Self(digest))
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -0,0 +1,167 @@
+//! What processes tell one another.
+
+use std::time::Duration;
+
+use crate::catalogue::ModelTarget;
+use crate::id::{Digest, HostId, Incarnation, ModelName, RulesRevision, SiteName, StoreRevision, UpstreamId};
+use crate::rules::ServiceOrder;
+use crate::store::Versioned;
+use crate::units::Watts;
+use crate::view::EngineView;
+
+/// Why an owner can't make a model available in time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CannotLoad {
+    /// The engine's memory is taken by what may not be unloaded yet.
+    Memory,
+    /// The site's power is taken by others.
+    Power,
+    /// The receiver doesn't own a home of the model.
+    NotOwner,
+    /// The owner may not act: its lease is in doubt.
+    OwnershipInDoubt,
+    /// The engine can't be reached.
+    EngineUnreachable,
+    /// The engine refuses to load it.
+    EngineRefuses,
+    /// The load would take longer than any waiting request can wait.
+    TooSlow,
+}
+
+/// A message from one process to another.
+///
+/// Messages may be lost, doubled, late or out of order; every one is safe to
+/// take again, and whoever needs an answer asks again.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PeerMessage {
+    /// The sender lives, and this is how far its knowledge goes.
+    Heartbeat {
+        /// Which life of its process.
+        incarnation: Incarnation,
+        /// The rules in force there.
+        rules: RulesRevision,
+        /// The highest revision of the key-value service that it has seen.
+        store: StoreRevision,
+        /// Whether its last call to the key-value service succeeded.
+        store_reachable: bool,
+        /// Whether it is about to go.
+        leaving: bool,
+    },
+    /// The sender has seen nothing of the key-value service after this revision.
+    RecordsWanted {
+        /// The highest revision that it has seen.
+        after: StoreRevision,
+    },
+    /// Shared keys that the receiver may not have seen yet.
+    Records(Vec<Versioned>),
+    /// Requests wait for a model at the sender, which wants to hear of it for a while.
+    Wanted {
+        /// The model or adapter.
+        target: ModelTarget,
+        /// How many requests wait.
+        waiting: u32,
+        /// The most urgent order of service among them.
+        order: ServiceOrder,
+        /// How long the most patient of them can still wait.
+        patience: Duration,
+        /// How many requests for it arrived at the sender since its last message.
+        arrived: u32,
+    },
+    /// How an engine stands, from its owner.
+    View(EngineView),
+    /// The owner can't make the model available in time.
+    CannotLoad {
+        /// The model or adapter.
+        target: ModelTarget,
+        /// Why.
+        reason: CannotLoad,
+        /// When to ask again.
+        retry_after: Duration,
+    },
+    /// The sender has a load to make and asks for a share of the weight store.
+    LoadSlotWanted {
+        /// The engine that is to load.
+        upstream: UpstreamId,
+        /// The model.
+        model: ModelName,
+        /// The order of service of those who wait.
+        order: ServiceOrder,
+        /// How long those who wait can still wait.
+        patience: Duration,
+    },
+    /// The load may begin.
+    LoadSlotGranted {
+        /// The engine that is to load.
+        upstream: UpstreamId,
+        /// The model.
+        model: ModelName,
+    },
+    /// The load has ended or isn't wanted any more.
+    LoadSlotReturned {
+        /// The engine.
+        upstream: UpstreamId,
+        /// The model.
+        model: ModelName,
+    },
+    /// The sender has an engine that needs more power than it is granted.
+    PowerWanted {
+        /// The site.
+        site: SiteName,
+        /// How much is missing.
+        watts: Watts,
+        /// The order of service of those who wait.
+        order: ServiceOrder,
+    },
+    /// Requests were in progress at an upstream when it died.
+    Suspects {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Which life of the upstream died, where that is known.
+        incarnation: Option<Incarnation>,
+        /// The digests of the requests.
+        requests: Vec<Digest>,
+        /// Whether they ran alone, so that one who ran alone is convicted.
+        alone: bool,
+    },
+    /// The receiver's suspects have been taken note of.
+    SuspectsNoted {
+        /// The digests.
+        requests: Vec<Digest>,
+    },
+    /// A suspect ran to its end and is one no longer.
+    Cleared {
+        /// The digest.
+        request: Digest,
+    },
+    /// The sender wants to run a suspect alone on an engine that the receiver owns.
+    ReservationWanted {
+        /// The engine.
+        upstream: UpstreamId,
+        /// How long it can still wait.
+        patience: Duration,
+    },
+    /// The sender needs the engine for itself no longer.
+    ReservationReturned {
+        /// The engine.
+        upstream: UpstreamId,
+    },
+    /// An upstream is about to go and gets no new work.
+    UpstreamLeaving {
+        /// The upstream.
+        upstream: UpstreamId,
+    },
+    /// An upstream doesn't answer the sender.
+    UpstreamUnreachable {
+        /// The upstream.
+        upstream: UpstreamId,
+    },
+}
+
+/// A message with its receiver.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Envelope {
+    /// The receiver.
+    pub to: HostId,
+    /// What it is told.
+    pub message: PeerMessage,
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/rules.rs
@@ -0,0 +1,269 @@
+//! Ordered when-then rules, of which the first match counts.
+
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+
+use crate::collections::OrderedSet;
+use crate::id::{AdapterName, CallerId, DataCentre, ModelName, ServiceName};
+
+/// A share of a whole, from 0 to 100.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord)]
+#[display("{_0}%")]
+pub struct Percent(u8);
+
+/// A number that is no percentage.
+#[derive(Debug, Display, Error, PartialEq, Eq)]
+#[display("{value} is not a percentage; write a whole number from 0 to 100")]
+pub struct InvalidPercent {
+    value: u64,
+}
+
+impl TryFrom<u64> for Percent {
+    type Error = InvalidPercent;
+
+    fn try_from(value: u64) -> Result<Self, Self::Error> {
+        u8::try_from(value).ok().filter(|p| *p <= 100).map(Self).ok_or(InvalidPercent { value })
+    }
+}
+
+impl Percent {
+    /// Returns the number from 0 to 100.
+    pub const fn get(self) -> u8 {
+        self.0
+    }
+
+    /// Returns `part` as a share of `whole`, at most 100; a share of nothing is 0.
+    pub fn of(part: u64, whole: u64) -> Self {
+        let share = part.saturating_mul(100).checked_div(whole).unwrap_or(0).min(100);
+        Self(u8::try_from(share).unwrap_or(100))
+    }
+}
+
+/// A minute of the day in UTC, from 0 to 1439.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Display)]
+#[display("{:02}:{:02}", _0 / 60, _0 % 60)]
+pub struct MinuteOfDay(u16);
+
+/// A text that is no time of day.
+#[derive(Debug, Display, Error, PartialEq, Eq)]
+#[display("'{text}' is not a time of day; write hours and minutes in UTC, for example 18:30")]
+pub struct InvalidMinuteOfDay {
+    text: String,
+}
+
+const MINUTES_PER_DAY: u64 = 24 * 60;
+
+impl MinuteOfDay {
+    /// Returns the minute of the day at `secs` seconds after the Unix epoch.
+    pub fn from_unix_secs(secs: u64) -> Self {
+        Self(u16::try_from(secs / 60 % MINUTES_PER_DAY).unwrap_or(0))
+    }
+}
+
+impl std::str::FromStr for MinuteOfDay {
+    type Err = InvalidMinuteOfDay;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        let invalid = || InvalidMinuteOfDay { text: s.to_owned() };
+        let (hours, minutes) = s.split_once(':').ok_or_else(invalid)?;
+        let hours = hours.parse::<u16>().ok().filter(|h| *h < 24).ok_or_else(invalid)?;
+        let minutes = minutes.parse::<u16>().ok().filter(|m| *m < 60).ok_or_else(invalid)?;
+        Ok(Self(hours * 60 + minutes))
+    }
+}
+
+/// A span of the day; one that ends before it starts runs over midnight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hours {
+    /// The first minute that belongs to it.
+    pub from: MinuteOfDay,
+    /// The first minute that no longer belongs to it.
+    pub to: MinuteOfDay,
+}
+
+impl Hours {
+    fn contains(self, at: MinuteOfDay) -> bool {
+        if self.from <= self.to {
+            return self.from <= at && at < self.to;
+        }
+        at >= self.from || at < self.to
+    }
+}
+
+/// What must hold for a rule to match; an absent part always holds.
+///
+/// A part that asks about something the decision doesn't know (the caller, when
+/// the number of replicas is decided) doesn't hold.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Condition {
+    /// The base model is one of these.
+    pub models: Option<OrderedSet<ModelName>>,
+    /// The adapter is one of these.
+    pub adapters: Option<OrderedSet<AdapterName>>,
+    /// The caller is one of these.
+    pub callers: Option<OrderedSet<CallerId>>,
+    /// The service is one of these.
+    pub services: Option<OrderedSet<ServiceName>>,
+    /// The deciding process runs in one of these data centres.
+    pub data_centres: Option<OrderedSet<DataCentre>>,
+    /// The time of day lies in this span.
+    pub hours: Option<Hours>,
+    /// At least this share of the site's power is granted.
+    pub power_pressure: Option<Percent>,
+    /// At least this share of the engines' memory is in use.
+    pub memory_pressure: Option<Percent>,
+    /// The model has had no request for at least this long.
+    pub idle_for: Option<Duration>,
+    /// At least this many requests wait for the model.
+    pub queue_at_least: Option<u32>,
+}
+
+impl Condition {
+    /// Tells whether the condition holds for what is known.
+    pub fn holds(&self, facts: &Facts<'_>) -> bool {
+        one_of(self.models.as_ref(), facts.model)
+            && one_of(self.adapters.as_ref(), facts.adapter)
+            && one_of(self.callers.as_ref(), facts.caller)
+            && one_of(self.services.as_ref(), facts.service)
+            && one_of(self.data_centres.as_ref(), facts.data_centre)
+            && self.hours.is_none_or(|hours| facts.at.is_some_and(|at| hours.contains(at)))
+            && at_least(self.power_pressure, facts.power_pressure)
+            && at_least(self.memory_pressure, facts.memory_pressure)
+            && at_least(self.idle_for, facts.idle_for)
+            && at_least(self.queue_at_least, facts.queue)
+    }
+}
+
+fn one_of<T: Ord>(wanted: Option<&OrderedSet<T>>, known: Option<&T>) -> bool {
+    wanted.is_none_or(|set| known.is_some_and(|value| set.contains(value)))
+}
+
+fn at_least<T: PartialOrd>(wanted: Option<T>, known: Option<T>) -> bool {
+    match (wanted, known) {
+        (None, _) => true,
+        (Some(wanted), Some(known)) => known >= wanted,
+        (Some(_), None) => false,
+    }
+}
+
+/// What is known when a rule is looked for.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Facts<'a> {
+    /// The base model.
+    pub model: Option<&'a ModelName>,
+    /// The adapter on it.
+    pub adapter: Option<&'a AdapterName>,
+    /// The caller of a request.
+    pub caller: Option<&'a CallerId>,
+    /// The plain service.
+    pub service: Option<&'a ServiceName>,
+    /// The data centre of the deciding process.
+    pub data_centre: Option<&'a DataCentre>,
+    /// The time of day.
+    pub at: Option<MinuteOfDay>,
+    /// The share of the site's power that is granted.
+    pub power_pressure: Option<Percent>,
+    /// The share of the engines' memory that is in use.
+    pub memory_pressure: Option<Percent>,
+    /// How long the model has had no request.
+    pub idle_for: Option<Duration>,
+    /// How many requests wait for the model.
+    pub queue: Option<u32>,
+}
+
+/// Whom to serve first when short; lower numbers come first.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ServiceOrder(pub u16);
+
+impl Default for ServiceOrder {
+    fn default() -> Self {
+        Self(Outcome::DEFAULT_ORDER)
+    }
+}
+
+/// When a replica that has no requests is unloaded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdleAfter {
+    /// When the expected cost of a cold start no longer outweighs the idle hours.
+    Adaptive,
+    /// After this long without a request.
+    Fixed(Duration),
+    /// Never, while the rule matches.
+    Never,
+}
+
+/// What a matching rule decides; every part has a value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outcome {
+    /// How many replicas are kept loaded, requests or not.
+    pub replicas_min: u32,
+    /// How many replicas may be loaded at most.
+    pub replicas_max: u32,
+    /// When an unused replica is unloaded.
+    pub idle_after: IdleAfter,
+    /// Whom to serve first when power, memory or loads run short.
+    pub order: ServiceOrder,
+    /// Whether requests are refused, and with what reason.
+    pub refuse: Option<String>,
+    /// The weight of a second of cold start that a caller feels.
+    pub cold_start_weight: u32,
+    /// The weight of a second of an idle accelerator.
+    pub idle_weight: u32,
+}
+
+impl Outcome {
+    /// The order of service where no rule says otherwise.
+    pub const DEFAULT_ORDER: u16 = 100;
+}
+
+impl Default for Outcome {
+    fn default() -> Self {
+        Self {
+            replicas_min: 0,
+            replicas_max: 1,
+            idle_after: IdleAfter::Adaptive,
+            order: ServiceOrder::default(),
+            refuse: None,
+            cold_start_weight: 1,
+            idle_weight: 1,
+        }
+    }
+}
+
+/// One when-then rule.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rule {
+    /// The operators' name for it.
+    pub name: String,
+    /// When it matches.
+    pub when: Condition,
+    /// What it decides.
+    pub then: Outcome,
+}
+
+/// The rule that decided, or none when the defaults did.
+#[derive(Clone, Copy, Debug)]
+pub struct Decision<'a> {
+    /// The rule that matched first.
+    pub rule: Option<&'a Rule>,
+    /// What it decides.
+    pub outcome: &'a Outcome,
+}
+
+/// An ordered list of rules.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Rules {
+    /// The rules, the first one first.
+    pub list: Vec<Rule>,
+    /// What holds where no rule matches.
+    pub otherwise: Outcome,
+}
+
+impl Rules {
+    /// Finds the first rule that matches.
+    pub fn decide(&self, facts: &Facts<'_>) -> Decision<'_> {
+        let rule = self.list.iter().find(|rule| rule.when.holds(facts));
+        Decision { rule, outcome: rule.map_or(&self.otherwise, |rule| &rule.then) }
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/units.rs
@@ -0,0 +1,114 @@
+//! Sizes and power, checked and printed with their units.
+
+use std::iter::Sum;
+use std::str::FromStr;
+
+use derive_more::{Add, AddAssign, Display, Error, Sub};
+use serde::{Deserialize, Serialize};
+
+/// An amount of accelerator memory in mebibytes.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Add,
+    AddAssign,
+    Sub,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0}MiB")]
+#[serde(transparent)]
+pub struct Mebibytes(pub u64);
+
+/// Electric power in watts.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Add,
+    AddAssign,
+    Sub,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0}W")]
+#[serde(transparent)]
+pub struct Watts(pub u64);
+
+/// A text that is no size or power.
+#[derive(Debug, Display, Error, PartialEq, Eq)]
+#[display("'{text}' is not an amount; write a whole number followed by {unit}, for example 80{unit}")]
+pub struct InvalidAmount {
+    text: String,
+    unit: &'static str,
+}
+
+const MEBIBYTES_PER_GIBIBYTE: u64 = 1024;
+
+fn parse(s: &str, unit: &'static str) -> Result<u64, InvalidAmount> {
+    s.strip_suffix(unit)
+        .and_then(|n| n.trim().parse().ok())
+        .ok_or_else(|| InvalidAmount { text: s.to_owned(), unit })
+}
+
+impl FromStr for Mebibytes {
+    type Err = InvalidAmount;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        if let Ok(gib) = parse(s, "GiB") {
+            return Ok(Self(gib.saturating_mul(MEBIBYTES_PER_GIBIBYTE)));
+        }
+        parse(s, "MiB").map(Self)
+    }
+}
+
+impl FromStr for Watts {
+    type Err = InvalidAmount;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        parse(s, "W").map(Self)
+    }
+}
+
+impl Mebibytes {
+    /// Subtracts, stopping at zero.
+    #[must_use]
+    pub const fn saturating_sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+impl Watts {
+    /// Subtracts, stopping at zero.
+    #[must_use]
+    pub const fn saturating_sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+impl Sum for Mebibytes {
+    fn sum<I: Iterator<Item = Self>>(iter: I) -> Self {
+        Self(iter.map(|m| m.0).sum())
+    }
+}
+
+impl Sum for Watts {
+    fn sum<I: Iterator<Item = Self>>(iter: I) -> Self {
+        Self(iter.map(|w| w.0).sum())
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/upstream.rs
@@ -0,0 +1,207 @@
+//! Model engines and service replicas, as the host list and they themselves describe them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::id::{
+    AdapterName, DataCentre, Fence, Incarnation, ModelName, ModelVersion, OrderId, ServiceName, SiteName,
+    UpstreamId,
+};
+use crate::units::{Mebibytes, Watts};
+
+/// What an engine does with an order that carries an old fence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FenceCheck {
+    /// It refuses the order.
+    Refuses,
+    /// It carries the order out all the same.
+    Ignores,
+}
+
+/// What a model engine can hold and draws.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineSpec {
+    /// The accelerator memory in all.
+    pub memory: Mebibytes,
+    /// What it draws with nothing loaded.
+    pub sleep_watts: Watts,
+    /// The most that it draws with anything loaded or loading.
+    pub active_watts: Watts,
+    /// What it does with old fences.
+    pub fence_check: FenceCheck,
+    /// How many requests it runs at a time before they queue inside it.
+    pub concurrency: u32,
+}
+
+/// What an upstream is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum UpstreamKind {
+    /// A model engine.
+    Engine(EngineSpec),
+    /// A replica of a plain service.
+    Service(ServiceName),
+}
+
+/// What the host list says of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It may get new work.
+    Live,
+    /// It is about to go and may not get new work.
+    Leaving,
+}
+
+/// One entry of the host list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Upstream {
+    /// Its name, never given to another.
+    pub id: UpstreamId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// The site whose power it draws.
+    pub site: SiteName,
+    /// What it is.
+    pub kind: UpstreamKind,
+    /// Whether it may get new work.
+    pub standing: Standing,
+}
+
+impl Upstream {
+    /// Returns what the engine can hold, if this is one.
+    pub const fn engine(&self) -> Option<&EngineSpec> {
+        match &self.kind {
+            UpstreamKind::Engine(spec) => Some(spec),
+            UpstreamKind::Service(_) => None,
+        }
+    }
+
+    /// Returns the service's name, if this is a replica of one.
+    pub const fn service(&self) -> Option<&ServiceName> {
+        match &self.kind {
+            UpstreamKind::Engine(_) => None,
+            UpstreamKind::Service(name) => Some(name),
+        }
+    }
+}
+
+/// What an engine is told to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Take note of the fence and change nothing.
+    RaiseFence,
+    /// Load a base model; a model that is loaded already stays as it is.
+    Load {
+        /// The model.
+        model: ModelName,
+        /// Which weights.
+        version: ModelVersion,
+        /// The memory for weights and KV cache.
+        memory: Mebibytes,
+    },
+    /// Load an adapter on a loaded base model.
+    LoadAdapter {
+        /// The base model.
+        model: ModelName,
+        /// The adapter.
+        adapter: AdapterName,
+        /// The memory it takes.
+        memory: Mebibytes,
+    },
+    /// Unload a model with its adapters; an absent one is no error.
+    Unload {
+        /// The model.
+        model: ModelName,
+    },
+    /// Unload an adapter; an absent one is no error.
+    UnloadAdapter {
+        /// The base model.
+        model: ModelName,
+        /// The adapter.
+        adapter: AdapterName,
+    },
+}
+
+/// How an order ended, as far as its sender knows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// The engine has accepted it; its reports show the progress.
+    Accepted,
+    /// The engine has seen a higher fence and did nothing.
+    FenceTooLow {
+        /// The fence it has seen.
+        seen: Fence,
+    },
+    /// The engine did nothing, for a reason of its own.
+    Refused {
+        /// The engine's words.
+        reason: String,
+    },
+    /// It never reached the engine: the connection was refused.
+    NotSent,
+    /// The answer was lost; the engine may have carried it out, or may yet do so.
+    Lost,
+}
+
+/// Where a model stands on an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LoadState {
+    /// Its weights are on their way.
+    Loading,
+    /// It answers requests.
+    Ready,
+    /// It is on its way out, its memory still taken.
+    Unloading,
+}
+
+/// A model as its engine reports it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReportedModel {
+    /// The model.
+    pub model: ModelName,
+    /// Which weights.
+    pub version: ModelVersion,
+    /// Where it stands.
+    pub state: LoadState,
+    /// The memory it takes, adapters not counted.
+    pub memory: Mebibytes,
+    /// Requests in progress, running and waiting.
+    pub running: u32,
+    /// Its adapters, each with the memory it takes.
+    pub adapters: Vec<ReportedAdapter>,
+}
+
+/// An adapter as its engine reports it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReportedAdapter {
+    /// The adapter.
+    pub adapter: AdapterName,
+    /// The memory it takes.
+    pub memory: Mebibytes,
+    /// Whether it answers requests yet.
+    pub ready: bool,
+}
+
+/// An engine's answer to being asked how it stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineReport {
+    /// Which life of the engine answers; a restart has a higher number.
+    pub incarnation: Incarnation,
+    /// The highest fence that it has seen, where it keeps one.
+    pub fence: Fence,
+    /// The memory in all.
+    pub memory: Mebibytes,
+    /// What it holds.
+    pub models: Vec<ReportedModel>,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait inside the engine.
+    pub waiting: u32,
+    /// Whether it is about to go.
+    pub leaving: bool,
+    /// How old the load figures may be.
+    pub lag: Duration,
+    /// The orders it has settled lately, newest last.
+    pub settled: Vec<OrderId>,
+}
