--- a/crates/skylarkshore-core/src/effect.rs
+++ b/crates/skylarkshore-core/src/effect.rs
@@ -1,10 +1,13 @@
 //! What a process's surroundings have to do for it.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use derive_more::Display;
 
-use crate::id::{AttemptId, CallId, Fence, OrderId, RequestId, StoreRevision, UpstreamId};
+use crate::id::{
+    AttemptId, CallId, Fence, HostId, Incarnation, OrderId, RequestId, StoreRevision, UpstreamId,
+};
 use crate::peer::Envelope;
 use crate::rules::ServiceOrder;
 use crate::store::{RecordedAnswer, StoreCall};
@@ -107,6 +110,18 @@
     Unwatch,
     /// Send a message to a peer.
     Peer(Envelope),
+    /// Find out whether a life of a process has ended for certain.
+    ///
+    /// It has when its host refuses connections to the address, or when a later
+    /// life answers there; silence proves nothing.
+    Probe {
+        /// The host.
+        host: HostId,
+        /// The life that is in question.
+        incarnation: Incarnation,
+        /// Where callers reached it.
+        address: SocketAddr,
+    },
     /// Give an order to an engine.
     Order {
         /// The engine.
--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -13,12 +13,12 @@
 
 /// The loads, unloads and memory of the engines that one process owns.
 #[derive(Debug)]
-pub struct Loading {}
+pub struct Loading;
 
 impl Loading {
     /// Makes the state of a process that owns nothing.
     pub fn new(_cfg: &NodeConfig) -> Self {
-        Self {}
+        Self
     }
 
     /// Takes note of an engine gained or lost.
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -10,12 +10,12 @@
 
 /// The requests, queues and routes of one process.
 #[derive(Debug)]
-pub struct Serving {}
+pub struct Serving;
 
 impl Serving {
     /// Makes the state of a process without requests.
     pub fn new(_cfg: &NodeConfig) -> Self {
-        Self {}
+        Self
     }
 
     /// Takes a caller's request.
