--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -1,93 +1,265 @@
 //! What is loaded on the engines that this process owns.
 
+mod answer;
+mod close;
+mod demand;
+mod describe;
+mod engine;
+mod ledger;
+mod load;
+mod pacing;
+mod policy;
+mod tally;
+mod views;
+mod wants;
+
 use crate::authority::{Authority, EngineUse, HomeWish, OwnershipChange};
+use crate::collections::OrderedMap;
 use crate::config::NodeConfig;
 use crate::cx::Cx;
 use crate::dump::{Belief, Gauge};
 use crate::id::{HostId, ModelName, OrderId, UpstreamId};
+use crate::loading::demand::{Demand, Wanted};
+use crate::loading::engine::{Engine, ReportNews};
+use crate::loading::ledger::Answered;
+use crate::loading::pacing::Pacing;
+use crate::loading::policy::History;
+use crate::loading::tally::{LoadTimes, Tally};
 use crate::peer::PeerMessage;
 use crate::rules::ServiceOrder;
 use crate::time::Time;
 use crate::units::{Mebibytes, Watts};
-use crate::upstream::{EngineReport, OrderAnswer};
+use crate::upstream::{EngineReport, Order, OrderAnswer};
 
 /// The loads, unloads and memory of the engines that one process owns.
-#[derive(Debug)]
-pub struct Loading;
+#[derive(Debug, Default)]
+pub struct Loading {
+    engines: OrderedMap<UpstreamId, Engine>,
+    demand: Demand,
+    history: History,
+    pacing: Pacing,
+    load_times: LoadTimes,
+    tally: Tally,
+}
+
+/// What a decision on one engine needs beside the engine.
+struct Beside<'a> {
+    authority: &'a dyn Authority,
+    demand: &'a Demand,
+    history: &'a History,
+    pacing: &'a mut Pacing,
+    load_times: &'a mut LoadTimes,
+    tally: &'a mut Tally,
+}
 
 impl Loading {
     /// Makes the state of a process that owns nothing.
     pub fn new(_cfg: &NodeConfig) -> Self {
-        Self
+        Self::default()
     }
 
     /// Takes note of an engine gained or lost.
-    pub fn on_ownership(&mut self, _cx: &mut Cx<'_>, _change: &OwnershipChange) {}
+    pub fn on_ownership(&mut self, cx: &mut Cx<'_>, change: &OwnershipChange) {
+        match change {
+            OwnershipChange::Acquired { engine, fence, ghost_until } => {
+                self.pacing.release_engine(cx, engine);
+                let mut acquired = Engine::acquired(engine.clone(), *fence, *ghost_until, cx.now);
+                acquired.refresh(cx);
+                self.engines.insert(engine.clone(), acquired);
+            }
+            OwnershipChange::Lost { engine } => {
+                self.pacing.release_engine(cx, engine);
+                self.engines.remove(engine);
+            }
+        }
+    }
 
     /// Does what is due: asks for reports, loads, unloads, tells routers.
-    pub fn on_tick(&mut self, _cx: &mut Cx<'_>, _authority: &dyn Authority) {}
+    pub fn on_tick(&mut self, cx: &mut Cx<'_>, authority: &dyn Authority) {
+        self.demand.expire(cx.now);
+        let engines = &self.engines;
+        self.pacing.on_tick(cx, |key| {
+            engines.get(&key.engine).is_some_and(|engine| load::is_running(engine, &key.model))
+        });
+        let ids: Vec<UpstreamId> = self.engines.keys().cloned().collect();
+        for id in ids {
+            self.with_engine(authority, &id, |engine, beside| {
+                engine.refresh(cx);
+                engine.expire_orders(cx);
+                engine.keep_in_touch(cx, beside.authority.permit(cx.now, &engine.id));
+                decide(cx, engine, beside);
+                engine.count_idle(cx.now, beside.tally);
+                views::tell_changes(cx, engine, beside.demand);
+            });
+        }
+    }
 
     /// Takes the end of an order.
-    pub fn on_order(
-        &mut self,
-        _cx: &mut Cx<'_>,
-        _engine: &UpstreamId,
-        _order: OrderId,
-        _answer: &OrderAnswer,
-    ) {
+    pub fn on_order(&mut self, cx: &mut Cx<'_>, id: &UpstreamId, order: OrderId, answer: &OrderAnswer) {
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        if engine.on_fence_answer(cx, order, answer) {
+            return;
+        }
+        let Some((action, answered)) = engine.ledger.answer(order, answer, cx.now) else { return };
+        match answered {
+            Answered::Accepted => {}
+            Answered::InDoubt => cx.note("order_lost", id, format!("order={order}")),
+            Answered::NotDone => note_not_done(cx, engine, &mut self.tally, &action, answer),
+        }
     }
 
     /// Takes an engine's report, or its silence.
     pub fn on_report(
         &mut self,
-        _cx: &mut Cx<'_>,
-        _authority: &dyn Authority,
-        _engine: &UpstreamId,
-        _asked: Time,
-        _report: Option<&EngineReport>,
+        cx: &mut Cx<'_>,
+        authority: &dyn Authority,
+        id: &UpstreamId,
+        asked: Time,
+        report: Option<&EngineReport>,
     ) {
+        let Some(report) = report else { return };
+        self.with_engine(authority, id, |engine, beside| {
+            let news = engine.take_report(cx.now, asked, report);
+            if news == ReportNews::Unusable {
+                return;
+            }
+            let settled = engine.ledger.settle(report, asked, cx.cfg.timings.order_settle);
+            engine.note_unexpected(cx, &settled);
+            load::note_ended(cx, engine, beside);
+            if news == ReportNews::Restarted {
+                cx.note("engine_restarted", &engine.id, format!("incarnation={}", report.incarnation));
+                engine.on_restart(cx.now);
+            }
+            decide(cx, engine, beside);
+            views::tell_changes(cx, engine, beside.demand);
+        });
     }
 
     /// Takes a peer's message, where it concerns this part.
     pub fn on_peer(
         &mut self,
-        _cx: &mut Cx<'_>,
-        _authority: &dyn Authority,
-        _from: &HostId,
-        _message: &PeerMessage,
+        cx: &mut Cx<'_>,
+        authority: &dyn Authority,
+        from: &HostId,
+        message: &PeerMessage,
     ) {
+        self.pacing.on_peer(cx, from, message);
+        if let PeerMessage::Wanted { target, waiting, order, patience, arrived } = message {
+            if *arrived > 0 {
+                self.history.arrived(cx.now, &target.model);
+            }
+            let wanted = Wanted { from, target, waiting: *waiting, order: *order, patience: *patience };
+            self.demand.wanted(cx.now, wanted, &cx.cfg.timings);
+            self.answer_wanted(cx, authority, &wanted);
+        }
+    }
+
+    /// Acts on a router's word at once and tells it how matters stand.
+    fn answer_wanted(&mut self, cx: &mut Cx<'_>, authority: &dyn Authority, wanted: &Wanted<'_>) {
+        let model = &wanted.target.model;
+        let concerned: Vec<UpstreamId> = self
+            .engines
+            .values()
+            .filter(|engine| authority.is_home(&engine.id, model) || engine.model(model).is_some())
+            .map(|engine| engine.id.clone())
+            .collect();
+        let mut verdicts = Vec::new();
+        for id in &concerned {
+            self.with_engine(authority, id, |engine, beside| {
+                decide(cx, engine, beside);
+                views::tell_changes(cx, engine, beside.demand);
+                views::tell_one(cx, engine, wanted.from);
+                verdicts.push(answer::assess(cx, engine, beside, wanted));
+            });
+        }
+        if let Some(refusal) = answer::refusal(&verdicts, wanted) {
+            cx.tell(wanted.from, refusal);
+        }
+    }
+
+    fn with_engine(
+        &mut self,
+        authority: &dyn Authority,
+        id: &UpstreamId,
+        f: impl FnOnce(&mut Engine, &mut Beside<'_>),
+    ) {
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        let mut beside = Beside {
+            authority,
+            demand: &self.demand,
+            history: &self.history,
+            pacing: &mut self.pacing,
+            load_times: &mut self.load_times,
+            tally: &mut self.tally,
+        };
+        f(engine, &mut beside);
     }
 
     /// Tells what is believed.
-    pub fn dump(&self, _cx: &Cx<'_>) -> Vec<Belief> {
-        Vec::new()
+    pub fn dump(&self, cx: &Cx<'_>) -> Vec<Belief> {
+        describe::dump(self, cx)
     }
 
     /// Returns the numbers for the metrics.
     pub fn gauges(&self, _cx: &Cx<'_>) -> Vec<Gauge> {
-        Vec::new()
+        describe::gauges(self)
+    }
+}
+
+/// Decides on loads and unloads of one engine, where this process may act.
+fn decide(cx: &mut Cx<'_>, engine: &mut Engine, beside: &mut Beside<'_>) {
+    if engine.report().is_none() {
+        return;
+    }
+    let wants = wants::collect(cx, engine, beside);
+    engine.lacks = wants::lacking_power(engine, beside, &wants);
+    let Some(permit) = beside.authority.permit(cx.now, &engine.id) else { return };
+    close::decide(cx, engine, beside, &wants);
+    load::step(cx, engine, beside, permit, &wants);
+    close::unload_drained(cx, engine, beside, permit);
+}
+
+fn note_not_done(
+    cx: &mut Cx<'_>,
+    engine: &mut Engine,
+    tally: &mut Tally,
+    action: &Order,
+    answer: &OrderAnswer,
+) {
+    if let OrderAnswer::FenceTooLow { seen } = answer {
+        engine.phase = engine::Phase::Superseded;
+        cx.note("engine_superseded", &engine.id, format!("fence={} seen={seen}", engine.fence));
+    }
+    let reason = match answer {
+        OrderAnswer::Refused { reason } => reason.as_str(),
+        OrderAnswer::NotSent => "the engine refuses connections",
+        OrderAnswer::FenceTooLow { .. } => "the engine has seen a higher fence",
+        OrderAnswer::Accepted | OrderAnswer::Lost => return,
+    };
+    if let Order::Load { model, .. } | Order::LoadAdapter { model, .. } = action {
+        load::failed(cx, engine, tally, model, reason);
     }
 }
 
 impl EngineUse for Loading {
-    fn is_free_of(&self, _engine: &UpstreamId, _model: &ModelName) -> bool {
-        false
+    fn is_free_of(&self, engine: &UpstreamId, model: &ModelName) -> bool {
+        self.engines.get(engine).is_some_and(|engine| engine.is_free_of(model))
     }
 
-    fn is_settled(&self, _engine: &UpstreamId) -> bool {
-        true
+    fn is_settled(&self, engine: &UpstreamId) -> bool {
+        self.engines.get(engine).is_none_or(|engine| engine.ledger.is_empty())
     }
 
-    fn drawn(&self, _engine: &UpstreamId) -> Watts {
-        Watts(0)
+    fn drawn(&self, engine: &UpstreamId) -> Watts {
+        self.engines.get(engine).map_or(Watts(0), Engine::drawn)
     }
 
-    fn lacks(&self, _engine: &UpstreamId) -> Option<(Watts, ServiceOrder)> {
-        None
+    fn lacks(&self, engine: &UpstreamId) -> Option<(Watts, ServiceOrder)> {
+        self.engines.get(engine)?.lacks
     }
 
-    fn free_memory(&self, _engine: &UpstreamId) -> Mebibytes {
-        Mebibytes(0)
+    fn free_memory(&self, engine: &UpstreamId) -> Mebibytes {
+        self.engines.get(engine).map_or(Mebibytes(0), Engine::free_memory)
     }
 
     fn home_wishes(&self) -> Vec<HomeWish> {
--- /dev/null
+++ b/crates/skylarkshore-core/src/loading/answer.rs
@@ -0,0 +1,102 @@
+//! Whether those who wait for a model can be served in time.
+
+use std::time::Duration;
+
+use crate::cx::Cx;
+use crate::loading::Beside;
+use crate::loading::demand::Wanted;
+use crate::loading::engine::Engine;
+use crate::loading::load;
+use crate::loading::pacing::LoadKey;
+use crate::peer::{CannotLoad, PeerMessage};
+use crate::upstream::LoadState;
+
+/// How long it takes at most to learn what an engine holds, as a rule.
+const SURVEY_TIME: Duration = Duration::from_secs(1);
+/// How long room and power take to become free, as a rule.
+const MAKE_ROOM_TIME: Duration = Duration::from_secs(10);
+/// When to ask again for what others hold.
+const RETRY_SHORT: Duration = Duration::from_secs(5);
+/// The share of a load time that a load is taken to last yet when it takes longer than expected.
+const OVERDUE_SHARE: u32 = 10;
+
+/// How many loads may fail in a row before nobody is left to wait for the next.
+const HOPELESS_FAILURES: u32 = 5;
+
+/// What an engine can do for those who wait.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// They are served within their patience.
+    InTime,
+    /// They can't be served in time.
+    Not {
+        /// Why.
+        reason: CannotLoad,
+        /// When to ask again.
+        retry_after: Duration,
+    },
+}
+
+/// Judges whether an engine will serve those who wait at one router in time.
+pub(crate) fn assess(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, wanted: &Wanted<'_>) -> Verdict {
+    let model = &wanted.target.model;
+    if wanted.waiting == 0 || is_usable(engine, wanted) {
+        return Verdict::InTime;
+    }
+    if engine.is_silent(cx.now, cx.cfg.timings.engine_timeout) {
+        return Verdict::Not { reason: CannotLoad::EngineUnreachable, retry_after: RETRY_SHORT };
+    }
+    if beside.authority.permit(cx.now, &engine.id).is_none() {
+        return Verdict::Not { reason: CannotLoad::OwnershipInDoubt, retry_after: RETRY_SHORT };
+    }
+    let load_time = beside.load_times.of(cx, model);
+    let key = LoadKey { engine: engine.id.clone(), model: model.clone() };
+    let load = if engine.model(model).is_some_and(|seen| seen.state != LoadState::Unloading) {
+        remaining(cx, engine, beside, wanted)
+    } else {
+        load_time + beside.pacing.expected_wait(cx, &key)
+    };
+    if let Some(failures) = engine.failures.get(model) {
+        let retry = failures.retry.remaining(cx.now);
+        let hopeless = if failures.count < HOPELESS_FAILURES { load } else { Duration::MAX };
+        return within(wanted, hopeless.saturating_add(retry), CannotLoad::EngineRefuses, retry);
+    }
+    if engine.report().is_some() && !load::has_power(engine, beside) {
+        return within(wanted, load + MAKE_ROOM_TIME, CannotLoad::Power, RETRY_SHORT);
+    }
+    if engine.crowded.contains(model) {
+        return within(wanted, load + MAKE_ROOM_TIME, CannotLoad::Memory, RETRY_SHORT);
+    }
+    let survey = if engine.report().is_some() { Duration::ZERO } else { SURVEY_TIME };
+    within(wanted, load + survey, CannotLoad::TooSlow, load + survey)
+}
+
+fn is_usable(engine: &Engine, wanted: &Wanted<'_>) -> bool {
+    let model = &wanted.target.model;
+    engine.is_ready(model)
+        && wanted.target.adapter.as_ref().is_none_or(|adapter| engine.has_adapter(model, adapter))
+}
+
+/// Returns how long a load that has begun is expected to last yet.
+fn remaining(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, wanted: &Wanted<'_>) -> Duration {
+    let least = beside.load_times.of(cx, &wanted.target.model) / OVERDUE_SHARE;
+    let load = engine.loads.get(&wanted.target.model);
+    load.map_or(least, |load| load.expected.remaining(cx.now).max(least))
+}
+
+fn within(wanted: &Wanted<'_>, takes: Duration, reason: CannotLoad, retry_after: Duration) -> Verdict {
+    if takes <= wanted.patience { Verdict::InTime } else { Verdict::Not { reason, retry_after } }
+}
+
+/// Returns what a router is told when no engine here serves those who wait there.
+pub(crate) fn refusal(verdicts: &[Verdict], wanted: &Wanted<'_>) -> Option<PeerMessage> {
+    let mut refusal = (CannotLoad::NotOwner, Duration::ZERO);
+    for verdict in verdicts {
+        match verdict {
+            Verdict::InTime => return None,
+            Verdict::Not { reason, retry_after } => refusal = (reason.clone(), *retry_after),
+        }
+    }
+    let (reason, retry_after) = refusal;
+    Some(PeerMessage::CannotLoad { target: wanted.target.clone(), reason, retry_after })
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/loading/close.rs
@@ -0,0 +1,207 @@
+//! Unloads: which models leave an engine, and when nobody uses them any more.
+
+use crate::authority::Permit;
+use crate::collections::OrderedMap;
+use crate::cx::Cx;
+use crate::id::ModelName;
+use crate::loading::Beside;
+use crate::loading::engine::{CloseReason, Closing, Engine, memory_of};
+use crate::loading::wants::{self, Want};
+use crate::rules::ServiceOrder;
+use crate::time::Time;
+use crate::units::Mebibytes;
+use crate::upstream::{LoadState, Order, ReportedModel};
+
+/// After how many ticks' time room that nobody asks for any more is given back.
+const ROOM_LIFE: std::time::Duration = std::time::Duration::from_secs(1);
+/// How long to wait before an unload whose answer was lost is sent again.
+const RESEND_AFTER: std::time::Duration = std::time::Duration::from_millis(500);
+
+/// Decides which models are to leave, and takes back what is needed after all.
+pub(crate) fn decide(cx: &mut Cx<'_>, engine: &mut Engine, beside: &Beside<'_>, wants: &[Want]) {
+    let Some(report) = engine.report() else { return };
+    let ready: Vec<ReportedModel> =
+        report.models.iter().filter(|seen| seen.state == LoadState::Ready).cloned().collect();
+    engine.closing.retain(|model, _| ready.iter().any(|seen| seen.model == *model));
+    for seen in &ready {
+        let known = engine.closing.get(&seen.model).copied();
+        let wanted = wants.iter().any(|want| want.model == seen.model);
+        match (reason(cx, engine, beside, seen, wanted), known) {
+            (Some(reason), None) => close(cx, engine, &seen.model, reason, None),
+            (None, Some(closing)) if may_reopen(cx, engine, beside, &seen.model, &closing) => {
+                engine.closing.remove(&seen.model);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn close(
+    cx: &mut Cx<'_>,
+    engine: &mut Engine,
+    model: &ModelName,
+    reason: CloseReason,
+    room_for: Option<ServiceOrder>,
+) {
+    cx.note("model_closing", format!("{model}@{}", engine.id), format!("reason={reason}"));
+    engine.closing.insert(model.clone(), Closing { since: cx.now, reason, room_for, needed: cx.now });
+}
+
+/// Returns why a ready model has to leave, apart from others that need its memory.
+fn reason(
+    cx: &Cx<'_>,
+    engine: &Engine,
+    beside: &Beside<'_>,
+    seen: &ReportedModel,
+    wanted: bool,
+) -> Option<CloseReason> {
+    let Some(known) = cx.document.catalogue.models.get(&seen.model) else {
+        return Some(CloseReason::NoHome);
+    };
+    if !beside.authority.is_home(&engine.id, &seen.model) {
+        return Some(CloseReason::NoHome);
+    }
+    if seen.version != known.version {
+        return Some(CloseReason::Version);
+    }
+    let is_used = wanted || seen.running > 0 || beside.demand.of_model(&seen.model).is_some();
+    (!is_used && is_idle_for_too_long(cx, engine, beside, &seen.model)).then_some(CloseReason::Idle)
+}
+
+fn is_idle_for_too_long(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, model: &ModelName) -> bool {
+    let outcome = wants::rule(cx, engine, beside, model);
+    let load_time = beside.load_times.of(cx, model);
+    last_use(engine, beside, model).after(beside.history.keep_for(model, outcome, load_time)).is_due(cx.now)
+}
+
+/// Returns when the model was last used here, or became ready.
+fn last_use(engine: &Engine, beside: &Beside<'_>, model: &ModelName) -> Time {
+    let arrived = beside.history.last(model);
+    let busy = engine.last_busy.get(model).copied();
+    let ready = engine.ready_since.get(model).copied();
+    arrived.max(busy).max(ready).unwrap_or(engine.acquired)
+}
+
+/// Tells whether a closing model may be used again: it is wanted, and no unload is on its way.
+fn may_reopen(
+    cx: &Cx<'_>,
+    engine: &Engine,
+    beside: &Beside<'_>,
+    model: &ModelName,
+    closing: &Closing,
+) -> bool {
+    if engine.ledger.concerns(model) {
+        return false;
+    }
+    let need = beside.demand.of_model(model);
+    match (closing.reason, closing.room_for) {
+        (CloseReason::Memory, Some(order)) => {
+            need.is_some_and(|need| need.order <= order) || closing.needed.after(ROOM_LIFE).is_due(cx.now)
+        }
+        _ => true,
+    }
+}
+
+/// Closes idle models until `missing` memory will be free; tells whether that will be enough.
+pub(crate) fn make_room(
+    cx: &mut Cx<'_>,
+    engine: &mut Engine,
+    beside: &Beside<'_>,
+    want: &Want,
+    missing: Mebibytes,
+) -> bool {
+    let coming = on_its_way(engine);
+    for closing in engine.closing.values_mut() {
+        closing.needed = cx.now;
+    }
+    let mut missing = missing.saturating_sub(coming);
+    if missing == Mebibytes(0) {
+        return true;
+    }
+    let victims = victims(cx, engine, beside, want);
+    if victims.values().copied().sum::<Mebibytes>() < missing {
+        return false;
+    }
+    for (victim, memory) in victims {
+        if missing == Mebibytes(0) {
+            break;
+        }
+        missing = missing.saturating_sub(memory);
+        close(cx, engine, &victim.model, CloseReason::Memory, Some(want.order));
+    }
+    true
+}
+
+/// Returns the memory of the models that are on their way out.
+fn on_its_way(engine: &Engine) -> Mebibytes {
+    let Some(report) = engine.report() else { return Mebibytes(0) };
+    let leaving = report
+        .models
+        .iter()
+        .filter(|seen| seen.state == LoadState::Unloading || engine.closing.contains_key(&seen.model));
+    leaving.map(memory_of).sum()
+}
+
+/// A model that may make room, ordered by how little its callers lose.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Victim {
+    /// Those served last come first.
+    order: std::cmp::Reverse<ServiceOrder>,
+    last_use: Time,
+    model: ModelName,
+}
+
+fn victims(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, want: &Want) -> OrderedMap<Victim, Mebibytes> {
+    let Some(report) = engine.report() else { return OrderedMap::new() };
+    let idle = report.models.iter().filter(|seen| {
+        seen.state == LoadState::Ready
+            && seen.running == 0
+            && seen.model != want.model
+            && !engine.closing.contains_key(&seen.model)
+    });
+    idle.filter_map(|seen| {
+        let order = wants::rule(cx, engine, beside, &seen.model).order;
+        let waiting = beside.demand.of_model(&seen.model);
+        let kept = wants::is_kept(cx, engine, beside, &seen.model);
+        let is_weaker = match waiting {
+            Some(need) => want.waiting > 0 && want.order < need.order,
+            None if kept => want.waiting > 0 && want.order < order,
+            None => true,
+        };
+        let last_use = last_use(engine, beside, &seen.model);
+        let victim = Victim { order: std::cmp::Reverse(order), last_use, model: seen.model.clone() };
+        is_weaker.then(|| (victim, memory_of(seen)))
+    })
+    .collect()
+}
+
+/// Unloads closing models once routers have had time to stop and nothing runs any more.
+pub(crate) fn unload_drained(cx: &mut Cx<'_>, engine: &mut Engine, beside: &mut Beside<'_>, permit: Permit) {
+    let closing: Vec<(ModelName, Closing)> = engine.closing.iter().map(|(m, c)| (m.clone(), *c)).collect();
+    for (model, closing) in closing {
+        if let Some(unsettled) = engine.ledger.find(&model, |order| matches!(order, Order::Unload { .. })) {
+            if unsettled.resend && unsettled.sent.after(RESEND_AFTER).is_due(cx.now) {
+                let (id, action) = (unsettled.id, unsettled.action.clone());
+                engine.send(cx, permit, Some(id), action);
+            }
+            continue;
+        }
+        if engine.ledger.concerns(&model) || !is_drained(cx, engine, &model, &closing) {
+            continue;
+        }
+        engine.send(cx, permit, None, Order::Unload { model: model.clone() });
+        beside.tally.unloads += 1;
+        cx.note("model_unloaded", format!("{model}@{}", engine.id), format!("reason={}", closing.reason));
+    }
+}
+
+/// Tells whether a report, asked for after routers had time to stop, shows that nothing runs.
+///
+/// The report's load figures lag; one that was asked for too early would miss a
+/// request that a router had sent just before it heard of the closing, and that
+/// request would be cut off.
+fn is_drained(cx: &Cx<'_>, engine: &Engine, model: &ModelName, closing: &Closing) -> bool {
+    let Some(seen) = &engine.seen else { return false };
+    let stopped = closing.since.after(cx.cfg.timings.close_grace).after(seen.report.lag);
+    seen.asked >= stopped && engine.model(model).is_some_and(|seen| seen.running == 0)
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/loading/demand.rs
@@ -0,0 +1,128 @@
+//! Who waits for which model, and who wants to hear of it.
+
+use std::time::Duration;
+
+use crate::catalogue::ModelTarget;
+use crate::collections::OrderedMap;
+use crate::config::Timings;
+use crate::id::{AdapterName, HostId, ModelName};
+use crate::rules::ServiceOrder;
+use crate::time::Time;
+
+/// After how many intervals without a router's word its waiting requests no longer count.
+const MISSED_MESSAGES: u32 = 4;
+
+/// The requests that wait at one router.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    count: u32,
+    order: ServiceOrder,
+    /// When the most patient of them gives up.
+    deadline: Time,
+    /// When the router counts as silent.
+    expires: Time,
+}
+
+/// What all routers together want of a model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Need {
+    /// The most urgent order of service.
+    pub order: ServiceOrder,
+    /// When the most patient of those who wait gives up.
+    pub deadline: Time,
+    /// How many requests wait.
+    pub waiting: u32,
+}
+
+impl Need {
+    fn with(self, other: &Waiting) -> Self {
+        Self {
+            order: self.order.min(other.order),
+            deadline: self.deadline.max(other.deadline),
+            waiting: self.waiting + other.count,
+        }
+    }
+}
+
+/// A router's word that requests wait.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Wanted<'a> {
+    /// The router.
+    pub from: &'a HostId,
+    /// The model or adapter.
+    pub target: &'a ModelTarget,
+    /// How many requests wait.
+    pub waiting: u32,
+    /// The most urgent order of service among them.
+    pub order: ServiceOrder,
+    /// How long the most patient of them can still wait.
+    pub patience: Duration,
+}
+
+/// Who waits and who listens.
+#[derive(Debug, Default)]
+pub(crate) struct Demand {
+    waiting: OrderedMap<ModelTarget, OrderedMap<HostId, Waiting>>,
+    interest: OrderedMap<ModelName, OrderedMap<HostId, Time>>,
+}
+
+impl Demand {
+    /// Takes a router's word; it replaces the router's earlier one.
+    pub(crate) fn wanted(&mut self, now: Time, wanted: Wanted<'_>, timings: &Timings) {
+        let listeners = self.interest.entry(wanted.target.model.clone()).or_default();
+        listeners.insert(wanted.from.clone(), now.after(timings.interest));
+        if wanted.waiting == 0 {
+            if let Some(routers) = self.waiting.get_mut(wanted.target) {
+                routers.remove(wanted.from);
+            }
+            return;
+        }
+        let waiting = Waiting {
+            count: wanted.waiting,
+            order: wanted.order,
+            deadline: now.after(wanted.patience),
+            expires: now.after(timings.wanted_every * MISSED_MESSAGES),
+        };
+        self.waiting.entry(wanted.target.clone()).or_default().insert(wanted.from.clone(), waiting);
+    }
+
+    /// Forgets those whose time has run out.
+    pub(crate) fn expire(&mut self, now: Time) {
+        for routers in self.waiting.values_mut() {
+            routers.retain(|_, waiting| !waiting.expires.is_due(now) && !waiting.deadline.is_due(now));
+        }
+        self.waiting.retain(|_, routers| !routers.is_empty());
+        for listeners in self.interest.values_mut() {
+            listeners.retain(|_, until| !until.is_due(now));
+        }
+        self.interest.retain(|_, listeners| !listeners.is_empty());
+    }
+
+    /// Returns what is wanted of a model, on its own or under adapters.
+    pub(crate) fn of_model(&self, model: &ModelName) -> Option<Need> {
+        let first = ModelTarget { model: model.clone(), adapter: None };
+        let targets = self.waiting.range(first..).take_while(|(target, _)| target.model == *model);
+        sum(targets.flat_map(|(_, routers)| routers.values()))
+    }
+
+    /// Returns the adapters of a model that requests wait for.
+    pub(crate) fn adapters(&self, model: &ModelName) -> Vec<AdapterName> {
+        let first = ModelTarget { model: model.clone(), adapter: None };
+        let targets = self.waiting.range(first..).take_while(|(target, _)| target.model == *model);
+        targets
+            .filter(|(_, routers)| !routers.is_empty())
+            .filter_map(|(target, _)| target.adapter.clone())
+            .collect()
+    }
+
+    /// Returns the routers that want to hear of a model.
+    pub(crate) fn listeners(&self, model: &ModelName) -> impl Iterator<Item = &HostId> {
+        self.interest.get(model).into_iter().flat_map(OrderedMap::keys)
+    }
+}
+
+fn sum<'a>(mut all: impl Iterator<Item = &'a Waiting>) -> Option<Need> {
+    let first = all.next()?;
+    let need = Need { order: first.order, deadline: first.deadline, waiting: first.count };
+    Some(all.fold(need, Need::with))
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -0,0 +1,451 @@
+//! What is known of one engine that this process owns.
+
+use std::time::Duration;
+
+use derive_more::Display;
+
+use crate::authority::Permit;
+use crate::collections::{OrderedMap, OrderedSet};
+use crate::cx::Cx;
+use crate::effect::Effect;
+use crate::id::{AdapterName, Fence, Incarnation, ModelName, OrderId, UpstreamId};
+use crate::loading::ledger::{self, Ledger, Settled};
+use crate::loading::tally::Tally;
+use crate::loading::views::Told;
+use crate::rules::ServiceOrder;
+use crate::time::Time;
+use crate::units::{Mebibytes, Watts};
+use crate::upstream::{
+    EngineReport, EngineSpec, FenceCheck, LoadState, Order, OrderAnswer, ReportedModel, Standing,
+};
+
+/// How long to wait before the fence is raised once more.
+const FENCE_RETRY: Duration = Duration::from_millis(500);
+
+/// How far the taking over of an engine has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// The fence isn't known to be raised; orders of the former owner may still be carried out.
+    RaisingFence {
+        /// The order in progress.
+        order: Option<OrderId>,
+        /// When to try again.
+        retry: Time,
+    },
+    /// The fence stands; what is loaded isn't known yet.
+    FenceRaised {
+        /// Since when, so that only later reports count.
+        at: Time,
+    },
+    /// What is loaded is known.
+    Known,
+    /// The engine has seen a higher fence: somebody else has taken it over.
+    Superseded,
+}
+
+/// Whether an order of the former owner may still be carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ghost {
+    /// No such order can come any more.
+    None,
+    /// Until this time.
+    Until(Time),
+    /// Until reports have shown nothing unexpected for long enough.
+    UntilQuiet {
+        /// Since when nothing unexpected was seen; none before the first report.
+        since: Option<Time>,
+    },
+}
+
+/// A load that is under way.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LoadProgress {
+    /// When it was ordered.
+    pub started: Time,
+    /// When it is expected to end.
+    pub expected: Time,
+}
+
+/// Why a model is to leave an engine.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(crate) enum CloseReason {
+    /// Nobody uses it.
+    #[display("idle")]
+    Idle,
+    /// Others need its memory.
+    #[display("memory")]
+    Memory,
+    /// The catalogue names another version.
+    #[display("version")]
+    Version,
+    /// It has no home here, or isn't in the catalogue.
+    #[display("no_home")]
+    NoHome,
+}
+
+/// A model that routers are told not to use any more.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Closing {
+    /// Since when.
+    pub since: Time,
+    /// Why.
+    pub reason: CloseReason,
+    /// The order of service of those who need its memory.
+    pub room_for: Option<ServiceOrder>,
+    /// When its memory was last needed.
+    pub needed: Time,
+}
+
+/// Loads that failed one after the other.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Failures {
+    /// How many.
+    pub count: u32,
+    /// When to try again.
+    pub retry: Time,
+}
+
+/// The last report of an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct Seen {
+    /// When it was asked for.
+    pub asked: Time,
+    /// When it came.
+    pub heard: Time,
+    /// What it tells.
+    pub report: EngineReport,
+}
+
+/// One engine that this process owns.
+#[derive(Debug)]
+pub(crate) struct Engine {
+    pub id: UpstreamId,
+    pub fence: Fence,
+    pub acquired: Time,
+    pub phase: Phase,
+    pub ghost: Ghost,
+    /// What may be taken by a late order of the former owner; worked out at every tick.
+    pub ghost_memory: Mebibytes,
+    pub spec: Option<EngineSpec>,
+    pub standing: Standing,
+    pub ledger: Ledger,
+    pub seen: Option<Seen>,
+    pub next_ask: Time,
+    pub loads: OrderedMap<ModelName, LoadProgress>,
+    pub closing: OrderedMap<ModelName, Closing>,
+    pub closing_adapters: OrderedMap<(ModelName, AdapterName), Time>,
+    pub failures: OrderedMap<ModelName, Failures>,
+    /// Since when each model is ready here.
+    pub ready_since: OrderedMap<ModelName, Time>,
+    /// When each model last had a request in progress here.
+    pub last_busy: OrderedMap<ModelName, Time>,
+    pub lacks: Option<(Watts, ServiceOrder)>,
+    /// The models that the last report showed.
+    pub expected: OrderedSet<ModelName>,
+    /// Models for which no room can be made.
+    pub crowded: OrderedSet<ModelName>,
+    /// Until when idle time has been counted.
+    pub counted: Time,
+    pub told: Told,
+}
+
+impl Engine {
+    pub(crate) fn acquired(id: UpstreamId, fence: Fence, ghost_until: Time, now: Time) -> Self {
+        let ghost = match ghost_until {
+            Time::NEVER => Ghost::UntilQuiet { since: None },
+            until if until.is_due(now) => Ghost::None,
+            until => Ghost::Until(until),
+        };
+        Self {
+            id,
+            fence,
+            acquired: now,
+            phase: Phase::RaisingFence { order: None, retry: now },
+            ghost,
+            ghost_memory: Mebibytes(0),
+            spec: None,
+            standing: Standing::Live,
+            ledger: Ledger::default(),
+            seen: None,
+            next_ask: now,
+            loads: OrderedMap::new(),
+            closing: OrderedMap::new(),
+            closing_adapters: OrderedMap::new(),
+            failures: OrderedMap::new(),
+            ready_since: OrderedMap::new(),
+            last_busy: OrderedMap::new(),
+            lacks: None,
+            expected: OrderedSet::new(),
+            crowded: OrderedSet::new(),
+            counted: now,
+            told: Told::default(),
+        }
+    }
+
+    /// Takes the host list's word and works out what depends on the time.
+    pub(crate) fn refresh(&mut self, cx: &Cx<'_>) {
+        if let Some(upstream) = cx.upstreams.get(&self.id) {
+            self.spec = upstream.engine().cloned();
+            self.standing = upstream.standing;
+        }
+        let is_over = match self.ghost {
+            Ghost::None => true,
+            Ghost::Until(until) => until.is_due(cx.now),
+            Ghost::UntilQuiet { since } => {
+                since.is_some_and(|since| since.after(cx.cfg.timings.order_settle).is_due(cx.now))
+            }
+        };
+        if is_over {
+            self.ghost = Ghost::None;
+        }
+        self.ghost_memory = self.ghost_reserve(cx, None);
+    }
+
+    /// Gives up for lost the orders whose answer never came.
+    pub(crate) fn expire_orders(&mut self, cx: &mut Cx<'_>) {
+        let expired = self.ledger.expire(cx.now, cx.cfg.timings.order_settle);
+        if expired > 0 {
+            cx.note("order_lost", &self.id, format!("unanswered={expired}"));
+        }
+    }
+
+    /// Notes models that appeared without an order of this process.
+    ///
+    /// They are the work of a late order of the former owner; until none has
+    /// been seen for long enough, another one may come.
+    pub(crate) fn note_unexpected(&mut self, cx: &mut Cx<'_>, settled: &[Settled]) {
+        let Some(report) = self.report() else { return };
+        let known = |model: &ModelName| {
+            self.expected.contains(model)
+                || self.ledger.concerns(model)
+                || settled.iter().any(|order| ledger::model_of(&order.action) == Some(model))
+        };
+        let shown: OrderedSet<ModelName> = report.models.iter().map(|seen| seen.model.clone()).collect();
+        let unexpected: Vec<ModelName> = shown.iter().filter(|model| !known(model)).cloned().collect();
+        self.expected = shown;
+        let is_first = matches!(self.ghost, Ghost::UntilQuiet { since: None });
+        if is_first || !unexpected.is_empty() && matches!(self.ghost, Ghost::UntilQuiet { .. }) {
+            self.ghost = Ghost::UntilQuiet { since: Some(cx.now) };
+        }
+        if !is_first {
+            for model in unexpected {
+                cx.note(
+                    "unexpected_model",
+                    format!("{model}@{}", self.id),
+                    "loaded by no order of the owner",
+                );
+            }
+        }
+    }
+
+    /// Tells whether the model is neither loaded nor loading nor possibly so.
+    pub(crate) fn is_free_of(&self, model: &ModelName) -> bool {
+        self.report().is_some()
+            && self.ghost == Ghost::None
+            && self.model(model).is_none()
+            && !self.ledger.concerns(model)
+    }
+
+    /// Returns the power that the engine may be drawing now.
+    pub(crate) fn drawn(&self) -> Watts {
+        let Some(spec) = &self.spec else { return Watts(0) };
+        if self.may_hold_models() { spec.active_watts } else { spec.sleep_watts }
+    }
+
+    /// Counts the time in which something is loaded and nothing runs or loads.
+    pub(crate) fn count_idle(&mut self, now: Time, tally: &mut Tally) {
+        let since = std::mem::replace(&mut self.counted, now);
+        let Some(report) = self.report() else { return };
+        let is_busy = report.running > 0 || report.models.iter().any(|m| m.state == LoadState::Loading);
+        if !report.models.is_empty() && !is_busy {
+            tally.idle += now.since(since);
+        }
+    }
+
+    /// Tells whether an adapter answers requests.
+    pub(crate) fn has_adapter(&self, model: &ModelName, adapter: &AdapterName) -> bool {
+        self.model(model).is_some_and(|seen| seen.adapters.iter().any(|a| a.ready && a.adapter == *adapter))
+    }
+
+    /// Returns the report, once it may be relied on.
+    pub(crate) fn report(&self) -> Option<&EngineReport> {
+        self.seen.as_ref().filter(|_| self.phase == Phase::Known).map(|seen| &seen.report)
+    }
+
+    /// Finds a model in the report.
+    pub(crate) fn model(&self, model: &ModelName) -> Option<&ReportedModel> {
+        ledger::find(self.report(), model)
+    }
+
+    /// Tells whether a model answers requests and isn't about to leave.
+    pub(crate) fn is_ready(&self, model: &ModelName) -> bool {
+        self.model(model).is_some_and(|seen| seen.state == LoadState::Ready)
+            && !self.closing.contains_key(model)
+    }
+
+    /// Tells whether the engine has been silent for too long.
+    pub(crate) fn is_silent(&self, now: Time, timeout: Duration) -> bool {
+        let heard = self.seen.as_ref().map_or(self.acquired, |seen| seen.heard);
+        heard.after(timeout).is_due(now)
+    }
+
+    /// Tells whether the engine gets no new work.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.standing == Standing::Leaving || self.report().is_some_and(|report| report.leaving)
+    }
+
+    /// Returns the memory in all.
+    pub(crate) fn memory(&self) -> Mebibytes {
+        let told = self.report().map(|report| report.memory);
+        let listed = self.spec.as_ref().map(|spec| spec.memory);
+        match (told, listed) {
+            (Some(told), Some(listed)) => told.min(listed),
+            (Some(memory), None) | (None, Some(memory)) => memory,
+            (None, None) => Mebibytes(0),
+        }
+    }
+
+    /// Returns the memory that isn't spoken for; none before the first report.
+    pub(crate) fn free_memory(&self) -> Mebibytes {
+        let Some(report) = self.report() else { return Mebibytes(0) };
+        let loaded: Mebibytes = report.models.iter().map(memory_of).sum();
+        self.memory().saturating_sub(loaded + self.ledger.reserved(Some(report)) + self.ghost_memory)
+    }
+
+    /// Tells whether anything is or may be loaded.
+    pub(crate) fn may_hold_models(&self) -> bool {
+        let Some(report) = self.report() else { return true };
+        !report.models.is_empty() || !self.ledger.is_empty() || self.ghost_memory > Mebibytes(0)
+    }
+
+    /// Returns the memory that a late order of the former owner may take beside what is seen.
+    ///
+    /// The former owner had at most one unanswered load. Which one isn't known,
+    /// so it is taken to be the largest model that may be loaded here, `except`
+    /// the one whose load makes no difference as it would only be doubled.
+    pub(crate) fn ghost_reserve(&self, cx: &Cx<'_>, except: Option<&ModelName>) -> Mebibytes {
+        if self.ghost == Ghost::None {
+            return Mebibytes(0);
+        }
+        let homes = cx.cache.all_homes().filter(|(_, homes)| homes.engines.contains(&self.id));
+        homes
+            .filter(|(model, _)| Some(*model) != except && self.model(model).is_none())
+            .filter_map(|(model, _)| cx.document.catalogue.models.get(model))
+            .map(crate::catalogue::Model::footprint)
+            .max()
+            .unwrap_or_default()
+    }
+
+    /// Raises the fence and asks for reports when these are due.
+    pub(crate) fn keep_in_touch(&mut self, cx: &mut Cx<'_>, permit: Option<Permit>) {
+        if let (Phase::RaisingFence { retry, .. }, Some(permit)) = (self.phase, permit)
+            && retry.is_due(cx.now)
+        {
+            let order = self.send(cx, permit, None, Order::RaiseFence);
+            let retry = cx.now.after(cx.cfg.timings.engine_timeout);
+            self.phase = Phase::RaisingFence { order: Some(order), retry };
+        }
+        if self.next_ask.is_due(cx.now) && !matches!(self.phase, Phase::RaisingFence { .. }) {
+            self.ask_report(cx);
+        }
+    }
+
+    /// Asks the engine how it stands.
+    pub(crate) fn ask_report(&mut self, cx: &mut Cx<'_>) {
+        self.next_ask = cx.now.after(cx.cfg.timings.report_every);
+        cx.push(Effect::AskReport { upstream: self.id.clone() });
+    }
+
+    /// Sends an order and enters it into the ledger; `again` repeats one whose answer was lost.
+    pub(crate) fn send(
+        &mut self,
+        cx: &mut Cx<'_>,
+        permit: Permit,
+        again: Option<OrderId>,
+        action: Order,
+    ) -> OrderId {
+        let order = again.unwrap_or_else(|| cx.next_order());
+        if action != Order::RaiseFence {
+            self.ledger.begin(order, action.clone(), cx.now);
+        }
+        cx.push(Effect::Order {
+            upstream: self.id.clone(),
+            order,
+            fence: permit.fence,
+            not_after: permit.not_after,
+            action,
+        });
+        order
+    }
+
+    /// Takes the answer to the order that raises the fence; tells whether it was that one.
+    pub(crate) fn on_fence_answer(&mut self, cx: &mut Cx<'_>, order: OrderId, answer: &OrderAnswer) -> bool {
+        let Phase::RaisingFence { order: Some(sent), .. } = self.phase else { return false };
+        if sent != order {
+            return false;
+        }
+        let ignores = self.spec.as_ref().is_some_and(|spec| spec.fence_check == FenceCheck::Ignores);
+        match answer {
+            OrderAnswer::Accepted => self.on_fence_raised(cx),
+            OrderAnswer::Refused { .. } if ignores => self.on_fence_raised(cx),
+            OrderAnswer::FenceTooLow { .. } => self.phase = Phase::Superseded,
+            OrderAnswer::Refused { .. } | OrderAnswer::NotSent | OrderAnswer::Lost => {
+                self.phase = Phase::RaisingFence { order: None, retry: cx.now.after(FENCE_RETRY) };
+            }
+        }
+        true
+    }
+
+    fn on_fence_raised(&mut self, cx: &mut Cx<'_>) {
+        self.phase = Phase::FenceRaised { at: cx.now };
+        self.ask_report(cx);
+    }
+
+    /// Takes a report over; tells what else it means.
+    pub(crate) fn take_report(&mut self, now: Time, asked: Time, report: &EngineReport) -> ReportNews {
+        if let Phase::FenceRaised { at } = self.phase
+            && asked >= at
+        {
+            self.phase = Phase::Known;
+        }
+        if self.phase != Phase::Known || self.seen.as_ref().is_some_and(|seen| seen.asked > asked) {
+            return ReportNews::Unusable;
+        }
+        for seen in report.models.iter().filter(|seen| seen.running > 0) {
+            self.last_busy.insert(seen.model.clone(), now);
+        }
+        let restarted = self.incarnation().is_some_and(|known| known != report.incarnation);
+        self.seen = Some(Seen { asked, heard: now, report: report.clone() });
+        if restarted { ReportNews::Restarted } else { ReportNews::Usable }
+    }
+
+    fn incarnation(&self) -> Option<Incarnation> {
+        self.seen.as_ref().map(|seen| seen.report.incarnation)
+    }
+
+    /// Forgets what an earlier life of the engine had loaded, and raises the fence again.
+    pub(crate) fn on_restart(&mut self, now: Time) {
+        self.closing.clear();
+        self.closing_adapters.clear();
+        self.ready_since.clear();
+        self.last_busy.clear();
+        // A new life may have forgotten the fence and would obey a former owner.
+        self.phase = Phase::RaisingFence { order: None, retry: now };
+    }
+}
+
+/// What a report means beside its contents.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReportNews {
+    /// It came too early or out of turn.
+    Unusable,
+    /// It is the newest.
+    Usable,
+    /// It is the newest, and the engine has begun a new life.
+    Restarted,
+}
+
+/// Returns the memory that a model takes with its adapters.
+pub(crate) fn memory_of(seen: &ReportedModel) -> Mebibytes {
+    seen.memory + seen.adapters.iter().map(|a| a.memory).sum()
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/loading/ledger.rs
@@ -0,0 +1,231 @@
+//! The orders of one engine whose outcome isn't known yet, and the memory they may take.
+
+use std::time::Duration;
+
+use crate::collections::OrderedMap;
+use crate::id::{AdapterName, ModelName, OrderId};
+use crate::time::Time;
+use crate::units::Mebibytes;
+use crate::upstream::{EngineReport, Order, OrderAnswer, ReportedModel};
+
+/// How far an order has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    /// No answer yet.
+    InFlight,
+    /// The engine took it.
+    Accepted { at: Time },
+    /// Nothing was heard of it.
+    Unanswered,
+}
+
+/// An order that a report has to settle.
+#[derive(Clone, Debug)]
+struct PendingOrder {
+    action: Order,
+    sent: Time,
+    progress: Progress,
+    /// When a copy of it was last given up for lost; that copy may still arrive.
+    lost: Option<Time>,
+}
+
+/// What an answer tells about its order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Answered {
+    /// The engine took it; reports will show what becomes of it.
+    Accepted,
+    /// The engine did nothing, and no copy of the order is on its way.
+    NotDone,
+    /// It may have been carried out or may still be.
+    InDoubt,
+}
+
+/// An order that isn't in doubt any more.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Settled {
+    /// The order.
+    pub action: Order,
+    /// Whether the report shows what it asked for.
+    pub shown: bool,
+}
+
+/// The unsettled orders of one engine.
+///
+/// An order whose answer is lost may still be carried out. If its memory were
+/// given to another model meanwhile, the engine would be overcommitted and kill
+/// requests for want of memory; so every order keeps its memory here until a
+/// report that was asked late enough settles it.
+#[derive(Debug, Default)]
+pub(crate) struct Ledger {
+    orders: OrderedMap<OrderId, PendingOrder>,
+}
+
+impl Ledger {
+    /// Enters an order that is about to be sent, or sent once more.
+    pub(crate) fn begin(&mut self, order: OrderId, action: Order, now: Time) {
+        let lost = self.orders.get(&order).and_then(|pending| pending.lost);
+        self.orders.insert(order, PendingOrder { action, sent: now, progress: Progress::InFlight, lost });
+    }
+
+    /// Takes an answer over; none if the order isn't known any more.
+    pub(crate) fn answer(
+        &mut self,
+        order: OrderId,
+        answer: &OrderAnswer,
+        now: Time,
+    ) -> Option<(Order, Answered)> {
+        let pending = self.orders.get_mut(&order)?;
+        let action = pending.action.clone();
+        match answer {
+            OrderAnswer::Accepted => {
+                pending.progress = Progress::Accepted { at: now };
+                Some((action, Answered::Accepted))
+            }
+            OrderAnswer::Lost => {
+                pending.progress = Progress::Unanswered;
+                pending.lost = Some(now);
+                Some((action, Answered::InDoubt))
+            }
+            // An earlier copy of the same order may still be on its way.
+            _ if pending.lost.is_some() => {
+                pending.progress = Progress::Unanswered;
+                Some((action, Answered::InDoubt))
+            }
+            _ => {
+                self.orders.remove(&order);
+                Some((action, Answered::NotDone))
+            }
+        }
+    }
+
+    /// Gives up for lost what was sent too long ago to be answered any more.
+    pub(crate) fn expire(&mut self, now: Time, patience: Duration) -> usize {
+        let mut expired = 0;
+        for pending in self.orders.values_mut() {
+            if pending.progress == Progress::InFlight && pending.sent.after(patience).is_due(now) {
+                pending.progress = Progress::Unanswered;
+                pending.lost = Some(now);
+                expired += 1;
+            }
+        }
+        expired
+    }
+
+    /// Takes out what the report, asked for at `asked`, settles.
+    pub(crate) fn settle(&mut self, report: &EngineReport, asked: Time, settle: Duration) -> Vec<Settled> {
+        let is_settled = |order: &OrderId, pending: &mut PendingOrder| {
+            let named = report.settled.contains(order);
+            match (pending.progress, pending.lost) {
+                (Progress::InFlight, _) => false,
+                (Progress::Accepted { at }, None) => asked >= at,
+                (Progress::Accepted { at }, Some(lost)) => {
+                    asked >= at && (named || asked >= lost.after(settle))
+                }
+                (Progress::Unanswered, Some(lost)) => asked >= lost && (named || asked >= lost.after(settle)),
+                (Progress::Unanswered, None) => true,
+            }
+        };
+        self.orders
+            .extract_if(.., is_settled)
+            .map(|(_, pending)| Settled { shown: is_shown(report, &pending.action), action: pending.action })
+            .collect()
+    }
+
+    /// Returns the memory that unsettled orders may take beside what the report shows.
+    pub(crate) fn reserved(&self, report: Option<&EngineReport>) -> Mebibytes {
+        let mut models: OrderedMap<&ModelName, Mebibytes> = OrderedMap::new();
+        let mut adapters: OrderedMap<(&ModelName, &AdapterName), Mebibytes> = OrderedMap::new();
+        for pending in self.orders.values() {
+            match &pending.action {
+                Order::Load { model, memory, .. } => {
+                    let shown = find(report, model).map_or(Mebibytes(0), |seen| seen.memory);
+                    let entry = models.entry(model).or_default();
+                    *entry = (*entry).max(memory.saturating_sub(shown));
+                }
+                Order::LoadAdapter { model, adapter, memory } if !has_adapter(report, model, adapter) => {
+                    adapters.insert((model, adapter), *memory);
+                }
+                _ => {}
+            }
+        }
+        models.into_values().chain(adapters.into_values()).sum()
+    }
+
+    /// Tells whether no order is in progress or in doubt.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.orders.is_empty()
+    }
+
+    /// Returns an unsettled order for the model with its number, if there is one that `wanted` accepts.
+    pub(crate) fn find(&self, model: &ModelName, wanted: fn(&Order) -> bool) -> Option<UnsettledOrder<'_>> {
+        self.orders
+            .iter()
+            .find(|(_, pending)| model_of(&pending.action) == Some(model) && wanted(&pending.action))
+            .map(|(id, pending)| UnsettledOrder {
+                id: *id,
+                action: &pending.action,
+                sent: pending.sent,
+                resend: pending.progress == Progress::Unanswered,
+            })
+    }
+
+    /// Tells whether an unsettled order concerns the model.
+    pub(crate) fn concerns(&self, model: &ModelName) -> bool {
+        self.orders.values().any(|pending| model_of(&pending.action) == Some(model))
+    }
+
+    /// Tells whether an order that takes memory hasn't been answered.
+    ///
+    /// There is at most one at a time, so that whoever takes the engine over
+    /// knows that no more than one late order can be on its way.
+    pub(crate) fn awaits_answer(&self) -> bool {
+        self.orders.values().any(|pending| {
+            matches!(pending.action, Order::Load { .. } | Order::LoadAdapter { .. })
+                && !matches!(pending.progress, Progress::Accepted { .. })
+        })
+    }
+}
+
+/// An order whose outcome isn't known.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct UnsettledOrder<'a> {
+    /// Its number.
+    pub id: OrderId,
+    /// What it asks for.
+    pub action: &'a Order,
+    /// When it was last sent.
+    pub sent: Time,
+    /// Whether its answer was lost, so that it may be sent again.
+    pub resend: bool,
+}
+
+/// Returns the model that an order is about.
+pub(crate) const fn model_of(action: &Order) -> Option<&ModelName> {
+    match action {
+        Order::RaiseFence => None,
+        Order::Load { model, .. }
+        | Order::LoadAdapter { model, .. }
+        | Order::Unload { model }
+        | Order::UnloadAdapter { model, .. } => Some(model),
+    }
+}
+
+/// Finds a model in a report.
+pub(crate) fn find<'a>(report: Option<&'a EngineReport>, model: &ModelName) -> Option<&'a ReportedModel> {
+    report?.models.iter().find(|seen| seen.model == *model)
+}
+
+fn has_adapter(report: Option<&EngineReport>, model: &ModelName, adapter: &AdapterName) -> bool {
+    find(report, model).is_some_and(|seen| seen.adapters.iter().any(|a| a.adapter == *adapter))
+}
+
+fn is_shown(report: &EngineReport, action: &Order) -> bool {
+    let report = Some(report);
+    match action {
+        Order::RaiseFence => true,
+        Order::Load { model, .. } => find(report, model).is_some(),
+        Order::Unload { model } => find(report, model).is_none(),
+        Order::LoadAdapter { model, adapter, .. } => has_adapter(report, model, adapter),
+        Order::UnloadAdapter { model, adapter } => !has_adapter(report, model, adapter),
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/loading/load.rs
@@ -0,0 +1,183 @@
+//! Loads: memory, power, the weight store's share and the order to the engine.
+
+use std::time::Duration;
+
+use crate::authority::Permit;
+use crate::collections::OrderedSet;
+use crate::cx::Cx;
+use crate::id::{AdapterName, ModelName};
+use crate::loading::Beside;
+use crate::loading::close;
+use crate::loading::engine::{Engine, Failures, LoadProgress};
+use crate::loading::pacing::{LoadKey, Slot, Urgency};
+use crate::loading::tally::Tally;
+use crate::loading::wants::Want;
+use crate::units::Mebibytes;
+use crate::upstream::{LoadState, Order};
+
+/// How long to wait before an order whose answer was lost is sent again.
+const RESEND_AFTER: Duration = Duration::from_millis(500);
+/// Half of how long to wait after the first failed load.
+const FIRST_RETRY: Duration = Duration::from_millis(500);
+/// How often that wait is doubled at most.
+const MAX_DOUBLINGS: u32 = 7;
+
+/// Begins the loads that are wanted and possible, the most urgent first.
+pub(crate) fn step(
+    cx: &mut Cx<'_>,
+    engine: &mut Engine,
+    beside: &mut Beside<'_>,
+    permit: Permit,
+    wants: &[Want],
+) {
+    // Memory that a more urgent load waits for isn't given to a less urgent one.
+    let mut spoken_for = Mebibytes(0);
+    let mut crowded = OrderedSet::new();
+    for want in wants {
+        if engine.model(&want.model).is_some() {
+            load_adapters(cx, engine, beside, permit, want);
+            continue;
+        }
+        if resend(cx, engine, permit, &want.model) || !may_begin(cx, engine, beside, want) {
+            continue;
+        }
+        let Some(model) = cx.document.catalogue.models.get(&want.model) else { continue };
+        let memory = model.footprint();
+        let free = free_for(cx, engine, &want.model).saturating_sub(spoken_for);
+        spoken_for += memory;
+        if memory > free {
+            if !close::make_room(cx, engine, beside, want, memory.saturating_sub(free)) {
+                crowded.insert(want.model.clone());
+            }
+            continue;
+        }
+        let load = Order::Load { model: want.model.clone(), version: model.version.clone(), memory };
+        begin(cx, engine, beside, permit, want, load);
+    }
+    engine.crowded = crowded;
+}
+
+/// Returns the memory that a load of the model may use.
+fn free_for(cx: &Cx<'_>, engine: &Engine, model: &ModelName) -> Mebibytes {
+    // A late order of the former owner for the same model would change nothing.
+    let ghost = engine.ghost_reserve(cx, Some(model));
+    (engine.free_memory() + engine.ghost_memory).saturating_sub(ghost)
+}
+
+/// Sends an order of unknown outcome again; tells whether an order for the model is unsettled.
+fn resend(cx: &mut Cx<'_>, engine: &mut Engine, permit: Permit, model: &ModelName) -> bool {
+    let Some(unsettled) = engine.ledger.find(model, |_| true) else { return false };
+    if unsettled.resend && unsettled.sent.after(RESEND_AFTER).is_due(cx.now) {
+        let (id, action) = (unsettled.id, unsettled.action.clone());
+        engine.send(cx, permit, Some(id), action);
+    }
+    true
+}
+
+fn may_begin(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, want: &Want) -> bool {
+    let failed = engine.failures.get(&want.model).is_some_and(|failures| !failures.retry.is_due(cx.now));
+    !failed && !engine.is_leaving() && has_power(engine, beside)
+}
+
+/// Tells whether the engine may draw what it draws with something loaded.
+pub(crate) fn has_power(engine: &Engine, beside: &Beside<'_>) -> bool {
+    engine.spec.as_ref().is_some_and(|spec| beside.authority.granted(&engine.id) >= spec.active_watts)
+}
+
+fn load_adapters(cx: &mut Cx<'_>, engine: &mut Engine, beside: &mut Beside<'_>, permit: Permit, want: &Want) {
+    if !engine.is_ready(&want.model) || resend(cx, engine, permit, &want.model) {
+        return;
+    }
+    let Some(model) = cx.document.catalogue.models.get(&want.model) else { return };
+    for adapter in beside.demand.adapters(&want.model) {
+        let Some(&memory) = model.adapters.get(&adapter) else { continue };
+        if has_adapter(engine, &want.model, &adapter) || !may_begin(cx, engine, beside, want) {
+            continue;
+        }
+        let free = free_for(cx, engine, &want.model);
+        if memory > free {
+            close::make_room(cx, engine, beside, want, memory.saturating_sub(free));
+            continue;
+        }
+        let load = Order::LoadAdapter { model: want.model.clone(), adapter, memory };
+        begin(cx, engine, beside, permit, want, load);
+    }
+}
+
+fn has_adapter(engine: &Engine, model: &ModelName, adapter: &AdapterName) -> bool {
+    engine.model(model).is_some_and(|seen| seen.adapters.iter().any(|a| a.adapter == *adapter))
+}
+
+/// Sends a load once the weight store has a share for it and no other load is unanswered.
+fn begin(
+    cx: &mut Cx<'_>,
+    engine: &mut Engine,
+    beside: &mut Beside<'_>,
+    permit: Permit,
+    want: &Want,
+    load: Order,
+) {
+    if engine.ledger.awaits_answer() {
+        return;
+    }
+    let key = LoadKey { engine: engine.id.clone(), model: want.model.clone() };
+    let urgency = Urgency { order: want.order, patience: want.deadline.remaining(cx.now) };
+    if beside.pacing.request(cx, &key, urgency) == Slot::Waiting {
+        return;
+    }
+    let expected = cx.now.after(beside.load_times.of(cx, &want.model));
+    if matches!(load, Order::Load { .. }) {
+        engine.loads.insert(want.model.clone(), LoadProgress { started: cx.now, expected });
+    }
+    cx.note("load_started", format!("{}@{}", want.model, engine.id), format!("waiting={}", want.waiting));
+    engine.send(cx, permit, None, load);
+    beside.pacing.started(&key);
+    beside.tally.loads += 1;
+}
+
+/// Takes note of loads that have ended, as the engine's report shows them.
+pub(crate) fn note_ended(cx: &mut Cx<'_>, engine: &mut Engine, beside: &mut Beside<'_>) {
+    let Some(report) = engine.report() else { return };
+    let ready: Vec<ModelName> =
+        report.models.iter().filter(|m| m.state == LoadState::Ready).map(|m| m.model.clone()).collect();
+    engine.ready_since.retain(|model, _| ready.contains(model));
+    for model in ready {
+        engine.failures.remove(&model);
+        engine.ready_since.entry(model.clone()).or_insert(cx.now);
+        let Some(load) = engine.loads.remove(&model) else { continue };
+        let took = cx.now.since(load.started);
+        beside.load_times.measured(&model, took);
+        cx.note("load_ended", format!("{model}@{}", engine.id), format!("took_ms={}", took.as_millis()));
+    }
+    let gone: Vec<ModelName> = engine.loads.keys().cloned().collect();
+    for model in gone {
+        if engine.model(&model).is_none() && !engine.ledger.concerns(&model) {
+            failed(cx, engine, beside.tally, &model, "the engine doesn't show it any more");
+        }
+    }
+}
+
+/// Takes note of a load that failed; the next try waits longer after every failure.
+pub(crate) fn failed(
+    cx: &mut Cx<'_>,
+    engine: &mut Engine,
+    tally: &mut Tally,
+    model: &ModelName,
+    reason: &str,
+) {
+    engine.loads.remove(model);
+    tally.failed += 1;
+    let count = engine.failures.get(model).map_or(0, |failures| failures.count).saturating_add(1);
+    let pause = FIRST_RETRY.saturating_mul(1 << count.min(MAX_DOUBLINGS));
+    engine.failures.insert(model.clone(), Failures { count, retry: cx.now.after(pause) });
+    cx.note("load_failed", format!("{model}@{}", engine.id), format!("count={count} reason={reason}"));
+}
+
+/// Tells whether the engine is busy with a load of the model or of its adapters.
+pub(crate) fn is_running(engine: &Engine, model: &ModelName) -> bool {
+    let loading = |order: &Order| matches!(order, Order::Load { .. } | Order::LoadAdapter { .. });
+    let shown = engine.model(model).is_some_and(|seen| {
+        seen.state == LoadState::Loading || seen.adapters.iter().any(|adapter| !adapter.ready)
+    });
+    shown || engine.loads.contains_key(model) || engine.ledger.find(model, loading).is_some()
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/loading/pacing.rs
@@ -0,0 +1,343 @@
+//! The share of the weight store that each load needs, kept by one process for all.
+//!
+//! Passing the weight store's rate makes loads slow but breaks nothing, so the
+//! gate is soft: the process that rendezvous hashing picks among the live
+//! members keeps it in memory, and whoever gets no answer from it goes on with
+//! a small fixed share of its own.
+
+use std::hash::BuildHasher;
+use std::time::Duration;
+
+use foldhash::fast::FixedState;
+
+use crate::collections::OrderedMap;
+use crate::cx::Cx;
+use crate::id::{HostId, ModelName, UpstreamId};
+use crate::peer::PeerMessage;
+use crate::rules::ServiceOrder;
+use crate::time::Time;
+
+/// How often a waiting load asks again.
+const ASK_EVERY: Duration = Duration::from_millis(150);
+/// After how long without the gate's word the fixed share is used.
+const GATE_SILENT: Duration = Duration::from_millis(300);
+/// How often a running load renews its slot.
+const RENEW_EVERY: Duration = Duration::from_secs(10);
+/// After how long a slot that isn't renewed is given to others.
+const SLOT_LIFE: Duration = Duration::from_secs(35);
+/// After how long a load that isn't asked for any more leaves the queue.
+const QUEUE_LIFE: Duration = Duration::from_secs(2);
+/// How far apart loads of the fixed share start.
+const LOCAL_SPACING: Duration = Duration::from_secs(1);
+/// The span over which starts are counted.
+const RATE_SPAN: Duration = Duration::from_secs(1);
+
+/// A load, as the gate knows it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct LoadKey {
+    /// The engine that loads.
+    pub engine: UpstreamId,
+    /// The model, or the base of the adapter.
+    pub model: ModelName,
+}
+
+/// Who waits for a load.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Urgency {
+    /// The order of service.
+    pub order: ServiceOrder,
+    /// How long those who wait can still wait.
+    pub patience: Duration,
+}
+
+/// Whether a load may begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Slot {
+    /// It may.
+    Granted,
+    /// It has to wait.
+    Waiting,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Share {
+    None,
+    /// Of the gate.
+    Gate,
+    /// Of the process's own fixed share.
+    Local,
+}
+
+/// One load of this process.
+#[derive(Clone, Copy, Debug)]
+struct Ask {
+    since: Time,
+    /// When the caller last wanted it.
+    wanted: Time,
+    next: Time,
+    /// When the gate was last heard of.
+    heard: Option<Time>,
+    ahead: u32,
+    share: Share,
+    /// Whether the load has begun.
+    started: bool,
+    urgency: Urgency,
+}
+
+/// What the process asks of the gate, and the gate itself.
+#[derive(Debug, Default)]
+pub(crate) struct Pacing {
+    asks: OrderedMap<LoadKey, Ask>,
+    last_local: Option<Time>,
+    gate: Gate,
+}
+
+impl Pacing {
+    /// Asks for a slot, or learns whether it has been granted.
+    pub(crate) fn request(&mut self, cx: &mut Cx<'_>, key: &LoadKey, urgency: Urgency) -> Slot {
+        let now = cx.now;
+        let ask = self.asks.entry(key.clone()).or_insert(Ask {
+            since: now,
+            wanted: now,
+            next: now,
+            heard: None,
+            ahead: 0,
+            share: Share::None,
+            started: false,
+            urgency,
+        });
+        ask.wanted = now;
+        ask.urgency = urgency;
+        if ask.share != Share::None {
+            return Slot::Granted;
+        }
+        if ask.heard.unwrap_or(ask.since).after(GATE_SILENT).is_due(now) && self.take_local(now, key) {
+            return Slot::Granted;
+        }
+        self.ask_gate(cx, key);
+        Slot::Waiting
+    }
+
+    /// Takes note that a load has begun.
+    pub(crate) fn started(&mut self, key: &LoadKey) {
+        if let Some(ask) = self.asks.get_mut(key) {
+            ask.started = true;
+        }
+    }
+
+    fn take_local(&mut self, now: Time, key: &LoadKey) -> bool {
+        let is_taken = self.asks.values().any(|ask| ask.share == Share::Local);
+        let is_early = self.last_local.is_some_and(|last| !last.after(LOCAL_SPACING).is_due(now));
+        if is_taken || is_early {
+            return false;
+        }
+        self.last_local = Some(now);
+        if let Some(ask) = self.asks.get_mut(key) {
+            ask.share = Share::Local;
+        }
+        true
+    }
+
+    fn ask_gate(&mut self, cx: &mut Cx<'_>, key: &LoadKey) {
+        let Some(ask) = self.asks.get_mut(key).filter(|ask| ask.next.is_due(cx.now)) else { return };
+        ask.next = cx.now.after(if ask.share == Share::None { ASK_EVERY } else { RENEW_EVERY });
+        let Some(gate) = gate_host(cx) else { return };
+        let wanted = PeerMessage::LoadSlotWanted {
+            upstream: key.engine.clone(),
+            model: key.model.clone(),
+            order: ask.urgency.order,
+            patience: ask.urgency.patience,
+        };
+        cx.tell(&gate, wanted);
+    }
+
+    /// Gives a slot back, or leaves the queue.
+    pub(crate) fn release(&mut self, cx: &mut Cx<'_>, key: &LoadKey) {
+        if self.asks.remove(key).is_none() {
+            return;
+        }
+        if let Some(gate) = gate_host(cx) {
+            let returned =
+                PeerMessage::LoadSlotReturned { upstream: key.engine.clone(), model: key.model.clone() };
+            cx.tell(&gate, returned);
+        }
+    }
+
+    /// Gives back every slot of an engine.
+    pub(crate) fn release_engine(&mut self, cx: &mut Cx<'_>, engine: &UpstreamId) {
+        let keys: Vec<LoadKey> = self.asks.keys().filter(|key| key.engine == *engine).cloned().collect();
+        for key in keys {
+            self.release(cx, &key);
+        }
+    }
+
+    /// Returns how long a load has to wait for its slot, as far as the gate has told.
+    pub(crate) fn expected_wait(&self, cx: &Cx<'_>, key: &LoadKey) -> Duration {
+        let Some(ask) = self.asks.get(key).filter(|ask| ask.share == Share::None) else {
+            return Duration::ZERO;
+        };
+        RATE_SPAN * (ask.ahead / cx.cfg.limits.loads_per_second.max(1))
+    }
+
+    /// Renews slots, drops what isn't wanted any more and grants what can be granted.
+    ///
+    /// `running` names the loads that have begun.
+    pub(crate) fn on_tick(&mut self, cx: &mut Cx<'_>, running: impl Fn(&LoadKey) -> bool) {
+        let keys: Vec<LoadKey> = self.asks.keys().cloned().collect();
+        for key in keys {
+            let Some(ask) = self.asks.get(&key) else { continue };
+            let stale = ask.wanted.after(QUEUE_LIFE).is_due(cx.now);
+            match (ask.started, running(&key)) {
+                (true, true) => self.ask_gate_to_renew(cx, &key),
+                (true, false) => self.release(cx, &key),
+                (false, _) if stale => self.release(cx, &key),
+                (false, _) => {}
+            }
+        }
+        self.gate.grant_due(cx);
+    }
+
+    fn ask_gate_to_renew(&mut self, cx: &mut Cx<'_>, key: &LoadKey) {
+        if self.asks.get(key).is_some_and(|ask| ask.share == Share::Gate) {
+            self.ask_gate(cx, key);
+        }
+    }
+
+    /// Takes a peer's message about slots.
+    pub(crate) fn on_peer(&mut self, cx: &mut Cx<'_>, from: &HostId, message: &PeerMessage) {
+        match message {
+            PeerMessage::LoadSlotWanted { upstream, model, order, patience } => {
+                let key = LoadKey { engine: upstream.clone(), model: model.clone() };
+                self.gate.wanted(cx, from, &key, Urgency { order: *order, patience: *patience });
+            }
+            PeerMessage::LoadSlotReturned { upstream, model } => {
+                let key = LoadKey { engine: upstream.clone(), model: model.clone() };
+                self.gate.returned(cx, from, &key);
+            }
+            PeerMessage::LoadSlotGranted { upstream, model } => {
+                let key = LoadKey { engine: upstream.clone(), model: model.clone() };
+                self.on_granted(cx, from, &key);
+            }
+            PeerMessage::LoadSlotQueued { upstream, model, ahead } => {
+                let key = LoadKey { engine: upstream.clone(), model: model.clone() };
+                if let Some(ask) = self.asks.get_mut(&key) {
+                    ask.heard = Some(cx.now);
+                    ask.ahead = *ahead;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn on_granted(&mut self, cx: &mut Cx<'_>, from: &HostId, key: &LoadKey) {
+        let Some(ask) = self.asks.get_mut(key) else {
+            // The load isn't wanted any more; others could use the slot.
+            let returned =
+                PeerMessage::LoadSlotReturned { upstream: key.engine.clone(), model: key.model.clone() };
+            cx.tell(from, returned);
+            return;
+        };
+        ask.heard = Some(cx.now);
+        if ask.share == Share::None {
+            ask.share = Share::Gate;
+            ask.next = cx.now.after(RENEW_EVERY);
+        }
+    }
+}
+
+/// Returns the process that keeps the gate: the same at every process that knows the same members.
+fn gate_host(cx: &Cx<'_>) -> Option<HostId> {
+    let staying = cx.cache.members().filter(|(_, member)| !member.leaving);
+    let gate =
+        staying.max_by_key(|(host, _)| FixedState::default().hash_one(("weight-store", host.as_str())));
+    gate.map(|(host, _)| host.clone())
+}
+
+/// A load in the gate's queue.
+#[derive(Clone, Debug)]
+struct Queued {
+    from: HostId,
+    order: ServiceOrder,
+    deadline: Time,
+    since: Time,
+    expires: Time,
+}
+
+/// A load that may run.
+#[derive(Clone, Debug)]
+struct Granted {
+    from: HostId,
+    expires: Time,
+}
+
+/// The weight store's gate, in use at one process at a time.
+#[derive(Debug, Default)]
+struct Gate {
+    queue: OrderedMap<LoadKey, Queued>,
+    granted: OrderedMap<LoadKey, Granted>,
+    /// When loads were let through within the last second.
+    starts: Vec<Time>,
+}
+
+impl Gate {
+    fn wanted(&mut self, cx: &mut Cx<'_>, from: &HostId, key: &LoadKey, urgency: Urgency) {
+        if let Some(granted) = self.granted.get_mut(key).filter(|granted| granted.from == *from) {
+            granted.expires = cx.now.after(SLOT_LIFE);
+            tell_granted(cx, from, key);
+            return;
+        }
+        let since = self.queue.get(key).map_or(cx.now, |queued| queued.since);
+        let queued = Queued {
+            from: from.clone(),
+            order: urgency.order,
+            deadline: cx.now.after(urgency.patience),
+            since,
+            expires: cx.now.after(QUEUE_LIFE),
+        };
+        self.queue.insert(key.clone(), queued);
+        self.grant_due(cx);
+        if let Some(own) = self.queue.get(key) {
+            let ahead = self.queue.values().filter(|other| rank(other) < rank(own)).count();
+            let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+            let (upstream, model) = (key.engine.clone(), key.model.clone());
+            cx.tell(from, PeerMessage::LoadSlotQueued { upstream, model, ahead });
+        }
+    }
+
+    fn returned(&mut self, cx: &mut Cx<'_>, from: &HostId, key: &LoadKey) {
+        if self.granted.get(key).is_some_and(|granted| granted.from == *from) {
+            self.granted.remove(key);
+        }
+        if self.queue.get(key).is_some_and(|queued| queued.from == *from) {
+            self.queue.remove(key);
+        }
+        self.grant_due(cx);
+    }
+
+    fn grant_due(&mut self, cx: &mut Cx<'_>) {
+        self.queue.retain(|_, queued| !queued.expires.is_due(cx.now));
+        self.granted.retain(|_, granted| !granted.expires.is_due(cx.now));
+        self.starts.retain(|start| !start.after(RATE_SPAN).is_due(cx.now));
+        let limits = &cx.cfg.limits;
+        while self.granted.len() < limits.loads_at_once as usize
+            && self.starts.len() < limits.loads_per_second as usize
+        {
+            let first = self.queue.iter().min_by_key(|(_, queued)| rank(queued));
+            let Some(key) = first.map(|(key, _)| key.clone()) else { return };
+            let Some(queued) = self.queue.remove(&key) else { return };
+            self.starts.push(cx.now);
+            tell_granted(cx, &queued.from, &key);
+            self.granted.insert(key, Granted { from: queued.from, expires: cx.now.after(SLOT_LIFE) });
+        }
+    }
+}
+
+/// Returns what decides which load goes first: order of service, then deadline, then age.
+const fn rank(queued: &Queued) -> (ServiceOrder, Time, Time) {
+    (queued.order, queued.deadline, queued.since)
+}
+
+fn tell_granted(cx: &mut Cx<'_>, to: &HostId, key: &LoadKey) {
+    let granted = PeerMessage::LoadSlotGranted { upstream: key.engine.clone(), model: key.model.clone() };
+    cx.tell(to, granted);
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/loading/views.rs
@@ -0,0 +1,141 @@
+//! What routers are told of an engine, and when.
+
+use std::time::Duration;
+
+use crate::collections::OrderedSet;
+use crate::cx::Cx;
+use crate::id::{HostId, ModelName};
+use crate::loading::demand::Demand;
+use crate::loading::engine::Engine;
+use crate::peer::PeerMessage;
+use crate::time::Time;
+use crate::upstream::{LoadState, ReportedModel};
+use crate::view::{EngineView, ModelView, Readiness, ViewVersion};
+
+/// How often changes of load alone are told.
+const LOAD_CHANGES_EVERY: Duration = Duration::from_secs(1);
+
+/// What was last told of an engine.
+#[derive(Debug, Default)]
+pub(crate) struct Told {
+    last: Option<EngineView>,
+    at: Time,
+    number: u64,
+}
+
+/// Tells every router that is interested in one of the engine's models what has changed.
+pub(crate) fn tell_changes(cx: &mut Cx<'_>, engine: &mut Engine, demand: &Demand) {
+    if engine.seen.is_none() {
+        return;
+    }
+    let view = make(cx, engine);
+    let is_due = match &engine.told.last {
+        None => true,
+        Some(last) if is_same(last, &view, true) => false,
+        Some(last) => !is_same(last, &view, false) || engine.told.at.after(LOAD_CHANGES_EVERY).is_due(cx.now),
+    };
+    if !is_due {
+        return;
+    }
+    let mut models: OrderedSet<ModelName> = view.models.iter().map(|m| m.model.clone()).collect();
+    if let Some(last) = &engine.told.last {
+        models.extend(last.models.iter().map(|m| m.model.clone()));
+    }
+    let hosts: OrderedSet<HostId> = models.iter().flat_map(|m| demand.listeners(m)).cloned().collect();
+    let view = remember(cx.now, engine, view);
+    for host in hosts {
+        cx.tell(&host, PeerMessage::View(view.clone()));
+    }
+}
+
+/// Tells one router how an engine stands.
+pub(crate) fn tell_one(cx: &mut Cx<'_>, engine: &mut Engine, host: &HostId) {
+    if engine.seen.is_none() {
+        return;
+    }
+    let view = make(cx, engine);
+    let view = remember(cx.now, engine, view);
+    cx.tell(host, PeerMessage::View(view));
+}
+
+fn remember(now: Time, engine: &mut Engine, mut view: EngineView) -> EngineView {
+    if engine.told.last.as_ref().is_none_or(|last| !is_same(last, &view, true)) {
+        engine.told.number += 1;
+        engine.told.at = now;
+    }
+    view.version = ViewVersion { fence: engine.fence, number: engine.told.number };
+    engine.told.last = Some(view.clone());
+    view
+}
+
+/// Tells whether two views say the same, `with_load` or apart from it.
+fn is_same(a: &EngineView, b: &EngineView, with_load: bool) -> bool {
+    let structure = a.leaving == b.leaving
+        && a.concurrency == b.concurrency
+        && a.reserved_for == b.reserved_for
+        && a.models.len() == b.models.len()
+        && a.models.iter().zip(&b.models).all(|(a, b)| is_same_model(a, b));
+    if !with_load {
+        return structure;
+    }
+    structure && a.running == b.running && a.models.iter().zip(&b.models).all(|(a, b)| a.running == b.running)
+}
+
+fn is_same_model(a: &ModelView, b: &ModelView) -> bool {
+    let readiness = match (a.readiness, b.readiness) {
+        // The remaining time runs down by itself.
+        (Readiness::Loading { .. }, Readiness::Loading { .. }) => true,
+        (a, b) => a == b,
+    };
+    readiness && a.model == b.model && a.version == b.version && a.adapters == b.adapters
+}
+
+fn make(cx: &Cx<'_>, engine: &Engine) -> EngineView {
+    let silent = engine.is_silent(cx.now, cx.cfg.timings.engine_timeout);
+    let report = engine.report().filter(|_| !silent);
+    let seen = report.map_or(&[][..], |report| &report.models);
+    let mut models: Vec<ModelView> = seen.iter().map(|seen| model_view(cx.now, engine, seen)).collect();
+    for (model, load) in engine.loads.iter().filter(|(model, _)| engine.model(model).is_none()) {
+        let Some(known) = cx.document.catalogue.models.get(model) else { continue };
+        models.push(ModelView {
+            model: model.clone(),
+            version: known.version.clone(),
+            readiness: Readiness::Loading { remaining: load.expected.remaining(cx.now) },
+            adapters: Vec::new(),
+            running: 0,
+        });
+    }
+    models.sort_by(|a, b| a.model.cmp(&b.model));
+    EngineView {
+        upstream: engine.id.clone(),
+        version: ViewVersion::default(),
+        models,
+        concurrency: engine.spec.as_ref().map_or(0, |spec| spec.concurrency),
+        running: report.map_or(0, |report| report.running + report.waiting),
+        leaving: engine.is_leaving(),
+        reserved_for: None,
+    }
+}
+
+fn model_view(now: Time, engine: &Engine, seen: &ReportedModel) -> ModelView {
+    let readiness = match seen.state {
+        LoadState::Ready if engine.closing.contains_key(&seen.model) => Readiness::Closing,
+        LoadState::Ready => Readiness::Ready,
+        LoadState::Unloading => Readiness::Closing,
+        LoadState::Loading => {
+            let remaining =
+                engine.loads.get(&seen.model).map_or(Duration::ZERO, |load| load.expected.remaining(now));
+            Readiness::Loading { remaining }
+        }
+    };
+    let adapters = seen.adapters.iter().filter(|a| {
+        a.ready && !engine.closing_adapters.contains_key(&(seen.model.clone(), a.adapter.clone()))
+    });
+    ModelView {
+        model: seen.model.clone(),
+        version: seen.version.clone(),
+        readiness,
+        adapters: adapters.map(|a| a.adapter.clone()).collect(),
+        running: seen.running,
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/loading/wants.rs
@@ -0,0 +1,124 @@
+//! Which models ought to be loaded on an engine, the most urgent first.
+
+use crate::cx::Cx;
+use crate::id::ModelName;
+use crate::loading::engine::Engine;
+use crate::loading::policy::{self, Use};
+use crate::loading::{Beside, demand::Need};
+use crate::rules::{Outcome, Percent, ServiceOrder};
+use crate::store::HomesRecord;
+use crate::time::Time;
+use crate::units::Watts;
+use crate::upstream::Standing;
+
+/// How many requests may wait for each slot of a replica before one more replica helps.
+const WAITING_PER_SLOT: u32 = 2;
+
+/// A model that ought to be loaded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Want {
+    /// The model.
+    pub model: ModelName,
+    /// The order of service of those who wait, or of the rule that keeps it loaded.
+    pub order: ServiceOrder,
+    /// When the most patient of those who wait gives up; never when nobody waits.
+    pub deadline: Time,
+    /// How many requests wait.
+    pub waiting: u32,
+}
+
+impl Want {
+    /// Returns what decides which want goes first.
+    pub(crate) const fn rank(&self) -> (bool, ServiceOrder, Time) {
+        (self.waiting == 0, self.order, self.deadline)
+    }
+}
+
+/// Lists the models that ought to be loaded on an engine, the most urgent first.
+pub(crate) fn collect(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>) -> Vec<Want> {
+    let mut wants = Vec::new();
+    for (model, homes) in cx.cache.all_homes() {
+        if !homes.engines.contains(&engine.id) || !cx.document.catalogue.models.contains_key(model) {
+            continue;
+        }
+        if !beside.authority.is_home(&engine.id, model) {
+            continue;
+        }
+        if let Some(want) = want(cx, engine, beside, model, homes) {
+            wants.push(want);
+        }
+    }
+    wants.sort_by_key(Want::rank);
+    wants
+}
+
+fn want(
+    cx: &Cx<'_>,
+    engine: &Engine,
+    beside: &Beside<'_>,
+    model: &ModelName,
+    homes: &HomesRecord,
+) -> Option<Want> {
+    let need = beside.demand.of_model(model);
+    let outcome = rule(cx, engine, beside, model);
+    let place = place(cx, engine, homes)?;
+    if let Some(need) = need
+        && place < replicas_needed(engine, &need, outcome)
+    {
+        let Need { order, deadline, waiting } = need;
+        return Some(Want { model: model.clone(), order, deadline, waiting });
+    }
+    (place < outcome.replicas_min).then(|| Want {
+        model: model.clone(),
+        order: outcome.order,
+        deadline: Time::NEVER,
+        waiting: 0,
+    })
+}
+
+/// Tells whether the rules keep a model loaded on an engine, requests or not.
+pub(crate) fn is_kept(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, model: &ModelName) -> bool {
+    let Some((_, homes)) = cx.cache.homes(model) else { return false };
+    place(cx, engine, homes).is_some_and(|place| place < rule(cx, engine, beside, model).replicas_min)
+}
+
+/// Returns an engine's place among the homes that can load at all.
+fn place(cx: &Cx<'_>, engine: &Engine, homes: &HomesRecord) -> Option<u32> {
+    let usable = homes.engines.iter().filter(|home| {
+        let live = cx.upstreams.get(*home).is_some_and(|upstream| upstream.standing == Standing::Live);
+        let owned = cx.cache.owner(home).is_some_and(|(_, owner)| cx.cache.member(&owner.host).is_some());
+        **home == engine.id || live && owned
+    });
+    usable.zip(0..).find(|(home, _)| **home == engine.id).map(|(_, place)| place)
+}
+
+/// Returns how many replicas the requests that wait are worth.
+fn replicas_needed(engine: &Engine, need: &Need, outcome: &Outcome) -> u32 {
+    let concurrency = engine.spec.as_ref().map_or(1, |spec| spec.concurrency.max(1));
+    let worth = need.waiting.div_ceil(concurrency * WAITING_PER_SLOT);
+    worth.clamp(1, outcome.replicas_max.max(1)).max(outcome.replicas_min)
+}
+
+/// Returns the power that is missing for the most urgent load, and its order of service.
+pub(crate) fn lacking_power(
+    engine: &Engine,
+    beside: &Beside<'_>,
+    wants: &[Want],
+) -> Option<(Watts, ServiceOrder)> {
+    let needs = engine.spec.as_ref()?.active_watts;
+    let granted = beside.authority.granted(&engine.id);
+    let unmet = wants.iter().find(|want| engine.model(&want.model).is_none())?;
+    (granted < needs && !engine.is_leaving()).then(|| (needs.saturating_sub(granted), unmet.order))
+}
+
+/// Finds what the rules decide for a model on an engine.
+pub(crate) fn rule<'a>(cx: &Cx<'a>, engine: &Engine, beside: &Beside<'_>, model: &ModelName) -> &'a Outcome {
+    let total = engine.memory();
+    let taken = total.saturating_sub(engine.free_memory());
+    let usage = Use {
+        idle_for: beside.history.last(model).map(|last| cx.now.since(last)),
+        queue: beside.demand.of_model(model).map_or(0, |need| need.waiting),
+        memory_pressure: Percent::of(taken.0, total.0),
+    };
+    policy::outcome(cx, model, usage)
+}
--- a/crates/skylarkshore-core/src/peer.rs
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -89,6 +89,15 @@
         /// How long those who wait can still wait.
         patience: Duration,
     },
+    /// The load has to wait for its turn; the gate works.
+    LoadSlotQueued {
+        /// The engine that is to load.
+        upstream: UpstreamId,
+        /// The model.
+        model: ModelName,
+        /// How many loads go before it.
+        ahead: u32,
+    },
     /// The load may begin.
     LoadSlotGranted {
         /// The engine that is to load.
--- /dev/null
+++ b/crates/skylarkshore-core/tests/loading.rs
@@ -0,0 +1,9 @@
+//! What is loaded on the engines that one process owns.
+
+#[path = "support/loading.rs"]
+mod support;
+
+#[path = "loading/course.rs"]
+mod course;
+#[path = "loading/faults.rs"]
+mod faults;
--- /dev/null
+++ b/crates/skylarkshore-core/tests/loading/course.rs
@@ -0,0 +1,99 @@
+//! From taking an engine over to an unload: the ordinary course.
+
+use std::time::Duration;
+
+use crate::support::Rig;
+use skylarkshore_core::rules::{IdleAfter, ServiceOrder};
+use skylarkshore_core::upstream::Order;
+
+#[test]
+fn a_burst_at_nine_routers_becomes_one_load() {
+    let mut rig = Rig::new(&[("maize", 600)]);
+    for router in 1..=9 {
+        rig.want(&format!("entry-{router}"), "maize", 3);
+    }
+    rig.run_until("the ninth router hears that the model is ready", |rig| {
+        rig.shows("entry-9", "maize", "Ready")
+    });
+    assert_eq!(rig.engine.loads_of("maize"), 1);
+    assert_eq!(rig.engine.done.first(), Some(&Order::RaiseFence));
+    assert_eq!(rig.refusals(), Vec::<String>::new());
+}
+
+#[test]
+fn an_idle_model_is_unloaded_only_after_its_last_request() {
+    let mut rig = Rig::new(&[("maize", 600)]);
+    rig.want("entry-2", "maize", 1);
+    rig.run_until("the model is ready", |rig| rig.shows("entry-2", "maize", "Ready"));
+    rig.engine.set_running("maize", 1);
+    rig.run_wanting(Duration::from_mins(1), "entry-2", "maize", 0);
+    assert!(rig.engine.holds("maize"), "it was unloaded under a running request");
+    rig.engine.set_running("maize", 0);
+    rig.run_until("routers hear that it is closing", |rig| rig.shows("entry-2", "maize", "Closing"));
+    let closing = rig.now;
+    rig.run_until("it is unloaded", |rig| !rig.engine.holds("maize"));
+    assert!(rig.now.since(closing) >= Duration::from_secs(2), "routers had no time to stop sending");
+}
+
+#[test]
+fn several_adapters_that_wait_for_one_base_load_it_once() {
+    let mut rig = Rig::new(&[("maize", 600)]);
+    for adapter in ["bern", "olten", "aarau"] {
+        rig.add_adapter("maize", adapter);
+        rig.want("entry-2", &format!("maize/{adapter}"), 2);
+    }
+    for _ in 0..20 {
+        for adapter in ["bern", "olten", "aarau"] {
+            rig.want("entry-2", &format!("maize/{adapter}"), 2);
+        }
+        rig.run(Duration::from_millis(500));
+    }
+    assert_eq!(rig.engine.loads_of("maize"), 1);
+    let adapters = rig.engine.done.iter().filter(|order| matches!(order, Order::LoadAdapter { .. })).count();
+    assert_eq!(adapters, 3);
+    assert_eq!(rig.refusals(), Vec::<String>::new());
+}
+
+#[test]
+fn a_new_version_replaces_the_old_one_once_its_requests_are_done() {
+    let mut rig = Rig::new(&[("maize", 600)]);
+    rig.want("entry-2", "maize", 1);
+    rig.run_until("the model is ready", |rig| rig.shows("entry-2", "maize", "Ready"));
+    rig.engine.set_running("maize", 1);
+    for model in rig.document.catalogue.models.values_mut() {
+        model.version = crate::support::name("v2");
+    }
+    rig.run_wanting(Duration::from_secs(5), "entry-2", "maize", 1);
+    assert!(rig.engine.holds("maize") && rig.shows("entry-2", "maize", "Closing"));
+    rig.engine.set_running("maize", 0);
+    rig.run_wanting(Duration::from_secs(10), "entry-2", "maize", 1);
+    assert!(rig.shows("entry-2", "maize", "Ready"));
+    assert_eq!(rig.engine.loads_of("maize"), 2);
+}
+
+#[test]
+fn the_more_urgent_of_two_loads_evicts_an_idle_model_and_never_a_busy_one() {
+    let mut rig = Rig::new(&[("maize", 500), ("oats", 400), ("rye", 700)]);
+    rig.document.rules.otherwise.idle_after = IdleAfter::Never;
+    for model in ["maize", "oats"] {
+        rig.run_wanting(Duration::from_secs(6), "entry-2", model, 1);
+        rig.want("entry-2", model, 0);
+    }
+    rig.engine.set_running("oats", 1);
+    rig.run_wanting(Duration::from_secs(10), "entry-3", "rye", 1);
+    assert!(rig.engine.holds("oats") && rig.engine.holds("maize"), "one alone makes too little room");
+    rig.engine.set_running("oats", 0);
+    rig.run_wanting(Duration::from_secs(10), "entry-3", "rye", 1);
+    assert!(!rig.engine.holds("oats") && rig.engine.holds("rye"));
+}
+
+#[test]
+fn a_wait_that_cannot_be_met_is_told_at_once() {
+    let mut rig = Rig::new(&[("maize", 600)]);
+    rig.run(Duration::from_secs(1));
+    rig.want_with("entry-2", "maize", 1, ServiceOrder::default(), Duration::from_secs(1));
+    rig.want("entry-2", "unknown", 1);
+    assert_eq!(rig.refusals(), ["maize TooSlow", "unknown NotOwner"]);
+    rig.run(Duration::from_secs(6));
+    assert!(rig.shows("entry-2", "maize", "Ready"), "whoever asks again finds it");
+}
--- /dev/null
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -0,0 +1,541 @@
+//! One process's loads with a fake engine, driven in given time.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use skylarkshore_core::authority::{Authority, OwnershipChange, Permit};
+use skylarkshore_core::catalogue::{Document, Model, ModelTarget};
+use skylarkshore_core::collections::{OrderedMap, OrderedSet};
+use skylarkshore_core::config::{Limits, NodeConfig, Timings};
+use skylarkshore_core::cx::{Counters, Cx};
+use skylarkshore_core::effect::{Effect, Note};
+use skylarkshore_core::id::{
+    AdapterName, CallId, DataCentre, Digest, Fence, HostId, Incarnation, ModelName, OrderId, StoreRevision,
+    UpstreamId,
+};
+use skylarkshore_core::loading::Loading;
+use skylarkshore_core::peer::{Envelope, PeerMessage};
+use skylarkshore_core::rules::{MinuteOfDay, ServiceOrder};
+use skylarkshore_core::store::{
+    HomesRecord, Key, MemberRecord, OwnerRecord, Record, StoreCache, Versioned, Writer,
+};
+use skylarkshore_core::time::Time;
+use skylarkshore_core::units::{Mebibytes, Watts};
+use skylarkshore_core::upstream::{
+    EngineReport, EngineSpec, FenceCheck, LoadState, Order, OrderAnswer, ReportedAdapter, ReportedModel,
+    Standing, Upstream, UpstreamKind,
+};
+
+/// How far apart ticks are.
+pub const TICK: Duration = Duration::from_millis(50);
+/// How long the fake engine takes for a load.
+pub const LOAD_TIME: Duration = Duration::from_secs(4);
+/// What an engine draws with something loaded.
+pub const ACTIVE: Watts = Watts(700);
+/// The host whose process is under test.
+pub const OWN: &str = "entry-1";
+/// The engine that it owns.
+pub const ENGINE: &str = "engine-a";
+
+/// Parses a name that the test wrote itself.
+pub fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(s: &str) -> T {
+    s.parse().expect("a test's own name is valid")
+}
+
+/// Names a model, or with a slash a model and its adapter.
+pub fn target(s: &str) -> ModelTarget {
+    match s.split_once('/') {
+        Some((model, adapter)) => ModelTarget { model: name(model), adapter: Some(name(adapter)) },
+        None => ModelTarget { model: name(s), adapter: None },
+    }
+}
+
+/// What happens to an order on its way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// It arrives, and so does its answer.
+    Arrives,
+    /// It arrives, but its answer doesn't.
+    AnswerLost,
+    /// It is held up; the sender gives it up for lost.
+    Held,
+}
+
+/// What the process under test may do.
+#[derive(Debug)]
+pub struct FakeAuthority {
+    /// Whether it may give orders.
+    pub permitted: bool,
+    /// What its engine may draw.
+    pub granted: Watts,
+    /// The models whose home the engine is.
+    pub homes: OrderedSet<ModelName>,
+}
+
+impl Authority for FakeAuthority {
+    fn permit(&self, now: Time, _engine: &UpstreamId) -> Option<Permit> {
+        self.permitted.then(|| Permit { fence: Fence(7), not_after: now.after(Duration::from_secs(1)) })
+    }
+
+    fn is_home(&self, _engine: &UpstreamId, model: &ModelName) -> bool {
+        self.homes.contains(model)
+    }
+
+    fn granted(&self, _engine: &UpstreamId) -> Watts {
+        self.granted
+    }
+}
+
+/// A model on the fake engine.
+#[derive(Clone, Debug)]
+struct Held {
+    version: String,
+    memory: Mebibytes,
+    ready_at: Time,
+    running: u32,
+    adapters: OrderedMap<AdapterName, (Mebibytes, Time)>,
+}
+
+/// An engine that does as it is told, and keeps a record of it.
+#[derive(Debug)]
+pub struct FakeEngine {
+    /// Whether it answers at all.
+    pub up: bool,
+    /// Whether reports name the orders that were settled.
+    pub names_settled: bool,
+    /// Which life it lives.
+    pub incarnation: Incarnation,
+    /// What it has done.
+    pub done: Vec<Order>,
+    memory: Mebibytes,
+    models: OrderedMap<ModelName, Held>,
+    settled: Vec<OrderId>,
+}
+
+impl FakeEngine {
+    fn new(memory: Mebibytes) -> Self {
+        Self {
+            up: true,
+            names_settled: true,
+            incarnation: Incarnation(1),
+            done: Vec::new(),
+            memory,
+            models: OrderedMap::new(),
+            settled: Vec::new(),
+        }
+    }
+
+    /// Carries an order out and fails the test if memory is overcommitted.
+    pub fn carry_out(&mut self, now: Time, order: OrderId, action: &Order) {
+        self.done.push(action.clone());
+        self.settled.push(order);
+        match action {
+            Order::RaiseFence => {}
+            Order::Load { model, version, memory } => {
+                let held = Held {
+                    version: version.to_string(),
+                    memory: *memory,
+                    ready_at: now.after(LOAD_TIME),
+                    running: 0,
+                    adapters: OrderedMap::new(),
+                };
+                self.models.entry(model.clone()).or_insert(held);
+            }
+            Order::LoadAdapter { model, adapter, memory } => {
+                let held = self.models.get_mut(model).expect("an adapter is loaded after its base");
+                assert!(held.ready_at.is_due(now), "an adapter came before its base was ready");
+                held.adapters.entry(adapter.clone()).or_insert((*memory, now.after(LOAD_TIME / 4)));
+            }
+            Order::Unload { model } => {
+                let running = self.models.remove(model).map_or(0, |held| held.running);
+                assert_eq!(running, 0, "the unload of {model} cut requests off");
+            }
+            Order::UnloadAdapter { model, adapter } => {
+                if let Some(held) = self.models.get_mut(model) {
+                    held.adapters.remove(adapter);
+                }
+            }
+        }
+        assert!(self.used() <= self.memory, "memory is overcommitted: {} of {}", self.used(), self.memory);
+    }
+
+    fn used(&self) -> Mebibytes {
+        let of = |held: &Held| held.memory + held.adapters.values().map(|(memory, _)| *memory).sum();
+        self.models.values().map(of).sum()
+    }
+
+    /// Begins a new life with nothing loaded.
+    pub fn restart(&mut self) {
+        self.incarnation = self.incarnation.next();
+        self.models.clear();
+        self.settled.clear();
+    }
+
+    /// Sets how many requests run on a model.
+    pub fn set_running(&mut self, model: &str, running: u32) {
+        self.models.get_mut(&name(model)).expect("the model is loaded").running = running;
+    }
+
+    /// Returns how many loads of the model it has carried out.
+    pub fn loads_of(&self, wanted: &str) -> usize {
+        let is_wanted =
+            |order: &&Order| matches!(order, Order::Load { model, .. } if model.as_str() == wanted);
+        self.done.iter().filter(is_wanted).count()
+    }
+
+    /// Tells whether it holds the model.
+    pub fn holds(&self, model: &str) -> bool {
+        self.models.contains_key(&name(model))
+    }
+
+    fn report(&self, now: Time) -> EngineReport {
+        let models = self.models.iter().map(|(model, held)| ReportedModel {
+            model: model.clone(),
+            version: name(&held.version),
+            state: if held.ready_at.is_due(now) { LoadState::Ready } else { LoadState::Loading },
+            memory: held.memory,
+            running: held.running,
+            adapters: held
+                .adapters
+                .iter()
+                .map(|(adapter, (memory, ready))| ReportedAdapter {
+                    adapter: adapter.clone(),
+                    memory: *memory,
+                    ready: ready.is_due(now),
+                })
+                .collect(),
+        });
+        EngineReport {
+            incarnation: self.incarnation,
+            fence: Fence(7),
+            memory: self.memory,
+            models: models.collect(),
+            running: self.models.values().map(|held| held.running).sum(),
+            waiting: 0,
+            leaving: false,
+            lag: Duration::from_millis(200),
+            settled: if self.names_settled { self.settled.clone() } else { Vec::new() },
+        }
+    }
+}
+
+/// A process's loads, its surroundings and one engine.
+#[derive(Debug)]
+pub struct Rig {
+    /// The time.
+    pub now: Time,
+    /// What is under test.
+    pub loading: Loading,
+    /// What it may do.
+    pub authority: FakeAuthority,
+    /// The engine.
+    pub engine: FakeEngine,
+    /// The operators' document.
+    pub document: Document,
+    /// What happens to the next loads and unloads; then all arrive.
+    pub fates: Vec<Fate>,
+    /// Orders that were held up.
+    pub held: Vec<(OrderId, Order)>,
+    /// Messages to other hosts and to the own router.
+    pub told: Vec<Envelope>,
+    /// Notes for the operators.
+    pub notes: Vec<Note>,
+    /// Whether messages to the weight-store gate get lost.
+    pub gate_away: bool,
+    cfg: NodeConfig,
+    cache: StoreCache,
+    upstreams: OrderedMap<UpstreamId, Upstream>,
+    counters: Counters,
+    rng: SmallRng,
+    revision: u64,
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn config() -> NodeConfig {
+    NodeConfig {
+        host: name(OWN),
+        incarnation: Incarnation(1),
+        data_centre: name("bern-a"),
+        caller_address: address(1),
+        peer_address: address(2),
+        fingerprint: Digest([0; 32]),
+        seed: 1,
+        timings: Timings::default(),
+        limits: Limits::default(),
+    }
+}
+
+fn engine_upstream(memory: Mebibytes) -> Upstream {
+    let spec = EngineSpec {
+        memory,
+        sleep_watts: Watts(80),
+        active_watts: ACTIVE,
+        fence_check: FenceCheck::Refuses,
+        concurrency: 4,
+    };
+    Upstream {
+        id: name(ENGINE),
+        address: address(3),
+        data_centre: name::<DataCentre>("bern-a"),
+        site: name("bern"),
+        kind: UpstreamKind::Engine(spec),
+        standing: Standing::Live,
+    }
+}
+
+/// Describes a model of the given size; a tenth of it is KV cache.
+pub fn model(memory: u64) -> Model {
+    Model {
+        version: name("v1"),
+        weights: Mebibytes(memory - memory / 10),
+        kv_cache: Mebibytes(memory / 10),
+        load_time: LOAD_TIME,
+        adapters: OrderedMap::new(),
+    }
+}
+
+impl Rig {
+    /// Makes a process that has just acquired an engine of 1000 MiB.
+    pub fn new(models: &[(&str, u64)]) -> Self {
+        Self::taking_over(models, Time::START)
+    }
+
+    /// Makes a process that has just acquired an engine whose former owner may act until `ghost_until`.
+    pub fn taking_over(models: &[(&str, u64)], ghost_until: Time) -> Self {
+        let memory = Mebibytes(1000);
+        let cfg = config();
+        let mut rig = Self {
+            now: Time::from_millis(1000),
+            loading: Loading::new(&cfg),
+            authority: FakeAuthority { permitted: true, granted: ACTIVE, homes: OrderedSet::new() },
+            engine: FakeEngine::new(memory),
+            document: Document::default(),
+            fates: Vec::new(),
+            held: Vec::new(),
+            told: Vec::new(),
+            notes: Vec::new(),
+            gate_away: false,
+            cfg,
+            cache: StoreCache::default(),
+            upstreams: std::iter::once((name(ENGINE), engine_upstream(memory))).collect(),
+            counters: Counters::default(),
+            rng: SmallRng::seed_from_u64(1),
+            revision: 0,
+        };
+        rig.add_member(OWN);
+        rig.put(
+            Key::Owner(name(ENGINE)),
+            Record::Owner(OwnerRecord { host: name(OWN), incarnation: Incarnation(1), fence: Fence(7) }),
+        );
+        for (model_name, memory) in models {
+            rig.document.catalogue.models.insert(name(model_name), model(*memory));
+            rig.authority.homes.insert(name(model_name));
+            let homes = HomesRecord { engines: vec![name(ENGINE)] };
+            rig.put(Key::Homes(name(model_name)), Record::Homes(homes));
+        }
+        let change = OwnershipChange::Acquired { engine: name(ENGINE), fence: Fence(7), ghost_until };
+        rig.with(|loading, cx, _| loading.on_ownership(cx, &change));
+        rig
+    }
+
+    /// Adds a live process.
+    pub fn add_member(&mut self, host: &str) {
+        let member = MemberRecord {
+            incarnation: Incarnation(1),
+            caller_address: address(1),
+            peer_address: address(2),
+            data_centre: name("bern-a"),
+            fingerprint: Digest([0; 32]),
+            leaving: false,
+        };
+        self.put(Key::Member(name(host)), Record::Member(member));
+    }
+
+    fn put(&mut self, key: Key, record: Record) {
+        self.revision += 1;
+        let writer = Writer { host: name(OWN), incarnation: Incarnation(1), call: CallId(self.revision) };
+        let revision = StoreRevision(self.revision);
+        self.cache.apply(Versioned { key, revision, writer: Some(writer), record: Some(record) });
+    }
+
+    /// Adds an adapter of 10 MiB to a model.
+    pub fn add_adapter(&mut self, model: &str, adapter: &str) {
+        let model = self.document.catalogue.models.get_mut(&name(model)).expect("the model is listed");
+        model.adapters.insert(name(adapter), Mebibytes(10));
+    }
+
+    /// Says on a router's behalf that requests wait.
+    pub fn want(&mut self, router: &str, wanted: &str, waiting: u32) {
+        self.want_with(router, wanted, waiting, ServiceOrder::default(), Duration::from_mins(1));
+    }
+
+    /// Says on a router's behalf that requests of an order of service wait.
+    pub fn want_with(
+        &mut self,
+        router: &str,
+        wanted: &str,
+        waiting: u32,
+        order: ServiceOrder,
+        patience: Duration,
+    ) {
+        let message =
+            PeerMessage::Wanted { target: target(wanted), waiting, order, patience, arrived: waiting };
+        self.hear(&name(router), &message);
+    }
+
+    /// Hands a peer's message over.
+    pub fn hear(&mut self, from: &HostId, message: &PeerMessage) {
+        self.with(|loading, cx, authority| loading.on_peer(cx, authority, from, message));
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, d: Duration) {
+        let end = self.now.after(d);
+        while self.now < end {
+            self.now = self.now.after(TICK);
+            self.with(Loading::on_tick);
+        }
+    }
+
+    /// Lets time pass until something holds; fails after two minutes.
+    pub fn run_until(&mut self, what: &str, holds: impl Fn(&Self) -> bool) {
+        let end = self.now.after(Duration::from_mins(2));
+        while !holds(self) {
+            assert!(self.now < end, "not within two minutes: {what}\n{:#?}", self.notes);
+            self.run(TICK);
+        }
+    }
+
+    /// Keeps a router asking while time passes.
+    pub fn run_wanting(&mut self, d: Duration, router: &str, wanted: &str, waiting: u32) {
+        let end = self.now.after(d);
+        while self.now < end {
+            self.want(router, wanted, waiting);
+            self.run(Duration::from_millis(500));
+        }
+    }
+
+    /// Lets an order that was held up arrive at last.
+    pub fn release_held(&mut self) {
+        for (order, action) in std::mem::take(&mut self.held) {
+            self.engine.carry_out(self.now, order, &action);
+        }
+    }
+
+    /// Tells whether the last view that a router got shows the model in this state.
+    pub fn shows(&self, router: &str, model: &str, readiness: &str) -> bool {
+        let views = self.told.iter().rev().filter(|e| e.to.as_str() == router);
+        let mut views = views.filter_map(|e| match &e.message {
+            PeerMessage::View(view) => Some(view),
+            _ => None,
+        });
+        let Some(view) = views.next() else { return false };
+        view.models
+            .iter()
+            .any(|m| m.model.as_str() == model && format!("{:?}", m.readiness).starts_with(readiness))
+    }
+
+    /// Lists the refusals that routers were given.
+    pub fn refusals(&self) -> Vec<String> {
+        let refusal = |e: &Envelope| match &e.message {
+            PeerMessage::CannotLoad { target, reason, .. } => Some(format!("{} {reason:?}", target.model)),
+            _ => None,
+        };
+        self.told.iter().filter_map(refusal).collect()
+    }
+
+    /// Calls the process's loads and carries out what they want.
+    pub fn with(&mut self, f: impl FnOnce(&mut Loading, &mut Cx<'_>, &dyn Authority)) {
+        let mut effects = Vec::new();
+        self.call(&mut effects, f);
+        while !effects.is_empty() {
+            for effect in std::mem::take(&mut effects) {
+                self.act(&mut effects, effect);
+            }
+        }
+    }
+
+    fn call(&mut self, effects: &mut Vec<Effect>, f: impl FnOnce(&mut Loading, &mut Cx<'_>, &dyn Authority)) {
+        let mut cx = Cx {
+            now: self.now,
+            at: MinuteOfDay::default(),
+            cfg: &self.cfg,
+            document: &self.document,
+            cache: &self.cache,
+            upstreams: &self.upstreams,
+            effects,
+            writes: &mut Vec::new(),
+            counters: &mut self.counters,
+            rng: &mut self.rng,
+        };
+        f(&mut self.loading, &mut cx, &self.authority);
+    }
+
+    fn act(&mut self, effects: &mut Vec<Effect>, effect: Effect) {
+        match effect {
+            Effect::Order { order, action, .. } => self.carry(effects, order, &action),
+            Effect::AskReport { .. } => {
+                let report = self.engine.up.then(|| self.engine.report(self.now));
+                let asked = self.now;
+                self.call(effects, |loading, cx, authority| {
+                    loading.on_report(cx, authority, &name(ENGINE), asked, report.as_ref());
+                });
+            }
+            Effect::Peer(envelope) => self.deliver(effects, envelope),
+            Effect::Note(note) => self.notes.push(note),
+            other => panic!("loading has no business with {other:?}"),
+        }
+    }
+
+    fn deliver(&mut self, effects: &mut Vec<Effect>, envelope: Envelope) {
+        let is_slot = matches!(
+            envelope.message,
+            PeerMessage::LoadSlotWanted { .. } | PeerMessage::LoadSlotReturned { .. }
+        );
+        if is_slot && self.gate_away {
+            return;
+        }
+        if envelope.to.as_str() == OWN {
+            let message = envelope.message.clone();
+            self.call(effects, |loading, cx, authority| {
+                loading.on_peer(cx, authority, &name(OWN), &message);
+            });
+        }
+        self.told.push(envelope);
+    }
+
+    fn carry(&mut self, effects: &mut Vec<Effect>, order: OrderId, action: &Order) {
+        let fate = if *action == Order::RaiseFence || self.fates.is_empty() {
+            Fate::Arrives
+        } else {
+            self.fates.remove(0)
+        };
+        if !self.engine.up {
+            self.answer(effects, order, &OrderAnswer::NotSent);
+            return;
+        }
+        match fate {
+            Fate::Arrives => {
+                self.engine.carry_out(self.now, order, action);
+                self.answer(effects, order, &OrderAnswer::Accepted);
+            }
+            Fate::AnswerLost => {
+                self.engine.carry_out(self.now, order, action);
+                self.answer(effects, order, &OrderAnswer::Lost);
+            }
+            Fate::Held => {
+                self.held.push((order, action.clone()));
+                self.answer(effects, order, &OrderAnswer::Lost);
+            }
+        }
+    }
+
+    fn answer(&mut self, effects: &mut Vec<Effect>, order: OrderId, answer: &OrderAnswer) {
+        self.call(effects, |loading, cx, _| loading.on_order(cx, &name(ENGINE), order, answer));
+    }
+}
