Read the operators' document and tell what is wrong with it

Rules that an earlier one covers, or that nothing fulfils, are told as warnings; unknown names and senseless replica counts are errors.

--- a/crates/skylarkshore-core/src/config.rs
+++ b/crates/skylarkshore-core/src/config.rs
@@ -78,7 +78,7 @@
             report_every: Duration::from_millis(500),
             engine_timeout: Duration::from_secs(5),
             wanted_every: Duration::from_millis(500),
-            interest: Duration::from_secs(60),
+            interest: Duration::from_mins(1),
             order_settle: Duration::from_secs(30),
             close_grace: Duration::from_secs(2),
             entry_ttl: Duration::from_secs(10),
--- a/crates/skylarkshore-core/src/cx.rs
+++ b/crates/skylarkshore-core/src/cx.rs
@@ -76,6 +76,7 @@
     }
 
     /// Notes something that operators ought to know.
+    #[expect(clippy::needless_pass_by_value, reason = "names and formatted texts are passed alike")]
     pub fn note(&mut self, event: &'static str, subject: impl ToString, detail: impl ToString) {
         self.push(Effect::Note(Note { event, subject: subject.to_string(), detail: detail.to_string() }));
     }
--- a/crates/skylarkshore-core/src/dump.rs
+++ b/crates/skylarkshore-core/src/dump.rs
@@ -10,7 +10,7 @@
     /// The thing's name.
     pub subject: String,
     /// What is believed of it, in a few words.
-    pub belief: String,
+    pub state: String,
     /// Since when.
     pub since: Option<Time>,
 }
--- a/crates/skylarkshore-core/src/rules.rs
+++ b/crates/skylarkshore-core/src/rules.rs
@@ -267,3 +267,44 @@
         Decision { rule, outcome: rule.map_or(&self.otherwise, |rule| &rule.then) }
     }
 }
+
+impl Condition {
+    /// Tells whether this condition holds whenever `other` does.
+    ///
+    /// A rule whose condition is covered by an earlier one can never match.
+    pub fn covers(&self, other: &Self) -> bool {
+        includes(self.models.as_ref(), other.models.as_ref())
+            && includes(self.adapters.as_ref(), other.adapters.as_ref())
+            && includes(self.callers.as_ref(), other.callers.as_ref())
+            && includes(self.services.as_ref(), other.services.as_ref())
+            && includes(self.data_centres.as_ref(), other.data_centres.as_ref())
+            && self.hours.is_none_or(|hours| other.hours == Some(hours))
+            && no_higher(self.power_pressure, other.power_pressure)
+            && no_higher(self.memory_pressure, other.memory_pressure)
+            && no_higher(self.idle_for, other.idle_for)
+            && no_higher(self.queue_at_least, other.queue_at_least)
+    }
+
+    /// Tells whether nothing can ever fulfil the condition.
+    pub fn is_impossible(&self) -> bool {
+        is_empty(self.models.as_ref())
+            || is_empty(self.adapters.as_ref())
+            || is_empty(self.callers.as_ref())
+            || is_empty(self.services.as_ref())
+            || is_empty(self.data_centres.as_ref())
+            || self.hours.is_some_and(|hours| hours.from == hours.to)
+            || (self.services.is_some() && (self.models.is_some() || self.adapters.is_some()))
+    }
+}
+
+fn includes<T: Ord>(wide: Option<&OrderedSet<T>>, narrow: Option<&OrderedSet<T>>) -> bool {
+    wide.is_none_or(|wide| narrow.is_some_and(|narrow| narrow.is_subset(wide)))
+}
+
+fn no_higher<T: PartialOrd>(wide: Option<T>, narrow: Option<T>) -> bool {
+    wide.is_none_or(|wide| narrow.is_some_and(|narrow| wide <= narrow))
+}
+
+fn is_empty<T>(set: Option<&OrderedSet<T>>) -> bool {
+    set.is_some_and(OrderedSet::is_empty)
+}
--- a/crates/skylarkshore-wire/src/lib.rs
+++ b/crates/skylarkshore-wire/src/lib.rs
@@ -1,1 +1,6 @@
-//! placeholder
+//! The formats in which the programs meet callers, peers, the platform and the upstreams.
+//!
+//! Each format has wire types of its own, which turn into the core's checked
+//! types by `TryFrom` and come from them by `From`.
+
+pub mod document;
