Add a given-time world of several nodes for the fault matrix and the replay

It carries the core's effects out in memory, asks a Faults value before each one, and compares after every event what truly happened with what must always hold.

--- /dev/null
+++ b/crates/skylarkshore-standins/src/world/checks.rs
@@ -0,0 +1,176 @@
+//! What must always hold, compared with what truly happened.
+
+use std::time::Duration;
+
+use skylarkshore_core::catalogue::Document;
+use skylarkshore_core::collections::{OrderedMap, OrderedSet};
+use skylarkshore_core::id::{ModelName, RulesRevision, SiteName, UpstreamId};
+use skylarkshore_core::time::Time;
+use skylarkshore_core::units::Watts;
+
+use super::callers::Callers;
+use super::engine::Engine;
+use super::host::Host;
+
+/// How long after a change of rules what the former ones allowed may still stand.
+const RULES_GRACE: Duration = Duration::from_mins(1);
+/// How long after its deadline a request's final answer may come.
+const ANSWER_GRACE: Duration = Duration::from_secs(1);
+/// How long an upstream that is marked as leaving may still get new work.
+pub(crate) const LEAVING_GRACE: Duration = Duration::from_secs(5);
+
+/// Something that must never happen, and did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Violation {
+    /// When.
+    pub at: Time,
+    /// What.
+    pub what: String,
+}
+
+impl Violation {
+    pub(crate) const fn new(at: Time, what: String) -> Self {
+        Self { at, what }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Life {
+    host: usize,
+    life: u64,
+}
+
+#[derive(Debug)]
+struct Accepted {
+    document: Document,
+    replaced: Time,
+}
+
+/// The checks and what they found.
+#[derive(Debug, Default)]
+pub struct Checks {
+    /// What was found, each thing once.
+    pub violations: Vec<Violation>,
+    /// The most that each site drew at any time.
+    pub peak_watts: OrderedMap<SiteName, Watts>,
+    accepted: Vec<Accepted>,
+    revisions: OrderedMap<Life, RulesRevision>,
+    leaving: OrderedMap<UpstreamId, Time>,
+    seen: OrderedSet<String>,
+}
+
+impl Checks {
+    pub(crate) fn document_accepted(&mut self, document: &Document, now: Time) {
+        if let Some(last) = self.accepted.last_mut() {
+            last.replaced = now;
+        }
+        self.accepted.push(Accepted { document: document.clone(), replaced: Time::NEVER });
+    }
+
+    pub(crate) fn marked_leaving(&mut self, id: &UpstreamId, now: Time) {
+        self.leaving.entry(id.clone()).or_insert(now);
+    }
+
+    pub(crate) fn new_work(&mut self, id: &UpstreamId, now: Time) {
+        let since = self.leaving.get(id).copied();
+        if since.is_some_and(|since| now.since(since) > LEAVING_GRACE) {
+            self.violate(now, format!("{id} gets new work although it is leaving"));
+        }
+    }
+
+    pub(crate) fn violate(&mut self, now: Time, what: String) {
+        if self.seen.insert(what.clone()) {
+            self.violations.push(Violation::new(now, what));
+        }
+    }
+
+    pub(crate) fn after_event(
+        &mut self,
+        now: Time,
+        engines: &OrderedMap<UpstreamId, Engine>,
+        hosts: &[Host],
+    ) {
+        self.check_memory(now, engines);
+        self.check_replicas(now, engines);
+        self.check_power(now, engines);
+        self.check_revisions(now, hosts);
+    }
+
+    fn check_memory(&mut self, now: Time, engines: &OrderedMap<UpstreamId, Engine>) {
+        for engine in engines.values() {
+            if engine.used() > engine.spec.memory {
+                self.violate(now, format!("the memory of {} is overcommitted", engine.id));
+            }
+            if engine.cut_off > 0 {
+                self.violate(now, format!("an unload cut off requests on {}", engine.id));
+            }
+        }
+    }
+
+    fn check_replicas(&mut self, now: Time, engines: &OrderedMap<UpstreamId, Engine>) {
+        let mut replicas: OrderedMap<&ModelName, u32> = OrderedMap::new();
+        for model in engines.values().flat_map(Engine::models) {
+            *replicas.entry(model).or_default() += 1;
+        }
+        for (model, count) in replicas {
+            let allowed = self.in_force(now).map(|document| most_replicas(document, model)).max();
+            if count > allowed.unwrap_or(0) {
+                self.violate(now, format!("{model} has more replicas than the rules allow"));
+            }
+        }
+    }
+
+    fn check_power(&mut self, now: Time, engines: &OrderedMap<UpstreamId, Engine>) {
+        let mut drawn: OrderedMap<&SiteName, Watts> = OrderedMap::new();
+        for engine in engines.values() {
+            *drawn.entry(&engine.site).or_default() += engine.draws();
+        }
+        for (site, watts) in drawn {
+            let caps = self.in_force(now).filter_map(|document| document.power_caps.get(site).copied());
+            if caps.max().is_some_and(|cap| watts > cap) {
+                self.violate(now, format!("the site {site} draws more than its cap"));
+            }
+            let peak = self.peak_watts.entry(site.clone()).or_default();
+            *peak = watts.max(*peak);
+        }
+    }
+
+    fn check_revisions(&mut self, now: Time, hosts: &[Host]) {
+        for host in hosts {
+            let Some(node) = &host.node else { continue };
+            let revision = node.document().revision;
+            let life = Life { host: host.index, life: host.life };
+            let known = self.revisions.insert(life, revision);
+            if known.is_some_and(|known| known > revision) {
+                self.violate(now, format!("the rules at {} went back", host.id));
+            }
+        }
+    }
+
+    fn in_force(&self, now: Time) -> impl Iterator<Item = &Document> {
+        let live = move |a: &&Accepted| a.replaced == Time::NEVER || now.since(a.replaced) < RULES_GRACE;
+        self.accepted.iter().filter(live).map(|a| &a.document)
+    }
+
+    pub(crate) fn at_end(&mut self, now: Time, callers: &Callers) {
+        for violation in &callers.violations {
+            self.violate(violation.at, violation.what.clone());
+        }
+        for (key, log) in &callers.requests {
+            let due = log.deadline.after(ANSWER_GRACE);
+            let late = log.ended.as_ref().is_some_and(|ended| ended.at > due);
+            if !log.abandoned && (late || (log.ended.is_none() && due.is_due(now))) {
+                self.violate(now, format!("{key:?} got no final answer in time"));
+            }
+        }
+    }
+}
+
+fn most_replicas(document: &Document, model: &ModelName) -> u32 {
+    let rules = &document.rules;
+    let about =
+        |models: &Option<OrderedSet<ModelName>>| models.as_ref().is_none_or(|set| set.contains(model));
+    let by_rules =
+        rules.list.iter().filter(|rule| about(&rule.when.models)).map(|rule| rule.then.replicas_max);
+    by_rules.chain([rules.otherwise.replicas_max]).max().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/skylarkshore-standins/src/world/host.rs
@@ -0,0 +1,128 @@
+//! One entry host with its process.
+
+use std::collections::VecDeque;
+
+use skylarkshore_core::Node;
+use skylarkshore_core::config::NodeConfig;
+use skylarkshore_core::effect::Effect;
+use skylarkshore_core::event::Event;
+use skylarkshore_core::id::{Digest, HostId, Incarnation, RequestId};
+use skylarkshore_core::time::Time;
+
+use super::agenda::Sender;
+use super::callers::RequestKey;
+use super::{HostSetup, Setup};
+
+/// What a paused process has still to do.
+#[derive(Debug, Default)]
+pub(crate) struct Pause {
+    pub(crate) unfinished: VecDeque<Effect>,
+    pub(crate) held: VecDeque<Event>,
+}
+
+/// One entry host.
+#[derive(Debug)]
+pub(crate) struct Host {
+    pub(crate) id: HostId,
+    pub(crate) index: usize,
+    cfg: NodeConfig,
+    pub(crate) node: Option<Node>,
+    pub(crate) life: u64,
+    pub(crate) exited: bool,
+    pub(crate) no_store_until: Time,
+    pub(crate) no_peers_until: Time,
+    pause: Option<Pause>,
+    requests: u64,
+}
+
+impl Host {
+    pub(crate) fn new(index: usize, host: &HostSetup, setup: &Setup) -> Self {
+        let port = |base: usize| ([127, 0, 0, 1], u16::try_from(base + index).unwrap_or(0)).into();
+        let cfg = NodeConfig {
+            host: host.host.clone(),
+            incarnation: Incarnation(0),
+            data_centre: host.data_centre.clone(),
+            caller_address: port(7000),
+            peer_address: port(8000),
+            fingerprint: Digest([0; 32]),
+            seed: setup.seed.wrapping_mul(1_000_003).wrapping_add(index as u64),
+            timings: setup.timings.clone(),
+            limits: setup.limits.clone(),
+        };
+        Self {
+            id: host.host.clone(),
+            index,
+            cfg,
+            node: None,
+            life: 0,
+            exited: false,
+            no_store_until: Time::START,
+            no_peers_until: Time::START,
+            pause: None,
+            requests: 0,
+        }
+    }
+
+    pub(crate) const fn sender(&self) -> Sender {
+        Sender { host: self.index, life: self.life }
+    }
+
+    pub(crate) const fn is_up(&self) -> bool {
+        self.node.is_some()
+    }
+
+    pub(crate) const fn is_frozen(&self) -> bool {
+        self.pause.is_some()
+    }
+
+    /// Returns the incarnation of the process that runs or ran last.
+    pub(crate) const fn incarnation(&self) -> Incarnation {
+        self.cfg.incarnation
+    }
+
+    pub(crate) const fn next_request(&mut self) -> RequestKey {
+        self.requests += 1;
+        RequestKey { host: self.index, life: self.life, request: RequestId(self.requests) }
+    }
+
+    pub(crate) fn start(&mut self, now: Time) -> Vec<Effect> {
+        self.life += 1;
+        self.exited = false;
+        self.cfg.incarnation = Incarnation(self.life);
+        let (node, effects) = Node::start(self.cfg.clone(), now);
+        self.node = Some(node);
+        effects
+    }
+
+    /// Ends the process and returns which life it was.
+    pub(crate) fn die(&mut self) -> Option<Sender> {
+        self.pause = None;
+        self.node.take().map(|_| self.sender())
+    }
+
+    pub(crate) fn freeze(&mut self) -> bool {
+        if self.node.is_none() || self.pause.is_some() {
+            return false;
+        }
+        self.pause = Some(Pause::default());
+        true
+    }
+
+    pub(crate) fn put_off(&mut self, effects: VecDeque<Effect>) {
+        if let Some(pause) = &mut self.pause {
+            pause.unfinished = effects;
+        }
+    }
+
+    pub(crate) fn wake(&mut self) -> Option<Pause> {
+        self.pause.take()
+    }
+
+    pub(crate) fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
+        if let Some(pause) = &mut self.pause {
+            pause.held.push_back(event);
+            return Vec::new();
+        }
+        self.node.as_mut().map(|node| node.handle(now, event)).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore-standins/src/world/perform.rs
@@ -0,0 +1,404 @@
+//! Carries the processes' effects out.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use skylarkshore_core::effect::Effect;
+use skylarkshore_core::event::{AttemptEnd, Event, Rejection, Target};
+use skylarkshore_core::id::{AttemptId, HostId, Incarnation, RequestId, UpstreamId};
+use skylarkshore_core::peer::Envelope;
+use skylarkshore_core::store::{RecordedAnswer, StoreFailure};
+use skylarkshore_core::time::Time;
+use skylarkshore_core::upstream::OrderAnswer;
+
+use super::agenda::{Item, RunId, Sender, SentCall, SentOrder, SentRequest};
+use super::callers::{Final, RequestKey};
+use super::engine::Run;
+use super::fault::Strike;
+use super::store::StoreMode;
+use super::{HostNote, LATENCY, World};
+
+/// How long an engine that crashed by a fault or a request stays away.
+const CRASH_DOWN: Duration = Duration::from_secs(2);
+/// After how long a question to an engine that is away ends.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+/// How many requests an engine queues for each that it runs.
+const QUEUE_FACTOR: usize = 4;
+/// How many loads the weight store serves at full speed.
+const LOADS_AT_FULL_SPEED: u32 = 4;
+/// How long a load takes that the document doesn't tell of.
+const UNKNOWN_LOAD_TIME: Duration = Duration::from_secs(5);
+/// How long the first token takes.
+const FIRST_TOKEN: Duration = Duration::from_millis(50);
+
+/// How a run ends for its sender when its upstream is lost.
+pub(crate) const fn lost(run: &Run, died: bool) -> AttemptEnd {
+    AttemptEnd::Lost { passed_on: run.started && !run.sent.hold, died }
+}
+
+impl World {
+    pub(crate) fn carry_out(&mut self, h: usize, effects: Vec<Effect>) {
+        let effects = self.faults.rewrite(&self.hosts[h].id, effects);
+        let mut rest = VecDeque::from(effects);
+        while let Some(effect) = rest.pop_front() {
+            let strike = self.strike(h, &effect);
+            match strike {
+                Strike::KillBefore => return self.kill(h),
+                Strike::Freeze(d) => {
+                    rest.push_front(effect);
+                    self.freeze(h, d);
+                    return self.hosts[h].put_off(rest);
+                }
+                Strike::CutStore(d) => self.cut_store(h, self.now.after(d)),
+                Strike::CutPeers(d) => self.cut_peers(h, self.now.after(d)),
+                Strike::StoreDown(d) => {
+                    self.set_store_mode(StoreMode::Hanging);
+                    self.agenda.add(self.now.after(d), Item::StoreUp);
+                }
+                _ => {}
+            }
+            self.perform(h, effect, strike);
+            if strike == Strike::KillAfter {
+                return self.kill(h);
+            }
+        }
+    }
+
+    fn strike(&mut self, h: usize, effect: &Effect) -> Strike {
+        if matches!(effect, Effect::Note(_)) || self.hosts[h].is_frozen() {
+            return Strike::None;
+        }
+        self.serial += 1;
+        self.faults.strike(self.serial, &self.hosts[h].id, effect)
+    }
+
+    pub(crate) fn perform(&mut self, h: usize, effect: Effect, strike: Strike) {
+        let from = self.hosts[h].sender();
+        match effect {
+            Effect::Store { call, request } => {
+                let answer_lost = strike == Strike::LoseAnswer;
+                let sent = SentCall { from, call, request, answer_lost };
+                self.fail_store_call_later(&sent);
+                self.send(strike, Item::Store(sent));
+            }
+            Effect::Watch { from: revision } => self.watch(h, revision, strike),
+            Effect::Unwatch => self.store.unwatch(h),
+            Effect::Peer(envelope) => self.send_to_peer(h, envelope, strike),
+            Effect::Probe { host, incarnation, .. } => self.probe(from, host, incarnation),
+            Effect::Order { upstream, order, fence, not_after, action } => {
+                if not_after < self.now {
+                    let event = Event::Order { upstream, order, answer: OrderAnswer::NotSent };
+                    return self.answer(from, event);
+                }
+                let answer_lost = strike == Strike::LoseAnswer;
+                let sent = SentOrder { from, engine: upstream.clone(), order, fence, action, answer_lost };
+                if strike == Strike::Lose {
+                    let event = Event::Order { upstream: upstream.clone(), order, answer: OrderAnswer::Lost };
+                    self.answer(from, event);
+                }
+                self.send(strike, Item::Order(sent));
+                self.crash_if_struck(&upstream, strike);
+            }
+            Effect::AskReport { upstream } => {
+                self.send(strike, Item::Ask { from, engine: upstream, asked: self.now });
+            }
+            Effect::Send { request, attempt, upstream, deadline, hold, .. } => {
+                let answer_lost = strike == Strike::LoseAnswer;
+                let sent =
+                    SentRequest { from, request, attempt, upstream: upstream.clone(), hold, answer_lost };
+                self.agenda.add(deadline, Item::AttemptTimeout { from, attempt });
+                self.attempts.insert(AttemptKey::new(from, attempt), request);
+                if strike == Strike::Lose {
+                    let end = AttemptEnd::Lost { passed_on: false, died: false };
+                    self.attempt_ended(from, attempt, end);
+                } else {
+                    self.send(strike, Item::Start(sent));
+                }
+                self.crash_if_struck(&upstream, strike);
+            }
+            Effect::Cancel { attempt } => {
+                self.attempts.remove(&AttemptKey::new(from, attempt));
+                self.stop_runs(from, attempt);
+            }
+            Effect::Answer { request, answer } => {
+                self.callers.end_with_kept(&key(from, request), &answer.body, self.now);
+            }
+            Effect::Refuse { request, refusal } => {
+                self.callers.end(&key(from, request), Final::Refused(refusal), self.now);
+            }
+            Effect::Abort { request, refusal } => {
+                self.callers.end(&key(from, request), Final::Aborted(refusal), self.now);
+            }
+            Effect::Note(note) => {
+                let host = self.hosts[h].id.clone();
+                self.notes.push(HostNote { at: self.now, host, note });
+            }
+            Effect::Exit => {
+                self.hosts[h].exited = true;
+                self.kill_for_good(h);
+            }
+        }
+    }
+
+    fn stop_runs(&mut self, from: Sender, attempt: AttemptId) -> Vec<Run> {
+        let now = self.now;
+        self.engines.values_mut().flat_map(|engine| engine.cancel(from, attempt, now)).collect()
+    }
+
+    /// Ends an attempt that has no whole answer by its deadline, as the surroundings of a real process do.
+    pub(crate) fn time_out(&mut self, from: Sender, attempt: AttemptId) {
+        let passed_on = self.stop_runs(from, attempt).iter().any(|run| run.started && !run.sent.hold);
+        self.attempt_ended(from, attempt, AttemptEnd::Lost { passed_on, died: false });
+    }
+
+    fn send(&mut self, strike: Strike, item: Item) {
+        let at = self.now.after(LATENCY);
+        match strike {
+            Strike::Lose => {}
+            Strike::Delay(d) => self.agenda.add(at.after(d), item),
+            Strike::Double => {
+                self.agenda.add(at, item.clone());
+                self.agenda.add(at.after(LATENCY), item);
+            }
+            _ => self.agenda.add(at, item),
+        }
+    }
+
+    fn answer(&mut self, to: Sender, event: Event) {
+        self.agenda.add(self.now.after(LATENCY), Item::Event { to, event });
+    }
+
+    fn crash_if_struck(&mut self, upstream: &UpstreamId, strike: Strike) {
+        if strike == Strike::CrashUpstream {
+            let engine = upstream.clone();
+            self.agenda.add(self.now.after(LATENCY * 2), Item::Crash { engine });
+        }
+    }
+
+    pub(crate) fn crash_for_a_while(&mut self, id: &UpstreamId) {
+        self.crash_engine(id, Some(CRASH_DOWN));
+    }
+
+    fn watch(&mut self, h: usize, from: skylarkshore_core::id::StoreRevision, strike: Strike) {
+        let reachable = self.store.mode == StoreMode::Up && self.hosts[h].no_store_until <= self.now;
+        if !reachable || strike == Strike::Lose {
+            let to = self.hosts[h].sender();
+            let at = self.now.after(self.setup.timings.store_timeout);
+            return self.agenda.add(at, Item::Event { to, event: Event::WatchBroken });
+        }
+        self.store.watch(h, from);
+        self.tell_watchers();
+    }
+
+    fn send_to_peer(&mut self, h: usize, envelope: Envelope, strike: Strike) {
+        let Some(to) = self.hosts.iter().position(|host| host.id == envelope.to) else { return };
+        let cut = self.hosts[h].no_peers_until > self.now || self.hosts[to].no_peers_until > self.now;
+        if cut || !self.hosts[to].is_up() {
+            return;
+        }
+        let event = Event::Peer { from: self.hosts[h].id.clone(), message: envelope.message };
+        let to = self.hosts[to].sender();
+        self.send(strike, Item::Event { to, event });
+    }
+
+    fn probe(&mut self, from: Sender, host: HostId, incarnation: Incarnation) {
+        let Some(found) = self.hosts.iter().find(|h| h.id == host) else { return };
+        let ended = !found.is_up() || found.incarnation() > incarnation;
+        if ended {
+            self.answer(from, Event::PeerRefused { host, incarnation });
+        }
+    }
+
+    /// A call that has no answer in time ends as unknown; an answer before that makes this void.
+    fn fail_store_call_later(&mut self, sent: &SentCall) {
+        self.open_calls.insert(CallKey { from: sent.from, call: sent.call });
+        let at = self.now.after(self.setup.timings.store_timeout);
+        self.agenda.add(at, Item::StoreTimeout { from: sent.from, call: sent.call });
+    }
+
+    pub(crate) fn take_store_call(&mut self, sent: SentCall) {
+        let cut = self.hosts[sent.from.host].no_store_until > self.now;
+        let mode = if cut { StoreMode::Hanging } else { self.store.mode };
+        if mode == StoreMode::Refusing {
+            return self.store_answered(sent.from, sent.call, Err(StoreFailure::NotDone));
+        }
+        if mode == StoreMode::Hanging {
+            return;
+        }
+        let answer = self.store.call(sent.request, self.now);
+        self.tell_watchers();
+        if mode == StoreMode::Up && !sent.answer_lost {
+            self.store_answered(sent.from, sent.call, Ok(answer));
+        }
+    }
+
+    pub(crate) fn store_answered(
+        &mut self,
+        from: Sender,
+        call: skylarkshore_core::id::CallId,
+        result: skylarkshore_core::store::StoreResult,
+    ) {
+        if self.open_calls.remove(&CallKey { from, call }) {
+            self.answer(from, Event::Store { call, result });
+        }
+    }
+
+    pub(crate) fn take_order(&mut self, sent: &SentOrder) {
+        let now = self.now;
+        let loading: u32 = self.engines.values().map(super::engine::Engine::loading).sum();
+        let Some(engine) = self.engines.get_mut(&sent.engine).filter(|engine| engine.up) else {
+            let event = Event::Order {
+                upstream: sent.engine.clone(),
+                order: sent.order,
+                answer: OrderAnswer::NotSent,
+            };
+            return self.answer(sent.from, event);
+        };
+        let taken = engine.take_order(sent.order, sent.fence, &sent.action, now);
+        if let Some(begun) = taken.begun {
+            let models = &self.setup.document.catalogue.models;
+            let usual = models.get(&begun.model).map_or(UNKNOWN_LOAD_TIME, |model| model.load_time);
+            let crowd = (loading + 1).max(LOADS_AT_FULL_SPEED);
+            let at = now.after(usual * crowd / LOADS_AT_FULL_SPEED);
+            let engine = sent.engine.clone();
+            self.agenda
+                .add(at, Item::LoadDone { engine, incarnation: begun.incarnation, model: begun.model });
+        }
+        for run in taken.cut {
+            self.end_run(&run, lost(&run, false));
+        }
+        let answer = if sent.answer_lost { OrderAnswer::Lost } else { taken.answer };
+        self.answer(sent.from, Event::Order { upstream: sent.engine.clone(), order: sent.order, answer });
+    }
+
+    pub(crate) fn take_ask(&mut self, from: Sender, id: &UpstreamId, asked: Time) {
+        let report = self.engines.get(id).and_then(super::engine::Engine::report);
+        let wait = if report.is_some() { LATENCY } else { ASK_TIMEOUT };
+        let event = Event::Report { upstream: id.clone(), asked, report };
+        self.agenda.add(self.now.after(wait), Item::Event { to: from, event });
+    }
+
+    pub(crate) fn take_start(&mut self, sent: SentRequest) {
+        if !self.attempts.contains_key(&AttemptKey::new(sent.from, sent.attempt)) {
+            return;
+        }
+        let request = key(sent.from, sent.request);
+        let Some(log) = self.callers.requests.get(&request) else { return };
+        let (target, run_time) = (log.ask.target.clone(), log.ask.run_time);
+        if let Some(end) = self.turned_away(&sent, &target) {
+            return self.attempt_ended(sent.from, sent.attempt, end);
+        }
+        self.checks.new_work(&sent.upstream, self.now);
+        self.callers.run(&request, self.now);
+        self.runs += 1;
+        let id = RunId(self.runs);
+        let upstream = sent.upstream.clone();
+        let model = match target {
+            Target::Model(target) => Some(target.model),
+            Target::Service(_) => None,
+        };
+        let run = Run { id, sent, model, started: false };
+        if let Some(engine) = self.engines.get_mut(&upstream) {
+            engine.begin(run, self.now);
+        } else if let Some(service) = self.services.get_mut(&upstream) {
+            service.runs.insert(id, run);
+        }
+        let first = FIRST_TOKEN.min(run_time);
+        self.agenda.add(self.now.after(first), Item::RunStarted { upstream: upstream.clone(), run: id });
+        self.agenda.add(self.now.after(run_time), Item::RunDone { upstream, run: id });
+    }
+
+    fn turned_away(&self, sent: &SentRequest, target: &Target) -> Option<AttemptEnd> {
+        match target {
+            Target::Model(target) => {
+                let Some(engine) = self.engines.get(&sent.upstream).filter(|engine| engine.up) else {
+                    return Some(AttemptEnd::NotSent);
+                };
+                if !engine.holds(&target.model, target.adapter.as_ref()) {
+                    return Some(AttemptEnd::Rejected(Rejection::NotLoaded));
+                }
+                let most = engine.spec.concurrency as usize * QUEUE_FACTOR;
+                (engine.in_progress() >= most).then_some(AttemptEnd::Rejected(Rejection::Busy))
+            }
+            Target::Service(name) => {
+                let known = self.services.get(&sent.upstream).is_some_and(|service| service.service == *name);
+                (!known).then_some(AttemptEnd::NotSent)
+            }
+        }
+    }
+
+    pub(crate) fn run_started(&mut self, upstream: &UpstreamId, id: RunId) {
+        let run = match self.engines.get_mut(upstream) {
+            Some(engine) => engine.run_mut(id),
+            None => self.services.get_mut(upstream).and_then(|service| service.runs.get_mut(&id)),
+        };
+        let Some(run) = run else { return };
+        run.started = true;
+        let sent = run.sent.clone();
+        let request = key(sent.from, sent.request);
+        if self.callers.requests.get(&request).is_some_and(|log| log.ask.crashes) {
+            return self.crash_for_a_while(upstream);
+        }
+        if self.attempts.contains_key(&AttemptKey::new(sent.from, sent.attempt)) {
+            self.callers.answer_started(&request, self.now);
+            self.answer(sent.from, Event::AnswerStarted { attempt: sent.attempt });
+        }
+    }
+
+    pub(crate) fn run_done(&mut self, upstream: &UpstreamId, id: RunId) {
+        let run = match self.engines.get_mut(upstream) {
+            Some(engine) => engine.end(id, self.now),
+            None => self.services.get_mut(upstream).and_then(|service| service.runs.remove(&id)),
+        };
+        let Some(run) = run else { return };
+        if run.sent.answer_lost {
+            return self.end_run(&run, lost(&run, false));
+        }
+        let request = key(run.sent.from, run.sent.request);
+        let Some(log) = self.callers.requests.get(&request) else { return };
+        let body = log.ask.digest.0.to_vec();
+        let held = run.sent.hold.then_some(RecordedAnswer { status: 200, content_type: None, body });
+        self.end_run(&run, AttemptEnd::Whole { held });
+    }
+
+    pub(crate) fn end_run(&mut self, run: &Run, end: AttemptEnd) {
+        self.attempt_ended(run.sent.from, run.sent.attempt, end);
+    }
+
+    fn attempt_ended(&mut self, from: Sender, attempt: AttemptId, end: AttemptEnd) {
+        let Some(request) = self.attempts.remove(&AttemptKey::new(from, attempt)) else { return };
+        let host = &self.hosts[from.host];
+        if !host.is_up() || host.life != from.life {
+            return;
+        }
+        if matches!(end, AttemptEnd::Whole { held: None }) {
+            self.callers.end(&key(from, request), Final::Answered, self.now);
+        }
+        self.answer(from, Event::AttemptEnded { attempt, end });
+    }
+}
+
+const fn key(from: Sender, request: RequestId) -> RequestKey {
+    RequestKey { host: from.host, life: from.life, request }
+}
+
+/// An attempt over all hosts and lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct AttemptKey {
+    host: usize,
+    life: u64,
+    attempt: AttemptId,
+}
+
+impl AttemptKey {
+    const fn new(from: Sender, attempt: AttemptId) -> Self {
+        Self { host: from.host, life: from.life, attempt }
+    }
+}
+
+/// A call to the key-value service over all hosts and lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct CallKey {
+    from: Sender,
+    call: skylarkshore_core::id::CallId,
+}
