Let batches of records tell over which revisions they are complete

A process that has met revision 100 by its own write may still lack 99, and would never ask for it if it compared only the highest revision it has met. A batch names the span that it covers, and a process keeps the revision up to which it has missed nothing. The facade of control hears of watched changes, batches, engine reports and the end of draining; `must_close` tells the loading part which replicas have to go.

--- a/crates/skylarkshore-core/src/authority.rs
+++ b/crates/skylarkshore-core/src/authority.rs
@@ -46,6 +46,15 @@
     /// False from the moment at which this process begins to give the home up.
     fn is_home(&self, engine: &UpstreamId, model: &ModelName) -> bool;
 
+    /// Tells whether a loaded model has to be unloaded from the engine once its requests have ended.
+    ///
+    /// True where the rules allow fewer replicas than there are, where the engine
+    /// isn't a home of the model, is about to go, or has to draw less. No new
+    /// requests may be sent to such a replica.
+    fn must_close(&self, _engine: &UpstreamId, _model: &ModelName) -> bool {
+        false
+    }
+
     /// Returns the power that the engine may draw for certain.
     fn granted(&self, engine: &UpstreamId) -> Watts;
 }
--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -5,9 +5,9 @@
 use crate::cx::Cx;
 use crate::dump::{Belief, Gauge};
 use crate::id::CallId;
-use crate::id::{HostId, Incarnation, ModelName, UpstreamId};
+use crate::id::{HostId, Incarnation, ModelName, StoreRevision, UpstreamId};
 use crate::peer::PeerMessage;
-use crate::store::{Key, StoreResult, WriteOutcome};
+use crate::store::{Key, StoreResult, Versioned, WriteOutcome};
 use crate::time::Time;
 use crate::units::Watts;
 
@@ -54,6 +54,25 @@
     /// Takes note that the watch may have missed changes.
     pub fn on_watch_broken(&mut self, _cx: &mut Cx<'_>) {}
 
+    /// Takes note of changes that the watch saw, and of the revision up to which it missed none.
+    pub fn on_watched(&mut self, _cx: &mut Cx<'_>, _changes: Vec<Versioned>, _upto: StoreRevision) {}
+
+    /// Takes note of what a batch from a peer covers, after its records went into the cache.
+    pub fn on_records(
+        &mut self,
+        _cx: &mut Cx<'_>,
+        _from: &HostId,
+        _after: Option<StoreRevision>,
+        _upto: StoreRevision,
+    ) {
+    }
+
+    /// Takes note of whether an engine of this process answered.
+    pub fn on_report(&mut self, _cx: &mut Cx<'_>, _engine: &UpstreamId, _reached: bool) {}
+
+    /// Ends the lease, now that nothing is in progress any more.
+    pub fn on_drained(&mut self, _cx: &mut Cx<'_>) {}
+
     /// Takes a peer's message, where it concerns this part.
     pub fn on_peer(&mut self, _cx: &mut Cx<'_>, _from: &HostId, _message: &PeerMessage) {}
 
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -14,12 +14,14 @@
 use crate::dump::{Belief, Gauge};
 use crate::effect::Effect;
 use crate::event::Event;
-use crate::id::{HostId, UpstreamId};
+use crate::id::{HostId, StoreRevision, UpstreamId};
 use crate::loading::Loading;
 use crate::peer::{Envelope, PeerMessage};
 use crate::rules::MinuteOfDay;
 use crate::serving::Serving;
-use crate::store::{Key, Record, StoreAnswer, StoreCache, Versioned, WriteOutcome, WriteRequest, Writes};
+use crate::store::{
+    Key, Record, RecordBatch, StoreAnswer, StoreCache, Versioned, WriteOutcome, WriteRequest, Writes,
+};
 use crate::time::Time;
 use crate::upstream::Upstream;
 
@@ -146,8 +148,12 @@
             Event::HostList(list) => self.on_host_list(now, list, effects),
             Event::Store { call, result } => {
                 if let Ok(StoreAnswer::Shared { revision, records }) = &result {
-                    let changed = self.cache.apply_all(*revision, records.clone());
-                    self.announce(now, &changed, effects);
+                    self.take_snapshot(now, *revision, records.clone(), effects);
+                }
+                if let Ok(StoreAnswer::One(found)) = &result
+                    && !matches!(found.key, Key::Once(_))
+                {
+                    self.take_records(now, vec![found.clone()], effects);
                 }
                 let ended = self.with(now, effects, |cx, parts| {
                     parts.control.on_store(cx, call, &result);
@@ -158,7 +164,10 @@
                     self.on_written(now, &key, &outcome, effects);
                 }
             }
-            Event::Watched { changes, .. } => self.take_records(now, changes, effects),
+            Event::Watched { changes, upto } => {
+                self.take_records(now, changes.clone(), effects);
+                self.with(now, effects, |cx, parts| parts.control.on_watched(cx, changes, upto));
+            }
             Event::WatchBroken => self.with(now, effects, |cx, parts| parts.control.on_watch_broken(cx)),
             Event::Peer { from, message } => self.on_peer(now, &from, message, effects),
             Event::PeerRefused { host, incarnation } => {
@@ -168,6 +177,7 @@
                 self.with(now, effects, |cx, parts| parts.loading.on_order(cx, &upstream, order, &answer));
             }
             Event::Report { upstream, asked, report } => self.with(now, effects, |cx, parts| {
+                parts.control.on_report(cx, &upstream, report.is_some());
                 parts.loading.on_report(cx, &*parts.control, &upstream, asked, report.as_ref());
             }),
             Event::Arrived { request, arrival } => {
@@ -213,7 +223,11 @@
     /// Ends the process once callers' answers have run out, nothing is in progress and nothing is owned.
     fn exit_when_done(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let Shutdown::Draining { until } = self.shutdown else { return };
-        if until.is_due(now) && self.serving.is_idle() && self.control.has_left() {
+        if !until.is_due(now) || !self.serving.is_idle() {
+            return;
+        }
+        self.with(now, effects, |cx, parts| parts.control.on_drained(cx));
+        if self.control.has_left() {
             self.shutdown = Shutdown::Exited;
             effects.push(Effect::Exit);
         }
@@ -228,8 +242,8 @@
     }
 
     fn on_peer(&mut self, now: Time, from: &HostId, message: PeerMessage, effects: &mut Vec<Effect>) {
-        if let PeerMessage::Records(records) = message {
-            self.take_records(now, records, effects);
+        if let PeerMessage::Records(batch) = message {
+            self.take_batch(now, from, batch, effects);
             return;
         }
         self.with(now, effects, |cx, parts| {
@@ -239,6 +253,27 @@
         });
     }
 
+    fn take_batch(&mut self, now: Time, from: &HostId, batch: RecordBatch, effects: &mut Vec<Effect>) {
+        let RecordBatch { after, upto, records } = batch;
+        if after.is_some() {
+            self.take_records(now, records, effects);
+        } else {
+            self.take_snapshot(now, upto, records, effects);
+        }
+        self.with(now, effects, |cx, parts| parts.control.on_records(cx, from, after, upto));
+    }
+
+    fn take_snapshot(
+        &mut self,
+        now: Time,
+        revision: StoreRevision,
+        records: Vec<Versioned>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let changed = self.cache.apply_all(revision, records);
+        self.announce(now, &changed, effects);
+    }
+
     fn take_records(&mut self, now: Time, records: Vec<Versioned>, effects: &mut Vec<Effect>) {
         let mut changed = Vec::new();
         for record in records {
--- a/crates/skylarkshore-core/src/peer.rs
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -5,7 +5,7 @@
 use crate::catalogue::ModelTarget;
 use crate::id::{Digest, HostId, Incarnation, ModelName, RulesRevision, SiteName, StoreRevision, UpstreamId};
 use crate::rules::ServiceOrder;
-use crate::store::Versioned;
+use crate::store::RecordBatch;
 use crate::units::Watts;
 use crate::view::EngineView;
 
@@ -40,20 +40,20 @@
         incarnation: Incarnation,
         /// The rules in force there.
         rules: RulesRevision,
-        /// The highest revision of the key-value service that it has seen.
+        /// The revision of the key-value service up to which it has missed nothing.
         store: StoreRevision,
         /// Whether its last call to the key-value service succeeded.
         store_reachable: bool,
         /// Whether it is about to go.
         leaving: bool,
     },
-    /// The sender has seen nothing of the key-value service after this revision.
+    /// The sender may have missed changes after this revision.
     RecordsWanted {
-        /// The highest revision that it has seen.
+        /// The revision up to which it has missed nothing.
         after: StoreRevision,
     },
     /// Shared keys that the receiver may not have seen yet.
-    Records(Vec<Versioned>),
+    Records(RecordBatch),
     /// Requests wait for a model at the sender, which wants to hear of it for a while.
     Wanted {
         /// The model or adapter.
--- a/crates/skylarkshore-core/src/store.rs
+++ b/crates/skylarkshore-core/src/store.rs
@@ -153,6 +153,22 @@
     pub record: Option<Record>,
 }
 
+/// Changes of shared keys that one process passes on to another.
+///
+/// Single changes may come in any order, so that the highest revision that a
+/// process has met says nothing about what it missed. A batch therefore tells
+/// over which revisions it is complete.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RecordBatch {
+    /// The revision after which the batch holds the last change of every changed
+    /// key; none when it holds every key that has a value.
+    pub after: Option<StoreRevision>,
+    /// The revision up to which nothing is missing.
+    pub upto: StoreRevision,
+    /// The keys, deleted ones included where `after` is given.
+    pub records: Vec<Versioned>,
+}
+
 /// What a write expects to find.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Expect {
