Write down the formats for callers, peers, operators and stored keys

The core's types had no form outside a process. Keys are percent-encoded, as names may hold slashes; a value carries its writer, so that a process whose write lost its answer can tell its own value from another's. Peer messages have wire enums of their own, so that the core can change without the wire.

--- /dev/null
+++ b/crates/skylarkshore-wire/src/caller.rs
@@ -0,0 +1,171 @@
+//! What callers send and get: headers, refusals, lists of models and of entry hosts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use skylarkshore_core::effect::{Refusal, RefusalOutcome, RefusalReason};
+use skylarkshore_core::id::DataCentre;
+
+/// How long the caller waits at most, in milliseconds.
+pub const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
+/// Who the caller is.
+pub const CALLER_HEADER: &str = "x-caller";
+/// The caller's name for the request; echoed on every answer.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Names a request that may not be repeated.
+pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+
+/// The time-out of a request that names none.
+pub const DEFAULT_TIMEOUT: Duration = Duration::from_mins(1);
+/// The longest time-out that is accepted.
+pub const MAX_TIMEOUT: Duration = Duration::from_hours(1);
+/// The longest request id and idempotency key, in bytes.
+pub const MAX_TOKEN_LEN: usize = 256;
+
+/// The last event of a stream that is whole.
+pub const DONE_DATA: &str = "[DONE]";
+
+/// Whether a refused request was run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OutcomeWire {
+    /// It was not run, and won't be.
+    NotRun,
+    /// It may have been run.
+    Unknown,
+    /// It was run, and failed.
+    Failed,
+}
+
+/// The body of a refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RefusalBody {
+    /// Whether the request was run.
+    pub outcome: OutcomeWire,
+    /// A short fixed word for the reason.
+    pub reason: String,
+    /// The reason and the remedy in a sentence.
+    pub message: String,
+    /// When to ask again, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+}
+
+/// The body of the answer to a request that is wrong in itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorBody {
+    /// Always `not_run`.
+    pub outcome: OutcomeWire,
+    /// A short fixed word for the reason.
+    pub reason: String,
+    /// What is wrong, and the remedy.
+    pub error: ErrorText,
+}
+
+/// What is wrong with a request, and the remedy.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorText {
+    /// What is wrong.
+    pub message: String,
+    /// What to do about it.
+    pub remedy: String,
+}
+
+/// One entry host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryHost {
+    /// Where callers reach it.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+}
+
+/// The answer to the question which hosts to use.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryAnswer {
+    /// The hosts, the first one to be used first.
+    pub hosts: Vec<EntryHost>,
+    /// How long the answer may be kept, in seconds.
+    pub max_age_s: u64,
+}
+
+/// The answer to the question which models there are.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ModelsAnswer {
+    /// Always `list`.
+    pub object: String,
+    /// The models and adapters.
+    pub data: Vec<ModelEntry>,
+}
+
+/// A model or an adapter.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ModelEntry {
+    /// The name by which requests ask for it.
+    pub id: String,
+    /// Always `model`.
+    pub object: String,
+    /// The base model, where this is an adapter.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub parent: Option<String>,
+}
+
+impl From<RefusalOutcome> for OutcomeWire {
+    fn from(outcome: RefusalOutcome) -> Self {
+        match outcome {
+            RefusalOutcome::NotRun => Self::NotRun,
+            RefusalOutcome::Unknown => Self::Unknown,
+            RefusalOutcome::Failed => Self::Failed,
+        }
+    }
+}
+
+impl From<&Refusal> for RefusalBody {
+    fn from(refusal: &Refusal) -> Self {
+        Self {
+            outcome: refusal.outcome.into(),
+            reason: reason_word(&refusal.reason).to_owned(),
+            message: refusal.reason.to_string(),
+            retry_after_ms: refusal.retry_after.map(|d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX)),
+        }
+    }
+}
+
+/// Returns the short fixed word for a reason; programs may rely on it.
+pub const fn reason_word(reason: &RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::Rule(_) => "rule",
+        RefusalReason::ColdStartTooLong => "cold_start_too_long",
+        RefusalReason::Short(_) => "short",
+        RefusalReason::QueueFull => "queue_full",
+        RefusalReason::DeadlinePassed => "deadline_passed",
+        RefusalReason::DeadlinePassedRunning => "deadline_passed_running",
+        RefusalReason::NoUpstream => "no_upstream",
+        RefusalReason::UpstreamLost => "upstream_lost",
+        RefusalReason::StoreUnreachable => "store_unreachable",
+        RefusalReason::KeyConflict => "key_conflict",
+        RefusalReason::KeyInDoubt => "key_in_doubt",
+        RefusalReason::KeyInProgress => "key_in_progress",
+        RefusalReason::AnswerNotKept => "answer_not_kept",
+        RefusalReason::CrashesUpstreams => "crashes_upstreams",
+        RefusalReason::Leaving => "leaving",
+    }
+}
+
+/// Returns the HTTP status of a refusal.
+pub const fn refusal_status(refusal: &Refusal) -> u16 {
+    match refusal.reason {
+        RefusalReason::Rule(_) => 403,
+        RefusalReason::KeyConflict | RefusalReason::KeyInProgress | RefusalReason::KeyInDoubt => 409,
+        RefusalReason::CrashesUpstreams => 422,
+        RefusalReason::DeadlinePassed | RefusalReason::DeadlinePassedRunning => 504,
+        RefusalReason::UpstreamLost | RefusalReason::AnswerNotKept => 502,
+        RefusalReason::ColdStartTooLong
+        | RefusalReason::Short(_)
+        | RefusalReason::QueueFull
+        | RefusalReason::NoUpstream
+        | RefusalReason::StoreUnreachable
+        | RefusalReason::Leaving => 503,
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore-wire/src/keys/value.rs
@@ -0,0 +1,332 @@
+//! The JSON values under the system's keys.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use derive_more::{Display, Error, From};
+use serde::{Deserialize, Serialize};
+use skylarkshore_core::id::{
+    CallId, DataCentre, Digest, Fence, HostId, Incarnation, InvalidDigest, UpstreamId,
+};
+use skylarkshore_core::store::{
+    HomesRecord, Key, MemberRecord, OnceRecord, OnceState, OwnerRecord, PowerRecord, Record, RecordedAnswer,
+    Writer,
+};
+use skylarkshore_core::units::Watts;
+
+use crate::document::{DocumentWire, InvalidDocument};
+
+/// Who wrote a value.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WriterWire {
+    /// The host.
+    pub host: HostId,
+    /// Which life of its process.
+    pub incarnation: Incarnation,
+    /// The write within that life.
+    pub call: CallId,
+}
+
+/// The value of a member key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberWire {
+    /// Which life of the process.
+    pub incarnation: Incarnation,
+    /// Where callers reach it.
+    pub caller_address: SocketAddr,
+    /// Where peers reach it.
+    pub peer_address: SocketAddr,
+    /// Where it runs.
+    pub data_centre: DataCentre,
+    /// The SHA-256 of its certificate, in hexadecimal digits.
+    pub fingerprint: String,
+    /// Whether it is about to go.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// The value of an owner key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerWire {
+    /// The owning host.
+    pub host: HostId,
+    /// Which life of its process.
+    pub incarnation: Incarnation,
+    /// Rises with every change of owner.
+    pub fence: Fence,
+}
+
+/// The value of a homes key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HomesWire {
+    /// The engines, the preferred one first.
+    pub engines: Vec<UpstreamId>,
+}
+
+/// The value of a power key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PowerWire {
+    /// The watts that each engine may draw.
+    pub grants: BTreeMap<UpstreamId, u64>,
+}
+
+/// An answer that is kept to be given again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnswerWire {
+    /// The HTTP status.
+    pub status: u16,
+    /// The value of the `content-type` header.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub content_type: Option<String>,
+    /// The whole body in Base64.
+    pub body: String,
+}
+
+/// How far a request that may not be repeated has come.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OnceStateWire {
+    /// A host holds it; it may have run.
+    Claimed,
+    /// It has run, and this was the answer.
+    Answered(AnswerWire),
+    /// It has run, and its answer wasn't kept.
+    AnswerNotKept,
+}
+
+/// The value of a key of a request that may not be repeated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OnceWire {
+    /// The digest of method, path and body, in hexadecimal digits.
+    pub request: String,
+    /// The host that claimed it.
+    pub host: HostId,
+    /// Which life of its process.
+    pub incarnation: Incarnation,
+    /// How far it has come.
+    pub state: OnceStateWire,
+}
+
+/// Why a value isn't valid.
+#[derive(Debug, Display, Error, From)]
+pub enum InvalidValue {
+    /// It isn't JSON of the expected shape.
+    #[display("a stored value has a wrong shape: {_0}; delete its key, or upgrade this process")]
+    Shape(serde_json::Error),
+    /// A digest in it is wrong.
+    #[display("{_0}")]
+    Digest(InvalidDigest),
+    /// The body of a kept answer isn't Base64.
+    #[display("a kept answer isn't Base64 ({_0}); delete its key")]
+    Body(base64::DecodeError),
+    /// The operators' document is wrong.
+    #[display("{_0}")]
+    Document(InvalidDocument),
+}
+
+/// A value with the one who wrote it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoredValue {
+    /// Who wrote it.
+    pub writer: Writer,
+    /// What it says.
+    pub record: Record,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Envelope<T> {
+    writer: WriterWire,
+    value: T,
+}
+
+impl StoredValue {
+    /// Writes the value as JSON.
+    ///
+    /// # Panics
+    ///
+    /// Never, as names, numbers and texts can always be written.
+    pub fn to_json(&self) -> String {
+        match &self.record {
+            Record::Document(document) => self.wrap(DocumentWire::from(&**document)),
+            Record::Member(record) => self.wrap(MemberWire::from(record)),
+            Record::Owner(record) => self.wrap(OwnerWire::from(record)),
+            Record::Homes(record) => self.wrap(HomesWire::from(record)),
+            Record::Power(record) => self.wrap(PowerWire::from(record)),
+            Record::Once(record) => self.wrap(OnceWire::from(record)),
+        }
+    }
+
+    /// Reads the value that stands under `key`.
+    ///
+    /// # Errors
+    ///
+    /// The text isn't JSON of the shape that belongs to the key.
+    pub fn from_json(key: &Key, text: &[u8]) -> Result<Self, InvalidValue> {
+        match key {
+            Key::Document => unwrap::<DocumentWire>(text),
+            Key::Member(_) => unwrap::<MemberWire>(text),
+            Key::Owner(_) => unwrap::<OwnerWire>(text),
+            Key::Homes(_) => unwrap::<HomesWire>(text),
+            Key::Power(_) => unwrap::<PowerWire>(text),
+            Key::Once(_) => unwrap::<OnceWire>(text),
+        }
+    }
+
+    fn wrap<T: Serialize>(&self, value: T) -> String {
+        let envelope = Envelope { writer: WriterWire::from(&self.writer), value };
+        serde_json::to_string(&envelope).expect("names, numbers and texts can always be written as JSON")
+    }
+}
+
+fn unwrap<'de, T>(text: &'de [u8]) -> Result<StoredValue, InvalidValue>
+where
+    T: Deserialize<'de>,
+    Record: TryFrom<T>,
+    InvalidValue: From<<Record as TryFrom<T>>::Error>,
+{
+    let envelope: Envelope<T> = serde_json::from_slice(text)?;
+    Ok(StoredValue { writer: envelope.writer.into(), record: Record::try_from(envelope.value)? })
+}
+
+impl From<std::convert::Infallible> for InvalidValue {
+    fn from(never: std::convert::Infallible) -> Self {
+        match never {}
+    }
+}
+
+impl From<&Writer> for WriterWire {
+    fn from(writer: &Writer) -> Self {
+        Self { host: writer.host.clone(), incarnation: writer.incarnation, call: writer.call }
+    }
+}
+
+impl From<WriterWire> for Writer {
+    fn from(wire: WriterWire) -> Self {
+        Self { host: wire.host, incarnation: wire.incarnation, call: wire.call }
+    }
+}
+
+impl TryFrom<DocumentWire> for Record {
+    type Error = InvalidDocument;
+
+    fn try_from(wire: DocumentWire) -> Result<Self, Self::Error> {
+        Ok(Self::Document(Arc::new(wire.try_into()?)))
+    }
+}
+
+impl From<&MemberRecord> for MemberWire {
+    fn from(record: &MemberRecord) -> Self {
+        Self {
+            incarnation: record.incarnation,
+            caller_address: record.caller_address,
+            peer_address: record.peer_address,
+            data_centre: record.data_centre.clone(),
+            fingerprint: record.fingerprint.to_hex(),
+            leaving: record.leaving,
+        }
+    }
+}
+
+impl TryFrom<MemberWire> for Record {
+    type Error = InvalidDigest;
+
+    fn try_from(wire: MemberWire) -> Result<Self, Self::Error> {
+        Ok(Self::Member(MemberRecord {
+            incarnation: wire.incarnation,
+            caller_address: wire.caller_address,
+            peer_address: wire.peer_address,
+            data_centre: wire.data_centre,
+            fingerprint: wire.fingerprint.parse()?,
+            leaving: wire.leaving,
+        }))
+    }
+}
+
+impl From<&OwnerRecord> for OwnerWire {
+    fn from(record: &OwnerRecord) -> Self {
+        Self { host: record.host.clone(), incarnation: record.incarnation, fence: record.fence }
+    }
+}
+
+impl From<OwnerWire> for Record {
+    fn from(wire: OwnerWire) -> Self {
+        Self::Owner(OwnerRecord { host: wire.host, incarnation: wire.incarnation, fence: wire.fence })
+    }
+}
+
+impl From<&HomesRecord> for HomesWire {
+    fn from(record: &HomesRecord) -> Self {
+        Self { engines: record.engines.clone() }
+    }
+}
+
+impl From<HomesWire> for Record {
+    fn from(wire: HomesWire) -> Self {
+        Self::Homes(HomesRecord { engines: wire.engines })
+    }
+}
+
+impl From<&PowerRecord> for PowerWire {
+    fn from(record: &PowerRecord) -> Self {
+        Self { grants: record.grants.iter().map(|(engine, watts)| (engine.clone(), watts.0)).collect() }
+    }
+}
+
+impl From<PowerWire> for Record {
+    fn from(wire: PowerWire) -> Self {
+        let grants = wire.grants.into_iter().map(|(engine, watts)| (engine, Watts(watts))).collect();
+        Self::Power(PowerRecord { grants })
+    }
+}
+
+impl From<&RecordedAnswer> for AnswerWire {
+    fn from(answer: &RecordedAnswer) -> Self {
+        Self {
+            status: answer.status,
+            content_type: answer.content_type.clone(),
+            body: BASE64_STANDARD.encode(&answer.body),
+        }
+    }
+}
+
+impl TryFrom<AnswerWire> for RecordedAnswer {
+    type Error = base64::DecodeError;
+
+    fn try_from(wire: AnswerWire) -> Result<Self, Self::Error> {
+        let body = BASE64_STANDARD.decode(wire.body)?;
+        Ok(Self { status: wire.status, content_type: wire.content_type, body })
+    }
+}
+
+impl From<&OnceRecord> for OnceWire {
+    fn from(record: &OnceRecord) -> Self {
+        let state = match &record.state {
+            OnceState::Claimed => OnceStateWire::Claimed,
+            OnceState::Answered(answer) => OnceStateWire::Answered(answer.into()),
+            OnceState::AnswerNotKept => OnceStateWire::AnswerNotKept,
+        };
+        Self {
+            request: record.request.to_hex(),
+            host: record.host.clone(),
+            incarnation: record.incarnation,
+            state,
+        }
+    }
+}
+
+impl TryFrom<OnceWire> for Record {
+    type Error = InvalidValue;
+
+    fn try_from(wire: OnceWire) -> Result<Self, Self::Error> {
+        let state = match wire.state {
+            OnceStateWire::Claimed => OnceState::Claimed,
+            OnceStateWire::Answered(answer) => OnceState::Answered(answer.try_into()?),
+            OnceStateWire::AnswerNotKept => OnceState::AnswerNotKept,
+        };
+        let request: Digest = wire.request.parse()?;
+        Ok(Self::Once(OnceRecord { request, host: wire.host, incarnation: wire.incarnation, state }))
+    }
+}
--- a/crates/skylarkshore-wire/src/lib.rs
+++ b/crates/skylarkshore-wire/src/lib.rs
@@ -3,4 +3,8 @@
 //! Each format has wire types of its own, which turn into the core's checked
 //! types by `TryFrom` and come from them by `From`.
 
+pub mod caller;
 pub mod document;
+pub mod keys;
+pub mod operator;
+pub mod peer;
--- /dev/null
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -0,0 +1,357 @@
+//! What processes send one another: one postcard-encoded message in each frame.
+//!
+//! The two enums here stand for the core's of the same meaning. They are apart
+//! so that the core can change without changing what is on the wire; a variant
+//! may be added at the end, never moved.
+
+mod view;
+
+use std::time::Duration;
+
+use derive_more::{Display, Error, From};
+use serde::{Deserialize, Serialize};
+use skylarkshore_core::catalogue::ModelTarget;
+use skylarkshore_core::id::{
+    AdapterName, Digest, Incarnation, ModelName, RulesRevision, SiteName, StoreRevision, UpstreamId,
+};
+use skylarkshore_core::peer::{CannotLoad, PeerMessage};
+use skylarkshore_core::rules::ServiceOrder;
+use skylarkshore_core::store::{Key, Versioned};
+use skylarkshore_core::units::Watts;
+
+use crate::keys::{InvalidKey, InvalidValue, KeyText, StoredValue};
+
+pub use view::{EngineViewWire, ModelViewWire, ReadinessWire};
+
+/// The largest message in bytes.
+pub const MAX_MESSAGE_LEN: usize = 1024 * 1024;
+
+/// Why a message isn't valid.
+#[derive(Debug, Display, Error, From)]
+pub enum InvalidMessage {
+    /// It isn't encoded as expected.
+    #[display("a peer's message can't be decoded ({_0}); run the same version on all hosts")]
+    Encoding(postcard::Error),
+    /// It is too large.
+    #[display("a message has {len} bytes, more than {MAX_MESSAGE_LEN}; shorten the operators' document")]
+    #[from(skip)]
+    TooLarge {
+        /// Its size.
+        len: usize,
+    },
+    /// A key in it is wrong.
+    #[display("{_0}")]
+    Key(InvalidKey),
+    /// A value in it is wrong.
+    #[display("{_0}")]
+    Value(InvalidValue),
+}
+
+/// A model or an adapter on it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetWire {
+    model: ModelName,
+    adapter: Option<AdapterName>,
+}
+
+/// A shared key with its value as JSON.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordWire {
+    key: String,
+    revision: StoreRevision,
+    value: Option<String>,
+}
+
+/// Why an owner can't make a model available in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CannotLoadWire {
+    /// Memory is taken.
+    Memory,
+    /// Power is taken.
+    Power,
+    /// The receiver owns no home.
+    NotOwner,
+    /// The owner's lease is in doubt.
+    OwnershipInDoubt,
+    /// The engine can't be reached.
+    EngineUnreachable,
+    /// The engine refuses.
+    EngineRefuses,
+    /// The load takes too long.
+    TooSlow,
+}
+
+/// A message as it is sent. Durations are in milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[expect(missing_docs, reason = "the variants and fields are those of the core's PeerMessage")]
+pub enum PeerMessageWire {
+    Heartbeat {
+        incarnation: Incarnation,
+        rules: RulesRevision,
+        store: StoreRevision,
+        store_reachable: bool,
+        leaving: bool,
+    },
+    RecordsWanted {
+        after: StoreRevision,
+    },
+    Records(Vec<RecordWire>),
+    Wanted {
+        target: TargetWire,
+        waiting: u32,
+        order: u16,
+        patience_ms: u64,
+        arrived: u32,
+    },
+    View(EngineViewWire),
+    CannotLoad {
+        target: TargetWire,
+        reason: CannotLoadWire,
+        retry_after_ms: u64,
+    },
+    LoadSlotWanted {
+        upstream: UpstreamId,
+        model: ModelName,
+        order: u16,
+        patience_ms: u64,
+    },
+    LoadSlotGranted {
+        upstream: UpstreamId,
+        model: ModelName,
+    },
+    LoadSlotReturned {
+        upstream: UpstreamId,
+        model: ModelName,
+    },
+    PowerWanted {
+        site: SiteName,
+        watts: u64,
+        order: u16,
+    },
+    Suspects {
+        upstream: UpstreamId,
+        incarnation: Option<Incarnation>,
+        requests: Vec<Digest>,
+        alone: bool,
+    },
+    SuspectsNoted {
+        requests: Vec<Digest>,
+    },
+    Cleared {
+        request: Digest,
+    },
+    ReservationWanted {
+        upstream: UpstreamId,
+        patience_ms: u64,
+    },
+    ReservationReturned {
+        upstream: UpstreamId,
+    },
+    UpstreamLeaving {
+        upstream: UpstreamId,
+    },
+    UpstreamUnreachable {
+        upstream: UpstreamId,
+    },
+}
+
+/// Encodes a message for the wire.
+///
+/// # Errors
+///
+/// The message is larger than [`MAX_MESSAGE_LEN`].
+pub fn encode(message: &PeerMessage) -> Result<Vec<u8>, InvalidMessage> {
+    let bytes = postcard::to_stdvec(&PeerMessageWire::from(message))?;
+    if bytes.len() > MAX_MESSAGE_LEN {
+        return Err(InvalidMessage::TooLarge { len: bytes.len() });
+    }
+    Ok(bytes)
+}
+
+/// Decodes a message from the wire.
+///
+/// # Errors
+///
+/// The bytes aren't a message of this version, or a name in it is none.
+pub fn decode(bytes: &[u8]) -> Result<PeerMessage, InvalidMessage> {
+    postcard::from_bytes::<PeerMessageWire>(bytes)?.try_into()
+}
+
+pub(crate) fn millis(d: Duration) -> u64 {
+    u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl From<&ModelTarget> for TargetWire {
+    fn from(target: &ModelTarget) -> Self {
+        Self { model: target.model.clone(), adapter: target.adapter.clone() }
+    }
+}
+
+impl From<TargetWire> for ModelTarget {
+    fn from(wire: TargetWire) -> Self {
+        Self { model: wire.model, adapter: wire.adapter }
+    }
+}
+
+impl From<&Versioned> for RecordWire {
+    fn from(versioned: &Versioned) -> Self {
+        let value = versioned.writer.clone().zip(versioned.record.clone());
+        Self {
+            key: KeyText::from(&versioned.key).to_string(),
+            revision: versioned.revision,
+            value: value.map(|(writer, record)| StoredValue { writer, record }.to_json()),
+        }
+    }
+}
+
+impl TryFrom<RecordWire> for Versioned {
+    type Error = InvalidMessage;
+
+    fn try_from(wire: RecordWire) -> Result<Self, Self::Error> {
+        let key = Key::try_from(&KeyText::from(wire.key))?;
+        let stored = wire.value.map(|json| StoredValue::from_json(&key, json.as_bytes())).transpose()?;
+        let (writer, record) = stored.map(|stored| (stored.writer, stored.record)).unzip();
+        Ok(Self { key, revision: wire.revision, writer, record })
+    }
+}
+
+impl From<&CannotLoad> for CannotLoadWire {
+    fn from(reason: &CannotLoad) -> Self {
+        match reason {
+            CannotLoad::Memory => Self::Memory,
+            CannotLoad::Power => Self::Power,
+            CannotLoad::NotOwner => Self::NotOwner,
+            CannotLoad::OwnershipInDoubt => Self::OwnershipInDoubt,
+            CannotLoad::EngineUnreachable => Self::EngineUnreachable,
+            CannotLoad::EngineRefuses => Self::EngineRefuses,
+            CannotLoad::TooSlow => Self::TooSlow,
+        }
+    }
+}
+
+impl From<CannotLoadWire> for CannotLoad {
+    fn from(wire: CannotLoadWire) -> Self {
+        match wire {
+            CannotLoadWire::Memory => Self::Memory,
+            CannotLoadWire::Power => Self::Power,
+            CannotLoadWire::NotOwner => Self::NotOwner,
+            CannotLoadWire::OwnershipInDoubt => Self::OwnershipInDoubt,
+            CannotLoadWire::EngineUnreachable => Self::EngineUnreachable,
+            CannotLoadWire::EngineRefuses => Self::EngineRefuses,
+            CannotLoadWire::TooSlow => Self::TooSlow,
+        }
+    }
+}
+
+impl From<&PeerMessage> for PeerMessageWire {
+    fn from(message: &PeerMessage) -> Self {
+        use PeerMessage as M;
+
+        match message {
+            M::Heartbeat { incarnation, rules, store, store_reachable, leaving } => Self::Heartbeat {
+                incarnation: *incarnation,
+                rules: *rules,
+                store: *store,
+                store_reachable: *store_reachable,
+                leaving: *leaving,
+            },
+            M::RecordsWanted { after } => Self::RecordsWanted { after: *after },
+            M::Records(records) => Self::Records(records.iter().map(RecordWire::from).collect()),
+            M::Wanted { target, waiting, order, patience, arrived } => Self::Wanted {
+                target: target.into(),
+                waiting: *waiting,
+                order: order.0,
+                patience_ms: millis(*patience),
+                arrived: *arrived,
+            },
+            M::View(view) => Self::View(view.into()),
+            M::CannotLoad { target, reason, retry_after } => Self::CannotLoad {
+                target: target.into(),
+                reason: reason.into(),
+                retry_after_ms: millis(*retry_after),
+            },
+            M::LoadSlotWanted { upstream, model, order, patience } => Self::LoadSlotWanted {
+                upstream: upstream.clone(),
+                model: model.clone(),
+                order: order.0,
+                patience_ms: millis(*patience),
+            },
+            M::LoadSlotGranted { upstream, model } => {
+                Self::LoadSlotGranted { upstream: upstream.clone(), model: model.clone() }
+            }
+            M::LoadSlotReturned { upstream, model } => {
+                Self::LoadSlotReturned { upstream: upstream.clone(), model: model.clone() }
+            }
+            M::PowerWanted { site, watts, order } => {
+                Self::PowerWanted { site: site.clone(), watts: watts.0, order: order.0 }
+            }
+            M::Suspects { upstream, incarnation, requests, alone } => Self::Suspects {
+                upstream: upstream.clone(),
+                incarnation: *incarnation,
+                requests: requests.clone(),
+                alone: *alone,
+            },
+            M::SuspectsNoted { requests } => Self::SuspectsNoted { requests: requests.clone() },
+            M::Cleared { request } => Self::Cleared { request: *request },
+            M::ReservationWanted { upstream, patience } => {
+                Self::ReservationWanted { upstream: upstream.clone(), patience_ms: millis(*patience) }
+            }
+            M::ReservationReturned { upstream } => Self::ReservationReturned { upstream: upstream.clone() },
+            M::UpstreamLeaving { upstream } => Self::UpstreamLeaving { upstream: upstream.clone() },
+            M::UpstreamUnreachable { upstream } => Self::UpstreamUnreachable { upstream: upstream.clone() },
+        }
+    }
+}
+
+impl TryFrom<PeerMessageWire> for PeerMessage {
+    type Error = InvalidMessage;
+
+    fn try_from(wire: PeerMessageWire) -> Result<Self, Self::Error> {
+        use PeerMessageWire as W;
+
+        Ok(match wire {
+            W::Heartbeat { incarnation, rules, store, store_reachable, leaving } => {
+                Self::Heartbeat { incarnation, rules, store, store_reachable, leaving }
+            }
+            W::RecordsWanted { after } => Self::RecordsWanted { after },
+            W::Records(records) => {
+                Self::Records(records.into_iter().map(Versioned::try_from).collect::<Result<_, _>>()?)
+            }
+            W::Wanted { target, waiting, order, patience_ms, arrived } => Self::Wanted {
+                target: target.into(),
+                waiting,
+                order: ServiceOrder(order),
+                patience: Duration::from_millis(patience_ms),
+                arrived,
+            },
+            W::View(view) => Self::View(view.into()),
+            W::CannotLoad { target, reason, retry_after_ms } => Self::CannotLoad {
+                target: target.into(),
+                reason: reason.into(),
+                retry_after: Duration::from_millis(retry_after_ms),
+            },
+            W::LoadSlotWanted { upstream, model, order, patience_ms } => Self::LoadSlotWanted {
+                upstream,
+                model,
+                order: ServiceOrder(order),
+                patience: Duration::from_millis(patience_ms),
+            },
+            W::LoadSlotGranted { upstream, model } => Self::LoadSlotGranted { upstream, model },
+            W::LoadSlotReturned { upstream, model } => Self::LoadSlotReturned { upstream, model },
+            W::PowerWanted { site, watts, order } => {
+                Self::PowerWanted { site, watts: Watts(watts), order: ServiceOrder(order) }
+            }
+            W::Suspects { upstream, incarnation, requests, alone } => {
+                Self::Suspects { upstream, incarnation, requests, alone }
+            }
+            W::SuspectsNoted { requests } => Self::SuspectsNoted { requests },
+            W::Cleared { request } => Self::Cleared { request },
+            W::ReservationWanted { upstream, patience_ms } => {
+                Self::ReservationWanted { upstream, patience: Duration::from_millis(patience_ms) }
+            }
+            W::ReservationReturned { upstream } => Self::ReservationReturned { upstream },
+            W::UpstreamLeaving { upstream } => Self::UpstreamLeaving { upstream },
+            W::UpstreamUnreachable { upstream } => Self::UpstreamUnreachable { upstream },
+        })
+    }
+}
