--- a/crates/skylarkshore-wire/src/etcd.rs
+++ b/crates/skylarkshore-wire/src/etcd.rs
@@ -3,11 +3,17 @@
 //! Keys and values are base64, 64-bit numbers are decimal text, and fields
 //! that are zero or empty are left out.
 
+mod lease;
+mod watch;
+
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use derive_more::{Display, From};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
+pub use lease::{LeaseGrantRequest, LeaseRequest, LeaseResponse};
+pub use watch::{Streamed, WatchCreateRequest, WatchEvent, WatchEventKind, WatchRequest, WatchResponse};
+
 /// Where keys are read.
 pub const RANGE_PATH: &str = "/v3/kv/range";
 /// Where keys are compared and written.
@@ -261,14 +267,16 @@
 
 /// One step of a transaction.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
 pub enum RequestOp {
     /// Read keys.
-    RequestRange(RangeRequest),
+    #[serde(rename = "request_range")]
+    Range(RangeRequest),
     /// Write a key.
-    RequestPut(PutRequest),
+    #[serde(rename = "request_put")]
+    Put(PutRequest),
     /// Delete keys.
-    RequestDeleteRange(DeleteRangeRequest),
+    #[serde(rename = "request_delete_range")]
+    DeleteRange(DeleteRangeRequest),
 }
 
 /// Does the steps of one list or the other, all at one revision.
@@ -287,14 +295,16 @@
 
 /// The answer to one step of a transaction.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
 pub enum ResponseOp {
-    /// To [`RequestOp::RequestRange`].
-    ResponseRange(RangeResponse),
-    /// To [`RequestOp::RequestPut`].
-    ResponsePut(WriteResponse),
-    /// To [`RequestOp::RequestDeleteRange`].
-    ResponseDeleteRange(WriteResponse),
+    /// To [`RequestOp::Range`].
+    #[serde(rename = "response_range")]
+    Range(RangeResponse),
+    /// To [`RequestOp::Put`].
+    #[serde(rename = "response_put")]
+    Put(WriteResponse),
+    /// To [`RequestOp::DeleteRange`].
+    #[serde(rename = "response_delete_range")]
+    DeleteRange(WriteResponse),
 }
 
 /// The answer to [`TxnRequest`].
@@ -311,114 +321,6 @@
     pub responses: Vec<ResponseOp>,
 }
 
-/// Begins a lease.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeaseGrantRequest {
-    /// How many seconds it lives without being renewed.
-    #[serde(rename = "TTL")]
-    pub ttl: Int64,
-}
-
-/// Names a lease, to renew or to end it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeaseRequest {
-    /// The lease.
-    #[serde(rename = "ID")]
-    pub id: Int64,
-}
-
-/// How a lease stands; renewing answers with one under `result`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeaseResponse {
-    /// The service's revision.
-    #[serde(default)]
-    pub header: ResponseHeader,
-    /// The lease.
-    #[serde(rename = "ID", default, skip_serializing_if = "Int64::is_zero")]
-    pub id: Int64,
-    /// How many seconds it lives; 0 when there is no such lease any more.
-    #[serde(rename = "TTL", default, skip_serializing_if = "Int64::is_zero")]
-    pub ttl: Int64,
-}
-
-/// Begins a watch.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WatchRequest {
-    /// What to watch.
-    pub create_request: WatchCreateRequest,
-}
-
-/// What to watch.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WatchCreateRequest {
-    /// The first key.
-    pub key: Bytes64,
-    /// The key after the last one; empty for the first key alone.
-    #[serde(default, skip_serializing_if = "Bytes64::is_empty")]
-    pub range_end: Bytes64,
-    /// The first revision to be told of; 0 for what is yet to come.
-    #[serde(default, skip_serializing_if = "Int64::is_zero")]
-    pub start_revision: Int64,
-    /// Whether to be told the revision now and then when nothing changes.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub progress_notify: bool,
-}
-
-/// One part of a streamed answer, on a line of its own.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Streamed<T> {
-    /// The part.
-    pub result: T,
-}
-
-/// News of a watch.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WatchResponse {
-    /// The service's revision; nothing up to it is missing.
-    #[serde(default)]
-    pub header: ResponseHeader,
-    /// Whether this is the first part, which tells that the watch stands.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub created: bool,
-    /// Whether this is the last part.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub canceled: bool,
-    /// The first revision that can still be watched, where the asked one can't.
-    #[serde(default, skip_serializing_if = "Int64::is_zero")]
-    pub compact_revision: Int64,
-    /// The changes, in their order.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub events: Vec<WatchEvent>,
-}
-
-/// What happened to a key.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "UPPERCASE")]
-pub enum WatchEventKind {
-    /// It was written.
-    #[default]
-    Put,
-    /// It was deleted, or its lease ended.
-    Delete,
-}
-
-impl WatchEventKind {
-    #[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes the field by reference")]
-    const fn is_put(&self) -> bool {
-        matches!(self, Self::Put)
-    }
-}
-
-/// A change.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WatchEvent {
-    /// What happened; left out for a write.
-    #[serde(rename = "type", default, skip_serializing_if = "WatchEventKind::is_put")]
-    pub kind: WatchEventKind,
-    /// The key; after a deletion it has no value, and the revision is the deletion's.
-    pub kv: KeyValue,
-}
-
 /// The body of a failed call.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ErrorResponse {
--- a/crates/skylarkshore-wire/src/lib.rs
+++ b/crates/skylarkshore-wire/src/lib.rs
@@ -1,5 +1,9 @@
-//! The formats that skylarkshore speaks, each with its way to and from the core's types.
+//! The formats in which the programs meet callers, peers, the platform and the upstreams.
+//!
+//! Each format has wire types of its own, which turn into the core's checked
+//! types by `TryFrom` and come from them by `From`.
 
+pub mod document;
 pub mod engine;
 pub mod etcd;
 pub mod hostlist;
