--- a/crates/skylarkshore-wire/src/lib.rs
+++ b/crates/skylarkshore-wire/src/lib.rs
@@ -5,6 +5,9 @@
 
 pub mod caller;
 pub mod document;
+pub mod engine;
+pub mod etcd;
+pub mod hostlist;
 pub mod keys;
 pub mod operator;
 pub mod peer;
