--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -16,7 +16,7 @@
 };
 use skylarkshore_core::peer::{CannotLoad, PeerMessage};
 use skylarkshore_core::rules::ServiceOrder;
-use skylarkshore_core::store::{Key, Versioned};
+use skylarkshore_core::store::{Key, RecordBatch, Versioned};
 use skylarkshore_core::units::Watts;
 
 use crate::keys::{InvalidKey, InvalidValue, KeyText, StoredValue};
@@ -95,7 +95,11 @@
     RecordsWanted {
         after: StoreRevision,
     },
-    Records(Vec<RecordWire>),
+    Records {
+        after: Option<StoreRevision>,
+        upto: StoreRevision,
+        records: Vec<RecordWire>,
+    },
     Wanted {
         target: TargetWire,
         waiting: u32,
@@ -256,7 +260,11 @@
                 leaving: *leaving,
             },
             M::RecordsWanted { after } => Self::RecordsWanted { after: *after },
-            M::Records(records) => Self::Records(records.iter().map(RecordWire::from).collect()),
+            M::Records(batch) => Self::Records {
+                after: batch.after,
+                upto: batch.upto,
+                records: batch.records.iter().map(RecordWire::from).collect(),
+            },
             M::Wanted { target, waiting, order, patience, arrived } => Self::Wanted {
                 target: target.into(),
                 waiting: *waiting,
@@ -314,8 +322,9 @@
                 Self::Heartbeat { incarnation, rules, store, store_reachable, leaving }
             }
             W::RecordsWanted { after } => Self::RecordsWanted { after },
-            W::Records(records) => {
-                Self::Records(records.into_iter().map(Versioned::try_from).collect::<Result<_, _>>()?)
+            W::Records { after, upto, records } => {
+                let records = records.into_iter().map(Versioned::try_from).collect::<Result<_, _>>()?;
+                Self::Records(RecordBatch { after, upto, records })
             }
             W::Wanted { target, waiting, order, patience_ms, arrived } => Self::Wanted {
                 target: target.into(),
