--- /dev/null
+++ b/crates/skylarkshore-standins/tests/support.rs
@@ -0,0 +1,155 @@
+//! A small deployment in given time, and what tests do with it.
+
+#![allow(dead_code, reason = "each test program uses a part of it")]
+#![expect(clippy::allow_attributes, reason = "what is unused differs between the test programs")]
+
+use std::time::Duration;
+
+use skylarkshore_core::catalogue::{Catalogue, Document, Model, ModelTarget, Service};
+use skylarkshore_core::config::{Limits, Timings};
+use skylarkshore_core::event::{Repeat, Target};
+use skylarkshore_core::id::{Digest, RulesRevision};
+use skylarkshore_core::rules::{Outcome, Rules};
+use skylarkshore_core::time::Time;
+use skylarkshore_core::units::{Mebibytes, Watts};
+use skylarkshore_core::upstream::{EngineSpec, FenceCheck, Standing, Upstream, UpstreamKind};
+use skylarkshore_standins::world::{Ask, Faults, HostSetup, Setup, World};
+
+pub const DATA_CENTRES: [&str; 3] = ["bern-a", "olten-b", "aarau-c"];
+pub const MODELS: [&str; 4] = ["summary", "lease", "classify", "draft"];
+
+/// What each engine draws with a model loaded.
+pub const ACTIVE: u64 = 300;
+/// What each engine draws without one.
+pub const SLEEP: u64 = 30;
+
+pub fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().unwrap()
+}
+
+pub fn digest(number: u64) -> Digest {
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&number.to_le_bytes());
+    Digest(bytes)
+}
+
+/// A model that fills most of an engine.
+pub fn model() -> Model {
+    Model {
+        version: name("1"),
+        weights: Mebibytes(14_000),
+        kv_cache: Mebibytes(4_000),
+        load_time: Duration::from_secs(4),
+        adapters: [(name("lease:bern"), Mebibytes(200)), (name("lease:olten"), Mebibytes(200))].into(),
+    }
+}
+
+pub fn document(cap: u64) -> Document {
+    let mut models: skylarkshore_core::collections::OrderedMap<_, _> =
+        MODELS.iter().map(|m| (name(m), Model { adapters: [].into(), ..model() })).collect();
+    models.insert(name("lease"), model());
+    let service = Service { once_paths: vec!["/bookings".to_owned()], concurrency: 8 };
+    Document {
+        revision: RulesRevision(1),
+        power_caps: [(name("lagerraum"), Watts(cap))].into(),
+        catalogue: Catalogue { models, services: [(name("market"), service)].into() },
+        rules: Rules { list: Vec::new(), otherwise: Outcome::default() },
+    }
+}
+
+pub fn engine(i: usize, fence_check: FenceCheck) -> Upstream {
+    let spec = EngineSpec {
+        memory: Mebibytes(24_000),
+        sleep_watts: Watts(SLEEP),
+        active_watts: Watts(ACTIVE),
+        fence_check,
+        concurrency: 4,
+    };
+    upstream(&format!("engine-{i}"), i, UpstreamKind::Engine(spec))
+}
+
+pub fn upstream(id: &str, i: usize, kind: UpstreamKind) -> Upstream {
+    Upstream {
+        id: name(id),
+        address: ([127, 0, 0, 1], u16::try_from(9000 + i).unwrap()).into(),
+        data_centre: name(DATA_CENTRES[i % 3]),
+        site: name("lagerraum"),
+        kind,
+        standing: Standing::Live,
+    }
+}
+
+/// Hosts, four engines of which every second one ignores fences, two service replicas.
+pub fn setup(hosts: usize, seed: u64) -> Setup {
+    let checks = [FenceCheck::Refuses, FenceCheck::Ignores];
+    let mut upstreams: Vec<Upstream> = (0..4).map(|i| engine(i, checks[i % 2])).collect();
+    upstreams
+        .extend((0..2).map(|i| upstream(&format!("market-{i}"), i, UpstreamKind::Service(name("market")))));
+    Setup {
+        hosts: (0..hosts)
+            .map(|i| HostSetup { host: name(&format!("host-{i}")), data_centre: name(DATA_CENTRES[i % 3]) })
+            .collect(),
+        upstreams,
+        document: document(4 * ACTIVE),
+        seed,
+        tick: Duration::from_millis(50),
+        timings: Timings::default(),
+        limits: Limits::default(),
+    }
+}
+
+pub fn ask_model(model: &str, number: u64) -> Ask {
+    let adapter = model.contains(':').then(|| name(model));
+    let base = model.split(':').next().unwrap();
+    Ask {
+        caller: name("cooperative"),
+        target: Target::Model(ModelTarget { model: name(base), adapter }),
+        repeat: Repeat::Allowed,
+        digest: digest(number),
+        prefix: None,
+        timeout: Duration::from_secs(20),
+        run_time: Duration::from_millis(400),
+        crashes: false,
+    }
+}
+
+pub fn ask_once(key: u64, number: u64) -> Ask {
+    Ask {
+        target: Target::Service(name("market")),
+        repeat: Repeat::Once { key: digest(key) },
+        timeout: Duration::from_secs(5),
+        run_time: Duration::from_millis(100),
+        ..ask_model("summary", number)
+    }
+}
+
+pub fn world(setup: Setup, faults: impl Faults + 'static) -> World {
+    World::new(setup, Box::new(faults))
+}
+
+pub fn at_secs(s: u64) -> Time {
+    Time::from_millis(1000 * s)
+}
+
+/// Fails with all that was found, and with what each host believes.
+pub fn assert_sound(world: &mut World, hosts: usize) {
+    world.finish();
+    if world.checks.violations.is_empty() {
+        return;
+    }
+    for h in 0..hosts {
+        for belief in world.dump(h) {
+            eprintln!(
+                "host-{h} {} {}: {} since {:?}",
+                belief.kind, belief.subject, belief.state, belief.since
+            );
+        }
+    }
+    for note in &world.notes {
+        eprintln!("{} {} {} {} {}", note.at, note.host, note.note.event, note.note.subject, note.note.detail);
+    }
+    panic!("{:#?}", world.checks.violations);
+}
