--- /dev/null
+++ b/crates/skylarkshore-standins/examples/capacity.rs
@@ -0,0 +1,183 @@
+//! Measures in given time what control costs each process, as hosts, engines and awake models grow.
+//!
+//! `cargo run --release -p skylarkshore-standins --example capacity` prints a
+//! table for docs/CAPACITY.md. Messages, bytes and calls are exact for the seed;
+//! processor time is of this machine and covers decisions alone.
+
+use std::time::Duration;
+
+use skylarkshore_core::catalogue::{Catalogue, Document, Model, ModelTarget};
+use skylarkshore_core::config::{Limits, Timings};
+use skylarkshore_core::event::{Repeat, Target};
+use skylarkshore_core::id::{Digest, RulesRevision};
+use skylarkshore_core::rules::{Outcome, Rules};
+use skylarkshore_core::time::Time;
+use skylarkshore_core::units::{Mebibytes, Watts};
+use skylarkshore_core::upstream::{EngineSpec, FenceCheck, Standing, Upstream, UpstreamKind};
+use skylarkshore_standins::world::{Ask, HostSetup, NoFaults, Setup, World};
+
+const WARM_UP: u64 = 40;
+const MEASURED: u64 = 60;
+
+/// One line of the table.
+#[derive(Clone, Copy)]
+struct Size {
+    hosts: usize,
+    engines: usize,
+    models: usize,
+    /// Models that get requests while it is measured.
+    awake: usize,
+    adapters_per_model: usize,
+}
+
+const SIZES: [Size; 10] = [
+    Size { hosts: 3, engines: 9, models: 50, awake: 9, adapters_per_model: 1 },
+    Size { hosts: 9, engines: 9, models: 50, awake: 9, adapters_per_model: 1 },
+    Size { hosts: 30, engines: 9, models: 50, awake: 9, adapters_per_model: 1 },
+    Size { hosts: 100, engines: 9, models: 50, awake: 9, adapters_per_model: 1 },
+    Size { hosts: 9, engines: 30, models: 50, awake: 9, adapters_per_model: 1 },
+    Size { hosts: 9, engines: 100, models: 50, awake: 9, adapters_per_model: 1 },
+    Size { hosts: 9, engines: 100, models: 100, awake: 90, adapters_per_model: 1 },
+    Size { hosts: 9, engines: 9, models: 50, awake: 9, adapters_per_model: 80 },
+    Size { hosts: 30, engines: 50, models: 100, awake: 45, adapters_per_model: 80 },
+    Size { hosts: 100, engines: 170, models: 110, awake: 90, adapters_per_model: 80 },
+];
+
+fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("the names here are plain")
+}
+
+fn model(i: usize, adapters: usize) -> Model {
+    Model {
+        version: name("1"),
+        weights: Mebibytes(14_000),
+        kv_cache: Mebibytes(4_000),
+        load_time: Duration::from_secs(4),
+        adapters: (0..adapters).map(|a| (name(&format!("model-{i}:adapter-{a}")), Mebibytes(200))).collect(),
+    }
+}
+
+fn engine(i: usize) -> Upstream {
+    let spec = EngineSpec {
+        memory: Mebibytes(48_000),
+        sleep_watts: Watts(30),
+        active_watts: Watts(300),
+        fence_check: FenceCheck::Refuses,
+        concurrency: 16,
+    };
+    Upstream {
+        id: name(&format!("engine-{i}")),
+        address: ([127, 0, 0, 1], 9000).into(),
+        data_centre: name(&format!("dc-{}", i % 10)),
+        site: name("site"),
+        kind: UpstreamKind::Engine(spec),
+        standing: Standing::Live,
+    }
+}
+
+fn setup(size: Size) -> Setup {
+    let models = (0..size.models).map(|i| (name(&format!("model-{i}")), model(i, size.adapters_per_model)));
+    let host = |i: usize| HostSetup {
+        host: name(&format!("host-{i}")),
+        data_centre: name(&format!("dc-{}", i % size.hosts.min(10))),
+    };
+    Setup {
+        hosts: (0..size.hosts).map(host).collect(),
+        upstreams: (0..size.engines).map(engine).collect(),
+        document: Document {
+            revision: RulesRevision(1),
+            power_caps: [(name("site"), Watts(300 * size.engines as u64))].into(),
+            catalogue: Catalogue { models: models.collect(), services: [].into() },
+            rules: Rules { list: Vec::new(), otherwise: Outcome::default() },
+        },
+        seed: 1,
+        tick: Duration::from_millis(50),
+        timings: Timings::default(),
+        limits: Limits::default(),
+    }
+}
+
+fn ask(model: usize, number: u64) -> Ask {
+    let mut digest = [0; 32];
+    digest[..8].copy_from_slice(&number.to_le_bytes());
+    Ask {
+        caller: name("caller"),
+        target: Target::Model(ModelTarget { model: name(&format!("model-{model}")), adapter: None }),
+        repeat: Repeat::Allowed,
+        digest: Digest(digest),
+        prefix: None,
+        timeout: Duration::from_secs(30),
+        run_time: Duration::from_millis(300),
+        crashes: false,
+    }
+}
+
+/// Two requests a second from random hosts for each awake model.
+fn load(world: &mut World, size: Size, secs: u64) {
+    let mut number = world.serial();
+    for _ in 0..secs * 2 {
+        for model in 0..size.awake {
+            number = number.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            let host = (number >> 33) as usize % size.hosts;
+            world.ask(host, &ask(model, number));
+        }
+        world.run_for(Duration::from_millis(500));
+    }
+}
+
+fn measure(size: Size) {
+    let mut world = World::new(setup(size), Box::new(NoFaults));
+    world.run_until(Time::from_millis(WARM_UP * 1000));
+    load(&mut world, size, 20);
+    world.metered = true;
+    world.reset_meters();
+    let calls = world.store.calls;
+    load(&mut world, size, MEASURED);
+    let answered = world.callers.requests.values().filter(|log| log.is_answered()).count();
+    let meters: Vec<_> = (0..size.hosts).map(|h| world.meter(h)).collect();
+    let per_host_second = |sum: f64| sum / size.hosts as f64 / MEASURED as f64;
+    let messages: u64 = meters.iter().map(|m| m.sent().messages).sum();
+    let bytes: u64 = meters.iter().map(|m| m.sent().bytes).sum();
+    let most = meters.iter().map(|m| m.sent().bytes).max().unwrap_or(0);
+    let busy: f64 = meters.iter().map(|m| m.busy.as_secs_f64()).sum();
+    let now = world.store.calls;
+    let store = (now.reads + now.writes + now.leases) - (calls.reads + calls.writes + calls.leases);
+    println!(
+        "| {} | {} | {} | {} | {} | {:.1} | {:.2} | {:.2} | {:.3}% | {:.2} | {:.0}% |",
+        size.hosts,
+        size.engines,
+        size.models,
+        size.awake,
+        size.models * size.adapters_per_model,
+        per_host_second(messages as f64),
+        per_host_second(bytes as f64) / 1000.0,
+        most as f64 / MEASURED as f64 / 1000.0,
+        per_host_second(busy) * 100.0,
+        store as f64 / MEASURED as f64,
+        100.0 * answered as f64 / world.callers.requests.len() as f64,
+    );
+    let mut kinds: std::collections::BTreeMap<&str, u64> = std::collections::BTreeMap::new();
+    for meter in &meters {
+        for (kind, count) in &meter.peers {
+            *kinds.entry(kind).or_default() += count.bytes;
+        }
+    }
+    if std::env::args().any(|arg| arg == "--kinds") {
+        for (kind, bytes) in kinds {
+            println!("    {kind}: {:.3} kB/s per host", per_host_second(bytes as f64) / 1000.0);
+        }
+    }
+}
+
+fn main() {
+    println!(
+        "| hosts | engines | models | awake | adapters | messages/s per host | kB/s sent per host | kB/s busiest host | decisions, share of a core | key-value calls/s in all | answered |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|");
+    for size in SIZES {
+        measure(size);
+    }
+}
--- a/crates/skylarkshore-standins/src/world.rs
+++ b/crates/skylarkshore-standins/src/world.rs
@@ -11,6 +11,7 @@
 mod engine;
 mod fault;
 mod host;
+mod meter;
 mod perform;
 mod service;
 mod store;
@@ -37,6 +38,7 @@
 pub use checks::{Checks, Violation};
 pub use engine::Engine;
 pub use fault::{Faults, NoFaults, Planned, Strike, StrikeAt};
+pub use meter::{Count, Meter};
 pub use store::{Store, StoreMode};
 
 /// Where a host of the world stands.
@@ -87,6 +89,8 @@
     attempts: OrderedMap<AttemptKey, RequestId>,
     open_calls: OrderedSet<CallKey>,
     runs: u64,
+    /// Whether effects are counted and measured, which takes time.
+    pub metered: bool,
     /// The key-value service.
     pub store: Store,
     /// The model engines.
@@ -126,6 +130,7 @@
             attempts: OrderedMap::new(),
             open_calls: OrderedSet::new(),
             runs: 0,
+            metered: false,
             store: Store::default(),
             engines: engines.into_iter().map(|e| (e.id.clone(), e)).collect(),
             callers: Callers::default(),
@@ -284,6 +289,18 @@
             .all(|node| node.document().revision >= revision)
     }
 
+    /// Returns what a host's processes have spent so far.
+    pub fn meter(&self, h: usize) -> &Meter {
+        &self.hosts[h].meter
+    }
+
+    /// Counts from zero again, for instance when everything has started.
+    pub fn reset_meters(&mut self) {
+        for host in &mut self.hosts {
+            host.meter = Meter::default();
+        }
+    }
+
     /// Tells whether a host's process has ended in an orderly way.
     pub fn has_exited(&self, h: usize) -> bool {
         self.hosts[h].exited
--- a/crates/skylarkshore-standins/src/world/host.rs
+++ b/crates/skylarkshore-standins/src/world/host.rs
@@ -1,6 +1,7 @@
 //! One entry host with its process.
 
 use std::collections::VecDeque;
+use std::time::Instant;
 
 use skylarkshore_core::Node;
 use skylarkshore_core::config::NodeConfig;
@@ -11,6 +12,7 @@
 
 use super::agenda::Sender;
 use super::callers::RequestKey;
+use super::meter::Meter;
 use super::{HostSetup, Setup};
 
 /// What a paused process has still to do.
@@ -31,6 +33,7 @@
     pub(crate) exited: bool,
     pub(crate) no_store_until: Time,
     pub(crate) no_peers_until: Time,
+    pub(crate) meter: Meter,
     pause: Option<Pause>,
     requests: u64,
 }
@@ -58,6 +61,7 @@
             exited: false,
             no_store_until: Time::START,
             no_peers_until: Time::START,
+            meter: Meter::default(),
             pause: None,
             requests: 0,
         }
@@ -123,6 +127,11 @@
             pause.held.push_back(event);
             return Vec::new();
         }
-        self.node.as_mut().map(|node| node.handle(now, event)).unwrap_or_default()
+        let Some(node) = &mut self.node else { return Vec::new() };
+        let begun = Instant::now();
+        let effects = node.handle(now, event);
+        self.meter.busy += begun.elapsed();
+        self.meter.events += 1;
+        effects
     }
 }
--- /dev/null
+++ b/crates/skylarkshore-standins/src/world/meter.rs
@@ -0,0 +1,90 @@
+//! What each process spends on control: messages, bytes, calls, processor time.
+
+use std::time::Duration;
+
+use skylarkshore_core::collections::OrderedMap;
+use skylarkshore_core::effect::Effect;
+use skylarkshore_core::peer::PeerMessage;
+use skylarkshore_core::store::StoreCall;
+use skylarkshore_wire::peer::encode;
+
+/// What a message costs beside its own bytes: IP, UDP and QUIC headers, frame and seal.
+const BYTES_PER_MESSAGE: u64 = 72;
+
+/// How many of a kind, and how many bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Count {
+    /// How many.
+    pub messages: u64,
+    /// How many bytes, headers included.
+    pub bytes: u64,
+}
+
+/// What one process has spent.
+#[derive(Clone, Debug, Default)]
+pub struct Meter {
+    /// Messages sent to peers, by kind.
+    pub peers: OrderedMap<&'static str, Count>,
+    /// Calls to the key-value service, by kind.
+    pub store: OrderedMap<&'static str, u64>,
+    /// Orders and questions sent to engines.
+    pub engines: u64,
+    /// Time spent in decisions, on this machine.
+    pub busy: Duration,
+    /// Events taken.
+    pub events: u64,
+}
+
+impl Meter {
+    pub(crate) fn count(&mut self, effect: &Effect) {
+        match effect {
+            Effect::Peer(envelope) => {
+                let bytes = encode(&envelope.message).map_or(0, |buf| buf.len() as u64);
+                let count = self.peers.entry(kind(&envelope.message)).or_default();
+                count.messages += 1;
+                count.bytes += bytes + BYTES_PER_MESSAGE;
+            }
+            Effect::Store { request, .. } => *self.store.entry(call(request)).or_default() += 1,
+            Effect::Watch { .. } => *self.store.entry("watch").or_default() += 1,
+            Effect::Order { .. } | Effect::AskReport { .. } => self.engines += 1,
+            _ => {}
+        }
+    }
+
+    /// Returns all that was sent to peers.
+    pub fn sent(&self) -> Count {
+        let add =
+            |sum: Count, c: &Count| Count { messages: sum.messages + c.messages, bytes: sum.bytes + c.bytes };
+        self.peers.values().fold(Count::default(), add)
+    }
+}
+
+const fn kind(message: &PeerMessage) -> &'static str {
+    match message {
+        PeerMessage::Heartbeat { .. } => "heartbeat",
+        PeerMessage::RecordsWanted { .. } => "records_wanted",
+        PeerMessage::Records(_) => "records",
+        PeerMessage::Wanted { .. } => "wanted",
+        PeerMessage::View(_) => "view",
+        PeerMessage::CannotLoad { .. } => "cannot_load",
+        PeerMessage::LoadSlotWanted { .. }
+        | PeerMessage::LoadSlotGranted { .. }
+        | PeerMessage::LoadSlotReturned { .. } => "load_slot",
+        PeerMessage::PowerWanted { .. } => "power_wanted",
+        PeerMessage::Suspects { .. } | PeerMessage::SuspectsNoted { .. } | PeerMessage::Cleared { .. } => {
+            "suspects"
+        }
+        _ => "other",
+    }
+}
+
+const fn call(request: &StoreCall) -> &'static str {
+    match request {
+        StoreCall::ReadShared => "read_shared",
+        StoreCall::Read(_) => "read",
+        StoreCall::Write { .. } => "write",
+        StoreCall::GrantLease { .. } => "grant_lease",
+        StoreCall::RenewLease(_) => "renew_lease",
+        StoreCall::RevokeLease(_) => "revoke_lease",
+    }
+}
--- a/crates/skylarkshore-standins/src/world/perform.rs
+++ b/crates/skylarkshore-standins/src/world/perform.rs
@@ -74,6 +74,9 @@
 
     pub(crate) fn perform(&mut self, h: usize, effect: Effect, strike: Strike) {
         let from = self.hosts[h].sender();
+        if self.metered {
+            self.hosts[h].meter.count(&effect);
+        }
         match effect {
             Effect::Store { call, request } => {
                 let answer_lost = strike == Strike::LoseAnswer;
--- a/crates/skylarkshore-standins/tests/fault_matrix.rs
+++ b/crates/skylarkshore-standins/tests/world/fault_matrix.rs
@@ -4,17 +4,15 @@
 //! effect; without them CI strikes a fixed sample. Each failure prints the
 //! strikes, which `FAULT_ONLY="SEED SERIAL KIND [SERIAL KIND]"` repeats alone.
 
-mod support;
-
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use crate::support::{ACTIVE, MODELS, ask_model, ask_once, at_secs, document, setup, world};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use skylarkshore_core::id::RulesRevision;
 use skylarkshore_standins::world::{NoFaults, Planned, RequestKey, Strike, StrikeAt, Violation, World};
-use support::{ACTIVE, MODELS, ask_model, ask_once, at_secs, document, setup, world};
 
 const HOSTS: usize = 3;
 /// When the scenario's requests begin; by then owners and homes stand.
--- /dev/null
+++ b/crates/skylarkshore-standins/tests/world/main.rs
@@ -0,0 +1,5 @@
+//! Several nodes in given time: the whole path, and every fault at every step.
+
+mod fault_matrix;
+mod support;
+mod whole_path;
--- a/crates/skylarkshore-standins/tests/support.rs
+++ b/crates/skylarkshore-standins/tests/world/support.rs
@@ -1,8 +1,5 @@
 //! A small deployment in given time, and what tests do with it.
 
-#![allow(dead_code, reason = "each test program uses a part of it")]
-#![expect(clippy::allow_attributes, reason = "what is unused differs between the test programs")]
-
 use std::time::Duration;
 
 use skylarkshore_core::catalogue::{Catalogue, Document, Model, ModelTarget, Service};
@@ -15,29 +12,29 @@
 use skylarkshore_core::upstream::{EngineSpec, FenceCheck, Standing, Upstream, UpstreamKind};
 use skylarkshore_standins::world::{Ask, Faults, HostSetup, Setup, World};
 
-pub const DATA_CENTRES: [&str; 3] = ["bern-a", "olten-b", "aarau-c"];
-pub const MODELS: [&str; 4] = ["summary", "lease", "classify", "draft"];
+pub(crate) const DATA_CENTRES: [&str; 3] = ["bern-a", "olten-b", "aarau-c"];
+pub(crate) const MODELS: [&str; 4] = ["summary", "lease", "classify", "draft"];
 
 /// What each engine draws with a model loaded.
-pub const ACTIVE: u64 = 300;
+pub(crate) const ACTIVE: u64 = 300;
 /// What each engine draws without one.
-pub const SLEEP: u64 = 30;
+pub(crate) const SLEEP: u64 = 30;
 
-pub fn name<T: std::str::FromStr>(text: &str) -> T
+pub(crate) fn name<T: std::str::FromStr>(text: &str) -> T
 where
     T::Err: std::fmt::Debug,
 {
     text.parse().unwrap()
 }
 
-pub fn digest(number: u64) -> Digest {
+pub(crate) fn digest(number: u64) -> Digest {
     let mut bytes = [0; 32];
     bytes[..8].copy_from_slice(&number.to_le_bytes());
     Digest(bytes)
 }
 
 /// A model that fills most of an engine.
-pub fn model() -> Model {
+pub(crate) fn model() -> Model {
     Model {
         version: name("1"),
         weights: Mebibytes(14_000),
@@ -47,7 +44,7 @@
     }
 }
 
-pub fn document(cap: u64) -> Document {
+pub(crate) fn document(cap: u64) -> Document {
     let mut models: skylarkshore_core::collections::OrderedMap<_, _> =
         MODELS.iter().map(|m| (name(m), Model { adapters: [].into(), ..model() })).collect();
     models.insert(name("lease"), model());
@@ -60,7 +57,7 @@
     }
 }
 
-pub fn engine(i: usize, fence_check: FenceCheck) -> Upstream {
+pub(crate) fn engine(i: usize, fence_check: FenceCheck) -> Upstream {
     let spec = EngineSpec {
         memory: Mebibytes(24_000),
         sleep_watts: Watts(SLEEP),
@@ -71,7 +68,7 @@
     upstream(&format!("engine-{i}"), i, UpstreamKind::Engine(spec))
 }
 
-pub fn upstream(id: &str, i: usize, kind: UpstreamKind) -> Upstream {
+pub(crate) fn upstream(id: &str, i: usize, kind: UpstreamKind) -> Upstream {
     Upstream {
         id: name(id),
         address: ([127, 0, 0, 1], u16::try_from(9000 + i).unwrap()).into(),
@@ -83,7 +80,7 @@
 }
 
 /// Hosts, four engines of which every second one ignores fences, two service replicas.
-pub fn setup(hosts: usize, seed: u64) -> Setup {
+pub(crate) fn setup(hosts: usize, seed: u64) -> Setup {
     let checks = [FenceCheck::Refuses, FenceCheck::Ignores];
     let mut upstreams: Vec<Upstream> = (0..4).map(|i| engine(i, checks[i % 2])).collect();
     upstreams
@@ -101,7 +98,7 @@
     }
 }
 
-pub fn ask_model(model: &str, number: u64) -> Ask {
+pub(crate) fn ask_model(model: &str, number: u64) -> Ask {
     let adapter = model.contains(':').then(|| name(model));
     let base = model.split(':').next().unwrap();
     Ask {
@@ -116,7 +113,7 @@
     }
 }
 
-pub fn ask_once(key: u64, number: u64) -> Ask {
+pub(crate) fn ask_once(key: u64, number: u64) -> Ask {
     Ask {
         target: Target::Service(name("market")),
         repeat: Repeat::Once { key: digest(key) },
@@ -126,16 +123,16 @@
     }
 }
 
-pub fn world(setup: Setup, faults: impl Faults + 'static) -> World {
+pub(crate) fn world(setup: Setup, faults: impl Faults + 'static) -> World {
     World::new(setup, Box::new(faults))
 }
 
-pub fn at_secs(s: u64) -> Time {
+pub(crate) fn at_secs(s: u64) -> Time {
     Time::from_millis(1000 * s)
 }
 
 /// Fails with all that was found, and with what each host believes.
-pub fn assert_sound(world: &mut World, hosts: usize) {
+pub(crate) fn assert_sound(world: &mut World, hosts: usize) {
     world.finish();
     if world.checks.violations.is_empty() {
         return;
--- a/crates/skylarkshore-standins/tests/whole_path.rs
+++ b/crates/skylarkshore-standins/tests/world/whole_path.rs
@@ -1,9 +1,7 @@
 //! The whole path in given time, without faults.
 
-mod support;
-
+use crate::support::{ask_model, ask_once, assert_sound, at_secs, setup, world};
 use skylarkshore_standins::world::NoFaults;
-use support::{ask_model, ask_once, assert_sound, at_secs, setup, world};
 
 #[test]
 fn a_cold_model_is_loaded_and_answers() {
