--- /dev/null
+++ b/crates/skylarkshore-standins/src/engine/generate.rs
@@ -0,0 +1,225 @@
+//! Answers to chat and completion requests.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use sha2::{Digest as _, Sha256};
+use skylarkshore_core::id::{Digest, ModelName};
+use skylarkshore_wire::engine::{
+    NotRun, NotRunReason, PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER, STREAM_END,
+};
+use tokio::time::sleep;
+
+use crate::engine::Shared;
+use crate::engine::batch::{Full, Slot};
+use crate::http::{Answered, Body, Cut, json as json_answer, stream as streamed, text};
+use crate::lock;
+
+/// Where chats are answered.
+pub(super) const CHAT_PATH: &str = "/v1/chat/completions";
+/// Where prompts are completed.
+pub(super) const COMPLETIONS_PATH: &str = "/v1/completions";
+
+/// A request whose text contains this crashes the engine that runs it.
+pub const CRASH_MARKER: &str = "crash-the-engine";
+
+/// How many tokens an answer has when the request doesn't say.
+const DEFAULT_TOKENS: u32 = 8;
+/// The priority of a request that names none.
+const DEFAULT_PRIORITY: u16 = 100;
+/// How much of a prompt names its prefix, in bytes.
+const PREFIX_LEN: usize = 1024;
+
+#[derive(Debug, Deserialize)]
+struct GenerateRequest {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    messages: Vec<Message>,
+    #[serde(default)]
+    prompt: String,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct Message {
+    #[serde(default)]
+    role: String,
+    #[serde(default)]
+    content: String,
+}
+
+impl GenerateRequest {
+    fn text(&self) -> String {
+        let contents = self.messages.iter().map(|message| message.content.as_str());
+        contents.chain(std::iter::once(self.prompt.as_str())).collect()
+    }
+}
+
+/// The shape of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Shape {
+    Chat,
+    Completion,
+}
+
+/// Returns the text with which any engine answers a prompt.
+///
+/// It depends on nothing but the model, the prompt and the length, so that a
+/// crossed, doubled or shortened answer is noticed.
+pub fn expected_text(model: &str, prompt: &str, tokens: u32) -> String {
+    tokens_of(model, prompt, tokens).concat()
+}
+
+fn tokens_of(model: &str, prompt: &str, tokens: u32) -> Vec<String> {
+    let digest = digest_of(&format!("{model}\n{prompt}")).to_hex();
+    (0..tokens).map(|i| format!("{}-{i} ", &digest[..8])).collect()
+}
+
+fn digest_of(text: &str) -> Digest {
+    let prefix = &text.as_bytes()[..text.len().min(PREFIX_LEN)];
+    Digest(Sha256::digest(prefix).into())
+}
+
+/// Work on a request, which ends when this is dropped.
+struct Running {
+    shared: Arc<Shared>,
+    base: ModelName,
+    slot: Option<Slot>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        lock(&self.shared.memory).request_ended(&self.base);
+    }
+}
+
+pub(super) async fn answer(shared: Arc<Shared>, req: Request<Bytes>) -> Answered {
+    let shape = if req.uri().path() == CHAT_PATH { Shape::Chat } else { Shape::Completion };
+    let body: GenerateRequest = match serde_json::from_slice(req.body()) {
+        Ok(body) => body,
+        Err(err) => return Ok(text(StatusCode::BAD_REQUEST, &format!("not a request: {err}"))),
+    };
+    let prompt = body.text();
+    let mut running = match admit(&shared, &body.model, &prompt) {
+        Ok(running) => running,
+        Err(reason) => return Ok(not_run(reason)),
+    };
+    let priority = header_number(req.headers(), PRIORITY_HEADER).unwrap_or(DEFAULT_PRIORITY);
+    match shared.batch.enter(priority).await {
+        Ok(slot) => running.slot = Some(slot),
+        Err(Full) => return Ok(not_run(NotRunReason::Busy)),
+    }
+    if prompt.contains(CRASH_MARKER) {
+        // The crash cuts every connection, this one included.
+        Shared::crash(&shared);
+        return Err(Cut);
+    }
+    let tokens = tokens_of(&body.model, &prompt, body.max_tokens.unwrap_or(DEFAULT_TOKENS));
+    let id = req.headers().get(REQUEST_ID_HEADER).cloned();
+    let mut response = if body.stream {
+        let resume = header_number(req.headers(), RESUME_HEADER).unwrap_or(0);
+        stream_answer(running, shape, &body.model, &tokens, resume)
+    } else {
+        whole_answer(running, shape, &body.model, &tokens).await
+    };
+    let id = id.unwrap_or(HeaderValue::from_static("none"));
+    response.headers_mut().insert(REQUEST_ID_HEADER, id);
+    Ok(response)
+}
+
+fn header_number<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+fn not_run(reason: NotRunReason) -> Response<Body> {
+    let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::CONFLICT);
+    json_answer(status, &NotRun { error: reason })
+}
+
+fn admit(shared: &Arc<Shared>, model: &str, prompt: &str) -> Result<Running, NotRunReason> {
+    if lock(&shared.faults).leaving {
+        return Err(NotRunReason::Leaving);
+    }
+    let mut memory = lock(&shared.memory);
+    let base = memory.ready_base(model).ok_or(NotRunReason::NotLoaded)?;
+    memory.request_begun(&base, digest_of(prompt));
+    drop(memory);
+    Ok(Running { shared: Arc::clone(shared), base, slot: None })
+}
+
+impl Running {
+    async fn token_time(&self) {
+        let slow = lock(&self.shared.faults).slow_tokens_ms;
+        sleep(self.shared.settings.token_time + Duration::from_millis(slow)).await;
+    }
+}
+
+async fn whole_answer(running: Running, shape: Shape, model: &str, tokens: &[String]) -> Response<Body> {
+    for _ in tokens {
+        running.token_time().await;
+    }
+    running.shared.census.note(|counts| counts.answered += 1);
+    let text = tokens.concat();
+    let usage = json!({"completion_tokens": tokens.len()});
+    let body = match shape {
+        Shape::Chat => json!({
+            "object": "chat.completion", "model": model, "usage": usage,
+            "choices": [{"index": 0, "message": {"role": "assistant", "content": text}, "finish_reason": "stop"}],
+        }),
+        Shape::Completion => json!({
+            "object": "text_completion", "model": model, "usage": usage,
+            "choices": [{"index": 0, "text": text, "finish_reason": "stop"}],
+        }),
+    };
+    json_answer(StatusCode::OK, &body)
+}
+
+fn chunk(shape: Shape, model: &str, token: &str, finish: Option<&str>) -> Value {
+    match shape {
+        Shape::Chat => json!({
+            "object": "chat.completion.chunk", "model": model,
+            "choices": [{"index": 0, "delta": {"content": token}, "finish_reason": finish}],
+        }),
+        Shape::Completion => json!({
+            "object": "text_completion", "model": model,
+            "choices": [{"index": 0, "text": token, "finish_reason": finish}],
+        }),
+    }
+}
+
+fn stream_answer(
+    running: Running,
+    shape: Shape,
+    model: &str,
+    tokens: &[String],
+    resume: usize,
+) -> Response<Body> {
+    let last = chunk(shape, model, "", Some("stop")).to_string();
+    let mut events: Vec<String> =
+        tokens.iter().map(|token| chunk(shape, model, token, None).to_string()).collect();
+    events.push(last);
+    events.push(STREAM_END.to_owned());
+    let left = events.split_off(resume.min(events.len()));
+    streamed("text/event-stream", stream::unfold((running, left.into_iter()), next_event))
+}
+
+type Left = std::vec::IntoIter<String>;
+
+async fn next_event((running, mut left): (Running, Left)) -> Option<(io::Result<Bytes>, (Running, Left))> {
+    let Some(event) = left.next() else {
+        running.shared.census.note(|counts| counts.answered += 1);
+        return None;
+    };
+    if left.len() > 1 {
+        running.token_time().await;
+    }
+    Some((Ok(format!("data: {event}\n\n").into()), (running, left)))
+}
