--- a/crates/skylarkshore-standins/src/lib.rs
+++ b/crates/skylarkshore-standins/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod service;
 pub mod store;
 pub mod weights;
+pub mod world;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
