--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -119,6 +119,11 @@
         order: u16,
         patience_ms: u64,
     },
+    LoadSlotQueued {
+        upstream: UpstreamId,
+        model: ModelName,
+        ahead: u32,
+    },
     LoadSlotGranted {
         upstream: UpstreamId,
         model: ModelName,
@@ -284,6 +289,9 @@
                 order: order.0,
                 patience_ms: millis(*patience),
             },
+            M::LoadSlotQueued { upstream, model, ahead } => {
+                Self::LoadSlotQueued { upstream: upstream.clone(), model: model.clone(), ahead: *ahead }
+            }
             M::LoadSlotGranted { upstream, model } => {
                 Self::LoadSlotGranted { upstream: upstream.clone(), model: model.clone() }
             }
@@ -345,6 +353,7 @@
                 order: ServiceOrder(order),
                 patience: Duration::from_millis(patience_ms),
             },
+            W::LoadSlotQueued { upstream, model, ahead } => Self::LoadSlotQueued { upstream, model, ahead },
             W::LoadSlotGranted { upstream, model } => Self::LoadSlotGranted { upstream, model },
             W::LoadSlotReturned { upstream, model } => Self::LoadSlotReturned { upstream, model },
             W::PowerWanted { site, watts, order } => {
