--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -12,7 +12,7 @@
 use crate::upstream::{EngineReport, OrderAnswer, Upstream};
 
 /// What a request is for.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Target {
     /// A model or an adapter.
     Model(ModelTarget),
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -1,68 +1,254 @@
 //! The requests in progress at this process, from arrival to their one final answer.
 
+mod alone;
+mod arrival;
+mod attempt;
+mod budget;
+mod decide;
+mod lease;
+mod once;
+mod pace;
+mod queue;
+mod report;
+mod request;
+mod routing;
+mod supply;
+mod suspect;
+mod tally;
+mod views;
+mod wanted;
+
+use crate::collections::{HashMap, OrderedMap, OrderedSet};
 use crate::config::NodeConfig;
 use crate::cx::Cx;
 use crate::dump::{Belief, Gauge};
+use crate::effect::RefusalReason;
 use crate::event::{Arrival, AttemptEnd};
 use crate::id::{AttemptId, CallId, HostId, RequestId};
 use crate::peer::PeerMessage;
 use crate::store::{Key, StoreResult, WriteOutcome};
 
+use budget::RetryBudget;
+use decide::Step;
+use once::Once;
+use pace::Paces;
+use queue::Queue;
+use request::{Caller, Due, Past, Request, State};
+use routing::Routes;
+use suspect::Suspects;
+use tally::Tally;
+use wanted::Wants;
+
 /// The requests, queues and routes of one process.
 #[derive(Debug)]
-pub struct Serving;
+pub struct Serving {
+    requests: OrderedMap<RequestId, Request>,
+    attempts: HashMap<AttemptId, RequestId>,
+    timers: OrderedSet<Due>,
+    queue: Queue,
+    routes: Routes,
+    wants: Wants,
+    once: Once,
+    suspects: Suspects,
+    budget: RetryBudget,
+    paces: Paces,
+    tally: Tally,
+}
 
 impl Serving {
     /// Makes the state of a process without requests.
     pub fn new(_cfg: &NodeConfig) -> Self {
-        Self
+        Self {
+            requests: OrderedMap::new(),
+            attempts: HashMap::default(),
+            timers: OrderedSet::new(),
+            queue: Queue::default(),
+            routes: Routes::default(),
+            wants: Wants::default(),
+            once: Once::default(),
+            suspects: Suspects::default(),
+            budget: RetryBudget::new(),
+            paces: Paces::default(),
+            tally: Tally::default(),
+        }
     }
 
     /// Takes a caller's request.
-    pub fn on_arrived(&mut self, _cx: &mut Cx<'_>, _request: RequestId, _arrival: Arrival) {}
+    pub fn on_arrived(&mut self, cx: &mut Cx<'_>, request: RequestId, arrival: Arrival) {
+        self.arrive(cx, request, arrival);
+    }
 
     /// Takes note that the caller went away.
-    pub fn on_caller_gone(&mut self, _cx: &mut Cx<'_>, _request: RequestId) {}
+    ///
+    /// A request that may not be repeated runs on once it was sent, since its
+    /// caller will ask for the answer with the same key.
+    pub fn on_caller_gone(&mut self, cx: &mut Cx<'_>, request: RequestId) {
+        let Some(gone) = self.requests.get_mut(&request) else { return };
+        gone.caller = Caller::Gone;
+        let runs_for_record = gone.once_key().is_some()
+            && (gone.run().is_some() || matches!(gone.state, State::Recording { .. }));
+        if !runs_for_record {
+            let step = Step::Refuse { reason: RefusalReason::DeadlinePassed, retry_after: None };
+            self.advance(cx, request, step);
+            self.pump(cx);
+        }
+    }
 
     /// Takes note that an answer has begun.
-    pub fn on_answer_started(&mut self, _cx: &mut Cx<'_>, _attempt: AttemptId) {}
+    pub fn on_answer_started(&mut self, cx: &mut Cx<'_>, attempt: AttemptId) {
+        let Some(id) = self.attempts.get(&attempt) else {
+            self.tally.late += 1;
+            return;
+        };
+        let Some(request) = self.requests.get_mut(id) else { return };
+        if let State::Sent(run) = request.state.clone() {
+            request.enter(State::Answering(run), cx.now);
+        }
+    }
 
     /// Takes the end of an attempt.
-    pub fn on_attempt_ended(&mut self, _cx: &mut Cx<'_>, _attempt: AttemptId, _end: AttemptEnd) {}
+    pub fn on_attempt_ended(&mut self, cx: &mut Cx<'_>, attempt: AttemptId, end: AttemptEnd) {
+        self.end_attempt(cx, attempt, end);
+        self.pump(cx);
+    }
 
     /// Does what is due.
-    pub fn on_tick(&mut self, _cx: &mut Cx<'_>) {}
+    pub fn on_tick(&mut self, cx: &mut Cx<'_>) {
+        self.routes.on_tick(cx.now);
+        for learnt in self.once.on_tick(cx) {
+            self.on_learnt(cx, learnt);
+        }
+        for id in self.suspects.on_tick(cx) {
+            self.after_loss(cx, id);
+        }
+        while let Some(due) = self.timers.first().copied().filter(|due| due.at.is_due(cx.now)) {
+            self.timers.remove(&due);
+            self.on_due(cx, due.request);
+        }
+        self.review_all(cx);
+        self.pump(cx);
+        self.wants.renew(cx);
+    }
 
     /// Takes note of a new host list.
-    pub fn on_host_list(&mut self, _cx: &mut Cx<'_>) {}
+    pub fn on_host_list(&mut self, cx: &mut Cx<'_>) {
+        self.routes.keep_listed(cx.upstreams);
+        self.review_all(cx);
+        self.pump(cx);
+    }
 
     /// Takes note that a shared key has changed in the cache.
-    pub fn on_change(&mut self, _cx: &mut Cx<'_>, _key: &Key) {}
+    pub fn on_change(&mut self, cx: &mut Cx<'_>, key: &Key) {
+        match key {
+            Key::Document => self.pump(cx),
+            Key::Owner(_) | Key::Homes(_) => self.ask_again(cx, key),
+            Key::Member(_) | Key::Power(_) | Key::Once(_) => {}
+        }
+    }
 
     /// Takes the result of a call that isn't a write.
-    pub fn on_store(&mut self, _cx: &mut Cx<'_>, _call: CallId, _result: &StoreResult) {}
+    pub fn on_store(&mut self, cx: &mut Cx<'_>, call: CallId, result: &StoreResult) {
+        if let Some(learnt) = self.once.on_store(cx, call, result) {
+            self.on_learnt(cx, learnt);
+            self.pump(cx);
+        }
+    }
 
     /// Takes the outcome of a write of a [`Key::Once`].
-    pub fn on_write(&mut self, _cx: &mut Cx<'_>, _key: &Key, _outcome: &WriteOutcome) {}
+    pub fn on_write(&mut self, cx: &mut Cx<'_>, key: &Key, outcome: &WriteOutcome) {
+        let Key::Once(key) = key else { return };
+        if let Some(learnt) = self.once.on_write(cx, *key, outcome) {
+            self.on_learnt(cx, learnt);
+            self.pump(cx);
+        }
+    }
 
     /// Takes a peer's message, where it concerns this part.
-    pub fn on_peer(&mut self, _cx: &mut Cx<'_>, _from: &HostId, _message: &PeerMessage) {}
+    pub fn on_peer(&mut self, cx: &mut Cx<'_>, from: &HostId, message: &PeerMessage) {
+        self.suspects.heard_from(cx.now, from);
+        match message {
+            PeerMessage::View(view) => self.on_view(cx, view),
+            PeerMessage::CannotLoad { target, reason, retry_after } => {
+                self.on_cannot_load(cx, from, target, reason, *retry_after);
+            }
+            PeerMessage::Suspects { upstream, requests, alone, .. } => {
+                self.on_suspects(cx, from, upstream, requests, *alone);
+            }
+            PeerMessage::SuspectsNoted { requests } => {
+                for id in self.suspects.on_noted(from, requests) {
+                    self.after_loss(cx, id);
+                }
+                self.pump(cx);
+            }
+            PeerMessage::Cleared { request } if self.suspects.clear(*request) => {
+                self.requeue_cleared(cx, *request);
+            }
+            PeerMessage::UpstreamLeaving { upstream } => {
+                self.routes.note_leaving(cx.now, upstream);
+            }
+            _ => {}
+        }
+    }
 
     /// Takes note that the process is about to end; requests in progress go on.
-    pub fn on_shutdown(&mut self, _cx: &mut Cx<'_>) {}
+    ///
+    /// New ones are still taken, since callers keep the answer to the question
+    /// which hosts to use for a while.
+    pub fn on_shutdown(&mut self, cx: &mut Cx<'_>) {
+        cx.note("serving_drains", self.requests.len(), "requests in progress go on to their end");
+    }
 
     /// Tells whether no request is in progress.
     pub fn is_idle(&self) -> bool {
-        true
+        self.requests.is_empty() && self.once.is_idle()
     }
 
     /// Tells what is believed.
-    pub fn dump(&self, _cx: &Cx<'_>) -> Vec<Belief> {
-        Vec::new()
+    pub fn dump(&self, cx: &Cx<'_>) -> Vec<Belief> {
+        self.beliefs(cx)
     }
 
     /// Returns the numbers for the metrics.
     pub fn gauges(&self, _cx: &Cx<'_>) -> Vec<Gauge> {
-        Vec::new()
+        self.numbers()
+    }
+
+    fn on_due(&mut self, cx: &mut Cx<'_>, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let passed = request.arrival.deadline.is_due(cx.now);
+        match request.state.clone() {
+            State::Recording { until, answer } if passed || until.is_due(cx.now) => {
+                self.answer(cx, id, answer);
+            }
+            State::Releasing { until, refusal } if passed || until.is_due(cx.now) => {
+                self.conclude(cx, id, refusal);
+            }
+            // The peers hear of a suspect before its caller does; that takes but a moment.
+            State::Recording { .. } | State::Releasing { .. } | State::TellingPeers => {}
+            _ if passed => self.refuse_late(cx, id),
+            _ => {}
+        }
+    }
+
+    /// Refuses a request whose deadline has passed.
+    fn refuse_late(&mut self, cx: &mut Cx<'_>, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let reason = if request.run().is_some() {
+            RefusalReason::DeadlinePassedRunning
+        } else if request.past == Past::Clean {
+            RefusalReason::DeadlinePassed
+        } else {
+            RefusalReason::UpstreamLost
+        };
+        self.advance(cx, id, Step::Refuse { reason, retry_after: None });
+    }
+
+    /// Removes a request and whatever it holds.
+    fn forget(&mut self, cx: &mut Cx<'_>, id: RequestId) -> Option<Request> {
+        let request = self.requests.remove(&id)?;
+        self.timers.remove(&Due { at: request.arrival.deadline, request: id });
+        self.suspects.waiting.remove(&queue::Urgency::of(id, &request));
+        self.end_alone(cx, id);
+        Some(request)
     }
 }
--- /dev/null
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -0,0 +1,198 @@
+//! How attempts end, and what becomes of their requests.
+
+use std::time::Duration;
+
+use crate::cx::Cx;
+use crate::effect::RefusalReason;
+use crate::event::{AttemptEnd, Rejection, Target};
+use crate::id::{AttemptId, Digest, HostId, RequestId, UpstreamId};
+use crate::peer::PeerMessage;
+use crate::serving::Serving;
+use crate::serving::decide::Step;
+use crate::serving::request::{Caller, Company, Due, Past, Run, State};
+use crate::serving::suspect::Standing;
+use crate::store::RecordedAnswer;
+
+/// How long a caller waits for its answer to be recorded.
+const RECORD_PATIENCE: Duration = Duration::from_millis(300);
+/// When to come back after every try failed.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl Serving {
+    /// Takes the end of an attempt.
+    ///
+    /// An attempt that was given up, or whose end comes twice, is unknown here,
+    /// so that a late answer can't reach another request's caller.
+    pub(super) fn end_attempt(&mut self, cx: &mut Cx<'_>, attempt: AttemptId, end: AttemptEnd) {
+        let Some(id) = self.attempts.remove(&attempt) else {
+            self.tally.late += 1;
+            return;
+        };
+        let Some(request) = self.requests.get(&id) else { return };
+        let Some(run) = request.run().cloned() else { return };
+        self.routes.free(&run.upstream);
+        let answered = matches!(end, AttemptEnd::Whole { .. } | AttemptEnd::WholeTooLarge);
+        self.paces.end(&request.arrival.target, answered.then(|| cx.now.since(run.sent)));
+        match end {
+            AttemptEnd::Whole { held } => self.on_whole(cx, id, &run.upstream, held),
+            AttemptEnd::WholeTooLarge => self.on_whole(cx, id, &run.upstream, None),
+            AttemptEnd::NotSent => self.on_not_sent(cx, id, &run.upstream),
+            AttemptEnd::Rejected(rejection) => self.on_rejected(cx, id, &run.upstream, rejection),
+            AttemptEnd::Lost { passed_on, died } => self.on_lost(cx, id, &run, passed_on, died),
+        }
+    }
+
+    fn on_whole(
+        &mut self,
+        cx: &mut Cx<'_>,
+        id: RequestId,
+        upstream: &UpstreamId,
+        held: Option<RecordedAnswer>,
+    ) {
+        self.routes.note_health(upstream);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let digest = request.arrival.digest;
+        let key = request.once_key();
+        let cleared = self.suspects.clear(digest);
+        if let Some(key) = key {
+            self.once.record(cx, key, held.clone());
+        }
+        match (key, held) {
+            (Some(_), Some(answer)) => {
+                let until = cx.now.after(RECORD_PATIENCE);
+                request.enter(State::Recording { until, answer }, cx.now);
+                self.timers.insert(Due { at: until, request: id });
+                self.end_alone(cx, id);
+            }
+            _ => self.finish(cx, id),
+        }
+        if cleared {
+            cx.tell_all(&PeerMessage::Cleared { request: digest });
+            self.requeue_cleared(cx, digest);
+        }
+    }
+
+    fn on_not_sent(&mut self, cx: &mut Cx<'_>, id: RequestId, upstream: &UpstreamId) {
+        self.routes.note_trouble(cx, upstream);
+        if let Some(owner) = owner(cx, upstream) {
+            cx.tell(&owner, PeerMessage::UpstreamUnreachable { upstream: upstream.clone() });
+        }
+        self.fail_once(cx, id, upstream);
+        self.retry(cx, id);
+    }
+
+    fn on_rejected(&mut self, cx: &mut Cx<'_>, id: RequestId, upstream: &UpstreamId, rejection: Rejection) {
+        let Some(request) = self.requests.get(&id) else { return };
+        match (rejection, request.arrival.target.clone()) {
+            (Rejection::NotLoaded, Target::Model(target)) => {
+                self.routes.note_missing(cx, upstream, &target);
+                self.fail_once(cx, id, upstream);
+            }
+            (Rejection::NotLoaded, Target::Service(_)) => {
+                self.routes.note_trouble(cx, upstream);
+                self.fail_once(cx, id, upstream);
+            }
+            // A busy upstream is back-pressure and no failure: the request
+            // waits on as it would have, had the load been known.
+            (Rejection::Busy, _) => {
+                self.routes.note_trouble(cx, upstream);
+                self.end_run(cx, id, upstream);
+            }
+            (Rejection::Leaving, _) => {
+                if self.routes.note_leaving(cx.now, upstream) {
+                    cx.tell_all(&PeerMessage::UpstreamLeaving { upstream: upstream.clone() });
+                }
+                self.fail_once(cx, id, upstream);
+            }
+        }
+        self.retry(cx, id);
+    }
+
+    fn on_lost(&mut self, cx: &mut Cx<'_>, id: RequestId, run: &Run, passed_on: bool, died: bool) {
+        let others = if died { self.digests_at(&run.upstream) } else { Vec::new() };
+        self.routes.note_trouble(cx, &run.upstream);
+        self.fail_once(cx, id, &run.upstream);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.passed_on |= passed_on;
+        request.past = if died && run.company == Company::Alone { Past::Crashed } else { Past::Lost };
+        if !died {
+            return self.after_loss(cx, id);
+        }
+        request.enter(State::TellingPeers, cx.now);
+        let digest = request.arrival.digest;
+        if let Some(owner) = owner(cx, &run.upstream) {
+            cx.tell(&owner, PeerMessage::UpstreamUnreachable { upstream: run.upstream.clone() });
+        }
+        if run.company == Company::Alone || !self.suspects.join_telling(&run.upstream, digest, id) {
+            let mut digests = others;
+            digests.push(digest);
+            digests.sort_unstable();
+            digests.dedup();
+            self.suspects.begin_telling(cx, &run.upstream, digests, run.company, id);
+        }
+        self.refuse_convicted(cx);
+        self.set_apart(cx);
+        for told in self.suspects.take_told(cx.now) {
+            self.after_loss(cx, told);
+        }
+    }
+
+    /// Decides what becomes of a request whose attempt was lost, once peers know what they have to.
+    pub(super) fn after_loss(&mut self, cx: &mut Cx<'_>, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let convicted = self.suspects.standing(request.arrival.digest) == Standing::Convicted;
+        if convicted {
+            let reason = RefusalReason::CrashesUpstreams;
+            return self.advance(cx, id, Step::Refuse { reason, retry_after: None });
+        }
+        self.retry(cx, id);
+    }
+
+    /// Queues a request again whose attempt ended without an answer, or refuses it.
+    fn retry(&mut self, cx: &mut Cx<'_>, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if request.caller == Caller::Waiting && request.arrival.deadline.is_due(cx.now) {
+            return self.refuse_late(cx, id);
+        }
+        let lost = request.past != Past::Clean;
+        let failed = request.failures > 0;
+        let may = request.caller == Caller::Waiting
+            && request.may_be_sent()
+            && (!request.passed_on || request.can_resume())
+            && request.failures < cx.cfg.limits.attempts
+            && (!failed || self.budget.spend(cx.now));
+        if may {
+            self.tally.retries += 1;
+            return self.wait(cx, id);
+        }
+        let reason = if lost { RefusalReason::UpstreamLost } else { RefusalReason::NoUpstream };
+        let retry_after = (!lost).then_some(RETRY_AFTER);
+        self.advance(cx, id, Step::Refuse { reason, retry_after });
+    }
+
+    /// Takes note that an upstream did nothing with a request.
+    fn end_run(&mut self, cx: &mut Cx<'_>, id: RequestId, upstream: &UpstreamId) {
+        self.end_alone(cx, id);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.tried.insert(upstream.clone());
+        request.enter(State::Queued, cx.now);
+    }
+
+    fn fail_once(&mut self, cx: &mut Cx<'_>, id: RequestId, upstream: &UpstreamId) {
+        self.end_run(cx, id, upstream);
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.failures += 1;
+        }
+    }
+
+    /// Returns the digests of the requests in progress at an upstream.
+    fn digests_at(&self, upstream: &UpstreamId) -> Vec<Digest> {
+        let here = self.requests.values().filter(|r| r.run().is_some_and(|run| run.upstream == *upstream));
+        here.map(|r| r.arrival.digest).collect()
+    }
+}
+
+/// Returns the owner of an engine.
+pub(super) fn owner(cx: &Cx<'_>, upstream: &UpstreamId) -> Option<HostId> {
+    cx.cache.owner(upstream).map(|(_, record)| record.host.clone())
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/serving/report.rs
@@ -0,0 +1,49 @@
+//! What a process tells of its requests, for the state dump and the metrics.
+
+use crate::cx::Cx;
+use crate::dump::{Belief, Gauge};
+use crate::serving::Serving;
+use crate::serving::suspect::Standing;
+use crate::serving::tally::gauge;
+
+impl Serving {
+    /// Tells of each request, each upstream in use and each suspect.
+    pub(super) fn beliefs(&self, _cx: &Cx<'_>) -> Vec<Belief> {
+        let requests = self.requests.iter().map(|(id, request)| Belief {
+            kind: "request",
+            subject: id.to_string(),
+            belief: request.describe(),
+            since: Some(request.since),
+        });
+        let routes = self.routes.used().map(|(upstream, n)| Belief {
+            kind: "route",
+            subject: upstream.to_string(),
+            belief: format!("{n} requests from here"),
+            since: None,
+        });
+        let suspects = self.suspects.digests().map(|digest| {
+            let belief = match self.suspects.standing(digest) {
+                Standing::Convicted => "crashes upstreams and is refused",
+                Standing::Suspect | Standing::Free => "was in progress when an upstream died and runs alone",
+            };
+            Belief { kind: "suspect", subject: digest.to_string(), belief: belief.to_owned(), since: None }
+        });
+        requests.chain(routes).chain(suspects).collect()
+    }
+
+    /// Returns the numbers for the metrics.
+    pub(super) fn numbers(&self) -> Vec<Gauge> {
+        let mut gauges = vec![
+            gauge("requests_queued", self.queue.len() as u64),
+            gauge("requests_queued_alone", self.suspects.waiting.len() as u64),
+            gauge("requests_in_progress", self.requests.len() as u64),
+            gauge("attempts_in_flight", self.attempts.len() as u64),
+            gauge("suspect_requests", self.suspects.count(Standing::Suspect) as u64),
+            gauge("convicted_requests", self.suspects.count(Standing::Convicted) as u64),
+            gauge("once_in_doubt_total", self.once.in_doubt),
+            gauge("late_views_total", self.routes.views.late),
+        ];
+        gauges.extend(self.tally.gauges());
+        gauges
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/serving/routing.rs
@@ -0,0 +1,312 @@
+//! Which upstreams can take a request, and which of them gets it.
+
+use std::hash::BuildHasher;
+use std::time::Duration;
+
+use foldhash::fast::FixedState;
+use rand::Rng;
+
+use crate::catalogue::ModelTarget;
+use crate::collections::{OrderedMap, OrderedSet};
+use crate::cx::Cx;
+use crate::event::Target;
+use crate::id::{Digest, HostId, ServiceName, UpstreamId};
+use crate::serving::views::Views;
+use crate::time::Time;
+use crate::upstream::{Standing, Upstream};
+use crate::view::{EngineView, Readiness};
+
+/// How much fuller an upstream may be than the emptiest, in thousandths, to
+/// get a request whose prompt's beginning it probably has in its cache.
+const PREFIX_SLACK: u32 = 250;
+/// What being in another data centre weighs, in thousandths of an upstream's load.
+const FAR: u32 = 60;
+/// How long an upstream stays out of use after it said that it was about to go.
+const LEAVING: Duration = Duration::from_mins(5);
+/// The first pause of an upstream that can't be reached or is busy.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// The longest pause of an upstream.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// An upstream that gets nothing for a while.
+#[derive(Clone, Copy, Debug)]
+struct Pause {
+    until: Time,
+    failures: u32,
+}
+
+/// A model or adapter on an engine that turned out not to be there.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    upstream: UpstreamId,
+    target: ModelTarget,
+}
+
+/// An upstream that could take a request.
+#[derive(Clone, Debug)]
+struct Candidate {
+    upstream: UpstreamId,
+    /// Its expected load in thousandths of what it takes, distance included.
+    cost: u32,
+    free: bool,
+}
+
+/// What can be expected for a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Prospect {
+    /// An upstream has it, be it busy or not.
+    Ready,
+    /// An engine is loading it.
+    Loading {
+        /// When it will probably be ready.
+        ready_at: Time,
+    },
+    /// Nothing is known of it.
+    None,
+}
+
+/// What one request asks of routing.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Wish<'a> {
+    /// What it is for.
+    pub(super) target: &'a Target,
+    /// The digest of the prompt's beginning.
+    pub(super) prefix: Option<Digest>,
+    /// Where it was tried in vain.
+    pub(super) tried: &'a OrderedSet<UpstreamId>,
+}
+
+/// What a process knows of the upstreams and has in progress there.
+#[derive(Debug, Default)]
+pub(super) struct Routes {
+    /// The engines as their owners see them.
+    pub(super) views: Views,
+    in_flight: OrderedMap<UpstreamId, u32>,
+    leaving: OrderedMap<UpstreamId, Time>,
+    paused: OrderedMap<UpstreamId, Pause>,
+    missing: OrderedMap<Place, Time>,
+    /// Engines on which a suspect of this process runs or is about to run alone.
+    kept_free: OrderedSet<UpstreamId>,
+}
+
+impl Routes {
+    /// Takes an owner's account of an engine over, unless it is older than what is known.
+    pub(super) fn take_view(&mut self, now: Time, view: EngineView) -> bool {
+        let upstream = view.upstream.clone();
+        let own = self.in_flight(&upstream);
+        if !self.views.take(now, view, own) {
+            return false;
+        }
+        // The newer account settles what an older one got wrong.
+        self.missing.retain(|place, _| place.upstream != upstream);
+        true
+    }
+
+    /// Forgets what the host list no longer names.
+    pub(super) fn keep_listed(&mut self, list: &OrderedMap<UpstreamId, Upstream>) {
+        self.views.keep_listed(list);
+        self.leaving.retain(|upstream, _| list.contains_key(upstream));
+        self.paused.retain(|upstream, _| list.contains_key(upstream));
+    }
+
+    /// Forgets pauses that are long over.
+    pub(super) fn on_tick(&mut self, now: Time) {
+        self.leaving.retain(|_, until| !until.is_due(now));
+        self.paused.retain(|_, pause| !pause.until.after(LONGEST_PAUSE).is_due(now));
+        self.missing.retain(|_, until| !until.is_due(now));
+    }
+
+    /// Returns how many requests of this process an upstream has.
+    pub(super) fn in_flight(&self, upstream: &UpstreamId) -> u32 {
+        self.in_flight.get(upstream).copied().unwrap_or(0)
+    }
+
+    /// Returns the upstreams that have requests of this process, with their number.
+    pub(super) fn used(&self) -> impl Iterator<Item = (&UpstreamId, u32)> {
+        self.in_flight.iter().map(|(upstream, n)| (upstream, *n))
+    }
+
+    /// Takes up a place at an upstream.
+    pub(super) fn occupy(&mut self, upstream: &UpstreamId) {
+        *self.in_flight.entry(upstream.clone()).or_default() += 1;
+    }
+
+    /// Gives a place at an upstream back.
+    pub(super) fn free(&mut self, upstream: &UpstreamId) {
+        let Some(n) = self.in_flight.get_mut(upstream) else { return };
+        *n = n.saturating_sub(1);
+        if *n == 0 {
+            self.in_flight.remove(upstream);
+        }
+    }
+
+    /// Takes note that an upstream is about to go; tells whether that was news.
+    pub(super) fn note_leaving(&mut self, now: Time, upstream: &UpstreamId) -> bool {
+        self.leaving.insert(upstream.clone(), now.after(LEAVING)).is_none()
+    }
+
+    /// Takes note that an upstream couldn't be reached, died or was too busy.
+    pub(super) fn note_trouble(&mut self, cx: &mut Cx<'_>, upstream: &UpstreamId) {
+        let failures = self.paused.get(upstream).map_or(0, |pause| pause.failures);
+        let pause = FIRST_PAUSE.saturating_mul(1 << failures.min(6)).min(LONGEST_PAUSE);
+        let until = cx.now.after(cx.jitter(pause));
+        self.paused.insert(upstream.clone(), Pause { until, failures: failures + 1 });
+    }
+
+    /// Takes note that an upstream answered.
+    pub(super) fn note_health(&mut self, upstream: &UpstreamId) {
+        self.paused.remove(upstream);
+    }
+
+    /// Takes note that a model isn't where its owner's last account said.
+    pub(super) fn note_missing(&mut self, cx: &mut Cx<'_>, upstream: &UpstreamId, target: &ModelTarget) {
+        let until = cx.now.after(cx.jitter(LONGEST_PAUSE));
+        self.missing.insert(Place { upstream: upstream.clone(), target: target.clone() }, until);
+    }
+
+    /// Keeps an engine free for a suspect.
+    pub(super) fn keep_free(&mut self, upstream: &UpstreamId) {
+        self.kept_free.insert(upstream.clone());
+    }
+
+    /// Opens an engine to all requests again.
+    pub(super) fn open(&mut self, upstream: &UpstreamId) {
+        self.kept_free.remove(upstream);
+    }
+
+    /// Chooses an upstream with room for a request.
+    pub(super) fn choose(&self, cx: &mut Cx<'_>, wish: Wish<'_>) -> Option<UpstreamId> {
+        let mut free: Vec<Candidate> = self.candidates(cx, wish.target);
+        free.retain(|c| c.free);
+        if free.iter().any(|c| !wish.tried.contains(&c.upstream)) {
+            free.retain(|c| !wish.tried.contains(&c.upstream));
+        }
+        let least = free.iter().map(|c| c.cost).min()?;
+        if let Some(prefix) = wish.prefix {
+            free.retain(|c| c.cost <= least + PREFIX_SLACK);
+            return free.iter().max_by_key(|c| affinity(prefix, &c.upstream)).map(|c| c.upstream.clone());
+        }
+        free.retain(|c| c.cost == least);
+        let chosen = cx.rng.random_range(0..free.len());
+        free.get(chosen).map(|c| c.upstream.clone())
+    }
+
+    /// Tells whether a request for a target may still be sent to an upstream.
+    pub(super) fn fits(&self, cx: &Cx<'_>, target: &Target, upstream: &UpstreamId) -> bool {
+        self.candidates(cx, target).iter().any(|c| c.upstream == *upstream)
+    }
+
+    /// Returns the engines on which a suspect may run alone, once they are free.
+    pub(super) fn ready_engines(&self, cx: &Cx<'_>, target: &ModelTarget) -> Vec<UpstreamId> {
+        let usable = self.views.ready(cx, target).filter(|known| {
+            let other = known.view.reserved_for.as_ref().is_some_and(|host| *host != cx.cfg.host);
+            !other && self.usable(cx, &known.view.upstream) && !self.is_missing(&known.view.upstream, target)
+        });
+        usable.map(|known| known.view.upstream.clone()).collect()
+    }
+
+    /// Returns the replicas on which a suspect call of a service may run.
+    pub(super) fn idle_replicas(&self, cx: &Cx<'_>, service: &ServiceName) -> Vec<UpstreamId> {
+        let replicas = self.replicas(cx, service);
+        replicas.filter(|id| self.in_flight(id) == 0).cloned().collect()
+    }
+
+    /// Tells whether nothing but requests of this process can be running on an engine.
+    pub(super) fn reserved_and_idle(&self, host: &HostId, upstream: &UpstreamId) -> bool {
+        let Some(known) = self.views.get(upstream) else { return false };
+        known.view.reserved_for.as_ref() == Some(host)
+            && known.view.running == 0
+            && self.in_flight(upstream) == 0
+    }
+
+    /// Tells whether an engine was idle by its owner's last account and runs nothing from here.
+    pub(super) fn seems_idle(&self, upstream: &UpstreamId) -> bool {
+        let idle = self.views.get(upstream).is_some_and(|known| known.view.running == 0);
+        idle && self.in_flight(upstream) == 0
+    }
+
+    /// Tells what can be expected for a target.
+    pub(super) fn prospect(&self, cx: &Cx<'_>, target: &Target) -> Prospect {
+        if !self.candidates(cx, target).is_empty() {
+            return Prospect::Ready;
+        }
+        let Target::Model(target) = target else { return Prospect::None };
+        let ready_at = self.views.loading(cx, target).min();
+        ready_at.map_or(Prospect::None, |ready_at| Prospect::Loading { ready_at })
+    }
+
+    /// Tells whether the host list names a live replica of a service, be it paused or not.
+    pub(super) fn has_replica(&self, cx: &Cx<'_>, service: &ServiceName) -> bool {
+        let live = |u: &&Upstream| u.service() == Some(service) && u.standing == Standing::Live;
+        cx.upstreams.values().filter(live).any(|u| !self.leaving.contains_key(&u.id))
+    }
+
+    fn candidates(&self, cx: &Cx<'_>, target: &Target) -> Vec<Candidate> {
+        match target {
+            Target::Model(target) => self.engine_candidates(cx, target),
+            Target::Service(service) => self.replica_candidates(cx, service),
+        }
+    }
+
+    fn engine_candidates(&self, cx: &Cx<'_>, target: &ModelTarget) -> Vec<Candidate> {
+        self.views
+            .ready(cx, target)
+            .filter(|known| known.view.reserved_for.is_none())
+            .filter(|known| !self.kept_free.contains(&known.view.upstream))
+            .filter(|known| self.usable(cx, &known.view.upstream))
+            .filter(|known| !self.is_missing(&known.view.upstream, target))
+            .map(|known| {
+                let own = self.in_flight(&known.view.upstream);
+                let load = own.saturating_add(known.others(cx.now));
+                candidate(cx, &known.view.upstream, load, known.view.concurrency)
+            })
+            .collect()
+    }
+
+    fn replica_candidates(&self, cx: &Cx<'_>, service: &ServiceName) -> Vec<Candidate> {
+        let concurrency = cx.document.catalogue.services.get(service).map_or(0, |s| s.concurrency);
+        self.replicas(cx, service).map(|id| candidate(cx, id, self.in_flight(id), concurrency)).collect()
+    }
+
+    fn replicas<'a>(
+        &'a self,
+        cx: &'a Cx<'_>,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = &'a UpstreamId> + use<'a> {
+        let service = service.clone();
+        let of_service = cx.upstreams.values().filter(move |u| u.service() == Some(&service));
+        of_service.map(|u| &u.id).filter(|id| self.usable(cx, id) && !self.kept_free.contains(*id))
+    }
+
+    fn usable(&self, cx: &Cx<'_>, upstream: &UpstreamId) -> bool {
+        let live = cx.upstreams.get(upstream).is_some_and(|u| u.standing == Standing::Live);
+        let paused = self.paused.get(upstream).is_some_and(|pause| !pause.until.is_due(cx.now));
+        live && !paused && !self.leaving.contains_key(upstream)
+    }
+
+    fn is_missing(&self, upstream: &UpstreamId, target: &ModelTarget) -> bool {
+        self.missing.contains_key(&Place { upstream: upstream.clone(), target: target.clone() })
+    }
+}
+
+fn candidate(cx: &Cx<'_>, upstream: &UpstreamId, load: u32, concurrency: u32) -> Candidate {
+    let near = cx.upstreams.get(upstream).is_some_and(|u| u.data_centre == cx.cfg.data_centre);
+    let distance = if near { 0 } else { FAR };
+    let share = load.saturating_mul(1000) / concurrency.max(1);
+    Candidate { upstream: upstream.clone(), cost: share.saturating_add(distance), free: load < concurrency }
+}
+
+/// Ranks the upstreams for a prompt's beginning, the same at every process.
+fn affinity(prefix: Digest, upstream: &UpstreamId) -> u64 {
+    FixedState::default().hash_one((prefix, upstream))
+}
+
+impl Readiness {
+    /// Returns how long a load is expected to take, if there is one.
+    pub(super) const fn loading(self) -> Option<Duration> {
+        match self {
+            Self::Loading { remaining } => Some(remaining),
+            Self::Ready | Self::Closing => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/serving/supply.rs
@@ -0,0 +1,219 @@
+//! What waiting requests can expect, and what is asked for them.
+
+use std::time::Duration;
+
+use crate::catalogue::ModelTarget;
+use crate::cx::Cx;
+use crate::effect::RefusalReason;
+use crate::event::Target;
+use crate::id::{HostId, RequestId};
+use crate::peer::CannotLoad;
+use crate::serving::Serving;
+use crate::serving::decide::Step;
+use crate::serving::queue::Waiting;
+use crate::serving::request::State;
+use crate::serving::routing::Prospect;
+use crate::serving::wanted::Supply;
+use crate::store::Key;
+use crate::time::Time;
+use crate::view::EngineView;
+
+/// How long requests wait without a word from any owner.
+const UNHEARD_PATIENCE: Duration = Duration::from_secs(25);
+/// When to come back after nobody could take a request.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Why the less patient requests for a target can't be served in time.
+#[derive(Clone, Debug)]
+struct Shortage {
+    reason: RefusalReason,
+    /// Requests with a deadline up to this one can't be served.
+    bar: Time,
+    retry_after: Duration,
+}
+
+impl Serving {
+    /// Takes an owner's account of an engine.
+    pub(super) fn on_view(&mut self, cx: &mut Cx<'_>, view: &EngineView) {
+        if !self.routes.take_view(cx.now, view.clone()) {
+            return;
+        }
+        for target in self.waiting_models() {
+            if self.routes.views.mentions(&view.upstream, &target) {
+                self.wants.heard(&target);
+            }
+            self.review(cx, &Target::Model(target));
+        }
+        self.pump(cx);
+    }
+
+    /// Takes an owner's refusal to make a target available.
+    pub(super) fn on_cannot_load(
+        &mut self,
+        cx: &mut Cx<'_>,
+        from: &HostId,
+        target: &ModelTarget,
+        reason: &CannotLoad,
+        retry_after: Duration,
+    ) {
+        // An owner that has just handed the engine over says so; the new one is
+        // asked as soon as the cache names it.
+        if *reason == CannotLoad::NotOwner {
+            return;
+        }
+        let next = self.wants.refused(cx, from, target, reason.clone(), retry_after);
+        let target = Target::Model(target.clone());
+        self.review(cx, &target);
+        if next {
+            self.ask(cx, &target, true);
+        }
+    }
+
+    /// Refuses the requests for every target that can't be served in time.
+    pub(super) fn review_all(&mut self, cx: &mut Cx<'_>) {
+        let mut targets = self.queue.targets();
+        targets.extend(self.waiting_models().into_iter().map(Target::Model));
+        targets.sort_unstable();
+        targets.dedup();
+        for target in targets {
+            self.review(cx, &target);
+        }
+    }
+
+    /// Refuses the requests for a target that can't be served in time.
+    ///
+    /// A caller that is told at once can ask elsewhere or change its plan; one
+    /// that is kept until its deadline has lost the time.
+    pub(super) fn review(&mut self, cx: &mut Cx<'_>, target: &Target) {
+        let Some(shortage) = self.shortage(cx, target) else { return };
+        for id in self.waiting_for(target) {
+            let late = self.requests.get(&id).is_some_and(|r| r.arrival.deadline <= shortage.bar);
+            if late {
+                let reason = shortage.reason.clone();
+                self.advance(cx, id, Step::Refuse { reason, retry_after: Some(shortage.retry_after) });
+            }
+        }
+    }
+
+    fn shortage(&self, cx: &Cx<'_>, target: &Target) -> Option<Shortage> {
+        let everyone =
+            |retry_after| Shortage { reason: RefusalReason::NoUpstream, bar: Time::NEVER, retry_after };
+        let model = match target {
+            Target::Service(service) => {
+                return (!self.routes.has_replica(cx, service)).then(|| everyone(RETRY_AFTER));
+            }
+            Target::Model(target) => target,
+        };
+        match self.routes.prospect(cx, target) {
+            Prospect::Ready => return None,
+            Prospect::Loading { ready_at } => {
+                let reason = RefusalReason::ColdStartTooLong;
+                return Some(Shortage { reason, bar: ready_at, retry_after: ready_at.remaining(cx.now) });
+            }
+            Prospect::None => {}
+        }
+        if !cx.document.catalogue.models.contains_key(&model.model) {
+            return Some(everyone(RETRY_AFTER));
+        }
+        if let Some(refused) = self.wants.hopeless(cx, model) {
+            let retry_after = refused.until.remaining(cx.now);
+            let too_slow = refused.reason == CannotLoad::TooSlow;
+            let bar = if too_slow { refused.until.max(refused.patient_until) } else { refused.until };
+            return Some(Shortage { reason: reason_of(&refused.reason), bar, retry_after });
+        }
+        let unheard = self.wants.unheard_since(model)?;
+        unheard.after(UNHEARD_PATIENCE).is_due(cx.now).then(|| everyone(RETRY_AFTER))
+    }
+
+    /// Asks the owners for a target, if requests wait for it.
+    pub(super) fn ask_for(&mut self, cx: &mut Cx<'_>, target: &Target) {
+        let Target::Model(model) = target else { return };
+        if self.waiting(target).is_none() {
+            return self.wants.satisfied(model);
+        }
+        let first = self.wants.unheard_since(model).is_none();
+        self.ask(cx, target, first && self.routes.prospect(cx, target) == Prospect::None);
+    }
+
+    /// Asks the new owners for the targets whose homes have changed hands.
+    pub(super) fn ask_again(&mut self, cx: &mut Cx<'_>, key: &Key) {
+        for model in self.waiting_models() {
+            let concerned = match key {
+                Key::Homes(changed) => *changed == model.model,
+                Key::Owner(engine) => {
+                    cx.cache.homes(&model.model).is_some_and(|(_, homes)| homes.engines.contains(engine))
+                }
+                _ => false,
+            };
+            let target = Target::Model(model);
+            if concerned && self.routes.prospect(cx, &target) == Prospect::None {
+                self.ask(cx, &target, true);
+            }
+        }
+    }
+
+    fn ask(&mut self, cx: &mut Cx<'_>, target: &Target, urgent: bool) {
+        let Target::Model(model) = target else { return };
+        let Some(waiting) = self.waiting(target) else { return };
+        let supply = match self.routes.prospect(cx, target) {
+            Prospect::Ready => Supply::Full,
+            Prospect::Loading { .. } => Supply::Coming,
+            Prospect::None => Supply::Nothing,
+        };
+        self.wants.ask(cx, model, waiting, supply, urgent);
+    }
+
+    /// Returns what waits for a target, suspects included.
+    fn waiting(&self, target: &Target) -> Option<Waiting> {
+        let mut waiting = self.queue.waiting(target);
+        for urgency in &self.suspects.waiting {
+            let Some(request) = self.requests.get(&urgency.due.request) else { continue };
+            if request.arrival.target != *target {
+                continue;
+            }
+            let seen = waiting.get_or_insert(Waiting {
+                count: 0,
+                order: urgency.order,
+                patient_until: urgency.due.at,
+            });
+            seen.count += 1;
+            seen.order = seen.order.min(urgency.order);
+            seen.patient_until = seen.patient_until.max(urgency.due.at);
+        }
+        waiting
+    }
+
+    fn waiting_for(&self, target: &Target) -> Vec<RequestId> {
+        let mut ids = self.queue.requests(target);
+        let alone = self.suspects.waiting.iter().map(|urgency| urgency.due.request);
+        ids.extend(alone.filter(|id| self.requests.get(id).is_some_and(|r| r.arrival.target == *target)));
+        ids
+    }
+
+    fn waiting_models(&self) -> Vec<ModelTarget> {
+        let alone = self.suspects.waiting.iter().filter_map(|urgency| {
+            let request = self.requests.get(&urgency.due.request)?;
+            (request.state == State::QueuedAlone).then(|| request.arrival.target.clone())
+        });
+        let mut targets: Vec<Target> = self.queue.targets().into_iter().chain(alone).collect();
+        targets.sort_unstable();
+        targets.dedup();
+        let model = |target| match target {
+            Target::Model(model) => Some(model),
+            Target::Service(_) => None,
+        };
+        targets.into_iter().filter_map(model).collect()
+    }
+}
+
+const fn reason_of(reason: &CannotLoad) -> RefusalReason {
+    match reason {
+        CannotLoad::Memory => RefusalReason::Short("memory"),
+        CannotLoad::Power => RefusalReason::Short("power"),
+        CannotLoad::TooSlow => RefusalReason::ColdStartTooLong,
+        CannotLoad::NotOwner
+        | CannotLoad::OwnershipInDoubt
+        | CannotLoad::EngineUnreachable
+        | CannotLoad::EngineRefuses => RefusalReason::NoUpstream,
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/serving/views.rs
@@ -0,0 +1,123 @@
+//! The owners' accounts of their engines, as this router has them.
+
+use std::time::Duration;
+
+use crate::catalogue::ModelTarget;
+use crate::collections::OrderedMap;
+use crate::cx::Cx;
+use crate::id::UpstreamId;
+use crate::time::Time;
+use crate::upstream::Upstream;
+use crate::view::{EngineView, ModelView, Readiness};
+
+/// How long an account's load figures count.
+///
+/// An owner that died leaves its last account behind. Were its figures believed
+/// for ever, a full engine would look full until another owner speaks, and
+/// requests would wait before an idle engine. The engine itself rejects what is
+/// too much.
+const LOAD_BELIEVED: Duration = Duration::from_secs(3);
+
+/// How long after its expected end a load is still counted on.
+///
+/// An owner that dies in the middle of a load leaves an account behind that
+/// promises the model. Requests would wait for it in vain instead of for the
+/// next owner's word.
+const OVERDUE: Duration = Duration::from_secs(10);
+
+/// An owner's account of an engine, with what this process had there when it came.
+#[derive(Clone, Debug)]
+pub(super) struct KnownView {
+    /// The account.
+    pub(super) view: EngineView,
+    /// When it came.
+    pub(super) taken: Time,
+    own_then: u32,
+}
+
+impl KnownView {
+    /// Returns how many requests of other processes the engine probably has.
+    ///
+    /// The account counts this process's own requests too; those of its time
+    /// are taken off, and the present ones are known exactly.
+    pub(super) fn others(&self, now: Time) -> u32 {
+        if self.taken.after(LOAD_BELIEVED).is_due(now) {
+            return 0;
+        }
+        self.view.running.saturating_sub(self.own_then)
+    }
+
+    fn model(&self, cx: &Cx<'_>, target: &ModelTarget) -> Option<&ModelView> {
+        let wanted = &cx.document.catalogue.models.get(&target.model)?.version;
+        self.view.models.iter().find(|m| m.model == target.model && m.version == *wanted)
+    }
+
+    fn is_ready(&self, cx: &Cx<'_>, target: &ModelTarget) -> bool {
+        let Some(model) = self.model(cx, target) else { return false };
+        let adapter_ready = target.adapter.as_ref().is_none_or(|a| model.adapters.contains(a));
+        !self.view.leaving && model.readiness == Readiness::Ready && adapter_ready
+    }
+
+    fn ready_at(&self, cx: &Cx<'_>, target: &ModelTarget) -> Option<Time> {
+        let ready_at = self.taken.after(self.model(cx, target)?.readiness.loading()?);
+        let counted_on = !self.view.leaving && !ready_at.after(OVERDUE).is_due(cx.now);
+        counted_on.then_some(ready_at)
+    }
+}
+
+/// The newest account of each engine.
+#[derive(Debug, Default)]
+pub(super) struct Views {
+    known: OrderedMap<UpstreamId, KnownView>,
+    /// How many accounts came that were older than what was known.
+    pub(super) late: u64,
+}
+
+impl Views {
+    /// Takes an account over, unless it isn't newer than what is known.
+    pub(super) fn take(&mut self, now: Time, view: EngineView, own: u32) -> bool {
+        let known = self.known.get(&view.upstream);
+        if known.is_some_and(|known| known.view.version >= view.version) {
+            self.late += 1;
+            return false;
+        }
+        self.known.insert(view.upstream.clone(), KnownView { view, taken: now, own_then: own });
+        true
+    }
+
+    /// Forgets the engines that the host list no longer names.
+    pub(super) fn keep_listed(&mut self, list: &OrderedMap<UpstreamId, Upstream>) {
+        self.known.retain(|upstream, _| list.contains_key(upstream));
+    }
+
+    /// Returns the newest account of an engine.
+    pub(super) fn get(&self, upstream: &UpstreamId) -> Option<&KnownView> {
+        self.known.get(upstream)
+    }
+
+    /// Returns the engines on which a target can be used.
+    pub(super) fn ready<'a>(
+        &'a self,
+        cx: &'a Cx<'_>,
+        target: &ModelTarget,
+    ) -> impl Iterator<Item = &'a KnownView> + use<'a> {
+        let target = target.clone();
+        self.known.values().filter(move |known| known.is_ready(cx, &target))
+    }
+
+    /// Returns when each engine that is loading a target's model will probably be ready.
+    pub(super) fn loading<'a>(
+        &'a self,
+        cx: &'a Cx<'_>,
+        target: &ModelTarget,
+    ) -> impl Iterator<Item = Time> + use<'a> {
+        let target = target.clone();
+        self.known.values().filter_map(move |known| known.ready_at(cx, &target))
+    }
+
+    /// Tells whether any account mentions a model on an engine, whatever its state.
+    pub(super) fn mentions(&self, upstream: &UpstreamId, target: &ModelTarget) -> bool {
+        let known = self.known.get(upstream);
+        known.is_some_and(|known| known.view.models.iter().any(|m| m.model == target.model))
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/serving/wanted.rs
@@ -0,0 +1,239 @@
+//! What this router asks the engines' owners for, and what they said.
+
+use std::time::Duration;
+
+use crate::catalogue::ModelTarget;
+use crate::collections::OrderedMap;
+use crate::cx::Cx;
+use crate::id::HostId;
+use crate::peer::{CannotLoad, PeerMessage};
+use crate::rules::ServiceOrder;
+use crate::serving::queue::Waiting;
+use crate::time::Time;
+
+/// How long a target is remembered after its last request.
+const REMEMBERED: Duration = Duration::from_hours(24);
+
+/// An owner's word that it can't make a target available.
+#[derive(Clone, Debug)]
+pub(super) struct Refused {
+    /// Why.
+    pub(super) reason: CannotLoad,
+    /// When to ask again.
+    pub(super) until: Time,
+    /// The latest deadline that the owner knew of.
+    pub(super) patient_until: Time,
+}
+
+#[derive(Debug)]
+struct Want {
+    arrived: u32,
+    last_arrival: Time,
+    told: Option<Time>,
+    /// How many owners have been asked to load, in the order of the homes.
+    asked: usize,
+    /// Since when requests have waited without a word from any owner.
+    unheard_since: Option<Time>,
+    patient_until: Time,
+    refused: OrderedMap<HostId, Refused>,
+}
+
+/// How things stand for a target whose requests wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Supply {
+    /// Nothing is ready and nothing is on its way.
+    Nothing,
+    /// A load is on its way.
+    Coming,
+    /// What is ready is full.
+    Full,
+}
+
+/// The targets that this router wants to hear of.
+#[derive(Debug, Default)]
+pub(super) struct Wants {
+    wants: OrderedMap<ModelTarget, Want>,
+}
+
+impl Wants {
+    /// Counts a request; returns how long the target had none, if it ever had.
+    pub(super) fn count_arrival(&mut self, now: Time, target: &ModelTarget) -> Option<Duration> {
+        if let Some(want) = self.wants.get_mut(target) {
+            let idle = now.since(want.last_arrival);
+            want.arrived = want.arrived.saturating_add(1);
+            want.last_arrival = now;
+            return Some(idle);
+        }
+        let want = Want {
+            arrived: 1,
+            last_arrival: now,
+            told: None,
+            asked: 1,
+            unheard_since: None,
+            patient_until: now,
+            refused: OrderedMap::new(),
+        };
+        self.wants.insert(target.clone(), want);
+        None
+    }
+
+    /// Asks the owners for a target that requests wait for.
+    ///
+    /// The first home's owner is asked first, by every router, so that a burst
+    /// at many routers becomes one load. Further homes are asked only once the
+    /// earlier ones can't help or are full.
+    pub(super) fn ask(
+        &mut self,
+        cx: &mut Cx<'_>,
+        target: &ModelTarget,
+        waiting: Waiting,
+        supply: Supply,
+        urgent: bool,
+    ) {
+        let owners = owners(cx, target);
+        let Some(want) = self.wants.get_mut(target) else { return };
+        want.refused.retain(|_, refused| !refused.until.is_due(cx.now));
+        want.unheard_since.get_or_insert(cx.now);
+        let due = want.told.is_none_or(|told| told.after(cx.cfg.timings.wanted_every).is_due(cx.now));
+        if !due && !urgent {
+            return;
+        }
+        want.widen(cx, &owners, supply, due);
+        want.patient_until = want.patient_until.max(waiting.patient_until);
+        let arrived = std::mem::take(&mut want.arrived);
+        let first = want.told.replace(cx.now).is_none();
+        for (i, owner) in owners.iter().enumerate() {
+            let asked = i < want.asked;
+            if !asked && !first {
+                continue;
+            }
+            let count = if asked { waiting.count } else { 0 };
+            let patience = waiting.patient_until.remaining(cx.now);
+            tell(cx, owner, target, Ask { count, order: waiting.order, patience, arrived });
+        }
+    }
+
+    /// Tells the owners of targets in use that this router still wants to hear of them.
+    pub(super) fn renew(&mut self, cx: &mut Cx<'_>) {
+        self.wants.retain(|_, want| !want.last_arrival.after(REMEMBERED).is_due(cx.now));
+        let every = cx.cfg.timings.interest / 2;
+        for (target, want) in &mut self.wants {
+            let due = want.told.is_none_or(|told| told.after(every).is_due(cx.now));
+            if want.arrived == 0 || !due {
+                continue;
+            }
+            want.told = Some(cx.now);
+            let arrived = std::mem::take(&mut want.arrived);
+            for owner in owners(cx, target) {
+                let ask = Ask { count: 0, order: ServiceOrder::default(), patience: Duration::ZERO, arrived };
+                tell(cx, &owner, target, ask);
+            }
+        }
+    }
+
+    /// Takes note that nothing waits for a target any more.
+    pub(super) fn satisfied(&mut self, target: &ModelTarget) {
+        let Some(want) = self.wants.get_mut(target) else { return };
+        want.asked = 1;
+        want.unheard_since = None;
+        want.patient_until = Time::START;
+        want.refused.clear();
+    }
+
+    /// Takes note that an owner spoke of a target that is on its way.
+    pub(super) fn heard(&mut self, target: &ModelTarget) {
+        if let Some(want) = self.wants.get_mut(target) {
+            want.unheard_since = None;
+        }
+    }
+
+    /// Takes an owner's refusal; tells whether the next owner should be asked at once.
+    pub(super) fn refused(
+        &mut self,
+        cx: &Cx<'_>,
+        from: &HostId,
+        target: &ModelTarget,
+        reason: CannotLoad,
+        retry_after: Duration,
+    ) -> bool {
+        let owners = owners(cx, target);
+        let Some(want) = self.wants.get_mut(target) else { return false };
+        let until = cx.now.after(retry_after);
+        let patient_until = want.patient_until;
+        want.refused.insert(from.clone(), Refused { reason, until, patient_until });
+        want.unheard_since = None;
+        let all_asked_refuse = owners.iter().take(want.asked).all(|o| want.refused.contains_key(o));
+        let more = want.asked < owners.len();
+        if all_asked_refuse && more {
+            want.asked += 1;
+        }
+        all_asked_refuse && more
+    }
+
+    /// Returns why no owner can make a target available, if none can.
+    ///
+    /// Of several refusals the one that ends first counts.
+    pub(super) fn hopeless(&self, cx: &Cx<'_>, target: &ModelTarget) -> Option<&Refused> {
+        let want = self.wants.get(target)?;
+        let owners = owners(cx, target);
+        let refused = |owner| want.refused.get(owner).filter(|r| !r.until.is_due(cx.now));
+        if owners.iter().any(|owner| refused(owner).is_none()) {
+            return None;
+        }
+        owners.iter().filter_map(refused).min_by_key(|refused| refused.until)
+    }
+
+    /// Returns since when requests have waited without a word from any owner.
+    pub(super) fn unheard_since(&self, target: &ModelTarget) -> Option<Time> {
+        self.wants.get(target)?.unheard_since
+    }
+}
+
+impl Want {
+    fn widen(&mut self, cx: &Cx<'_>, owners: &[HostId], supply: Supply, due: bool) {
+        if !due || self.told.is_none() || self.asked >= owners.len() {
+            return;
+        }
+        let all_asked_refuse = owners.iter().take(self.asked).all(|o| self.refused.contains_key(o));
+        let silent = supply == Supply::Nothing
+            && self
+                .unheard_since
+                .is_some_and(|since| since.after(cx.cfg.timings.peer_timeout).is_due(cx.now));
+        if supply == Supply::Full || all_asked_refuse || silent {
+            self.asked += 1;
+        }
+    }
+}
+
+/// What an owner is told of the requests for a target.
+#[derive(Clone, Copy, Debug)]
+struct Ask {
+    count: u32,
+    order: ServiceOrder,
+    patience: Duration,
+    arrived: u32,
+}
+
+fn tell(cx: &mut Cx<'_>, owner: &HostId, target: &ModelTarget, ask: Ask) {
+    let message = PeerMessage::Wanted {
+        target: target.clone(),
+        waiting: ask.count,
+        order: ask.order,
+        patience: ask.patience,
+        arrived: ask.arrived,
+    };
+    cx.tell(owner, message);
+}
+
+/// Returns the owners of a model's homes, each once, in the order of the homes.
+fn owners(cx: &Cx<'_>, target: &ModelTarget) -> Vec<HostId> {
+    let mut owners = Vec::new();
+    let Some((_, homes)) = cx.cache.homes(&target.model) else { return owners };
+    for engine in &homes.engines {
+        let Some((_, owner)) = cx.cache.owner(engine) else { continue };
+        if !owners.contains(&owner.host) {
+            owners.push(owner.host.clone());
+        }
+    }
+    owners
+}
--- /dev/null
+++ b/crates/skylarkshore-core/tests/serving/flow.rs
@@ -0,0 +1,100 @@
+//! How requests reach upstreams, and how they end.
+
+use std::time::Duration;
+
+use skylarkshore_core::effect::{Effect, RefusalOutcome, RefusalReason};
+use skylarkshore_core::event::AttemptEnd;
+use skylarkshore_core::peer::{CannotLoad, PeerMessage};
+use skylarkshore_core::view::Readiness;
+
+use crate::support::serving::*;
+
+fn wanted(message: &PeerMessage) -> bool {
+    matches!(message, PeerMessage::Wanted { waiting, .. } if *waiting > 0)
+}
+
+#[test]
+fn a_burst_for_a_cold_model_asks_the_first_home_once_and_is_sent_when_it_is_ready() {
+    let mut p = Process::new("a", 1);
+    for id in 1..=3 {
+        p.arrive(id.into(), arrival(&p, model("m"), id));
+    }
+    let asked = p.take_told(wanted);
+    assert_eq!(asked.iter().map(|(to, _)| to.to_string()).collect::<Vec<_>>(), ["b"]);
+    assert_eq!(p.take_sent(), []);
+
+    p.peer(
+        "b",
+        &PeerMessage::View(view("e1", 1, "m", Readiness::Loading { remaining: Duration::from_secs(2) })),
+    );
+    p.pass(2000);
+    assert_eq!(
+        p.take_told(wanted).len(),
+        4,
+        "the owner is reminded twice a second, of all requests together"
+    );
+
+    p.peer("b", &PeerMessage::View(view("e1", 2, "m", Readiness::Ready)));
+    let sent = p.take_sent();
+    assert_eq!(sent.len(), 2, "the engine takes two at a time");
+    p.end(sent[0].attempt, AttemptEnd::Whole { held: None });
+    let third = p.take_sent();
+    assert_eq!(third.len(), 1);
+    for attempt in [sent[1].attempt, third[0].attempt] {
+        p.end(attempt, AttemptEnd::Whole { held: None });
+    }
+    assert!(p.serving.is_idle());
+    assert_eq!(p.take_refused(), []);
+}
+
+#[test]
+fn a_request_that_the_load_comes_too_late_for_is_refused_at_once() {
+    let mut p = Process::new("a", 1);
+    p.arrive(1, arrival(&p, model("m"), 1));
+    let remaining = Duration::from_mins(1);
+    p.peer("b", &PeerMessage::View(view("e1", 1, "m", Readiness::Loading { remaining })));
+    let refused = p.take_refused();
+    assert_eq!(refused.len(), 1);
+    assert_eq!(refused[0].1.outcome, RefusalOutcome::NotRun);
+    assert_eq!(refused[0].1.reason, RefusalReason::ColdStartTooLong);
+    assert_eq!(refused[0].1.retry_after, Some(remaining));
+}
+
+#[test]
+fn further_homes_are_asked_only_when_the_first_cannot_help() {
+    let mut p = Process::new("a", 1);
+    p.arrive(1, arrival(&p, model("m"), 1));
+    assert_eq!(p.take_told(wanted).len(), 1);
+    let model = skylarkshore_core::catalogue::ModelTarget { model: name("m"), adapter: None };
+    let cannot = PeerMessage::CannotLoad {
+        target: model,
+        reason: CannotLoad::Memory,
+        retry_after: Duration::from_secs(20),
+    };
+    p.peer("b", &cannot);
+    let asked = p.take_told(wanted);
+    assert!(asked.iter().any(|(to, _)| to.as_str() == "c"), "{asked:?}");
+    assert_eq!(p.take_refused(), []);
+
+    p.peer("c", &cannot);
+    let refused = p.take_refused();
+    assert_eq!(refused.len(), 1);
+    assert_eq!(refused[0].1.reason, RefusalReason::Short("memory"));
+    assert_eq!(refused[0].1.outcome, RefusalOutcome::NotRun);
+}
+
+#[test]
+fn an_upstream_that_refuses_connections_is_passed_over_and_nothing_is_sent_twice_as_often() {
+    let mut p = Process::new("a", 1);
+    p.arrive(1, arrival(&p, service("booking"), 1));
+    let first = p.take_sent().remove(0);
+    p.end(first.attempt, AttemptEnd::NotSent);
+    let second = p.take_sent().remove(0);
+    assert_ne!(first.upstream, second.upstream);
+    p.end(second.attempt, AttemptEnd::Whole { held: None });
+    p.end(second.attempt, AttemptEnd::Whole { held: None });
+    p.end(first.attempt, AttemptEnd::Lost { passed_on: false, died: true });
+    let finals = p.take().into_iter().filter(|e| matches!(e, Effect::Refuse { .. } | Effect::Abort { .. }));
+    assert_eq!(finals.count(), 0, "late ends change nothing");
+    assert!(p.serving.is_idle());
+}
--- /dev/null
+++ b/crates/skylarkshore-core/tests/serving_requests.rs
@@ -0,0 +1,10 @@
+//! The requests of a process, driven event by event.
+
+mod support {
+    pub mod serving;
+}
+
+mod serving {
+    mod flow;
+    mod once;
+}
