Spread, move and close replicas as demand, rules and power ask

An owner of several homes of a model begins with one of them; the last home wishes for one more when it is full, and a crowded one to be moved. Engines can be reserved for one router, so that a suspect request runs alone. A caller that is told to ask again finds the load going on.

--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -7,11 +7,14 @@
 mod engine;
 mod ledger;
 mod load;
+mod own;
 mod pacing;
 mod policy;
+mod reservation;
 mod tally;
 mod views;
 mod wants;
+mod wishes;
 
 use crate::authority::{Authority, EngineUse, HomeWish, OwnershipChange};
 use crate::collections::OrderedMap;
@@ -22,10 +25,11 @@
 use crate::loading::demand::{Demand, Wanted};
 use crate::loading::engine::{Engine, ReportNews};
 use crate::loading::ledger::Answered;
+use crate::loading::own::OwnEngines;
 use crate::loading::pacing::Pacing;
 use crate::loading::policy::History;
 use crate::loading::tally::{LoadTimes, Tally};
-use crate::peer::PeerMessage;
+use crate::peer::{CannotLoad, PeerMessage};
 use crate::rules::ServiceOrder;
 use crate::time::Time;
 use crate::units::{Mebibytes, Watts};
@@ -37,6 +41,7 @@
     engines: OrderedMap<UpstreamId, Engine>,
     demand: Demand,
     history: History,
+    own: OwnEngines,
     pacing: Pacing,
     load_times: LoadTimes,
     tally: Tally,
@@ -47,6 +52,7 @@
     authority: &'a dyn Authority,
     demand: &'a Demand,
     history: &'a History,
+    own: &'a OwnEngines,
     pacing: &'a mut Pacing,
     load_times: &'a mut LoadTimes,
     tally: &'a mut Tally,
@@ -70,6 +76,7 @@
             OwnershipChange::Lost { engine } => {
                 self.pacing.release_engine(cx, engine);
                 self.engines.remove(engine);
+                self.own.forget(engine);
             }
         }
     }
@@ -83,8 +90,9 @@
         });
         let ids: Vec<UpstreamId> = self.engines.keys().cloned().collect();
         for id in ids {
-            self.with_engine(authority, &id, |engine, beside| {
+            self.with_engine(cx, authority, &id, |cx, engine, beside| {
                 engine.refresh(cx);
+                engine.reservation.expire(cx);
                 engine.expire_orders(cx);
                 engine.keep_in_touch(cx, beside.authority.permit(cx.now, &engine.id));
                 decide(cx, engine, beside);
@@ -118,7 +126,7 @@
         report: Option<&EngineReport>,
     ) {
         let Some(report) = report else { return };
-        self.with_engine(authority, id, |engine, beside| {
+        self.with_engine(cx, authority, id, |cx, engine, beside| {
             let news = engine.take_report(cx.now, asked, report);
             if news == ReportNews::Unusable {
                 return;
@@ -144,13 +152,27 @@
         message: &PeerMessage,
     ) {
         self.pacing.on_peer(cx, from, message);
-        if let PeerMessage::Wanted { target, waiting, order, patience, arrived } = message {
-            if *arrived > 0 {
-                self.history.arrived(cx.now, &target.model);
+        match message {
+            PeerMessage::Wanted { target, waiting, order, patience, arrived } => {
+                if *arrived > 0 {
+                    self.history.arrived(cx.now, &target.model);
+                }
+                let wanted = Wanted { from, target, waiting: *waiting, order: *order, patience: *patience };
+                self.demand.wanted(cx.now, wanted, &cx.cfg.timings);
+                self.answer_wanted(cx, authority, &wanted);
             }
-            let wanted = Wanted { from, target, waiting: *waiting, order: *order, patience: *patience };
-            self.demand.wanted(cx.now, wanted, &cx.cfg.timings);
-            self.answer_wanted(cx, authority, &wanted);
+            PeerMessage::ReservationWanted { upstream, patience } => {
+                let Some(engine) = self.engines.get_mut(upstream) else { return };
+                engine.reservation.wanted(cx.now, from, *patience);
+                views::tell_changes(cx, engine, &self.demand);
+                views::tell_one(cx, engine, from);
+            }
+            PeerMessage::ReservationReturned { upstream } => {
+                let Some(engine) = self.engines.get_mut(upstream) else { return };
+                engine.reservation.returned(from);
+                views::tell_changes(cx, engine, &self.demand);
+            }
+            _ => {}
         }
     }
 
@@ -165,34 +187,39 @@
             .collect();
         let mut verdicts = Vec::new();
         for id in &concerned {
-            self.with_engine(authority, id, |engine, beside| {
+            self.with_engine(cx, authority, id, |cx, engine, beside| {
                 decide(cx, engine, beside);
                 views::tell_changes(cx, engine, beside.demand);
                 views::tell_one(cx, engine, wanted.from);
                 verdicts.push(answer::assess(cx, engine, beside, wanted));
             });
         }
-        if let Some(refusal) = answer::refusal(&verdicts, wanted) {
-            cx.tell(wanted.from, refusal);
+        let Some(refusal) = answer::refusal(&verdicts, wanted) else { return };
+        if let PeerMessage::CannotLoad { reason: CannotLoad::TooSlow, retry_after, .. } = &refusal {
+            self.demand.promise(cx.now, wanted, *retry_after);
         }
+        cx.tell(wanted.from, refusal);
     }
 
     fn with_engine(
         &mut self,
+        cx: &mut Cx<'_>,
         authority: &dyn Authority,
         id: &UpstreamId,
-        f: impl FnOnce(&mut Engine, &mut Beside<'_>),
+        f: impl FnOnce(&mut Cx<'_>, &mut Engine, &mut Beside<'_>),
     ) {
         let Some(engine) = self.engines.get_mut(id) else { return };
         let mut beside = Beside {
             authority,
             demand: &self.demand,
             history: &self.history,
+            own: &self.own,
             pacing: &mut self.pacing,
             load_times: &mut self.load_times,
             tally: &mut self.tally,
         };
-        f(engine, &mut beside);
+        f(cx, engine, &mut beside);
+        self.own.note(cx, engine);
     }
 
     /// Tells what is believed.
@@ -217,6 +244,7 @@
     close::decide(cx, engine, beside, &wants);
     load::step(cx, engine, beside, permit, &wants);
     close::unload_drained(cx, engine, beside, permit);
+    wishes::review(cx, engine, beside, &wants);
 }
 
 fn note_not_done(
@@ -263,6 +291,6 @@
     }
 
     fn home_wishes(&self) -> Vec<HomeWish> {
-        Vec::new()
+        self.engines.values().flat_map(|engine| engine.wishes.due()).cloned().collect()
     }
 }
--- a/crates/skylarkshore-core/src/loading/close.rs
+++ b/crates/skylarkshore-core/src/loading/close.rs
@@ -1,5 +1,7 @@
 //! Unloads: which models leave an engine, and when nobody uses them any more.
 
+use std::time::Duration;
+
 use crate::authority::Permit;
 use crate::collections::OrderedMap;
 use crate::cx::Cx;
@@ -12,10 +14,10 @@
 use crate::units::Mebibytes;
 use crate::upstream::{LoadState, Order, ReportedModel};
 
-/// After how many ticks' time room that nobody asks for any more is given back.
-const ROOM_LIFE: std::time::Duration = std::time::Duration::from_secs(1);
+/// After how long room that nobody asks for any more is given back.
+const ROOM_LIFE: Duration = Duration::from_secs(1);
 /// How long to wait before an unload whose answer was lost is sent again.
-const RESEND_AFTER: std::time::Duration = std::time::Duration::from_millis(500);
+const RESEND_AFTER: Duration = Duration::from_millis(500);
 
 /// Decides which models are to leave, and takes back what is needed after all.
 pub(crate) fn decide(cx: &mut Cx<'_>, engine: &mut Engine, beside: &Beside<'_>, wants: &[Want]) {
@@ -58,6 +60,9 @@
     let Some(known) = cx.document.catalogue.models.get(&seen.model) else {
         return Some(CloseReason::NoHome);
     };
+    if beside.authority.must_close(&engine.id, &seen.model) {
+        return Some(CloseReason::Surplus);
+    }
     if !beside.authority.is_home(&engine.id, &seen.model) {
         return Some(CloseReason::NoHome);
     }
--- a/crates/skylarkshore-core/src/loading/demand.rs
+++ b/crates/skylarkshore-core/src/loading/demand.rs
@@ -12,6 +12,9 @@
 /// After how many intervals without a router's word its waiting requests no longer count.
 const MISSED_MESSAGES: u32 = 4;
 
+/// How much later than told callers may ask again.
+const RETRY_GRACE: Duration = Duration::from_secs(2);
+
 /// The requests that wait at one router.
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
@@ -21,6 +24,8 @@
     deadline: Time,
     /// When the router counts as silent.
     expires: Time,
+    /// Whether the router was told to ask again, so that the load has to go on meanwhile.
+    promised: bool,
 }
 
 /// What all routers together want of a model.
@@ -73,7 +78,7 @@
         listeners.insert(wanted.from.clone(), now.after(timings.interest));
         if wanted.waiting == 0 {
             if let Some(routers) = self.waiting.get_mut(wanted.target) {
-                routers.remove(wanted.from);
+                routers.retain(|host, waiting| host != wanted.from || waiting.promised);
             }
             return;
         }
@@ -82,10 +87,24 @@
             order: wanted.order,
             deadline: now.after(wanted.patience),
             expires: now.after(timings.wanted_every * MISSED_MESSAGES),
+            promised: false,
         };
         self.waiting.entry(wanted.target.clone()).or_default().insert(wanted.from.clone(), waiting);
     }
 
+    /// Keeps a router's word for as long as its callers were told to wait before they ask again.
+    ///
+    /// Callers with little patience are refused before a load has even begun. If
+    /// the load were dropped with them, they would be refused for ever.
+    pub(crate) fn promise(&mut self, now: Time, wanted: &Wanted<'_>, retry_after: Duration) {
+        let routers = self.waiting.get_mut(wanted.target);
+        let Some(waiting) = routers.and_then(|routers| routers.get_mut(wanted.from)) else { return };
+        let until = now.after(retry_after.saturating_add(RETRY_GRACE));
+        waiting.promised = true;
+        waiting.deadline = waiting.deadline.max(until);
+        waiting.expires = waiting.expires.max(until);
+    }
+
     /// Forgets those whose time has run out.
     pub(crate) fn expire(&mut self, now: Time) {
         for routers in self.waiting.values_mut() {
--- a/crates/skylarkshore-core/src/loading/engine.rs
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -10,8 +10,10 @@
 use crate::effect::Effect;
 use crate::id::{AdapterName, Fence, Incarnation, ModelName, OrderId, UpstreamId};
 use crate::loading::ledger::{self, Ledger, Settled};
+use crate::loading::reservation::Reservation;
 use crate::loading::tally::Tally;
 use crate::loading::views::Told;
+use crate::loading::wishes::Wishes;
 use crate::rules::ServiceOrder;
 use crate::time::Time;
 use crate::units::{Mebibytes, Watts};
@@ -81,6 +83,9 @@
     /// It has no home here, or isn't in the catalogue.
     #[display("no_home")]
     NoHome,
+    /// Its replica or its power is needed elsewhere, or the engine is about to go.
+    #[display("surplus")]
+    Surplus,
 }
 
 /// A model that routers are told not to use any more.
@@ -146,6 +151,8 @@
     pub crowded: OrderedSet<ModelName>,
     /// Until when idle time has been counted.
     pub counted: Time,
+    pub wishes: Wishes,
+    pub reservation: Reservation,
     pub told: Told,
 }
 
@@ -178,6 +185,8 @@
             expected: OrderedSet::new(),
             crowded: OrderedSet::new(),
             counted: now,
+            wishes: Wishes::default(),
+            reservation: Reservation::default(),
             told: Told::default(),
         }
     }
@@ -252,12 +261,11 @@
         if self.may_hold_models() { spec.active_watts } else { spec.sleep_watts }
     }
 
-    /// Counts the time in which something is loaded and nothing runs or loads.
+    /// Counts the time in which something is loaded or loading and nothing runs.
     pub(crate) fn count_idle(&mut self, now: Time, tally: &mut Tally) {
         let since = std::mem::replace(&mut self.counted, now);
         let Some(report) = self.report() else { return };
-        let is_busy = report.running > 0 || report.models.iter().any(|m| m.state == LoadState::Loading);
-        if !report.models.is_empty() && !is_busy {
+        if !report.models.is_empty() && report.running == 0 {
             tally.idle += now.since(since);
         }
     }
@@ -294,6 +302,11 @@
         self.standing == Standing::Leaving || self.report().is_some_and(|report| report.leaving)
     }
 
+    /// Returns how many requests the engine runs at a time.
+    pub(crate) fn concurrency(&self) -> u32 {
+        self.spec.as_ref().map_or(1, |spec| spec.concurrency.max(1))
+    }
+
     /// Returns the memory in all.
     pub(crate) fn memory(&self) -> Mebibytes {
         let told = self.report().map(|report| report.memory);
--- a/crates/skylarkshore-core/src/loading/views.rs
+++ b/crates/skylarkshore-core/src/loading/views.rs
@@ -31,7 +31,7 @@
     let view = make(cx, engine);
     let is_due = match &engine.told.last {
         None => true,
-        Some(last) if is_same(last, &view, true) => false,
+        Some(last) if is_same(last, &view, true) && engine.closing.is_empty() => false,
         Some(last) => !is_same(last, &view, false) || engine.told.at.after(LOAD_CHANGES_EVERY).is_due(cx.now),
     };
     if !is_due {
@@ -110,10 +110,10 @@
         upstream: engine.id.clone(),
         version: ViewVersion::default(),
         models,
-        concurrency: engine.spec.as_ref().map_or(0, |spec| spec.concurrency),
+        concurrency: engine.concurrency(),
         running: report.map_or(0, |report| report.running + report.waiting),
         leaving: engine.is_leaving(),
-        reserved_for: None,
+        reserved_for: engine.reservation.holder().cloned(),
     }
 }
 
--- a/crates/skylarkshore-core/src/loading/wants.rs
+++ b/crates/skylarkshore-core/src/loading/wants.rs
@@ -59,16 +59,14 @@
     model: &ModelName,
     homes: &HomesRecord,
 ) -> Option<Want> {
-    let need = beside.demand.of_model(model);
     let outcome = rule(cx, engine, beside, model);
-    let place = place(cx, engine, homes)?;
-    if let Some(need) = need
-        && place < replicas_needed(engine, &need, outcome)
+    if let Some(need) = beside.demand.of_model(model)
+        && beside.own.place(&engine.id, model, homes) < replicas_needed(engine, &need, outcome)
     {
         let Need { order, deadline, waiting } = need;
         return Some(Want { model: model.clone(), order, deadline, waiting });
     }
-    (place < outcome.replicas_min).then(|| Want {
+    (place(cx, engine, homes)? < outcome.replicas_min).then(|| Want {
         model: model.clone(),
         order: outcome.order,
         deadline: Time::NEVER,
@@ -94,8 +92,7 @@
 
 /// Returns how many replicas the requests that wait are worth.
 fn replicas_needed(engine: &Engine, need: &Need, outcome: &Outcome) -> u32 {
-    let concurrency = engine.spec.as_ref().map_or(1, |spec| spec.concurrency.max(1));
-    let worth = need.waiting.div_ceil(concurrency * WAITING_PER_SLOT);
+    let worth = need.waiting.div_ceil(engine.concurrency() * WAITING_PER_SLOT);
     worth.clamp(1, outcome.replicas_max.max(1)).max(outcome.replicas_min)
 }
 
--- /dev/null
+++ b/crates/skylarkshore-core/src/loading/wishes.rs
@@ -0,0 +1,83 @@
+//! Models that need another home.
+
+use std::time::Duration;
+
+use crate::authority::HomeWish;
+use crate::collections::OrderedMap;
+use crate::cx::Cx;
+use crate::id::ModelName;
+use crate::loading::Beside;
+use crate::loading::engine::Engine;
+use crate::loading::wants::Want;
+use crate::time::Time;
+
+/// How long replicas have to be full before one more home is wished for.
+const FULL_FOR: Duration = Duration::from_secs(2);
+/// How long no room can be made before the home is to move.
+const CROWDED_FOR: Duration = Duration::from_secs(1);
+
+/// Since when an engine's models have needed another home.
+#[derive(Debug, Default)]
+pub(crate) struct Wishes {
+    full: OrderedMap<ModelName, Time>,
+    crowded: OrderedMap<ModelName, Time>,
+    due: Vec<HomeWish>,
+}
+
+impl Wishes {
+    /// Returns what has been wished for long enough.
+    pub(crate) fn due(&self) -> &[HomeWish] {
+        &self.due
+    }
+}
+
+/// Works out which models on an engine need another home.
+pub(crate) fn review(cx: &Cx<'_>, engine: &mut Engine, beside: &Beside<'_>, wants: &[Want]) {
+    let waiting = |want: &&Want| want.waiting > 0;
+    let full: Vec<&ModelName> = wants
+        .iter()
+        .filter(waiting)
+        .filter(|want| is_full(cx, engine, want))
+        .map(|want| &want.model)
+        .collect();
+    let crowded: Vec<&ModelName> = wants
+        .iter()
+        .filter(waiting)
+        .filter(|want| engine.crowded.contains(&want.model))
+        .map(|want| &want.model)
+        .collect();
+    keep_since(cx.now, &mut engine.wishes.full, &full);
+    keep_since(cx.now, &mut engine.wishes.crowded, &crowded);
+    let is_home = |model: &ModelName| beside.authority.is_home(&engine.id, model);
+    let spread = lasting(cx.now, &engine.wishes.full, FULL_FOR)
+        .map(|model| HomeWish { model: model.clone(), leave: None });
+    let moves = lasting(cx.now, &engine.wishes.crowded, CROWDED_FOR)
+        .filter(|model| is_home(model))
+        .map(|model| HomeWish { model: model.clone(), leave: Some(engine.id.clone()) });
+    engine.wishes.due = spread.chain(moves).collect();
+}
+
+/// Tells whether the last home's replica has as much to do as it can, and more wait.
+///
+/// Only the last home speaks, since routers ask for it only once the earlier
+/// ones are full; else every owner would wish for one more at once.
+fn is_full(cx: &Cx<'_>, engine: &Engine, want: &Want) -> bool {
+    let is_last =
+        cx.cache.homes(&want.model).is_some_and(|(_, homes)| homes.engines.last() == Some(&engine.id));
+    let slots = engine.concurrency();
+    is_last
+        && engine.is_ready(&want.model)
+        && want.waiting >= slots
+        && engine.report().is_some_and(|report| report.running >= slots)
+}
+
+fn keep_since(now: Time, since: &mut OrderedMap<ModelName, Time>, models: &[&ModelName]) {
+    since.retain(|model, _| models.contains(&model));
+    for model in models {
+        since.entry((*model).clone()).or_insert(now);
+    }
+}
+
+fn lasting(now: Time, since: &OrderedMap<ModelName, Time>, d: Duration) -> impl Iterator<Item = &ModelName> {
+    since.iter().filter(move |(_, since)| since.after(d).is_due(now)).map(|(model, _)| model)
+}
