--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -1,110 +1,290 @@
 //! Which process is alive, which owns which engine, where models may be loaded, who gets the power.
 
+mod backoff;
+mod budget;
+mod feed;
+mod hashing;
+mod holdings;
+mod homes;
+mod membership;
+mod ownership;
+mod peers;
+mod placement;
+mod power;
+mod report;
+mod roster;
+mod scene;
+mod shares;
+mod vacancy;
+
+use std::time::Duration;
+
+use feed::Feed;
+use homes::Homes;
+use membership::Membership;
+use ownership::Ownership;
+use peers::Peers;
+use power::Power;
+use roster::Roster;
+use scene::Scene;
+
 use crate::authority::{Authority, EngineUse, OwnershipChange, Permit};
+use crate::collections::OrderedSet;
 use crate::config::NodeConfig;
 use crate::cx::Cx;
 use crate::dump::{Belief, Gauge};
-use crate::id::CallId;
-use crate::id::{HostId, Incarnation, ModelName, StoreRevision, UpstreamId};
+use crate::id::{CallId, HostId, Incarnation, ModelName, StoreRevision, UpstreamId};
 use crate::peer::PeerMessage;
 use crate::store::{Key, StoreResult, Versioned, WriteOutcome};
 use crate::time::Time;
 use crate::units::Watts;
 
+/// How often everything is looked at again.
+const REVIEW_EVERY: Duration = Duration::from_millis(500);
+/// How soon it is looked at again after a change.
+const REVIEW_SOON: Duration = Duration::from_millis(100);
+
 /// Membership, ownership, homes and power of one process.
 #[derive(Debug)]
 pub struct Control {
-    leaving: bool,
+    cfg: NodeConfig,
+    membership: Membership,
+    peers: Peers,
+    feed: Feed,
+    roster: Roster,
+    ownership: Ownership,
+    homes: Homes,
+    power: Power,
+    /// The live members that may own something and keep it.
+    lasting: Vec<HostId>,
+    last_review: Time,
+    /// Whether something has changed since the last review.
+    stirred: bool,
 }
 
 impl Control {
     /// Makes the state of a process that has just started.
-    pub fn new(_cfg: &NodeConfig) -> Self {
-        Self { leaving: false }
+    pub fn new(cfg: &NodeConfig) -> Self {
+        Self {
+            cfg: cfg.clone(),
+            membership: Membership::new(),
+            peers: Peers::default(),
+            feed: Feed::default(),
+            roster: Roster::default(),
+            ownership: Ownership::default(),
+            homes: Homes::default(),
+            power: Power::default(),
+            lasting: Vec::new(),
+            last_review: Time::START,
+            stirred: false,
+        }
     }
 
     /// Begins the lease and the first read of the shared keys.
-    pub fn start(&mut self, _cx: &mut Cx<'_>) {}
+    pub fn start(&mut self, cx: &mut Cx<'_>) {
+        self.feed.start(cx);
+        self.membership.on_tick(cx);
+    }
 
     /// Does what is due.
-    pub fn on_tick(&mut self, _cx: &mut Cx<'_>, _engines: &dyn EngineUse) {}
+    pub fn on_tick(&mut self, cx: &mut Cx<'_>, engines: &dyn EngineUse) {
+        self.membership.on_tick(cx);
+        self.peers.on_tick(cx, &self.membership, &self.feed);
+        if !self.membership.is_gone() {
+            self.feed.on_tick(cx, &self.peers, &self.lasting);
+        }
+        let every = if self.stirred { REVIEW_SOON } else { REVIEW_EVERY };
+        if self.last_review.after(every).is_due(cx.now) {
+            self.review(cx, engines);
+        }
+    }
 
     /// Begins to leave.
-    pub fn on_shutdown(&mut self, _cx: &mut Cx<'_>) {
-        self.leaving = true;
+    pub fn on_shutdown(&mut self, cx: &mut Cx<'_>) {
+        self.membership.leave();
+        self.stir(cx);
+    }
+
+    /// Ends the lease, now that nothing is in progress any more.
+    pub fn on_drained(&mut self, cx: &mut Cx<'_>) {
+        if self.ownership.has_given_up(&self.lasting) || !self.membership.is_certain(cx.cfg, cx.now) {
+            self.feed.stop(cx);
+            self.membership.revoke(cx);
+        }
     }
 
     /// Tells whether nothing is left to be given up.
     pub fn has_left(&self) -> bool {
-        self.leaving
+        self.membership.is_gone()
     }
 
     /// Takes note of a new host list.
-    pub fn on_host_list(&mut self, _cx: &mut Cx<'_>) {}
+    pub fn on_host_list(&mut self, cx: &mut Cx<'_>) {
+        self.roster.on_host_list(cx);
+        self.stirred = true;
+    }
 
     /// Takes the result of a call that isn't a write.
-    pub fn on_store(&mut self, _cx: &mut Cx<'_>, _call: CallId, _result: &StoreResult) {}
+    pub fn on_store(&mut self, cx: &mut Cx<'_>, call: CallId, result: &StoreResult) {
+        self.membership.on_store(cx, call, result);
+        self.feed.on_store(cx, call, result);
+    }
 
     /// Takes the outcome of a write of a member, owner, homes or power key.
-    pub fn on_write(&mut self, _cx: &mut Cx<'_>, _key: &Key, _outcome: &WriteOutcome) {}
+    pub fn on_write(&mut self, cx: &mut Cx<'_>, key: &Key, outcome: &WriteOutcome) {
+        self.stirred = true;
+        match key {
+            Key::Member(_) => self.membership.on_write(cx, outcome),
+            Key::Owner(engine) => self.ownership.on_write(cx, &self.roster, engine, outcome),
+            Key::Homes(model) => self.homes.on_write(cx, &self.roster, model, outcome),
+            Key::Power(site) => self.power.on_write(cx, site, outcome),
+            Key::Document | Key::Once(_) => {}
+        }
+    }
 
     /// Takes note that a shared key has changed in the cache.
-    pub fn on_change(&mut self, _cx: &mut Cx<'_>, _key: &Key) {}
+    pub fn on_change(&mut self, cx: &mut Cx<'_>, key: &Key) {
+        self.stirred = true;
+        match key {
+            Key::Member(host) => self.on_member(cx, host),
+            Key::Owner(engine) => self.ownership.refresh(cx, &self.roster, engine),
+            Key::Homes(model) => self.homes.on_change(cx, &self.roster, model),
+            Key::Power(site) => self.power.on_change(cx, site),
+            Key::Document => self.homes.update_all(cx, &self.roster),
+            Key::Once(_) => {}
+        }
+    }
 
     /// Takes note that the watch may have missed changes.
-    pub fn on_watch_broken(&mut self, _cx: &mut Cx<'_>) {}
+    pub fn on_watch_broken(&mut self, cx: &mut Cx<'_>) {
+        self.feed.on_watch_broken(cx);
+    }
 
     /// Takes note of changes that the watch saw, and of the revision up to which it missed none.
-    pub fn on_watched(&mut self, _cx: &mut Cx<'_>, _changes: Vec<Versioned>, _upto: StoreRevision) {}
+    pub fn on_watched(&mut self, cx: &mut Cx<'_>, changes: Vec<Versioned>, upto: StoreRevision) {
+        self.feed.on_watched(cx, changes, upto);
+    }
 
     /// Takes note of what a batch from a peer covers, after its records went into the cache.
     pub fn on_records(
         &mut self,
-        _cx: &mut Cx<'_>,
-        _from: &HostId,
-        _after: Option<StoreRevision>,
-        _upto: StoreRevision,
+        cx: &mut Cx<'_>,
+        from: &HostId,
+        after: Option<StoreRevision>,
+        upto: StoreRevision,
     ) {
+        self.feed.on_records(cx, from, after, upto);
     }
 
     /// Takes note of whether an engine of this process answered.
-    pub fn on_report(&mut self, _cx: &mut Cx<'_>, _engine: &UpstreamId, _reached: bool) {}
-
-    /// Ends the lease, now that nothing is in progress any more.
-    pub fn on_drained(&mut self, _cx: &mut Cx<'_>) {}
+    pub fn on_report(&mut self, cx: &mut Cx<'_>, engine: &UpstreamId, reached: bool) {
+        self.roster.on_report(cx, engine, reached);
+    }
 
     /// Takes a peer's message, where it concerns this part.
-    pub fn on_peer(&mut self, _cx: &mut Cx<'_>, _from: &HostId, _message: &PeerMessage) {}
+    pub fn on_peer(&mut self, cx: &mut Cx<'_>, from: &HostId, message: &PeerMessage) {
+        self.peers.on_peer(cx, from, message);
+        self.feed.on_peer(cx, from, message);
+        if let PeerMessage::PowerWanted { site, watts, .. } = message {
+            self.power.on_wanted(cx, site, *watts);
+            self.stirred = true;
+        }
+    }
 
     /// Takes note that a process has ended for certain.
-    pub fn on_peer_refused(&mut self, _cx: &mut Cx<'_>, _host: &HostId, _incarnation: Incarnation) {}
+    pub fn on_peer_refused(&mut self, cx: &mut Cx<'_>, host: &HostId, incarnation: Incarnation) {
+        self.peers.on_refused(cx, host, incarnation);
+        self.stir(cx);
+    }
 
     /// Returns the changes of ownership since the last call.
     pub fn take_changes(&mut self) -> Vec<OwnershipChange> {
-        Vec::new()
+        self.ownership.take_changes()
     }
 
     /// Tells what is believed.
-    pub fn dump(&self, _cx: &Cx<'_>) -> Vec<Belief> {
-        Vec::new()
+    pub fn dump(&self, cx: &Cx<'_>) -> Vec<Belief> {
+        report::beliefs(self, cx)
     }
 
     /// Returns the numbers for the metrics.
-    pub fn gauges(&self, _cx: &Cx<'_>) -> Vec<Gauge> {
-        Vec::new()
+    pub fn gauges(&self, cx: &Cx<'_>) -> Vec<Gauge> {
+        report::gauges(self, cx)
+    }
+
+    fn on_member(&mut self, cx: &mut Cx<'_>, host: &HostId) {
+        self.peers.on_member(cx, host);
+        if *host == cx.cfg.host {
+            self.membership.on_change(cx);
+        }
+        if self.membership.is_superseded() {
+            self.ownership.retire();
+            self.feed.stop(cx);
+        }
+        self.stir(cx);
+    }
+
+    /// Takes note of a change of who lives.
+    fn stir(&mut self, cx: &Cx<'_>) {
+        self.lasting = self.peers.lasting(cx, &self.membership);
+        self.stirred = true;
+    }
+
+    fn review(&mut self, cx: &mut Cx<'_>, engines: &dyn EngineUse) {
+        self.stirred = false;
+        self.last_review = cx.now;
+        self.roster.review(cx, &named_engines(cx));
+        let scene = Scene {
+            membership: &self.membership,
+            peers: &self.peers,
+            feed: &self.feed,
+            roster: &self.roster,
+            lasting: &self.lasting,
+        };
+        self.ownership.review(cx, &scene, engines);
+        self.homes.review(cx, &scene, &self.ownership, engines);
+        self.power.review(cx, &scene, &self.ownership, engines);
+        for (host, incarnation) in self.ownership.take_probes() {
+            self.peers.probe(cx, &host, incarnation);
+        }
+    }
+
+    /// Tells whether the shared keys are known as of when the engine was acquired.
+    fn knows_engine(&self, acquired: StoreRevision) -> bool {
+        self.feed.is_synced() && self.feed.frontier() >= acquired
     }
 }
 
 impl Authority for Control {
-    fn permit(&self, _now: Time, _engine: &UpstreamId) -> Option<Permit> {
-        None
+    fn permit(&self, now: Time, engine: &UpstreamId) -> Option<Permit> {
+        self.ownership.permit(&self.cfg, &self.membership, &self.roster, now, engine)
     }
 
-    fn is_home(&self, _engine: &UpstreamId, _model: &ModelName) -> bool {
-        false
+    fn is_home(&self, engine: &UpstreamId, model: &ModelName) -> bool {
+        let Some(holding) = self.ownership.held(engine) else { return false };
+        let goes = self.roster.get(engine).is_some_and(|known| known.is_listed() && !known.is_live());
+        !goes && self.homes.is_home(engine, model, holding.acquired)
     }
 
-    fn granted(&self, _engine: &UpstreamId) -> Watts {
-        Watts(0)
+    fn must_close(&self, engine: &UpstreamId, model: &ModelName) -> bool {
+        let Some(holding) = self.ownership.held(engine) else { return false };
+        let Some(known) = self.roster.get(engine) else { return false };
+        let goes = known.is_listed() && !known.is_live();
+        let excluded = self.knows_engine(holding.acquired) && self.homes.is_excluded(engine, model);
+        goes || excluded || self.power.has_to_stop(engine, known)
     }
+
+    fn granted(&self, engine: &UpstreamId) -> Watts {
+        let holding = self.ownership.holdings().get(engine);
+        let known = self.roster.get(engine);
+        let Some((holding, known)) = holding.zip(known) else { return Watts(0) };
+        self.power.granted(engine, known, holding.acquired)
+    }
+}
+
+/// Returns every engine that a record names.
+fn named_engines(cx: &Cx<'_>) -> OrderedSet<UpstreamId> {
+    let owned = cx.cache.owners().map(|(engine, _)| engine);
+    let homes = cx.cache.all_homes().flat_map(|(_, homes)| &homes.engines);
+    owned.chain(homes).cloned().collect()
 }
--- /dev/null
+++ b/crates/skylarkshore-core/src/control/backoff.rs
@@ -0,0 +1,44 @@
+//! When to try again after a failure.
+
+use std::time::Duration;
+
+use crate::cx::Cx;
+use crate::time::Time;
+
+const FIRST_REST: Duration = Duration::from_millis(200);
+const LONGEST_REST: Duration = Duration::from_secs(4);
+const MAX_DOUBLINGS: u32 = 6;
+
+/// Jittered, doubling rests between tries.
+///
+/// Without jitter, every process would come back to a key-value service at the
+/// same moment after an outage, and knock it over again.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Backoff {
+    failures: u32,
+    until: Time,
+}
+
+impl Backoff {
+    /// Tells whether the next try may be made.
+    pub(super) const fn is_over(&self, now: Time) -> bool {
+        self.until.is_due(now)
+    }
+
+    /// Takes note of a failure.
+    pub(super) fn failed(&mut self, cx: &mut Cx<'_>) {
+        let rest = FIRST_REST.saturating_mul(1 << self.failures.min(MAX_DOUBLINGS)).min(LONGEST_REST);
+        self.failures = self.failures.saturating_add(1);
+        self.until = cx.now.after(cx.jitter(rest));
+    }
+
+    /// Takes note of a success.
+    pub(super) fn succeeded(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Holds the next try back until `time`, without counting a failure.
+    pub(super) fn rest_until(&mut self, time: Time) {
+        self.until = time;
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/control/budget.rs
@@ -0,0 +1,90 @@
+//! The sums of a site's power.
+
+use super::roster::Roster;
+use crate::collections::OrderedMap;
+use crate::id::{SiteName, UpstreamId};
+use crate::store::PowerRecord;
+use crate::units::Watts;
+
+/// What the engines of a site may draw together.
+#[derive(Clone, Debug)]
+pub(super) struct Budget {
+    cap: Watts,
+    sleep: OrderedMap<UpstreamId, Watts>,
+    grants: OrderedMap<UpstreamId, Watts>,
+}
+
+impl Budget {
+    /// Takes a site's record and the sleep watts of its engines, recorded or not.
+    pub(super) fn new(cap: Watts, site: &SiteName, record: &PowerRecord, roster: &Roster) -> Self {
+        let here = roster.iter().filter(|(id, engine)| {
+            engine.site == *site && (engine.is_listed() || record.grants.contains_key(*id))
+        });
+        let sleep = here.map(|(id, engine)| (id.clone(), engine.sleep_watts)).collect();
+        Self { cap, sleep, grants: record.grants.clone() }
+    }
+
+    /// Returns what the engines may draw together, each at least what it draws asleep.
+    pub(super) fn sum(&self) -> Watts {
+        let granted: Watts = self.grants.iter().map(|(id, watts)| (*watts).max(self.sleep_of(id))).sum();
+        let asleep: Watts =
+            self.sleep.iter().filter(|(id, _)| !self.grants.contains_key(*id)).map(|(_, watts)| *watts).sum();
+        granted + asleep
+    }
+
+    /// Returns what is left under the cap.
+    pub(super) fn room(&self) -> Watts {
+        self.cap.saturating_sub(self.sum())
+    }
+
+    /// Tells whether the cap is passed.
+    pub(super) fn is_over(&self) -> bool {
+        self.sum() > self.cap
+    }
+
+    /// Returns what an engine may draw.
+    pub(super) fn grant(&self, engine: &UpstreamId) -> Watts {
+        self.grants.get(engine).copied().unwrap_or_default().max(self.sleep_of(engine))
+    }
+
+    /// Raises an engine's grant if the sum stays under the cap; tells whether it did.
+    pub(super) fn raise(&mut self, engine: &UpstreamId, to: Watts) -> bool {
+        if to.saturating_sub(self.grant(engine)) > self.room() {
+            return false;
+        }
+        self.grants.insert(engine.clone(), to);
+        true
+    }
+
+    /// Takes an engine's grant back, down to what it draws asleep.
+    pub(super) fn lower(&mut self, engine: &UpstreamId) {
+        self.grants.remove(engine);
+    }
+
+    /// Returns the engines that have to stop for the sum to come under the cap.
+    ///
+    /// Every process comes to the same result from the same record.
+    pub(super) fn excess(&self) -> Vec<UpstreamId> {
+        let mut left = self.clone();
+        let mut excess = Vec::new();
+        for engine in self.grants.keys().rev() {
+            if !left.is_over() {
+                break;
+            }
+            if left.grant(engine) > left.sleep_of(engine) {
+                left.lower(engine);
+                excess.push(engine.clone());
+            }
+        }
+        excess
+    }
+
+    /// Returns the grants as they are to be recorded.
+    pub(super) fn into_record(self) -> PowerRecord {
+        PowerRecord { grants: self.grants }
+    }
+
+    fn sleep_of(&self, engine: &UpstreamId) -> Watts {
+        self.sleep.get(engine).copied().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/control/feed.rs
@@ -0,0 +1,256 @@
+//! How changes of the shared keys reach this process, and from it the others.
+//!
+//! One process of each data centre watches the key-value service and passes on
+//! what it sees. Heartbeats tell how far each process has come, so that whoever
+//! is behind, or is cut off from the service, asks a peer.
+
+use std::time::Duration;
+
+use super::backoff::Backoff;
+use super::hashing;
+use super::peers::{Peers, neighbours};
+use crate::cx::Cx;
+use crate::effect::Effect;
+use crate::id::{CallId, HostId, StoreRevision};
+use crate::peer::PeerMessage;
+use crate::store::{RecordBatch, StoreAnswer, StoreCall, StoreResult, Versioned};
+use crate::time::Time;
+
+/// How much longer than the one before it each process of a data centre waits before it watches
+/// in place of a silent one.
+const STAND_IN_STEP: Duration = Duration::from_millis(1500);
+/// How often at most a peer is asked for what was missed.
+const ASK_EVERY: Duration = Duration::from_millis(300);
+/// How long a peer may lag behind before it is sent what it lacks unasked.
+const USUAL_LAG: Duration = Duration::from_millis(1500);
+/// How many times the time-out of a call its answer is waited for.
+const LOST_AFTER_TIMEOUTS: u32 = 3;
+
+#[derive(Clone, Copy, Debug)]
+struct Read {
+    call: CallId,
+    lost_at: Time,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Watch {
+    /// The revision up to which the watch has told everything.
+    upto: StoreRevision,
+    since: Time,
+}
+
+/// How far this process knows the shared keys, and how it learns of changes.
+#[derive(Debug, Default)]
+pub(super) struct Feed {
+    /// Up to here nothing is missing.
+    frontier: StoreRevision,
+    /// Where the first complete picture was taken; deletions before it are unknown here.
+    base: Option<StoreRevision>,
+    /// The frontier of a while ago, which peers ought to have reached.
+    usual: StoreRevision,
+    next_usual: Time,
+    watch: Option<Watch>,
+    read: Option<Read>,
+    reads: Backoff,
+    wants_read: bool,
+    last_picture: Option<StoreRevision>,
+    synced_at: Time,
+    next_ask: Time,
+}
+
+impl Feed {
+    /// Returns the revision up to which nothing is missing.
+    pub(super) const fn frontier(&self) -> StoreRevision {
+        self.frontier
+    }
+
+    /// Tells whether the process has had a complete picture of the shared keys.
+    pub(super) const fn is_synced(&self) -> bool {
+        self.base.is_some()
+    }
+
+    /// Returns the revision of the latest complete picture.
+    pub(super) const fn last_picture(&self) -> Option<StoreRevision> {
+        self.last_picture
+    }
+
+    /// Tells whether no read of the service is overdue.
+    pub(super) const fn is_store_reachable(&self) -> bool {
+        !self.wants_read
+    }
+
+    /// Returns since when this process watches the service.
+    pub(super) fn watching_since(&self) -> Option<Time> {
+        self.watch.map(|watch| watch.since)
+    }
+
+    /// Reads every shared key for the first time.
+    pub(super) fn start(&mut self, cx: &mut Cx<'_>) {
+        self.wants_read = true;
+        self.read_when_due(cx);
+    }
+
+    /// Does what is due.
+    pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>, peers: &Peers, lasting: &[HostId]) {
+        if self.next_usual.is_due(cx.now) {
+            self.usual = self.frontier;
+            self.next_usual = cx.now.after(USUAL_LAG);
+        }
+        if self.read.take_if(|read| read.lost_at.is_due(cx.now)).is_some() {
+            self.reads.failed(cx);
+        }
+        self.read_when_due(cx);
+        self.watch_when_due(cx, peers, lasting);
+    }
+
+    /// Takes the result of a call if it is the read of the shared keys.
+    pub(super) fn on_store(&mut self, cx: &mut Cx<'_>, call: CallId, result: &StoreResult) {
+        if self.read.take_if(|read| read.call == call).is_none() {
+            return;
+        }
+        let Ok(StoreAnswer::Shared { revision, .. }) = result else {
+            self.reads.failed(cx);
+            return;
+        };
+        self.reads.succeeded();
+        self.wants_read = false;
+        self.take_picture(cx, *revision);
+    }
+
+    /// Passes on what the watch has seen to the members of this data centre.
+    pub(super) fn on_watched(&mut self, cx: &mut Cx<'_>, changes: Vec<Versioned>, upto: StoreRevision) {
+        let Some(watch) = &mut self.watch else { return };
+        let after = watch.upto;
+        watch.upto = watch.upto.max(upto);
+        self.frontier = self.frontier.max(upto);
+        if changes.is_empty() {
+            return;
+        }
+        let message = PeerMessage::Records(RecordBatch { after: Some(after), upto, records: changes });
+        let receivers: Vec<HostId> = neighbours(cx).collect();
+        for host in receivers {
+            cx.tell(&host, message.clone());
+        }
+    }
+
+    /// Takes note that the watch may have missed changes.
+    pub(super) fn on_watch_broken(&mut self, cx: &mut Cx<'_>) {
+        if self.watch.take().is_none() {
+            return;
+        }
+        self.wants_read = true;
+        self.reads.failed(cx);
+        cx.note("watch_broken", cx.cfg.host.clone(), "reading the shared keys anew");
+    }
+
+    /// Takes note of what a peer's batch covers.
+    pub(super) fn on_records(
+        &mut self,
+        cx: &mut Cx<'_>,
+        from: &HostId,
+        after: Option<StoreRevision>,
+        upto: StoreRevision,
+    ) {
+        let Some(after) = after else {
+            self.take_picture(cx, upto);
+            return;
+        };
+        if self.is_synced() && after <= self.frontier {
+            self.frontier = self.frontier.max(upto);
+            return;
+        }
+        self.ask(cx, from);
+    }
+
+    /// Answers a peer that is behind, and asks one that is ahead.
+    pub(super) fn on_peer(&mut self, cx: &mut Cx<'_>, from: &HostId, message: &PeerMessage) {
+        match message {
+            PeerMessage::Heartbeat { store, .. } if *store > self.frontier => self.ask(cx, from),
+            PeerMessage::Heartbeat { store, .. } if *store < self.usual => self.answer(cx, from, *store),
+            PeerMessage::RecordsWanted { after } => self.answer(cx, from, *after),
+            _ => {}
+        }
+    }
+
+    /// Ends the watch of a process that is about to go.
+    pub(super) fn stop(&mut self, cx: &mut Cx<'_>) {
+        if self.watch.take().is_some() {
+            cx.push(Effect::Unwatch);
+        }
+    }
+
+    fn take_picture(&mut self, cx: &Cx<'_>, revision: StoreRevision) {
+        self.frontier = self.frontier.max(revision);
+        self.last_picture = self.last_picture.max(Some(revision));
+        if self.base.is_none() {
+            self.base = Some(revision);
+            self.synced_at = cx.now;
+        }
+    }
+
+    fn ask(&mut self, cx: &mut Cx<'_>, from: &HostId) {
+        if !self.next_ask.is_due(cx.now) {
+            return;
+        }
+        self.next_ask = cx.now.after(ASK_EVERY);
+        cx.tell(from, PeerMessage::RecordsWanted { after: self.frontier });
+    }
+
+    /// Sends what a peer lacks.
+    ///
+    /// A process knows nothing of keys that were deleted before its own first
+    /// picture. Whoever is behind that gets everything, since a list of changes
+    /// would leave deleted members and owners alive there.
+    fn answer(&self, cx: &mut Cx<'_>, to: &HostId, after: StoreRevision) {
+        let Some(base) = self.base.filter(|_| after < self.frontier) else { return };
+        let whole = after < base;
+        let from = if whole { StoreRevision(0) } else { after };
+        let records: Vec<Versioned> =
+            cx.cache.changes_after(from).filter(|entry| !whole || entry.record.is_some()).cloned().collect();
+        let after = (!whole).then_some(after);
+        cx.tell(to, PeerMessage::Records(RecordBatch { after, upto: self.frontier, records }));
+    }
+
+    fn read_when_due(&mut self, cx: &mut Cx<'_>) {
+        if !self.wants_read || self.read.is_some() || !self.reads.is_over(cx.now) {
+            return;
+        }
+        let call = cx.next_call();
+        let lost_at = cx.now.after(cx.cfg.timings.store_timeout * LOST_AFTER_TIMEOUTS);
+        self.read = Some(Read { call, lost_at });
+        cx.push(Effect::Store { call, request: StoreCall::ReadShared });
+    }
+
+    fn watch_when_due(&mut self, cx: &mut Cx<'_>, peers: &Peers, lasting: &[HostId]) {
+        let wanted = self.is_watcher(cx, peers, lasting);
+        match self.watch {
+            Some(_) if !wanted => self.stop(cx),
+            None if wanted && self.is_synced() && !self.wants_read => {
+                self.watch = Some(Watch { upto: self.frontier, since: cx.now });
+                cx.push(Effect::Watch { from: self.frontier.next() });
+            }
+            _ => {}
+        }
+    }
+
+    /// Tells whether this process watches the service for its data centre.
+    ///
+    /// That is the first of a ranking that reaches the service. A watcher that
+    /// dies unseen would leave its data centre without news, also of its own
+    /// death; so it sends heartbeats to the whole data centre, and the next of
+    /// the ranking steps in when they cease.
+    fn is_watcher(&self, cx: &Cx<'_>, peers: &Peers, lasting: &[HostId]) -> bool {
+        let own = &cx.cfg.host;
+        let near = |host: &&HostId| {
+            cx.cache.member(host).is_some_and(|member| member.data_centre == cx.cfg.data_centre)
+        };
+        let key = format!("watch/{}", cx.cfg.data_centre);
+        let ranked = hashing::ranking(&key, lasting.iter().filter(near));
+        let Some(rank) = ranked.iter().position(|host| *host == own) else { return false };
+        let before = &ranked[..rank];
+        let Some(last) = before.iter().map(|host| peers.reached_store(host)).max() else { return true };
+        let steps = STAND_IN_STEP.saturating_mul(u32::try_from(rank).unwrap_or(u32::MAX));
+        let patience = cx.cfg.timings.peer_timeout + steps;
+        last.max(self.synced_at).after(patience).is_due(cx.now)
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/control/hashing.rs
@@ -0,0 +1,41 @@
+//! Rendezvous hashing: every process finds the same one of several without asking.
+//!
+//! The hash is written out here, since processes of different builds have to
+//! agree on it while an upgrade is under way.
+
+use crate::id::HostId;
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Returns a name's hash.
+pub(super) fn name_hash(name: &str) -> u64 {
+    let fnv = name.bytes().fold(FNV_OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME));
+    mix(fnv)
+}
+
+/// Returns the weight of a pair of name hashes.
+pub(super) const fn pair_weight(key: u64, candidate: u64) -> u64 {
+    mix(key ^ candidate.rotate_left(32))
+}
+
+/// The finalizer of splitmix64, which spreads every bit over the whole word.
+const fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// Returns the hosts in the order in which they look after the key.
+pub(super) fn ranking<'a>(key: &str, hosts: impl Iterator<Item = &'a HostId>) -> Vec<&'a HostId> {
+    let key = name_hash(key);
+    let mut ranked: Vec<&HostId> = hosts.collect();
+    ranked.sort_by_key(|host| std::cmp::Reverse(pair_weight(key, name_hash(host.as_str()))));
+    ranked
+}
+
+/// Returns the host that looks after the key.
+pub(super) fn winner<'a>(key: &str, hosts: impl Iterator<Item = &'a HostId>) -> Option<&'a HostId> {
+    let key = name_hash(key);
+    hosts.max_by_key(|host| pair_weight(key, name_hash(host.as_str())))
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/control/ownership.rs
@@ -0,0 +1,440 @@
+//! Which engines this process owns: taking over, handing over, and leave to act.
+
+use std::time::Duration;
+
+use super::holdings::{Holding, Phase};
+use super::membership::Membership;
+use super::roster::Roster;
+use super::scene::Scene;
+use super::shares::{self, Balance};
+use super::vacancy::{Former, Vacancies, Vacant};
+use crate::authority::{EngineUse, OwnershipChange, Permit};
+use crate::collections::{OrderedMap, OrderedSet};
+use crate::config::NodeConfig;
+use crate::cx::Cx;
+use crate::id::{Fence, HostId, Incarnation, StoreRevision, UpstreamId};
+use crate::store::{Expect, Key, OwnerRecord, Record, WriteOutcome, WriteRequest};
+use crate::time::Time;
+use crate::upstream::FenceCheck;
+
+/// How long the write of an owner record is tried.
+const WRITE_DEADLINE: Duration = Duration::from_secs(5);
+/// How long a write of unknown outcome rests before it is made again.
+const DOUBT_REST: Duration = Duration::from_secs(1);
+/// How long a hand-over waits for orders in progress before it is called off.
+const SETTLE_WITHIN: Duration = Duration::from_secs(20);
+/// How many engines are handed over at a time.
+const HANDOVERS_AT_ONCE: usize = 2;
+/// How many engines a process that leaves hands over at a time.
+const HANDOVERS_WHEN_LEAVING: usize = 8;
+/// How long the engines' distribution is left alone after a hand-over.
+const HANDOVER_REST: Duration = Duration::from_secs(2);
+
+/// A take-over that was written, and may have taken effect.
+#[derive(Clone, Copy, Debug)]
+struct Intent {
+    fence: Fence,
+    based_on: StoreRevision,
+    ghost_until: Time,
+}
+
+/// The engines of this process.
+#[derive(Debug, Default)]
+pub(super) struct Ownership {
+    holdings: OrderedMap<UpstreamId, Holding>,
+    intents: OrderedMap<UpstreamId, Intent>,
+    /// Engines whose owner record this process is writing.
+    writing: OrderedSet<UpstreamId>,
+    /// Engines that are left alone for a while after a failed write.
+    resting: OrderedMap<UpstreamId, Time>,
+    vacancies: Vacancies,
+    shares: Shares,
+    next_handover: Time,
+    changes: Vec<OwnershipChange>,
+    retired: bool,
+}
+
+/// Who should own what, kept until members or engines change.
+#[derive(Debug, Default)]
+struct Shares {
+    hosts: Vec<HostId>,
+    engines: OrderedSet<UpstreamId>,
+    owners: OrderedMap<UpstreamId, HostId>,
+}
+
+impl Ownership {
+    /// Returns the changes of ownership since the last call.
+    pub(super) fn take_changes(&mut self) -> Vec<OwnershipChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Returns the engines that this process owns.
+    pub(super) const fn holdings(&self) -> &OrderedMap<UpstreamId, Holding> {
+        &self.holdings
+    }
+
+    /// Returns an engine that this process owns and isn't about to hand over.
+    pub(super) fn held(&self, engine: &UpstreamId) -> Option<&Holding> {
+        self.holdings.get(engine).filter(|holding| holding.is_held())
+    }
+
+    /// Returns since when an engine's owner has been gone.
+    pub(super) fn vacant_since(&self, engine: &UpstreamId) -> Option<Time> {
+        self.vacancies.since(engine)
+    }
+
+    /// Returns how many engines have no live owner.
+    pub(super) fn vacant(&self) -> usize {
+        self.vacancies.len()
+    }
+
+    /// Returns the lives of processes whose end would allow a take-over at once.
+    pub(super) fn take_probes(&mut self) -> OrderedMap<HostId, Incarnation> {
+        self.vacancies.take_probes()
+    }
+
+    /// Tells whether nothing is left that could be handed over.
+    pub(super) fn has_given_up(&self, lasting: &[HostId]) -> bool {
+        self.retired || self.holdings.is_empty() || lasting.is_empty()
+    }
+
+    /// Gives everything up for good.
+    pub(super) fn retire(&mut self) {
+        self.retired = true;
+        for engine in std::mem::take(&mut self.holdings).into_keys() {
+            self.changes.push(OwnershipChange::Lost { engine });
+        }
+        self.intents.clear();
+        self.vacancies.clear();
+    }
+
+    /// Returns leave to give orders to the engine now, if there is any.
+    pub(super) fn permit(
+        &self,
+        cfg: &NodeConfig,
+        membership: &Membership,
+        roster: &Roster,
+        now: Time,
+        engine: &UpstreamId,
+    ) -> Option<Permit> {
+        let holding = self.held(engine)?;
+        if roster.fence_check(engine) == FenceCheck::Refuses {
+            return Some(Permit { fence: holding.fence, not_after: Time::NEVER });
+        }
+        // A successor that saw the member key vanish counts from then. If the key
+        // was written again since, only a record written after it makes the
+        // successor's write fail; before, both could act on the engine.
+        let registered = membership.registered_at()?;
+        let not_after = membership.holds_until(cfg)?;
+        let safe = holding.revision > registered && !not_after.is_due(now);
+        safe.then_some(Permit { fence: holding.fence, not_after })
+    }
+
+    /// Compares an engine's record with what this process holds.
+    pub(super) fn refresh(&mut self, cx: &mut Cx<'_>, roster: &Roster, engine: &UpstreamId) {
+        let record = cx.cache.owner(engine);
+        let named = record
+            .filter(|(_, owner)| owner.host == cx.cfg.host && owner.incarnation == cx.cfg.incarnation)
+            .filter(|_| !self.retired)
+            .map(|(revision, owner)| Named { revision, fence: owner.fence });
+        let held = self.holdings.get_mut(engine);
+        match (named, held) {
+            (Some(named), Some(holding)) if holding.fence == named.fence => holding.renew(named.revision),
+            (Some(named), Some(_)) => {
+                self.lose(cx, engine);
+                self.acquire(cx, roster, engine, named);
+            }
+            (Some(named), None) => self.acquire(cx, roster, engine, named),
+            (None, Some(_)) => self.lose(cx, engine),
+            (None, None) => {}
+        }
+        let present = record_revision(cx, engine);
+        if self.intents.get(engine).is_some_and(|intent| intent.based_on < present) {
+            self.intents.remove(engine);
+        }
+    }
+
+    /// Takes the outcome of a write of an owner record.
+    pub(super) fn on_write(
+        &mut self,
+        cx: &mut Cx<'_>,
+        roster: &Roster,
+        engine: &UpstreamId,
+        outcome: &WriteOutcome,
+    ) {
+        self.writing.remove(engine);
+        self.refresh(cx, roster, engine);
+        let rest = cx.now.after(cx.jitter(DOUBT_REST));
+        if !matches!(outcome, WriteOutcome::Done(_)) {
+            self.resting.insert(engine.clone(), rest);
+        }
+        let Some(holding) = self.holdings.get_mut(engine) else { return };
+        let Phase::Giving { again, .. } = &mut holding.phase else { return };
+        match outcome {
+            WriteOutcome::Unknown => *again = rest,
+            // A lost earlier try may still be on its way, so that only a record
+            // that is seen to be newer ends the doubt.
+            WriteOutcome::NotDone if *again != Time::NEVER => *again = rest,
+            WriteOutcome::NotDone => holding.phase = Phase::Held,
+            WriteOutcome::Done(_) | WriteOutcome::Conflict(_) => {}
+        }
+    }
+
+    /// Does what is due: takes over, confirms and hands over.
+    pub(super) fn review(&mut self, cx: &mut Cx<'_>, scene: &Scene<'_>, engines: &dyn EngineUse) {
+        if self.retired {
+            return;
+        }
+        self.resting.retain(|_, until| !until.is_due(cx.now));
+        self.share_out(cx, scene);
+        self.settle_handovers(cx, scene, engines);
+        if !scene.may_decide(cx) {
+            return;
+        }
+        self.confirm_records(cx, scene);
+        if !scene.membership.is_leaving() {
+            self.take_vacant(cx, scene);
+        }
+        self.begin_handovers(cx, scene);
+    }
+
+    fn acquire(&mut self, cx: &mut Cx<'_>, roster: &Roster, engine: &UpstreamId, named: Named) {
+        let ghost_until = self.ghost_until(cx, roster, engine, named.fence);
+        let holding = Holding {
+            fence: named.fence,
+            since: cx.now,
+            acquired: named.revision,
+            revision: named.revision,
+            phase: Phase::Held,
+        };
+        self.holdings.insert(engine.clone(), holding);
+        self.vacancies.forget(engine);
+        cx.note("engine_acquired", engine.clone(), format!("fence {}", named.fence));
+        let fence = named.fence;
+        self.changes.push(OwnershipChange::Acquired { engine: engine.clone(), fence, ghost_until });
+    }
+
+    /// Returns until when an order of the former owner may still reach the engine.
+    fn ghost_until(&self, cx: &Cx<'_>, roster: &Roster, engine: &UpstreamId, fence: Fence) -> Time {
+        if roster.fence_check(engine) == FenceCheck::Refuses {
+            return Time::START;
+        }
+        let entry = cx.cache.get(&Key::Owner(engine.clone()));
+        let writer = entry.and_then(|entry| entry.writer.as_ref());
+        let taken_over = writer.is_none_or(|writer| writer.host == cx.cfg.host);
+        if !taken_over {
+            return Time::START;
+        }
+        self.intents.get(engine).filter(|intent| intent.fence == fence).map_or(Time::NEVER, |i| i.ghost_until)
+    }
+
+    fn lose(&mut self, cx: &mut Cx<'_>, engine: &UpstreamId) {
+        let Some(holding) = self.holdings.remove(engine) else { return };
+        let next = cx.cache.owner(engine).map(|(_, owner)| owner.host.to_string());
+        let next = next.unwrap_or_else(|| "nobody".to_owned());
+        let event = if holding.is_held() { "engine_lost" } else { "engine_handed_over" };
+        cx.note(event, engine.clone(), format!("now owned by {next}"));
+        self.changes.push(OwnershipChange::Lost { engine: engine.clone() });
+    }
+
+    fn share_out(&mut self, cx: &Cx<'_>, scene: &Scene<'_>) {
+        let listed = scene.roster.iter().filter(|(_, known)| known.is_listed());
+        let engines: OrderedSet<UpstreamId> = listed.map(|(id, _)| id.clone()).collect();
+        let owned = cx.cache.owners().map(|(engine, _)| engine.clone());
+        let engines: OrderedSet<UpstreamId> = engines.into_iter().chain(owned).collect();
+        if self.shares.hosts == scene.lasting && self.shares.engines == engines {
+            return;
+        }
+        self.shares.owners = shares::assign(engines.iter(), scene.lasting);
+        self.shares.hosts = scene.lasting.to_vec();
+        self.shares.engines = engines;
+    }
+
+    fn is_free(&self, engine: &UpstreamId) -> bool {
+        !self.writing.contains(engine) && !self.resting.contains_key(engine)
+    }
+
+    /// Writes the records of engines that ignore fences anew after the member key was lost.
+    fn confirm_records(&mut self, cx: &mut Cx<'_>, scene: &Scene<'_>) {
+        let Some(registered) = scene.membership.registered_at() else { return };
+        let stale: Vec<UpstreamId> = self
+            .holdings
+            .iter()
+            .filter(|(engine, holding)| {
+                holding.is_held()
+                    && holding.revision < registered
+                    && scene.roster.fence_check(engine) == FenceCheck::Ignores
+                    && self.is_free(engine)
+            })
+            .map(|(engine, _)| engine.clone())
+            .collect();
+        for engine in stale {
+            let Some(holding) = self.holdings.get(&engine) else { continue };
+            let (fence, revision) = (holding.fence, holding.revision);
+            self.write(cx, &engine, Expect::At(revision), own_record(cx, fence));
+        }
+    }
+
+    fn take_vacant(&mut self, cx: &mut Cx<'_>, scene: &Scene<'_>) {
+        let engines: Vec<UpstreamId> = self
+            .shares
+            .engines
+            .iter()
+            .filter(|engine| !self.holdings.contains_key(*engine))
+            .cloned()
+            .collect();
+        self.vacancies.retain(&self.shares.engines);
+        for engine in engines {
+            let share = self.shares.owners.get(&engine);
+            let Some(vacant) = self.vacancies.look(cx, scene, &engine, share) else { continue };
+            if self.is_free(&engine) {
+                self.take_over(cx, vacant);
+            }
+        }
+    }
+
+    fn take_over(&mut self, cx: &mut Cx<'_>, vacant: Vacant) {
+        let Vacant { engine, former } = vacant;
+        let fence = next_fence(cx, former.as_ref());
+        let based_on = former.as_ref().map_or(StoreRevision(0), |former| former.revision);
+        let ghost_until = former.as_ref().map_or(Time::START, |former| ghost_of(cx, former));
+        self.intents.insert(engine.clone(), Intent { fence, based_on, ghost_until });
+        if let Some(former) = &former {
+            let why = if former.ended { "its process has ended" } else { "its member key is gone" };
+            let detail = format!("from {}, since {why}; fence {fence}", former.owner.host);
+            cx.note("engine_taking_over", engine.clone(), detail);
+        }
+        let expect = former.map_or(Expect::Absent, |former| Expect::At(former.revision));
+        self.write(cx, &engine, expect, own_record(cx, fence));
+    }
+
+    fn begin_handovers(&mut self, cx: &mut Cx<'_>, scene: &Scene<'_>) {
+        let leaving = scene.membership.is_leaving();
+        let most = if leaving { HANDOVERS_WHEN_LEAVING } else { HANDOVERS_AT_ONCE };
+        let going = self.holdings.values().filter(|holding| !holding.is_held()).count();
+        if going >= most || (!leaving && !self.next_handover.is_due(cx.now)) {
+            return;
+        }
+        let mut balance = Balance::new(cx.cache, scene.lasting);
+        let candidates: Vec<UpstreamId> = self.holdings.keys().cloned().collect();
+        let mut begun = 0;
+        for engine in candidates {
+            if going + begun >= most {
+                break;
+            }
+            if !self.is_free(&engine) || self.held(&engine).is_none() {
+                continue;
+            }
+            let share = self.shares.owners.get(&engine);
+            let Some(to) = balance.receiver(&cx.cfg.host, share, leaving).cloned() else { continue };
+            balance.move_one(&cx.cfg.host, &to);
+            begun += 1;
+            let until = cx.now.after(SETTLE_WITHIN);
+            if let Some(holding) = self.holdings.get_mut(&engine) {
+                holding.phase = Phase::Settling { to, until };
+            }
+        }
+        if begun > 0 {
+            self.next_handover = cx.now.after(cx.jitter(HANDOVER_REST));
+        }
+    }
+
+    /// Moves the hand-overs on that have begun.
+    fn settle_handovers(&mut self, cx: &mut Cx<'_>, scene: &Scene<'_>, engines: &dyn EngineUse) {
+        let ids: Vec<UpstreamId> =
+            self.holdings.iter().filter(|(_, h)| !h.is_held()).map(|(engine, _)| engine.clone()).collect();
+        for engine in ids {
+            if self.is_free(&engine) {
+                self.settle_handover(cx, scene, engines, &engine);
+            }
+        }
+    }
+
+    fn settle_handover(
+        &mut self,
+        cx: &mut Cx<'_>,
+        scene: &Scene<'_>,
+        engines: &dyn EngineUse,
+        engine: &UpstreamId,
+    ) {
+        let Some(holding) = self.holdings.get_mut(engine) else { return };
+        let (to, based_on) = match holding.phase.clone() {
+            Phase::Held => return,
+            Phase::Settling { to, until } => {
+                let called_off = until.is_due(cx.now) && !scene.membership.is_leaving();
+                if called_off || !scene.lasting.contains(&to) {
+                    holding.phase = Phase::Held;
+                    return;
+                }
+                if !engines.is_settled(engine) {
+                    return;
+                }
+                let based_on = holding.revision;
+                holding.phase = Phase::Giving { to: to.clone(), based_on, again: Time::NEVER };
+                (to, based_on)
+            }
+            Phase::Giving { again, .. } if !again.is_due(cx.now) => return,
+            Phase::Giving { to, based_on, .. } => (to, based_on),
+        };
+        let fence = holding.fence.next();
+        let Some(member) = cx.cache.member(&to) else {
+            self.take_back(cx, engine);
+            return;
+        };
+        let owner = OwnerRecord { host: to, incarnation: member.incarnation, fence };
+        self.write(cx, engine, Expect::At(based_on), owner);
+    }
+
+    /// Ends the doubt about a hand-over whose receiver is gone by writing the own record anew.
+    fn take_back(&mut self, cx: &mut Cx<'_>, engine: &UpstreamId) {
+        let Some(holding) = self.holdings.get_mut(engine) else { return };
+        let Phase::Giving { again, based_on, .. } = &mut holding.phase else { return };
+        let expect = Expect::At(*based_on);
+        if *again == Time::NEVER {
+            holding.phase = Phase::Held;
+            return;
+        }
+        *again = cx.now;
+        let fence = holding.fence;
+        self.write(cx, engine, expect, own_record(cx, fence));
+    }
+
+    fn write(&mut self, cx: &mut Cx<'_>, engine: &UpstreamId, expect: Expect, owner: OwnerRecord) {
+        self.writing.insert(engine.clone());
+        cx.write(WriteRequest {
+            key: Key::Owner(engine.clone()),
+            expect,
+            record: Some(Record::Owner(owner)),
+            lease: None,
+            deadline: cx.now.after(WRITE_DEADLINE),
+        });
+    }
+}
+
+/// A record that names this process.
+#[derive(Clone, Copy, Debug)]
+struct Named {
+    revision: StoreRevision,
+    fence: Fence,
+}
+
+fn own_record(cx: &Cx<'_>, fence: Fence) -> OwnerRecord {
+    OwnerRecord { host: cx.cfg.host.clone(), incarnation: cx.cfg.incarnation, fence }
+}
+
+fn record_revision(cx: &Cx<'_>, engine: &UpstreamId) -> StoreRevision {
+    cx.cache.get(&Key::Owner(engine.clone())).map_or(StoreRevision(0), |entry| entry.revision)
+}
+
+/// Returns a fence above every earlier one of the engine.
+///
+/// The record of an engine that was gone for long is deleted. Should the engine
+/// come back, it may still know the fence of then; no fence is ever above the
+/// revision of its own record, so that a later revision is above them all.
+fn next_fence(cx: &Cx<'_>, former: Option<&Former>) -> Fence {
+    former.map_or(Fence(cx.cache.newest().0.max(1)), |former| former.owner.fence.next())
+}
+
+fn ghost_of(cx: &Cx<'_>, former: &Former) -> Time {
+    if former.ended { cx.now.after(cx.cfg.timings.hold_margin) } else { Time::NEVER }
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/control/report.rs
@@ -0,0 +1,127 @@
+//! What this part believes, for state dumps and metrics.
+
+use super::Control;
+use crate::cx::Cx;
+use crate::dump::{Belief, Gauge};
+use crate::id::{StoreRevision, UpstreamId};
+use crate::store::Key;
+
+/// Tells what is believed of members, ownership, homes and power.
+pub(super) fn beliefs(control: &Control, cx: &Cx<'_>) -> Vec<Belief> {
+    let mut beliefs = vec![own_membership(control, cx), feed(control, cx)];
+    beliefs.extend(members(control, cx));
+    beliefs.extend(owners(control, cx));
+    beliefs.extend(homes(control, cx));
+    beliefs.extend(power(control, cx));
+    beliefs
+}
+
+/// Returns the numbers for the metrics.
+pub(super) fn gauges(control: &Control, cx: &Cx<'_>) -> Vec<Gauge> {
+    let counts = control.homes.counts();
+    let mut gauges = vec![
+        gauge("members", cx.cache.members().count()),
+        gauge("owned_engines", control.ownership.holdings().len()),
+        gauge("vacant_engines", control.ownership.vacant()),
+        gauge("homes", counts.homes),
+        gauge("homes_writes_pending", counts.pending),
+        gauge("models_without_engine", counts.unplaceable),
+        gauge("watching", usize::from(control.feed.watching_since().is_some())),
+        gauge("superseded", usize::from(control.membership.is_superseded())),
+    ];
+    if let Some(confirmed) = control.membership.confirmed() {
+        let value = cx.now.since(confirmed).as_secs_f64();
+        gauges.push(Gauge { name: "lease_confirmed_age_seconds", value });
+    }
+    gauges
+}
+
+fn gauge(name: &'static str, value: usize) -> Gauge {
+    Gauge { name, value: u32::try_from(value).map_or(f64::MAX, f64::from) }
+}
+
+fn own_membership(control: &Control, cx: &Cx<'_>) -> Belief {
+    let membership = &control.membership;
+    let state = match (membership.is_superseded(), membership.registered_at()) {
+        (true, _) => "superseded by a later life".to_owned(),
+        (false, Some(revision)) => format!("registered at revision {revision}"),
+        (false, None) => "not registered".to_owned(),
+    };
+    Belief { kind: "lease", subject: cx.cfg.host.to_string(), state, since: membership.confirmed() }
+}
+
+fn feed(control: &Control, cx: &Cx<'_>) -> Belief {
+    let since = control.feed.watching_since();
+    let how = if since.is_some() { "watches" } else { "hears from peers" };
+    let state = format!("{how}, complete up to revision {}", control.feed.frontier());
+    Belief { kind: "feed", subject: cx.cfg.host.to_string(), state, since }
+}
+
+fn members(control: &Control, cx: &Cx<'_>) -> Vec<Belief> {
+    let members = cx.cache.members();
+    members
+        .map(|(host, member)| {
+            let role = if member.leaving { "leaving" } else { "live" };
+            let state = format!(
+                "{role}, incarnation {}, {}, callers {}",
+                member.incarnation, member.data_centre, member.caller_address
+            );
+            let since = control.peers.last_heard(host);
+            Belief { kind: "member", subject: host.to_string(), state, since }
+        })
+        .collect()
+}
+
+fn owners(control: &Control, cx: &Cx<'_>) -> Vec<Belief> {
+    let owners = cx.cache.owners();
+    owners
+        .map(|(engine, owner)| {
+            let holding = control.ownership.holdings().get(engine);
+            let vacant = control.ownership.vacant_since(engine);
+            let role = match (holding, vacant) {
+                (Some(holding), _) if holding.is_held() => "held here",
+                (Some(_), _) => "being handed over",
+                (None, Some(_)) => "owner gone",
+                (None, None) => "owned",
+            };
+            let state =
+                format!("{role}, by {} incarnation {}, fence {}", owner.host, owner.incarnation, owner.fence);
+            let since = holding.map(|holding| holding.since).or(vacant);
+            Belief { kind: "ownership", subject: engine.to_string(), state, since }
+        })
+        .collect()
+}
+
+fn homes(control: &Control, cx: &Cx<'_>) -> Vec<Belief> {
+    let known = cx.cache.all_homes().map(|(model, homes)| {
+        let names: Vec<&str> = homes.engines.iter().map(UpstreamId::as_str).collect();
+        Belief { kind: "homes", subject: model.to_string(), state: names.join(" "), since: None }
+    });
+    let lacking = control.homes.lacking().iter().map(|(model, since)| Belief {
+        kind: "homes",
+        subject: model.to_string(),
+        state: "lacks a home".to_owned(),
+        since: Some(*since),
+    });
+    known.chain(lacking).collect()
+}
+
+fn power(control: &Control, cx: &Cx<'_>) -> Vec<Belief> {
+    let mut beliefs = Vec::new();
+    for site in control.power.sites() {
+        let entry = cx.cache.get(&Key::Power(site.clone()));
+        let revision = entry.map_or(StoreRevision(0), |entry| entry.revision);
+        let granted: crate::units::Watts =
+            cx.cache.power(site).map(|(_, record)| record.grants.values().copied().sum()).unwrap_or_default();
+        let state = format!("{granted} granted at revision {revision}");
+        beliefs.push(Belief { kind: "power", subject: site.to_string(), state, since: None });
+    }
+    let lowered = control.power.lowered();
+    beliefs.extend(lowered.map(|engine| Belief {
+        kind: "power",
+        subject: engine.to_string(),
+        state: "grant taken back, record not yet changed".to_owned(),
+        since: None,
+    }));
+    beliefs
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/control/roster.rs
@@ -0,0 +1,114 @@
+//! The engines, as this process has known them from the host list and from its own questions.
+
+use crate::collections::{OrderedMap, OrderedSet};
+use crate::cx::Cx;
+use crate::id::{DataCentre, SiteName, UpstreamId};
+use crate::time::Time;
+use crate::units::{Mebibytes, Watts};
+use crate::upstream::{FenceCheck, Standing};
+
+/// An engine of the host list, present or past.
+#[derive(Clone, Debug)]
+pub(super) struct KnownEngine {
+    pub(super) data_centre: DataCentre,
+    pub(super) site: SiteName,
+    pub(super) memory: Mebibytes,
+    pub(super) sleep_watts: Watts,
+    pub(super) active_watts: Watts,
+    pub(super) fence_check: FenceCheck,
+    pub(super) standing: Standing,
+    /// Since when the host list hasn't named it any more.
+    unlisted: Option<Time>,
+}
+
+impl KnownEngine {
+    /// Tells whether the host list names it.
+    pub(super) const fn is_listed(&self) -> bool {
+        self.unlisted.is_none()
+    }
+
+    /// Tells whether it may get new work, as far as the host list knows.
+    pub(super) fn is_live(&self) -> bool {
+        self.is_listed() && self.standing == Standing::Live
+    }
+}
+
+/// The engines that this process knows.
+#[derive(Debug, Default)]
+pub(super) struct Roster {
+    engines: OrderedMap<UpstreamId, KnownEngine>,
+    /// Engines that only records name, with the time since when that is known.
+    strangers: OrderedMap<UpstreamId, Time>,
+    reached: OrderedMap<UpstreamId, Time>,
+}
+
+impl Roster {
+    /// Takes a new host list over.
+    pub(super) fn on_host_list(&mut self, cx: &Cx<'_>) {
+        for engine in self.engines.values_mut() {
+            engine.unlisted.get_or_insert(cx.now);
+        }
+        for (id, upstream) in cx.upstreams {
+            let Some(spec) = upstream.engine() else { continue };
+            self.strangers.remove(id);
+            let known = KnownEngine {
+                data_centre: upstream.data_centre.clone(),
+                site: upstream.site.clone(),
+                memory: spec.memory,
+                sleep_watts: spec.sleep_watts,
+                active_watts: spec.active_watts,
+                fence_check: spec.fence_check,
+                standing: upstream.standing,
+                unlisted: None,
+            };
+            self.engines.insert(id.clone(), known);
+        }
+    }
+
+    /// Takes note of engines that records name, and forgets those that nothing names any more.
+    pub(super) fn review(&mut self, cx: &Cx<'_>, named: &OrderedSet<UpstreamId>) {
+        for engine in named.iter().filter(|engine| !self.engines.contains_key(engine)) {
+            self.strangers.entry(engine.clone()).or_insert(cx.now);
+        }
+        self.strangers.retain(|engine, _| named.contains(engine));
+        self.engines.retain(|id, engine| engine.is_listed() || named.contains(id));
+        self.reached.retain(|engine, _| named.contains(engine));
+    }
+
+    /// Takes note of whether an engine answered this process.
+    pub(super) fn on_report(&mut self, cx: &Cx<'_>, engine: &UpstreamId, reached: bool) {
+        if reached {
+            self.reached.insert(engine.clone(), cx.now);
+        }
+    }
+
+    /// Returns what is known of an engine.
+    pub(super) fn get(&self, engine: &UpstreamId) -> Option<&KnownEngine> {
+        self.engines.get(engine)
+    }
+
+    /// Returns every engine that the host list names or has named.
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&UpstreamId, &KnownEngine)> {
+        self.engines.iter()
+    }
+
+    /// Returns what the engine does with old fences; the worse of the two when it isn't known.
+    pub(super) fn fence_check(&self, engine: &UpstreamId) -> FenceCheck {
+        self.engines.get(engine).map_or(FenceCheck::Ignores, |known| known.fence_check)
+    }
+
+    /// Tells whether the engine is gone for good.
+    ///
+    /// The host list lags and errs, and an engine that one process can't reach
+    /// may serve others. Only when both have been against it for a long time may
+    /// its replicas be counted out; before, a model could be loaded twice.
+    pub(super) fn is_gone(&self, cx: &Cx<'_>, engine: &UpstreamId, owned_since: Option<Time>) -> bool {
+        let unlisted = match self.engines.get(engine) {
+            Some(known) => known.unlisted,
+            None => self.strangers.get(engine).copied(),
+        };
+        let Some(unlisted) = unlisted else { return false };
+        let reached = self.reached.get(engine).copied().max(owned_since).unwrap_or(Time::START);
+        unlisted.max(reached).after(cx.cfg.timings.gone_after).is_due(cx.now)
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore-core/src/control/scene.rs
@@ -0,0 +1,29 @@
+//! What the decisions of this part share with one another.
+
+use super::feed::Feed;
+use super::membership::Membership;
+use super::peers::Peers;
+use super::roster::Roster;
+use crate::cx::Cx;
+use crate::id::HostId;
+
+/// What the decisions on ownership, homes and power look at beside [`Cx`].
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Scene<'a> {
+    pub(super) membership: &'a Membership,
+    pub(super) peers: &'a Peers,
+    pub(super) feed: &'a Feed,
+    pub(super) roster: &'a Roster,
+    /// The live members that may own something and keep it.
+    pub(super) lasting: &'a [HostId],
+}
+
+impl Scene<'_> {
+    /// Tells whether this process may write decisions now.
+    ///
+    /// It has to know the shared keys, and its own member key has to stand:
+    /// otherwise it would begin hand-overs whose end it can't see.
+    pub(super) fn may_decide(&self, cx: &Cx<'_>) -> bool {
+        self.feed.is_synced() && self.membership.is_certain(cx.cfg, cx.now)
+    }
+}
--- a/crates/skylarkshore-core/src/store/cache.rs
+++ b/crates/skylarkshore-core/src/store/cache.rs
@@ -94,6 +94,14 @@
         }
     }
 
+    /// Returns every engine that has an owner.
+    pub fn owners(&self) -> impl Iterator<Item = (&UpstreamId, &OwnerRecord)> {
+        self.entries.values().filter_map(|entry| match (&entry.key, &entry.record) {
+            (Key::Owner(engine), Some(Record::Owner(record))) => Some((engine, record)),
+            _ => None,
+        })
+    }
+
     /// Returns a model's homes, with the revision of that record.
     pub fn homes(&self, model: &ModelName) -> Option<(StoreRevision, &HomesRecord)> {
         let entry = self.entries.get(&Key::Homes(model.clone()))?;
