Test control parts of several processes against a key-value service in memory

They found that a member that lives but can't act held up its share of a take-over for twenty seconds; the next in rank now waits five.

--- a/crates/skylarkshore-core/src/control/vacancy.rs
+++ b/crates/skylarkshore-core/src/control/vacancy.rs
@@ -15,7 +15,7 @@
 /// How long a member that lives but lost its key is given to register again.
 const RETURN_GRACE: Duration = Duration::from_secs(15);
 /// How long the process that should take an engine is given before the next one tries.
-const NEXT_IN_RANK: Duration = Duration::from_secs(10);
+const NEXT_IN_RANK: Duration = Duration::from_secs(5);
 /// How often an uncertain member key is read.
 const READ_EVERY: Duration = Duration::from_secs(2);
 
@@ -232,12 +232,13 @@
     if share == Some(own) {
         return true;
     }
-    // The process whose turn it is may be cut off; without a next one, the
-    // engine would stay without an owner for as long.
+    // The process whose turn it is may be cut off or superseded; without a next
+    // one, the engine would stay without an owner for as long.
     if !since.after(NEXT_IN_RANK).is_due(cx.now) {
         return false;
     }
-    let ranked = hashing::ranking(engine.as_str(), scene.lasting.iter());
+    let others = scene.lasting.iter().filter(|host| Some(*host) != share);
+    let ranked = hashing::ranking(engine.as_str(), others);
     let Some(rank) = ranked.iter().position(|host| *host == own) else { return false };
     let turns = u32::try_from(rank + 1).unwrap_or(u32::MAX);
     since.after(NEXT_IN_RANK.saturating_mul(turns)).is_due(cx.now)
--- /dev/null
+++ b/crates/skylarkshore-core/tests/control.rs
@@ -0,0 +1,17 @@
+//! Membership, ownership, homes and power of several processes, with faults.
+
+#[path = "support/cluster.rs"]
+mod cluster;
+#[path = "support/store.rs"]
+mod store;
+
+#[path = "control/homes.rs"]
+mod homes;
+#[path = "control/leases.rs"]
+mod leases;
+#[path = "control/ownership.rs"]
+mod ownership;
+#[path = "control/power.rs"]
+mod power;
+#[path = "control/storm.rs"]
+mod storm;
--- /dev/null
+++ b/crates/skylarkshore-core/tests/support/cluster.rs
@@ -0,0 +1,547 @@
+//! Several processes' control parts with a key-value service, engines and faults.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use skylarkshore_core::Time;
+use skylarkshore_core::authority::{Authority, EngineUse, HomeWish, OwnershipChange};
+use skylarkshore_core::catalogue::{Document, Model};
+use skylarkshore_core::config::{Limits, NodeConfig, Timings};
+use skylarkshore_core::control::Control;
+use skylarkshore_core::cx::{Counters, Cx};
+use skylarkshore_core::effect::Effect;
+use skylarkshore_core::id::{CallId, Digest, HostId, Incarnation, ModelName, StoreRevision, UpstreamId};
+use skylarkshore_core::peer::PeerMessage;
+use skylarkshore_core::rules::{MinuteOfDay, Outcome, Rules, ServiceOrder};
+use skylarkshore_core::store::{
+    Key, Record, StoreAnswer, StoreCache, StoreCall, StoreFailure, StoreResult, Versioned, WriteOutcome,
+    Writes,
+};
+use skylarkshore_core::units::{Mebibytes, Watts};
+use skylarkshore_core::upstream::{EngineSpec, FenceCheck, Standing, Upstream, UpstreamKind};
+
+use crate::store::Store;
+
+pub const STEP: Duration = Duration::from_millis(50);
+pub const SLEEP_WATTS: Watts = Watts(50);
+pub const ACTIVE_WATTS: Watts = Watts(400);
+pub const SITE: &str = "site";
+
+pub fn name<T: std::str::FromStr>(text: &str) -> T {
+    text.parse().unwrap_or_else(|_| panic!("'{text}' is a name"))
+}
+
+/// What the fake loading part of one process does with its engines.
+#[derive(Debug, Default)]
+pub struct FakeEngines {
+    /// Engines that draw power, with what is loaded on them.
+    pub loaded: BTreeSet<(UpstreamId, ModelName)>,
+    /// Engines for which requests wait.
+    pub lacking: BTreeSet<UpstreamId>,
+    pub unsettled: BTreeSet<UpstreamId>,
+    pub wishes: Vec<HomeWish>,
+}
+
+impl EngineUse for FakeEngines {
+    fn is_free_of(&self, engine: &UpstreamId, model: &ModelName) -> bool {
+        !self.loaded.contains(&(engine.clone(), model.clone()))
+    }
+
+    fn is_settled(&self, engine: &UpstreamId) -> bool {
+        !self.unsettled.contains(engine)
+    }
+
+    fn drawn(&self, engine: &UpstreamId) -> Watts {
+        let at_work = self.loaded.iter().any(|(loaded, _)| loaded == engine);
+        if at_work { ACTIVE_WATTS } else { SLEEP_WATTS }
+    }
+
+    fn lacks(&self, engine: &UpstreamId) -> Option<(Watts, ServiceOrder)> {
+        let lacks = self.lacking.contains(engine) && self.drawn(engine) == SLEEP_WATTS;
+        lacks.then(|| (ACTIVE_WATTS.saturating_sub(SLEEP_WATTS), ServiceOrder::default()))
+    }
+
+    fn free_memory(&self, _engine: &UpstreamId) -> Mebibytes {
+        Mebibytes(0)
+    }
+
+    fn home_wishes(&self) -> Vec<HomeWish> {
+        self.wishes.clone()
+    }
+}
+
+/// One process.
+pub struct Process {
+    pub cfg: NodeConfig,
+    pub control: Control,
+    pub engines: FakeEngines,
+    pub cache: StoreCache,
+    pub document: Arc<Document>,
+    pub upstreams: BTreeMap<UpstreamId, Upstream>,
+    pub changes: Vec<OwnershipChange>,
+    pub notes: Vec<(&'static str, String)>,
+    writes: Writes,
+    counters: Counters,
+    rng: SmallRng,
+    watched: Option<StoreRevision>,
+    /// Neither runs nor ends; what is sent to it waits.
+    pub frozen: bool,
+    /// Can't reach the key-value service.
+    pub cut: bool,
+    inbox: VecDeque<Inbound>,
+}
+
+/// Something that reaches a process.
+pub enum Inbound {
+    Result(CallId, StoreResult),
+    Watched(Vec<Versioned>, StoreRevision),
+    Peer(HostId, PeerMessage),
+    Refused(HostId, Incarnation),
+}
+
+impl Process {
+    fn with<T>(
+        &mut self,
+        now: Time,
+        effects: &mut Vec<Effect>,
+        f: impl FnOnce(&mut Cx<'_>, Parts<'_>) -> T,
+    ) -> T {
+        let mut wanted = Vec::new();
+        let mut cx = Cx {
+            now,
+            at: MinuteOfDay::default(),
+            cfg: &self.cfg,
+            document: &self.document,
+            cache: &self.cache,
+            upstreams: &self.upstreams,
+            effects,
+            writes: &mut wanted,
+            counters: &mut self.counters,
+            rng: &mut self.rng,
+        };
+        let parts = Parts { control: &mut self.control, writes: &mut self.writes, engines: &self.engines };
+        let value = f(&mut cx, parts);
+        for req in std::mem::take(cx.writes) {
+            self.writes.begin(&mut cx, req);
+        }
+        self.changes.extend(self.control.take_changes());
+        value
+    }
+
+    fn take_changed(&mut self, now: Time, changed: &[Key], effects: &mut Vec<Effect>) {
+        for key in changed {
+            if let Some(Record::Document(document)) =
+                self.cache.get(&Key::Document).and_then(|entry| entry.record.as_ref())
+                && document.revision > self.document.revision
+            {
+                self.document = Arc::clone(document);
+            }
+            self.with(now, effects, |cx, parts| parts.control.on_change(cx, key));
+        }
+    }
+
+    fn take_records(&mut self, now: Time, records: Vec<Versioned>, effects: &mut Vec<Effect>) {
+        let keys: Vec<Key> = records
+            .into_iter()
+            .filter_map(|record| {
+                let key = record.key.clone();
+                self.cache.apply(record).then_some(key)
+            })
+            .collect();
+        self.take_changed(now, &keys, effects);
+    }
+
+    fn take_written(&mut self, now: Time, ended: Option<(Key, WriteOutcome)>, effects: &mut Vec<Effect>) {
+        let Some((key, outcome)) = ended else { return };
+        if let WriteOutcome::Done(found) | WriteOutcome::Conflict(found) = &outcome {
+            self.take_records(now, vec![found.clone()], effects);
+        }
+        self.with(now, effects, |cx, parts| parts.control.on_write(cx, &key, &outcome));
+    }
+
+    fn take(&mut self, now: Time, inbound: Inbound, effects: &mut Vec<Effect>) {
+        match inbound {
+            Inbound::Result(call, result) => {
+                if let Ok(StoreAnswer::Shared { revision, records }) = &result {
+                    let changed = self.cache.apply_all(*revision, records.clone());
+                    self.take_changed(now, &changed, effects);
+                }
+                if let Ok(StoreAnswer::One(found)) = &result {
+                    self.take_records(now, vec![found.clone()], effects);
+                }
+                let ended = self.with(now, effects, |cx, parts| {
+                    parts.control.on_store(cx, call, &result);
+                    parts.writes.on_result(cx, call, &result)
+                });
+                self.take_written(now, ended, effects);
+            }
+            Inbound::Watched(changes, upto) => {
+                self.take_records(now, changes.clone(), effects);
+                self.with(now, effects, |cx, parts| parts.control.on_watched(cx, changes, upto));
+            }
+            Inbound::Peer(from, PeerMessage::Records(batch)) => {
+                if batch.after.is_some() {
+                    self.take_records(now, batch.records, effects);
+                } else {
+                    let changed = self.cache.apply_all(batch.upto, batch.records);
+                    self.take_changed(now, &changed, effects);
+                }
+                self.with(now, effects, |cx, parts| {
+                    parts.control.on_records(cx, &from, batch.after, batch.upto);
+                });
+            }
+            Inbound::Peer(from, message) => {
+                self.with(now, effects, |cx, parts| parts.control.on_peer(cx, &from, &message));
+            }
+            Inbound::Refused(host, incarnation) => {
+                self.with(now, effects, |cx, parts| parts.control.on_peer_refused(cx, &host, incarnation));
+            }
+        }
+    }
+
+    pub fn holds(&self, now: Time, engine: &UpstreamId) -> bool {
+        self.control.permit(now, engine).is_some_and(|permit| !permit.not_after.is_due(now))
+    }
+
+    pub fn is_watching(&self) -> bool {
+        self.watched.is_some()
+    }
+
+    pub fn noted(&self, event: &str) -> usize {
+        self.notes.iter().filter(|(name, _)| *name == event).count()
+    }
+}
+
+struct Parts<'a> {
+    control: &'a mut Control,
+    writes: &'a mut Writes,
+    engines: &'a FakeEngines,
+}
+
+/// How often answers of the key-value service are lost, in percent.
+#[derive(Default)]
+pub struct Faults {
+    pub lost_calls: u32,
+    pub lost_answers: u32,
+    pub lost_messages: u32,
+    /// Writes that reach the service only when this many more steps have passed, in percent.
+    pub late_writes: u32,
+    /// The service is away.
+    pub outage: bool,
+}
+
+/// Several processes and what surrounds them.
+pub struct Cluster {
+    pub now: Time,
+    pub store: Store,
+    pub processes: BTreeMap<HostId, Process>,
+    pub engines: BTreeMap<UpstreamId, Upstream>,
+    pub faults: Faults,
+    rng: SmallRng,
+    killed: BTreeMap<HostId, Incarnation>,
+    late: Vec<(Time, StoreCall)>,
+}
+
+pub fn config(host: &str, incarnation: u64, seed: u64) -> NodeConfig {
+    let address = "127.0.0.1:1".parse().unwrap_or_else(|_| unreachable!());
+    NodeConfig {
+        host: name(host),
+        incarnation: Incarnation(incarnation),
+        data_centre: name("dc-a"),
+        caller_address: address,
+        peer_address: address,
+        fingerprint: Digest([0; 32]),
+        seed: seed.wrapping_add(host.bytes().map(u64::from).sum()),
+        timings: Timings::default(),
+        limits: Limits::default(),
+    }
+}
+
+pub fn engine(id: &str, fence_check: FenceCheck) -> Upstream {
+    let spec = EngineSpec {
+        memory: Mebibytes(80_000),
+        sleep_watts: SLEEP_WATTS,
+        active_watts: ACTIVE_WATTS,
+        fence_check,
+        concurrency: 8,
+    };
+    Upstream {
+        id: name(id),
+        address: "127.0.0.1:2".parse().unwrap_or_else(|_| unreachable!()),
+        data_centre: name("dc-a"),
+        site: name(SITE),
+        kind: UpstreamKind::Engine(spec),
+        standing: Standing::Live,
+    }
+}
+
+pub fn document(revision: u64, models: u32, replicas_max: u32, cap: Watts) -> Document {
+    let model = Model {
+        version: name("1"),
+        weights: Mebibytes(10_000),
+        kv_cache: Mebibytes(2000),
+        load_time: Duration::from_secs(10),
+        adapters: BTreeMap::new(),
+    };
+    let mut document = Document::default();
+    document.revision.0 = revision;
+    document.power_caps.insert(name(SITE), cap);
+    document.catalogue.models = (0..models).map(|i| (name(&format!("model-{i}")), model.clone())).collect();
+    document.rules = Rules { list: Vec::new(), otherwise: Outcome { replicas_max, ..Outcome::default() } };
+    document
+}
+
+impl Cluster {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            now: Time::from_millis(1000),
+            store: Store::default(),
+            processes: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            faults: Faults::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            killed: BTreeMap::new(),
+            late: Vec::new(),
+        }
+    }
+
+    /// Makes a cluster of hosts `a`, `b`, … and engines `e0`, `e1`, ….
+    pub fn with(
+        seed: u64,
+        hosts: &[&str],
+        engines: usize,
+        fence_check: FenceCheck,
+        document: Document,
+    ) -> Self {
+        let mut cluster = Self::new(seed);
+        cluster.store.put(Key::Document, Record::Document(Arc::new(document)));
+        cluster.engines =
+            (0..engines).map(|i| engine(&format!("e{i}"), fence_check)).map(|e| (e.id.clone(), e)).collect();
+        for host in hosts {
+            cluster.start(config(host, 1, seed));
+        }
+        cluster
+    }
+
+    pub fn start(&mut self, cfg: NodeConfig) {
+        let host = cfg.host.clone();
+        let mut process = Process {
+            control: Control::new(&cfg),
+            engines: FakeEngines::default(),
+            cache: StoreCache::default(),
+            document: Arc::default(),
+            upstreams: BTreeMap::new(),
+            changes: Vec::new(),
+            notes: Vec::new(),
+            writes: Writes::default(),
+            counters: Counters::default(),
+            rng: SmallRng::seed_from_u64(cfg.seed),
+            watched: None,
+            frozen: false,
+            cut: false,
+            inbox: VecDeque::new(),
+            cfg,
+        };
+        let mut effects = Vec::new();
+        process.with(self.now, &mut effects, |cx, parts| parts.control.start(cx));
+        self.processes.insert(host.clone(), process);
+        self.set_host_list(&host);
+        self.carry_out(&host, effects);
+    }
+
+    /// Ends a process without a word.
+    pub fn kill(&mut self, host: &str) {
+        let host: HostId = name(host);
+        if let Some(process) = self.processes.remove(&host) {
+            self.killed.insert(host, process.cfg.incarnation);
+        }
+    }
+
+    pub fn process(&mut self, host: &str) -> &mut Process {
+        self.processes.get_mut(&name::<HostId>(host)).unwrap_or_else(|| panic!("'{host}' runs"))
+    }
+
+    pub fn set_host_list(&mut self, host: &HostId) {
+        let now = self.now;
+        let list = self.engines.clone();
+        let Some(process) = self.processes.get_mut(host) else { return };
+        process.upstreams = list;
+        let mut effects = Vec::new();
+        process.with(now, &mut effects, |cx, parts| parts.control.on_host_list(cx));
+    }
+
+    pub fn shut_down(&mut self, host: &str) {
+        let now = self.now;
+        let mut effects = Vec::new();
+        self.process(host).with(now, &mut effects, |cx, parts| parts.control.on_shutdown(cx));
+    }
+
+    pub fn drained(&mut self, host: &str) {
+        let now = self.now;
+        let mut effects = Vec::new();
+        self.process(host).with(now, &mut effects, |cx, parts| parts.control.on_drained(cx));
+        self.carry_out(&name(host), effects);
+    }
+
+    pub fn report(&mut self, host: &HostId, engine: &UpstreamId, reached: bool) {
+        let now = self.now;
+        let Some(process) = self.processes.get_mut(host) else { return };
+        process.with(now, &mut Vec::new(), |cx, parts| parts.control.on_report(cx, engine, reached));
+    }
+
+    /// Returns the hosts that may give orders to an engine now.
+    pub fn holders(&self, engine: &UpstreamId) -> Vec<&HostId> {
+        self.processes.iter().filter(|(_, p)| p.holds(self.now, engine)).map(|(host, _)| host).collect()
+    }
+
+    pub fn run(&mut self, time: Duration, mut check: impl FnMut(&mut Self)) {
+        let end = self.now.after(time);
+        while !end.is_due(self.now) {
+            self.step();
+            check(self);
+        }
+    }
+
+    /// Runs until the condition holds.
+    pub fn until(
+        &mut self,
+        what: &str,
+        limit: Duration,
+        mut holds: impl FnMut(&mut Self) -> bool,
+    ) -> Duration {
+        let start = self.now;
+        while !holds(self) {
+            assert!(self.now.since(start) < limit, "{what} within {limit:?}");
+            self.step();
+        }
+        self.now.since(start)
+    }
+
+    pub fn step(&mut self) {
+        self.now = self.now.after(STEP);
+        self.store.expire(self.now);
+        let (due, late) = std::mem::take(&mut self.late).into_iter().partition(|(at, _)| at.is_due(self.now));
+        self.late = late;
+        let due: Vec<(Time, StoreCall)> = due;
+        due.into_iter().for_each(|(_, call)| drop(self.store.call(self.now, call)));
+        let hosts: Vec<HostId> = self.processes.keys().cloned().collect();
+        for host in &hosts {
+            self.step_process(host);
+        }
+    }
+
+    fn step_process(&mut self, host: &HostId) {
+        let now = self.now;
+        self.feed_watch(host);
+        let Some(process) = self.processes.get_mut(host).filter(|process| !process.frozen) else { return };
+        let mut effects = Vec::new();
+        let inbox = std::mem::take(&mut process.inbox);
+        for inbound in inbox {
+            process.take(now, inbound, &mut effects);
+        }
+        let ended = process.with(now, &mut effects, |cx, parts| parts.writes.on_tick(cx));
+        for ended in ended {
+            process.take_written(now, Some(ended), &mut effects);
+        }
+        process.with(now, &mut effects, |cx, parts| parts.control.on_tick(cx, parts.engines));
+        self.carry_out(host, effects);
+    }
+
+    fn feed_watch(&mut self, host: &HostId) {
+        let Some(process) = self.processes.get_mut(host) else { return };
+        let Some(after) = process.watched.filter(|_| !process.cut && !self.faults.outage) else { return };
+        let changes: Vec<Versioned> = self.store.log.iter().filter(|c| c.revision > after).cloned().collect();
+        if !changes.is_empty() {
+            process.watched = Some(self.store.revision());
+            process.inbox.push_back(Inbound::Watched(changes, self.store.revision()));
+        }
+    }
+
+    fn carry_out(&mut self, host: &HostId, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Store { call, request } => {
+                    let result = self.call_store(host, request);
+                    self.deliver(host, Inbound::Result(call, result));
+                }
+                Effect::Watch { from } => self.set_watched(host, Some(StoreRevision(from.0 - 1))),
+                Effect::Unwatch => self.set_watched(host, None),
+                Effect::Peer(envelope) => {
+                    if envelope.to == *host || !self.strikes(self.faults.lost_messages) {
+                        self.deliver(&envelope.to, Inbound::Peer(host.clone(), envelope.message));
+                    }
+                }
+                Effect::Probe { host: asked, incarnation, .. } => {
+                    if self.killed.get(&asked).is_some_and(|killed| *killed >= incarnation) {
+                        self.deliver(host, Inbound::Refused(asked, incarnation));
+                    }
+                }
+                Effect::Note(note) => {
+                    if let Some(process) = self.processes.get_mut(host) {
+                        process.notes.push((note.event, note.subject));
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn set_watched(&mut self, host: &HostId, watched: Option<StoreRevision>) {
+        if let Some(process) = self.processes.get_mut(host) {
+            process.watched = watched;
+        }
+    }
+
+    fn call_store(&mut self, host: &HostId, call: StoreCall) -> StoreResult {
+        let cut = self.faults.outage || self.processes.get(host).is_some_and(|process| process.cut);
+        if cut || self.strikes(self.faults.lost_calls) {
+            return Err(StoreFailure::NotDone);
+        }
+        if matches!(call, StoreCall::Write { .. }) && self.strikes(self.faults.late_writes) {
+            let late = self.now.after(Duration::from_millis(self.rng.random_range(100..20_000)));
+            self.late.push((late, call));
+            return Err(StoreFailure::Unknown);
+        }
+        let answer = self.store.call(self.now, call);
+        if self.strikes(self.faults.lost_answers) { Err(StoreFailure::Unknown) } else { Ok(answer) }
+    }
+
+    fn deliver(&mut self, host: &HostId, inbound: Inbound) {
+        if let Some(process) = self.processes.get_mut(host) {
+            process.inbox.push_back(inbound);
+        }
+    }
+
+    fn strikes(&mut self, percent: u32) -> bool {
+        percent > 0 && self.rng.random_range(0..100) < percent
+    }
+}
+
+/// Enough power for every engine.
+pub const PLENTY: Watts = Watts(1_000_000);
+
+pub const fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+/// Makes a cluster and waits until every engine has an owner.
+pub fn settled(seed: u64, hosts: &[&str], engines: usize, fence_check: FenceCheck) -> Cluster {
+    let mut cluster = Cluster::with(seed, hosts, engines, fence_check, document(1, 4, 2, PLENTY));
+    cluster.until("every engine gets an owner", secs(30), all_owned);
+    cluster
+}
+
+pub fn all_owned(cluster: &mut Cluster) -> bool {
+    cluster.engines.keys().all(|engine| cluster.holders(engine).len() == 1)
+}
+
+/// Checks that no two processes may give orders to the same engine.
+pub fn one_holder_each(cluster: &mut Cluster) {
+    for engine in cluster.engines.keys() {
+        let holders = cluster.holders(engine);
+        assert!(holders.len() < 2, "{holders:?} may all give orders to {engine} at {}", cluster.now);
+    }
+}
