--- a/crates/skylarkshore-core/tests/control/homes.rs
+++ b/crates/skylarkshore-core/tests/control/homes.rs
@@ -125,7 +125,9 @@
     let owner = cluster.holders(&gone)[0].clone();
     cluster.engines.remove(&gone);
     let hosts: Vec<_> = cluster.processes.keys().cloned().collect();
-    hosts.iter().for_each(|host| cluster.set_host_list(host));
+    for host in &hosts {
+        cluster.set_host_list(host);
+    }
     cluster.run(secs(60), |cluster| {
         cluster.report(&owner, &gone, true);
         assert!(homes(cluster, "model-0").contains(&gone));
--- a/crates/skylarkshore-core/tests/support/cluster.rs
+++ b/crates/skylarkshore-core/tests/support/cluster.rs
@@ -426,7 +426,9 @@
         let (due, late) = std::mem::take(&mut self.late).into_iter().partition(|(at, _)| at.is_due(self.now));
         self.late = late;
         let due: Vec<(Time, StoreCall)> = due;
-        due.into_iter().for_each(|(_, call)| drop(self.store.call(self.now, call)));
+        for (_, call) in due {
+            self.store.call(self.now, call);
+        }
         let hosts: Vec<HostId> = self.processes.keys().cloned().collect();
         for host in &hosts {
             self.step_process(host);
@@ -469,15 +471,15 @@
                 }
                 Effect::Watch { from } => self.set_watched(host, Some(StoreRevision(from.0 - 1))),
                 Effect::Unwatch => self.set_watched(host, None),
+                Effect::Peer(envelope) if envelope.to != *host && self.strikes(self.faults.lost_messages) => {
+                }
                 Effect::Peer(envelope) => {
-                    if envelope.to == *host || !self.strikes(self.faults.lost_messages) {
-                        self.deliver(&envelope.to, Inbound::Peer(host.clone(), envelope.message));
-                    }
+                    self.deliver(&envelope.to, Inbound::Peer(host.clone(), envelope.message));
                 }
-                Effect::Probe { host: asked, incarnation, .. } => {
-                    if self.killed.get(&asked).is_some_and(|killed| *killed >= incarnation) {
-                        self.deliver(host, Inbound::Refused(asked, incarnation));
-                    }
+                Effect::Probe { host: asked, incarnation, .. }
+                    if self.killed.get(&asked).is_some_and(|killed| *killed >= incarnation) =>
+                {
+                    self.deliver(host, Inbound::Refused(asked, incarnation));
                 }
                 Effect::Note(note) => {
                     if let Some(process) = self.processes.get_mut(host) {
--- a/crates/skylarkshore-core/tests/support/store.rs
+++ b/crates/skylarkshore-core/tests/support/store.rs
@@ -45,7 +45,9 @@
     pub fn expire(&mut self, now: Time) {
         let due: Vec<LeaseId> =
             self.leases.iter().filter(|(_, lease)| lease.ends.is_due(now)).map(|(id, _)| *id).collect();
-        due.into_iter().for_each(|lease| self.end_lease(lease));
+        for lease in due {
+            self.end_lease(lease);
+        }
     }
 
     pub fn call(&mut self, now: Time, call: StoreCall) -> StoreAnswer {
@@ -101,7 +103,9 @@
         self.leases.remove(&lease);
         let bound: Vec<Key> =
             self.entries.iter().filter(|(_, e)| e.lease == Some(lease)).map(|(key, _)| key.clone()).collect();
-        bound.into_iter().for_each(|key| self.change(key, None, None, None));
+        for key in bound {
+            self.change(key, None, None, None);
+        }
     }
 
     fn change(
