--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -5,6 +5,8 @@
 mod demand;
 mod describe;
 mod engine;
+mod gaps;
+mod history;
 mod ledger;
 mod load;
 mod own;
@@ -16,6 +18,8 @@
 mod wants;
 mod wishes;
 
+use std::time::Duration;
+
 use crate::authority::{Authority, EngineUse, HomeWish, OwnershipChange};
 use crate::collections::OrderedMap;
 use crate::config::NodeConfig;
@@ -24,10 +28,10 @@
 use crate::id::{HostId, ModelName, OrderId, UpstreamId};
 use crate::loading::demand::{Demand, Wanted};
 use crate::loading::engine::{Engine, ReportNews};
+use crate::loading::history::History;
 use crate::loading::ledger::Answered;
 use crate::loading::own::OwnEngines;
 use crate::loading::pacing::Pacing;
-use crate::loading::policy::History;
 use crate::loading::tally::{LoadTimes, Tally};
 use crate::peer::{CannotLoad, PeerMessage};
 use crate::rules::ServiceOrder;
@@ -35,6 +39,9 @@
 use crate::units::{Mebibytes, Watts};
 use crate::upstream::{EngineReport, Order, OrderAnswer};
 
+/// How often the policy looks at what is idle.
+const REVIEW_EVERY: Duration = Duration::from_millis(500);
+
 /// The loads, unloads and memory of the engines that one process owns.
 #[derive(Debug, Default)]
 pub struct Loading {
@@ -51,7 +58,7 @@
 struct Beside<'a> {
     authority: &'a dyn Authority,
     demand: &'a Demand,
-    history: &'a History,
+    history: &'a mut History,
     own: &'a OwnEngines,
     pacing: &'a mut Pacing,
     load_times: &'a mut LoadTimes,
@@ -133,6 +140,9 @@
             }
             let settled = engine.ledger.settle(report, asked, cx.cfg.timings.order_settle);
             engine.note_unexpected(cx, &settled);
+            for seen in report.models.iter().filter(|seen| seen.running > 0) {
+                beside.history.used(cx.now, &seen.model);
+            }
             load::note_ended(cx, engine, beside);
             if news == ReportNews::Restarted {
                 cx.note("engine_restarted", &engine.id, format!("incarnation={}", report.incarnation));
@@ -154,9 +164,7 @@
         self.pacing.on_peer(cx, from, message);
         match message {
             PeerMessage::Wanted { target, waiting, order, patience, arrived } => {
-                if *arrived > 0 {
-                    self.history.arrived(cx.now, &target.model);
-                }
+                self.note_use(cx, &target.model, *waiting, *arrived);
                 let wanted = Wanted { from, target, waiting: *waiting, order: *order, patience: *patience };
                 self.demand.wanted(cx.now, wanted, &cx.cfg.timings);
                 self.answer_wanted(cx, authority, &wanted);
@@ -176,6 +184,18 @@
         }
     }
 
+    /// Takes note of a router's requests.
+    ///
+    /// Requests that don't wait are only told now and then, and are seen in the
+    /// engine's reports before that, unless they are short.
+    fn note_use(&mut self, cx: &Cx<'_>, model: &ModelName, waiting: u32, arrived: u32) {
+        let told_every = cx.cfg.timings.interest / 2;
+        let unseen = self.history.last(model).is_none_or(|last| last.after(told_every).is_due(cx.now));
+        if waiting > 0 || arrived > 0 && unseen {
+            self.history.used(cx.now, model);
+        }
+    }
+
     /// Acts on a router's word at once and tells it how matters stand.
     fn answer_wanted(&mut self, cx: &mut Cx<'_>, authority: &dyn Authority, wanted: &Wanted<'_>) {
         let model = &wanted.target.model;
@@ -212,7 +232,7 @@
         let mut beside = Beside {
             authority,
             demand: &self.demand,
-            history: &self.history,
+            history: &mut self.history,
             own: &self.own,
             pacing: &mut self.pacing,
             load_times: &mut self.load_times,
@@ -241,6 +261,11 @@
     let wants = wants::collect(cx, engine, beside);
     engine.lacks = wants::lacking_power(engine, beside, &wants);
     let Some(permit) = beside.authority.permit(cx.now, &engine.id) else { return };
+    if engine.next_review.is_due(cx.now) {
+        engine.next_review = cx.now.after(REVIEW_EVERY);
+        close::review_idle(cx, engine, beside, &wants);
+        wants::review_ahead(cx, engine, beside);
+    }
     close::decide(cx, engine, beside, &wants);
     load::step(cx, engine, beside, permit, &wants);
     close::unload_drained(cx, engine, beside, permit);
--- a/crates/skylarkshore-core/src/loading/close.rs
+++ b/crates/skylarkshore-core/src/loading/close.rs
@@ -1,15 +1,17 @@
 //! Unloads: which models leave an engine, and when nobody uses them any more.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use crate::authority::Permit;
-use crate::collections::OrderedMap;
+use crate::collections::{OrderedMap, OrderedSet};
 use crate::cx::Cx;
 use crate::id::ModelName;
 use crate::loading::Beside;
 use crate::loading::engine::{CloseReason, Closing, Engine, memory_of};
-use crate::loading::wants::{self, Want};
-use crate::rules::ServiceOrder;
+use crate::loading::policy::{self, Stay};
+use crate::loading::wants::{self, Cause, Want};
+use crate::rules::{IdleAfter, Outcome, ServiceOrder};
 use crate::time::Time;
 use crate::units::Mebibytes;
 use crate::upstream::{LoadState, Order, ReportedModel};
@@ -70,13 +72,47 @@
         return Some(CloseReason::Version);
     }
     let is_used = wanted || seen.running > 0 || beside.demand.of_model(&seen.model).is_some();
-    (!is_used && is_idle_for_too_long(cx, engine, beside, &seen.model)).then_some(CloseReason::Idle)
+    (!is_used && engine.unneeded.contains(&seen.model)).then_some(CloseReason::Idle)
 }
 
-fn is_idle_for_too_long(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, model: &ModelName) -> bool {
-    let outcome = wants::rule(cx, engine, beside, model);
+/// Works out which idle models the policy would rather unload.
+pub(crate) fn review_idle(cx: &Cx<'_>, engine: &mut Engine, beside: &Beside<'_>, wants: &[Want]) {
+    let Some(report) = engine.report() else { return };
+    let is_used = |seen: &&ReportedModel| {
+        seen.state != LoadState::Ready
+            || seen.running > 0
+            || wants.iter().any(|want| want.model == seen.model)
+            || beside.demand.of_model(&seen.model).is_some()
+    };
+    let is_awake_anyway = report.models.iter().any(|seen| is_used(&seen));
+    let idle = report.models.iter().filter(|seen| !is_used(seen));
+    let mut unneeded = OrderedSet::new();
+    let mut staying = Vec::new();
+    let mut must_stay = is_awake_anyway;
+    for seen in idle {
+        let outcome = wants::rule(cx, engine, beside, &seen.model);
+        match outcome.idle_after {
+            IdleAfter::Fixed(idle) if last_use(engine, beside, &seen.model).after(idle).is_due(cx.now) => {
+                unneeded.insert(seen.model.clone());
+            }
+            IdleAfter::Fixed(_) | IdleAfter::Never => must_stay = true,
+            IdleAfter::Adaptive => {
+                staying.push((seen.model.clone(), stay(cx, engine, beside, &seen.model, outcome)));
+            }
+        }
+    }
+    let stays: Vec<Stay> = staying.iter().map(|(_, stay)| stay.clone()).collect();
+    if !must_stay && !policy::is_worth_staying(&stays) {
+        unneeded.extend(staying.into_iter().map(|(model, _)| model));
+    }
+    engine.unneeded = unneeded;
+}
+
+fn stay(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, model: &ModelName, outcome: &Outcome) -> Stay {
+    let used = beside.history.last(model);
+    let since = used.unwrap_or_else(|| last_use(engine, beside, model));
     let load_time = beside.load_times.of(cx, model);
-    last_use(engine, beside, model).after(beside.history.keep_for(model, outcome, load_time)).is_due(cx.now)
+    Stay::new(beside.history, model, outcome, load_time, cx.now.since(since))
 }
 
 /// Returns when the model was last used here, or became ready.
@@ -151,7 +187,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Victim {
     /// Those served last come first.
-    order: std::cmp::Reverse<ServiceOrder>,
+    order: Reverse<ServiceOrder>,
+    /// What staying saves for each gibibyte, in milliseconds of an idle accelerator.
+    value: u64,
     last_use: Time,
     model: ModelName,
 }
@@ -165,21 +203,36 @@
             && !engine.closing.contains_key(&seen.model)
     });
     idle.filter_map(|seen| {
-        let order = wants::rule(cx, engine, beside, &seen.model).order;
+        let outcome = wants::rule(cx, engine, beside, &seen.model);
+        let order = outcome.order;
         let waiting = beside.demand.of_model(&seen.model);
         let kept = wants::is_kept(cx, engine, beside, &seen.model);
         let is_weaker = match waiting {
+            _ if want.cause == Cause::Ahead => false,
             Some(need) => want.waiting > 0 && want.order < need.order,
             None if kept => want.waiting > 0 && want.order < order,
             None => true,
         };
         let last_use = last_use(engine, beside, &seen.model);
-        let victim = Victim { order: std::cmp::Reverse(order), last_use, model: seen.model.clone() };
-        is_weaker.then(|| (victim, memory_of(seen)))
+        let memory = memory_of(seen);
+        let value = value_per_gibibyte(&stay(cx, engine, beside, &seen.model, outcome), memory);
+        let victim = Victim { order: Reverse(order), value, last_use, model: seen.model.clone() };
+        is_weaker.then_some((victim, memory))
     })
     .collect()
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss,
+    reason = "only the order of the values counts"
+)]
+fn value_per_gibibyte(stay: &Stay, memory: Mebibytes) -> u64 {
+    const MILLIS_PER_MEBIBYTE: f64 = 1000.0 * 1024.0;
+    (stay.value() * MILLIS_PER_MEBIBYTE / memory.0.max(1) as f64) as u64
+}
+
 /// Unloads closing models once routers have had time to stop and nothing runs any more.
 pub(crate) fn unload_drained(cx: &mut Cx<'_>, engine: &mut Engine, beside: &mut Beside<'_>, permit: Permit) {
     let closing: Vec<(ModelName, Closing)> = engine.closing.iter().map(|(m, c)| (m.clone(), *c)).collect();
--- a/crates/skylarkshore-core/src/loading/engine.rs
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -24,6 +24,9 @@
 /// How long to wait before the fence is raised once more.
 const FENCE_RETRY: Duration = Duration::from_millis(500);
 
+/// How many times as often reports are asked for while a load is under way.
+const REPORTS_WHILE_LOADING: u32 = 4;
+
 /// How far the taking over of an engine has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -147,6 +150,14 @@
     pub lacks: Option<(Watts, ServiceOrder)>,
     /// The models that the last report showed.
     pub expected: OrderedSet<ModelName>,
+    /// Idle models that the policy would rather unload.
+    pub unneeded: OrderedSet<ModelName>,
+    /// Models that are better loaded ahead of their next request.
+    pub expected_soon: OrderedSet<ModelName>,
+    /// Models that were loaded ahead, with the last use before that.
+    pub prewarmed: OrderedMap<ModelName, Time>,
+    /// When the policy is to be asked again.
+    pub next_review: Time,
     /// Models for which no room can be made.
     pub crowded: OrderedSet<ModelName>,
     /// Until when idle time has been counted.
@@ -183,6 +194,10 @@
             last_busy: OrderedMap::new(),
             lacks: None,
             expected: OrderedSet::new(),
+            unneeded: OrderedSet::new(),
+            expected_soon: OrderedSet::new(),
+            prewarmed: OrderedMap::new(),
+            next_review: now,
             crowded: OrderedSet::new(),
             counted: now,
             wishes: Wishes::default(),
@@ -365,7 +380,10 @@
 
     /// Asks the engine how it stands.
     pub(crate) fn ask_report(&mut self, cx: &mut Cx<'_>) {
-        self.next_ask = cx.now.after(cx.cfg.timings.report_every);
+        let every = cx.cfg.timings.report_every;
+        // Those who wait for a load feel how late its end is noticed.
+        let every = if self.loads.is_empty() { every } else { every / REPORTS_WHILE_LOADING };
+        self.next_ask = cx.now.after(every);
         cx.push(Effect::AskReport { upstream: self.id.clone() });
     }
 
--- a/crates/skylarkshore-core/src/loading/load.rs
+++ b/crates/skylarkshore-core/src/loading/load.rs
@@ -11,7 +11,7 @@
 use crate::loading::engine::{Engine, Failures, LoadProgress};
 use crate::loading::pacing::{LoadKey, Slot, Urgency};
 use crate::loading::tally::Tally;
-use crate::loading::wants::Want;
+use crate::loading::wants::{Cause, Want};
 use crate::units::Mebibytes;
 use crate::upstream::{LoadState, Order};
 
@@ -126,10 +126,19 @@
         return;
     }
     let expected = cx.now.after(beside.load_times.of(cx, &want.model));
+    if want.cause == Cause::Ahead
+        && let Some(last) = beside.history.last(&want.model)
+    {
+        engine.prewarmed.insert(want.model.clone(), last);
+    }
     if matches!(load, Order::Load { .. }) {
         engine.loads.insert(want.model.clone(), LoadProgress { started: cx.now, expected });
     }
-    cx.note("load_started", format!("{}@{}", want.model, engine.id), format!("waiting={}", want.waiting));
+    cx.note(
+        "load_started",
+        format!("{}@{}", want.model, engine.id),
+        format!("cause={} waiting={}", want.cause, want.waiting),
+    );
     engine.send(cx, permit, None, load);
     beside.pacing.started(&key);
     beside.tally.loads += 1;
@@ -146,6 +155,9 @@
         engine.ready_since.entry(model.clone()).or_insert(cx.now);
         let Some(load) = engine.loads.remove(&model) else { continue };
         let took = cx.now.since(load.started);
+        if let Some(need) = beside.demand.of_model(&model) {
+            beside.history.felt(&model, need.waiting);
+        }
         beside.load_times.measured(&model, took);
         cx.note("load_ended", format!("{model}@{}", engine.id), format!("took_ms={}", took.as_millis()));
     }
--- a/crates/skylarkshore-core/src/loading/wants.rs
+++ b/crates/skylarkshore-core/src/loading/wants.rs
@@ -1,5 +1,8 @@
 //! Which models ought to be loaded on an engine, the most urgent first.
 
+use derive_more::Display;
+
+use crate::collections::OrderedSet;
 use crate::cx::Cx;
 use crate::id::ModelName;
 use crate::loading::engine::Engine;
@@ -14,9 +17,28 @@
 /// How many requests may wait for each slot of a replica before one more replica helps.
 const WAITING_PER_SLOT: u32 = 2;
 
+/// Why a model ought to be loaded.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Cause {
+    /// Requests wait for it.
+    #[display("waiting")]
+    Waiting,
+    /// The rules keep it loaded.
+    #[display("kept")]
+    Kept,
+    /// A request is expected soon.
+    #[display("ahead")]
+    Ahead,
+}
+
+/// The order of service of loads that nobody waits for yet.
+const LAST: ServiceOrder = ServiceOrder(u16::MAX);
+
 /// A model that ought to be loaded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Want {
+    /// Why.
+    pub cause: Cause,
     /// The model.
     pub model: ModelName,
     /// The order of service of those who wait, or of the rule that keeps it loaded.
@@ -29,8 +51,8 @@
 
 impl Want {
     /// Returns what decides which want goes first.
-    pub(crate) const fn rank(&self) -> (bool, ServiceOrder, Time) {
-        (self.waiting == 0, self.order, self.deadline)
+    pub(crate) const fn rank(&self) -> (Cause, ServiceOrder, Time) {
+        (self.cause, self.order, self.deadline)
     }
 }
 
@@ -64,14 +86,39 @@
         && beside.own.place(&engine.id, model, homes) < replicas_needed(engine, &need, outcome)
     {
         let Need { order, deadline, waiting } = need;
-        return Some(Want { model: model.clone(), order, deadline, waiting });
+        return Some(Want { cause: Cause::Waiting, model: model.clone(), order, deadline, waiting });
+    }
+    let unasked =
+        |cause, order| Want { cause, model: model.clone(), order, deadline: Time::NEVER, waiting: 0 };
+    if place(cx, engine, homes)? < outcome.replicas_min {
+        return Some(unasked(Cause::Kept, outcome.order));
+    }
+    engine.expected_soon.contains(model).then(|| unasked(Cause::Ahead, LAST))
+}
+
+/// Works out which models are better loaded ahead of their next request.
+///
+/// Each is loaded once in the time without requests. A prediction that failed
+/// would otherwise be made again and again until the next request.
+pub(crate) fn review_ahead(cx: &Cx<'_>, engine: &mut Engine, beside: &Beside<'_>) {
+    let mut expected = OrderedSet::new();
+    for (model, homes) in cx.cache.all_homes() {
+        let is_first = homes.engines.first() == Some(&engine.id);
+        if !is_first || engine.model(model).is_some() || !beside.authority.is_home(&engine.id, model) {
+            continue;
+        }
+        let Some(last) = beside.history.last(model) else { continue };
+        if engine.prewarmed.get(model) == Some(&last) {
+            continue;
+        }
+        let outcome = rule(cx, engine, beside, model);
+        let load_time = beside.load_times.of(cx, model);
+        let idle = cx.now.since(last);
+        if policy::is_worth_prewarming(beside.history, model, outcome, load_time, idle) {
+            expected.insert(model.clone());
+        }
     }
-    (place(cx, engine, homes)? < outcome.replicas_min).then(|| Want {
-        model: model.clone(),
-        order: outcome.order,
-        deadline: Time::NEVER,
-        waiting: 0,
-    })
+    engine.expected_soon = expected;
 }
 
 /// Tells whether the rules keep a model loaded on an engine, requests or not.
--- a/crates/skylarkshore-core/tests/loading.rs
+++ b/crates/skylarkshore-core/tests/loading.rs
@@ -7,3 +7,5 @@
 mod course;
 #[path = "loading/faults.rs"]
 mod faults;
+#[path = "loading/policy.rs"]
+mod policy;
