--- a/crates/skylarkshore-core/src/serving/report.rs
+++ b/crates/skylarkshore-core/src/serving/report.rs
@@ -12,21 +12,21 @@
         let requests = self.requests.iter().map(|(id, request)| Belief {
             kind: "request",
             subject: id.to_string(),
-            belief: request.describe(),
+            state: request.describe(),
             since: Some(request.since),
         });
         let routes = self.routes.used().map(|(upstream, n)| Belief {
             kind: "route",
             subject: upstream.to_string(),
-            belief: format!("{n} requests from here"),
+            state: format!("{n} requests from here"),
             since: None,
         });
         let suspects = self.suspects.digests().map(|digest| {
-            let belief = match self.suspects.standing(digest) {
+            let state = match self.suspects.standing(digest) {
                 Standing::Convicted => "crashes upstreams and is refused",
                 Standing::Suspect | Standing::Free => "was in progress when an upstream died and runs alone",
             };
-            Belief { kind: "suspect", subject: digest.to_string(), belief: belief.to_owned(), since: None }
+            Belief { kind: "suspect", subject: digest.to_string(), state: state.to_owned(), since: None }
         });
         requests.chain(routes).chain(suspects).collect()
     }
--- /dev/null
+++ b/crates/skylarkshore-core/tests/serving/random.rs
@@ -0,0 +1,445 @@
+//! Events in any order at two processes, with a key-value service that loses answers.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+
+use skylarkshore_core::collections::OrderedMap;
+use skylarkshore_core::effect::{Effect, RefusalOutcome};
+use skylarkshore_core::event::{Arrival, AttemptEnd, Rejection, Repeat, Target};
+use skylarkshore_core::id::{AttemptId, CallId, Digest, Fence, RequestId, UpstreamId};
+use skylarkshore_core::peer::{CannotLoad, PeerMessage};
+use skylarkshore_core::store::{RecordedAnswer, StoreCall, StoreFailure};
+use skylarkshore_core::time::Time;
+use skylarkshore_core::upstream::Standing;
+use skylarkshore_core::view::{Readiness, ViewVersion};
+
+use crate::support::serving::*;
+
+const HOSTS: [&str; 2] = ["a", "b"];
+const ENGINES: [&str; 3] = ["e1", "e2", "e3"];
+const UPSTREAMS: [&str; 5] = ["e1", "e2", "e3", "s1", "s2"];
+const CONCURRENCY: usize = 2;
+/// How long after its deadline a request may still be without its end: peers
+/// are told and a claim is given up first, each for a bounded time.
+const GRACE: Duration = Duration::from_millis(750);
+
+#[derive(Clone, Debug)]
+enum Asked {
+    Model(usize),
+    Call,
+    Booking { key: u8 },
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Done,
+    NotDone,
+    /// It never arrives, and nobody knows.
+    Vanished,
+    /// It is carried out, and the answer is lost.
+    AnswerLost,
+    /// Its sender gives it up, and it arrives later.
+    Late,
+}
+
+#[derive(Clone, Debug)]
+enum Op {
+    Arrive { at: usize, asked: Asked, body: u8, caller: usize, patience: u64 },
+    Started { at: usize, which: usize },
+    End { at: usize, which: usize, end: usize },
+    Gone { at: usize, which: usize },
+    Pass { ms: u64 },
+    Store { which: usize, fate: Fate },
+    Arrives { which: usize },
+    View { at: usize, engine: usize, number: u64, state: usize, running: u32 },
+    CannotLoad { at: usize, from: usize, model: usize, ms: u64 },
+    Suspects { at: usize, body: u8, alone: bool },
+    Noted { at: usize, from: usize },
+    Cleared { at: usize, body: u8 },
+    Leaving { at: usize, upstream: usize },
+    Listed { at: usize, upstream: usize, live: bool },
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let asked = prop_oneof![
+        (0..2_usize).prop_map(Asked::Model),
+        Just(Asked::Call),
+        (0..3_u8).prop_map(|key| Asked::Booking { key }),
+    ];
+    let fate = prop_oneof![
+        6 => Just(Fate::Done),
+        1 => Just(Fate::NotDone),
+        1 => Just(Fate::Vanished),
+        1 => Just(Fate::AnswerLost),
+        1 => Just(Fate::Late),
+    ];
+    let at = 0..HOSTS.len();
+    let which = 0..64_usize;
+    prop_oneof![
+        8 => (at.clone(), asked, 0..4_u8, 0..2_usize, 50..9000_u64).prop_map(
+            |(at, asked, body, caller, patience)| Op::Arrive { at, asked, body, caller, patience }
+        ),
+        2 => (at.clone(), which.clone()).prop_map(|(at, which)| Op::Started { at, which }),
+        8 => (at.clone(), which.clone(), 0..10_usize).prop_map(|(at, which, end)| Op::End { at, which, end }),
+        1 => (at.clone(), which.clone()).prop_map(|(at, which)| Op::Gone { at, which }),
+        5 => (1..1500_u64).prop_map(|ms| Op::Pass { ms }),
+        8 => (which.clone(), fate).prop_map(|(which, fate)| Op::Store { which, fate }),
+        1 => which.prop_map(|which| Op::Arrives { which }),
+        6 => (at.clone(), 0..ENGINES.len(), 1..40_u64, 0..5_usize, 0..3_u32).prop_map(
+            |(at, engine, number, state, running)| Op::View { at, engine, number, state, running }
+        ),
+        1 => (at.clone(), 0..3_usize, 0..2_usize, 1..8000_u64)
+            .prop_map(|(at, from, model, ms)| Op::CannotLoad { at, from, model, ms }),
+        1 => (at.clone(), 0..4_u8, prop::bool::weighted(0.1))
+            .prop_map(|(at, body, alone)| Op::Suspects { at, body, alone }),
+        2 => (at.clone(), 0..3_usize).prop_map(|(at, from)| Op::Noted { at, from }),
+        1 => (at.clone(), 0..4_u8).prop_map(|(at, body)| Op::Cleared { at, body }),
+        1 => (at.clone(), 0..UPSTREAMS.len()).prop_map(|(at, upstream)| Op::Leaving { at, upstream }),
+        1 => (at, 0..UPSTREAMS.len(), prop::bool::weighted(0.7))
+            .prop_map(|(at, upstream, live)| Op::Listed { at, upstream, live }),
+    ]
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Name<T> {
+    at: usize,
+    id: T,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Truth {
+    Running,
+    /// The upstream did nothing.
+    NotRun,
+    MayHaveRun,
+    Cancelled,
+}
+
+#[derive(Debug)]
+struct Asking {
+    arrival: Arrival,
+    finals: u32,
+    gone: bool,
+    passed_on: bool,
+    started: bool,
+}
+
+#[derive(Debug)]
+struct Tried {
+    request: Name<RequestId>,
+    upstream: UpstreamId,
+    truth: Truth,
+}
+
+struct World {
+    store: Store,
+    processes: Vec<Process>,
+    calls: Vec<(Name<CallId>, StoreCall)>,
+    late: Vec<StoreCall>,
+    requests: OrderedMap<Name<RequestId>, Asking>,
+    attempts: OrderedMap<Name<AttemptId>, Tried>,
+    /// Which key and body an answer belongs to.
+    answers: OrderedMap<Vec<u8>, (Digest, Digest)>,
+    leaving: Vec<(usize, UpstreamId)>,
+    next: u64,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            store: Store::default(),
+            processes: HOSTS.iter().map(|host| Process::new(host, 7)).collect(),
+            calls: Vec::new(),
+            late: Vec::new(),
+            requests: OrderedMap::new(),
+            attempts: OrderedMap::new(),
+            answers: OrderedMap::new(),
+            leaving: Vec::new(),
+            next: 0,
+        }
+    }
+
+    fn carry_out(&mut self, op: Op) {
+        match op {
+            Op::Arrive { at, asked, body, caller, patience } => {
+                self.arrive(at, &asked, body, caller, patience);
+            }
+            Op::Started { at, which } => {
+                if let Some(attempt) = self.attempt(at, which) {
+                    let request = self.attempts[&attempt].request;
+                    let live = self.attempts[&attempt].truth == Truth::Running;
+                    self.requests.get_mut(&request).unwrap().started |= live;
+                    self.processes[at].with(|serving, cx| serving.on_answer_started(cx, attempt.id));
+                }
+            }
+            Op::End { at, which, end } => self.end(at, which, end),
+            Op::Gone { at, which } => {
+                let own: Vec<_> = self.requests.keys().filter(|r| r.at == at).copied().collect();
+                if let Some(request) = own.get(which % own.len().max(1)) {
+                    self.requests.get_mut(request).unwrap().gone = true;
+                    self.processes[at].with(|serving, cx| serving.on_caller_gone(cx, request.id));
+                }
+            }
+            Op::Pass { ms } => self.processes.iter_mut().for_each(|p| p.pass(ms)),
+            Op::Store { which, fate } => self.answer_call(which, fate),
+            Op::Arrives { which } => {
+                if !self.late.is_empty() {
+                    let call = self.late.remove(which % self.late.len());
+                    self.store.carry_out(&call);
+                }
+            }
+            Op::View { at, engine, number, state, running } => self.view(at, engine, number, state, running),
+            Op::CannotLoad { at, from, model, ms } => {
+                let Target::Model(target) = target_of(model) else { return };
+                let retry_after = Duration::from_millis(ms);
+                let message = PeerMessage::CannotLoad { target, reason: CannotLoad::Memory, retry_after };
+                self.processes[at].peer(["a", "b", "c"][from], &message);
+            }
+            Op::Suspects { at, body, alone } => {
+                let requests = vec![digest(body)];
+                let message =
+                    PeerMessage::Suspects { upstream: name("e9"), incarnation: None, requests, alone };
+                self.processes[at].peer("c", &message);
+            }
+            Op::Noted { at, from } => {
+                let requests = (0..4).map(digest).collect();
+                self.processes[at].peer(["a", "b", "c"][from], &PeerMessage::SuspectsNoted { requests });
+            }
+            Op::Cleared { at, body } => {
+                self.processes[at].peer("c", &PeerMessage::Cleared { request: digest(body) });
+            }
+            Op::Leaving { at, upstream } => {
+                let upstream: UpstreamId = name(UPSTREAMS[upstream]);
+                self.leaving.push((at, upstream.clone()));
+                self.processes[at].peer("c", &PeerMessage::UpstreamLeaving { upstream });
+            }
+            Op::Listed { at, upstream, live } => {
+                let p = &mut self.processes[at];
+                let upstream = p.upstreams.get_mut(&name::<UpstreamId>(UPSTREAMS[upstream])).unwrap();
+                upstream.standing = if live { Standing::Live } else { Standing::Leaving };
+                p.with(skylarkshore_core::serving::Serving::on_host_list);
+            }
+        }
+    }
+
+    fn arrive(&mut self, at: usize, asked: &Asked, body: u8, caller: usize, patience: u64) {
+        self.next += 1;
+        let p = &mut self.processes[at];
+        let target = match asked {
+            Asked::Model(model) => target_of(*model),
+            Asked::Call | Asked::Booking { .. } => service("booking"),
+        };
+        let mut arrival = arrival(p, target, body);
+        if let Asked::Booking { key } = asked {
+            arrival.repeat = Repeat::Once { key: digest(*key) };
+        }
+        arrival.caller = name(["orchard", "harvest"][caller]);
+        arrival.deadline = p.now.after(Duration::from_millis(patience));
+        let request = Name { at, id: RequestId(self.next) };
+        let asking =
+            Asking { arrival: arrival.clone(), finals: 0, gone: false, passed_on: false, started: false };
+        self.requests.insert(request, asking);
+        p.arrive(self.next, arrival);
+    }
+
+    fn attempt(&self, at: usize, which: usize) -> Option<Name<AttemptId>> {
+        let own: Vec<_> = self.attempts.keys().filter(|a| a.at == at).copied().collect();
+        // The newest ones are tried most, and old ones now and then, as late events.
+        own.iter().rev().nth(which % 8).or(own.last()).copied()
+    }
+
+    fn end(&mut self, at: usize, which: usize, end: usize) {
+        let Some(name) = self.attempt(at, which) else { return };
+        let tried = self.attempts.get_mut(&name).unwrap();
+        let live = tried.truth == Truth::Running;
+        let asking = self.requests.get_mut(&tried.request).unwrap();
+        let once = match asking.arrival.repeat {
+            Repeat::Once { key } => Some(key),
+            Repeat::Allowed => None,
+        };
+        let (end, truth) = match end {
+            0..=2 => (whole(name, once.is_some()), Truth::MayHaveRun),
+            3 if once.is_some() => (AttemptEnd::WholeTooLarge, Truth::MayHaveRun),
+            3 | 4 => (AttemptEnd::NotSent, Truth::NotRun),
+            5 => (AttemptEnd::Rejected(Rejection::Busy), Truth::NotRun),
+            6 => (AttemptEnd::Rejected(Rejection::NotLoaded), Truth::NotRun),
+            7 => (AttemptEnd::Lost { passed_on: once.is_none(), died: false }, Truth::MayHaveRun),
+            8 => (AttemptEnd::Lost { passed_on: false, died: true }, Truth::MayHaveRun),
+            _ => (AttemptEnd::Lost { passed_on: false, died: false }, Truth::MayHaveRun),
+        };
+        if live {
+            tried.truth = truth;
+            match &end {
+                AttemptEnd::Whole { held: Some(answer) } => {
+                    self.answers.insert(answer.body.clone(), (once.unwrap(), asking.arrival.digest));
+                }
+                AttemptEnd::Whole { held: None } | AttemptEnd::WholeTooLarge => asking.finals += 1,
+                AttemptEnd::Lost { passed_on, .. } => {
+                    asking.passed_on |= *passed_on;
+                    asking.started = false;
+                }
+                _ => {}
+            }
+        }
+        self.processes[at].end(name.id, end);
+    }
+
+    fn answer_call(&mut self, which: usize, fate: Fate) {
+        if self.calls.is_empty() {
+            return;
+        }
+        let (call, request) = self.calls.remove(which % self.calls.len());
+        let result = match fate {
+            Fate::Done => Ok(self.store.carry_out(&request)),
+            Fate::NotDone => Err(StoreFailure::NotDone),
+            Fate::Vanished => Err(StoreFailure::Unknown),
+            Fate::AnswerLost => {
+                self.store.carry_out(&request);
+                Err(StoreFailure::Unknown)
+            }
+            Fate::Late => {
+                self.late.push(request);
+                Err(StoreFailure::Unknown)
+            }
+        };
+        self.processes[call.at].store(call.id, &result);
+    }
+
+    fn view(&mut self, at: usize, engine: usize, number: u64, state: usize, running: u32) {
+        let readiness = match state {
+            0..=2 => Readiness::Ready,
+            3 => Readiness::Loading { remaining: Duration::from_secs(2) },
+            _ => Readiness::Closing,
+        };
+        let mut view = view(ENGINES[engine], number, ["m", "n"][engine % 2], readiness);
+        view.version = ViewVersion { fence: Fence(number / 8), number };
+        view.running = running;
+        self.processes[at].peer(["b", "c", "a"][engine], &PeerMessage::View(view));
+    }
+
+    /// Looks at what the processes want done.
+    fn absorb(&mut self) {
+        for at in 0..HOSTS.len() {
+            for effect in self.processes[at].take() {
+                self.check(at, effect);
+            }
+        }
+    }
+
+    fn check(&mut self, at: usize, effect: Effect) {
+        match effect {
+            Effect::Store { call, request } => self.calls.push((Name { at, id: call }, request)),
+            Effect::Send { request, attempt, upstream, resume, .. } => {
+                let request = Name { at, id: request };
+                let asking = &self.requests[&request];
+                assert_eq!(asking.finals, 0, "sent after its end: {request:?}");
+                assert_eq!(resume, asking.passed_on, "resumes what the caller has a part of: {request:?}");
+                assert!(!self.leaving.contains(&(at, upstream.clone())), "sent to a leaving upstream");
+                let live = self.processes[at].upstreams[&upstream].standing == Standing::Live;
+                assert!(live, "sent to an upstream that the host list calls leaving");
+                let tried = Tried { request, upstream: upstream.clone(), truth: Truth::Running };
+                self.attempts.insert(Name { at, id: attempt }, tried);
+                self.check_running(at, request, &upstream);
+                self.check_once(request);
+            }
+            Effect::Cancel { attempt } => {
+                let tried = self.attempts.get_mut(&Name { at, id: attempt }).unwrap();
+                assert_eq!(tried.truth, Truth::Running, "cancelled after its end");
+                tried.truth = Truth::Cancelled;
+            }
+            Effect::Answer { request, answer } => {
+                let request = Name { at, id: request };
+                let asking = &self.requests[&request];
+                let Repeat::Once { key } = asking.arrival.repeat else {
+                    panic!("kept answer for {request:?}")
+                };
+                assert_eq!(self.answers[&answer.body], (key, asking.arrival.digest), "another's answer");
+                self.final_effect(request);
+            }
+            Effect::Refuse { request, refusal } => {
+                let request = Name { at, id: request };
+                if refusal.outcome == RefusalOutcome::NotRun {
+                    let ran = |t: &&Tried| t.request == request && t.truth != Truth::NotRun;
+                    assert!(!self.attempts.values().any(|t| ran(&t)), "not_run is untrue: {request:?}");
+                }
+                assert!(!self.requests[&request].passed_on, "refused after a part of the answer");
+                self.final_effect(request);
+            }
+            Effect::Abort { request, refusal } => {
+                let request = Name { at, id: request };
+                assert_ne!(refusal.outcome, RefusalOutcome::NotRun, "a part was passed on");
+                let asking = &self.requests[&request];
+                assert!(asking.passed_on || asking.started, "aborted without a part of an answer");
+                self.final_effect(request);
+            }
+            _ => {}
+        }
+    }
+
+    fn check_running(&self, at: usize, request: Name<RequestId>, upstream: &UpstreamId) {
+        let running = |t: &&Tried| t.truth == Truth::Running;
+        let of_request = self.attempts.values().filter(running).filter(|t| t.request == request).count();
+        assert_eq!(of_request, 1, "two attempts of a request at once: {request:?}");
+        let here = self.attempts.iter().filter(|(name, t)| name.at == at && running(t));
+        let there = here.filter(|(_, t)| t.upstream == *upstream).count();
+        assert!(there <= CONCURRENCY, "{there} at once at {upstream}");
+    }
+
+    /// Checks that a key was run at most once, as far as upstreams may have run it.
+    fn check_once(&self, request: Name<RequestId>) {
+        let Repeat::Once { key } = self.requests[&request].arrival.repeat else { return };
+        let same = |t: &&Tried| self.requests[&t.request].arrival.repeat == Repeat::Once { key };
+        let runs = self.attempts.values().filter(same).filter(|t| t.truth != Truth::NotRun).count();
+        assert!(runs <= 1, "{runs} runs under the key {key}");
+    }
+
+    fn final_effect(&mut self, request: Name<RequestId>) {
+        let asking = self.requests.get_mut(&request).unwrap();
+        asking.finals += 1;
+        assert_eq!(asking.finals, 1, "two ends: {request:?}");
+    }
+
+    /// Checks that no request is kept past its deadline.
+    fn check_ends(&self) {
+        for (name, asking) in &self.requests {
+            let now: Time = self.processes[name.at].now;
+            let late = asking.arrival.deadline.after(GRACE) < now;
+            assert!(!late || asking.gone || asking.finals == 1, "no end: {name:?} {asking:?}");
+        }
+    }
+}
+
+fn target_of(n: usize) -> Target {
+    model(["m", "n"][n])
+}
+
+fn whole(attempt: Name<AttemptId>, held: bool) -> AttemptEnd {
+    let body = format!("{attempt:?}").into_bytes();
+    let answer = RecordedAnswer { status: 200, content_type: None, body };
+    AttemptEnd::Whole { held: held.then_some(answer) }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2000, max_shrink_iters: 20_000, ..ProptestConfig::default() })]
+
+    #[test]
+    fn every_request_ends_once_and_truly_whatever_the_order_of_events(
+        ops in prop::collection::vec(op(), 1..120)
+    ) {
+        let mut world = World::new();
+        for op in ops {
+            world.carry_out(op);
+            world.absorb();
+            world.check_ends();
+        }
+        for _ in 0..20 {
+            world.carry_out(Op::Pass { ms: 1000 });
+            world.absorb();
+        }
+        world.check_ends();
+        for (name, asking) in &world.requests {
+            prop_assert!(asking.gone || asking.finals == 1, "{:?} has {} ends", name, asking.finals);
+        }
+    }
+}
--- a/crates/skylarkshore-core/tests/serving_requests.rs
+++ b/crates/skylarkshore-core/tests/serving_requests.rs
@@ -7,4 +7,5 @@
 mod serving {
     mod flow;
     mod once;
+    mod random;
 }
