Never take a sent request's claim for a leftover, nor send a cleared suspect twice

Random event orders found three faults: a claim that stays because its request was lost was deleted as a leftover once a later claim of the same key was abandoned, and the key ran twice; a suspect that was cleared while another one got its turn was sent twice; a suspect's claim that came back after its replica had begun to leave was sent there all the same.

--- a/crates/skylarkshore-core/src/serving/alone.rs
+++ b/crates/skylarkshore-core/src/serving/alone.rs
@@ -137,10 +137,14 @@
             .filter(|(_, r)| r.arrival.digest == digest && r.state == State::QueuedAlone)
             .map(|(id, _)| *id)
             .collect();
+        // All leave the line of suspects before the first one moves on: that
+        // gives the next suspect its turn, which would then be sent twice.
+        for id in &cleared {
+            let Some(request) = self.requests.get(id) else { continue };
+            self.suspects.waiting.remove(&Urgency::of(*id, request));
+            self.end_alone(cx, *id);
+        }
         for id in cleared {
-            let Some(request) = self.requests.get(&id) else { continue };
-            self.suspects.waiting.remove(&Urgency::of(id, request));
-            self.end_alone(cx, id);
             self.wait(cx, id);
         }
     }
--- a/crates/skylarkshore-core/src/serving/arrival.rs
+++ b/crates/skylarkshore-core/src/serving/arrival.rs
@@ -228,7 +228,10 @@
         let suspect = self.suspects.standing(request.arrival.digest);
         let goes_on = match suspect {
             Standing::Free => self.routes.fits(cx, &request.arrival.target, &run),
-            Standing::Suspect => self.suspects.alone.as_ref().is_some_and(|alone| alone.request == id),
+            Standing::Suspect => {
+                let kept = self.suspects.alone.as_ref().is_some_and(|alone| alone.request == id);
+                kept && self.routes.fits_alone(cx, &request.arrival.target, &run)
+            }
             Standing::Convicted => {
                 let reason = RefusalReason::CrashesUpstreams;
                 return self.advance(cx, id, Step::Refuse { reason, retry_after: None });
@@ -238,6 +241,7 @@
             return self.advance(cx, id, Step::Send { upstream: run, company });
         }
         self.routes.free(&run);
+        self.end_alone(cx, id);
         self.wait(cx, id);
     }
 
--- a/crates/skylarkshore-core/src/serving/lease.rs
+++ b/crates/skylarkshore-core/src/serving/lease.rs
@@ -9,7 +9,7 @@
 use crate::time::Time;
 
 /// How long a record is kept.
-const KEPT: Duration = Duration::from_hours(48);
+pub(super) const KEPT: Duration = Duration::from_hours(48);
 /// How long a lease is used for new records, so that each is kept nearly as long as promised.
 const USED: Duration = Duration::from_hours(1);
 /// The pause after a failed grant.
--- a/crates/skylarkshore-core/src/serving/once.rs
+++ b/crates/skylarkshore-core/src/serving/once.rs
@@ -6,7 +6,7 @@
 use crate::cx::Cx;
 use crate::effect::Effect;
 use crate::id::{CallId, Digest, LeaseId, RequestId, StoreRevision};
-use crate::serving::lease::OnceLease;
+use crate::serving::lease::{KEPT, OnceLease};
 use crate::store::{
     Expect, Key, OnceRecord, OnceState, Record, RecordedAnswer, StoreAnswer, StoreCall, StoreResult,
     Versioned, WriteOutcome, WriteRequest,
@@ -22,6 +22,9 @@
 /// The first pause before a claim in doubt is looked up.
 const FIRST_LOOK: Duration = Duration::from_millis(500);
 
+/// The most keys in doubt that are remembered.
+const MOST_UNSETTLED: usize = 65_536;
+
 /// How far a claim has come.
 #[derive(Debug)]
 enum Step {
@@ -91,6 +94,32 @@
     Released(RequestId),
 }
 
+/// The keys whose claims stay because a request may have run under them.
+///
+/// A claim of this process that turns up after it was given up is deleted, since
+/// nothing ran under it. Looking alike, a claim under which a request was lost
+/// must not be: the same booking would be made a second time.
+#[derive(Debug, Default)]
+struct Unsettled {
+    until: OrderedMap<Digest, Time>,
+    /// Whether there were too many of them to remember.
+    overflowed: bool,
+}
+
+impl Unsettled {
+    fn insert(&mut self, now: Time, key: Digest) {
+        if self.until.len() >= MOST_UNSETTLED {
+            self.overflowed = true;
+            return;
+        }
+        self.until.insert(key, now.after(KEPT));
+    }
+
+    fn may_contain(&self, key: Digest) -> bool {
+        self.overflowed || self.until.contains_key(&key)
+    }
+}
+
 /// How a key stands at this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Here {
@@ -106,6 +135,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Once {
     claims: OrderedMap<Digest, Claim>,
+    unsettled: Unsettled,
     lease: OnceLease,
     failing: bool,
     /// How many claims were left without a known outcome.
@@ -203,12 +233,14 @@
             return;
         }
         self.claims.remove(&key);
+        self.unsettled.insert(cx.now, key);
         self.in_doubt += 1;
         cx.note("once_in_doubt", key, "the request may have run; its key stays claimed");
     }
 
     /// Does what is due.
     pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>) -> Vec<Learnt> {
+        self.unsettled.until.retain(|_, until| !until.is_due(cx.now));
         self.lease.on_tick(cx);
         self.write_waiting(cx);
         let mut late = Vec::new();
@@ -264,11 +296,12 @@
             Step::Writing { lease } => self.on_claim_written(cx, key, lease, outcome),
             Step::Recording => {
                 if !matches!(outcome, WriteOutcome::Done(_)) {
+                    self.unsettled.insert(cx.now, key);
                     cx.note("once_answer_not_recorded", key, "the request has run; its key stays claimed");
                 }
                 self.claims.remove(&key)?.user.map(Learnt::Recorded)
             }
-            Step::Releasing => self.claims.remove(&key)?.user.map(Learnt::Released),
+            Step::Releasing => self.on_released(cx, key, outcome),
             _ => None,
         }
     }
@@ -312,13 +345,31 @@
         }
     }
 
+    fn on_released(&mut self, cx: &Cx<'_>, key: Digest, outcome: &WriteOutcome) -> Option<Learnt> {
+        let claim = self.claims.get_mut(&key)?;
+        let user = claim.user.take();
+        if matches!(outcome, WriteOutcome::NotDone | WriteOutcome::Unknown) {
+            claim.leftover = true;
+            claim.step = doubtful(cx.now);
+        } else {
+            self.claims.remove(&key);
+        }
+        user.map(Learnt::Released)
+    }
+
+    /// Tells whether a record is a claim of this process under which nothing ran.
+    fn is_leftover(&self, cx: &Cx<'_>, key: Digest, record: &OnceRecord) -> bool {
+        let leftover = self.claims.get(&key).is_some_and(|claim| claim.leftover);
+        leftover && is_own_claim(cx, record) && !self.unsettled.may_contain(key)
+    }
+
     /// Takes note that something stands under a key that was to be claimed.
     fn on_taken(&mut self, cx: &mut Cx<'_>, key: Digest, found: &Versioned) -> Option<Learnt> {
-        let claim = self.claims.get_mut(&key)?;
         let Some(Record::Once(record)) = &found.record else {
             return self.claims.remove(&key)?.user.map(Learnt::Unreachable);
         };
-        if claim.leftover && is_own_claim(cx, record) {
+        if self.is_leftover(cx, key, record) {
+            let claim = self.claims.get_mut(&key)?;
             // The claim of an earlier try arrived after it was given up. Nothing
             // ran under it; left there, it would block the key until its lease ends.
             claim.step = Step::Releasing;
@@ -330,19 +381,18 @@
     }
 
     fn on_looked_up(&mut self, cx: &mut Cx<'_>, key: Digest, result: &StoreResult) -> Option<Learnt> {
-        let claim = self.claims.get_mut(&key)?;
-        let request = claim.user?;
+        let request = self.claims.get(&key)?.user?;
         let Ok(StoreAnswer::One(found)) = result else {
             self.release(cx, key, request);
             return Some(Learnt::Unreachable(request));
         };
         match &found.record {
-            Some(Record::Once(record)) if !(claim.leftover && is_own_claim(cx, record)) => {
+            Some(Record::Once(record)) if !self.is_leftover(cx, key, record) => {
                 self.claims.remove(&key);
                 Some(Learnt::Used { request, found: record.clone() })
             }
             _ => {
-                claim.step = Step::Queued;
+                self.claims.get_mut(&key)?.step = Step::Queued;
                 Some(Learnt::Unused(request))
             }
         }
@@ -357,11 +407,13 @@
         doubt.look_at = cx.now.after(doubt.pause);
         let Ok(StoreAnswer::One(found)) = result else { return };
         let Some(Record::Once(record)) = &found.record else { return };
-        if !is_own_claim(cx, record) {
+        if !self.is_leftover(cx, key, record) {
             self.claims.remove(&key);
             return;
         }
-        claim.step = Step::Releasing;
+        if let Some(claim) = self.claims.get_mut(&key) {
+            claim.step = Step::Releasing;
+        }
         delete(cx, key, found.revision);
     }
 
--- a/crates/skylarkshore-core/src/serving/routing.rs
+++ b/crates/skylarkshore-core/src/serving/routing.rs
@@ -196,6 +196,14 @@
         self.candidates(cx, target).iter().any(|c| c.upstream == *upstream)
     }
 
+    /// Tells the same for a suspect, for which the upstream is kept free.
+    pub(super) fn fits_alone(&self, cx: &Cx<'_>, target: &Target, upstream: &UpstreamId) -> bool {
+        match target {
+            Target::Model(target) => self.ready_engines(cx, target).contains(upstream),
+            Target::Service(_) => self.usable(cx, upstream),
+        }
+    }
+
     /// Returns the engines on which a suspect may run alone, once they are free.
     pub(super) fn ready_engines(&self, cx: &Cx<'_>, target: &ModelTarget) -> Vec<UpstreamId> {
         let usable = self.views.ready(cx, target).filter(|known| {
