--- a/crates/skylarkctl/src/host.rs
+++ b/crates/skylarkctl/src/host.rs
@@ -13,25 +13,25 @@
 const ENTRY_PATH: &str = "/v1/entry";
 
 pub(crate) async fn state(host: SocketAddr) -> Result<String, Error> {
-    text(call(Method::GET, host, STATE_PATH, Vec::new()).await?)
+    text(&call(Method::GET, host, STATE_PATH, Vec::new()).await?)
 }
 
 pub(crate) async fn explain(host: SocketAddr, model: &str) -> Result<String, Error> {
     let path = format!("{EXPLAIN_PATH}?model={}", query_encoded(model));
-    text(call(Method::GET, host, &path, Vec::new()).await?)
+    text(&call(Method::GET, host, &path, Vec::new()).await?)
 }
 
 pub(crate) async fn drain(host: SocketAddr) -> Result<String, Error> {
-    text(call(Method::POST, host, DRAIN_PATH, Vec::new()).await?)?;
+    text(&call(Method::POST, host, DRAIN_PATH, Vec::new()).await?)?;
     Ok(format!("{host} leaves: it finishes what is in progress and then ends"))
 }
 
 pub(crate) async fn entry(host: SocketAddr) -> Result<String, Error> {
-    text(call(Method::GET, host, ENTRY_PATH, Vec::new()).await?)
+    text(&call(Method::GET, host, ENTRY_PATH, Vec::new()).await?)
 }
 
 /// Returns the body of a good answer, JSON spread over many lines.
-fn text(answer: Answer) -> Result<String, Error> {
+fn text(answer: &Answer) -> Result<String, Error> {
     if !answer.status.is_success() {
         return Err(Error::Host { status: answer.status.as_u16(), message: answer.text() });
     }
--- a/crates/skylarkshore-standins/examples/quickstart/deployment.rs
+++ b/crates/skylarkshore-standins/examples/quickstart/deployment.rs
@@ -78,13 +78,11 @@
     std::fs::write(&file, RULES)?;
     let (store, file) = (store.to_string(), file.display().to_string());
     let output = skylarkctl(programs, &["--store", &store, "rules", "apply", &file]).await?;
-    print!("{}", indented(&output.stdout));
+    for line in String::from_utf8_lossy(&output.stdout).lines() {
+        println!("  {line}");
+    }
     if output.status.success() {
         return Ok(());
     }
     Err(io::Error::other(String::from_utf8_lossy(&output.stderr).into_owned()))
 }
-
-fn indented(text: &[u8]) -> String {
-    String::from_utf8_lossy(text).lines().map(|line| format!("  {line}\n")).collect()
-}
