--- a/crates/skylarkshore-wire/src/operator.rs
+++ b/crates/skylarkshore-wire/src/operator.rs
@@ -94,3 +94,12 @@
         }
     }
 }
+
+/// Which life of a process answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Health {
+    /// The host.
+    pub host: HostId,
+    /// Which life of its process.
+    pub incarnation: Incarnation,
+}
--- /dev/null
+++ b/crates/skylarkshore/src/callers.rs
@@ -0,0 +1,269 @@
+//! The callers' interface: models, services, and which hosts to use.
+
+mod check;
+mod entry;
+mod intake;
+mod invalid;
+mod reply;
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
+use skylarkshore_core::event::{Arrival, Target};
+use skylarkshore_core::id::{DataCentre, HostId, Incarnation};
+use skylarkshore_core::{Event, Time};
+use skylarkshore_wire::caller::REQUEST_ID_HEADER;
+use skylarkshore_wire::operator::Health;
+use slog::debug;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use xitca_web::http::WebResponse;
+use xitca_web::service::fn_service;
+use xitca_web::{App, WebContext};
+
+use crate::config::Intake;
+use crate::connections::{Connections, WatchedListener};
+use crate::driver::Snapshot;
+use crate::env::Env;
+use crate::passage::{Outgoing, Passage};
+use crate::probe::HEALTH_PATH;
+use crate::server::{self, MAX_HEADERS};
+use crate::upstreams::forwarded;
+
+use check::{Asked, ChatBody, ServiceCall};
+use invalid::Invalid;
+use reply::Running;
+
+/// How much later than its deadline a request gets its answer at the latest.
+///
+/// The core answers by the deadline. If it didn't, by a fault of its own, the
+/// caller would wait for ever; this makes it a visible refusal instead.
+const OVERDUE: Duration = Duration::from_secs(5);
+/// The most bytes of names and values in a request's headers.
+const MAX_HEADERS_LEN: usize = 16 * 1024;
+
+/// What answers callers need.
+#[derive(Clone, Debug)]
+pub(crate) struct Surface {
+    pub(crate) env: Env,
+    pub(crate) snapshots: watch::Receiver<Arc<Snapshot>>,
+    pub(crate) connections: Arc<Connections>,
+    pub(crate) intake: Intake,
+    pub(crate) host: HostId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) data_centre: DataCentre,
+    pub(crate) entry_ttl: Duration,
+    pub(crate) rotation: entry::Rotation,
+}
+
+pub(crate) use entry::Rotation;
+
+/// Begins to serve callers on a listener.
+///
+/// # Errors
+///
+/// The system gives no threads.
+pub(crate) fn serve(surface: Surface, listener: std::net::TcpListener) -> std::io::Result<server::Running> {
+    let connections = Arc::clone(&surface.connections);
+    let watched = WatchedListener::new(listener, connections, tokio::runtime::Handle::current());
+    let head_timeout = surface.intake.head_timeout;
+    let app = App::new().with_state(surface).at("/", fn_service(handle)).at("/{*path}", fn_service(handle));
+    server::start(app.serve(), watched, head_timeout, server::CALLER_WORKERS)
+}
+
+async fn handle(mut ctx: WebContext<'_, Surface>) -> Result<WebResponse, Infallible> {
+    let surface = ctx.state().clone();
+    let head = Head::of(&ctx);
+    let id = match check::request_id(&head.headers) {
+        Ok(id) => id,
+        Err(invalid) => return Ok(surface.invalid(&invalid, &check::generated_id())),
+    };
+    let body = ctx.body_get_mut();
+    let mut res = match surface.answer(&head, body).await {
+        Ok(res) => res,
+        Err(invalid) => {
+            debug!(surface.env.log, "request_invalid"; "path" => head.uri.path(), "reason" => invalid.word());
+            intake::read_off(body, &invalid).await;
+            surface.invalid(&invalid, &id)
+        }
+    };
+    res.headers_mut().insert(REQUEST_ID_HEADER, id);
+    Ok(res)
+}
+
+/// What a request begins with.
+#[derive(Debug)]
+struct Head {
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    caller: SocketAddr,
+    begun: Instant,
+}
+
+impl Head {
+    fn of(ctx: &WebContext<'_, Surface>) -> Self {
+        let req = ctx.req();
+        Self {
+            method: req.method().clone(),
+            uri: req.uri().clone(),
+            headers: req.headers().clone(),
+            caller: *req.body().socket_addr(),
+            begun: Instant::now(),
+        }
+    }
+
+    fn path_and_query(&self) -> String {
+        self.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string)
+    }
+}
+
+impl Surface {
+    async fn answer(
+        &self,
+        head: &Head,
+        body: &mut xitca_web::body::RequestBody,
+    ) -> Result<WebResponse, Invalid> {
+        let len: usize = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+        if head.headers.len() > MAX_HEADERS || len > MAX_HEADERS_LEN {
+            return Err(Invalid::HeaderFlood);
+        }
+        let path = head.uri.path();
+        if let Some(rest) = path.strip_prefix("/services/") {
+            return self.call_service(head, rest, body).await;
+        }
+        let expected = match path {
+            "/v1/chat/completions" | "/v1/completions" => Method::POST,
+            "/v1/models" | "/v1/entry" | HEALTH_PATH => Method::GET,
+            _ => return Err(Invalid::NoSuchPath { path: path.to_owned() }),
+        };
+        if head.method != expected {
+            return Err(Invalid::WrongMethod { method: head.method.clone(), expected });
+        }
+        match path {
+            "/v1/models" => Ok(entry::models(&self.snapshot())),
+            "/v1/entry" => {
+                Ok(entry::hosts(&self.snapshot(), &self.data_centre, self.entry_ttl, &self.rotation))
+            }
+            HEALTH_PATH => Ok(self.health()),
+            _ => self.call_model(head, body).await,
+        }
+    }
+
+    async fn call_model(
+        &self,
+        head: &Head,
+        body: &mut xitca_web::body::RequestBody,
+    ) -> Result<WebResponse, Invalid> {
+        let common = Common::read(self, head)?;
+        let body = intake::read(body, &self.intake, &head.headers).await?;
+        let snapshot = self.known_document()?;
+        let chat = ChatBody::parse(&body)?;
+        let target = snapshot.document.catalogue.resolve(&chat.model);
+        let target = Target::Model(target.ok_or_else(|| Invalid::UnknownModel { name: chat.model.clone() })?);
+        let repeat = check::repeat(&head.headers, &common.caller, None, false)?;
+        let path = head.path_and_query();
+        let arrival = Arrival {
+            caller: common.caller,
+            target,
+            repeat,
+            digest: check::request_digest(&head.method, &path, &body),
+            prefix: chat.prefix,
+            deadline: common.deadline,
+        };
+        let outgoing =
+            Outgoing { method: head.method.clone(), path, headers: forwarded(&head.headers), body };
+        Ok(self.run(head, "model", arrival, outgoing).await)
+    }
+
+    async fn call_service(
+        &self,
+        head: &Head,
+        rest: &str,
+        body: &mut xitca_web::body::RequestBody,
+    ) -> Result<WebResponse, Invalid> {
+        let common = Common::read(self, head)?;
+        let call = ServiceCall::parse(rest, head.uri.query())?;
+        let snapshot = self.known_document()?;
+        let service = snapshot.document.catalogue.services.get(&call.service);
+        let service = service.ok_or_else(|| Invalid::UnknownService { name: call.service.to_string() })?;
+        let is_once = call.spellings().iter().any(|path| service.is_once(path));
+        let repeat = check::repeat(&head.headers, &common.caller, Some(&call.service), is_once)?;
+        let body = intake::read(body, &self.intake, &head.headers).await?;
+        let arrival = Arrival {
+            caller: common.caller,
+            target: Target::Service(call.service.clone()),
+            repeat,
+            digest: check::request_digest(&head.method, &head.path_and_query(), &body),
+            prefix: None,
+            deadline: common.deadline,
+        };
+        let outgoing = Outgoing {
+            method: head.method.clone(),
+            path: call.path_and_query,
+            headers: forwarded(&head.headers),
+            body,
+        };
+        Ok(self.run(head, "service", arrival, outgoing).await)
+    }
+
+    /// Hands a checked request to the core and waits for the head of its answer.
+    async fn run(
+        &self,
+        head: &Head,
+        target: &'static str,
+        arrival: Arrival,
+        outgoing: Outgoing,
+    ) -> WebResponse {
+        let (passage, reply) = Passage::new(outgoing);
+        let overdue = self.env.clock.instant(arrival.deadline.after(OVERDUE));
+        let request = self.env.requests.insert(passage);
+        let watched = self.connections.get(head.caller);
+        let running = Running::begin(self.env.clone(), request, target, head.begun, watched);
+        self.env.inbox.event(Event::Arrived { request, arrival }).await;
+        running.respond(reply, overdue).await
+    }
+
+    fn snapshot(&self) -> Arc<Snapshot> {
+        Arc::clone(&self.snapshots.borrow())
+    }
+
+    /// Returns the snapshot once there is a document to check requests against.
+    fn known_document(&self) -> Result<Arc<Snapshot>, Invalid> {
+        let snapshot = self.snapshot();
+        if snapshot.document.revision.0 == 0 {
+            return Err(Invalid::NotReady);
+        }
+        Ok(snapshot)
+    }
+
+    fn health(&self) -> WebResponse {
+        let health = Health { host: self.host.clone(), incarnation: self.incarnation };
+        server::json(StatusCode::OK, &health)
+    }
+
+    fn invalid(&self, invalid: &Invalid, id: &HeaderValue) -> WebResponse {
+        self.env.metrics.request_invalid();
+        let mut res = invalid.response();
+        res.headers_mut().insert(REQUEST_ID_HEADER, id.clone());
+        res
+    }
+}
+
+/// What every request that is sent upstream has in common.
+struct Common {
+    caller: skylarkshore_core::id::CallerId,
+    deadline: Time,
+}
+
+impl Common {
+    fn read(surface: &Surface, head: &Head) -> Result<Self, Invalid> {
+        let Asked { timeout, caller } = Asked::read(&head.headers)?;
+        let waited = head.begun.elapsed();
+        let deadline = surface.env.clock.now().after(timeout.saturating_sub(waited));
+        Ok(Self { caller, deadline })
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore/src/callers/reply.rs
@@ -0,0 +1,194 @@
+//! Passes an answer on to the caller as it comes.
+
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use skylarkshore_core::Event;
+use skylarkshore_core::effect::{Refusal, RefusalOutcome, RefusalReason};
+use skylarkshore_core::id::RequestId;
+use slog::{debug, error};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+use xitca_web::body::{Body, Frame, ResponseBody, SizeHint};
+use xitca_web::http::WebResponse;
+
+use crate::connections::Watched;
+use crate::env::Env;
+use crate::metrics::RequestEnd;
+use crate::passage::{Piece, Reply, ReplyBody};
+
+/// A request that the core knows of.
+///
+/// When it is dropped before its end, the caller is gone: the core is told, so
+/// that the upstream's work stops.
+pub(super) struct Running {
+    env: Env,
+    request: RequestId,
+    target: &'static str,
+    begun: Instant,
+    watched: Option<Watched>,
+    ended: bool,
+}
+
+/// The answer isn't whole; makes the server close the connection uncleanly.
+#[derive(Debug, Display, Error)]
+#[display("the answer was broken off; ask again")]
+pub(super) struct BrokenOff;
+
+impl Running {
+    pub(super) fn begin(
+        env: Env,
+        request: RequestId,
+        target: &'static str,
+        begun: Instant,
+        watched: Option<Watched>,
+    ) -> Self {
+        env.metrics.request_begun();
+        Self { env, request, target, begun, watched, ended: false }
+    }
+
+    /// Waits for the head of the answer, and makes the response of it.
+    pub(super) async fn respond(mut self, reply: oneshot::Receiver<Reply>, overdue: Instant) -> WebResponse {
+        let mut watched = self.watched.clone();
+        let reply = tokio::select! {
+            reply = reply => reply.ok(),
+            () = gone(watched.as_mut()) => {
+                // Nobody reads this; dropping the request tells the core.
+                return WebResponse::new(ResponseBody::empty());
+            }
+            () = tokio::time::sleep_until(overdue) => None,
+        };
+        let Some(reply) = reply else {
+            error!(self.env.log, "request_unanswered"; "request" => %self.request);
+            self.end(RequestEnd::Refused("unknown"));
+            self.env.inbox.event(Event::CallerGone { request: self.request }).await;
+            return unanswered();
+        };
+        self.env.metrics.request_answering(self.target, self.begun.elapsed());
+        self.pass_on(reply)
+    }
+
+    fn pass_on(mut self, reply: Reply) -> WebResponse {
+        let body = match reply.body {
+            ReplyBody::Whole { body, end } => {
+                self.end(end);
+                ResponseBody::bytes(body)
+            }
+            ReplyBody::Pieces { pieces, len } => ResponseBody::boxed(PassedOn::new(self, pieces, len)),
+        };
+        let mut res = WebResponse::new(body);
+        *res.status_mut() = reply.status;
+        *res.headers_mut() = reply.headers;
+        res
+    }
+
+    fn end(&mut self, end: RequestEnd) {
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        let took = self.begun.elapsed();
+        self.env.requests.remove(self.request);
+        self.env.metrics.request_ended(self.target, end, took);
+        debug!(self.env.log, "request_ended"; "request" => %self.request, "target" => self.target,
+            "end" => ?end, "ms" => u64::try_from(took.as_millis()).unwrap_or(u64::MAX));
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end(RequestEnd::CallerGone);
+            self.env.inbox.event_later(Event::CallerGone { request: self.request });
+        }
+    }
+}
+
+async fn gone(watched: Option<&mut Watched>) {
+    match watched {
+        Some(watched) => watched.gone().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Tells a caller that the core gave no answer, whose outcome is therefore unknown.
+fn unanswered() -> WebResponse {
+    let refusal = Refusal {
+        outcome: RefusalOutcome::Unknown,
+        reason: RefusalReason::DeadlinePassedRunning,
+        retry_after: Some(Duration::from_secs(1)),
+    };
+    let body = skylarkshore_wire::caller::RefusalBody::from(&refusal);
+    crate::server::json(http::StatusCode::GATEWAY_TIMEOUT, &body)
+}
+
+/// The body of an answer that is passed on.
+struct PassedOn {
+    running: Running,
+    pieces: mpsc::Receiver<Piece>,
+    len: Option<u64>,
+    gone: BoxFuture<'static, ()>,
+    broken_off: bool,
+}
+
+impl PassedOn {
+    fn new(running: Running, pieces: mpsc::Receiver<Piece>, len: Option<u64>) -> Self {
+        let mut watched = running.watched.clone();
+        let gone = async move { gone(watched.as_mut()).await }.boxed();
+        Self { running, pieces, len, gone, broken_off: false }
+    }
+
+    fn break_off(&mut self) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        if let Some(watched) = &self.running.watched {
+            watched.cut();
+        }
+        Poll::Ready(Some(Err(BrokenOff)))
+    }
+}
+
+impl Body for PassedOn {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        if self.broken_off {
+            return Poll::Ready(None);
+        }
+        if self.gone.poll_unpin(cx).is_ready() {
+            return self.break_off();
+        }
+        match ready!(self.pieces.poll_recv(cx)) {
+            Some(Piece::Data(data)) => Poll::Ready(Some(Ok(Frame::Data(data)))),
+            Some(Piece::End) => {
+                self.running.end(RequestEnd::Answered);
+                Poll::Ready(None)
+            }
+            Some(Piece::BrokenOff(Some(last))) => {
+                self.running.end(RequestEnd::BrokenOff);
+                self.broken_off = true;
+                Poll::Ready(Some(Ok(Frame::Data(last))))
+            }
+            Some(Piece::BrokenOff(None)) => {
+                self.running.end(RequestEnd::BrokenOff);
+                self.break_off()
+            }
+            None => {
+                // The sender ended without a last piece: a short answer isn't passed off as whole.
+                self.running.end(RequestEnd::BrokenOff);
+                self.break_off()
+            }
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.len.map_or(SizeHint::Unknown, SizeHint::Exact)
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore/src/cli.rs
@@ -0,0 +1,122 @@
+//! The command line.
+
+use std::ffi::OsString;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use derive_more::{Display, Error, From};
+use getopts::Options;
+
+use crate::config::Config;
+use crate::error::Error;
+use crate::run;
+
+const BRIEF: &str = "\
+Usage: skylarkshore FILE
+       skylarkshore --check FILE
+
+Runs an entry host with the settings in FILE, which is JSON with comments.";
+
+/// What the command line asks for.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Run with a settings file.
+    Run(PathBuf),
+    /// Check a settings file and stop.
+    Check(PathBuf),
+    /// Print how the program is used.
+    Help,
+    /// Print the program's version.
+    Version,
+}
+
+/// Why the command line can't be understood.
+#[derive(Debug, Display, Error, From)]
+pub enum Usage {
+    /// An option is wrong.
+    #[display("{_0}; see skylarkshore --help")]
+    Option(getopts::Fail),
+    /// There isn't exactly one file.
+    #[display("{count} settings files are named; name exactly one, or see skylarkshore --help")]
+    #[from(skip)]
+    Files {
+        /// How many there are.
+        count: usize,
+    },
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optflag("c", "check", "check the settings file, tell all its errors, and stop");
+    options.optflag("h", "help", "print this help");
+    options.optflag("V", "version", "print the version");
+    options
+}
+
+/// Returns the text of `--help`.
+pub fn help() -> String {
+    options().usage(BRIEF)
+}
+
+/// Returns the text of `--version`.
+pub fn version() -> String {
+    format!("skylarkshore {}", env!("CARGO_PKG_VERSION"))
+}
+
+/// Reads the arguments that follow the program's name.
+///
+/// # Errors
+///
+/// An option is unknown, or there isn't exactly one file.
+pub fn parse(args: impl IntoIterator<Item = OsString>) -> Result<Command, Usage> {
+    let matches = options().parse(args)?;
+    if matches.opt_present("help") {
+        return Ok(Command::Help);
+    }
+    if matches.opt_present("version") {
+        return Ok(Command::Version);
+    }
+    let [file] = matches.free.as_slice() else {
+        return Err(Usage::Files { count: matches.free.len() });
+    };
+    if matches.opt_present("check") {
+        return Ok(Command::Check(file.into()));
+    }
+    Ok(Command::Run(file.into()))
+}
+
+/// Does what the arguments ask for and returns the program's exit code: 2 for a
+/// wrong command line, 1 for a failure.
+pub fn main(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let command = match parse(args) {
+        Ok(command) => command,
+        Err(usage) => {
+            eprintln!("skylarkshore: {usage}");
+            return ExitCode::from(2);
+        }
+    };
+    match execute(command) {
+        Ok(code) => code,
+        Err(err) => {
+            eprintln!("skylarkshore: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn execute(command: Command) -> Result<ExitCode, Error> {
+    match command {
+        Command::Help => println!("{}", help().trim_end()),
+        Command::Version => println!("{}", version()),
+        Command::Check(file) => {
+            let config = Config::read(&file)?;
+            println!("{}: the settings of host {} are valid", file.display(), config.host);
+        }
+        Command::Run(file) => return run_with(&file),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn run_with(file: &Path) -> Result<ExitCode, Error> {
+    run::run(Config::read(file)?)
+}
--- /dev/null
+++ b/crates/skylarkshore/src/config.rs
@@ -0,0 +1,254 @@
+//! The settings of a host: JSON with comments, checked as a whole.
+
+mod section;
+mod timings;
+mod url;
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::str::FromStr;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use jsonc_parser::ast::Value;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+use skylarkshore_core::config::{Limits, Timings};
+use skylarkshore_core::id::{DataCentre, HostId};
+use slog::Level;
+
+use crate::error::Error as ProgramError;
+
+pub use section::Fault;
+pub use url::{HttpUrl, InvalidHttpUrl};
+
+use section::{Report, Section, number, text, texts};
+
+/// The settings of a host.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The host's name, the same after every restart.
+    pub host: HostId,
+    /// Where the host stands.
+    pub data_centre: DataCentre,
+    /// Where callers connect to.
+    pub caller_address: SocketAddr,
+    /// Where peers connect to.
+    pub peer_address: SocketAddr,
+    /// Where operators connect to.
+    pub operator_address: SocketAddr,
+    /// The key-value service's endpoints, tried in turn.
+    pub store_endpoints: Vec<HttpUrl>,
+    /// Where the host list is read.
+    pub hosts_url: HttpUrl,
+    /// The least important events that are logged.
+    pub log_level: LogLevel,
+    /// How much callers may send, and how long they may take.
+    pub intake: Intake,
+    /// How much the process takes on.
+    pub limits: Limits,
+    /// The times it keeps.
+    pub timings: Timings,
+}
+
+/// How much callers may send, and how long they may take to send it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Intake {
+    /// The largest body of a request, in bytes.
+    pub body_len: usize,
+    /// How long the head of a request may take.
+    pub head_timeout: Duration,
+    /// How long the body of a request may take.
+    pub body_timeout: Duration,
+}
+
+impl Default for Intake {
+    fn default() -> Self {
+        Self {
+            body_len: 1024 * 1024,
+            head_timeout: Duration::from_secs(5),
+            body_timeout: Duration::from_secs(10),
+        }
+    }
+}
+
+/// The least important events that are logged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LogLevel(pub Level);
+
+/// A text that is no level.
+#[derive(Debug, Display, Error)]
+#[display("'{text}' is no level; use one of error, warning, info, debug, trace")]
+pub struct InvalidLogLevel {
+    text: String,
+}
+
+impl FromStr for LogLevel {
+    type Err = InvalidLogLevel;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        let level = match s {
+            "error" => Level::Error,
+            "warning" => Level::Warning,
+            "info" => Level::Info,
+            "debug" => Level::Debug,
+            "trace" => Level::Trace,
+            _ => return Err(InvalidLogLevel { text: s.to_owned() }),
+        };
+        Ok(Self(level))
+    }
+}
+
+/// Everything that is wrong with a settings file.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub struct InvalidSettings {
+    /// The faults in the order of their lines.
+    pub faults: Vec<Fault>,
+}
+
+impl fmt::Display for InvalidSettings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the settings have {} error(s)", self.faults.len())?;
+        self.faults.iter().try_for_each(|fault| write!(f, "\n  {fault}"))
+    }
+}
+
+impl Config {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// The file can't be read or its settings are wrong.
+    pub fn read(path: &Path) -> Result<Self, ProgramError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| ProgramError::ReadSettings { path: path.to_owned(), source })?;
+        Ok(text.parse()?)
+    }
+}
+
+impl FromStr for Config {
+    type Err = InvalidSettings;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut report = Report::new(text);
+        let config = parse(text, &mut report);
+        let faults = report.into_faults();
+        config.filter(|_| faults.is_empty()).ok_or(InvalidSettings { faults })
+    }
+}
+
+fn parse(text: &str, report: &mut Report<'_>) -> Option<Config> {
+    let parsed = match parse_to_ast(text, &CollectOptions::default(), &ParseOptions::default()) {
+        Ok(parsed) => parsed,
+        Err(err) => {
+            let problem = format!("is no JSON with comments: {}; mend it", err.kind());
+            report.add("the file", err.line_display(), problem);
+            return None;
+        }
+    };
+    let Some(Value::Object(object)) = &parsed.value else {
+        report.add("the file", 1, "holds no object; write { ... }");
+        return None;
+    };
+    read_root(Section::root(report, object), report)
+}
+
+fn read_root(mut root: Section<'_>, report: &mut Report<'_>) -> Option<Config> {
+    let host = root.required(report, "host", "\"entry-1\"", text);
+    let data_centre = root.required(report, "data_centre", "\"bern-a\"", text);
+    let caller_address = root.required(report, "caller_address", "\"10.0.0.1:8080\"", address);
+    let peer_address = root.required(report, "peer_address", "\"10.0.0.1:8081\"", address);
+    let operator_address = root.required(report, "operator_address", "\"10.0.0.1:8082\"", address);
+    let store_endpoints = read_store(&mut root, report);
+    let hosts_url = read_hosts(&mut root, report);
+    let log_level = read_log(&mut root, report);
+    let (intake, limits) = read_limits(&mut root, report);
+    let timings = timings::read(&mut root, report);
+    root.finish(report);
+    Some(Config {
+        host: host?,
+        data_centre: data_centre?,
+        caller_address: caller_address?,
+        peer_address: peer_address?,
+        operator_address: operator_address?,
+        store_endpoints: store_endpoints?,
+        hosts_url: hosts_url?,
+        log_level,
+        intake,
+        limits,
+        timings,
+    })
+}
+
+fn address(value: &Value<'_>) -> Result<SocketAddr, String> {
+    let address = text::<SocketAddr>(value).map_err(|_invalid| {
+        "is no address; write an IP number and a port in double quotes, for example \"10.0.0.1:8080\""
+            .to_owned()
+    })?;
+    if address.ip().is_unspecified() {
+        return Err("is told to others, who can't connect to it; write the host's own IP number".to_owned());
+    }
+    Ok(address)
+}
+
+fn read_store(root: &mut Section<'_>, report: &mut Report<'_>) -> Option<Vec<HttpUrl>> {
+    let mut store = root.required_section(report, "store");
+    let endpoints = store.required(report, "endpoints", "[\"http://10.0.0.9:2379\"]", texts);
+    store.finish(report);
+    endpoints
+}
+
+fn read_hosts(root: &mut Section<'_>, report: &mut Report<'_>) -> Option<HttpUrl> {
+    let mut hosts = root.required_section(report, "hosts");
+    let url = hosts.required(report, "url", "\"http://10.0.0.9:4100/hosts\"", text);
+    hosts.finish(report);
+    url
+}
+
+fn read_log(root: &mut Section<'_>, report: &mut Report<'_>) -> LogLevel {
+    let mut log = root.optional_section(report, "log");
+    let level = log.optional(report, "level", LogLevel(Level::Info), text);
+    log.finish(report);
+    level
+}
+
+const MAX_COUNT: u64 = 1_000_000;
+const MAX_BODY_LEN: u64 = 64 * 1024 * 1024;
+/// The key-value service takes values up to a mebibyte, and Base64 takes a third more.
+const MAX_RECORDED_ANSWER: u64 = 700 * 1024;
+
+fn read_limits(root: &mut Section<'_>, report: &mut Report<'_>) -> (Intake, Limits) {
+    let mut section = root.optional_section(report, "limits");
+    let mut limits = Limits::default();
+    let mut intake = Intake::default();
+    let size = |min, max| move |value: &Value<'_>| number(value, min, max).map(to_size);
+    let count = |min, max| move |value: &Value<'_>| number(value, min, max).map(to_count);
+    intake.body_len = section.optional(report, "body_bytes", intake.body_len, size(1024, MAX_BODY_LEN));
+    limits.queue_total = section.optional(report, "queue_total", limits.queue_total, size(1, MAX_COUNT));
+    limits.queue_per_caller =
+        section.optional(report, "queue_per_caller", limits.queue_per_caller, size(1, MAX_COUNT));
+    limits.recorded_answer = section.optional(
+        report,
+        "recorded_answer_bytes",
+        limits.recorded_answer,
+        size(0, MAX_RECORDED_ANSWER),
+    );
+    limits.loads_at_once = section.optional(report, "loads_at_once", limits.loads_at_once, count(1, 1000));
+    limits.loads_per_second =
+        section.optional(report, "loads_per_second", limits.loads_per_second, count(1, 1000));
+    limits.attempts = section.optional(report, "attempts", limits.attempts, count(1, 10));
+    intake.head_timeout =
+        section.optional(report, "head_timeout_ms", intake.head_timeout, timings::millis(100, 60_000));
+    intake.body_timeout =
+        section.optional(report, "body_timeout_ms", intake.body_timeout, timings::millis(100, 600_000));
+    section.finish(report);
+    (intake, limits)
+}
+
+fn to_size(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
+
+fn to_count(number: u64) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/skylarkshore/src/config/timings.rs
@@ -0,0 +1,76 @@
+//! The times that a process keeps, and how they have to fit together.
+
+use std::time::Duration;
+
+use jsonc_parser::ast::Value;
+use skylarkshore_core::config::Timings;
+
+use crate::config::section::{Report, Section, number};
+
+const MAX_MILLIS: u64 = 3_600_000;
+
+/// Reads a number of milliseconds within a range.
+pub(super) fn millis(min: u64, max: u64) -> impl Fn(&Value<'_>) -> Result<Duration, String> {
+    move |value| number(value, min, max).map(Duration::from_millis)
+}
+
+pub(super) fn read(root: &mut Section<'_>, report: &mut Report<'_>) -> Timings {
+    let mut section = root.optional_section(report, "timings");
+    let mut timings = Timings::default();
+    let fields: [(&'static str, &mut Duration); 15] = [
+        ("lease_ttl_ms", &mut timings.lease_ttl),
+        ("renew_every_ms", &mut timings.renew_every),
+        ("hold_ms", &mut timings.hold),
+        ("hold_margin_ms", &mut timings.hold_margin),
+        ("store_timeout_ms", &mut timings.store_timeout),
+        ("heartbeat_every_ms", &mut timings.heartbeat_every),
+        ("peer_timeout_ms", &mut timings.peer_timeout),
+        ("report_every_ms", &mut timings.report_every),
+        ("engine_timeout_ms", &mut timings.engine_timeout),
+        ("wanted_every_ms", &mut timings.wanted_every),
+        ("interest_ms", &mut timings.interest),
+        ("order_settle_ms", &mut timings.order_settle),
+        ("close_grace_ms", &mut timings.close_grace),
+        ("entry_ttl_ms", &mut timings.entry_ttl),
+        ("gone_after_ms", &mut timings.gone_after),
+    ];
+    for (key, field) in fields {
+        *field = section.optional(report, key, *field, millis(10, MAX_MILLIS));
+    }
+    check(&timings, &section, report);
+    section.finish(report);
+    timings
+}
+
+/// Checks what holds between the times.
+///
+/// A process that acts for longer than its lease lives could meet its successor
+/// at an engine that ignores fences: two loads where the rules allow one.
+fn check(timings: &Timings, section: &Section<'_>, report: &mut Report<'_>) {
+    let mut expect = |holds: bool, key: &str, remedy: &str| {
+        if !holds {
+            report.add(section.path_of(key), section.line(report, key), remedy);
+        }
+    };
+    expect(timings.hold <= timings.lease_ttl, "hold_ms", "is longer than lease_ttl_ms; make it shorter");
+    expect(
+        timings.renew_every * 2 <= timings.hold,
+        "renew_every_ms",
+        "leaves no second try within hold_ms; make it at most half of that",
+    );
+    expect(
+        timings.heartbeat_every * 2 <= timings.peer_timeout,
+        "heartbeat_every_ms",
+        "is more than half of peer_timeout_ms; make it shorter",
+    );
+    expect(
+        timings.report_every * 2 <= timings.engine_timeout,
+        "report_every_ms",
+        "is more than half of engine_timeout_ms; make it shorter",
+    );
+    expect(
+        timings.lease_ttl.as_millis() >= 1000,
+        "lease_ttl_ms",
+        "is shorter than a second, the service's smallest lease; make it longer",
+    );
+}
--- /dev/null
+++ b/crates/skylarkshore/src/config/url.rs
@@ -0,0 +1,41 @@
+//! Where the platform's services are reached.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use derive_more::{Display, Error};
+
+/// An `http://` address with an IP number, a port and perhaps a path.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[display("http://{address}{path}")]
+pub struct HttpUrl {
+    /// Where to connect to.
+    pub address: SocketAddr,
+    /// The path, empty or with a leading slash.
+    pub path: String,
+}
+
+/// A text that is no such address.
+#[derive(Debug, Display, Error)]
+#[display(
+    "'{text}' is no address of a service; write http://, an IP number and a port, for example http://10.0.0.9:2379"
+)]
+pub struct InvalidHttpUrl {
+    text: String,
+}
+
+impl FromStr for HttpUrl {
+    type Err = InvalidHttpUrl;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        let invalid = || InvalidHttpUrl { text: s.to_owned() };
+        let rest = s.strip_prefix("http://").ok_or_else(invalid)?;
+        let (address, path) = rest.find('/').map_or((rest, ""), |slash| rest.split_at(slash));
+        let address = address.parse().map_err(|_invalid| invalid())?;
+        let plain = path.bytes().all(|byte| byte.is_ascii_graphic() && byte != b'#');
+        if !plain {
+            return Err(invalid());
+        }
+        Ok(Self { address, path: path.trim_end_matches('/').to_owned() })
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore/src/connections.rs
@@ -0,0 +1,139 @@
+//! Notices callers that go away while they wait.
+
+use std::io;
+use std::net::{Shutdown, SocketAddr};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use skylarkshore_core::collections::OrderedMap;
+use tokio::io::Interest;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
+use tokio::sync::{Notify, watch};
+use xitca_io::net::Stream;
+use xitca_server::net::{IntoListener, Listen};
+
+/// A caller's connection as seen from beside the server.
+#[derive(Clone, Debug)]
+pub(crate) struct Watched {
+    gone: watch::Receiver<bool>,
+    cut: Arc<Notify>,
+}
+
+impl Watched {
+    /// Returns once the caller has closed the connection or broken it.
+    pub(crate) async fn gone(&mut self) {
+        // A watcher that ended without a word has lost its connection too.
+        _ = self.gone.wait_for(|gone| *gone).await;
+    }
+
+    /// Breaks the connection, so that the caller can't take its answer for whole.
+    pub(crate) fn cut(&self) {
+        self.cut.notify_one();
+    }
+}
+
+/// The callers' connections.
+///
+/// The server reads from a connection only between requests, so that it would
+/// notice a caller that went away only when it next writes. A request that waits
+/// for a cold model would then be loaded and run for nobody. A second handle to
+/// the same socket is watched instead.
+#[derive(Debug, Default)]
+pub(crate) struct Connections {
+    live: Mutex<OrderedMap<SocketAddr, Watched>>,
+}
+
+impl Connections {
+    /// Returns the connection from an address.
+    pub(crate) fn get(&self, caller: SocketAddr) -> Option<Watched> {
+        self.live.lock().unwrap_or_else(PoisonError::into_inner).get(&caller).cloned()
+    }
+
+    fn watch(self: &Arc<Self>, stream: TcpStream, caller: SocketAddr) {
+        let (tx, rx) = watch::channel(false);
+        let cut = Arc::new(Notify::new());
+        let watched = Watched { gone: rx, cut: Arc::clone(&cut) };
+        self.live.lock().unwrap_or_else(PoisonError::into_inner).insert(caller, watched);
+        let this = Arc::clone(self);
+        tokio::spawn(async move {
+            tokio::select! {
+                () = until_closed(&stream) => {}
+                () = cut.notified() => {
+                    // A socket that is closed already needs no cutting.
+                    _ = socket_shutdown(stream);
+                }
+            }
+            // The address is free for another connection only after the socket is closed.
+            this.live.lock().unwrap_or_else(PoisonError::into_inner).remove(&caller);
+            tx.send_replace(true);
+        });
+    }
+}
+
+fn socket_shutdown(stream: TcpStream) -> io::Result<()> {
+    stream.into_std()?.shutdown(Shutdown::Both)
+}
+
+/// Returns once the other end has closed the connection or broken it.
+async fn until_closed(stream: &TcpStream) {
+    loop {
+        let Ok(ready) = stream.ready(Interest::READABLE | Interest::ERROR).await else { return };
+        if ready.is_read_closed() || ready.is_error() {
+            return;
+        }
+        // The bytes are the server's to read; only the next change is waited for.
+        let forget = || -> io::Result<()> { Err(io::ErrorKind::WouldBlock.into()) };
+        _ = stream.try_io(Interest::READABLE, forget);
+    }
+}
+
+/// Accepts connections and has each one watched.
+pub(crate) struct WatchedListener {
+    listener: std::net::TcpListener,
+    connections: Arc<Connections>,
+    runtime: Handle,
+}
+
+impl WatchedListener {
+    /// Makes a listener; the watching is done in `runtime`.
+    pub(crate) const fn new(
+        listener: std::net::TcpListener,
+        connections: Arc<Connections>,
+        runtime: Handle,
+    ) -> Self {
+        Self { listener, connections, runtime }
+    }
+}
+
+/// A listener that runs.
+pub(crate) struct Accepting {
+    listener: TcpListener,
+    connections: Arc<Connections>,
+    runtime: Handle,
+}
+
+impl IntoListener for WatchedListener {
+    type Listener = Accepting;
+
+    fn into_listener(self) -> io::Result<Accepting> {
+        self.listener.set_nonblocking(true)?;
+        let listener = TcpListener::from_std(self.listener)?;
+        Ok(Accepting { listener, connections: self.connections, runtime: self.runtime })
+    }
+}
+
+impl Listen for Accepting {
+    async fn accept(&self) -> io::Result<Stream> {
+        let (stream, caller) = self.listener.accept().await?;
+        stream.set_nodelay(true)?;
+        let stream = stream.into_std()?;
+        // Without a second handle the caller's going away is noticed later, and nothing else.
+        if let Ok(second) = stream.try_clone() {
+            let _inside = self.runtime.enter();
+            if let Ok(second) = TcpStream::from_std(second) {
+                self.connections.watch(second, caller);
+            }
+        }
+        Ok(Stream::Tcp(stream, caller))
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore/src/driver/effects.rs
@@ -0,0 +1,206 @@
+//! Carries out what the core wants done, each effect in a task of its own.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use skylarkshore_core::collections::{HashMap, OrderedMap};
+use skylarkshore_core::effect::{Note, Refusal};
+use skylarkshore_core::id::{AttemptId, CallId, HostId, Incarnation, RequestId, StoreRevision, UpstreamId};
+use skylarkshore_core::store::StoreCall;
+use skylarkshore_core::upstream::{OrderAnswer, Upstream};
+use skylarkshore_core::{Effect, Event};
+use slog::{debug, info};
+use tokio::task::AbortHandle;
+
+use crate::driver::Inbox;
+use crate::engines::{Engines, OrderLetter};
+use crate::env::Env;
+use crate::peers::Peers;
+use crate::probe;
+use crate::store::{BoxFuture, Seen, Store, WatchSink};
+use crate::upstreams::{SendLetter, UpstreamSort, Upstreams};
+
+/// Carries out what the core wants done.
+pub(crate) struct Effects {
+    env: Env,
+    store: Arc<dyn Store>,
+    engines: Engines,
+    upstreams: Upstreams,
+    peers: Peers,
+    watch: Option<AbortHandle>,
+    attempts: HashMap<AttemptId, AbortHandle>,
+}
+
+struct ToInbox(Inbox);
+
+impl WatchSink for ToInbox {
+    fn seen(&self, seen: Seen) -> BoxFuture<'_, ()> {
+        Box::pin(self.0.event(Event::Watched { changes: seen.changes, upto: seen.upto }))
+    }
+}
+
+impl Effects {
+    pub(crate) fn new(
+        env: Env,
+        store: Arc<dyn Store>,
+        engines: Engines,
+        upstreams: Upstreams,
+        peers: Peers,
+    ) -> Self {
+        Self { env, store, engines, upstreams, peers, watch: None, attempts: HashMap::default() }
+    }
+
+    /// Takes note of an event before the core does.
+    pub(crate) fn before(&mut self, event: &Event) {
+        if let Event::AttemptEnded { attempt, .. } = event {
+            self.attempts.remove(attempt);
+        }
+    }
+
+    /// Carries an effect out.
+    pub(crate) fn carry_out(&mut self, effect: Effect, upstreams: &OrderedMap<UpstreamId, Upstream>) {
+        match effect {
+            Effect::Store { call, request } => self.call_store(call, request),
+            Effect::Watch { from } => self.watch(from),
+            Effect::Unwatch => self.unwatch(),
+            Effect::Peer(envelope) => self.peers.send(envelope),
+            Effect::Probe { host, incarnation, address } => self.probe(host, incarnation, address),
+            Effect::Order { upstream, order, fence, not_after, action } => {
+                let address = upstreams.get(&upstream).map(|upstream| upstream.address);
+                self.order(upstream, address, OrderLetter { order, fence, not_after, action });
+            }
+            Effect::AskReport { upstream } => {
+                let address = upstreams.get(&upstream).map(|upstream| upstream.address);
+                self.ask_report(upstream, address);
+            }
+            Effect::Send { request, attempt, upstream, deadline, order, resume, hold } => {
+                let Some(entry) = upstreams.get(&upstream) else {
+                    self.not_sent(attempt);
+                    return;
+                };
+                let sort =
+                    if entry.engine().is_some() { UpstreamSort::Engine } else { UpstreamSort::Service };
+                let address = entry.address;
+                self.send(SendLetter {
+                    request,
+                    attempt,
+                    upstream,
+                    address,
+                    sort,
+                    deadline,
+                    order,
+                    resume,
+                    hold,
+                });
+            }
+            Effect::Cancel { attempt } => self.cancel(attempt),
+            Effect::Answer { request, answer } => {
+                if let Some(passage) = self.env.requests.get(request) {
+                    passage.answer(answer);
+                }
+            }
+            Effect::Refuse { request, refusal } | Effect::Abort { request, refusal } => {
+                self.refuse(request, &refusal);
+            }
+            Effect::Note(note) => self.note(&note),
+            // The driver itself takes the end of the process.
+            Effect::Exit => {}
+        }
+    }
+
+    fn call_store(&self, call: CallId, request: StoreCall) {
+        let store = Arc::clone(&self.store);
+        let inbox = self.env.inbox.clone();
+        tokio::spawn(async move {
+            let result = store.call(request).await;
+            inbox.event(Event::Store { call, result }).await;
+        });
+    }
+
+    fn watch(&mut self, from: StoreRevision) {
+        self.unwatch();
+        let store = Arc::clone(&self.store);
+        let inbox = self.env.inbox.clone();
+        let task = tokio::spawn(async move {
+            store.watch(from, &ToInbox(inbox.clone())).await;
+            inbox.event(Event::WatchBroken).await;
+        });
+        self.watch = Some(task.abort_handle());
+    }
+
+    fn unwatch(&mut self) {
+        if let Some(task) = self.watch.take() {
+            task.abort();
+        }
+    }
+
+    fn probe(&self, host: HostId, incarnation: Incarnation, address: SocketAddr) {
+        let inbox = self.env.inbox.clone();
+        tokio::spawn(async move {
+            if probe::has_ended(&host, incarnation, address).await {
+                inbox.event(Event::PeerRefused { host, incarnation }).await;
+            }
+        });
+    }
+
+    fn order(&self, upstream: UpstreamId, address: Option<SocketAddr>, letter: OrderLetter) {
+        let engines = self.engines.clone();
+        let inbox = self.env.inbox.clone();
+        let order = letter.order;
+        debug!(self.env.log, "order"; "engine" => %upstream, "order" => %order,
+            "fence" => %letter.fence, "action" => ?letter.action);
+        tokio::spawn(async move {
+            let answer = match address {
+                Some(address) => engines.give(address, letter).await,
+                None => OrderAnswer::NotSent,
+            };
+            inbox.event(Event::Order { upstream, order, answer }).await;
+        });
+    }
+
+    fn ask_report(&self, upstream: UpstreamId, address: Option<SocketAddr>) {
+        let engines = self.engines.clone();
+        let inbox = self.env.inbox.clone();
+        let asked = self.env.clock.now();
+        tokio::spawn(async move {
+            let report = match address {
+                Some(address) => engines.ask(address).await,
+                None => None,
+            };
+            inbox.event(Event::Report { upstream, asked, report }).await;
+        });
+    }
+
+    fn send(&mut self, letter: SendLetter) {
+        let upstreams = self.upstreams.clone();
+        let inbox = self.env.inbox.clone();
+        let attempt = letter.attempt;
+        let task = tokio::spawn(async move {
+            let end = upstreams.send(letter).await;
+            inbox.event(Event::AttemptEnded { attempt, end }).await;
+        });
+        self.attempts.insert(attempt, task.abort_handle());
+    }
+
+    fn not_sent(&self, attempt: AttemptId) {
+        let end = skylarkshore_core::event::AttemptEnd::NotSent;
+        self.env.inbox.event_later(Event::AttemptEnded { attempt, end });
+    }
+
+    /// Stops a try; its connection is closed, which stops the upstream's work.
+    fn cancel(&mut self, attempt: AttemptId) {
+        if let Some(task) = self.attempts.remove(&attempt) {
+            task.abort();
+        }
+    }
+
+    fn refuse(&self, request: RequestId, refusal: &Refusal) {
+        let Some(passage) = self.env.requests.get(request) else { return };
+        passage.refuse(refusal);
+    }
+
+    fn note(&self, note: &Note) {
+        self.env.metrics.noted(note.event);
+        info!(self.env.log, "{}", note.event; "subject" => &note.subject, "detail" => &note.detail);
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore/src/engines.rs
@@ -0,0 +1,86 @@
+//! Orders to engines, and their reports.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use skylarkshore_core::Time;
+use skylarkshore_core::id::{Fence, OrderId};
+use skylarkshore_core::upstream::{EngineReport, Order, OrderAnswer};
+use skylarkshore_wire::engine::{ORDERS_PATH, OrderReply, OrderRequest, REPORT_PATH, Report};
+use slog::{Logger, debug};
+use tokio::time::Instant;
+
+use crate::clock::Clock;
+use crate::http::{CallError, PooledClient, call, call_anew, client, json_request};
+
+/// How long an engine may take to accept an order; loading goes on after that.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
+const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// An order with what goes with it.
+#[derive(Debug)]
+pub(crate) struct OrderLetter {
+    pub(crate) order: OrderId,
+    pub(crate) fence: Fence,
+    pub(crate) not_after: Time,
+    pub(crate) action: Order,
+}
+
+/// Speaks to engines as their owner.
+#[derive(Clone, Debug)]
+pub(crate) struct Engines {
+    client: PooledClient,
+    clock: Clock,
+    log: Logger,
+}
+
+impl Engines {
+    pub(crate) fn new(clock: Clock, log: Logger) -> Self {
+        Self { client: client(), clock, log }
+    }
+
+    /// Gives an order, unless its time has passed by the moment of sending.
+    ///
+    /// A process that was frozen wakes up believing that it still owns the
+    /// engine. One that ignores fences would carry its order out beside the
+    /// successor's, and two replicas would run where one is allowed; so the time
+    /// is checked after the connection stands, right before the order is sent.
+    pub(crate) async fn give(&self, address: SocketAddr, letter: OrderLetter) -> OrderAnswer {
+        let not_after = letter.not_after;
+        let body = OrderRequest { order: letter.order, fence: letter.fence, action: letter.action.into() };
+        let Ok(body) = serde_json::to_vec(&body) else { return OrderAnswer::NotSent };
+        let req = json_request(Method::POST, address, ORDERS_PATH, Bytes::from(body));
+        let may_send = || !not_after.is_due(self.clock.now());
+        match call_anew(address, req, may_send, Instant::now() + ORDER_TIMEOUT).await {
+            Ok(Some(answer)) => read_reply(&answer.body),
+            Ok(None) => OrderAnswer::NotSent,
+            Err(CallError::NotConnected { reason }) => {
+                debug!(self.log, "order_not_sent"; "address" => %address, "reason" => reason);
+                OrderAnswer::NotSent
+            }
+            Err(CallError::Lost { reason }) => {
+                debug!(self.log, "order_answer_lost"; "address" => %address, "reason" => reason);
+                OrderAnswer::Lost
+            }
+        }
+    }
+
+    /// Asks an engine how it stands; none when it doesn't say in time.
+    pub(crate) async fn ask(&self, address: SocketAddr) -> Option<EngineReport> {
+        let req = json_request(Method::GET, address, REPORT_PATH, Bytes::new());
+        let answer = call(&self.client, req, Instant::now() + REPORT_TIMEOUT).await;
+        let answer = answer.inspect_err(|err| {
+            debug!(self.log, "report_missing"; "address" => %address, "reason" => err.to_string());
+        });
+        let answer = answer.ok().filter(|answer| answer.status == StatusCode::OK)?;
+        let report: Report = serde_json::from_slice(&answer.body).ok()?;
+        Some(report.into())
+    }
+}
+
+/// Reads an order's answer; one that can't be understood leaves open what was done.
+fn read_reply(body: &[u8]) -> OrderAnswer {
+    serde_json::from_slice::<OrderReply>(body).map_or(OrderAnswer::Lost, OrderAnswer::from)
+}
--- /dev/null
+++ b/crates/skylarkshore/src/http.rs
@@ -0,0 +1,185 @@
+//! Calls to the platform and to engines: one request, one small answer, one deadline.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http::header::{CONTENT_TYPE, HOST};
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// How long a connection may take to be made.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a connection is kept for reuse. Most servers close idle ones after
+/// five seconds or more; a request sent on one that is just being closed would
+/// be lost, and couldn't be told from one that has run.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+/// After how long without traffic the system checks that the other end is still there; a watch can be quiet for long.
+const KEEPALIVE: Duration = Duration::from_secs(10);
+/// Connections that are kept for one address.
+const IDLE_PER_ADDRESS: usize = 32;
+/// The largest answer that is read whole, in bytes.
+const MAX_ANSWER_LEN: usize = 16 * 1024 * 1024;
+
+/// Why a call has no answer.
+#[derive(Debug, Display, Error)]
+pub(crate) enum CallError {
+    /// No connection could be made, so nothing was sent.
+    #[display("no connection: {reason}")]
+    NotConnected { reason: String },
+    /// It was sent, and the answer is missing, cut short or too large.
+    #[display("no whole answer: {reason}")]
+    Lost { reason: String },
+}
+
+/// An answer that was read whole.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) body: Bytes,
+}
+
+/// A client with a pool of connections, which never sends a request twice.
+pub(crate) type PooledClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Makes a client.
+///
+/// The client's own retry is off: it would send a request again when a reused
+/// connection was closed first, and a booking could be made twice.
+pub(crate) fn client() -> PooledClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_keepalive(Some(KEEPALIVE));
+    Client::builder(TokioExecutor::new())
+        .retry_canceled_requests(false)
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_max_idle_per_host(IDLE_PER_ADDRESS)
+        .build(connector)
+}
+
+/// Makes a request with a JSON body, or none.
+pub(crate) fn json_request(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    body: Bytes,
+) -> Request<Full<Bytes>> {
+    let mut req = Request::new(Full::new(body));
+    *req.method_mut() = method;
+    *req.uri_mut() = format!("http://{address}{path}").parse().unwrap_or_default();
+    req.headers_mut().insert(CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
+    req
+}
+
+/// Sends a request on a pooled connection and reads the whole answer by `deadline`.
+///
+/// # Errors
+///
+/// See [`CallError`].
+pub(crate) async fn call(
+    client: &PooledClient,
+    req: Request<Full<Bytes>>,
+    deadline: Instant,
+) -> Result<Answer, CallError> {
+    let exchange = async {
+        let res = client.request(req).await.map_err(|err| {
+            let reason = chain(&err);
+            if err.is_connect() { CallError::NotConnected { reason } } else { CallError::Lost { reason } }
+        })?;
+        read_whole(res).await
+    };
+    tokio::time::timeout_at(deadline, exchange).await.unwrap_or_else(|_elapsed| Err(timed_out()))
+}
+
+/// Connects anew, asks `may_send` once the connection stands, sends and reads the whole answer.
+///
+/// Returns none when `may_send` said no; nothing was sent then. Connecting can
+/// take long enough for the leave to act to run out in the meantime, so it is
+/// asked as late as possible.
+///
+/// # Errors
+///
+/// See [`CallError`].
+pub(crate) async fn call_anew(
+    address: SocketAddr,
+    mut req: Request<Full<Bytes>>,
+    may_send: impl FnOnce() -> bool,
+    deadline: Instant,
+) -> Result<Option<Answer>, CallError> {
+    let mut sender = tokio::time::timeout_at(deadline, connect(address))
+        .await
+        .unwrap_or_else(|_elapsed| Err(not_connected("timed out")))?;
+    let authority = address.to_string();
+    to_origin_form(&mut req, &authority);
+    if !may_send() {
+        return Ok(None);
+    }
+    let exchange = async {
+        let res = sender.send_request(req).await.map_err(|err| CallError::Lost { reason: chain(&err) })?;
+        read_whole(res).await.map(Some)
+    };
+    tokio::time::timeout_at(deadline, exchange).await.unwrap_or_else(|_elapsed| Err(timed_out()))
+}
+
+type Sender = hyper::client::conn::http1::SendRequest<Full<Bytes>>;
+
+/// Makes a connection that is used once.
+pub(crate) async fn connect(address: SocketAddr) -> Result<Sender, CallError> {
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_elapsed| not_connected("timed out"))?
+        .map_err(|err| not_connected(&err.to_string()))?;
+    stream.set_nodelay(true).map_err(|err| not_connected(&err.to_string()))?;
+    let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|err| not_connected(&chain(&err)))?;
+    // The connection ends with its sender and its answer; a failure shows in the answer.
+    tokio::spawn(async move { _ = connection.await });
+    Ok(sender)
+}
+
+/// Turns an absolute address into the path and `host` header that servers expect.
+pub(crate) fn to_origin_form(req: &mut Request<Full<Bytes>>, authority: &str) {
+    if let Some(path) = req.uri().path_and_query().cloned() {
+        *req.uri_mut() = path.into();
+    }
+    if let Ok(host) = authority.parse() {
+        req.headers_mut().insert(HOST, host);
+    }
+}
+
+async fn read_whole(res: http::Response<Incoming>) -> Result<Answer, CallError> {
+    let status = res.status();
+    let body = Limited::new(res.into_body(), MAX_ANSWER_LEN);
+    let body = body.collect().await.map_err(|err| CallError::Lost { reason: err.to_string() })?;
+    Ok(Answer { status, body: body.to_bytes() })
+}
+
+fn not_connected(reason: &str) -> CallError {
+    CallError::NotConnected { reason: reason.to_owned() }
+}
+
+fn timed_out() -> CallError {
+    CallError::Lost { reason: "timed out".to_owned() }
+}
+
+/// Joins an error's causes, which its own text leaves out.
+pub(crate) fn chain(err: &dyn std::error::Error) -> String {
+    let mut text = err.to_string();
+    let mut source = err.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
--- a/crates/skylarkshore/src/main.rs
+++ b/crates/skylarkshore/src/main.rs
@@ -1,2 +1,12 @@
-//! placeholder
-fn main() {}
+//! The entry host's program: settings, then sockets and timers round the core.
+
+use std::process::ExitCode;
+
+use mimalloc::MiMalloc;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+fn main() -> ExitCode {
+    skylarkshore::cli::main(std::env::args_os().skip(1))
+}
--- /dev/null
+++ b/crates/skylarkshore/src/metrics.rs
@@ -0,0 +1,252 @@
+//! Numbers for `/metrics`, named after the conventions of Prometheus.
+
+mod process;
+
+use std::time::Duration;
+
+use prometheus::core::Collector;
+use prometheus::{
+    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
+};
+use skylarkshore_core::dump::Gauge as Reading;
+use skylarkshore_core::event::AttemptEnd;
+use skylarkshore_core::store::{StoreFailure, StoreResult};
+
+const NAMESPACE: &str = "skylarkshore";
+
+/// From a warm request's overhead to the longest cold start that is waited for.
+const LATENCY_BUCKETS: &[f64] =
+    &[0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 120.0, 300.0];
+
+/// The numbers that the process keeps outside of the core.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    in_progress: IntGauge,
+    duration: HistogramVec,
+    first_byte: HistogramVec,
+    attempts: IntCounterVec,
+    notes: IntCounterVec,
+    store_calls: IntCounterVec,
+    store_duration: Histogram,
+    peer_messages: IntCounterVec,
+    peer_bytes: IntCounterVec,
+    peer_dropped: IntCounter,
+    events: IntCounter,
+}
+
+/// How a request ended, for its counter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RequestEnd {
+    /// An upstream's answer was passed on whole.
+    Answered,
+    /// It was wrong in itself and nothing was sent upstream.
+    Invalid,
+    /// It was refused, with this outcome.
+    Refused(&'static str),
+    /// The answer was broken off after a part was passed on.
+    BrokenOff,
+    /// The caller went away first.
+    CallerGone,
+}
+
+impl RequestEnd {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Invalid => "invalid",
+            Self::Refused(outcome) => outcome,
+            Self::BrokenOff => "broken_off",
+            Self::CallerGone => "caller_gone",
+        }
+    }
+}
+
+/// Which way a peer's message goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Direction {
+    Sent,
+    Received,
+}
+
+impl Direction {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::Received => "received",
+        }
+    }
+}
+
+fn opts(name: &str, help: &str) -> Opts {
+    Opts::new(name, help).namespace(NAMESPACE)
+}
+
+fn histogram(name: &str, help: &str) -> HistogramOpts {
+    HistogramOpts::new(name, help).namespace(NAMESPACE).buckets(LATENCY_BUCKETS.to_vec())
+}
+
+impl Metrics {
+    /// Makes and registers the numbers.
+    ///
+    /// # Errors
+    ///
+    /// Two of them have the same name.
+    fn build() -> prometheus::Result<Self> {
+        let this = Self {
+            registry: Registry::new(),
+            requests: IntCounterVec::new(
+                opts("requests_total", "Requests that came to an end, by how."),
+                &["target", "end"],
+            )?,
+            in_progress: IntGauge::with_opts(opts(
+                "requests_in_progress",
+                "Requests that callers wait for.",
+            ))?,
+            duration: HistogramVec::new(
+                histogram("request_duration_seconds", "From a request's head to the end of its answer."),
+                &["target"],
+            )?,
+            first_byte: HistogramVec::new(
+                histogram("request_first_byte_seconds", "From a request's head to the head of its answer."),
+                &["target"],
+            )?,
+            attempts: IntCounterVec::new(
+                opts("upstream_attempts_total", "Tries at upstreams that came to an end, by how."),
+                &["end"],
+            )?,
+            notes: IntCounterVec::new(
+                opts("events_total", "Events that are also logged, by name."),
+                &["event"],
+            )?,
+            store_calls: IntCounterVec::new(
+                opts("store_calls_total", "Calls to the key-value service, by call and result."),
+                &["call", "result"],
+            )?,
+            store_duration: Histogram::with_opts(histogram(
+                "store_call_duration_seconds",
+                "How long calls to the key-value service take.",
+            ))?,
+            peer_messages: IntCounterVec::new(
+                opts("peer_messages_total", "Messages to and from peers."),
+                &["direction"],
+            )?,
+            peer_bytes: IntCounterVec::new(
+                opts("peer_bytes_total", "Bytes of messages to and from peers."),
+                &["direction"],
+            )?,
+            peer_dropped: IntCounter::with_opts(opts(
+                "peer_messages_dropped_total",
+                "Messages to peers that were dropped because their queue was full or the peer unreachable.",
+            ))?,
+            events: IntCounter::with_opts(opts("core_events_total", "Events that the core has taken."))?,
+        };
+        for collector in this.collectors() {
+            this.registry.register(collector)?;
+        }
+        Ok(this)
+    }
+
+    /// Makes and registers the numbers.
+    ///
+    /// # Panics
+    ///
+    /// Never, as their names are constant and differ.
+    pub(crate) fn new() -> Self {
+        Self::build().expect("the metrics' names are constant and differ")
+    }
+
+    fn collectors(&self) -> Vec<Box<dyn Collector>> {
+        vec![
+            Box::new(self.requests.clone()),
+            Box::new(self.in_progress.clone()),
+            Box::new(self.duration.clone()),
+            Box::new(self.first_byte.clone()),
+            Box::new(self.attempts.clone()),
+            Box::new(self.notes.clone()),
+            Box::new(self.store_calls.clone()),
+            Box::new(self.store_duration.clone()),
+            Box::new(self.peer_messages.clone()),
+            Box::new(self.peer_bytes.clone()),
+            Box::new(self.peer_dropped.clone()),
+            Box::new(self.events.clone()),
+        ]
+    }
+
+    pub(crate) fn request_begun(&self) {
+        self.in_progress.inc();
+    }
+
+    pub(crate) fn request_answering(&self, target: &str, after: Duration) {
+        self.first_byte.with_label_values(&[target]).observe(after.as_secs_f64());
+    }
+
+    pub(crate) fn request_ended(&self, target: &str, end: RequestEnd, after: Duration) {
+        self.in_progress.dec();
+        self.requests.with_label_values(&[target, end.label()]).inc();
+        self.duration.with_label_values(&[target]).observe(after.as_secs_f64());
+    }
+
+    pub(crate) fn request_invalid(&self) {
+        self.requests.with_label_values(&["none", RequestEnd::Invalid.label()]).inc();
+    }
+
+    pub(crate) fn attempt_ended(&self, end: &AttemptEnd) {
+        let label = match end {
+            AttemptEnd::Whole { .. } | AttemptEnd::WholeTooLarge => "whole",
+            AttemptEnd::NotSent => "not_sent",
+            AttemptEnd::Rejected(_) => "rejected",
+            AttemptEnd::Lost { died: true, .. } => "upstream_died",
+            AttemptEnd::Lost { died: false, .. } => "lost",
+        };
+        self.attempts.with_label_values(&[label]).inc();
+    }
+
+    pub(crate) fn noted(&self, event: &str) {
+        self.notes.with_label_values(&[event]).inc();
+    }
+
+    pub(crate) fn store_call(&self, call: &str, result: &StoreResult, took: Duration) {
+        let label = match result {
+            Ok(_) => "answered",
+            Err(StoreFailure::NotDone) => "not_done",
+            Err(StoreFailure::Unknown) => "unknown",
+        };
+        self.store_calls.with_label_values(&[call, label]).inc();
+        self.store_duration.observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn peer_message(&self, direction: Direction, len: usize) {
+        self.peer_messages.with_label_values(&[direction.label()]).inc();
+        let len = u64::try_from(len).unwrap_or(u64::MAX);
+        self.peer_bytes.with_label_values(&[direction.label()]).inc_by(len);
+    }
+
+    pub(crate) fn peer_message_dropped(&self) {
+        self.peer_dropped.inc();
+    }
+
+    pub(crate) fn event_taken(&self) {
+        self.events.inc();
+    }
+
+    /// Writes all numbers, the core's among them, as Prometheus reads them.
+    pub(crate) fn render(&self, readings: &[Reading]) -> String {
+        let mut families = self.registry.gather();
+        families.extend(readings.iter().filter_map(family));
+        let mut buf = Vec::new();
+        // Writing to a buffer only fails on a family without numbers, and there is none.
+        _ = TextEncoder::new().encode(&families, &mut buf);
+        let mut text = String::from_utf8_lossy(&buf).into_owned();
+        text.push_str(&process::render());
+        text
+    }
+}
+
+fn family(reading: &Reading) -> Option<prometheus::proto::MetricFamily> {
+    let gauge = Gauge::with_opts(opts(reading.name, "See the page OPERATIONS.")).ok()?;
+    gauge.set(reading.value);
+    gauge.collect().into_iter().next()
+}
--- /dev/null
+++ b/crates/skylarkshore/src/passage.rs
@@ -0,0 +1,299 @@
+//! The way of one request: what is sent upstream, and how its answer gets back to the caller.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use skylarkshore_core::collections::HashMap;
+use skylarkshore_core::effect::Refusal;
+use skylarkshore_core::id::{AttemptId, RequestId};
+use skylarkshore_core::store::RecordedAnswer;
+use skylarkshore_wire::caller::{RefusalBody, refusal_status};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::metrics::RequestEnd;
+
+/// Pieces of an answer that may wait for a slow caller before the upstream is slowed down.
+const PIECES: usize = 16;
+/// How long a slow caller is given to take the last piece of an answer that is broken off.
+const LAST_PIECE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// What is sent upstream.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    pub(crate) method: Method,
+    /// The path and query.
+    pub(crate) path: String,
+    /// The caller's headers that concern the upstream.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// The head of an answer and a way to its body.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: ReplyBody,
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub(crate) enum ReplyBody {
+    /// It is here as a whole.
+    Whole { body: Bytes, end: RequestEnd },
+    /// It comes in pieces.
+    Pieces { pieces: mpsc::Receiver<Piece>, len: Option<u64> },
+}
+
+/// A piece of a body. A body whose last piece is neither an end nor a break was lost here.
+#[derive(Debug)]
+pub(crate) enum Piece {
+    /// Some bytes.
+    Data(Bytes),
+    /// The body is complete.
+    End,
+    /// The body is broken off; the last bytes, if any, tell the caller so.
+    BrokenOff(Option<Bytes>),
+}
+
+/// The head of an answer that is about to be passed on.
+#[derive(Debug)]
+pub(crate) struct Head {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    /// The length of the body, where it is known.
+    pub(crate) len: Option<u64>,
+    /// Whether it is a stream of server-sent events.
+    pub(crate) events: bool,
+}
+
+/// Nobody takes the answer any more: the caller is gone, or another attempt took over.
+#[derive(Debug)]
+pub(crate) struct Closed;
+
+#[derive(Debug)]
+enum State {
+    /// Nothing was passed on yet.
+    Waiting(oneshot::Sender<Reply>),
+    /// A part was passed on.
+    Passing { pieces: mpsc::Sender<Piece>, events: bool, delivered: u64 },
+    /// The last piece was passed on.
+    Done,
+}
+
+#[derive(Debug)]
+struct Inner {
+    state: State,
+    attempt: AttemptId,
+}
+
+/// The way of one request.
+#[derive(Debug)]
+pub(crate) struct Passage {
+    pub(crate) outgoing: Outgoing,
+    inner: Mutex<Inner>,
+}
+
+impl Passage {
+    pub(crate) fn new(outgoing: Outgoing) -> (Self, oneshot::Receiver<Reply>) {
+        let (tx, rx) = oneshot::channel();
+        let inner = Inner { state: State::Waiting(tx), attempt: AttemptId::default() };
+        (Self { outgoing, inner: Mutex::new(inner) }, rx)
+    }
+
+    /// Lets an attempt pass its answer on, and none before it.
+    ///
+    /// An attempt that was cancelled may still be in the middle of passing a
+    /// piece on. Without this check that piece would land in the next attempt's
+    /// answer, and the caller would get a mixture of both.
+    ///
+    /// Returns how many data events the caller has already.
+    pub(crate) fn begin_attempt(&self, attempt: AttemptId) -> u64 {
+        let mut inner = self.lock();
+        inner.attempt = attempt;
+        match inner.state {
+            State::Passing { delivered, .. } => delivered,
+            State::Waiting(_) | State::Done => 0,
+        }
+    }
+
+    /// Tells whether the caller has got a part of the answer.
+    pub(crate) fn has_passed_on(&self) -> bool {
+        !matches!(self.lock().state, State::Waiting(_))
+    }
+
+    /// Passes the head on, unless an earlier attempt did.
+    pub(crate) fn pass_head(&self, attempt: AttemptId, head: Head) -> Result<(), Closed> {
+        let mut inner = self.lock();
+        if inner.attempt != attempt {
+            return Err(Closed);
+        }
+        let waiting = match std::mem::replace(&mut inner.state, State::Done) {
+            State::Waiting(tx) => tx,
+            passing @ State::Passing { .. } => {
+                inner.state = passing;
+                return Ok(());
+            }
+            State::Done => return Err(Closed),
+        };
+        let (tx, rx) = mpsc::channel(PIECES);
+        let body = ReplyBody::Pieces { pieces: rx, len: head.len };
+        waiting.send(Reply { status: head.status, headers: head.headers, body }).map_err(|_gone| Closed)?;
+        inner.state = State::Passing { pieces: tx, events: head.events, delivered: 0 };
+        Ok(())
+    }
+
+    /// Passes bytes on that hold `events` whole data events; waits while the caller is slow.
+    pub(crate) async fn pass(&self, attempt: AttemptId, bytes: Bytes, events: u64) -> Result<(), Closed> {
+        let permit = self.sender(attempt)?.reserve_owned().await.map_err(|_gone| Closed)?;
+        let mut inner = self.lock();
+        if inner.attempt != attempt {
+            return Err(Closed);
+        }
+        let State::Passing { delivered, .. } = &mut inner.state else { return Err(Closed) };
+        *delivered += events;
+        permit.send(Piece::Data(bytes));
+        Ok(())
+    }
+
+    /// Passes the end on.
+    pub(crate) async fn end(&self, attempt: AttemptId) -> Result<(), Closed> {
+        let permit = self.sender(attempt)?.reserve_owned().await.map_err(|_gone| Closed)?;
+        let mut inner = self.lock();
+        if inner.attempt != attempt {
+            return Err(Closed);
+        }
+        inner.state = State::Done;
+        permit.send(Piece::End);
+        Ok(())
+    }
+
+    /// Gives the caller a kept answer.
+    pub(crate) fn answer(&self, answer: RecordedAnswer) {
+        let mut headers = HeaderMap::new();
+        if let Some(value) = answer.content_type.and_then(|value| HeaderValue::try_from(value).ok()) {
+            headers.insert(CONTENT_TYPE, value);
+        }
+        let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        self.reply(status, headers, answer.body.into(), RequestEnd::Answered);
+    }
+
+    /// Refuses the request, or breaks the answer off where a part was passed on.
+    pub(crate) fn refuse(&self, refusal: &Refusal) {
+        let mut inner = self.lock();
+        let state = std::mem::replace(&mut inner.state, State::Done);
+        drop(inner);
+        match state {
+            State::Waiting(tx) => {
+                let (status, headers) = refusal_head(refusal);
+                let body = ReplyBody::Whole { body: refusal_json(refusal), end: refusal_end(refusal) };
+                // Nobody is left to tell if the caller is gone.
+                _ = tx.send(Reply { status, headers, body });
+            }
+            State::Passing { pieces, events, .. } => {
+                let last = events.then(|| error_event(refusal));
+                break_off(pieces, last);
+            }
+            State::Done => {}
+        }
+    }
+
+    fn reply(&self, status: StatusCode, headers: HeaderMap, body: Bytes, end: RequestEnd) {
+        let state = std::mem::replace(&mut self.lock().state, State::Done);
+        if let State::Waiting(tx) = state {
+            // Nobody is left to tell if the caller is gone.
+            _ = tx.send(Reply { status, headers, body: ReplyBody::Whole { body, end } });
+        }
+    }
+
+    fn sender(&self, attempt: AttemptId) -> Result<mpsc::Sender<Piece>, Closed> {
+        let inner = self.lock();
+        match &inner.state {
+            State::Passing { pieces, .. } if inner.attempt == attempt => Ok(pieces.clone()),
+            _ => Err(Closed),
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Sends the last piece, at once where there is room.
+fn break_off(pieces: mpsc::Sender<Piece>, last: Option<Bytes>) {
+    let Err(mpsc::error::TrySendError::Full(piece)) = pieces.try_send(Piece::BrokenOff(last)) else {
+        return;
+    };
+    // A caller that doesn't read is let go; its connection is closed either way.
+    tokio::spawn(async move { pieces.send_timeout(piece, LAST_PIECE_TIMEOUT).await });
+}
+
+fn refusal_json(refusal: &Refusal) -> Bytes {
+    serde_json::to_vec(&RefusalBody::from(refusal)).unwrap_or_default().into()
+}
+
+fn error_event(refusal: &Refusal) -> Bytes {
+    let json = refusal_json(refusal);
+    Bytes::from([b"event: error\ndata: ", json.as_ref(), b"\n\n"].concat())
+}
+
+fn refusal_head(refusal: &Refusal) -> (StatusCode, HeaderMap) {
+    let mut headers = HeaderMap::new();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(after) = refusal.retry_after {
+        headers.insert(RETRY_AFTER, HeaderValue::from(whole_secs(after)));
+    }
+    let status = StatusCode::from_u16(refusal_status(refusal)).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+    (status, headers)
+}
+
+/// Rounds up to whole seconds, at least one, as the header has it.
+fn whole_secs(d: Duration) -> u64 {
+    (d.as_secs() + u64::from(d.subsec_nanos() > 0)).max(1)
+}
+
+const fn refusal_end(refusal: &Refusal) -> RequestEnd {
+    use skylarkshore_core::effect::RefusalOutcome;
+
+    RequestEnd::Refused(match refusal.outcome {
+        RefusalOutcome::NotRun => "not_run",
+        RefusalOutcome::Unknown => "unknown",
+        RefusalOutcome::Failed => "failed",
+    })
+}
+
+/// The requests in progress.
+#[derive(Debug, Default)]
+pub(crate) struct Requests {
+    next: AtomicU64,
+    passages: Mutex<HashMap<RequestId, Arc<Passage>>>,
+}
+
+impl Requests {
+    /// Takes a request up and gives it its number.
+    pub(crate) fn insert(&self, passage: Passage) -> RequestId {
+        let id = RequestId(self.next.fetch_add(1, Ordering::Relaxed) + 1);
+        self.lock().insert(id, Arc::new(passage));
+        id
+    }
+
+    pub(crate) fn get(&self, id: RequestId) -> Option<Arc<Passage>> {
+        self.lock().get(&id).cloned()
+    }
+
+    pub(crate) fn remove(&self, id: RequestId) {
+        self.lock().remove(&id);
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<RequestId, Arc<Passage>>> {
+        self.passages.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore/src/peers.rs
@@ -0,0 +1,191 @@
+//! Messages to and from peers over QUIC, one stream for each message.
+
+mod directory;
+mod identity;
+mod link;
+mod verifier;
+
+use std::net::UdpSocket;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::Bytes;
+use quinn::{Connection, Endpoint, EndpointConfig, Incoming, TokioRuntime};
+use skylarkshore_core::Event;
+use skylarkshore_core::collections::HashMap;
+use skylarkshore_core::id::{Digest, HostId};
+use skylarkshore_core::peer::Envelope;
+use skylarkshore_wire::peer::{MAX_MESSAGE_LEN, decode, encode};
+use slog::{debug, warn};
+use tokio::sync::{mpsc, watch};
+
+use crate::driver::Snapshot;
+use crate::env::Env;
+use crate::error::Error;
+use crate::metrics::Direction;
+
+use directory::Directory;
+use link::Link;
+
+pub(crate) use identity::Identity;
+pub(crate) use link::LinkTimings;
+
+/// Messages that may wait for one peer; more are dropped. Whoever needs an
+/// answer asks again, so that a lost message costs time and nothing else.
+const QUEUE_LEN: usize = 256;
+
+/// Sends and receives messages; cheap to clone.
+#[derive(Clone, Debug)]
+pub(crate) struct Peers {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    env: Env,
+    endpoint: Endpoint,
+    identity: Identity,
+    directory: Arc<Directory>,
+    timings: LinkTimings,
+    queues: Mutex<HashMap<HostId, mpsc::Sender<Bytes>>>,
+    connections: Mutex<HashMap<HostId, Pinned>>,
+}
+
+/// A connection with the fingerprint that the other end has shown.
+#[derive(Clone, Debug)]
+struct Pinned {
+    fingerprint: Digest,
+    connection: Connection,
+}
+
+impl Peers {
+    /// Begins to listen on the socket.
+    ///
+    /// # Errors
+    ///
+    /// The socket or the key pair can't be used.
+    pub(crate) fn listen(
+        env: Env,
+        socket: UdpSocket,
+        identity: Identity,
+        timings: LinkTimings,
+        snapshots: watch::Receiver<Arc<Snapshot>>,
+    ) -> Result<Self, Error> {
+        let directory = Arc::new(Directory::default());
+        let server = identity.server_config(&directory, timings)?;
+        let endpoint = Endpoint::new(EndpointConfig::default(), Some(server), socket, Arc::new(TokioRuntime))
+            .map_err(|source| Error::Runtime { source })?;
+        let shared = Shared {
+            env,
+            endpoint,
+            identity,
+            directory,
+            timings,
+            queues: Mutex::default(),
+            connections: Mutex::default(),
+        };
+        let this = Self { shared: Arc::new(shared) };
+        tokio::spawn(this.clone().follow(snapshots));
+        tokio::spawn(this.clone().accept());
+        Ok(this)
+    }
+
+    /// Queues a message; drops it where the queue is full or the peer unknown.
+    pub(crate) fn send(&self, envelope: Envelope) {
+        let env = &self.shared.env;
+        let bytes = match encode(&envelope.message) {
+            Ok(bytes) => Bytes::from(bytes),
+            Err(err) => {
+                warn!(env.log, "peer_message_not_sent"; "peer" => %envelope.to, "reason" => %err);
+                env.metrics.peer_message_dropped();
+                return;
+            }
+        };
+        if self.queue(envelope.to).try_send(bytes).is_err() {
+            env.metrics.peer_message_dropped();
+        }
+    }
+
+    /// Closes all connections, so that peers don't wait for this process.
+    pub(crate) fn close(&self) {
+        self.shared.endpoint.close(0_u32.into(), b"leaving");
+    }
+
+    fn queue(&self, host: HostId) -> mpsc::Sender<Bytes> {
+        let mut queues = self.shared.queues.lock().unwrap_or_else(PoisonError::into_inner);
+        let entry = queues.entry(host.clone()).or_insert_with(|| {
+            let (tx, rx) = mpsc::channel(QUEUE_LEN);
+            tokio::spawn(Link::new(self.clone(), host).run(rx));
+            tx
+        });
+        entry.clone()
+    }
+
+    /// Keeps the directory up to date with the published fingerprints.
+    async fn follow(self, mut snapshots: watch::Receiver<Arc<Snapshot>>) {
+        while snapshots.changed().await.is_ok() {
+            let snapshot = Arc::clone(&snapshots.borrow_and_update());
+            self.shared.directory.learn(&snapshot.members);
+        }
+    }
+
+    async fn accept(self) {
+        while let Some(incoming) = self.shared.endpoint.accept().await {
+            tokio::spawn(self.clone().welcome(incoming));
+        }
+    }
+
+    async fn welcome(self, incoming: Incoming) {
+        let address = incoming.remote_address();
+        let connection = match incoming.await {
+            Ok(connection) => connection,
+            Err(err) => {
+                debug!(self.shared.env.log, "peer_turned_away"; "address" => %address, "reason" => %err);
+                return;
+            }
+        };
+        let shown = identity::shown_by(&connection);
+        let Some((fingerprint, host)) =
+            shown.and_then(|shown| Some((shown, self.shared.directory.host_of(shown)?)))
+        else {
+            connection.close(1_u32.into(), b"unknown fingerprint");
+            return;
+        };
+        self.keep(&host, Pinned { fingerprint, connection: connection.clone() });
+        self.receive(host, connection).await;
+    }
+
+    /// Keeps a connection for sending, in place of an older one.
+    fn keep(&self, host: &HostId, pinned: Pinned) {
+        let mut connections = self.shared.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        connections.insert(host.clone(), pinned);
+    }
+
+    /// Returns the kept connection if it is alive and leads to the host's present life.
+    fn kept(&self, host: &HostId, fingerprint: Digest) -> Option<Connection> {
+        let connections = self.shared.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        let pinned = connections.get(host)?;
+        let usable = pinned.fingerprint == fingerprint && pinned.connection.close_reason().is_none();
+        usable.then(|| pinned.connection.clone())
+    }
+
+    /// Takes messages until the connection ends.
+    async fn receive(self, host: HostId, connection: Connection) {
+        while let Ok(mut stream) = connection.accept_uni().await {
+            let this = self.clone();
+            let host = host.clone();
+            tokio::spawn(async move {
+                let Ok(bytes) = stream.read_to_end(MAX_MESSAGE_LEN).await else { return };
+                this.take(host, &bytes).await;
+            });
+        }
+    }
+
+    async fn take(&self, from: HostId, bytes: &[u8]) {
+        let env = &self.shared.env;
+        env.metrics.peer_message(Direction::Received, bytes.len());
+        match decode(bytes) {
+            Ok(message) => env.inbox.event(Event::Peer { from, message }).await,
+            Err(err) => warn!(env.log, "peer_message_unreadable"; "peer" => %from, "reason" => %err),
+        }
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore/src/peers/link.rs
@@ -0,0 +1,139 @@
+//! The way to one peer: a queue, and a connection that is made when there is something to send.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::{Display, Error, From};
+use quinn::{
+    ClosedStream, ConnectError, Connection, ConnectionError, IdleTimeout, TransportConfig, VarInt, WriteError,
+};
+use skylarkshore_core::config::Timings;
+use skylarkshore_core::id::HostId;
+use skylarkshore_wire::peer::MAX_MESSAGE_LEN;
+use slog::debug;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+use crate::metrics::Direction;
+use crate::peers::directory::Known;
+use crate::peers::identity::SERVER_NAME;
+use crate::peers::{Peers, Pinned};
+
+/// How long a peer is left alone after it couldn't be reached.
+const REST: Duration = Duration::from_millis(200);
+/// How long connecting or handing a message over may take.
+const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// Messages of one peer that are read at a time.
+const STREAMS: u32 = 64;
+/// What is buffered of one peer's messages, in messages of the largest size.
+const BUFFERED_MESSAGES: u32 = 4;
+
+/// The times that connections to peers keep.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LinkTimings {
+    idle: Duration,
+}
+
+impl From<&Timings> for LinkTimings {
+    fn from(timings: &Timings) -> Self {
+        Self { idle: timings.peer_timeout.max(timings.heartbeat_every * 3) }
+    }
+}
+
+impl LinkTimings {
+    /// Makes the transport's settings.
+    ///
+    /// A connection whose other end is silent is given up after the idle time,
+    /// so that a restarted peer is connected to anew.
+    pub(super) fn transport(self) -> Arc<TransportConfig> {
+        let message = u32::try_from(MAX_MESSAGE_LEN).unwrap_or(u32::MAX);
+        let mut transport = TransportConfig::default();
+        transport
+            .max_idle_timeout(IdleTimeout::try_from(self.idle).ok())
+            .max_concurrent_uni_streams(STREAMS.into())
+            .max_concurrent_bidi_streams(VarInt::from_u32(0))
+            .stream_receive_window(message.into())
+            .receive_window(message.saturating_mul(BUFFERED_MESSAGES).into())
+            .datagram_receive_buffer_size(None);
+        Arc::new(transport)
+    }
+}
+
+/// Why a message didn't get to a peer.
+#[derive(Debug, Display, Error, From)]
+enum LinkError {
+    #[display("no member key has told where it is; wait for it to start")]
+    #[from(skip)]
+    Unknown,
+    #[display("it doesn't answer in time; check the network between the hosts")]
+    #[from(skip)]
+    Slow,
+    #[display("{_0}")]
+    Identity(crate::error::Error),
+    #[display("{_0}")]
+    Connect(ConnectError),
+    #[display("{_0}")]
+    Connection(ConnectionError),
+    #[display("{_0}")]
+    Write(WriteError),
+    #[display("{_0}")]
+    Closed(ClosedStream),
+}
+
+/// The way to one peer.
+pub(super) struct Link {
+    peers: Peers,
+    host: HostId,
+}
+
+impl Link {
+    pub(super) const fn new(peers: Peers, host: HostId) -> Self {
+        Self { peers, host }
+    }
+
+    /// Sends what is queued until the process ends.
+    pub(super) async fn run(self, mut queue: mpsc::Receiver<Bytes>) {
+        let env = self.peers.shared.env.clone();
+        while let Some(message) = queue.recv().await {
+            match timeout(SEND_TIMEOUT, self.send(&message)).await.unwrap_or(Err(LinkError::Slow)) {
+                Ok(()) => env.metrics.peer_message(Direction::Sent, message.len()),
+                Err(err) => {
+                    debug!(env.log, "peer_unreachable"; "peer" => %self.host, "reason" => %err);
+                    env.metrics.peer_message_dropped();
+                    drop_queued(&mut queue, || env.metrics.peer_message_dropped());
+                    sleep(REST).await;
+                }
+            }
+        }
+    }
+
+    async fn send(&self, message: &Bytes) -> Result<(), LinkError> {
+        let known = self.peers.shared.directory.get(&self.host).ok_or(LinkError::Unknown)?;
+        let connection = match self.peers.kept(&self.host, known.fingerprint) {
+            Some(connection) => connection,
+            None => self.connect(known).await?,
+        };
+        let mut stream = connection.open_uni().await?;
+        stream.write_all(message).await?;
+        stream.finish()?;
+        Ok(())
+    }
+
+    async fn connect(&self, known: Known) -> Result<Connection, LinkError> {
+        let shared = &self.peers.shared;
+        let config = shared.identity.client_config(known.fingerprint, shared.timings)?;
+        let connection = shared.endpoint.connect_with(config, known.address, SERVER_NAME)?.await?;
+        let pinned = Pinned { fingerprint: known.fingerprint, connection: connection.clone() };
+        self.peers.keep(&self.host, pinned);
+        tokio::spawn(self.peers.clone().receive(self.host.clone(), connection.clone()));
+        Ok(connection)
+    }
+}
+
+/// Drops what has queued up for a peer that can't be reached: it would be stale once it can.
+fn drop_queued(queue: &mut mpsc::Receiver<Bytes>, mut dropped: impl FnMut()) {
+    while queue.try_recv().is_ok() {
+        dropped();
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore/src/run.rs
@@ -0,0 +1,213 @@
+//! Puts the parts of an entry host together and runs them.
+
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::thread::available_parallelism;
+
+use skylarkshore_core::config::NodeConfig;
+use skylarkshore_core::id::Incarnation;
+use skylarkshore_core::{Effect, Node};
+use slog::{Logger, info};
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::watch;
+
+use crate::callers::{self, Rotation, Surface};
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::connections::Connections;
+use crate::driver::{Driver, Effects, Inbox, Letters, Snapshot};
+use crate::engines::Engines;
+use crate::env::Env;
+use crate::error::Error;
+use crate::log::{logger, unix_millis};
+use crate::metrics::Metrics;
+use crate::operators::{self, Desk};
+use crate::passage::Requests;
+use crate::peers::{Identity, LinkTimings, Peers};
+use crate::shutdown::Signals;
+use crate::store::{EtcdStore, Store};
+use crate::upstreams::Upstreams;
+use crate::{hosts, server};
+
+const MIN_WORKERS: usize = 2;
+const MAX_WORKERS: usize = 4;
+
+/// Runs an entry host until it has left in order or is told to end at once.
+///
+/// # Errors
+///
+/// An address is taken, or the system gives no threads or randomness.
+pub fn run(config: Config) -> Result<ExitCode, Error> {
+    let (log, guard) = logger(&config);
+    let runtime = runtime()?;
+    let code = runtime.block_on(serve(config, log));
+    // Calls that are still on their way have no one left to answer.
+    runtime.shutdown_background();
+    drop(guard);
+    code
+}
+
+fn runtime() -> Result<Runtime, Error> {
+    let workers = available_parallelism().map_or(MIN_WORKERS, |n| n.get().clamp(MIN_WORKERS, MAX_WORKERS));
+    Builder::new_multi_thread()
+        .worker_threads(workers)
+        .thread_name("skylarkshore")
+        .enable_all()
+        .build()
+        .map_err(|source| Error::Runtime { source })
+}
+
+/// The sockets of a host, with the addresses that others are told.
+struct Sockets {
+    callers: TcpListener,
+    operators: TcpListener,
+    peers: UdpSocket,
+}
+
+impl Sockets {
+    fn bind(config: &mut Config) -> Result<Self, Error> {
+        let callers = bind(config.caller_address, "callers", "caller_address", TcpListener::bind)?;
+        let operators = bind(config.operator_address, "operators", "operator_address", TcpListener::bind)?;
+        let peers = bind(config.peer_address, "peers", "peer_address", UdpSocket::bind)?;
+        // A port 0 in the settings stands for any free one.
+        let unknown = |source| Error::Runtime { source };
+        config.caller_address = callers.local_addr().map_err(unknown)?;
+        config.operator_address = operators.local_addr().map_err(unknown)?;
+        config.peer_address = peers.local_addr().map_err(unknown)?;
+        Ok(Self { callers, operators, peers })
+    }
+}
+
+fn bind<T>(
+    address: SocketAddr,
+    purpose: &'static str,
+    setting: &'static str,
+    bind: impl FnOnce(SocketAddr) -> std::io::Result<T>,
+) -> Result<T, Error> {
+    bind(address).map_err(|source| Error::Bind { address, purpose, setting, source })
+}
+
+async fn serve(mut config: Config, log: Logger) -> Result<ExitCode, Error> {
+    let system = |source| Error::Runtime { source };
+    let signals = Signals::listen().map_err(system)?;
+    let sockets = Sockets::bind(&mut config)?;
+    let identity = Identity::generate()?;
+    let (inbox, letters) = Inbox::open();
+    let env = Env {
+        clock: Clock::start(),
+        inbox,
+        metrics: Arc::new(Metrics::new()),
+        requests: Arc::new(Requests::default()),
+        log,
+    };
+    let node_config = node_config(&config, &identity);
+    announce(&config, node_config.incarnation, &env);
+    let (snapshot, snapshots) = watch::channel(Arc::new(Snapshot::default()));
+    let incarnation = node_config.incarnation;
+    let peers = Peers::listen(
+        env.clone(),
+        sockets.peers,
+        identity,
+        LinkTimings::from(&config.timings),
+        snapshots.clone(),
+    )?;
+    let effects = effects(&config, incarnation, &env, peers.clone());
+    let (node, first) = Node::start(node_config, env.clock.now());
+    let driver = Driver::new(node, env.clock, effects, snapshot, Arc::clone(&env.metrics));
+    let surface = surface(&config, incarnation, &env, snapshots.clone());
+    let desk = Desk {
+        env: env.clone(),
+        snapshots,
+        host: config.host.clone(),
+        incarnation,
+        data_centre: config.data_centre.clone(),
+    };
+    let operators = operators::serve(desk, sockets.operators).map_err(system)?;
+    let callers = callers::serve(surface, sockets.callers).map_err(system)?;
+    tokio::spawn(hosts::poll(config.hosts_url.clone(), env.inbox.clone(), env.log.clone()));
+    let code = until_end(driver, letters, first, signals, &env).await;
+    stop(&callers, &operators, &peers);
+    Ok(code)
+}
+
+fn node_config(config: &Config, identity: &Identity) -> NodeConfig {
+    NodeConfig {
+        host: config.host.clone(),
+        incarnation: Incarnation(unix_millis()),
+        data_centre: config.data_centre.clone(),
+        caller_address: config.caller_address,
+        peer_address: config.peer_address,
+        fingerprint: identity.fingerprint(),
+        seed: rand::random(),
+        timings: config.timings.clone(),
+        limits: config.limits.clone(),
+    }
+}
+
+fn announce(config: &Config, incarnation: Incarnation, env: &Env) {
+    info!(env.log, "started";
+        "version" => env!("CARGO_PKG_VERSION"),
+        "incarnation" => %incarnation,
+        "data_centre" => %config.data_centre,
+        "caller_address" => %config.caller_address,
+        "peer_address" => %config.peer_address,
+        "operator_address" => %config.operator_address);
+}
+
+fn effects(config: &Config, incarnation: Incarnation, env: &Env, peers: Peers) -> Effects {
+    let store: Arc<dyn Store> = Arc::new(EtcdStore::new(
+        config.store_endpoints.clone(),
+        config.timings.store_timeout,
+        Arc::clone(&env.metrics),
+        env.log.clone(),
+    ));
+    let engines = Engines::new(env.clock, env.log.clone());
+    let upstreams = Upstreams::new(&config.host, incarnation, config.limits.recorded_answer, env.clone());
+    Effects::new(env.clone(), store, engines, upstreams, peers)
+}
+
+fn surface(
+    config: &Config,
+    incarnation: Incarnation,
+    env: &Env,
+    snapshots: watch::Receiver<Arc<Snapshot>>,
+) -> Surface {
+    Surface {
+        env: env.clone(),
+        snapshots,
+        connections: Arc::new(Connections::default()),
+        intake: config.intake.clone(),
+        host: config.host.clone(),
+        incarnation,
+        data_centre: config.data_centre.clone(),
+        entry_ttl: config.timings.entry_ttl,
+        rotation: Rotation::default(),
+    }
+}
+
+async fn until_end(
+    driver: Driver,
+    letters: Letters,
+    first: Vec<Effect>,
+    signals: Signals,
+    env: &Env,
+) -> ExitCode {
+    tokio::select! {
+        () = driver.run(letters, first) => {
+            info!(env.log, "left");
+            ExitCode::SUCCESS
+        }
+        () = signals.until_second(env.clone()) => {
+            let cut = env.requests.len();
+            eprintln!("skylarkshore: ended at the second signal; {cut} requests in progress were cut off");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn stop(callers: &server::Running, operators: &server::Running, peers: &Peers) {
+    callers.stop();
+    operators.stop();
+    peers.close();
+}
--- /dev/null
+++ b/crates/skylarkshore/src/server.rs
@@ -0,0 +1,96 @@
+//! What the servers for callers and operators have in common.
+
+use std::fmt;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Request, Response, StatusCode};
+use serde::Serialize;
+use xitca_server::ServerHandle;
+use xitca_server::net::IntoListener;
+use xitca_web::HttpServer;
+use xitca_web::body::{Body, RequestBody, ResponseBody};
+use xitca_web::http::{RequestExt, WebResponse};
+use xitca_web::service::Service;
+use xitca_web::service::ready::ReadyService;
+
+/// The most headers of a request; more are refused with the remedy.
+pub(crate) const MAX_HEADERS: usize = 64;
+/// The most headers that are read at all; more are refused without a word on why.
+const HARD_MAX_HEADERS: usize = 256;
+/// The largest head that is read at all.
+const HARD_MAX_HEAD_LEN: usize = 64 * 1024;
+/// How long a connection may stay idle between requests.
+const KEEP_ALIVE: Duration = Duration::from_secs(30);
+
+/// Threads that serve callers.
+pub(crate) const CALLER_WORKERS: usize = 2;
+/// Threads that serve operators.
+pub(crate) const OPERATOR_WORKERS: usize = 1;
+
+/// A server that runs.
+pub(crate) struct Running {
+    handle: ServerHandle,
+}
+
+impl Running {
+    /// Ends the server and its connections.
+    pub(crate) fn stop(&self) {
+        self.handle.stop(false);
+    }
+}
+
+/// Starts a server on a listener.
+///
+/// # Errors
+///
+/// The system gives no threads.
+pub(crate) fn start<S, B, L>(
+    server: HttpServer<S>,
+    listener: L,
+    head_timeout: Duration,
+    workers: usize,
+) -> std::io::Result<Running>
+where
+    S: Service + Send + Sync + 'static,
+    S::Response: ReadyService + Service<Request<RequestExt<RequestBody>>, Response = Response<B>> + 'static,
+    S::Error: fmt::Debug,
+    <S::Response as Service<Request<RequestExt<RequestBody>>>>::Error: fmt::Debug,
+    B: Body<Data = Bytes> + 'static,
+    B::Error: fmt::Debug + 'static,
+    L: IntoListener + 'static,
+{
+    let mut server = server
+        .server_threads(1)
+        .worker_threads(workers)
+        .worker_max_blocking_threads(1)
+        .disable_signal()
+        .keep_alive_timeout(KEEP_ALIVE)
+        .request_head_timeout(head_timeout)
+        .max_request_headers::<HARD_MAX_HEADERS>()
+        .max_read_buf_size::<HARD_MAX_HEAD_LEN>()
+        .listen(listener)?
+        .run();
+    let handle = server.handle()?;
+    tokio::spawn(server);
+    Ok(Running { handle })
+}
+
+/// Makes an answer with a JSON body.
+pub(crate) fn json<T: Serialize>(status: StatusCode, value: &T) -> WebResponse {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    whole(status, "application/json", body)
+}
+
+/// Makes an answer with a text body.
+pub(crate) fn text(status: StatusCode, body: String) -> WebResponse {
+    whole(status, "text/plain; charset=utf-8", body.into_bytes())
+}
+
+fn whole(status: StatusCode, content_type: &'static str, body: Vec<u8>) -> WebResponse {
+    let mut res = WebResponse::new(ResponseBody::bytes(body));
+    *res.status_mut() = status;
+    res.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    res
+}
--- /dev/null
+++ b/crates/skylarkshore/src/store.rs
@@ -0,0 +1,39 @@
+//! The key-value service behind a trait object, so that another platform is one more file.
+
+mod etcd;
+
+use std::pin::Pin;
+
+use skylarkshore_core::id::StoreRevision;
+use skylarkshore_core::store::{StoreCall, StoreResult, Versioned};
+
+pub(crate) use etcd::EtcdStore;
+
+/// A future that a trait object returns.
+pub(crate) type BoxFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+
+/// The key-value service.
+pub(crate) trait Store: Send + Sync {
+    /// Makes a call, which ends within the time-out from the settings.
+    ///
+    /// `NotDone` is only returned when no connection could be made.
+    fn call(&self, call: StoreCall) -> BoxFuture<'_, StoreResult>;
+
+    /// Watches the shared keys and returns when the watch breaks.
+    fn watch<'a>(&'a self, from: StoreRevision, sink: &'a dyn WatchSink) -> BoxFuture<'a, ()>;
+}
+
+/// What the watch has seen.
+#[derive(Debug)]
+pub(crate) struct Seen {
+    /// The changes in their order.
+    pub(crate) changes: Vec<Versioned>,
+    /// The revision up to which nothing is missing.
+    pub(crate) upto: StoreRevision,
+}
+
+/// Where a watch puts what it sees.
+pub(crate) trait WatchSink: Send + Sync {
+    /// Takes what was seen.
+    fn seen(&self, seen: Seen) -> BoxFuture<'_, ()>;
+}
--- /dev/null
+++ b/crates/skylarkshore/src/upstreams/attempt.rs
@@ -0,0 +1,295 @@
+//! One try at an upstream, from the connection to the end of the answer.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode};
+use http_body::Body;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use skylarkshore_core::Event;
+use skylarkshore_core::event::AttemptEnd;
+use skylarkshore_core::store::RecordedAnswer;
+use skylarkshore_wire::engine::{NotRun, REQUEST_ID_HEADER};
+use slog::{debug, warn};
+
+use crate::http::{chain, connect, to_origin_form};
+use crate::passage::{Closed, Head, Passage};
+use crate::upstreams::events::Splitter;
+use crate::upstreams::{SendLetter, UpstreamSort, Upstreams, remove_hop_by_hop};
+
+/// The largest body that says that nothing was run.
+const MAX_NOT_RUN_LEN: usize = 1024;
+
+/// How long the last chunk may follow the end marker of a stream.
+const READ_OFF_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// One try.
+pub(super) struct Attempt<'a> {
+    upstreams: &'a Upstreams,
+    letter: &'a SendLetter,
+    passage: &'a Passage,
+}
+
+/// Why the answer isn't whole.
+enum Cut {
+    /// The connection broke or the body was cut short.
+    Broken,
+    /// The answer can't be trusted or understood.
+    Unusable,
+    /// Nobody takes it any more.
+    Closed,
+}
+
+impl From<Closed> for Cut {
+    fn from(_: Closed) -> Self {
+        Self::Closed
+    }
+}
+
+impl<'a> Attempt<'a> {
+    pub(super) const fn new(upstreams: &'a Upstreams, letter: &'a SendLetter, passage: &'a Passage) -> Self {
+        Self { upstreams, letter, passage }
+    }
+
+    pub(super) async fn run(&self) -> AttemptEnd {
+        let delivered = self.passage.begin_attempt(self.letter.attempt);
+        let id = self.upstreams.request_id(self.letter);
+        let res = match self.exchange(&id, delivered).await {
+            Ok(res) => res,
+            Err(end) => return end,
+        };
+        if !self.is_ours(&res, &id) {
+            warn!(self.upstreams.env.log, "answer_crossed";
+                "upstream" => %self.letter.upstream, "request" => %self.letter.request);
+            return self.lost(&Cut::Unusable);
+        }
+        self.upstreams.env.inbox.event(Event::AnswerStarted { attempt: self.letter.attempt }).await;
+        match self.take(res).await {
+            Ok(end) => end,
+            Err(cut) => self.lost(&cut),
+        }
+    }
+
+    /// Sends the request and waits for the head of the answer.
+    ///
+    /// One that may not be repeated gets a connection of its own. On a reused
+    /// one it could arrive just as the upstream closes it, and whether it was
+    /// run couldn't be told.
+    async fn exchange(&self, id: &HeaderValue, delivered: u64) -> Result<Response<Incoming>, AttemptEnd> {
+        let mut req = self.upstreams.request(self.letter, self.passage, id, delivered);
+        if !self.letter.hold {
+            return self.upstreams.client.request(req).await.map_err(|err| {
+                let reason = chain(&err);
+                let cause = std::error::Error::source(&err).and_then(|err| err.downcast_ref());
+                self.not_answered(&reason, err.is_connect(), cause)
+            });
+        }
+        let mut sender = connect(self.letter.address)
+            .await
+            .map_err(|err| self.not_answered(&err.to_string(), true, None))?;
+        to_origin_form(&mut req, &self.letter.address.to_string());
+        sender.send_request(req).await.map_err(|err| self.not_answered(&chain(&err), false, Some(&err)))
+    }
+
+    fn not_answered(&self, reason: &str, is_connect: bool, cause: Option<&hyper::Error>) -> AttemptEnd {
+        debug!(self.upstreams.env.log, "upstream_gave_no_answer";
+            "upstream" => %self.letter.upstream, "request" => %self.letter.request, "reason" => reason);
+        // A cancelled request never left this process's own queue.
+        if is_connect || cause.is_some_and(hyper::Error::is_canceled) {
+            return AttemptEnd::NotSent;
+        }
+        let garbled = cause.is_some_and(hyper::Error::is_parse);
+        self.lost(if garbled { &Cut::Unusable } else { &Cut::Broken })
+    }
+
+    fn lost(&self, cut: &Cut) -> AttemptEnd {
+        AttemptEnd::Lost { passed_on: self.passage.has_passed_on(), died: matches!(cut, Cut::Broken) }
+    }
+
+    /// Tells whether the answer belongs to this request.
+    ///
+    /// An engine that mixes up its connections would show one caller another's
+    /// answer; the id that it has to echo differs for each try everywhere.
+    fn is_ours(&self, res: &Response<Incoming>, id: &HeaderValue) -> bool {
+        match res.headers().get(REQUEST_ID_HEADER) {
+            Some(echoed) => echoed == id,
+            None => self.letter.sort == UpstreamSort::Service,
+        }
+    }
+
+    async fn take(&self, res: Response<Incoming>) -> Result<AttemptEnd, Cut> {
+        let (parts, body) = res.into_parts();
+        let says_not_run = matches!(parts.status, StatusCode::CONFLICT | StatusCode::TOO_MANY_REQUESTS);
+        if self.letter.sort == UpstreamSort::Engine && says_not_run {
+            return self.take_not_run(parts.status, parts.headers, body).await;
+        }
+        // A plain service promises no end marker; its streams end with their last chunk.
+        let events = self.letter.sort == UpstreamSort::Engine && is_event_stream(&parts.headers);
+        // Without a length or chunks an answer that was cut short looks whole.
+        let framed = body.size_hint().exact().is_some() || parts.headers.contains_key(TRANSFER_ENCODING);
+        if !framed && !events {
+            return Err(Cut::Unusable);
+        }
+        let head = head(parts.status, parts.headers, &body, events, &self.passage.outgoing.method);
+        if self.letter.hold {
+            return self.hold(head, body).await;
+        }
+        self.passage.pass_head(self.letter.attempt, head)?;
+        if events {
+            self.pass_events(body).await?;
+        } else {
+            self.pass_body(body).await?;
+            self.passage.end(self.letter.attempt).await?;
+        }
+        Ok(AttemptEnd::Whole { held: None })
+    }
+
+    /// Reads a short answer that may say that nothing was run.
+    async fn take_not_run(
+        &self,
+        status: StatusCode,
+        headers: HeaderMap,
+        body: Incoming,
+    ) -> Result<AttemptEnd, Cut> {
+        let limited = Limited::new(body, MAX_NOT_RUN_LEN);
+        let body = limited.collect().await.map_err(|_cut| Cut::Broken)?.to_bytes();
+        if let Ok(not_run) = serde_json::from_slice::<NotRun>(&body) {
+            return Ok(AttemptEnd::Rejected(not_run.error.into()));
+        }
+        if self.letter.hold {
+            return Ok(whole_held(status, &headers, &body));
+        }
+        let mut headers = headers;
+        remove_hop_by_hop(&mut headers);
+        headers.remove(REQUEST_ID_HEADER);
+        headers.remove(CONTENT_LENGTH);
+        let len = u64::try_from(body.len()).ok();
+        self.passage.pass_head(self.letter.attempt, Head { status, headers, len, events: false })?;
+        self.passage.pass(self.letter.attempt, body, 0).await?;
+        self.passage.end(self.letter.attempt).await?;
+        Ok(AttemptEnd::Whole { held: None })
+    }
+
+    async fn pass_body(&self, mut body: Incoming) -> Result<(), Cut> {
+        while let Some(data) = next_data(&mut body).await? {
+            self.passage.pass(self.letter.attempt, data, 0).await?;
+        }
+        Ok(())
+    }
+
+    /// Passes whole events on up to the end marker; a stream without one was cut short.
+    async fn pass_events(&self, mut body: Incoming) -> Result<(), Cut> {
+        let mut splitter = Splitter::default();
+        while let Some(data) = next_data(&mut body).await? {
+            let Some(events) = splitter.push(&data).map_err(|_too_large| Cut::Unusable)? else { continue };
+            self.passage.pass(self.letter.attempt, events.bytes, events.data).await?;
+            if events.ends {
+                self.passage.end(self.letter.attempt).await?;
+                tokio::spawn(read_off(body));
+                return Ok(());
+            }
+        }
+        Err(Cut::Broken)
+    }
+
+    /// Holds the answer back to be recorded first; passes it on where it is too large for that.
+    async fn hold(&self, head: Head, mut body: Incoming) -> Result<AttemptEnd, Cut> {
+        let mut kept = BytesMut::new();
+        while let Some(data) = next_data(&mut body).await? {
+            kept.extend_from_slice(&data);
+            if kept.len() > self.upstreams.hold_limit {
+                return self.pass_too_large(head, kept.freeze(), body).await;
+            }
+        }
+        if head.events && !ends_with_marker(&kept) {
+            return Err(Cut::Broken);
+        }
+        Ok(whole_held(head.status, &head.headers, &kept))
+    }
+
+    async fn pass_too_large(&self, head: Head, kept: Bytes, mut body: Incoming) -> Result<AttemptEnd, Cut> {
+        let attempt = self.letter.attempt;
+        let events = head.events;
+        let mut tail = tail_of(&kept);
+        self.passage.pass_head(attempt, head)?;
+        self.passage.pass(attempt, kept, 0).await?;
+        while let Some(data) = next_data(&mut body).await? {
+            tail = tail_of(&[tail.as_ref(), data.as_ref()].concat());
+            self.passage.pass(attempt, data, 0).await?;
+        }
+        if events && !ends_with_marker(&tail) {
+            return Err(Cut::Broken);
+        }
+        self.passage.end(attempt).await?;
+        Ok(AttemptEnd::WholeTooLarge)
+    }
+}
+
+async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, Cut> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|err| if err.is_parse() { Cut::Unusable } else { Cut::Broken })?;
+        if let Ok(data) = frame.into_data() {
+            return Ok(Some(data));
+        }
+    }
+    Ok(None)
+}
+
+/// Reads what follows the end marker, so that the connection can be used again.
+async fn read_off(mut body: Incoming) {
+    let rest = async { while let Ok(Some(_)) = next_data(&mut body).await {} };
+    // An upstream that doesn't end its answer loses the connection.
+    _ = tokio::time::timeout(READ_OFF_TIMEOUT, rest).await;
+}
+
+fn head(status: StatusCode, mut headers: HeaderMap, body: &Incoming, events: bool, method: &Method) -> Head {
+    remove_hop_by_hop(&mut headers);
+    headers.remove(REQUEST_ID_HEADER);
+    // The answer to HEAD tells the length of a body that doesn't follow.
+    if method != Method::HEAD {
+        headers.remove(CONTENT_LENGTH);
+    }
+    Head { status, headers, len: body.size_hint().exact(), events }
+}
+
+fn whole_held(status: StatusCode, headers: &HeaderMap, body: &[u8]) -> AttemptEnd {
+    let content_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let answer = RecordedAnswer {
+        status: status.as_u16(),
+        content_type: content_type.map(str::to_owned),
+        body: body.to_vec(),
+    };
+    AttemptEnd::Whole { held: Some(answer) }
+}
+
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    content_type.split(';').next().unwrap_or_default().trim().eq_ignore_ascii_case("text/event-stream")
+}
+
+/// Longer than the end marker with its field name and blank lines.
+const TAIL_LEN: usize = 64;
+
+fn tail_of(bytes: &[u8]) -> Bytes {
+    Bytes::copy_from_slice(&bytes[bytes.len().saturating_sub(TAIL_LEN)..])
+}
+
+fn ends_with_marker(bytes: &[u8]) -> bool {
+    let mut lines = bytes.trim_ascii_end().rsplit(|byte| matches!(byte, b'\n' | b'\r'));
+    let last = lines.next().and_then(|line| line.strip_prefix(b"data:"));
+    last.is_some_and(|data| data.trim_ascii() == skylarkshore_wire::engine::STREAM_END.as_bytes())
+}
+
+/// Returns a short word for how a try ended.
+pub(super) const fn word(end: &AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::Whole { .. } => "whole",
+        AttemptEnd::WholeTooLarge => "whole_too_large",
+        AttemptEnd::NotSent => "not_sent",
+        AttemptEnd::Rejected(_) => "rejected",
+        AttemptEnd::Lost { died: true, .. } => "upstream_died",
+        AttemptEnd::Lost { died: false, .. } => "lost",
+    }
+}
