--- a/crates/skylarkshore/src/store/etcd/convert.rs
+++ b/crates/skylarkshore/src/store/etcd/convert.rs
@@ -78,7 +78,7 @@
 pub(super) fn one(key: &Key, response: RangeResponse) -> Result<Versioned, InvalidAnswer> {
     let revision = StoreRevision(response.header.revision.0);
     match response.kvs.into_iter().next() {
-        Some(kv) => versioned(kv),
+        Some(kv) => versioned(&kv),
         None => Ok(Versioned { key: key.clone(), revision, writer: None, record: None }),
     }
 }
@@ -87,7 +87,7 @@
 /// understood is left out and told, so that it doesn't hide the others.
 pub(super) fn shared(response: RangeResponse, log: &Logger) -> StoreAnswer {
     let revision = StoreRevision(response.header.revision.0);
-    let records = response.kvs.into_iter().filter_map(|kv| understood(versioned(kv), log)).collect();
+    let records = response.kvs.into_iter().filter_map(|kv| understood(versioned(&kv), log)).collect();
     StoreAnswer::Shared { revision, records }
 }
 
@@ -104,7 +104,7 @@
 
 fn change(event: WatchEvent) -> Result<Versioned, InvalidAnswer> {
     match event.kind {
-        WatchEventKind::Put => versioned(event.kv),
+        WatchEventKind::Put => versioned(&event.kv),
         WatchEventKind::Delete => {
             let revision = StoreRevision(event.kv.mod_revision.0);
             Ok(Versioned { key: key_of(&event.kv.key)?, revision, writer: None, record: None })
@@ -112,7 +112,7 @@
     }
 }
 
-fn versioned(kv: KeyValue) -> Result<Versioned, InvalidAnswer> {
+fn versioned(kv: &KeyValue) -> Result<Versioned, InvalidAnswer> {
     let key = key_of(&kv.key)?;
     let stored = StoredValue::from_json(&key, &kv.value.0)?;
     Ok(Versioned {
