--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -16,7 +16,7 @@
 };
 use skylarkshore_core::peer::{CannotLoad, PeerMessage};
 use skylarkshore_core::rules::ServiceOrder;
-use skylarkshore_core::store::{Key, Versioned};
+use skylarkshore_core::store::{Key, RecordBatch, Versioned};
 use skylarkshore_core::units::Watts;
 
 use crate::keys::{InvalidKey, InvalidValue, KeyText, StoredValue};
@@ -95,7 +95,11 @@
     RecordsWanted {
         after: StoreRevision,
     },
-    Records(Vec<RecordWire>),
+    Records {
+        after: Option<StoreRevision>,
+        upto: StoreRevision,
+        records: Vec<RecordWire>,
+    },
     Wanted {
         target: TargetWire,
         waiting: u32,
@@ -115,6 +119,11 @@
         order: u16,
         patience_ms: u64,
     },
+    LoadSlotQueued {
+        upstream: UpstreamId,
+        model: ModelName,
+        ahead: u32,
+    },
     LoadSlotGranted {
         upstream: UpstreamId,
         model: ModelName,
@@ -256,7 +265,11 @@
                 leaving: *leaving,
             },
             M::RecordsWanted { after } => Self::RecordsWanted { after: *after },
-            M::Records(records) => Self::Records(records.iter().map(RecordWire::from).collect()),
+            M::Records(batch) => Self::Records {
+                after: batch.after,
+                upto: batch.upto,
+                records: batch.records.iter().map(RecordWire::from).collect(),
+            },
             M::Wanted { target, waiting, order, patience, arrived } => Self::Wanted {
                 target: target.into(),
                 waiting: *waiting,
@@ -276,6 +289,9 @@
                 order: order.0,
                 patience_ms: millis(*patience),
             },
+            M::LoadSlotQueued { upstream, model, ahead } => {
+                Self::LoadSlotQueued { upstream: upstream.clone(), model: model.clone(), ahead: *ahead }
+            }
             M::LoadSlotGranted { upstream, model } => {
                 Self::LoadSlotGranted { upstream: upstream.clone(), model: model.clone() }
             }
@@ -314,8 +330,9 @@
                 Self::Heartbeat { incarnation, rules, store, store_reachable, leaving }
             }
             W::RecordsWanted { after } => Self::RecordsWanted { after },
-            W::Records(records) => {
-                Self::Records(records.into_iter().map(Versioned::try_from).collect::<Result<_, _>>()?)
+            W::Records { after, upto, records } => {
+                let records = records.into_iter().map(Versioned::try_from).collect::<Result<_, _>>()?;
+                Self::Records(RecordBatch { after, upto, records })
             }
             W::Wanted { target, waiting, order, patience_ms, arrived } => Self::Wanted {
                 target: target.into(),
@@ -336,6 +353,7 @@
                 order: ServiceOrder(order),
                 patience: Duration::from_millis(patience_ms),
             },
+            W::LoadSlotQueued { upstream, model, ahead } => Self::LoadSlotQueued { upstream, model, ahead },
             W::LoadSlotGranted { upstream, model } => Self::LoadSlotGranted { upstream, model },
             W::LoadSlotReturned { upstream, model } => Self::LoadSlotReturned { upstream, model },
             W::PowerWanted { site, watts, order } => {
--- a/crates/skylarkshore/src/store/etcd/convert.rs
+++ b/crates/skylarkshore/src/store/etcd/convert.rs
@@ -92,7 +92,7 @@
 }
 
 pub(super) fn changes(events: Vec<WatchEvent>, log: &Logger) -> Vec<Versioned> {
-    events.into_iter().filter_map(|event| understood(change(event), log)).collect()
+    events.into_iter().filter_map(|event| understood(change(&event), log)).collect()
 }
 
 pub(super) fn lease(response: &LeaseResponse) -> StoreAnswer {
@@ -102,7 +102,7 @@
     StoreAnswer::Lease { lease: LeaseId(response.id.0), ttl: Duration::from_secs(response.ttl.0) }
 }
 
-fn change(event: WatchEvent) -> Result<Versioned, InvalidAnswer> {
+fn change(event: &WatchEvent) -> Result<Versioned, InvalidAnswer> {
     match event.kind {
         WatchEventKind::Put => versioned(&event.kv),
         WatchEventKind::Delete => {
