--- a/crates/skylarkshore-standins/examples/quickstart/deployment.rs
+++ b/crates/skylarkshore-standins/examples/quickstart/deployment.rs
@@ -37,6 +37,8 @@
         let platform = Platform::start().await?;
         println!("  key-value service {}, host list {}", platform.store, platform.host_list);
         let folder = TempFolder::new()?;
+        println!("applying the rules with skylarkctl ...");
+        apply_rules(&programs, &folder, platform.store).await?;
         println!("starting three skylarkshore processes ...");
         let mut entries = Vec::new();
         for (i, data_centre) in DATA_CENTRES.iter().enumerate() {
@@ -50,8 +52,6 @@
             let settings = &entry.settings;
             println!("  {} in {}: callers {}", settings.host, settings.data_centre, settings.caller_address);
         }
-        println!("applying the rules with skylarkctl ...");
-        apply_rules(&programs, &folder, platform.store).await?;
         println!("ready after {} ms\n", begun.elapsed().as_millis());
         Ok(Self { platform, entries, _folder: folder })
     }
@@ -78,13 +78,11 @@
     std::fs::write(&file, RULES)?;
     let (store, file) = (store.to_string(), file.display().to_string());
     let output = skylarkctl(programs, &["--store", &store, "rules", "apply", &file]).await?;
-    print!("{}", indented(&output.stdout));
+    for line in String::from_utf8_lossy(&output.stdout).lines() {
+        println!("  {line}");
+    }
     if output.status.success() {
         return Ok(());
     }
     Err(io::Error::other(String::from_utf8_lossy(&output.stderr).into_owned()))
 }
-
-fn indented(text: &[u8]) -> String {
-    String::from_utf8_lossy(text).lines().map(|line| format!("  {line}\n")).collect()
-}
