Let idle engines make way for those that wait for power, and replay traces

An owner that hears a call for power lets its idle engines sleep, the one that is worth least first.

The replay drives the core over the given-time world, under the deployment's own rules and six baselines, and compares the outcome with the stated one.

--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -13,6 +13,7 @@
 mod pacing;
 mod policy;
 mod reservation;
+mod shortage;
 mod tally;
 mod views;
 mod wants;
@@ -32,6 +33,7 @@
 use crate::loading::ledger::Answered;
 use crate::loading::own::OwnEngines;
 use crate::loading::pacing::Pacing;
+use crate::loading::shortage::Shortages;
 use crate::loading::tally::{LoadTimes, Tally};
 use crate::peer::{CannotLoad, PeerMessage};
 use crate::rules::ServiceOrder;
@@ -49,6 +51,7 @@
     demand: Demand,
     history: History,
     own: OwnEngines,
+    shortages: Shortages,
     pacing: Pacing,
     load_times: LoadTimes,
     tally: Tally,
@@ -60,6 +63,7 @@
     demand: &'a Demand,
     history: &'a mut History,
     own: &'a OwnEngines,
+    shortages: &'a Shortages,
     pacing: &'a mut Pacing,
     load_times: &'a mut LoadTimes,
     tally: &'a mut Tally,
@@ -169,6 +173,7 @@
                 self.demand.wanted(cx.now, wanted, &cx.cfg.timings);
                 self.answer_wanted(cx, authority, &wanted);
             }
+            PeerMessage::PowerWanted { site, .. } => self.shortages.called(cx.now, site),
             PeerMessage::ReservationWanted { upstream, patience } => {
                 let Some(engine) = self.engines.get_mut(upstream) else { return };
                 engine.reservation.wanted(cx.now, from, *patience);
@@ -234,6 +239,7 @@
             demand: &self.demand,
             history: &mut self.history,
             own: &self.own,
+            shortages: &self.shortages,
             pacing: &mut self.pacing,
             load_times: &mut self.load_times,
             tally: &mut self.tally,
@@ -260,7 +266,10 @@
     }
     let wants = wants::collect(cx, engine, beside);
     engine.lacks = wants::lacking_power(engine, beside, &wants);
-    let Some(permit) = beside.authority.permit(cx.now, &engine.id) else { return };
+    let Some(permit) = beside.authority.permit(cx.now, &engine.id) else {
+        engine.planned.clear();
+        return;
+    };
     if engine.next_review.is_due(cx.now) {
         engine.next_review = cx.now.after(REVIEW_EVERY);
         close::review_idle(cx, engine, beside, &wants);
@@ -270,6 +279,7 @@
     load::step(cx, engine, beside, permit, &wants);
     close::unload_drained(cx, engine, beside, permit);
     wishes::review(cx, engine, beside, &wants);
+    answer::plan(cx, engine, beside, &wants);
 }
 
 fn note_not_done(
--- a/crates/skylarkshore-core/src/loading/answer.rs
+++ b/crates/skylarkshore-core/src/loading/answer.rs
@@ -2,12 +2,15 @@
 
 use std::time::Duration;
 
+use crate::collections::OrderedMap;
 use crate::cx::Cx;
+use crate::id::ModelName;
 use crate::loading::Beside;
 use crate::loading::demand::Wanted;
 use crate::loading::engine::Engine;
 use crate::loading::load;
 use crate::loading::pacing::LoadKey;
+use crate::loading::wants::{Cause, Want};
 use crate::peer::{CannotLoad, PeerMessage};
 use crate::upstream::LoadState;
 
@@ -61,14 +64,46 @@
         let hopeless = if failures.count < HOPELESS_FAILURES { load } else { Duration::MAX };
         return within(wanted, hopeless.saturating_add(retry), CannotLoad::EngineRefuses, retry);
     }
+    let takes = load + delay(cx, engine, beside, model);
     if engine.report().is_some() && !load::has_power(engine, beside) {
-        return within(wanted, load + MAKE_ROOM_TIME, CannotLoad::Power, RETRY_SHORT);
+        return within(wanted, takes, CannotLoad::Power, RETRY_SHORT);
     }
     if engine.crowded.contains(model) {
-        return within(wanted, load + MAKE_ROOM_TIME, CannotLoad::Memory, RETRY_SHORT);
+        return within(wanted, takes, CannotLoad::Memory, RETRY_SHORT);
     }
-    let survey = if engine.report().is_some() { Duration::ZERO } else { SURVEY_TIME };
-    within(wanted, load + survey, CannotLoad::TooSlow, load + survey)
+    within(wanted, takes, CannotLoad::TooSlow, takes)
+}
+
+/// Returns how long a load has to wait before it begins, for all but the weight store.
+fn delay(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, model: &ModelName) -> Duration {
+    if engine.report().is_none() {
+        return SURVEY_TIME;
+    }
+    if !load::has_power(engine, beside) || engine.crowded.contains(model) {
+        return MAKE_ROOM_TIME;
+    }
+    // Routers are given time before what makes room is unloaded.
+    if engine.closing.is_empty() { Duration::ZERO } else { cx.cfg.timings.close_grace }
+}
+
+/// Works out when the models that requests wait for should be ready, for the routers' views.
+///
+/// A router that hears nothing of a model for some seconds has to take it that
+/// nobody looks after it, and refuses its requests.
+pub(crate) fn plan(cx: &Cx<'_>, engine: &mut Engine, beside: &Beside<'_>, wants: &[Want]) {
+    let mut planned = OrderedMap::new();
+    for want in wants.iter().filter(|want| want.cause == Cause::Waiting) {
+        let model = &want.model;
+        if engine.model(model).is_some() || engine.loads.contains_key(model) {
+            continue;
+        }
+        let key = LoadKey { engine: engine.id.clone(), model: model.clone() };
+        let takes = beside.load_times.of(cx, model)
+            + beside.pacing.expected_wait(cx, &key)
+            + delay(cx, engine, beside, model);
+        planned.insert(model.clone(), cx.now.after(takes));
+    }
+    engine.planned = planned;
 }
 
 fn is_usable(engine: &Engine, wanted: &Wanted<'_>) -> bool {
--- a/crates/skylarkshore-core/src/loading/close.rs
+++ b/crates/skylarkshore-core/src/loading/close.rs
@@ -10,6 +10,7 @@
 use crate::loading::Beside;
 use crate::loading::engine::{CloseReason, Closing, Engine, memory_of};
 use crate::loading::policy::{self, Stay};
+use crate::loading::shortage::Margin;
 use crate::loading::wants::{self, Cause, Want};
 use crate::rules::{IdleAfter, Outcome, ServiceOrder};
 use crate::time::Time;
@@ -18,6 +19,8 @@
 
 /// After how long room that nobody asks for any more is given back.
 const ROOM_LIFE: Duration = Duration::from_secs(1);
+/// How long an engine that was just used keeps its power, whoever calls for it.
+const BURST_PAUSE: Duration = Duration::from_secs(5);
 /// How long to wait before an unload whose answer was lost is sent again.
 const RESEND_AFTER: Duration = Duration::from_millis(500);
 
@@ -101,13 +104,23 @@
             }
         }
     }
+    let margin =
+        engine.site.as_ref().map_or(Margin::Times(1.0), |site| beside.shortages.margin(cx.now, site));
     let stays: Vec<Stay> = staying.iter().map(|(_, stay)| stay.clone()).collect();
-    if !must_stay && !policy::is_worth_staying(&stays) {
+    if margin == Margin::Unreachable && !is_awake_anyway && !was_just_used(cx.now, engine) {
+        unneeded.extend(report.models.iter().map(|seen| seen.model.clone()));
+    } else if !must_stay && !policy::is_worth_staying(&stays, margin) {
         unneeded.extend(staying.into_iter().map(|(model, _)| model));
     }
     engine.unneeded = unneeded;
 }
 
+/// Tells whether more requests of a burst may still be on their way.
+fn was_just_used(now: Time, engine: &Engine) -> bool {
+    let ready = engine.ready_since.values();
+    engine.last_busy.values().chain(ready).any(|used| !used.after(BURST_PAUSE).is_due(now))
+}
+
 fn stay(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, model: &ModelName, outcome: &Outcome) -> Stay {
     let used = beside.history.last(model);
     let since = used.unwrap_or_else(|| last_use(engine, beside, model));
--- a/crates/skylarkshore-core/src/loading/engine.rs
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -8,7 +8,7 @@
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::cx::Cx;
 use crate::effect::Effect;
-use crate::id::{AdapterName, Fence, Incarnation, ModelName, OrderId, UpstreamId};
+use crate::id::{AdapterName, Fence, Incarnation, ModelName, OrderId, SiteName, UpstreamId};
 use crate::loading::ledger::{self, Ledger, Settled};
 use crate::loading::reservation::Reservation;
 use crate::loading::tally::Tally;
@@ -135,6 +135,7 @@
     /// What may be taken by a late order of the former owner; worked out at every tick.
     pub ghost_memory: Mebibytes,
     pub spec: Option<EngineSpec>,
+    pub site: Option<SiteName>,
     pub standing: Standing,
     pub ledger: Ledger,
     pub seen: Option<Seen>,
@@ -158,6 +159,8 @@
     pub prewarmed: OrderedMap<ModelName, Time>,
     /// When the policy is to be asked again.
     pub next_review: Time,
+    /// Models that wait for memory, power or the weight store, and when they should be ready.
+    pub planned: OrderedMap<ModelName, Time>,
     /// Models for which no room can be made.
     pub crowded: OrderedSet<ModelName>,
     /// Until when idle time has been counted.
@@ -182,6 +185,7 @@
             ghost,
             ghost_memory: Mebibytes(0),
             spec: None,
+            site: None,
             standing: Standing::Live,
             ledger: Ledger::default(),
             seen: None,
@@ -198,6 +202,7 @@
             expected_soon: OrderedSet::new(),
             prewarmed: OrderedMap::new(),
             next_review: now,
+            planned: OrderedMap::new(),
             crowded: OrderedSet::new(),
             counted: now,
             wishes: Wishes::default(),
@@ -211,6 +216,7 @@
         if let Some(upstream) = cx.upstreams.get(&self.id) {
             self.spec = upstream.engine().cloned();
             self.standing = upstream.standing;
+            self.site = Some(upstream.site.clone());
         }
         let is_over = match self.ghost {
             Ghost::None => true,
--- a/crates/skylarkshore-core/src/loading/policy.rs
+++ b/crates/skylarkshore-core/src/loading/policy.rs
@@ -6,6 +6,7 @@
 use crate::id::ModelName;
 use crate::loading::gaps::Expectation;
 use crate::loading::history::History;
+use crate::loading::shortage::Margin;
 use crate::rules::{Facts, IdleAfter, Outcome, Percent};
 
 /// The times ahead that are looked at, in seconds.
@@ -98,7 +99,8 @@
 /// An awake engine costs the same whatever it holds, so its models are looked
 /// at together: what they save with the cold starts that they avoid, against
 /// the time until the first of them is used, for the best time to look ahead.
-pub(crate) fn is_worth_staying(idle: &[Stay]) -> bool {
+pub(crate) fn is_worth_staying(idle: &[Stay], margin: Margin) -> bool {
+    let Margin::Times(margin) = margin else { return false };
     if idle.iter().any(|stay| stay.worth.is_infinite()) {
         return true;
     }
@@ -110,7 +112,7 @@
         let unused: f64 = idle.iter().map(|stay| stay.lasts(ahead)).product();
         cost += (horizon - earlier) * f64::midpoint(unused_before, unused);
         let saved: f64 = idle.iter().map(|stay| stay.worth * (1.0 - stay.lasts(ahead))).sum();
-        if saved >= cost {
+        if saved >= margin * cost {
             return true;
         }
         earlier = horizon;
--- a/crates/skylarkshore-core/src/loading/views.rs
+++ b/crates/skylarkshore-core/src/loading/views.rs
@@ -95,12 +95,14 @@
     let report = engine.report().filter(|_| !silent);
     let seen = report.map_or(&[][..], |report| &report.models);
     let mut models: Vec<ModelView> = seen.iter().map(|seen| model_view(cx.now, engine, seen)).collect();
-    for (model, load) in engine.loads.iter().filter(|(model, _)| engine.model(model).is_none()) {
+    let begun = engine.loads.iter().map(|(model, load)| (model, load.expected));
+    let planned = engine.planned.iter().map(|(model, ready)| (model, *ready));
+    for (model, ready) in begun.chain(planned).filter(|(model, _)| engine.model(model).is_none()) {
         let Some(known) = cx.document.catalogue.models.get(model) else { continue };
         models.push(ModelView {
             model: model.clone(),
             version: known.version.clone(),
-            readiness: Readiness::Loading { remaining: load.expected.remaining(cx.now) },
+            readiness: Readiness::Loading { remaining: ready.remaining(cx.now) },
             adapters: Vec::new(),
             running: 0,
         });
--- a/crates/skylarkshore-core/src/loading/wants.rs
+++ b/crates/skylarkshore-core/src/loading/wants.rs
@@ -151,7 +151,9 @@
 ) -> Option<(Watts, ServiceOrder)> {
     let needs = engine.spec.as_ref()?.active_watts;
     let granted = beside.authority.granted(&engine.id);
-    let unmet = wants.iter().find(|want| engine.model(&want.model).is_none())?;
+    // A load ahead of any request isn't worth another engine's sleep.
+    let needed = wants.iter().filter(|want| want.cause != Cause::Ahead);
+    let unmet = needed.into_iter().find(|want| engine.model(&want.model).is_none())?;
     (granted < needs && !engine.is_leaving()).then(|| (needs.saturating_sub(granted), unmet.order))
 }
 
--- a/crates/skylarkshore-standins/src/lib.rs
+++ b/crates/skylarkshore-standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod http;
 pub mod process;
 pub mod programs;
+pub mod replay;
 pub mod service;
 pub mod store;
 pub mod weights;
--- /dev/null
+++ b/crates/skylarkshore-standins/src/replay/policy.rs
@@ -0,0 +1,94 @@
+//! Policies by name, expressed as changes of the operators' rules.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use skylarkshore_core::catalogue::Document;
+use skylarkshore_core::rules::{IdleAfter, Outcome, ServiceOrder};
+
+/// A policy under which a trace is replayed.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Policy {
+    /// The deployment's own rules.
+    #[display("rules")]
+    Rules,
+    /// The deployment's own rules with other weights of cold starts, in percent.
+    #[display("rules@{_0}%")]
+    Weighted(u32),
+    /// Every model is unloaded after a fixed idle time, in seconds.
+    #[display("fixed-{_0}s")]
+    Fixed(u64),
+    /// No model is unloaded unless others need its memory.
+    #[display("never")]
+    Never,
+    /// Every model is unloaded as soon as it is idle.
+    #[display("at-once")]
+    AtOnce,
+    /// Loads in the order in which requests came, with a fixed idle time of five minutes.
+    #[display("fcfs")]
+    FirstCome,
+}
+
+/// A name that is no policy.
+#[derive(Debug, Display, Error, PartialEq, Eq)]
+#[display("'{name}' is no policy; use rules, rules@PERCENT%, fixed-SECONDSs, never, at-once or fcfs")]
+pub struct UnknownPolicy {
+    name: String,
+}
+
+const FIRST_COME_IDLE: u64 = 300;
+
+impl Policy {
+    /// The policies that each replay is compared with.
+    pub const BASELINES: [Self; 6] =
+        [Self::Fixed(60), Self::Fixed(300), Self::Fixed(900), Self::Never, Self::AtOnce, Self::FirstCome];
+
+    /// Returns the operators' document that makes the core follow the policy.
+    pub fn apply(self, document: &Document) -> Document {
+        let mut document = document.clone();
+        let rules = &mut document.rules;
+        for outcome in rules.list.iter_mut().map(|rule| &mut rule.then).chain([&mut rules.otherwise]) {
+            self.change(outcome);
+        }
+        document
+    }
+
+    fn change(self, outcome: &mut Outcome) {
+        match self {
+            Self::Rules => {}
+            Self::Weighted(percent) => {
+                // Both weights grow, so that small ones aren't rounded to nothing.
+                outcome.cold_start_weight *= percent;
+                outcome.idle_weight *= 100;
+            }
+            Self::Fixed(secs) => outcome.idle_after = IdleAfter::Fixed(Duration::from_secs(secs)),
+            Self::Never => outcome.idle_after = IdleAfter::Never,
+            Self::AtOnce => outcome.idle_after = IdleAfter::Fixed(Duration::ZERO),
+            Self::FirstCome => {
+                outcome.idle_after = IdleAfter::Fixed(Duration::from_secs(FIRST_COME_IDLE));
+                outcome.order = ServiceOrder::default();
+            }
+        }
+    }
+}
+
+impl FromStr for Policy {
+    type Err = UnknownPolicy;
+
+    fn from_str(name: &str) -> Result<Self, Self::Err> {
+        let unknown = || UnknownPolicy { name: name.to_owned() };
+        match name {
+            "rules" => return Ok(Self::Rules),
+            "never" => return Ok(Self::Never),
+            "at-once" => return Ok(Self::AtOnce),
+            "fcfs" => return Ok(Self::FirstCome),
+            _ => {}
+        }
+        if let Some(percent) = name.strip_prefix("rules@").and_then(|rest| rest.strip_suffix('%')) {
+            return percent.parse().map(Self::Weighted).map_err(|_invalid| unknown());
+        }
+        let secs = name.strip_prefix("fixed-").and_then(|rest| rest.strip_suffix('s'));
+        secs.and_then(|secs| secs.parse().ok()).map(Self::Fixed).ok_or_else(unknown)
+    }
+}
--- a/crates/skylarkshore-standins/src/world.rs
+++ b/crates/skylarkshore-standins/src/world.rs
@@ -302,6 +302,12 @@
         }
     }
 
+    /// Returns how long engines have held a model and run nothing, all engines together.
+    pub fn idle(&mut self) -> Duration {
+        let now = self.now;
+        self.engines.values_mut().map(|engine| engine.idle_until(now)).sum()
+    }
+
     /// Tells whether a host's process has ended in an orderly way.
     pub fn has_exited(&self, h: usize) -> bool {
         self.hosts[h].exited
--- a/crates/skylarkshore-standins/src/world/engine.rs
+++ b/crates/skylarkshore-standins/src/world/engine.rs
@@ -122,6 +122,12 @@
         self.accounted = now;
     }
 
+    /// Brings the account of idle time up to date and returns it.
+    pub(crate) fn idle_until(&mut self, now: Time) -> Duration {
+        self.account(now);
+        self.idle
+    }
+
     pub(crate) fn take_order(&mut self, order: OrderId, fence: Fence, action: &Order, now: Time) -> Taken {
         self.account(now);
         if fence < self.fence {
