--- a/crates/skylarkshore-standins/src/world.rs
+++ b/crates/skylarkshore-standins/src/world.rs
@@ -212,6 +212,19 @@
         }
     }
 
+    /// Strikes other effects from now on.
+    pub fn replace_faults(&mut self, faults: Box<dyn Faults>) {
+        self.faults = faults;
+    }
+
+    /// Replaces a process's state by that of one that has just started, as if it had lost what it knew.
+    ///
+    /// Its life stays the same, so that the checks have to notice.
+    pub fn forget_rules(&mut self, h: usize) {
+        let effects = self.hosts[h].forget(self.now);
+        self.carry_out(h, effects);
+    }
+
     /// Asks a process to end in an orderly way.
     pub fn shut_down(&mut self, h: usize) {
         self.deliver(h, Event::Shutdown);
--- a/crates/skylarkshore-standins/src/world/host.rs
+++ b/crates/skylarkshore-standins/src/world/host.rs
@@ -98,6 +98,12 @@
         effects
     }
 
+    pub(crate) fn forget(&mut self, now: Time) -> Vec<Effect> {
+        let (node, effects) = Node::start(self.cfg.clone(), now);
+        self.node = Some(node);
+        effects
+    }
+
     /// Ends the process and returns which life it was.
     pub(crate) fn die(&mut self) -> Option<Sender> {
         self.pause = None;
--- a/crates/skylarkshore-standins/tests/world/main.rs
+++ b/crates/skylarkshore-standins/tests/world/main.rs
@@ -1,5 +1,6 @@
 //! Several nodes in given time: the whole path, and every fault at every step.
 
 mod fault_matrix;
+mod mutants;
 mod support;
 mod whole_path;
