--- a/crates/skylarkshore-core/tests/control.rs
+++ b/crates/skylarkshore-core/tests/control.rs
@@ -13,5 +13,7 @@
 mod ownership;
 #[path = "control/power.rs"]
 mod power;
+#[path = "control/stale.rs"]
+mod stale;
 #[path = "control/storm.rs"]
 mod storm;
--- a/crates/skylarkshore-core/tests/control/homes.rs
+++ b/crates/skylarkshore-core/tests/control/homes.rs
@@ -73,6 +73,7 @@
             cluster.faults.lost_answers = 100;
         } else {
             cluster.faults.late_writes = 100;
+            cluster.faults.late_by = Some(secs(20));
         }
         owner(&mut cluster, &old).engines.wishes = vec![wish("model-0", Some(&old))];
         cluster.until("the move begins", secs(5), |cluster| {
--- a/crates/skylarkshore-core/tests/support/cluster.rs
+++ b/crates/skylarkshore-core/tests/support/cluster.rs
@@ -91,6 +91,8 @@
     pub frozen: bool,
     /// Can't reach the key-value service.
     pub cut: bool,
+    /// Hears neither its watch nor its peers, though its calls are answered.
+    pub deaf: bool,
     inbox: VecDeque<Inbound>,
 }
 
@@ -227,8 +229,10 @@
     pub lost_calls: u32,
     pub lost_answers: u32,
     pub lost_messages: u32,
-    /// Writes that reach the service only when this many more steps have passed, in percent.
+    /// Writes that are given up and reach the service long after, in percent.
     pub late_writes: u32,
+    /// How late they are, if not at random.
+    pub late_by: Option<Duration>,
     /// The service is away.
     pub outage: bool,
 }
@@ -342,6 +346,7 @@
             watched: None,
             frozen: false,
             cut: false,
+            deaf: false,
             inbox: VecDeque::new(),
             cfg,
         };
@@ -386,6 +391,12 @@
         self.carry_out(&name(host), effects);
     }
 
+    pub fn tell_power_wanted(&mut self, to: &str, watts: Watts) {
+        let order = ServiceOrder::default();
+        let message = PeerMessage::PowerWanted { site: name(SITE), watts, order };
+        self.deliver(&name(to), Inbound::Peer(name("z"), message));
+    }
+
     pub fn report(&mut self, host: &HostId, engine: &UpstreamId, reached: bool) {
         let now = self.now;
         let Some(process) = self.processes.get_mut(host) else { return };
@@ -454,7 +465,10 @@
 
     fn feed_watch(&mut self, host: &HostId) {
         let Some(process) = self.processes.get_mut(host) else { return };
-        let Some(after) = process.watched.filter(|_| !process.cut && !self.faults.outage) else { return };
+        let Some(after) = process.watched.filter(|_| !process.cut && !process.deaf && !self.faults.outage)
+        else {
+            return;
+        };
         let changes: Vec<Versioned> = self.store.log.iter().filter(|c| c.revision > after).cloned().collect();
         if !changes.is_empty() {
             process.watched = Some(self.store.revision());
@@ -503,8 +517,8 @@
             return Err(StoreFailure::NotDone);
         }
         if matches!(call, StoreCall::Write { .. }) && self.strikes(self.faults.late_writes) {
-            let late = self.now.after(Duration::from_millis(self.rng.random_range(100..20_000)));
-            self.late.push((late, call));
+            let random = Duration::from_millis(self.rng.random_range(100..20_000));
+            self.late.push((self.now.after(self.faults.late_by.unwrap_or(random)), call));
             return Err(StoreFailure::Unknown);
         }
         let answer = self.store.call(self.now, call);
@@ -512,7 +526,8 @@
     }
 
     fn deliver(&mut self, host: &HostId, inbound: Inbound) {
-        if let Some(process) = self.processes.get_mut(host) {
+        let Some(process) = self.processes.get_mut(host) else { return };
+        if !process.deaf || !matches!(inbound, Inbound::Peer(..)) {
             process.inbox.push_back(inbound);
         }
     }
