--- a/crates/skylarkshore-core/src/serving/alone.rs
+++ b/crates/skylarkshore-core/src/serving/alone.rs
@@ -13,6 +13,7 @@
 use crate::serving::queue::Urgency;
 use crate::serving::request::{Company, State};
 use crate::serving::suspect::{Alone, Standing};
+use crate::view::EngineView;
 
 /// How long an owner's reservation is awaited before an engine that seems idle will do.
 const RESERVATION_PATIENCE: Duration = Duration::from_secs(2);
@@ -90,6 +91,21 @@
         }
     }
 
+    /// Gives a reservation back that no suspect of this process needs.
+    ///
+    /// The message that gave it back may have been lost; the engine would stand
+    /// idle until the reservation runs out.
+    pub(super) fn return_stray_reservation(&mut self, cx: &mut Cx<'_>, view: &EngineView) {
+        let here = view.reserved_for.as_ref() == Some(&cx.cfg.host);
+        let needed = self.suspects.alone.as_ref().is_some_and(|alone| alone.upstream == view.upstream);
+        if !here || needed {
+            return;
+        }
+        if let Some(owner) = owner(cx, &view.upstream) {
+            cx.tell(&owner, PeerMessage::ReservationReturned { upstream: view.upstream.clone() });
+        }
+    }
+
     /// Takes a peer's word of suspects.
     pub(super) fn on_suspects(
         &mut self,
--- a/crates/skylarkshore-core/src/serving/decide.rs
+++ b/crates/skylarkshore-core/src/serving/decide.rs
@@ -105,10 +105,10 @@
     /// Tells the caller that its request is refused, and forgets the request.
     pub(super) fn conclude(&mut self, cx: &mut Cx<'_>, id: RequestId, refusal: Refusal) {
         let Some(request) = self.forget(cx, id) else { return };
-        self.tally.count_refusal(refusal.outcome, &refusal.reason);
         if request.caller == Caller::Gone {
             return;
         }
+        self.tally.count_refusal(refusal.outcome, &refusal.reason);
         let effect = if request.passed_on {
             Effect::Abort { request: id, refusal }
         } else {
--- a/crates/skylarkshore-core/src/serving/supply.rs
+++ b/crates/skylarkshore-core/src/serving/supply.rs
@@ -38,6 +38,7 @@
         if !self.routes.take_view(cx.now, view.clone()) {
             return;
         }
+        self.return_stray_reservation(cx, view);
         for target in self.waiting_models() {
             if self.routes.views.mentions(&view.upstream, &target) {
                 self.wants.heard(&target);
