Run a suspect alone only when its engine is provably so

The figures of an engine that has just been reserved are older than the reservation; a suspect sent at once could run beside another router's request, and one of the two be convicted for the other. It now waits until an account that was made two report periods into the reservation shows the engine empty. Where the owner is away, it runs on an engine that seems idle, and a crash there convicts nobody. Accounts of the same version prolong the figures they carry, since owners repeat them unchanged.

--- a/crates/skylarkshore-core/src/serving/alone.rs
+++ b/crates/skylarkshore-core/src/serving/alone.rs
@@ -16,7 +16,7 @@
 use crate::view::EngineView;
 
 /// How long an owner's reservation is awaited before an engine that seems idle will do.
-const RESERVATION_PATIENCE: Duration = Duration::from_secs(2);
+const RESERVATION_PATIENCE: Duration = Duration::from_secs(3);
 /// How often an owner is asked for a reservation.
 const ASK_EVERY: Duration = Duration::from_millis(500);
 
@@ -43,17 +43,27 @@
             self.end_alone(cx, alone.request);
             return;
         }
-        let reserved = self.routes.reserved_and_idle(&cx.cfg.host, &alone.upstream);
-        let unanswered = alone.since.after(RESERVATION_PATIENCE).is_due(cx.now);
-        if reserved || (unanswered && self.routes.seems_idle(&alone.upstream)) {
+        if let Some(company) = self.company(cx, &alone) {
             self.suspects.waiting.remove(&Urgency::of(alone.request, request));
-            return self.start(cx, alone.request, alone.upstream, Company::Alone);
+            return self.start(cx, alone.request, alone.upstream, company);
         }
         if alone.asked.is_none_or(|asked| asked.after(ASK_EVERY).is_due(cx.now)) {
             self.ask_reservation(cx, &alone.upstream, patience);
         }
     }
 
+    /// Tells in whose company a suspect would run now, if it may run.
+    ///
+    /// An owner that is away can't reserve its engine. A suspect runs there all
+    /// the same when the engine seems idle, but a crash then proves nothing.
+    fn company(&self, cx: &Cx<'_>, alone: &Alone) -> Option<Company> {
+        if self.routes.is_ours_alone(cx, &alone.upstream) {
+            return Some(Company::Alone);
+        }
+        let unanswered = alone.since.after(RESERVATION_PATIENCE).is_due(cx.now);
+        (unanswered && self.routes.seems_idle(&alone.upstream)).then_some(Company::Others)
+    }
+
     fn choose_alone(&mut self, cx: &Cx<'_>) {
         for urgency in &self.suspects.waiting {
             let Some(request) = self.requests.get(&urgency.due.request) else { continue };
--- a/crates/skylarkshore-core/src/serving/routing.rs
+++ b/crates/skylarkshore-core/src/serving/routing.rs
@@ -10,8 +10,8 @@
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::cx::Cx;
 use crate::event::Target;
-use crate::id::{Digest, HostId, ServiceName, UpstreamId};
-use crate::serving::views::Views;
+use crate::id::{Digest, ServiceName, UpstreamId};
+use crate::serving::views::{News, Views};
 use crate::time::Time;
 use crate::upstream::{Standing, Upstream};
 use crate::view::{EngineView, Readiness};
@@ -90,16 +90,16 @@
 }
 
 impl Routes {
-    /// Takes an owner's account of an engine over, unless it is older than what is known.
+    /// Takes an owner's account of an engine over; tells whether it counts.
     pub(super) fn take_view(&mut self, now: Time, view: EngineView) -> bool {
         let upstream = view.upstream.clone();
         let own = self.in_flight(&upstream);
-        if !self.views.take(now, view, own) {
-            return false;
+        let news = self.views.take(now, view, own);
+        if news == News::Newer {
+            // The newer account settles what an older one got wrong.
+            self.missing.retain(|place, _| place.upstream != upstream);
         }
-        // The newer account settles what an older one got wrong.
-        self.missing.retain(|place, _| place.upstream != upstream);
-        true
+        news != News::Late
     }
 
     /// Forgets what the host list no longer names.
@@ -219,12 +219,10 @@
         replicas.filter(|id| self.in_flight(id) == 0).cloned().collect()
     }
 
-    /// Tells whether nothing but requests of this process can be running on an engine.
-    pub(super) fn reserved_and_idle(&self, host: &HostId, upstream: &UpstreamId) -> bool {
-        let Some(known) = self.views.get(upstream) else { return false };
-        known.view.reserved_for.as_ref() == Some(host)
-            && known.view.running == 0
-            && self.in_flight(upstream) == 0
+    /// Tells whether an engine is reserved for this host and runs nothing.
+    pub(super) fn is_ours_alone(&self, cx: &Cx<'_>, upstream: &UpstreamId) -> bool {
+        let reserved = self.views.get(upstream).is_some_and(|known| known.is_ours_alone(cx));
+        reserved && self.in_flight(upstream) == 0
     }
 
     /// Tells whether an engine was idle by its owner's last account and runs nothing from here.
--- a/crates/skylarkshore-core/src/serving/supply.rs
+++ b/crates/skylarkshore-core/src/serving/supply.rs
@@ -13,7 +13,7 @@
 use crate::serving::queue::Waiting;
 use crate::serving::request::State;
 use crate::serving::routing::Prospect;
-use crate::serving::wanted::Supply;
+use crate::serving::wanted::{Refused, Supply};
 use crate::store::Key;
 use crate::time::Time;
 use crate::view::EngineView;
@@ -118,9 +118,7 @@
         }
         if let Some(refused) = self.wants.hopeless(cx, model) {
             let retry_after = refused.until.remaining(cx.now);
-            let too_slow = refused.reason == CannotLoad::TooSlow;
-            let bar = if too_slow { refused.until.max(refused.patient_until) } else { refused.until };
-            return Some(Shortage { reason: reason_of(&refused.reason), bar, retry_after });
+            return Some(Shortage { reason: reason_of(&refused.reason), bar: bar_of(refused), retry_after });
         }
         let unheard = self.wants.unheard_since(model)?;
         unheard.after(UNHEARD_PATIENCE).is_due(cx.now).then(|| everyone(RETRY_AFTER))
@@ -207,6 +205,19 @@
     }
 }
 
+/// Returns the latest deadline that can't be met after a refusal.
+///
+/// An owner that weighed its load against the requests' patience has judged
+/// all that it knew of; one that can't act may be able to when it is asked again.
+fn bar_of(refused: &Refused) -> Time {
+    match refused.reason {
+        CannotLoad::Memory | CannotLoad::Power | CannotLoad::EngineRefuses | CannotLoad::TooSlow => {
+            refused.until.max(refused.patient_until)
+        }
+        CannotLoad::NotOwner | CannotLoad::OwnershipInDoubt | CannotLoad::EngineUnreachable => refused.until,
+    }
+}
+
 const fn reason_of(reason: &CannotLoad) -> RefusalReason {
     match reason {
         CannotLoad::Memory => RefusalReason::Short("memory"),
--- a/crates/skylarkshore-core/src/serving/views.rs
+++ b/crates/skylarkshore-core/src/serving/views.rs
@@ -16,7 +16,7 @@
 /// for ever, a full engine would look full until another owner speaks, and
 /// requests would wait before an idle engine. The engine itself rejects what is
 /// too much.
-const LOAD_BELIEVED: Duration = Duration::from_secs(3);
+const LOAD_BELIEVED: Duration = Duration::from_secs(5);
 
 /// How long after its expected end a load is still counted on.
 ///
@@ -33,6 +33,19 @@
     /// When it came.
     pub(super) taken: Time,
     own_then: u32,
+    /// Since when the engine has been reserved for the same host.
+    reserved_since: Time,
+}
+
+/// What an account was worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum News {
+    /// It is older than what is known.
+    Late,
+    /// It is the known one again, so that its figures hold for longer.
+    Again,
+    /// It is newer.
+    Newer,
 }
 
 impl KnownView {
@@ -47,6 +60,18 @@
         self.view.running.saturating_sub(self.own_then)
     }
 
+    /// Tells whether the engine has been reserved for this host, and idle, for long enough.
+    ///
+    /// When the reservation begins, other routers haven't heard of it, and the
+    /// engine's figures are older still. A suspect sent at once could run beside
+    /// an innocent request, or be convicted for that one's crash.
+    pub(super) fn is_ours_alone(&self, cx: &Cx<'_>) -> bool {
+        let settled = self.reserved_since.after(cx.cfg.timings.report_every * 2);
+        self.view.reserved_for.as_ref() == Some(&cx.cfg.host)
+            && self.view.running == 0
+            && settled <= self.taken
+    }
+
     fn model(&self, cx: &Cx<'_>, target: &ModelTarget) -> Option<&ModelView> {
         let wanted = &cx.document.catalogue.models.get(&target.model)?.version;
         self.view.models.iter().find(|m| m.model == target.model && m.version == *wanted)
@@ -74,15 +99,20 @@
 }
 
 impl Views {
-    /// Takes an account over, unless it isn't newer than what is known.
-    pub(super) fn take(&mut self, now: Time, view: EngineView, own: u32) -> bool {
+    /// Takes an account over, unless it is older than what is known.
+    pub(super) fn take(&mut self, now: Time, view: EngineView, own: u32) -> News {
         let known = self.known.get(&view.upstream);
-        if known.is_some_and(|known| known.view.version >= view.version) {
+        let version = known.map(|known| known.view.version);
+        if version > Some(view.version) {
             self.late += 1;
-            return false;
+            return News::Late;
         }
-        self.known.insert(view.upstream.clone(), KnownView { view, taken: now, own_then: own });
-        true
+        let news = if version == Some(view.version) { News::Again } else { News::Newer };
+        let same_holder = known.filter(|known| known.view.reserved_for == view.reserved_for);
+        let reserved_since = same_holder.map_or(now, |known| known.reserved_since);
+        let upstream = view.upstream.clone();
+        self.known.insert(upstream, KnownView { view, taken: now, own_then: own, reserved_since });
+        news
     }
 
     /// Forgets the engines that the host list no longer names.
--- a/crates/skylarkshore-core/tests/serving/once.rs
+++ b/crates/skylarkshore-core/tests/serving/once.rs
@@ -3,6 +3,7 @@
 use skylarkshore_core::effect::{Effect, RefusalOutcome, RefusalReason};
 use skylarkshore_core::event::AttemptEnd;
 use skylarkshore_core::id::{CallId, Incarnation};
+use skylarkshore_core::peer::PeerMessage;
 use skylarkshore_core::store::{Key, OnceRecord, OnceState, Record, RecordedAnswer, StoreCall, StoreFailure};
 
 use crate::support::serving::*;
@@ -215,3 +216,46 @@
     p.serve_store(&mut store);
     assert_eq!(answers(&mut p), [confirmed()]);
 }
+
+/// A booking is lost while it runs. A second try of it is given up by its
+/// deadline before the claim is answered, and the claim of the first one then
+/// looks like a leftover of the second. Were it deleted, a third try would book twice.
+#[test]
+fn the_claim_of_a_lost_booking_outlives_a_later_try_that_is_given_up() {
+    let mut store = Store::default();
+    let mut p = ready("a", &mut store);
+    p.arrive(1, booking(&p, 7, 1));
+    p.serve_store(&mut store);
+    let sent = p.take_sent().remove(0);
+    p.end(sent.attempt, AttemptEnd::Lost { passed_on: false, died: false });
+
+    let mut second = booking(&p, 7, 1);
+    second.deadline = p.now.after(std::time::Duration::from_millis(50));
+    p.arrive(2, second);
+    p.pass(1500);
+    p.take_calls();
+    for _ in 0..10 {
+        p.pass(500);
+        p.serve_store(&mut store);
+    }
+    assert_eq!(record(&store, 7).map(|r| r.state), Some(OnceState::Claimed));
+    p.arrive(3, booking(&p, 7, 1));
+    p.serve_store(&mut store);
+    assert_eq!(p.take_sent(), []);
+}
+
+/// A suspect booking waits for its claim, and the replica kept free for it
+/// says meanwhile that it is about to go. It gets no new work any more.
+#[test]
+fn a_claim_that_is_answered_late_is_not_sent_to_a_replica_that_has_begun_to_leave() {
+    let mut store = Store::default();
+    let mut p = ready("a", &mut store);
+    let requests = vec![digest(1)];
+    p.peer("b", &PeerMessage::Suspects { upstream: name("s9"), incarnation: None, requests, alone: false });
+    p.arrive(1, booking(&p, 7, 1));
+    for upstream in ["s1", "s2"] {
+        p.peer("b", &PeerMessage::UpstreamLeaving { upstream: name(upstream) });
+    }
+    p.serve_store(&mut store);
+    assert_eq!(p.take_sent(), []);
+}
--- a/crates/skylarkshore-core/tests/serving/random.rs
+++ b/crates/skylarkshore-core/tests/serving/random.rs
@@ -421,7 +421,13 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 2000, max_shrink_iters: 20_000, ..ProptestConfig::default() })]
+    // `PROPTEST_CASES` asks for more than these.
+    #![proptest_config(ProptestConfig {
+        cases: ProptestConfig::default().cases.max(400),
+        max_shrink_iters: 20_000,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
 
     #[test]
     fn every_request_ends_once_and_truly_whatever_the_order_of_events(
--- a/crates/skylarkshore-core/tests/serving_requests.rs
+++ b/crates/skylarkshore-core/tests/serving_requests.rs
@@ -5,6 +5,7 @@
 }
 
 mod serving {
+    mod crash;
     mod flow;
     mod once;
     mod random;
