--- a/crates/skylarkshore-core/tests/serving/once.rs
+++ b/crates/skylarkshore-core/tests/serving/once.rs
@@ -258,3 +258,40 @@
     p.serve_store(&mut store);
     assert_eq!(p.take_sent(), []);
 }
+
+/// The key-value service hangs after the booking has been made. The caller gets
+/// its confirmation all the same; the record follows when the service is back.
+#[test]
+fn a_hanging_service_holds_a_confirmation_up_for_a_moment_only() {
+    let mut store = Store::default();
+    let mut p = ready("a", &mut store);
+    p.arrive(1, booking(&p, 7, 1));
+    p.serve_store(&mut store);
+    let sent = p.take_sent().remove(0);
+    p.end(sent.attempt, AttemptEnd::Whole { held: Some(confirmed()) });
+    let (call, request) = claim_of(&mut p);
+    p.pass(350);
+    assert_eq!(answers(&mut p), [confirmed()]);
+    assert!(!p.serving.is_idle(), "the process stays until the answer is recorded");
+    let answer = store.carry_out(&request);
+    p.store(call, &Ok(answer));
+    assert_eq!(record(&store, 7).map(|r| r.state), Some(OnceState::Answered(confirmed())));
+    assert!(p.serving.is_idle());
+}
+
+#[test]
+fn an_answer_too_large_to_keep_is_given_once_and_then_known_to_have_been_given() {
+    let mut store = Store::default();
+    let mut p = ready("a", &mut store);
+    p.cfg.limits.recorded_answer = 4;
+    p.arrive(1, booking(&p, 7, 1));
+    p.serve_store(&mut store);
+    let sent = p.take_sent().remove(0);
+    p.end(sent.attempt, AttemptEnd::Whole { held: Some(confirmed()) });
+    p.serve_store(&mut store);
+    assert_eq!(answers(&mut p), [confirmed()]);
+    p.arrive(2, booking(&p, 7, 1));
+    p.serve_store(&mut store);
+    let refused = p.take_refused().remove(0).1;
+    assert_eq!((refused.outcome, refused.reason), (RefusalOutcome::Unknown, RefusalReason::AnswerNotKept));
+}
--- /dev/null
+++ b/crates/skylarkshore-core/tests/serving/queue.rs
@@ -0,0 +1,170 @@
+//! Who goes first, who has to go, and how often is tried again.
+
+use std::time::Duration;
+
+use skylarkshore_core::effect::{Effect, RefusalOutcome, RefusalReason};
+use skylarkshore_core::event::AttemptEnd;
+use skylarkshore_core::peer::PeerMessage;
+use skylarkshore_core::rules::{Condition, Outcome, Rule, Rules, ServiceOrder};
+use skylarkshore_core::view::Readiness;
+
+use crate::support::serving::*;
+
+fn rule(caller: &str, then: Outcome) -> Rule {
+    let callers = Some([name(caller)].into_iter().collect());
+    Rule { name: caller.to_owned(), when: Condition { callers, ..Condition::default() }, then }
+}
+
+fn rules() -> Rules {
+    let clerk = Outcome { order: ServiceOrder(10), ..Outcome::default() };
+    let batch = Outcome { order: ServiceOrder(200), ..Outcome::default() };
+    let closed = Outcome { refuse: Some("closed for lodgement".to_owned()), ..Outcome::default() };
+    Rules {
+        list: vec![rule("clerk", clerk), rule("batch", batch), rule("barred", closed)],
+        otherwise: Outcome::default(),
+    }
+}
+
+/// Makes a process that has one engine for two requests at a time, both places taken.
+fn busy() -> Process {
+    let mut p = Process::new("a", 1);
+    p.document.rules = rules();
+    p.peer("b", &PeerMessage::View(view("e1", 1, "m", Readiness::Ready)));
+    for id in 1..=2 {
+        p.arrive(id, arrival(&p, model("m"), 1));
+    }
+    p
+}
+
+fn wait(p: &mut Process, id: u64, caller: &str, secs: u64) {
+    let mut request = arrival(p, model("m"), 1);
+    request.caller = name(caller);
+    request.deadline = p.now.after(Duration::from_secs(secs));
+    p.arrive(id, request);
+}
+
+/// Lets the requests run to their ends one by one and returns the order in which they were sent.
+fn run_all(p: &mut Process) -> Vec<u64> {
+    let mut order = Vec::new();
+    loop {
+        let sent = p.take_sent();
+        if sent.is_empty() {
+            return order;
+        }
+        for attempt in sent {
+            order.push(attempt.request.0);
+            p.end(attempt.attempt, AttemptEnd::Whole { held: None });
+        }
+    }
+}
+
+#[test]
+fn the_order_of_service_goes_first_then_callers_take_turns_then_the_deadline_counts() {
+    let mut p = busy();
+    for (id, secs) in [(10, 9), (11, 7), (12, 8)] {
+        wait(&mut p, id, "orchard", secs);
+    }
+    wait(&mut p, 20, "harvest", 9);
+    wait(&mut p, 30, "batch", 5);
+    wait(&mut p, 40, "clerk", 9);
+    assert_eq!(run_all(&mut p), [1, 2, 40, 11, 20, 12, 10, 30]);
+}
+
+#[test]
+fn a_full_queue_sheds_the_least_urgent_and_a_greedy_caller_only_its_own() {
+    let mut p = busy();
+    p.cfg.limits.queue_total = 3;
+    p.cfg.limits.queue_per_caller = 2;
+    wait(&mut p, 10, "batch", 9);
+    wait(&mut p, 11, "orchard", 9);
+    wait(&mut p, 12, "orchard", 8);
+    wait(&mut p, 13, "orchard", 9);
+    wait(&mut p, 14, "clerk", 9);
+    let refused = p.take_refused();
+    let ids: Vec<u64> = refused.iter().map(|(id, _)| id.0).collect();
+    assert_eq!(ids, [13, 10]);
+    for (_, refusal) in refused {
+        assert_eq!((refusal.outcome, refusal.reason), (RefusalOutcome::NotRun, RefusalReason::QueueFull));
+        assert!(refusal.retry_after.is_some());
+    }
+}
+
+#[test]
+fn a_rule_refuses_in_the_operators_words() {
+    let mut p = busy();
+    wait(&mut p, 10, "barred", 9);
+    let refused = p.take_refused().remove(0).1;
+    assert_eq!(refused.reason, RefusalReason::Rule("closed for lodgement".to_owned()));
+    assert_eq!(refused.outcome, RefusalOutcome::NotRun);
+}
+
+/// Answers take four seconds and two run at a time. A request that would get
+/// its turn after its deadline is told so on arrival, while its caller can still
+/// do something else.
+#[test]
+fn a_request_that_would_wait_past_its_deadline_is_refused_on_arrival() {
+    let mut p = busy();
+    let sent = p.take_sent();
+    p.pass(4000);
+    for attempt in sent {
+        p.end(attempt.attempt, AttemptEnd::Whole { held: None });
+    }
+    for id in 10..16 {
+        wait(&mut p, id, "orchard", 60);
+    }
+    assert_eq!(p.take_refused(), []);
+    let mut late = arrival(&p, model("m"), 1);
+    late.caller = name("batch");
+    p.arrive(20, late);
+    let refused = p.take_refused();
+    assert_eq!(refused.len(), 1);
+    assert_eq!(refused[0].0.0, 20);
+    assert_eq!(refused[0].1.reason, RefusalReason::QueueFull);
+}
+
+/// Both replicas of a service drop every connection. Were each request tried
+/// three times, the replicas would see three times their usual load just when
+/// they come back, and go down again.
+#[test]
+fn an_outage_does_not_multiply_the_load() {
+    let mut p = Process::new("a", 1);
+    let (mut arrived, mut sent) = (0, 0);
+    for second in 0..60 {
+        for n in 0..20 {
+            arrived += 1;
+            p.arrive(second * 100 + n, arrival(&p, service("booking"), 1));
+            for attempt in p.take_sent() {
+                sent += 1;
+                p.end(attempt.attempt, AttemptEnd::Lost { passed_on: false, died: false });
+            }
+            p.pass(50);
+        }
+    }
+    assert!(sent <= arrived * 3 / 2, "{sent} attempts for {arrived} requests");
+}
+
+/// A stream breaks off in the middle of the answer. Another engine continues
+/// it; where none has the model in time, the caller is told that it is cut short,
+/// and never gets a short answer as a whole one.
+#[test]
+fn a_broken_stream_is_resumed_elsewhere_or_broken_off_openly() {
+    let mut p = busy();
+    let sent = p.take_sent();
+    p.peer("c", &PeerMessage::View(view("e2", 1, "m", Readiness::Ready)));
+    p.end(sent[0].attempt, AttemptEnd::Lost { passed_on: true, died: false });
+    let resumed = p.take_sent();
+    assert_eq!(resumed.len(), 1);
+    assert!(resumed[0].resume);
+    assert_eq!(resumed[0].upstream.as_str(), "e2");
+
+    for id in [1, 2] {
+        p.peer("c", &PeerMessage::UpstreamLeaving { upstream: name(["e1", "e2"][id - 1]) });
+    }
+    p.end(resumed[0].attempt, AttemptEnd::Lost { passed_on: true, died: false });
+    p.pass(10_000);
+    let aborted = p.take().into_iter().find_map(|e| match e {
+        Effect::Abort { refusal, .. } => Some(refusal.outcome),
+        _ => None,
+    });
+    assert_eq!(aborted, Some(RefusalOutcome::Unknown));
+}
--- /dev/null
+++ b/crates/skylarkshore-core/tests/serving/routing.rs
@@ -0,0 +1,84 @@
+//! Which upstream a request gets.
+
+use skylarkshore_core::event::{AttemptEnd, Rejection};
+use skylarkshore_core::peer::PeerMessage;
+use skylarkshore_core::view::Readiness;
+
+use crate::support::serving::*;
+
+/// Makes a process that knows model `m` ready on `e1` and `e2`, eight at a time each.
+fn two_engines() -> Process {
+    let mut p = Process::new("a", 1);
+    for (engine, owner) in [("e1", "b"), ("e2", "c")] {
+        let mut view = view(engine, 1, "m", Readiness::Ready);
+        view.concurrency = 8;
+        p.peer(owner, &PeerMessage::View(view));
+    }
+    p
+}
+
+fn send_with_prefix(p: &mut Process, id: u64, prefix: u8) -> Vec<Sent> {
+    let mut request = arrival(p, model("m"), 1);
+    request.prefix = Some(digest(prefix));
+    p.arrive(id, request);
+    p.take_sent()
+}
+
+#[test]
+fn prompts_that_begin_alike_go_to_the_same_engine_until_it_is_clearly_fuller() {
+    let mut p = two_engines();
+    let chosen: Vec<_> = (0..4).map(|id| send_with_prefix(&mut p, id, 5).remove(0).upstream).collect();
+    assert_eq!(chosen[0], chosen[1]);
+    assert_eq!(chosen[1], chosen[2]);
+    assert_ne!(chosen[2], chosen[3], "the other one has a quarter less to do");
+}
+
+#[test]
+fn a_near_engine_goes_before_a_far_one_that_is_as_free() {
+    let mut p = two_engines();
+    if let Some(far) = p.upstreams.get_mut(&name("e1")) {
+        far.data_centre = name("olten-b");
+    }
+    for id in 0..4 {
+        p.arrive(id, arrival(&p, model("m"), 1));
+        let sent = p.take_sent().remove(0);
+        assert_eq!(sent.upstream.as_str(), "e2");
+        p.end(sent.attempt, AttemptEnd::Whole { held: None });
+    }
+}
+
+/// An owner's account is late, and its engine has unloaded the model already.
+/// The request that finds out goes to the other engine, and the next ones don't
+/// try the first again; a hot loop between router and engine would be seen as
+/// thousands of rejections a second.
+#[test]
+fn an_engine_that_lacks_the_model_is_left_alone_for_a_while() {
+    let mut p = two_engines();
+    let mut rejections = 0;
+    for id in 0..40 {
+        p.arrive(id, arrival(&p, model("m"), 1));
+        while let Some(sent) = p.take_sent().into_iter().next() {
+            let missing = sent.upstream.as_str() == "e1";
+            rejections += u32::from(missing);
+            let lacking = AttemptEnd::Rejected(Rejection::NotLoaded);
+            p.end(sent.attempt, if missing { lacking } else { AttemptEnd::Whole { held: None } });
+        }
+        p.pass(10);
+    }
+    assert!(rejections <= 1, "{rejections} rejections within a second");
+    assert!(p.serving.is_idle());
+}
+
+/// A replica says that it is about to go before the host list does. The other
+/// processes hear it from this one and send nothing there any more.
+#[test]
+fn what_a_leaving_upstream_says_is_told_to_all() {
+    let mut p = two_engines();
+    p.arrive(1, arrival(&p, service("booking"), 1));
+    let sent = p.take_sent().remove(0);
+    p.end(sent.attempt, AttemptEnd::Rejected(Rejection::Leaving));
+    let told = p.take_told(|m| matches!(m, PeerMessage::UpstreamLeaving { .. }));
+    assert_eq!(told.len(), 2);
+    let again = p.take_sent().remove(0);
+    assert_ne!(again.upstream, sent.upstream);
+}
--- a/crates/skylarkshore-core/tests/serving_requests.rs
+++ b/crates/skylarkshore-core/tests/serving_requests.rs
@@ -8,5 +8,7 @@
     mod crash;
     mod flow;
     mod once;
+    mod queue;
     mod random;
+    mod routing;
 }
