Say of a request that ran out of time that it did, and spare its upstream

The attempt's own timer fires at the deadline and reports a lost attempt before the tick does. The caller read that its upstream was lost, and the upstream was passed over for a while though nothing was wrong with it.

--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -120,7 +120,10 @@
 
     fn on_lost(&mut self, cx: &mut Cx<'_>, id: RequestId, run: &Run, passed_on: bool, died: bool) {
         let others = if died { self.digests_at(&run.upstream) } else { Vec::new() };
-        self.routes.note_trouble(cx, &run.upstream);
+        let out_of_time = self.requests.get(&id).is_some_and(|r| r.arrival.deadline.is_due(cx.now));
+        if died || !out_of_time {
+            self.routes.note_trouble(cx, &run.upstream);
+        }
         self.fail_once(cx, id, &run.upstream);
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.passed_on |= passed_on;
@@ -161,10 +164,12 @@
     /// Queues a request again whose attempt ended without an answer, or refuses it.
     fn retry(&mut self, cx: &mut Cx<'_>, id: RequestId, cost: Cost) {
         let Some(request) = self.requests.get(&id) else { return };
-        if request.caller == Caller::Waiting && request.arrival.deadline.is_due(cx.now) {
-            return self.refuse_late(cx, id);
-        }
         let lost = request.past != Past::Clean;
+        if request.arrival.deadline.is_due(cx.now) {
+            let reason =
+                if lost { RefusalReason::DeadlinePassedRunning } else { RefusalReason::DeadlinePassed };
+            return self.advance(cx, id, Step::Refuse { reason, retry_after: None });
+        }
         let may = request.caller == Caller::Waiting
             && request.may_be_sent()
             && (!request.passed_on || request.can_resume())
--- a/crates/skylarkshore-core/src/serving/queue.rs
+++ b/crates/skylarkshore-core/src/serving/queue.rs
@@ -26,6 +26,15 @@
     }
 }
 
+/// Why a request waits no longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Exit {
+    /// It got its turn, so that its caller's next turn comes after the other callers'.
+    Served,
+    /// It was refused or its caller went away.
+    DroppedOut,
+}
+
 /// The waiting requests of one order of service, callers taking turns.
 #[derive(Debug, Default)]
 struct Class {
@@ -46,18 +55,17 @@
         self.callers.get(self.turns.front()?)?.first().copied()
     }
 
-    /// Removes a request; a caller that was served goes to the end of the turns.
-    fn remove(&mut self, caller: &CallerId, due: Due, served: bool) {
+    fn remove(&mut self, caller: &CallerId, due: Due, exit: Exit) {
         let Some(waiting) = self.callers.get_mut(caller) else { return };
         waiting.remove(&due);
         let more = !waiting.is_empty();
         if !more {
             self.callers.remove(caller);
         }
-        if !more || served {
+        if !more || exit == Exit::Served {
             self.turns.retain(|c| c != caller);
         }
-        if more && served {
+        if more && exit == Exit::Served {
             self.turns.push_back(caller.clone());
         }
     }
@@ -144,12 +152,12 @@
 
     /// Removes a request that gets its turn.
     pub(super) fn take(&mut self, id: RequestId, request: &Request) {
-        self.remove(id, request, true);
+        self.remove(id, request, Exit::Served);
     }
 
     /// Removes a request that waits no longer; does nothing if it doesn't wait.
     pub(super) fn drop_out(&mut self, id: RequestId, request: &Request) {
-        self.remove(id, request, false);
+        self.remove(id, request, Exit::DroppedOut);
     }
 
     /// Returns the request whose turn it is.
@@ -185,7 +193,7 @@
         lane.into_iter().flat_map(|lane| lane.members.iter().map(|m| m.due.request)).collect()
     }
 
-    fn remove(&mut self, id: RequestId, request: &Request, served: bool) {
+    fn remove(&mut self, id: RequestId, request: &Request, exit: Exit) {
         let urgency = Urgency::of(id, request);
         if !self.all.remove(&urgency) {
             return;
@@ -201,7 +209,7 @@
         let Some(lane) = self.lanes.get_mut(target) else { return };
         lane.members.remove(&urgency);
         if let Some(class) = lane.classes.get_mut(&urgency.order) {
-            class.remove(caller, urgency.due, served);
+            class.remove(caller, urgency.due, exit);
             if class.callers.is_empty() {
                 lane.classes.remove(&urgency.order);
             }
--- a/crates/skylarkshore-core/src/serving/routing.rs
+++ b/crates/skylarkshore-core/src/serving/routing.rs
@@ -14,7 +14,7 @@
 use crate::serving::views::{News, Views};
 use crate::time::Time;
 use crate::upstream::{Standing, Upstream};
-use crate::view::{EngineView, Readiness};
+use crate::view::EngineView;
 
 /// How much fuller an upstream may be than the emptiest, in thousandths, to
 /// get a request whose prompt's beginning it probably has in its cache.
@@ -306,13 +306,3 @@
 fn affinity(prefix: Digest, upstream: &UpstreamId) -> u64 {
     FixedState::default().hash_one((prefix, upstream))
 }
-
-impl Readiness {
-    /// Returns how long a load is expected to take, if there is one.
-    pub(super) const fn loading(self) -> Option<Duration> {
-        match self {
-            Self::Loading { remaining } => Some(remaining),
-            Self::Ready | Self::Closing => None,
-        }
-    }
-}
--- a/crates/skylarkshore-core/src/serving/supply.rs
+++ b/crates/skylarkshore-core/src/serving/supply.rs
@@ -13,7 +13,7 @@
 use crate::serving::queue::Waiting;
 use crate::serving::request::State;
 use crate::serving::routing::Prospect;
-use crate::serving::wanted::{Refused, Supply};
+use crate::serving::wanted::{Pace, Refused, Supply};
 use crate::store::Key;
 use crate::time::Time;
 use crate::view::EngineView;
@@ -66,7 +66,7 @@
         let target = Target::Model(target.clone());
         self.review(cx, &target);
         if next {
-            self.ask(cx, &target, true);
+            self.ask(cx, &target, Pace::Now);
         }
     }
 
@@ -131,7 +131,8 @@
             return self.wants.satisfied(model);
         }
         let first = self.wants.unheard_since(model).is_none();
-        self.ask(cx, target, first && self.routes.prospect(cx, target) == Prospect::None);
+        let cold = first && self.routes.prospect(cx, target) == Prospect::None;
+        self.ask(cx, target, if cold { Pace::Now } else { Pace::WhenDue });
     }
 
     /// Asks the new owners for the targets whose homes have changed hands.
@@ -146,12 +147,12 @@
             };
             let target = Target::Model(model);
             if concerned && self.routes.prospect(cx, &target) == Prospect::None {
-                self.ask(cx, &target, true);
+                self.ask(cx, &target, Pace::Now);
             }
         }
     }
 
-    fn ask(&mut self, cx: &mut Cx<'_>, target: &Target, urgent: bool) {
+    fn ask(&mut self, cx: &mut Cx<'_>, target: &Target, pace: Pace) {
         let Target::Model(model) = target else { return };
         let Some(waiting) = self.waiting(target) else { return };
         let supply = match self.routes.prospect(cx, target) {
@@ -159,7 +160,7 @@
             Prospect::Loading { .. } => Supply::Coming,
             Prospect::None => Supply::Nothing,
         };
-        self.wants.ask(cx, model, waiting, supply, urgent);
+        self.wants.ask(cx, model, waiting, supply, pace);
     }
 
     /// Returns what waits for a target, suspects included.
--- a/crates/skylarkshore-core/src/serving/views.rs
+++ b/crates/skylarkshore-core/src/serving/views.rs
@@ -84,7 +84,8 @@
     }
 
     fn ready_at(&self, cx: &Cx<'_>, target: &ModelTarget) -> Option<Time> {
-        let ready_at = self.taken.after(self.model(cx, target)?.readiness.loading()?);
+        let Readiness::Loading { remaining } = self.model(cx, target)?.readiness else { return None };
+        let ready_at = self.taken.after(remaining);
         let counted_on = !self.view.leaving && !ready_at.after(OVERDUE).is_due(cx.now);
         counted_on.then_some(ready_at)
     }
--- a/crates/skylarkshore-core/src/serving/wanted.rs
+++ b/crates/skylarkshore-core/src/serving/wanted.rs
@@ -49,6 +49,15 @@
     Full,
 }
 
+/// Whether the owners are asked although they were asked a moment ago.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Pace {
+    /// They are asked as soon as the usual time has passed.
+    WhenDue,
+    /// They are asked now: something has changed.
+    Now,
+}
+
 /// The targets that this router wants to hear of.
 #[derive(Debug, Default)]
 pub(super) struct Wants {
@@ -88,14 +97,14 @@
         target: &ModelTarget,
         waiting: Waiting,
         supply: Supply,
-        urgent: bool,
+        pace: Pace,
     ) {
         let owners = owners(cx, target);
         let Some(want) = self.wants.get_mut(target) else { return };
         want.refused.retain(|_, refused| !refused.until.is_due(cx.now));
         want.unheard_since.get_or_insert(cx.now);
         let due = want.told.is_none_or(|told| told.after(cx.cfg.timings.wanted_every).is_due(cx.now));
-        if !due && !urgent {
+        if !due && pace == Pace::WhenDue {
             return;
         }
         want.widen(cx, &owners, supply, due);
