Take 'not run' only from an answer that names the request

The engine stand-in left the request id out when it ran nothing, and such answers were taken for crossed ones: a request met a model that had just been unloaded and was counted as lost instead of being sent elsewhere. Both stand-ins now echo it, and an answer counts as 'not run' only where the id is ours.

--- a/crates/skylarkshore-standins/src/engine/generate.rs
+++ b/crates/skylarkshore-standins/src/engine/generate.rs
@@ -101,7 +101,16 @@
     }
 }
 
+/// Answers a request and echoes its name, also where nothing was run.
 pub(super) async fn answer(shared: Arc<Shared>, req: Request<Bytes>) -> Answered {
+    let id = req.headers().get(REQUEST_ID_HEADER).cloned();
+    let mut response = generate(shared, req).await?;
+    let id = id.unwrap_or(HeaderValue::from_static("none"));
+    response.headers_mut().insert(REQUEST_ID_HEADER, id);
+    Ok(response)
+}
+
+async fn generate(shared: Arc<Shared>, req: Request<Bytes>) -> Answered {
     let shape = if req.uri().path() == CHAT_PATH { Shape::Chat } else { Shape::Completion };
     let body: GenerateRequest = match serde_json::from_slice(req.body()) {
         Ok(body) => body,
@@ -123,16 +132,12 @@
         return Err(Cut);
     }
     let tokens = tokens_of(&body.model, &prompt, body.max_tokens.unwrap_or(DEFAULT_TOKENS));
-    let id = req.headers().get(REQUEST_ID_HEADER).cloned();
-    let mut response = if body.stream {
+    Ok(if body.stream {
         let resume = header_number(req.headers(), RESUME_HEADER).unwrap_or(0);
         stream_answer(running, shape, &body.model, &tokens, resume)
     } else {
         whole_answer(running, shape, &body.model, &tokens).await
-    };
-    let id = id.unwrap_or(HeaderValue::from_static("none"));
-    response.headers_mut().insert(REQUEST_ID_HEADER, id);
-    Ok(response)
+    })
 }
 
 fn header_number<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
--- a/crates/skylarkshore-standins/src/service.rs
+++ b/crates/skylarkshore-standins/src/service.rs
@@ -114,7 +114,11 @@
     let faults = take_faults(&shared);
     if faults.leaving {
         let body = NotRun { error: NotRunReason::Leaving };
-        return Ok(json_answer(StatusCode::CONFLICT, &body));
+        let mut response = json_answer(StatusCode::CONFLICT, &body);
+        if let Some(id) = req.headers().get(REQUEST_ID_HEADER) {
+            response.headers_mut().insert(REQUEST_ID_HEADER, id.clone());
+        }
+        return Ok(response);
     }
     sleep(Duration::from_millis(faults.slow_ms)).await;
     let mut response = match req.method() {
--- a/crates/skylarkshore/src/upstreams/attempt.rs
+++ b/crates/skylarkshore/src/upstreams/attempt.rs
@@ -42,6 +42,31 @@
     Closed,
 }
 
+/// Which request the answer says it belongs to.
+///
+/// An upstream that mixes up its connections would show one caller another's
+/// answer. The id that it is sent differs for each try everywhere, and engines
+/// have to echo it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Echo {
+    /// This one.
+    Ours,
+    /// Another one.
+    Other,
+    /// It doesn't say.
+    Missing,
+}
+
+impl Echo {
+    fn of(res: &Response<Incoming>, id: &HeaderValue) -> Self {
+        match res.headers().get(REQUEST_ID_HEADER) {
+            Some(echoed) if echoed == id => Self::Ours,
+            Some(_) => Self::Other,
+            None => Self::Missing,
+        }
+    }
+}
+
 impl From<Closed> for Cut {
     fn from(_: Closed) -> Self {
         Self::Closed
@@ -60,13 +85,14 @@
             Ok(res) => res,
             Err(end) => return end,
         };
-        if !self.is_ours(&res, &id) {
+        let echo = Echo::of(&res, &id);
+        if echo == Echo::Other || (echo == Echo::Missing && self.letter.sort == UpstreamSort::Engine) {
             warn!(self.upstreams.env.log, "answer_crossed";
                 "upstream" => %self.letter.upstream, "request" => %self.letter.request);
             return self.lost(&Cut::Unusable);
         }
         self.upstreams.env.inbox.event(Event::AnswerStarted { attempt: self.letter.attempt }).await;
-        match self.take(res).await {
+        match self.take(res, echo).await {
             Ok(end) => end,
             Err(cut) => self.lost(&cut),
         }
@@ -108,21 +134,11 @@
         AttemptEnd::Lost { passed_on: self.passage.has_passed_on(), died: matches!(cut, Cut::Broken) }
     }
 
-    /// Tells whether the answer belongs to this request.
-    ///
-    /// An engine that mixes up its connections would show one caller another's
-    /// answer; the id that it has to echo differs for each try everywhere.
-    fn is_ours(&self, res: &Response<Incoming>, id: &HeaderValue) -> bool {
-        match res.headers().get(REQUEST_ID_HEADER) {
-            Some(echoed) => echoed == id,
-            None => self.letter.sort == UpstreamSort::Service,
-        }
-    }
-
-    async fn take(&self, res: Response<Incoming>) -> Result<AttemptEnd, Cut> {
+    async fn take(&self, res: Response<Incoming>, echo: Echo) -> Result<AttemptEnd, Cut> {
         let (parts, body) = res.into_parts();
         let says_not_run = matches!(parts.status, StatusCode::CONFLICT | StatusCode::TOO_MANY_REQUESTS);
-        if self.letter.sort == UpstreamSort::Engine && says_not_run {
+        // A service that doesn't echo ids may mean something else by these answers.
+        if echo == Echo::Ours && says_not_run {
             return self.take_not_run(parts.status, parts.headers, body).await;
         }
         // A plain service promises no end marker; its streams end with their last chunk.
