Test an entry host as a process, with stand-ins

Bad requests of every kind, slow senders, callers that go away, streams that break, SIGTERM during a stream, a second signal, and what operators get. The settings' syntax is JSON with comments and trailing commas, no more.

--- a/crates/skylarkshore/src/callers/check.rs
+++ b/crates/skylarkshore/src/callers/check.rs
@@ -122,6 +122,10 @@
 
 impl ChatBody {
     pub(super) fn parse(body: &Bytes) -> Result<Self, Invalid> {
+        // A list would pass for the fields in their order.
+        if body.trim_ascii_start().first() != Some(&b'{') {
+            return Err(Invalid::NotJson { reason: "it doesn't begin with a brace".to_owned() });
+        }
         let fields: Fields<'_> =
             serde_json::from_slice(body).map_err(|err| Invalid::NotJson { reason: err.to_string() })?;
         let Some(serde_json::Value::String(model)) = fields.model else { return Err(Invalid::NoModel) };
--- a/crates/skylarkshore/src/config.rs
+++ b/crates/skylarkshore/src/config.rs
@@ -137,8 +137,22 @@
     }
 }
 
+/// JSON with comments and trailing commas; nothing else that the parser could let pass.
+const SYNTAX: ParseOptions = ParseOptions {
+    allow_comments: true,
+    allow_trailing_commas: true,
+    allow_loose_object_property_names: false,
+    allow_missing_commas: false,
+    allow_single_quoted_strings: false,
+    allow_hexadecimal_numbers: false,
+    allow_unary_plus_numbers: false,
+    allow_bare_decimal_point_numbers: false,
+    allow_non_finite_numbers: false,
+    allow_extended_string_escapes: false,
+};
+
 fn parse(text: &str, report: &mut Report<'_>) -> Option<Config> {
-    let parsed = match parse_to_ast(text, &CollectOptions::default(), &ParseOptions::default()) {
+    let parsed = match parse_to_ast(text, &CollectOptions::default(), &SYNTAX) {
         Ok(parsed) => parsed,
         Err(err) => {
             let problem = format!("is no JSON with comments: {}; mend it", err.kind());
--- a/crates/skylarkshore/src/driver/effects.rs
+++ b/crates/skylarkshore/src/driver/effects.rs
@@ -201,6 +201,7 @@
 
     fn note(&self, note: &Note) {
         self.env.metrics.noted(note.event);
-        info!(self.env.log, "{}", note.event; "subject" => &note.subject, "detail" => &note.detail);
+        // The logger writes the last pair first, and the subject is to come first.
+        info!(self.env.log, "{}", note.event; "detail" => &note.detail, "subject" => &note.subject);
     }
 }
--- a/crates/skylarkshore/src/metrics.rs
+++ b/crates/skylarkshore/src/metrics.rs
@@ -6,8 +6,8 @@
 
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Counter, Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Opts, Registry, TextEncoder,
 };
 use skylarkshore_core::dump::Gauge as Reading;
 use skylarkshore_core::event::AttemptEnd;
@@ -246,7 +246,13 @@
 }
 
 fn family(reading: &Reading) -> Option<prometheus::proto::MetricFamily> {
-    let gauge = Gauge::with_opts(opts(reading.name, "See the page OPERATIONS.")).ok()?;
+    let opts = opts(reading.name, "See the page OPERATIONS.");
+    if reading.name.ends_with("_total") {
+        let counter = Counter::with_opts(opts).ok()?;
+        counter.inc_by(reading.value);
+        return counter.collect().into_iter().next();
+    }
+    let gauge = Gauge::with_opts(opts).ok()?;
     gauge.set(reading.value);
     gauge.collect().into_iter().next()
 }
--- /dev/null
+++ b/crates/skylarkshore/tests/process/deployment.rs
@@ -0,0 +1,145 @@
+//! Starts an entry host beside stand-ins that live in the test's own process.
+
+use std::net::SocketAddr;
+use std::process::{ExitStatus, Stdio};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use skylarkshore_core::id::{CallId, Incarnation};
+use skylarkshore_core::store::{Key, Record, Writer};
+use skylarkshore_standins::client::{Answer, Call};
+use skylarkshore_standins::fleet::{Fleet, FleetSettings};
+use skylarkshore_standins::process::{TempFolder, short_timings};
+use skylarkshore_wire::document::DocumentWire;
+use skylarkshore_wire::etcd::{Bytes64, Int64, PutRequest, RequestOp, TXN_PATH, TxnRequest};
+use skylarkshore_wire::keys::{KeyText, StoredValue};
+use tokio::process::{Child, Command};
+use tokio::time::{Instant, sleep, timeout};
+
+const DOCUMENT: &str = r#"{
+  "revision": 1,
+  "power_caps": { "lagerraum": 3000 },
+  "models": {
+    "listing-summary": {
+      "version": "1", "weights_mib": 14000, "kv_cache_mib": 6000, "load_time_ms": 300,
+      "adapters": { "listing-summary-fr": 200 }
+    },
+    "slow-to-load": { "version": "1", "weights_mib": 9000, "kv_cache_mib": 1000, "load_time_ms": 60000 }
+  },
+  "services": { "marketplace": { "once_paths": ["/bookings"], "concurrency": 32 } },
+  "rules": [
+    { "name": "summaries first", "when": { "models": ["listing-summary"] }, "then": { "order": 10 } }
+  ]
+}"#;
+
+/// Far longer than anything takes, so that a slow machine fails no test.
+pub(crate) const LIMIT: Duration = Duration::from_secs(60);
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+/// The largest body that the host under test takes, in bytes.
+pub(crate) const BODY_LIMIT: usize = 4096;
+
+/// An entry host with its stand-ins.
+pub(crate) struct Deployment {
+    pub(crate) fleet: Fleet,
+    pub(crate) callers: SocketAddr,
+    pub(crate) operators: SocketAddr,
+    child: Child,
+    folder: TempFolder,
+}
+
+impl Deployment {
+    /// Starts one engine, one service replica and one entry host, and waits until it can serve.
+    pub(crate) async fn start() -> Self {
+        let fleet = Fleet::start(&FleetSettings::small(1, 1).unwrap()).await.unwrap();
+        put_document(fleet.store.address()).await;
+        let folder = TempFolder::new().unwrap();
+        let (callers, operators) = (free_port(), free_port());
+        let child = start_host(&fleet, &folder, callers, operators);
+        let this = Self { fleet, callers, operators, child, folder };
+        let ready = || async { this.operator("/readyz").await.is_some_and(|a| a.status.is_success()) };
+        until("the host can serve", ready).await;
+        this
+    }
+
+    /// Asks the operators' address.
+    pub(crate) async fn operator(&self, path: &str) -> Option<Answer> {
+        Call::get(self.operators, path).send().await.ok()
+    }
+
+    /// Returns what the process believes.
+    pub(crate) async fn state(&self) -> Value {
+        self.operator("/debug/state").await.unwrap().json().unwrap()
+    }
+
+    /// Returns what the process has logged and said.
+    pub(crate) fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.path().join("host.log")).unwrap()
+    }
+
+    /// Asks the process to end.
+    pub(crate) async fn terminate(&self) {
+        let pid = self.child.id().unwrap().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().await.unwrap().success());
+    }
+
+    pub(crate) async fn ended(&mut self) -> ExitStatus {
+        timeout(LIMIT, self.child.wait()).await.unwrap().unwrap()
+    }
+}
+
+fn start_host(fleet: &Fleet, folder: &TempFolder, callers: SocketAddr, operators: SocketAddr) -> Child {
+    let settings = json!({
+        "host": "entry-1",
+        "data_centre": "bern-a",
+        "caller_address": callers,
+        "peer_address": "127.0.0.1:0",
+        "operator_address": operators,
+        "store": { "endpoints": [format!("http://{}", fleet.store.address())] },
+        "hosts": { "url": format!("http://{}/hosts", fleet.hosts.address()) },
+        "limits": { "body_bytes": BODY_LIMIT, "head_timeout_ms": 500, "body_timeout_ms": 500 },
+        "timings": short_timings(),
+    });
+    let file = folder.path().join("host.jsonc");
+    std::fs::write(&file, settings.to_string()).unwrap();
+    let log = std::fs::File::create(folder.path().join("host.log")).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_skylarkshore"))
+        .arg(&file)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone().unwrap())
+        .stderr(log)
+        .kill_on_drop(true)
+        .spawn()
+        .unwrap()
+}
+
+fn free_port() -> SocketAddr {
+    std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap().local_addr().unwrap()
+}
+
+async fn put_document(store: SocketAddr) {
+    let document = DocumentWire::parse(DOCUMENT).unwrap();
+    let record = Record::try_from(document).unwrap();
+    let writer = Writer { host: "operator".parse().unwrap(), incarnation: Incarnation(1), call: CallId(1) };
+    let put = PutRequest {
+        key: Bytes64::from(KeyText::from(&Key::Document).as_str()),
+        value: Bytes64(StoredValue { writer, record }.to_json().into_bytes()),
+        lease: Int64(0),
+    };
+    let txn = TxnRequest { success: vec![RequestOp::Put(put)], ..TxnRequest::default() };
+    let body = serde_json::to_vec(&txn).unwrap();
+    assert!(Call::post(store, TXN_PATH, body).send().await.unwrap().status.is_success());
+}
+
+/// Waits until something holds.
+pub(crate) async fn until<F: Future<Output = bool>>(what: &str, mut holds: impl FnMut() -> F) {
+    let deadline = Instant::now() + LIMIT;
+    while !holds().await {
+        assert!(Instant::now() < deadline, "not in time: {what}");
+        sleep(LOOK_EVERY).await;
+    }
+}
+
+/// The body of a request to a model.
+pub(crate) fn prompt(model: &str, prompt: &str, tokens: u32, stream: bool) -> String {
+    json!({"model": model, "prompt": prompt, "max_tokens": tokens, "stream": stream}).to_string()
+}
--- /dev/null
+++ b/crates/skylarkshore/tests/process/main.rs
@@ -0,0 +1,7 @@
+//! One entry host as a process, with stand-ins for the platform and the upstreams.
+
+mod bad_requests;
+mod deployment;
+mod leaving;
+mod operators;
+mod streams;
--- /dev/null
+++ b/crates/skylarkshore/tests/process/streams.rs
@@ -0,0 +1,84 @@
+//! Answers that are passed on as they come.
+
+use serde_json::Value;
+use skylarkshore_standins::client::Call;
+use skylarkshore_standins::engine::{EngineFaults, expected_text};
+use skylarkshore_standins::service::ServiceFaults;
+
+use crate::deployment::{Deployment, prompt, until};
+
+const COMPLETIONS: &str = "/v1/completions";
+const MODEL: &str = "listing-summary";
+
+fn text_of(events: &str) -> String {
+    let data = events.lines().filter_map(|line| line.strip_prefix("data: "));
+    let chunks = data.filter_map(|data| serde_json::from_str::<Value>(data).ok());
+    chunks.map(|chunk| chunk["choices"][0]["text"].as_str().unwrap_or_default().to_owned()).collect()
+}
+
+/// A browsing tenant closes the page while a summary is being written. Its
+/// tokens would be generated for nobody, on an accelerator that others wait for.
+#[tokio::test]
+async fn a_caller_that_goes_away_stops_the_work_at_the_engine() {
+    let deployment = Deployment::start().await;
+    let engine = &deployment.fleet.engines[0];
+    engine.set_faults(EngineFaults { slow_tokens_ms: 100, ..EngineFaults::default() });
+    let body = prompt(MODEL, "a long story", 100_000, true);
+    let mut stream = Call::post(deployment.callers, COMPLETIONS, body).stream().await.unwrap();
+    stream.next().await.unwrap().unwrap();
+    until("the engine runs the request", || async { engine.report().running == 1 }).await;
+    drop(stream);
+    until("the engine runs nothing", || async { engine.report().running == 0 }).await;
+}
+
+/// The caller of a cold model gives up before the model is loaded. The request
+/// must not wait on and be run for nobody once the load is done.
+#[tokio::test]
+async fn a_caller_that_goes_away_while_it_waits_is_forgotten() {
+    let deployment = Deployment::start().await;
+    let body = prompt("slow-to-load", "hello", 1, false);
+    let call = Call::post(deployment.callers, COMPLETIONS, body).header("x-request-timeout-ms", "3000000");
+    let waiting = tokio::spawn(call.send());
+    let requests = || async {
+        let state = deployment.state().await;
+        state["beliefs"].as_array().unwrap().iter().filter(|belief| belief["kind"] == "request").count()
+    };
+    until("the request waits", || async { requests().await == 1 }).await;
+    waiting.abort();
+    until("the request is forgotten", || async { requests().await == 0 }).await;
+}
+
+/// The only engine dies in the middle of a stream. The caller gets either the
+/// whole text, resumed where it broke off, or an error event and no end marker;
+/// never a short text that looks complete.
+#[tokio::test]
+async fn a_stream_whose_engine_dies_is_resumed_or_broken_off_visibly() {
+    let deployment = Deployment::start().await;
+    let engine = &deployment.fleet.engines[0];
+    engine.set_faults(EngineFaults { slow_tokens_ms: 20, ..EngineFaults::default() });
+    let body = prompt(MODEL, "a story", 50, true);
+    let mut stream = Call::post(deployment.callers, COMPLETIONS, body).stream().await.unwrap();
+    let mut events = stream.next().await.unwrap().unwrap().to_vec();
+    engine.crash();
+    events.extend_from_slice(&stream.rest().await.unwrap().body);
+    let events = String::from_utf8(events).unwrap();
+    if events.contains("data: [DONE]") {
+        assert_eq!(text_of(&events), expected_text(MODEL, "a story", 50));
+    } else {
+        assert!(events.contains("event: error\ndata: {\"outcome\":\""), "{events}");
+    }
+}
+
+/// A service's answer is cut short by its replica. What comes after the cut is
+/// missing, and the caller has to notice that.
+#[tokio::test]
+async fn a_short_answer_of_a_service_is_never_passed_off_as_whole() {
+    let deployment = Deployment::start().await;
+    let replica = &deployment.fleet.services[0];
+    replica.set_faults(ServiceFaults { cut_answers: 10, ..ServiceFaults::default() });
+    let path = "/services/marketplace/availability/hall-7";
+    match Call::get(deployment.callers, path).send().await {
+        Ok(answer) => assert!(answer.status.is_server_error(), "{}", answer.text()),
+        Err(broken) => assert!(broken.to_string().contains("broke"), "{broken}"),
+    }
+}
