--- a/crates/skylarkctl/src/cli.rs
+++ b/crates/skylarkctl/src/cli.rs
@@ -16,11 +16,11 @@
        skylarkctl rules explain MODEL --host ADDR
        skylarkctl state HOST
        skylarkctl drain HOST
-       skylarkctl entry HOST
+       skylarkctl entry CALLER_ADDR
 
 Changes the rules and asks running skylarkshore processes what they do.
 HOST and the ADDR of --host are a process's operator address, such as
-10.0.0.1:8082. Exit codes: 1 failure, 2 wrong command line, 3 another
+10.0.0.1:8082; CALLER_ADDR is where callers reach it. Exit codes: 1 failure, 2 wrong command line, 3 another
 operator has changed the rules in the meantime.";
 
 /// What the command line asks for.
@@ -82,7 +82,7 @@
     },
     /// List the entry hosts that a process names to callers.
     Entry {
-        /// The process's operator address.
+        /// Where callers reach the process.
         host: SocketAddr,
     },
 }
--- a/crates/skylarkctl/src/host.rs
+++ b/crates/skylarkctl/src/host.rs
@@ -9,7 +9,7 @@
 
 const STATE_PATH: &str = "/debug/state";
 const EXPLAIN_PATH: &str = "/debug/explain";
-const DRAIN_PATH: &str = "/admin/drain";
+const DRAIN_PATH: &str = "/debug/drain";
 const ENTRY_PATH: &str = "/v1/entry";
 
 pub(crate) async fn state(host: SocketAddr) -> Result<String, Error> {
--- a/crates/skylarkshore-standins/examples/quickstart/deployment.rs
+++ b/crates/skylarkshore-standins/examples/quickstart/deployment.rs
@@ -46,12 +46,15 @@
             entries.push(EntryHost::start(&programs, settings, folder.path())?);
         }
         for entry in &mut entries {
-            entry.wait_ready(START_LIMIT).await?;
+            entry.wait_alive(START_LIMIT).await?;
             let settings = &entry.settings;
             println!("  {} in {}: callers {}", settings.host, settings.data_centre, settings.caller_address);
         }
         println!("applying the rules with skylarkctl ...");
         apply_rules(&programs, &folder, platform.store).await?;
+        for entry in &mut entries {
+            entry.wait_ready(START_LIMIT).await?;
+        }
         println!("ready after {} ms\n", begun.elapsed().as_millis());
         Ok(Self { platform, entries, _folder: folder })
     }
@@ -78,7 +81,7 @@
     std::fs::write(&file, RULES)?;
     let (store, file) = (store.to_string(), file.display().to_string());
     let output = skylarkctl(programs, &["--store", &store, "rules", "apply", &file]).await?;
-    for line in String::from_utf8_lossy(&output.stdout).lines() {
+    if let Some(line) = String::from_utf8_lossy(&output.stdout).lines().next() {
         println!("  {line}");
     }
     if output.status.success() {
--- a/crates/skylarkshore-standins/src/process.rs
+++ b/crates/skylarkshore-standins/src/process.rs
@@ -209,15 +209,28 @@
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 
-    /// Waits until it says that it is ready.
+    /// Waits until it answers; it may still lack the rules.
+    ///
+    /// # Errors
+    ///
+    /// It ended, or doesn't answer within `limit`; the error holds its log.
+    pub async fn wait_alive(&mut self, limit: Duration) -> io::Result<()> {
+        self.wait_ok("/healthz", limit).await
+    }
+
+    /// Waits until it says that it is ready, for which it needs the rules.
     ///
     /// # Errors
     ///
     /// It ended, or isn't ready within `limit`; the error holds its log.
     pub async fn wait_ready(&mut self, limit: Duration) -> io::Result<()> {
+        self.wait_ok("/readyz", limit).await
+    }
+
+    async fn wait_ok(&mut self, path: &str, limit: Duration) -> io::Result<()> {
         let deadline = Instant::now() + limit;
         loop {
-            let answer = Call::get(self.operator_address(), "/readyz").send().await;
+            let answer = Call::get(self.operator_address(), path).send().await;
             if answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
                 return Ok(());
             }
