--- a/crates/skylarkshore-standins/examples/quickstart/deployment.rs
+++ b/crates/skylarkshore-standins/examples/quickstart/deployment.rs
@@ -30,7 +30,7 @@
         let programs = Programs::beside_this().map_err(io::Error::other)?;
         if programs.are_outdated().map_err(io::Error::other)? {
             println!("building skylarkshore and skylarkctl; the first time takes a minute or two ...");
-            programs.build().map_err(io::Error::other)?;
+            programs.build().await.map_err(io::Error::other)?;
         }
         let begun = Instant::now();
         println!("starting the stand-ins for the platform and the upstreams ...");
--- a/crates/skylarkshore-standins/src/programs.rs
+++ b/crates/skylarkshore-standins/src/programs.rs
@@ -3,10 +3,10 @@
 use std::ffi::OsStr;
 use std::io;
 use std::path::{Path, PathBuf};
-use std::process::Command;
 use std::time::SystemTime;
 
 use derive_more::{Display, Error, From};
+use tokio::process::Command;
 
 /// The packages whose sources the programs are made of.
 const PACKAGES: [&str; 4] = ["skylarkshore-core", "skylarkshore-wire", "skylarkshore", "skylarkctl"];
@@ -69,7 +69,7 @@
     /// # Errors
     ///
     /// Cargo is missing or failed.
-    pub fn build(&self) -> Result<(), ProgramsError> {
+    pub async fn build(&self) -> Result<(), ProgramsError> {
         let folder = self.skylarkshore.parent().ok_or(ProgramsError::NotUnderCargo)?;
         let target = folder.parent().ok_or(ProgramsError::NotUnderCargo)?;
         let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
@@ -79,7 +79,9 @@
         if folder.file_name() == Some(OsStr::new("release")) {
             command.arg("--release");
         }
-        if command.status()?.success() { Ok(()) } else { Err(ProgramsError::Build) }
+        // Interrupting the wait has to end cargo as well.
+        let status = command.kill_on_drop(true).status().await?;
+        if status.success() { Ok(()) } else { Err(ProgramsError::Build) }
     }
 }
 
