--- a/crates/skylarkshore-core/src/serving/report.rs
+++ b/crates/skylarkshore-core/src/serving/report.rs
@@ -22,11 +22,11 @@
             since: None,
         });
         let suspects = self.suspects.digests().map(|digest| {
-            let belief = match self.suspects.standing(digest) {
+            let state = match self.suspects.standing(digest) {
                 Standing::Convicted => "crashes upstreams and is refused",
                 Standing::Suspect | Standing::Free => "was in progress when an upstream died and runs alone",
             };
-            Belief { kind: "suspect", subject: digest.to_string(), state: belief.to_owned(), since: None }
+            Belief { kind: "suspect", subject: digest.to_string(), state: state.to_owned(), since: None }
         });
         requests.chain(routes).chain(suspects).collect()
     }
