--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -15,6 +15,15 @@
 
 /// How long a caller waits for its answer to be recorded.
 const RECORD_PATIENCE: Duration = Duration::from_millis(300);
+/// What another try costs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cost {
+    /// Nothing: the upstream only asked to wait.
+    Free,
+    /// A retry out of the budget.
+    Retry,
+}
+
 /// When to come back after every try failed.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -78,7 +87,7 @@
             cx.tell(&owner, PeerMessage::UpstreamUnreachable { upstream: upstream.clone() });
         }
         self.fail_once(cx, id, upstream);
-        self.retry(cx, id);
+        self.retry(cx, id, Cost::Retry);
     }
 
     fn on_rejected(&mut self, cx: &mut Cx<'_>, id: RequestId, upstream: &UpstreamId, rejection: Rejection) {
@@ -97,6 +106,7 @@
             (Rejection::Busy, _) => {
                 self.routes.note_trouble(cx, upstream);
                 self.end_run(cx, id, upstream);
+                return self.retry(cx, id, Cost::Free);
             }
             (Rejection::Leaving, _) => {
                 if self.routes.note_leaving(cx.now, upstream) {
@@ -105,12 +115,15 @@
                 self.fail_once(cx, id, upstream);
             }
         }
-        self.retry(cx, id);
+        self.retry(cx, id, Cost::Retry);
     }
 
     fn on_lost(&mut self, cx: &mut Cx<'_>, id: RequestId, run: &Run, passed_on: bool, died: bool) {
         let others = if died { self.digests_at(&run.upstream) } else { Vec::new() };
-        self.routes.note_trouble(cx, &run.upstream);
+        let out_of_time = self.requests.get(&id).is_some_and(|r| r.arrival.deadline.is_due(cx.now));
+        if died || !out_of_time {
+            self.routes.note_trouble(cx, &run.upstream);
+        }
         self.fail_once(cx, id, &run.upstream);
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.passed_on |= passed_on;
@@ -145,22 +158,23 @@
             let reason = RefusalReason::CrashesUpstreams;
             return self.advance(cx, id, Step::Refuse { reason, retry_after: None });
         }
-        self.retry(cx, id);
+        self.retry(cx, id, Cost::Retry);
     }
 
     /// Queues a request again whose attempt ended without an answer, or refuses it.
-    fn retry(&mut self, cx: &mut Cx<'_>, id: RequestId) {
+    fn retry(&mut self, cx: &mut Cx<'_>, id: RequestId, cost: Cost) {
         let Some(request) = self.requests.get(&id) else { return };
-        if request.caller == Caller::Waiting && request.arrival.deadline.is_due(cx.now) {
-            return self.refuse_late(cx, id);
-        }
         let lost = request.past != Past::Clean;
-        let failed = request.failures > 0;
+        if request.arrival.deadline.is_due(cx.now) {
+            let reason =
+                if lost { RefusalReason::DeadlinePassedRunning } else { RefusalReason::DeadlinePassed };
+            return self.advance(cx, id, Step::Refuse { reason, retry_after: None });
+        }
         let may = request.caller == Caller::Waiting
             && request.may_be_sent()
             && (!request.passed_on || request.can_resume())
             && request.failures < cx.cfg.limits.attempts
-            && (!failed || self.budget.spend(cx.now));
+            && (cost == Cost::Free || self.budget.spend(cx.now));
         if may {
             self.tally.retries += 1;
             return self.wait(cx, id);
