--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -264,14 +264,18 @@
     if engine.report().is_none() {
         return;
     }
+    let is_review_due = engine.next_review.is_due(cx.now);
+    if is_review_due {
+        engine.next_review = cx.now.after(REVIEW_EVERY);
+        wants::review_kept(cx, engine, beside);
+    }
     let wants = wants::collect(cx, engine, beside);
     engine.lacks = wants::lacking_power(engine, beside, &wants);
     let Some(permit) = beside.authority.permit(cx.now, &engine.id) else {
         engine.planned.clear();
         return;
     };
-    if engine.next_review.is_due(cx.now) {
-        engine.next_review = cx.now.after(REVIEW_EVERY);
+    if is_review_due {
         close::review_idle(cx, engine, beside, &wants);
         wants::review_ahead(cx, engine, beside);
     }
--- a/crates/skylarkshore-core/src/loading/close.rs
+++ b/crates/skylarkshore-core/src/loading/close.rs
@@ -219,7 +219,7 @@
         let outcome = wants::rule(cx, engine, beside, &seen.model);
         let order = outcome.order;
         let waiting = beside.demand.of_model(&seen.model);
-        let kept = wants::is_kept(cx, engine, beside, &seen.model);
+        let kept = engine.kept.contains(&seen.model);
         let is_weaker = match waiting {
             _ if want.cause == Cause::Ahead => false,
             Some(need) => want.waiting > 0 && want.order < need.order,
--- a/crates/skylarkshore-core/src/loading/demand.rs
+++ b/crates/skylarkshore-core/src/loading/demand.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::catalogue::ModelTarget;
-use crate::collections::OrderedMap;
+use crate::collections::{OrderedMap, OrderedSet};
 use crate::config::Timings;
 use crate::id::{AdapterName, HostId, ModelName};
 use crate::rules::ServiceOrder;
@@ -124,6 +124,12 @@
         sum(targets.flat_map(|(_, routers)| routers.values()))
     }
 
+    /// Returns the models that requests wait for.
+    pub(crate) fn models(&self) -> OrderedSet<ModelName> {
+        let waiting = self.waiting.iter().filter(|(_, routers)| !routers.is_empty());
+        waiting.map(|(target, _)| target.model.clone()).collect()
+    }
+
     /// Returns the adapters of a model that requests wait for.
     pub(crate) fn adapters(&self, model: &ModelName) -> Vec<AdapterName> {
         let first = ModelTarget { model: model.clone(), adapter: None };
--- a/crates/skylarkshore-core/src/loading/engine.rs
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -153,6 +153,8 @@
     pub expected: OrderedSet<ModelName>,
     /// Idle models that the policy would rather unload.
     pub unneeded: OrderedSet<ModelName>,
+    /// Models that the rules keep loaded here.
+    pub kept: OrderedSet<ModelName>,
     /// Models that are better loaded ahead of their next request.
     pub expected_soon: OrderedSet<ModelName>,
     /// Models that were loaded ahead, with the last use before that.
@@ -199,6 +201,7 @@
             lacks: None,
             expected: OrderedSet::new(),
             unneeded: OrderedSet::new(),
+            kept: OrderedSet::new(),
             expected_soon: OrderedSet::new(),
             prewarmed: OrderedMap::new(),
             next_review: now,
--- a/crates/skylarkshore-core/src/loading/views.rs
+++ b/crates/skylarkshore-core/src/loading/views.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::collections::OrderedSet;
+use crate::collections::{OrderedMap, OrderedSet};
 use crate::cx::Cx;
 use crate::id::{HostId, ModelName};
 use crate::loading::demand::Demand;
@@ -21,6 +21,8 @@
     last: Option<EngineView>,
     at: Time,
     number: u64,
+    /// The routers that know the last account, and since when.
+    to: OrderedMap<HostId, Time>,
 }
 
 /// Tells every router that is interested in one of the engine's models what has changed.
@@ -44,17 +46,26 @@
     let hosts: OrderedSet<HostId> = models.iter().flat_map(|m| demand.listeners(m)).cloned().collect();
     let view = remember(cx.now, engine, view);
     for host in hosts {
+        engine.told.to.insert(host.clone(), cx.now);
         cx.tell(&host, PeerMessage::View(view.clone()));
     }
 }
 
-/// Tells one router how an engine stands.
+/// Tells one router how an engine stands, unless it was just told the same.
+///
+/// A router may ask again at once when it hears of an engine that doesn't help
+/// it; both would then go on as fast as their messages travel.
 pub(crate) fn tell_one(cx: &mut Cx<'_>, engine: &mut Engine, host: &HostId) {
     if engine.seen.is_none() {
         return;
     }
     let view = make(cx, engine);
     let view = remember(cx.now, engine, view);
+    let again = cx.cfg.timings.wanted_every / 2;
+    if engine.told.to.get(host).is_some_and(|told| !told.after(again).is_due(cx.now)) {
+        return;
+    }
+    engine.told.to.insert(host.clone(), cx.now);
     cx.tell(host, PeerMessage::View(view));
 }
 
@@ -62,6 +73,7 @@
     if engine.told.last.as_ref().is_none_or(|last| !is_same(last, &view, true)) {
         engine.told.number += 1;
         engine.told.at = now;
+        engine.told.to.clear();
     }
     view.version = ViewVersion { fence: engine.fence, number: engine.told.number };
     engine.told.last = Some(view.clone());
--- a/crates/skylarkshore-core/src/loading/wants.rs
+++ b/crates/skylarkshore-core/src/loading/wants.rs
@@ -58,42 +58,44 @@
 
 /// Lists the models that ought to be loaded on an engine, the most urgent first.
 pub(crate) fn collect(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>) -> Vec<Want> {
-    let mut wants = Vec::new();
-    for (model, homes) in cx.cache.all_homes() {
-        if !homes.engines.contains(&engine.id) || !cx.document.catalogue.models.contains_key(model) {
-            continue;
-        }
-        if !beside.authority.is_home(&engine.id, model) {
-            continue;
-        }
-        if let Some(want) = want(cx, engine, beside, model, homes) {
-            wants.push(want);
-        }
-    }
+    let mut models = beside.demand.models();
+    models.extend(engine.kept.iter().cloned());
+    models.extend(engine.expected_soon.iter().cloned());
+    let mut wants: Vec<Want> =
+        models.into_iter().filter_map(|model| want(cx, engine, beside, model)).collect();
     wants.sort_by_key(Want::rank);
     wants
 }
 
-fn want(
-    cx: &Cx<'_>,
-    engine: &Engine,
-    beside: &Beside<'_>,
-    model: &ModelName,
-    homes: &HomesRecord,
-) -> Option<Want> {
-    let outcome = rule(cx, engine, beside, model);
-    if let Some(need) = beside.demand.of_model(model)
-        && beside.own.place(&engine.id, model, homes) < replicas_needed(engine, &need, outcome)
+fn want(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, model: ModelName) -> Option<Want> {
+    let (_, homes) = cx.cache.homes(&model)?;
+    let is_listed = cx.document.catalogue.models.contains_key(&model);
+    if !is_listed || !homes.engines.contains(&engine.id) || !beside.authority.is_home(&engine.id, &model) {
+        return None;
+    }
+    let outcome = rule(cx, engine, beside, &model);
+    if let Some(need) = beside.demand.of_model(&model)
+        && beside.own.place(&engine.id, &model, homes) < replicas_needed(engine, &need, outcome)
     {
         let Need { order, deadline, waiting } = need;
-        return Some(Want { cause: Cause::Waiting, model: model.clone(), order, deadline, waiting });
-    }
-    let unasked =
-        |cause, order| Want { cause, model: model.clone(), order, deadline: Time::NEVER, waiting: 0 };
-    if place(cx, engine, homes)? < outcome.replicas_min {
-        return Some(unasked(Cause::Kept, outcome.order));
+        return Some(Want { cause: Cause::Waiting, model, order, deadline, waiting });
     }
-    engine.expected_soon.contains(model).then(|| unasked(Cause::Ahead, LAST))
+    let (cause, order) = match engine.kept.contains(&model) {
+        true => (Cause::Kept, outcome.order),
+        false if engine.expected_soon.contains(&model) => (Cause::Ahead, LAST),
+        false => return None,
+    };
+    Some(Want { cause, model, order, deadline: Time::NEVER, waiting: 0 })
+}
+
+/// Works out which models the rules keep loaded on the engine, requests or not.
+pub(crate) fn review_kept(cx: &Cx<'_>, engine: &mut Engine, beside: &Beside<'_>) {
+    let homes = cx.cache.all_homes().filter(|(_, homes)| homes.engines.contains(&engine.id));
+    let kept = homes.filter(|(model, homes)| {
+        let least = rule(cx, engine, beside, model).replicas_min;
+        least > 0 && place(cx, engine, homes).is_some_and(|place| place < least)
+    });
+    engine.kept = kept.map(|(model, _)| model.clone()).collect();
 }
 
 /// Works out which models are better loaded ahead of their next request.
@@ -121,12 +123,6 @@
     engine.expected_soon = expected;
 }
 
-/// Tells whether the rules keep a model loaded on an engine, requests or not.
-pub(crate) fn is_kept(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, model: &ModelName) -> bool {
-    let Some((_, homes)) = cx.cache.homes(model) else { return false };
-    place(cx, engine, homes).is_some_and(|place| place < rule(cx, engine, beside, model).replicas_min)
-}
-
 /// Returns an engine's place among the homes that can load at all.
 fn place(cx: &Cx<'_>, engine: &Engine, homes: &HomesRecord) -> Option<u32> {
     let usable = homes.engines.iter().filter(|home| {
