Keep the control part's work small when many processes start or nothing happens

A trial with 200 to 350 processes in one harness showed what would break first: at a common start every process took itself for its data centre's watcher and passed every change on (the trial took 12 GB before it was stopped), the first one took most engines and handed them over two by two for minutes, and the watcher's choice was worked out twenty times a second. A watch now passes changes on after its first second, new engines wait until the members have been the same for 1.5 s, hand-overs go faster the more uneven the shares are, and reviews come once a second unless something changed or is lacking.

--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -40,9 +40,11 @@
 use crate::units::Watts;
 
 /// How often everything is looked at again.
-const REVIEW_EVERY: Duration = Duration::from_millis(500);
+const REVIEW_EVERY: Duration = Duration::from_secs(1);
 /// How soon it is looked at again after a change.
 const REVIEW_SOON: Duration = Duration::from_millis(100);
+/// How often it is looked at again while an engine lacks power or a model a home.
+const REVIEW_PRESSING: Duration = Duration::from_millis(250);
 
 /// Membership, ownership, homes and power of one process.
 #[derive(Debug)]
@@ -57,6 +59,9 @@
     power: Power,
     /// The live members that may own something and keep it.
     lasting: Vec<HostId>,
+    members_changed: bool,
+    /// When the live members last changed.
+    lasting_since: Time,
     last_review: Time,
     /// Whether something has changed since the last review.
     stirred: bool,
@@ -75,6 +80,8 @@
             homes: Homes::default(),
             power: Power::default(),
             lasting: Vec::new(),
+            members_changed: true,
+            lasting_since: Time::START,
             last_review: Time::START,
             stirred: false,
         }
@@ -90,19 +97,25 @@
     pub fn on_tick(&mut self, cx: &mut Cx<'_>, engines: &dyn EngineUse) {
         self.membership.on_tick(cx);
         self.peers.on_tick(cx, &self.membership, &self.feed);
-        if !self.membership.is_gone() {
-            self.feed.on_tick(cx, &self.peers, &self.lasting);
-        }
-        let every = if self.stirred { REVIEW_SOON } else { REVIEW_EVERY };
-        if self.last_review.after(every).is_due(cx.now) {
+        self.feed.on_tick(cx);
+        if self.last_review.after(self.review_every(engines)).is_due(cx.now) {
             self.review(cx, engines);
         }
     }
 
+    fn review_every(&self, engines: &dyn EngineUse) -> Duration {
+        if self.stirred {
+            return REVIEW_SOON;
+        }
+        let lacking = self.ownership.holdings().keys().any(|engine| engines.lacks(engine).is_some());
+        let pressing = lacking || !engines.home_wishes().is_empty();
+        if pressing { REVIEW_PRESSING } else { REVIEW_EVERY }
+    }
+
     /// Begins to leave.
-    pub fn on_shutdown(&mut self, cx: &mut Cx<'_>) {
+    pub fn on_shutdown(&mut self, _cx: &mut Cx<'_>) {
         self.membership.leave();
-        self.stir(cx);
+        self.stir();
     }
 
     /// Ends the lease, now that nothing is in progress any more.
@@ -194,7 +207,7 @@
     /// Takes note that a process has ended for certain.
     pub fn on_peer_refused(&mut self, cx: &mut Cx<'_>, host: &HostId, incarnation: Incarnation) {
         self.peers.on_refused(cx, host, incarnation);
-        self.stir(cx);
+        self.stir();
     }
 
     /// Returns the changes of ownership since the last call.
@@ -221,18 +234,22 @@
             self.ownership.retire();
             self.feed.stop(cx);
         }
-        self.stir(cx);
+        self.stir();
     }
 
     /// Takes note of a change of who lives.
-    fn stir(&mut self, cx: &Cx<'_>) {
-        self.lasting = self.peers.lasting(cx, &self.membership);
+    const fn stir(&mut self) {
+        self.members_changed = true;
         self.stirred = true;
     }
 
     fn review(&mut self, cx: &mut Cx<'_>, engines: &dyn EngineUse) {
         self.stirred = false;
         self.last_review = cx.now;
+        self.review_members(cx);
+        if !self.membership.is_gone() {
+            self.feed.review(cx, &self.peers, &self.lasting);
+        }
         self.roster.review(cx, &named_engines(cx));
         let scene = Scene {
             membership: &self.membership,
@@ -240,6 +257,7 @@
             feed: &self.feed,
             roster: &self.roster,
             lasting: &self.lasting,
+            lasting_since: self.lasting_since,
         };
         self.ownership.review(cx, &scene, engines);
         self.homes.review(cx, &scene, &self.ownership, engines);
@@ -249,6 +267,17 @@
         }
     }
 
+    fn review_members(&mut self, cx: &Cx<'_>) {
+        if !std::mem::take(&mut self.members_changed) {
+            return;
+        }
+        let lasting = self.peers.lasting(cx, &self.membership);
+        if lasting != self.lasting {
+            self.lasting = lasting;
+            self.lasting_since = cx.now;
+        }
+    }
+
     /// Tells whether the shared keys are known as of when the engine was acquired.
     fn knows_engine(&self, acquired: StoreRevision) -> bool {
         self.feed.is_synced() && self.feed.frontier() >= acquired
--- a/crates/skylarkshore-core/src/control/feed.rs
+++ b/crates/skylarkshore-core/src/control/feed.rs
@@ -19,6 +19,12 @@
 /// How much longer than the one before it each process of a data centre waits before it watches
 /// in place of a silent one.
 const STAND_IN_STEP: Duration = Duration::from_millis(1500);
+/// How long a process has watched before it passes changes on.
+///
+/// When a whole data centre starts, each process takes itself for the watcher
+/// until it has heard of the others. If all passed on what they see, the
+/// messages would grow with the cube of the hosts.
+const SETTLED_AFTER: Duration = Duration::from_secs(1);
 /// How often at most a peer is asked for what was missed.
 const ASK_EVERY: Duration = Duration::from_millis(300);
 /// How long a peer may lag behind before it is sent what it lacks unasked.
@@ -91,7 +97,7 @@
     }
 
     /// Does what is due.
-    pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>, peers: &Peers, lasting: &[HostId]) {
+    pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>) {
         if self.next_usual.is_due(cx.now) {
             self.usual = self.frontier;
             self.next_usual = cx.now.after(USUAL_LAG);
@@ -100,7 +106,6 @@
             self.reads.failed(cx);
         }
         self.read_when_due(cx);
-        self.watch_when_due(cx, peers, lasting);
     }
 
     /// Takes the result of a call if it is the read of the shared keys.
@@ -122,8 +127,9 @@
         let Some(watch) = &mut self.watch else { return };
         let after = watch.upto;
         watch.upto = watch.upto.max(upto);
+        let settled = watch.since.after(SETTLED_AFTER).is_due(cx.now);
         self.frontier = self.frontier.max(upto);
-        if changes.is_empty() {
+        if changes.is_empty() || !settled {
             return;
         }
         let message = PeerMessage::Records(RecordBatch { after: Some(after), upto, records: changes });
@@ -221,7 +227,8 @@
         cx.push(Effect::Store { call, request: StoreCall::ReadShared });
     }
 
-    fn watch_when_due(&mut self, cx: &mut Cx<'_>, peers: &Peers, lasting: &[HostId]) {
+    /// Begins or ends the watch.
+    pub(super) fn review(&mut self, cx: &mut Cx<'_>, peers: &Peers, lasting: &[HostId]) {
         let wanted = self.is_watcher(cx, peers, lasting);
         match self.watch {
             Some(_) if !wanted => self.stop(cx),
--- a/crates/skylarkshore-core/src/control/ownership.rs
+++ b/crates/skylarkshore-core/src/control/ownership.rs
@@ -23,10 +23,10 @@
 const DOUBT_REST: Duration = Duration::from_secs(1);
 /// How long a hand-over waits for orders in progress before it is called off.
 const SETTLE_WITHIN: Duration = Duration::from_secs(20);
-/// How many engines are handed over at a time.
-const HANDOVERS_AT_ONCE: usize = 2;
-/// How many engines a process that leaves hands over at a time.
-const HANDOVERS_WHEN_LEAVING: usize = 8;
+/// How many engines are handed over at a time when little is to be evened out.
+const FEWEST_HANDOVERS: usize = 2;
+/// How many engines are handed over at a time at most.
+const MOST_HANDOVERS: usize = 8;
 /// How long the engines' distribution is left alone after a hand-over.
 const HANDOVER_REST: Duration = Duration::from_secs(2);
 
@@ -310,12 +310,12 @@
 
     fn begin_handovers(&mut self, cx: &mut Cx<'_>, scene: &Scene<'_>) {
         let leaving = scene.membership.is_leaving();
-        let most = if leaving { HANDOVERS_WHEN_LEAVING } else { HANDOVERS_AT_ONCE };
+        let mut balance = Balance::new(cx.cache, scene.lasting);
+        let most = if leaving { MOST_HANDOVERS } else { handovers_at_once(balance.excess(&cx.cfg.host)) };
         let going = self.holdings.values().filter(|holding| !holding.is_held()).count();
         if going >= most || (!leaving && !self.next_handover.is_due(cx.now)) {
             return;
         }
-        let mut balance = Balance::new(cx.cache, scene.lasting);
         let candidates: Vec<UpstreamId> = self.holdings.keys().cloned().collect();
         let mut begun = 0;
         for engine in candidates {
@@ -418,6 +418,10 @@
     fence: Fence,
 }
 
+fn handovers_at_once(excess: usize) -> usize {
+    (excess / 4).clamp(FEWEST_HANDOVERS, MOST_HANDOVERS)
+}
+
 fn own_record(cx: &Cx<'_>, fence: Fence) -> OwnerRecord {
     OwnerRecord { host: cx.cfg.host.clone(), incarnation: cx.cfg.incarnation, fence }
 }
--- a/crates/skylarkshore-core/src/control/scene.rs
+++ b/crates/skylarkshore-core/src/control/scene.rs
@@ -6,6 +6,7 @@
 use super::roster::Roster;
 use crate::cx::Cx;
 use crate::id::HostId;
+use crate::time::Time;
 
 /// What the decisions on ownership, homes and power look at beside [`Cx`].
 #[derive(Clone, Copy, Debug)]
@@ -16,6 +17,8 @@
     pub(super) roster: &'a Roster,
     /// The live members that may own something and keep it.
     pub(super) lasting: &'a [HostId],
+    /// When they last changed.
+    pub(super) lasting_since: Time,
 }
 
 impl Scene<'_> {
--- a/crates/skylarkshore-core/src/control/shares.rs
+++ b/crates/skylarkshore-core/src/control/shares.rs
@@ -95,6 +95,11 @@
         self.least(own).filter(worthwhile)
     }
 
+    /// Returns how many engines a member owns beyond the mean.
+    pub(super) fn excess(&self, host: &HostId) -> usize {
+        self.count(host).saturating_sub(self.total.div_ceil(self.owned.len().max(1)))
+    }
+
     /// Counts an engine as moved.
     pub(super) fn move_one(&mut self, from: &HostId, to: &HostId) {
         if let Some(count) = self.owned.get_mut(from) {
--- a/crates/skylarkshore-core/src/control/vacancy.rs
+++ b/crates/skylarkshore-core/src/control/vacancy.rs
@@ -16,6 +16,13 @@
 const RETURN_GRACE: Duration = Duration::from_secs(15);
 /// How long the process that should take an engine is given before the next one tries.
 const NEXT_IN_RANK: Duration = Duration::from_secs(5);
+/// How long the members have to stay the same before new engines are shared out.
+///
+/// When all hosts start together, the first one sees no other. If it took every
+/// engine at once, they would have to be handed over one after the other.
+const QUIET_FOR: Duration = Duration::from_millis(1500);
+/// How long new engines wait at most for that.
+const QUIET_AT_LAST: Duration = Duration::from_secs(5);
 /// How often an uncertain member key is read.
 const READ_EVERY: Duration = Duration::from_secs(2);
 
@@ -105,6 +112,10 @@
     ) -> Option<Vacant> {
         let Some((revision, owner)) = cx.cache.owner(engine) else {
             let since = *self.unowned.entry(engine.clone()).or_insert(cx.now);
+            let quiet = scene.lasting_since.after(QUIET_FOR).min(since.after(QUIET_AT_LAST));
+            if !quiet.is_due(cx.now) {
+                return None;
+            }
             let vacant = Vacant { engine: engine.clone(), former: None };
             return is_own_turn(cx, scene, engine, share, since).then_some(vacant);
         };
