--- a/crates/skylarkshore-core/tests/serving_requests.rs
+++ b/crates/skylarkshore-core/tests/serving_requests.rs
@@ -5,7 +5,10 @@
 }
 
 mod serving {
+    mod crash;
     mod flow;
     mod once;
+    mod queue;
     mod random;
+    mod routing;
 }
