Choose engines by the mean of late load reports, and match prompts to caches

A router now counts its own requests exactly and the others' by a mean over about eight seconds, the first reports weighing alike. Engines may be 40% over their places for a request with a known beginning; a free place goes to one of the next sixteen waiting requests whose prompt the engine probably knows, the first being passed over eight times at most; on arrival a request is refused when one and a half times the estimated wait ends after its deadline. Tried and left out: trusting reports less (a mean over all engines: worse where engines differ), the better of two random ones (worse on every load), a gate on the latest report (holds requests back in turns).

--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -6,6 +6,7 @@
 mod budget;
 mod decide;
 mod lease;
+mod load;
 mod once;
 mod pace;
 mod queue;
--- a/crates/skylarkshore-core/src/serving/arrival.rs
+++ b/crates/skylarkshore-core/src/serving/arrival.rs
@@ -16,6 +16,11 @@
 use crate::serving::suspect::Standing;
 use crate::store::{OnceRecord, OnceState};
 
+/// How much longer than estimated a wait may be.
+///
+/// Requests that are let in up to the last moment are answered around their
+/// deadline, many of them just after it, and the work on those is lost.
+const ESTIMATE_MARGIN: f64 = 1.5;
 /// When to come back after the queue was full.
 const QUEUE_RETRY: Duration = Duration::from_secs(1);
 /// When to ask again for the answer of a request in progress.
@@ -138,7 +143,8 @@
             return None;
         }
         let wait = self.paces.estimate(target, ahead)?;
-        (cx.now.after(wait) > request.arrival.deadline).then_some(wait)
+        let at_worst = wait.mul_f64(ESTIMATE_MARGIN);
+        (cx.now.after(at_worst) > request.arrival.deadline).then_some(wait)
     }
 
     /// Queues a request that was let in before.
@@ -174,12 +180,30 @@
         while let Some(id) = self.queue.first(target) {
             let Some(request) = self.requests.get(&id) else { break };
             let Some(upstream) = self.routes.choose(cx, wish(request)) else { break };
+            let id = self.best_fit(cx, id, &upstream);
+            let Some(request) = self.requests.get(&id) else { break };
             self.queue.take(id, request);
             self.start(cx, id, upstream, Company::Others);
         }
         self.ask_for(cx, target);
     }
 
+    /// Finds among the next requests one whose prompt's beginning the free upstream probably knows.
+    fn best_fit(&self, cx: &Cx<'_>, first: RequestId, upstream: &UpstreamId) -> RequestId {
+        let Some(request) = self.requests.get(&first) else { return first };
+        if request.arrival.prefix.is_none() || self.prefers(cx, first, upstream) {
+            return first;
+        }
+        let others = self.queue.may_go_first(&request.arrival.target);
+        others.into_iter().find(|id| self.prefers(cx, *id, upstream)).unwrap_or(first)
+    }
+
+    fn prefers(&self, cx: &Cx<'_>, id: RequestId, upstream: &UpstreamId) -> bool {
+        let Some(request) = self.requests.get(&id) else { return false };
+        let untried = !request.tried.contains(upstream);
+        untried && self.routes.preferred(cx, wish(request)).as_ref() == Some(upstream)
+    }
+
     /// Sends a request, after its key is claimed if it may not be repeated.
     pub(super) fn start(&mut self, cx: &mut Cx<'_>, id: RequestId, upstream: UpstreamId, company: Company) {
         let Some(request) = self.requests.get_mut(&id) else { return };
--- a/crates/skylarkshore-core/src/serving/queue.rs
+++ b/crates/skylarkshore-core/src/serving/queue.rs
@@ -71,11 +71,19 @@
     }
 }
 
+/// How many requests are looked at for one that fits the free upstream best.
+const LOOK_AHEAD: usize = 16;
+/// How often the request whose turn it is may be passed over for one that fits better.
+const MOST_PASSED_OVER: u32 = 8;
+
 /// The waiting requests for one model, adapter or service.
 #[derive(Debug, Default)]
 struct Lane {
     classes: OrderedMap<ServiceOrder, Class>,
     members: OrderedSet<Urgency>,
+    deadlines: OrderedSet<Due>,
+    /// How often the request whose turn it is has been passed over.
+    passed_over: u32,
 }
 
 /// What waits for one target.
@@ -146,12 +154,30 @@
         let lane = self.lanes.entry(request.arrival.target.clone()).or_default();
         lane.classes.entry(urgency.order).or_default().push(caller, urgency.due);
         lane.members.insert(urgency);
+        lane.deadlines.insert(urgency.due);
         self.callers.entry(caller.clone()).or_default().insert(urgency);
         self.all.insert(urgency);
     }
 
+    /// Returns the requests that may go before the one whose turn it is, if they fit better.
+    ///
+    /// They have the same order of service, and it isn't passed over for ever.
+    pub(super) fn may_go_first(&self, target: &Target) -> Vec<RequestId> {
+        let Some(lane) = self.lanes.get(target) else { return Vec::new() };
+        let Some(first) = lane.members.first().filter(|_| lane.passed_over < MOST_PASSED_OVER) else {
+            return Vec::new();
+        };
+        let alike = lane.members.iter().take_while(|member| member.order == first.order);
+        alike.take(LOOK_AHEAD).map(|member| member.due.request).collect()
+    }
+
     /// Removes a request that gets its turn.
     pub(super) fn take(&mut self, id: RequestId, request: &Request) {
+        let target = &request.arrival.target;
+        let is_first = self.first(target) == Some(id);
+        if let Some(lane) = self.lanes.get_mut(target) {
+            lane.passed_over = if is_first { 0 } else { lane.passed_over + 1 };
+        }
         self.remove(id, request, Exit::Served);
     }
 
@@ -179,11 +205,11 @@
 
     /// Returns what waits for a target.
     pub(super) fn waiting(&self, target: &Target) -> Option<Waiting> {
-        let members = &self.lanes.get(target)?.members;
+        let lane = self.lanes.get(target)?;
         Some(Waiting {
-            count: u32::try_from(members.len()).unwrap_or(u32::MAX),
-            order: members.first()?.order,
-            patient_until: members.iter().map(|m| m.due.at).max()?,
+            count: u32::try_from(lane.members.len()).unwrap_or(u32::MAX),
+            order: lane.members.first()?.order,
+            patient_until: lane.deadlines.last()?.at,
         })
     }
 
@@ -208,6 +234,7 @@
         let target = &request.arrival.target;
         let Some(lane) = self.lanes.get_mut(target) else { return };
         lane.members.remove(&urgency);
+        lane.deadlines.remove(&urgency.due);
         if let Some(class) = lane.classes.get_mut(&urgency.order) {
             class.remove(caller, urgency.due, exit);
             if class.callers.is_empty() {
--- a/crates/skylarkshore-core/src/serving/routing.rs
+++ b/crates/skylarkshore-core/src/serving/routing.rs
@@ -11,6 +11,7 @@
 use crate::cx::Cx;
 use crate::event::Target;
 use crate::id::{Digest, ServiceName, UpstreamId};
+use crate::serving::load::Millis;
 use crate::serving::views::{News, Views};
 use crate::time::Time;
 use crate::upstream::{Standing, Upstream};
@@ -18,9 +19,15 @@
 
 /// How much fuller an upstream may be than the emptiest, in thousandths, to
 /// get a request whose prompt's beginning it probably has in its cache.
-const PREFIX_SLACK: u32 = 250;
+const PREFIX_SLACK: u64 = 400;
+/// How full an engine may be, in thousandths of what it runs at a time, to get
+/// a request with a prompt's beginning.
+///
+/// When every engine is full, a request that takes whichever place becomes free
+/// seldom finds its prompt in the cache, just when the time it saves is needed most.
+const CROWDED: u64 = 1400;
 /// What being in another data centre weighs, in thousandths of an upstream's load.
-const FAR: u32 = 60;
+const FAR: u64 = 60;
 /// How long an upstream stays out of use after it said that it was about to go.
 const LEAVING: Duration = Duration::from_mins(5);
 /// The first pause of an upstream that can't be reached or is busy.
@@ -47,8 +54,19 @@
 struct Candidate {
     upstream: UpstreamId,
     /// Its expected load in thousandths of what it takes, distance included.
-    cost: u32,
-    free: bool,
+    cost: u64,
+    room: Room,
+}
+
+/// How much room an upstream seems to have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Room {
+    /// Fewer requests than it runs at a time.
+    Free,
+    /// A few more than it runs at a time, so that another one waits inside it for a little.
+    Crowded,
+    /// No more may be sent.
+    Full,
 }
 
 /// What can be expected for a target.
@@ -177,7 +195,7 @@
     /// Chooses an upstream with room for a request.
     pub(super) fn choose(&self, cx: &mut Cx<'_>, wish: Wish<'_>) -> Option<UpstreamId> {
         let mut free: Vec<Candidate> = self.candidates(cx, wish.target);
-        free.retain(|c| c.free);
+        free.retain(|c| c.room == Room::Free || (c.room == Room::Crowded && wish.prefix.is_some()));
         if free.iter().any(|c| !wish.tried.contains(&c.upstream)) {
             free.retain(|c| !wish.tried.contains(&c.upstream));
         }
@@ -191,6 +209,13 @@
         free.get(chosen).map(|c| c.upstream.clone())
     }
 
+    /// Returns the upstream that most probably has a prompt's beginning in its cache, be it full or not.
+    pub(super) fn preferred(&self, cx: &Cx<'_>, wish: Wish<'_>) -> Option<UpstreamId> {
+        let prefix = wish.prefix?;
+        let candidates = self.candidates(cx, wish.target);
+        candidates.into_iter().map(|c| c.upstream).max_by_key(|upstream| affinity(prefix, upstream))
+    }
+
     /// Tells whether a request for a target may still be sent to an upstream.
     pub(super) fn fits(&self, cx: &Cx<'_>, target: &Target, upstream: &UpstreamId) -> bool {
         self.candidates(cx, target).iter().any(|c| c.upstream == *upstream)
@@ -262,16 +287,16 @@
             .filter(|known| self.usable(cx, &known.view.upstream))
             .filter(|known| !self.is_missing(&known.view.upstream, target))
             .map(|known| {
-                let own = self.in_flight(&known.view.upstream);
-                let load = own.saturating_add(known.others(cx.now));
-                candidate(cx, &known.view.upstream, load, known.view.concurrency)
+                let others = known.others.mean(cx.now);
+                self.candidate(cx, &known.view.upstream, others, known.view.concurrency)
             })
             .collect()
     }
 
     fn replica_candidates(&self, cx: &Cx<'_>, service: &ServiceName) -> Vec<Candidate> {
         let concurrency = cx.document.catalogue.services.get(service).map_or(0, |s| s.concurrency);
-        self.replicas(cx, service).map(|id| candidate(cx, id, self.in_flight(id), concurrency)).collect()
+        let others = Millis::default();
+        self.replicas(cx, service).map(|id| self.candidate(cx, id, others, concurrency)).collect()
     }
 
     fn replicas<'a>(
@@ -290,18 +315,26 @@
         live && !paused && !self.leaving.contains_key(upstream)
     }
 
+    fn candidate(&self, cx: &Cx<'_>, upstream: &UpstreamId, others: Millis, concurrency: u32) -> Candidate {
+        let near = cx.upstreams.get(upstream).is_some_and(|u| u.data_centre == cx.cfg.data_centre);
+        let distance = if near { 0 } else { FAR };
+        let own = self.in_flight(upstream);
+        let load = Millis::of(own).0 + others.0;
+        let share = load / u64::from(concurrency.max(1));
+        let room = match share {
+            _ if own >= concurrency => Room::Full,
+            0..1000 => Room::Free,
+            1000..CROWDED => Room::Crowded,
+            _ => Room::Full,
+        };
+        Candidate { upstream: upstream.clone(), cost: share + distance, room }
+    }
+
     fn is_missing(&self, upstream: &UpstreamId, target: &ModelTarget) -> bool {
         self.missing.contains_key(&Place { upstream: upstream.clone(), target: target.clone() })
     }
 }
 
-fn candidate(cx: &Cx<'_>, upstream: &UpstreamId, load: u32, concurrency: u32) -> Candidate {
-    let near = cx.upstreams.get(upstream).is_some_and(|u| u.data_centre == cx.cfg.data_centre);
-    let distance = if near { 0 } else { FAR };
-    let share = load.saturating_mul(1000) / concurrency.max(1);
-    Candidate { upstream: upstream.clone(), cost: share.saturating_add(distance), free: load < concurrency }
-}
-
 /// Ranks the upstreams for a prompt's beginning, the same at every process.
 fn affinity(prefix: Digest, upstream: &UpstreamId) -> u64 {
     FixedState::default().hash_one((prefix, upstream))
--- a/crates/skylarkshore-core/src/serving/views.rs
+++ b/crates/skylarkshore-core/src/serving/views.rs
@@ -5,19 +5,12 @@
 use crate::catalogue::ModelTarget;
 use crate::collections::OrderedMap;
 use crate::cx::Cx;
-use crate::id::UpstreamId;
+use crate::id::{ModelName, UpstreamId};
+use crate::serving::load::OthersLoad;
 use crate::time::Time;
 use crate::upstream::Upstream;
 use crate::view::{EngineView, ModelView, Readiness};
 
-/// How long an account's load figures count.
-///
-/// An owner that died leaves its last account behind. Were its figures believed
-/// for ever, a full engine would look full until another owner speaks, and
-/// requests would wait before an idle engine. The engine itself rejects what is
-/// too much.
-const LOAD_BELIEVED: Duration = Duration::from_secs(5);
-
 /// How long after its expected end a load is still counted on.
 ///
 /// An owner that dies in the middle of a load leaves an account behind that
@@ -32,7 +25,8 @@
     pub(super) view: EngineView,
     /// When it came.
     pub(super) taken: Time,
-    own_then: u32,
+    /// What other processes have in progress there.
+    pub(super) others: OthersLoad,
     /// Since when the engine has been reserved for the same host.
     reserved_since: Time,
 }
@@ -49,17 +43,6 @@
 }
 
 impl KnownView {
-    /// Returns how many requests of other processes the engine probably has.
-    ///
-    /// The account counts this process's own requests too; those of its time
-    /// are taken off, and the present ones are known exactly.
-    pub(super) fn others(&self, now: Time) -> u32 {
-        if self.taken.after(LOAD_BELIEVED).is_due(now) {
-            return 0;
-        }
-        self.view.running.saturating_sub(self.own_then)
-    }
-
     /// Tells whether the engine has been reserved for this host, and idle, for long enough.
     ///
     /// When the reservation begins, other routers haven't heard of it, and the
@@ -111,8 +94,13 @@
         let news = if version == Some(view.version) { News::Again } else { News::Newer };
         let same_holder = known.filter(|known| known.view.reserved_for == view.reserved_for);
         let reserved_since = same_holder.map_or(now, |known| known.reserved_since);
+        // The account counts this process's own requests too, which are known exactly.
+        let reported = view.running.saturating_sub(own);
+        let same_models = known.filter(|known| holds_the_same(&known.view, &view));
+        let others = same_models
+            .map_or_else(|| OthersLoad::new(now, reported), |known| known.others.with(now, reported));
         let upstream = view.upstream.clone();
-        self.known.insert(upstream, KnownView { view, taken: now, own_then: own, reserved_since });
+        self.known.insert(upstream, KnownView { view, taken: now, others, reserved_since });
         news
     }
 
@@ -152,3 +140,12 @@
         known.is_some_and(|known| known.view.models.iter().any(|m| m.model == target.model))
     }
 }
+
+/// Tells whether the same models can be used, so that earlier loads say something of present ones.
+fn holds_the_same(a: &EngineView, b: &EngineView) -> bool {
+    let usable = |view: &EngineView| -> Vec<ModelName> {
+        let ready = view.models.iter().filter(|m| m.readiness == Readiness::Ready);
+        ready.map(|m| m.model.clone()).collect()
+    };
+    usable(a) == usable(b)
+}
