--- a/crates/skylarkshore/src/metrics.rs
+++ b/crates/skylarkshore/src/metrics.rs
@@ -102,8 +102,8 @@
                 &["target", "end"],
             )?,
             in_progress: IntGauge::with_opts(opts(
-                "requests_in_progress",
-                "Requests that callers wait for.",
+                "caller_requests",
+                "Requests whose callers wait for the end of the answer.",
             ))?,
             duration: HistogramVec::new(
                 histogram("request_duration_seconds", "From a request's head to the end of its answer."),
