--- a/crates/skylarkshore-core/src/serving/once.rs
+++ b/crates/skylarkshore-core/src/serving/once.rs
@@ -1,15 +1,19 @@
 //! Requests that may run at most once, under the claims of their idempotency keys.
 
+mod calls;
+mod unsettled;
+
 use std::time::Duration;
 
 use crate::collections::OrderedMap;
 use crate::cx::Cx;
-use crate::effect::Effect;
 use crate::id::{CallId, Digest, LeaseId, RequestId, StoreRevision};
-use crate::serving::lease::{KEPT, OnceLease};
+use crate::serving::lease::OnceLease;
+use crate::serving::once::calls::{SETTLE, delete, is_own_claim, once_record, read};
+use crate::serving::once::unsettled::Unsettled;
 use crate::store::{
-    Expect, Key, OnceRecord, OnceState, Record, RecordedAnswer, StoreAnswer, StoreCall, StoreResult,
-    Versioned, WriteOutcome, WriteRequest,
+    Expect, Key, OnceRecord, OnceState, Record, RecordedAnswer, StoreAnswer, StoreResult, Versioned,
+    WriteOutcome, WriteRequest,
 };
 use crate::time::Time;
 
@@ -17,14 +21,9 @@
 const CLAIM_PATIENCE: Duration = Duration::from_secs(1);
 /// The same, while calls to the key-value service fail.
 const CLAIM_PATIENCE_FAILING: Duration = Duration::from_millis(200);
-/// How long recording an answer or giving a claim up is tried.
-const SETTLE: Duration = Duration::from_mins(1);
 /// The first pause before a claim in doubt is looked up.
 const FIRST_LOOK: Duration = Duration::from_millis(500);
 
-/// The most keys in doubt that are remembered.
-const MOST_UNSETTLED: usize = 65_536;
-
 /// How far a claim has come.
 #[derive(Debug)]
 enum Step {
@@ -94,32 +93,6 @@
     Released(RequestId),
 }
 
-/// The keys whose claims stay because a request may have run under them.
-///
-/// A claim of this process that turns up after it was given up is deleted, since
-/// nothing ran under it. Looking alike, a claim under which a request was lost
-/// must not be: the same booking would be made a second time.
-#[derive(Debug, Default)]
-struct Unsettled {
-    until: OrderedMap<Digest, Time>,
-    /// Whether there were too many of them to remember.
-    overflowed: bool,
-}
-
-impl Unsettled {
-    fn insert(&mut self, now: Time, key: Digest) {
-        if self.until.len() >= MOST_UNSETTLED {
-            self.overflowed = true;
-            return;
-        }
-        self.until.insert(key, now.after(KEPT));
-    }
-
-    fn may_contain(&self, key: Digest) -> bool {
-        self.overflowed || self.until.contains_key(&key)
-    }
-}
-
 /// How a key stands at this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Here {
@@ -240,7 +213,7 @@
 
     /// Does what is due.
     pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>) -> Vec<Learnt> {
-        self.unsettled.until.retain(|_, until| !until.is_due(cx.now));
+        self.unsettled.on_tick(cx.now);
         self.lease.on_tick(cx);
         self.write_waiting(cx);
         let mut late = Vec::new();
@@ -445,29 +418,3 @@
     let look_at = now.after(FIRST_LOOK);
     Step::Doubtful(Doubt { look_at, pause: FIRST_LOOK, until: now.after(SETTLE), call: None })
 }
-
-fn read(cx: &mut Cx<'_>, key: Digest) -> CallId {
-    let call = cx.next_call();
-    cx.push(Effect::Store { call, request: StoreCall::Read(Key::Once(key)) });
-    call
-}
-
-fn delete(cx: &mut Cx<'_>, key: Digest, revision: StoreRevision) {
-    cx.write(WriteRequest {
-        key: Key::Once(key),
-        expect: Expect::At(revision),
-        record: None,
-        lease: None,
-        deadline: cx.now.after(SETTLE),
-    });
-}
-
-fn once_record(cx: &Cx<'_>, request: Digest, state: OnceState) -> OnceRecord {
-    OnceRecord { request, host: cx.cfg.host.clone(), incarnation: cx.cfg.incarnation, state }
-}
-
-fn is_own_claim(cx: &Cx<'_>, record: &OnceRecord) -> bool {
-    record.state == OnceState::Claimed
-        && record.host == cx.cfg.host
-        && record.incarnation == cx.cfg.incarnation
-}
