--- a/crates/skylarkshore/tests/process/deployment.rs
+++ b/crates/skylarkshore/tests/process/deployment.rs
@@ -33,7 +33,7 @@
 }"#;
 
 /// Far longer than anything takes, so that a slow machine fails no test.
-pub(crate) const LIMIT: Duration = Duration::from_secs(60);
+pub(crate) const LIMIT: Duration = Duration::from_mins(1);
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 /// The largest body that the host under test takes, in bytes.
 pub(crate) const BODY_LIMIT: usize = 4096;
