--- a/crates/skylarkshore/src/passage.rs
+++ b/crates/skylarkshore/src/passage.rs
@@ -127,6 +127,9 @@
     }
 
     /// Passes the head on, unless an earlier attempt did.
+    ///
+    /// An upstream that answers the resumption of a stream with anything but a
+    /// stream can't go on with it; its error text would land among the events.
     pub(crate) fn pass_head(&self, attempt: AttemptId, head: Head) -> Result<(), Closed> {
         let mut inner = self.lock();
         if inner.attempt != attempt {
@@ -134,9 +137,9 @@
         }
         let waiting = match std::mem::replace(&mut inner.state, State::Done) {
             State::Waiting(tx) => tx,
-            passing @ State::Passing { .. } => {
-                inner.state = passing;
-                return Ok(());
+            State::Passing { pieces, events, delivered } => {
+                inner.state = State::Passing { pieces, events, delivered };
+                return if head.events && events { Ok(()) } else { Err(Closed) };
             }
             State::Done => return Err(Closed),
         };
--- a/crates/skylarkshore/src/upstreams/attempt.rs
+++ b/crates/skylarkshore/src/upstreams/attempt.rs
@@ -225,20 +225,31 @@
         Ok(whole_held(head.status, &head.headers, &kept))
     }
 
+    /// Passes an answer on that is too large to be recorded.
+    ///
+    /// It is read to its end even when the caller has gone: the request has run,
+    /// and whoever asks under its key has to hear that rather than `unknown`.
     async fn pass_too_large(&self, head: Head, kept: Bytes, mut body: Incoming) -> Result<AttemptEnd, Cut> {
         let attempt = self.letter.attempt;
         let events = head.events;
         let mut tail = tail_of(&kept);
-        self.passage.pass_head(attempt, head)?;
-        self.passage.pass(attempt, kept, 0).await?;
+        let mut taken = self.passage.pass_head(attempt, head);
+        if taken.is_ok() {
+            taken = self.passage.pass(attempt, kept, 0).await;
+        }
         while let Some(data) = next_data(&mut body).await? {
             tail = tail_of(&[tail.as_ref(), data.as_ref()].concat());
-            self.passage.pass(attempt, data, 0).await?;
+            if taken.is_ok() {
+                taken = self.passage.pass(attempt, data, 0).await;
+            }
         }
         if events && !ends_with_marker(&tail) {
             return Err(Cut::Broken);
         }
-        self.passage.end(attempt).await?;
+        if taken.is_ok() {
+            // A caller that goes away now has missed nothing but the end.
+            _ = self.passage.end(attempt).await;
+        }
         Ok(AttemptEnd::WholeTooLarge)
     }
 }
@@ -267,7 +278,9 @@
     if method != Method::HEAD {
         headers.remove(CONTENT_LENGTH);
     }
-    Head { status, headers, len: body.size_hint().exact(), events }
+    // A stream that is resumed gets longer than the first upstream has said.
+    let len = body.size_hint().exact().filter(|_| !events);
+    Head { status, headers, len, events }
 }
 
 fn whole_held(status: StatusCode, headers: &HeaderMap, body: &[u8]) -> AttemptEnd {
--- a/crates/skylarkshore/tests/process/deployment.rs
+++ b/crates/skylarkshore/tests/process/deployment.rs
@@ -1,6 +1,7 @@
 //! Starts an entry host beside stand-ins that live in the test's own process.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::process::{ExitStatus, Stdio};
 use std::time::Duration;
 
@@ -43,6 +44,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) callers: SocketAddr,
     pub(crate) operators: SocketAddr,
+    pub(crate) peers: SocketAddr,
     child: Child,
     folder: TempFolder,
 }
@@ -53,9 +55,12 @@
         let fleet = Fleet::start(&FleetSettings::small(1, 1).unwrap()).await.unwrap();
         put_document(fleet.store.address()).await;
         let folder = TempFolder::new().unwrap();
-        let (callers, operators) = (free_port(), free_port());
-        let child = start_host(&fleet, &folder, callers, operators);
-        let this = Self { fleet, callers, operators, child, folder };
+        let child = start_host(&fleet, &folder);
+        let told = folder.path().join("host.log");
+        until("the host tells its addresses", || async { address(&told, "caller_address").is_some() }).await;
+        let [callers, operators, peers] =
+            ["caller_address", "operator_address", "peer_address"].map(|name| address(&told, name).unwrap());
+        let this = Self { fleet, callers, operators, peers, child, folder };
         let ready = || async { this.operator("/readyz").await.is_some_and(|a| a.status.is_success()) };
         until("the host can serve", ready).await;
         this
@@ -87,13 +92,13 @@
     }
 }
 
-fn start_host(fleet: &Fleet, folder: &TempFolder, callers: SocketAddr, operators: SocketAddr) -> Child {
+fn start_host(fleet: &Fleet, folder: &TempFolder) -> Child {
     let settings = json!({
         "host": "entry-1",
         "data_centre": "bern-a",
-        "caller_address": callers,
+        "caller_address": "127.0.0.1:0",
         "peer_address": "127.0.0.1:0",
-        "operator_address": operators,
+        "operator_address": "127.0.0.1:0",
         "store": { "endpoints": [format!("http://{}", fleet.store.address())] },
         "hosts": { "url": format!("http://{}/hosts", fleet.hosts.address()) },
         "limits": { "body_bytes": BODY_LIMIT, "head_timeout_ms": 500, "body_timeout_ms": 500 },
@@ -112,8 +117,13 @@
         .unwrap()
 }
 
-fn free_port() -> SocketAddr {
-    std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap().local_addr().unwrap()
+/// Reads one of the addresses that the host chose for itself from its first log line.
+///
+/// A port that the test had looked for beforehand could be taken by another test.
+fn address(log: &Path, name: &str) -> Option<SocketAddr> {
+    let text = std::fs::read_to_string(log).ok()?;
+    let (_, rest) = text.split_once(&format!("{name}=\""))?;
+    rest.split_once('"')?.0.parse().ok()
 }
 
 async fn put_document(store: SocketAddr) {
--- a/crates/skylarkshore/tests/process/main.rs
+++ b/crates/skylarkshore/tests/process/main.rs
@@ -4,4 +4,5 @@
 mod deployment;
 mod leaving;
 mod operators;
+mod peers;
 mod streams;
--- a/crates/skylarkshore/tests/process/streams.rs
+++ b/crates/skylarkshore/tests/process/streams.rs
@@ -57,7 +57,8 @@
     let engine = &deployment.fleet.engines[0];
     engine.set_faults(EngineFaults { slow_tokens_ms: 20, ..EngineFaults::default() });
     let body = prompt(MODEL, "a story", 50, true);
-    let mut stream = Call::post(deployment.callers, COMPLETIONS, body).stream().await.unwrap();
+    let call = Call::post(deployment.callers, COMPLETIONS, body).header("x-request-timeout-ms", "10000");
+    let mut stream = call.stream().await.unwrap();
     let mut events = stream.next().await.unwrap().unwrap().to_vec();
     engine.crash();
     events.extend_from_slice(&stream.rest().await.unwrap().body);
