Let slow callers read to the end, and let go of those that don't read at all

A host that left could end while a caller was still reading its last answer; a caller that took no bytes held its connection for ever. A leaving host also closes each connection after its answer, so that callers look for another one.

--- a/crates/skylarkshore/src/callers.rs
+++ b/crates/skylarkshore/src/callers.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::header::CONNECTION;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
 use skylarkshore_core::event::{Arrival, Target};
 use skylarkshore_core::id::{DataCentre, HostId, Incarnation};
@@ -91,6 +92,10 @@
         }
     };
     res.headers_mut().insert(REQUEST_ID_HEADER, id);
+    if surface.snapshots.borrow().leaving {
+        // A caller that keeps its connection would only notice the end when it breaks.
+        res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     Ok(res)
 }
 
--- a/crates/skylarkshore/src/callers/reply.rs
+++ b/crates/skylarkshore/src/callers/reply.rs
@@ -13,6 +13,7 @@
 use skylarkshore_core::id::RequestId;
 use slog::{debug, error};
 use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use xitca_web::body::{Body, Frame, ResponseBody, SizeHint};
 use xitca_web::http::WebResponse;
@@ -32,6 +33,8 @@
     target: &'static str,
     begun: Instant,
     watched: Option<Watched>,
+    /// Breaks the connection of a caller that doesn't read its answer.
+    cutter: Option<AbortHandle>,
     ended: bool,
 }
 
@@ -49,7 +52,7 @@
         watched: Option<Watched>,
     ) -> Self {
         env.metrics.request_begun();
-        Self { env, request, target, begun, watched, ended: false }
+        Self { env, request, target, begun, watched, cutter: None, ended: false }
     }
 
     /// Waits for the head of the answer, and makes the response of it.
@@ -70,9 +73,23 @@
             return unanswered();
         };
         self.env.metrics.request_answering(self.target, self.begun.elapsed());
+        self.cut_when(overdue);
         self.pass_on(reply)
     }
 
+    /// Breaks the connection at a time, unless the answer has ended by then.
+    ///
+    /// The server waits without limit for a caller that takes no bytes. Such a
+    /// caller would hold its connection and the request's memory for ever.
+    fn cut_when(&mut self, overdue: Instant) {
+        let Some(watched) = self.watched.clone() else { return };
+        let task = tokio::spawn(async move {
+            tokio::time::sleep_until(overdue).await;
+            watched.cut();
+        });
+        self.cutter = Some(task.abort_handle());
+    }
+
     fn pass_on(mut self, reply: Reply) -> WebResponse {
         let body = match reply.body {
             ReplyBody::Whole { body, end } => {
@@ -92,6 +109,9 @@
             return;
         }
         self.ended = true;
+        if let Some(cutter) = self.cutter.take() {
+            cutter.abort();
+        }
         let took = self.begun.elapsed();
         self.env.requests.remove(self.request);
         self.env.metrics.request_ended(self.target, end, took);
--- a/crates/skylarkshore/src/http.rs
+++ b/crates/skylarkshore/src/http.rs
@@ -23,6 +23,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 /// After how long without traffic the system checks that the other end is still there; a watch can be quiet for long.
 const KEEPALIVE: Duration = Duration::from_secs(10);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(3);
+const KEEPALIVE_RETRIES: u32 = 3;
 /// Connections that are kept for one address.
 const IDLE_PER_ADDRESS: usize = 32;
 /// The largest answer that is read whole, in bytes.
@@ -58,6 +60,8 @@
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector.set_keepalive(Some(KEEPALIVE));
+    connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
+    connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
     Client::builder(TokioExecutor::new())
         .retry_canceled_requests(false)
         .pool_timer(TokioTimer::new())
--- a/crates/skylarkshore/src/run.rs
+++ b/crates/skylarkshore/src/run.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::thread::available_parallelism;
+use std::time::Duration;
 
 use skylarkshore_core::config::NodeConfig;
 use skylarkshore_core::id::Incarnation;
@@ -11,6 +12,7 @@
 use slog::{Logger, info};
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
 
 use crate::callers::{self, Rotation, Surface};
 use crate::clock::Clock;
@@ -32,6 +34,9 @@
 
 const MIN_WORKERS: usize = 2;
 const MAX_WORKERS: usize = 4;
+/// How long slow callers are given to read the last answers.
+const LAST_ANSWERS: Duration = Duration::from_secs(30);
+const LAST_BYTES: Duration = Duration::from_millis(100);
 
 /// Runs an entry host until it has left in order or is told to end at once.
 ///
@@ -186,6 +191,22 @@
     }
 }
 
+/// Runs until the core has left and the callers have their last bytes.
+///
+/// The core has nothing in progress any more as soon as the last answer has
+/// come from its upstream. A caller that reads slowly is still getting it; if
+/// the process ended now, its answer would be cut.
+async fn leave(driver: Driver, letters: Letters, first: Vec<Effect>, env: &Env) {
+    Box::pin(driver.run(letters, first)).await;
+    let deadline = Instant::now() + LAST_ANSWERS;
+    while env.requests.len() > 0 && Instant::now() < deadline {
+        sleep(LAST_BYTES).await;
+    }
+    // The server writes the end of an answer after it has taken the last piece.
+    sleep(LAST_BYTES).await;
+    info!(env.log, "left"; "requests_cut_off" => env.requests.len());
+}
+
 async fn until_end(
     driver: Driver,
     letters: Letters,
@@ -194,10 +215,7 @@
     env: &Env,
 ) -> ExitCode {
     tokio::select! {
-        () = driver.run(letters, first) => {
-            info!(env.log, "left");
-            ExitCode::SUCCESS
-        }
+        () = leave(driver, letters, first, env) => ExitCode::SUCCESS,
         () = signals.until_second(env.clone()) => {
             let cut = env.requests.len();
             eprintln!("skylarkshore: ended at the second signal; {cut} requests in progress were cut off");
