--- a/crates/skylarkshore-standins/src/engine.rs
+++ b/crates/skylarkshore-standins/src/engine.rs
@@ -24,6 +24,7 @@
 use crate::census::Census;
 use crate::http::{Answered, Body, Cut, Server, json, text, unknown};
 use crate::lock;
+use crate::ports::free_port;
 use crate::weights::WeightStore;
 use batch::Batch;
 use memory::Memory;
@@ -104,7 +105,7 @@
         weights: Arc<WeightStore>,
         census: Arc<Census>,
     ) -> io::Result<Self> {
-        let address = free_address().await?;
+        let address = free_port()?;
         let shared = Arc::new(Shared {
             memory: Mutex::new(Memory::new(&settings, Arc::clone(&census))),
             batch: Arc::new(Batch::new(settings.concurrency)),
@@ -175,12 +176,6 @@
     }
 }
 
-/// Finds a free loopback port, so that an engine can come back to it.
-async fn free_address() -> io::Result<SocketAddr> {
-    let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await?;
-    listener.local_addr()
-}
-
 impl Shared {
     async fn listen(self: &Arc<Self>) -> io::Result<()> {
         let weak = Arc::downgrade(self);
--- a/crates/skylarkshore-standins/src/lib.rs
+++ b/crates/skylarkshore-standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod hosts;
 pub mod http;
+pub mod ports;
 pub mod process;
 pub mod programs;
 pub mod service;
--- a/crates/skylarkshore-standins/src/process.rs
+++ b/crates/skylarkshore-standins/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::client::Call;
+use crate::ports::free_port;
 use crate::programs::Programs;
 
 /// How often a condition is looked at while waiting for it.
@@ -131,9 +132,9 @@
         Ok(Self {
             host,
             data_centre,
-            caller_address: free_tcp_port()?,
-            peer_address: UdpSocket::bind(("127.0.0.1", 0))?.local_addr()?,
-            operator_address: free_tcp_port()?,
+            caller_address: free_port()?,
+            peer_address: free_port()?,
+            operator_address: free_port()?,
             store,
             host_list,
             timings: short_timings(),
@@ -155,10 +156,6 @@
     }
 }
 
-fn free_tcp_port() -> io::Result<SocketAddr> {
-    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
-}
-
 /// A running entry host; killed when dropped.
 #[derive(Debug)]
 pub struct EntryHost {
--- /dev/null
+++ b/crates/skylarkshore-standins/tests/processes/owners.rs
@@ -0,0 +1,91 @@
+//! Owners of engines that die or freeze.
+
+use std::time::Duration;
+
+use skylarkshore_standins::process::{Signal, wait_until};
+use tokio::time::sleep;
+
+use crate::bench::{Bench, LIMIT, Needs, ask};
+
+/// Waits until the home of a model has begun to load it, and returns the host that owns the home.
+async fn loading_owner(bench: &Bench, model: &str) -> usize {
+    let home = bench.home(model).expect("it has a home");
+    assert!(wait_until(LIMIT, || !home.report().models.is_empty()).await, "no load was begun");
+    bench.owner(home.id().as_str()).expect("the home has an owner")
+}
+
+/// The host that ordered a load is replaced while the weights are on their way.
+/// Its successor finds the load under way; were it to load elsewhere, there would
+/// be two replicas, and were it to forget the waiting callers, they would hang.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_killed_in_mid_load_costs_no_second_load() {
+    let bench = Bench::start(Needs::default()).await;
+    bench.fleet.weights.set_speed(30);
+    let home = bench.home("alpha").expect("it has a home");
+    let owner = bench.owner(home.id().as_str()).expect("it has an owner");
+    let waiting: Vec<_> = bench
+        .others(owner)
+        .into_iter()
+        .map(|entry| {
+            let caller = bench.caller(entry);
+            tokio::spawn(async move { ask(caller, "alpha", &format!("from-{entry}")).await })
+        })
+        .collect();
+    assert_eq!(loading_owner(&bench, "alpha").await, owner);
+    bench.entries[owner].signal(Signal::Kill).await.expect("it runs");
+    for request in waiting {
+        request.await.expect("no panic").unwrap_or_else(|err| panic!("{err}"));
+    }
+    assert_eq!(bench.loads("alpha"), 1);
+    bench.check_invariants();
+}
+
+/// Freezes the owner of a model's home with a request for it in hand, lets another
+/// host take the home over, and wakes the frozen one up again.
+async fn freeze_past_the_lease(checks_fences: bool) {
+    let bench = Bench::start(Needs { checks_fences, ..Needs::default() }).await;
+    let home = bench.home("beta").expect("it has a home").id().as_str().to_owned();
+    let frozen = bench.owner(&home).expect("it has an owner");
+    let caller = bench.caller(frozen);
+    let in_hand = tokio::spawn(async move { ask(caller, "alpha", "in-hand").await });
+    sleep(Duration::from_millis(30)).await;
+    bench.entries[frozen].signal(Signal::Stop).await.expect("it runs");
+    let taken_over = || bench.owner(&home).is_some_and(|owner| owner != frozen);
+    assert!(wait_until(LIMIT, taken_over).await, "nobody took {home} over");
+    let others = bench.others(frozen);
+    for (i, model) in ["beta", "gamma", "alpha"].iter().enumerate() {
+        let caller = bench.caller(others[i % others.len()]);
+        ask(caller, model, &format!("to-{model}")).await.unwrap_or_else(|err| panic!("{model}: {err}"));
+    }
+    bench.entries[frozen].signal(Signal::Cont).await.expect("it runs");
+    // The woken host still believes for a moment that the home is its own.
+    let woken = in_hand.await.expect("no panic");
+    assert!(woken.is_ok() || woken.as_ref().is_err_and(|err| err.contains("not_run")), "{woken:?}");
+    let caller = bench.caller(frozen);
+    let mut answered = Err("never asked".to_owned());
+    for i in 0..50 {
+        answered = ask(caller, "beta", &format!("after-{i}")).await;
+        if answered.is_ok() {
+            break;
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    answered.unwrap_or_else(|err| panic!("the woken host doesn't serve: {err}"));
+    bench.check_invariants();
+}
+
+/// An owner's process stops for longer than its lease, as on a host short of
+/// memory, and another one takes its engine over. When it goes on, it believes
+/// for a moment that it still holds the lease; the engine refuses its orders.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_frozen_past_its_lease_does_no_harm_where_engines_check_fences() {
+    freeze_past_the_lease(true).await;
+}
+
+/// The same with an engine that obeys anyone. Only the woken owner's own clock
+/// keeps it from ordering a second load, which a caller would notice as memory
+/// that is short and the operators as power past the cap.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_frozen_past_its_lease_does_no_harm_where_engines_ignore_fences() {
+    freeze_past_the_lease(false).await;
+}
