--- a/crates/skylarkshore-core/src/serving/supply.rs
+++ b/crates/skylarkshore-core/src/serving/supply.rs
@@ -13,7 +13,7 @@
 use crate::serving::queue::Waiting;
 use crate::serving::request::State;
 use crate::serving::routing::Prospect;
-use crate::serving::wanted::Supply;
+use crate::serving::wanted::{Pace, Refused, Supply};
 use crate::store::Key;
 use crate::time::Time;
 use crate::view::EngineView;
@@ -38,6 +38,7 @@
         if !self.routes.take_view(cx.now, view.clone()) {
             return;
         }
+        self.return_stray_reservation(cx, view);
         for target in self.waiting_models() {
             if self.routes.views.mentions(&view.upstream, &target) {
                 self.wants.heard(&target);
@@ -65,7 +66,7 @@
         let target = Target::Model(target.clone());
         self.review(cx, &target);
         if next {
-            self.ask(cx, &target, true);
+            self.ask(cx, &target, Pace::Now);
         }
     }
 
@@ -117,9 +118,7 @@
         }
         if let Some(refused) = self.wants.hopeless(cx, model) {
             let retry_after = refused.until.remaining(cx.now);
-            let too_slow = refused.reason == CannotLoad::TooSlow;
-            let bar = if too_slow { refused.until.max(refused.patient_until) } else { refused.until };
-            return Some(Shortage { reason: reason_of(&refused.reason), bar, retry_after });
+            return Some(Shortage { reason: reason_of(&refused.reason), bar: bar_of(refused), retry_after });
         }
         let unheard = self.wants.unheard_since(model)?;
         unheard.after(UNHEARD_PATIENCE).is_due(cx.now).then(|| everyone(RETRY_AFTER))
@@ -132,7 +131,8 @@
             return self.wants.satisfied(model);
         }
         let first = self.wants.unheard_since(model).is_none();
-        self.ask(cx, target, first && self.routes.prospect(cx, target) == Prospect::None);
+        let cold = first && self.routes.prospect(cx, target) == Prospect::None;
+        self.ask(cx, target, if cold { Pace::Now } else { Pace::WhenDue });
     }
 
     /// Asks the new owners for the targets whose homes have changed hands.
@@ -147,12 +147,12 @@
             };
             let target = Target::Model(model);
             if concerned && self.routes.prospect(cx, &target) == Prospect::None {
-                self.ask(cx, &target, true);
+                self.ask(cx, &target, Pace::Now);
             }
         }
     }
 
-    fn ask(&mut self, cx: &mut Cx<'_>, target: &Target, urgent: bool) {
+    fn ask(&mut self, cx: &mut Cx<'_>, target: &Target, pace: Pace) {
         let Target::Model(model) = target else { return };
         let Some(waiting) = self.waiting(target) else { return };
         let supply = match self.routes.prospect(cx, target) {
@@ -160,7 +160,7 @@
             Prospect::Loading { .. } => Supply::Coming,
             Prospect::None => Supply::Nothing,
         };
-        self.wants.ask(cx, model, waiting, supply, urgent);
+        self.wants.ask(cx, model, waiting, supply, pace);
     }
 
     /// Returns what waits for a target, suspects included.
@@ -206,6 +206,19 @@
     }
 }
 
+/// Returns the latest deadline that can't be met after a refusal.
+///
+/// An owner that weighed its load against the requests' patience has judged
+/// all that it knew of; one that can't act may be able to when it is asked again.
+fn bar_of(refused: &Refused) -> Time {
+    match refused.reason {
+        CannotLoad::Memory | CannotLoad::Power | CannotLoad::EngineRefuses | CannotLoad::TooSlow => {
+            refused.until.max(refused.patient_until)
+        }
+        CannotLoad::NotOwner | CannotLoad::OwnershipInDoubt | CannotLoad::EngineUnreachable => refused.until,
+    }
+}
+
 const fn reason_of(reason: &CannotLoad) -> RefusalReason {
     match reason {
         CannotLoad::Memory => RefusalReason::Short("memory"),
