Load a suspect's model again, and let an owner's answer not be a question's cause

Found by the process test of a crashing request. After the crash, the two suspects waited 20 s until their time-out: only the queue's targets were asked for. With that mended, the owner's process hung at 100% of a core: each answer of an owner reset the silence that made the next question urgent, so that a host asking itself for a model on an engine that was away never came to an end.

--- a/crates/skylarkshore-core/src/serving/arrival.rs
+++ b/crates/skylarkshore-core/src/serving/arrival.rs
@@ -168,6 +168,12 @@
             self.pump_target(cx, &target);
         }
         self.pump_alone(cx);
+        // A suspect's model goes with the engine that died. Were only the queue's
+        // targets asked for, nobody would load it again, and the suspect would wait
+        // until its time-out although it may be innocent.
+        for model in self.waiting_models() {
+            self.ask_for(cx, &Target::Model(model));
+        }
     }
 
     fn pump_target(&mut self, cx: &mut Cx<'_>, target: &Target) {
--- a/crates/skylarkshore-core/src/serving/supply.rs
+++ b/crates/skylarkshore-core/src/serving/supply.rs
@@ -130,7 +130,11 @@
         if self.waiting(target).is_none() {
             return self.wants.satisfied(model);
         }
-        let first = self.wants.unheard_since(model).is_none();
+        // Only the first of those that wait may ask out of turn. An owner's answer
+        // brings this here again; were each answer followed by another question, a
+        // host that owns the home itself would never leave this circle, and two
+        // hosts would flood one another, while an engine is away.
+        let first = !self.wants.is_waited_for(model);
         let cold = first && self.routes.prospect(cx, target) == Prospect::None;
         self.ask(cx, target, if cold { Pace::Now } else { Pace::WhenDue });
     }
--- a/crates/skylarkshore-core/src/serving/wanted.rs
+++ b/crates/skylarkshore-core/src/serving/wanted.rs
@@ -34,6 +34,8 @@
     asked: usize,
     /// Since when requests have waited without a word from any owner.
     unheard_since: Option<Time>,
+    /// Since when requests have waited without a break, whatever the owners said.
+    waiting_since: Option<Time>,
     patient_until: Time,
     refused: OrderedMap<HostId, Refused>,
 }
@@ -79,6 +81,7 @@
             told: None,
             asked: 1,
             unheard_since: None,
+            waiting_since: None,
             patient_until: now,
             refused: OrderedMap::new(),
         };
@@ -103,6 +106,7 @@
         let Some(want) = self.wants.get_mut(target) else { return };
         want.refused.retain(|_, refused| !refused.until.is_due(cx.now));
         want.unheard_since.get_or_insert(cx.now);
+        want.waiting_since.get_or_insert(cx.now);
         let due = want.told.is_none_or(|told| told.after(cx.cfg.timings.wanted_every).is_due(cx.now));
         if !due && pace == Pace::WhenDue {
             return;
@@ -145,6 +149,7 @@
         let Some(want) = self.wants.get_mut(target) else { return };
         want.asked = 1;
         want.unheard_since = None;
+        want.waiting_since = None;
         want.patient_until = Time::START;
         want.refused.clear();
     }
@@ -159,6 +164,7 @@
         for (target, want) in &mut self.wants {
             if !waiting.contains(target) {
                 want.unheard_since = None;
+                want.waiting_since = None;
             }
         }
     }
@@ -206,6 +212,11 @@
         owners.iter().filter_map(refused).min_by_key(|refused| refused.until)
     }
 
+    /// Tells whether requests have waited since before now.
+    pub(super) fn is_waited_for(&self, target: &ModelTarget) -> bool {
+        self.wants.get(target).is_some_and(|want| want.waiting_since.is_some())
+    }
+
     /// Returns since when requests have waited without a word from any owner.
     pub(super) fn unheard_since(&self, target: &ModelTarget) -> Option<Time> {
         self.wants.get(target)?.unheard_since
