Don't take a late look at a load for the load's length

Ruled out: a slow weight store (the engine's report was ready at 14 s). A load's length now counts only when its end was looked for at most 2 s before.

--- a/crates/skylarkshore-core/src/loading/engine.rs
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -69,6 +69,8 @@
     pub started: Time,
     /// When it is expected to end.
     pub expected: Time,
+    /// When it was last looked at.
+    pub checked: Time,
 }
 
 /// Why a model is to leave an engine.
--- a/crates/skylarkshore-core/src/loading/load.rs
+++ b/crates/skylarkshore-core/src/loading/load.rs
@@ -19,6 +19,8 @@
 const RESEND_AFTER: Duration = Duration::from_millis(500);
 /// Half of how long to wait after the first failed load.
 const FIRST_RETRY: Duration = Duration::from_millis(500);
+/// How long after the last look at a load its end may be noticed for its length to count.
+const MEASURABLE_GAP: Duration = Duration::from_secs(2);
 /// How often that wait is doubled at most.
 const MAX_DOUBLINGS: u32 = 7;
 
@@ -131,7 +133,7 @@
         engine.prewarmed.insert(want.model.clone(), last);
     }
     if matches!(load, Order::Load { .. }) {
-        engine.loads.insert(want.model.clone(), LoadProgress { started: cx.now, expected });
+        engine.loads.insert(want.model.clone(), LoadProgress { started: cx.now, expected, checked: cx.now });
     }
     cx.note(
         "load_started",
@@ -157,9 +159,17 @@
         if let Some(need) = beside.demand.of_model(&model) {
             beside.history.felt(&model, need.waiting);
         }
-        beside.load_times.measured(&model, took);
+        // A process that was paused in the middle notices the end late. Were that
+        // taken for the load's length, callers would be refused for want of time
+        // although the model loads as fast as ever.
+        if cx.now.since(load.checked) <= MEASURABLE_GAP {
+            beside.load_times.measured(&model, took);
+        }
         cx.note("load_ended", format!("{model}@{}", engine.id), format!("took_ms={}", took.as_millis()));
     }
+    for load in engine.loads.values_mut() {
+        load.checked = cx.now;
+    }
     let gone: Vec<ModelName> = engine.loads.keys().cloned().collect();
     for model in gone {
         if engine.model(&model).is_none() && !engine.ledger.concerns(&model) {
