Spare innocent requests of reclaimed engines, and retries of unloaded models

A reclaimed host breaks every connection to its engine, and all its requests became suspects that wait for an engine of their own one after the other. Those of an upstream known to be about to go are plain losses now. A model unloaded since its engine was last heard of is the usual case for rarely used models; its rejection no longer spends the retry budget. What is remembered is looked through once a second instead of at every tick. The gauge requests_in_progress, a name that the shell uses already, becomes requests_unfinished.

--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -19,6 +19,8 @@
 mod views;
 mod wanted;
 
+use std::time::Duration;
+
 use crate::collections::{HashMap, OrderedMap, OrderedSet};
 use crate::config::NodeConfig;
 use crate::cx::Cx;
@@ -28,6 +30,7 @@
 use crate::id::{AttemptId, CallId, HostId, RequestId};
 use crate::peer::PeerMessage;
 use crate::store::{Key, StoreResult, WriteOutcome};
+use crate::time::Time;
 
 use budget::RetryBudget;
 use decide::Step;
@@ -40,6 +43,9 @@
 use tally::Tally;
 use wanted::Wants;
 
+/// How often what is remembered is looked through.
+const HOUSEKEEPING_EVERY: Duration = Duration::from_secs(1);
+
 /// The requests, queues and routes of one process.
 #[derive(Debug)]
 pub struct Serving {
@@ -54,6 +60,7 @@
     budget: RetryBudget,
     paces: Paces,
     tally: Tally,
+    house_due: Time,
 }
 
 impl Serving {
@@ -71,6 +78,7 @@
             budget: RetryBudget::new(),
             paces: Paces::default(),
             tally: Tally::default(),
+            house_due: Time::START,
         }
     }
 
@@ -115,7 +123,7 @@
 
     /// Does what is due.
     pub fn on_tick(&mut self, cx: &mut Cx<'_>) {
-        self.routes.on_tick(cx.now);
+        self.keep_house(cx);
         for learnt in self.once.on_tick(cx) {
             self.on_learnt(cx, learnt);
         }
@@ -129,6 +137,17 @@
         self.wants.forget_silence(&self.waiting_models());
         self.review_all(cx);
         self.pump(cx);
+    }
+
+    /// Does what needn't be done at every tick, since it looks at all that is remembered.
+    fn keep_house(&mut self, cx: &mut Cx<'_>) {
+        if !self.house_due.is_due(cx.now) {
+            return;
+        }
+        self.house_due = cx.now.after(HOUSEKEEPING_EVERY);
+        self.routes.forget_old(cx.now);
+        self.once.forget_old(cx.now);
+        self.suspects.forget_old(cx);
         self.wants.renew(cx);
     }
 
--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -18,7 +18,7 @@
 /// What another try costs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Cost {
-    /// Nothing: the upstream only asked to wait.
+    /// Nothing: the upstream has said that it did nothing, and why.
     Free,
     /// A retry out of the budget.
     Retry,
@@ -94,8 +94,11 @@
         let Some(request) = self.requests.get(&id) else { return };
         match (rejection, request.arrival.target.clone()) {
             (Rejection::NotLoaded, Target::Model(target)) => {
+                // The model was unloaded since its engine was last heard of, which
+                // is what rarely used models do; it costs no retry.
                 self.routes.note_missing(cx, upstream, &target);
                 self.fail_once(cx, id, upstream);
+                return self.retry(cx, id, Cost::Free);
             }
             (Rejection::NotLoaded, Target::Service(_)) => {
                 self.routes.note_trouble(cx, upstream);
@@ -113,12 +116,16 @@
                     cx.tell_all(&PeerMessage::UpstreamLeaving { upstream: upstream.clone() });
                 }
                 self.fail_once(cx, id, upstream);
+                return self.retry(cx, id, Cost::Free);
             }
         }
         self.retry(cx, id, Cost::Retry);
     }
 
     fn on_lost(&mut self, cx: &mut Cx<'_>, id: RequestId, run: &Run, passed_on: bool, died: bool) {
+        // A host that is reclaimed takes its upstream with it. That is nobody's
+        // fault; were all its requests suspect, each would wait for an engine of its own.
+        let died = died && !self.routes.is_going(cx, &run.upstream);
         let others = if died { self.digests_at(&run.upstream) } else { Vec::new() };
         let out_of_time = self.requests.get(&id).is_some_and(|r| r.arrival.deadline.is_due(cx.now));
         if died || !out_of_time {
--- a/crates/skylarkshore-core/src/serving/once.rs
+++ b/crates/skylarkshore-core/src/serving/once.rs
@@ -211,9 +211,13 @@
         cx.note("once_in_doubt", key, "the request may have run; its key stays claimed");
     }
 
+    /// Forgets the keys whose records have ended.
+    pub(super) fn forget_old(&mut self, now: Time) {
+        self.unsettled.forget_old(now);
+    }
+
     /// Does what is due.
     pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>) -> Vec<Learnt> {
-        self.unsettled.on_tick(cx.now);
         self.lease.on_tick(cx);
         self.write_waiting(cx);
         let mut late = Vec::new();
--- a/crates/skylarkshore-core/src/serving/once/unsettled.rs
+++ b/crates/skylarkshore-core/src/serving/once/unsettled.rs
@@ -22,7 +22,7 @@
 
 impl Unsettled {
     /// Forgets the keys whose records have ended with their lease.
-    pub(super) fn on_tick(&mut self, now: Time) {
+    pub(super) fn forget_old(&mut self, now: Time) {
         self.until.retain(|_, until| !until.is_due(now));
     }
 
--- a/crates/skylarkshore-core/src/serving/report.rs
+++ b/crates/skylarkshore-core/src/serving/report.rs
@@ -8,7 +8,7 @@
 
 impl Serving {
     /// Tells of each request, each upstream in use and each suspect.
-    pub(super) fn beliefs(&self, _cx: &Cx<'_>) -> Vec<Belief> {
+    pub(super) fn beliefs(&self, cx: &Cx<'_>) -> Vec<Belief> {
         let requests = self.requests.iter().map(|(id, request)| Belief {
             kind: "request",
             subject: id.to_string(),
@@ -18,8 +18,8 @@
         let routes = self.routes.used().map(|(upstream, n)| Belief {
             kind: "route",
             subject: upstream.to_string(),
-            state: format!("{n} requests from here"),
-            since: None,
+            state: format!("{n} requests from here, {}", self.routes.describe(cx, upstream)),
+            since: self.routes.views.get(upstream).map(|known| known.taken),
         });
         let suspects = self.suspects.digests().map(|digest| {
             let state = match self.suspects.standing(digest) {
@@ -36,7 +36,7 @@
         let mut gauges = vec![
             gauge("requests_queued", self.queue.len() as u64),
             gauge("requests_queued_alone", self.suspects.waiting.len() as u64),
-            gauge("requests_in_progress", self.requests.len() as u64),
+            gauge("requests_unfinished", self.requests.len() as u64),
             gauge("attempts_in_flight", self.attempts.len() as u64),
             gauge("suspect_requests", self.suspects.count(Standing::Suspect) as u64),
             gauge("convicted_requests", self.suspects.count(Standing::Convicted) as u64),
--- a/crates/skylarkshore-core/src/serving/routing.rs
+++ b/crates/skylarkshore-core/src/serving/routing.rs
@@ -128,7 +128,7 @@
     }
 
     /// Forgets pauses that are long over.
-    pub(super) fn on_tick(&mut self, now: Time) {
+    pub(super) fn forget_old(&mut self, now: Time) {
         self.leaving.retain(|_, until| !until.is_due(now));
         self.paused.retain(|_, pause| !pause.until.after(LONGEST_PAUSE).is_due(now));
         self.missing.retain(|_, until| !until.is_due(now));
@@ -233,7 +233,9 @@
     pub(super) fn ready_engines(&self, cx: &Cx<'_>, target: &ModelTarget) -> Vec<UpstreamId> {
         let usable = self.views.ready(cx, target).filter(|known| {
             let other = known.view.reserved_for.as_ref().is_some_and(|host| *host != cx.cfg.host);
-            !other && self.usable(cx, &known.view.upstream) && !self.is_missing(&known.view.upstream, target)
+            !other
+                && self.usable(cx, &known.view.upstream)
+                && !self.is_missing(cx, &known.view.upstream, target)
         });
         usable.map(|known| known.view.upstream.clone()).collect()
     }
@@ -256,6 +258,26 @@
         idle && self.in_flight(upstream) == 0
     }
 
+    /// Tells whether an upstream is known to be about to go.
+    pub(super) fn is_going(&self, cx: &Cx<'_>, upstream: &UpstreamId) -> bool {
+        let listed = cx.upstreams.get(upstream).is_some_and(|u| u.standing == Standing::Live);
+        let says_so = self.views.get(upstream).is_some_and(|known| known.view.leaving);
+        !listed || says_so || self.leaving.contains_key(upstream)
+    }
+
+    /// Tells in a few words how an upstream is used, for the state dump.
+    pub(super) fn describe(&self, cx: &Cx<'_>, upstream: &UpstreamId) -> &'static str {
+        if self.is_going(cx, upstream) {
+            "about to go"
+        } else if self.kept_free.contains(upstream) {
+            "kept for a suspect"
+        } else if self.usable(cx, upstream) {
+            "in use"
+        } else {
+            "passed over for a moment"
+        }
+    }
+
     /// Tells what can be expected for a target.
     pub(super) fn prospect(&self, cx: &Cx<'_>, target: &Target) -> Prospect {
         if !self.candidates(cx, target).is_empty() {
@@ -285,7 +307,7 @@
             .filter(|known| known.view.reserved_for.is_none())
             .filter(|known| !self.kept_free.contains(&known.view.upstream))
             .filter(|known| self.usable(cx, &known.view.upstream))
-            .filter(|known| !self.is_missing(&known.view.upstream, target))
+            .filter(|known| !self.is_missing(cx, &known.view.upstream, target))
             .map(|known| {
                 let others = known.others.mean(cx.now);
                 self.candidate(cx, &known.view.upstream, others, known.view.concurrency)
@@ -330,8 +352,9 @@
         Candidate { upstream: upstream.clone(), cost: share + distance, room }
     }
 
-    fn is_missing(&self, upstream: &UpstreamId, target: &ModelTarget) -> bool {
-        self.missing.contains_key(&Place { upstream: upstream.clone(), target: target.clone() })
+    fn is_missing(&self, cx: &Cx<'_>, upstream: &UpstreamId, target: &ModelTarget) -> bool {
+        let place = Place { upstream: upstream.clone(), target: target.clone() };
+        self.missing.get(&place).is_some_and(|until| !until.is_due(cx.now))
     }
 }
 
--- a/crates/skylarkshore-core/src/serving/suspect.rs
+++ b/crates/skylarkshore-core/src/serving/suspect.rs
@@ -201,10 +201,14 @@
         self.take_told(Time::START)
     }
 
-    /// Tells silent peers again; returns the requests that may go on.
-    pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>) -> Vec<RequestId> {
+    /// Forgets old suspicions and peers that are gone.
+    pub(super) fn forget_old(&mut self, cx: &Cx<'_>) {
         self.known.retain(|_, suspicion| !suspicion.until.is_due(cx.now));
         self.heard.retain(|host, _| cx.cache.member(host).is_some());
+    }
+
+    /// Tells silent peers again; returns the requests that may go on.
+    pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>) -> Vec<RequestId> {
         for telling in &mut self.tellings {
             if !telling.again_at.is_due(cx.now) {
                 continue;
--- a/crates/skylarkshore-core/tests/serving/crash.rs
+++ b/crates/skylarkshore-core/tests/serving/crash.rs
@@ -169,3 +169,22 @@
     others.sort_unstable();
     assert_eq!(others, [2, 3]);
 }
+
+/// A host is reclaimed, and its engine goes with it while it runs requests.
+/// None of them has crashed it; they are tried elsewhere at once and together.
+#[test]
+fn requests_at_an_engine_that_was_about_to_go_are_not_suspect() {
+    let mut p = Process::new("a", 1);
+    p.peer("b", &PeerMessage::View(view("e1", 1, "m", Readiness::Ready)));
+    for body in [1, 2] {
+        p.arrive(body.into(), arrival(&p, model("m"), body));
+    }
+    let sent = p.take_sent();
+    p.peer("c", &PeerMessage::View(view("e2", 1, "m", Readiness::Ready)));
+    p.peer("b", &PeerMessage::UpstreamLeaving { upstream: name("e1") });
+    for attempt in sent {
+        p.end(attempt.attempt, DIED);
+    }
+    assert_eq!(p.take_told(suspects), []);
+    assert_eq!(p.take_sent().len(), 2);
+}
--- a/crates/skylarkshore-core/tests/serving/queue.rs
+++ b/crates/skylarkshore-core/tests/serving/queue.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use skylarkshore_core::effect::{Effect, RefusalOutcome, RefusalReason};
-use skylarkshore_core::event::AttemptEnd;
+use skylarkshore_core::event::{AttemptEnd, Rejection};
 use skylarkshore_core::peer::PeerMessage;
 use skylarkshore_core::rules::{Condition, Outcome, Rule, Rules, ServiceOrder};
 use skylarkshore_core::view::Readiness;
@@ -168,3 +168,21 @@
     });
     assert_eq!(aborted, Some(RefusalOutcome::Unknown));
 }
+
+/// Rarely used models are often gone by the time of the next request, which an
+/// engine then rejects. That is no outage; were it paid from the retry budget,
+/// the budget would be empty before long and requests refused for nothing.
+#[test]
+fn a_model_that_was_unloaded_meanwhile_costs_no_retry() {
+    let mut p = Process::new("a", 1);
+    for n in 1..200 {
+        p.peer("b", &PeerMessage::View(view("e1", 2 * n, "m", Readiness::Ready)));
+        p.arrive(n, arrival(&p, model("m"), 1));
+        let stale = p.take_sent().remove(0);
+        p.end(stale.attempt, AttemptEnd::Rejected(Rejection::NotLoaded));
+        p.peer("b", &PeerMessage::View(view("e1", 2 * n + 1, "m", Readiness::Ready)));
+        let loaded = p.take_sent().remove(0);
+        p.end(loaded.attempt, AttemptEnd::Whole { held: None });
+    }
+    assert_eq!(p.take_refused(), []);
+}
