--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -86,8 +86,7 @@
         if let Some(owner) = owner(cx, upstream) {
             cx.tell(&owner, PeerMessage::UpstreamUnreachable { upstream: upstream.clone() });
         }
-        let is_model =
-            self.requests.get(&id).is_some_and(|r| matches!(r.arrival.target, Target::Model(_)));
+        let is_model = self.requests.get(&id).is_some_and(|r| matches!(r.arrival.target, Target::Model(_)));
         if is_model {
             // The engine is paused here, and its owner will say what has become of the
             // model. Were this counted as a failure, an engine that restarts would have
--- a/crates/skylarkshore-standins/src/engine.rs
+++ b/crates/skylarkshore-standins/src/engine.rs
@@ -31,6 +31,9 @@
 
 pub use generate::{CRASH_MARKER, expected_text};
 
+/// How many ports are tried; another process may take one after it was found free.
+const PORT_ATTEMPTS: u32 = 10;
+
 /// What an engine is and how fast it works.
 #[derive(Clone, Debug)]
 pub struct EngineSettings {
@@ -105,7 +108,18 @@
         weights: Arc<WeightStore>,
         census: Arc<Census>,
     ) -> io::Result<Self> {
-        let address = free_port()?;
+        for _ in 1..PORT_ATTEMPTS {
+            let engine = Self::new(settings.clone(), Arc::clone(&weights), Arc::clone(&census))?;
+            if engine.shared.listen().await.is_ok() {
+                return Ok(engine);
+            }
+        }
+        let engine = Self::new(settings, weights, census)?;
+        engine.shared.listen().await?;
+        Ok(engine)
+    }
+
+    fn new(settings: EngineSettings, weights: Arc<WeightStore>, census: Arc<Census>) -> io::Result<Self> {
         let shared = Arc::new(Shared {
             memory: Mutex::new(Memory::new(&settings, Arc::clone(&census))),
             batch: Arc::new(Batch::new(settings.concurrency)),
@@ -114,10 +128,9 @@
             weights,
             census,
             server: Mutex::default(),
-            address,
+            address: free_port()?,
             settings,
         });
-        shared.listen().await?;
         Ok(Self { shared })
     }
 
