--- a/crates/skylarkshore-standins/src/world.rs
+++ b/crates/skylarkshore-standins/src/world.rs
@@ -212,11 +212,6 @@
         }
     }
 
-    /// Strikes other effects from now on.
-    pub fn replace_faults(&mut self, faults: Box<dyn Faults>) {
-        self.faults = faults;
-    }
-
     /// Replaces a process's state by that of one that has just started, as if it had lost what it knew.
     ///
     /// Its life stays the same, so that the checks have to notice.
@@ -315,6 +310,12 @@
         }
     }
 
+    /// Returns how long engines have held a model and run nothing, all engines together.
+    pub fn idle(&mut self) -> Duration {
+        let now = self.now;
+        self.engines.values_mut().map(|engine| engine.idle_until(now)).sum()
+    }
+
     /// Tells whether a host's process has ended in an orderly way.
     pub fn has_exited(&self, h: usize) -> bool {
         self.hosts[h].exited
