Let operators ask what a rule would decide under pressure

An explanation knew neither queue nor pressure nor idleness, so that rules on them never showed in it; the question may now name them. Percent-encoding stood twice and is one module.

--- a/crates/skylarkshore-wire/src/keys.rs
+++ b/crates/skylarkshore-wire/src/keys.rs
@@ -11,6 +11,8 @@
 use skylarkshore_core::id::{Digest, HostId, InvalidDigest, InvalidName, ModelName, SiteName, UpstreamId};
 use skylarkshore_core::store::Key;
 
+use crate::percent::{self, InvalidEncoding};
+
 pub use value::{
     AnswerWire, HomesWire, InvalidValue, MemberWire, OnceStateWire, OnceWire, OwnerWire, PowerWire,
     StoredValue, WriterWire,
@@ -50,8 +52,8 @@
     #[display("unknown prefix")]
     Prefix,
     /// A percent sign isn't followed by two hexadecimal digits.
-    #[display("bad percent-encoding")]
-    Encoding,
+    #[display("{_0}")]
+    Encoding(InvalidEncoding),
     /// Its last part is no name.
     #[display("{_0}")]
     Name(InvalidName),
@@ -89,7 +91,7 @@
 }
 
 fn shared(folder: &str, name: &str) -> String {
-    format!("{SHARED_PREFIX}{folder}{}", percent_encoded(name))
+    format!("{SHARED_PREFIX}{folder}{}", percent::encode(name))
 }
 
 fn parse(text: &str) -> Result<Key, KeyFault> {
@@ -116,36 +118,5 @@
 }
 
 fn name_in<T: FromStr<Err = InvalidName>>(encoded: &str) -> Result<T, KeyFault> {
-    Ok(percent_decoded(encoded)?.parse()?)
-}
-
-fn percent_encoded(name: &str) -> String {
-    use std::fmt::Write;
-
-    name.bytes().fold(String::with_capacity(name.len()), |mut text, byte| {
-        if byte.is_ascii_alphanumeric() || b"._-".contains(&byte) {
-            text.push(char::from(byte));
-        } else {
-            // Writing to a string can't fail.
-            _ = write!(text, "%{byte:02X}");
-        }
-        text
-    })
-}
-
-fn percent_decoded(text: &str) -> Result<String, KeyFault> {
-    let mut bytes = Vec::with_capacity(text.len());
-    let mut rest = text.as_bytes();
-    while let [first, tail @ ..] = rest {
-        if *first != b'%' {
-            bytes.push(*first);
-            rest = tail;
-            continue;
-        }
-        let (digits, tail) = tail.split_at_checked(2).ok_or(KeyFault::Encoding)?;
-        let digits = str::from_utf8(digits).map_err(|_invalid| KeyFault::Encoding)?;
-        bytes.push(u8::from_str_radix(digits, 16).map_err(|_invalid| KeyFault::Encoding)?);
-        rest = tail;
-    }
-    String::from_utf8(bytes).map_err(|_invalid| KeyFault::Encoding)
+    Ok(percent::decode(encoded)?.parse()?)
 }
--- a/crates/skylarkshore-wire/src/lib.rs
+++ b/crates/skylarkshore-wire/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod keys;
 pub mod operator;
 pub mod peer;
+pub mod percent;
--- a/crates/skylarkshore-wire/src/operator.rs
+++ b/crates/skylarkshore-wire/src/operator.rs
@@ -71,6 +71,18 @@
     /// The caller, if one was named.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub caller: Option<String>,
+    /// The percentage of the site's power that is granted, if one was named.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub power_pressure: Option<u8>,
+    /// The percentage of the engines' memory that is in use, if one was named.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory_pressure: Option<u8>,
+    /// For how many seconds the model has had no request, if that was named.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub idle_for_s: Option<u64>,
+    /// How many requests wait for the model, if that was named.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub queue: Option<u32>,
 }
 
 /// A rule that was looked at.
--- a/crates/skylarkshore/src/callers/check.rs
+++ b/crates/skylarkshore/src/callers/check.rs
@@ -14,6 +14,7 @@
     CALLER_HEADER, DEFAULT_TIMEOUT, IDEMPOTENCY_HEADER, MAX_TIMEOUT, MAX_TOKEN_LEN, REQUEST_ID_HEADER,
     TIMEOUT_HEADER,
 };
+use skylarkshore_wire::percent;
 
 use crate::callers::invalid::Invalid;
 
@@ -162,7 +163,7 @@
         let (name, path) = rest.find('/').map_or((rest, "/"), |slash| rest.split_at(slash));
         let unknown = |_invalid| Invalid::UnknownService { name: name.to_owned() };
         let service = name.parse().map_err(unknown)?;
-        let decoded = percent_decoded(path).ok_or(Invalid::BadPath)?;
+        let decoded = percent::decode(path).map_err(|_invalid| Invalid::BadPath)?;
         let mut parts = decoded[1..].split('/').collect::<Vec<_>>();
         if parts.last().is_some_and(|last| last.is_empty()) {
             parts.pop();
@@ -180,19 +181,3 @@
         [&self.path, &self.decoded]
     }
 }
-
-fn percent_decoded(path: &str) -> Option<String> {
-    let mut bytes = Vec::with_capacity(path.len());
-    let mut rest = path.as_bytes();
-    while let [first, tail @ ..] = rest {
-        rest = tail;
-        if *first != b'%' {
-            bytes.push(*first);
-            continue;
-        }
-        let (digits, tail) = rest.split_at_checked(2)?;
-        bytes.push(u8::from_str_radix(str::from_utf8(digits).ok()?, 16).ok()?);
-        rest = tail;
-    }
-    String::from_utf8(bytes).ok()
-}
--- a/crates/skylarkshore/src/operators/explain.rs
+++ b/crates/skylarkshore/src/operators/explain.rs
@@ -1,10 +1,14 @@
 //! Tells which rule decides for a model, and why.
 
+use std::str::FromStr;
+use std::time::Duration;
+
 use derive_more::{Display, Error, From};
 use skylarkshore_core::catalogue::Document;
 use skylarkshore_core::id::{CallerId, DataCentre, InvalidName};
-use skylarkshore_core::rules::Facts;
+use skylarkshore_core::rules::{Facts, InvalidPercent, Percent};
 use skylarkshore_wire::operator::{Explanation, FactsWire, TriedRule};
+use skylarkshore_wire::percent::{self, InvalidEncoding};
 
 use crate::clock::time_of_day;
 
@@ -24,26 +28,72 @@
     /// The caller's name is none.
     #[display("{_0}")]
     Caller(InvalidName),
+    /// A percentage is none.
+    #[display("{_0}")]
+    Percent(InvalidPercent),
+    /// A number is none.
+    #[display("'{name}' is no whole number; write one, or leave it out")]
+    #[from(skip)]
+    Number {
+        /// What it is the number of.
+        name: &'static str,
+    },
+    /// The question can't be decoded.
+    #[display("{_0}")]
+    Encoding(InvalidEncoding),
 }
 
-/// Answers a question of the form `model=NAME&caller=NAME`.
+/// A question after its texts were read.
+///
+/// What isn't named isn't known, and a condition on it doesn't hold.
+struct Question {
+    model: String,
+    caller: Option<CallerId>,
+    power_pressure: Option<Percent>,
+    memory_pressure: Option<Percent>,
+    idle_for: Option<Duration>,
+    queue: Option<u32>,
+}
+
+impl Question {
+    /// Reads a question of the form `model=NAME&caller=NAME&queue=3`.
+    fn parse(query: &str) -> Result<Self, BadQuestion> {
+        let percent = |name| -> Result<Option<Percent>, BadQuestion> {
+            let value: Option<u64> = number(query, name)?;
+            Ok(value.map(Percent::try_from).transpose()?)
+        };
+        Ok(Self {
+            model: parameter(query, "model")?.ok_or(BadQuestion::NoModel)?,
+            caller: parameter(query, "caller")?.map(|name| name.parse()).transpose()?,
+            power_pressure: percent("power_pressure")?,
+            memory_pressure: percent("memory_pressure")?,
+            idle_for: number(query, "idle_for_s")?.map(Duration::from_secs),
+            queue: number(query, "queue")?,
+        })
+    }
+}
+
+/// Answers a question.
 pub(super) fn explain(
     document: &Document,
     data_centre: &DataCentre,
     query: &str,
 ) -> Result<Explanation, BadQuestion> {
-    let name = parameter(query, "model").ok_or(BadQuestion::NoModel)?;
-    let caller: Option<CallerId> = parameter(query, "caller").map(str::parse).transpose()?;
-    let target = document.catalogue.resolve(name);
-    let target = target.ok_or_else(|| BadQuestion::UnknownModel { name: name.to_owned() })?;
+    let question = Question::parse(query)?;
+    let target = document.catalogue.resolve(&question.model);
+    let target = target.ok_or_else(|| BadQuestion::UnknownModel { name: question.model.clone() })?;
     let at = time_of_day();
     let facts = Facts {
         model: Some(&target.model),
         adapter: target.adapter.as_ref(),
-        caller: caller.as_ref(),
+        caller: question.caller.as_ref(),
+        service: None,
         data_centre: Some(data_centre),
         at: Some(at),
-        ..Facts::default()
+        power_pressure: question.power_pressure,
+        memory_pressure: question.memory_pressure,
+        idle_for: question.idle_for,
+        queue: question.queue,
     };
     let decision = document.rules.decide(&facts);
     let list = &document.rules.list;
@@ -56,7 +106,11 @@
         facts: FactsWire {
             data_centre: data_centre.to_string(),
             at: at.to_string(),
-            caller: caller.as_ref().map(ToString::to_string),
+            caller: question.caller.as_ref().map(ToString::to_string),
+            power_pressure: question.power_pressure.map(Percent::get),
+            memory_pressure: question.memory_pressure.map(Percent::get),
+            idle_for_s: question.idle_for.map(|d| d.as_secs()),
+            queue: question.queue,
         },
         tried: tried.take(until.map_or(list.len(), |i| i + 1)).collect(),
         matched: decision.rule.map(Into::into),
@@ -64,9 +118,13 @@
     })
 }
 
-fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
-    query
-        .split('&')
-        .find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name))
-        .map(|(_, value)| value)
+fn parameter(query: &str, name: &str) -> Result<Option<String>, BadQuestion> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let value = pairs.find(|(key, _)| *key == name).map(|(_, value)| percent::decode(value));
+    Ok(value.transpose()?)
+}
+
+fn number<T: FromStr>(query: &str, name: &'static str) -> Result<Option<T>, BadQuestion> {
+    let Some(text) = parameter(query, name)? else { return Ok(None) };
+    text.parse().map(Some).map_err(|_invalid| BadQuestion::Number { name })
 }
--- a/crates/skylarkshore/tests/process/deployment.rs
+++ b/crates/skylarkshore/tests/process/deployment.rs
@@ -29,7 +29,8 @@
   },
   "services": { "marketplace": { "once_paths": ["/bookings"], "concurrency": 32 } },
   "rules": [
-    { "name": "summaries first", "when": { "models": ["listing-summary"] }, "then": { "order": 10 } }
+    { "name": "summaries first", "when": { "models": ["listing-summary"] }, "then": { "order": 10 } },
+    { "name": "long queues spread", "when": { "queue_at_least": 9 }, "then": { "replicas_max": 2 } }
   ]
 }"#;
 
--- a/crates/skylarkshore/tests/process/operators.rs
+++ b/crates/skylarkshore/tests/process/operators.rs
@@ -40,6 +40,9 @@
     let mut explanation: Value = answer.json().unwrap();
     explanation["facts"]["at"] = "07:00".into();
     insta::assert_snapshot!(explanation, @r#"{"adapter":"listing-summary-fr","document_revision":1,"facts":{"at":"07:00","data_centre":"bern-a"},"matched":{"name":"summaries first","then":{"cold_start_weight":1,"idle_after":"adaptive","idle_weight":1,"order":10,"replicas_max":1,"replicas_min":0},"when":{"models":["listing-summary"]}},"model":"listing-summary","outcome":{"cold_start_weight":1,"idle_after":"adaptive","idle_weight":1,"order":10,"replicas_max":1,"replicas_min":0},"tried":[{"holds":true,"name":"summaries first"}]}"#);
+    let crowded = deployment.operator("/debug/explain?model=slow-to-load&queue=9").await.unwrap();
+    let crowded: Value = crowded.json().unwrap();
+    assert_eq!(crowded["matched"]["name"], "long queues spread", "{crowded}");
     let unknown = deployment.operator("/debug/explain?model=no-such-model").await.unwrap();
     assert_eq!(unknown.status.as_u16(), 400);
     assert!(unknown.text().contains("see /debug/rules for those there are"));
