--- /dev/null
+++ b/crates/skylarkshore-wire/tests/formats.rs
@@ -0,0 +1,183 @@
+//! The formats of keys, stored values and peers' messages.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use skylarkshore_core::catalogue::{Document, ModelTarget};
+use skylarkshore_core::id::{CallId, Digest, Fence, Incarnation, RulesRevision, StoreRevision};
+use skylarkshore_core::peer::PeerMessage;
+use skylarkshore_core::rules::ServiceOrder;
+use skylarkshore_core::store::{
+    HomesRecord, Key, MemberRecord, OnceRecord, OnceState, OwnerRecord, PowerRecord, Record, RecordBatch,
+    RecordedAnswer, Versioned, Writer,
+};
+use skylarkshore_core::units::Watts;
+use skylarkshore_core::view::{EngineView, ModelView, Readiness, ViewVersion};
+use skylarkshore_wire::keys::{KeyText, StoredValue};
+use skylarkshore_wire::peer::{InvalidMessage, MAX_MESSAGE_LEN, decode, encode};
+
+fn writer() -> Writer {
+    Writer { host: "entry-1".parse().unwrap(), incarnation: Incarnation(7), call: CallId(12) }
+}
+
+/// One key of each kind with a value.
+fn stored() -> Vec<(Key, Record)> {
+    let member = MemberRecord {
+        incarnation: Incarnation(7),
+        caller_address: "10.0.0.1:8080".parse().unwrap(),
+        peer_address: "10.0.0.1:8081".parse().unwrap(),
+        data_centre: "bern-a".parse().unwrap(),
+        fingerprint: Digest([0xab; 32]),
+        leaving: false,
+    };
+    let owner =
+        OwnerRecord { host: "entry-1".parse().unwrap(), incarnation: Incarnation(7), fence: Fence(4) };
+    let homes = HomesRecord { engines: vec!["engine-2".parse().unwrap(), "engine-5".parse().unwrap()] };
+    let power = PowerRecord { grants: [("engine-1".parse().unwrap(), Watts(700))].into() };
+    let answer =
+        RecordedAnswer { status: 200, content_type: Some("text/plain".to_owned()), body: vec![0, 255, 10] };
+    let once = |state| {
+        Record::Once(OnceRecord {
+            request: Digest([1; 32]),
+            host: "entry-1".parse().unwrap(),
+            incarnation: Incarnation(7),
+            state,
+        })
+    };
+    let document = Document { revision: RulesRevision(3), ..Document::default() };
+    vec![
+        (Key::Document, Record::Document(Arc::new(document))),
+        (Key::Member("entry-1".parse().unwrap()), Record::Member(member)),
+        (Key::Owner("engine:2".parse().unwrap()), Record::Owner(owner)),
+        (Key::Homes("mail/summary@2".parse().unwrap()), Record::Homes(homes)),
+        (Key::Power("lagerraum".parse().unwrap()), Record::Power(power)),
+        (Key::Once(Digest([2; 32])), once(OnceState::Answered(answer))),
+        (Key::Once(Digest([3; 32])), once(OnceState::Claimed)),
+        (Key::Once(Digest([4; 32])), once(OnceState::AnswerNotKept)),
+    ]
+}
+
+#[test]
+fn keys_and_values_look_as_described_and_come_back_the_same() {
+    let mut lines = Vec::new();
+    for (key, record) in stored() {
+        let text = KeyText::from(&key);
+        assert_eq!(Key::try_from(&text).unwrap(), key);
+        let value = StoredValue { writer: writer(), record };
+        let json = value.to_json();
+        assert_eq!(StoredValue::from_json(&key, json.as_bytes()).unwrap(), value);
+        lines.push(format!("{text}\n  {json}"));
+    }
+    insta::assert_snapshot!(lines.join("\n"), @r#"
+    skylarkshore/shared/document
+      {"writer":{"host":"entry-1","incarnation":7,"call":12},"value":{"revision":3,"power_caps":{},"models":{},"services":{},"rules":[],"otherwise":{"replicas_min":0,"replicas_max":1,"idle_after":"adaptive","order":100,"cold_start_weight":1,"idle_weight":1}}}
+    skylarkshore/shared/members/entry-1
+      {"writer":{"host":"entry-1","incarnation":7,"call":12},"value":{"incarnation":7,"caller_address":"10.0.0.1:8080","peer_address":"10.0.0.1:8081","data_centre":"bern-a","fingerprint":"abababababababababababababababababababababababababababababababab","leaving":false}}
+    skylarkshore/shared/owners/engine%3A2
+      {"writer":{"host":"entry-1","incarnation":7,"call":12},"value":{"host":"entry-1","incarnation":7,"fence":4}}
+    skylarkshore/shared/homes/mail%2Fsummary%402
+      {"writer":{"host":"entry-1","incarnation":7,"call":12},"value":{"engines":["engine-2","engine-5"]}}
+    skylarkshore/shared/power/lagerraum
+      {"writer":{"host":"entry-1","incarnation":7,"call":12},"value":{"grants":{"engine-1":700}}}
+    skylarkshore/once/0202020202020202020202020202020202020202020202020202020202020202
+      {"writer":{"host":"entry-1","incarnation":7,"call":12},"value":{"request":"0101010101010101010101010101010101010101010101010101010101010101","host":"entry-1","incarnation":7,"state":{"answered":{"status":200,"content_type":"text/plain","body":"AP8K"}}}}
+    skylarkshore/once/0303030303030303030303030303030303030303030303030303030303030303
+      {"writer":{"host":"entry-1","incarnation":7,"call":12},"value":{"request":"0101010101010101010101010101010101010101010101010101010101010101","host":"entry-1","incarnation":7,"state":"claimed"}}
+    skylarkshore/once/0404040404040404040404040404040404040404040404040404040404040404
+      {"writer":{"host":"entry-1","incarnation":7,"call":12},"value":{"request":"0101010101010101010101010101010101010101010101010101010101010101","host":"entry-1","incarnation":7,"state":"answer_not_kept"}}
+    "#);
+}
+
+#[test]
+fn a_key_or_value_that_is_none_of_ours_is_told_with_the_remedy() {
+    let refused: Vec<String> = ["other/key", "skylarkshore/shared/members/a%2", "skylarkshore/once/12"]
+        .iter()
+        .map(|key| Key::try_from(&KeyText::from((*key).to_owned())).unwrap_err().to_string())
+        .collect();
+    insta::assert_snapshot!(refused.join("\n"), @r"
+    'other/key' is none of the system's keys (unknown prefix); delete it, or upgrade this process
+    'skylarkshore/shared/members/a%2' is none of the system's keys (a percent sign needs two hexadecimal digits after it, and the whole has to be UTF-8; correct it); delete it, or upgrade this process
+    'skylarkshore/once/12' is none of the system's keys (a digest has 64 hexadecimal digits; read it again from its source); delete it, or upgrade this process
+    ");
+    let wrong = StoredValue::from_json(&Key::Document, b"{\"writer\": 1}").unwrap_err().to_string();
+    assert!(wrong.contains("delete its key, or upgrade this process"), "{wrong}");
+}
+
+proptest! {
+    #[test]
+    fn any_name_comes_back_out_of_its_key(name in "[a-zA-Z0-9._:/@-]{1,128}") {
+        let key = Key::Homes(name.parse().unwrap());
+        let text = KeyText::from(&key);
+        prop_assert_eq!(text.as_str().matches('/').count(), 3);
+        prop_assert_eq!(Key::try_from(&text).unwrap(), key);
+    }
+
+    #[test]
+    fn no_bytes_from_the_network_bring_the_decoder_down(bytes in prop::collection::vec(any::<u8>(), 0..256)) {
+        _ = decode(&bytes);
+    }
+}
+
+fn messages() -> Vec<PeerMessage> {
+    let target = ModelTarget { model: "m".parse().unwrap(), adapter: Some("a/1".parse().unwrap()) };
+    let records = stored().into_iter().map(|(key, record)| Versioned {
+        key,
+        revision: StoreRevision(9),
+        writer: Some(writer()),
+        record: Some(record),
+    });
+    let gone = Versioned { key: Key::Document, revision: StoreRevision(9), writer: None, record: None };
+    let view = EngineView {
+        upstream: "engine-1".parse().unwrap(),
+        version: ViewVersion { fence: Fence(4), number: 8 },
+        models: vec![ModelView {
+            model: "m".parse().unwrap(),
+            version: "1".parse().unwrap(),
+            readiness: Readiness::Loading { remaining: Duration::from_millis(1500) },
+            adapters: vec!["a/1".parse().unwrap()],
+            running: 2,
+        }],
+        concurrency: 8,
+        running: 3,
+        leaving: true,
+        reserved_for: Some("entry-2".parse().unwrap()),
+    };
+    vec![
+        PeerMessage::Records(RecordBatch {
+            after: Some(StoreRevision(1)),
+            upto: StoreRevision(9),
+            records: records.chain([gone]).collect(),
+        }),
+        PeerMessage::Wanted {
+            target,
+            waiting: 3,
+            order: ServiceOrder(10),
+            patience: Duration::from_secs(5),
+            arrived: 4,
+        },
+        PeerMessage::View(view),
+        PeerMessage::Suspects {
+            upstream: "engine-1".parse().unwrap(),
+            incarnation: Some(Incarnation(2)),
+            requests: vec![Digest([5; 32])],
+            alone: true,
+        },
+    ]
+}
+
+#[test]
+fn messages_come_back_the_same() {
+    for message in messages() {
+        assert_eq!(decode(&encode(&message).unwrap()).unwrap(), message);
+    }
+}
+
+/// A document that is too large for a message would be cut by the receiver and
+/// never come into force there; its sender has to notice.
+#[test]
+fn a_message_that_is_too_large_is_not_encoded() {
+    let requests = vec![Digest([5; 32]); MAX_MESSAGE_LEN / 32];
+    let refused = encode(&PeerMessage::SuspectsNoted { requests });
+    assert!(matches!(refused, Err(InvalidMessage::TooLarge { .. })), "{refused:?}");
+}
