Let one message to a peer hold every shared key

A host that missed much is sent all shared keys at once: a document of up to a megabyte with members, owners and homes. The limit of a megabyte for a message would have dropped it each time, and the host never caught up.

--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -24,7 +24,10 @@
 pub use view::{EngineViewWire, ModelViewWire, ReadinessWire};
 
 /// The largest message in bytes.
-pub const MAX_MESSAGE_LEN: usize = 1024 * 1024;
+///
+/// A host that missed much gets every shared key in one message: a document of up
+/// to a megabyte, and at the size aimed at some 300 KB of members, owners and homes.
+pub const MAX_MESSAGE_LEN: usize = 4 * 1024 * 1024;
 
 /// Why a message isn't valid.
 #[derive(Debug, Display, Error, From)]
--- a/crates/skylarkshore/src/peers/link.rs
+++ b/crates/skylarkshore/src/peers/link.rs
@@ -10,7 +10,6 @@
 };
 use skylarkshore_core::config::Timings;
 use skylarkshore_core::id::HostId;
-use skylarkshore_wire::peer::MAX_MESSAGE_LEN;
 use slog::debug;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
@@ -26,8 +25,9 @@
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
 /// Messages of one peer that are read at a time.
 const STREAMS: u32 = 64;
-/// What is buffered of one peer's messages, in messages of the largest size.
-const BUFFERED_MESSAGES: u32 = 4;
+/// What is buffered of one message and of all messages of a peer, in bytes.
+const STREAM_BUFFER: u32 = 1024 * 1024;
+const PEER_BUFFER: u32 = 4 * STREAM_BUFFER;
 
 /// The times that connections to peers keep.
 #[derive(Clone, Copy, Debug)]
@@ -47,14 +47,13 @@
     /// A connection whose other end is silent is given up after the idle time,
     /// so that a restarted peer is connected to anew.
     pub(super) fn transport(self) -> Arc<TransportConfig> {
-        let message = u32::try_from(MAX_MESSAGE_LEN).unwrap_or(u32::MAX);
         let mut transport = TransportConfig::default();
         transport
             .max_idle_timeout(IdleTimeout::try_from(self.idle).ok())
             .max_concurrent_uni_streams(STREAMS.into())
             .max_concurrent_bidi_streams(VarInt::from_u32(0))
-            .stream_receive_window(message.into())
-            .receive_window(message.saturating_mul(BUFFERED_MESSAGES).into())
+            .stream_receive_window(STREAM_BUFFER.into())
+            .receive_window(PEER_BUFFER.into())
             .datagram_receive_buffer_size(None);
         Arc::new(transport)
     }
