--- a/crates/skylarkshore/src/callers.rs
+++ b/crates/skylarkshore/src/callers.rs
@@ -29,14 +29,14 @@
 use crate::connections::{Connections, WatchedListener};
 use crate::driver::Snapshot;
 use crate::env::Env;
-use crate::passage::{Outgoing, Passage};
+use crate::pending::{Outgoing, PendingRequest};
 use crate::probe::HEALTH_PATH;
 use crate::server::{self, MAX_HEADERS};
 use crate::upstreams::forwarded;
 
 use check::{Asked, ChatBody, ServiceCall};
 use invalid::Invalid;
-use reply::Running;
+use reply::RequestGuard;
 
 /// How much later than its deadline a request gets its answer at the latest.
 ///
@@ -48,7 +48,7 @@
 
 /// What answers callers need.
 #[derive(Clone, Debug)]
-pub(crate) struct Surface {
+pub(crate) struct CallerState {
     pub(crate) env: Env,
     pub(crate) snapshots: watch::Receiver<Arc<Snapshot>>,
     pub(crate) connections: Arc<Connections>,
@@ -67,32 +67,35 @@
 /// # Errors
 ///
 /// The system gives no threads.
-pub(crate) fn serve(surface: Surface, listener: std::net::TcpListener) -> std::io::Result<server::Running> {
-    let connections = Arc::clone(&surface.connections);
+pub(crate) fn serve(
+    state: CallerState,
+    listener: std::net::TcpListener,
+) -> std::io::Result<server::RunningServer> {
+    let connections = Arc::clone(&state.connections);
     let watched = WatchedListener::new(listener, connections, tokio::runtime::Handle::current());
-    let head_timeout = surface.intake.head_timeout;
-    let app = App::new().with_state(surface).at("/", fn_service(handle)).at("/{*path}", fn_service(handle));
+    let head_timeout = state.intake.head_timeout;
+    let app = App::new().with_state(state).at("/", fn_service(handle)).at("/{*path}", fn_service(handle));
     server::start(app.serve(), watched, head_timeout, server::CALLER_WORKERS)
 }
 
-async fn handle(mut ctx: WebContext<'_, Surface>) -> Result<WebResponse, Infallible> {
-    let surface = ctx.state().clone();
+async fn handle(mut ctx: WebContext<'_, CallerState>) -> Result<WebResponse, Infallible> {
+    let state = ctx.state().clone();
     let head = Head::of(&ctx);
     let id = match check::request_id(&head.headers) {
         Ok(id) => id,
-        Err(invalid) => return Ok(surface.invalid(&invalid, &check::generated_id())),
+        Err(invalid) => return Ok(state.invalid(&invalid, &check::generated_id())),
     };
     let body = ctx.body_get_mut();
-    let mut res = match surface.answer(&head, body).await {
+    let mut res = match state.answer(&head, body).await {
         Ok(res) => res,
         Err(invalid) => {
-            debug!(surface.env.log, "request_invalid"; "path" => head.uri.path(), "reason" => invalid.word());
+            debug!(state.env.log, "request_invalid"; "path" => head.uri.path(), "reason" => invalid.word());
             intake::read_off(body, &invalid).await;
-            surface.invalid(&invalid, &id)
+            state.invalid(&invalid, &id)
         }
     };
     res.headers_mut().insert(REQUEST_ID_HEADER, id);
-    if surface.snapshots.borrow().leaving {
+    if state.snapshots.borrow().leaving {
         // A caller that keeps its connection would only notice the end when it breaks.
         res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -110,7 +113,7 @@
 }
 
 impl Head {
-    fn of(ctx: &WebContext<'_, Surface>) -> Self {
+    fn of(ctx: &WebContext<'_, CallerState>) -> Self {
         let req = ctx.req();
         Self {
             method: req.method().clone(),
@@ -126,7 +129,7 @@
     }
 }
 
-impl Surface {
+impl CallerState {
     async fn answer(
         &self,
         head: &Head,
@@ -223,13 +226,13 @@
         arrival: Arrival,
         outgoing: Outgoing,
     ) -> WebResponse {
-        let (passage, reply) = Passage::new(outgoing);
+        let (pending, reply) = PendingRequest::new(outgoing);
         let overdue = self.env.clock.instant(arrival.deadline.after(OVERDUE));
-        let request = self.env.requests.insert(passage);
+        let request = self.env.requests.insert(pending);
         let watched = self.connections.get(head.caller);
-        let running = Running::begin(self.env.clone(), request, target, head.begun, watched);
+        let guard = RequestGuard::begin(self.env.clone(), request, target, head.begun, watched);
         self.env.inbox.event(Event::Arrived { request, arrival }).await;
-        running.respond(reply, overdue).await
+        guard.respond(reply, overdue).await
     }
 
     fn snapshot(&self) -> Arc<Snapshot> {
@@ -265,10 +268,10 @@
 }
 
 impl Common {
-    fn read(surface: &Surface, head: &Head) -> Result<Self, Invalid> {
+    fn read(state: &CallerState, head: &Head) -> Result<Self, Invalid> {
         let Asked { timeout, caller } = Asked::read(&head.headers)?;
         let waited = head.begun.elapsed();
-        let deadline = surface.env.clock.now().after(timeout.saturating_sub(waited));
+        let deadline = state.env.clock.now().after(timeout.saturating_sub(waited));
         Ok(Self { caller, deadline })
     }
 }
--- a/crates/skylarkshore/src/callers/reply.rs
+++ b/crates/skylarkshore/src/callers/reply.rs
@@ -21,20 +21,20 @@
 use crate::connections::Watched;
 use crate::env::Env;
 use crate::metrics::RequestEnd;
-use crate::passage::{Piece, Reply, ReplyBody};
+use crate::pending::{Piece, Reply, ReplyBody};
 
 /// A request that the core knows of.
 ///
 /// When it is dropped before its end, the caller is gone: the core is told, so
 /// that the upstream's work stops.
-pub(super) struct Running {
+pub(super) struct RequestGuard {
     env: Env,
     request: RequestId,
     target: &'static str,
     begun: Instant,
     watched: Option<Watched>,
     /// Breaks the connection of a caller that doesn't read its answer.
-    cutter: Option<AbortHandle>,
+    watchdog: Option<AbortHandle>,
     ended: bool,
 }
 
@@ -43,7 +43,7 @@
 #[display("the answer was broken off; ask again")]
 pub(super) struct BrokenOff;
 
-impl Running {
+impl RequestGuard {
     pub(super) fn begin(
         env: Env,
         request: RequestId,
@@ -52,7 +52,7 @@
         watched: Option<Watched>,
     ) -> Self {
         env.metrics.request_begun();
-        Self { env, request, target, begun, watched, cutter: None, ended: false }
+        Self { env, request, target, begun, watched, watchdog: None, ended: false }
     }
 
     /// Waits for the head of the answer, and makes the response of it.
@@ -73,7 +73,7 @@
             return unanswered();
         };
         self.env.metrics.request_answering(self.target, self.begun.elapsed());
-        self.cut_when(overdue);
+        self.watch_over(overdue);
         self.pass_on(reply)
     }
 
@@ -81,13 +81,13 @@
     ///
     /// The server waits without limit for a caller that takes no bytes. Such a
     /// caller would hold its connection and the request's memory for ever.
-    fn cut_when(&mut self, overdue: Instant) {
+    fn watch_over(&mut self, overdue: Instant) {
         let Some(watched) = self.watched.clone() else { return };
         let task = tokio::spawn(async move {
             tokio::time::sleep_until(overdue).await;
             watched.cut();
         });
-        self.cutter = Some(task.abort_handle());
+        self.watchdog = Some(task.abort_handle());
     }
 
     fn pass_on(mut self, reply: Reply) -> WebResponse {
@@ -109,8 +109,8 @@
             return;
         }
         self.ended = true;
-        if let Some(cutter) = self.cutter.take() {
-            cutter.abort();
+        if let Some(watchdog) = self.watchdog.take() {
+            watchdog.abort();
         }
         let took = self.begun.elapsed();
         self.env.requests.remove(self.request);
@@ -120,7 +120,7 @@
     }
 }
 
-impl Drop for Running {
+impl Drop for RequestGuard {
     fn drop(&mut self) {
         if !self.ended {
             self.end(RequestEnd::CallerGone);
@@ -149,7 +149,7 @@
 
 /// The body of an answer that is passed on.
 struct PassedOn {
-    running: Running,
+    guard: RequestGuard,
     pieces: mpsc::Receiver<Piece>,
     len: Option<u64>,
     gone: BoxFuture<'static, ()>,
@@ -157,14 +157,14 @@
 }
 
 impl PassedOn {
-    fn new(running: Running, pieces: mpsc::Receiver<Piece>, len: Option<u64>) -> Self {
-        let mut watched = running.watched.clone();
+    fn new(guard: RequestGuard, pieces: mpsc::Receiver<Piece>, len: Option<u64>) -> Self {
+        let mut watched = guard.watched.clone();
         let gone = async move { gone(watched.as_mut()).await }.boxed();
-        Self { running, pieces, len, gone, broken_off: false }
+        Self { guard, pieces, len, gone, broken_off: false }
     }
 
     fn break_off(&mut self) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
-        if let Some(watched) = &self.running.watched {
+        if let Some(watched) = &self.guard.watched {
             watched.cut();
         }
         Poll::Ready(Some(Err(BrokenOff)))
@@ -188,21 +188,21 @@
         match ready!(self.pieces.poll_recv(cx)) {
             Some(Piece::Data(data)) => Poll::Ready(Some(Ok(Frame::Data(data)))),
             Some(Piece::End) => {
-                self.running.end(RequestEnd::Answered);
+                self.guard.end(RequestEnd::Answered);
                 Poll::Ready(None)
             }
             Some(Piece::BrokenOff(Some(last))) => {
-                self.running.end(RequestEnd::BrokenOff);
+                self.guard.end(RequestEnd::BrokenOff);
                 self.broken_off = true;
                 Poll::Ready(Some(Ok(Frame::Data(last))))
             }
             Some(Piece::BrokenOff(None)) => {
-                self.running.end(RequestEnd::BrokenOff);
+                self.guard.end(RequestEnd::BrokenOff);
                 self.break_off()
             }
             None => {
                 // The sender ended without a last piece: a short answer isn't passed off as whole.
-                self.running.end(RequestEnd::BrokenOff);
+                self.guard.end(RequestEnd::BrokenOff);
                 self.break_off()
             }
         }
--- a/crates/skylarkshore/src/driver.rs
+++ b/crates/skylarkshore/src/driver.rs
@@ -41,9 +41,9 @@
 
 impl Inbox {
     /// Makes the way; must be called inside the main runtime.
-    pub(crate) fn open() -> (Self, Letters) {
+    pub(crate) fn open() -> (Self, InboxReceiver) {
         let (tx, rx) = mpsc::channel(INBOX_LEN);
-        (Self { tx, runtime: tokio::runtime::Handle::current() }, Letters { rx })
+        (Self { tx, runtime: tokio::runtime::Handle::current() }, InboxReceiver { rx })
     }
 
     /// Hands an event over; waits while the core is behind.
@@ -79,7 +79,7 @@
 
 /// What waits for the core.
 #[derive(Debug)]
-pub(crate) struct Letters {
+pub(crate) struct InboxReceiver {
     rx: mpsc::Receiver<Input>,
 }
 
@@ -111,14 +111,14 @@
     }
 
     /// Runs until the core says that the process may end.
-    pub(crate) async fn run(mut self, mut letters: Letters, first: Vec<Effect>) {
+    pub(crate) async fn run(mut self, mut receiver: InboxReceiver, first: Vec<Effect>) {
         let mut ticks = interval(TICK_EVERY);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut ticked = 0;
         let mut step = self.carry_out(first);
         while step == Step::GoOn {
             step = tokio::select! {
-                Some(input) = letters.rx.recv() => self.take(input),
+                Some(input) = receiver.rx.recv() => self.take(input),
                 _ = ticks.tick() => {
                     ticked += 1;
                     if ticked % TICKS_PER_SNAPSHOT == 0 {
--- a/crates/skylarkshore/src/driver/effects.rs
+++ b/crates/skylarkshore/src/driver/effects.rs
@@ -13,12 +13,12 @@
 use tokio::task::AbortHandle;
 
 use crate::driver::Inbox;
-use crate::engines::{Engines, OrderLetter};
+use crate::engines::{EngineOrder, Engines};
 use crate::env::Env;
 use crate::peers::Peers;
 use crate::probe;
 use crate::store::{BoxFuture, Seen, Store, WatchSink};
-use crate::upstreams::{SendLetter, UpstreamSort, Upstreams};
+use crate::upstreams::{Dispatch, UpstreamSort, Upstreams};
 
 /// Carries out what the core wants done.
 pub(crate) struct Effects {
@@ -67,7 +67,7 @@
             Effect::Probe { host, incarnation, address } => self.probe(host, incarnation, address),
             Effect::Order { upstream, order, fence, not_after, action } => {
                 let address = upstreams.get(&upstream).map(|upstream| upstream.address);
-                self.order(upstream, address, OrderLetter { order, fence, not_after, action });
+                self.order(upstream, address, EngineOrder { order, fence, not_after, action });
             }
             Effect::AskReport { upstream } => {
                 let address = upstreams.get(&upstream).map(|upstream| upstream.address);
@@ -81,7 +81,7 @@
                 let sort =
                     if entry.engine().is_some() { UpstreamSort::Engine } else { UpstreamSort::Service };
                 let address = entry.address;
-                self.send(SendLetter {
+                self.send(Dispatch {
                     request,
                     attempt,
                     upstream,
@@ -95,8 +95,8 @@
             }
             Effect::Cancel { attempt } => self.cancel(attempt),
             Effect::Answer { request, answer } => {
-                if let Some(passage) = self.env.requests.get(request) {
-                    passage.answer(answer);
+                if let Some(pending) = self.env.requests.get(request) {
+                    pending.answer(answer);
                 }
             }
             Effect::Refuse { request, refusal } | Effect::Abort { request, refusal } => {
@@ -143,15 +143,15 @@
         });
     }
 
-    fn order(&self, upstream: UpstreamId, address: Option<SocketAddr>, letter: OrderLetter) {
+    fn order(&self, upstream: UpstreamId, address: Option<SocketAddr>, engine_order: EngineOrder) {
         let engines = self.engines.clone();
         let inbox = self.env.inbox.clone();
-        let order = letter.order;
+        let order = engine_order.order;
         debug!(self.env.log, "order"; "engine" => %upstream, "order" => %order,
-            "fence" => %letter.fence, "action" => ?letter.action);
+            "fence" => %engine_order.fence, "action" => ?engine_order.action);
         tokio::spawn(async move {
             let answer = match address {
-                Some(address) => engines.give(address, letter).await,
+                Some(address) => engines.give(address, engine_order).await,
                 None => OrderAnswer::NotSent,
             };
             inbox.event(Event::Order { upstream, order, answer }).await;
@@ -171,12 +171,12 @@
         });
     }
 
-    fn send(&mut self, letter: SendLetter) {
+    fn send(&mut self, dispatch: Dispatch) {
         let upstreams = self.upstreams.clone();
         let inbox = self.env.inbox.clone();
-        let attempt = letter.attempt;
+        let attempt = dispatch.attempt;
         let task = tokio::spawn(async move {
-            let end = upstreams.send(letter).await;
+            let end = upstreams.send(dispatch).await;
             inbox.event(Event::AttemptEnded { attempt, end }).await;
         });
         self.attempts.insert(attempt, task.abort_handle());
@@ -195,8 +195,8 @@
     }
 
     fn refuse(&self, request: RequestId, refusal: &Refusal) {
-        let Some(passage) = self.env.requests.get(request) else { return };
-        passage.refuse(refusal);
+        let Some(pending) = self.env.requests.get(request) else { return };
+        pending.refuse(refusal);
     }
 
     fn note(&self, note: &Note) {
--- a/crates/skylarkshore/src/engines.rs
+++ b/crates/skylarkshore/src/engines.rs
@@ -21,7 +21,7 @@
 
 /// An order with what goes with it.
 #[derive(Debug)]
-pub(crate) struct OrderLetter {
+pub(crate) struct EngineOrder {
     pub(crate) order: OrderId,
     pub(crate) fence: Fence,
     pub(crate) not_after: Time,
@@ -47,9 +47,13 @@
     /// engine. One that ignores fences would carry its order out beside the
     /// successor's, and two replicas would run where one is allowed; so the time
     /// is checked after the connection stands, right before the order is sent.
-    pub(crate) async fn give(&self, address: SocketAddr, letter: OrderLetter) -> OrderAnswer {
-        let not_after = letter.not_after;
-        let body = OrderRequest { order: letter.order, fence: letter.fence, action: letter.action.into() };
+    pub(crate) async fn give(&self, address: SocketAddr, engine_order: EngineOrder) -> OrderAnswer {
+        let not_after = engine_order.not_after;
+        let body = OrderRequest {
+            order: engine_order.order,
+            fence: engine_order.fence,
+            action: engine_order.action.into(),
+        };
         let Ok(body) = serde_json::to_vec(&body) else { return OrderAnswer::NotSent };
         let req = json_request(Method::POST, address, ORDERS_PATH, Bytes::from(body));
         let may_send = || !not_after.is_due(self.clock.now());
--- a/crates/skylarkshore/src/env.rs
+++ b/crates/skylarkshore/src/env.rs
@@ -7,7 +7,7 @@
 use crate::clock::Clock;
 use crate::driver::Inbox;
 use crate::metrics::Metrics;
-use crate::passage::Requests;
+use crate::pending::Requests;
 
 /// What nearly every part of the program needs; cheap to clone.
 #[derive(Clone, Debug)]
--- a/crates/skylarkshore/src/operators.rs
+++ b/crates/skylarkshore/src/operators.rs
@@ -24,7 +24,7 @@
 
 /// What answers to operators need.
 #[derive(Clone, Debug)]
-pub(crate) struct Desk {
+pub(crate) struct OperatorState {
     pub(crate) env: Env,
     pub(crate) snapshots: watch::Receiver<Arc<Snapshot>>,
     pub(crate) host: HostId,
@@ -37,19 +37,22 @@
 /// # Errors
 ///
 /// The system gives no threads.
-pub(crate) fn serve(desk: Desk, listener: std::net::TcpListener) -> std::io::Result<server::Running> {
+pub(crate) fn serve(
+    state: OperatorState,
+    listener: std::net::TcpListener,
+) -> std::io::Result<server::RunningServer> {
     let head_timeout = std::time::Duration::from_secs(5);
-    let app = App::new().with_state(desk).at("/", fn_service(handle)).at("/{*path}", fn_service(handle));
+    let app = App::new().with_state(state).at("/", fn_service(handle)).at("/{*path}", fn_service(handle));
     server::start(app.serve(), listener, head_timeout, server::OPERATOR_WORKERS)
 }
 
-async fn handle(ctx: WebContext<'_, Desk>) -> Result<WebResponse, Infallible> {
-    let desk = ctx.state();
+async fn handle(ctx: WebContext<'_, OperatorState>) -> Result<WebResponse, Infallible> {
+    let state = ctx.state();
     let req = ctx.req();
-    Ok(desk.answer(req.method(), req.uri().path(), req.uri().query().unwrap_or_default()).await)
+    Ok(state.answer(req.method(), req.uri().path(), req.uri().query().unwrap_or_default()).await)
 }
 
-impl Desk {
+impl OperatorState {
     async fn answer(&self, method: &Method, path: &str, query: &str) -> WebResponse {
         let expected = match path {
             "/debug/drain" => Method::POST,
--- a/crates/skylarkshore/src/peers.rs
+++ b/crates/skylarkshore/src/peers.rs
@@ -130,11 +130,11 @@
 
     async fn accept(self) {
         while let Some(incoming) = self.shared.endpoint.accept().await {
-            tokio::spawn(self.clone().welcome(incoming));
+            tokio::spawn(self.clone().handshake(incoming));
         }
     }
 
-    async fn welcome(self, incoming: Incoming) {
+    async fn handshake(self, incoming: Incoming) {
         let address = incoming.remote_address();
         let connection = match incoming.await {
             Ok(connection) => connection,
--- a/crates/skylarkshore/src/passage.rs
+++ b/crates/skylarkshore/src/pending.rs
@@ -1,4 +1,4 @@
-//! The way of one request: what is sent upstream, and how its answer gets back to the caller.
+//! A request in progress: what is sent upstream, and how its answer gets back to the caller.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -91,14 +91,14 @@
     attempt: AttemptId,
 }
 
-/// The way of one request.
+/// A request in progress.
 #[derive(Debug)]
-pub(crate) struct Passage {
+pub(crate) struct PendingRequest {
     pub(crate) outgoing: Outgoing,
     inner: Mutex<Inner>,
 }
 
-impl Passage {
+impl PendingRequest {
     pub(crate) fn new(outgoing: Outgoing) -> (Self, oneshot::Receiver<Reply>) {
         let (tx, rx) = oneshot::channel();
         let inner = Inner { state: State::Waiting(tx), attempt: AttemptId::default() };
@@ -273,18 +273,18 @@
 #[derive(Debug, Default)]
 pub(crate) struct Requests {
     next: AtomicU64,
-    passages: Mutex<HashMap<RequestId, Arc<Passage>>>,
+    pending: Mutex<HashMap<RequestId, Arc<PendingRequest>>>,
 }
 
 impl Requests {
     /// Takes a request up and gives it its number.
-    pub(crate) fn insert(&self, passage: Passage) -> RequestId {
+    pub(crate) fn insert(&self, pending: PendingRequest) -> RequestId {
         let id = RequestId(self.next.fetch_add(1, Ordering::Relaxed) + 1);
-        self.lock().insert(id, Arc::new(passage));
+        self.lock().insert(id, Arc::new(pending));
         id
     }
 
-    pub(crate) fn get(&self, id: RequestId) -> Option<Arc<Passage>> {
+    pub(crate) fn get(&self, id: RequestId) -> Option<Arc<PendingRequest>> {
         self.lock().get(&id).cloned()
     }
 
@@ -296,7 +296,7 @@
         self.lock().len()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<RequestId, Arc<Passage>>> {
-        self.passages.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<RequestId, Arc<PendingRequest>>> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/skylarkshore/src/run.rs
+++ b/crates/skylarkshore/src/run.rs
@@ -14,19 +14,19 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
-use crate::callers::{self, Rotation, Surface};
+use crate::callers::{self, CallerState, Rotation};
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::connections::Connections;
-use crate::driver::{Driver, Effects, Inbox, Letters, Snapshot};
+use crate::driver::{Driver, Effects, Inbox, InboxReceiver, Snapshot};
 use crate::engines::Engines;
 use crate::env::Env;
 use crate::error::Error;
 use crate::log::{logger, unix_millis};
 use crate::metrics::Metrics;
-use crate::operators::{self, Desk};
-use crate::passage::Requests;
+use crate::operators::{self, OperatorState};
 use crate::peers::{Identity, LinkTimings, Peers};
+use crate::pending::Requests;
 use crate::shutdown::Signals;
 use crate::store::{EtcdStore, Store};
 use crate::upstreams::Upstreams;
@@ -98,7 +98,7 @@
     let signals = Signals::listen().map_err(system)?;
     let sockets = Sockets::bind(&mut config)?;
     let identity = Identity::generate()?;
-    let (inbox, letters) = Inbox::open();
+    let (inbox, receiver) = Inbox::open();
     let env = Env {
         clock: Clock::start(),
         inbox,
@@ -120,18 +120,18 @@
     let effects = effects(&config, incarnation, &env, peers.clone());
     let (node, first) = Node::start(node_config, env.clock.now());
     let driver = Driver::new(node, env.clock, effects, snapshot, Arc::clone(&env.metrics));
-    let surface = surface(&config, incarnation, &env, snapshots.clone());
-    let desk = Desk {
+    let caller_state = caller_state(&config, incarnation, &env, snapshots.clone());
+    let operator_state = OperatorState {
         env: env.clone(),
         snapshots,
         host: config.host.clone(),
         incarnation,
         data_centre: config.data_centre.clone(),
     };
-    let operators = operators::serve(desk, sockets.operators).map_err(system)?;
-    let callers = callers::serve(surface, sockets.callers).map_err(system)?;
+    let operators = operators::serve(operator_state, sockets.operators).map_err(system)?;
+    let callers = callers::serve(caller_state, sockets.callers).map_err(system)?;
     tokio::spawn(hosts::poll(config.hosts_url.clone(), env.inbox.clone(), env.log.clone()));
-    let code = until_end(driver, letters, first, signals, &env).await;
+    let code = until_end(driver, receiver, first, signals, &env).await;
     stop(&callers, &operators, &peers);
     Ok(code)
 }
@@ -172,13 +172,13 @@
     Effects::new(env.clone(), store, engines, upstreams, peers)
 }
 
-fn surface(
+fn caller_state(
     config: &Config,
     incarnation: Incarnation,
     env: &Env,
     snapshots: watch::Receiver<Arc<Snapshot>>,
-) -> Surface {
-    Surface {
+) -> CallerState {
+    CallerState {
         env: env.clone(),
         snapshots,
         connections: Arc::new(Connections::default()),
@@ -196,8 +196,8 @@
 /// The core has nothing in progress any more as soon as the last answer has
 /// come from its upstream. A caller that reads slowly is still getting it; if
 /// the process ended now, its answer would be cut.
-async fn leave(driver: Driver, letters: Letters, first: Vec<Effect>, env: &Env) {
-    Box::pin(driver.run(letters, first)).await;
+async fn leave(driver: Driver, receiver: InboxReceiver, first: Vec<Effect>, env: &Env) {
+    Box::pin(driver.run(receiver, first)).await;
     let deadline = Instant::now() + LAST_ANSWERS;
     while env.requests.len() > 0 && Instant::now() < deadline {
         sleep(LAST_BYTES).await;
@@ -209,13 +209,13 @@
 
 async fn until_end(
     driver: Driver,
-    letters: Letters,
+    receiver: InboxReceiver,
     first: Vec<Effect>,
     signals: Signals,
     env: &Env,
 ) -> ExitCode {
     tokio::select! {
-        () = leave(driver, letters, first, env) => ExitCode::SUCCESS,
+        () = leave(driver, receiver, first, env) => ExitCode::SUCCESS,
         () = signals.until_second(env.clone()) => {
             let cut = env.requests.len();
             eprintln!("skylarkshore: ended at the second signal; {cut} requests in progress were cut off");
@@ -224,7 +224,7 @@
     }
 }
 
-fn stop(callers: &server::Running, operators: &server::Running, peers: &Peers) {
+fn stop(callers: &server::RunningServer, operators: &server::RunningServer, peers: &Peers) {
     callers.stop();
     operators.stop();
     peers.close();
--- a/crates/skylarkshore/src/server.rs
+++ b/crates/skylarkshore/src/server.rs
@@ -30,11 +30,11 @@
 pub(crate) const OPERATOR_WORKERS: usize = 1;
 
 /// A server that runs.
-pub(crate) struct Running {
+pub(crate) struct RunningServer {
     handle: ServerHandle,
 }
 
-impl Running {
+impl RunningServer {
     /// Ends the server and its connections.
     pub(crate) fn stop(&self) {
         self.handle.stop(false);
@@ -51,7 +51,7 @@
     listener: L,
     head_timeout: Duration,
     workers: usize,
-) -> std::io::Result<Running>
+) -> std::io::Result<RunningServer>
 where
     S: Service + Send + Sync + 'static,
     S::Response: ReadyService + Service<Request<RequestExt<RequestBody>>, Response = Response<B>> + 'static,
@@ -75,7 +75,7 @@
     let handle = server.handle()?;
     // The server holds a runtime of its own, which may not be dropped inside another one.
     std::thread::Builder::new().name("skylarkshore-accept".to_owned()).spawn(move || server.wait())?;
-    Ok(Running { handle })
+    Ok(RunningServer { handle })
 }
 
 /// Makes an answer with a JSON body.
--- a/crates/skylarkshore/src/upstreams.rs
+++ b/crates/skylarkshore/src/upstreams.rs
@@ -20,7 +20,7 @@
 
 use crate::env::Env;
 use crate::http::{PooledClient, client};
-use crate::passage::Passage;
+use crate::pending::PendingRequest;
 
 use attempt::Attempt;
 
@@ -35,7 +35,7 @@
 
 /// One try at having a request answered.
 #[derive(Clone, Debug)]
-pub(crate) struct SendLetter {
+pub(crate) struct Dispatch {
     pub(crate) request: RequestId,
     pub(crate) attempt: AttemptId,
     pub(crate) upstream: UpstreamId,
@@ -65,47 +65,47 @@
     }
 
     /// Makes the try and returns how it ended.
-    pub(crate) async fn send(&self, letter: SendLetter) -> AttemptEnd {
-        let Some(passage) = self.env.requests.get(letter.request) else { return AttemptEnd::NotSent };
-        let deadline = self.env.clock.instant(letter.deadline);
-        let attempt = Attempt::new(self, &letter, &passage);
+    pub(crate) async fn send(&self, dispatch: Dispatch) -> AttemptEnd {
+        let Some(pending) = self.env.requests.get(dispatch.request) else { return AttemptEnd::NotSent };
+        let deadline = self.env.clock.instant(dispatch.deadline);
+        let attempt = Attempt::new(self, &dispatch, &pending);
         let end = match tokio::time::timeout_at(deadline, attempt.run()).await {
             Ok(end) => end,
             // Slow isn't dead: the deadline says nothing about the upstream's health.
-            Err(_elapsed) => AttemptEnd::Lost { passed_on: passage.has_passed_on(), died: false },
+            Err(_elapsed) => AttemptEnd::Lost { passed_on: pending.has_passed_on(), died: false },
         };
         self.env.metrics.attempt_ended(&end);
         debug!(self.env.log, "attempt_ended";
-            "request" => %letter.request, "attempt" => %letter.attempt,
-            "upstream" => %letter.upstream, "end" => attempt::word(&end));
+            "request" => %dispatch.request, "attempt" => %dispatch.attempt,
+            "upstream" => %dispatch.upstream, "end" => attempt::word(&end));
         end
     }
 
     fn request(
         &self,
-        letter: &SendLetter,
-        passage: &Passage,
+        dispatch: &Dispatch,
+        pending: &PendingRequest,
         id: &HeaderValue,
         delivered: u64,
     ) -> Request<Full<bytes::Bytes>> {
-        let outgoing = &passage.outgoing;
+        let outgoing = &pending.outgoing;
         let mut req = Request::new(Full::new(outgoing.body.clone()));
         *req.method_mut() = outgoing.method.clone();
-        *req.uri_mut() = format!("http://{}{}", letter.address, outgoing.path).parse().unwrap_or_default();
+        *req.uri_mut() = format!("http://{}{}", dispatch.address, outgoing.path).parse().unwrap_or_default();
         let headers = req.headers_mut();
         *headers = outgoing.headers.clone();
         headers.insert(REQUEST_ID_HEADER, id.clone());
-        headers.insert(PRIORITY_HEADER, HeaderValue::from(letter.order.0));
-        let remaining = letter.deadline.remaining(self.env.clock.now()).as_millis();
+        headers.insert(PRIORITY_HEADER, HeaderValue::from(dispatch.order.0));
+        let remaining = dispatch.deadline.remaining(self.env.clock.now()).as_millis();
         headers.insert(TIMEOUT_HEADER, HeaderValue::from(u64::try_from(remaining).unwrap_or(u64::MAX)));
-        if letter.resume {
+        if dispatch.resume {
             headers.insert(RESUME_HEADER, HeaderValue::from(delivered));
         }
         req
     }
 
-    fn request_id(&self, letter: &SendLetter) -> HeaderValue {
-        let id = format!("{}-{}-{}", self.id_prefix, letter.request, letter.attempt);
+    fn request_id(&self, dispatch: &Dispatch) -> HeaderValue {
+        let id = format!("{}-{}-{}", self.id_prefix, dispatch.request, dispatch.attempt);
         HeaderValue::try_from(id).unwrap_or(HeaderValue::from_static("unnamed"))
     }
 }
--- a/crates/skylarkshore/src/upstreams/attempt.rs
+++ b/crates/skylarkshore/src/upstreams/attempt.rs
@@ -15,9 +15,9 @@
 use slog::{debug, warn};
 
 use crate::http::{chain, connect, to_origin_form};
-use crate::passage::{Closed, Head, Passage};
+use crate::pending::{Closed, Head, PendingRequest};
 use crate::upstreams::events::Splitter;
-use crate::upstreams::{SendLetter, UpstreamSort, Upstreams, remove_hop_by_hop};
+use crate::upstreams::{Dispatch, UpstreamSort, Upstreams, remove_hop_by_hop};
 
 /// The largest body that says that nothing was run.
 const MAX_NOT_RUN_LEN: usize = 1024;
@@ -28,8 +28,8 @@
 /// One try.
 pub(super) struct Attempt<'a> {
     upstreams: &'a Upstreams,
-    letter: &'a SendLetter,
-    passage: &'a Passage,
+    dispatch: &'a Dispatch,
+    pending: &'a PendingRequest,
 }
 
 /// Why the answer isn't whole.
@@ -74,24 +74,28 @@
 }
 
 impl<'a> Attempt<'a> {
-    pub(super) const fn new(upstreams: &'a Upstreams, letter: &'a SendLetter, passage: &'a Passage) -> Self {
-        Self { upstreams, letter, passage }
+    pub(super) const fn new(
+        upstreams: &'a Upstreams,
+        dispatch: &'a Dispatch,
+        pending: &'a PendingRequest,
+    ) -> Self {
+        Self { upstreams, dispatch, pending }
     }
 
     pub(super) async fn run(&self) -> AttemptEnd {
-        let delivered = self.passage.begin_attempt(self.letter.attempt);
-        let id = self.upstreams.request_id(self.letter);
+        let delivered = self.pending.begin_attempt(self.dispatch.attempt);
+        let id = self.upstreams.request_id(self.dispatch);
         let res = match self.exchange(&id, delivered).await {
             Ok(res) => res,
             Err(end) => return end,
         };
         let echo = Echo::of(&res, &id);
-        if echo == Echo::Other || (echo == Echo::Missing && self.letter.sort == UpstreamSort::Engine) {
+        if echo == Echo::Other || (echo == Echo::Missing && self.dispatch.sort == UpstreamSort::Engine) {
             warn!(self.upstreams.env.log, "answer_crossed";
-                "upstream" => %self.letter.upstream, "request" => %self.letter.request);
+                "upstream" => %self.dispatch.upstream, "request" => %self.dispatch.request);
             return self.lost(&Cut::Unusable);
         }
-        self.upstreams.env.inbox.event(Event::AnswerStarted { attempt: self.letter.attempt }).await;
+        self.upstreams.env.inbox.event(Event::AnswerStarted { attempt: self.dispatch.attempt }).await;
         match self.take(res, echo).await {
             Ok(end) => end,
             Err(cut) => self.lost(&cut),
@@ -104,24 +108,24 @@
     /// one it could arrive just as the upstream closes it, and whether it was
     /// run couldn't be told.
     async fn exchange(&self, id: &HeaderValue, delivered: u64) -> Result<Response<Incoming>, AttemptEnd> {
-        let mut req = self.upstreams.request(self.letter, self.passage, id, delivered);
-        if !self.letter.hold {
+        let mut req = self.upstreams.request(self.dispatch, self.pending, id, delivered);
+        if !self.dispatch.hold {
             return self.upstreams.client.request(req).await.map_err(|err| {
                 let reason = chain(&err);
                 let cause = std::error::Error::source(&err).and_then(|err| err.downcast_ref());
                 self.not_answered(&reason, err.is_connect(), cause)
             });
         }
-        let mut sender = connect(self.letter.address)
+        let mut sender = connect(self.dispatch.address)
             .await
             .map_err(|err| self.not_answered(&err.to_string(), true, None))?;
-        to_origin_form(&mut req, &self.letter.address.to_string());
+        to_origin_form(&mut req, &self.dispatch.address.to_string());
         sender.send_request(req).await.map_err(|err| self.not_answered(&chain(&err), false, Some(&err)))
     }
 
     fn not_answered(&self, reason: &str, is_connect: bool, cause: Option<&hyper::Error>) -> AttemptEnd {
         debug!(self.upstreams.env.log, "upstream_gave_no_answer";
-            "upstream" => %self.letter.upstream, "request" => %self.letter.request, "reason" => reason);
+            "upstream" => %self.dispatch.upstream, "request" => %self.dispatch.request, "reason" => reason);
         // A cancelled request never left this process's own queue.
         if is_connect || cause.is_some_and(hyper::Error::is_canceled) {
             return AttemptEnd::NotSent;
@@ -131,7 +135,7 @@
     }
 
     fn lost(&self, cut: &Cut) -> AttemptEnd {
-        AttemptEnd::Lost { passed_on: self.passage.has_passed_on(), died: matches!(cut, Cut::Broken) }
+        AttemptEnd::Lost { passed_on: self.pending.has_passed_on(), died: matches!(cut, Cut::Broken) }
     }
 
     async fn take(&self, res: Response<Incoming>, echo: Echo) -> Result<AttemptEnd, Cut> {
@@ -142,22 +146,22 @@
             return self.take_not_run(parts.status, parts.headers, body).await;
         }
         // A plain service promises no end marker; its streams end with their last chunk.
-        let events = self.letter.sort == UpstreamSort::Engine && is_event_stream(&parts.headers);
+        let events = self.dispatch.sort == UpstreamSort::Engine && is_event_stream(&parts.headers);
         // Without a length or chunks an answer that was cut short looks whole.
         let framed = body.size_hint().exact().is_some() || parts.headers.contains_key(TRANSFER_ENCODING);
         if !framed && !events {
             return Err(Cut::Unusable);
         }
-        let head = head(parts.status, parts.headers, &body, events, &self.passage.outgoing.method);
-        if self.letter.hold {
+        let head = head(parts.status, parts.headers, &body, events, &self.pending.outgoing.method);
+        if self.dispatch.hold {
             return self.hold(head, body).await;
         }
-        self.passage.pass_head(self.letter.attempt, head)?;
+        self.pending.pass_head(self.dispatch.attempt, head)?;
         if events {
             self.pass_events(body).await?;
         } else {
             self.pass_body(body).await?;
-            self.passage.end(self.letter.attempt).await?;
+            self.pending.end(self.dispatch.attempt).await?;
         }
         Ok(AttemptEnd::Whole { held: None })
     }
@@ -174,7 +178,7 @@
         if let Ok(not_run) = serde_json::from_slice::<NotRun>(&body) {
             return Ok(AttemptEnd::Rejected(not_run.error.into()));
         }
-        if self.letter.hold {
+        if self.dispatch.hold {
             return Ok(whole_held(status, &headers, &body));
         }
         let mut headers = headers;
@@ -182,15 +186,15 @@
         headers.remove(REQUEST_ID_HEADER);
         headers.remove(CONTENT_LENGTH);
         let len = u64::try_from(body.len()).ok();
-        self.passage.pass_head(self.letter.attempt, Head { status, headers, len, events: false })?;
-        self.passage.pass(self.letter.attempt, body, 0).await?;
-        self.passage.end(self.letter.attempt).await?;
+        self.pending.pass_head(self.dispatch.attempt, Head { status, headers, len, events: false })?;
+        self.pending.pass(self.dispatch.attempt, body, 0).await?;
+        self.pending.end(self.dispatch.attempt).await?;
         Ok(AttemptEnd::Whole { held: None })
     }
 
     async fn pass_body(&self, mut body: Incoming) -> Result<(), Cut> {
         while let Some(data) = next_data(&mut body).await? {
-            self.passage.pass(self.letter.attempt, data, 0).await?;
+            self.pending.pass(self.dispatch.attempt, data, 0).await?;
         }
         Ok(())
     }
@@ -200,9 +204,9 @@
         let mut splitter = Splitter::default();
         while let Some(data) = next_data(&mut body).await? {
             let Some(events) = splitter.push(&data).map_err(|_too_large| Cut::Unusable)? else { continue };
-            self.passage.pass(self.letter.attempt, events.bytes, events.data).await?;
+            self.pending.pass(self.dispatch.attempt, events.bytes, events.data).await?;
             if events.ends {
-                self.passage.end(self.letter.attempt).await?;
+                self.pending.end(self.dispatch.attempt).await?;
                 tokio::spawn(read_off(body));
                 return Ok(());
             }
@@ -230,17 +234,17 @@
     /// It is read to its end even when the caller has gone: the request has run,
     /// and whoever asks under its key has to hear that rather than `unknown`.
     async fn pass_too_large(&self, head: Head, kept: Bytes, mut body: Incoming) -> Result<AttemptEnd, Cut> {
-        let attempt = self.letter.attempt;
+        let attempt = self.dispatch.attempt;
         let events = head.events;
         let mut tail = tail_of(&kept);
-        let mut taken = self.passage.pass_head(attempt, head);
+        let mut taken = self.pending.pass_head(attempt, head);
         if taken.is_ok() {
-            taken = self.passage.pass(attempt, kept, 0).await;
+            taken = self.pending.pass(attempt, kept, 0).await;
         }
         while let Some(data) = next_data(&mut body).await? {
             tail = tail_of(&[tail.as_ref(), data.as_ref()].concat());
             if taken.is_ok() {
-                taken = self.passage.pass(attempt, data, 0).await;
+                taken = self.pending.pass(attempt, data, 0).await;
             }
         }
         if events && !ends_with_marker(&tail) {
@@ -248,7 +252,7 @@
         }
         if taken.is_ok() {
             // A caller that goes away now has missed nothing but the end.
-            _ = self.passage.end(attempt).await;
+            _ = self.pending.end(attempt).await;
         }
         Ok(AttemptEnd::WholeTooLarge)
     }
