Strike orders, connections, reads and power in process tests

Lost, late and dropped orders, crossed answers, an engine that dies under a stream, a host cut off from the key-value service, stale reads, and a cap that lets one engine of three be awake.

--- a/crates/skylarkshore-standins/src/engine.rs
+++ b/crates/skylarkshore-standins/src/engine.rs
@@ -73,6 +73,8 @@
     pub late_orders_ms: u64,
     /// Add this to the time of each token, in milliseconds.
     pub slow_tokens_ms: u64,
+    /// Give the next answers under another request's id.
+    pub crossed_answers: u32,
     /// Say that it is about to go.
     pub leaving: bool,
 }
--- a/crates/skylarkshore-standins/src/engine/generate.rs
+++ b/crates/skylarkshore-standins/src/engine/generate.rs
@@ -104,12 +104,21 @@
 /// Answers a request and echoes its name, also where nothing was run.
 pub(super) async fn answer(shared: Arc<Shared>, req: Request<Bytes>) -> Answered {
     let id = req.headers().get(REQUEST_ID_HEADER).cloned();
-    let mut response = generate(shared, req).await?;
-    let id = id.unwrap_or(HeaderValue::from_static("none"));
+    let mut response = generate(Arc::clone(&shared), req).await?;
+    let none = HeaderValue::from_static("another-request");
+    let id = if take_crossed(&shared) { none } else { id.unwrap_or(none) };
     response.headers_mut().insert(REQUEST_ID_HEADER, id);
     Ok(response)
 }
 
+/// Tells whether this answer gets crossed with another one, and counts it down.
+fn take_crossed(shared: &Shared) -> bool {
+    let mut faults = lock(&shared.faults);
+    let crossed = faults.crossed_answers > 0;
+    faults.crossed_answers = faults.crossed_answers.saturating_sub(1);
+    crossed
+}
+
 async fn generate(shared: Arc<Shared>, req: Request<Bytes>) -> Answered {
     let shape = if req.uri().path() == CHAT_PATH { Shape::Chat } else { Shape::Completion };
     let body: GenerateRequest = match serde_json::from_slice(req.body()) {
--- a/crates/skylarkshore-standins/src/lib.rs
+++ b/crates/skylarkshore-standins/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod ports;
 pub mod process;
 pub mod programs;
+pub mod relay;
 pub mod replay;
 pub mod service;
 pub mod store;
--- a/crates/skylarkshore-standins/src/process.rs
+++ b/crates/skylarkshore-standins/src/process.rs
@@ -201,6 +201,17 @@
         &self.settings.host
     }
 
+    /// Starts it again with the same settings, after it has ended or been killed.
+    ///
+    /// # Errors
+    ///
+    /// It doesn't end, or can't be started.
+    pub async fn restart(&mut self, programs: &Programs, folder: &Path) -> io::Result<()> {
+        self.child.kill().await?;
+        *self = Self::start(programs, self.settings.clone(), folder)?;
+        Ok(())
+    }
+
     /// Returns what it has logged so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
--- a/crates/skylarkshore-standins/tests/processes/bench.rs
+++ b/crates/skylarkshore-standins/tests/processes/bench.rs
@@ -11,6 +11,7 @@
 use skylarkshore_standins::fleet::{Fleet, FleetSettings};
 use skylarkshore_standins::process::{EntryHost, EntrySettings, TempFolder, skylarkctl, wait_until};
 use skylarkshore_standins::programs::Programs;
+use skylarkshore_standins::relay::Relay;
 use tokio::sync::{Semaphore, SemaphorePermit};
 
 /// The most that a test waits for anything.
@@ -43,11 +44,19 @@
     pub(crate) engines: u32,
     pub(crate) checks_fences: bool,
     pub(crate) token_time: Duration,
+    /// What the rules allow the site to draw.
+    pub(crate) watts: u64,
 }
 
 impl Default for Needs {
     fn default() -> Self {
-        Self { entries: 3, engines: 2, checks_fences: true, token_time: Duration::from_millis(5) }
+        Self {
+            entries: 3,
+            engines: 2,
+            checks_fences: true,
+            token_time: Duration::from_millis(5),
+            watts: 100_000,
+        }
     }
 }
 
@@ -57,6 +66,8 @@
     pub(crate) entries: Vec<EntryHost>,
     pub(crate) programs: Programs,
     pub(crate) folder: TempFolder,
+    /// Through which each host reaches the key-value service.
+    pub(crate) to_store: Vec<Relay>,
     _turn: SemaphorePermit<'static>,
 }
 
@@ -89,15 +100,19 @@
         let fleet = Fleet::start(&settings).await.expect("ports are free");
         let folder = TempFolder::new().expect("a folder");
         let mut entries = Vec::new();
+        let mut to_store = Vec::new();
         for i in 0..needs.entries {
             let host = format!("entry-{}", i + 1).parse().expect("a name");
             let data_centre = settings.data_centres[i as usize % 3].clone();
-            let entry = EntrySettings::new(host, data_centre, fleet.store.address(), fleet.hosts.address());
+            let relay = Relay::start(fleet.store.address()).await.expect("a port is free");
+            let entry = EntrySettings::new(host, data_centre, relay.address(), fleet.hosts.address());
+            to_store.push(relay);
             let entry = EntryHost::start(&programs, entry.expect("ports are free"), folder.path());
             entries.push(entry.expect("the program starts"));
         }
-        let mut bench = Self { fleet, entries, programs, folder, _turn: turn };
-        let applied = bench.apply("first.jsonc", RULES).await;
+        let mut bench = Self { fleet, entries, programs, folder, to_store, _turn: turn };
+        let rules = RULES.replace("100000", &needs.watts.to_string());
+        let applied = bench.apply("first.jsonc", &rules).await;
         assert_eq!(applied.0, Some(0), "{}", applied.1);
         for entry in &mut bench.entries {
             entry.wait_ready(LIMIT).await.unwrap_or_else(|err| panic!("{err}"));
@@ -148,6 +163,13 @@
         self.fleet.engine(homes.pointer("/engines/0")?.as_str()?)
     }
 
+    /// Returns the revision of the rules that a host has, once it answers.
+    pub(crate) async fn rules_revision(&self, entry: usize) -> Option<u64> {
+        let call = Call::get(self.entries[entry].operator_address(), "/debug/state");
+        let state: Value = call.send().await.ok()?.json().ok()?;
+        state["document_revision"].as_u64()
+    }
+
     /// Returns where callers reach a host.
     pub(crate) fn caller(&self, entry: usize) -> SocketAddr {
         self.entries[entry].caller_address()
