--- a/crates/skylarkshore-standins/src/engine.rs
+++ b/crates/skylarkshore-standins/src/engine.rs
@@ -24,12 +24,16 @@
 use crate::census::Census;
 use crate::http::{Answered, Body, Cut, Server, json, text, unknown};
 use crate::lock;
+use crate::ports::free_port;
 use crate::weights::WeightStore;
 use batch::Batch;
 use memory::Memory;
 
 pub use generate::{CRASH_MARKER, expected_text};
 
+/// How many ports are tried; another process may take one after it was found free.
+const PORT_ATTEMPTS: u32 = 10;
+
 /// What an engine is and how fast it works.
 #[derive(Clone, Debug)]
 pub struct EngineSettings {
@@ -69,6 +73,8 @@
     pub late_orders_ms: u64,
     /// Add this to the time of each token, in milliseconds.
     pub slow_tokens_ms: u64,
+    /// Give the next answers under another request's id.
+    pub crossed_answers: u32,
     /// Say that it is about to go.
     pub leaving: bool,
 }
@@ -104,7 +110,18 @@
         weights: Arc<WeightStore>,
         census: Arc<Census>,
     ) -> io::Result<Self> {
-        let address = free_address().await?;
+        for _ in 1..PORT_ATTEMPTS {
+            let engine = Self::new(settings.clone(), Arc::clone(&weights), Arc::clone(&census))?;
+            if engine.shared.listen().await.is_ok() {
+                return Ok(engine);
+            }
+        }
+        let engine = Self::new(settings, weights, census)?;
+        engine.shared.listen().await?;
+        Ok(engine)
+    }
+
+    fn new(settings: EngineSettings, weights: Arc<WeightStore>, census: Arc<Census>) -> io::Result<Self> {
         let shared = Arc::new(Shared {
             memory: Mutex::new(Memory::new(&settings, Arc::clone(&census))),
             batch: Arc::new(Batch::new(settings.concurrency)),
@@ -113,10 +130,9 @@
             weights,
             census,
             server: Mutex::default(),
-            address,
+            address: free_port()?,
             settings,
         });
-        shared.listen().await?;
         Ok(Self { shared })
     }
 
@@ -175,12 +191,6 @@
     }
 }
 
-/// Finds a free loopback port, so that an engine can come back to it.
-async fn free_address() -> io::Result<SocketAddr> {
-    let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await?;
-    listener.local_addr()
-}
-
 impl Shared {
     async fn listen(self: &Arc<Self>) -> io::Result<()> {
         let weak = Arc::downgrade(self);
--- /dev/null
+++ b/crates/skylarkshore-standins/tests/processes/main.rs
@@ -0,0 +1,15 @@
+//! Faults struck at real processes: kills, freezes, cuts and outages.
+
+mod bad_input;
+mod bench;
+mod burst;
+mod crashing_request;
+mod crossed_answers;
+mod cut_off;
+mod leaving;
+mod once;
+mod orders;
+mod outage;
+mod owners;
+mod power;
+mod rule_changes;
