--- a/crates/skylarkshore-standins/src/replay/outcome.rs
+++ b/crates/skylarkshore-standins/src/replay/outcome.rs
@@ -6,6 +6,7 @@
 use hdrhistogram::Histogram;
 use skylarkshore_core::effect::RefusalOutcome;
 use skylarkshore_core::event::Target;
+use skylarkshore_core::rules::{Facts, Rules};
 use skylarkshore_core::units::Watts;
 
 use super::policy::Policy;
@@ -41,6 +42,10 @@
     pub cold_p99: Duration,
     /// The longest wait of a request for a model.
     pub longest: Duration,
+    /// What requests for models waited, all together.
+    pub waited: Duration,
+    /// What the waits cost by the deployment's own weights, in seconds of an idle accelerator.
+    pub waits_cost: Duration,
     /// How long accelerators held a model and ran nothing.
     pub idle: Duration,
     /// The most that a site drew.
@@ -54,7 +59,7 @@
 const SECS_PER_HOUR: f64 = 3600.0;
 
 impl Outcome {
-    pub(super) fn new(policy: Policy, world: &World, idle: Duration, loads: u64) -> Self {
+    pub(super) fn new(policy: Policy, world: &World, rules: &Rules, idle: Duration, loads: u64) -> Self {
         let logs = || world.callers.requests.values();
         let is_not_run =
             |log: &&RequestLog| log.refusal().is_some_and(|r| r.outcome == RefusalOutcome::NotRun);
@@ -74,6 +79,8 @@
             wait_p95: quantile(&all, 0.95),
             wait_p99: quantile(&all, 0.99),
             cold_p99: quantile(&cold_starts, 0.99),
+            waited: waits.iter().sum(),
+            waits_cost: logs().map(|log| cost(rules, log)).sum(),
             longest: waits.iter().copied().max().unwrap_or_default(),
             idle,
             peak: world.checks.peak_watts.values().copied().max().unwrap_or_default(),
@@ -81,6 +88,11 @@
         }
     }
 
+    /// Returns what the rules weigh: waits by their weight, and idle accelerators, in hours of the latter.
+    pub fn cost_hours(&self) -> f64 {
+        (self.waits_cost + self.idle).as_secs_f64() / SECS_PER_HOUR
+    }
+
     /// Returns the idle accelerator hours.
     pub fn idle_hours(&self) -> f64 {
         self.idle.as_secs_f64() / SECS_PER_HOUR
@@ -92,6 +104,13 @@
     served.map_or(log.ask.timeout, |started| started.since(log.arrived))
 }
 
+fn cost(rules: &Rules, log: &RequestLog) -> Duration {
+    let Target::Model(target) = &log.ask.target else { return Duration::ZERO };
+    let facts = Facts { model: Some(&target.model), ..Facts::default() };
+    let outcome = rules.decide(&facts).outcome;
+    wait(log) * outcome.cold_start_weight / outcome.idle_weight.max(1)
+}
+
 fn histogram(waits: &[Duration]) -> Histogram<u64> {
     let mut histogram =
         Histogram::new_with_bounds(1, LONGEST_MS, 3).expect("the bounds are within the library's limits");
@@ -108,7 +127,7 @@
 /// Writes a table with a line for each outcome.
 pub fn table(outcomes: &[Outcome]) -> String {
     let mut text = format!(
-        "{:<12} {:>7} {:>8} {:>6} {:>6} {:>8} {:>8} {:>8} {:>9} {:>9} {:>9} {:>7} {:>6}\n",
+        "{:<12} {:>7} {:>8} {:>6} {:>6} {:>8} {:>8} {:>8} {:>9} {:>9} {:>8} {:>7} {:>7} {:>7} {:>6}\n",
         "policy",
         "served",
         "not_run",
@@ -119,7 +138,9 @@
         "p99_s",
         "cold99_s",
         "longest_s",
+        "waited_h",
         "idle_h",
+        "cost_h",
         "peak_W",
         "loads"
     );
@@ -127,7 +148,7 @@
         // Writing to a string can't fail.
         _ = writeln!(
             text,
-            "{:<12} {:>7} {:>8} {:>6} {:>6} {:>8.2} {:>8.2} {:>8.2} {:>9.2} {:>9.2} {:>9.2} {:>7} {:>6}",
+            "{:<12} {:>7} {:>8} {:>6} {:>6} {:>8.2} {:>8.2} {:>8.2} {:>9.2} {:>9.2} {:>8.2} {:>7.2} {:>7.2} {:>7} {:>6}",
             o.policy.to_string(),
             o.served,
             o.refused_not_run,
@@ -138,7 +159,9 @@
             o.wait_p99.as_secs_f64(),
             o.cold_p99.as_secs_f64(),
             o.longest.as_secs_f64(),
+            o.waited.as_secs_f64() / SECS_PER_HOUR,
             o.idle_hours(),
+            o.cost_hours(),
             o.peak.0,
             o.loads
         );
--- a/crates/skylarkshore-standins/src/replay/run.rs
+++ b/crates/skylarkshore-standins/src/replay/run.rs
@@ -59,7 +59,7 @@
     if let Some(first) = world.checks.violations.first() {
         return Err(NotSound { policy, first: first.clone() });
     }
-    Ok(Outcome::new(policy, &world, idle, loads))
+    Ok(Outcome::new(policy, &world, &deployment.document.rules, idle, loads))
 }
 
 fn run_out(world: &mut World, end: Time) {
