Let idle engines keep their power longer against calls for it

The margin that an idle engine has to be worth to stay awake begins at its cost and grows by one for each second of calls, and after eight seconds every idle engine makes way (before: twice the cost, three for each second, four seconds). Engines in the middle of a session had slept between two requests.

--- a/crates/skylarkshore-core/src/loading/shortage.rs
+++ b/crates/skylarkshore-core/src/loading/shortage.rs
@@ -9,11 +9,11 @@
 /// How long a call for power counts.
 const CALL_LIFE: Duration = Duration::from_secs(5);
 /// After how long of calls every idle engine makes way.
-const UNCONDITIONAL_AFTER: Duration = Duration::from_secs(4);
+const UNCONDITIONAL_AFTER: Duration = Duration::from_secs(8);
 /// How much more than its cost staying awake has to be worth when the first call comes.
-const FIRST_MARGIN: f64 = 2.0;
+const FIRST_MARGIN: f64 = 1.0;
 /// How much that margin grows with every second of calls.
-const MARGIN_PER_SECOND: f64 = 3.0;
+const MARGIN_PER_SECOND: f64 = 1.0;
 
 #[derive(Clone, Copy, Debug)]
 struct Call {
