--- /dev/null
+++ b/crates/skylarkshore-core/src/control/homes/plan.rs
@@ -0,0 +1,213 @@
+//! What should stand in a model's homes record.
+
+use super::{Homes, is_own_turn};
+use crate::authority::{EngineUse, HomeWish};
+use crate::control::ownership::Ownership;
+use crate::control::placement::Placement;
+use crate::control::roster::Roster;
+use crate::control::scene::Scene;
+use crate::cx::Cx;
+use crate::id::{ModelName, StoreRevision, UpstreamId};
+use crate::rules::Facts;
+
+/// What is to stand in a model's record.
+#[derive(Debug, Default)]
+pub(super) struct Plan {
+    pub(super) engines: Vec<UpstreamId>,
+    pub(super) closing: Vec<UpstreamId>,
+    pub(super) changed: bool,
+}
+
+/// What the plan for one model looks at.
+#[derive(Clone, Copy)]
+pub(super) struct Review<'a> {
+    pub(super) scene: &'a Scene<'a>,
+    pub(super) ownership: &'a Ownership,
+    pub(super) engines: &'a dyn EngineUse,
+    pub(super) wishes: &'a [HomeWish],
+    pub(super) model: &'a ModelName,
+}
+
+impl Review<'_> {
+    /// Tells whether this process may take the home from the engine.
+    fn may_close(&self, engine: &UpstreamId) -> bool {
+        self.ownership.held(engine).is_some() && self.engines.is_free_of(engine, self.model)
+    }
+
+    /// Tells whether the engine is gone for good, and it is up to this process to say so.
+    fn is_gone(&self, cx: &Cx<'_>, engine: &UpstreamId) -> bool {
+        if let Some(holding) = self.ownership.held(engine) {
+            return self.scene.roster.is_gone(cx, engine, Some(holding.since));
+        }
+        let unowned = cx.cache.owner(engine).is_none();
+        unowned
+            && self.scene.roster.is_gone(cx, engine, None)
+            && is_own_turn(cx, self.scene, self.model, cx.now)
+    }
+
+    /// Tells whether the record is older than this process's ownership of the engine.
+    fn is_unconfirmed(&self, engine: &UpstreamId, record: StoreRevision) -> bool {
+        self.ownership.held(engine).is_some_and(|holding| holding.acquired > record)
+    }
+
+    fn wants_to_leave(&self, engine: &UpstreamId) -> bool {
+        self.wishes.iter().any(|wish| wish.model == *self.model && wish.leave.as_ref() == Some(engine))
+    }
+}
+
+impl Homes {
+    pub(super) fn plan(
+        &mut self,
+        cx: &mut Cx<'_>,
+        review: &Review<'_>,
+        placement: &mut Placement<'_>,
+    ) -> Plan {
+        let Some((revision, homes)) = cx.cache.homes(review.model) else {
+            return self.first_home(cx, review, placement);
+        };
+        if revision > review.scene.feed.frontier() {
+            // A process that lost an engine without knowing it yet must not write on
+            // the new owner's record. It knows of every loss up to its frontier.
+            return Plan::default();
+        }
+        let mut plan = Plan { engines: homes.engines.clone(), ..Plan::default() };
+        let Some(limits) = limits(cx, review.scene.roster, review.model, &plan.engines) else {
+            drop_removed_model(cx, review, &mut plan);
+            return plan;
+        };
+        drop_surplus(review, &mut plan, limits.homes_most);
+        replace_left(cx, review, &mut plan, placement, limits.homes_most);
+        self.add_lacking(cx, review, &mut plan, placement, &limits);
+        plan.changed |= plan.engines.iter().any(|home| review.is_unconfirmed(home, revision));
+        plan
+    }
+
+    fn first_home(&mut self, cx: &mut Cx<'_>, review: &Review<'_>, placement: &mut Placement<'_>) -> Plan {
+        if !self.is_own_turn(cx, review) {
+            return Plan::default();
+        }
+        let Some(home) = placement.place(cx, review.model, &[]) else {
+            self.note_unplaceable(cx, review);
+            return Plan::default();
+        };
+        self.unplaceable.remove(review.model);
+        Plan { engines: vec![home], closing: Vec::new(), changed: true }
+    }
+
+    fn add_lacking(
+        &mut self,
+        cx: &mut Cx<'_>,
+        review: &Review<'_>,
+        plan: &mut Plan,
+        placement: &mut Placement<'_>,
+        limits: &Limits,
+    ) {
+        let wished = review.wishes.iter().any(|wish| wish.model == *review.model && wish.leave.is_none());
+        let owns_home = plan.engines.iter().any(|home| review.ownership.held(home).is_some());
+        let too_few = plan.engines.len() < limits.homes_least;
+        let wanted = (wished && owns_home) || (too_few && self.is_own_turn(cx, review));
+        if !too_few {
+            self.lacking.remove(review.model);
+        }
+        if !wanted || plan.engines.len() >= limits.homes_most {
+            return;
+        }
+        if let Some(home) = placement.place(cx, review.model, &plan.engines) {
+            plan.engines.push(home);
+            plan.changed = true;
+        }
+    }
+
+    /// Tells whether it is up to this process to give the model a home that it lacks.
+    fn is_own_turn(&mut self, cx: &Cx<'_>, review: &Review<'_>) -> bool {
+        let since = *self.lacking.entry(review.model.clone()).or_insert(cx.now);
+        is_own_turn(cx, review.scene, review.model, since)
+    }
+
+    fn note_unplaceable(&mut self, cx: &mut Cx<'_>, review: &Review<'_>) {
+        let any = review.scene.roster.iter().any(|(_, engine)| engine.is_live());
+        if any && self.unplaceable.insert(review.model.clone()) {
+            cx.note("model_fits_nowhere", review.model.clone(), "no live engine has as much memory");
+        }
+    }
+}
+
+/// How many homes a model may and should have.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Limits {
+    /// How many replicas the rules allow.
+    pub(super) most: usize,
+    /// How many homes are kept at least; one stays even where no replica is allowed.
+    homes_least: usize,
+    /// How many homes are kept at most.
+    homes_most: usize,
+}
+
+/// Decides by the rules; none where the document doesn't name the model.
+///
+/// Every process has to come to the same result, or one would add the homes that
+/// another takes away. So the data centre is that of the first home, not that of
+/// the process, and what only some processes know counts as unknown.
+pub(super) fn limits(
+    cx: &Cx<'_>,
+    roster: &Roster,
+    model: &ModelName,
+    homes: &[UpstreamId],
+) -> Option<Limits> {
+    cx.document.catalogue.models.get(model)?;
+    let first = homes.first().and_then(|home| roster.get(home));
+    let data_centre = first.map(|engine| &engine.data_centre);
+    let facts = Facts { model: Some(model), data_centre, at: Some(cx.at), ..Facts::default() };
+    let outcome = cx.document.rules.decide(&facts).outcome;
+    let most = usize::try_from(outcome.replicas_max).unwrap_or(usize::MAX);
+    let least = usize::try_from(outcome.replicas_min).unwrap_or(usize::MAX);
+    let homes_most = most.max(1);
+    Some(Limits { most, homes_least: least.clamp(1, homes_most), homes_most })
+}
+
+fn drop_removed_model(cx: &Cx<'_>, review: &Review<'_>, plan: &mut Plan) {
+    let (closing, kept): (Vec<UpstreamId>, Vec<UpstreamId>) = std::mem::take(&mut plan.engines)
+        .into_iter()
+        .partition(|home| review.may_close(home) || review.is_gone(cx, home));
+    plan.changed = !closing.is_empty() || kept.is_empty();
+    plan.closing = closing;
+    plan.engines = kept;
+}
+
+fn drop_surplus(review: &Review<'_>, plan: &mut Plan, most: usize) {
+    let mut rank = plan.engines.len();
+    while rank > most {
+        rank -= 1;
+        if review.may_close(&plan.engines[rank]) {
+            plan.closing.push(plan.engines.remove(rank));
+            plan.changed = true;
+        }
+    }
+}
+
+/// Takes the home from engines that are gone, about to go, or crowded.
+fn replace_left(
+    cx: &Cx<'_>,
+    review: &Review<'_>,
+    plan: &mut Plan,
+    placement: &mut Placement<'_>,
+    most: usize,
+) {
+    for rank in (0..plan.engines.len()).rev() {
+        let home = plan.engines[rank].clone();
+        let known = review.scene.roster.get(&home);
+        let leaving = known.is_some_and(|engine| engine.is_listed() && !engine.is_live());
+        let leaves = (leaving || review.wants_to_leave(&home)) && review.may_close(&home);
+        if !leaves && !review.is_gone(cx, &home) {
+            continue;
+        }
+        let next = placement.place(cx, review.model, &plan.engines);
+        match next {
+            Some(next) if plan.engines.len() <= most => plan.engines[rank] = next,
+            None if plan.engines.len() == 1 => continue,
+            _ => drop(plan.engines.remove(rank)),
+        }
+        plan.closing.push(home);
+        plan.changed = true;
+    }
+}
--- a/crates/skylarkshore-core/src/control/ownership.rs
+++ b/crates/skylarkshore-core/src/control/ownership.rs
@@ -1,12 +1,14 @@
 //! Which engines this process owns: taking over, handing over, and leave to act.
 
+mod handover;
+
 use std::time::Duration;
 
 use super::holdings::{Holding, Phase};
 use super::membership::Membership;
 use super::roster::Roster;
 use super::scene::Scene;
-use super::shares::{self, Balance};
+use super::shares;
 use super::vacancy::{Former, Vacancies, Vacant};
 use crate::authority::{EngineUse, OwnershipChange, Permit};
 use crate::collections::{OrderedMap, OrderedSet};
@@ -21,14 +23,6 @@
 const WRITE_DEADLINE: Duration = Duration::from_secs(5);
 /// How long a write of unknown outcome rests before it is made again.
 const DOUBT_REST: Duration = Duration::from_secs(1);
-/// How long a hand-over waits for orders in progress before it is called off.
-const SETTLE_WITHIN: Duration = Duration::from_secs(20);
-/// How many engines are handed over at a time when little is to be evened out.
-const FEWEST_HANDOVERS: usize = 2;
-/// How many engines are handed over at a time at most.
-const MOST_HANDOVERS: usize = 8;
-/// How long the engines' distribution is left alone after a hand-over.
-const HANDOVER_REST: Duration = Duration::from_secs(2);
 
 /// A take-over that was written, and may have taken effect.
 #[derive(Clone, Copy, Debug)]
@@ -192,6 +186,7 @@
             return;
         }
         self.confirm_records(cx, scene);
+        self.forget_gone(cx, scene);
         if !scene.membership.is_leaving() {
             self.take_vacant(cx, scene);
         }
@@ -271,7 +266,31 @@
         for engine in stale {
             let Some(holding) = self.holdings.get(&engine) else { continue };
             let (fence, revision) = (holding.fence, holding.revision);
-            self.write(cx, &engine, Expect::At(revision), own_record(cx, fence));
+            self.write(cx, &engine, Expect::At(revision), Some(own_record(cx, fence)));
+        }
+    }
+
+    /// Deletes the records of engines that are gone for good and that nothing names any more.
+    ///
+    /// Engines come and go under new names every day. Without this, each of them
+    /// would leave a record behind that every process reads and keeps.
+    fn forget_gone(&mut self, cx: &mut Cx<'_>, scene: &Scene<'_>) {
+        let gone: Vec<UpstreamId> = self
+            .holdings
+            .iter()
+            .filter(|(engine, holding)| {
+                holding.is_held()
+                    && scene.roster.is_gone(cx, engine, Some(holding.since))
+                    && self.is_free(engine)
+                    && !is_in_use(cx, scene, engine)
+            })
+            .map(|(engine, _)| engine.clone())
+            .collect();
+        for engine in gone {
+            let Some(holding) = self.holdings.get(&engine) else { continue };
+            let expect = Expect::At(holding.revision);
+            cx.note("engine_gone", engine.clone(), "not listed, not reached, and without homes or power");
+            self.write(cx, &engine, expect, None);
         }
     }
 
@@ -305,106 +324,15 @@
             cx.note("engine_taking_over", engine.clone(), detail);
         }
         let expect = former.map_or(Expect::Absent, |former| Expect::At(former.revision));
-        self.write(cx, &engine, expect, own_record(cx, fence));
-    }
-
-    fn begin_handovers(&mut self, cx: &mut Cx<'_>, scene: &Scene<'_>) {
-        let leaving = scene.membership.is_leaving();
-        let mut balance = Balance::new(cx.cache, scene.lasting);
-        let most = if leaving { MOST_HANDOVERS } else { handovers_at_once(balance.excess(&cx.cfg.host)) };
-        let going = self.holdings.values().filter(|holding| !holding.is_held()).count();
-        if going >= most || (!leaving && !self.next_handover.is_due(cx.now)) {
-            return;
-        }
-        let candidates: Vec<UpstreamId> = self.holdings.keys().cloned().collect();
-        let mut begun = 0;
-        for engine in candidates {
-            if going + begun >= most {
-                break;
-            }
-            if !self.is_free(&engine) || self.held(&engine).is_none() {
-                continue;
-            }
-            let share = self.shares.owners.get(&engine);
-            let Some(to) = balance.receiver(&cx.cfg.host, share, leaving).cloned() else { continue };
-            balance.move_one(&cx.cfg.host, &to);
-            begun += 1;
-            let until = cx.now.after(SETTLE_WITHIN);
-            if let Some(holding) = self.holdings.get_mut(&engine) {
-                holding.phase = Phase::Settling { to, until };
-            }
-        }
-        if begun > 0 {
-            self.next_handover = cx.now.after(cx.jitter(HANDOVER_REST));
-        }
-    }
-
-    /// Moves the hand-overs on that have begun.
-    fn settle_handovers(&mut self, cx: &mut Cx<'_>, scene: &Scene<'_>, engines: &dyn EngineUse) {
-        let ids: Vec<UpstreamId> =
-            self.holdings.iter().filter(|(_, h)| !h.is_held()).map(|(engine, _)| engine.clone()).collect();
-        for engine in ids {
-            if self.is_free(&engine) {
-                self.settle_handover(cx, scene, engines, &engine);
-            }
-        }
-    }
-
-    fn settle_handover(
-        &mut self,
-        cx: &mut Cx<'_>,
-        scene: &Scene<'_>,
-        engines: &dyn EngineUse,
-        engine: &UpstreamId,
-    ) {
-        let Some(holding) = self.holdings.get_mut(engine) else { return };
-        let (to, based_on) = match holding.phase.clone() {
-            Phase::Held => return,
-            Phase::Settling { to, until } => {
-                let called_off = until.is_due(cx.now) && !scene.membership.is_leaving();
-                if called_off || !scene.lasting.contains(&to) {
-                    holding.phase = Phase::Held;
-                    return;
-                }
-                if !engines.is_settled(engine) {
-                    return;
-                }
-                let based_on = holding.revision;
-                holding.phase = Phase::Giving { to: to.clone(), based_on, again: Time::NEVER };
-                (to, based_on)
-            }
-            Phase::Giving { again, .. } if !again.is_due(cx.now) => return,
-            Phase::Giving { to, based_on, .. } => (to, based_on),
-        };
-        let fence = holding.fence.next();
-        let Some(member) = cx.cache.member(&to) else {
-            self.take_back(cx, engine);
-            return;
-        };
-        let owner = OwnerRecord { host: to, incarnation: member.incarnation, fence };
-        self.write(cx, engine, Expect::At(based_on), owner);
-    }
-
-    /// Ends the doubt about a hand-over whose receiver is gone by writing the own record anew.
-    fn take_back(&mut self, cx: &mut Cx<'_>, engine: &UpstreamId) {
-        let Some(holding) = self.holdings.get_mut(engine) else { return };
-        let Phase::Giving { again, based_on, .. } = &mut holding.phase else { return };
-        let expect = Expect::At(*based_on);
-        if *again == Time::NEVER {
-            holding.phase = Phase::Held;
-            return;
-        }
-        *again = cx.now;
-        let fence = holding.fence;
-        self.write(cx, engine, expect, own_record(cx, fence));
+        self.write(cx, &engine, expect, Some(own_record(cx, fence)));
     }
 
-    fn write(&mut self, cx: &mut Cx<'_>, engine: &UpstreamId, expect: Expect, owner: OwnerRecord) {
+    fn write(&mut self, cx: &mut Cx<'_>, engine: &UpstreamId, expect: Expect, owner: Option<OwnerRecord>) {
         self.writing.insert(engine.clone());
         cx.write(WriteRequest {
             key: Key::Owner(engine.clone()),
             expect,
-            record: Some(Record::Owner(owner)),
+            record: owner.map(Record::Owner),
             lease: None,
             deadline: cx.now.after(WRITE_DEADLINE),
         });
@@ -418,14 +346,18 @@
     fence: Fence,
 }
 
-fn handovers_at_once(excess: usize) -> usize {
-    (excess / 4).clamp(FEWEST_HANDOVERS, MOST_HANDOVERS)
-}
-
 fn own_record(cx: &Cx<'_>, fence: Fence) -> OwnerRecord {
     OwnerRecord { host: cx.cfg.host.clone(), incarnation: cx.cfg.incarnation, fence }
 }
 
+/// Tells whether a model's homes or a site's grants name the engine.
+fn is_in_use(cx: &Cx<'_>, scene: &Scene<'_>, engine: &UpstreamId) -> bool {
+    let site = scene.roster.get(engine).map(|known| &known.site);
+    let power = site.and_then(|site| cx.cache.power(site));
+    let granted = power.is_some_and(|(_, record)| record.grants.contains_key(engine));
+    granted || cx.cache.all_homes().any(|(_, homes)| homes.engines.contains(engine))
+}
+
 fn record_revision(cx: &Cx<'_>, engine: &UpstreamId) -> StoreRevision {
     cx.cache.get(&Key::Owner(engine.clone())).map_or(StoreRevision(0), |entry| entry.revision)
 }
--- a/crates/skylarkshore-core/tests/control/homes.rs
+++ b/crates/skylarkshore-core/tests/control/homes.rs
@@ -135,6 +135,9 @@
     });
     cluster.run(secs(25), |cluster| assert!(homes(cluster, "model-0").contains(&gone)));
     cluster.until("a new home", secs(15), |cluster| !homes(cluster, "model-0").contains(&gone));
+    cluster.until("no trace of the engine", secs(15), |cluster| {
+        cluster.store.record(&Key::Owner(gone.clone())).is_none()
+    });
 }
 
 #[test]
