--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -15,6 +15,9 @@
 
 /// How long a caller waits for its answer to be recorded.
 const RECORD_PATIENCE: Duration = Duration::from_millis(300);
+/// When to come back after every try failed.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// What another try costs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Cost {
@@ -24,9 +27,6 @@
     Retry,
 }
 
-/// When to come back after every try failed.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 impl Serving {
     /// Takes the end of an attempt.
     ///
--- a/crates/skylarkshore-core/src/serving/once.rs
+++ b/crates/skylarkshore-core/src/serving/once.rs
@@ -1,15 +1,17 @@
 //! Requests that may run at most once, under the claims of their idempotency keys.
 
 mod calls;
+mod claim;
 mod unsettled;
 
 use std::time::Duration;
 
 use crate::collections::OrderedMap;
 use crate::cx::Cx;
-use crate::id::{CallId, Digest, LeaseId, RequestId, StoreRevision};
+use crate::id::{CallId, Digest, LeaseId, RequestId};
 use crate::serving::lease::OnceLease;
 use crate::serving::once::calls::{SETTLE, delete, is_own_claim, once_record, read};
+use crate::serving::once::claim::{Claim, Claimed, Step};
 use crate::serving::once::unsettled::Unsettled;
 use crate::store::{
     Expect, Key, OnceRecord, OnceState, Record, RecordedAnswer, StoreAnswer, StoreResult, Versioned,
@@ -21,56 +23,6 @@
 const CLAIM_PATIENCE: Duration = Duration::from_secs(1);
 /// The same, while calls to the key-value service fail.
 const CLAIM_PATIENCE_FAILING: Duration = Duration::from_millis(200);
-/// The first pause before a claim in doubt is looked up.
-const FIRST_LOOK: Duration = Duration::from_millis(500);
-
-/// How far a claim has come.
-#[derive(Debug)]
-enum Step {
-    /// The request waits for an upstream, and nothing has been written.
-    Queued,
-    /// The key is being read before the request is queued.
-    LookingUp { call: CallId, until: Time },
-    /// There is no lease yet under which to write.
-    AwaitingLease { until: Time },
-    /// The claim is being written.
-    Writing { lease: LeaseId },
-    /// The claim stands, and its request may be sent.
-    Held(Claimed),
-    /// The outcome is being recorded; the claim is settled.
-    Recording,
-    /// The claim is being deleted: nothing ran under it.
-    Releasing,
-    /// The claim's outcome is unknown; nothing ran under it, and it is deleted if it turns up.
-    Doubtful(Doubt),
-}
-
-/// A claim that may turn up after it was given up.
-#[derive(Debug)]
-struct Doubt {
-    look_at: Time,
-    pause: Duration,
-    until: Time,
-    call: Option<CallId>,
-}
-
-/// A claim that stands.
-#[derive(Clone, Copy, Debug)]
-struct Claimed {
-    revision: StoreRevision,
-    lease: LeaseId,
-}
-
-#[derive(Debug)]
-struct Claim {
-    digest: Digest,
-    /// The request that waits for the claim, unless it was given up.
-    user: Option<RequestId>,
-    step: Step,
-    /// Whether an earlier claim of this process, under which nothing ran, may turn up.
-    leftover: bool,
-}
-
 /// What a request learns of its claim.
 #[derive(Debug)]
 pub(super) enum Learnt {
@@ -190,7 +142,7 @@
             Step::Writing { .. } => claim.user = None,
             Step::Queued | Step::LookingUp { .. } | Step::AwaitingLease { .. } if claim.leftover => {
                 claim.user = None;
-                claim.step = doubtful(cx.now);
+                claim.step = Step::doubtful(cx.now);
             }
             Step::Queued | Step::LookingUp { .. } | Step::AwaitingLease { .. } => {
                 self.claims.remove(&key);
@@ -308,14 +260,14 @@
                 self.lease.drop_current(lease);
                 claim.step = Step::Queued;
                 let Some(user) = claim.user else {
-                    claim.step = doubtful(cx.now);
+                    claim.step = Step::doubtful(cx.now);
                     return None;
                 };
                 self.release(cx, key, user);
                 Some(Learnt::Unreachable(user))
             }
             WriteOutcome::Unknown => {
-                claim.step = doubtful(cx.now);
+                claim.step = Step::doubtful(cx.now);
                 claim.leftover = true;
                 claim.user.take().map(Learnt::Unreachable)
             }
@@ -327,7 +279,7 @@
         let user = claim.user.take();
         if matches!(outcome, WriteOutcome::NotDone | WriteOutcome::Unknown) {
             claim.leftover = true;
-            claim.step = doubtful(cx.now);
+            claim.step = Step::doubtful(cx.now);
         } else {
             self.claims.remove(&key);
         }
@@ -417,8 +369,3 @@
         if self.failing { CLAIM_PATIENCE_FAILING } else { CLAIM_PATIENCE }
     }
 }
-
-fn doubtful(now: Time) -> Step {
-    let look_at = now.after(FIRST_LOOK);
-    Step::Doubtful(Doubt { look_at, pause: FIRST_LOOK, until: now.after(SETTLE), call: None })
-}
