--- a/crates/skylarkshore-core/tests/serving/routing.rs
+++ b/crates/skylarkshore-core/tests/serving/routing.rs
@@ -83,3 +83,36 @@
     let again = p.take_sent().remove(0);
     assert_ne!(again.upstream, sent.upstream);
 }
+
+/// Finds a prompt's beginning that belongs to an engine while both are idle.
+fn prefix_of(engine: &str) -> u8 {
+    let belongs = |prefix: &u8| {
+        let mut p = two_engines();
+        send_with_prefix(&mut p, 1, *prefix).remove(0).upstream.as_str() == engine
+    };
+    (0..64).find(belongs).unwrap()
+}
+
+#[test]
+fn a_free_place_goes_to_a_prompt_that_its_engine_knows_but_nobody_is_passed_over_for_ever() {
+    let (near, far) = (prefix_of("e1"), prefix_of("e2"));
+    let mut p = Process::new("a", 1);
+    for (engine, owner) in [("e1", "b"), ("e2", "c")] {
+        p.peer(owner, &PeerMessage::View(view(engine, 1, "m", Readiness::Ready)));
+    }
+    for id in 1..=4 {
+        p.arrive(id, arrival(&p, model("m"), 1));
+    }
+    let mut at_e1 = p.take_sent().into_iter().find(|sent| sent.upstream.as_str() == "e1").unwrap();
+    send_with_prefix(&mut p, 10, far);
+    for id in 11..40 {
+        send_with_prefix(&mut p, id, near);
+    }
+    let mut order = Vec::new();
+    for _ in 0..10 {
+        p.end(at_e1.attempt, AttemptEnd::Whole { held: None });
+        at_e1 = p.take_sent().remove(0);
+        order.push(at_e1.request.0);
+    }
+    assert_eq!(order, [11, 12, 13, 14, 15, 16, 17, 18, 10, 19]);
+}
