--- a/crates/skylarkshore/src/callers/reply.rs
+++ b/crates/skylarkshore/src/callers/reply.rs
@@ -67,6 +67,7 @@
             () = tokio::time::sleep_until(overdue) => None,
         };
         let Some(reply) = reply else {
+            self.env.metrics.noted("request_unanswered");
             error!(self.env.log, "request_unanswered"; "request" => %self.request);
             self.end(RequestEnd::Refused("unknown"));
             self.env.inbox.event(Event::CallerGone { request: self.request }).await;
--- a/crates/skylarkshore/src/upstreams/attempt.rs
+++ b/crates/skylarkshore/src/upstreams/attempt.rs
@@ -91,6 +91,7 @@
         };
         let echo = Echo::of(&res, &id);
         if echo == Echo::Other || (echo == Echo::Missing && self.dispatch.sort == UpstreamSort::Engine) {
+            self.upstreams.env.metrics.noted("answer_crossed");
             warn!(self.upstreams.env.log, "answer_crossed";
                 "upstream" => %self.dispatch.upstream, "request" => %self.dispatch.request);
             return self.lost(&Cut::Unusable);
