--- a/crates/skylarkshore-core/src/loading/engine.rs
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -383,10 +383,13 @@
 
     /// Raises the fence and asks for reports when these are due.
     pub(crate) fn keep_in_touch(&mut self, cx: &mut Cx<'_>, permit: Option<Permit>) {
-        if let (Phase::RaisingFence { retry, .. }, Some(permit)) = (self.phase, permit)
+        if let (Phase::RaisingFence { order, retry }, Some(permit)) = (self.phase, permit)
             && retry.is_due(cx.now)
         {
-            let order = self.send(cx, permit, None, Order::RaiseFence);
+            // The same number again: an engine that always answers later than the next
+            // try would otherwise never give the answer that is waited for, and its
+            // models could not be loaded.
+            let order = self.send(cx, permit, order, Order::RaiseFence);
             let retry = cx.now.after(cx.cfg.timings.engine_timeout);
             self.phase = Phase::RaisingFence { order: Some(order), retry };
         }
