--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -14,6 +14,7 @@
 mod policy;
 mod reservation;
 mod shortage;
+mod stages;
 mod tally;
 mod views;
 mod wants;
@@ -28,12 +29,13 @@
 use crate::dump::{Belief, Gauge};
 use crate::id::{HostId, ModelName, OrderId, UpstreamId};
 use crate::loading::demand::{Demand, Wanted};
-use crate::loading::engine::{Engine, ReportNews};
+use crate::loading::engine::Engine;
 use crate::loading::history::History;
 use crate::loading::ledger::Answered;
 use crate::loading::own::OwnEngines;
 use crate::loading::pacing::Pacing;
 use crate::loading::shortage::Shortages;
+use crate::loading::stages::ReportNews;
 use crate::loading::tally::{LoadTimes, Tally};
 use crate::peer::{CannotLoad, PeerMessage};
 use crate::rules::ServiceOrder;
@@ -294,7 +296,7 @@
     answer: &OrderAnswer,
 ) {
     if let OrderAnswer::FenceTooLow { seen } = answer {
-        engine.phase = engine::Phase::Superseded;
+        engine.phase = stages::Phase::Superseded;
         cx.note("engine_superseded", &engine.id, format!("fence={} seen={seen}", engine.fence));
     }
     let reason = match answer {
--- a/crates/skylarkshore-core/src/loading/engine.rs
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use derive_more::Display;
-
 use crate::authority::Permit;
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::cx::Cx;
@@ -11,6 +9,7 @@
 use crate::id::{AdapterName, Fence, Incarnation, ModelName, OrderId, SiteName, UpstreamId};
 use crate::loading::ledger::{self, Ledger, Settled};
 use crate::loading::reservation::Reservation;
+use crate::loading::stages::{Closing, Failures, Ghost, LoadProgress, Phase, ReportNews, Seen};
 use crate::loading::tally::Tally;
 use crate::loading::views::Told;
 use crate::loading::wishes::Wishes;
@@ -27,105 +26,6 @@
 /// How many times as often reports are asked for while a load is under way.
 const REPORTS_WHILE_LOADING: u32 = 4;
 
-/// How far the taking over of an engine has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Phase {
-    /// The fence isn't known to be raised; orders of the former owner may still be carried out.
-    RaisingFence {
-        /// The order in progress.
-        order: Option<OrderId>,
-        /// When to try again.
-        retry: Time,
-    },
-    /// The fence stands; what is loaded isn't known yet.
-    FenceRaised {
-        /// Since when, so that only later reports count.
-        at: Time,
-    },
-    /// What is loaded is known.
-    Known,
-    /// The engine has seen a higher fence: somebody else has taken it over.
-    Superseded,
-}
-
-/// Whether an order of the former owner may still be carried out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Ghost {
-    /// No such order can come any more.
-    None,
-    /// Until this time.
-    Until(Time),
-    /// Until reports have shown nothing unexpected for long enough.
-    UntilQuiet {
-        /// Since when nothing unexpected was seen; none before the first report.
-        since: Option<Time>,
-    },
-}
-
-/// A load that is under way.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct LoadProgress {
-    /// When it was ordered.
-    pub started: Time,
-    /// When it is expected to end.
-    pub expected: Time,
-    /// When it was last looked at.
-    pub checked: Time,
-}
-
-/// Why a model is to leave an engine.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub(crate) enum CloseReason {
-    /// Nobody uses it.
-    #[display("idle")]
-    Idle,
-    /// Others need its memory.
-    #[display("memory")]
-    Memory,
-    /// The catalogue names another version.
-    #[display("version")]
-    Version,
-    /// It has no home here, or isn't in the catalogue.
-    #[display("no_home")]
-    NoHome,
-    /// Its replica or its power is needed elsewhere, or the engine is about to go.
-    #[display("surplus")]
-    Surplus,
-}
-
-/// A model that routers are told not to use any more.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Closing {
-    /// Since when.
-    pub since: Time,
-    /// Why.
-    pub reason: CloseReason,
-    /// The order of service of those who need its memory.
-    pub room_for: Option<ServiceOrder>,
-    /// When its memory was last needed.
-    pub needed: Time,
-}
-
-/// Loads that failed one after the other.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Failures {
-    /// How many.
-    pub count: u32,
-    /// When to try again.
-    pub retry: Time,
-}
-
-/// The last report of an engine.
-#[derive(Clone, Debug)]
-pub(crate) struct Seen {
-    /// When it was asked for.
-    pub asked: Time,
-    /// When it came.
-    pub heard: Time,
-    /// What it tells.
-    pub report: EngineReport,
-}
-
 /// One engine that this process owns.
 #[derive(Debug)]
 pub(crate) struct Engine {
@@ -488,17 +388,6 @@
     }
 }
 
-/// What a report means beside its contents.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ReportNews {
-    /// It came too early or out of turn.
-    Unusable,
-    /// It is the newest.
-    Usable,
-    /// It is the newest, and the engine has begun a new life.
-    Restarted,
-}
-
 /// Returns the memory that a model takes with its adapters.
 pub(crate) fn memory_of(seen: &ReportedModel) -> Mebibytes {
     seen.memory + seen.adapters.iter().map(|a| a.memory).sum()
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -1,8 +1,12 @@
 //! One process's loads with a fake engine, driven in given time.
 
+#[path = "fake_engine.rs"]
+mod fake_engine;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use fake_engine::FakeEngine;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use skylarkshore_core::authority::{Authority, OwnershipChange, Permit};
@@ -12,8 +16,7 @@
 use skylarkshore_core::cx::{Counters, Cx};
 use skylarkshore_core::effect::{Effect, Note};
 use skylarkshore_core::id::{
-    AdapterName, CallId, DataCentre, Digest, Fence, HostId, Incarnation, ModelName, OrderId, StoreRevision,
-    UpstreamId,
+    CallId, DataCentre, Digest, Fence, HostId, Incarnation, ModelName, OrderId, StoreRevision, UpstreamId,
 };
 use skylarkshore_core::loading::Loading;
 use skylarkshore_core::peer::{Envelope, PeerMessage};
@@ -24,8 +27,7 @@
 use skylarkshore_core::time::Time;
 use skylarkshore_core::units::{Mebibytes, Watts};
 use skylarkshore_core::upstream::{
-    EngineReport, EngineSpec, FenceCheck, LoadState, Order, OrderAnswer, ReportedAdapter, ReportedModel,
-    Standing, Upstream, UpstreamKind,
+    EngineSpec, FenceCheck, Order, OrderAnswer, Standing, Upstream, UpstreamKind,
 };
 
 /// How far apart ticks are.
@@ -88,139 +90,6 @@
     }
 }
 
-/// A model on the fake engine.
-#[derive(Clone, Debug)]
-struct Held {
-    version: String,
-    memory: Mebibytes,
-    ready_at: Time,
-    running: u32,
-    adapters: OrderedMap<AdapterName, (Mebibytes, Time)>,
-}
-
-/// An engine that does as it is told, and keeps a record of it.
-#[derive(Debug)]
-pub struct FakeEngine {
-    /// Whether it answers at all.
-    pub up: bool,
-    /// Whether reports name the orders that were settled.
-    pub names_settled: bool,
-    /// Which life it lives.
-    pub incarnation: Incarnation,
-    /// What it has done.
-    pub done: Vec<Order>,
-    memory: Mebibytes,
-    models: OrderedMap<ModelName, Held>,
-    settled: Vec<OrderId>,
-}
-
-impl FakeEngine {
-    fn new(memory: Mebibytes) -> Self {
-        Self {
-            up: true,
-            names_settled: true,
-            incarnation: Incarnation(1),
-            done: Vec::new(),
-            memory,
-            models: OrderedMap::new(),
-            settled: Vec::new(),
-        }
-    }
-
-    /// Carries an order out and fails the test if memory is overcommitted.
-    pub fn carry_out(&mut self, now: Time, order: OrderId, action: &Order) {
-        self.done.push(action.clone());
-        self.settled.push(order);
-        match action {
-            Order::RaiseFence => {}
-            Order::Load { model, version, memory } => {
-                let held = Held {
-                    version: version.to_string(),
-                    memory: *memory,
-                    ready_at: now.after(LOAD_TIME),
-                    running: 0,
-                    adapters: OrderedMap::new(),
-                };
-                self.models.entry(model.clone()).or_insert(held);
-            }
-            Order::LoadAdapter { model, adapter, memory } => {
-                let held = self.models.get_mut(model).expect("an adapter is loaded after its base");
-                assert!(held.ready_at.is_due(now), "an adapter came before its base was ready");
-                held.adapters.entry(adapter.clone()).or_insert((*memory, now.after(LOAD_TIME / 4)));
-            }
-            Order::Unload { model } => {
-                let running = self.models.remove(model).map_or(0, |held| held.running);
-                assert_eq!(running, 0, "the unload of {model} cut requests off");
-            }
-            Order::UnloadAdapter { model, adapter } => {
-                if let Some(held) = self.models.get_mut(model) {
-                    held.adapters.remove(adapter);
-                }
-            }
-        }
-        assert!(self.used() <= self.memory, "memory is overcommitted: {} of {}", self.used(), self.memory);
-    }
-
-    fn used(&self) -> Mebibytes {
-        let of = |held: &Held| held.memory + held.adapters.values().map(|(memory, _)| *memory).sum();
-        self.models.values().map(of).sum()
-    }
-
-    /// Begins a new life with nothing loaded.
-    pub fn restart(&mut self) {
-        self.incarnation = self.incarnation.next();
-        self.models.clear();
-        self.settled.clear();
-    }
-
-    /// Sets how many requests run on a model.
-    pub fn set_running(&mut self, model: &str, running: u32) {
-        self.models.get_mut(&name(model)).expect("the model is loaded").running = running;
-    }
-
-    /// Returns how many loads of the model it has carried out.
-    pub fn loads_of(&self, wanted: &str) -> usize {
-        let is_wanted =
-            |order: &&Order| matches!(order, Order::Load { model, .. } if model.as_str() == wanted);
-        self.done.iter().filter(is_wanted).count()
-    }
-
-    /// Tells whether it holds the model.
-    pub fn holds(&self, model: &str) -> bool {
-        self.models.contains_key(&name(model))
-    }
-
-    fn report(&self, now: Time) -> EngineReport {
-        let models = self.models.iter().map(|(model, held)| ReportedModel {
-            model: model.clone(),
-            version: name(&held.version),
-            state: if held.ready_at.is_due(now) { LoadState::Ready } else { LoadState::Loading },
-            memory: held.memory,
-            running: held.running,
-            adapters: held
-                .adapters
-                .iter()
-                .map(|(adapter, (memory, ready))| ReportedAdapter {
-                    adapter: adapter.clone(),
-                    memory: *memory,
-                    ready: ready.is_due(now),
-                })
-                .collect(),
-        });
-        EngineReport {
-            incarnation: self.incarnation,
-            fence: Fence(7),
-            memory: self.memory,
-            models: models.collect(),
-            running: self.models.values().map(|held| held.running).sum(),
-            waiting: 0,
-            leaving: false,
-            lag: Duration::from_millis(200),
-            settled: if self.names_settled { self.settled.clone() } else { Vec::new() },
-        }
-    }
-}
-
 /// A process's loads, its surroundings and one engine.
 #[derive(Debug)]
 pub struct Rig {
