--- a/crates/skylarkshore-core/src/control/homes.rs
+++ b/crates/skylarkshore-core/src/control/homes.rs
@@ -34,6 +34,8 @@
 /// A model's homes as they stand, and as the rules limit them.
 #[derive(Clone, Debug)]
 struct Allowed {
+    /// Since when this process knows the engines.
+    since: Time,
     revision: StoreRevision,
     engines: Vec<UpstreamId>,
     /// How many of the engines, the first ones first, may have a replica.
@@ -107,6 +109,11 @@
         }
     }
 
+    /// Returns since when a model's homes are as they are.
+    pub(super) fn since(&self, model: &ModelName) -> Option<Time> {
+        self.allowed.get(model).map(|allowed| allowed.since)
+    }
+
     /// Returns the models whose first or further homes are lacking, and since when.
     pub(super) const fn lacking(&self) -> &OrderedMap<ModelName, Time> {
         &self.lacking
@@ -194,7 +201,9 @@
         };
         let engines = homes.engines.clone();
         let replicas_max = limits(cx, roster, model, &engines).map_or(0, |limits| limits.most);
-        self.allowed.insert(model.clone(), Allowed { revision, engines, replicas_max });
+        let known = self.allowed.get(model).filter(|known| known.engines == engines);
+        let since = known.map_or(cx.now, |known| known.since);
+        self.allowed.insert(model.clone(), Allowed { since, revision, engines, replicas_max });
     }
 
     fn write(&mut self, cx: &mut Cx<'_>, model: &ModelName, plan: Plan) {
--- a/crates/skylarkshore-core/src/control/power.rs
+++ b/crates/skylarkshore-core/src/control/power.rs
@@ -47,6 +47,8 @@
 /// One site as this process sees it.
 #[derive(Clone, Debug, Default)]
 struct Site {
+    /// Since when this process knows the record.
+    since: Time,
     revision: StoreRevision,
     record: PowerRecord,
     capped: bool,
@@ -90,9 +92,9 @@
         self.sites.get(&engine.site).is_some_and(|site| site.excess.contains(id))
     }
 
-    /// Returns the sites' names.
-    pub(super) fn sites(&self) -> impl Iterator<Item = &SiteName> {
-        self.sites.keys()
+    /// Returns the sites, with the time since when their grants are as they are.
+    pub(super) fn sites(&self) -> impl Iterator<Item = (&SiteName, Time)> {
+        self.sites.iter().map(|(name, site)| (name, site.since))
     }
 
     /// Returns the engines whose grant was taken back before the record shows it.
@@ -155,8 +157,11 @@
         let site = self.sites.entry(name.clone()).or_default();
         site.capped = cx.document.revision.0 == 0 || cx.document.power_caps.contains_key(name);
         if let Some((revision, record)) = cx.cache.power(name) {
+            if site.record != *record {
+                site.since = cx.now;
+                site.record = record.clone();
+            }
             site.revision = revision;
-            site.record = record.clone();
         }
         let record = &site.record;
         site.lowered.retain(|engine| record.grants.contains_key(engine));
--- a/crates/skylarkshore-core/src/control/report.rs
+++ b/crates/skylarkshore-core/src/control/report.rs
@@ -95,7 +95,12 @@
 fn homes(control: &Control, cx: &Cx<'_>) -> Vec<Belief> {
     let known = cx.cache.all_homes().map(|(model, homes)| {
         let names: Vec<&str> = homes.engines.iter().map(UpstreamId::as_str).collect();
-        Belief { kind: "homes", subject: model.to_string(), state: names.join(" "), since: None }
+        Belief {
+            kind: "homes",
+            subject: model.to_string(),
+            state: names.join(" "),
+            since: control.homes.since(model),
+        }
     });
     let lacking = control.homes.lacking().iter().map(|(model, since)| Belief {
         kind: "homes",
@@ -108,13 +113,13 @@
 
 fn power(control: &Control, cx: &Cx<'_>) -> Vec<Belief> {
     let mut beliefs = Vec::new();
-    for site in control.power.sites() {
+    for (site, since) in control.power.sites() {
         let entry = cx.cache.get(&Key::Power(site.clone()));
         let revision = entry.map_or(StoreRevision(0), |entry| entry.revision);
         let granted: crate::units::Watts =
             cx.cache.power(site).map(|(_, record)| record.grants.values().copied().sum()).unwrap_or_default();
         let state = format!("{granted} granted at revision {revision}");
-        beliefs.push(Belief { kind: "power", subject: site.to_string(), state, since: None });
+        beliefs.push(Belief { kind: "power", subject: site.to_string(), state, since: Some(since) });
     }
     let lowered = control.power.lowered();
     beliefs.extend(lowered.map(|engine| Belief {
--- a/crates/skylarkshore-core/tests/control/leases.rs
+++ b/crates/skylarkshore-core/tests/control/leases.rs
@@ -104,3 +104,21 @@
     let renewals = 12 * 60 / 3;
     assert!((renewals / 2..renewals * 3 / 2).contains(&calls), "{calls} calls in a minute");
 }
+
+#[test]
+fn a_state_dump_tells_what_a_process_believes() {
+    let mut cluster = Cluster::with(15, &["a", "b"], 2, FenceCheck::Ignores, document(1, 2, 1, PLENTY));
+    cluster.run(secs(20), |_| {});
+    let now = cluster.now;
+    insta::assert_snapshot!(cluster.process("a").beliefs(now), @r"
+    lease a: registered at revision 2
+    feed a: hears from peers, complete up to revision 11
+    member a: live, incarnation 1, dc-a, callers 127.0.0.1:1
+    member b: live, incarnation 1, dc-a, callers 127.0.0.1:1
+    ownership e0: held here, by a incarnation 1, fence 5
+    ownership e1: owned, by b incarnation 1, fence 6
+    homes model-0: e1
+    homes model-1: e0
+    power site: 800W granted at revision 11
+    ");
+}
--- a/crates/skylarkshore-core/tests/control/stale.rs
+++ b/crates/skylarkshore-core/tests/control/stale.rs
@@ -234,3 +234,18 @@
         assert!(engines.iter().all(|engine| owner(cluster, engine) == "a"), "taken over at {}", cluster.now);
     });
 }
+
+/// A process is paused between a renewal of its lease and the answer. When it wakes
+/// long after, the answer tells it that the lease lives; others have its engines by
+/// then. If it counted from when it read the answer, two owners would act.
+#[test]
+fn an_answer_that_was_read_late_does_not_extend_the_hold() {
+    let mut cluster = cluster(47, FenceCheck::Ignores, PLENTY);
+    cluster.until("a renewal", secs(5), |cluster| cluster.process("a").has_lease_answer());
+    cluster.process("a").frozen = true;
+    cluster.process("a").deaf = true;
+    cluster.run(secs(40), one_holder_each);
+    assert!(all_owned(&mut cluster), "others have taken over");
+    cluster.process("a").frozen = false;
+    cluster.run(secs(20), one_holder_each);
+}
--- a/crates/skylarkshore-core/tests/support/cluster.rs
+++ b/crates/skylarkshore-core/tests/support/cluster.rs
@@ -208,6 +208,19 @@
         self.control.permit(now, engine).is_some_and(|permit| !permit.not_after.is_due(now))
     }
 
+    /// Tells whether the answer to a call about the lease waits to be taken.
+    pub fn has_lease_answer(&self) -> bool {
+        self.inbox.iter().any(|inbound| matches!(inbound, Inbound::Result(_, Ok(StoreAnswer::Lease { .. }))))
+    }
+
+    /// Returns what the process believes, a line for each thing.
+    pub fn beliefs(&mut self, now: Time) -> String {
+        let beliefs = self.with(now, &mut Vec::new(), |cx, parts| parts.control.dump(cx));
+        let lines: Vec<String> =
+            beliefs.iter().map(|b| format!("{} {}: {}", b.kind, b.subject, b.state)).collect();
+        lines.join("\n")
+    }
+
     pub fn is_watching(&self) -> bool {
         self.watched.is_some()
     }
