--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -6,6 +6,7 @@
 mod hashing;
 mod holdings;
 mod homes;
+mod knowledge;
 mod membership;
 mod ownership;
 mod peers;
@@ -13,7 +14,6 @@
 mod power;
 mod report;
 mod roster;
-mod scene;
 mod shares;
 mod vacancy;
 
@@ -21,12 +21,12 @@
 
 use feed::Feed;
 use homes::Homes;
+use knowledge::Knowledge;
 use membership::Membership;
 use ownership::Ownership;
 use peers::Peers;
 use power::Power;
 use roster::Roster;
-use scene::Scene;
 
 use crate::authority::{Authority, EngineUse, OwnershipChange, Permit};
 use crate::collections::OrderedSet;
@@ -58,13 +58,13 @@
     homes: Homes,
     power: Power,
     /// The live members that may own something and keep it.
-    lasting: Vec<HostId>,
+    eligible: Vec<HostId>,
     members_changed: bool,
     /// When the live members last changed.
-    lasting_since: Time,
+    eligible_since: Time,
     last_review: Time,
     /// Whether something has changed since the last review.
-    stirred: bool,
+    changed: bool,
 }
 
 impl Control {
@@ -79,11 +79,11 @@
             ownership: Ownership::default(),
             homes: Homes::default(),
             power: Power::default(),
-            lasting: Vec::new(),
+            eligible: Vec::new(),
             members_changed: true,
-            lasting_since: Time::START,
+            eligible_since: Time::START,
             last_review: Time::START,
-            stirred: false,
+            changed: false,
         }
     }
 
@@ -104,7 +104,7 @@
     }
 
     fn review_every(&self, engines: &dyn EngineUse) -> Duration {
-        if self.stirred {
+        if self.changed {
             return REVIEW_SOON;
         }
         let lacking = self.ownership.holdings().keys().any(|engine| engines.lacks(engine).is_some());
@@ -115,12 +115,12 @@
     /// Begins to leave.
     pub fn on_shutdown(&mut self, _cx: &mut Cx<'_>) {
         self.membership.leave();
-        self.stir();
+        self.on_members_changed();
     }
 
     /// Ends the lease, now that nothing is in progress any more.
     pub fn on_drained(&mut self, cx: &mut Cx<'_>) {
-        if self.ownership.has_given_up(&self.lasting) || !self.membership.is_certain(cx.cfg, cx.now) {
+        if self.ownership.has_given_up(&self.eligible) || !self.membership.is_certain(cx.cfg, cx.now) {
             self.feed.stop(cx);
             self.membership.revoke(cx);
         }
@@ -134,7 +134,7 @@
     /// Takes note of a new host list.
     pub fn on_host_list(&mut self, cx: &mut Cx<'_>) {
         self.roster.on_host_list(cx);
-        self.stirred = true;
+        self.changed = true;
     }
 
     /// Takes the result of a call that isn't a write.
@@ -145,7 +145,7 @@
 
     /// Takes the outcome of a write of a member, owner, homes or power key.
     pub fn on_write(&mut self, cx: &mut Cx<'_>, key: &Key, outcome: &WriteOutcome) {
-        self.stirred = true;
+        self.changed = true;
         match key {
             Key::Member(_) => self.membership.on_write(cx, outcome),
             Key::Owner(engine) => self.ownership.on_write(cx, &self.roster, engine, outcome),
@@ -157,7 +157,7 @@
 
     /// Takes note that a shared key has changed in the cache.
     pub fn on_change(&mut self, cx: &mut Cx<'_>, key: &Key) {
-        self.stirred = true;
+        self.changed = true;
         match key {
             Key::Member(host) => self.on_member(cx, host),
             Key::Owner(engine) => self.ownership.refresh(cx, &self.roster, engine),
@@ -200,14 +200,14 @@
         self.feed.on_peer(cx, from, message);
         if let PeerMessage::PowerWanted { site, watts, .. } = message {
             self.power.on_wanted(cx, site, *watts);
-            self.stirred = true;
+            self.changed = true;
         }
     }
 
     /// Takes note that a process has ended for certain.
     pub fn on_peer_refused(&mut self, cx: &mut Cx<'_>, host: &HostId, incarnation: Incarnation) {
         self.peers.on_refused(cx, host, incarnation);
-        self.stir();
+        self.on_members_changed();
     }
 
     /// Returns the changes of ownership since the last call.
@@ -234,34 +234,34 @@
             self.ownership.retire();
             self.feed.stop(cx);
         }
-        self.stir();
+        self.on_members_changed();
     }
 
     /// Takes note of a change of who lives.
-    const fn stir(&mut self) {
+    const fn on_members_changed(&mut self) {
         self.members_changed = true;
-        self.stirred = true;
+        self.changed = true;
     }
 
     fn review(&mut self, cx: &mut Cx<'_>, engines: &dyn EngineUse) {
-        self.stirred = false;
+        self.changed = false;
         self.last_review = cx.now;
         self.review_members(cx);
         if !self.membership.is_gone() {
-            self.feed.review(cx, &self.peers, &self.lasting);
+            self.feed.review(cx, &self.peers, &self.eligible);
         }
         self.roster.review(cx, &named_engines(cx));
-        let scene = Scene {
+        let knowledge = Knowledge {
             membership: &self.membership,
             peers: &self.peers,
             feed: &self.feed,
             roster: &self.roster,
-            lasting: &self.lasting,
-            lasting_since: self.lasting_since,
+            eligible: &self.eligible,
+            eligible_since: self.eligible_since,
         };
-        self.ownership.review(cx, &scene, engines);
-        self.homes.review(cx, &scene, &self.ownership, engines);
-        self.power.review(cx, &scene, &self.ownership, engines);
+        self.ownership.review(cx, &knowledge, engines);
+        self.homes.review(cx, &knowledge, &self.ownership, engines);
+        self.power.review(cx, &knowledge, &self.ownership, engines);
         for (host, incarnation) in self.ownership.take_probes() {
             self.peers.probe(cx, &host, incarnation);
         }
@@ -271,10 +271,10 @@
         if !std::mem::take(&mut self.members_changed) {
             return;
         }
-        let lasting = self.peers.lasting(cx, &self.membership);
-        if lasting != self.lasting {
-            self.lasting = lasting;
-            self.lasting_since = cx.now;
+        let eligible = self.peers.eligible(cx, &self.membership);
+        if eligible != self.eligible {
+            self.eligible = eligible;
+            self.eligible_since = cx.now;
         }
     }
 
--- a/crates/skylarkshore-core/src/control/feed.rs
+++ b/crates/skylarkshore-core/src/control/feed.rs
@@ -50,16 +50,16 @@
 pub(super) struct Feed {
     /// Up to here nothing is missing.
     frontier: StoreRevision,
-    /// Where the first complete picture was taken; deletions before it are unknown here.
+    /// Where the first complete snapshot was taken; deletions before it are unknown here.
     base: Option<StoreRevision>,
     /// The frontier of a while ago, which peers ought to have reached.
-    usual: StoreRevision,
-    next_usual: Time,
+    expected: StoreRevision,
+    next_expected: Time,
     watch: Option<Watch>,
     read: Option<Read>,
     reads: Backoff,
     wants_read: bool,
-    last_picture: Option<StoreRevision>,
+    last_snapshot: Option<StoreRevision>,
     synced_at: Time,
     next_ask: Time,
 }
@@ -70,14 +70,14 @@
         self.frontier
     }
 
-    /// Tells whether the process has had a complete picture of the shared keys.
+    /// Tells whether the process has had a complete snapshot of the shared keys.
     pub(super) const fn is_synced(&self) -> bool {
         self.base.is_some()
     }
 
-    /// Returns the revision of the latest complete picture.
-    pub(super) const fn last_picture(&self) -> Option<StoreRevision> {
-        self.last_picture
+    /// Returns the revision of the latest complete snapshot.
+    pub(super) const fn last_snapshot(&self) -> Option<StoreRevision> {
+        self.last_snapshot
     }
 
     /// Tells whether no read of the service is overdue.
@@ -98,9 +98,9 @@
 
     /// Does what is due.
     pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>) {
-        if self.next_usual.is_due(cx.now) {
-            self.usual = self.frontier;
-            self.next_usual = cx.now.after(USUAL_LAG);
+        if self.next_expected.is_due(cx.now) {
+            self.expected = self.frontier;
+            self.next_expected = cx.now.after(USUAL_LAG);
         }
         if self.read.take_if(|read| read.lost_at.is_due(cx.now)).is_some() {
             self.reads.failed(cx);
@@ -119,7 +119,7 @@
         };
         self.reads.succeeded();
         self.wants_read = false;
-        self.take_picture(cx, *revision);
+        self.take_snapshot(cx, *revision);
     }
 
     /// Passes on what the watch has seen to the members of this data centre.
@@ -158,7 +158,7 @@
         upto: StoreRevision,
     ) {
         let Some(after) = after else {
-            self.take_picture(cx, upto);
+            self.take_snapshot(cx, upto);
             return;
         };
         if self.is_synced() && after <= self.frontier {
@@ -172,7 +172,7 @@
     pub(super) fn on_peer(&mut self, cx: &mut Cx<'_>, from: &HostId, message: &PeerMessage) {
         match message {
             PeerMessage::Heartbeat { store, .. } if *store > self.frontier => self.ask(cx, from),
-            PeerMessage::Heartbeat { store, .. } if *store < self.usual => self.answer(cx, from, *store),
+            PeerMessage::Heartbeat { store, .. } if *store < self.expected => self.answer(cx, from, *store),
             PeerMessage::RecordsWanted { after } => self.answer(cx, from, *after),
             _ => {}
         }
@@ -185,9 +185,9 @@
         }
     }
 
-    fn take_picture(&mut self, cx: &Cx<'_>, revision: StoreRevision) {
+    fn take_snapshot(&mut self, cx: &Cx<'_>, revision: StoreRevision) {
         self.frontier = self.frontier.max(revision);
-        self.last_picture = self.last_picture.max(Some(revision));
+        self.last_snapshot = self.last_snapshot.max(Some(revision));
         if self.base.is_none() {
             self.base = Some(revision);
             self.synced_at = cx.now;
@@ -205,7 +205,7 @@
     /// Sends what a peer lacks.
     ///
     /// A process knows nothing of keys that were deleted before its own first
-    /// picture. Whoever is behind that gets everything, since a list of changes
+    /// snapshot. Whoever is behind that gets everything, since a list of changes
     /// would leave deleted members and owners alive there.
     fn answer(&self, cx: &mut Cx<'_>, to: &HostId, after: StoreRevision) {
         let Some(base) = self.base.filter(|_| after < self.frontier) else { return };
@@ -228,8 +228,8 @@
     }
 
     /// Begins or ends the watch.
-    pub(super) fn review(&mut self, cx: &mut Cx<'_>, peers: &Peers, lasting: &[HostId]) {
-        let wanted = self.is_watcher(cx, peers, lasting);
+    pub(super) fn review(&mut self, cx: &mut Cx<'_>, peers: &Peers, eligible: &[HostId]) {
+        let wanted = self.is_watcher(cx, peers, eligible);
         match self.watch {
             Some(_) if !wanted => self.stop(cx),
             None if wanted && self.is_synced() && !self.wants_read => {
@@ -246,13 +246,13 @@
     /// dies unseen would leave its data centre without news, also of its own
     /// death; so it sends heartbeats to the whole data centre, and the next of
     /// the ranking steps in when they cease.
-    fn is_watcher(&self, cx: &Cx<'_>, peers: &Peers, lasting: &[HostId]) -> bool {
+    fn is_watcher(&self, cx: &Cx<'_>, peers: &Peers, eligible: &[HostId]) -> bool {
         let own = &cx.cfg.host;
         let near = |host: &&HostId| {
             cx.cache.member(host).is_some_and(|member| member.data_centre == cx.cfg.data_centre)
         };
         let key = format!("watch/{}", cx.cfg.data_centre);
-        let ranked = hashing::ranking(&key, lasting.iter().filter(near));
+        let ranked = hashing::ranking(&key, eligible.iter().filter(near));
         let Some(rank) = ranked.iter().position(|host| *host == own) else { return false };
         let before = &ranked[..rank];
         let Some(last) = before.iter().map(|host| peers.reached_store(host)).max() else { return true };
--- a/crates/skylarkshore-core/src/control/homes.rs
+++ b/crates/skylarkshore-core/src/control/homes.rs
@@ -11,10 +11,10 @@
 use plan::{Plan, Review, limits};
 
 use super::hashing;
+use super::knowledge::Knowledge;
 use super::ownership::Ownership;
 use super::placement::Placement;
 use super::roster::Roster;
-use super::scene::Scene;
 use crate::authority::EngineUse;
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::cx::Cx;
@@ -166,18 +166,18 @@
     pub(super) fn review(
         &mut self,
         cx: &mut Cx<'_>,
-        scene: &Scene<'_>,
+        knowledge: &Knowledge<'_>,
         ownership: &Ownership,
         engines: &dyn EngineUse,
     ) {
-        self.update_all(cx, scene.roster);
-        if !scene.may_decide(cx) || cx.document.revision.0 == 0 {
+        self.update_all(cx, knowledge.roster);
+        if !knowledge.may_decide(cx) || cx.document.revision.0 == 0 {
             return;
         }
         self.settle_doubts(cx);
         self.end_rests(cx.now);
         let wishes = engines.home_wishes();
-        let mut placement = Placement::new(cx, scene.roster);
+        let mut placement = Placement::new(cx, knowledge.roster);
         let known = cx.cache.all_homes().map(|(model, _)| model.clone());
         let models: OrderedSet<ModelName> =
             cx.document.catalogue.models.keys().cloned().chain(known).collect();
@@ -186,7 +186,7 @@
             if self.pending.contains_key(&model) || self.pending.len() >= WRITES_AT_ONCE {
                 continue;
             }
-            let review = Review { scene, ownership, engines, wishes: &wishes, model: &model };
+            let review = Review { knowledge, ownership, engines, wishes: &wishes, model: &model };
             let plan = self.plan(cx, &review, &mut placement);
             if plan.changed {
                 self.write(cx, &model, plan);
@@ -258,15 +258,15 @@
 }
 
 /// Tells whether it is up to this process to look after a model that has needed it `since`.
-fn is_own_turn(cx: &Cx<'_>, scene: &Scene<'_>, model: &ModelName, since: Time) -> bool {
+fn is_own_turn(cx: &Cx<'_>, knowledge: &Knowledge<'_>, model: &ModelName, since: Time) -> bool {
     let key = format!("homes/{model}");
-    if hashing::winner(&key, scene.lasting.iter()) == Some(&cx.cfg.host) {
+    if hashing::winner(&key, knowledge.eligible.iter()) == Some(&cx.cfg.host) {
         return true;
     }
     if !since.after(NEXT_IN_RANK).is_due(cx.now) {
         return false;
     }
-    let ranked = hashing::ranking(&key, scene.lasting.iter());
+    let ranked = hashing::ranking(&key, knowledge.eligible.iter());
     let Some(rank) = ranked.iter().position(|host| *host == &cx.cfg.host) else { return false };
     since.after(NEXT_IN_RANK.saturating_mul(u32::try_from(rank).unwrap_or(u32::MAX))).is_due(cx.now)
 }
--- a/crates/skylarkshore-core/src/control/homes/plan.rs
+++ b/crates/skylarkshore-core/src/control/homes/plan.rs
@@ -2,10 +2,10 @@
 
 use super::{Homes, is_own_turn};
 use crate::authority::{EngineUse, HomeWish};
+use crate::control::knowledge::Knowledge;
 use crate::control::ownership::Ownership;
 use crate::control::placement::Placement;
 use crate::control::roster::Roster;
-use crate::control::scene::Scene;
 use crate::cx::Cx;
 use crate::id::{ModelName, StoreRevision, UpstreamId};
 use crate::rules::Facts;
@@ -21,7 +21,7 @@
 /// What the plan for one model looks at.
 #[derive(Clone, Copy)]
 pub(super) struct Review<'a> {
-    pub(super) scene: &'a Scene<'a>,
+    pub(super) knowledge: &'a Knowledge<'a>,
     pub(super) ownership: &'a Ownership,
     pub(super) engines: &'a dyn EngineUse,
     pub(super) wishes: &'a [HomeWish],
@@ -37,12 +37,12 @@
     /// Tells whether the engine is gone for good, and it is up to this process to say so.
     fn is_gone(&self, cx: &Cx<'_>, engine: &UpstreamId) -> bool {
         if let Some(holding) = self.ownership.held(engine) {
-            return self.scene.roster.is_gone(cx, engine, Some(holding.since));
+            return self.knowledge.roster.is_gone(cx, engine, Some(holding.since));
         }
         let unowned = cx.cache.owner(engine).is_none();
         unowned
-            && self.scene.roster.is_gone(cx, engine, None)
-            && is_own_turn(cx, self.scene, self.model, cx.now)
+            && self.knowledge.roster.is_gone(cx, engine, None)
+            && is_own_turn(cx, self.knowledge, self.model, cx.now)
     }
 
     /// Tells whether the record is older than this process's ownership of the engine.
@@ -65,13 +65,13 @@
         let Some((revision, homes)) = cx.cache.homes(review.model) else {
             return self.first_home(cx, review, placement);
         };
-        if revision > review.scene.feed.frontier() {
+        if revision > review.knowledge.feed.frontier() {
             // A process that lost an engine without knowing it yet must not write on
             // the new owner's record. It knows of every loss up to its frontier.
             return Plan::default();
         }
         let mut plan = Plan { engines: homes.engines.clone(), ..Plan::default() };
-        let Some(limits) = limits(cx, review.scene.roster, review.model, &plan.engines) else {
+        let Some(limits) = limits(cx, review.knowledge.roster, review.model, &plan.engines) else {
             drop_removed_model(cx, review, &mut plan);
             return plan;
         };
@@ -121,11 +121,11 @@
     /// Tells whether it is up to this process to give the model a home that it lacks.
     fn is_own_turn(&mut self, cx: &Cx<'_>, review: &Review<'_>) -> bool {
         let since = *self.lacking.entry(review.model.clone()).or_insert(cx.now);
-        is_own_turn(cx, review.scene, review.model, since)
+        is_own_turn(cx, review.knowledge, review.model, since)
     }
 
     fn note_unplaceable(&mut self, cx: &mut Cx<'_>, review: &Review<'_>) {
-        let any = review.scene.roster.iter().any(|(_, engine)| engine.is_live());
+        let any = review.knowledge.roster.iter().any(|(_, engine)| engine.is_live());
         if any && self.unplaceable.insert(review.model.clone()) {
             cx.note("model_fits_nowhere", review.model.clone(), "no live engine has as much memory");
         }
@@ -195,7 +195,7 @@
 ) {
     for rank in (0..plan.engines.len()).rev() {
         let home = plan.engines[rank].clone();
-        let known = review.scene.roster.get(&home);
+        let known = review.knowledge.roster.get(&home);
         let leaving = known.is_some_and(|engine| engine.is_listed() && !engine.is_live());
         let leaves = (leaving || review.wants_to_leave(&home)) && review.may_close(&home);
         if !leaves && !review.is_gone(cx, &home) {
--- a/crates/skylarkshore-core/src/control/scene.rs
+++ b/crates/skylarkshore-core/src/control/knowledge.rs
@@ -10,18 +10,18 @@
 
 /// What the decisions on ownership, homes and power look at beside [`Cx`].
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Scene<'a> {
+pub(super) struct Knowledge<'a> {
     pub(super) membership: &'a Membership,
     pub(super) peers: &'a Peers,
     pub(super) feed: &'a Feed,
     pub(super) roster: &'a Roster,
     /// The live members that may own something and keep it.
-    pub(super) lasting: &'a [HostId],
+    pub(super) eligible: &'a [HostId],
     /// When they last changed.
-    pub(super) lasting_since: Time,
+    pub(super) eligible_since: Time,
 }
 
-impl Scene<'_> {
+impl Knowledge<'_> {
     /// Tells whether this process may write decisions now.
     ///
     /// It has to know the shared keys, and its own member key has to stand:
--- a/crates/skylarkshore-core/src/control/ownership.rs
+++ b/crates/skylarkshore-core/src/control/ownership.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use super::holdings::{Holding, Phase};
+use super::knowledge::Knowledge;
 use super::membership::Membership;
 use super::roster::Roster;
-use super::scene::Scene;
 use super::shares;
 use super::vacancy::{Former, Vacancies, Vacant};
 use crate::authority::{EngineUse, OwnershipChange, Permit};
@@ -88,8 +88,8 @@
     }
 
     /// Tells whether nothing is left that could be handed over.
-    pub(super) fn has_given_up(&self, lasting: &[HostId]) -> bool {
-        self.retired || self.holdings.is_empty() || lasting.is_empty()
+    pub(super) fn has_given_up(&self, eligible: &[HostId]) -> bool {
+        self.retired || self.holdings.is_empty() || eligible.is_empty()
     }
 
     /// Gives everything up for good.
@@ -175,22 +175,22 @@
     }
 
     /// Does what is due: takes over, confirms and hands over.
-    pub(super) fn review(&mut self, cx: &mut Cx<'_>, scene: &Scene<'_>, engines: &dyn EngineUse) {
+    pub(super) fn review(&mut self, cx: &mut Cx<'_>, knowledge: &Knowledge<'_>, engines: &dyn EngineUse) {
         if self.retired {
             return;
         }
         self.resting.retain(|_, until| !until.is_due(cx.now));
-        self.share_out(cx, scene);
-        self.settle_handovers(cx, scene, engines);
-        if !scene.may_decide(cx) {
+        self.share_out(cx, knowledge);
+        self.settle_handovers(cx, knowledge, engines);
+        if !knowledge.may_decide(cx) {
             return;
         }
-        self.confirm_records(cx, scene);
-        self.forget_gone(cx, scene);
-        if !scene.membership.is_leaving() {
-            self.take_vacant(cx, scene);
+        self.confirm_records(cx, knowledge);
+        self.forget_gone(cx, knowledge);
+        if !knowledge.membership.is_leaving() {
+            self.take_vacant(cx, knowledge);
         }
-        self.begin_handovers(cx, scene);
+        self.begin_handovers(cx, knowledge);
     }
 
     fn acquire(&mut self, cx: &mut Cx<'_>, roster: &Roster, engine: &UpstreamId, named: Named) {
@@ -232,16 +232,16 @@
         self.changes.push(OwnershipChange::Lost { engine: engine.clone() });
     }
 
-    fn share_out(&mut self, cx: &Cx<'_>, scene: &Scene<'_>) {
-        let listed = scene.roster.iter().filter(|(_, known)| known.is_listed());
+    fn share_out(&mut self, cx: &Cx<'_>, knowledge: &Knowledge<'_>) {
+        let listed = knowledge.roster.iter().filter(|(_, known)| known.is_listed());
         let engines: OrderedSet<UpstreamId> = listed.map(|(id, _)| id.clone()).collect();
         let owned = cx.cache.owners().map(|(engine, _)| engine.clone());
         let engines: OrderedSet<UpstreamId> = engines.into_iter().chain(owned).collect();
-        if self.shares.hosts == scene.lasting && self.shares.engines == engines {
+        if self.shares.hosts == knowledge.eligible && self.shares.engines == engines {
             return;
         }
-        self.shares.owners = shares::assign(engines.iter(), scene.lasting);
-        self.shares.hosts = scene.lasting.to_vec();
+        self.shares.owners = shares::assign(engines.iter(), knowledge.eligible);
+        self.shares.hosts = knowledge.eligible.to_vec();
         self.shares.engines = engines;
     }
 
@@ -250,15 +250,15 @@
     }
 
     /// Writes the records of engines that ignore fences anew after the member key was lost.
-    fn confirm_records(&mut self, cx: &mut Cx<'_>, scene: &Scene<'_>) {
-        let Some(registered) = scene.membership.registered_at() else { return };
+    fn confirm_records(&mut self, cx: &mut Cx<'_>, knowledge: &Knowledge<'_>) {
+        let Some(registered) = knowledge.membership.registered_at() else { return };
         let stale: Vec<UpstreamId> = self
             .holdings
             .iter()
             .filter(|(engine, holding)| {
                 holding.is_held()
                     && holding.revision < registered
-                    && scene.roster.fence_check(engine) == FenceCheck::Ignores
+                    && knowledge.roster.fence_check(engine) == FenceCheck::Ignores
                     && self.is_free(engine)
             })
             .map(|(engine, _)| engine.clone())
@@ -274,15 +274,15 @@
     ///
     /// Engines come and go under new names every day. Without this, each of them
     /// would leave a record behind that every process reads and keeps.
-    fn forget_gone(&mut self, cx: &mut Cx<'_>, scene: &Scene<'_>) {
+    fn forget_gone(&mut self, cx: &mut Cx<'_>, knowledge: &Knowledge<'_>) {
         let gone: Vec<UpstreamId> = self
             .holdings
             .iter()
             .filter(|(engine, holding)| {
                 holding.is_held()
-                    && scene.roster.is_gone(cx, engine, Some(holding.since))
+                    && knowledge.roster.is_gone(cx, engine, Some(holding.since))
                     && self.is_free(engine)
-                    && !is_in_use(cx, scene, engine)
+                    && !is_in_use(cx, knowledge, engine)
             })
             .map(|(engine, _)| engine.clone())
             .collect();
@@ -294,7 +294,7 @@
         }
     }
 
-    fn take_vacant(&mut self, cx: &mut Cx<'_>, scene: &Scene<'_>) {
+    fn take_vacant(&mut self, cx: &mut Cx<'_>, knowledge: &Knowledge<'_>) {
         let engines: Vec<UpstreamId> = self
             .shares
             .engines
@@ -305,7 +305,7 @@
         self.vacancies.retain(&self.shares.engines);
         for engine in engines {
             let share = self.shares.owners.get(&engine);
-            let Some(vacant) = self.vacancies.look(cx, scene, &engine, share) else { continue };
+            let Some(vacant) = self.vacancies.look(cx, knowledge, &engine, share) else { continue };
             if self.is_free(&engine) {
                 self.take_over(cx, vacant);
             }
@@ -351,8 +351,8 @@
 }
 
 /// Tells whether a model's homes or a site's grants name the engine.
-fn is_in_use(cx: &Cx<'_>, scene: &Scene<'_>, engine: &UpstreamId) -> bool {
-    let site = scene.roster.get(engine).map(|known| &known.site);
+fn is_in_use(cx: &Cx<'_>, knowledge: &Knowledge<'_>, engine: &UpstreamId) -> bool {
+    let site = knowledge.roster.get(engine).map(|known| &known.site);
     let power = site.and_then(|site| cx.cache.power(site));
     let granted = power.is_some_and(|(_, record)| record.grants.contains_key(engine));
     granted || cx.cache.all_homes().any(|(_, homes)| homes.engines.contains(engine))
--- a/crates/skylarkshore-core/src/control/ownership/handover.rs
+++ b/crates/skylarkshore-core/src/control/ownership/handover.rs
@@ -5,7 +5,7 @@
 use super::{Ownership, own_record};
 use crate::authority::EngineUse;
 use crate::control::holdings::Phase;
-use crate::control::scene::Scene;
+use crate::control::knowledge::Knowledge;
 use crate::control::shares::Balance;
 use crate::cx::Cx;
 use crate::id::UpstreamId;
@@ -22,9 +22,9 @@
 const HANDOVER_REST: Duration = Duration::from_secs(2);
 
 impl Ownership {
-    pub(super) fn begin_handovers(&mut self, cx: &mut Cx<'_>, scene: &Scene<'_>) {
-        let leaving = scene.membership.is_leaving();
-        let mut balance = Balance::new(cx.cache, scene.lasting);
+    pub(super) fn begin_handovers(&mut self, cx: &mut Cx<'_>, knowledge: &Knowledge<'_>) {
+        let leaving = knowledge.membership.is_leaving();
+        let mut balance = Balance::new(cx.cache, knowledge.eligible);
         let most = if leaving { MOST_HANDOVERS } else { handovers_at_once(balance.excess(&cx.cfg.host)) };
         let going = self.holdings.values().filter(|holding| !holding.is_held()).count();
         if going >= most || (!leaving && !self.next_handover.is_due(cx.now)) {
@@ -54,12 +54,17 @@
     }
 
     /// Moves the hand-overs on that have begun.
-    pub(super) fn settle_handovers(&mut self, cx: &mut Cx<'_>, scene: &Scene<'_>, engines: &dyn EngineUse) {
+    pub(super) fn settle_handovers(
+        &mut self,
+        cx: &mut Cx<'_>,
+        knowledge: &Knowledge<'_>,
+        engines: &dyn EngineUse,
+    ) {
         let ids: Vec<UpstreamId> =
             self.holdings.iter().filter(|(_, h)| !h.is_held()).map(|(engine, _)| engine.clone()).collect();
         for engine in ids {
             if self.is_free(&engine) {
-                self.settle_handover(cx, scene, engines, &engine);
+                self.settle_handover(cx, knowledge, engines, &engine);
             }
         }
     }
@@ -67,7 +72,7 @@
     fn settle_handover(
         &mut self,
         cx: &mut Cx<'_>,
-        scene: &Scene<'_>,
+        knowledge: &Knowledge<'_>,
         engines: &dyn EngineUse,
         engine: &UpstreamId,
     ) {
@@ -75,8 +80,8 @@
         let (to, based_on) = match holding.phase.clone() {
             Phase::Held => return,
             Phase::Settling { to, until } => {
-                let called_off = until.is_due(cx.now) && !scene.membership.is_leaving();
-                if called_off || !scene.lasting.contains(&to) {
+                let called_off = until.is_due(cx.now) && !knowledge.membership.is_leaving();
+                if called_off || !knowledge.eligible.contains(&to) {
                     holding.phase = Phase::Held;
                     return;
                 }
--- a/crates/skylarkshore-core/src/control/peers.rs
+++ b/crates/skylarkshore-core/src/control/peers.rs
@@ -96,7 +96,7 @@
     }
 
     /// Returns the live members that may own something and keep it.
-    pub(super) fn lasting(&self, cx: &Cx<'_>, membership: &Membership) -> Vec<HostId> {
+    pub(super) fn eligible(&self, cx: &Cx<'_>, membership: &Membership) -> Vec<HostId> {
         let goes = |host: &HostId, member: &MemberRecord| {
             member.leaving || (*host == cx.cfg.host && membership.is_leaving())
         };
--- a/crates/skylarkshore-core/src/control/power.rs
+++ b/crates/skylarkshore-core/src/control/power.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 
 use super::budget::Budget;
+use super::knowledge::Knowledge;
 use super::ownership::Ownership;
 use super::roster::KnownEngine;
-use super::scene::Scene;
 use crate::authority::EngineUse;
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::cx::Cx;
@@ -133,20 +133,20 @@
     pub(super) fn review(
         &mut self,
         cx: &mut Cx<'_>,
-        scene: &Scene<'_>,
+        knowledge: &Knowledge<'_>,
         ownership: &Ownership,
         engines: &dyn EngineUse,
     ) {
         let mut own: OrderedMap<SiteName, Vec<UpstreamId>> = OrderedMap::new();
         for id in ownership.holdings().keys() {
-            let Some(engine) = scene.roster.get(id) else { continue };
+            let Some(engine) = knowledge.roster.get(id) else { continue };
             own.entry(engine.site.clone()).or_default().push(id.clone());
         }
         self.sites.retain(|name, _| own.contains_key(name));
         for (name, ids) in own {
             self.update(cx, &name);
             let Some(cap) = cx.document.power_caps.get(&name).copied() else { continue };
-            let review = Review { scene, ownership, engines, name: &name, ids: &ids, cap };
+            let review = Review { knowledge, ownership, engines, name: &name, ids: &ids, cap };
             if let Some(site) = self.sites.get_mut(&name) {
                 site.review(cx, &review);
             }
@@ -171,7 +171,7 @@
 /// What the review of one site looks at.
 #[derive(Clone, Copy)]
 struct Review<'a> {
-    scene: &'a Scene<'a>,
+    knowledge: &'a Knowledge<'a>,
     ownership: &'a Ownership,
     engines: &'a dyn EngineUse,
     name: &'a SiteName,
@@ -181,7 +181,7 @@
 }
 
 /// An engine that could do with more power.
-struct Needy<'a> {
+struct Underpowered<'a> {
     id: &'a UpstreamId,
     engine: &'a KnownEngine,
     lacks: Option<(Watts, ServiceOrder)>,
@@ -189,7 +189,7 @@
 
 impl Review<'_> {
     fn engine(&self, id: &UpstreamId) -> Option<&KnownEngine> {
-        self.scene.roster.get(id)
+        self.knowledge.roster.get(id)
     }
 
     /// Tells whether the engine draws no more than it does asleep.
@@ -199,34 +199,36 @@
 
     fn is_gone(&self, cx: &Cx<'_>, id: &UpstreamId) -> bool {
         let since = self.ownership.held(id).map(|holding| holding.since);
-        since.is_some() && self.scene.roster.is_gone(cx, id, since)
+        since.is_some() && self.knowledge.roster.is_gone(cx, id, since)
     }
 
     /// Returns the engines with less than full power, those that need it most first.
-    fn needy(&self, budget: &Budget) -> Vec<Needy<'_>> {
-        let mut needy: Vec<Needy<'_>> = self
+    fn underpowered(&self, budget: &Budget) -> Vec<Underpowered<'_>> {
+        let mut underpowered: Vec<Underpowered<'_>> = self
             .ids
             .iter()
             .filter(|id| self.ownership.held(id).is_some())
             .filter_map(|id| self.engine(id).map(|engine| (id, engine)))
             .filter(|(id, engine)| engine.is_live() && budget.grant(id) < engine.active_watts)
-            .map(|(id, engine)| Needy { id, engine, lacks: self.engines.lacks(id) })
+            .map(|(id, engine)| Underpowered { id, engine, lacks: self.engines.lacks(id) })
             .collect();
-        needy.sort_by_key(|needy| (Reverse(needy.lacks.is_some()), needy.lacks.map(|(_, order)| order)));
-        needy
+        underpowered.sort_by_key(|underpowered| {
+            (Reverse(underpowered.lacks.is_some()), underpowered.lacks.map(|(_, order)| order))
+        });
+        underpowered
     }
 }
 
 impl Site {
     fn review(&mut self, cx: &mut Cx<'_>, review: &Review<'_>) {
-        let mut budget = Budget::new(review.cap, review.name, &self.record, review.scene.roster);
+        let mut budget = Budget::new(review.cap, review.name, &self.record, review.knowledge.roster);
         self.watch_cap(cx, &budget);
         self.wanted.take_if(|wanted| wanted.until.is_due(cx.now) || budget.room() >= wanted.watts);
         self.lowered.retain(|id| review.ids.contains(id));
         // A process that lost an engine without knowing it yet must not write on the
         // new owner's record. It knows of every loss up to its frontier.
-        let current = self.revision <= review.scene.feed.frontier();
-        if self.writing || !self.rest.is_due(cx.now) || !current || !review.scene.may_decide(cx) {
+        let current = self.revision <= review.knowledge.feed.frontier();
+        if self.writing || !self.rest.is_due(cx.now) || !current || !review.knowledge.may_decide(cx) {
             return;
         }
         let mut changed = review.ids.iter().any(|id| self.is_unconfirmed(review, id));
@@ -291,14 +293,14 @@
         let mut changed = false;
         let plenty = self.short_until.is_due(cx.now);
         let before = budget.clone();
-        for needy in review.needy(&before) {
-            if self.lowered.contains(needy.id) || (needy.lacks.is_none() && !plenty) {
+        for underpowered in review.underpowered(&before) {
+            if self.lowered.contains(underpowered.id) || (underpowered.lacks.is_none() && !plenty) {
                 continue;
             }
-            if budget.raise(needy.id, needy.engine.active_watts) {
+            if budget.raise(underpowered.id, underpowered.engine.active_watts) {
                 changed = true;
-            } else if let Some((_, order)) = needy.lacks {
-                let missing = needy.engine.active_watts.saturating_sub(budget.grant(needy.id));
+            } else if let Some((_, order)) = underpowered.lacks {
+                let missing = underpowered.engine.active_watts.saturating_sub(budget.grant(underpowered.id));
                 self.ask(cx, review, missing, order);
             }
         }
--- a/crates/skylarkshore-core/src/control/roster.rs
+++ b/crates/skylarkshore-core/src/control/roster.rs
@@ -38,7 +38,7 @@
 pub(super) struct Roster {
     engines: OrderedMap<UpstreamId, KnownEngine>,
     /// Engines that only records name, with the time since when that is known.
-    strangers: OrderedMap<UpstreamId, Time>,
+    never_listed: OrderedMap<UpstreamId, Time>,
     reached: OrderedMap<UpstreamId, Time>,
 }
 
@@ -50,7 +50,7 @@
         }
         for (id, upstream) in cx.upstreams {
             let Some(spec) = upstream.engine() else { continue };
-            self.strangers.remove(id);
+            self.never_listed.remove(id);
             let known = KnownEngine {
                 data_centre: upstream.data_centre.clone(),
                 site: upstream.site.clone(),
@@ -68,9 +68,9 @@
     /// Takes note of engines that records name, and forgets those that nothing names any more.
     pub(super) fn review(&mut self, cx: &Cx<'_>, named: &OrderedSet<UpstreamId>) {
         for engine in named.iter().filter(|engine| !self.engines.contains_key(engine)) {
-            self.strangers.entry(engine.clone()).or_insert(cx.now);
+            self.never_listed.entry(engine.clone()).or_insert(cx.now);
         }
-        self.strangers.retain(|engine, _| named.contains(engine));
+        self.never_listed.retain(|engine, _| named.contains(engine));
         self.engines.retain(|id, engine| engine.is_listed() || named.contains(id));
         self.reached.retain(|engine, _| named.contains(engine));
     }
@@ -105,7 +105,7 @@
     pub(super) fn is_gone(&self, cx: &Cx<'_>, engine: &UpstreamId, owned_since: Option<Time>) -> bool {
         let unlisted = match self.engines.get(engine) {
             Some(known) => known.unlisted,
-            None => self.strangers.get(engine).copied(),
+            None => self.never_listed.get(engine).copied(),
         };
         let Some(unlisted) = unlisted else { return false };
         let reached = self.reached.get(engine).copied().max(owned_since).unwrap_or(Time::START);
--- a/crates/skylarkshore-core/src/control/vacancy.rs
+++ b/crates/skylarkshore-core/src/control/vacancy.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::hashing;
-use super::scene::Scene;
+use super::knowledge::Knowledge;
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::cx::Cx;
 use crate::effect::Effect;
@@ -106,22 +106,22 @@
     pub(super) fn look(
         &mut self,
         cx: &mut Cx<'_>,
-        scene: &Scene<'_>,
+        knowledge: &Knowledge<'_>,
         engine: &UpstreamId,
         share: Option<&HostId>,
     ) -> Option<Vacant> {
         let Some((revision, owner)) = cx.cache.owner(engine) else {
             let since = *self.unowned.entry(engine.clone()).or_insert(cx.now);
-            let quiet = scene.lasting_since.after(QUIET_FOR).min(since.after(QUIET_AT_LAST));
+            let quiet = knowledge.eligible_since.after(QUIET_FOR).min(since.after(QUIET_AT_LAST));
             if !quiet.is_due(cx.now) {
                 return None;
             }
             let vacant = Vacant { engine: engine.clone(), former: None };
-            return is_own_turn(cx, scene, engine, share, since).then_some(vacant);
+            return is_own_turn(cx, knowledge, engine, share, since).then_some(vacant);
         };
         self.unowned.remove(engine);
         let owner = owner.clone();
-        let state = owner_state(cx, scene, revision, &owner);
+        let state = owner_state(cx, knowledge, revision, &owner);
         match state {
             OwnerState::Present => {
                 self.absent.remove(engine);
@@ -131,20 +131,20 @@
                 self.read_member(cx, &owner.host);
                 return None;
             }
-            OwnerState::Absent => self.want_probe(scene, engine, &owner),
+            OwnerState::Absent => self.want_probe(knowledge, engine, &owner),
             OwnerState::Ended => {}
         }
         let ended = state == OwnerState::Ended;
-        let since = self.note(cx, scene, engine, revision, &owner, ended)?;
+        let since = self.note(cx, knowledge, engine, revision, &owner, ended)?;
         let vacant = Vacant { engine: engine.clone(), former: Some(Former { revision, owner, ended }) };
-        is_own_turn(cx, scene, engine, share, since).then_some(vacant)
+        is_own_turn(cx, knowledge, engine, share, since).then_some(vacant)
     }
 
     /// Takes note of the vacancy; returns since when the engine may be taken, if it may.
     fn note(
         &mut self,
         cx: &Cx<'_>,
-        scene: &Scene<'_>,
+        knowledge: &Knowledge<'_>,
         engine: &UpstreamId,
         record: StoreRevision,
         owner: &OwnerRecord,
@@ -160,7 +160,7 @@
                 incarnation: owner.incarnation,
                 record,
                 since: cx.now,
-                ready: ready_at(cx, scene, engine, owner),
+                ready: ready_at(cx, knowledge, engine, owner),
             };
             self.absent.insert(engine.clone(), vacancy);
         }
@@ -176,8 +176,8 @@
         std::mem::take(&mut self.probes)
     }
 
-    fn want_probe(&mut self, scene: &Scene<'_>, engine: &UpstreamId, owner: &OwnerRecord) {
-        if scene.roster.fence_check(engine) == FenceCheck::Ignores {
+    fn want_probe(&mut self, knowledge: &Knowledge<'_>, engine: &UpstreamId, owner: &OwnerRecord) {
+        if knowledge.roster.fence_check(engine) == FenceCheck::Ignores {
             self.probes.insert(owner.host.clone(), owner.incarnation);
         }
     }
@@ -193,8 +193,13 @@
     }
 }
 
-fn owner_state(cx: &Cx<'_>, scene: &Scene<'_>, record: StoreRevision, owner: &OwnerRecord) -> OwnerState {
-    if scene.peers.has_ended(&owner.host, owner.incarnation) {
+fn owner_state(
+    cx: &Cx<'_>,
+    knowledge: &Knowledge<'_>,
+    record: StoreRevision,
+    owner: &OwnerRecord,
+) -> OwnerState {
+    if knowledge.peers.has_ended(&owner.host, owner.incarnation) {
         return OwnerState::Ended;
     }
     if owner.host == cx.cfg.host && owner.incarnation < cx.cfg.incarnation {
@@ -209,7 +214,7 @@
     // stand again by now: the owner lost its lease, registered anew and confirmed
     // the record. Taking over then would set two owners on an engine that
     // ignores fences.
-    let absent_at = entry.map(|entry| entry.revision).max(scene.feed.last_picture());
+    let absent_at = entry.map(|entry| entry.revision).max(knowledge.feed.last_snapshot());
     if absent_at.is_some_and(|absent_at| absent_at > record) {
         OwnerState::Absent
     } else {
@@ -217,16 +222,16 @@
     }
 }
 
-fn ready_at(cx: &Cx<'_>, scene: &Scene<'_>, engine: &UpstreamId, owner: &OwnerRecord) -> Time {
+fn ready_at(cx: &Cx<'_>, knowledge: &Knowledge<'_>, engine: &UpstreamId, owner: &OwnerRecord) -> Time {
     let timings = &cx.cfg.timings;
-    let hold = match scene.roster.fence_check(engine) {
+    let hold = match knowledge.roster.fence_check(engine) {
         FenceCheck::Refuses => Duration::ZERO,
         FenceCheck::Ignores => timings.hold + timings.hold_margin,
     };
-    let returned = scene.membership.returned().is_some_and(|at| !at.after(RETURN_GRACE).is_due(cx.now));
+    let returned = knowledge.membership.returned().is_some_and(|at| !at.after(RETURN_GRACE).is_due(cx.now));
     let may_return = returned
-        || scene.peers.is_heard(cx, &owner.host, owner.incarnation)
-        || scene.peers.have_vanished_together(cx);
+        || knowledge.peers.is_heard(cx, &owner.host, owner.incarnation)
+        || knowledge.peers.have_vanished_together(cx);
     let grace = if may_return { RETURN_GRACE } else { Duration::ZERO };
     cx.now.after(hold.max(grace))
 }
@@ -234,7 +239,7 @@
 /// Tells whether it is up to this process to take an engine that has been free `since`.
 fn is_own_turn(
     cx: &Cx<'_>,
-    scene: &Scene<'_>,
+    knowledge: &Knowledge<'_>,
     engine: &UpstreamId,
     share: Option<&HostId>,
     since: Time,
@@ -248,7 +253,7 @@
     if !since.after(NEXT_IN_RANK).is_due(cx.now) {
         return false;
     }
-    let others = scene.lasting.iter().filter(|host| Some(*host) != share);
+    let others = knowledge.eligible.iter().filter(|host| Some(*host) != share);
     let ranked = hashing::ranking(engine.as_str(), others);
     let Some(rank) = ranked.iter().position(|host| *host == own) else { return false };
     let turns = u32::try_from(rank + 1).unwrap_or(u32::MAX);
