Let the test of the retry budget fail without the budget

With two replicas the pauses of failing replicas held the retries down as well, and a mutant without the budget passed. Fourteen replicas, of whose calls half are lost, leave only the budget to do it.

--- a/crates/skylarkshore-core/tests/serving/queue.rs
+++ b/crates/skylarkshore-core/tests/serving/queue.rs
@@ -4,8 +4,10 @@
 
 use skylarkshore_core::effect::{Effect, RefusalOutcome, RefusalReason};
 use skylarkshore_core::event::{AttemptEnd, Rejection};
+use skylarkshore_core::id::UpstreamId;
 use skylarkshore_core::peer::PeerMessage;
 use skylarkshore_core::rules::{Condition, Outcome, Rule, Rules, ServiceOrder};
+use skylarkshore_core::upstream::Upstream;
 use skylarkshore_core::view::Readiness;
 
 use crate::support::serving::*;
@@ -122,25 +124,31 @@
     assert_eq!(refused[0].1.reason, RefusalReason::QueueFull);
 }
 
-/// Both replicas of a service drop every connection. Were each request tried
-/// three times, the replicas would see three times their usual load just when
-/// they come back, and go down again.
+/// Half of the calls of a service are lost on every replica that tries them.
+/// Were each tried three times, the replicas would see twice their usual load,
+/// and the calls that are still well would be lost next.
 #[test]
 fn an_outage_does_not_multiply_the_load() {
     let mut p = Process::new("a", 1);
+    for n in 3..15 {
+        let replica =
+            Upstream { id: name(&format!("s{n}")), ..p.upstreams[&name::<UpstreamId>("s1")].clone() };
+        p.upstreams.insert(replica.id.clone(), replica);
+    }
     let (mut arrived, mut sent) = (0, 0);
-    for second in 0..60 {
-        for n in 0..20 {
-            arrived += 1;
-            p.arrive(second * 100 + n, arrival(&p, service("booking"), 1));
-            for attempt in p.take_sent() {
-                sent += 1;
-                p.end(attempt.attempt, AttemptEnd::Lost { passed_on: false, died: false });
-            }
-            p.pass(50);
+    for id in 0..1200 {
+        arrived += 1;
+        p.arrive(id, arrival(&p, service("booking"), 1));
+        while let Some(attempt) = p.take_sent().into_iter().next() {
+            sent += 1;
+            let lost = AttemptEnd::Lost { passed_on: false, died: false };
+            let is_well = attempt.request.0.is_multiple_of(2);
+            p.end(attempt.attempt, if is_well { AttemptEnd::Whole { held: None } } else { lost });
         }
+        p.pass(50);
     }
-    assert!(sent <= arrived * 3 / 2, "{sent} attempts for {arrived} requests");
+    assert!(sent >= arrived, "{sent} attempts for {arrived} requests: nothing was retried");
+    assert!(sent <= arrived * 5 / 4, "{sent} attempts for {arrived} requests");
 }
 
 /// A stream breaks off in the middle of the answer. Another engine continues
