--- a/crates/skylarkshore-core/src/loading/engine.rs
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -155,6 +155,8 @@
     pub expected: OrderedSet<ModelName>,
     /// Idle models that the policy would rather unload.
     pub unneeded: OrderedSet<ModelName>,
+    /// Models that the rules keep loaded here.
+    pub kept: OrderedSet<ModelName>,
     /// Models that are better loaded ahead of their next request.
     pub expected_soon: OrderedSet<ModelName>,
     /// Models that were loaded ahead, with the last use before that.
@@ -201,6 +203,7 @@
             lacks: None,
             expected: OrderedSet::new(),
             unneeded: OrderedSet::new(),
+            kept: OrderedSet::new(),
             expected_soon: OrderedSet::new(),
             prewarmed: OrderedMap::new(),
             next_review: now,
@@ -383,10 +386,13 @@
 
     /// Raises the fence and asks for reports when these are due.
     pub(crate) fn keep_in_touch(&mut self, cx: &mut Cx<'_>, permit: Option<Permit>) {
-        if let (Phase::RaisingFence { retry, .. }, Some(permit)) = (self.phase, permit)
+        if let (Phase::RaisingFence { order, retry }, Some(permit)) = (self.phase, permit)
             && retry.is_due(cx.now)
         {
-            let order = self.send(cx, permit, None, Order::RaiseFence);
+            // The same number again: an engine that always answers later than the next
+            // try would otherwise never give the answer that is waited for, and its
+            // models could not be loaded.
+            let order = self.send(cx, permit, order, Order::RaiseFence);
             let retry = cx.now.after(cx.cfg.timings.engine_timeout);
             self.phase = Phase::RaisingFence { order: Some(order), retry };
         }
