Pass a turn on whose caller went away, and test reclaimed hosts and the weight store

The stand-in engine lost a slot for good when a waiting request's caller left between being woken and running. Ten cold models asked for at three owners load at most four at a time; a reclaimed engine's models find other homes.

--- a/crates/skylarkshore-standins/src/census.rs
+++ b/crates/skylarkshore-standins/src/census.rs
@@ -66,16 +66,6 @@
         lock(&self.inner).counts.clone()
     }
 
-    /// Forgets the highest levels and the sums, but not what stands now.
-    pub fn reset(&self) {
-        let counts = &mut lock(&self.inner).counts;
-        let mut fresh =
-            Counts { replicas: counts.replicas.clone(), watts: counts.watts.clone(), ..Counts::default() };
-        fresh.replicas.values_mut().for_each(|level| level.peak = level.now);
-        fresh.watts.values_mut().for_each(|level| level.peak = level.now);
-        *counts = fresh;
-    }
-
     pub(crate) fn replica_begun(&self, model: &ModelName) {
         let counts = &mut lock(&self.inner).counts;
         let level = counts.replicas.entry(model.clone()).or_default();
--- a/crates/skylarkshore-standins/src/engine/batch.rs
+++ b/crates/skylarkshore-standins/src/engine/batch.rs
@@ -32,7 +32,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     running: u32,
-    waiting: BTreeMap<Place, oneshot::Sender<()>>,
+    waiting: BTreeMap<Place, oneshot::Sender<Slot>>,
     arrivals: u64,
     /// Which life of the engine; a slot of an earlier one counts no more.
     life: u64,
@@ -70,13 +70,12 @@
 
     /// Waits for the right to run.
     pub(super) async fn enter(self: &Arc<Self>, priority: u16) -> Result<Slot, Full> {
-        let (life, turn) = {
+        let turn = {
             let mut inner = lock(&self.inner);
-            let life = inner.life;
             if inner.running < self.concurrency {
                 inner.running += 1;
                 inner.note();
-                return Ok(Slot { batch: Arc::clone(self), life });
+                return Ok(Slot { batch: Arc::clone(self), life: inner.life });
             }
             if inner.waiting.len() >= (self.concurrency * WAITING_PER_RUNNING) as usize {
                 return Err(Full);
@@ -86,10 +85,9 @@
             let place = Place { priority, arrival: inner.arrivals };
             inner.waiting.insert(place, tx);
             inner.note();
-            (life, rx)
+            rx
         };
-        turn.await.map_err(|_gone| Full)?;
-        Ok(Slot { batch: Arc::clone(self), life })
+        turn.await.map_err(|_gone| Full)
     }
 
     /// Forgets everything, as a crash does.
@@ -106,20 +104,31 @@
         past.map(|(_, load)| *load).unwrap_or_default()
     }
 
-    fn leave(&self, life: u64) {
+    fn leave(self: &Arc<Self>, life: u64) {
+        self.free(life);
+        while let Some((turn, slot)) = self.next_turn() {
+            // One whose caller went away drops the slot, which passes the turn on.
+            drop(turn.send(slot));
+        }
+    }
+
+    fn free(&self, life: u64) {
         let mut inner = lock(&self.inner);
-        if inner.life != life {
-            return;
+        if inner.life == life {
+            inner.running = inner.running.saturating_sub(1);
+            inner.note();
         }
-        inner.running = inner.running.saturating_sub(1);
-        while inner.running < self.concurrency {
-            let Some((_, turn)) = inner.waiting.pop_first() else { break };
-            // One whose caller went away passes its turn on.
-            if turn.send(()).is_ok() {
-                inner.running += 1;
-            }
+    }
+
+    fn next_turn(self: &Arc<Self>) -> Option<(oneshot::Sender<Slot>, Slot)> {
+        let mut inner = lock(&self.inner);
+        if inner.running >= self.concurrency {
+            return None;
         }
+        let (_, turn) = inner.waiting.pop_first()?;
+        inner.running += 1;
         inner.note();
+        Some((turn, Slot { batch: Arc::clone(self), life: inner.life }))
     }
 }
 
--- a/crates/skylarkshore-standins/src/service.rs
+++ b/crates/skylarkshore-standins/src/service.rs
@@ -102,11 +102,6 @@
     pub fn set_faults(&self, faults: ServiceFaults) {
         *lock(&self.shared.faults) = faults;
     }
-
-    /// Closes its port and cuts every connection.
-    pub fn crash(&self) {
-        self.server.stop();
-    }
 }
 
 async fn answer(shared: Arc<Shared>, req: Request<Bytes>) -> Answered {
--- a/crates/skylarkshore-standins/tests/processes/main.rs
+++ b/crates/skylarkshore-standins/tests/processes/main.rs
@@ -12,4 +12,6 @@
 mod outage;
 mod owners;
 mod power;
+mod reclaimed;
 mod rule_changes;
+mod weight_store;
