Send a crowded model to engines that it hasn't left yet

Found by the capacity measurement at 100 hosts: one of nine awake models was handed between two full engines 126 times in 100 s while five engines stood empty; 11 of 100 requests were refused. Cause: an owner knows its own engines' memory alone, and placement prefers the same three engines by hash each time. Ruled out: power (all granted) and the weight store's gate (8 loads went through at once). Ways weighed: telling all owners all engines' free memory (a message for each pair), or remembering in the homes record which engines the model left; chosen the latter.

--- a/crates/skylarkshore-core/src/control/homes.rs
+++ b/crates/skylarkshore-core/src/control/homes.rs
@@ -217,8 +217,8 @@
         self.lacking.remove(model);
         self.pending
             .insert(model.clone(), Pending { based_on, closing: plan.closing, state: PendingState::Writing });
-        let record =
-            (!plan.engines.is_empty()).then_some(Record::Homes(HomesRecord { engines: plan.engines }));
+        let record = (!plan.engines.is_empty())
+            .then_some(Record::Homes(HomesRecord { engines: plan.engines, left: plan.left }));
         write_homes(cx, model, expect, record);
     }
 
--- a/crates/skylarkshore-core/src/control/homes/plan.rs
+++ b/crates/skylarkshore-core/src/control/homes/plan.rs
@@ -10,10 +10,15 @@
 use crate::id::{ModelName, StoreRevision, UpstreamId};
 use crate::rules::Facts;
 
+/// How many of the engines that a model left for want of memory are remembered.
+const LEFT_KEPT: usize = 16;
+
 /// What is to stand in a model's record.
 #[derive(Debug, Default)]
 pub(super) struct Plan {
     pub(super) engines: Vec<UpstreamId>,
+    /// The engines that the model left for want of memory.
+    pub(super) left: Vec<UpstreamId>,
     pub(super) closing: Vec<UpstreamId>,
     pub(super) changed: bool,
 }
@@ -70,7 +75,7 @@
             // the new owner's record. It knows of every loss up to its frontier.
             return Plan::default();
         }
-        let mut plan = Plan { engines: homes.engines.clone(), ..Plan::default() };
+        let mut plan = Plan { engines: homes.engines.clone(), left: homes.left.clone(), ..Plan::default() };
         let Some(limits) = limits(cx, review.knowledge.roster, review.model, &plan.engines) else {
             drop_removed_model(cx, review, &mut plan);
             return plan;
@@ -86,12 +91,12 @@
         if !self.is_own_turn(cx, review) {
             return Plan::default();
         }
-        let Some(home) = placement.place(cx, review.model, &[]) else {
+        let Some(home) = placement.place(cx, review.model, &[], &[]) else {
             self.note_unplaceable(cx, review);
             return Plan::default();
         };
         self.unplaceable.remove(review.model);
-        Plan { engines: vec![home], closing: Vec::new(), changed: true }
+        Plan { engines: vec![home], changed: true, ..Plan::default() }
     }
 
     fn add_lacking(
@@ -112,7 +117,7 @@
         if !wanted || plan.engines.len() >= limits.homes_most {
             return;
         }
-        if let Some(home) = placement.place(cx, review.model, &plan.engines) {
+        if let Some(home) = placement.place(cx, review.model, &plan.engines, &plan.left) {
             plan.engines.push(home);
             plan.changed = true;
         }
@@ -197,11 +202,17 @@
         let home = plan.engines[rank].clone();
         let known = review.knowledge.roster.get(&home);
         let leaving = known.is_some_and(|engine| engine.is_listed() && !engine.is_live());
-        let leaves = (leaving || review.wants_to_leave(&home)) && review.may_close(&home);
+        let crowded = review.wants_to_leave(&home);
+        let leaves = (leaving || crowded) && review.may_close(&home);
         if !leaves && !review.is_gone(cx, &home) {
             continue;
         }
-        let next = placement.place(cx, review.model, &plan.engines);
+        if crowded {
+            plan.left.push(home.clone());
+            let surplus = plan.left.len().saturating_sub(LEFT_KEPT);
+            plan.left.drain(..surplus);
+        }
+        let next = placement.place(cx, review.model, &plan.engines, &plan.left);
         match next {
             Some(next) if plan.engines.len() <= most => plan.engines[rank] = next,
             None if plan.engines.len() == 1 => continue,
--- a/crates/skylarkshore-core/src/control/placement.rs
+++ b/crates/skylarkshore-core/src/control/placement.rs
@@ -38,11 +38,17 @@
     }
 
     /// Chooses an engine that isn't a home of the model yet, and counts the model there.
+    ///
+    /// An owner knows the memory of its own engines alone. Without `left`, two
+    /// owners of full engines would hand a model to and fro while others stand
+    /// empty, and its callers would be refused for as long; so the engines that
+    /// it left for want of memory come last, the one left longest ago first.
     pub(super) fn place(
         &mut self,
         cx: &Cx<'_>,
         model: &ModelName,
         homes: &[UpstreamId],
+        left: &[UpstreamId],
     ) -> Option<UpstreamId> {
         let footprint = cx.document.catalogue.models.get(model)?.footprint();
         let near: Vec<&KnownEngine> = homes.iter().filter_map(|home| self.roster.get(home)).collect();
@@ -53,14 +59,14 @@
             .filter(|(id, engine)| engine.is_live() && engine.memory >= footprint && !homes.contains(id))
             .map(|(id, engine)| Candidate {
                 id,
+                left: left.iter().rposition(|known| known == id),
                 shares_data_centre: near.iter().any(|home| home.data_centre == engine.data_centre),
                 weight: pair_weight(key, name_hash(id.as_str())),
                 load: self.load_with(id, engine, footprint),
             })
             .collect();
-        candidates
-            .sort_by_key(|candidate| (candidate.shares_data_centre, std::cmp::Reverse(candidate.weight)));
-        let best = candidates.iter().take(CHOICES).min_by_key(|c| (c.shares_data_centre, c.load))?;
+        candidates.sort_by_key(|c| (c.left, c.shares_data_centre, std::cmp::Reverse(c.weight)));
+        let best = candidates.iter().take(CHOICES).min_by_key(|c| (c.left, c.shares_data_centre, c.load))?;
         let chosen = best.id.clone();
         *self.load.entry(chosen.clone()).or_default() += footprint;
         Some(chosen)
@@ -74,6 +80,8 @@
 
 struct Candidate<'a> {
     id: &'a UpstreamId,
+    /// Its place among the engines that the model left.
+    left: Option<usize>,
     shares_data_centre: bool,
     weight: u64,
     load: u64,
--- a/crates/skylarkshore-core/src/store.rs
+++ b/crates/skylarkshore-core/src/store.rs
@@ -79,6 +79,8 @@
 pub struct HomesRecord {
     /// The engines, the preferred one first.
     pub engines: Vec<UpstreamId>,
+    /// The engines that the model left last for want of memory, the latest one last.
+    pub left: Vec<UpstreamId>,
 }
 
 /// How a site's power is shared out among its engines.
--- a/crates/skylarkshore-core/src/store/cache.rs
+++ b/crates/skylarkshore-core/src/store/cache.rs
@@ -1,6 +1,6 @@
 //! A process's copy of the shared keys.
 
-use crate::collections::OrderedMap;
+use crate::collections::{OrderedMap, OrderedSet};
 use crate::id::{HostId, ModelName, SiteName, StoreRevision, UpstreamId};
 use crate::store::{HomesRecord, Key, MemberRecord, OwnerRecord, PowerRecord, Record, Versioned};
 
@@ -34,7 +34,7 @@
     /// A known key that the read lacks was deleted, unless the read is older
     /// than what is known of the key.
     pub fn apply_all(&mut self, revision: StoreRevision, records: Vec<Versioned>) -> Vec<Key> {
-        let present: Vec<Key> = records.iter().map(|r| r.key.clone()).collect();
+        let present: OrderedSet<Key> = records.iter().map(|r| r.key.clone()).collect();
         let gone: Vec<Versioned> = self
             .entries
             .values()
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -335,7 +335,7 @@
         for (model_name, memory) in models {
             rig.document.catalogue.models.insert(name(model_name), model(*memory));
             rig.authority.homes.insert(name(model_name));
-            let homes = HomesRecord { engines: vec![name(ENGINE)] };
+            let homes = HomesRecord { engines: vec![name(ENGINE)], left: Vec::new() };
             rig.put(Key::Homes(name(model_name)), Record::Homes(homes));
         }
         let change = OwnershipChange::Acquired { engine: name(ENGINE), fence: Fence(7), ghost_until };
--- a/crates/skylarkshore-core/tests/support/serving.rs
+++ b/crates/skylarkshore-core/tests/support/serving.rs
@@ -176,7 +176,7 @@
     }
 
     pub fn cache_homes(&mut self, model: &str, engines: &[&str]) {
-        let record = HomesRecord { engines: engines.iter().map(|e| name(e)).collect() };
+        let record = HomesRecord { engines: engines.iter().map(|e| name(e)).collect(), left: Vec::new() };
         self.cache(&Key::Homes(name(model)), Some(Record::Homes(record)));
     }
 
--- a/crates/skylarkshore-standins/tests/world/whole_path.rs
+++ b/crates/skylarkshore-standins/tests/world/whole_path.rs
@@ -1,7 +1,11 @@
 //! The whole path in given time, without faults.
 
-use crate::support::{ask_model, ask_once, assert_sound, at_secs, setup, world};
-use skylarkshore_standins::world::NoFaults;
+use crate::support::{ask_model, ask_once, assert_sound, at_secs, name, setup, world};
+use std::time::Duration;
+
+use skylarkshore_core::id::ModelName;
+use skylarkshore_core::store::HomesRecord;
+use skylarkshore_standins::world::{NoFaults, World};
 
 #[test]
 fn a_cold_model_is_loaded_and_answers() {
@@ -63,3 +67,40 @@
     assert!(world.has_exited(0));
     assert_sound(&mut world, 3);
 }
+
+/// Four engines hold one model each, and the homes of four models in use lie on
+/// fewer of them. An owner sees that its engine is full, but not which others
+/// are empty. A model that is handed to and fro between full engines is never
+/// loaded, and its callers are refused although there is room.
+#[test]
+fn models_in_use_find_the_engines_that_have_room() {
+    let mut setup = setup(3, 7);
+    let model = setup.document.catalogue.models[&name::<ModelName>("summary")].clone();
+    for i in 0..12 {
+        setup.document.catalogue.models.insert(name(&format!("model-{i}")), model.clone());
+    }
+    let mut world = world(setup, NoFaults);
+    world.run_until(at_secs(10));
+    let crowded = homes_on(&world, "engine-0");
+    let others = homes_on(&world, "engine-1");
+    let in_use: Vec<ModelName> = crowded.into_iter().take(3).chain(others.into_iter().take(1)).collect();
+    assert_eq!(in_use.len(), 4, "{in_use:?}");
+    let mut last = Vec::new();
+    for round in 0..80 {
+        last = in_use.iter().map(|m| world.ask(round % 3, &ask_model(m.as_str(), round as u64))).collect();
+        world.run_for(Duration::from_millis(500));
+    }
+    world.run_for(Duration::from_secs(20));
+    for key in last {
+        assert!(world.callers.requests[&key].is_answered(), "{:?}", world.callers.requests[&key]);
+    }
+    let moves = world.notes.iter().filter(|n| n.note.event == "homes_changing" && n.at > at_secs(10)).count();
+    assert!(moves <= 8, "{moves} moves");
+    assert_sound(&mut world, 3);
+}
+
+fn homes_on(world: &World, engine: &str) -> Vec<ModelName> {
+    let cache = world.node(0).unwrap().cache();
+    let there = |homes: &HomesRecord| homes.engines.iter().any(|home| home.as_str() == engine);
+    cache.all_homes().filter(|(_, homes)| there(homes)).map(|(model, _)| model.clone()).collect()
+}
--- a/crates/skylarkshore-wire/src/keys/value.rs
+++ b/crates/skylarkshore-wire/src/keys/value.rs
@@ -64,6 +64,9 @@
 pub struct HomesWire {
     /// The engines, the preferred one first.
     pub engines: Vec<UpstreamId>,
+    /// The engines that the model left last for want of memory.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub left: Vec<UpstreamId>,
 }
 
 /// The value of a power key.
@@ -259,13 +262,13 @@
 
 impl From<&HomesRecord> for HomesWire {
     fn from(record: &HomesRecord) -> Self {
-        Self { engines: record.engines.clone() }
+        Self { engines: record.engines.clone(), left: record.left.clone() }
     }
 }
 
 impl From<HomesWire> for Record {
     fn from(wire: HomesWire) -> Self {
-        Self::Homes(HomesRecord { engines: wire.engines })
+        Self::Homes(HomesRecord { engines: wire.engines, left: wire.left })
     }
 }
 
--- a/crates/skylarkshore-wire/tests/formats.rs
+++ b/crates/skylarkshore-wire/tests/formats.rs
@@ -33,7 +33,10 @@
     };
     let owner =
         OwnerRecord { host: "entry-1".parse().unwrap(), incarnation: Incarnation(7), fence: Fence(4) };
-    let homes = HomesRecord { engines: vec!["engine-2".parse().unwrap(), "engine-5".parse().unwrap()] };
+    let homes = HomesRecord {
+        engines: vec!["engine-2".parse().unwrap(), "engine-5".parse().unwrap()],
+        left: Vec::new(),
+    };
     let power = PowerRecord { grants: [("engine-1".parse().unwrap(), Watts(700))].into() };
     let answer =
         RecordedAnswer { status: 200, content_type: Some("text/plain".to_owned()), body: vec![0, 255, 10] };
