--- a/crates/skylarkshore-core/tests/control/storm.rs
+++ b/crates/skylarkshore-core/tests/control/storm.rs
@@ -19,7 +19,7 @@
 const REPLICAS_MAX: u32 = 2;
 /// Room for three engines at work.
 const CAP: Watts = Watts(3 * ACTIVE_WATTS.0 + 3 * SLEEP_WATTS.0);
-const SEEDS: u64 = 60;
+const SEEDS: u64 = 240;
 const MINUTES: u64 = 3;
 const WORKERS: u64 = 4;
 const WORKERS_STEP: usize = 4;
