--- a/crates/skylarkshore-core/src/control/homes.rs
+++ b/crates/skylarkshore-core/src/control/homes.rs
@@ -11,10 +11,10 @@
 use plan::{Plan, Review, limits};
 
 use super::hashing;
+use super::knowledge::Knowledge;
 use super::ownership::Ownership;
 use super::placement::Placement;
 use super::roster::Roster;
-use super::scene::Scene;
 use crate::authority::EngineUse;
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::cx::Cx;
@@ -34,6 +34,8 @@
 /// A model's homes as they stand, and as the rules limit them.
 #[derive(Clone, Debug)]
 struct Allowed {
+    /// Since when this process knows the engines.
+    since: Time,
     revision: StoreRevision,
     engines: Vec<UpstreamId>,
     /// How many of the engines, the first ones first, may have a replica.
@@ -107,6 +109,11 @@
         }
     }
 
+    /// Returns since when a model's homes are as they are.
+    pub(super) fn since(&self, model: &ModelName) -> Option<Time> {
+        self.allowed.get(model).map(|allowed| allowed.since)
+    }
+
     /// Returns the models whose first or further homes are lacking, and since when.
     pub(super) const fn lacking(&self) -> &OrderedMap<ModelName, Time> {
         &self.lacking
@@ -159,18 +166,18 @@
     pub(super) fn review(
         &mut self,
         cx: &mut Cx<'_>,
-        scene: &Scene<'_>,
+        knowledge: &Knowledge<'_>,
         ownership: &Ownership,
         engines: &dyn EngineUse,
     ) {
-        self.update_all(cx, scene.roster);
-        if !scene.may_decide(cx) || cx.document.revision.0 == 0 {
+        self.update_all(cx, knowledge.roster);
+        if !knowledge.may_decide(cx) || cx.document.revision.0 == 0 {
             return;
         }
         self.settle_doubts(cx);
         self.end_rests(cx.now);
         let wishes = engines.home_wishes();
-        let mut placement = Placement::new(cx, scene.roster);
+        let mut placement = Placement::new(cx, knowledge.roster);
         let known = cx.cache.all_homes().map(|(model, _)| model.clone());
         let models: OrderedSet<ModelName> =
             cx.document.catalogue.models.keys().cloned().chain(known).collect();
@@ -179,7 +186,7 @@
             if self.pending.contains_key(&model) || self.pending.len() >= WRITES_AT_ONCE {
                 continue;
             }
-            let review = Review { scene, ownership, engines, wishes: &wishes, model: &model };
+            let review = Review { knowledge, ownership, engines, wishes: &wishes, model: &model };
             let plan = self.plan(cx, &review, &mut placement);
             if plan.changed {
                 self.write(cx, &model, plan);
@@ -194,7 +201,9 @@
         };
         let engines = homes.engines.clone();
         let replicas_max = limits(cx, roster, model, &engines).map_or(0, |limits| limits.most);
-        self.allowed.insert(model.clone(), Allowed { revision, engines, replicas_max });
+        let known = self.allowed.get(model).filter(|known| known.engines == engines);
+        let since = known.map_or(cx.now, |known| known.since);
+        self.allowed.insert(model.clone(), Allowed { since, revision, engines, replicas_max });
     }
 
     fn write(&mut self, cx: &mut Cx<'_>, model: &ModelName, plan: Plan) {
@@ -208,8 +217,8 @@
         self.lacking.remove(model);
         self.pending
             .insert(model.clone(), Pending { based_on, closing: plan.closing, state: PendingState::Writing });
-        let record =
-            (!plan.engines.is_empty()).then_some(Record::Homes(HomesRecord { engines: plan.engines }));
+        let record = (!plan.engines.is_empty())
+            .then_some(Record::Homes(HomesRecord { engines: plan.engines, left: plan.left }));
         write_homes(cx, model, expect, record);
     }
 
@@ -249,15 +258,15 @@
 }
 
 /// Tells whether it is up to this process to look after a model that has needed it `since`.
-fn is_own_turn(cx: &Cx<'_>, scene: &Scene<'_>, model: &ModelName, since: Time) -> bool {
+fn is_own_turn(cx: &Cx<'_>, knowledge: &Knowledge<'_>, model: &ModelName, since: Time) -> bool {
     let key = format!("homes/{model}");
-    if hashing::winner(&key, scene.lasting.iter()) == Some(&cx.cfg.host) {
+    if hashing::winner(&key, knowledge.eligible.iter()) == Some(&cx.cfg.host) {
         return true;
     }
     if !since.after(NEXT_IN_RANK).is_due(cx.now) {
         return false;
     }
-    let ranked = hashing::ranking(&key, scene.lasting.iter());
+    let ranked = hashing::ranking(&key, knowledge.eligible.iter());
     let Some(rank) = ranked.iter().position(|host| *host == &cx.cfg.host) else { return false };
     since.after(NEXT_IN_RANK.saturating_mul(u32::try_from(rank).unwrap_or(u32::MAX))).is_due(cx.now)
 }
