--- a/crates/skylarkshore-standins/tests/processes/main.rs
+++ b/crates/skylarkshore-standins/tests/processes/main.rs
@@ -8,6 +8,7 @@
 mod cut_off;
 mod leaving;
 mod once;
+mod operators;
 mod orders;
 mod outage;
 mod owners;
