Tell operators that power_pressure isn't measured yet

The core never fills it, so a rule that asks for it never matches. Grants are taken ahead of need and would always read as short; left open in the issue.

--- a/crates/skylarkshore-wire/src/document/check.rs
+++ b/crates/skylarkshore-wire/src/document/check.rs
@@ -50,6 +50,7 @@
     }
     for (i, rule) in document.rules.list.iter().enumerate() {
         check_rule(&document.catalogue, rule, &mut findings);
+        check_power_pressure(rule, &mut findings);
         check_reach(&document.rules.list[..i], rule, &mut findings);
     }
     findings
@@ -111,6 +112,19 @@
     }
 }
 
+/// Tells of a condition that no process can answer yet.
+///
+/// Grants are taken ahead of need, so the share that is granted says little of
+/// the power in use, and nothing tells every process what the others draw.
+fn check_power_pressure(rule: &Rule, findings: &mut Vec<Finding>) {
+    if rule.when.power_pressure.is_none() {
+        return;
+    }
+    let place = format!("rule '{}'", rule.name);
+    let problem = "power_pressure isn't measured yet, so the rule never matches".to_owned();
+    findings.push(Finding::warning(&place, problem, "use queue_at_least, or order and refuse without it"));
+}
+
 fn check_reach(earlier: &[Rule], rule: &Rule, findings: &mut Vec<Finding>) {
     let place = format!("rule '{}'", rule.name);
     if rule.when.is_impossible() {
--- a/crates/skylarkshore-wire/tests/document.rs
+++ b/crates/skylarkshore-wire/tests/document.rs
@@ -62,6 +62,13 @@
     ");
 }
 
+#[test]
+fn a_condition_that_is_not_measured_is_told() {
+    let text = DOCUMENT.replace(r#""hours""#, r#""power_pressure": 90, "hours""#);
+    let lines: Vec<String> = check(&parse(&text).unwrap()).iter().map(ToString::to_string).collect();
+    insta::assert_snapshot!(lines.join("\n"), @"warning: rule 'by day': power_pressure isn't measured yet, so the rule never matches; use queue_at_least, or order and refuse without it");
+}
+
 #[test]
 fn errors_name_the_place_and_the_remedy() {
     let errors = [
