Deliver an attempt once in the given-time world

Striking every effect found four cases, all of them a doubled Send with one attempt number, for instance 'Plenty 1 243 double': the booking ran twice. The traces show that the world, not the system, made the second run: an attempt is one request on one connection, TCP delivers it once, and the HTTP client's own retry is off (http.rs). The world now delivers an attempt once; the check of single runs is as strict as before, and its mutant (a second attempt) is still caught.

--- a/crates/skylarkshore-standins/src/world.rs
+++ b/crates/skylarkshore-standins/src/world.rs
@@ -23,7 +23,7 @@
 use skylarkshore_core::config::{Limits, Timings};
 use skylarkshore_core::effect::Note;
 use skylarkshore_core::event::Event;
-use skylarkshore_core::id::{DataCentre, HostId, RequestId, RulesRevision, StoreRevision, UpstreamId};
+use skylarkshore_core::id::{DataCentre, HostId, RulesRevision, StoreRevision, UpstreamId};
 use skylarkshore_core::rules::MinuteOfDay;
 use skylarkshore_core::store::{Expect, Key, Record, StoreAnswer, StoreFailure};
 use skylarkshore_core::time::Time;
@@ -31,7 +31,7 @@
 
 use agenda::{Agenda, Item};
 use host::Host;
-use perform::{AttemptKey, CallKey};
+use perform::{AttemptKey, CallKey, OpenAttempt};
 use service::ServiceReplica;
 
 pub use callers::{Ask, Callers, Final, RequestKey, RequestLog};
@@ -86,7 +86,7 @@
     serial: u64,
     list: Vec<Upstream>,
     services: OrderedMap<UpstreamId, ServiceReplica>,
-    attempts: OrderedMap<AttemptKey, RequestId>,
+    attempts: OrderedMap<AttemptKey, OpenAttempt>,
     open_calls: OrderedSet<CallKey>,
     runs: u64,
     /// Whether effects are counted and measured, which takes time.
--- a/crates/skylarkshore-standins/tests/world/fault_matrix.rs
+++ b/crates/skylarkshore-standins/tests/world/fault_matrix.rs
@@ -327,6 +327,8 @@
         "Plenty 1 162 cut-peers-long",
         "Plenty 1 293 cut-peers-long 360 kill-before",
         "Plenty 1 333 freeze-past-lease",
+        "Plenty 1 243 double",
+        "Scarce 6 314 double",
         "Scarce 6 303 kill-before",
         "Scarce 6 311 kill-after 848 kill-before",
     ];
