--- a/crates/skylarkshore-standins/src/world/perform.rs
+++ b/crates/skylarkshore-standins/src/world/perform.rs
@@ -5,15 +5,14 @@
 
 use skylarkshore_core::effect::Effect;
 use skylarkshore_core::event::{AttemptEnd, Event, Rejection, Target};
-use skylarkshore_core::id::{AttemptId, HostId, Incarnation, RequestId, UpstreamId};
+use skylarkshore_core::id::{AttemptId, CallId, HostId, Incarnation, RequestId, StoreRevision, UpstreamId};
 use skylarkshore_core::peer::Envelope;
-use skylarkshore_core::store::{RecordedAnswer, StoreFailure};
-use skylarkshore_core::time::Time;
+use skylarkshore_core::store::{RecordedAnswer, StoreFailure, StoreResult};
 use skylarkshore_core::upstream::OrderAnswer;
 
 use super::agenda::{Item, RunId, Sender, SentCall, SentOrder, SentRequest};
 use super::callers::{Final, RequestKey};
-use super::engine::Run;
+use super::engine::{Engine, Run};
 use super::fault::Strike;
 use super::store::StoreMode;
 use super::{HostNote, LATENCY, World};
@@ -182,7 +181,7 @@
         self.crash_engine(id, Some(CRASH_DOWN));
     }
 
-    fn watch(&mut self, h: usize, from: skylarkshore_core::id::StoreRevision, strike: Strike) {
+    fn watch(&mut self, h: usize, from: StoreRevision, strike: Strike) {
         let reachable = self.store.mode == StoreMode::Up && self.hosts[h].no_store_until <= self.now;
         if !reachable || strike == Strike::Lose {
             let to = self.hosts[h].sender();
@@ -235,12 +234,7 @@
         }
     }
 
-    pub(crate) fn store_answered(
-        &mut self,
-        from: Sender,
-        call: skylarkshore_core::id::CallId,
-        result: skylarkshore_core::store::StoreResult,
-    ) {
+    pub(crate) fn store_answered(&mut self, from: Sender, call: CallId, result: StoreResult) {
         if self.open_calls.remove(&CallKey { from, call }) {
             self.answer(from, Event::Store { call, result });
         }
@@ -248,7 +242,7 @@
 
     pub(crate) fn take_order(&mut self, sent: &SentOrder) {
         let now = self.now;
-        let loading: u32 = self.engines.values().map(super::engine::Engine::loading).sum();
+        let loading: u32 = self.engines.values().map(Engine::loading).sum();
         let Some(engine) = self.engines.get_mut(&sent.engine).filter(|engine| engine.up) else {
             let event = Event::Order {
                 upstream: sent.engine.clone(),
@@ -275,7 +269,7 @@
     }
 
     pub(crate) fn take_ask(&mut self, from: Sender, id: &UpstreamId, asked: Time) {
-        let report = self.engines.get(id).and_then(super::engine::Engine::report);
+        let report = self.engines.get(id).and_then(Engine::report);
         let wait = if report.is_some() { LATENCY } else { ASK_TIMEOUT };
         let event = Event::Report { upstream: id.clone(), asked, report };
         self.agenda.add(self.now.after(wait), Item::Event { to: from, event });
@@ -416,5 +410,5 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct CallKey {
     from: Sender,
-    call: skylarkshore_core::id::CallId,
+    call: CallId,
 }
