--- a/crates/skylarkshore-standins/src/world/perform.rs
+++ b/crates/skylarkshore-standins/src/world/perform.rs
@@ -8,6 +8,7 @@
 use skylarkshore_core::id::{AttemptId, CallId, HostId, Incarnation, RequestId, StoreRevision, UpstreamId};
 use skylarkshore_core::peer::Envelope;
 use skylarkshore_core::store::{RecordedAnswer, StoreFailure, StoreResult};
+use skylarkshore_core::time::Time;
 use skylarkshore_core::upstream::OrderAnswer;
 
 use super::agenda::{Item, RunId, Sender, SentCall, SentOrder, SentRequest};
