--- a/crates/skylarkshore-standins/tests/world/whole_path.rs
+++ b/crates/skylarkshore-standins/tests/world/whole_path.rs
@@ -1,9 +1,9 @@
 //! The whole path in given time, without faults.
 
-use crate::support::{ask_model, ask_once, assert_sound, at_secs, name, setup, world};
+use crate::support::{ACTIVE, ask_model, ask_once, assert_sound, at_secs, document, name, setup, world};
 use std::time::Duration;
 
-use skylarkshore_core::id::ModelName;
+use skylarkshore_core::id::{ModelName, RulesRevision};
 use skylarkshore_core::store::HomesRecord;
 use skylarkshore_standins::world::{NoFaults, World};
 
@@ -99,6 +99,20 @@
     assert_sound(&mut world, 3);
 }
 
+/// New rules reach every process within the seven seconds that the users ask for, with one
+/// watcher for each data centre and everybody else told by peers.
+#[test]
+fn new_rules_are_in_force_everywhere_within_seconds() {
+    let mut world = world(setup(30, 8), NoFaults);
+    world.run_until(at_secs(20));
+    let mut rules = document(4 * ACTIVE);
+    rules.revision = RulesRevision(2);
+    world.apply_document(rules);
+    world.run_for(Duration::from_millis(100));
+    assert!(world.rules_in_force(RulesRevision(2)));
+    assert_sound(&mut world, 30);
+}
+
 fn homes_on(world: &World, engine: &str) -> Vec<ModelName> {
     let cache = world.node(0).unwrap().cache();
     let there = |homes: &HomesRecord| homes.engines.iter().any(|home| home.as_str() == engine);
