Tell changed load less often the more routers listen

Ways weighed: a tree of hosts (a host that dies cuts others off), or spacing by the number of listeners; chosen the latter, since changes of what is loaded still go out at once and routers count their own requests exactly. In the new test 200 listeners got 8000 views in 40 s before; at most 1000 now.

--- a/crates/skylarkshore-core/src/loading/views.rs
+++ b/crates/skylarkshore-core/src/loading/views.rs
@@ -12,8 +12,13 @@
 use crate::upstream::{LoadState, ReportedModel};
 use crate::view::{EngineView, ModelView, Readiness, ViewVersion};
 
-/// How often changes of load alone are told.
+/// How often changes of load alone are told at most.
 const LOAD_CHANGES_EVERY: Duration = Duration::from_secs(1);
+/// How many such messages are sent for one engine in a second at most.
+///
+/// A model in use everywhere has every host as a listener; telling each of 350
+/// hosts once a second would take several times what control may spend.
+const LOAD_CHANGES_PER_SECOND: u32 = 20;
 
 /// What was last told of an engine.
 #[derive(Debug, Default)]
@@ -31,19 +36,15 @@
         return;
     }
     let view = make(cx, engine);
+    let hosts = listeners(engine, &view, demand);
     let is_due = match &engine.told.last {
         None => true,
         Some(last) if is_same(last, &view, true) && engine.closing.is_empty() => false,
-        Some(last) => !is_same(last, &view, false) || engine.told.at.after(LOAD_CHANGES_EVERY).is_due(cx.now),
+        Some(last) => !is_same(last, &view, false) || engine.told.at.after(load_pause(&hosts)).is_due(cx.now),
     };
     if !is_due {
         return;
     }
-    let mut models: OrderedSet<ModelName> = view.models.iter().map(|m| m.model.clone()).collect();
-    if let Some(last) = &engine.told.last {
-        models.extend(last.models.iter().map(|m| m.model.clone()));
-    }
-    let hosts: OrderedSet<HostId> = models.iter().flat_map(|m| demand.listeners(m)).cloned().collect();
     let view = remember(cx.now, engine, view);
     for host in hosts {
         engine.told.to.insert(host.clone(), cx.now);
@@ -51,6 +52,21 @@
     }
 }
 
+/// Returns the routers that want to hear of a model that is or was on the engine.
+fn listeners(engine: &Engine, view: &EngineView, demand: &Demand) -> OrderedSet<HostId> {
+    let mut models: OrderedSet<&ModelName> = view.models.iter().map(|m| &m.model).collect();
+    if let Some(last) = &engine.told.last {
+        models.extend(last.models.iter().map(|m| &m.model));
+    }
+    models.into_iter().flat_map(|model| demand.listeners(model)).cloned().collect()
+}
+
+/// Returns how long to wait between two messages that tell of changed load alone.
+fn load_pause(hosts: &OrderedSet<HostId>) -> Duration {
+    let listeners = u32::try_from(hosts.len()).unwrap_or(u32::MAX);
+    LOAD_CHANGES_EVERY.max(LOAD_CHANGES_EVERY.saturating_mul(listeners) / LOAD_CHANGES_PER_SECOND)
+}
+
 /// Tells one router how an engine stands, unless it was just told the same.
 ///
 /// A router may ask again at once when it hears of an engine that doesn't help
--- a/crates/skylarkshore-core/tests/loading/course.rs
+++ b/crates/skylarkshore-core/tests/loading/course.rs
@@ -98,3 +98,22 @@
     rig.run(Duration::from_secs(6));
     assert!(rig.shows("entry-2", "maize", "Ready"), "whoever asks again finds it");
 }
+
+/// A model in use everywhere has every host as a listener. If each of them were
+/// told of every change of load, an owner at the target's size would spend three
+/// times what control may take, and its messages would crowd out others.
+#[test]
+fn changes_of_load_are_told_less_often_the_more_routers_listen() {
+    let mut rig = Rig::new(&[("maize", 600)]);
+    for router in 0..200 {
+        rig.want(&format!("entry-{router}"), "maize", 1);
+    }
+    rig.run_until("the last router hears that it is ready", |rig| rig.shows("entry-199", "maize", "Ready"));
+    let before = rig.views_told();
+    for second in 0..40 {
+        rig.engine.set_running("maize", 1 + second % 3);
+        rig.run(Duration::from_secs(1));
+    }
+    let told = rig.views_told() - before;
+    assert!(told <= 40 * 20 + 200, "{told} views in 40 s");
+}
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -309,6 +309,11 @@
             .any(|m| m.model.as_str() == model && format!("{:?}", m.readiness).starts_with(readiness))
     }
 
+    /// Counts the views that routers were sent.
+    pub fn views_told(&self) -> usize {
+        self.told.iter().filter(|e| matches!(e.message, PeerMessage::View(_))).count()
+    }
+
     /// Lists the refusals that routers were given.
     pub fn refusals(&self) -> Vec<String> {
         let refusal = |e: &Envelope| match &e.message {
