--- a/crates/skylarkshore-core/src/authority.rs
+++ b/crates/skylarkshore-core/src/authority.rs
@@ -25,7 +25,7 @@
         fence: Fence,
         /// Until when an order of the former owner may still reach the engine;
         /// [`Time::NEVER`] when only the engine's reports can tell.
-        ghost_until: Time,
+        late_orders_until: Time,
     },
     /// The process is the engine's owner no longer.
     Lost {
--- a/crates/skylarkshore-core/src/control/ownership.rs
+++ b/crates/skylarkshore-core/src/control/ownership.rs
@@ -29,7 +29,7 @@
 struct Intent {
     fence: Fence,
     based_on: StoreRevision,
-    ghost_until: Time,
+    late_orders_until: Time,
 }
 
 /// The engines of this process.
@@ -194,7 +194,7 @@
     }
 
     fn acquire(&mut self, cx: &mut Cx<'_>, roster: &Roster, engine: &UpstreamId, named: Named) {
-        let ghost_until = self.ghost_until(cx, roster, engine, named.fence);
+        let late_orders_until = self.late_orders_until(cx, roster, engine, named.fence);
         let holding = Holding {
             fence: named.fence,
             since: cx.now,
@@ -206,11 +206,11 @@
         self.vacancies.forget(engine);
         cx.note("engine_acquired", engine.clone(), format!("fence {}", named.fence));
         let fence = named.fence;
-        self.changes.push(OwnershipChange::Acquired { engine: engine.clone(), fence, ghost_until });
+        self.changes.push(OwnershipChange::Acquired { engine: engine.clone(), fence, late_orders_until });
     }
 
     /// Returns until when an order of the former owner may still reach the engine.
-    fn ghost_until(&self, cx: &Cx<'_>, roster: &Roster, engine: &UpstreamId, fence: Fence) -> Time {
+    fn late_orders_until(&self, cx: &Cx<'_>, roster: &Roster, engine: &UpstreamId, fence: Fence) -> Time {
         if roster.fence_check(engine) == FenceCheck::Refuses {
             return Time::START;
         }
@@ -220,7 +220,10 @@
         if !taken_over {
             return Time::START;
         }
-        self.intents.get(engine).filter(|intent| intent.fence == fence).map_or(Time::NEVER, |i| i.ghost_until)
+        self.intents
+            .get(engine)
+            .filter(|intent| intent.fence == fence)
+            .map_or(Time::NEVER, |i| i.late_orders_until)
     }
 
     fn lose(&mut self, cx: &mut Cx<'_>, engine: &UpstreamId) {
@@ -316,8 +319,8 @@
         let Vacant { engine, former } = vacant;
         let fence = next_fence(cx, former.as_ref());
         let based_on = former.as_ref().map_or(StoreRevision(0), |former| former.revision);
-        let ghost_until = former.as_ref().map_or(Time::START, |former| ghost_of(cx, former));
-        self.intents.insert(engine.clone(), Intent { fence, based_on, ghost_until });
+        let late_orders_until = former.as_ref().map_or(Time::START, |former| late_orders_of(cx, former));
+        self.intents.insert(engine.clone(), Intent { fence, based_on, late_orders_until });
         if let Some(former) = &former {
             let why = if former.ended { "its process has ended" } else { "its member key is gone" };
             let detail = format!("from {}, since {why}; fence {fence}", former.owner.host);
@@ -371,6 +374,6 @@
     former.map_or(Fence(cx.cache.newest().0.max(1)), |former| former.owner.fence.next())
 }
 
-fn ghost_of(cx: &Cx<'_>, former: &Former) -> Time {
+fn late_orders_of(cx: &Cx<'_>, former: &Former) -> Time {
     if former.ended { cx.now.after(cx.cfg.timings.hold_margin) } else { Time::NEVER }
 }
--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -80,9 +80,9 @@
     /// Takes note of an engine gained or lost.
     pub fn on_ownership(&mut self, cx: &mut Cx<'_>, change: &OwnershipChange) {
         match change {
-            OwnershipChange::Acquired { engine, fence, ghost_until } => {
+            OwnershipChange::Acquired { engine, fence, late_orders_until } => {
                 self.pacing.release_engine(cx, engine);
-                let mut acquired = Engine::acquired(engine.clone(), *fence, *ghost_until, cx.now);
+                let mut acquired = Engine::acquired(engine.clone(), *fence, *late_orders_until, cx.now);
                 acquired.refresh(cx);
                 self.engines.insert(engine.clone(), acquired);
             }
--- a/crates/skylarkshore-core/src/loading/describe.rs
+++ b/crates/skylarkshore-core/src/loading/describe.rs
@@ -6,7 +6,7 @@
 use crate::loading::Loading;
 use crate::loading::engine::Engine;
 use crate::loading::load;
-use crate::loading::stages::{Ghost, Phase};
+use crate::loading::stages::{LateOrders, Phase};
 use crate::time::Time;
 use crate::units::Mebibytes;
 use crate::upstream::{LoadState, ReportedModel};
@@ -34,9 +34,9 @@
         Phase::Known => "known",
         Phase::Superseded => "taken over by another owner",
     };
-    let ghost = if engine.ghost == Ghost::None { "none" } else { "possible" };
+    let late_orders = if engine.late_orders == LateOrders::None { "none" } else { "possible" };
     let state = format!(
-        "{phase}; fence={} memory={} free={} reserved={} late_orders={ghost}",
+        "{phase}; fence={} memory={} free={} reserved={} late_orders={late_orders}",
         engine.fence,
         engine.memory(),
         engine.free_memory(),
@@ -91,7 +91,7 @@
 }
 
 fn reserved(engine: &Engine) -> Mebibytes {
-    engine.ledger.reserved(engine.report()) + engine.ghost_memory
+    engine.ledger.reserved(engine.report()) + engine.late_orders_memory
 }
 
 const fn gauge(name: &'static str, value: f64) -> Gauge {
--- a/crates/skylarkshore-core/src/loading/engine.rs
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -9,7 +9,7 @@
 use crate::id::{AdapterName, Fence, Incarnation, ModelName, OrderId, SiteName, UpstreamId};
 use crate::loading::ledger::{self, Ledger, Settled};
 use crate::loading::reservation::Reservation;
-use crate::loading::stages::{Closing, Failures, Ghost, LoadProgress, Phase, ReportNews, Seen};
+use crate::loading::stages::{Closing, Failures, LateOrders, LoadProgress, Phase, ReportNews, Seen};
 use crate::loading::tally::Tally;
 use crate::loading::views::Told;
 use crate::loading::wishes::Wishes;
@@ -33,9 +33,9 @@
     pub fence: Fence,
     pub acquired: Time,
     pub phase: Phase,
-    pub ghost: Ghost,
+    pub late_orders: LateOrders,
     /// What may be taken by a late order of the former owner; worked out at every tick.
-    pub ghost_memory: Mebibytes,
+    pub late_orders_memory: Mebibytes,
     pub spec: Option<EngineSpec>,
     pub site: Option<SiteName>,
     pub standing: Standing,
@@ -75,19 +75,19 @@
 }
 
 impl Engine {
-    pub(crate) fn acquired(id: UpstreamId, fence: Fence, ghost_until: Time, now: Time) -> Self {
-        let ghost = match ghost_until {
-            Time::NEVER => Ghost::UntilQuiet { since: None },
-            until if until.is_due(now) => Ghost::None,
-            until => Ghost::Until(until),
+    pub(crate) fn acquired(id: UpstreamId, fence: Fence, late_orders_until: Time, now: Time) -> Self {
+        let late_orders = match late_orders_until {
+            Time::NEVER => LateOrders::UntilQuiet { since: None },
+            until if until.is_due(now) => LateOrders::None,
+            until => LateOrders::Until(until),
         };
         Self {
             id,
             fence,
             acquired: now,
             phase: Phase::RaisingFence { order: None, retry: now },
-            ghost,
-            ghost_memory: Mebibytes(0),
+            late_orders,
+            late_orders_memory: Mebibytes(0),
             spec: None,
             site: None,
             standing: Standing::Live,
@@ -123,17 +123,17 @@
             self.standing = upstream.standing;
             self.site = Some(upstream.site.clone());
         }
-        let is_over = match self.ghost {
-            Ghost::None => true,
-            Ghost::Until(until) => until.is_due(cx.now),
-            Ghost::UntilQuiet { since } => {
+        let is_over = match self.late_orders {
+            LateOrders::None => true,
+            LateOrders::Until(until) => until.is_due(cx.now),
+            LateOrders::UntilQuiet { since } => {
                 since.is_some_and(|since| since.after(cx.cfg.timings.order_settle).is_due(cx.now))
             }
         };
         if is_over {
-            self.ghost = Ghost::None;
+            self.late_orders = LateOrders::None;
         }
-        self.ghost_memory = self.ghost_reserve(cx, None);
+        self.late_orders_memory = self.late_orders_reserve(cx, None);
     }
 
     /// Gives up for lost the orders whose answer never came.
@@ -158,9 +158,9 @@
         let shown: OrderedSet<ModelName> = report.models.iter().map(|seen| seen.model.clone()).collect();
         let unexpected: Vec<ModelName> = shown.iter().filter(|model| !known(model)).cloned().collect();
         self.expected = shown;
-        let is_first = matches!(self.ghost, Ghost::UntilQuiet { since: None });
-        if is_first || !unexpected.is_empty() && matches!(self.ghost, Ghost::UntilQuiet { .. }) {
-            self.ghost = Ghost::UntilQuiet { since: Some(cx.now) };
+        let is_first = matches!(self.late_orders, LateOrders::UntilQuiet { since: None });
+        if is_first || !unexpected.is_empty() && matches!(self.late_orders, LateOrders::UntilQuiet { .. }) {
+            self.late_orders = LateOrders::UntilQuiet { since: Some(cx.now) };
         }
         if !is_first {
             for model in unexpected {
@@ -176,7 +176,7 @@
     /// Tells whether the model is neither loaded nor loading nor possibly so.
     pub(crate) fn is_free_of(&self, model: &ModelName) -> bool {
         self.report().is_some()
-            && self.ghost == Ghost::None
+            && self.late_orders == LateOrders::None
             && self.model(model).is_none()
             && !self.ledger.concerns(model)
     }
@@ -246,7 +246,7 @@
 
     /// Returns the memory that isn't spoken for; none before the first report.
     pub(crate) fn free_memory(&self) -> Mebibytes {
-        self.unclaimed().saturating_sub(self.ghost_memory)
+        self.unclaimed().saturating_sub(self.late_orders_memory)
     }
 
     /// Returns the memory that neither models nor unsettled orders take.
@@ -263,7 +263,7 @@
     /// Tells whether anything is or may be loaded.
     pub(crate) fn may_hold_models(&self) -> bool {
         let Some(report) = self.report() else { return true };
-        !report.models.is_empty() || !self.ledger.is_empty() || self.ghost_memory > Mebibytes(0)
+        !report.models.is_empty() || !self.ledger.is_empty() || self.late_orders_memory > Mebibytes(0)
     }
 
     /// Returns the memory that a late order of the former owner may take beside what is seen.
@@ -271,8 +271,8 @@
     /// The former owner had at most one unanswered load. Which one isn't known,
     /// so it is taken to be the largest model that may be loaded here, `except`
     /// the one whose load makes no difference as it would only be doubled.
-    pub(crate) fn ghost_reserve(&self, cx: &Cx<'_>, except: Option<&ModelName>) -> Mebibytes {
-        if self.ghost == Ghost::None {
+    pub(crate) fn late_orders_reserve(&self, cx: &Cx<'_>, except: Option<&ModelName>) -> Mebibytes {
+        if self.late_orders == LateOrders::None {
             return Mebibytes(0);
         }
         let homes = cx.cache.all_homes().filter(|(_, homes)| homes.engines.contains(&self.id));
--- a/crates/skylarkshore-core/src/loading/load.rs
+++ b/crates/skylarkshore-core/src/loading/load.rs
@@ -63,7 +63,7 @@
 /// Returns the memory that a load of the model may use.
 fn free_for(cx: &Cx<'_>, engine: &Engine, model: &ModelName) -> Mebibytes {
     // A late order of the former owner for the same model would change nothing.
-    engine.unclaimed().saturating_sub(engine.ghost_reserve(cx, Some(model)))
+    engine.unclaimed().saturating_sub(engine.late_orders_reserve(cx, Some(model)))
 }
 
 /// Sends an order of unknown outcome again; tells whether an order for the model is unsettled.
--- a/crates/skylarkshore-core/src/loading/stages.rs
+++ b/crates/skylarkshore-core/src/loading/stages.rs
@@ -30,7 +30,7 @@
 
 /// Whether an order of the former owner may still be carried out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Ghost {
+pub(crate) enum LateOrders {
     /// No such order can come any more.
     None,
     /// Until this time.
--- a/crates/skylarkshore-core/tests/control/ownership.rs
+++ b/crates/skylarkshore-core/tests/control/ownership.rs
@@ -27,11 +27,11 @@
 }
 
 /// Returns until when the new owner of an engine expects orders of the former one.
-fn ghost_until(cluster: &Cluster, engine: &UpstreamId) -> Option<Time> {
+fn late_orders_until(cluster: &Cluster, engine: &UpstreamId) -> Option<Time> {
     let holder = cluster.holders(engine).first().map(|host| (*host).clone())?;
     cluster.processes[&holder].changes.iter().rev().find_map(|change| match change {
-        OwnershipChange::Acquired { engine: acquired, ghost_until, .. } if acquired == engine => {
-            Some(*ghost_until)
+        OwnershipChange::Acquired { engine: acquired, late_orders_until, .. } if acquired == engine => {
+            Some(*late_orders_until)
         }
         _ => None,
     })
@@ -63,7 +63,7 @@
     cluster.kill("a");
     let took = cluster.until("a takes over", secs(14), all_owned);
     assert!(took >= secs(5), "taken over after {took:?}, while the key stood");
-    assert!(orphans.iter().all(|engine| ghost_until(&cluster, engine) == Some(Time::START)));
+    assert!(orphans.iter().all(|engine| late_orders_until(&cluster, engine) == Some(Time::START)));
 }
 
 /// A process is killed whose engines carry out whatever they are told. Its port
@@ -77,8 +77,8 @@
     cluster.until("a takes over", secs(14), all_owned);
     let now = cluster.now;
     for engine in orphans {
-        let ghost = ghost_until(&cluster, &engine);
-        assert!(ghost.is_some_and(|until| until <= now.after(secs(2))), "{engine}: {ghost:?}");
+        let late_orders = late_orders_until(&cluster, &engine);
+        assert!(late_orders.is_some_and(|until| until <= now.after(secs(2))), "{engine}: {late_orders:?}");
     }
 }
 
@@ -96,7 +96,7 @@
         one_holder_each(cluster);
         all_owned(cluster)
     });
-    assert!(orphans.iter().all(|engine| ghost_until(&cluster, engine) == Some(Time::NEVER)));
+    assert!(orphans.iter().all(|engine| late_orders_until(&cluster, engine) == Some(Time::NEVER)));
     cluster.process("a").frozen = false;
     cluster.run(secs(30), one_holder_each);
     let lost = cluster.process("a").noted("engine_lost");
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -174,8 +174,8 @@
         Self::taking_over(models, Time::START)
     }
 
-    /// Makes a process that has just acquired an engine whose former owner may act until `ghost_until`.
-    pub fn taking_over(models: &[(&str, u64)], ghost_until: Time) -> Self {
+    /// Makes a process that has just acquired an engine whose former owner may act until `late_orders_until`.
+    pub fn taking_over(models: &[(&str, u64)], late_orders_until: Time) -> Self {
         let memory = Mebibytes(1000);
         let cfg = config();
         let mut rig = Self {
@@ -207,7 +207,7 @@
             let homes = HomesRecord { engines: vec![name(ENGINE)], left: Vec::new() };
             rig.put(Key::Homes(name(model_name)), Record::Homes(homes));
         }
-        let change = OwnershipChange::Acquired { engine: name(ENGINE), fence: Fence(7), ghost_until };
+        let change = OwnershipChange::Acquired { engine: name(ENGINE), fence: Fence(7), late_orders_until };
         rig.with(|loading, cx, _| loading.on_ownership(cx, &change));
         rig
     }
