--- a/crates/skylarkshore-core/src/store.rs
+++ b/crates/skylarkshore-core/src/store.rs
@@ -211,6 +211,20 @@
     RevokeLease(LeaseId),
 }
 
+impl StoreCall {
+    /// Returns the call's name for logs and metrics.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::ReadShared => "read_shared",
+            Self::Read(_) => "read",
+            Self::Write { .. } => "write",
+            Self::GrantLease { .. } => "grant_lease",
+            Self::RenewLease(_) => "renew_lease",
+            Self::RevokeLease(_) => "revoke_lease",
+        }
+    }
+}
+
 /// The key-value service's answer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StoreAnswer {
--- a/crates/skylarkshore-standins/src/world/meter.rs
+++ b/crates/skylarkshore-standins/src/world/meter.rs
@@ -5,7 +5,6 @@
 use skylarkshore_core::collections::OrderedMap;
 use skylarkshore_core::effect::Effect;
 use skylarkshore_core::peer::PeerMessage;
-use skylarkshore_core::store::StoreCall;
 use skylarkshore_wire::peer::encode;
 
 /// What a message costs beside its own bytes: IP, UDP and QUIC headers, frame and seal.
@@ -44,7 +43,7 @@
                 count.messages += 1;
                 count.bytes += bytes + BYTES_PER_MESSAGE;
             }
-            Effect::Store { request, .. } => *self.store.entry(call(request)).or_default() += 1,
+            Effect::Store { request, .. } => *self.store.entry(request.name()).or_default() += 1,
             Effect::Watch { .. } => *self.store.entry("watch").or_default() += 1,
             Effect::Order { .. } | Effect::AskReport { .. } => self.engines += 1,
             _ => {}
@@ -77,14 +76,3 @@
         _ => "other",
     }
 }
-
-const fn call(request: &StoreCall) -> &'static str {
-    match request {
-        StoreCall::ReadShared => "read_shared",
-        StoreCall::Read(_) => "read",
-        StoreCall::Write { .. } => "write",
-        StoreCall::GrantLease { .. } => "grant_lease",
-        StoreCall::RenewLease(_) => "renew_lease",
-        StoreCall::RevokeLease(_) => "revoke_lease",
-    }
-}
--- a/crates/skylarkshore/src/store/etcd.rs
+++ b/crates/skylarkshore/src/store/etcd.rs
@@ -210,21 +210,10 @@
     Bytes::from(serde_json::to_vec(&request).unwrap_or_default())
 }
 
-const fn name_of(call: &StoreCall) -> &'static str {
-    match call {
-        StoreCall::ReadShared => "read_shared",
-        StoreCall::Read(_) => "read",
-        StoreCall::Write { .. } => "write",
-        StoreCall::GrantLease { .. } => "grant_lease",
-        StoreCall::RenewLease(_) => "renew_lease",
-        StoreCall::RevokeLease(_) => "revoke_lease",
-    }
-}
-
 impl Store for EtcdStore {
     fn call(&self, call: StoreCall) -> BoxFuture<'_, StoreResult> {
         Box::pin(async move {
-            let name = name_of(&call);
+            let name = call.name();
             let begun = Instant::now();
             let result = match self.carry_out(call).await {
                 Ok(answer) => Ok(answer),
