--- a/crates/skylarkshore-core/src/config.rs
+++ b/crates/skylarkshore-core/src/config.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::id::{DataCentre, Digest, HostId, Incarnation};
+use crate::rules::Rules;
 
 /// What a process is told about itself when it starts.
 #[derive(Clone, Debug)]
@@ -26,6 +27,20 @@
     pub timings: Timings,
     /// The sizes it keeps to.
     pub limits: Limits,
+    /// The rules in force until operators write their own.
+    pub default_rules: Rules,
+    /// Who watches the key-value service.
+    pub watchers: Watchers,
+}
+
+/// Who watches the key-value service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Watchers {
+    /// One process of each data centre, which tells the others.
+    #[default]
+    OnePerDataCentre,
+    /// Every process, so that news doesn't depend on any other one.
+    All,
 }
 
 /// How long things take and may take.
@@ -55,6 +70,8 @@
     pub wanted_every: Duration,
     /// How long a router hears of a model after it last asked.
     pub interest: Duration,
+    /// How often a router tells how many requests for a model arrived.
+    pub usage_every: Duration,
     /// How long an order of unknown outcome keeps its memory when reports don't settle it.
     pub order_settle: Duration,
     /// How long routers are given to stop sending before a model is unloaded.
@@ -63,6 +80,12 @@
     pub entry_ttl: Duration,
     /// How long an engine that the host list no longer names keeps its homes.
     pub gone_after: Duration,
+    /// How long after the last order of an engine's former owner, on another
+    /// host, the first one of the new owner comes at the earliest.
+    pub order_gap: Duration,
+    /// How long an upstream that the host list lost during an outage is still
+    /// taken for living after the list can be read again.
+    pub list_grace: Duration,
 }
 
 impl Default for Timings {
@@ -79,10 +102,13 @@
             engine_timeout: Duration::from_secs(5),
             wanted_every: Duration::from_millis(500),
             interest: Duration::from_mins(1),
+            usage_every: Duration::from_secs(30),
             order_settle: Duration::from_secs(30),
             close_grace: Duration::from_secs(2),
             entry_ttl: Duration::from_secs(10),
             gone_after: Duration::from_secs(30),
+            order_gap: Duration::ZERO,
+            list_grace: Duration::ZERO,
         }
     }
 }
@@ -102,6 +128,39 @@
     pub loads_per_second: u32,
     /// Tries for one request, the first included.
     pub attempts: u32,
+    /// How retries are held down.
+    pub retries: RetryLimits,
+    /// How requests that may crash upstreams are found out.
+    pub suspects: SuspectPolicy,
+}
+
+/// How retries are held down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryLimits {
+    /// Each process saves retries up for itself.
+    PerProcess,
+    /// All processes together keep to a share of the requests for a service in
+    /// any window, whatever a retry is for.
+    Shared {
+        /// Retries for a hundred requests.
+        percent: u32,
+        /// Retries that are allowed beside.
+        slack: u32,
+        /// The window.
+        window: Duration,
+    },
+}
+
+/// How requests that may crash upstreams are found out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SuspectPolicy {
+    /// A request that was in progress when an upstream died runs alone.
+    RunAlone,
+    /// Requests are counted with the upstreams that ended while they ran.
+    ///
+    /// Where upstreams often lose connections without dying, running every
+    /// suspect alone would keep an engine from all others for each of them.
+    CountEnds,
 }
 
 impl Default for Limits {
@@ -113,6 +172,8 @@
             loads_at_once: 4,
             loads_per_second: 3,
             attempts: 3,
+            retries: RetryLimits::PerProcess,
+            suspects: SuspectPolicy::RunAlone,
         }
     }
 }
--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -151,7 +151,7 @@
             Key::Owner(engine) => self.ownership.on_write(cx, &self.roster, engine, outcome),
             Key::Homes(model) => self.homes.on_write(cx, &self.roster, model, outcome),
             Key::Power(site) => self.power.on_write(cx, site, outcome),
-            Key::Document | Key::Once(_) => {}
+            Key::Document | Key::Catalogue | Key::Once(_) => {}
         }
     }
 
@@ -163,7 +163,7 @@
             Key::Owner(engine) => self.ownership.refresh(cx, &self.roster, engine),
             Key::Homes(model) => self.homes.on_change(cx, &self.roster, model),
             Key::Power(site) => self.power.on_change(cx, site),
-            Key::Document => self.homes.update_all(cx, &self.roster),
+            Key::Document | Key::Catalogue => self.homes.update_all(cx, &self.roster),
             Key::Once(_) => {}
         }
     }
--- a/crates/skylarkshore-core/src/control/feed.rs
+++ b/crates/skylarkshore-core/src/control/feed.rs
@@ -9,6 +9,7 @@
 use super::backoff::Backoff;
 use super::hashing;
 use super::peers::{Peers, neighbours};
+use crate::config::Watchers;
 use crate::cx::Cx;
 use crate::effect::Effect;
 use crate::id::{CallId, HostId, StoreRevision};
@@ -127,7 +128,8 @@
         let Some(watch) = &mut self.watch else { return };
         let after = watch.upto;
         watch.upto = watch.upto.max(upto);
-        let settled = watch.since.after(SETTLED_AFTER).is_due(cx.now);
+        let settled =
+            cx.cfg.watchers == Watchers::OnePerDataCentre && watch.since.after(SETTLED_AFTER).is_due(cx.now);
         self.frontier = self.frontier.max(upto);
         if changes.is_empty() || !settled {
             return;
@@ -247,6 +249,9 @@
     /// death; so it sends heartbeats to the whole data centre, and the next of
     /// the ranking steps in when they cease.
     fn is_watcher(&self, cx: &Cx<'_>, peers: &Peers, eligible: &[HostId]) -> bool {
+        if cx.cfg.watchers == Watchers::All {
+            return true;
+        }
         let own = &cx.cfg.host;
         let near = |host: &&HostId| {
             cx.cache.member(host).is_some_and(|member| member.data_centre == cx.cfg.data_centre)
--- a/crates/skylarkshore-core/src/control/holdings.rs
+++ b/crates/skylarkshore-core/src/control/holdings.rs
@@ -25,6 +25,8 @@
 pub(super) struct Holding {
     pub(super) fence: Fence,
     pub(super) since: Time,
+    /// From when on orders may be given.
+    pub(super) orders_from: Time,
     /// The revision at which this process became owner.
     pub(super) acquired: StoreRevision,
     /// The revision of the present record.
--- a/crates/skylarkshore-core/src/control/homes.rs
+++ b/crates/skylarkshore-core/src/control/homes.rs
@@ -171,7 +171,7 @@
         engines: &dyn EngineUse,
     ) {
         self.update_all(cx, knowledge.roster);
-        if !knowledge.may_decide(cx) || cx.document.revision.0 == 0 {
+        if !knowledge.may_decide(cx) || !cx.document.is_known() {
             return;
         }
         self.settle_doubts(cx);
--- a/crates/skylarkshore-core/src/control/ownership.rs
+++ b/crates/skylarkshore-core/src/control/ownership.rs
@@ -30,6 +30,8 @@
     fence: Fence,
     based_on: StoreRevision,
     late_orders_until: Time,
+    /// Whether nobody or an earlier life of this host owned the engine before.
+    from_same_host: bool,
 }
 
 /// The engines of this process.
@@ -120,7 +122,10 @@
         // successor's write fail; before, both could act on the engine.
         let registered = membership.registered_at()?;
         let not_after = membership.holds_until(cfg)?;
-        let safe = holding.revision > registered && !not_after.is_due(now);
+        // The engine's former owner, on another host, may have given an order a moment
+        // ago; its orders and this process's have to be apart.
+        let is_apart = holding.orders_from.is_due(now);
+        let safe = holding.revision > registered && is_apart && !not_after.is_due(now);
         safe.then_some(Permit { fence: holding.fence, not_after })
     }
 
@@ -195,7 +200,9 @@
 
     fn acquire(&mut self, cx: &mut Cx<'_>, roster: &Roster, engine: &UpstreamId, named: Named) {
         let late_orders_until = self.late_orders_until(cx, roster, engine, named.fence);
+        let gap = if self.is_own_again(cx, engine) { Duration::ZERO } else { cx.cfg.timings.order_gap };
         let holding = Holding {
+            orders_from: cx.now.after(gap),
             fence: named.fence,
             since: cx.now,
             acquired: named.revision,
@@ -209,6 +216,14 @@
         self.changes.push(OwnershipChange::Acquired { engine: engine.clone(), fence, late_orders_until });
     }
 
+    /// Tells whether no other host owned the engine before, as far as this process took part in it.
+    fn is_own_again(&self, cx: &Cx<'_>, engine: &UpstreamId) -> bool {
+        let entry = cx.cache.get(&Key::Owner(engine.clone()));
+        let writer = entry.and_then(|entry| entry.writer.as_ref());
+        let is_own = writer.is_some_and(|writer| writer.host == cx.cfg.host);
+        is_own && self.intents.get(engine).is_some_and(|intent| intent.from_same_host)
+    }
+
     /// Returns until when an order of the former owner may still reach the engine.
     fn late_orders_until(&self, cx: &Cx<'_>, roster: &Roster, engine: &UpstreamId, fence: Fence) -> Time {
         if roster.fence_check(engine) == FenceCheck::Refuses {
@@ -320,7 +335,8 @@
         let fence = next_fence(cx, former.as_ref());
         let based_on = former.as_ref().map_or(StoreRevision(0), |former| former.revision);
         let late_orders_until = former.as_ref().map_or(Time::START, |former| late_orders_of(cx, former));
-        self.intents.insert(engine.clone(), Intent { fence, based_on, late_orders_until });
+        let from_same_host = former.as_ref().is_none_or(|former| former.owner.host == cx.cfg.host);
+        self.intents.insert(engine.clone(), Intent { fence, based_on, late_orders_until, from_same_host });
         if let Some(former) = &former {
             let why = if former.ended { "its process has ended" } else { "its member key is gone" };
             let detail = format!("from {}, since {why}; fence {fence}", former.owner.host);
--- a/crates/skylarkshore-core/src/control/placement.rs
+++ b/crates/skylarkshore-core/src/control/placement.rs
@@ -50,23 +50,29 @@
         homes: &[UpstreamId],
         left: &[UpstreamId],
     ) -> Option<UpstreamId> {
-        let footprint = cx.document.catalogue.models.get(model)?.footprint();
+        let known = cx.document.catalogue.models.get(model)?;
+        let footprint = known.footprint();
         let near: Vec<&KnownEngine> = homes.iter().filter_map(|home| self.roster.get(home)).collect();
         let key = name_hash(model.as_str());
         let mut candidates: Vec<Candidate<'_>> = self
             .roster
             .iter()
             .filter(|(id, engine)| engine.is_live() && engine.memory >= footprint && !homes.contains(id))
+            .filter(|(_, engine)| known.pool.is_none() || engine.pool == known.pool)
             .map(|(id, engine)| Candidate {
                 id,
+                nearness: Nearness::of(cx, id, model),
                 left: left.iter().rposition(|known| known == id),
                 shares_data_centre: near.iter().any(|home| home.data_centre == engine.data_centre),
                 weight: pair_weight(key, name_hash(id.as_str())),
                 load: self.load_with(id, engine, footprint),
             })
             .collect();
-        candidates.sort_by_key(|c| (c.left, c.shares_data_centre, std::cmp::Reverse(c.weight)));
-        let best = candidates.iter().take(CHOICES).min_by_key(|c| (c.left, c.shares_data_centre, c.load))?;
+        candidates.sort_by_key(|c| (c.nearness, c.left, c.shares_data_centre, std::cmp::Reverse(c.weight)));
+        let best = candidates
+            .iter()
+            .take(CHOICES)
+            .min_by_key(|c| (c.nearness, c.left, c.shares_data_centre, c.load))?;
         let chosen = best.id.clone();
         *self.load.entry(chosen.clone()).or_default() += footprint;
         Some(chosen)
@@ -78,8 +84,30 @@
     }
 }
 
+/// How far an engine has come with a model already; the first is the best.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Nearness {
+    /// It holds it.
+    Held,
+    /// It keeps a copy of the weights.
+    Copied,
+    /// It has nothing of it.
+    Nothing,
+}
+
+impl Nearness {
+    fn of(cx: &Cx<'_>, engine: &UpstreamId, model: &ModelName) -> Self {
+        let Some(upstream) = cx.upstreams.get(engine) else { return Self::Nothing };
+        if upstream.holds.contains(model) {
+            return Self::Held;
+        }
+        if upstream.copies.has(model) { Self::Copied } else { Self::Nothing }
+    }
+}
+
 struct Candidate<'a> {
     id: &'a UpstreamId,
+    nearness: Nearness,
     /// Its place among the engines that the model left.
     left: Option<usize>,
     shares_data_centre: bool,
--- a/crates/skylarkshore-core/src/control/power.rs
+++ b/crates/skylarkshore-core/src/control/power.rs
@@ -155,7 +155,7 @@
 
     fn update(&mut self, cx: &Cx<'_>, name: &SiteName) {
         let site = self.sites.entry(name.clone()).or_default();
-        site.capped = cx.document.revision.0 == 0 || cx.document.power_caps.contains_key(name);
+        site.capped = !cx.document.is_known() || cx.document.power_caps.contains_key(name);
         if let Some((revision, record)) = cx.cache.power(name) {
             if site.record != *record {
                 site.since = cx.now;
--- a/crates/skylarkshore-core/src/control/roster.rs
+++ b/crates/skylarkshore-core/src/control/roster.rs
@@ -2,7 +2,7 @@
 
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::cx::Cx;
-use crate::id::{DataCentre, SiteName, UpstreamId};
+use crate::id::{DataCentre, ServiceName, SiteName, UpstreamId};
 use crate::time::Time;
 use crate::units::{Mebibytes, Watts};
 use crate::upstream::{FenceCheck, Standing};
@@ -16,6 +16,7 @@
     pub(super) sleep_watts: Watts,
     pub(super) active_watts: Watts,
     pub(super) fence_check: FenceCheck,
+    pub(super) pool: Option<ServiceName>,
     pub(super) standing: Standing,
     /// Since when the host list hasn't named it any more.
     unlisted: Option<Time>,
@@ -58,6 +59,7 @@
                 sleep_watts: spec.sleep_watts,
                 active_watts: spec.active_watts,
                 fence_check: spec.fence_check,
+                pool: spec.pool.clone(),
                 standing: upstream.standing,
                 unlisted: None,
             };
--- a/crates/skylarkshore-core/src/effect.rs
+++ b/crates/skylarkshore-core/src/effect.rs
@@ -132,6 +132,8 @@
         fence: Fence,
         /// The time after which it may not be sent any more; checked right before sending.
         not_after: Time,
+        /// How many orders the engine must have accepted before, where it numbers them.
+        after: Option<u64>,
         /// The order.
         action: Order,
     },
@@ -156,6 +158,16 @@
         resume: bool,
         /// Whether to hold the answer back until it is recorded.
         hold: bool,
+        /// Whether the request may not run a second time.
+        once: bool,
+        /// Whether to keep an answer that says that the upstream failed, since
+        /// another one may be asked.
+        keep_failure: bool,
+    },
+    /// Pass on the answer that is kept of a request's last attempt.
+    PassOn {
+        /// The request.
+        request: RequestId,
     },
     /// Stop an attempt, and its work at the upstream.
     Cancel {
--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -30,6 +30,28 @@
         /// The digest of the idempotency key, the caller and the service.
         key: Digest,
     },
+    /// It runs at most once for this arrival; its caller asks again under a new name.
+    AtMostOnce,
+}
+
+/// What the operators want of requests of a kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// On how many upstreams it may run at most.
+    pub tries: u32,
+    /// Until when an answer has its full value.
+    pub aim: Time,
+    /// How much earlier (below zero) or later it is served than the rules say.
+    pub rank: i16,
+    /// Whether another upstream may go on with a stream that broke off.
+    pub resumable: bool,
+}
+
+impl Terms {
+    /// The terms of a request of which nothing special is wanted.
+    pub const fn plain(deadline: Time, resumable: bool) -> Self {
+        Self { tries: u32::MAX, aim: deadline, rank: 0, resumable }
+    }
 }
 
 /// A checked request of a caller.
@@ -47,6 +69,8 @@
     pub prefix: Option<Digest>,
     /// By when it has to be answered.
     pub deadline: Time,
+    /// What is wanted of its kind.
+    pub terms: Terms,
 }
 
 /// How an attempt ended.
@@ -59,6 +83,9 @@
     },
     /// The whole answer came but is larger than what may be held; it was passed on.
     WholeTooLarge,
+    /// The whole answer came, says that the upstream failed, and is kept to be
+    /// passed on unless another upstream is asked.
+    FailedWhole,
     /// Nothing of the request reached the upstream.
     NotSent,
     /// The upstream said that it did nothing.
@@ -81,6 +108,19 @@
     Busy,
     /// It is about to go.
     Leaving,
+    /// Another upstream, or another life of it, has its address now.
+    Replaced,
+}
+
+/// How much an upstream had to do when it answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadTold {
+    /// Requests that ran.
+    pub running: u32,
+    /// Requests that waited inside it.
+    pub waiting: u32,
+    /// How many it runs at a time.
+    pub concurrency: u32,
 }
 
 /// Something that happens to a process.
@@ -155,6 +195,13 @@
         /// The request.
         request: RequestId,
     },
+    /// An upstream's answer told how much it has to do.
+    LoadTold {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// What it told.
+        load: LoadTold,
+    },
     /// The first part of an answer came.
     AnswerStarted {
         /// The attempt.
--- a/crates/skylarkshore-core/src/id.rs
+++ b/crates/skylarkshore-core/src/id.rs
@@ -116,6 +116,10 @@
     /// A plain service.
     ServiceName
 }
+name! {
+    /// A route of the operators' configuration.
+    RouteName
+}
 name! {
     /// The caller on whose behalf a request is made.
     CallerId
@@ -137,6 +141,10 @@
     /// The operators' revision of the rules document.
     RulesRevision
 }
+number! {
+    /// The revision of a catalogue that is configured apart from the rules.
+    CatalogueRevision
+}
 number! {
     /// A call to the key-value service, unique within a process.
     CallId
--- a/crates/skylarkshore-core/src/lib.rs
+++ b/crates/skylarkshore-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod effect;
 pub mod event;
 pub mod id;
+mod listing;
 pub mod loading;
 pub mod node;
 pub mod peer;
--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -1,5 +1,6 @@
 //! What is loaded on the engines that this process owns.
 
+mod adapters;
 mod answer;
 mod close;
 mod demand;
@@ -16,6 +17,7 @@
 mod shortage;
 mod stages;
 mod tally;
+mod usage;
 mod views;
 mod wants;
 mod wishes;
@@ -23,6 +25,7 @@
 use std::time::Duration;
 
 use crate::authority::{Authority, EngineUse, HomeWish, OwnershipChange};
+use crate::catalogue::ModelTarget;
 use crate::collections::OrderedMap;
 use crate::config::NodeConfig;
 use crate::cx::Cx;
@@ -37,6 +40,7 @@
 use crate::loading::shortage::Shortages;
 use crate::loading::stages::ReportNews;
 use crate::loading::tally::{LoadTimes, Tally};
+use crate::loading::usage::Usage;
 use crate::peer::{CannotLoad, PeerMessage};
 use crate::rules::ServiceOrder;
 use crate::time::Time;
@@ -51,6 +55,7 @@
 pub struct Loading {
     engines: OrderedMap<UpstreamId, Engine>,
     demand: Demand,
+    usage: Usage,
     history: History,
     own: OwnEngines,
     shortages: Shortages,
@@ -63,6 +68,7 @@
 struct Beside<'a> {
     authority: &'a dyn Authority,
     demand: &'a Demand,
+    usage: &'a Usage,
     history: &'a mut History,
     own: &'a OwnEngines,
     shortages: &'a Shortages,
@@ -121,6 +127,7 @@
         if engine.on_fence_answer(cx, order, answer) {
             return;
         }
+        engine.count_answer(cx.now, answer);
         let Some((action, answered)) = engine.ledger.answer(order, answer, cx.now) else { return };
         match answered {
             Answered::Accepted => {}
@@ -139,6 +146,7 @@
         report: Option<&EngineReport>,
     ) {
         let Some(report) = report else { return };
+        let mut served = Vec::new();
         self.with_engine(cx, authority, id, |cx, engine, beside| {
             let news = engine.take_report(cx.now, asked, report);
             if news == ReportNews::Unusable {
@@ -146,10 +154,11 @@
             }
             let settled = engine.ledger.settle(report, asked, cx.cfg.timings.order_settle);
             engine.note_unexpected(cx, &settled);
+            engine.note_unshown(cx, &settled);
             for seen in report.models.iter().filter(|seen| seen.running > 0) {
                 beside.history.used(cx.now, &seen.model);
             }
-            load::note_ended(cx, engine, beside);
+            served = load::note_ended(cx, engine, beside);
             if news == ReportNews::Restarted {
                 cx.note("engine_restarted", &engine.id, format!("incarnation={}", report.incarnation));
                 engine.on_restart(cx.now);
@@ -157,6 +166,9 @@
             decide(cx, engine, beside);
             views::tell_changes(cx, engine, beside.demand);
         });
+        for model in served {
+            self.demand.serve(cx.now, &model);
+        }
     }
 
     /// Takes a peer's message, where it concerns this part.
@@ -169,9 +181,11 @@
     ) {
         self.pacing.on_peer(cx, from, message);
         match message {
-            PeerMessage::Wanted { target, waiting, order, patience, arrived } => {
+            PeerMessage::Wanted { target, waiting, order, patience, aim, arrived } => {
                 self.note_use(cx, &target.model, *waiting, *arrived);
-                let wanted = Wanted { from, target, waiting: *waiting, order: *order, patience: *patience };
+                self.note_adapter_use(cx.now, target);
+                let wanted =
+                    Wanted { from, target, waiting: *waiting, order: *order, patience: *patience, aim: *aim };
                 self.demand.wanted(cx.now, wanted, &cx.cfg.timings);
                 self.answer_wanted(cx, authority, &wanted);
             }
@@ -196,13 +210,21 @@
     /// Requests that don't wait are only told now and then, and are seen in the
     /// engine's reports before that, unless they are short.
     fn note_use(&mut self, cx: &Cx<'_>, model: &ModelName, waiting: u32, arrived: u32) {
-        let told_every = cx.cfg.timings.interest / 2;
+        self.usage.count(cx.now, model, arrived);
+        let told_every = cx.cfg.timings.usage_every;
         let unseen = self.history.last(model).is_none_or(|last| last.after(told_every).is_due(cx.now));
         if waiting > 0 || arrived > 0 && unseen {
             self.history.used(cx.now, model);
         }
     }
 
+    fn note_adapter_use(&mut self, now: Time, target: &ModelTarget) {
+        let Some(adapter) = &target.adapter else { return };
+        for engine in self.engines.values_mut().filter(|engine| engine.is_one_by_one()) {
+            engine.adapter_uses.insert((target.model.clone(), adapter.clone()), now);
+        }
+    }
+
     /// Acts on a router's word at once and tells it how matters stand.
     fn answer_wanted(&mut self, cx: &mut Cx<'_>, authority: &dyn Authority, wanted: &Wanted<'_>) {
         let model = &wanted.target.model;
@@ -239,6 +261,7 @@
         let mut beside = Beside {
             authority,
             demand: &self.demand,
+            usage: &self.usage,
             history: &mut self.history,
             own: &self.own,
             shortages: &self.shortages,
@@ -270,6 +293,8 @@
     if is_review_due {
         engine.next_review = cx.now.after(REVIEW_EVERY);
         wants::review_kept(cx, engine, beside);
+        wants::review_hot(cx, engine, beside);
+        wants::review_uncopied(cx, engine, beside);
     }
     let wants = wants::collect(cx, engine, beside);
     engine.lacks = wants::lacking_power(engine, beside, &wants);
@@ -303,7 +328,8 @@
         OrderAnswer::Refused { reason } => reason.as_str(),
         OrderAnswer::NotSent => "the engine refuses connections",
         OrderAnswer::FenceTooLow { .. } => "the engine has seen a higher fence",
-        OrderAnswer::Accepted | OrderAnswer::Lost => return,
+        // One out of turn is tried again as soon as a report tells how things stand.
+        OrderAnswer::Accepted | OrderAnswer::OutOfTurn | OrderAnswer::Lost => return,
     };
     if let Order::Load { model, .. } | Order::LoadAdapter { model, .. } = action {
         load::failed(cx, engine, tally, model, reason);
--- a/crates/skylarkshore-core/src/loading/answer.rs
+++ b/crates/skylarkshore-core/src/loading/answer.rs
@@ -43,7 +43,7 @@
 /// Judges whether an engine will serve those who wait at one router in time.
 pub(crate) fn assess(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, wanted: &Wanted<'_>) -> Verdict {
     let model = &wanted.target.model;
-    if wanted.waiting == 0 || is_usable(engine, wanted) {
+    if wanted.waiting == 0 || is_usable(cx, engine, wanted) {
         return Verdict::InTime;
     }
     if engine.is_silent(cx.now, cx.cfg.timings.engine_timeout) {
@@ -52,7 +52,7 @@
     if beside.authority.permit(cx.now, &engine.id).is_none() {
         return Verdict::Not { reason: CannotLoad::OwnershipInDoubt, retry_after: RETRY_SHORT };
     }
-    let load_time = beside.load_times.of(cx, model);
+    let load_time = beside.load_times.on(cx, engine, model);
     let key = LoadKey { engine: engine.id.clone(), model: model.clone() };
     let load = if engine.model(model).is_some_and(|seen| seen.state != LoadState::Unloading) {
         remaining(cx, engine, beside, wanted)
@@ -98,7 +98,7 @@
             continue;
         }
         let key = LoadKey { engine: engine.id.clone(), model: model.clone() };
-        let takes = beside.load_times.of(cx, model)
+        let takes = beside.load_times.on(cx, engine, model)
             + beside.pacing.expected_wait(cx, &key)
             + delay(cx, engine, beside, model);
         planned.insert(model.clone(), cx.now.after(takes));
@@ -106,15 +106,15 @@
     engine.planned = planned;
 }
 
-fn is_usable(engine: &Engine, wanted: &Wanted<'_>) -> bool {
+fn is_usable(cx: &Cx<'_>, engine: &Engine, wanted: &Wanted<'_>) -> bool {
     let model = &wanted.target.model;
     engine.is_ready(model)
-        && wanted.target.adapter.as_ref().is_none_or(|adapter| engine.has_adapter(model, adapter))
+        && wanted.target.adapter.as_ref().is_none_or(|adapter| engine.has_adapter(cx.now, model, adapter))
 }
 
 /// Returns how long a load that has begun is expected to last yet.
 fn remaining(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, wanted: &Wanted<'_>) -> Duration {
-    let least = beside.load_times.of(cx, &wanted.target.model) / OVERDUE_SHARE;
+    let least = beside.load_times.on(cx, engine, &wanted.target.model) / OVERDUE_SHARE;
     let load = engine.loads.get(&wanted.target.model);
     load.map_or(least, |load| load.expected.remaining(cx.now).max(least))
 }
--- a/crates/skylarkshore-core/src/loading/close.rs
+++ b/crates/skylarkshore-core/src/loading/close.rs
@@ -20,6 +20,8 @@
 
 /// After how long room that nobody asks for any more is given back.
 const ROOM_LIFE: Duration = Duration::from_secs(1);
+/// How long a model has to be unused to make way for a copy that nobody waits for yet.
+const COPY_PATIENCE: Duration = Duration::from_secs(2);
 /// How long an engine that was just used keeps its power, whoever calls for it.
 const BURST_PAUSE: Duration = Duration::from_secs(5);
 /// How long to wait before an unload whose answer was lost is sent again.
@@ -69,7 +71,9 @@
     if beside.authority.must_close(&engine.id, &seen.model) {
         return Some(CloseReason::Surplus);
     }
-    if !beside.authority.is_home(&engine.id, &seen.model) {
+    // Where engines hold models from before, the first homes are yet to be written.
+    let is_placed = !engine.is_one_by_one() || cx.cache.homes(&seen.model).is_some();
+    if is_placed && !beside.authority.is_home(&engine.id, &seen.model) {
         return Some(CloseReason::NoHome);
     }
     if seen.version != known.version {
@@ -125,7 +129,7 @@
 fn stay(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, model: &ModelName, outcome: &Outcome) -> Stay {
     let used = beside.history.last(model);
     let since = used.unwrap_or_else(|| last_use(engine, beside, model));
-    let load_time = beside.load_times.of(cx, model);
+    let load_time = beside.load_times.on(cx, engine, model);
     Stay::new(beside.history, model, outcome, load_time, cx.now.since(since))
 }
 
@@ -223,6 +227,14 @@
         let kept = engine.kept.contains(&seen.model);
         let is_weaker = match waiting {
             _ if want.cause == Cause::Ahead => false,
+            _ if want.cause == Cause::Copy => {
+                waiting.is_none()
+                    && !kept
+                    && !engine.hot.contains(&seen.model)
+                    && engine.has_copy(&seen.model)
+                    && last_use(engine, beside, &seen.model).after(COPY_PATIENCE).is_due(cx.now)
+            }
+            None if engine.hot.contains(&seen.model) => false,
             Some(need) => want.waiting > 0 && want.order < need.order,
             None if kept => want.waiting > 0 && want.order < order,
             None => true,
@@ -258,7 +270,10 @@
             }
             continue;
         }
-        if engine.ledger.concerns(&model) || !is_drained(cx, engine, &model, &closing) {
+        if engine.ledger.concerns(&model) || !engine.is_free_for_orders() {
+            continue;
+        }
+        if !engine.is_one_by_one() && !is_drained(cx, engine, &model, &closing) {
             continue;
         }
         engine.send(cx, permit, None, Order::Unload { model: model.clone() });
--- a/crates/skylarkshore-core/src/loading/demand.rs
+++ b/crates/skylarkshore-core/src/loading/demand.rs
@@ -12,6 +12,9 @@
 /// After how many intervals without a router's word its waiting requests no longer count.
 const MISSED_MESSAGES: u32 = 4;
 
+/// How long it takes routers to send what waits, once they hear that a model can be used.
+const SERVED_WITHIN: Duration = Duration::from_millis(200);
+
 /// How much later than told callers may ask again.
 const RETRY_GRACE: Duration = Duration::from_secs(2);
 
@@ -22,6 +25,8 @@
     order: ServiceOrder,
     /// When the most patient of them gives up.
     deadline: Time,
+    /// When the first answer to them loses value.
+    aim: Time,
     /// When the router counts as silent.
     expires: Time,
     /// Whether the router was told to ask again, so that the load has to go on meanwhile.
@@ -35,6 +40,8 @@
     pub order: ServiceOrder,
     /// When the most patient of those who wait gives up.
     pub deadline: Time,
+    /// When the first answer to them loses value; never if all have lost it.
+    pub aim: Time,
     /// How many requests wait.
     pub waiting: u32,
 }
@@ -44,6 +51,7 @@
         Self {
             order: self.order.min(other.order),
             deadline: self.deadline.max(other.deadline),
+            aim: self.aim.min(other.aim),
             waiting: self.waiting + other.count,
         }
     }
@@ -62,6 +70,8 @@
     pub order: ServiceOrder,
     /// How long the most patient of them can still wait.
     pub patience: Duration,
+    /// How long the least patient of them can wait for its answer to have its full value.
+    pub aim: Option<Duration>,
 }
 
 /// Who waits and who listens.
@@ -86,6 +96,7 @@
             count: wanted.waiting,
             order: wanted.order,
             deadline: now.after(wanted.patience),
+            aim: wanted.aim.map_or(Time::NEVER, |aim| now.after(aim)),
             expires: now.after(timings.wanted_every * MISSED_MESSAGES),
             promised: false,
         };
@@ -105,6 +116,20 @@
         waiting.expires = waiting.expires.max(until);
     }
 
+    /// Takes note that a model can be used, so that those who wait for it will be served.
+    ///
+    /// Routers don't tell that nobody waits any more. Until the usual time has
+    /// passed, a model that has served them would look needed, and couldn't make
+    /// way for the next one.
+    pub(crate) fn serve(&mut self, now: Time, model: &ModelName) {
+        let until = now.after(SERVED_WITHIN);
+        let first = ModelTarget { model: model.clone(), adapter: None };
+        let targets = self.waiting.range_mut(first..).take_while(|(target, _)| target.model == *model);
+        for waiting in targets.flat_map(|(_, routers)| routers.values_mut()) {
+            waiting.expires = waiting.expires.min(until);
+        }
+    }
+
     /// Forgets those whose time has run out.
     pub(crate) fn expire(&mut self, now: Time) {
         for routers in self.waiting.values_mut() {
@@ -148,6 +173,6 @@
 
 fn sum<'a>(mut all: impl Iterator<Item = &'a Waiting>) -> Option<Need> {
     let first = all.next()?;
-    let need = Need { order: first.order, deadline: first.deadline, waiting: first.count };
+    let need = Need { order: first.order, deadline: first.deadline, aim: first.aim, waiting: first.count };
     Some(all.fold(need, Need::with))
 }
--- a/crates/skylarkshore-core/src/loading/engine.rs
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -17,12 +17,18 @@
 use crate::time::Time;
 use crate::units::{Mebibytes, Watts};
 use crate::upstream::{
-    EngineReport, EngineSpec, FenceCheck, LoadState, Order, OrderAnswer, ReportedModel, Standing,
+    EngineReport, EngineSpec, FenceCheck, LoadState, Order, OrderAnswer, OrderMode, ReportedModel, Standing,
 };
 
 /// How long to wait before the fence is raised once more.
 const FENCE_RETRY: Duration = Duration::from_millis(500);
 
+/// How long an adapter takes to answer after its order was accepted; engines
+/// state 5 to 10 ms.
+const ADAPTER_LOAD_TIME: Duration = Duration::from_millis(20);
+/// How long before a load's expected end reports are asked for often.
+const REPORT_AHEAD: Duration = Duration::from_millis(50);
+
 /// How many times as often reports are asked for while a load is under way.
 const REPORTS_WHILE_LOADING: u32 = 4;
 
@@ -59,6 +65,10 @@
     pub kept: OrderedSet<ModelName>,
     /// Models that are better loaded ahead of their next request.
     pub expected_soon: OrderedSet<ModelName>,
+    /// Models that are asked for so often that they are to be loaded here too.
+    pub hot: OrderedSet<ModelName>,
+    /// Models of which the engine is to keep a copy and doesn't.
+    pub uncopied: OrderedSet<ModelName>,
     /// Models that were loaded ahead, with the last use before that.
     pub prewarmed: OrderedMap<ModelName, Time>,
     /// When the policy is to be asked again.
@@ -69,6 +79,12 @@
     pub crowded: OrderedSet<ModelName>,
     /// Until when idle time has been counted.
     pub counted: Time,
+    /// How many orders it has accepted, where it numbers them and that is known.
+    pub accepted: Option<u64>,
+    /// Reports that were asked for earlier don't tell how many orders it has accepted.
+    pub recount_from: Time,
+    /// When each adapter on it was last asked for.
+    pub adapter_uses: OrderedMap<(ModelName, AdapterName), Time>,
     pub wishes: Wishes,
     pub reservation: Reservation,
     pub told: Told,
@@ -105,11 +121,16 @@
             unneeded: OrderedSet::new(),
             kept: OrderedSet::new(),
             expected_soon: OrderedSet::new(),
+            hot: OrderedSet::new(),
+            uncopied: OrderedSet::new(),
             prewarmed: OrderedMap::new(),
             next_review: now,
             planned: OrderedMap::new(),
             crowded: OrderedSet::new(),
             counted: now,
+            accepted: None,
+            recount_from: now,
+            adapter_uses: OrderedMap::new(),
             wishes: Wishes::default(),
             reservation: Reservation::default(),
             told: Told::default(),
@@ -130,7 +151,9 @@
                 since.is_some_and(|since| since.after(cx.cfg.timings.order_settle).is_due(cx.now))
             }
         };
-        if is_over {
+        // A numbered order that comes late finds another number than it expects,
+        // or else the next order of this process does and is refused.
+        if is_over || self.is_one_by_one() {
             self.late_orders = LateOrders::None;
         }
         self.late_orders_memory = self.late_orders_reserve(cx, None);
@@ -196,9 +219,79 @@
         }
     }
 
+    /// Tells whether the engine keeps a copy of the model's weights.
+    pub(crate) fn has_copy(&self, model: &ModelName) -> bool {
+        self.report().is_some_and(|report| report.copies.has(model))
+    }
+
+    /// Takes note of adapters whose loads were accepted but that a report doesn't show.
+    pub(crate) fn note_unshown(&mut self, cx: &mut Cx<'_>, settled: &[Settled]) {
+        for order in settled.iter().filter(|order| !order.shown) {
+            if let Order::LoadAdapter { model, adapter, .. } = &order.action {
+                cx.note(
+                    "adapter_not_shown",
+                    format!("{model}/{adapter}@{}", self.id),
+                    "will be asked for anew",
+                );
+            }
+        }
+    }
+
     /// Tells whether an adapter answers requests.
-    pub(crate) fn has_adapter(&self, model: &ModelName, adapter: &AdapterName) -> bool {
-        self.model(model).is_some_and(|seen| seen.adapters.iter().any(|a| a.ready && a.adapter == *adapter))
+    pub(crate) fn has_adapter(&self, now: Time, model: &ModelName, adapter: &AdapterName) -> bool {
+        let seen = self.model(model);
+        let reported =
+            seen.is_some_and(|seen| seen.adapters.iter().any(|a| a.ready && a.adapter == *adapter));
+        reported || self.assumed_adapters(now).any(|(base, name)| base == model && name == adapter)
+    }
+
+    /// Returns the adapters that should answer by now, though no report has shown them.
+    ///
+    /// An adapter takes a hundredth of a second; waiting for a report that shows
+    /// it would take ten times as long, and callers would feel each of them.
+    pub(crate) fn assumed_adapters(&self, now: Time) -> impl Iterator<Item = (&ModelName, &AdapterName)> {
+        let accepted = self.ledger.accepted_adapters().filter(|_| self.is_one_by_one());
+        let due = accepted.filter(move |(_, _, at)| at.after(ADAPTER_LOAD_TIME).is_due(now));
+        due.map(|(model, adapter, _)| (model, adapter))
+    }
+
+    /// Tells whether the engine numbers its orders and carries them out one at a time.
+    pub(crate) fn is_one_by_one(&self) -> bool {
+        self.spec.as_ref().is_some_and(|spec| spec.order_mode == OrderMode::OneByOne)
+    }
+
+    /// Tells whether an order for a base model would be carried out at once.
+    pub(crate) fn is_free_for_orders(&self) -> bool {
+        if !self.is_one_by_one() {
+            return true;
+        }
+        self.is_free_for_adapter_orders()
+            && !self.ledger.has_model_order()
+            && self.report().is_some_and(|report| !report.busy)
+    }
+
+    /// Tells whether an order for an adapter can be sent: its number is known, and no other is unanswered.
+    pub(crate) fn is_free_for_adapter_orders(&self) -> bool {
+        !self.is_one_by_one() || self.accepted.is_some() && !self.ledger.has_unanswered()
+    }
+
+    /// Takes the answer to an order, as far as it tells how many orders were accepted.
+    pub(crate) fn count_answer(&mut self, now: Time, answer: &OrderAnswer) {
+        match answer {
+            OrderAnswer::Accepted => self.accepted = self.accepted.map(|accepted| accepted + 1),
+            OrderAnswer::OutOfTurn | OrderAnswer::Refused { .. } | OrderAnswer::Lost => {
+                self.accepted = None;
+                self.recount_from = now;
+                self.next_ask = now;
+            }
+            OrderAnswer::FenceTooLow { .. } | OrderAnswer::NotSent => {}
+        }
+    }
+
+    fn recount(&mut self, asked: Time, report: &EngineReport) {
+        if self.accepted.is_none() && asked >= self.recount_from.after(report.lag) {
+            self.accepted = report.accepted;
+        }
     }
 
     /// Returns the report, once it may be relied on.
@@ -305,11 +398,19 @@
     pub(crate) fn ask_report(&mut self, cx: &mut Cx<'_>) {
         let every = cx.cfg.timings.report_every;
         // Those who wait for a load feel how late its end is noticed.
-        let every = if self.loads.is_empty() { every } else { every / REPORTS_WHILE_LOADING };
+        let is_awaited = !self.loads.is_empty() || self.is_one_by_one() && self.awaits_report(cx.now);
+        let every = if is_awaited { every / REPORTS_WHILE_LOADING } else { every };
         self.next_ask = cx.now.after(every);
         cx.push(Effect::AskReport { upstream: self.id.clone() });
     }
 
+    /// Tells whether something can only go on once a new report comes.
+    fn awaits_report(&self, now: Time) -> bool {
+        let expected = self.loads.values().map(|load| load.expected).min();
+        let is_near = expected.is_none_or(|expected| now.after(REPORT_AHEAD) >= expected);
+        self.accepted.is_none() || self.ledger.has_model_order() && is_near
+    }
+
     /// Sends an order and enters it into the ledger; `again` repeats one whose answer was lost.
     pub(crate) fn send(
         &mut self,
@@ -319,14 +420,16 @@
         action: Order,
     ) -> OrderId {
         let order = again.unwrap_or_else(|| cx.next_order());
+        let mut after = None;
         if action != Order::RaiseFence {
-            self.ledger.begin(order, action.clone(), cx.now);
+            after = self.ledger.begin(order, action.clone(), self.accepted, cx.now);
         }
         cx.push(Effect::Order {
             upstream: self.id.clone(),
             order,
             fence: permit.fence,
             not_after: permit.not_after,
+            after,
             action,
         });
         order
@@ -343,7 +446,10 @@
             OrderAnswer::Accepted => self.on_fence_raised(cx),
             OrderAnswer::Refused { .. } if ignores => self.on_fence_raised(cx),
             OrderAnswer::FenceTooLow { .. } => self.phase = Phase::Superseded,
-            OrderAnswer::Refused { .. } | OrderAnswer::NotSent | OrderAnswer::Lost => {
+            OrderAnswer::Refused { .. }
+            | OrderAnswer::OutOfTurn
+            | OrderAnswer::NotSent
+            | OrderAnswer::Lost => {
                 self.phase = Phase::RaisingFence { order: None, retry: cx.now.after(FENCE_RETRY) };
             }
         }
@@ -368,12 +474,14 @@
         for seen in report.models.iter().filter(|seen| seen.running > 0) {
             self.last_busy.insert(seen.model.clone(), now);
         }
+        self.recount(asked, report);
         let restarted = self.incarnation().is_some_and(|known| known != report.incarnation);
         self.seen = Some(Seen { asked, heard: now, report: report.clone() });
         if restarted { ReportNews::Restarted } else { ReportNews::Usable }
     }
 
-    fn incarnation(&self) -> Option<Incarnation> {
+    /// Returns which life of the engine the last report spoke of.
+    pub(crate) fn incarnation(&self) -> Option<Incarnation> {
         self.seen.as_ref().map(|seen| seen.report.incarnation)
     }
 
@@ -383,6 +491,9 @@
         self.closing_adapters.clear();
         self.ready_since.clear();
         self.last_busy.clear();
+        self.adapter_uses.clear();
+        self.accepted = None;
+        self.recount_from = now;
         // A new life may have forgotten the fence and would obey a former owner.
         self.phase = Phase::RaisingFence { order: None, retry: now };
     }
--- a/crates/skylarkshore-core/src/loading/ledger.rs
+++ b/crates/skylarkshore-core/src/loading/ledger.rs
@@ -24,11 +24,20 @@
 struct PendingOrder {
     action: Order,
     sent: Time,
+    /// How many orders the engine had accepted before this one, where it numbers them.
+    after: Option<u64>,
     progress: Progress,
     /// When a copy of it was last given up for lost; that copy may still arrive.
     lost: Option<Time>,
 }
 
+impl PendingOrder {
+    fn unsettled(&self, id: OrderId) -> UnsettledOrder<'_> {
+        let resend = self.progress == Progress::Unanswered;
+        UnsettledOrder { id, action: &self.action, sent: self.sent, resend }
+    }
+}
+
 /// What an answer tells about its order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Answered {
@@ -62,9 +71,22 @@
 
 impl Ledger {
     /// Enters an order that is about to be sent, or sent once more.
-    pub(crate) fn begin(&mut self, order: OrderId, action: Order, now: Time) {
-        let lost = self.orders.get(&order).and_then(|pending| pending.lost);
-        self.orders.insert(order, PendingOrder { action, sent: now, progress: Progress::InFlight, lost });
+    ///
+    /// Returns how many orders the engine must have accepted before it: the same
+    /// number for every copy, so that at most one of them takes effect.
+    pub(crate) fn begin(
+        &mut self,
+        order: OrderId,
+        action: Order,
+        after: Option<u64>,
+        now: Time,
+    ) -> Option<u64> {
+        let earlier = self.orders.get(&order);
+        let lost = earlier.and_then(|pending| pending.lost);
+        let after = earlier.map_or(after, |pending| pending.after);
+        self.orders
+            .insert(order, PendingOrder { action, sent: now, after, progress: Progress::InFlight, lost });
+        after
     }
 
     /// Takes an answer over; none if the order isn't known any more.
@@ -115,6 +137,11 @@
     pub(crate) fn settle(&mut self, report: &EngineReport, asked: Time, settle: Duration) -> Vec<Settled> {
         let is_settled = |order: &OrderId, pending: &mut PendingOrder| {
             let named = report.settled.contains(order);
+            if let Some((accepted, after)) = report.accepted.zip(pending.after) {
+                let taken = accepted > after && asked >= pending.sent && !report.busy;
+                let expired = pending.lost.is_some_and(|lost| asked >= lost.after(settle));
+                return taken || expired && !matches!(pending.progress, Progress::InFlight);
+            }
             match (pending.progress, pending.lost) {
                 (Progress::InFlight, _) => false,
                 (Progress::Accepted { at }, None) => asked >= at,
@@ -161,12 +188,22 @@
         self.orders
             .iter()
             .find(|(_, pending)| model_of(&pending.action) == Some(model) && wanted(&pending.action))
-            .map(|(id, pending)| UnsettledOrder {
-                id: *id,
-                action: &pending.action,
-                sent: pending.sent,
-                resend: pending.progress == Progress::Unanswered,
-            })
+            .map(|(id, pending)| pending.unsettled(*id))
+    }
+
+    /// Returns an unsettled order that loads or unloads the adapter.
+    pub(crate) fn find_adapter(
+        &self,
+        model: &ModelName,
+        adapter: &AdapterName,
+    ) -> Option<UnsettledOrder<'_>> {
+        let is_it = |action: &Order| match action {
+            Order::LoadAdapter { model: base, adapter: name, .. }
+            | Order::UnloadAdapter { model: base, adapter: name } => base == model && name == adapter,
+            _ => false,
+        };
+        let found = self.orders.iter().find(|(_, pending)| is_it(&pending.action));
+        found.map(|(id, pending)| pending.unsettled(*id))
     }
 
     /// Tells whether an unsettled order concerns the model.
@@ -174,6 +211,36 @@
         self.orders.values().any(|pending| model_of(&pending.action) == Some(model))
     }
 
+    /// Tells whether an order that loads or unloads a base model isn't settled.
+    pub(crate) fn has_model_order(&self) -> bool {
+        self.orders
+            .values()
+            .any(|pending| matches!(pending.action, Order::Load { .. } | Order::Unload { .. }))
+    }
+
+    /// Tells whether any order hasn't been answered.
+    pub(crate) fn has_unanswered(&self) -> bool {
+        self.orders.values().any(|pending| !matches!(pending.progress, Progress::Accepted { .. }))
+    }
+
+    /// Returns the adapters that unsettled orders load.
+    pub(crate) fn adapters_loading(&self) -> impl Iterator<Item = (ModelName, AdapterName)> {
+        self.orders.values().filter_map(|pending| match &pending.action {
+            Order::LoadAdapter { model, adapter, .. } => Some((model.clone(), adapter.clone())),
+            _ => None,
+        })
+    }
+
+    /// Returns the adapters whose loads were accepted, and when.
+    pub(crate) fn accepted_adapters(&self) -> impl Iterator<Item = (&ModelName, &AdapterName, Time)> {
+        self.orders.values().filter_map(|pending| match (&pending.action, pending.progress) {
+            (Order::LoadAdapter { model, adapter, .. }, Progress::Accepted { at }) => {
+                Some((model, adapter, at))
+            }
+            _ => None,
+        })
+    }
+
     /// Tells whether an order that takes memory hasn't been answered.
     ///
     /// There is at most one at a time, so that whoever takes the engine over
--- a/crates/skylarkshore-core/src/loading/load.rs
+++ b/crates/skylarkshore-core/src/loading/load.rs
@@ -7,6 +7,7 @@
 use crate::cx::Cx;
 use crate::id::{AdapterName, ModelName};
 use crate::loading::Beside;
+use crate::loading::adapters;
 use crate::loading::close;
 use crate::loading::engine::Engine;
 use crate::loading::pacing::{LoadKey, Slot, Urgency};
@@ -35,9 +36,12 @@
 ) {
     // Memory that a more urgent load waits for isn't given to a less urgent one.
     let mut spoken_for = Mebibytes(0);
+    // On an engine that takes one order at a time, only the most urgent load makes room.
+    let mut is_turn_taken = false;
     let mut crowded = OrderedSet::new();
     for want in wants {
         if engine.model(&want.model).is_some() {
+            crowded.remove(&want.model);
             load_adapters(cx, engine, beside, permit, want);
             continue;
         }
@@ -48,14 +52,20 @@
         let memory = model.footprint();
         let free = free_for(cx, engine, &want.model).saturating_sub(spoken_for);
         spoken_for += memory;
+        let is_in_turn = !engine.is_one_by_one() || !is_turn_taken && engine.is_free_for_orders();
+        if !is_in_turn {
+            continue;
+        }
         if memory > free {
-            if !close::make_room(cx, engine, beside, want, memory.saturating_sub(free)) {
+            if close::make_room(cx, engine, beside, want, memory.saturating_sub(free)) {
+                is_turn_taken = true;
+            } else {
                 crowded.insert(want.model.clone());
             }
             continue;
         }
         let load = Order::Load { model: want.model.clone(), version: model.version.clone(), memory };
-        begin(cx, engine, beside, permit, want, load);
+        is_turn_taken |= begin(cx, engine, beside, permit, want, load) == Begun::Yes;
     }
     engine.crowded = crowded;
 }
@@ -76,6 +86,22 @@
     true
 }
 
+/// Sends an adapter's order of unknown outcome again; tells whether one for it is unsettled.
+fn resend_adapter(
+    cx: &mut Cx<'_>,
+    engine: &mut Engine,
+    permit: Permit,
+    model: &ModelName,
+    adapter: &AdapterName,
+) -> bool {
+    let Some(unsettled) = engine.ledger.find_adapter(model, adapter) else { return false };
+    if unsettled.resend && unsettled.sent.after(RESEND_AFTER).is_due(cx.now) {
+        let (id, action) = (unsettled.id, unsettled.action.clone());
+        engine.send(cx, permit, Some(id), action);
+    }
+    true
+}
+
 fn may_begin(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, want: &Want) -> bool {
     let failed = engine.failures.get(&want.model).is_some_and(|failures| !failures.retry.is_due(cx.now));
     !failed && !engine.is_leaving() && has_power(engine, beside)
@@ -87,7 +113,8 @@
 }
 
 fn load_adapters(cx: &mut Cx<'_>, engine: &mut Engine, beside: &mut Beside<'_>, permit: Permit, want: &Want) {
-    if !engine.is_ready(&want.model) || resend(cx, engine, permit, &want.model) {
+    let is_held_up = !engine.is_one_by_one() && resend(cx, engine, permit, &want.model);
+    if !engine.is_ready(&want.model) || is_held_up {
         return;
     }
     let Some(model) = cx.document.catalogue.models.get(&want.model) else { return };
@@ -96,16 +123,29 @@
         if has_adapter(engine, &want.model, &adapter) || !may_begin(cx, engine, beside, want) {
             continue;
         }
+        if resend_adapter(cx, engine, permit, &want.model, &adapter) {
+            continue;
+        }
         let free = free_for(cx, engine, &want.model);
         if memory > free {
             close::make_room(cx, engine, beside, want, memory.saturating_sub(free));
             continue;
         }
+        if !adapters::make_room(cx, engine, beside.demand, permit) {
+            continue;
+        }
         let load = Order::LoadAdapter { model: want.model.clone(), adapter, memory };
         begin(cx, engine, beside, permit, want, load);
     }
 }
 
+/// Whether an order was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Begun {
+    Yes,
+    No,
+}
+
 fn has_adapter(engine: &Engine, model: &ModelName, adapter: &AdapterName) -> bool {
     engine.model(model).is_some_and(|seen| seen.adapters.iter().any(|a| a.adapter == *adapter))
 }
@@ -118,23 +158,32 @@
     permit: Permit,
     want: &Want,
     load: Order,
-) {
-    if engine.ledger.awaits_answer() {
-        return;
+) -> Begun {
+    let is_free = match load {
+        Order::LoadAdapter { .. } => engine.is_free_for_adapter_orders(),
+        _ => engine.is_free_for_orders(),
+    };
+    if engine.ledger.awaits_answer() || !is_free {
+        return Begun::No;
     }
     let key = LoadKey { engine: engine.id.clone(), model: want.model.clone() };
     let urgency = Urgency { order: want.order, patience: want.deadline.remaining(cx.now) };
-    if beside.pacing.request(cx, &key, urgency) == Slot::Waiting {
-        return;
+    let is_paced =
+        !engine.is_one_by_one() || matches!(load, Order::Load { .. }) && !engine.has_copy(&want.model);
+    if is_paced && beside.pacing.request(cx, &key, urgency) == Slot::Waiting {
+        return Begun::No;
     }
-    let expected = cx.now.after(beside.load_times.of(cx, &want.model));
+    let expected = cx.now.after(beside.load_times.on(cx, engine, &want.model));
     if want.cause == Cause::Ahead
         && let Some(last) = beside.history.last(&want.model)
     {
         engine.prewarmed.insert(want.model.clone(), last);
     }
     if matches!(load, Order::Load { .. }) {
-        engine.loads.insert(want.model.clone(), LoadProgress { started: cx.now, expected, checked: cx.now });
+        engine.loads.insert(
+            want.model.clone(),
+            LoadProgress { started: cx.now, expected, checked: cx.now, is_from_store: is_paced },
+        );
     }
     cx.note(
         "load_started",
@@ -142,13 +191,19 @@
         format!("cause={} waiting={}", want.cause, want.waiting),
     );
     engine.send(cx, permit, None, load);
-    beside.pacing.started(&key);
+    if is_paced {
+        beside.pacing.started(&key);
+    }
     beside.tally.loads += 1;
+    Begun::Yes
 }
 
 /// Takes note of loads that have ended, as the engine's report shows them.
-pub(crate) fn note_ended(cx: &mut Cx<'_>, engine: &mut Engine, beside: &mut Beside<'_>) {
-    let Some(report) = engine.report() else { return };
+///
+/// Returns the models that can be used since now.
+pub(crate) fn note_ended(cx: &mut Cx<'_>, engine: &mut Engine, beside: &mut Beside<'_>) -> Vec<ModelName> {
+    let mut served = Vec::new();
+    let Some(report) = engine.report() else { return served };
     let ready: Vec<ModelName> =
         report.models.iter().filter(|m| m.state == LoadState::Ready).map(|m| m.model.clone()).collect();
     engine.ready_since.retain(|model, _| ready.contains(model));
@@ -157,13 +212,16 @@
         engine.ready_since.entry(model.clone()).or_insert(cx.now);
         let Some(load) = engine.loads.remove(&model) else { continue };
         let took = cx.now.since(load.started);
+        if engine.is_one_by_one() {
+            served.push(model.clone());
+        }
         if let Some(need) = beside.demand.of_model(&model) {
             beside.history.felt(&model, need.waiting);
         }
         // A process that was paused in the middle notices the end late. Were that
         // taken for the load's length, callers would be refused for want of time
         // although the model loads as fast as ever.
-        if cx.now.since(load.checked) <= MEASURABLE_GAP {
+        if cx.now.since(load.checked) <= MEASURABLE_GAP && load.is_from_store {
             beside.load_times.measured(&model, took);
         }
         cx.note("load_ended", format!("{model}@{}", engine.id), format!("took_ms={}", took.as_millis()));
@@ -177,6 +235,7 @@
             failed(cx, engine, beside.tally, &model, "the engine doesn't show it any more");
         }
     }
+    served
 }
 
 /// Takes note of a load that failed; the next try waits longer after every failure.
--- a/crates/skylarkshore-core/src/loading/stages.rs
+++ b/crates/skylarkshore-core/src/loading/stages.rs
@@ -51,6 +51,8 @@
     pub expected: Time,
     /// When it was last looked at.
     pub checked: Time,
+    /// Whether the weights come from the weight store.
+    pub is_from_store: bool,
 }
 
 /// Why a model is to leave an engine.
--- a/crates/skylarkshore-core/src/loading/tally.rs
+++ b/crates/skylarkshore-core/src/loading/tally.rs
@@ -5,6 +5,7 @@
 use crate::collections::OrderedMap;
 use crate::cx::Cx;
 use crate::id::ModelName;
+use crate::loading::engine::Engine;
 
 /// What the process has done with its engines so far.
 #[derive(Clone, Copy, Debug, Default)]
@@ -26,7 +27,18 @@
 }
 
 impl LoadTimes {
-    /// Returns how long a load of the model is expected to take.
+    /// Returns how long a load of the model on an engine is expected to take.
+    pub(crate) fn on(&self, cx: &Cx<'_>, engine: &Engine, model: &ModelName) -> Duration {
+        let known = cx.document.catalogue.models.get(model);
+        let times = known.and_then(|known| known.copy_load_times);
+        match (times, engine.report()) {
+            (Some(times), Some(report)) if report.copies.in_memory.contains(model) => times.from_memory,
+            (Some(times), Some(report)) if report.copies.on_disk.contains(model) => times.from_disk,
+            _ => self.of(cx, model),
+        }
+    }
+
+    /// Returns how long a load of the model from the weight store is expected to take.
     pub(crate) fn of(&self, cx: &Cx<'_>, model: &ModelName) -> Duration {
         let listed = || cx.document.catalogue.models.get(model).map(|known| known.load_time);
         self.measured.get(model).copied().or_else(listed).unwrap_or_default()
--- a/crates/skylarkshore-core/src/loading/views.rs
+++ b/crates/skylarkshore-core/src/loading/views.rs
@@ -4,12 +4,12 @@
 
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::cx::Cx;
-use crate::id::{HostId, ModelName};
+use crate::id::{AdapterName, HostId, ModelName};
 use crate::loading::demand::Demand;
 use crate::loading::engine::Engine;
 use crate::peer::PeerMessage;
 use crate::time::Time;
-use crate::upstream::{LoadState, ReportedModel};
+use crate::upstream::{LoadState, Order, ReportedModel};
 use crate::view::{EngineView, ModelView, Readiness, ViewVersion};
 
 /// How often changes of load alone are told at most.
@@ -139,6 +139,7 @@
     EngineView {
         upstream: engine.id.clone(),
         version: ViewVersion::default(),
+        incarnation: engine.incarnation().unwrap_or_default(),
         models,
         concurrency: engine.concurrency(),
         running: report.map_or(0, |report| report.running + report.waiting),
@@ -147,9 +148,14 @@
     }
 }
 
+const fn is_unload(order: &Order) -> bool {
+    matches!(order, Order::Unload { .. })
+}
+
 fn model_view(now: Time, engine: &Engine, seen: &ReportedModel) -> ModelView {
     let readiness = match seen.state {
         LoadState::Ready if engine.closing.contains_key(&seen.model) => Readiness::Closing,
+        LoadState::Ready if engine.ledger.find(&seen.model, is_unload).is_some() => Readiness::Closing,
         LoadState::Ready => Readiness::Ready,
         LoadState::Unloading => Readiness::Closing,
         LoadState::Loading => {
@@ -158,14 +164,17 @@
             Readiness::Loading { remaining }
         }
     };
-    let adapters = seen.adapters.iter().filter(|a| {
-        a.ready && !engine.closing_adapters.contains_key(&(seen.model.clone(), a.adapter.clone()))
-    });
+    let shown = seen.adapters.iter().filter(|a| a.ready).map(|a| &a.adapter);
+    let assumed = engine.assumed_adapters(now).filter(|(model, _)| **model == seen.model);
+    let mut adapters: Vec<AdapterName> = shown.chain(assumed.map(|(_, adapter)| adapter)).cloned().collect();
+    adapters.retain(|a| !engine.closing_adapters.contains_key(&(seen.model.clone(), a.clone())));
+    adapters.sort_unstable();
+    adapters.dedup();
     ModelView {
         model: seen.model.clone(),
         version: seen.version.clone(),
         readiness,
-        adapters: adapters.map(|a| a.adapter.clone()).collect(),
+        adapters,
         running: seen.running,
     }
 }
--- a/crates/skylarkshore-core/src/loading/wants.rs
+++ b/crates/skylarkshore-core/src/loading/wants.rs
@@ -17,6 +17,16 @@
 /// How many requests may wait for each slot of a replica before one more replica helps.
 const WAITING_PER_SLOT: u32 = 2;
 
+/// From how many requests a second on a model has a second replica.
+///
+/// At this rate the requests that a lost replica would keep waiting for a load
+/// are worth more than the memory of the second one.
+const HOT_RATE: f64 = 1.0;
+/// How many replicas such a model has at least.
+const HOT_REPLICAS: u32 = 2;
+/// The requests a second that one replica takes, as a share of those it runs at a time.
+const SHARE_PER_REPLICA: f64 = 0.2;
+
 /// Why a model ought to be loaded.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Cause {
@@ -26,9 +36,15 @@
     /// The rules keep it loaded.
     #[display("kept")]
     Kept,
+    /// It is asked for so often that one replica is too few.
+    #[display("spread")]
+    Spread,
     /// A request is expected soon.
     #[display("ahead")]
     Ahead,
+    /// The engine is to keep a copy of its weights, so that later loads are fast.
+    #[display("copy")]
+    Copy,
 }
 
 /// The order of service of loads that nobody waits for yet.
@@ -45,14 +61,19 @@
     pub order: ServiceOrder,
     /// When the most patient of those who wait gives up; never when nobody waits.
     pub deadline: Time,
+    /// By when those who wait are best served, if that can still be done.
+    pub aim: Option<Time>,
     /// How many requests wait.
     pub waiting: u32,
 }
 
 impl Want {
     /// Returns what decides which want goes first.
-    pub(crate) const fn rank(&self) -> (Cause, ServiceOrder, Time) {
-        (self.cause, self.order, self.deadline)
+    ///
+    /// Those who can still be served with full value go before those who can't;
+    /// the others lose nothing more by waiting a little longer.
+    pub(crate) fn rank(&self) -> (Cause, ServiceOrder, bool, Time) {
+        (self.cause, self.order, self.aim.is_none(), self.aim.unwrap_or(self.deadline))
     }
 }
 
@@ -61,6 +82,8 @@
     let mut models = beside.demand.models();
     models.extend(engine.kept.iter().cloned());
     models.extend(engine.expected_soon.iter().cloned());
+    models.extend(engine.hot.iter().cloned());
+    models.extend(engine.uncopied.iter().cloned());
     let mut wants: Vec<Want> =
         models.into_iter().filter_map(|model| want(cx, engine, beside, model)).collect();
     wants.sort_by_key(Want::rank);
@@ -77,15 +100,23 @@
     if let Some(need) = beside.demand.of_model(&model)
         && beside.own.place(&engine.id, &model, homes) < replicas_needed(engine, &need, outcome)
     {
-        let Need { order, deadline, waiting } = need;
-        return Some(Want { cause: Cause::Waiting, model, order, deadline, waiting });
+        let Need { order, deadline, aim, waiting } = need;
+        let ready = cx.now.after(beside.load_times.on(cx, engine, &model));
+        let aim = (ready <= aim && aim != Time::NEVER).then_some(aim);
+        return Some(Want { cause: Cause::Waiting, model, order, deadline, aim, waiting });
     }
-    let (cause, order) = match engine.kept.contains(&model) {
-        true => (Cause::Kept, outcome.order),
-        false if engine.expected_soon.contains(&model) => (Cause::Ahead, LAST),
-        false => return None,
+    let (cause, order) = if engine.kept.contains(&model) {
+        (Cause::Kept, outcome.order)
+    } else if engine.hot.contains(&model) {
+        (Cause::Spread, outcome.order)
+    } else if engine.expected_soon.contains(&model) {
+        (Cause::Ahead, LAST)
+    } else if engine.uncopied.contains(&model) {
+        (Cause::Copy, LAST)
+    } else {
+        return None;
     };
-    Some(Want { cause, model, order, deadline: Time::NEVER, waiting: 0 })
+    Some(Want { cause, model, order, deadline: Time::NEVER, aim: None, waiting: 0 })
 }
 
 /// Works out which models the rules keep loaded on the engine, requests or not.
@@ -98,6 +129,54 @@
     engine.kept = kept.map(|(model, _)| model.clone()).collect();
 }
 
+/// Works out which models are asked for so often that this engine has to hold them beside others.
+pub(crate) fn review_hot(cx: &Cx<'_>, engine: &mut Engine, beside: &Beside<'_>) {
+    engine.hot.clear();
+    if !engine.is_one_by_one() {
+        return;
+    }
+    let often: Vec<ModelName> = beside.usage.above(cx.now, HOT_RATE).cloned().collect();
+    for model in often {
+        let Some((_, homes)) = cx.cache.homes(&model) else { continue };
+        let wanted = replicas_for(engine, beside.usage.per_second(cx.now, &model));
+        let is_among = place(cx, engine, homes).is_some_and(|place| place < wanted);
+        if homes.engines.contains(&engine.id) && is_among {
+            engine.hot.insert(model);
+        }
+    }
+}
+
+/// Returns how many replicas requests at this rate are worth.
+pub(crate) fn replicas_for(engine: &Engine, per_second: f64) -> u32 {
+    let capacity = f64::from(engine.concurrency()) * SHARE_PER_REPLICA;
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "rates are small and positive"
+    )]
+    let by_load = (per_second / capacity.max(1.0)).ceil() as u32;
+    if per_second >= HOT_RATE { by_load.max(HOT_REPLICAS) } else { 1 }
+}
+
+/// Works out of which models the engine is to keep a copy that it doesn't have yet.
+///
+/// The first load of a model comes from the weight store and takes several
+/// times as long as the next one. Callers of a rarely used model would feel it
+/// on every engine that loads it for the first time, so its first home loads it
+/// once when nothing else is to be loaded.
+pub(crate) fn review_uncopied(cx: &Cx<'_>, engine: &mut Engine, beside: &Beside<'_>) {
+    engine.uncopied.clear();
+    if !engine.is_one_by_one() || engine.report().is_none() {
+        return;
+    }
+    for (model, homes) in cx.cache.all_homes() {
+        let is_first = homes.engines.first() == Some(&engine.id);
+        if is_first && !engine.has_copy(model) && beside.authority.is_home(&engine.id, model) {
+            engine.uncopied.insert(model.clone());
+        }
+    }
+}
+
 /// Works out which models are better loaded ahead of their next request.
 ///
 /// Each is loaded once in the time without requests. A prediction that failed
--- a/crates/skylarkshore-core/src/loading/wishes.rs
+++ b/crates/skylarkshore-core/src/loading/wishes.rs
@@ -8,11 +8,11 @@
 use crate::id::ModelName;
 use crate::loading::Beside;
 use crate::loading::engine::Engine;
-use crate::loading::wants::Want;
+use crate::loading::wants::{self, Want};
 use crate::time::Time;
 
 /// How long replicas have to be full before one more home is wished for.
-const FULL_FOR: Duration = Duration::from_secs(2);
+const FULL_FOR: Duration = Duration::from_millis(500);
 /// How long no room can be made before the home is to move.
 const CROWDED_FOR: Duration = Duration::from_secs(1);
 
@@ -34,12 +34,14 @@
 /// Works out which models on an engine need another home.
 pub(crate) fn review(cx: &Cx<'_>, engine: &mut Engine, beside: &Beside<'_>, wants: &[Want]) {
     let waiting = |want: &&Want| want.waiting > 0;
-    let full: Vec<&ModelName> = wants
+    let mut full: Vec<&ModelName> = wants
         .iter()
         .filter(waiting)
         .filter(|want| is_full(cx, engine, want))
         .map(|want| &want.model)
         .collect();
+    let often = beside.usage.above(cx.now, f64::MIN_POSITIVE).filter(|_| engine.is_one_by_one());
+    full.extend(often.filter(|model| has_too_few_homes(cx, engine, beside, model)));
     let crowded: Vec<&ModelName> = wants
         .iter()
         .filter(waiting)
@@ -71,6 +73,13 @@
         && engine.report().is_some_and(|report| report.running >= slots)
 }
 
+/// Tells whether a model, of which this is the last home, is asked for more than its homes can take.
+fn has_too_few_homes(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, model: &ModelName) -> bool {
+    let Some((_, homes)) = cx.cache.homes(model) else { return false };
+    let wanted = wants::replicas_for(engine, beside.usage.per_second(cx.now, model));
+    homes.engines.last() == Some(&engine.id) && homes.engines.len() < wanted as usize
+}
+
 fn keep_since(now: Time, since: &mut OrderedMap<ModelName, Time>, models: &[&ModelName]) {
     since.retain(|model, _| models.contains(&model));
     for model in models {
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -15,6 +15,7 @@
 use crate::effect::Effect;
 use crate::event::Event;
 use crate::id::{HostId, StoreRevision, UpstreamId};
+use crate::listing::Listing;
 use crate::loading::Loading;
 use crate::peer::{Envelope, PeerMessage};
 use crate::rules::MinuteOfDay;
@@ -33,6 +34,7 @@
     document: Arc<Document>,
     cache: StoreCache,
     upstreams: OrderedMap<UpstreamId, Upstream>,
+    listing: Listing,
     counters: Counters,
     rng: SmallRng,
     writes: Writes,
@@ -65,9 +67,10 @@
     pub fn start(cfg: NodeConfig, now: Time) -> (Self, Vec<Effect>) {
         let mut node = Self {
             at: MinuteOfDay::default(),
-            document: Arc::default(),
+            document: Arc::new(Document { rules: cfg.default_rules.clone(), ..Document::default() }),
             cache: StoreCache::default(),
             upstreams: OrderedMap::new(),
+            listing: Listing::new(),
             counters: Counters::default(),
             rng: SmallRng::seed_from_u64(cfg.seed),
             writes: Writes::default(),
@@ -118,7 +121,7 @@
 
     /// Tells whether the process knows enough to serve.
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.document.revision.0 > 0 && !self.upstreams.is_empty()
+        !self.is_leaving() && self.document.is_known() && !self.upstreams.is_empty()
     }
 
     /// Tells what the process believes.
@@ -147,6 +150,10 @@
             Event::Shutdown => self.on_shutdown(now, effects),
             Event::HostList(list) => self.on_host_list(now, list, effects),
             Event::Store { call, result } => {
+                match &result {
+                    Ok(_) => self.listing.answered(now),
+                    Err(_failure) => self.listing.silent(),
+                }
                 if let Ok(StoreAnswer::Shared { revision, records }) = &result {
                     self.take_snapshot(now, *revision, records.clone(), effects);
                 }
@@ -168,7 +175,10 @@
                 self.take_records(now, changes.clone(), effects);
                 self.with(now, effects, |cx, parts| parts.control.on_watched(cx, changes, upto));
             }
-            Event::WatchBroken => self.with(now, effects, |cx, parts| parts.control.on_watch_broken(cx)),
+            Event::WatchBroken => {
+                self.listing.silent();
+                self.with(now, effects, |cx, parts| parts.control.on_watch_broken(cx));
+            }
             Event::Peer { from, message } => self.on_peer(now, &from, message, effects),
             Event::PeerRefused { host, incarnation } => {
                 self.with(now, effects, |cx, parts| parts.control.on_peer_refused(cx, &host, incarnation));
@@ -186,6 +196,9 @@
             Event::CallerGone { request } => {
                 self.with(now, effects, |cx, parts| parts.serving.on_caller_gone(cx, request));
             }
+            Event::LoadTold { upstream, load } => {
+                self.with(now, effects, |cx, parts| parts.serving.on_load_told(cx, &upstream, load));
+            }
             Event::AnswerStarted { attempt } => {
                 self.with(now, effects, |cx, parts| parts.serving.on_answer_started(cx, attempt));
             }
@@ -201,6 +214,7 @@
         for (key, outcome) in ended {
             self.on_written(now, &key, &outcome, effects);
         }
+        self.drop_gone_upstreams(now, effects);
         self.with(now, effects, |cx, parts| {
             parts.control.on_tick(cx, &*parts.loading);
             parts.loading.on_tick(cx, &*parts.control);
@@ -234,7 +248,21 @@
     }
 
     fn on_host_list(&mut self, now: Time, list: Vec<Upstream>, effects: &mut Vec<Effect>) {
-        self.upstreams = list.into_iter().map(|upstream| (upstream.id.clone(), upstream)).collect();
+        let grace = self.cfg.timings.list_grace;
+        self.upstreams = self.listing.merge(now, grace, list, &self.upstreams);
+        self.on_upstreams_changed(now, effects);
+    }
+
+    fn drop_gone_upstreams(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let gone = self.listing.take_gone(now, self.cfg.timings.list_grace);
+        if gone.is_empty() {
+            return;
+        }
+        self.upstreams.retain(|id, _| !gone.contains(id));
+        self.on_upstreams_changed(now, effects);
+    }
+
+    fn on_upstreams_changed(&mut self, now: Time, effects: &mut Vec<Effect>) {
         self.with(now, effects, |cx, parts| {
             parts.control.on_host_list(cx);
             parts.serving.on_host_list(cx);
@@ -298,7 +326,7 @@
 
     fn announce(&mut self, now: Time, changed: &[Key], effects: &mut Vec<Effect>) {
         for key in changed {
-            if *key == Key::Document {
+            if matches!(key, Key::Document | Key::Catalogue) {
                 self.adopt_document();
             }
             self.with(now, effects, |cx, parts| {
@@ -308,19 +336,28 @@
         }
     }
 
-    /// Puts the cached document into force if its revision is higher.
+    /// Puts the cached document and catalogue into force where their revisions are higher.
     ///
     /// A restored or stale key-value service can show an older document under a
     /// newer store revision. Operators would see refused rules act again; so
     /// the operators' own revision has to rise too.
     fn adopt_document(&mut self) {
-        let Some(Record::Document(document)) = self.cache.get(&Key::Document).and_then(|v| v.record.as_ref())
-        else {
-            return;
-        };
-        if document.revision > self.document.revision {
-            self.document = Arc::clone(document);
+        let mut document = Arc::clone(&self.document);
+        if let Some(Record::Document(newer)) = self.record(&Key::Document)
+            && newer.revision > document.revision
+        {
+            document = Arc::new(document.with_rules_of(newer));
         }
+        if let Some(Record::Catalogue(newer)) = self.record(&Key::Catalogue)
+            && newer.revision > document.catalogue_revision
+        {
+            document = Arc::new(document.with_catalogue(newer));
+        }
+        self.document = document;
+    }
+
+    fn record(&self, key: &Key) -> Option<&Record> {
+        self.cache.get(key)?.record.as_ref()
     }
 
     fn hand_over_ownership(&mut self, now: Time, effects: &mut Vec<Effect>) {
--- a/crates/skylarkshore-core/src/peer.rs
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -64,6 +64,8 @@
         order: ServiceOrder,
         /// How long the most patient of them can still wait.
         patience: Duration,
+        /// How long the least patient of them can wait for its answer to have its full value.
+        aim: Option<Duration>,
         /// How many requests for it arrived at the sender since its last message.
         arrived: u32,
     },
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -26,7 +26,7 @@
 use crate::cx::Cx;
 use crate::dump::{Belief, Gauge};
 use crate::effect::RefusalReason;
-use crate::event::{Arrival, AttemptEnd};
+use crate::event::{Arrival, AttemptEnd, LoadTold};
 use crate::id::{AttemptId, CallId, HostId, RequestId, UpstreamId};
 use crate::peer::PeerMessage;
 use crate::store::{Key, StoreResult, WriteOutcome};
@@ -65,7 +65,7 @@
 
 impl Serving {
     /// Makes the state of a process without requests.
-    pub fn new(_cfg: &NodeConfig) -> Self {
+    pub fn new(cfg: &NodeConfig) -> Self {
         Self {
             requests: OrderedMap::new(),
             attempts: HashMap::default(),
@@ -74,8 +74,8 @@
             routes: Routes::default(),
             wants: Wants::default(),
             once: Once::default(),
-            suspects: Suspects::default(),
-            budget: RetryBudget::new(),
+            suspects: Suspects::new(cfg.limits.suspects),
+            budget: RetryBudget::new(cfg.limits.retries),
             paces: Paces::default(),
             tally: Tally::default(),
             house_due: Time::START,
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Takes note of how much an upstream told that it had to do.
+    pub fn on_load_told(&mut self, cx: &mut Cx<'_>, upstream: &UpstreamId, load: LoadTold) {
+        self.routes.note_load(cx.now, upstream, load);
+    }
+
     /// Takes the end of an attempt.
     pub fn on_attempt_ended(&mut self, cx: &mut Cx<'_>, attempt: AttemptId, end: AttemptEnd) {
         let upstream = self.upstream_of(attempt);
@@ -157,11 +162,14 @@
         self.once.forget_old(cx.now);
         self.suspects.forget_old(cx);
         self.wants.renew(cx);
+        self.budget.note_hosts(cx.now, cx.cache.members().count());
     }
 
     /// Takes note of a new host list.
     pub fn on_host_list(&mut self, cx: &mut Cx<'_>) {
-        self.routes.keep_listed(cx.upstreams);
+        self.routes.keep_listed(cx);
+        self.suspects.on_host_list(cx);
+        self.refuse_convicted(cx);
         self.review_all(cx);
         self.pump(cx);
     }
@@ -169,7 +177,10 @@
     /// Takes note that a shared key has changed in the cache.
     pub fn on_change(&mut self, cx: &mut Cx<'_>, key: &Key) {
         match key {
-            Key::Document => self.pump(cx),
+            Key::Document | Key::Catalogue => {
+                self.routes.keep_listed(cx);
+                self.pump(cx);
+            }
             Key::Owner(_) | Key::Homes(_) => self.ask_again(cx, key),
             Key::Member(_) | Key::Power(_) | Key::Once(_) => {}
         }
@@ -200,8 +211,8 @@
             PeerMessage::CannotLoad { target, reason, retry_after } => {
                 self.on_cannot_load(cx, from, target, reason, *retry_after);
             }
-            PeerMessage::Suspects { upstream, requests, alone, .. } => {
-                self.on_suspects(cx, from, upstream, requests, *alone);
+            PeerMessage::Suspects { upstream, incarnation, requests, alone } => {
+                self.on_suspects(cx, from, upstream, *incarnation, requests, *alone);
             }
             PeerMessage::SuspectsNoted { requests } => {
                 for id in self.suspects.on_noted(from, requests) {
--- a/crates/skylarkshore-core/src/serving/alone.rs
+++ b/crates/skylarkshore-core/src/serving/alone.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use crate::config::SuspectPolicy;
 use crate::cx::Cx;
 use crate::effect::RefusalReason;
 use crate::event::Target;
-use crate::id::{Digest, HostId, RequestId, UpstreamId};
+use crate::id::{Digest, HostId, Incarnation, RequestId, UpstreamId};
 use crate::peer::PeerMessage;
 use crate::serving::Serving;
 use crate::serving::attempt::owner;
@@ -116,15 +117,30 @@
         }
     }
 
+    /// Counts a request that was lost with its upstream, here and at the peers.
+    pub(super) fn count_loss(&mut self, cx: &mut Cx<'_>, id: RequestId, upstream: &UpstreamId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let digests = vec![request.arrival.digest];
+        let incarnation = cx.upstreams.get(upstream).map(|listed| listed.incarnation);
+        self.suspects.count_loss(cx, upstream, incarnation, &digests);
+        let upstream = upstream.clone();
+        cx.tell_all(&PeerMessage::Suspects { upstream, incarnation, requests: digests, alone: false });
+    }
+
     /// Takes a peer's word of suspects.
     pub(super) fn on_suspects(
         &mut self,
         cx: &mut Cx<'_>,
         from: &HostId,
         upstream: &UpstreamId,
+        incarnation: Option<Incarnation>,
         digests: &[Digest],
         alone: bool,
     ) {
+        if cx.cfg.limits.suspects == SuspectPolicy::CountEnds {
+            self.suspects.count_loss(cx, upstream, incarnation, digests);
+            return self.refuse_convicted(cx);
+        }
         let company = if alone { Company::Alone } else { Company::Others };
         self.suspects.suspect(cx, upstream, digests, company);
         cx.tell(from, PeerMessage::SuspectsNoted { requests: digests.to_vec() });
--- a/crates/skylarkshore-core/src/serving/arrival.rs
+++ b/crates/skylarkshore-core/src/serving/arrival.rs
@@ -8,6 +8,7 @@
 use crate::id::{RequestId, UpstreamId};
 use crate::rules::{Facts, ServiceOrder};
 use crate::serving::Serving;
+use crate::serving::budget::Destination;
 use crate::serving::decide::Step;
 use crate::serving::once::{Here, Learnt};
 use crate::serving::queue::{Overflow, Urgency};
@@ -36,7 +37,7 @@
             return;
         }
         self.tally.arrived += 1;
-        self.budget.earn();
+        self.budget.earn(cx.now, &destination(cx, &arrival.target));
         let idle_for = match &arrival.target {
             Target::Model(target) => self.wants.count_arrival(cx.now, target),
             Target::Service(_) => None,
@@ -44,6 +45,7 @@
         let verdict = self.judge(cx, &arrival, idle_for);
         let deadline = arrival.deadline;
         let order = verdict.as_ref().map_or(ServiceOrder::default(), |order| *order);
+        let order = ServiceOrder(order.0.saturating_add_signed(arrival.terms.rank));
         self.requests.insert(id, Request::new(arrival, order, cx.now));
         self.timers.insert(Due { at: deadline, request: id });
         match verdict {
@@ -311,6 +313,14 @@
     }
 }
 
+/// Returns whose budget retries of a target draw on.
+pub(super) fn destination(cx: &Cx<'_>, target: &Target) -> Destination {
+    match target {
+        Target::Service(service) => Some(service.clone()),
+        Target::Model(target) => cx.document.catalogue.models.get(&target.model)?.pool.clone(),
+    }
+}
+
 /// Returns what a request asks of routing.
 const fn wish(request: &Request) -> Wish<'_> {
     Wish { target: &request.arrival.target, prefix: request.arrival.prefix, tried: &request.tried }
--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
+use crate::config::SuspectPolicy;
 use crate::cx::Cx;
-use crate::effect::RefusalReason;
+use crate::effect::{Effect, RefusalReason};
 use crate::event::{AttemptEnd, Rejection, Target};
 use crate::id::{AttemptId, Digest, HostId, RequestId, UpstreamId};
 use crate::peer::PeerMessage;
 use crate::serving::Serving;
+use crate::serving::arrival::destination;
 use crate::serving::decide::Step;
 use crate::serving::request::{Caller, Company, Due, Past, Run, State};
 use crate::serving::suspect::Standing;
@@ -40,11 +42,13 @@
         let Some(request) = self.requests.get(&id) else { return };
         let Some(run) = request.run().cloned() else { return };
         self.routes.free(&run.upstream);
-        let answered = matches!(end, AttemptEnd::Whole { .. } | AttemptEnd::WholeTooLarge);
+        let answered =
+            matches!(end, AttemptEnd::Whole { .. } | AttemptEnd::WholeTooLarge | AttemptEnd::FailedWhole);
         self.paces.end(&request.arrival.target, answered.then(|| cx.now.since(run.sent)));
         match end {
             AttemptEnd::Whole { held } => self.on_whole(cx, id, &run.upstream, held),
             AttemptEnd::WholeTooLarge => self.on_whole(cx, id, &run.upstream, None),
+            AttemptEnd::FailedWhole => self.on_failed_whole(cx, id, &run.upstream),
             AttemptEnd::NotSent => self.on_not_sent(cx, id, &run.upstream),
             AttemptEnd::Rejected(rejection) => self.on_rejected(cx, id, &run.upstream, rejection),
             AttemptEnd::Lost { passed_on, died } => self.on_lost(cx, id, &run, passed_on, died),
@@ -81,6 +85,16 @@
         }
     }
 
+    /// Asks another upstream where one failed, or passes its failure on.
+    fn on_failed_whole(&mut self, cx: &mut Cx<'_>, id: RequestId, upstream: &UpstreamId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.runs += 1;
+        request.kept_failure = true;
+        request.past = Past::Lost;
+        self.fail_once(cx, id, upstream);
+        self.retry(cx, id, Cost::Retry);
+    }
+
     fn on_not_sent(&mut self, cx: &mut Cx<'_>, id: RequestId, upstream: &UpstreamId) {
         self.routes.note_trouble(cx, upstream);
         if let Some(owner) = owner(cx, upstream) {
@@ -119,6 +133,12 @@
                 self.end_run(cx, id, upstream);
                 return self.retry(cx, id, Cost::Free);
             }
+            // The host list will tell what stands at the address now.
+            (Rejection::Replaced, _) => {
+                self.routes.note_trouble(cx, upstream);
+                self.fail_once(cx, id, upstream);
+                return self.retry(cx, id, Cost::Free);
+            }
             (Rejection::Leaving, _) => {
                 if self.routes.note_leaving(cx.now, upstream) {
                     cx.tell_all(&PeerMessage::UpstreamLeaving { upstream: upstream.clone() });
@@ -142,10 +162,15 @@
         self.fail_once(cx, id, &run.upstream);
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.passed_on |= passed_on;
+        request.runs += 1;
         request.past = if died && run.company == Company::Alone { Past::Crashed } else { Past::Lost };
         if !died {
             return self.after_loss(cx, id);
         }
+        if cx.cfg.limits.suspects == SuspectPolicy::CountEnds {
+            self.count_loss(cx, id, &run.upstream);
+            return self.after_loss(cx, id);
+        }
         request.enter(State::TellingPeers, cx.now);
         let digest = request.arrival.digest;
         if let Some(owner) = owner(cx, &run.upstream) {
@@ -180,6 +205,8 @@
     fn retry(&mut self, cx: &mut Cx<'_>, id: RequestId, cost: Cost) {
         let Some(request) = self.requests.get(&id) else { return };
         let lost = request.past != Past::Clean;
+        let destination = destination(cx, &request.arrival.target);
+        let cost = if self.budget.counts_every_sending() { Cost::Retry } else { cost };
         if request.arrival.deadline.is_due(cx.now) {
             let reason =
                 if lost { RefusalReason::DeadlinePassedRunning } else { RefusalReason::DeadlinePassed };
@@ -189,11 +216,16 @@
             && request.may_be_sent()
             && (!request.passed_on || request.can_resume())
             && request.failures < cx.cfg.limits.attempts
-            && (cost == Cost::Free || self.budget.spend(cx.now));
+            && request.runs < request.arrival.terms.tries
+            && (cost == Cost::Free || self.budget.spend(cx.now, &destination));
         if may {
             self.tally.retries += 1;
             return self.wait(cx, id);
         }
+        if request.kept_failure {
+            cx.push(Effect::PassOn { request: id });
+            return self.finish(cx, id);
+        }
         let reason = if lost { RefusalReason::UpstreamLost } else { RefusalReason::NoUpstream };
         let retry_after = (!lost).then_some(RETRY_AFTER);
         self.advance(cx, id, Step::Refuse { reason, retry_after });
--- a/crates/skylarkshore-core/src/serving/budget.rs
+++ b/crates/skylarkshore-core/src/serving/budget.rs
@@ -1,7 +1,11 @@
 //! How many retries a process allows itself.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::collections::OrderedMap;
+use crate::config::RetryLimits;
+use crate::id::ServiceName;
 use crate::time::Time;
 
 /// A thousandth of a retry, so that a tenth of a request can be counted.
@@ -12,32 +16,82 @@
 const PER_SECOND: u64 = WHOLE_RETRY;
 /// The most that is saved up.
 const MOST: u64 = 20 * WHOLE_RETRY;
+/// The share of a shared budget that is used, in percent.
+///
+/// Processes count their windows from different moments and learn late that one
+/// of them has left; the rest is for that.
+const USED_OF_SHARED: u64 = 80;
+/// How long the largest number of processes that was seen is believed.
+///
+/// In an outage the members' keys may vanish while every process lives. If each
+/// then took the whole budget for itself, all together would pass it.
+const HOSTS_BELIEVED: Duration = Duration::from_secs(30);
+
+/// What a retry is for.
+pub(super) type Destination = Option<ServiceName>;
 
-/// A token bucket for retries.
+/// Holds retries down.
 ///
 /// When many upstreams fail at once, retrying every request would send the
 /// survivors several times their usual load and take them down too. One would
-/// see the request rate at the upstreams rise during an outage. The bucket
-/// holds retries to a tenth of the requests and a few more.
+/// see the request rate at the upstreams rise during an outage.
 #[derive(Debug)]
-pub(super) struct RetryBudget {
-    saved: u64,
-    filled: Time,
+pub(super) enum RetryBudget {
+    /// A budget of the process's own.
+    Own(Bucket),
+    /// A part of a budget of all processes.
+    Shared(Share),
 }
 
 impl RetryBudget {
-    /// Makes a full bucket.
-    pub(super) const fn new() -> Self {
-        Self { saved: MOST, filled: Time::START }
+    /// Makes a budget that nothing was taken from.
+    pub(super) const fn new(limits: RetryLimits) -> Self {
+        match limits {
+            RetryLimits::PerProcess => Self::Own(Bucket { saved: MOST, filled: Time::START }),
+            RetryLimits::Shared { percent, slack, window } => {
+                Self::Shared(Share { percent, slack, window, hosts: Hosts::ALONE, used: OrderedMap::new() })
+            }
+        }
     }
 
     /// Counts a request.
-    pub(super) fn earn(&mut self) {
-        self.saved = (self.saved + PER_REQUEST).min(MOST);
+    pub(super) fn earn(&mut self, now: Time, destination: &Destination) {
+        match self {
+            Self::Own(bucket) => bucket.saved = (bucket.saved + PER_REQUEST).min(MOST),
+            Self::Shared(share) => share.count(now, destination, |usage| &mut usage.requests),
+        }
     }
 
     /// Takes one retry, if there is one.
-    pub(super) fn spend(&mut self, now: Time) -> bool {
+    pub(super) fn spend(&mut self, now: Time, destination: &Destination) -> bool {
+        match self {
+            Self::Own(bucket) => bucket.spend(now),
+            Self::Shared(share) => share.spend(now, destination),
+        }
+    }
+
+    /// Tells whether a second sending draws on the budget even if the first one had no effect.
+    pub(super) const fn counts_every_sending(&self) -> bool {
+        matches!(self, Self::Shared(_))
+    }
+
+    /// Takes note of how many processes share the budget.
+    pub(super) fn note_hosts(&mut self, now: Time, hosts: usize) {
+        if let Self::Shared(share) = self {
+            share.hosts.note(now, hosts);
+        }
+    }
+}
+
+/// A token bucket: a tenth of the requests and a few more.
+#[derive(Debug)]
+pub(super) struct Bucket {
+    saved: u64,
+    filled: Time,
+}
+
+impl Bucket {
+    fn spend(&mut self, now: Time) -> bool {
         self.fill(now);
         if self.saved < WHOLE_RETRY {
             return false;
@@ -55,3 +109,68 @@
         self.saved = self.saved.saturating_add(secs.saturating_mul(PER_SECOND)).min(MOST);
     }
 }
+
+/// How many processes there are.
+#[derive(Clone, Copy, Debug)]
+struct Hosts {
+    most: u64,
+    seen: Time,
+}
+
+impl Hosts {
+    const ALONE: Self = Self { most: 1, seen: Time::START };
+
+    fn note(&mut self, now: Time, hosts: usize) {
+        let hosts = u64::try_from(hosts).unwrap_or(u64::MAX).max(1);
+        if hosts >= self.most || self.seen.after(HOSTS_BELIEVED).is_due(now) {
+            *self = Self { most: hosts, seen: now };
+        }
+    }
+}
+
+/// This process's part of a budget that all processes share.
+#[derive(Debug)]
+pub(super) struct Share {
+    percent: u32,
+    slack: u32,
+    window: Duration,
+    hosts: Hosts,
+    used: OrderedMap<Destination, Usage>,
+}
+
+/// What went to one destination in the last window.
+#[derive(Debug, Default)]
+struct Usage {
+    requests: VecDeque<Time>,
+    retries: VecDeque<Time>,
+}
+
+impl Share {
+    fn count(&mut self, now: Time, destination: &Destination, of: fn(&mut Usage) -> &mut VecDeque<Time>) {
+        let window = self.window;
+        let times = of(self.used.entry(destination.clone()).or_default());
+        forget_before(times, now, window);
+        times.push_back(now);
+    }
+
+    fn spend(&mut self, now: Time, destination: &Destination) -> bool {
+        let window = self.window;
+        let usage = self.used.entry(destination.clone()).or_default();
+        forget_before(&mut usage.requests, now, window);
+        forget_before(&mut usage.retries, now, window);
+        let earned = usage.requests.len() as u64 * u64::from(self.percent);
+        let slack = u64::from(self.slack) * 100 / self.hosts.most;
+        let allowed = (earned + slack) * USED_OF_SHARED / 10_000;
+        let has_room = (usage.retries.len() as u64) < allowed;
+        if has_room {
+            usage.retries.push_back(now);
+        }
+        has_room
+    }
+}
+
+fn forget_before(times: &mut VecDeque<Time>, now: Time, window: Duration) {
+    while times.front().is_some_and(|time| time.after(window).is_due(now)) {
+        times.pop_front();
+    }
+}
--- a/crates/skylarkshore-core/src/serving/decide.rs
+++ b/crates/skylarkshore-core/src/serving/decide.rs
@@ -4,6 +4,7 @@
 
 use crate::cx::Cx;
 use crate::effect::{Effect, Refusal, RefusalOutcome, RefusalReason};
+use crate::event::Repeat;
 use crate::id::{RequestId, UpstreamId};
 use crate::serving::Serving;
 use crate::serving::request::{Caller, Company, Due, Past, Run, State};
@@ -62,6 +63,10 @@
             order: request.order,
             resume: request.passed_on,
             hold: request.once_key().is_some(),
+            once: request.arrival.repeat != Repeat::Allowed,
+            keep_failure: request.arrival.repeat == Repeat::Allowed
+                && !request.passed_on
+                && request.runs + 1 < request.arrival.terms.tries.min(cx.cfg.limits.attempts),
         });
         request.enter(State::Sent(Run { attempt, upstream, company, sent: cx.now }), cx.now);
         self.attempts.insert(attempt, id);
--- a/crates/skylarkshore-core/src/serving/queue.rs
+++ b/crates/skylarkshore-core/src/serving/queue.rs
@@ -82,6 +82,7 @@
     classes: OrderedMap<ServiceOrder, Class>,
     members: OrderedSet<Urgency>,
     deadlines: OrderedSet<Due>,
+    aims: OrderedSet<Due>,
     /// How often the request whose turn it is has been passed over.
     passed_over: u32,
 }
@@ -95,6 +96,8 @@
     pub(super) order: ServiceOrder,
     /// The latest deadline among them.
     pub(super) patient_until: Time,
+    /// The first time, yet to come, from which on an answer to one of them loses value.
+    pub(super) aim: Option<Time>,
 }
 
 /// Why a request found no room.
@@ -155,6 +158,7 @@
         lane.classes.entry(urgency.order).or_default().push(caller, urgency.due);
         lane.members.insert(urgency);
         lane.deadlines.insert(urgency.due);
+        lane.aims.insert(Due { at: request.arrival.terms.aim, request: id });
         self.callers.entry(caller.clone()).or_default().insert(urgency);
         self.all.insert(urgency);
     }
@@ -204,12 +208,13 @@
     }
 
     /// Returns what waits for a target.
-    pub(super) fn waiting(&self, target: &Target) -> Option<Waiting> {
+    pub(super) fn waiting(&self, now: Time, target: &Target) -> Option<Waiting> {
         let lane = self.lanes.get(target)?;
         Some(Waiting {
             count: u32::try_from(lane.members.len()).unwrap_or(u32::MAX),
             order: lane.members.first()?.order,
             patient_until: lane.deadlines.last()?.at,
+            aim: lane.aims.iter().map(|due| due.at).find(|at| !at.is_due(now)),
         })
     }
 
@@ -235,6 +240,7 @@
         let Some(lane) = self.lanes.get_mut(target) else { return };
         lane.members.remove(&urgency);
         lane.deadlines.remove(&urgency.due);
+        lane.aims.remove(&Due { at: request.arrival.terms.aim, request: id });
         if let Some(class) = lane.classes.get_mut(&urgency.order) {
             class.remove(caller, urgency.due, exit);
             if class.callers.is_empty() {
--- a/crates/skylarkshore-core/src/serving/request.rs
+++ b/crates/skylarkshore-core/src/serving/request.rs
@@ -2,7 +2,7 @@
 
 use crate::collections::OrderedSet;
 use crate::effect::{Refusal, RefusalOutcome};
-use crate::event::{Arrival, Repeat, Target};
+use crate::event::{Arrival, Repeat};
 use crate::id::{AttemptId, Digest, RequestId, UpstreamId};
 use crate::rules::ServiceOrder;
 use crate::store::RecordedAnswer;
@@ -112,6 +112,10 @@
     pub(super) since: Time,
     /// How many attempts have ended without an answer, [busy](crate::event::Rejection::Busy) ones aside.
     pub(super) failures: u32,
+    /// On how many upstreams it may have run.
+    pub(super) runs: u32,
+    /// Whether its last attempt's answer says that the upstream failed, and is kept.
+    pub(super) kept_failure: bool,
     /// Where it was tried in vain.
     pub(super) tried: OrderedSet<UpstreamId>,
     /// What earlier attempts may have left behind.
@@ -131,6 +135,8 @@
             state: State::Queued,
             since: now,
             failures: 0,
+            runs: 0,
+            kept_failure: false,
             tried: OrderedSet::new(),
             past: Past::Clean,
             passed_on: false,
@@ -147,7 +153,7 @@
     /// Returns the digest of its idempotency key, if it may not be repeated.
     pub(super) const fn once_key(&self) -> Option<Digest> {
         match self.arrival.repeat {
-            Repeat::Allowed => None,
+            Repeat::Allowed | Repeat::AtMostOnce => None,
             Repeat::Once { key } => Some(key),
         }
     }
@@ -171,7 +177,7 @@
 
     /// Tells whether it may be sent now without the risk of a forbidden second run.
     pub(super) fn may_be_sent(&self) -> bool {
-        self.run().is_none() && (self.past == Past::Clean || self.once_key().is_none())
+        self.run().is_none() && (self.past == Past::Clean || self.arrival.repeat == Repeat::Allowed)
     }
 
     /// Tells whether the caller has a part of the answer, or may have one.
@@ -182,7 +188,7 @@
 
     /// Tells whether a part that the caller has can be continued by another upstream.
     pub(super) const fn can_resume(&self) -> bool {
-        matches!(self.arrival.target, Target::Model(_))
+        self.arrival.terms.resumable
     }
 
     /// Returns what is true of the request if it ends now without an answer.
--- a/crates/skylarkshore-core/src/serving/routing.rs
+++ b/crates/skylarkshore-core/src/serving/routing.rs
@@ -9,9 +9,9 @@
 use crate::catalogue::ModelTarget;
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::cx::Cx;
-use crate::event::Target;
+use crate::event::{LoadTold, Target};
 use crate::id::{Digest, ServiceName, UpstreamId};
-use crate::serving::load::Millis;
+use crate::serving::load::{Millis, OthersLoad};
 use crate::serving::views::{News, Views};
 use crate::time::Time;
 use crate::upstream::{Standing, Upstream};
@@ -103,6 +103,8 @@
     leaving: OrderedMap<UpstreamId, Time>,
     paused: OrderedMap<UpstreamId, Pause>,
     missing: OrderedMap<Place, Time>,
+    /// What others have in progress, as the upstreams' answers told.
+    told: OrderedMap<UpstreamId, OthersLoad>,
     /// Engines on which a suspect of this process runs or is about to run alone.
     kept_free: OrderedSet<UpstreamId>,
 }
@@ -128,9 +130,12 @@
         news != News::Late
     }
 
-    /// Forgets what the host list no longer names.
-    pub(super) fn keep_listed(&mut self, list: &OrderedMap<UpstreamId, Upstream>) {
+    /// Forgets what the host list no longer names, and takes over what it tells of engines.
+    pub(super) fn keep_listed(&mut self, cx: &Cx<'_>) {
+        let list = cx.upstreams;
         self.views.keep_listed(list);
+        self.views.take_listed(cx);
+        self.told.retain(|upstream, _| list.contains_key(upstream));
         self.leaving.retain(|upstream, _| list.contains_key(upstream));
         self.paused.retain(|upstream, _| list.contains_key(upstream));
     }
@@ -166,6 +171,16 @@
         }
     }
 
+    /// Takes note of how much an upstream told that it had to do.
+    pub(super) fn note_load(&mut self, now: Time, upstream: &UpstreamId, load: LoadTold) {
+        let others = (load.running + load.waiting).saturating_sub(self.in_flight(upstream));
+        let told = self
+            .told
+            .get(upstream)
+            .map_or_else(|| OthersLoad::new(now, others), |told| told.with(now, others));
+        self.told.insert(upstream.clone(), told);
+    }
+
     /// Takes note that an upstream is about to go; tells whether that was news.
     pub(super) fn note_leaving(&mut self, now: Time, upstream: &UpstreamId) -> bool {
         self.leaving.insert(upstream.clone(), now.after(LEAVING)).is_none()
@@ -317,7 +332,8 @@
             .filter(|known| self.usable(cx, &known.view.upstream))
             .filter(|known| !self.is_missing(cx, &known.view.upstream, target))
             .map(|known| {
-                let others = known.others.mean(cx.now);
+                let told = self.told.get(&known.view.upstream);
+                let others = told.unwrap_or(&known.others).mean(cx.now);
                 self.candidate(cx, &known.view.upstream, others, known.view.concurrency)
             })
             .collect()
@@ -325,8 +341,12 @@
 
     fn replica_candidates(&self, cx: &Cx<'_>, service: &ServiceName) -> Vec<Candidate> {
         let concurrency = cx.document.catalogue.services.get(service).map_or(0, |s| s.concurrency);
-        let others = Millis::default();
-        self.replicas(cx, service).map(|id| self.candidate(cx, id, others, concurrency)).collect()
+        let candidate = |id: &UpstreamId| {
+            let others = self.told.get(id).map_or(Millis::default(), |told| told.mean(cx.now));
+            let own = cx.upstreams.get(id).and_then(|upstream| upstream.concurrency);
+            self.candidate(cx, id, others, own.unwrap_or(concurrency))
+        };
+        self.replicas(cx, service).map(candidate).collect()
     }
 
     fn replicas<'a>(
--- a/crates/skylarkshore-core/src/serving/supply.rs
+++ b/crates/skylarkshore-core/src/serving/supply.rs
@@ -127,7 +127,7 @@
     /// Asks the owners for a target, if requests wait for it.
     pub(super) fn ask_for(&mut self, cx: &mut Cx<'_>, target: &Target) {
         let Target::Model(model) = target else { return };
-        if self.waiting(target).is_none() {
+        if self.waiting(cx.now, target).is_none() {
             return self.wants.satisfied(model);
         }
         // Only the first of those that wait may ask out of turn. An owner's answer
@@ -158,7 +158,7 @@
 
     fn ask(&mut self, cx: &mut Cx<'_>, target: &Target, pace: Pace) {
         let Target::Model(model) = target else { return };
-        let Some(waiting) = self.waiting(target) else { return };
+        let Some(waiting) = self.waiting(cx.now, target) else { return };
         let supply = match self.routes.prospect(cx, target) {
             Prospect::Ready => Supply::Full,
             Prospect::Loading { .. } => Supply::Coming,
@@ -168,8 +168,8 @@
     }
 
     /// Returns what waits for a target, suspects included.
-    fn waiting(&self, target: &Target) -> Option<Waiting> {
-        let mut waiting = self.queue.waiting(target);
+    fn waiting(&self, now: Time, target: &Target) -> Option<Waiting> {
+        let mut waiting = self.queue.waiting(now, target);
         for urgency in &self.suspects.waiting {
             let Some(request) = self.requests.get(&urgency.due.request) else { continue };
             if request.arrival.target != *target {
@@ -179,6 +179,7 @@
                 count: 0,
                 order: urgency.order,
                 patient_until: urgency.due.at,
+                aim: None,
             });
             seen.count += 1;
             seen.order = seen.order.min(urgency.order);
--- a/crates/skylarkshore-core/src/serving/suspect.rs
+++ b/crates/skylarkshore-core/src/serving/suspect.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use crate::collections::{OrderedMap, OrderedSet};
+use crate::config::SuspectPolicy;
 use crate::cx::Cx;
-use crate::id::{Digest, HostId, RequestId, UpstreamId};
+use crate::id::{Digest, HostId, Incarnation, RequestId, UpstreamId};
 use crate::peer::PeerMessage;
 use crate::serving::queue::Urgency;
 use crate::serving::request::Company;
@@ -12,6 +13,8 @@
 
 /// How long a suspect stays one when nothing is heard of it.
 const SUSPECTED: Duration = Duration::from_hours(1);
+/// How long a lost request is counted with the upstream that ended.
+const COUNTED: Duration = Duration::from_mins(2);
 /// How long a request that crashes upstreams is refused.
 const CONVICTED: Duration = Duration::from_hours(24);
 /// How long the peers' word is awaited before the caller hears anything.
@@ -26,10 +29,25 @@
 /// provably run alone; without this, one call could take them down in turn for ever.
 const CRASHES_THAT_CONVICT: usize = 3;
 
+/// One life of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Life {
+    upstream: UpstreamId,
+    incarnation: Option<Incarnation>,
+}
+
+impl Life {
+    /// Tells whether the host list shows that this life has ended.
+    fn has_ended(&self, cx: &Cx<'_>) -> bool {
+        let listed = cx.upstreams.get(&self.upstream);
+        listed.is_none_or(|listed| self.incarnation.is_some_and(|own| own < listed.incarnation))
+    }
+}
+
 /// What is known of a request that was in progress when an upstream died.
 #[derive(Debug)]
 struct Suspicion {
-    crashed: OrderedSet<UpstreamId>,
+    crashed: OrderedSet<Life>,
     convicted: bool,
     until: Time,
 }
@@ -82,8 +100,9 @@
 }
 
 /// The suspects that a process knows of.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Suspects {
+    policy: SuspectPolicy,
     known: OrderedMap<Digest, Suspicion>,
     tellings: Vec<Telling>,
     heard: OrderedMap<HostId, Time>,
@@ -94,11 +113,24 @@
 }
 
 impl Suspects {
+    /// Makes the state of a process that suspects nothing.
+    pub(super) const fn new(policy: SuspectPolicy) -> Self {
+        Self {
+            policy,
+            known: OrderedMap::new(),
+            tellings: Vec::new(),
+            heard: OrderedMap::new(),
+            waiting: OrderedSet::new(),
+            alone: None,
+        }
+    }
+
     /// Tells how a request's digest stands.
     pub(super) fn standing(&self, digest: Digest) -> Standing {
         match self.known.get(&digest) {
             None => Standing::Free,
             Some(suspicion) if suspicion.convicted => Standing::Convicted,
+            Some(_) if self.policy == SuspectPolicy::CountEnds => Standing::Free,
             Some(_) => Standing::Suspect,
         }
     }
@@ -164,7 +196,7 @@
                 convicted: false,
                 until: Time::START,
             });
-            suspicion.crashed.insert(upstream.clone());
+            suspicion.crashed.insert(Life { upstream: upstream.clone(), incarnation: None });
             let convicted = company == Company::Alone || suspicion.crashed.len() >= CRASHES_THAT_CONVICT;
             if convicted && !suspicion.convicted {
                 cx.note("request_convicted", digest, format!("it crashed {upstream}"));
@@ -177,8 +209,51 @@
         }
     }
 
+    /// Counts requests that were lost with a life of an upstream, from this process or a peer.
+    ///
+    /// Only lives that have ended count, as the host list shows; a connection
+    /// that broke says nothing of the request.
+    pub(super) fn count_loss(
+        &mut self,
+        cx: &mut Cx<'_>,
+        upstream: &UpstreamId,
+        incarnation: Option<Incarnation>,
+        digests: &[Digest],
+    ) {
+        for digest in digests {
+            self.make_room();
+            let suspicion = self.known.entry(*digest).or_insert_with(|| Suspicion {
+                crashed: OrderedSet::new(),
+                convicted: false,
+                until: Time::START,
+            });
+            suspicion.crashed.insert(Life { upstream: upstream.clone(), incarnation });
+            suspicion.until = cx.now.after(COUNTED);
+        }
+        self.on_host_list(cx);
+    }
+
+    /// Looks which requests have been lost with too many lives that ended.
+    pub(super) fn on_host_list(&mut self, cx: &mut Cx<'_>) {
+        if self.policy != SuspectPolicy::CountEnds {
+            return;
+        }
+        for (digest, suspicion) in &mut self.known {
+            let ended = suspicion.crashed.iter().filter(|life| life.has_ended(cx)).count();
+            if ended >= CRASHES_THAT_CONVICT && !suspicion.convicted {
+                suspicion.convicted = true;
+                suspicion.until = cx.now.after(CONVICTED);
+                cx.note("request_convicted", digest, format!("{ended} upstreams ended while they ran it"));
+            }
+        }
+    }
+
     /// Takes note that a suspect ran to its end; tells whether it was one.
     pub(super) fn clear(&mut self, digest: Digest) -> bool {
+        if self.policy == SuspectPolicy::CountEnds {
+            self.known.remove(&digest);
+            return false;
+        }
         if self.standing(digest) != Standing::Suspect {
             return false;
         }
--- a/crates/skylarkshore-core/src/serving/views.rs
+++ b/crates/skylarkshore-core/src/serving/views.rs
@@ -9,7 +9,7 @@
 use crate::serving::load::OthersLoad;
 use crate::time::Time;
 use crate::upstream::Upstream;
-use crate::view::{EngineView, ModelView, Readiness};
+use crate::view::{EngineView, ModelView, Readiness, ViewVersion};
 
 /// How long after its expected end a load is still counted on.
 ///
@@ -56,6 +56,10 @@
     }
 
     fn model(&self, cx: &Cx<'_>, target: &ModelTarget) -> Option<&ModelView> {
+        let listed = cx.upstreams.get(&self.view.upstream)?;
+        if listed.incarnation > self.view.incarnation {
+            return None;
+        }
         let wanted = &cx.document.catalogue.models.get(&target.model)?.version;
         self.view.models.iter().find(|m| m.model == target.model && m.version == *wanted)
     }
@@ -109,6 +113,28 @@
         self.known.retain(|upstream, _| list.contains_key(upstream));
     }
 
+    /// Takes over what the host list tells of engines that no owner has spoken of in their present life.
+    ///
+    /// A process that has just started would otherwise have to wait for each
+    /// owner's word, and where an owner is away, for its successor's.
+    pub(super) fn take_listed(&mut self, cx: &Cx<'_>) {
+        for upstream in cx.upstreams.values().filter(|upstream| !upstream.holds.is_empty()) {
+            let Some(spec) = upstream.engine() else { continue };
+            let known = self.known.get(&upstream.id);
+            if known.is_some_and(|known| {
+                known.view.incarnation > upstream.incarnation
+                    || known.view.incarnation == upstream.incarnation
+                        && known.view.version != ViewVersion::default()
+            }) {
+                continue;
+            }
+            let view = listed_view(cx, upstream, spec.concurrency);
+            let others = OthersLoad::new(cx.now, 0);
+            let known = KnownView { view, taken: cx.now, others, reserved_since: cx.now };
+            self.known.insert(upstream.id.clone(), known);
+        }
+    }
+
     /// Returns the newest account of an engine.
     pub(super) fn get(&self, upstream: &UpstreamId) -> Option<&KnownView> {
         self.known.get(upstream)
@@ -141,6 +167,29 @@
     }
 }
 
+fn listed_view(cx: &Cx<'_>, upstream: &Upstream, concurrency: u32) -> EngineView {
+    let models = &cx.document.catalogue.models;
+    let held = upstream.holds.iter().filter_map(|model| Some((model, models.get(model)?)));
+    EngineView {
+        upstream: upstream.id.clone(),
+        version: ViewVersion::default(),
+        incarnation: upstream.incarnation,
+        models: held
+            .map(|(model, known)| ModelView {
+                model: model.clone(),
+                version: known.version.clone(),
+                readiness: Readiness::Ready,
+                adapters: Vec::new(),
+                running: 0,
+            })
+            .collect(),
+        concurrency,
+        running: 0,
+        leaving: false,
+        reserved_for: None,
+    }
+}
+
 /// Tells whether the same models can be used, so that earlier loads say something of present ones.
 fn holds_the_same(a: &EngineView, b: &EngineView) -> bool {
     let usable = |view: &EngineView| -> Vec<ModelName> {
--- a/crates/skylarkshore-core/src/serving/wanted.rs
+++ b/crates/skylarkshore-core/src/serving/wanted.rs
@@ -122,14 +122,15 @@
             }
             let count = if asked { waiting.count } else { 0 };
             let patience = waiting.patient_until.remaining(cx.now);
-            tell(cx, owner, target, Ask { count, order: waiting.order, patience, arrived });
+            let aim = waiting.aim.map(|aim| aim.remaining(cx.now));
+            tell(cx, owner, target, Ask { count, order: waiting.order, patience, aim, arrived });
         }
     }
 
     /// Tells the owners of targets in use that this router still wants to hear of them.
     pub(super) fn renew(&mut self, cx: &mut Cx<'_>) {
         self.wants.retain(|_, want| !want.last_arrival.after(REMEMBERED).is_due(cx.now));
-        let every = cx.cfg.timings.interest / 2;
+        let every = cx.cfg.timings.usage_every;
         for (target, want) in &mut self.wants {
             let due = want.told.is_none_or(|told| told.after(every).is_due(cx.now));
             if want.arrived == 0 || !due {
@@ -138,7 +139,8 @@
             want.told = Some(cx.now);
             let arrived = std::mem::take(&mut want.arrived);
             for owner in owners(cx, target) {
-                let ask = Ask { count: 0, order: ServiceOrder::default(), patience: Duration::ZERO, arrived };
+                let (order, patience) = (ServiceOrder::default(), Duration::ZERO);
+                let ask = Ask { count: 0, order, patience, aim: None, arrived };
                 tell(cx, &owner, target, ask);
             }
         }
@@ -245,6 +247,7 @@
     count: u32,
     order: ServiceOrder,
     patience: Duration,
+    aim: Option<Duration>,
     arrived: u32,
 }
 
@@ -254,6 +257,7 @@
         waiting: ask.count,
         order: ask.order,
         patience: ask.patience,
+        aim: ask.aim,
         arrived: ask.arrived,
     };
     cx.tell(owner, message);
--- a/crates/skylarkshore-core/src/store.rs
+++ b/crates/skylarkshore-core/src/store.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::catalogue::Document;
+use crate::catalogue::{ConfiguredCatalogue, Document};
 use crate::collections::OrderedMap;
 use crate::id::{
     CallId, DataCentre, Digest, Fence, HostId, Incarnation, LeaseId, ModelName, SiteName, StoreRevision,
@@ -23,6 +23,8 @@
 pub enum Key {
     /// The operators' document.
     Document,
+    /// What is served, where that is configured apart from the document.
+    Catalogue,
     /// A live process, bound to its lease.
     Member(HostId),
     /// Who owns an engine.
@@ -130,6 +132,8 @@
 pub enum Record {
     /// Under [`Key::Document`].
     Document(Arc<Document>),
+    /// Under [`Key::Catalogue`].
+    Catalogue(Arc<ConfiguredCatalogue>),
     /// Under [`Key::Member`].
     Member(MemberRecord),
     /// Under [`Key::Owner`].
--- a/crates/skylarkshore-core/src/upstream.rs
+++ b/crates/skylarkshore-core/src/upstream.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::collections::OrderedSet;
 use crate::id::{
     AdapterName, DataCentre, Fence, Incarnation, ModelName, ModelVersion, OrderId, ServiceName, SiteName,
     UpstreamId,
@@ -18,6 +19,20 @@
     Ignores,
 }
 
+/// How an engine carries its orders out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum OrderMode {
+    /// Side by side; reports name each order that is settled.
+    #[default]
+    Parallel,
+    /// One at a time, each with a number, so that an order that expects an
+    /// earlier number is refused.
+    ///
+    /// An unload waits for the requests that run, so that the models on such an
+    /// engine needn't be idle to make way.
+    OneByOne,
+}
+
 /// What a model engine can hold and draws.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EngineSpec {
@@ -31,6 +46,12 @@
     pub fence_check: FenceCheck,
     /// How many requests it runs at a time before they queue inside it.
     pub concurrency: u32,
+    /// How it carries its orders out.
+    pub order_mode: OrderMode,
+    /// The pool whose models it may hold; none where every engine may hold every model.
+    pub pool: Option<ServiceName>,
+    /// How many adapters it may hold at a time, where that is limited.
+    pub adapter_slots: Option<u32>,
 }
 
 /// What an upstream is.
@@ -66,6 +87,33 @@
     pub kind: UpstreamKind,
     /// Whether it may get new work.
     pub standing: Standing,
+    /// Which life of it the list speaks of; a restart has a higher number.
+    pub incarnation: Incarnation,
+    /// How many requests it runs at a time, where it tells.
+    pub concurrency: Option<u32>,
+    /// The models that it held when it last registered, where it tells.
+    pub holds: Vec<ModelName>,
+    /// The weights of which it keeps copies, where it tells.
+    pub copies: Copies,
+}
+
+/// The models of which an engine keeps copies beside those that are loaded.
+///
+/// A load from a copy is faster than one from the weight store, and takes
+/// nothing of the weight store's rate.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Copies {
+    /// In the host's memory.
+    pub in_memory: OrderedSet<ModelName>,
+    /// On the host's disk.
+    pub on_disk: OrderedSet<ModelName>,
+}
+
+impl Copies {
+    /// Tells whether there is a copy of the model anywhere.
+    pub fn has(&self, model: &ModelName) -> bool {
+        self.in_memory.contains(model) || self.on_disk.contains(model)
+    }
 }
 
 impl Upstream {
@@ -133,6 +181,9 @@
         /// The fence it has seen.
         seen: Fence,
     },
+    /// The engine did nothing: it is carrying another order out, or has
+    /// accepted another number of orders than expected.
+    OutOfTurn,
     /// The engine did nothing, for a reason of its own.
     Refused {
         /// The engine's words.
@@ -204,4 +255,10 @@
     pub lag: Duration,
     /// The orders it has settled lately, newest last.
     pub settled: Vec<OrderId>,
+    /// Whether it is carrying an order out.
+    pub busy: bool,
+    /// How many orders it has accepted in this life, where it numbers them.
+    pub accepted: Option<u64>,
+    /// The weights of which it keeps copies.
+    pub copies: Copies,
 }
--- a/crates/skylarkshore-core/src/view.rs
+++ b/crates/skylarkshore-core/src/view.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::id::{AdapterName, Fence, HostId, ModelName, ModelVersion, UpstreamId};
+use crate::id::{AdapterName, Fence, HostId, Incarnation, ModelName, ModelVersion, UpstreamId};
 
 /// The order of an owner's accounts of one engine; later ones replace earlier ones.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -49,6 +49,8 @@
     pub upstream: UpstreamId,
     /// Its place among the accounts of this engine.
     pub version: ViewVersion,
+    /// Which life of the engine it speaks of.
+    pub incarnation: Incarnation,
     /// The models on it.
     pub models: Vec<ModelView>,
     /// How many requests it runs at a time.
--- a/crates/skylarkshore-core/tests/serving/random.rs
+++ b/crates/skylarkshore-core/tests/serving/random.rs
@@ -180,7 +180,7 @@
         let asking = self.requests.get_mut(&tried.request).unwrap();
         let once = match asking.arrival.repeat {
             Repeat::Once { key } => Some(key),
-            Repeat::Allowed => None,
+            Repeat::Allowed | Repeat::AtMostOnce => None,
         };
         let (end, truth) = match end {
             0..=2 => (whole(name, once.is_some()), Truth::MayHaveRun),
--- a/crates/skylarkshore-core/tests/support/cluster.rs
+++ b/crates/skylarkshore-core/tests/support/cluster.rs
@@ -9,7 +9,7 @@
 use skylarkshore_core::Time;
 use skylarkshore_core::authority::{Authority, EngineUse, HomeWish, OwnershipChange};
 use skylarkshore_core::catalogue::{Document, Model};
-use skylarkshore_core::config::{Limits, NodeConfig, Timings};
+use skylarkshore_core::config::{Limits, NodeConfig, Timings, Watchers};
 use skylarkshore_core::control::Control;
 use skylarkshore_core::cx::{Counters, Cx};
 use skylarkshore_core::effect::Effect;
@@ -21,7 +21,9 @@
     Writes,
 };
 use skylarkshore_core::units::{Mebibytes, Watts};
-use skylarkshore_core::upstream::{EngineSpec, FenceCheck, Standing, Upstream, UpstreamKind};
+use skylarkshore_core::upstream::{
+    Copies, EngineSpec, FenceCheck, OrderMode, Standing, Upstream, UpstreamKind,
+};
 
 use crate::store::Store;
 
@@ -274,6 +276,8 @@
         seed: seed.wrapping_add(host.bytes().map(u64::from).sum()),
         timings: Timings::default(),
         limits: Limits::default(),
+        default_rules: Rules::default(),
+        watchers: Watchers::default(),
     }
 }
 
@@ -284,6 +288,9 @@
         active_watts: ACTIVE_WATTS,
         fence_check,
         concurrency: 8,
+        order_mode: OrderMode::Parallel,
+        pool: None,
+        adapter_slots: None,
     };
     Upstream {
         id: name(id),
@@ -292,6 +299,10 @@
         site: name(SITE),
         kind: UpstreamKind::Engine(spec),
         standing: Standing::Live,
+        incarnation: Incarnation::default(),
+        concurrency: None,
+        holds: Vec::new(),
+        copies: Copies::default(),
     }
 }
 
@@ -301,6 +312,8 @@
         weights: Mebibytes(10_000),
         kv_cache: Mebibytes(2000),
         load_time: Duration::from_secs(10),
+        copy_load_times: None,
+        pool: None,
         adapters: BTreeMap::new(),
     };
     let mut document = Document::default();
--- a/crates/skylarkshore-core/tests/support/fake_engine.rs
+++ b/crates/skylarkshore-core/tests/support/fake_engine.rs
@@ -6,7 +6,7 @@
 use skylarkshore_core::id::{AdapterName, Fence, Incarnation, ModelName, OrderId};
 use skylarkshore_core::time::Time;
 use skylarkshore_core::units::Mebibytes;
-use skylarkshore_core::upstream::{EngineReport, LoadState, Order, ReportedAdapter, ReportedModel};
+use skylarkshore_core::upstream::{Copies, EngineReport, LoadState, Order, ReportedAdapter, ReportedModel};
 
 use crate::support::{LOAD_TIME, name};
 
@@ -141,6 +141,9 @@
             leaving: false,
             lag: Duration::from_millis(200),
             settled: if self.names_settled { self.settled.clone() } else { Vec::new() },
+            busy: false,
+            accepted: None,
+            copies: Copies::default(),
         }
     }
 }
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -12,7 +12,7 @@
 use skylarkshore_core::authority::{Authority, OwnershipChange, Permit};
 use skylarkshore_core::catalogue::{Document, Model, ModelTarget};
 use skylarkshore_core::collections::{OrderedMap, OrderedSet};
-use skylarkshore_core::config::{Limits, NodeConfig, Timings};
+use skylarkshore_core::config::{Limits, NodeConfig, Timings, Watchers};
 use skylarkshore_core::cx::{Counters, Cx};
 use skylarkshore_core::effect::{Effect, Note};
 use skylarkshore_core::id::{
@@ -20,14 +20,14 @@
 };
 use skylarkshore_core::loading::Loading;
 use skylarkshore_core::peer::{Envelope, PeerMessage};
-use skylarkshore_core::rules::{MinuteOfDay, ServiceOrder};
+use skylarkshore_core::rules::{MinuteOfDay, Rules, ServiceOrder};
 use skylarkshore_core::store::{
     HomesRecord, Key, MemberRecord, OwnerRecord, Record, StoreCache, Versioned, Writer,
 };
 use skylarkshore_core::time::Time;
 use skylarkshore_core::units::{Mebibytes, Watts};
 use skylarkshore_core::upstream::{
-    EngineSpec, FenceCheck, Order, OrderAnswer, Standing, Upstream, UpstreamKind,
+    Copies, EngineSpec, FenceCheck, Order, OrderAnswer, OrderMode, Standing, Upstream, UpstreamKind,
 };
 
 /// How far apart ticks are.
@@ -136,6 +136,8 @@
         seed: 1,
         timings: Timings::default(),
         limits: Limits::default(),
+        default_rules: Rules::default(),
+        watchers: Watchers::default(),
     }
 }
 
@@ -146,6 +148,9 @@
         active_watts: ACTIVE,
         fence_check: FenceCheck::Refuses,
         concurrency: 4,
+        order_mode: OrderMode::Parallel,
+        pool: None,
+        adapter_slots: None,
     };
     Upstream {
         id: name(ENGINE),
@@ -154,6 +159,10 @@
         site: name("bern"),
         kind: UpstreamKind::Engine(spec),
         standing: Standing::Live,
+        incarnation: Incarnation::default(),
+        concurrency: None,
+        holds: Vec::new(),
+        copies: Copies::default(),
     }
 }
 
@@ -164,6 +173,8 @@
         weights: Mebibytes(memory - memory / 10),
         kv_cache: Mebibytes(memory / 10),
         load_time: LOAD_TIME,
+        copy_load_times: None,
+        pool: None,
         adapters: OrderedMap::new(),
     }
 }
@@ -252,8 +263,14 @@
         order: ServiceOrder,
         patience: Duration,
     ) {
-        let message =
-            PeerMessage::Wanted { target: target(wanted), waiting, order, patience, arrived: waiting };
+        let message = PeerMessage::Wanted {
+            target: target(wanted),
+            waiting,
+            order,
+            patience,
+            aim: None,
+            arrived: waiting,
+        };
         self.hear(&name(router), &message);
     }
 
--- a/crates/skylarkshore-core/tests/support/serving.rs
+++ b/crates/skylarkshore-core/tests/support/serving.rs
@@ -7,15 +7,15 @@
 
 use skylarkshore_core::catalogue::{Catalogue, Document, Model, ModelTarget, Service};
 use skylarkshore_core::collections::OrderedMap;
-use skylarkshore_core::config::{Limits, NodeConfig, Timings};
+use skylarkshore_core::config::{Limits, NodeConfig, Timings, Watchers};
 use skylarkshore_core::cx::{Counters, Cx};
 use skylarkshore_core::effect::{Effect, Refusal};
-use skylarkshore_core::event::{Arrival, AttemptEnd, Repeat, Target};
+use skylarkshore_core::event::{Arrival, AttemptEnd, Repeat, Target, Terms};
 use skylarkshore_core::id::{
     AttemptId, CallId, Digest, Fence, HostId, Incarnation, LeaseId, RequestId, StoreRevision, UpstreamId,
 };
 use skylarkshore_core::peer::PeerMessage;
-use skylarkshore_core::rules::MinuteOfDay;
+use skylarkshore_core::rules::{MinuteOfDay, Rules};
 use skylarkshore_core::serving::Serving;
 use skylarkshore_core::store::{
     Expect, HomesRecord, Key, MemberRecord, OwnerRecord, Record, StoreAnswer, StoreCache, StoreCall,
@@ -23,7 +23,9 @@
 };
 use skylarkshore_core::time::Time;
 use skylarkshore_core::units::Mebibytes;
-use skylarkshore_core::upstream::{EngineSpec, FenceCheck, Standing, Upstream, UpstreamKind};
+use skylarkshore_core::upstream::{
+    Copies, EngineSpec, FenceCheck, OrderMode, Standing, Upstream, UpstreamKind,
+};
 use skylarkshore_core::view::{EngineView, ModelView, Readiness, ViewVersion};
 
 pub fn name<T: std::str::FromStr>(s: &str) -> T
@@ -126,6 +128,8 @@
             seed,
             timings: Timings::default(),
             limits: Limits::default(),
+            default_rules: Rules::default(),
+            watchers: Watchers::default(),
         };
         let mut process = Self {
             now: Time::from_millis(1000),
@@ -322,6 +326,8 @@
 
 /// Makes a request that may be repeated and has ten seconds.
 pub fn arrival(process: &Process, target: Target, body: u8) -> Arrival {
+    let resumable = matches!(target, Target::Model(_));
+    let terms = Terms::plain(process.now.after(Duration::from_secs(10)), resumable);
     Arrival {
         caller: name("orchard"),
         target,
@@ -329,6 +335,7 @@
         digest: digest(body),
         prefix: None,
         deadline: process.now.after(Duration::from_secs(10)),
+        terms,
     }
 }
 
@@ -342,6 +349,7 @@
     EngineView {
         upstream: name(engine),
         version: ViewVersion { fence: Fence(1), number },
+        incarnation: Incarnation::default(),
         models: vec![ModelView {
             model: name(model),
             version: name("v1"),
@@ -363,11 +371,13 @@
         weights: Mebibytes(1000),
         kv_cache: Mebibytes(100),
         load_time: Duration::from_secs(3),
+        copy_load_times: None,
+        pool: None,
         adapters: OrderedMap::new(),
     };
     let models = [(name("m"), model.clone()), (name("n"), model)].into_iter().collect();
     let services = [(name("booking"), plain(2))].into_iter().collect();
-    Document { catalogue: Catalogue { models, services }, ..Document::default() }
+    Document { catalogue: Catalogue { models, services, ..Catalogue::default() }, ..Document::default() }
 }
 
 fn upstreams() -> OrderedMap<UpstreamId, Upstream> {
@@ -377,6 +387,9 @@
         active_watts: skylarkshore_core::units::Watts(100),
         fence_check: FenceCheck::Refuses,
         concurrency: 2,
+        order_mode: OrderMode::Parallel,
+        pool: None,
+        adapter_slots: None,
     });
     let replica = UpstreamKind::Service(name("booking"));
     let all = [("e1", &engine), ("e2", &engine), ("e3", &engine), ("s1", &replica), ("s2", &replica)];
@@ -391,5 +404,9 @@
         site: name("bern"),
         kind,
         standing: Standing::Live,
+        incarnation: Incarnation::default(),
+        concurrency: None,
+        holds: Vec::new(),
+        copies: Copies::default(),
     }
 }
--- a/crates/skylarkshore/src/callers.rs
+++ b/crates/skylarkshore-host/src/callers.rs
@@ -2,80 +2,59 @@
 
 mod check;
 mod entry;
-mod intake;
 mod invalid;
-mod reply;
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::header::CONNECTION;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
-use skylarkshore_core::event::{Arrival, Target};
-use skylarkshore_core::id::{DataCentre, HostId, Incarnation};
-use skylarkshore_core::{Event, Time};
+use skylarkshore_core::Time;
+use skylarkshore_core::event::{Arrival, Target, Terms};
 use skylarkshore_wire::caller::REQUEST_ID_HEADER;
 use skylarkshore_wire::operator::Health;
 use slog::debug;
-use tokio::sync::watch;
 use tokio::time::Instant;
 use xitca_web::http::WebResponse;
 use xitca_web::service::fn_service;
 use xitca_web::{App, WebContext};
 
-use crate::config::Intake;
-use crate::connections::{Connections, WatchedListener};
 use crate::driver::Snapshot;
-use crate::env::Env;
-use crate::pending::{Outgoing, PendingRequest};
+use crate::exchange::{CheckedRequest, Exchange, WatchedListener, read_off};
+use crate::pending::{JsonRefusals, Outgoing};
 use crate::probe::HEALTH_PATH;
 use crate::server::{self, MAX_HEADERS};
 use crate::upstreams::forwarded;
 
 use check::{Asked, ChatBody, ServiceCall};
 use invalid::Invalid;
-use reply::RequestGuard;
 
-/// How much later than its deadline a request gets its answer at the latest.
-///
-/// The core answers by the deadline. If it didn't, by a fault of its own, the
-/// caller would wait for ever; this makes it a visible refusal instead.
-const OVERDUE: Duration = Duration::from_secs(5);
 /// The most bytes of names and values in a request's headers.
 const MAX_HEADERS_LEN: usize = 16 * 1024;
 
 /// What answers callers need.
 #[derive(Clone, Debug)]
-pub(crate) struct CallerState {
-    pub(crate) env: Env,
-    pub(crate) snapshots: watch::Receiver<Arc<Snapshot>>,
-    pub(crate) connections: Arc<Connections>,
-    pub(crate) intake: Intake,
-    pub(crate) host: HostId,
-    pub(crate) incarnation: Incarnation,
-    pub(crate) data_centre: DataCentre,
-    pub(crate) entry_ttl: Duration,
-    pub(crate) rotation: entry::Rotation,
+struct CallerState {
+    exchange: Exchange,
+    rotation: entry::Rotation,
 }
 
-pub(crate) use entry::Rotation;
-
 /// Begins to serve callers on a listener.
 ///
 /// # Errors
 ///
 /// The system gives no threads.
 pub(crate) fn serve(
-    state: CallerState,
+    exchange: Exchange,
     listener: std::net::TcpListener,
 ) -> std::io::Result<server::RunningServer> {
-    let connections = Arc::clone(&state.connections);
+    let connections = Arc::clone(&exchange.connections);
     let watched = WatchedListener::new(listener, connections, tokio::runtime::Handle::current());
-    let head_timeout = state.intake.head_timeout;
+    let head_timeout = exchange.intake.head_timeout;
+    let state = CallerState { exchange, rotation: entry::Rotation::default() };
     let app = App::new().with_state(state).at("/", fn_service(handle)).at("/{*path}", fn_service(handle));
-    server::start(app.serve(), watched, head_timeout, server::CALLER_WORKERS)
+    server::start(app.serve(), [watched], head_timeout, server::CALLER_WORKERS)
 }
 
 async fn handle(mut ctx: WebContext<'_, CallerState>) -> Result<WebResponse, Infallible> {
@@ -89,13 +68,15 @@
     let mut res = match state.answer(&head, body).await {
         Ok(res) => res,
         Err(invalid) => {
-            debug!(state.env.log, "request_invalid"; "path" => head.uri.path(), "reason" => invalid.word());
-            intake::read_off(body, &invalid).await;
+            debug!(state.exchange.env.log, "request_invalid"; "path" => head.uri.path(), "reason" => invalid.word());
+            if !matches!(invalid, Invalid::BodySlow { .. } | Invalid::BodyBroken) {
+                read_off(body).await;
+            }
             state.invalid(&invalid, &id)
         }
     };
     res.headers_mut().insert(REQUEST_ID_HEADER, id);
-    if state.snapshots.borrow().leaving {
+    if state.exchange.snapshots.borrow().leaving {
         // A caller that keeps its connection would only notice the end when it breaks.
         res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -152,10 +133,8 @@
             return Err(Invalid::WrongMethod { method: head.method.clone(), expected });
         }
         match path {
-            "/v1/models" => Ok(entry::models(&self.snapshot())),
-            "/v1/entry" => {
-                Ok(entry::hosts(&self.snapshot(), &self.data_centre, self.entry_ttl, &self.rotation))
-            }
+            "/v1/models" => Ok(entry::models(&self.exchange.snapshot())),
+            "/v1/entry" => Ok(self.entry_hosts()),
             HEALTH_PATH => Ok(self.health()),
             _ => self.call_model(head, body).await,
         }
@@ -167,7 +146,7 @@
         body: &mut xitca_web::body::RequestBody,
     ) -> Result<WebResponse, Invalid> {
         let common = Common::read(self, head)?;
-        let body = intake::read(body, &self.intake, &head.headers).await?;
+        let body = self.exchange.read_body(body, &head.headers).await?;
         let snapshot = self.known_document()?;
         let chat = ChatBody::parse(&body)?;
         let target = snapshot.document.catalogue.resolve(&chat.model);
@@ -181,6 +160,7 @@
             digest: check::request_digest(&head.method, &path, &body),
             prefix: chat.prefix,
             deadline: common.deadline,
+            terms: Terms::plain(common.deadline, true),
         };
         let outgoing =
             Outgoing { method: head.method.clone(), path, headers: forwarded(&head.headers), body };
@@ -200,7 +180,7 @@
         let service = service.ok_or_else(|| Invalid::UnknownService { name: call.service.to_string() })?;
         let is_once = call.spellings().iter().any(|path| service.is_once(path));
         let repeat = check::repeat(&head.headers, &common.caller, Some(&call.service), is_once)?;
-        let body = intake::read(body, &self.intake, &head.headers).await?;
+        let body = self.exchange.read_body(body, &head.headers).await?;
         let arrival = Arrival {
             caller: common.caller,
             target: Target::Service(call.service.clone()),
@@ -208,6 +188,7 @@
             digest: check::request_digest(&head.method, &head.path_and_query(), &body),
             prefix: None,
             deadline: common.deadline,
+            terms: Terms::plain(common.deadline, false),
         };
         let outgoing = Outgoing {
             method: head.method.clone(),
@@ -218,7 +199,6 @@
         Ok(self.run(head, "service", arrival, outgoing).await)
     }
 
-    /// Hands a checked request to the core and waits for the head of its answer.
     async fn run(
         &self,
         head: &Head,
@@ -226,35 +206,38 @@
         arrival: Arrival,
         outgoing: Outgoing,
     ) -> WebResponse {
-        let (pending, reply) = PendingRequest::new(outgoing);
-        let overdue = self.env.clock.instant(arrival.deadline.after(OVERDUE));
-        let request = self.env.requests.insert(pending);
-        let watched = self.connections.get(head.caller);
-        let guard = RequestGuard::begin(self.env.clone(), request, target, head.begun, watched);
-        self.env.inbox.event(Event::Arrived { request, arrival }).await;
-        guard.respond(reply, overdue).await
+        let checked = CheckedRequest {
+            caller: head.caller,
+            begun: head.begun,
+            target,
+            arrival,
+            outgoing,
+            refusals: Arc::new(JsonRefusals),
+        };
+        self.exchange.run(checked).await
     }
 
-    fn snapshot(&self) -> Arc<Snapshot> {
-        Arc::clone(&self.snapshots.borrow())
+    fn entry_hosts(&self) -> WebResponse {
+        let Exchange { data_centre, entry_ttl, .. } = &self.exchange;
+        entry::hosts(&self.exchange.snapshot(), data_centre, *entry_ttl, &self.rotation)
     }
 
     /// Returns the snapshot once there is a document to check requests against.
     fn known_document(&self) -> Result<Arc<Snapshot>, Invalid> {
-        let snapshot = self.snapshot();
-        if snapshot.document.revision.0 == 0 {
+        let snapshot = self.exchange.snapshot();
+        if !snapshot.document.is_known() {
             return Err(Invalid::NotReady);
         }
         Ok(snapshot)
     }
 
     fn health(&self) -> WebResponse {
-        let health = Health { host: self.host.clone(), incarnation: self.incarnation };
+        let health = Health { host: self.exchange.host.clone(), incarnation: self.exchange.incarnation };
         server::json(StatusCode::OK, &health)
     }
 
     fn invalid(&self, invalid: &Invalid, id: &HeaderValue) -> WebResponse {
-        self.env.metrics.request_invalid();
+        self.exchange.env.metrics.request_invalid();
         let mut res = invalid.response();
         res.headers_mut().insert(REQUEST_ID_HEADER, id.clone());
         res
@@ -271,7 +254,7 @@
     fn read(state: &CallerState, head: &Head) -> Result<Self, Invalid> {
         let Asked { timeout, caller } = Asked::read(&head.headers)?;
         let waited = head.begun.elapsed();
-        let deadline = state.env.clock.now().after(timeout.saturating_sub(waited));
+        let deadline = state.exchange.env.clock.now().after(timeout.saturating_sub(waited));
         Ok(Self { caller, deadline })
     }
 }
--- a/crates/skylarkshore/src/callers/invalid.rs
+++ b/crates/skylarkshore-host/src/callers/invalid.rs
@@ -11,6 +11,7 @@
 use xitca_web::http::WebResponse;
 
 use crate::callers::MAX_HEADERS_LEN;
+use crate::exchange::BodyFault;
 use crate::server::{self, MAX_HEADERS};
 
 /// Why a request is turned away before anything is sent upstream.
@@ -35,6 +36,16 @@
     NotReady,
 }
 
+impl From<BodyFault> for Invalid {
+    fn from(fault: BodyFault) -> Self {
+        match fault {
+            BodyFault::TooLarge { limit } => Self::BodyTooLarge { limit },
+            BodyFault::Slow { limit } => Self::BodySlow { limit },
+            BodyFault::Broken => Self::BodyBroken,
+        }
+    }
+}
+
 impl Invalid {
     /// Returns the answer that tells the caller.
     pub(super) fn response(&self) -> WebResponse {
--- a/crates/skylarkshore/src/config.rs
+++ b/crates/skylarkshore-host/src/config.rs
@@ -1,5 +1,6 @@
 //! The settings of a host: JSON with comments, checked as a whole.
 
+mod platform;
 mod section;
 mod timings;
 mod url;
@@ -13,8 +14,11 @@
 use derive_more::{Display, Error};
 use jsonc_parser::ast::Value;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
-use skylarkshore_core::config::{Limits, Timings};
+use serde::Deserialize;
+use skylarkshore_core::config::{Limits, RetryLimits, SuspectPolicy, Timings, Watchers};
 use skylarkshore_core::id::{DataCentre, HostId};
+use skylarkshore_core::rules::Rules;
+use skylarkshore_wire::document::RulesWire;
 use slog::Level;
 
 use crate::error::Error as ProgramError;
@@ -22,7 +26,7 @@
 pub use section::Fault;
 pub use url::{HttpUrl, InvalidHttpUrl};
 
-use section::{Report, Section, number, text, texts};
+use section::{Report, Section, flag, json_of, number, text};
 
 /// The settings of a host.
 #[derive(Clone, Debug)]
@@ -37,10 +41,12 @@
     pub peer_address: SocketAddr,
     /// Where operators connect to.
     pub operator_address: SocketAddr,
-    /// The key-value service's endpoints, tried in turn.
-    pub store_endpoints: Vec<HttpUrl>,
-    /// Where the host list is read.
-    pub hosts_url: HttpUrl,
+    /// The platform on which the host runs.
+    pub platform: PlatformSettings,
+    /// The rules in force until operators write their own.
+    pub default_rules: Rules,
+    /// Who watches the key-value service.
+    pub watchers: Watchers,
     /// The least important events that are logged.
     pub log_level: LogLevel,
     /// How much callers may send, and how long they may take.
@@ -51,6 +57,41 @@
     pub timings: Timings,
 }
 
+/// The platform on which a host runs, and how it is reached.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PlatformSettings {
+    /// An etcd v3 JSON gateway and a host list.
+    Etcd(EtcdSettings),
+    /// A key-value service in which upstreams register themselves.
+    Registry(RegistrySettings),
+}
+
+/// Where an etcd v3 JSON gateway and a host list are reached.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EtcdSettings {
+    /// The key-value service's endpoints, tried in turn.
+    pub store_endpoints: Vec<HttpUrl>,
+    /// Where the host list is read.
+    pub hosts_url: HttpUrl,
+}
+
+/// Where a registry is reached, and where it reaches this host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RegistrySettings {
+    /// Where the key-value service answers.
+    pub address: SocketAddr,
+    /// Where callers ask which hosts to use.
+    pub directory_address: SocketAddr,
+    /// Where the platform asks whether the host is ready.
+    pub readiness_address: SocketAddr,
+    /// Whether engines refuse orders with old fences.
+    pub checks_fences: bool,
+    /// How long a process waits between two looks at what has changed.
+    pub watch_rest: Duration,
+    /// The shortest lease that the service grants.
+    pub least_lease: Duration,
+}
+
 /// How much callers may send, and how long they may take to send it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Intake {
@@ -173,8 +214,9 @@
     let caller_address = root.required(report, "caller_address", "\"10.0.0.1:8080\"", address);
     let peer_address = root.required(report, "peer_address", "\"10.0.0.1:8081\"", address);
     let operator_address = root.required(report, "operator_address", "\"10.0.0.1:8082\"", address);
-    let store_endpoints = read_store(&mut root, report);
-    let hosts_url = read_hosts(&mut root, report);
+    let platform = platform::read(&mut root, report);
+    let default_rules = read_rules(&mut root, report);
+    let watchers = root.optional(report, "everyone_watches", false, flag);
     let log_level = read_log(&mut root, report);
     let (intake, limits) = read_limits(&mut root, report);
     let timings = timings::read(&mut root, report);
@@ -185,8 +227,9 @@
         caller_address: caller_address?,
         peer_address: peer_address?,
         operator_address: operator_address?,
-        store_endpoints: store_endpoints?,
-        hosts_url: hosts_url?,
+        platform: platform?,
+        default_rules,
+        watchers: if watchers { Watchers::All } else { Watchers::OnePerDataCentre },
         log_level,
         intake,
         limits,
@@ -205,18 +248,14 @@
     Ok(address)
 }
 
-fn read_store(root: &mut Section<'_>, report: &mut Report<'_>) -> Option<Vec<HttpUrl>> {
-    let mut store = root.required_section(report, "store");
-    let endpoints = store.required(report, "endpoints", "[\"http://10.0.0.9:2379\"]", texts);
-    store.finish(report);
-    endpoints
-}
-
-fn read_hosts(root: &mut Section<'_>, report: &mut Report<'_>) -> Option<HttpUrl> {
-    let mut hosts = root.required_section(report, "hosts");
-    let url = hosts.required(report, "url", "\"http://10.0.0.9:4100/hosts\"", text);
-    hosts.finish(report);
-    url
+/// Reads the rules that hold until operators write their own.
+fn read_rules(root: &mut Section<'_>, report: &mut Report<'_>) -> Rules {
+    let read = |value: &Value<'_>| {
+        let wire =
+            RulesWire::deserialize(json_of(value)).map_err(|err| format!("has a wrong shape: {err}"))?;
+        Rules::try_from(wire).map_err(|err| err.to_string())
+    };
+    root.optional(report, "default_rules", Rules::default(), read)
 }
 
 fn read_log(root: &mut Section<'_>, report: &mut Report<'_>) -> LogLevel {
@@ -251,6 +290,9 @@
     limits.loads_per_second =
         section.optional(report, "loads_per_second", limits.loads_per_second, count(1, 1000));
     limits.attempts = section.optional(report, "attempts", limits.attempts, count(1, 10));
+    limits.retries = read_retries(&mut section, report);
+    let counts_ends = section.optional(report, "suspects_run_beside_others", false, flag);
+    limits.suspects = if counts_ends { SuspectPolicy::CountEnds } else { SuspectPolicy::RunAlone };
     intake.head_timeout =
         section.optional(report, "head_timeout_ms", intake.head_timeout, timings::millis(100, 60_000));
     intake.body_timeout =
@@ -259,6 +301,22 @@
     (intake, limits)
 }
 
+/// Reads the budget of retries that all hosts share, if there is one.
+fn read_retries(limits: &mut Section<'_>, report: &mut Report<'_>) -> RetryLimits {
+    let Some(shared) = limits.present_section(report, "shared_retries") else {
+        return RetryLimits::PerProcess;
+    };
+    let mut shared = shared;
+    let percent = shared.required(report, "percent", "20", |value| number(value, 0, 100).map(to_count));
+    let slack = shared.required(report, "slack", "50", |value| number(value, 0, MAX_COUNT).map(to_count));
+    let window = shared.required(report, "window_ms", "10000", timings::millis(100, 600_000));
+    shared.finish(report);
+    match (percent, slack, window) {
+        (Some(percent), Some(slack), Some(window)) => RetryLimits::Shared { percent, slack, window },
+        _ => RetryLimits::PerProcess,
+    }
+}
+
 fn to_size(number: u64) -> usize {
     usize::try_from(number).unwrap_or(usize::MAX)
 }
--- /dev/null
+++ b/crates/skylarkshore-host/src/config/platform.rs
@@ -0,0 +1,50 @@
+//! Which platform the host runs on, and how it is reached.
+
+use std::time::Duration;
+
+use super::section::{Report, Section, flag, text, texts};
+use super::{EtcdSettings, PlatformSettings, RegistrySettings, address, timings};
+
+/// How long a process waits between two looks at what has changed, unless told otherwise.
+///
+/// Every look is a call that counts; news of an upstream that leaves may be a
+/// second old without harm.
+const WATCH_REST: Duration = Duration::from_millis(400);
+const LEAST_LEASE: Duration = Duration::from_secs(1);
+
+/// Reads the section of the platform that is named, the product's own where none is.
+pub(super) fn read(root: &mut Section<'_>, report: &mut Report<'_>) -> Option<PlatformSettings> {
+    let registry = root.present_section(report, "registry");
+    match registry {
+        Some(section) => read_registry(section, report).map(PlatformSettings::Registry),
+        None => read_etcd(root, report).map(PlatformSettings::Etcd),
+    }
+}
+
+fn read_etcd(root: &mut Section<'_>, report: &mut Report<'_>) -> Option<EtcdSettings> {
+    let mut store = root.required_section(report, "store");
+    let endpoints = store.required(report, "endpoints", "[\"http://10.0.0.9:2379\"]", texts);
+    store.finish(report);
+    let mut hosts = root.required_section(report, "hosts");
+    let url = hosts.required(report, "url", "\"http://10.0.0.9:4100/hosts\"", text);
+    hosts.finish(report);
+    Some(EtcdSettings { store_endpoints: endpoints?, hosts_url: url? })
+}
+
+fn read_registry(mut section: Section<'_>, report: &mut Report<'_>) -> Option<RegistrySettings> {
+    let store = section.required(report, "address", "\"10.0.0.9:8142\"", address);
+    let directory = section.required(report, "directory_address", "\"10.0.0.1:8143\"", address);
+    let readiness = section.required(report, "readiness_address", "\"10.0.0.1:8141\"", address);
+    let checks_fences = section.optional(report, "checks_fences", false, flag);
+    let watch_rest = section.optional(report, "watch_rest_ms", WATCH_REST, timings::millis(10, 10_000));
+    let least_lease = section.optional(report, "least_lease_ms", LEAST_LEASE, timings::millis(1, 600_000));
+    section.finish(report);
+    Some(RegistrySettings {
+        address: store?,
+        directory_address: directory?,
+        readiness_address: readiness?,
+        checks_fences,
+        watch_rest,
+        least_lease,
+    })
+}
--- a/crates/skylarkshore/src/config/section.rs
+++ b/crates/skylarkshore-host/src/config/section.rs
@@ -114,6 +114,12 @@
         self.opened(report, key, object)
     }
 
+    /// Opens an object if it is there.
+    pub(super) fn present_section(&mut self, report: &mut Report<'_>, key: &'static str) -> Option<Self> {
+        let found = self.optional(report, key, None, |value| object(value).map(Some));
+        found.map(|found| self.opened(report, key, Some(found)))
+    }
+
     /// Opens an object that may be absent.
     pub(super) fn optional_section(&mut self, report: &mut Report<'_>, key: &'static str) -> Self {
         let found = self.optional(report, key, None, |value| object(value).map(Some));
@@ -197,3 +203,26 @@
         .filter(|number| (min..=max).contains(number))
         .ok_or_else(|| format!("is no whole number from {min} to {max}; write one"))
 }
+
+/// Reads true or false.
+pub(super) fn flag(value: &Value<'_>) -> Result<bool, String> {
+    match value {
+        Value::BooleanLit(literal) => Ok(literal.value),
+        _ => Err("is neither true nor false; write one of them without quotes".to_owned()),
+    }
+}
+
+/// Turns a part of the settings into plain JSON, for what has a format of its own.
+pub(super) fn json_of(value: &Value<'_>) -> serde_json::Value {
+    match value {
+        Value::StringLit(text) => serde_json::Value::from(text.value.to_string()),
+        Value::NumberLit(number) => serde_json::from_str(number.value).unwrap_or_default(),
+        Value::BooleanLit(literal) => serde_json::Value::from(literal.value),
+        Value::NullKeyword(_) => serde_json::Value::Null,
+        Value::Array(array) => array.elements.iter().map(json_of).collect(),
+        Value::Object(object) => {
+            let entries = object.properties.iter().map(|prop| (prop.name.as_str(), json_of(&prop.value)));
+            entries.collect()
+        }
+    }
+}
--- a/crates/skylarkshore/src/config/timings.rs
+++ b/crates/skylarkshore-host/src/config/timings.rs
@@ -17,7 +17,7 @@
 pub(super) fn read(root: &mut Section<'_>, report: &mut Report<'_>) -> Timings {
     let mut section = root.optional_section(report, "timings");
     let mut timings = Timings::default();
-    let fields: [(&'static str, &mut Duration); 15] = [
+    let fields: [(&'static str, &mut Duration); 16] = [
         ("lease_ttl_ms", &mut timings.lease_ttl),
         ("renew_every_ms", &mut timings.renew_every),
         ("hold_ms", &mut timings.hold),
@@ -29,6 +29,7 @@
         ("engine_timeout_ms", &mut timings.engine_timeout),
         ("wanted_every_ms", &mut timings.wanted_every),
         ("interest_ms", &mut timings.interest),
+        ("usage_every_ms", &mut timings.usage_every),
         ("order_settle_ms", &mut timings.order_settle),
         ("close_grace_ms", &mut timings.close_grace),
         ("entry_ttl_ms", &mut timings.entry_ttl),
@@ -37,6 +38,9 @@
     for (key, field) in fields {
         *field = section.optional(report, key, *field, millis(10, MAX_MILLIS));
     }
+    let none = Duration::ZERO;
+    timings.order_gap = section.optional(report, "order_gap_ms", none, millis(0, MAX_MILLIS));
+    timings.list_grace = section.optional(report, "list_grace_ms", none, millis(0, MAX_MILLIS));
     check(&timings, &section, report);
     section.finish(report);
     timings
--- a/crates/skylarkshore/src/driver.rs
+++ b/crates/skylarkshore-host/src/driver.rs
@@ -16,7 +16,7 @@
 use crate::metrics::Metrics;
 
 pub(crate) use effects::Effects;
-pub(crate) use snapshot::{Member, Snapshot};
+pub use snapshot::{Member, Snapshot};
 
 /// Events that may wait for the core before their senders have to.
 const INBOX_LEN: usize = 8192;
@@ -34,7 +34,7 @@
 
 /// The way to the task that owns the core.
 #[derive(Clone, Debug)]
-pub(crate) struct Inbox {
+pub struct Inbox {
     tx: mpsc::Sender<Input>,
     runtime: tokio::runtime::Handle,
 }
@@ -47,13 +47,13 @@
     }
 
     /// Hands an event over; waits while the core is behind.
-    pub(crate) async fn event(&self, event: Event) {
+    pub async fn event(&self, event: Event) {
         // The core is only gone when the process is about to end.
         _ = self.tx.send(Input::Event(Box::new(event))).await;
     }
 
     /// Hands an event over from where nothing may wait.
-    pub(crate) fn event_later(&self, event: Event) {
+    pub fn event_later(&self, event: Event) {
         if let Err(mpsc::error::TrySendError::Full(input)) = self.tx.try_send(Input::Event(Box::new(event))) {
             let tx = self.tx.clone();
             self.runtime.spawn(async move { tx.send(input).await });
--- a/crates/skylarkshore/src/driver/effects.rs
+++ b/crates/skylarkshore-host/src/driver/effects.rs
@@ -13,18 +13,18 @@
 use tokio::task::AbortHandle;
 
 use crate::driver::Inbox;
-use crate::engines::{EngineOrder, Engines};
+use crate::engines::{EngineOrder, EngineProtocol};
 use crate::env::Env;
 use crate::peers::Peers;
 use crate::probe;
 use crate::store::{BoxFuture, Seen, Store, WatchSink};
-use crate::upstreams::{Dispatch, UpstreamSort, Upstreams};
+use crate::upstreams::{Dispatch, Upstreams};
 
 /// Carries out what the core wants done.
 pub(crate) struct Effects {
     env: Env,
     store: Arc<dyn Store>,
-    engines: Engines,
+    engines: Arc<dyn EngineProtocol>,
     upstreams: Upstreams,
     peers: Peers,
     watch: Option<AbortHandle>,
@@ -43,7 +43,7 @@
     pub(crate) fn new(
         env: Env,
         store: Arc<dyn Store>,
-        engines: Engines,
+        engines: Arc<dyn EngineProtocol>,
         upstreams: Upstreams,
         peers: Peers,
     ) -> Self {
@@ -65,34 +65,46 @@
             Effect::Unwatch => self.unwatch(),
             Effect::Peer(envelope) => self.peers.send(envelope),
             Effect::Probe { host, incarnation, address } => self.probe(host, incarnation, address),
-            Effect::Order { upstream, order, fence, not_after, action } => {
-                let address = upstreams.get(&upstream).map(|upstream| upstream.address);
-                self.order(upstream, address, EngineOrder { order, fence, not_after, action });
+            Effect::Order { upstream, order, fence, not_after, after, action } => {
+                let engine = upstreams.get(&upstream).cloned();
+                self.order(upstream, engine, EngineOrder { order, fence, not_after, after, action });
             }
             Effect::AskReport { upstream } => {
-                let address = upstreams.get(&upstream).map(|upstream| upstream.address);
-                self.ask_report(upstream, address);
+                let engine = upstreams.get(&upstream).cloned();
+                self.ask_report(upstream, engine);
             }
-            Effect::Send { request, attempt, upstream, deadline, order, resume, hold } => {
-                let Some(entry) = upstreams.get(&upstream) else {
+            Effect::Send {
+                request,
+                attempt,
+                upstream,
+                deadline,
+                order,
+                resume,
+                hold,
+                once,
+                keep_failure,
+            } => {
+                let Some(upstream) = upstreams.get(&upstream).cloned() else {
                     self.not_sent(attempt);
                     return;
                 };
-                let sort =
-                    if entry.engine().is_some() { UpstreamSort::Engine } else { UpstreamSort::Service };
-                let address = entry.address;
                 self.send(Dispatch {
                     request,
                     attempt,
                     upstream,
-                    address,
-                    sort,
                     deadline,
                     order,
                     resume,
                     hold,
+                    once,
+                    keep_failure,
                 });
             }
+            Effect::PassOn { request } => {
+                if let Some(pending) = self.env.requests.get(request) {
+                    pending.pass_kept();
+                }
+            }
             Effect::Cancel { attempt } => self.cancel(attempt),
             Effect::Answer { request, answer } => {
                 if let Some(pending) = self.env.requests.get(request) {
@@ -143,28 +155,28 @@
         });
     }
 
-    fn order(&self, upstream: UpstreamId, address: Option<SocketAddr>, engine_order: EngineOrder) {
-        let engines = self.engines.clone();
+    fn order(&self, upstream: UpstreamId, engine: Option<Upstream>, engine_order: EngineOrder) {
+        let engines = Arc::clone(&self.engines);
         let inbox = self.env.inbox.clone();
         let order = engine_order.order;
         debug!(self.env.log, "order"; "engine" => %upstream, "order" => %order,
             "fence" => %engine_order.fence, "action" => ?engine_order.action);
         tokio::spawn(async move {
-            let answer = match address {
-                Some(address) => engines.give(address, engine_order).await,
+            let answer = match &engine {
+                Some(engine) => engines.give(engine, engine_order).await,
                 None => OrderAnswer::NotSent,
             };
             inbox.event(Event::Order { upstream, order, answer }).await;
         });
     }
 
-    fn ask_report(&self, upstream: UpstreamId, address: Option<SocketAddr>) {
-        let engines = self.engines.clone();
+    fn ask_report(&self, upstream: UpstreamId, engine: Option<Upstream>) {
+        let engines = Arc::clone(&self.engines);
         let inbox = self.env.inbox.clone();
         let asked = self.env.clock.now();
         tokio::spawn(async move {
-            let report = match address {
-                Some(address) => engines.ask(address).await,
+            let report = match &engine {
+                Some(engine) => engines.ask(engine).await,
                 None => None,
             };
             inbox.event(Event::Report { upstream, asked, report }).await;
--- a/crates/skylarkshore/src/driver/snapshot.rs
+++ b/crates/skylarkshore-host/src/driver/snapshot.rs
@@ -9,23 +9,34 @@
 
 /// A live process.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Member {
-    pub(crate) host: HostId,
-    pub(crate) caller_address: SocketAddr,
-    pub(crate) peer_address: SocketAddr,
-    pub(crate) data_centre: DataCentre,
-    pub(crate) fingerprint: Digest,
-    pub(crate) leaving: bool,
+pub struct Member {
+    /// The host's name.
+    pub host: HostId,
+    /// Where callers reach it.
+    pub caller_address: SocketAddr,
+    /// Where peers reach it.
+    pub peer_address: SocketAddr,
+    /// Where it runs.
+    pub data_centre: DataCentre,
+    /// The SHA-256 of the certificate that its peers accept.
+    pub fingerprint: Digest,
+    /// Whether it is about to go.
+    pub leaving: bool,
 }
 
 /// A part of the core's state at a moment.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Snapshot {
-    pub(crate) document: Arc<Document>,
-    pub(crate) store_revision: StoreRevision,
-    pub(crate) members: Vec<Member>,
-    pub(crate) ready: bool,
-    pub(crate) leaving: bool,
+pub struct Snapshot {
+    /// The operators' document in force.
+    pub document: Arc<Document>,
+    /// The highest revision of the key-value service that has been seen.
+    pub store_revision: StoreRevision,
+    /// The live processes.
+    pub members: Vec<Member>,
+    /// Whether the process knows enough to serve.
+    pub ready: bool,
+    /// Whether the process is about to go.
+    pub leaving: bool,
 }
 
 impl Snapshot {
--- a/crates/skylarkshore/src/engines.rs
+++ b/crates/skylarkshore-host/src/engines.rs
@@ -7,47 +7,62 @@
 use http::{Method, StatusCode};
 use skylarkshore_core::Time;
 use skylarkshore_core::id::{Fence, OrderId};
-use skylarkshore_core::upstream::{EngineReport, Order, OrderAnswer};
+use skylarkshore_core::upstream::{EngineReport, Order, OrderAnswer, Upstream};
 use skylarkshore_wire::engine::{ORDERS_PATH, OrderReply, OrderRequest, REPORT_PATH, Report};
 use slog::{Logger, debug};
 use tokio::time::Instant;
 
 use crate::clock::Clock;
 use crate::http::{CallError, PooledClient, call, call_anew, client, json_request};
+use crate::store::BoxFuture;
 
 /// How long an engine may take to accept an order; loading goes on after that.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
 const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// An order with what goes with it.
-#[derive(Debug)]
-pub(crate) struct EngineOrder {
-    pub(crate) order: OrderId,
-    pub(crate) fence: Fence,
-    pub(crate) not_after: Time,
-    pub(crate) action: Order,
+#[derive(Clone, Debug)]
+pub struct EngineOrder {
+    /// The order's number within this process.
+    pub order: OrderId,
+    /// The owner's fence.
+    pub fence: Fence,
+    /// The time after which it may not be sent any more.
+    pub not_after: Time,
+    /// How many orders the engine must have accepted before, where it numbers them.
+    pub after: Option<u64>,
+    /// What the engine is to do.
+    pub action: Order,
+}
+
+/// How engines take orders and tell how they stand.
+pub trait EngineProtocol: Send + Sync {
+    /// Gives an order, unless its time has passed by the moment of sending.
+    ///
+    /// A process that was frozen wakes up believing that it still owns the
+    /// engine. One that ignores fences would carry its order out beside the
+    /// successor's, and two replicas would run where one is allowed; so the time
+    /// is checked after the connection stands, right before the order is sent.
+    fn give<'a>(&'a self, engine: &'a Upstream, order: EngineOrder) -> BoxFuture<'a, OrderAnswer>;
+
+    /// Asks an engine how it stands; none when it doesn't say in time.
+    fn ask<'a>(&'a self, engine: &'a Upstream) -> BoxFuture<'a, Option<EngineReport>>;
 }
 
-/// Speaks to engines as their owner.
+/// Engines that speak the product's own protocol.
 #[derive(Clone, Debug)]
-pub(crate) struct Engines {
+pub(crate) struct OwnEngines {
     client: PooledClient,
     clock: Clock,
     log: Logger,
 }
 
-impl Engines {
+impl OwnEngines {
     pub(crate) fn new(clock: Clock, log: Logger) -> Self {
         Self { client: client(), clock, log }
     }
 
-    /// Gives an order, unless its time has passed by the moment of sending.
-    ///
-    /// A process that was frozen wakes up believing that it still owns the
-    /// engine. One that ignores fences would carry its order out beside the
-    /// successor's, and two replicas would run where one is allowed; so the time
-    /// is checked after the connection stands, right before the order is sent.
-    pub(crate) async fn give(&self, address: SocketAddr, engine_order: EngineOrder) -> OrderAnswer {
+    async fn give_to(&self, address: SocketAddr, engine_order: EngineOrder) -> OrderAnswer {
         let not_after = engine_order.not_after;
         let body = OrderRequest {
             order: engine_order.order,
@@ -71,8 +86,7 @@
         }
     }
 
-    /// Asks an engine how it stands; none when it doesn't say in time.
-    pub(crate) async fn ask(&self, address: SocketAddr) -> Option<EngineReport> {
+    async fn ask_at(&self, address: SocketAddr) -> Option<EngineReport> {
         let req = json_request(Method::GET, address, REPORT_PATH, Bytes::new());
         let answer = call(&self.client, req, Instant::now() + REPORT_TIMEOUT).await;
         let answer = answer.inspect_err(|err| {
@@ -84,6 +98,16 @@
     }
 }
 
+impl EngineProtocol for OwnEngines {
+    fn give<'a>(&'a self, engine: &'a Upstream, order: EngineOrder) -> BoxFuture<'a, OrderAnswer> {
+        Box::pin(self.give_to(engine.address, order))
+    }
+
+    fn ask<'a>(&'a self, engine: &'a Upstream) -> BoxFuture<'a, Option<EngineReport>> {
+        Box::pin(self.ask_at(engine.address))
+    }
+}
+
 /// Reads an order's answer; one that can't be understood leaves open what was done.
 fn read_reply(body: &[u8]) -> OrderAnswer {
     serde_json::from_slice::<OrderReply>(body).map_or(OrderAnswer::Lost, OrderAnswer::from)
--- /dev/null
+++ b/crates/skylarkshore-host/src/env.rs
@@ -0,0 +1,25 @@
+//! What nearly every part of the program needs.
+
+use std::sync::Arc;
+
+use slog::Logger;
+
+use crate::clock::Clock;
+use crate::driver::Inbox;
+use crate::metrics::Metrics;
+use crate::pending::Requests;
+
+/// What nearly every part of the program needs; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Env {
+    /// The time.
+    pub clock: Clock,
+    /// The way to the core.
+    pub inbox: Inbox,
+    /// The numbers that are kept.
+    pub metrics: Arc<Metrics>,
+    /// The requests in progress.
+    pub requests: Arc<Requests>,
+    /// Where events are logged.
+    pub log: Logger,
+}
--- a/crates/skylarkshore/src/connections.rs
+++ b/crates/skylarkshore-host/src/exchange/connections.rs
@@ -14,20 +14,20 @@
 
 /// A caller's connection as seen from beside the server.
 #[derive(Clone, Debug)]
-pub(crate) struct Watched {
+pub(super) struct Watched {
     gone: watch::Receiver<bool>,
     cut: Arc<Notify>,
 }
 
 impl Watched {
     /// Returns once the caller has closed the connection or broken it.
-    pub(crate) async fn gone(&mut self) {
+    pub(super) async fn gone(&mut self) {
         // A watcher that ended without a word has lost its connection too.
         _ = self.gone.wait_for(|gone| *gone).await;
     }
 
     /// Breaks the connection, so that the caller can't take its answer for whole.
-    pub(crate) fn cut(&self) {
+    pub(super) fn cut(&self) {
         self.cut.notify_one();
     }
 }
@@ -39,13 +39,13 @@
 /// for a cold model would then be loaded and run for nobody. A second handle to
 /// the same socket is watched instead.
 #[derive(Debug, Default)]
-pub(crate) struct Connections {
+pub struct Connections {
     live: Mutex<OrderedMap<SocketAddr, Watched>>,
 }
 
 impl Connections {
     /// Returns the connection from an address.
-    pub(crate) fn get(&self, caller: SocketAddr) -> Option<Watched> {
+    pub(super) fn get(&self, caller: SocketAddr) -> Option<Watched> {
         self.live.lock().unwrap_or_else(PoisonError::into_inner).get(&caller).cloned()
     }
 
@@ -88,7 +88,8 @@
 }
 
 /// Accepts connections and has each one watched.
-pub(crate) struct WatchedListener {
+#[derive(Debug)]
+pub struct WatchedListener {
     listener: std::net::TcpListener,
     connections: Arc<Connections>,
     runtime: Handle,
@@ -96,7 +97,7 @@
 
 impl WatchedListener {
     /// Makes a listener; the watching is done in `runtime`.
-    pub(crate) const fn new(
+    pub const fn new(
         listener: std::net::TcpListener,
         connections: Arc<Connections>,
         runtime: Handle,
@@ -106,7 +107,8 @@
 }
 
 /// A listener that runs.
-pub(crate) struct Accepting {
+#[derive(Debug)]
+pub struct Accepting {
     listener: TcpListener,
     connections: Arc<Connections>,
     runtime: Handle,
--- a/crates/skylarkshore/src/callers/intake.rs
+++ b/crates/skylarkshore-host/src/exchange/intake.rs
@@ -10,7 +10,6 @@
 use tokio::time::timeout;
 use xitca_web::body::{Body, Frame, RequestBody};
 
-use crate::callers::invalid::Invalid;
 use crate::config::Intake;
 
 /// How long the rest of a body that isn't wanted is read, so that its sender gets to read the answer.
@@ -18,13 +17,30 @@
 /// How much of it is read.
 const READ_OFF_LEN: usize = 8 * 1024 * 1024;
 
+/// Why a body can't be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFault {
+    /// It is larger than what is taken.
+    TooLarge {
+        /// The most bytes that are taken.
+        limit: usize,
+    },
+    /// It took too long.
+    Slow {
+        /// The longest time.
+        limit: Duration,
+    },
+    /// It ended early or isn't encoded as it says.
+    Broken,
+}
+
 /// Reads the whole body.
-pub(super) async fn read(
-    body: &mut RequestBody,
-    intake: &Intake,
-    headers: &HeaderMap,
-) -> Result<Bytes, Invalid> {
-    let too_large = Invalid::BodyTooLarge { limit: intake.body_len };
+///
+/// # Errors
+///
+/// See [`BodyFault`].
+pub async fn read(body: &mut RequestBody, intake: &Intake, headers: &HeaderMap) -> Result<Bytes, BodyFault> {
+    let too_large = BodyFault::TooLarge { limit: intake.body_len };
     let announced = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
     if announced.is_some_and(|len| len > intake.body_len) {
         return Err(too_large);
@@ -40,17 +56,14 @@
         Ok(buf.freeze())
     };
     let limit = intake.body_timeout;
-    timeout(limit, all).await.unwrap_or(Err(Invalid::BodySlow { limit }))
+    timeout(limit, all).await.unwrap_or(Err(BodyFault::Slow { limit }))
 }
 
 /// Reads the rest of a body that was refused, within limits.
 ///
 /// If the connection were closed with bytes unread, the system would reset it,
 /// and the sender could lose the answer that tells it what is wrong.
-pub(super) async fn read_off(body: &mut RequestBody, invalid: &Invalid) {
-    if matches!(invalid, Invalid::BodySlow { .. } | Invalid::BodyBroken) {
-        return;
-    }
+pub async fn read_off(body: &mut RequestBody) {
     let rest = async {
         let mut len = 0;
         while let Ok(Some(data)) = next(body).await {
@@ -64,12 +77,12 @@
     _ = timeout(READ_OFF_TIMEOUT, rest).await;
 }
 
-async fn next(body: &mut RequestBody) -> Result<Option<Bytes>, Invalid> {
+async fn next(body: &mut RequestBody) -> Result<Option<Bytes>, BodyFault> {
     loop {
         match poll_fn(|cx| Pin::new(&mut *body).poll_frame(cx)).await {
             Some(Ok(Frame::Data(data))) => return Ok(Some(data)),
             Some(Ok(Frame::Trailers(_))) => {}
-            Some(Err(_broken)) => return Err(Invalid::BodyBroken),
+            Some(Err(_broken)) => return Err(BodyFault::Broken),
             None => return Ok(None),
         }
     }
--- a/crates/skylarkshore/src/callers/reply.rs
+++ b/crates/skylarkshore-host/src/exchange/reply.rs
@@ -18,10 +18,10 @@
 use xitca_web::body::{Body, Frame, ResponseBody, SizeHint};
 use xitca_web::http::WebResponse;
 
-use crate::connections::Watched;
 use crate::env::Env;
+use crate::exchange::connections::Watched;
 use crate::metrics::RequestEnd;
-use crate::pending::{Piece, Reply, ReplyBody};
+use crate::pending::{Piece, RefusalFormat, Reply, ReplyBody};
 
 /// A request that the core knows of.
 ///
@@ -56,7 +56,12 @@
     }
 
     /// Waits for the head of the answer, and makes the response of it.
-    pub(super) async fn respond(mut self, reply: oneshot::Receiver<Reply>, overdue: Instant) -> WebResponse {
+    pub(super) async fn respond(
+        mut self,
+        reply: oneshot::Receiver<Reply>,
+        overdue: Instant,
+        refusals: &dyn RefusalFormat,
+    ) -> WebResponse {
         let mut watched = self.watched.clone();
         let reply = tokio::select! {
             reply = reply => reply.ok(),
@@ -71,7 +76,7 @@
             error!(self.env.log, "request_unanswered"; "request" => %self.request);
             self.end(RequestEnd::Refused("unknown"));
             self.env.inbox.event(Event::CallerGone { request: self.request }).await;
-            return unanswered();
+            return unanswered(refusals);
         };
         self.env.metrics.request_answering(self.target, self.begun.elapsed());
         self.watch_over(overdue);
@@ -138,14 +143,17 @@
 }
 
 /// Tells a caller that the core gave no answer, whose outcome is therefore unknown.
-fn unanswered() -> WebResponse {
+fn unanswered(refusals: &dyn RefusalFormat) -> WebResponse {
     let refusal = Refusal {
         outcome: RefusalOutcome::Unknown,
         reason: RefusalReason::DeadlinePassedRunning,
         retry_after: Some(Duration::from_secs(1)),
     };
-    let body = skylarkshore_wire::caller::RefusalBody::from(&refusal);
-    crate::server::json(http::StatusCode::GATEWAY_TIMEOUT, &body)
+    let told = refusals.whole(&refusal);
+    let mut res = WebResponse::new(ResponseBody::bytes(told.body));
+    *res.status_mut() = told.status;
+    *res.headers_mut() = told.headers;
+    res
 }
 
 /// The body of an answer that is passed on.
--- a/crates/skylarkshore/src/http.rs
+++ b/crates/skylarkshore-host/src/http.rs
@@ -11,12 +11,13 @@
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use tokio::net::TcpStream;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::time::Instant;
 
+use crate::pool::Connection;
+
 /// How long a connection may take to be made.
-pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a connection is kept for reuse. Most servers close idle ones after
 /// five seconds or more; a request sent on one that is just being closed would
 /// be lost, and couldn't be told from one that has run.
@@ -32,30 +33,38 @@
 
 /// Why a call has no answer.
 #[derive(Debug, Display, Error)]
-pub(crate) enum CallError {
+pub enum CallError {
     /// No connection could be made, so nothing was sent.
     #[display("no connection: {reason}")]
-    NotConnected { reason: String },
+    NotConnected {
+        /// What stood in the way.
+        reason: String,
+    },
     /// It was sent, and the answer is missing, cut short or too large.
     #[display("no whole answer: {reason}")]
-    Lost { reason: String },
+    Lost {
+        /// What went wrong.
+        reason: String,
+    },
 }
 
 /// An answer that was read whole.
 #[derive(Debug)]
-pub(crate) struct Answer {
-    pub(crate) status: StatusCode,
-    pub(crate) body: Bytes,
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// The whole body.
+    pub body: Bytes,
 }
 
 /// A client with a pool of connections, which never sends a request twice.
-pub(crate) type PooledClient = Client<HttpConnector, Full<Bytes>>;
+pub type PooledClient = Client<HttpConnector, Full<Bytes>>;
 
 /// Makes a client.
 ///
 /// The client's own retry is off: it would send a request again when a reused
 /// connection was closed first, and a booking could be made twice.
-pub(crate) fn client() -> PooledClient {
+pub fn client() -> PooledClient {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -71,12 +80,7 @@
 }
 
 /// Makes a request with a JSON body, or none.
-pub(crate) fn json_request(
-    method: Method,
-    address: SocketAddr,
-    path: &str,
-    body: Bytes,
-) -> Request<Full<Bytes>> {
+pub fn json_request(method: Method, address: SocketAddr, path: &str, body: Bytes) -> Request<Full<Bytes>> {
     let mut req = Request::new(Full::new(body));
     *req.method_mut() = method;
     *req.uri_mut() = format!("http://{address}{path}").parse().unwrap_or_default();
@@ -89,7 +93,7 @@
 /// # Errors
 ///
 /// See [`CallError`].
-pub(crate) async fn call(
+pub async fn call(
     client: &PooledClient,
     req: Request<Full<Bytes>>,
     deadline: Instant,
@@ -113,50 +117,32 @@
 /// # Errors
 ///
 /// See [`CallError`].
-pub(crate) async fn call_anew(
+pub async fn call_anew(
     address: SocketAddr,
     mut req: Request<Full<Bytes>>,
     may_send: impl FnOnce() -> bool,
     deadline: Instant,
 ) -> Result<Option<Answer>, CallError> {
-    let mut sender = tokio::time::timeout_at(deadline, connect(address))
+    let mut connection = tokio::time::timeout_at(deadline, Connection::open(address))
         .await
         .unwrap_or_else(|_elapsed| Err(not_connected("timed out")))?;
-    let authority = address.to_string();
-    to_origin_form(&mut req, &authority);
+    to_origin_form(&mut req, address);
     if !may_send() {
         return Ok(None);
     }
     let exchange = async {
-        let res = sender.send_request(req).await.map_err(|err| CallError::Lost { reason: chain(&err) })?;
+        let res = connection.send(req).await.map_err(|err| CallError::Lost { reason: chain(&err) })?;
         read_whole(res).await.map(Some)
     };
     tokio::time::timeout_at(deadline, exchange).await.unwrap_or_else(|_elapsed| Err(timed_out()))
 }
 
-type Sender = hyper::client::conn::http1::SendRequest<Full<Bytes>>;
-
-/// Makes a connection that is used once.
-pub(crate) async fn connect(address: SocketAddr) -> Result<Sender, CallError> {
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-        .await
-        .map_err(|_elapsed| not_connected("timed out"))?
-        .map_err(|err| not_connected(&err.to_string()))?;
-    stream.set_nodelay(true).map_err(|err| not_connected(&err.to_string()))?;
-    let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(|err| not_connected(&chain(&err)))?;
-    // The connection ends with its sender and its answer; a failure shows in the answer.
-    tokio::spawn(async move { _ = connection.await });
-    Ok(sender)
-}
-
 /// Turns an absolute address into the path and `host` header that servers expect.
-pub(crate) fn to_origin_form(req: &mut Request<Full<Bytes>>, authority: &str) {
+fn to_origin_form(req: &mut Request<Full<Bytes>>, address: SocketAddr) {
     if let Some(path) = req.uri().path_and_query().cloned() {
         *req.uri_mut() = path.into();
     }
-    if let Ok(host) = authority.parse() {
+    if let Ok(host) = address.to_string().parse() {
         req.headers_mut().insert(HOST, host);
     }
 }
@@ -177,7 +163,7 @@
 }
 
 /// Joins an error's causes, which its own text leaves out.
-pub(crate) fn chain(err: &dyn std::error::Error) -> String {
+pub fn chain(err: &dyn std::error::Error) -> String {
     let mut text = err.to_string();
     let mut source = err.source();
     while let Some(cause) = source {
--- a/crates/skylarkshore/src/log.rs
+++ b/crates/skylarkshore-host/src/log.rs
@@ -1,6 +1,6 @@
-//! Log lines: one event each, as key=value pairs on standard error.
+//! Log lines: one event each, as key=value pairs on standard output.
 
-use std::io::{Write, stderr};
+use std::io::{Write, stdout};
 
 use slog::{Drain, LevelFilter, Logger, o};
 use slog_async::{Async, AsyncGuard};
@@ -13,7 +13,7 @@
 
 /// Makes the logger; its last lines are written when the guard is dropped.
 pub(crate) fn logger(config: &Config) -> (Logger, AsyncGuard) {
-    let (drain, guard) = Async::new(drain(stderr(), config.log_level).fuse())
+    let (drain, guard) = Async::new(drain(stdout(), config.log_level).fuse())
         .chan_size(QUEUE_LEN)
         .thread_name("skylarkshore-log".to_owned())
         .build_with_guard();
--- a/crates/skylarkshore/src/metrics.rs
+++ b/crates/skylarkshore-host/src/metrics.rs
@@ -21,7 +21,7 @@
 
 /// The numbers that the process keeps outside of the core.
 #[derive(Debug)]
-pub(crate) struct Metrics {
+pub struct Metrics {
     registry: Registry,
     requests: IntCounterVec,
     in_progress: IntGauge,
@@ -39,7 +39,7 @@
 
 /// How a request ended, for its counter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum RequestEnd {
+pub enum RequestEnd {
     /// An upstream's answer was passed on whole.
     Answered,
     /// It was wrong in itself and nothing was sent upstream.
@@ -189,13 +189,15 @@
         self.duration.with_label_values(&[target]).observe(after.as_secs_f64());
     }
 
-    pub(crate) fn request_invalid(&self) {
+    /// Counts a request that was wrong in itself.
+    pub fn request_invalid(&self) {
         self.requests.with_label_values(&["none", RequestEnd::Invalid.label()]).inc();
     }
 
     pub(crate) fn attempt_ended(&self, end: &AttemptEnd) {
         let label = match end {
             AttemptEnd::Whole { .. } | AttemptEnd::WholeTooLarge => "whole",
+            AttemptEnd::FailedWhole => "failed",
             AttemptEnd::NotSent => "not_sent",
             AttemptEnd::Rejected(_) => "rejected",
             AttemptEnd::Lost { died: true, .. } => "upstream_died",
@@ -204,11 +206,13 @@
         self.attempts.with_label_values(&[label]).inc();
     }
 
-    pub(crate) fn noted(&self, event: &str) {
+    /// Counts an event that operators ought to know of.
+    pub fn noted(&self, event: &str) {
         self.notes.with_label_values(&[event]).inc();
     }
 
-    pub(crate) fn store_call(&self, call: &str, result: &StoreResult, took: Duration) {
+    /// Counts a call to the key-value service.
+    pub fn store_call(&self, call: &str, result: &StoreResult, took: Duration) {
         let label = match result {
             Ok(_) => "answered",
             Err(StoreFailure::NotDone) => "not_done",
--- a/crates/skylarkshore/src/pending.rs
+++ b/crates/skylarkshore-host/src/pending.rs
@@ -23,35 +23,85 @@
 
 /// What is sent upstream.
 #[derive(Debug)]
-pub(crate) struct Outgoing {
-    pub(crate) method: Method,
+pub struct Outgoing {
+    /// The method.
+    pub method: Method,
     /// The path and query.
-    pub(crate) path: String,
+    pub path: String,
     /// The caller's headers that concern the upstream.
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// How refusals are told to callers.
+pub trait RefusalFormat: Send + Sync {
+    /// Makes the answer to a request of which no part was answered.
+    fn whole(&self, refusal: &Refusal) -> RefusalTold;
+
+    /// Makes the last bytes of a stream that is broken off, if the caller can understand any.
+    fn last_event(&self, refusal: &Refusal) -> Option<Bytes>;
+}
+
+/// A refusal as the caller gets it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RefusalTold {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// The product's own refusals: JSON that says what was run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct JsonRefusals;
+
+impl RefusalFormat for JsonRefusals {
+    fn whole(&self, refusal: &Refusal) -> RefusalTold {
+        let (status, headers) = refusal_head(refusal);
+        RefusalTold { status, headers, body: refusal_json(refusal) }
+    }
+
+    fn last_event(&self, refusal: &Refusal) -> Option<Bytes> {
+        Some(error_event(refusal))
+    }
 }
 
 /// The head of an answer and a way to its body.
 #[derive(Debug)]
-pub(crate) struct Reply {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: ReplyBody,
+pub struct Reply {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: ReplyBody,
 }
 
 /// The body of an answer.
 #[derive(Debug)]
-pub(crate) enum ReplyBody {
+pub enum ReplyBody {
     /// It is here as a whole.
-    Whole { body: Bytes, end: RequestEnd },
+    Whole {
+        /// The bytes.
+        body: Bytes,
+        /// How the request ends with it.
+        end: RequestEnd,
+    },
     /// It comes in pieces.
-    Pieces { pieces: mpsc::Receiver<Piece>, len: Option<u64> },
+    Pieces {
+        /// The pieces.
+        pieces: mpsc::Receiver<Piece>,
+        /// The length in all, where it is known.
+        len: Option<u64>,
+    },
 }
 
 /// A piece of a body. A body whose last piece is neither an end nor a break was lost here.
 #[derive(Debug)]
-pub(crate) enum Piece {
+pub enum Piece {
     /// Some bytes.
     Data(Bytes),
     /// The body is complete.
@@ -62,25 +112,45 @@
 
 /// The head of an answer that is about to be passed on.
 #[derive(Debug)]
-pub(crate) struct Head {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
+pub struct Head {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The length of the body, where it is known.
-    pub(crate) len: Option<u64>,
+    pub len: Option<u64>,
     /// Whether it is a stream of server-sent events.
-    pub(crate) events: bool,
+    pub events: bool,
 }
 
 /// Nobody takes the answer any more: the caller is gone, or another attempt took over.
 #[derive(Debug)]
-pub(crate) struct Closed;
+pub struct Closed;
+
+/// How far a stream of events has been passed on.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Delivered {
+    /// How many data events.
+    pub events: u64,
+    /// The id of the last event that had one.
+    pub last_id: Option<HeaderValue>,
+}
+
+impl Delivered {
+    fn add(&mut self, more: Self) {
+        self.events += more.events;
+        if more.last_id.is_some() {
+            self.last_id = more.last_id;
+        }
+    }
+}
 
 #[derive(Debug)]
 enum State {
     /// Nothing was passed on yet.
     Waiting(oneshot::Sender<Reply>),
     /// A part was passed on.
-    Passing { pieces: mpsc::Sender<Piece>, events: bool, delivered: u64 },
+    Passing { pieces: mpsc::Sender<Piece>, events: bool, delivered: Delivered },
     /// The last piece was passed on.
     Done,
 }
@@ -89,20 +159,39 @@
 struct Inner {
     state: State,
     attempt: AttemptId,
+    /// A whole answer that says that its upstream failed, unless another one does better.
+    kept: Option<Kept>,
 }
 
-/// A request in progress.
 #[derive(Debug)]
-pub(crate) struct PendingRequest {
-    pub(crate) outgoing: Outgoing,
+struct Kept {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// A request in progress.
+pub struct PendingRequest {
+    /// What is sent upstream.
+    pub outgoing: Outgoing,
+    refusals: Arc<dyn RefusalFormat>,
     inner: Mutex<Inner>,
 }
 
+impl std::fmt::Debug for PendingRequest {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PendingRequest").field("outgoing", &self.outgoing).finish_non_exhaustive()
+    }
+}
+
 impl PendingRequest {
-    pub(crate) fn new(outgoing: Outgoing) -> (Self, oneshot::Receiver<Reply>) {
+    pub(crate) fn new(
+        outgoing: Outgoing,
+        refusals: Arc<dyn RefusalFormat>,
+    ) -> (Self, oneshot::Receiver<Reply>) {
         let (tx, rx) = oneshot::channel();
-        let inner = Inner { state: State::Waiting(tx), attempt: AttemptId::default() };
-        (Self { outgoing, inner: Mutex::new(inner) }, rx)
+        let inner = Inner { state: State::Waiting(tx), attempt: AttemptId::default(), kept: None };
+        (Self { outgoing, refusals, inner: Mutex::new(inner) }, rx)
     }
 
     /// Lets an attempt pass its answer on, and none before it.
@@ -111,13 +200,13 @@
     /// piece on. Without this check that piece would land in the next attempt's
     /// answer, and the caller would get a mixture of both.
     ///
-    /// Returns how many data events the caller has already.
-    pub(crate) fn begin_attempt(&self, attempt: AttemptId) -> u64 {
+    /// Returns how much of a stream the caller has already.
+    pub(crate) fn begin_attempt(&self, attempt: AttemptId) -> Delivered {
         let mut inner = self.lock();
         inner.attempt = attempt;
-        match inner.state {
-            State::Passing { delivered, .. } => delivered,
-            State::Waiting(_) | State::Done => 0,
+        match &inner.state {
+            State::Passing { delivered, .. } => delivered.clone(),
+            State::Waiting(_) | State::Done => Delivered::default(),
         }
     }
 
@@ -146,19 +235,19 @@
         let (tx, rx) = mpsc::channel(PIECES);
         let body = ReplyBody::Pieces { pieces: rx, len: head.len };
         waiting.send(Reply { status: head.status, headers: head.headers, body }).map_err(|_gone| Closed)?;
-        inner.state = State::Passing { pieces: tx, events: head.events, delivered: 0 };
+        inner.state = State::Passing { pieces: tx, events: head.events, delivered: Delivered::default() };
         Ok(())
     }
 
-    /// Passes bytes on that hold `events` whole data events; waits while the caller is slow.
-    pub(crate) async fn pass(&self, attempt: AttemptId, bytes: Bytes, events: u64) -> Result<(), Closed> {
+    /// Passes bytes on that hold whole events, if any; waits while the caller is slow.
+    pub(crate) async fn pass(&self, attempt: AttemptId, bytes: Bytes, more: Delivered) -> Result<(), Closed> {
         let permit = self.sender(attempt)?.reserve_owned().await.map_err(|_gone| Closed)?;
         let mut inner = self.lock();
         if inner.attempt != attempt {
             return Err(Closed);
         }
         let State::Passing { delivered, .. } = &mut inner.state else { return Err(Closed) };
-        *delivered += events;
+        delivered.add(more);
         permit.send(Piece::Data(bytes));
         Ok(())
     }
@@ -175,6 +264,37 @@
         Ok(())
     }
 
+    /// Passes on a whole answer at once, unless an earlier attempt has passed a part on.
+    pub(crate) fn pass_whole(
+        &self,
+        attempt: AttemptId,
+        status: StatusCode,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> Result<(), Closed> {
+        let inner = self.lock();
+        if inner.attempt != attempt || !matches!(inner.state, State::Waiting(_)) {
+            return Err(Closed);
+        }
+        drop(inner);
+        self.reply(status, headers, body, RequestEnd::Answered);
+        Ok(())
+    }
+
+    /// Keeps a whole answer that says that its upstream failed.
+    pub(crate) fn keep(&self, attempt: AttemptId, status: StatusCode, headers: HeaderMap, body: Bytes) {
+        let mut inner = self.lock();
+        if inner.attempt == attempt {
+            inner.kept = Some(Kept { status, headers, body });
+        }
+    }
+
+    /// Passes the kept answer on.
+    pub(crate) fn pass_kept(&self) {
+        let Some(Kept { status, headers, body }) = self.lock().kept.take() else { return };
+        self.reply(status, headers, body, RequestEnd::Answered);
+    }
+
     /// Gives the caller a kept answer.
     pub(crate) fn answer(&self, answer: RecordedAnswer) {
         let mut headers = HeaderMap::new();
@@ -192,13 +312,13 @@
         drop(inner);
         match state {
             State::Waiting(tx) => {
-                let (status, headers) = refusal_head(refusal);
-                let body = ReplyBody::Whole { body: refusal_json(refusal), end: refusal_end(refusal) };
+                let RefusalTold { status, headers, body } = self.refusals.whole(refusal);
+                let body = ReplyBody::Whole { body, end: refusal_end(refusal) };
                 // Nobody is left to tell if the caller is gone.
                 _ = tx.send(Reply { status, headers, body });
             }
             State::Passing { pieces, events, .. } => {
-                let last = events.then(|| error_event(refusal));
+                let last = if events { self.refusals.last_event(refusal) } else { None };
                 break_off(pieces, last);
             }
             State::Done => {}
@@ -271,7 +391,7 @@
 
 /// The requests in progress.
 #[derive(Debug, Default)]
-pub(crate) struct Requests {
+pub struct Requests {
     next: AtomicU64,
     pending: Mutex<HashMap<RequestId, Arc<PendingRequest>>>,
 }
