--- a/crates/skylarkshore/src/run.rs
+++ b/crates/skylarkshore-host/src/run.rs
@@ -14,23 +14,22 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
-use crate::callers::{self, CallerState, Rotation};
 use crate::clock::Clock;
-use crate::config::Config;
-use crate::connections::Connections;
+use crate::config::{Config, EtcdSettings};
 use crate::driver::{Driver, Effects, Inbox, InboxReceiver, Snapshot};
-use crate::engines::Engines;
 use crate::env::Env;
 use crate::error::Error;
+use crate::etcd_platform::EtcdPlatform;
+use crate::exchange::{Connections, Exchange};
 use crate::log::{logger, unix_millis};
 use crate::metrics::Metrics;
 use crate::operators::{self, OperatorState};
 use crate::peers::{Identity, LinkTimings, Peers};
 use crate::pending::Requests;
+use crate::platform::Platform;
+use crate::server::RunningServer;
 use crate::shutdown::Signals;
-use crate::store::{EtcdStore, Store};
 use crate::upstreams::Upstreams;
-use crate::{hosts, server};
 
 const MIN_WORKERS: usize = 2;
 const MAX_WORKERS: usize = 4;
@@ -38,15 +37,25 @@
 const LAST_ANSWERS: Duration = Duration::from_secs(30);
 const LAST_BYTES: Duration = Duration::from_millis(100);
 
+/// Makes the platform that the settings name, given which life of the process this is.
+pub type PlatformMaker = dyn Fn(&Config, Incarnation) -> Box<dyn Platform>;
+
+/// Returns the product's own platform.
+///
+/// Its settings are read along with the others; see [`Config::platform`].
+pub fn own_platform(config: &Config, settings: EtcdSettings, incarnation: Incarnation) -> Box<dyn Platform> {
+    Box::new(EtcdPlatform::new(config, settings, incarnation))
+}
+
 /// Runs an entry host until it has left in order or is told to end at once.
 ///
 /// # Errors
 ///
 /// An address is taken, or the system gives no threads or randomness.
-pub fn run(config: Config) -> Result<ExitCode, Error> {
+pub fn run(config: Config, platforms: &PlatformMaker) -> Result<ExitCode, Error> {
     let (log, guard) = logger(&config);
     let runtime = runtime()?;
-    let code = runtime.block_on(serve(config, log));
+    let code = runtime.block_on(serve(config, platforms, log));
     // Calls that are still on their way have no one left to answer.
     runtime.shutdown_background();
     drop(guard);
@@ -93,7 +102,7 @@
     bind(address).map_err(|source| Error::Bind { address, purpose, setting, source })
 }
 
-async fn serve(mut config: Config, log: Logger) -> Result<ExitCode, Error> {
+async fn serve(mut config: Config, platforms: &PlatformMaker, log: Logger) -> Result<ExitCode, Error> {
     let system = |source| Error::Runtime { source };
     let signals = Signals::listen().map_err(system)?;
     let sockets = Sockets::bind(&mut config)?;
@@ -117,10 +126,11 @@
         LinkTimings::from(&config.timings),
         snapshots.clone(),
     )?;
-    let effects = effects(&config, incarnation, &env, peers.clone());
+    let platform = platforms(&config, incarnation);
+    let effects = effects(&config, &*platform, &env, peers.clone());
     let (node, first) = Node::start(node_config, env.clock.now());
     let driver = Driver::new(node, env.clock, effects, snapshot, Arc::clone(&env.metrics));
-    let caller_state = caller_state(&config, incarnation, &env, snapshots.clone());
+    let exchange = exchange(&config, incarnation, &env, snapshots.clone());
     let operator_state = OperatorState {
         env: env.clone(),
         snapshots,
@@ -129,8 +139,8 @@
         data_centre: config.data_centre.clone(),
     };
     let operators = operators::serve(operator_state, sockets.operators).map_err(system)?;
-    let callers = callers::serve(caller_state, sockets.callers).map_err(system)?;
-    tokio::spawn(hosts::poll(config.hosts_url.clone(), env.inbox.clone(), env.log.clone()));
+    let callers = platform.serve(exchange, sockets.callers)?;
+    platform.follow_upstreams(&env);
     let code = until_end(driver, receiver, first, signals, &env).await;
     stop(&callers, &operators, &peers);
     Ok(code)
@@ -147,6 +157,8 @@
         seed: rand::random(),
         timings: config.timings.clone(),
         limits: config.limits.clone(),
+        default_rules: config.default_rules.clone(),
+        watchers: config.watchers,
     }
 }
 
@@ -160,25 +172,20 @@
         "operator_address" => %config.operator_address);
 }
 
-fn effects(config: &Config, incarnation: Incarnation, env: &Env, peers: Peers) -> Effects {
-    let store: Arc<dyn Store> = Arc::new(EtcdStore::new(
-        config.store_endpoints.clone(),
-        config.timings.store_timeout,
-        Arc::clone(&env.metrics),
-        env.log.clone(),
-    ));
-    let engines = Engines::new(env.clock, env.log.clone());
-    let upstreams = Upstreams::new(&config.host, incarnation, config.limits.recorded_answer, env.clone());
+fn effects(config: &Config, platform: &dyn Platform, env: &Env, peers: Peers) -> Effects {
+    let store = platform.store(env);
+    let engines = platform.engines(env);
+    let upstreams = Upstreams::new(platform.upstreams(env), config.limits.recorded_answer, env.clone());
     Effects::new(env.clone(), store, engines, upstreams, peers)
 }
 
-fn caller_state(
+fn exchange(
     config: &Config,
     incarnation: Incarnation,
     env: &Env,
     snapshots: watch::Receiver<Arc<Snapshot>>,
-) -> CallerState {
-    CallerState {
+) -> Exchange {
+    Exchange {
         env: env.clone(),
         snapshots,
         connections: Arc::new(Connections::default()),
@@ -187,7 +194,6 @@
         incarnation,
         data_centre: config.data_centre.clone(),
         entry_ttl: config.timings.entry_ttl,
-        rotation: Rotation::default(),
     }
 }
 
@@ -224,8 +230,8 @@
     }
 }
 
-fn stop(callers: &server::RunningServer, operators: &server::RunningServer, peers: &Peers) {
-    callers.stop();
+fn stop(callers: &[RunningServer], operators: &RunningServer, peers: &Peers) {
+    callers.iter().for_each(RunningServer::stop);
     operators.stop();
     peers.close();
 }
--- a/crates/skylarkshore/src/server.rs
+++ b/crates/skylarkshore-host/src/server.rs
@@ -16,7 +16,7 @@
 use xitca_web::service::ready::ReadyService;
 
 /// The most headers of a request; more are refused with the remedy.
-pub(crate) const MAX_HEADERS: usize = 64;
+pub const MAX_HEADERS: usize = 64;
 /// The most headers that are read at all; more are refused without a word on why.
 const HARD_MAX_HEADERS: usize = 256;
 /// The largest head that is read at all.
@@ -25,30 +25,31 @@
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
 
 /// Threads that serve callers.
-pub(crate) const CALLER_WORKERS: usize = 2;
+pub const CALLER_WORKERS: usize = 2;
 /// Threads that serve operators.
-pub(crate) const OPERATOR_WORKERS: usize = 1;
+pub const OPERATOR_WORKERS: usize = 1;
 
 /// A server that runs.
-pub(crate) struct RunningServer {
+#[expect(missing_debug_implementations, reason = "the handle of the library's server shows nothing")]
+pub struct RunningServer {
     handle: ServerHandle,
 }
 
 impl RunningServer {
     /// Ends the server and its connections.
-    pub(crate) fn stop(&self) {
+    pub fn stop(&self) {
         self.handle.stop(false);
     }
 }
 
-/// Starts a server on a listener.
+/// Starts a server on one or more listeners.
 ///
 /// # Errors
 ///
 /// The system gives no threads.
-pub(crate) fn start<S, B, L>(
+pub fn start<S, B, L>(
     server: HttpServer<S>,
-    listener: L,
+    listeners: impl IntoIterator<Item = L>,
     head_timeout: Duration,
     workers: usize,
 ) -> std::io::Result<RunningServer>
@@ -69,9 +70,11 @@
         .keep_alive_timeout(KEEP_ALIVE)
         .request_head_timeout(head_timeout)
         .max_request_headers::<HARD_MAX_HEADERS>()
-        .max_read_buf_size::<HARD_MAX_HEAD_LEN>()
-        .listen(listener)?
-        .run();
+        .max_read_buf_size::<HARD_MAX_HEAD_LEN>();
+    for listener in listeners {
+        server = server.listen(listener)?;
+    }
+    let mut server = server.run();
     let handle = server.handle()?;
     // The server holds a runtime of its own, which may not be dropped inside another one.
     std::thread::Builder::new().name("skylarkshore-accept".to_owned()).spawn(move || server.wait())?;
@@ -79,13 +82,13 @@
 }
 
 /// Makes an answer with a JSON body.
-pub(crate) fn json<T: Serialize>(status: StatusCode, value: &T) -> WebResponse {
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> WebResponse {
     let body = serde_json::to_vec(value).unwrap_or_default();
     whole(status, "application/json", body)
 }
 
 /// Makes an answer with a text body.
-pub(crate) fn text(status: StatusCode, body: String) -> WebResponse {
+pub fn text(status: StatusCode, body: String) -> WebResponse {
     whole(status, "text/plain; charset=utf-8", body.into_bytes())
 }
 
--- a/crates/skylarkshore/src/store.rs
+++ b/crates/skylarkshore-host/src/store.rs
@@ -10,10 +10,10 @@
 pub(crate) use etcd::EtcdStore;
 
 /// A future that a trait object returns.
-pub(crate) type BoxFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+pub type BoxFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
 
 /// The key-value service.
-pub(crate) trait Store: Send + Sync {
+pub trait Store: Send + Sync {
     /// Makes a call, which ends within the time-out from the settings.
     ///
     /// `NotDone` is only returned when no connection could be made.
@@ -25,15 +25,15 @@
 
 /// What the watch has seen.
 #[derive(Debug)]
-pub(crate) struct Seen {
+pub struct Seen {
     /// The changes in their order.
-    pub(crate) changes: Vec<Versioned>,
+    pub changes: Vec<Versioned>,
     /// The revision up to which nothing is missing.
-    pub(crate) upto: StoreRevision,
+    pub upto: StoreRevision,
 }
 
 /// Where a watch puts what it sees.
-pub(crate) trait WatchSink: Send + Sync {
+pub trait WatchSink: Send + Sync {
     /// Takes what was seen.
     fn seen(&self, seen: Seen) -> BoxFuture<'_, ()>;
 }
--- /dev/null
+++ b/crates/skylarkshore-host/src/upstreams/own.rs
@@ -0,0 +1,96 @@
+//! The product's own protocol between entry hosts and upstreams.
+
+use http::header::{ACCEPT_ENCODING, CONTENT_LENGTH, EXPECT, HOST};
+use http::{HeaderMap, HeaderValue, StatusCode};
+use skylarkshore_core::event::{LoadTold, Rejection};
+use skylarkshore_core::id::{HostId, Incarnation};
+use skylarkshore_core::upstream::Upstream;
+use skylarkshore_wire::engine::{NotRun, PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER, TIMEOUT_HEADER};
+
+use super::{Call, StreamEnd, UpstreamProtocol, Verdict, remove_hop_by_hop};
+
+/// The product's own protocol.
+///
+/// Engines echo request ids, say when they ran nothing, and can resume streams;
+/// plain services promise nothing beyond HTTP.
+#[derive(Debug)]
+pub(crate) struct OwnUpstreams {
+    /// What request ids begin with, so that no two processes use the same.
+    id_prefix: String,
+}
+
+impl OwnUpstreams {
+    pub(crate) fn new(host: &HostId, incarnation: Incarnation) -> Self {
+        Self { id_prefix: format!("{host}-{incarnation}") }
+    }
+
+    fn request_id(&self, call: &Call<'_>) -> HeaderValue {
+        let id = format!("{}-{}-{}", self.id_prefix, call.dispatch.request, call.dispatch.attempt);
+        HeaderValue::try_from(id).unwrap_or(HeaderValue::from_static("unnamed"))
+    }
+}
+
+impl UpstreamProtocol for OwnUpstreams {
+    fn write_head(&self, call: &Call<'_>, headers: &mut HeaderMap) {
+        headers.insert(REQUEST_ID_HEADER, self.request_id(call));
+        headers.insert(PRIORITY_HEADER, HeaderValue::from(call.dispatch.order.0));
+        let remaining = u64::try_from(call.remaining.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(TIMEOUT_HEADER, HeaderValue::from(remaining));
+        if call.dispatch.resume {
+            headers.insert(RESUME_HEADER, HeaderValue::from(call.delivered.events));
+        }
+    }
+
+    fn read_head(&self, call: &Call<'_>, status: StatusCode, headers: &HeaderMap) -> Verdict {
+        // An upstream that mixes up its connections would show one caller another's
+        // answer. The id that it is sent differs for each try everywhere.
+        let is_engine = call.dispatch.upstream.engine().is_some();
+        let is_echoed = match headers.get(REQUEST_ID_HEADER) {
+            Some(echoed) if *echoed == self.request_id(call) => true,
+            Some(_) => return Verdict::Foreign,
+            None if is_engine => return Verdict::Foreign,
+            None => false,
+        };
+        let says_not_run = matches!(status, StatusCode::CONFLICT | StatusCode::TOO_MANY_REQUESTS);
+        // A service that doesn't echo ids may mean something else by these answers.
+        if is_echoed && says_not_run { Verdict::PerhapsNotRun } else { Verdict::Answer }
+    }
+
+    fn read_not_run(&self, body: &[u8]) -> Option<Rejection> {
+        serde_json::from_slice::<NotRun>(body).ok().map(|not_run| not_run.error.into())
+    }
+
+    fn clean_answer(&self, headers: &mut HeaderMap) {
+        headers.remove(REQUEST_ID_HEADER);
+    }
+
+    fn read_load(&self, _headers: &HeaderMap) -> Option<LoadTold> {
+        None
+    }
+
+    fn takes_unframed(&self) -> bool {
+        // Without a length or chunks an answer that was cut short looks whole.
+        false
+    }
+
+    fn stream_end(&self, upstream: &Upstream) -> StreamEnd {
+        // A plain service promises no end marker; its streams end with their last chunk.
+        if upstream.engine().is_some() { StreamEnd::Marker } else { StreamEnd::Body }
+    }
+}
+
+/// Returns the caller's headers that concern the upstream.
+///
+/// Compression isn't asked for, as the events of a stream have to be told apart.
+pub(crate) fn forwarded(headers: &HeaderMap) -> HeaderMap {
+    let mut headers = headers.clone();
+    remove_hop_by_hop(&mut headers);
+    for name in [HOST, CONTENT_LENGTH, EXPECT, ACCEPT_ENCODING] {
+        headers.remove(name);
+    }
+    // These are this system's own; the upstream gets them anew for each try.
+    for name in [REQUEST_ID_HEADER, PRIORITY_HEADER, TIMEOUT_HEADER, RESUME_HEADER] {
+        headers.remove(name);
+    }
+    headers
+}
--- a/crates/skylarkshore-standins/examples/capacity.rs
+++ b/crates/skylarkshore-standins/examples/capacity.rs
@@ -10,11 +10,13 @@
 use skylarkshore_core::collections::OrderedMap;
 use skylarkshore_core::config::{Limits, Timings};
 use skylarkshore_core::event::{Repeat, Target};
-use skylarkshore_core::id::{Digest, RulesRevision};
+use skylarkshore_core::id::{CatalogueRevision, Digest, Incarnation, RulesRevision};
 use skylarkshore_core::rules::{Outcome, Rules};
 use skylarkshore_core::time::Time;
 use skylarkshore_core::units::{Mebibytes, Watts};
-use skylarkshore_core::upstream::{EngineSpec, FenceCheck, Standing, Upstream, UpstreamKind};
+use skylarkshore_core::upstream::{
+    Copies, EngineSpec, FenceCheck, OrderMode, Standing, Upstream, UpstreamKind,
+};
 use skylarkshore_standins::world::{Ask, HostSetup, Meter, NoFaults, Setup, World};
 
 const WARM_UP: u64 = 40;
@@ -57,6 +59,8 @@
         weights: Mebibytes(14_000),
         kv_cache: Mebibytes(4_000),
         load_time: Duration::from_secs(4),
+        copy_load_times: None,
+        pool: None,
         adapters: (0..adapters).map(|a| (name(&format!("model-{i}:adapter-{a}")), Mebibytes(200))).collect(),
     }
 }
@@ -68,6 +72,9 @@
         active_watts: Watts(300),
         fence_check: FenceCheck::Refuses,
         concurrency: 16,
+        order_mode: OrderMode::Parallel,
+        pool: None,
+        adapter_slots: None,
     };
     Upstream {
         id: name(&format!("engine-{i}")),
@@ -76,6 +83,10 @@
         site: name("site"),
         kind: UpstreamKind::Engine(spec),
         standing: Standing::Live,
+        incarnation: Incarnation::default(),
+        concurrency: None,
+        holds: Vec::new(),
+        copies: Copies::default(),
     }
 }
 
@@ -89,9 +100,10 @@
         hosts: (0..size.hosts).map(host).collect(),
         upstreams: (0..size.engines).map(engine).collect(),
         document: Document {
+            catalogue_revision: CatalogueRevision::default(),
             revision: RulesRevision(1),
             power_caps: [(name("site"), Watts(300 * size.engines as u64))].into(),
-            catalogue: Catalogue { models: models.collect(), services: [].into() },
+            catalogue: Catalogue { models: models.collect(), services: [].into(), ..Catalogue::default() },
             rules: Rules { list: Vec::new(), otherwise: Outcome::default() },
         },
         seed: 1,
--- a/crates/skylarkshore-standins/src/programs.rs
+++ b/crates/skylarkshore-standins/src/programs.rs
@@ -9,7 +9,14 @@
 use tokio::process::Command;
 
 /// The packages whose sources the programs are made of.
-const PACKAGES: [&str; 4] = ["skylarkshore-core", "skylarkshore-wire", "skylarkshore", "skylarkctl"];
+const PACKAGES: [&str; 6] = [
+    "skylarkshore-core",
+    "skylarkshore-wire",
+    "skylarkshore-host",
+    "../platform",
+    "skylarkshore",
+    "skylarkctl",
+];
 
 /// Why the programs can't be used.
 #[derive(Debug, Display, Error, From)]
--- a/crates/skylarkshore-standins/src/replay/deployment.rs
+++ b/crates/skylarkshore-standins/src/replay/deployment.rs
@@ -6,9 +6,11 @@
 use serde::Deserialize;
 use skylarkshore_core::catalogue::Document;
 use skylarkshore_core::config::{Limits, Timings};
-use skylarkshore_core::id::{DataCentre, HostId, ServiceName, SiteName, UpstreamId};
+use skylarkshore_core::id::{DataCentre, HostId, Incarnation, ServiceName, SiteName, UpstreamId};
 use skylarkshore_core::units::{Mebibytes, Watts};
-use skylarkshore_core::upstream::{EngineSpec, FenceCheck, Standing, Upstream, UpstreamKind};
+use skylarkshore_core::upstream::{
+    Copies, EngineSpec, FenceCheck, OrderMode, Standing, Upstream, UpstreamKind,
+};
 use skylarkshore_wire::document::{DocumentWire, InvalidDocument};
 
 use crate::world::{HostSetup, Setup};
@@ -119,6 +121,9 @@
             active_watts: Watts(self.active_watts),
             fence_check: if self.refuses_old_fences { FenceCheck::Refuses } else { FenceCheck::Ignores },
             concurrency: self.concurrency,
+            order_mode: OrderMode::Parallel,
+            pool: None,
+            adapter_slots: None,
         };
         upstream(self.name, self.data_centre, site, UpstreamKind::Engine(spec))
     }
@@ -132,5 +137,16 @@
 
 fn upstream(id: UpstreamId, data_centre: DataCentre, site: &SiteName, kind: UpstreamKind) -> Upstream {
     let address = ([127, 0, 0, 1], FIRST_PORT).into();
-    Upstream { id, address, data_centre, site: site.clone(), kind, standing: Standing::Live }
+    Upstream {
+        id,
+        address,
+        data_centre,
+        site: site.clone(),
+        kind,
+        standing: Standing::Live,
+        incarnation: Incarnation::default(),
+        concurrency: None,
+        holds: Vec::new(),
+        copies: Copies::default(),
+    }
 }
--- a/crates/skylarkshore-standins/src/world/engine.rs
+++ b/crates/skylarkshore-standins/src/world/engine.rs
@@ -9,8 +9,8 @@
 use skylarkshore_core::time::Time;
 use skylarkshore_core::units::{Mebibytes, Watts};
 use skylarkshore_core::upstream::{
-    EngineReport, EngineSpec, FenceCheck, LoadState, Order, OrderAnswer, ReportedAdapter, ReportedModel,
-    Upstream,
+    Copies, EngineReport, EngineSpec, FenceCheck, LoadState, Order, OrderAnswer, ReportedAdapter,
+    ReportedModel, Upstream,
 };
 
 use super::agenda::{RunId, Sender, SentRequest};
@@ -224,6 +224,9 @@
             leaving: false,
             lag: Duration::ZERO,
             settled: self.settled.clone(),
+            busy: false,
+            accepted: None,
+            copies: Copies::default(),
         })
     }
 
--- a/crates/skylarkshore-standins/src/world/host.rs
+++ b/crates/skylarkshore-standins/src/world/host.rs
@@ -4,10 +4,11 @@
 use std::time::Instant;
 
 use skylarkshore_core::Node;
-use skylarkshore_core::config::NodeConfig;
+use skylarkshore_core::config::{NodeConfig, Watchers};
 use skylarkshore_core::effect::Effect;
 use skylarkshore_core::event::Event;
 use skylarkshore_core::id::{Digest, HostId, Incarnation, RequestId};
+use skylarkshore_core::rules::Rules;
 use skylarkshore_core::time::Time;
 
 use super::agenda::Sender;
@@ -51,6 +52,8 @@
             seed: setup.seed.wrapping_mul(1_000_003).wrapping_add(index as u64),
             timings: setup.timings.clone(),
             limits: setup.limits.clone(),
+            default_rules: Rules::default(),
+            watchers: Watchers::default(),
         };
         Self {
             id: host.host.clone(),
--- a/crates/skylarkshore-standins/src/world/perform.rs
+++ b/crates/skylarkshore-standins/src/world/perform.rs
@@ -88,7 +88,7 @@
             Effect::Unwatch => self.store.unwatch(h),
             Effect::Peer(envelope) => self.send_to_peer(h, envelope, strike),
             Effect::Probe { host, incarnation, .. } => self.probe(from, host, incarnation),
-            Effect::Order { upstream, order, fence, not_after, action } => {
+            Effect::Order { upstream, order, fence, not_after, action, .. } => {
                 if not_after < self.now {
                     let event = Event::Order { upstream, order, answer: OrderAnswer::NotSent };
                     return self.answer(from, event);
@@ -119,6 +119,8 @@
                 }
                 self.crash_if_struck(&upstream, strike);
             }
+            // No upstream of this world answers that it failed.
+            Effect::PassOn { .. } => {}
             Effect::Cancel { attempt } => {
                 self.attempts.remove(&AttemptKey::new(from, attempt));
                 self.stop_runs(from, attempt);
--- a/crates/skylarkshore-standins/tests/world/mutants.rs
+++ b/crates/skylarkshore-standins/tests/world/mutants.rs
@@ -44,6 +44,7 @@
     fn order(&mut self, engine: UpstreamId, action: Order) -> Effect {
         self.next += 1;
         Effect::Order {
+            after: None,
             upstream: engine,
             order: OrderId(1_000_000 + self.next),
             fence: Fence(1_000_000),
@@ -88,6 +89,8 @@
                     order: *order,
                     resume: false,
                     hold: true,
+                    once: true,
+                    keep_failure: false,
                 };
                 vec![effect, again]
             }
--- a/crates/skylarkshore-standins/tests/world/support.rs
+++ b/crates/skylarkshore-standins/tests/world/support.rs
@@ -5,11 +5,13 @@
 use skylarkshore_core::catalogue::{Catalogue, Document, Model, ModelTarget, Service};
 use skylarkshore_core::config::{Limits, Timings};
 use skylarkshore_core::event::{Repeat, Target};
-use skylarkshore_core::id::{Digest, RulesRevision};
+use skylarkshore_core::id::{CatalogueRevision, Digest, Incarnation, RulesRevision};
 use skylarkshore_core::rules::{Outcome, Rules};
 use skylarkshore_core::time::Time;
 use skylarkshore_core::units::{Mebibytes, Watts};
-use skylarkshore_core::upstream::{EngineSpec, FenceCheck, Standing, Upstream, UpstreamKind};
+use skylarkshore_core::upstream::{
+    Copies, EngineSpec, FenceCheck, OrderMode, Standing, Upstream, UpstreamKind,
+};
 use skylarkshore_standins::world::{Ask, Faults, HostSetup, Setup, World};
 
 pub(crate) const DATA_CENTRES: [&str; 3] = ["bern-a", "olten-b", "aarau-c"];
@@ -40,6 +42,8 @@
         weights: Mebibytes(14_000),
         kv_cache: Mebibytes(4_000),
         load_time: Duration::from_secs(4),
+        copy_load_times: None,
+        pool: None,
         adapters: [(name("lease:bern"), Mebibytes(200)), (name("lease:olten"), Mebibytes(200))].into(),
     }
 }
@@ -50,9 +54,10 @@
     models.insert(name("lease"), model());
     let service = Service { once_paths: vec!["/bookings".to_owned()], concurrency: 8 };
     Document {
+        catalogue_revision: CatalogueRevision::default(),
         revision: RulesRevision(1),
         power_caps: [(name("lagerraum"), Watts(cap))].into(),
-        catalogue: Catalogue { models, services: [(name("market"), service)].into() },
+        catalogue: Catalogue { models, services: [(name("market"), service)].into(), ..Catalogue::default() },
         rules: Rules { list: Vec::new(), otherwise: Outcome::default() },
     }
 }
@@ -64,6 +69,9 @@
         active_watts: Watts(ACTIVE),
         fence_check,
         concurrency: 4,
+        order_mode: OrderMode::Parallel,
+        pool: None,
+        adapter_slots: None,
     };
     upstream(&format!("engine-{i}"), i, UpstreamKind::Engine(spec))
 }
@@ -76,6 +84,10 @@
         site: name("lagerraum"),
         kind,
         standing: Standing::Live,
+        incarnation: Incarnation::default(),
+        concurrency: None,
+        holds: Vec::new(),
+        copies: Copies::default(),
     }
 }
 
--- /dev/null
+++ b/crates/skylarkshore-wire/src/catalogue.rs
@@ -0,0 +1,180 @@
+//! A catalogue that is configured apart from the rules, as processes pass it on to one another.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use skylarkshore_core::catalogue::{
+    CallerLimits, Catalogue, ConfiguredCatalogue, Destination, Route, RouteKind,
+};
+use skylarkshore_core::id::{CatalogueRevision, ModelName, RouteName, ServiceName};
+
+use crate::document::{ModelWire, ServiceWire};
+use crate::peer::millis;
+
+/// A catalogue.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CatalogueWire {
+    /// Counts the accepted changes.
+    pub revision: CatalogueRevision,
+    /// The base models.
+    pub models: BTreeMap<ModelName, ModelWire>,
+    /// The plain services.
+    pub services: BTreeMap<ServiceName, ServiceWire>,
+    /// How requests are told apart.
+    pub routes: Vec<RouteWire>,
+    /// What callers may send.
+    pub caller_limits: Option<CallerLimitsWire>,
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteWire {
+    /// Its name.
+    pub name: RouteName,
+    /// The host name that requests name.
+    pub host: String,
+    /// What the path begins with.
+    pub prefix: String,
+    /// What may be repeated.
+    pub kind: RouteKindWire,
+    /// How long a request may be kept.
+    pub timeout_ms: u64,
+    /// Within which time an answer has its full value.
+    pub target_latency_ms: u64,
+    /// How urgent it is.
+    pub priority: u8,
+    /// On how many upstreams a request may run.
+    pub tries: u32,
+    /// Where it goes, with weights.
+    pub destinations: Vec<(ServiceName, u32)>,
+}
+
+/// What may be done with a request whose outcome isn't known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RouteKindWire {
+    /// It may run more than once.
+    Repeatable,
+    /// It may run at most once.
+    AtMostOnce,
+    /// A stream that can't be resumed.
+    Stream,
+    /// A stream that can be resumed.
+    ResumableStream,
+}
+
+/// What callers may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerLimitsWire {
+    /// The largest head in bytes.
+    pub head_len: usize,
+    /// The largest body in bytes.
+    pub body_len: usize,
+    /// How long a head may take.
+    pub head_timeout_ms: u64,
+    /// How long a connection may stay idle.
+    pub idle_timeout_ms: u64,
+}
+
+impl From<RouteKind> for RouteKindWire {
+    fn from(kind: RouteKind) -> Self {
+        match kind {
+            RouteKind::Repeatable => Self::Repeatable,
+            RouteKind::AtMostOnce => Self::AtMostOnce,
+            RouteKind::Stream { resumable: false } => Self::Stream,
+            RouteKind::Stream { resumable: true } => Self::ResumableStream,
+        }
+    }
+}
+
+impl From<RouteKindWire> for RouteKind {
+    fn from(wire: RouteKindWire) -> Self {
+        match wire {
+            RouteKindWire::Repeatable => Self::Repeatable,
+            RouteKindWire::AtMostOnce => Self::AtMostOnce,
+            RouteKindWire::Stream => Self::Stream { resumable: false },
+            RouteKindWire::ResumableStream => Self::Stream { resumable: true },
+        }
+    }
+}
+
+impl From<&Route> for RouteWire {
+    fn from(route: &Route) -> Self {
+        Self {
+            name: route.name.clone(),
+            host: route.host.clone(),
+            prefix: route.prefix.clone(),
+            kind: route.kind.into(),
+            timeout_ms: millis(route.timeout),
+            target_latency_ms: millis(route.target_latency),
+            priority: route.priority,
+            tries: route.tries,
+            destinations: route.destinations.iter().map(|d| (d.service.clone(), d.weight)).collect(),
+        }
+    }
+}
+
+impl From<RouteWire> for Route {
+    fn from(wire: RouteWire) -> Self {
+        let destination = |(service, weight)| Destination { service, weight };
+        Self {
+            name: wire.name,
+            host: wire.host,
+            prefix: wire.prefix,
+            kind: wire.kind.into(),
+            timeout: Duration::from_millis(wire.timeout_ms),
+            target_latency: Duration::from_millis(wire.target_latency_ms),
+            priority: wire.priority,
+            tries: wire.tries,
+            destinations: wire.destinations.into_iter().map(destination).collect(),
+        }
+    }
+}
+
+impl From<CallerLimits> for CallerLimitsWire {
+    fn from(limits: CallerLimits) -> Self {
+        Self {
+            head_len: limits.head_len,
+            body_len: limits.body_len,
+            head_timeout_ms: millis(limits.head_timeout),
+            idle_timeout_ms: millis(limits.idle_timeout),
+        }
+    }
+}
+
+impl From<CallerLimitsWire> for CallerLimits {
+    fn from(wire: CallerLimitsWire) -> Self {
+        Self {
+            head_len: wire.head_len,
+            body_len: wire.body_len,
+            head_timeout: Duration::from_millis(wire.head_timeout_ms),
+            idle_timeout: Duration::from_millis(wire.idle_timeout_ms),
+        }
+    }
+}
+
+impl From<&ConfiguredCatalogue> for CatalogueWire {
+    fn from(configured: &ConfiguredCatalogue) -> Self {
+        let catalogue = &configured.catalogue;
+        Self {
+            revision: configured.revision,
+            models: catalogue.models.iter().map(|(name, model)| (name.clone(), model.into())).collect(),
+            services: catalogue.services.iter().map(|(name, s)| (name.clone(), s.into())).collect(),
+            routes: catalogue.routes.iter().map(RouteWire::from).collect(),
+            caller_limits: catalogue.caller_limits.map(Into::into),
+        }
+    }
+}
+
+impl From<CatalogueWire> for ConfiguredCatalogue {
+    fn from(wire: CatalogueWire) -> Self {
+        let catalogue = Catalogue {
+            models: wire.models.into_iter().map(|(name, model)| (name, model.into())).collect(),
+            services: wire.services.into_iter().map(|(name, service)| (name, service.into())).collect(),
+            routes: wire.routes.into_iter().map(Route::from).collect(),
+            caller_limits: wire.caller_limits.map(Into::into),
+        };
+        Self { revision: wire.revision, catalogue }
+    }
+}
--- a/crates/skylarkshore-wire/src/document.rs
+++ b/crates/skylarkshore-wire/src/document.rs
@@ -8,16 +8,19 @@
 use derive_more::{Display, Error, From};
 use jsonc_parser::errors::ParseError;
 use serde::{Deserialize, Serialize};
-use skylarkshore_core::catalogue::{Catalogue, Document, Model, Service};
+use skylarkshore_core::catalogue::{Catalogue, CopyLoadTimes, Document, Model, Service};
 use skylarkshore_core::collections::OrderedSet;
 use skylarkshore_core::id::{
-    AdapterName, CallerId, DataCentre, ModelName, ModelVersion, RulesRevision, ServiceName, SiteName,
+    AdapterName, CallerId, CatalogueRevision, DataCentre, ModelName, ModelVersion, RulesRevision,
+    ServiceName, SiteName,
 };
 use skylarkshore_core::rules::{
     Condition, Hours, IdleAfter, InvalidMinuteOfDay, InvalidPercent, Outcome, Rule, Rules, ServiceOrder,
 };
 use skylarkshore_core::units::{Mebibytes, Watts};
 
+use crate::peer::millis;
+
 pub use check::{Finding, Severity, check};
 
 /// The largest document in bytes; the key-value service takes a mebibyte, keys and bookkeeping included.
@@ -57,11 +60,42 @@
     pub kv_cache_mib: u64,
     /// How long a load usually takes.
     pub load_time_ms: u64,
+    /// How long loads from copies take, where engines keep copies.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub copy_load_times_ms: Option<CopyLoadTimesWire>,
+    /// The pool of engines that may hold it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pool: Option<ServiceName>,
     /// The adapters with the memory each takes, in MiB.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub adapters: BTreeMap<AdapterName, u64>,
 }
 
+/// How long loads from copies take, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CopyLoadTimesWire {
+    /// From the host's memory.
+    pub from_memory: u64,
+    /// From the host's disk.
+    pub from_disk: u64,
+}
+
+impl From<CopyLoadTimesWire> for CopyLoadTimes {
+    fn from(wire: CopyLoadTimesWire) -> Self {
+        Self {
+            from_memory: Duration::from_millis(wire.from_memory),
+            from_disk: Duration::from_millis(wire.from_disk),
+        }
+    }
+}
+
+impl From<CopyLoadTimes> for CopyLoadTimesWire {
+    fn from(times: CopyLoadTimes) -> Self {
+        Self { from_memory: millis(times.from_memory), from_disk: millis(times.from_disk) }
+    }
+}
+
 /// A plain service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -73,6 +107,25 @@
     pub concurrency: u32,
 }
 
+/// Rules without anything else.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RulesWire {
+    /// The rules, the first one first.
+    pub rules: Vec<RuleWire>,
+    /// What holds where no rule matches.
+    pub otherwise: OutcomeWire,
+}
+
+impl TryFrom<RulesWire> for Rules {
+    type Error = InvalidDocument;
+
+    fn try_from(wire: RulesWire) -> Result<Self, Self::Error> {
+        let list = wire.rules.into_iter().map(Rule::try_from).collect::<Result<_, _>>()?;
+        Ok(Self { list, otherwise: wire.otherwise.into() })
+    }
+}
+
 /// One when-then rule.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -249,14 +302,15 @@
     type Error = InvalidDocument;
 
     fn try_from(wire: DocumentWire) -> Result<Self, Self::Error> {
-        let list = wire.rules.into_iter().map(Rule::try_from).collect::<Result<_, _>>()?;
+        let rules = RulesWire { rules: wire.rules, otherwise: wire.otherwise };
         let models = wire.models.into_iter().map(|(name, model)| (name, model.into())).collect();
         let services = wire.services.into_iter().map(|(name, service)| (name, service.into())).collect();
         Ok(Self {
             revision: RulesRevision(wire.revision),
             power_caps: wire.power_caps.into_iter().map(|(site, watts)| (site, Watts(watts))).collect(),
-            catalogue: Catalogue { models, services },
-            rules: Rules { list, otherwise: wire.otherwise.into() },
+            catalogue: Catalogue { models, services, ..Catalogue::default() },
+            catalogue_revision: CatalogueRevision::default(),
+            rules: rules.try_into()?,
         })
     }
 }
@@ -283,6 +337,8 @@
             weights: Mebibytes(wire.weights_mib),
             kv_cache: Mebibytes(wire.kv_cache_mib),
             load_time: Duration::from_millis(wire.load_time_ms),
+            copy_load_times: wire.copy_load_times_ms.map(Into::into),
+            pool: wire.pool,
             adapters: wire.adapters.into_iter().map(|(name, mib)| (name, Mebibytes(mib))).collect(),
         }
     }
@@ -294,7 +350,9 @@
             version: model.version.clone(),
             weights_mib: model.weights.0,
             kv_cache_mib: model.kv_cache.0,
-            load_time_ms: u64::try_from(model.load_time.as_millis()).unwrap_or(u64::MAX),
+            load_time_ms: millis(model.load_time),
+            copy_load_times_ms: model.copy_load_times.map(Into::into),
+            pool: model.pool.clone(),
             adapters: model.adapters.iter().map(|(name, memory)| (name.clone(), memory.0)).collect(),
         }
     }
--- a/crates/skylarkshore-wire/src/engine.rs
+++ b/crates/skylarkshore-wire/src/engine.rs
@@ -8,7 +8,7 @@
 use skylarkshore_core::id::{AdapterName, Digest, Fence, Incarnation, ModelName, ModelVersion, OrderId};
 use skylarkshore_core::units::{Mebibytes, Watts};
 use skylarkshore_core::upstream::{
-    EngineReport, LoadState, Order, OrderAnswer, ReportedAdapter, ReportedModel,
+    Copies, EngineReport, LoadState, Order, OrderAnswer, ReportedAdapter, ReportedModel,
 };
 
 /// Where orders are posted.
@@ -283,6 +283,9 @@
             leaving: report.leaving,
             lag: Duration::from_millis(report.lag_ms),
             settled: report.settled,
+            busy: false,
+            accepted: None,
+            copies: Copies::default(),
         }
     }
 }
--- a/crates/skylarkshore-wire/src/hostlist.rs
+++ b/crates/skylarkshore-wire/src/hostlist.rs
@@ -4,9 +4,11 @@
 
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
-use skylarkshore_core::id::{DataCentre, ServiceName, SiteName, UpstreamId};
+use skylarkshore_core::id::{DataCentre, Incarnation, ServiceName, SiteName, UpstreamId};
 use skylarkshore_core::units::{Mebibytes, Watts};
-use skylarkshore_core::upstream::{EngineSpec, FenceCheck, Standing, Upstream, UpstreamKind};
+use skylarkshore_core::upstream::{
+    Copies, EngineSpec, FenceCheck, OrderMode, Standing, Upstream, UpstreamKind,
+};
 
 /// Where the list is read.
 pub const HOSTS_PATH: &str = "/hosts";
@@ -125,6 +127,10 @@
             site: entry.site,
             kind: entry.kind.into(),
             standing: entry.state.into(),
+            incarnation: Incarnation::default(),
+            concurrency: None,
+            holds: Vec::new(),
+            copies: Copies::default(),
         }
     }
 }
@@ -140,6 +146,9 @@
                     active_watts,
                     fence_check,
                     concurrency,
+                    order_mode: OrderMode::Parallel,
+                    pool: None,
+                    adapter_slots: None,
                 })
             }
             HostKind::Service { service } => Self::Service(service),
--- a/crates/skylarkshore-wire/src/keys.rs
+++ b/crates/skylarkshore-wire/src/keys.rs
@@ -22,6 +22,8 @@
 pub const SHARED_PREFIX: &str = "skylarkshore/shared/";
 /// What every key begins with that belongs to a request that may not be repeated.
 pub const ONCE_PREFIX: &str = "skylarkshore/once/";
+/// The key of a catalogue that is configured apart from the document.
+pub const CATALOGUE_KEY: &str = "skylarkshore/shared/catalogue";
 /// The key of the operators' document.
 pub const DOCUMENT_KEY: &str = "skylarkshore/shared/document";
 
@@ -73,6 +75,7 @@
     fn from(key: &Key) -> Self {
         Self(match key {
             Key::Document => DOCUMENT_KEY.to_owned(),
+            Key::Catalogue => CATALOGUE_KEY.to_owned(),
             Key::Member(host) => shared(MEMBERS, host.as_str()),
             Key::Owner(engine) => shared(OWNERS, engine.as_str()),
             Key::Homes(model) => shared(HOMES, model.as_str()),
@@ -98,6 +101,9 @@
     if text == DOCUMENT_KEY {
         return Ok(Key::Document);
     }
+    if text == CATALOGUE_KEY {
+        return Ok(Key::Catalogue);
+    }
     if let Some(digest) = text.strip_prefix(ONCE_PREFIX) {
         return Ok(Key::Once(digest.parse::<Digest>()?));
     }
--- a/crates/skylarkshore-wire/src/keys/value.rs
+++ b/crates/skylarkshore-wire/src/keys/value.rs
@@ -17,6 +17,7 @@
 };
 use skylarkshore_core::units::Watts;
 
+use crate::catalogue::CatalogueWire;
 use crate::document::{DocumentWire, InvalidDocument};
 
 /// Who wrote a value.
@@ -154,6 +155,7 @@
     pub fn to_json(&self) -> String {
         match &self.record {
             Record::Document(document) => self.wrap(DocumentWire::from(&**document)),
+            Record::Catalogue(record) => self.wrap(CatalogueWire::from(&**record)),
             Record::Member(record) => self.wrap(MemberWire::from(record)),
             Record::Owner(record) => self.wrap(OwnerWire::from(record)),
             Record::Homes(record) => self.wrap(HomesWire::from(record)),
@@ -170,6 +172,7 @@
     pub fn from_json(key: &Key, text: &[u8]) -> Result<Self, InvalidValue> {
         match key {
             Key::Document => unwrap::<DocumentWire>(text),
+            Key::Catalogue => unwrap::<CatalogueWire>(text),
             Key::Member(_) => unwrap::<MemberWire>(text),
             Key::Owner(_) => unwrap::<OwnerWire>(text),
             Key::Homes(_) => unwrap::<HomesWire>(text),
@@ -220,6 +223,12 @@
     }
 }
 
+impl From<CatalogueWire> for Record {
+    fn from(wire: CatalogueWire) -> Self {
+        Self::Catalogue(Arc::new(wire.into()))
+    }
+}
+
 impl From<&MemberRecord> for MemberWire {
     fn from(record: &MemberRecord) -> Self {
         Self {
--- a/crates/skylarkshore-wire/src/lib.rs
+++ b/crates/skylarkshore-wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! types by `TryFrom` and come from them by `From`.
 
 pub mod caller;
+pub mod catalogue;
 pub mod document;
 pub mod engine;
 pub mod etcd;
--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -108,6 +108,7 @@
         waiting: u32,
         order: u16,
         patience_ms: u64,
+        aim_ms: Option<u64>,
         arrived: u32,
     },
     View(EngineViewWire),
@@ -273,11 +274,12 @@
                 upto: batch.upto,
                 records: batch.records.iter().map(RecordWire::from).collect(),
             },
-            M::Wanted { target, waiting, order, patience, arrived } => Self::Wanted {
+            M::Wanted { target, waiting, order, patience, aim, arrived } => Self::Wanted {
                 target: target.into(),
                 waiting: *waiting,
                 order: order.0,
                 patience_ms: millis(*patience),
+                aim_ms: aim.map(millis),
                 arrived: *arrived,
             },
             M::View(view) => Self::View(view.into()),
@@ -337,11 +339,12 @@
                 let records = records.into_iter().map(Versioned::try_from).collect::<Result<_, _>>()?;
                 Self::Records(RecordBatch { after, upto, records })
             }
-            W::Wanted { target, waiting, order, patience_ms, arrived } => Self::Wanted {
+            W::Wanted { target, waiting, order, patience_ms, aim_ms, arrived } => Self::Wanted {
                 target: target.into(),
                 waiting,
                 order: ServiceOrder(order),
                 patience: Duration::from_millis(patience_ms),
+                aim: aim_ms.map(Duration::from_millis),
                 arrived,
             },
             W::View(view) => Self::View(view.into()),
--- a/crates/skylarkshore-wire/src/peer/view.rs
+++ b/crates/skylarkshore-wire/src/peer/view.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use skylarkshore_core::id::{AdapterName, Fence, HostId, ModelName, ModelVersion, UpstreamId};
+use skylarkshore_core::id::{AdapterName, Fence, HostId, Incarnation, ModelName, ModelVersion, UpstreamId};
 use skylarkshore_core::view::{EngineView, ModelView, Readiness, ViewVersion};
 
 use crate::peer::millis;
@@ -38,6 +38,7 @@
     upstream: UpstreamId,
     fence: Fence,
     number: u64,
+    incarnation: Incarnation,
     models: Vec<ModelViewWire>,
     concurrency: u32,
     running: u32,
@@ -97,6 +98,7 @@
             upstream: view.upstream.clone(),
             fence: view.version.fence,
             number: view.version.number,
+            incarnation: view.incarnation,
             models: view.models.iter().map(ModelViewWire::from).collect(),
             concurrency: view.concurrency,
             running: view.running,
@@ -111,6 +113,7 @@
         Self {
             upstream: wire.upstream,
             version: ViewVersion { fence: wire.fence, number: wire.number },
+            incarnation: wire.incarnation,
             models: wire.models.into_iter().map(ModelView::from).collect(),
             concurrency: wire.concurrency,
             running: wire.running,
--- a/crates/skylarkshore-wire/tests/formats.rs
+++ b/crates/skylarkshore-wire/tests/formats.rs
@@ -132,6 +132,7 @@
     });
     let gone = Versioned { key: Key::Document, revision: StoreRevision(9), writer: None, record: None };
     let view = EngineView {
+        incarnation: Incarnation(2),
         upstream: "engine-1".parse().unwrap(),
         version: ViewVersion { fence: Fence(4), number: 8 },
         models: vec![ModelView {
@@ -157,6 +158,7 @@
             waiting: 3,
             order: ServiceOrder(10),
             patience: Duration::from_secs(5),
+            aim: Some(Duration::from_millis(900)),
             arrived: 4,
         },
         PeerMessage::View(view),
--- a/crates/skylarkshore/src/cli.rs
+++ b/crates/skylarkshore/src/cli.rs
@@ -6,10 +6,13 @@
 
 use derive_more::{Display, Error, From};
 use getopts::Options;
+use skylarkshore_core::id::Incarnation;
 
-use crate::config::Config;
-use crate::error::Error;
-use crate::run;
+use skylarkshore_host::config::{Config, PlatformSettings};
+use skylarkshore_host::error::Error;
+use skylarkshore_host::platform::Platform;
+use skylarkshore_host::run;
+use skylarkshore_platform::RegistryPlatform;
 
 const BRIEF: &str = "\
 Usage: skylarkshore FILE
@@ -118,5 +121,17 @@
 }
 
 fn run_with(file: &Path) -> Result<ExitCode, Error> {
-    run::run(Config::read(file)?)
+    run::run(Config::read(file)?, &platform)
+}
+
+/// Makes the platform that the settings name.
+fn platform(config: &Config, incarnation: Incarnation) -> Box<dyn Platform> {
+    match &config.platform {
+        PlatformSettings::Etcd(settings) => run::own_platform(config, settings.clone(), incarnation),
+        PlatformSettings::Registry(settings) => Box::new(RegistryPlatform::new(
+            settings.clone(),
+            config.host.clone(),
+            config.timings.store_timeout,
+        )),
+    }
 }
--- a/crates/skylarkshore/tests/command_line.rs
+++ b/crates/skylarkshore/tests/command_line.rs
@@ -6,8 +6,8 @@
 use std::sync::{Arc, Mutex};
 
 use skylarkshore::cli::{self, Command};
-use skylarkshore::config::{Config, LogLevel};
-use skylarkshore::log::drain;
+use skylarkshore_host::config::{Config, LogLevel};
+use skylarkshore_host::log::drain;
 use slog::{Drain, Level, Logger, info, o, trace};
 
 fn args(list: &[&str]) -> Vec<OsString> {
@@ -73,7 +73,7 @@
       line 10, timings.hold_ms: is longer than lease_ttl_ms; make it shorter
       line 10, timings.renew_every_ms: leaves no second try within hold_ms; make it at most half of that
       line 10, timings.hold_ms: stands twice; remove one of them
-      line 11, colour: is unknown; remove it, or use one of: host, data_centre, caller_address, peer_address, operator_address, store, hosts, log, limits, timings
+      line 11, colour: is unknown; remove it, or use one of: host, data_centre, caller_address, peer_address, operator_address, registry, store, hosts, default_rules, everyone_watches, log, limits, timings
     "#);
 }
 
