Give out first homes once the engines are listed, evenly

Cause: first homes were written when the first engine had registered, so all 50 models got the same home, and each process looked at its own models alone. Ruled out: lost orders (0 of 53 refused).

Now every process works out all first homes in the same order and writes its own part, once no new engine has been listed for 600 ms.

--- a/crates/skylarkshore-core/src/control/homes/plan.rs
+++ b/crates/skylarkshore-core/src/control/homes/plan.rs
@@ -88,10 +88,14 @@
     }
 
     fn first_home(&mut self, cx: &mut Cx<'_>, review: &Review<'_>, placement: &mut Placement<'_>) -> Plan {
-        if !self.is_own_turn(cx, review) {
+        // Every process works out every first home in the same order and from the
+        // same knowledge, and writes only its own part. Were each to look at its own
+        // part alone, all would choose the same empty engines.
+        let home = placement.place(cx, review.model, &[], &[]);
+        if !review.knowledge.roster.is_settled(cx.now) || !self.is_own_turn(cx, review) {
             return Plan::default();
         }
-        let Some(home) = placement.place(cx, review.model, &[], &[]) else {
+        let Some(home) = home else {
             self.note_unplaceable(cx, review);
             return Plan::default();
         };
--- a/crates/skylarkshore-core/src/control/roster.rs
+++ b/crates/skylarkshore-core/src/control/roster.rs
@@ -1,5 +1,7 @@
 //! The engines, as this process has known them from the host list and from its own questions.
 
+use std::time::Duration;
+
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::cx::Cx;
 use crate::id::{DataCentre, ServiceName, SiteName, UpstreamId};
@@ -7,6 +9,11 @@
 use crate::units::{Mebibytes, Watts};
 use crate::upstream::{FenceCheck, Standing};
 
+/// For how long no new engine is listed before the first homes are given out.
+const SETTLED_AFTER: Duration = Duration::from_millis(600);
+/// How long they wait at most for that.
+const SETTLED_AT_LAST: Duration = Duration::from_secs(3);
+
 /// An engine of the host list, present or past.
 #[derive(Clone, Debug)]
 pub(super) struct KnownEngine {
@@ -41,11 +48,31 @@
     /// Engines that only records name, with the time since when that is known.
     never_listed: OrderedMap<UpstreamId, Time>,
     reached: OrderedMap<UpstreamId, Time>,
+    /// Since when the same engines are listed.
+    listed_since: Time,
+    /// When the first engine was listed.
+    first_listed: Option<Time>,
 }
 
 impl Roster {
+    /// Tells whether all engines that are about to be listed probably are.
+    ///
+    /// Engines register one after the other. If the first homes were given out at
+    /// the first registration, one engine would get them all.
+    pub(super) fn is_settled(&self, now: Time) -> bool {
+        let at_last = self.first_listed.map(|first| first.after(SETTLED_AT_LAST));
+        let quiet = self.listed_since.after(SETTLED_AFTER);
+        at_last.is_some_and(|at_last| quiet.min(at_last).is_due(now))
+    }
+
     /// Takes a new host list over.
     pub(super) fn on_host_list(&mut self, cx: &Cx<'_>) {
+        let listed = cx.upstreams.iter().filter(|(_, upstream)| upstream.engine().is_some());
+        let is_news = listed.clone().any(|(id, _)| !self.engines.get(id).is_some_and(KnownEngine::is_listed));
+        if is_news {
+            self.listed_since = cx.now;
+            self.first_listed.get_or_insert(cx.now);
+        }
         for engine in self.engines.values_mut() {
             engine.unlisted.get_or_insert(cx.now);
         }
--- a/crates/skylarkshore-core/src/loading/engine.rs
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -185,7 +185,8 @@
         if is_first || !unexpected.is_empty() && matches!(self.late_orders, LateOrders::UntilQuiet { .. }) {
             self.late_orders = LateOrders::UntilQuiet { since: Some(cx.now) };
         }
-        if !is_first {
+        // Engines that number their orders hold models from before anyone owned them.
+        if !is_first && !self.is_one_by_one() {
             for model in unexpected {
                 cx.note(
                     "unexpected_model",
