End kept connections before the end, and read the settings again on SIGHUP

First homes were still given out too early where engines register over a second apart.

A leaving host now takes requests for entry_kept_ms, then closes its listeners and idle connections, and ends when the rest is answered. SIGHUP puts limits and times into force. First homes wait 1.5 s for news of engines.

--- a/crates/skylarkshore-core/src/config.rs
+++ b/crates/skylarkshore-core/src/config.rs
@@ -43,8 +43,17 @@
     All,
 }
 
+/// What may change while a process runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The times it keeps.
+    pub timings: Timings,
+    /// The sizes it keeps to.
+    pub limits: Limits,
+}
+
 /// How long things take and may take.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Timings {
     /// How long the member lease lives without being renewed.
     pub lease_ttl: Duration,
@@ -78,6 +87,8 @@
     pub close_grace: Duration,
     /// How long a caller may keep an answer to the question which hosts to use.
     pub entry_ttl: Duration,
+    /// How long callers may still come after this host has left the answers to that question.
+    pub entry_kept: Duration,
     /// How long an engine that the host list no longer names keeps its homes.
     pub gone_after: Duration,
     /// How long after the last order of an engine's former owner, on another
@@ -106,6 +117,7 @@
             order_settle: Duration::from_secs(30),
             close_grace: Duration::from_secs(2),
             entry_ttl: Duration::from_secs(10),
+            entry_kept: Duration::from_secs(10),
             gone_after: Duration::from_secs(30),
             order_gap: Duration::ZERO,
             list_grace: Duration::ZERO,
@@ -114,7 +126,7 @@
 }
 
 /// How much a process takes on.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// Requests that wait, over all callers.
     pub queue_total: usize,
--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Takes new settings over.
+    pub fn configure(&mut self, cfg: &NodeConfig) {
+        self.cfg = cfg.clone();
+    }
+
     /// Begins the lease and the first read of the shared keys.
     pub fn start(&mut self, cx: &mut Cx<'_>) {
         self.feed.start(cx);
--- a/crates/skylarkshore-core/src/control/roster.rs
+++ b/crates/skylarkshore-core/src/control/roster.rs
@@ -10,9 +10,11 @@
 use crate::upstream::{FenceCheck, Standing};
 
 /// For how long no new engine is listed before the first homes are given out.
-const SETTLED_AFTER: Duration = Duration::from_millis(600);
+///
+/// Upstreams register at their first heartbeat, about a second apart.
+const SETTLED_AFTER: Duration = Duration::from_millis(1500);
 /// How long they wait at most for that.
-const SETTLED_AT_LAST: Duration = Duration::from_secs(3);
+const SETTLED_AT_LAST: Duration = Duration::from_secs(4);
 
 /// An engine of the host list, present or past.
 #[derive(Clone, Debug)]
--- a/crates/skylarkshore-core/src/effect.rs
+++ b/crates/skylarkshore-core/src/effect.rs
@@ -197,6 +197,8 @@
     },
     /// Note something that operators ought to know.
     Note(Note),
+    /// Take no new connections and no new requests; those in progress go on.
+    CloseIntake,
     /// Everything is finished; the process may end.
     Exit,
 }
--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -1,6 +1,7 @@
 //! What happens to a process.
 
 use crate::catalogue::ModelTarget;
+use crate::config::Settings;
 use crate::id::{
     AttemptId, CallId, CallerId, Digest, HostId, Incarnation, OrderId, RequestId, ServiceName, StoreRevision,
     UpstreamId,
@@ -131,6 +132,8 @@
         /// The time of day, for the rules.
         at: MinuteOfDay,
     },
+    /// The settings were read again.
+    Settings(Box<Settings>),
     /// The process is asked to end.
     Shutdown,
     /// The host list was read.
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -51,6 +51,8 @@
     Draining {
         until: Time,
     },
+    /// No new requests come in any more.
+    Closed,
     Exited,
 }
 
@@ -147,6 +149,11 @@
     fn dispatch(&mut self, now: Time, event: Event, effects: &mut Vec<Effect>) {
         match event {
             Event::Tick { at } => self.on_tick(now, at, effects),
+            Event::Settings(settings) => {
+                self.cfg.timings = settings.timings;
+                self.cfg.limits = settings.limits;
+                self.control.configure(&self.cfg);
+            }
             Event::Shutdown => self.on_shutdown(now, effects),
             Event::HostList(list) => self.on_host_list(now, list, effects),
             Event::Store { call, result } => {
@@ -227,7 +234,7 @@
         if self.is_leaving() {
             return;
         }
-        self.shutdown = Shutdown::Draining { until: now.after(self.cfg.timings.entry_ttl) };
+        self.shutdown = Shutdown::Draining { until: now.after(self.cfg.timings.entry_kept) };
         self.with(now, effects, |cx, parts| {
             parts.control.on_shutdown(cx);
             parts.serving.on_shutdown(cx);
@@ -236,8 +243,13 @@
 
     /// Ends the process once callers' answers have run out, nothing is in progress and nothing is owned.
     fn exit_when_done(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let Shutdown::Draining { until } = self.shutdown else { return };
-        if !until.is_due(now) || !self.serving.is_idle() {
+        if let Shutdown::Draining { until } = self.shutdown
+            && until.is_due(now)
+        {
+            self.shutdown = Shutdown::Closed;
+            effects.push(Effect::CloseIntake);
+        }
+        if self.shutdown != Shutdown::Closed || !self.serving.is_idle() {
             return;
         }
         self.with(now, effects, |cx, parts| parts.control.on_drained(cx));
--- a/crates/skylarkshore-host/src/callers.rs
+++ b/crates/skylarkshore-host/src/callers.rs
@@ -59,6 +59,11 @@
 
 async fn handle(mut ctx: WebContext<'_, CallerState>) -> Result<WebResponse, Infallible> {
     let state = ctx.state().clone();
+    if state.exchange.connections.is_closed() {
+        let mut res = Invalid::NotReady.response();
+        res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        return Ok(res);
+    }
     let head = Head::of(&ctx);
     let id = match check::request_id(&head.headers) {
         Ok(id) => id,
--- a/crates/skylarkshore-host/src/config/timings.rs
+++ b/crates/skylarkshore-host/src/config/timings.rs
@@ -41,6 +41,8 @@
     let none = Duration::ZERO;
     timings.order_gap = section.optional(report, "order_gap_ms", none, millis(0, MAX_MILLIS));
     timings.list_grace = section.optional(report, "list_grace_ms", none, millis(0, MAX_MILLIS));
+    let entry_ttl = timings.entry_ttl;
+    timings.entry_kept = section.optional(report, "entry_kept_ms", entry_ttl, millis(10, MAX_MILLIS));
     check(&timings, &section, report);
     section.finish(report);
     timings
--- a/crates/skylarkshore-host/src/driver/effects.rs
+++ b/crates/skylarkshore-host/src/driver/effects.rs
@@ -15,6 +15,7 @@
 use crate::driver::Inbox;
 use crate::engines::{EngineOrder, EngineProtocol};
 use crate::env::Env;
+use crate::exchange::Connections;
 use crate::peers::Peers;
 use crate::probe;
 use crate::store::{BoxFuture, Seen, Store, WatchSink};
@@ -27,6 +28,7 @@
     engines: Arc<dyn EngineProtocol>,
     upstreams: Upstreams,
     peers: Peers,
+    connections: Arc<Connections>,
     watch: Option<AbortHandle>,
     attempts: HashMap<AttemptId, AbortHandle>,
 }
@@ -46,8 +48,9 @@
         engines: Arc<dyn EngineProtocol>,
         upstreams: Upstreams,
         peers: Peers,
+        connections: Arc<Connections>,
     ) -> Self {
-        Self { env, store, engines, upstreams, peers, watch: None, attempts: HashMap::default() }
+        Self { env, store, engines, upstreams, peers, connections, watch: None, attempts: HashMap::default() }
     }
 
     /// Takes note of an event before the core does.
@@ -115,6 +118,10 @@
                 self.refuse(request, &refusal);
             }
             Effect::Note(note) => self.note(&note),
+            Effect::CloseIntake => {
+                info!(self.env.log, "intake_closed"; "requests_in_progress" => self.env.requests.len());
+                self.connections.close();
+            }
             // The driver itself takes the end of the process.
             Effect::Exit => {}
         }
--- a/crates/skylarkshore-host/src/exchange/connections.rs
+++ b/crates/skylarkshore-host/src/exchange/connections.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use skylarkshore_core::collections::OrderedMap;
@@ -17,6 +18,8 @@
 pub(super) struct Watched {
     gone: watch::Receiver<bool>,
     cut: Arc<Notify>,
+    /// Whether a request on it is being answered.
+    busy: Arc<AtomicBool>,
 }
 
 impl Watched {
@@ -26,6 +29,11 @@
         _ = self.gone.wait_for(|gone| *gone).await;
     }
 
+    /// Takes note of whether a request on it is being answered.
+    pub(super) fn set_busy(&self, busy: bool) {
+        self.busy.store(busy, Ordering::Relaxed);
+    }
+
     /// Breaks the connection, so that the caller can't take its answer for whole.
     pub(super) fn cut(&self) {
         self.cut.notify_one();
@@ -41,9 +49,43 @@
 #[derive(Debug, Default)]
 pub struct Connections {
     live: Mutex<OrderedMap<SocketAddr, Watched>>,
+    closed: CancelFlag,
+}
+
+/// A flag that is set once and can be waited for.
+#[derive(Debug)]
+struct CancelFlag(watch::Sender<bool>);
+
+impl Default for CancelFlag {
+    fn default() -> Self {
+        Self(watch::Sender::new(false))
+    }
 }
 
 impl Connections {
+    /// Takes no new connections, and ends those on which nothing is being answered.
+    ///
+    /// A process that still took requests when it is made to end would cut them
+    /// off; a caller whose connection is closed between two requests goes to
+    /// another host.
+    pub fn close(&self) {
+        self.closed.0.send_replace(true);
+        let live = self.live.lock().unwrap_or_else(PoisonError::into_inner);
+        for watched in live.values().filter(|watched| !watched.busy.load(Ordering::Relaxed)) {
+            watched.cut();
+        }
+    }
+
+    /// Tells whether no new requests are taken.
+    pub fn is_closed(&self) -> bool {
+        *self.closed.0.borrow()
+    }
+
+    async fn until_closed(&self) {
+        // The sender lives as long as this does.
+        _ = self.closed.0.subscribe().wait_for(|closed| *closed).await;
+    }
+
     /// Returns the connection from an address.
     pub(super) fn get(&self, caller: SocketAddr) -> Option<Watched> {
         self.live.lock().unwrap_or_else(PoisonError::into_inner).get(&caller).cloned()
@@ -52,7 +94,7 @@
     fn watch(self: &Arc<Self>, stream: TcpStream, caller: SocketAddr) {
         let (tx, rx) = watch::channel(false);
         let cut = Arc::new(Notify::new());
-        let watched = Watched { gone: rx, cut: Arc::clone(&cut) };
+        let watched = Watched { gone: rx, cut: Arc::clone(&cut), busy: Arc::default() };
         self.live.lock().unwrap_or_else(PoisonError::into_inner).insert(caller, watched);
         let this = Arc::clone(self);
         tokio::spawn(async move {
@@ -109,7 +151,8 @@
 /// A listener that runs.
 #[derive(Debug)]
 pub struct Accepting {
-    listener: TcpListener,
+    /// Gone once no new connections are taken.
+    listener: Mutex<Option<Arc<TcpListener>>>,
     connections: Arc<Connections>,
     runtime: Handle,
 }
@@ -119,14 +162,31 @@
 
     fn into_listener(self) -> io::Result<Accepting> {
         self.listener.set_nonblocking(true)?;
-        let listener = TcpListener::from_std(self.listener)?;
+        let listener = Mutex::new(Some(Arc::new(TcpListener::from_std(self.listener)?)));
         Ok(Accepting { listener, connections: self.connections, runtime: self.runtime })
     }
 }
 
+impl Accepting {
+    /// Returns the next connection; never, once no new ones are taken.
+    async fn next(&self) -> io::Result<(TcpStream, SocketAddr)> {
+        let listener = self.listener.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        if let Some(listener) = listener {
+            tokio::select! {
+                biased;
+                () = self.connections.until_closed() => {}
+                accepted = listener.accept() => return accepted,
+            }
+        }
+        // With the last handle the socket is closed, and callers are turned away at once.
+        drop(self.listener.lock().unwrap_or_else(PoisonError::into_inner).take());
+        std::future::pending().await
+    }
+}
+
 impl Listen for Accepting {
     async fn accept(&self) -> io::Result<Stream> {
-        let (stream, caller) = self.listener.accept().await?;
+        let (stream, caller) = self.next().await?;
         stream.set_nodelay(true)?;
         let stream = stream.into_std()?;
         // Without a second handle the caller's going away is noticed later, and nothing else.
--- a/crates/skylarkshore-host/src/exchange/reply.rs
+++ b/crates/skylarkshore-host/src/exchange/reply.rs
@@ -52,6 +52,9 @@
         watched: Option<Watched>,
     ) -> Self {
         env.metrics.request_begun();
+        if let Some(watched) = &watched {
+            watched.set_busy(true);
+        }
         Self { env, request, target, begun, watched, watchdog: None, ended: false }
     }
 
@@ -118,6 +121,9 @@
         if let Some(watchdog) = self.watchdog.take() {
             watchdog.abort();
         }
+        if let Some(watched) = &self.watched {
+            watched.set_busy(false);
+        }
         let took = self.begun.elapsed();
         self.env.requests.remove(self.request);
         self.env.metrics.request_ended(self.target, end, took);
--- a/crates/skylarkshore-host/src/run.rs
+++ b/crates/skylarkshore-host/src/run.rs
@@ -6,10 +6,10 @@
 use std::thread::available_parallelism;
 use std::time::Duration;
 
-use skylarkshore_core::config::NodeConfig;
+use skylarkshore_core::config::{NodeConfig, Settings};
 use skylarkshore_core::id::Incarnation;
-use skylarkshore_core::{Effect, Node};
-use slog::{Logger, info};
+use skylarkshore_core::{Effect, Event, Node};
+use slog::{Logger, info, warn};
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
@@ -40,6 +40,24 @@
 /// Makes the platform that the settings name, given which life of the process this is.
 pub type PlatformMaker = dyn Fn(&Config, Incarnation) -> Box<dyn Platform>;
 
+/// Reads the settings, at the start and whenever the process is asked to.
+pub type SettingsSource<'a> = dyn Fn() -> Result<Config, Error> + 'a;
+
+/// Reads the settings again and puts into force what can change while the process runs.
+///
+/// Addresses and the platform stay as they were until the next start. Settings
+/// that are wrong change nothing.
+fn reload(source: &SettingsSource<'_>, env: &Env) {
+    match source() {
+        Ok(config) => {
+            info!(env.log, "settings_reloaded"; "limits" => ?config.limits);
+            let (timings, limits) = (config.timings, config.limits);
+            env.inbox.event_later(Event::Settings(Box::new(Settings { timings, limits })));
+        }
+        Err(err) => warn!(env.log, "settings_not_reloaded"; "reason" => %err),
+    }
+}
+
 /// Returns the product's own platform.
 ///
 /// Its settings are read along with the others; see [`Config::platform`].
@@ -52,10 +70,11 @@
 /// # Errors
 ///
 /// An address is taken, or the system gives no threads or randomness.
-pub fn run(config: Config, platforms: &PlatformMaker) -> Result<ExitCode, Error> {
+pub fn run(source: &SettingsSource<'_>, platforms: &PlatformMaker) -> Result<ExitCode, Error> {
+    let config = source()?;
     let (log, guard) = logger(&config);
     let runtime = runtime()?;
-    let code = runtime.block_on(serve(config, platforms, log));
+    let code = runtime.block_on(serve(config, source, platforms, log));
     // Calls that are still on their way have no one left to answer.
     runtime.shutdown_background();
     drop(guard);
@@ -102,7 +121,12 @@
     bind(address).map_err(|source| Error::Bind { address, purpose, setting, source })
 }
 
-async fn serve(mut config: Config, platforms: &PlatformMaker, log: Logger) -> Result<ExitCode, Error> {
+async fn serve(
+    mut config: Config,
+    source: &SettingsSource<'_>,
+    platforms: &PlatformMaker,
+    log: Logger,
+) -> Result<ExitCode, Error> {
     let system = |source| Error::Runtime { source };
     let signals = Signals::listen().map_err(system)?;
     let sockets = Sockets::bind(&mut config)?;
@@ -127,10 +151,11 @@
         snapshots.clone(),
     )?;
     let platform = platforms(&config, incarnation);
-    let effects = effects(&config, &*platform, &env, peers.clone());
+    let exchange = exchange(&config, incarnation, &env, snapshots.clone());
+    let connections = Arc::clone(&exchange.connections);
+    let effects = effects(&config, &*platform, &env, peers.clone(), connections);
     let (node, first) = Node::start(node_config, env.clock.now());
     let driver = Driver::new(node, env.clock, effects, snapshot, Arc::clone(&env.metrics));
-    let exchange = exchange(&config, incarnation, &env, snapshots.clone());
     let operator_state = OperatorState {
         env: env.clone(),
         snapshots,
@@ -141,7 +166,7 @@
     let operators = operators::serve(operator_state, sockets.operators).map_err(system)?;
     let callers = platform.serve(exchange, sockets.callers)?;
     platform.follow_upstreams(&env);
-    let code = until_end(driver, receiver, first, signals, &env).await;
+    let code = until_end(driver, receiver, first, signals, || reload(source, &env), &env).await;
     stop(&callers, &operators, &peers);
     Ok(code)
 }
@@ -172,11 +197,17 @@
         "operator_address" => %config.operator_address);
 }
 
-fn effects(config: &Config, platform: &dyn Platform, env: &Env, peers: Peers) -> Effects {
+fn effects(
+    config: &Config,
+    platform: &dyn Platform,
+    env: &Env,
+    peers: Peers,
+    connections: Arc<Connections>,
+) -> Effects {
     let store = platform.store(env);
     let engines = platform.engines(env);
     let upstreams = Upstreams::new(platform.upstreams(env), config.limits.recorded_answer, env.clone());
-    Effects::new(env.clone(), store, engines, upstreams, peers)
+    Effects::new(env.clone(), store, engines, upstreams, peers, connections)
 }
 
 fn exchange(
@@ -218,11 +249,12 @@
     receiver: InboxReceiver,
     first: Vec<Effect>,
     signals: Signals,
+    reload: impl Fn(),
     env: &Env,
 ) -> ExitCode {
     tokio::select! {
         () = leave(driver, receiver, first, env) => ExitCode::SUCCESS,
-        () = signals.until_second(env.clone()) => {
+        () = signals.until_second(env.clone(), reload) => {
             let cut = env.requests.len();
             eprintln!("skylarkshore: ended at the second signal; {cut} requests in progress were cut off");
             ExitCode::FAILURE
--- a/crates/skylarkshore-host/src/shutdown.rs
+++ b/crates/skylarkshore-host/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! SIGTERM and SIGINT: leave in order at the first, end at once at the second.
+//! SIGTERM and SIGINT: leave in order at the first, end at once at the second. SIGHUP: read the settings again.
 
 use skylarkshore_core::Event;
 use slog::info;
@@ -10,6 +10,7 @@
 pub(crate) struct Signals {
     terminate: Signal,
     interrupt: Signal,
+    hangup: Signal,
 }
 
 impl Signals {
@@ -19,21 +20,30 @@
     ///
     /// The system refuses.
     pub(crate) fn listen() -> std::io::Result<Self> {
-        Ok(Self { terminate: signal(SignalKind::terminate())?, interrupt: signal(SignalKind::interrupt())? })
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
     }
 
-    async fn next(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+    async fn next(&mut self, reload: &impl Fn()) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hangup.recv() => reload(),
+            }
         }
     }
 
     /// Returns at the second signal, having told the core of the first.
-    pub(crate) async fn until_second(mut self, env: Env) {
-        self.next().await;
+    ///
+    /// Calls `reload` at every request to read the settings again.
+    pub(crate) async fn until_second(mut self, env: Env, reload: impl Fn()) {
+        self.next(&reload).await;
         info!(env.log, "leaving"; "requests_in_progress" => env.requests.len());
         env.inbox.event(Event::Shutdown).await;
-        self.next().await;
+        self.next(&reload).await;
     }
 }
--- a/crates/skylarkshore/src/cli.rs
+++ b/crates/skylarkshore/src/cli.rs
@@ -121,7 +121,7 @@
 }
 
 fn run_with(file: &Path) -> Result<ExitCode, Error> {
-    run::run(Config::read(file)?, &platform)
+    run::run(&|| Config::read(file), &platform)
 }
 
 /// Makes the platform that the settings name.
