Log each decision on a request, and believe orders that are done at once

Cause: nothing told why a request was late; adapter swaps took 1.2 to 1.7 s, as each unload that was done at once (200) was followed by a wait for a report, and all adapters of a model went to its first home.

One line at arrival, wait, sending, loss, refusal and end, at most 200 of a kind in a second. Reports that show fewer orders than were counted are passed over. Adapters have an order of homes of their own.

--- a/crates/skylarkshore-core/src/catalogue.rs
+++ b/crates/skylarkshore-core/src/catalogue.rs
@@ -141,6 +141,15 @@
     pub caller_limits: Option<CallerLimits>,
 }
 
+impl std::fmt::Display for ModelTarget {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match &self.adapter {
+            Some(adapter) => write!(f, "{}/{adapter}", self.model),
+            None => write!(f, "{}", self.model),
+        }
+    }
+}
+
 impl Catalogue {
     /// Finds the route of a request: of those of its host, the one with the longest prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
--- a/crates/skylarkshore-core/src/cx.rs
+++ b/crates/skylarkshore-core/src/cx.rs
@@ -6,8 +6,8 @@
 use crate::catalogue::Document;
 use crate::collections::OrderedMap;
 use crate::config::NodeConfig;
-use crate::effect::{Effect, Note};
-use crate::id::{AttemptId, CallId, HostId, OrderId, UpstreamId};
+use crate::effect::{Decision, Effect, Note};
+use crate::id::{AttemptId, CallId, HostId, OrderId, RequestId, UpstreamId};
 use crate::peer::{Envelope, PeerMessage};
 use crate::rules::MinuteOfDay;
 use crate::store::{StoreCache, WriteRequest};
@@ -81,6 +81,11 @@
         self.push(Effect::Note(Note { event, subject: subject.to_string(), detail: detail.to_string() }));
     }
 
+    /// Notes a decision on a request, with what decided it.
+    pub fn decided(&mut self, request: RequestId, event: &'static str, detail: String) {
+        self.push(Effect::Decision(Decision { request, event, detail }));
+    }
+
     /// Gives out the number of a call to the key-value service.
     pub const fn next_call(&mut self) -> CallId {
         self.counters.call = self.counters.call.next();
--- a/crates/skylarkshore-core/src/effect.rs
+++ b/crates/skylarkshore-core/src/effect.rs
@@ -197,12 +197,25 @@
     },
     /// Note something that operators ought to know.
     Note(Note),
+    /// Note a decision on a request.
+    Decision(Decision),
     /// Take no new connections and no new requests; those in progress go on.
     CloseIntake,
     /// Everything is finished; the process may end.
     Exit,
 }
 
+/// A decision on a request; becomes a log line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Decision {
+    /// The request.
+    pub request: RequestId,
+    /// A short fixed name of the decision, such as `request_sent`.
+    pub event: &'static str,
+    /// What decided it, with ages in milliseconds.
+    pub detail: String,
+}
+
 /// Something that operators ought to know; becomes a log line and a counter.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Note {
--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -1,5 +1,7 @@
 //! What happens to a process.
 
+use derive_more::Display;
+
 use crate::catalogue::ModelTarget;
 use crate::config::Settings;
 use crate::id::{
@@ -13,7 +15,7 @@
 use crate::upstream::{EngineReport, OrderAnswer, Upstream};
 
 /// What a request is for.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Target {
     /// A model or an adapter.
     Model(ModelTarget),
@@ -100,6 +102,24 @@
     },
 }
 
+impl AttemptEnd {
+    /// Returns a short fixed word for it, for logs and counters.
+    pub const fn word(&self) -> &'static str {
+        match self {
+            Self::Whole { .. } => "whole",
+            Self::WholeTooLarge => "whole_too_large",
+            Self::FailedWhole => "failed",
+            Self::NotSent => "not_sent",
+            Self::Rejected(Rejection::NotLoaded) => "rejected_not_loaded",
+            Self::Rejected(Rejection::Busy) => "rejected_busy",
+            Self::Rejected(Rejection::Leaving) => "rejected_leaving",
+            Self::Rejected(Rejection::Replaced) => "rejected_replaced",
+            Self::Lost { died: true, .. } => "upstream_died",
+            Self::Lost { died: false, .. } => "lost",
+        }
+    }
+}
+
 /// Why an upstream did nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Rejection {
--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -131,6 +131,7 @@
         let Some((action, answered)) = engine.ledger.answer(order, answer, cx.now) else { return };
         match answered {
             Answered::Accepted => {}
+            Answered::Done => engine.note_done(cx.now, &action),
             Answered::InDoubt => cx.note("order_lost", id, format!("order={order}")),
             Answered::NotDone => note_not_done(cx, engine, &mut self.tally, &action, answer),
         }
@@ -329,7 +330,7 @@
         OrderAnswer::NotSent => "the engine refuses connections",
         OrderAnswer::FenceTooLow { .. } => "the engine has seen a higher fence",
         // One out of turn is tried again as soon as a report tells how things stand.
-        OrderAnswer::Accepted | OrderAnswer::OutOfTurn | OrderAnswer::Lost => return,
+        OrderAnswer::Accepted | OrderAnswer::Done | OrderAnswer::OutOfTurn | OrderAnswer::Lost => return,
     };
     if let Order::Load { model, .. } | Order::LoadAdapter { model, .. } = action {
         load::failed(cx, engine, tally, model, reason);
--- a/crates/skylarkshore-core/src/loading/engine.rs
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -26,6 +26,8 @@
 /// How long an adapter takes to answer after its order was accepted; engines
 /// state 5 to 10 ms.
 const ADAPTER_LOAD_TIME: Duration = Duration::from_millis(20);
+/// For how long reports are passed over that show fewer orders than were counted.
+const OUTDATED_FOR: Duration = Duration::from_secs(1);
 /// How long before a load's expected end reports are asked for often.
 const REPORT_AHEAD: Duration = Duration::from_millis(50);
 
@@ -266,20 +268,21 @@
         if !self.is_one_by_one() {
             return true;
         }
-        self.is_free_for_adapter_orders()
-            && !self.ledger.has_model_order()
-            && self.report().is_some_and(|report| !report.busy)
+        self.is_free_for_adapter_orders() && self.report().is_some_and(|report| !report.busy)
     }
 
     /// Tells whether an order for an adapter can be sent: its number is known, and no other is unanswered.
     pub(crate) fn is_free_for_adapter_orders(&self) -> bool {
-        !self.is_one_by_one() || self.accepted.is_some() && !self.ledger.has_unanswered()
+        !self.is_one_by_one()
+            || self.accepted.is_some() && !self.ledger.has_unanswered() && !self.ledger.has_model_order()
     }
 
     /// Takes the answer to an order, as far as it tells how many orders were accepted.
     pub(crate) fn count_answer(&mut self, now: Time, answer: &OrderAnswer) {
         match answer {
             OrderAnswer::Accepted => self.accepted = self.accepted.map(|accepted| accepted + 1),
+            // Whether the engine has counted it is told by what it was; see `note_done`.
+            OrderAnswer::Done => {}
             OrderAnswer::OutOfTurn | OrderAnswer::Refused { .. } | OrderAnswer::Lost => {
                 self.accepted = None;
                 self.recount_from = now;
@@ -289,8 +292,48 @@
         }
     }
 
+    /// Takes note of an order that was carried out at once.
+    ///
+    /// Waiting for a report that shows it would hold the next order up for a
+    /// quarter of a second, as reports lag.
+    pub(crate) fn note_done(&mut self, now: Time, action: &Order) {
+        let held = match action {
+            Order::UnloadAdapter { model, adapter } => self.drop_adapter(model, adapter),
+            _ => false,
+        };
+        if held {
+            self.accepted = self.accepted.map(|accepted| accepted + 1);
+            return;
+        }
+        self.accepted = None;
+        self.recount_from = now;
+        self.next_ask = now;
+    }
+
+    /// Takes an adapter out of what the last report showed; tells whether it was there.
+    fn drop_adapter(&mut self, model: &ModelName, adapter: &AdapterName) -> bool {
+        let Some(seen) = &mut self.seen else { return false };
+        let Some(held) = seen.report.models.iter_mut().find(|held| held.model == *model) else {
+            return false;
+        };
+        let before = held.adapters.len();
+        held.adapters.retain(|held| held.adapter != *adapter);
+        held.adapters.len() < before
+    }
+
+    /// Tells whether a report is from before the last order that the engine accepted.
+    ///
+    /// Its figures lag. One that shows an earlier number of orders shows models
+    /// and adapters as they were then.
+    fn is_outdated(&self, asked: Time, report: &EngineReport) -> bool {
+        let (Some(known), Some(told)) = (self.accepted, report.accepted) else { return false };
+        let believed = self.seen.as_ref().is_some_and(|seen| !seen.heard.after(OUTDATED_FOR).is_due(asked));
+        told < known && believed && self.incarnation() == Some(report.incarnation)
+    }
+
     fn recount(&mut self, asked: Time, report: &EngineReport) {
-        if self.accepted.is_none() && asked >= self.recount_from.after(report.lag) {
+        let is_ahead = report.accepted > self.accepted;
+        if is_ahead || self.accepted.is_none() && asked >= self.recount_from.after(report.lag) {
             self.accepted = report.accepted;
         }
     }
@@ -444,7 +487,7 @@
         }
         let ignores = self.spec.as_ref().is_some_and(|spec| spec.fence_check == FenceCheck::Ignores);
         match answer {
-            OrderAnswer::Accepted => self.on_fence_raised(cx),
+            OrderAnswer::Accepted | OrderAnswer::Done => self.on_fence_raised(cx),
             OrderAnswer::Refused { .. } if ignores => self.on_fence_raised(cx),
             OrderAnswer::FenceTooLow { .. } => self.phase = Phase::Superseded,
             OrderAnswer::Refused { .. }
@@ -469,6 +512,9 @@
         {
             self.phase = Phase::Known;
         }
+        if self.is_outdated(asked, report) {
+            return ReportNews::Unusable;
+        }
         if self.phase != Phase::Known || self.seen.as_ref().is_some_and(|seen| seen.asked > asked) {
             return ReportNews::Unusable;
         }
--- a/crates/skylarkshore-core/src/loading/ledger.rs
+++ b/crates/skylarkshore-core/src/loading/ledger.rs
@@ -43,6 +43,8 @@
 pub(crate) enum Answered {
     /// The engine took it; reports will show what becomes of it.
     Accepted,
+    /// The engine has carried it out.
+    Done,
     /// The engine did nothing, and no copy of the order is on its way.
     NotDone,
     /// It may have been carried out or may still be.
@@ -103,6 +105,10 @@
                 pending.progress = Progress::Accepted { at: now };
                 Some((action, Answered::Accepted))
             }
+            OrderAnswer::Done => {
+                self.orders.remove(&order);
+                Some((action, Answered::Done))
+            }
             OrderAnswer::Lost => {
                 pending.progress = Progress::Unanswered;
                 pending.lost = Some(now);
--- a/crates/skylarkshore-core/src/serving/arrival.rs
+++ b/crates/skylarkshore-core/src/serving/arrival.rs
@@ -13,7 +13,7 @@
 use crate::serving::once::{Here, Learnt};
 use crate::serving::queue::{Overflow, Urgency};
 use crate::serving::request::{Company, Due, Past, Request, State};
-use crate::serving::routing::Wish;
+use crate::serving::routing::{Prospect, Wish};
 use crate::serving::suspect::Standing;
 use crate::store::{OnceRecord, OnceState};
 
@@ -160,6 +160,10 @@
             request.enter(State::Queued, cx.now);
             self.queue.push(id, request);
         }
+        if self.routes.prospect(cx, &target) != Prospect::Ready {
+            let prospect = self.routes.prospect(cx, &target);
+            cx.decided(id, "request_waits", format!("for {} supply={}", target, prospect.describe(cx.now)));
+        }
         self.review(cx, &target);
         self.pump_target(cx, &target);
         self.pump_alone(cx);
--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -42,6 +42,11 @@
         let Some(request) = self.requests.get(&id) else { return };
         let Some(run) = request.run().cloned() else { return };
         self.routes.free(&run.upstream);
+        if !matches!(end, AttemptEnd::Whole { .. } | AttemptEnd::WholeTooLarge) {
+            let after = cx.now.since(run.sent).as_millis();
+            let detail = format!("upstream={} after_ms={after} end={}", run.upstream, end.word());
+            cx.decided(id, "request_not_answered", detail);
+        }
         let answered =
             matches!(end, AttemptEnd::Whole { .. } | AttemptEnd::WholeTooLarge | AttemptEnd::FailedWhole);
         self.paces.end(&request.arrival.target, answered.then(|| cx.now.since(run.sent)));
--- a/crates/skylarkshore-core/src/serving/decide.rs
+++ b/crates/skylarkshore-core/src/serving/decide.rs
@@ -55,6 +55,11 @@
             self.routes.occupy(&upstream);
         }
         let attempt = cx.next_attempt();
+        let waited = cx.now.since(request.arrived).as_millis();
+        let seen = self.routes.seen(cx, &upstream);
+        let detail =
+            format!("upstream={upstream} attempt={attempt} runs={} waited_ms={waited} {seen}", request.runs);
+        cx.decided(id, "request_sent", detail);
         cx.push(Effect::Send {
             request: id,
             attempt,
@@ -83,6 +88,15 @@
     ) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let refusal = Refusal { outcome: request.outcome(), reason, retry_after };
+        let kept = cx.now.since(request.arrived).as_millis();
+        let again = refusal.retry_after.map_or(0, |after| after.as_millis());
+        let detail = format!(
+            "outcome={} kept_ms={kept} retry_after_ms={again} state=\"{}\" reason=\"{}\"",
+            refusal.outcome,
+            request.describe(),
+            refusal.reason
+        );
+        cx.decided(id, "request_refused", detail);
         request.passed_on = request.is_partly_answered();
         if let Some(place) = request.place() {
             self.routes.free(place);
--- a/crates/skylarkshore-core/src/serving/request.rs
+++ b/crates/skylarkshore-core/src/serving/request.rs
@@ -106,6 +106,8 @@
     pub(super) arrival: Arrival,
     /// The order of service that the rules gave it.
     pub(super) order: ServiceOrder,
+    /// When it arrived.
+    pub(super) arrived: Time,
     /// Where it stands.
     pub(super) state: State,
     /// Since when it stands there.
@@ -132,6 +134,7 @@
         Self {
             arrival,
             order,
+            arrived: now,
             state: State::Queued,
             since: now,
             failures: 0,
--- a/crates/skylarkshore-core/src/serving/routing.rs
+++ b/crates/skylarkshore-core/src/serving/routing.rs
@@ -83,6 +83,17 @@
     None,
 }
 
+impl Prospect {
+    /// Tells it in a few words, for the log.
+    pub(super) fn describe(self, now: Time) -> String {
+        match self {
+            Self::Ready => "ready".to_owned(),
+            Self::Loading { ready_at } => format!("loading_for_{}ms", ready_at.remaining(now).as_millis()),
+            Self::None => "none".to_owned(),
+        }
+    }
+}
+
 /// What one request asks of routing.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Wish<'a> {
@@ -288,6 +299,17 @@
         !listed || says_so || self.leaving.contains_key(upstream)
     }
 
+    /// Tells what is known of an upstream's load, for the log.
+    pub(super) fn seen(&self, cx: &Cx<'_>, upstream: &UpstreamId) -> String {
+        let own = self.in_flight(upstream);
+        let view = self.views.get(upstream);
+        let others = self.told.get(upstream).or(view.map(|known| &known.others));
+        let others = others.map_or(0, |others| others.mean(cx.now).0 / 1000);
+        let age = view.map(|known| cx.now.since(known.taken).as_millis());
+        let age = age.map_or_else(|| "none".to_owned(), |age| age.to_string());
+        format!("own={own} others={others} view_age_ms={age}")
+    }
+
     /// Tells in a few words how an upstream is used, for the state dump.
     pub(super) fn describe(&self, cx: &Cx<'_>, upstream: &UpstreamId) -> &'static str {
         if self.is_going(cx, upstream) {
--- a/crates/skylarkshore-core/src/serving/supply.rs
+++ b/crates/skylarkshore-core/src/serving/supply.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use crate::catalogue::ModelTarget;
+use crate::collections::OrderedSet;
 use crate::cx::Cx;
 use crate::effect::RefusalReason;
 use crate::event::Target;
-use crate::id::{HostId, RequestId};
+use crate::id::{HostId, RequestId, UpstreamId};
 use crate::peer::CannotLoad;
 use crate::serving::Serving;
 use crate::serving::decide::Step;
@@ -62,7 +63,8 @@
         if *reason == CannotLoad::NotOwner {
             return;
         }
-        let next = self.wants.refused(cx, from, target, reason.clone(), retry_after);
+        let loaded = self.loaded(cx, target);
+        let next = self.wants.refused(cx, from, target, reason.clone(), retry_after, &loaded);
         let target = Target::Model(target.clone());
         self.review(cx, &target);
         if next {
@@ -164,7 +166,14 @@
             Prospect::Loading { .. } => Supply::Coming,
             Prospect::None => Supply::Nothing,
         };
-        self.wants.ask(cx, model, waiting, supply, pace);
+        let loaded = self.loaded(cx, model);
+        self.wants.ask(cx, model, waiting, supply, pace, &loaded);
+    }
+
+    /// Returns the engines on which the base of a target can be used.
+    fn loaded(&self, cx: &Cx<'_>, target: &ModelTarget) -> OrderedSet<UpstreamId> {
+        let base = ModelTarget { model: target.model.clone(), adapter: None };
+        self.routes.views.ready(cx, &base).map(|known| known.view.upstream.clone()).collect()
     }
 
     /// Returns what waits for a target, suspects included.
--- a/crates/skylarkshore-core/src/serving/wanted.rs
+++ b/crates/skylarkshore-core/src/serving/wanted.rs
@@ -1,11 +1,14 @@
 //! What this router asks the engines' owners for, and what they said.
 
+use std::hash::BuildHasher;
 use std::time::Duration;
 
+use foldhash::fast::FixedState;
+
 use crate::catalogue::ModelTarget;
-use crate::collections::OrderedMap;
+use crate::collections::{OrderedMap, OrderedSet};
 use crate::cx::Cx;
-use crate::id::HostId;
+use crate::id::{HostId, UpstreamId};
 use crate::peer::{CannotLoad, PeerMessage};
 use crate::rules::ServiceOrder;
 use crate::serving::queue::Waiting;
@@ -101,8 +104,9 @@
         waiting: Waiting,
         supply: Supply,
         pace: Pace,
+        loaded: &OrderedSet<UpstreamId>,
     ) {
-        let owners = owners(cx, target);
+        let owners = owners(cx, target, loaded);
         let Some(want) = self.wants.get_mut(target) else { return };
         want.refused.retain(|_, refused| !refused.until.is_due(cx.now));
         want.unheard_since.get_or_insert(cx.now);
@@ -138,7 +142,7 @@
             }
             want.told = Some(cx.now);
             let arrived = std::mem::take(&mut want.arrived);
-            for owner in owners(cx, target) {
+            for owner in owners(cx, target, &OrderedSet::new()) {
                 let (order, patience) = (ServiceOrder::default(), Duration::ZERO);
                 let ask = Ask { count: 0, order, patience, aim: None, arrived };
                 tell(cx, &owner, target, ask);
@@ -186,8 +190,9 @@
         target: &ModelTarget,
         reason: CannotLoad,
         retry_after: Duration,
+        loaded: &OrderedSet<UpstreamId>,
     ) -> bool {
-        let owners = owners(cx, target);
+        let owners = owners(cx, target, loaded);
         let Some(want) = self.wants.get_mut(target) else { return false };
         let until = cx.now.after(retry_after);
         let patient_until = want.patient_until;
@@ -206,7 +211,7 @@
     /// Of several refusals the one that ends first counts.
     pub(super) fn hopeless(&self, cx: &Cx<'_>, target: &ModelTarget) -> Option<&Refused> {
         let want = self.wants.get(target)?;
-        let owners = owners(cx, target);
+        let owners = owners(cx, target, &OrderedSet::new());
         let refused = |owner| want.refused.get(owner).filter(|r| !r.until.is_due(cx.now));
         if owners.iter().any(|owner| refused(owner).is_none()) {
             return None;
@@ -263,11 +268,23 @@
     cx.tell(owner, message);
 }
 
-/// Returns the owners of a model's homes, each once, in the order of the homes.
-fn owners(cx: &Cx<'_>, target: &ModelTarget) -> Vec<HostId> {
+/// Returns the owners of a model's homes, each once, in the order in which they are asked.
+///
+/// That is the order of the homes for a base model. Engines hold only a few
+/// adapters at a time, so each adapter has an order of its own among the homes
+/// where its base is `loaded`; else the first home would load and unload them in
+/// turn while the others have room.
+fn owners(cx: &Cx<'_>, target: &ModelTarget, loaded: &OrderedSet<UpstreamId>) -> Vec<HostId> {
     let mut owners = Vec::new();
     let Some((_, homes)) = cx.cache.homes(&target.model) else { return owners };
-    for engine in &homes.engines {
+    let mut engines: Vec<&UpstreamId> = homes.engines.iter().collect();
+    if let Some(adapter) = &target.adapter {
+        engines.sort_by_key(|engine| {
+            let own = FixedState::default().hash_one((adapter.as_str(), engine.as_str()));
+            (!loaded.contains(*engine), own)
+        });
+    }
+    for engine in engines {
         let Some((_, owner)) = cx.cache.owner(engine) else { continue };
         if !owners.contains(&owner.host) {
             owners.push(owner.host.clone());
--- a/crates/skylarkshore-core/src/upstream.rs
+++ b/crates/skylarkshore-core/src/upstream.rs
@@ -176,6 +176,8 @@
 pub enum OrderAnswer {
     /// The engine has accepted it; its reports show the progress.
     Accepted,
+    /// The engine has carried it out at once, or found nothing to do.
+    Done,
     /// The engine has seen a higher fence and did nothing.
     FenceTooLow {
         /// The fence it has seen.
--- a/crates/skylarkshore-host/src/callers.rs
+++ b/crates/skylarkshore-host/src/callers.rs
@@ -110,6 +110,12 @@
         }
     }
 
+    /// Returns the caller's name for the request, if it gave one.
+    fn label(&self) -> String {
+        let named = self.headers.get(REQUEST_ID_HEADER).and_then(|value| value.to_str().ok());
+        named.unwrap_or("unnamed").to_owned()
+    }
+
     fn path_and_query(&self) -> String {
         self.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string)
     }
@@ -167,8 +173,13 @@
             deadline: common.deadline,
             terms: Terms::plain(common.deadline, true),
         };
-        let outgoing =
-            Outgoing { method: head.method.clone(), path, headers: forwarded(&head.headers), body };
+        let outgoing = Outgoing {
+            label: head.label(),
+            method: head.method.clone(),
+            path,
+            headers: forwarded(&head.headers),
+            body,
+        };
         Ok(self.run(head, "model", arrival, outgoing).await)
     }
 
@@ -196,6 +207,7 @@
             terms: Terms::plain(common.deadline, false),
         };
         let outgoing = Outgoing {
+            label: head.label(),
             method: head.method.clone(),
             path: call.path_and_query,
             headers: forwarded(&head.headers),
--- a/crates/skylarkshore-host/src/driver/effects.rs
+++ b/crates/skylarkshore-host/src/driver/effects.rs
@@ -1,10 +1,10 @@
 //! Carries out what the core wants done, each effect in a task of its own.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 
 use skylarkshore_core::collections::{HashMap, OrderedMap};
-use skylarkshore_core::effect::{Note, Refusal};
+use skylarkshore_core::effect::{Decision, Note, Refusal};
 use skylarkshore_core::id::{AttemptId, CallId, HostId, Incarnation, RequestId, StoreRevision, UpstreamId};
 use skylarkshore_core::store::StoreCall;
 use skylarkshore_core::upstream::{OrderAnswer, Upstream};
@@ -118,6 +118,7 @@
                 self.refuse(request, &refusal);
             }
             Effect::Note(note) => self.note(&note),
+            Effect::Decision(decision) => self.decision(&decision),
             Effect::CloseIntake => {
                 info!(self.env.log, "intake_closed"; "requests_in_progress" => self.env.requests.len());
                 self.connections.close();
@@ -218,6 +219,20 @@
         pending.refuse(refusal);
     }
 
+    /// Writes a decision on a request with the caller's name for it.
+    fn decision(&self, decision: &Decision) {
+        let mut lines = self.env.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        let allowed = lines.allows(&self.env.log, decision.event);
+        drop(lines);
+        if !allowed {
+            return;
+        }
+        let pending = self.env.requests.get(decision.request);
+        let id = pending.as_ref().map_or("unknown", |pending| pending.outgoing.label.as_str());
+        info!(self.env.log, "{}", decision.event;
+            "detail" => &decision.detail, "request" => %decision.request, "id" => id);
+    }
+
     fn note(&self, note: &Note) {
         self.env.metrics.noted(note.event);
         // The logger writes the last pair first, and the subject is to come first.
--- a/crates/skylarkshore-host/src/env.rs
+++ b/crates/skylarkshore-host/src/env.rs
@@ -1,11 +1,12 @@
 //! What nearly every part of the program needs.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use slog::Logger;
 
 use crate::clock::Clock;
 use crate::driver::Inbox;
+use crate::log::LineBudget;
 use crate::metrics::Metrics;
 use crate::pending::Requests;
 
@@ -20,6 +21,8 @@
     pub metrics: Arc<Metrics>,
     /// The requests in progress.
     pub requests: Arc<Requests>,
+    /// How many lines of each kind may be written yet.
+    pub lines: Arc<Mutex<LineBudget>>,
     /// Where events are logged.
     pub log: Logger,
 }
--- a/crates/skylarkshore-host/src/exchange.rs
+++ b/crates/skylarkshore-host/src/exchange.rs
@@ -80,11 +80,12 @@
     /// Hands a checked request to the core and waits for the head of its answer.
     pub async fn run(&self, checked: CheckedRequest) -> WebResponse {
         let CheckedRequest { caller, begun, target, arrival, outgoing, refusals } = checked;
+        let label = outgoing.label.clone();
         let (pending, reply) = PendingRequest::new(outgoing, Arc::clone(&refusals));
         let overdue = self.env.clock.instant(arrival.deadline.after(OVERDUE));
         let request = self.env.requests.insert(pending);
         let watched = self.connections.get(caller);
-        let guard = RequestGuard::begin(self.env.clone(), request, target, begun, watched);
+        let guard = RequestGuard::begin(self.env.clone(), request, target, label, begun, watched);
         self.env.inbox.event(Event::Arrived { request, arrival }).await;
         guard.respond(reply, overdue, &*refusals).await
     }
--- a/crates/skylarkshore-host/src/exchange/reply.rs
+++ b/crates/skylarkshore-host/src/exchange/reply.rs
@@ -1,6 +1,7 @@
 //! Passes an answer on to the caller as it comes.
 
 use std::pin::Pin;
+use std::sync::PoisonError;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use skylarkshore_core::Event;
 use skylarkshore_core::effect::{Refusal, RefusalOutcome, RefusalReason};
 use skylarkshore_core::id::RequestId;
-use slog::{debug, error};
+use slog::{error, info};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -33,11 +34,31 @@
     target: &'static str,
     begun: Instant,
     watched: Option<Watched>,
+    /// The caller's name for the request.
+    label: String,
+    pace: Pace,
     /// Breaks the connection of a caller that doesn't read its answer.
     watchdog: Option<AbortHandle>,
     ended: bool,
 }
 
+/// How an answer went out.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    first: Option<Instant>,
+    last: Option<Instant>,
+    longest_pause: Duration,
+}
+
+impl Pace {
+    fn piece(&mut self) {
+        let now = Instant::now();
+        self.first.get_or_insert(now);
+        let pause = self.last.replace(now).map_or(Duration::ZERO, |last| now - last);
+        self.longest_pause = self.longest_pause.max(pause);
+    }
+}
+
 /// The answer isn't whole; makes the server close the connection uncleanly.
 #[derive(Debug, Display, Error)]
 #[display("the answer was broken off; ask again")]
@@ -48,6 +69,7 @@
         env: Env,
         request: RequestId,
         target: &'static str,
+        label: String,
         begun: Instant,
         watched: Option<Watched>,
     ) -> Self {
@@ -55,7 +77,17 @@
         if let Some(watched) = &watched {
             watched.set_busy(true);
         }
-        Self { env, request, target, begun, watched, watchdog: None, ended: false }
+        Self {
+            env,
+            request,
+            target,
+            begun,
+            watched,
+            label,
+            pace: Pace::default(),
+            watchdog: None,
+            ended: false,
+        }
     }
 
     /// Waits for the head of the answer, and makes the response of it.
@@ -127,8 +159,18 @@
         let took = self.begun.elapsed();
         self.env.requests.remove(self.request);
         self.env.metrics.request_ended(self.target, end, took);
-        debug!(self.env.log, "request_ended"; "request" => %self.request, "target" => self.target,
-            "end" => ?end, "ms" => u64::try_from(took.as_millis()).unwrap_or(u64::MAX));
+        let first = self.pace.first.map_or(took, |first| first - self.begun);
+        let allowed = self
+            .env
+            .lines
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .allows(&self.env.log, "request_ended");
+        if allowed {
+            info!(self.env.log, "request_ended"; "target" => self.target,
+                "longest_pause_ms" => self.pace.longest_pause.as_millis(), "first_ms" => first.as_millis(),
+                "ms" => took.as_millis(), "end" => ?end, "request" => %self.request, "id" => &self.label);
+        }
     }
 }
 
@@ -201,7 +243,10 @@
             return self.break_off();
         }
         match ready!(self.pieces.poll_recv(cx)) {
-            Some(Piece::Data(data)) => Poll::Ready(Some(Ok(Frame::Data(data)))),
+            Some(Piece::Data(data)) => {
+                self.guard.pace.piece();
+                Poll::Ready(Some(Ok(Frame::Data(data))))
+            }
             Some(Piece::End) => {
                 self.guard.end(RequestEnd::Answered);
                 Poll::Ready(None)
--- a/crates/skylarkshore-host/src/log.rs
+++ b/crates/skylarkshore-host/src/log.rs
@@ -2,7 +2,8 @@
 
 use std::io::{Write, stdout};
 
-use slog::{Drain, LevelFilter, Logger, o};
+use skylarkshore_core::collections::HashMap;
+use slog::{Drain, LevelFilter, Logger, o, warn};
 use slog_async::{Async, AsyncGuard};
 use slog_logfmt::Logfmt;
 
@@ -33,6 +34,35 @@
     Ok(())
 }
 
+/// How many lines of one kind are written in a second.
+///
+/// A kind that comes more often comes from overload, where the lines beyond tell
+/// nothing new and writing them would slow the answers down further.
+const LINES_PER_SECOND: u32 = 200;
+
+/// Holds down how often lines of one kind are written.
+#[derive(Debug, Default)]
+pub struct LineBudget {
+    second: u64,
+    written: HashMap<&'static str, u32>,
+}
+
+impl LineBudget {
+    /// Tells whether one more line of a kind may be written; says now and then how many were left out.
+    pub fn allows(&mut self, log: &Logger, kind: &'static str) -> bool {
+        let second = unix_millis() / 1000;
+        if second != self.second {
+            self.second = second;
+            for (kind, lines) in self.written.drain().filter(|(_, lines)| *lines > LINES_PER_SECOND) {
+                warn!(log, "lines_left_out"; "count" => lines - LINES_PER_SECOND, "kind" => kind);
+            }
+        }
+        let lines = self.written.entry(kind).or_default();
+        *lines += 1;
+        *lines <= LINES_PER_SECOND
+    }
+}
+
 /// Returns the milliseconds since the Unix epoch.
 pub(crate) fn unix_millis() -> u64 {
     let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
--- a/crates/skylarkshore-host/src/pending.rs
+++ b/crates/skylarkshore-host/src/pending.rs
@@ -24,6 +24,8 @@
 /// What is sent upstream.
 #[derive(Debug)]
 pub struct Outgoing {
+    /// The caller's name for the request, for the log.
+    pub label: String,
     /// The method.
     pub method: Method,
     /// The path and query.
--- a/crates/skylarkshore-host/src/run.rs
+++ b/crates/skylarkshore-host/src/run.rs
@@ -137,6 +137,7 @@
         inbox,
         metrics: Arc::new(Metrics::new()),
         requests: Arc::new(Requests::default()),
+        lines: Arc::default(),
         log,
     };
     let node_config = node_config(&config, &identity);
--- a/crates/skylarkshore-host/src/upstreams.rs
+++ b/crates/skylarkshore-host/src/upstreams.rs
@@ -139,7 +139,7 @@
         self.env.metrics.attempt_ended(&end);
         debug!(self.env.log, "attempt_ended";
             "request" => %dispatch.request, "attempt" => %dispatch.attempt,
-            "upstream" => %dispatch.upstream.id, "end" => attempt::word(&end));
+            "upstream" => %dispatch.upstream.id, "end" => end.word());
         end
     }
 
--- a/crates/skylarkshore-host/src/upstreams/attempt.rs
+++ b/crates/skylarkshore-host/src/upstreams/attempt.rs
@@ -389,16 +389,3 @@
     let last = lines.next().and_then(|line| line.strip_prefix(b"data:"));
     last.is_some_and(|data| data.trim_ascii() == skylarkshore_wire::engine::STREAM_END.as_bytes())
 }
-
-/// Returns a short word for how a try ended.
-pub(super) const fn word(end: &AttemptEnd) -> &'static str {
-    match end {
-        AttemptEnd::Whole { .. } => "whole",
-        AttemptEnd::WholeTooLarge => "whole_too_large",
-        AttemptEnd::FailedWhole => "failed",
-        AttemptEnd::NotSent => "not_sent",
-        AttemptEnd::Rejected(_) => "rejected",
-        AttemptEnd::Lost { died: true, .. } => "upstream_died",
-        AttemptEnd::Lost { died: false, .. } => "lost",
-    }
-}
--- a/crates/skylarkshore-standins/src/world/perform.rs
+++ b/crates/skylarkshore-standins/src/world/perform.rs
@@ -137,7 +137,7 @@
                 self.notes.push(HostNote { at: self.now, host, note });
             }
             // No upstream of this world answers that it failed, and callers come to hosts that stay.
-            Effect::PassOn { .. } | Effect::CloseIntake => {}
+            Effect::PassOn { .. } | Effect::CloseIntake | Effect::Decision(_) => {}
             Effect::Exit => {
                 self.hosts[h].exited = true;
                 self.kill_for_good(h);
