Ask another home where one would take long, and keep half an engine for rarely used models

Owners say when a load would come later than the callers aim at; the router asks the next home, or the fastest of all. Models that are asked for often take half an engine at most, and don't make way.

--- a/crates/skylarkshore-core/src/config.rs
+++ b/crates/skylarkshore-core/src/config.rs
@@ -140,6 +140,11 @@
     pub loads_per_second: u32,
     /// Tries for one request, the first included.
     pub attempts: u32,
+    /// How many homes each model has ahead of need, as far as the rules allow.
+    ///
+    /// A further replica is loaded as soon as it is needed where a home stands
+    /// already; else it waits for a write and for other processes to hear of it.
+    pub homes_ahead: usize,
     /// How retries are held down.
     pub retries: RetryLimits,
     /// How requests that may crash upstreams are found out.
@@ -184,6 +189,7 @@
             loads_at_once: 4,
             loads_per_second: 3,
             attempts: 3,
+            homes_ahead: 1,
             retries: RetryLimits::PerProcess,
             suspects: SuspectPolicy::RunAlone,
         }
--- a/crates/skylarkshore-core/src/control/homes/plan.rs
+++ b/crates/skylarkshore-core/src/control/homes/plan.rs
@@ -91,16 +91,22 @@
         // Every process works out every first home in the same order and from the
         // same knowledge, and writes only its own part. Were each to look at its own
         // part alone, all would choose the same empty engines.
-        let home = placement.place(cx, review.model, &[], &[]);
+        let wanted = limits(cx, review.knowledge.roster, review.model, &[]).map_or(1, |l| l.homes_least);
+        let mut homes: Vec<UpstreamId> = Vec::new();
+        while homes.len() < wanted
+            && let Some(home) = placement.place(cx, review.model, &homes, &[])
+        {
+            homes.push(home);
+        }
         if !review.knowledge.roster.is_settled(cx.now) || !self.is_own_turn(cx, review) {
             return Plan::default();
         }
-        let Some(home) = home else {
+        if homes.is_empty() {
             self.note_unplaceable(cx, review);
             return Plan::default();
-        };
+        }
         self.unplaceable.remove(review.model);
-        Plan { engines: vec![home], changed: true, ..Plan::default() }
+        Plan { engines: homes, changed: true, ..Plan::default() }
     }
 
     fn add_lacking(
@@ -171,7 +177,8 @@
     let most = usize::try_from(outcome.replicas_max).unwrap_or(usize::MAX);
     let least = usize::try_from(outcome.replicas_min).unwrap_or(usize::MAX);
     let homes_most = most.max(1);
-    Some(Limits { most, homes_least: least.clamp(1, homes_most), homes_most })
+    let homes_least = least.max(cx.cfg.limits.homes_ahead).clamp(1, homes_most);
+    Some(Limits { most, homes_least, homes_most })
 }
 
 fn drop_removed_model(cx: &Cx<'_>, review: &Review<'_>, plan: &mut Plan) {
--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -187,6 +187,10 @@
                 self.note_adapter_use(cx.now, target);
                 let wanted =
                     Wanted { from, target, waiting: *waiting, order: *order, patience: *patience, aim: *aim };
+                if let Some(busy) = self.busy(cx, authority, &wanted) {
+                    self.demand.wanted(cx.now, Wanted { waiting: 0, ..wanted }, &cx.cfg.timings);
+                    return cx.tell(from, busy);
+                }
                 self.demand.wanted(cx.now, wanted, &cx.cfg.timings);
                 self.answer_wanted(cx, authority, &wanted);
             }
@@ -226,6 +230,31 @@
         }
     }
 
+    /// Says that a target would come later than those who wait would like, where another home may be faster.
+    fn busy(
+        &mut self,
+        cx: &mut Cx<'_>,
+        authority: &dyn Authority,
+        wanted: &Wanted<'_>,
+    ) -> Option<PeerMessage> {
+        let aim = wanted.aim.filter(|_| wanted.waiting > 0)?;
+        let model = &wanted.target.model;
+        let homes = cx.cache.homes(model).map_or(0, |(_, homes)| homes.engines.len());
+        let concerned = self.engines.values().filter(|engine| authority.is_home(&engine.id, model));
+        let concerned: Vec<UpstreamId> = concerned.map(|engine| engine.id.clone()).collect();
+        if homes < 2 || concerned.is_empty() || concerned.iter().any(|id| !self.engines[id].is_one_by_one()) {
+            return None;
+        }
+        let mut soonest = Duration::MAX;
+        for id in &concerned {
+            self.with_engine(cx, authority, id, |cx, engine, beside| {
+                soonest = soonest.min(answer::expected(cx, engine, beside, wanted));
+            });
+        }
+        let (target, retry_after) = (wanted.target.clone(), soonest);
+        (soonest > aim).then_some(PeerMessage::CannotLoad { target, reason: CannotLoad::Busy, retry_after })
+    }
+
     /// Acts on a router's word at once and tells it how matters stand.
     fn answer_wanted(&mut self, cx: &mut Cx<'_>, authority: &dyn Authority, wanted: &Wanted<'_>) {
         let model = &wanted.target.model;
--- a/crates/skylarkshore-core/src/loading/answer.rs
+++ b/crates/skylarkshore-core/src/loading/answer.rs
@@ -6,6 +6,7 @@
 use crate::cx::Cx;
 use crate::id::ModelName;
 use crate::loading::Beside;
+use crate::loading::close;
 use crate::loading::demand::Wanted;
 use crate::loading::engine::Engine;
 use crate::loading::load;
@@ -23,6 +24,11 @@
 /// The share of a load time that a load is taken to last yet when it takes longer than expected.
 const OVERDUE_SHARE: u32 = 10;
 
+/// How long an engine counts as unable to load anything.
+const UNABLE: Duration = Duration::from_secs(30);
+/// How long a request runs, as a rule; an unload waits for those that run.
+pub(crate) const USUAL_RUN: Duration = Duration::from_millis(2500);
+
 /// How many loads may fail in a row before nobody is left to wait for the next.
 const HOPELESS_FAILURES: u32 = 5;
 
@@ -74,6 +80,31 @@
     within(wanted, takes, CannotLoad::TooSlow, takes)
 }
 
+/// Estimates when a target could be used on an engine that takes one order at a time.
+pub(crate) fn expected(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, wanted: &Wanted<'_>) -> Duration {
+    let model = &wanted.target.model;
+    if engine.is_silent(cx.now, cx.cfg.timings.engine_timeout)
+        || engine.report().is_none()
+        || engine.is_leaving()
+        || beside.authority.permit(cx.now, &engine.id).is_none()
+    {
+        return UNABLE;
+    }
+    if engine.model(model).is_some() || engine.loads.contains_key(model) {
+        return engine.loads.get(model).map_or(Duration::ZERO, |load| load.expected.remaining(cx.now));
+    }
+    let order = engine.loads.values().map(|load| load.expected.remaining(cx.now)).max();
+    let unload = engine.ledger.has_model_order().then_some(USUAL_RUN / 2);
+    let in_progress = order.or(unload).unwrap_or_default();
+    let waiting = beside.demand.models();
+    let ahead = waiting.iter().filter(|other| {
+        *other != model && engine.model(other).is_none() && beside.authority.is_home(&engine.id, other)
+    });
+    let ahead: Duration = ahead.map(|other| beside.load_times.on(cx, engine, other) + USUAL_RUN / 4).sum();
+    let room = close::room_in(cx, engine, beside, model);
+    in_progress + ahead + room + beside.load_times.on(cx, engine, model)
+}
+
 /// Returns how long a load has to wait before it begins, for all but the weight store.
 fn delay(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, model: &ModelName) -> Duration {
     if engine.report().is_none() {
--- a/crates/skylarkshore-core/src/loading/wants.rs
+++ b/crates/skylarkshore-core/src/loading/wants.rs
@@ -11,7 +11,7 @@
 use crate::rules::{Outcome, Percent, ServiceOrder};
 use crate::store::HomesRecord;
 use crate::time::Time;
-use crate::units::Watts;
+use crate::units::{Mebibytes, Watts};
 use crate::upstream::Standing;
 
 /// How many requests may wait for each slot of a replica before one more replica helps.
@@ -25,7 +25,15 @@
 /// How many replicas such a model has at least.
 const HOT_REPLICAS: u32 = 2;
 /// The requests a second that one replica takes, as a share of those it runs at a time.
-const SHARE_PER_REPLICA: f64 = 0.2;
+const SHARE_PER_REPLICA: f64 = 0.15;
+/// Into how many parts an engine's memory is divided, of which one is for models that are asked for often.
+///
+/// Were all of it theirs, none of the rarely used models that have their home
+/// there could ever be loaded.
+const HOT_SHARE: u64 = 2;
+
+/// From how many requests on a model is loaded before those that fewer wait for.
+const MANY_WAIT: u32 = 4;
 
 /// Why a model ought to be loaded.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
@@ -70,10 +78,12 @@
 impl Want {
     /// Returns what decides which want goes first.
     ///
-    /// Those who can still be served with full value go before those who can't;
-    /// the others lose nothing more by waiting a little longer.
-    pub(crate) fn rank(&self) -> (Cause, ServiceOrder, bool, Time) {
-        (self.cause, self.order, self.aim.is_none(), self.aim.unwrap_or(self.deadline))
+    /// A model that many wait for is asked for often, and more will come while it
+    /// isn't there. Those who can still be served with full value go before those
+    /// who can't; the others lose nothing more by waiting a little longer.
+    pub(crate) fn rank(&self) -> (Cause, ServiceOrder, bool, bool, Time) {
+        let at = self.aim.unwrap_or(self.deadline);
+        (self.cause, self.order, self.waiting < MANY_WAIT, self.aim.is_none(), at)
     }
 }
 
@@ -135,12 +145,20 @@
     if !engine.is_one_by_one() {
         return;
     }
-    let often: Vec<ModelName> = beside.usage.above(cx.now, HOT_RATE).cloned().collect();
-    for model in often {
+    let mut often: Vec<(f64, ModelName)> = beside
+        .usage
+        .above(cx.now, HOT_RATE)
+        .map(|model| (beside.usage.per_second(cx.now, model), model.clone()))
+        .collect();
+    often.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+    let mut room = Mebibytes(engine.memory().0 / HOT_SHARE);
+    for (rate, model) in often {
+        let Some(known) = cx.document.catalogue.models.get(&model) else { continue };
         let Some((_, homes)) = cx.cache.homes(&model) else { continue };
-        let wanted = replicas_for(engine, beside.usage.per_second(cx.now, &model));
-        let is_among = place(cx, engine, homes).is_some_and(|place| place < wanted);
-        if homes.engines.contains(&engine.id) && is_among {
+        let is_among = place(cx, engine, homes).is_some_and(|place| place < replicas_for(engine, rate));
+        let fits = engine.hot.is_empty() || known.footprint() <= room;
+        if homes.engines.contains(&engine.id) && is_among && fits {
+            room = room.saturating_sub(known.footprint());
             engine.hot.insert(model);
         }
     }
--- a/crates/skylarkshore-core/src/loading/wishes.rs
+++ b/crates/skylarkshore-core/src/loading/wishes.rs
@@ -45,7 +45,7 @@
     let crowded: Vec<&ModelName> = wants
         .iter()
         .filter(waiting)
-        .filter(|want| engine.crowded.contains(&want.model))
+        .filter(|want| engine.crowded.contains(&want.model) && !engine.is_one_by_one())
         .map(|want| &want.model)
         .collect();
     keep_since(cx.now, &mut engine.wishes.full, &full);
--- a/crates/skylarkshore-core/src/peer.rs
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -26,6 +26,8 @@
     EngineRefuses,
     /// The load would take longer than any waiting request can wait.
     TooSlow,
+    /// The load would take longer than those who wait would like; another home may be faster.
+    Busy,
 }
 
 /// A message from one process to another.
--- a/crates/skylarkshore-core/src/serving/routing.rs
+++ b/crates/skylarkshore-core/src/serving/routing.rs
@@ -20,6 +20,12 @@
 /// How much fuller an upstream may be than the emptiest, in thousandths, to
 /// get a request whose prompt's beginning it probably has in its cache.
 const PREFIX_SLACK: u64 = 400;
+/// By how many requests it may be fuller at most.
+///
+/// An engine that runs many at a time reads their prompts one after the other
+/// between the steps of all; a few more of them than elsewhere are felt by every
+/// stream on it.
+const PREFIX_SLACK_REQUESTS: u64 = 6;
 /// How full an engine may be, in thousandths of what it runs at a time, to get
 /// a request with a prompt's beginning.
 ///
@@ -56,6 +62,15 @@
     /// Its expected load in thousandths of what it takes, distance included.
     cost: u64,
     room: Room,
+    /// How many requests it runs at a time.
+    concurrency: u32,
+}
+
+impl Candidate {
+    /// Returns what some requests weigh, in thousandths of what the upstream takes.
+    fn of_requests(&self, requests: u64) -> u64 {
+        requests * 1000 / u64::from(self.concurrency.max(1))
+    }
 }
 
 /// How much room an upstream seems to have.
@@ -235,7 +250,7 @@
         }
         let least = free.iter().map(|c| c.cost).min()?;
         if let Some(prefix) = wish.prefix {
-            free.retain(|c| c.cost <= least + PREFIX_SLACK);
+            free.retain(|c| c.cost <= least + PREFIX_SLACK.min(c.of_requests(PREFIX_SLACK_REQUESTS)));
             return free.iter().max_by_key(|c| affinity(prefix, &c.upstream)).map(|c| c.upstream.clone());
         }
         free.retain(|c| c.cost == least);
@@ -399,7 +414,7 @@
             1000..CROWDED => Room::Crowded,
             _ => Room::Full,
         };
-        Candidate { upstream: upstream.clone(), cost: share + distance, room }
+        Candidate { upstream: upstream.clone(), cost: share + distance, room, concurrency }
     }
 
     fn is_missing(&self, cx: &Cx<'_>, upstream: &UpstreamId, target: &ModelTarget) -> bool {
--- a/crates/skylarkshore-core/src/serving/supply.rs
+++ b/crates/skylarkshore-core/src/serving/supply.rs
@@ -63,6 +63,10 @@
         if *reason == CannotLoad::NotOwner {
             return;
         }
+        if *reason == CannotLoad::Busy {
+            self.wants.busy(cx.now, from, target, retry_after);
+            return self.ask(cx, &Target::Model(target.clone()), Pace::Now);
+        }
         let loaded = self.loaded(cx, target);
         let next = self.wants.refused(cx, from, target, reason.clone(), retry_after, &loaded);
         let target = Target::Model(target.clone());
@@ -235,7 +239,10 @@
         CannotLoad::Memory | CannotLoad::Power | CannotLoad::EngineRefuses | CannotLoad::TooSlow => {
             refused.until.max(refused.patient_until)
         }
-        CannotLoad::NotOwner | CannotLoad::OwnershipInDoubt | CannotLoad::EngineUnreachable => refused.until,
+        CannotLoad::NotOwner
+        | CannotLoad::OwnershipInDoubt
+        | CannotLoad::EngineUnreachable
+        | CannotLoad::Busy => refused.until,
     }
 }
 
@@ -243,7 +250,7 @@
     match reason {
         CannotLoad::Memory => RefusalReason::Short("memory"),
         CannotLoad::Power => RefusalReason::Short("power"),
-        CannotLoad::TooSlow => RefusalReason::ColdStartTooLong,
+        CannotLoad::TooSlow | CannotLoad::Busy => RefusalReason::ColdStartTooLong,
         CannotLoad::NotOwner
         | CannotLoad::OwnershipInDoubt
         | CannotLoad::EngineUnreachable
--- a/crates/skylarkshore-core/src/serving/wanted.rs
+++ b/crates/skylarkshore-core/src/serving/wanted.rs
@@ -17,6 +17,9 @@
 /// How long a target is remembered after its last request.
 const REMEMBERED: Duration = Duration::from_hours(24);
 
+/// How long an owner's word that it would take long is believed.
+const BUSY_FOR: Duration = Duration::from_millis(700);
+
 /// An owner's word that it can't make a target available.
 #[derive(Clone, Debug)]
 pub(super) struct Refused {
@@ -41,6 +44,20 @@
     waiting_since: Option<Time>,
     patient_until: Time,
     refused: OrderedMap<HostId, Refused>,
+    /// Owners that would take long, and how long.
+    busy: OrderedMap<HostId, Busy>,
+    /// The owner that is asked because all would take long, and it the shortest.
+    assigned: Option<HostId>,
+    /// The owners that were asked and haven't said that they would take long.
+    told_to: OrderedSet<HostId>,
+}
+
+/// An owner's word that it would take long to make a target available.
+#[derive(Clone, Copy, Debug)]
+struct Busy {
+    ready_at: Time,
+    /// Until when that is believed.
+    until: Time,
 }
 
 /// How things stand for a target whose requests wait.
@@ -87,6 +104,9 @@
             waiting_since: None,
             patient_until: now,
             refused: OrderedMap::new(),
+            busy: OrderedMap::new(),
+            assigned: None,
+            told_to: OrderedSet::new(),
         };
         self.wants.insert(target.clone(), want);
         None
@@ -116,17 +136,21 @@
             return;
         }
         want.widen(cx, &owners, supply, due);
+        want.assign(cx.now, &owners, supply);
         want.patient_until = want.patient_until.max(waiting.patient_until);
         let arrived = std::mem::take(&mut want.arrived);
         let first = want.told.replace(cx.now).is_none();
         for (i, owner) in owners.iter().enumerate() {
-            let asked = i < want.asked;
+            let asked =
+                i < want.asked && !want.busy.contains_key(owner) || want.assigned.as_ref() == Some(owner);
             if !asked && !first {
                 continue;
             }
             let count = if asked { waiting.count } else { 0 };
             let patience = waiting.patient_until.remaining(cx.now);
-            let aim = waiting.aim.map(|aim| aim.remaining(cx.now));
+            // Whoever has taken it on keeps it; two loads of it would be one too many.
+            let is_open = want.told_to.insert(owner.clone()) || !asked;
+            let aim = waiting.aim.filter(|_| is_open).map(|aim| aim.remaining(cx.now));
             tell(cx, owner, target, Ask { count, order: waiting.order, patience, aim, arrived });
         }
     }
@@ -158,6 +182,18 @@
         want.waiting_since = None;
         want.patient_until = Time::START;
         want.refused.clear();
+        want.busy.clear();
+        want.assigned = None;
+        want.told_to.clear();
+    }
+
+    /// Takes an owner's word that it would take long.
+    pub(super) fn busy(&mut self, now: Time, from: &HostId, target: &ModelTarget, takes: Duration) {
+        let Some(want) = self.wants.get_mut(target) else { return };
+        let busy = Busy { ready_at: now.after(takes), until: now.after(BUSY_FOR) };
+        want.busy.insert(from.clone(), busy);
+        want.told_to.remove(from);
+        want.unheard_since = None;
     }
 
     /// Forgets the silence of owners whom nobody waits for any more.
@@ -231,6 +267,30 @@
 }
 
 impl Want {
+    /// Looks further where the owners that were asked would take long.
+    ///
+    /// Where all would, the one that would be ready first is asked all the same.
+    fn assign(&mut self, now: Time, owners: &[HostId], supply: Supply) {
+        self.busy.retain(|_, busy| !busy.until.is_due(now));
+        if supply != Supply::Nothing || self.assigned.is_some() {
+            return;
+        }
+        let is_open = |owner: &HostId| !self.busy.contains_key(owner) && !self.refused.contains_key(owner);
+        if owners.iter().take(self.asked).any(is_open) {
+            return;
+        }
+        if let Some(place) = owners.iter().position(is_open) {
+            self.asked = self.asked.max(place + 1);
+            return;
+        }
+        let fastest = self.busy.iter().min_by_key(|(_, busy)| busy.ready_at);
+        self.assigned = fastest.map(|(owner, _)| owner.clone());
+        if let Some(owner) = &self.assigned {
+            // It is told without an aim, so that it takes the target on.
+            self.told_to.insert(owner.clone());
+        }
+    }
+
     fn widen(&mut self, cx: &Cx<'_>, owners: &[HostId], supply: Supply, due: bool) {
         if !due || self.told.is_none() || self.asked >= owners.len() {
             return;
--- a/crates/skylarkshore-host/src/config.rs
+++ b/crates/skylarkshore-host/src/config.rs
@@ -290,6 +290,7 @@
     limits.loads_per_second =
         section.optional(report, "loads_per_second", limits.loads_per_second, count(1, 1000));
     limits.attempts = section.optional(report, "attempts", limits.attempts, count(1, 10));
+    limits.homes_ahead = section.optional(report, "homes_ahead", limits.homes_ahead, size(1, 100));
     limits.retries = read_retries(&mut section, report);
     let counts_ends = section.optional(report, "suspects_run_beside_others", false, flag);
     limits.suspects = if counts_ends { SuspectPolicy::CountEnds } else { SuspectPolicy::RunAlone };
--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -82,6 +82,8 @@
     EngineRefuses,
     /// The load takes too long.
     TooSlow,
+    /// Another home may be faster.
+    Busy,
 }
 
 /// A message as it is sent. Durations are in milliseconds.
@@ -238,6 +240,7 @@
             CannotLoad::EngineUnreachable => Self::EngineUnreachable,
             CannotLoad::EngineRefuses => Self::EngineRefuses,
             CannotLoad::TooSlow => Self::TooSlow,
+            CannotLoad::Busy => Self::Busy,
         }
     }
 }
@@ -252,6 +255,7 @@
             CannotLoadWire::EngineUnreachable => Self::EngineUnreachable,
             CannotLoadWire::EngineRefuses => Self::EngineRefuses,
             CannotLoadWire::TooSlow => Self::TooSlow,
+            CannotLoadWire::Busy => Self::Busy,
         }
     }
 }
