Keep what engines hold until homes are written, and let engines stay with their owners

Cause: before the first homes stood, every loaded model counted as surplus and was unloaded, so a fresh deployment began empty; and hosts that restart in turn kept handing engines back, each time with no orders for order_gap.

--- a/crates/skylarkshore-core/src/control/ownership/handover.rs
+++ b/crates/skylarkshore-core/src/control/ownership/handover.rs
@@ -18,6 +18,9 @@
 const FEWEST_HANDOVERS: usize = 2;
 /// How many engines are handed over at a time at most.
 const MOST_HANDOVERS: usize = 8;
+/// How many engines beyond the mean a process has to own before it hands one over
+/// that takes no orders meanwhile.
+const EXCESS_WORTH_A_GAP: usize = 3;
 /// How long the engines' distribution is left alone after a hand-over.
 const HANDOVER_REST: Duration = Duration::from_secs(2);
 
@@ -26,6 +29,9 @@
         let leaving = knowledge.membership.is_leaving();
         let mut balance = Balance::new(cx.cache, knowledge.eligible);
         let most = if leaving { MOST_HANDOVERS } else { handovers_at_once(balance.excess(&cx.cfg.host)) };
+        if !leaving && !is_worth_a_gap(cx, balance.excess(&cx.cfg.host)) {
+            return;
+        }
         let going = self.holdings.values().filter(|holding| !holding.is_held()).count();
         if going >= most || (!leaving && !self.next_handover.is_due(cx.now)) {
             return;
@@ -119,6 +125,16 @@
     }
 }
 
+/// Tells whether evening the numbers out is worth what it costs.
+///
+/// Where the orders of two owners have to lie apart, an engine that changes
+/// hands takes none for that time. Hosts that restart one after the other would
+/// keep every engine without orders for seconds, over and over; so a few engines
+/// more than others have are kept.
+fn is_worth_a_gap(cx: &Cx<'_>, excess: usize) -> bool {
+    cx.cfg.timings.order_gap.is_zero() || excess >= EXCESS_WORTH_A_GAP
+}
+
 fn handovers_at_once(excess: usize) -> usize {
     (excess / 4).clamp(FEWEST_HANDOVERS, MOST_HANDOVERS)
 }
--- a/crates/skylarkshore-core/src/loading/close.rs
+++ b/crates/skylarkshore-core/src/loading/close.rs
@@ -69,12 +69,16 @@
     let Some(known) = cx.document.catalogue.models.get(&seen.model) else {
         return Some(CloseReason::NoHome);
     };
+    // Where engines hold models from before, the first homes are yet to be written.
+    // Were those models taken for surplus, a fresh deployment would begin empty.
+    let is_placed = !engine.is_one_by_one() || cx.cache.homes(&seen.model).is_some();
+    if !is_placed {
+        return None;
+    }
     if beside.authority.must_close(&engine.id, &seen.model) {
         return Some(CloseReason::Surplus);
     }
-    // Where engines hold models from before, the first homes are yet to be written.
-    let is_placed = !engine.is_one_by_one() || cx.cache.homes(&seen.model).is_some();
-    if is_placed && !beside.authority.is_home(&engine.id, &seen.model) {
+    if !beside.authority.is_home(&engine.id, &seen.model) {
         return Some(CloseReason::NoHome);
     }
     if seen.version != known.version {
