Say the real waiting time for a model that waits behind other loads

Owners nevertheless told routers that the model would be ready in a third of a second, again and again, because what was planned counted only the load itself; routers took it that help was coming and asked no other home, and an assignment once made was never looked at again.

Ruled out: owners that were cut off (the owners answered), lost orders (one refused), the gap after an ownership change (no owner changed meanwhile).

An owner of an engine that takes one order at a time now counts what is ahead; a router doesn't count on what comes after its callers have given up; an assignment that is overdue is dropped and all homes are asked anew.

--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -248,7 +248,7 @@
         let mut soonest = Duration::MAX;
         for id in &concerned {
             self.with_engine(cx, authority, id, |cx, engine, beside| {
-                soonest = soonest.min(answer::expected(cx, engine, beside, wanted));
+                soonest = soonest.min(answer::expected(cx, engine, beside, model));
             });
         }
         let (target, retry_after) = (wanted.target.clone(), soonest);
--- a/crates/skylarkshore-core/src/loading/answer.rs
+++ b/crates/skylarkshore-core/src/loading/answer.rs
@@ -80,9 +80,8 @@
     within(wanted, takes, CannotLoad::TooSlow, takes)
 }
 
-/// Estimates when a target could be used on an engine that takes one order at a time.
-pub(crate) fn expected(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, wanted: &Wanted<'_>) -> Duration {
-    let model = &wanted.target.model;
+/// Estimates when a model could be used on an engine that takes one order at a time.
+pub(crate) fn expected(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, model: &ModelName) -> Duration {
     if engine.is_silent(cx.now, cx.cfg.timings.engine_timeout)
         || engine.report().is_none()
         || engine.is_leaving()
@@ -128,10 +127,14 @@
         if engine.model(model).is_some() || engine.loads.contains_key(model) {
             continue;
         }
-        let key = LoadKey { engine: engine.id.clone(), model: model.clone() };
-        let takes = beside.load_times.on(cx, engine, model)
-            + beside.pacing.expected_wait(cx, &key)
-            + delay(cx, engine, beside, model);
+        let takes = if engine.is_one_by_one() {
+            expected(cx, engine, beside, model)
+        } else {
+            let key = LoadKey { engine: engine.id.clone(), model: model.clone() };
+            beside.load_times.on(cx, engine, model)
+                + beside.pacing.expected_wait(cx, &key)
+                + delay(cx, engine, beside, model)
+        };
         planned.insert(model.clone(), cx.now.after(takes));
     }
     engine.planned = planned;
--- a/crates/skylarkshore-core/src/loading/engine.rs
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -281,14 +281,13 @@
     pub(crate) fn count_answer(&mut self, now: Time, answer: &OrderAnswer) {
         match answer {
             OrderAnswer::Accepted => self.accepted = self.accepted.map(|accepted| accepted + 1),
-            // Whether the engine has counted it is told by what it was; see `note_done`.
-            OrderAnswer::Done => {}
             OrderAnswer::OutOfTurn | OrderAnswer::Refused { .. } | OrderAnswer::Lost => {
                 self.accepted = None;
                 self.recount_from = now;
                 self.next_ask = now;
             }
-            OrderAnswer::FenceTooLow { .. } | OrderAnswer::NotSent => {}
+            // Whether the engine has counted one that is done is told by what it was; see `note_done`.
+            OrderAnswer::Done | OrderAnswer::FenceTooLow { .. } | OrderAnswer::NotSent => {}
         }
     }
 
--- a/crates/skylarkshore-core/src/loading/load.rs
+++ b/crates/skylarkshore-core/src/loading/load.rs
@@ -188,7 +188,7 @@
     cx.note(
         "load_started",
         format!("{}@{}", want.model, engine.id),
-        format!("cause={} waiting={}", want.cause, want.waiting),
+        format!("cause={} order={} waiting={}", want.cause, want.order, want.waiting),
     );
     engine.send(cx, permit, None, load);
     if is_paced {
--- a/crates/skylarkshore-core/src/serving/supply.rs
+++ b/crates/skylarkshore-core/src/serving/supply.rs
@@ -167,6 +167,8 @@
         let Some(waiting) = self.waiting(cx.now, target) else { return };
         let supply = match self.routes.prospect(cx, target) {
             Prospect::Ready => Supply::Full,
+            // What comes only after those who wait have given up is no help to them.
+            Prospect::Loading { ready_at } if ready_at >= waiting.patient_until => Supply::Nothing,
             Prospect::Loading { .. } => Supply::Coming,
             Prospect::None => Supply::Nothing,
         };
--- a/crates/skylarkshore-core/src/serving/wanted.rs
+++ b/crates/skylarkshore-core/src/serving/wanted.rs
@@ -20,6 +20,9 @@
 /// How long an owner's word that it would take long is believed.
 const BUSY_FOR: Duration = Duration::from_millis(700);
 
+/// How long after the time that an assigned owner said the others are asked anew.
+const ASSIGNED_GRACE: Duration = Duration::from_millis(500);
+
 /// An owner's word that it can't make a target available.
 #[derive(Clone, Debug)]
 pub(super) struct Refused {
@@ -48,6 +51,8 @@
     busy: OrderedMap<HostId, Busy>,
     /// The owner that is asked because all would take long, and it the shortest.
     assigned: Option<HostId>,
+    /// When it should have made the target available.
+    assigned_until: Time,
     /// The owners that were asked and haven't said that they would take long.
     told_to: OrderedSet<HostId>,
 }
@@ -106,6 +111,7 @@
             refused: OrderedMap::new(),
             busy: OrderedMap::new(),
             assigned: None,
+            assigned_until: Time::NEVER,
             told_to: OrderedSet::new(),
         };
         self.wants.insert(target.clone(), want);
@@ -136,7 +142,7 @@
             return;
         }
         want.widen(cx, &owners, supply, due);
-        want.assign(cx.now, &owners, supply);
+        want.assign(cx, target, &owners, supply);
         want.patient_until = want.patient_until.max(waiting.patient_until);
         let arrived = std::mem::take(&mut want.arrived);
         let first = want.told.replace(cx.now).is_none();
@@ -270,8 +276,18 @@
     /// Looks further where the owners that were asked would take long.
     ///
     /// Where all would, the one that would be ready first is asked all the same.
-    fn assign(&mut self, now: Time, owners: &[HostId], supply: Supply) {
+    ///
+    /// Its word is only an estimate. Once the time it said is over, and nothing
+    /// is ready, all are asked anew: what held it up may last, and the callers
+    /// of a model that many ask for would wait behind it until they give up.
+    fn assign(&mut self, cx: &mut Cx<'_>, target: &ModelTarget, owners: &[HostId], supply: Supply) {
+        let now = cx.now;
         self.busy.retain(|_, busy| !busy.until.is_due(now));
+        if self.assigned.is_some() && supply == Supply::Nothing && self.assigned_until.is_due(now) {
+            self.assigned = None;
+            self.told_to.clear();
+            self.asked = 1;
+        }
         if supply != Supply::Nothing || self.assigned.is_some() {
             return;
         }
@@ -284,11 +300,13 @@
             return;
         }
         let fastest = self.busy.iter().min_by_key(|(_, busy)| busy.ready_at);
-        self.assigned = fastest.map(|(owner, _)| owner.clone());
-        if let Some(owner) = &self.assigned {
-            // It is told without an aim, so that it takes the target on.
-            self.told_to.insert(owner.clone());
-        }
+        let Some((owner, busy)) = fastest else { return };
+        let takes = busy.ready_at.remaining(now).as_millis();
+        cx.note("load_assigned", target, format!("to={owner} takes_ms={takes} of={}", self.busy.len()));
+        // It is told without an aim, so that it takes the target on.
+        self.told_to.insert(owner.clone());
+        self.assigned = Some(owner.clone());
+        self.assigned_until = busy.ready_at.after(ASSIGNED_GRACE);
     }
 
     fn widen(&mut self, cx: &Cx<'_>, owners: &[HostId], supply: Supply, due: bool) {
