Load first what many wait for, whatever its order of service

Cause: with the waiting times right, the model that 135 requests waited for still came after loads that one request each waited for, for seven seconds: the order of service was compared before the number of those who wait, and a steady trickle of more urgent requests for rarely used models never ends.

Ruled out: that the owner hadn't heard of them (waiting=135 in load_started), memory (half an engine is kept for rarely used models).

--- a/crates/skylarkshore-core/src/loading/wants.rs
+++ b/crates/skylarkshore-core/src/loading/wants.rs
@@ -79,11 +79,15 @@
     /// Returns what decides which want goes first.
     ///
     /// A model that many wait for is asked for often, and more will come while it
-    /// isn't there. Those who can still be served with full value go before those
-    /// who can't; the others lose nothing more by waiting a little longer.
-    pub(crate) fn rank(&self) -> (Cause, ServiceOrder, bool, bool, Time) {
+    /// isn't there. Its load takes the engine a second or two; were those who are
+    /// served first let past one by one, a steady trickle of them would keep it
+    /// out for good, and hundreds would run into their deadlines behind it.
+    /// Those who can still be served with full value go before those who can't;
+    /// the others lose nothing more by waiting a little longer.
+    pub(crate) fn rank(&self) -> (bool, Cause, ServiceOrder, bool, Time) {
         let at = self.aim.unwrap_or(self.deadline);
-        (self.cause, self.order, self.waiting < MANY_WAIT, self.aim.is_none(), at)
+        let is_for_many = self.waiting >= MANY_WAIT;
+        (!is_for_many, self.cause, self.order, self.aim.is_none(), at)
     }
 }
 
