--- a/crates/skylarkshore-standins/src/process.rs
+++ b/crates/skylarkshore-standins/src/process.rs
@@ -25,6 +25,9 @@
 /// A signal to a process.
 #[derive(Clone, Copy, Debug, Display)]
 pub enum Signal {
+    /// Has it read its settings again.
+    #[display("HUP")]
+    Hup,
     /// Ends it in an orderly way.
     #[display("TERM")]
     Term,
@@ -95,6 +98,19 @@
     pub host_list: SocketAddr,
     /// The times it keeps, in milliseconds; an absent one has its default.
     pub timings: BTreeMap<&'static str, u64>,
+    /// What it is told of a platform whose upstreams register themselves, instead of the two above.
+    pub registry: Option<RegistryAddresses>,
+}
+
+/// Where a platform is reached whose upstreams register themselves, and what is served for it.
+#[derive(Clone, Copy, Debug)]
+pub struct RegistryAddresses {
+    /// The platform's key-value service.
+    pub store: SocketAddr,
+    /// Where callers ask which hosts to use.
+    pub directory: SocketAddr,
+    /// Where the platform asks whether the host is ready.
+    pub readiness: SocketAddr,
 }
 
 /// Times that let a test of a failure take seconds.
@@ -138,20 +154,32 @@
             store,
             host_list,
             timings: short_timings(),
+            registry: None,
         })
     }
 
     fn to_json(&self) -> String {
-        let settings = json!({
+        let mut settings = json!({
             "host": self.host,
             "data_centre": self.data_centre,
             "caller_address": self.caller_address,
             "peer_address": self.peer_address,
             "operator_address": self.operator_address,
-            "store": {"endpoints": [format!("http://{}", self.store)]},
-            "hosts": {"url": format!("http://{}/hosts", self.host_list)},
             "timings": self.timings,
         });
+        if let Some(registry) = &self.registry {
+            settings["everyone_watches"] = json!(true);
+            // A platform whose operators know nothing of rules has these.
+            settings["default_rules"] = json!({"otherwise": {"idle_after": "never"}});
+            settings["registry"] = json!({
+                "address": registry.store,
+                "directory_address": registry.directory,
+                "readiness_address": registry.readiness,
+            });
+        } else {
+            settings["store"] = json!({"endpoints": [format!("http://{}", self.store)]});
+            settings["hosts"] = json!({"url": format!("http://{}/hosts", self.host_list)});
+        }
         format!("{settings:#}")
     }
 }
