--- a/crates/skylarkshore-core/tests/loading.rs
+++ b/crates/skylarkshore-core/tests/loading.rs
@@ -7,5 +7,7 @@
 mod course;
 #[path = "loading/faults.rs"]
 mod faults;
+#[path = "loading/one_by_one.rs"]
+mod one_by_one;
 #[path = "loading/policy.rs"]
 mod policy;
--- /dev/null
+++ b/crates/skylarkshore-core/tests/loading/one_by_one.rs
@@ -0,0 +1,121 @@
+//! Engines that number their orders and carry them out one at a time.
+
+use std::time::Duration;
+
+use skylarkshore_core::peer::PeerMessage;
+use skylarkshore_core::rules::ServiceOrder;
+use skylarkshore_core::upstream::Order;
+use skylarkshore_core::view::Readiness;
+
+use crate::support::{LOAD_TIME, Rig, name, target};
+
+const PATIENT: Duration = Duration::from_secs(20);
+
+fn loads(rig: &Rig) -> Vec<String> {
+    let model = |order: &Order| match order {
+        Order::Load { model, .. } => Some(model.to_string()),
+        _ => None,
+    };
+    rig.engine.done.iter().filter_map(model).collect()
+}
+
+/// Callers of many rarely used models come one by one, each more urgent than the
+/// twenty that wait for one model. Were the urgent ones always let past, the
+/// twenty would run into their deadlines although a load takes seconds.
+#[test]
+fn a_model_that_many_wait_for_goes_before_single_requests_of_a_more_urgent_order() {
+    let mut rig = Rig::one_by_one(&[("hot", 300), ("r0", 300), ("r1", 300), ("r2", 300)]);
+    rig.want_with("entry-2", "r0", 1, ServiceOrder(60), PATIENT);
+    rig.run(Duration::from_secs(1));
+    for _ in 0..10 {
+        rig.want_with("entry-2", "hot", 20, ServiceOrder(80), PATIENT);
+        for rare in ["r1", "r2"] {
+            rig.want_with("entry-3", rare, 1, ServiceOrder(60), PATIENT);
+        }
+        rig.run(Duration::from_millis(500));
+    }
+    assert_eq!(loads(&rig)[..2], ["r0", "hot"]);
+}
+
+/// A model waits behind the load of another one. An owner that told only the
+/// model's own load time would promise again and again that it is nearly there;
+/// routers would keep their callers waiting for it and ask nobody else.
+#[test]
+fn a_router_is_told_the_time_that_the_loads_ahead_take_too() {
+    let mut rig = Rig::one_by_one(&[("maize", 300), ("rye", 300)]);
+    rig.want("entry-2", "maize", 1);
+    rig.run(Duration::from_secs(1));
+    assert_eq!(loads(&rig), ["maize"]);
+    rig.want("entry-3", "rye", 1);
+    rig.run(Duration::from_millis(100));
+    let views = rig.told.iter().rev().filter(|envelope| envelope.to.as_str() == "entry-3");
+    let mut remaining = views.filter_map(|envelope| match &envelope.message {
+        PeerMessage::View(view) => view.models.iter().find(|seen| seen.model.as_str() == "rye").cloned(),
+        _ => None,
+    });
+    let told = remaining.next().expect("the router hears of the model").readiness;
+    let Readiness::Loading { remaining } = told else { panic!("{told:?}") };
+    assert!(remaining > LOAD_TIME + LOAD_TIME / 2, "{remaining:?}");
+}
+
+/// An engine is busy for longer than a caller likes to wait, and another home of
+/// the model may be idle. The router has to hear it at once; callers would
+/// otherwise wait behind somebody else's load while an engine stands idle.
+#[test]
+fn an_owner_that_would_take_longer_than_callers_like_says_so() {
+    let mut rig = Rig::one_by_one(&[("maize", 300), ("rye", 300)]);
+    rig.set_homes("rye", &["engine-b", "engine-a"]);
+    rig.want("entry-2", "maize", 1);
+    rig.run(Duration::from_secs(1));
+    let wanted = |aim| PeerMessage::Wanted {
+        target: target("rye"),
+        waiting: 1,
+        order: ServiceOrder::default(),
+        patience: PATIENT,
+        aim,
+        arrived: 1,
+    };
+    rig.hear(&name("entry-3"), &wanted(Some(Duration::from_secs(3))));
+    assert_eq!(rig.refusals(), ["rye Busy"]);
+    rig.run(Duration::from_secs(10));
+    assert_eq!(loads(&rig), ["maize"], "nobody here was asked to take it on");
+    // Asked without an aim, it takes it on whatever it takes.
+    rig.hear(&name("entry-3"), &wanted(None));
+    rig.run(Duration::from_secs(10));
+    assert_eq!(loads(&rig), ["maize", "rye"]);
+}
+
+/// Engines hold models before the first homes are written. An owner that let go
+/// of every model without a home would empty them all, and each would be loaded
+/// again seconds later while callers wait.
+#[test]
+fn models_that_an_engine_holds_stay_until_homes_are_written() {
+    let mut rig = Rig::one_by_one(&[("maize", 300)]);
+    rig.clear_homes("maize");
+    rig.authority.homes.clear();
+    rig.engine.put("maize", 300);
+    rig.run(Duration::from_secs(20));
+    assert!(rig.engine.holds("maize"));
+}
+
+/// An engine takes an adapter's load at once and shows it in its reports only
+/// later. The next one's number has to follow on it all the same, or it is
+/// refused, and callers of the second adapter wait for another round.
+#[test]
+fn each_order_carries_the_number_that_the_engine_expects() {
+    let mut rig = Rig::one_by_one(&[("maize", 300)]);
+    let adapters = ["bern", "olten"];
+    for adapter in adapters {
+        rig.add_adapter("maize", adapter);
+    }
+    for _ in 0..20 {
+        for adapter in adapters {
+            rig.want("entry-2", &format!("maize/{adapter}"), 1);
+        }
+        rig.run(Duration::from_millis(500));
+    }
+    let numbered: Vec<u64> = rig.numbers.iter().flatten().copied().collect();
+    let expected: Vec<u64> = (0..numbered.len() as u64).collect();
+    assert_eq!(numbered, expected);
+    assert_eq!(numbered.len(), 3, "{:?}", rig.engine.done);
+}
--- a/crates/skylarkshore-core/tests/support/fake_engine.rs
+++ b/crates/skylarkshore-core/tests/support/fake_engine.rs
@@ -31,6 +31,8 @@
     pub incarnation: Incarnation,
     /// What it has done.
     pub done: Vec<Order>,
+    /// How many orders it has accepted, if it numbers them and takes one at a time.
+    pub accepted: Option<u64>,
     memory: Mebibytes,
     models: OrderedMap<ModelName, Held>,
     settled: Vec<OrderId>,
@@ -44,6 +46,7 @@
             names_settled: true,
             incarnation: Incarnation(1),
             done: Vec::new(),
+            accepted: None,
             memory,
             models: OrderedMap::new(),
             settled: Vec::new(),
@@ -54,6 +57,12 @@
     pub fn carry_out(&mut self, now: Time, order: OrderId, action: &Order) {
         self.done.push(action.clone());
         self.settled.push(order);
+        if let Some(accepted) = &mut self.accepted
+            && *action != Order::RaiseFence
+        {
+            *accepted += 1;
+            assert!(!self.is_loading(now), "an order came while another was carried out");
+        }
         match action {
             Order::RaiseFence => {}
             Order::Load { model, version, memory } => {
@@ -84,6 +93,18 @@
         assert!(self.used() <= self.memory, "memory is overcommitted: {} of {}", self.used(), self.memory);
     }
 
+    /// Puts a model on it that no order of its present owner brought there.
+    pub fn put(&mut self, model: &str, memory: u64) {
+        let (ready_at, adapters) = (Time::START, OrderedMap::new());
+        let held =
+            Held { version: "v1".to_owned(), memory: Mebibytes(memory), ready_at, running: 0, adapters };
+        self.models.insert(name(model), held);
+    }
+
+    fn is_loading(&self, now: Time) -> bool {
+        self.models.values().any(|held| !held.ready_at.is_due(now))
+    }
+
     fn used(&self) -> Mebibytes {
         let of = |held: &Held| held.memory + held.adapters.values().map(|(memory, _)| *memory).sum();
         self.models.values().map(of).sum()
@@ -115,7 +136,10 @@
 
     /// Tells how it stands.
     pub fn report(&self, now: Time) -> EngineReport {
-        let models = self.models.iter().map(|(model, held)| ReportedModel {
+        // One that numbers its orders shows a model only once it is there.
+        let shown =
+            self.models.iter().filter(|(_, held)| self.accepted.is_none() || held.ready_at.is_due(now));
+        let models = shown.map(|(model, held)| ReportedModel {
             model: model.clone(),
             version: name(&held.version),
             state: if held.ready_at.is_due(now) { LoadState::Ready } else { LoadState::Loading },
@@ -141,8 +165,8 @@
             leaving: false,
             lag: Duration::from_millis(200),
             settled: if self.names_settled { self.settled.clone() } else { Vec::new() },
-            busy: false,
-            accepted: None,
+            busy: self.accepted.is_some() && self.is_loading(now),
+            accepted: self.accepted,
             copies: Copies::default(),
         }
     }
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -105,6 +105,8 @@
     pub document: Document,
     /// What happens to the next loads and unloads; then all arrive.
     pub fates: Vec<Fate>,
+    /// How many orders each order says that the engine must have accepted before.
+    pub numbers: Vec<Option<u64>>,
     /// Orders that were held up.
     pub held: Vec<(OrderId, Order)>,
     /// Messages to other hosts and to the own router.
@@ -196,6 +198,7 @@
             engine: FakeEngine::new(memory),
             document: Document::default(),
             fates: Vec::new(),
+            numbers: Vec::new(),
             held: Vec::new(),
             told: Vec::new(),
             notes: Vec::new(),
@@ -223,6 +226,31 @@
         rig
     }
 
+    /// Makes a process that has just acquired an engine which numbers its orders and takes one at a time.
+    pub fn one_by_one(models: &[(&str, u64)]) -> Self {
+        let mut rig = Self::new(models);
+        rig.engine.accepted = Some(0);
+        let engine = rig.upstreams.get_mut(&name(ENGINE)).expect("the engine is listed");
+        if let UpstreamKind::Engine(spec) = &mut engine.kind {
+            spec.order_mode = OrderMode::OneByOne;
+        }
+        rig
+    }
+
+    /// Names the homes of a model, of which the engine may be one.
+    pub fn set_homes(&mut self, model: &str, engines: &[&str]) {
+        let homes =
+            HomesRecord { engines: engines.iter().map(|engine| name(engine)).collect(), left: Vec::new() };
+        self.put(Key::Homes(name(model)), Record::Homes(homes));
+    }
+
+    /// Takes a model's homes away, as before they have been written.
+    pub fn clear_homes(&mut self, model: &str) {
+        self.revision += 1;
+        let revision = StoreRevision(self.revision);
+        self.cache.apply(Versioned { key: Key::Homes(name(model)), revision, writer: None, record: None });
+    }
+
     /// Adds a live process.
     pub fn add_member(&mut self, host: &str) {
         let member = MemberRecord {
@@ -369,7 +397,10 @@
 
     fn act(&mut self, effects: &mut Vec<Effect>, effect: Effect) {
         match effect {
-            Effect::Order { order, action, .. } => self.carry(effects, order, &action),
+            Effect::Order { order, action, after, .. } => {
+                self.numbers.push(after);
+                self.carry(effects, order, &action);
+            }
             Effect::AskReport { .. } => {
                 let report = self.engine.up.then(|| self.engine.report(self.now));
                 let asked = self.now;
