Refuse what still waits at a host that leaves

The host got SIGTERM at 29.5 s; a request for a cold model arrived at 32.41 s, just before the intake was closed at 32.51 s, and waited for the load. At 37.5 s the platform ended the process, and the connection broke without an answer.

Ruled out: a request that was running (its log has no request_sent), the handover of engines (done at 29.67 s), a kept connection that was not closed.

When callers have been sent elsewhere, what still waits is now refused as not run, to be asked at another host at once.

--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -248,6 +248,7 @@
         {
             self.shutdown = Shutdown::Closed;
             effects.push(Effect::CloseIntake);
+            self.with(now, effects, |cx, parts| parts.serving.on_intake_closed(cx));
         }
         if self.shutdown != Shutdown::Closed || !self.serving.is_idle() {
             return;
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -61,6 +61,8 @@
     paces: Paces,
     tally: Tally,
     house_due: Time,
+    /// Callers have been sent elsewhere, and nothing more may wait.
+    is_closed: bool,
 }
 
 impl Serving {
@@ -79,6 +81,7 @@
             paces: Paces::default(),
             tally: Tally::default(),
             house_due: Time::START,
+            is_closed: false,
         }
     }
 
@@ -150,6 +153,9 @@
         self.wants.forget_silence(&self.waiting_models());
         self.review_all(cx);
         self.pump(cx);
+        if self.is_closed {
+            self.refuse_waiting(cx);
+        }
     }
 
     /// Does what needn't be done at every tick, since it looks at all that is remembered.
@@ -238,6 +244,16 @@
         cx.note("serving_drains", self.requests.len(), "requests in progress go on to their end");
     }
 
+    /// Takes note that callers have been sent elsewhere and the process ends soon.
+    ///
+    /// A request that still waits, for a load perhaps, may wait for longer than
+    /// the process is given; its caller would see the connection break and could
+    /// not tell whether it had run. Refused now, it is served by another host.
+    pub fn on_intake_closed(&mut self, cx: &mut Cx<'_>) {
+        self.is_closed = true;
+        self.refuse_waiting(cx);
+    }
+
     /// Tells whether no request is in progress.
     pub fn is_idle(&self) -> bool {
         self.requests.is_empty() && self.once.is_idle()
--- a/crates/skylarkshore-core/src/serving/supply.rs
+++ b/crates/skylarkshore-core/src/serving/supply.rs
@@ -102,6 +102,20 @@
         }
     }
 
+    /// Refuses all that wait: another host has to serve them.
+    pub(super) fn refuse_waiting(&mut self, cx: &mut Cx<'_>) {
+        let mut targets = self.queue.targets();
+        targets.extend(self.alone_targets());
+        targets.sort_unstable();
+        targets.dedup();
+        for target in targets {
+            for id in self.waiting_for(&target) {
+                let reason = RefusalReason::Leaving;
+                self.advance(cx, id, Step::Refuse { reason, retry_after: Some(Duration::ZERO) });
+            }
+        }
+    }
+
     fn shortage(&self, cx: &Cx<'_>, target: &Target) -> Option<Shortage> {
         let everyone =
             |retry_after| Shortage { reason: RefusalReason::NoUpstream, bar: Time::NEVER, retry_after };
--- a/crates/skylarkshore-core/tests/serving/flow.rs
+++ b/crates/skylarkshore-core/tests/serving/flow.rs
@@ -4,7 +4,9 @@
 
 use skylarkshore_core::effect::{Effect, RefusalOutcome, RefusalReason};
 use skylarkshore_core::event::AttemptEnd;
+use skylarkshore_core::id::RequestId;
 use skylarkshore_core::peer::{CannotLoad, PeerMessage};
+use skylarkshore_core::serving::Serving;
 use skylarkshore_core::view::Readiness;
 
 use crate::support::serving::*;
@@ -98,3 +100,27 @@
     assert_eq!(finals.count(), 0, "late ends change nothing");
     assert!(p.serving.is_idle());
 }
+
+/// A host was told to end, and a request that came in its last moments waits for
+/// a model's load. The platform ends the process before the load is done; the
+/// caller sees its connection break and can't tell whether the request has run.
+#[test]
+fn what_still_waits_at_a_host_that_leaves_is_refused_as_not_run() {
+    let mut p = Process::new("a", 1);
+    p.arrive(1, arrival(&p, model("m"), 1));
+    assert_eq!(p.take_refused(), [], "the owners were asked to load it");
+    p.with(Serving::on_intake_closed);
+    let refused = p.take_refused();
+    assert_eq!(refused.len(), 1);
+    let (request, refusal) = &refused[0];
+    assert_eq!(*request, RequestId(1));
+    assert_eq!(refusal.reason, RefusalReason::Leaving);
+    assert_eq!(refusal.outcome, RefusalOutcome::NotRun);
+    assert_eq!(refusal.retry_after, Some(Duration::ZERO));
+
+    // One whose body was still being read comes a moment later.
+    p.arrive(2, arrival(&p, model("m"), 2));
+    p.pass(100);
+    assert_eq!(p.take_refused().len(), 1);
+    assert!(p.serving.is_idle());
+}
