Let requests wait no longer than callers wait for a stream to begin

Ruled out: lost answers (the callers closed first), engines that were cut off.

A request now waits until its answer has to begin, and is refused at once where the model is known to come later.

--- a/crates/skylarkshore-core/src/catalogue.rs
+++ b/crates/skylarkshore-core/src/catalogue.rs
@@ -107,6 +107,8 @@
     pub timeout: Duration,
     /// Within which time an answer has its full value.
     pub target_latency: Duration,
+    /// The longest pause between two events of an answer that has its full value; none for other answers.
+    pub target_gap: Option<Duration>,
     /// How urgent it is; 0 is the most urgent.
     pub priority: u8,
     /// On how many upstreams a request may run at most.
--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -44,6 +44,8 @@
     pub tries: u32,
     /// Until when an answer has its full value.
     pub aim: Time,
+    /// Until when an answer has to begin; its caller waits no longer.
+    pub begins_by: Time,
     /// How much earlier (below zero) or later it is served than the rules say.
     pub rank: i16,
     /// Whether another upstream may go on with a stream that broke off.
@@ -53,7 +55,7 @@
 impl Terms {
     /// The terms of a request of which nothing special is wanted.
     pub const fn plain(deadline: Time, resumable: bool) -> Self {
-        Self { tries: u32::MAX, aim: deadline, rank: 0, resumable }
+        Self { tries: u32::MAX, aim: deadline, begins_by: deadline, rank: 0, resumable }
     }
 }
 
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -282,6 +282,9 @@
             // The peers hear of a suspect before its caller does; that takes but a moment.
             State::Recording { .. } | State::Releasing { .. } | State::TellingPeers => {}
             _ if passed => self.refuse_late(cx, id),
+            State::Queued | State::QueuedAlone if request.waits_until().is_due(cx.now) => {
+                self.refuse_late(cx, id);
+            }
             _ => {}
         }
     }
@@ -303,6 +306,7 @@
     fn forget(&mut self, cx: &mut Cx<'_>, id: RequestId) -> Option<Request> {
         let request = self.requests.remove(&id)?;
         self.timers.remove(&Due { at: request.arrival.deadline, request: id });
+        self.timers.remove(&Due { at: request.arrival.terms.begins_by, request: id });
         self.suspects.waiting.remove(&queue::Urgency::of(id, &request));
         self.end_alone(cx, id);
         Some(request)
--- a/crates/skylarkshore-core/src/serving/arrival.rs
+++ b/crates/skylarkshore-core/src/serving/arrival.rs
@@ -43,11 +43,12 @@
             Target::Service(_) => None,
         };
         let verdict = self.judge(cx, &arrival, idle_for);
-        let deadline = arrival.deadline;
+        let (deadline, begins_by) = (arrival.deadline, arrival.terms.begins_by);
         let order = verdict.as_ref().map_or(ServiceOrder::default(), |order| *order);
         let order = ServiceOrder(order.0.saturating_add_signed(arrival.terms.rank));
         self.requests.insert(id, Request::new(arrival, order, cx.now));
         self.timers.insert(Due { at: deadline, request: id });
+        self.timers.insert(Due { at: begins_by, request: id });
         match verdict {
             Ok(_) if deadline.is_due(cx.now) => self.refuse_late(cx, id),
             Ok(_) => self.admit(cx, id),
@@ -146,7 +147,7 @@
         }
         let wait = self.paces.estimate(target, ahead)?;
         let at_worst = wait.mul_f64(ESTIMATE_MARGIN);
-        (cx.now.after(at_worst) > request.arrival.deadline).then_some(wait)
+        (cx.now.after(at_worst) > request.waits_until()).then_some(wait)
     }
 
     /// Queues a request that was let in before.
--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -212,7 +212,7 @@
         let lost = request.past != Past::Clean;
         let destination = destination(cx, &request.arrival.target);
         let cost = if self.budget.counts_every_sending() { Cost::Retry } else { cost };
-        if request.arrival.deadline.is_due(cx.now) {
+        if request.waits_until().is_due(cx.now) {
             let reason =
                 if lost { RefusalReason::DeadlinePassedRunning } else { RefusalReason::DeadlinePassed };
             return self.advance(cx, id, Step::Refuse { reason, retry_after: None });
--- a/crates/skylarkshore-core/src/serving/queue.rs
+++ b/crates/skylarkshore-core/src/serving/queue.rs
@@ -15,14 +15,14 @@
 pub(super) struct Urgency {
     /// The order of service.
     pub(super) order: ServiceOrder,
-    /// Its deadline and name.
+    /// Until when it may wait, and its name.
     pub(super) due: Due,
 }
 
 impl Urgency {
     /// Returns how urgent a request is.
-    pub(super) const fn of(id: RequestId, request: &Request) -> Self {
-        Self { order: request.order, due: Due { at: request.arrival.deadline, request: id } }
+    pub(super) fn of(id: RequestId, request: &Request) -> Self {
+        Self { order: request.order, due: Due { at: request.waits_until(), request: id } }
     }
 }
 
--- a/crates/skylarkshore-core/src/serving/request.rs
+++ b/crates/skylarkshore-core/src/serving/request.rs
@@ -129,6 +129,16 @@
 }
 
 impl Request {
+    /// Returns until when it may wait for an upstream.
+    ///
+    /// Callers of streams go away when no event comes for a while, long before
+    /// their deadline. A request that waited on would be answered to nobody, and
+    /// its caller would have lost the time that it could have asked elsewhere in.
+    pub(super) fn waits_until(&self) -> Time {
+        let deadline = self.arrival.deadline;
+        if self.passed_on { deadline } else { deadline.min(self.arrival.terms.begins_by) }
+    }
+
     /// Makes a request that has just arrived.
     pub(super) const fn new(arrival: Arrival, order: ServiceOrder, now: Time) -> Self {
         Self {
--- a/crates/skylarkshore-core/src/serving/supply.rs
+++ b/crates/skylarkshore-core/src/serving/supply.rs
@@ -94,7 +94,7 @@
     pub(super) fn review(&mut self, cx: &mut Cx<'_>, target: &Target) {
         let Some(shortage) = self.shortage(cx, target) else { return };
         for id in self.waiting_for(target) {
-            let late = self.requests.get(&id).is_some_and(|r| r.arrival.deadline <= shortage.bar);
+            let late = self.requests.get(&id).is_some_and(|r| r.waits_until() <= shortage.bar);
             if late {
                 let reason = shortage.reason.clone();
                 self.advance(cx, id, Step::Refuse { reason, retry_after: Some(shortage.retry_after) });
--- a/crates/skylarkshore-core/tests/serving/flow.rs
+++ b/crates/skylarkshore-core/tests/serving/flow.rs
@@ -124,3 +124,39 @@
     assert_eq!(p.take_refused().len(), 1);
     assert!(p.serving.is_idle());
 }
+
+/// A model is ready in six seconds; the caller's deadline is ten seconds away,
+/// but it goes away when nothing has come after two. Kept, it would wait in vain
+/// and lose the time in which it could have come back or asked elsewhere.
+#[test]
+fn a_caller_that_goes_away_before_the_model_is_ready_is_refused_at_once() {
+    let mut p = Process::new("a", 1);
+    let remaining = Duration::from_secs(6);
+    p.peer("b", &PeerMessage::View(view("e1", 1, "m", Readiness::Loading { remaining })));
+    let mut impatient = arrival(&p, model("m"), 1);
+    impatient.terms.begins_by = p.now.after(Duration::from_secs(2));
+    p.arrive(1, impatient);
+    p.arrive(2, arrival(&p, model("m"), 2));
+    let refused = p.take_refused();
+    assert_eq!(refused.len(), 1);
+    assert_eq!(refused[0].0, RequestId(1));
+    assert_eq!(refused[0].1.outcome, RefusalOutcome::NotRun);
+    assert!(refused[0].1.retry_after >= Some(remaining), "{:?}", refused[0].1.retry_after);
+}
+
+/// Nobody says anything of a model. A caller that goes away after two seconds
+/// still gets its final answer before it does.
+#[test]
+fn a_wait_ends_before_the_caller_goes_away() {
+    let mut p = Process::new("a", 1);
+    let mut impatient = arrival(&p, model("m"), 1);
+    impatient.terms.begins_by = p.now.after(Duration::from_secs(2));
+    p.arrive(1, impatient);
+    p.pass(1900);
+    assert_eq!(p.take_refused(), []);
+    p.pass(100);
+    let refused = p.take_refused();
+    assert_eq!(refused.len(), 1);
+    assert_eq!(refused[0].1.reason, RefusalReason::DeadlinePassed);
+    assert!(p.serving.is_idle());
+}
--- a/crates/skylarkshore-wire/src/catalogue.rs
+++ b/crates/skylarkshore-wire/src/catalogue.rs
@@ -42,6 +42,8 @@
     pub timeout_ms: u64,
     /// Within which time an answer has its full value.
     pub target_latency_ms: u64,
+    /// The longest pause between two events of an answer that has its full value.
+    pub target_gap_ms: Option<u64>,
     /// How urgent it is.
     pub priority: u8,
     /// On how many upstreams a request may run.
@@ -108,6 +110,7 @@
             kind: route.kind.into(),
             timeout_ms: millis(route.timeout),
             target_latency_ms: millis(route.target_latency),
+            target_gap_ms: route.target_gap.map(millis),
             priority: route.priority,
             tries: route.tries,
             destinations: route.destinations.iter().map(|d| (d.service.clone(), d.weight)).collect(),
@@ -125,6 +128,7 @@
             kind: wire.kind.into(),
             timeout: Duration::from_millis(wire.timeout_ms),
             target_latency: Duration::from_millis(wire.target_latency_ms),
+            target_gap: wire.target_gap_ms.map(Duration::from_millis),
             priority: wire.priority,
             tries: wire.tries,
             destinations: wire.destinations.into_iter().map(destination).collect(),
