--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -55,7 +55,7 @@
 impl Terms {
     /// The terms of a request of which nothing special is wanted.
     pub const fn plain(deadline: Time, resumable: bool) -> Self {
-        Self { tries: u32::MAX, aim: deadline, begins_by: deadline, rank: 0, resumable }
+        Self { tries: u32::MAX, aim: deadline, begins_by: Time::NEVER, rank: 0, resumable }
     }
 }
 
--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -245,10 +245,12 @@
         if homes < 2 || concerned.is_empty() || concerned.iter().any(|id| !self.engines[id].is_one_by_one()) {
             return None;
         }
+        let others = self.demand.of_model(model).map_or(0, |need| need.waiting);
+        let own = wants::turn(others.saturating_add(wanted.waiting), wanted.order);
         let mut soonest = Duration::MAX;
         for id in &concerned {
             self.with_engine(cx, authority, id, |cx, engine, beside| {
-                soonest = soonest.min(answer::expected(cx, engine, beside, model));
+                soonest = soonest.min(answer::expected(cx, engine, beside, model, own));
             });
         }
         let (target, retry_after) = (wanted.target.clone(), soonest);
--- a/crates/skylarkshore-core/src/loading/answer.rs
+++ b/crates/skylarkshore-core/src/loading/answer.rs
@@ -11,7 +11,7 @@
 use crate::loading::engine::Engine;
 use crate::loading::load;
 use crate::loading::pacing::LoadKey;
-use crate::loading::wants::{Cause, Want};
+use crate::loading::wants::{self, Cause, Turn, Want};
 use crate::peer::{CannotLoad, PeerMessage};
 use crate::upstream::LoadState;
 
@@ -81,7 +81,17 @@
 }
 
 /// Estimates when a model could be used on an engine that takes one order at a time.
-pub(crate) fn expected(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, model: &ModelName) -> Duration {
+///
+/// What goes before it counts, but not what it goes before itself. If all that
+/// waits were counted, each model would seem as far away as the last of them,
+/// and callers would be refused who could be served.
+pub(crate) fn expected(
+    cx: &Cx<'_>,
+    engine: &Engine,
+    beside: &Beside<'_>,
+    model: &ModelName,
+    own: Turn,
+) -> Duration {
     if engine.is_silent(cx.now, cx.cfg.timings.engine_timeout)
         || engine.report().is_none()
         || engine.is_leaving()
@@ -96,8 +106,12 @@
     let unload = engine.ledger.has_model_order().then_some(USUAL_RUN / 2);
     let in_progress = order.or(unload).unwrap_or_default();
     let waiting = beside.demand.models();
+    let goes_first = |other: &ModelName| {
+        beside.demand.of_model(other).is_some_and(|need| wants::turn(need.waiting, need.order) <= own)
+    };
     let ahead = waiting.iter().filter(|other| {
-        *other != model && engine.model(other).is_none() && beside.authority.is_home(&engine.id, other)
+        let is_absent = *other != model && engine.model(other).is_none();
+        is_absent && beside.authority.is_home(&engine.id, other) && goes_first(other)
     });
     let ahead: Duration = ahead.map(|other| beside.load_times.on(cx, engine, other) + USUAL_RUN / 4).sum();
     let room = close::room_in(cx, engine, beside, model);
@@ -128,7 +142,7 @@
             continue;
         }
         let takes = if engine.is_one_by_one() {
-            expected(cx, engine, beside, model)
+            expected(cx, engine, beside, model, wants::turn(want.waiting, want.order))
         } else {
             let key = LoadKey { engine: engine.id.clone(), model: model.clone() };
             beside.load_times.on(cx, engine, model)
--- a/crates/skylarkshore-core/src/loading/wants.rs
+++ b/crates/skylarkshore-core/src/loading/wants.rs
@@ -35,6 +35,14 @@
 /// From how many requests on a model is loaded before those that fewer wait for.
 const MANY_WAIT: u32 = 4;
 
+/// Whether few wait, and the order of service: what decides first whose load goes first.
+pub(crate) type Turn = (bool, ServiceOrder);
+
+/// Returns when it is the turn of a model that so many wait for.
+pub(crate) fn turn(waiting: u32, order: ServiceOrder) -> Turn {
+    (waiting < MANY_WAIT, order)
+}
+
 /// Why a model ought to be loaded.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Cause {
@@ -84,10 +92,9 @@
     /// out for good, and hundreds would run into their deadlines behind it.
     /// Those who can still be served with full value go before those who can't;
     /// the others lose nothing more by waiting a little longer.
-    pub(crate) fn rank(&self) -> (bool, Cause, ServiceOrder, bool, Time) {
+    pub(crate) fn rank(&self) -> (Cause, Turn, bool, Time) {
         let at = self.aim.unwrap_or(self.deadline);
-        let is_for_many = self.waiting >= MANY_WAIT;
-        (!is_for_many, self.cause, self.order, self.aim.is_none(), at)
+        (self.cause, turn(self.waiting, self.order), self.aim.is_none(), at)
     }
 }
 
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -150,7 +150,7 @@
             self.timers.remove(&due);
             self.on_due(cx, due.request);
         }
-        self.wants.forget_silence(&self.waiting_models());
+        self.wants.forget_silence(&self.waiting_models(cx.now));
         self.review_all(cx);
         self.pump(cx);
         if self.is_closed {
--- a/crates/skylarkshore-core/src/serving/arrival.rs
+++ b/crates/skylarkshore-core/src/serving/arrival.rs
@@ -187,6 +187,9 @@
         for target in self.alone_targets() {
             self.ask_for(cx, &target);
         }
+        for target in self.returning_targets(cx.now) {
+            self.ask_for(cx, &target);
+        }
     }
 
     /// Sends the waiting requests that a change at one upstream concerns.
--- a/crates/skylarkshore-core/src/serving/queue.rs
+++ b/crates/skylarkshore-core/src/serving/queue.rs
@@ -100,6 +100,16 @@
     pub(super) aim: Option<Time>,
 }
 
+impl Waiting {
+    /// Adds requests that wait elsewhere than in a lane.
+    pub(super) fn add(this: &mut Option<Self>, count: u32, order: ServiceOrder, until: Time) {
+        let sum = this.get_or_insert(Self { count: 0, order, patient_until: until, aim: None });
+        sum.count = sum.count.saturating_add(count);
+        sum.order = sum.order.min(order);
+        sum.patient_until = sum.patient_until.max(until);
+    }
+}
+
 /// Why a request found no room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Overflow {
--- a/crates/skylarkshore-core/src/serving/supply.rs
+++ b/crates/skylarkshore-core/src/serving/supply.rs
@@ -40,7 +40,7 @@
             return;
         }
         self.return_stray_reservation(cx, view);
-        for model in self.waiting_models() {
+        for model in self.waiting_models(cx.now) {
             if self.routes.views.mentions(&view.upstream, &model) {
                 self.wants.heard(&model);
                 self.review(cx, &Target::Model(model));
@@ -79,7 +79,7 @@
     /// Refuses the requests for every target that can't be served in time.
     pub(super) fn review_all(&mut self, cx: &mut Cx<'_>) {
         let mut targets = self.queue.targets();
-        targets.extend(self.waiting_models().into_iter().map(Target::Model));
+        targets.extend(self.waiting_models(cx.now).into_iter().map(Target::Model));
         targets.sort_unstable();
         targets.dedup();
         for target in targets {
@@ -96,6 +96,7 @@
         for id in self.waiting_for(target) {
             let late = self.requests.get(&id).is_some_and(|r| r.waits_until() <= shortage.bar);
             if late {
+                self.expect_back(cx.now, id, shortage.retry_after);
                 let reason = shortage.reason.clone();
                 self.advance(cx, id, Step::Refuse { reason, retry_after: Some(shortage.retry_after) });
             }
@@ -116,6 +117,12 @@
         }
     }
 
+    fn expect_back(&mut self, now: Time, id: RequestId, retry_after: Duration) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let Target::Model(target) = &request.arrival.target else { return };
+        self.wants.told_to_return(now, target, request.order, retry_after);
+    }
+
     fn shortage(&self, cx: &Cx<'_>, target: &Target) -> Option<Shortage> {
         let everyone =
             |retry_after| Shortage { reason: RefusalReason::NoUpstream, bar: Time::NEVER, retry_after };
@@ -147,7 +154,7 @@
     /// Asks the owners for a target, if requests wait for it.
     pub(super) fn ask_for(&mut self, cx: &mut Cx<'_>, target: &Target) {
         let Target::Model(model) = target else { return };
-        if self.waiting(cx.now, target).is_none() {
+        if self.waiting(cx, target).is_none() {
             return self.wants.satisfied(model);
         }
         // Only the first of those that wait may ask out of turn. An owner's answer
@@ -161,7 +168,7 @@
 
     /// Asks the new owners for the targets whose homes have changed hands.
     pub(super) fn ask_again(&mut self, cx: &mut Cx<'_>, key: &Key) {
-        for model in self.waiting_models() {
+        for model in self.waiting_models(cx.now) {
             let concerned = match key {
                 Key::Homes(changed) => *changed == model.model,
                 Key::Owner(engine) => {
@@ -178,7 +185,7 @@
 
     fn ask(&mut self, cx: &mut Cx<'_>, target: &Target, pace: Pace) {
         let Target::Model(model) = target else { return };
-        let Some(waiting) = self.waiting(cx.now, target) else { return };
+        let Some(waiting) = self.waiting(cx, target) else { return };
         let supply = match self.routes.prospect(cx, target) {
             Prospect::Ready => Supply::Full,
             // What comes only after those who wait have given up is no help to them.
@@ -196,23 +203,20 @@
         self.routes.views.ready(cx, &base).map(|known| known.view.upstream.clone()).collect()
     }
 
-    /// Returns what waits for a target, suspects included.
-    fn waiting(&self, now: Time, target: &Target) -> Option<Waiting> {
-        let mut waiting = self.queue.waiting(now, target);
+    /// Returns what waits for a target, with suspects and those who were told when to come back.
+    fn waiting(&self, cx: &Cx<'_>, target: &Target) -> Option<Waiting> {
+        let mut waiting = self.queue.waiting(cx.now, target);
         for urgency in &self.suspects.waiting {
             let Some(request) = self.requests.get(&urgency.due.request) else { continue };
-            if request.arrival.target != *target {
-                continue;
+            if request.arrival.target == *target {
+                Waiting::add(&mut waiting, 1, urgency.order, urgency.due.at);
             }
-            let seen = waiting.get_or_insert(Waiting {
-                count: 0,
-                order: urgency.order,
-                patient_until: urgency.due.at,
-                aim: None,
-            });
-            seen.count += 1;
-            seen.order = seen.order.min(urgency.order);
-            seen.patient_until = seen.patient_until.max(urgency.due.at);
+        }
+        if let Target::Model(model) = target
+            && let Some(returning) = self.wants.returning(cx.now, model)
+            && self.routes.prospect(cx, target) != Prospect::Ready
+        {
+            Waiting::add(&mut waiting, returning.count, returning.order, returning.until);
         }
         waiting
     }
@@ -224,8 +228,15 @@
         ids
     }
 
-    pub(super) fn waiting_models(&self) -> Vec<ModelTarget> {
+    /// Lists the targets to which callers were told to come back, and for which nothing waits.
+    pub(super) fn returning_targets(&self, now: Time) -> Vec<Target> {
+        let targets = self.wants.returning_targets(now).cloned().map(Target::Model);
+        targets.filter(|target| self.queue.len_of(target) == 0).collect()
+    }
+
+    pub(super) fn waiting_models(&self, now: Time) -> Vec<ModelTarget> {
         let mut targets = self.queue.targets();
+        targets.extend(self.wants.returning_targets(now).cloned().map(Target::Model));
         targets.extend(self.alone_targets());
         targets.sort_unstable();
         targets.dedup();
--- a/crates/skylarkshore-core/tests/serving/flow.rs
+++ b/crates/skylarkshore-core/tests/serving/flow.rs
@@ -160,3 +160,34 @@
     assert_eq!(refused[0].1.reason, RefusalReason::DeadlinePassed);
     assert!(p.serving.is_idle());
 }
+
+/// A model that many ask for is ready in six seconds, and all are refused on
+/// arrival and told when to come back. If nobody counted as waiting, its load
+/// would be dropped; those who come back would find it as far away as before.
+#[test]
+fn callers_who_were_told_to_come_back_still_count_as_waiting() {
+    let mut p = Process::new("a", 1);
+    let remaining = Duration::from_secs(6);
+    p.peer("b", &PeerMessage::View(view("e1", 1, "m", Readiness::Loading { remaining })));
+    for id in 1..=5 {
+        let mut impatient = arrival(&p, model("m"), id);
+        impatient.terms.begins_by = p.now.after(Duration::from_secs(2));
+        p.arrive(id.into(), impatient);
+    }
+    assert_eq!(p.take_refused().len(), 5);
+    p.take();
+    p.pass(1000);
+    let asked = p.take_told(wanted);
+    let counts: Vec<u32> = asked
+        .iter()
+        .filter_map(|(_, message)| match message {
+            PeerMessage::Wanted { waiting, .. } => Some(*waiting),
+            _ => None,
+        })
+        .collect();
+    assert!(!counts.is_empty() && counts.iter().all(|count| *count == 5), "{counts:?}");
+    p.pass(8000);
+    p.take();
+    p.pass(1000);
+    assert_eq!(p.take_told(wanted), [], "nobody is expected any more");
+}
