--- a/crates/skylarkshore-host/src/driver/effects.rs
+++ b/crates/skylarkshore-host/src/driver/effects.rs
@@ -1,7 +1,7 @@
 //! Carries out what the core wants done, each effect in a task of its own.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, PoisonError};
+use std::sync::Arc;
 
 use skylarkshore_core::collections::{HashMap, OrderedMap};
 use skylarkshore_core::effect::{Decision, Note, Refusal};
@@ -221,10 +221,7 @@
 
     /// Writes a decision on a request with the caller's name for it.
     fn decision(&self, decision: &Decision) {
-        let mut lines = self.env.lines.lock().unwrap_or_else(PoisonError::into_inner);
-        let allowed = lines.allows(&self.env.log, decision.event);
-        drop(lines);
-        if !allowed {
+        if !self.env.may_log(decision.event) {
             return;
         }
         let pending = self.env.requests.get(decision.request);
--- a/crates/skylarkshore-host/src/env.rs
+++ b/crates/skylarkshore-host/src/env.rs
@@ -1,6 +1,6 @@
 //! What nearly every part of the program needs.
 
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use slog::Logger;
 
@@ -26,3 +26,11 @@
     /// Where events are logged.
     pub log: Logger,
 }
+
+impl Env {
+    /// Tells whether one more line of a kind may be written in this second.
+    pub fn may_log(&self, kind: &'static str) -> bool {
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.allows(&self.log, kind)
+    }
+}
--- a/crates/skylarkshore-host/src/exchange/reply.rs
+++ b/crates/skylarkshore-host/src/exchange/reply.rs
@@ -1,7 +1,6 @@
 //! Passes an answer on to the caller as it comes.
 
 use std::pin::Pin;
-use std::sync::PoisonError;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -160,13 +159,7 @@
         self.env.requests.remove(self.request);
         self.env.metrics.request_ended(self.target, end, took);
         let first = self.pace.first.map_or(took, |first| first - self.begun);
-        let allowed = self
-            .env
-            .lines
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .allows(&self.env.log, "request_ended");
-        if allowed {
+        if self.env.may_log("request_ended") {
             info!(self.env.log, "request_ended"; "target" => self.target,
                 "longest_pause_ms" => self.pace.longest_pause.as_millis(), "first_ms" => first.as_millis(),
                 "ms" => took.as_millis(), "end" => ?end, "request" => %self.request, "id" => &self.label);
