--- a/crates/skylarkshore-core/src/loading/wants.rs
+++ b/crates/skylarkshore-core/src/loading/wants.rs
@@ -195,7 +195,10 @@
 /// once when nothing else is to be loaded.
 pub(crate) fn review_uncopied(cx: &Cx<'_>, engine: &mut Engine, beside: &Beside<'_>) {
     engine.uncopied.clear();
-    if !engine.is_one_by_one() || engine.report().is_none() {
+    // A load from the weight store keeps the engine from any other for seconds,
+    // and while requests run, the next one for another model is never far.
+    let is_quiet = engine.report().is_some_and(|report| report.running == 0 && report.waiting == 0);
+    if !engine.is_one_by_one() || !is_quiet {
         return;
     }
     for (model, homes) in cx.cache.all_homes() {
--- a/crates/skylarkshore-core/tests/loading/one_by_one.rs
+++ b/crates/skylarkshore-core/tests/loading/one_by_one.rs
@@ -119,3 +119,18 @@
     assert_eq!(numbered, expected);
     assert_eq!(numbered.len(), 3, "{:?}", rig.engine.done);
 }
+
+/// Nobody waits for a model of which the engine has no copy yet, and requests
+/// for another one run. A load from the weight store takes seconds, and the next
+/// request for a third model would have to wait for its end.
+#[test]
+fn copies_are_not_fetched_while_requests_run() {
+    let mut rig = Rig::one_by_one(&[("maize", 300), ("rye", 300)]);
+    rig.engine.put("maize", 300);
+    rig.engine.set_running("maize", 1);
+    rig.run(Duration::from_secs(10));
+    assert_eq!(loads(&rig), [""; 0]);
+    rig.engine.set_running("maize", 0);
+    rig.run(Duration::from_secs(10));
+    assert_eq!(loads(&rig), ["rye"]);
+}
