Keep the digest in one place and the returning callers in a file

The digest of a request stood in the product's own interface and again in the platform's; callers that were told to come back had grown into the file of what owners are asked for.

--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -12,6 +12,7 @@
 mod queue;
 mod report;
 mod request;
+mod returning;
 mod routing;
 mod supply;
 mod suspect;
--- a/crates/skylarkshore-core/src/serving/wanted.rs
+++ b/crates/skylarkshore-core/src/serving/wanted.rs
@@ -12,6 +12,7 @@
 use crate::peer::{CannotLoad, PeerMessage};
 use crate::rules::ServiceOrder;
 use crate::serving::queue::Waiting;
+use crate::serving::returning::Returning;
 use crate::time::Time;
 
 /// How long a target is remembered after its last request.
@@ -20,14 +21,6 @@
 /// How long an owner's word that it would take long is believed.
 const BUSY_FOR: Duration = Duration::from_millis(700);
 
-/// From how many callers on that were told to come back to a target they count as waiting.
-///
-/// Single ones often don't come back to the same host, and the load would be for nobody.
-const RETURNING_COUNT: u32 = 3;
-
-/// How much later than told callers may come back.
-const RETURN_GRACE: Duration = Duration::from_secs(1);
-
 /// How long after the time that an assigned owner said the others are asked anew.
 const ASSIGNED_GRACE: Duration = Duration::from_millis(500);
 
@@ -75,23 +68,6 @@
     until: Time,
 }
 
-/// Requests that were refused because their model comes too late for them.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Returning {
-    /// How many.
-    pub(super) count: u32,
-    /// The most urgent order of service among them.
-    pub(super) order: ServiceOrder,
-    /// Until when they are expected.
-    pub(super) until: Time,
-}
-
-impl Default for Returning {
-    fn default() -> Self {
-        Self { count: 0, order: ServiceOrder(u16::MAX), until: Time::START }
-    }
-}
-
 /// How things stand for a target whose requests wait.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Supply {
@@ -246,10 +222,6 @@
     }
 
     /// Takes note that a request was told when to come back.
-    ///
-    /// It still counts as one that waits. Otherwise nothing would be left to load
-    /// the model for as soon as all were refused; each would find it as far away
-    /// as before, and be refused again.
     pub(super) fn told_to_return(
         &mut self,
         now: Time,
@@ -257,27 +229,20 @@
         order: ServiceOrder,
         after: Duration,
     ) {
-        let Some(want) = self.wants.get_mut(target) else { return };
-        if want.returning.until.is_due(now) {
-            want.returning = Returning::default();
+        if let Some(want) = self.wants.get_mut(target) {
+            want.returning.add(now, order, after);
         }
-        let returning = &mut want.returning;
-        returning.count = returning.count.saturating_add(1);
-        returning.order = returning.order.min(order);
-        returning.until = returning.until.max(now.after(after.saturating_add(RETURN_GRACE)));
     }
 
     /// Returns the requests that are expected back.
     pub(super) fn returning(&self, now: Time, target: &ModelTarget) -> Option<Returning> {
-        let returning = self.wants.get(target)?.returning;
-        (!returning.until.is_due(now) && returning.count >= RETURNING_COUNT).then_some(returning)
+        self.wants.get(target)?.returning.at(now)
     }
 
     /// Lists the targets for which requests are expected back.
     pub(super) fn returning_targets(&self, now: Time) -> impl Iterator<Item = &ModelTarget> {
-        let is_awaited =
-            move |want: &Want| !want.returning.until.is_due(now) && want.returning.count >= RETURNING_COUNT;
-        self.wants.iter().filter(move |(_, want)| is_awaited(want)).map(|(target, _)| target)
+        let awaited = self.wants.iter().filter(move |(_, want)| want.returning.at(now).is_some());
+        awaited.map(|(target, _)| target)
     }
 
     /// Takes note that an owner spoke of a target that is on its way.
--- a/crates/skylarkshore-host/src/callers.rs
+++ b/crates/skylarkshore-host/src/callers.rs
@@ -20,6 +20,7 @@
 use xitca_web::service::fn_service;
 use xitca_web::{App, WebContext};
 
+use crate::digest::request_digest;
 use crate::driver::Snapshot;
 use crate::exchange::{CheckedRequest, Exchange, WatchedListener, read_off};
 use crate::pending::{JsonRefusals, Outgoing};
@@ -168,7 +169,7 @@
             caller: common.caller,
             target,
             repeat,
-            digest: check::request_digest(&head.method, &path, &body),
+            digest: request_digest(&head.method, &path, &body),
             prefix: chat.prefix,
             deadline: common.deadline,
             terms: Terms::plain(common.deadline, true),
@@ -201,7 +202,7 @@
             caller: common.caller,
             target: Target::Service(call.service.clone()),
             repeat,
-            digest: check::request_digest(&head.method, &head.path_and_query(), &body),
+            digest: request_digest(&head.method, &head.path_and_query(), &body),
             prefix: None,
             deadline: common.deadline,
             terms: Terms::plain(common.deadline, false),
--- a/crates/skylarkshore-host/src/callers/check.rs
+++ b/crates/skylarkshore-host/src/callers/check.rs
@@ -3,11 +3,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method};
+use http::{HeaderMap, HeaderValue};
 use rand::Rng;
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use sha2::{Digest as _, Sha256};
 use skylarkshore_core::event::Repeat;
 use skylarkshore_core::id::{CallerId, Digest, ServiceName};
 use skylarkshore_wire::caller::{
@@ -17,6 +16,7 @@
 use skylarkshore_wire::percent;
 
 use crate::callers::invalid::Invalid;
+use crate::digest::digest;
 
 /// The caller of a request that names none.
 const ANONYMOUS: &str = "anonymous";
@@ -88,21 +88,6 @@
     Ok(Repeat::Once { key: digest(&[caller.as_str().as_bytes(), service.as_bytes(), key.as_bytes()]) })
 }
 
-/// Returns what tells the same request again from another one.
-pub(super) fn request_digest(method: &Method, path: &str, body: &[u8]) -> Digest {
-    digest(&[method.as_str().as_bytes(), path.as_bytes(), body])
-}
-
-/// Digests parts with their lengths, so that no two lists of parts look alike.
-fn digest(parts: &[&[u8]]) -> Digest {
-    let mut hasher = Sha256::new();
-    for part in parts {
-        hasher.update(part.len().to_be_bytes());
-        hasher.update(part);
-    }
-    Digest(hasher.finalize().into())
-}
-
 /// What is read of a request to a model.
 #[derive(Debug)]
 pub(super) struct ChatBody {
--- a/crates/skylarkshore-host/src/lib.rs
+++ b/crates/skylarkshore-host/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod clock;
 pub mod config;
+pub mod digest;
 pub mod driver;
 pub mod engines;
 pub mod env;
