Send a request that ended two upstreams no further after a third loss

Cause: where upstreams often lose connections, a request is convicted once the host list shows that three upstreams ended while they ran it.

A request whose caller has gone now ends with that reason instead of a passed deadline, which the log told of a request that had seconds left.

--- a/crates/skylarkshore-core/src/effect.rs
+++ b/crates/skylarkshore-core/src/effect.rs
@@ -72,6 +72,9 @@
     /// It ran, but the answer was too large to be kept.
     #[display("the request was run, but its answer wasn't kept")]
     AnswerNotKept,
+    /// The caller closed its connection, so that nobody hears this but the log.
+    #[display("the caller closed its connection")]
+    CallerGone,
     /// It has crashed upstreams before.
     #[display("this request has crashed the upstreams that ran it; do not send it again")]
     CrashesUpstreams,
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -101,7 +101,7 @@
         let runs_for_record = gone.once_key().is_some()
             && (gone.run().is_some() || matches!(gone.state, State::Recording { .. }));
         if !runs_for_record {
-            let step = Step::Refuse { reason: RefusalReason::DeadlinePassed, retry_after: None };
+            let step = Step::Refuse { reason: RefusalReason::CallerGone, retry_after: None };
             self.advance(cx, request, step);
             self.pump(cx);
         }
--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -198,8 +198,9 @@
     /// Decides what becomes of a request whose attempt was lost, once peers know what they have to.
     pub(super) fn after_loss(&mut self, cx: &mut Cx<'_>, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
-        let convicted = self.suspects.standing(request.arrival.digest) == Standing::Convicted;
-        if convicted {
+        let digest = request.arrival.digest;
+        let convicted = self.suspects.standing(digest) == Standing::Convicted;
+        if convicted || self.suspects.is_doubted(cx, digest) {
             let reason = RefusalReason::CrashesUpstreams;
             return self.advance(cx, id, Step::Refuse { reason, retry_after: None });
         }
--- a/crates/skylarkshore-core/src/serving/suspect.rs
+++ b/crates/skylarkshore-core/src/serving/suspect.rs
@@ -233,6 +233,19 @@
         self.on_host_list(cx);
     }
 
+    /// Tells whether one more loss of a request is taken for its doing.
+    ///
+    /// The host list tells of an upstream's end only after a while. A request
+    /// that has ended all but one of the upstreams it takes to convict it would
+    /// be sent again in the meantime, and end one more.
+    pub(super) fn is_doubted(&self, cx: &Cx<'_>, digest: Digest) -> bool {
+        if self.policy != SuspectPolicy::CountEnds {
+            return false;
+        }
+        let lives = self.known.get(&digest).into_iter().flat_map(|suspicion| &suspicion.crashed);
+        lives.filter(|life| life.has_ended(cx)).count() + 1 >= CRASHES_THAT_CONVICT
+    }
+
     /// Looks which requests have been lost with too many lives that ended.
     pub(super) fn on_host_list(&mut self, cx: &mut Cx<'_>) {
         if self.policy != SuspectPolicy::CountEnds {
--- a/crates/skylarkshore-core/src/serving/tally.rs
+++ b/crates/skylarkshore-core/src/serving/tally.rs
@@ -72,6 +72,7 @@
         RefusalReason::KeyInDoubt => "refused_key_in_doubt_total",
         RefusalReason::KeyInProgress => "refused_key_in_progress_total",
         RefusalReason::AnswerNotKept => "refused_answer_not_kept_total",
+        RefusalReason::CallerGone => "refused_caller_gone_total",
         RefusalReason::CrashesUpstreams => "refused_crashes_upstreams_total",
         RefusalReason::Leaving => "refused_leaving_total",
     }
--- a/crates/skylarkshore-core/tests/serving/crash.rs
+++ b/crates/skylarkshore-core/tests/serving/crash.rs
@@ -1,5 +1,6 @@
 //! Requests that were in progress when an upstream died.
 
+use skylarkshore_core::config::{Limits, SuspectPolicy};
 use skylarkshore_core::effect::{RefusalOutcome, RefusalReason};
 use skylarkshore_core::event::AttemptEnd;
 use skylarkshore_core::id::{Digest, Fence};
@@ -188,3 +189,30 @@
     assert_eq!(p.take_told(suspects), []);
     assert_eq!(p.take_sent().len(), 2);
 }
+
+/// Where upstreams often lose connections, a request is only convicted once the
+/// host list shows that enough upstreams have ended while they ran it. The list
+/// is late: a request that has ended two would be sent again after the third,
+/// and end a fourth.
+#[test]
+fn a_request_that_ended_two_upstreams_is_not_sent_again_after_the_third() {
+    let limits = Limits { suspects: SuspectPolicy::CountEnds, ..Limits::default() };
+    let mut p = Process::with_limits("a", 1, limits);
+    for life in 1..=2 {
+        let mut single = arrival(&p, service("booking"), 7);
+        single.terms.tries = 1;
+        p.arrive(life, single);
+        let sent = p.take_sent().remove(0);
+        p.end(sent.attempt, DIED);
+        p.begin_life(sent.upstream.as_str(), life);
+        p.pass(2000);
+    }
+    p.take_refused();
+    p.arrive(3, arrival(&p, service("booking"), 7));
+    let third = p.take_sent().remove(0);
+    p.end(third.attempt, DIED);
+    p.pass(2000);
+    assert_eq!(p.take_sent(), [], "one upstream more would end");
+    let refused = p.take_refused().remove(0).1;
+    assert_eq!((refused.outcome, refused.reason), (RefusalOutcome::Unknown, RefusalReason::CrashesUpstreams));
+}
--- a/crates/skylarkshore-core/tests/support/serving.rs
+++ b/crates/skylarkshore-core/tests/support/serving.rs
@@ -118,6 +118,10 @@
     /// Engine `e1` belongs to host `b`, `e2` to `c` and `e3` to `a`; model `m`
     /// has its homes on `e1` and `e2`, model `n` on `e2`.
     pub fn new(host: &str, seed: u64) -> Self {
+        Self::with_limits(host, seed, Limits::default())
+    }
+
+    pub fn with_limits(host: &str, seed: u64, limits: Limits) -> Self {
         let cfg = NodeConfig {
             host: name(host),
             incarnation: Incarnation(1),
@@ -127,7 +131,7 @@
             fingerprint: digest(0),
             seed,
             timings: Timings::default(),
-            limits: Limits::default(),
+            limits,
             default_rules: Rules::default(),
             watchers: Watchers::default(),
         };
@@ -184,6 +188,13 @@
         self.cache(&Key::Homes(name(model)), Some(Record::Homes(record)));
     }
 
+    /// Has the host list name a new life of an upstream.
+    pub fn begin_life(&mut self, upstream: &str, incarnation: u64) {
+        let listed = self.upstreams.get_mut(&name::<UpstreamId>(upstream)).unwrap();
+        listed.incarnation = Incarnation(incarnation);
+        self.with(Serving::on_host_list);
+    }
+
     pub fn with<T>(&mut self, f: impl FnOnce(&mut Serving, &mut Cx<'_>) -> T) -> T {
         let mut wanted: Vec<WriteRequest> = Vec::new();
         let mut cx = Cx {
--- a/crates/skylarkshore-wire/src/caller.rs
+++ b/crates/skylarkshore-wire/src/caller.rs
@@ -148,6 +148,7 @@
         RefusalReason::KeyInDoubt => "key_in_doubt",
         RefusalReason::KeyInProgress => "key_in_progress",
         RefusalReason::AnswerNotKept => "answer_not_kept",
+        RefusalReason::CallerGone => "caller_gone",
         RefusalReason::CrashesUpstreams => "crashes_upstreams",
         RefusalReason::Leaving => "leaving",
     }
@@ -166,6 +167,7 @@
         | RefusalReason::QueueFull
         | RefusalReason::NoUpstream
         | RefusalReason::StoreUnreachable
+        | RefusalReason::CallerGone
         | RefusalReason::Leaving => 503,
     }
 }
