Test what has to hold on the platform's wire against stand-ins

The hosts run with the deployed settings template, which is thereby checked too.

The log's last line of a request whose caller has gone carries its id: names of the last 256 requests are kept for it (it said id=unknown).

--- a/crates/skylarkshore-host/src/driver/effects.rs
+++ b/crates/skylarkshore-host/src/driver/effects.rs
@@ -224,10 +224,10 @@
         if !self.env.may_log(decision.event) {
             return;
         }
-        let pending = self.env.requests.get(decision.request);
-        let id = pending.as_ref().map_or("unknown", |pending| pending.outgoing.label.as_str());
+        let id = self.env.requests.label(decision.request);
         info!(self.env.log, "{}", decision.event;
-            "detail" => &decision.detail, "request" => %decision.request, "id" => id);
+            "detail" => &decision.detail, "request" => %decision.request,
+            "id" => id.as_deref().unwrap_or("unknown"));
     }
 
     fn note(&self, note: &Note) {
--- a/crates/skylarkshore-host/src/pending.rs
+++ b/crates/skylarkshore-host/src/pending.rs
@@ -1,5 +1,6 @@
 //! A request in progress: what is sent upstream, and how its answer gets back to the caller.
 
+use std::collections::VecDeque;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -391,34 +392,62 @@
     })
 }
 
+/// How many ended requests keep their names for the log.
+///
+/// The core decides on a request after its caller has gone. Without the name,
+/// that line couldn't be found by the id under which the caller complains. It
+/// is written within milliseconds, in which far fewer requests end.
+const NAMES_KEPT: usize = 256;
+
 /// The requests in progress.
 #[derive(Debug, Default)]
 pub struct Requests {
     next: AtomicU64,
-    pending: Mutex<HashMap<RequestId, Arc<PendingRequest>>>,
+    table: Mutex<Table>,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    pending: HashMap<RequestId, Arc<PendingRequest>>,
+    /// The callers' names of the requests that ended last.
+    ended: VecDeque<(RequestId, String)>,
 }
 
 impl Requests {
     /// Takes a request up and gives it its number.
     pub(crate) fn insert(&self, pending: PendingRequest) -> RequestId {
         let id = RequestId(self.next.fetch_add(1, Ordering::Relaxed) + 1);
-        self.lock().insert(id, Arc::new(pending));
+        self.lock().pending.insert(id, Arc::new(pending));
         id
     }
 
     pub(crate) fn get(&self, id: RequestId) -> Option<Arc<PendingRequest>> {
-        self.lock().get(&id).cloned()
+        self.lock().pending.get(&id).cloned()
+    }
+
+    /// Returns the caller's name of a request in progress or of one that has just ended.
+    pub(crate) fn label(&self, id: RequestId) -> Option<String> {
+        let table = self.lock();
+        if let Some(pending) = table.pending.get(&id) {
+            return Some(pending.outgoing.label.clone());
+        }
+        table.ended.iter().rev().find(|(ended, _)| *ended == id).map(|(_, label)| label.clone())
     }
 
     pub(crate) fn remove(&self, id: RequestId) {
-        self.lock().remove(&id);
+        let mut table = self.lock();
+        let Some(pending) = table.pending.remove(&id) else { return };
+        if table.ended.len() >= NAMES_KEPT {
+            table.ended.pop_front();
+        }
+        table.ended.push_back((id, pending.outgoing.label.clone()));
     }
 
     pub(crate) fn len(&self) -> usize {
-        self.lock().len()
+        self.lock().pending.len()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<RequestId, Arc<PendingRequest>>> {
-        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> std::sync::MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/skylarkshore-standins/src/client.rs
+++ b/crates/skylarkshore-standins/src/client.rs
@@ -119,6 +119,13 @@
         Self { address, builder, body: Bytes::new() }
     }
 
+    /// Sets the body.
+    #[must_use]
+    pub fn body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
     /// Adds a header.
     #[must_use]
     pub fn header(mut self, name: &str, value: &str) -> Self {
--- a/crates/skylarkshore-standins/src/process.rs
+++ b/crates/skylarkshore-standins/src/process.rs
@@ -100,6 +100,8 @@
     pub timings: BTreeMap<&'static str, u64>,
     /// What it is told of a platform whose upstreams register themselves, instead of the two above.
     pub registry: Option<RegistryAddresses>,
+    /// The whole settings file, instead of one that is made of the rest.
+    pub text: Option<String>,
 }
 
 /// Where a platform is reached whose upstreams register themselves, and what is served for it.
@@ -155,10 +157,14 @@
             host_list,
             timings: short_timings(),
             registry: None,
+            text: None,
         })
     }
 
     fn to_json(&self) -> String {
+        if let Some(text) = &self.text {
+            return text.clone();
+        }
         let mut settings = json!({
             "host": self.host,
             "data_centre": self.data_centre,
