--- a/crates/skylarkshore-host/src/config.rs
+++ b/crates/skylarkshore-host/src/config.rs
@@ -26,7 +26,7 @@
 pub use section::Fault;
 pub use url::{HttpUrl, InvalidHttpUrl};
 
-use section::{Report, Section, flag, json_of, number, text};
+use section::{Report, Section, flag, fraction, json_of, number, text};
 
 /// The settings of a host.
 #[derive(Clone, Debug)]
@@ -308,9 +308,13 @@
         return RetryLimits::PerProcess;
     };
     let mut shared = shared;
-    let percent = shared.required(report, "percent", "20", |value| number(value, 0, 100).map(to_count));
-    let slack = shared.required(report, "slack", "50", |value| number(value, 0, MAX_COUNT).map(to_count));
-    let window = shared.required(report, "window_ms", "10000", timings::millis(100, 600_000));
+    let percent = shared
+        .required(report, "ratio", "0.2", |value| fraction(value, 0.0, 1.0).map(|ratio| part(ratio, 100.0)));
+    let slack = shared.required(report, "slack", "50", |value| {
+        fraction(value, 0.0, f64::from(u16::MAX)).map(|slack| part(slack, 1.0))
+    });
+    let window = shared
+        .required(report, "window_s", "10", |value| fraction(value, 0.1, 600.0).map(Duration::from_secs_f64));
     shared.finish(report);
     match (percent, slack, window) {
         (Some(percent), Some(slack), Some(window)) => RetryLimits::Shared { percent, slack, window },
@@ -318,6 +322,14 @@
     }
 }
 
+/// Returns so many parts of a number, rounded down.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "the number was checked")]
+fn part(number: f64, parts: f64) -> u32 {
+    // A product that should be whole may fall short of it by a rounding error.
+    const ROUNDING: f64 = 1e-6;
+    (number * parts + ROUNDING) as u32
+}
+
 fn to_size(number: u64) -> usize {
     usize::try_from(number).unwrap_or(usize::MAX)
 }
--- a/crates/skylarkshore-host/src/config/section.rs
+++ b/crates/skylarkshore-host/src/config/section.rs
@@ -204,6 +204,18 @@
         .ok_or_else(|| format!("is no whole number from {min} to {max}; write one"))
 }
 
+/// Reads a number within a range, which may be a fraction.
+///
+/// What a platform fills in may be one; a host that refused to start for it
+/// would be missing for nothing.
+pub(super) fn fraction(value: &Value<'_>, min: f64, max: f64) -> Result<f64, String> {
+    value
+        .as_number_lit()
+        .and_then(|number| number.value.parse().ok())
+        .filter(|number| (min..=max).contains(number))
+        .ok_or_else(|| format!("is no number from {min} to {max}; write one"))
+}
+
 /// Reads true or false.
 pub(super) fn flag(value: &Value<'_>) -> Result<bool, String> {
     match value {
--- a/crates/skylarkshore-host/src/config/timings.rs
+++ b/crates/skylarkshore-host/src/config/timings.rs
@@ -5,13 +5,16 @@
 use jsonc_parser::ast::Value;
 use skylarkshore_core::config::Timings;
 
-use crate::config::section::{Report, Section, number};
+use crate::config::section::{Report, Section, fraction};
 
-const MAX_MILLIS: u64 = 3_600_000;
+const MAX_MILLIS: u32 = 3_600_000;
 
 /// Reads a number of milliseconds within a range.
-pub(super) fn millis(min: u64, max: u64) -> impl Fn(&Value<'_>) -> Result<Duration, String> {
-    move |value| number(value, min, max).map(Duration::from_millis)
+pub(super) fn millis(min: u32, max: u32) -> impl Fn(&Value<'_>) -> Result<Duration, String> {
+    move |value| {
+        let ms = fraction(value, min.into(), max.into())?;
+        Ok(Duration::from_secs_f64(ms / 1000.0))
+    }
 }
 
 pub(super) fn read(root: &mut Section<'_>, report: &mut Report<'_>) -> Timings {
