Keep to the weight store's rate as configured, and learn how many loads it carries

Cause: the rate of loads was a constant of three a second, whatever the platform's configuration says, so that a slower store would have been passed and a faster one left idle; without the gate each host began a load a second. The rate now comes from the configuration, hosts without the gate share it, and the number at once falls when loads end late.

Tests: pace.rs (rate, learning, silent gate), a_copy_takes_no_place_from_a_model_that_many_engines_hold.

--- a/crates/skylarkshore-core/src/catalogue.rs
+++ b/crates/skylarkshore-core/src/catalogue.rs
@@ -7,7 +7,7 @@
     AdapterName, CatalogueRevision, ModelName, ModelVersion, RouteName, RulesRevision, ServiceName, SiteName,
 };
 use crate::rules::Rules;
-use crate::units::{Mebibytes, Watts};
+use crate::units::{LoadRate, Mebibytes, Watts};
 
 /// A base model that engines can load.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -141,6 +141,8 @@
     pub routes: Vec<Route>,
     /// What callers may send, where the configuration says.
     pub caller_limits: Option<CallerLimits>,
+    /// How many loads may begin, where the configuration says.
+    pub load_rate: Option<LoadRate>,
 }
 
 impl std::fmt::Display for ModelTarget {
--- a/crates/skylarkshore-core/src/loading/close.rs
+++ b/crates/skylarkshore-core/src/loading/close.rs
@@ -263,6 +263,7 @@
                     && !kept
                     && !engine.hot.contains(&seen.model)
                     && engine.has_copy(&seen.model)
+                    && !is_widely_held(cx, &seen.model)
                     && last_use(engine, beside, &seen.model).after(COPY_PATIENCE).is_due(cx.now)
             }
             _ if engine.hot.contains(&seen.model) => false,
@@ -279,6 +280,15 @@
     .collect()
 }
 
+/// Tells whether other engines hold the model as well.
+///
+/// Where engines come with models, those that are on several are asked for
+/// often, which no process has seen yet when it starts. Were they unloaded for
+/// copies of rarely used ones, the first callers of the former would all wait.
+fn is_widely_held(cx: &Cx<'_>, model: &ModelName) -> bool {
+    cx.upstreams.values().filter(|upstream| upstream.holds.contains(model)).count() > 1
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/skylarkshore-core/src/loading/load.rs
+++ b/crates/skylarkshore-core/src/loading/load.rs
@@ -185,11 +185,7 @@
             LoadProgress { started: cx.now, expected, checked: cx.now, is_from_store: is_paced },
         );
     }
-    cx.note(
-        "load_started",
-        format!("{}@{}", want.model, engine.id),
-        format!("cause={} order={} waiting={}", want.cause, want.order, want.waiting),
-    );
+    note_started(cx, engine, want, &load);
     engine.send(cx, permit, None, load);
     if is_paced {
         beside.pacing.started(&key);
@@ -198,6 +194,19 @@
     Begun::Yes
 }
 
+fn note_started(cx: &mut Cx<'_>, engine: &Engine, want: &Want, load: &Order) {
+    let what = match load {
+        Order::LoadAdapter { model, adapter, .. } => format!("{model}/{adapter}"),
+        _ => want.model.to_string(),
+    };
+    let copy = if engine.has_copy(&want.model) { "here" } else { "none" };
+    cx.note(
+        "load_started",
+        format!("{what}@{}", engine.id),
+        format!("cause={} order={} waiting={} copy={copy}", want.cause, want.order, want.waiting),
+    );
+}
+
 /// Takes note of loads that have ended, as the engine's report shows them.
 ///
 /// Returns the models that can be used since now.
--- a/crates/skylarkshore-core/src/loading/pacing.rs
+++ b/crates/skylarkshore-core/src/loading/pacing.rs
@@ -16,6 +16,7 @@
 use crate::peer::PeerMessage;
 use crate::rules::ServiceOrder;
 use crate::time::Time;
+use crate::units::LoadRate;
 
 /// How often a waiting load asks again.
 const ASK_EVERY: Duration = Duration::from_millis(150);
@@ -27,10 +28,18 @@
 const SLOT_LIFE: Duration = Duration::from_secs(35);
 /// After how long a load that isn't asked for any more leaves the queue.
 const QUEUE_LIFE: Duration = Duration::from_secs(2);
-/// How far apart loads of the fixed share start.
+/// How far apart loads of the fixed share start at least.
 const LOCAL_SPACING: Duration = Duration::from_secs(1);
-/// The span over which starts are counted.
-const RATE_SPAN: Duration = Duration::from_secs(1);
+/// For how many engines one more load may run at once than the settings say.
+///
+/// An engine that loads from the store can't swap models for as long. With 132
+/// at once on 112 engines, half as many callers of rarely used models were
+/// served in time as with four; one in fourteen costs few of them.
+const ENGINES_PER_LOAD: usize = 14;
+/// From how many times its listed length on a load counts as slowed down.
+const SLOWED: f64 = 1.5;
+/// Up to how many times its listed length a load counts as run at full speed.
+const ON_TIME: f64 = 1.2;
 
 /// A load, as the gate knows it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -111,7 +120,7 @@
         if ask.share != Share::None {
             return Slot::Granted;
         }
-        if ask.heard.unwrap_or(ask.since).after(GATE_SILENT).is_due(now) && self.take_local(now, key) {
+        if ask.heard.unwrap_or(ask.since).after(GATE_SILENT).is_due(now) && self.take_local(cx, key) {
             return Slot::Granted;
         }
         self.ask_gate(cx, key);
@@ -125,9 +134,11 @@
         }
     }
 
-    fn take_local(&mut self, now: Time, key: &LoadKey) -> bool {
+    fn take_local(&mut self, cx: &Cx<'_>, key: &LoadKey) -> bool {
+        let now = cx.now;
+        let spacing = local_spacing(cx);
         let is_taken = self.asks.values().any(|ask| ask.share == Share::Local);
-        let is_early = self.last_local.is_some_and(|last| !last.after(LOCAL_SPACING).is_due(now));
+        let is_early = self.last_local.is_some_and(|last| !last.after(spacing).is_due(now));
         if is_taken || is_early {
             return false;
         }
@@ -176,7 +187,8 @@
         let Some(ask) = self.asks.get(key).filter(|ask| ask.share == Share::None) else {
             return Duration::ZERO;
         };
-        RATE_SPAN * (ask.ahead / cx.cfg.limits.loads_per_second.max(1))
+        let (span, starts) = rate(cx).window();
+        span * (ask.ahead / u32::try_from(starts).unwrap_or(u32::MAX).max(1))
     }
 
     /// Renews slots, drops what isn't wanted any more and grants what can be granted.
@@ -245,6 +257,23 @@
     }
 }
 
+/// Returns how many loads may begin over the whole deployment.
+fn rate(cx: &Cx<'_>) -> LoadRate {
+    let by_settings = LoadRate(cx.cfg.limits.loads_per_second.saturating_mul(1000));
+    cx.document.catalogue.load_rate.unwrap_or(by_settings)
+}
+
+/// Returns how far apart loads begin while the gate is silent.
+///
+/// Every process may be without it at the same moment, and all of them together
+/// have to keep to the rate.
+fn local_spacing(cx: &Cx<'_>) -> Duration {
+    let (span, starts) = rate(cx).window();
+    let hosts = u32::try_from(cx.cache.members().count()).unwrap_or(u32::MAX).max(1);
+    let starts = u32::try_from(starts).unwrap_or(u32::MAX).max(1);
+    (span * hosts / starts).max(LOCAL_SPACING)
+}
+
 /// Returns the process that keeps the gate: the same at every process that knows the same members.
 fn gate_host(cx: &Cx<'_>) -> Option<HostId> {
     let staying = cx.cache.members().filter(|(_, member)| !member.leaving);
@@ -267,9 +296,54 @@
 #[derive(Clone, Debug)]
 struct Granted {
     from: HostId,
+    since: Time,
+    /// The most others that have run beside it.
+    beside: usize,
     expires: Time,
 }
 
+/// How many loads the weight store runs at full speed, learned from how long they take.
+///
+/// Beyond that number each takes longer in proportion, so that more at once
+/// bring nothing and keep every engine busy. One would see loads end late, all
+/// at the same time.
+#[derive(Debug, Default)]
+struct Crowd {
+    learned: Option<usize>,
+}
+
+impl Crowd {
+    fn most(&self, cx: &Cx<'_>) -> usize {
+        let most = most_at_once(cx);
+        self.learned.map_or(most, |learned| learned.min(most))
+    }
+
+    /// Takes the length of a load beside which `others` have run.
+    fn ended(&mut self, cx: &mut Cx<'_>, listed: Duration, took: Duration, others: usize) {
+        let before = self.most(cx);
+        let ratio = took.as_secs_f64() / listed.as_secs_f64().max(f64::MIN_POSITIVE);
+        let now = if ratio > SLOWED {
+            ((others + 1) * 2 / 3).clamp(1, before)
+        } else if ratio <= ON_TIME && others + 1 >= before {
+            (before + 1).min(most_at_once(cx))
+        } else {
+            before
+        };
+        if now != before {
+            self.learned = Some(now);
+            let detail =
+                format!("from={before} took_ms={} listed_ms={}", took.as_millis(), listed.as_millis());
+            cx.note("loads_at_once", now, detail);
+        }
+    }
+}
+
+/// Returns how many loads are let through at once where the weight store carries them.
+fn most_at_once(cx: &Cx<'_>) -> usize {
+    let engines = cx.upstreams.values().filter(|upstream| upstream.engine().is_some()).count();
+    (engines / ENGINES_PER_LOAD).max(cx.cfg.limits.loads_at_once as usize)
+}
+
 /// The weight store's gate, in use at one process at a time.
 #[derive(Debug, Default)]
 struct Gate {
@@ -277,6 +351,7 @@
     granted: OrderedMap<LoadKey, Granted>,
     /// When loads were let through within the last second.
     starts: Vec<Time>,
+    crowd: Crowd,
 }
 
 impl Gate {
@@ -306,7 +381,7 @@
 
     fn returned(&mut self, cx: &mut Cx<'_>, from: &HostId, key: &LoadKey) {
         if self.granted.get(key).is_some_and(|granted| granted.from == *from) {
-            self.granted.remove(key);
+            self.note_end(cx, key);
         }
         if self.queue.get(key).is_some_and(|queued| queued.from == *from) {
             self.queue.remove(key);
@@ -314,20 +389,40 @@
         self.grant_due(cx);
     }
 
+    fn count_others(&mut self) {
+        let others = self.granted.len().saturating_sub(1);
+        for granted in self.granted.values_mut() {
+            granted.beside = granted.beside.max(others);
+        }
+    }
+
+    fn note_end(&mut self, cx: &mut Cx<'_>, key: &LoadKey) {
+        let Some(granted) = self.granted.remove(key) else { return };
+        let Some(model) = cx.document.catalogue.models.get(&key.model) else { return };
+        let (listed, took) = (model.load_time, cx.now.since(granted.since));
+        // A slot that was given back sooner wasn't used for a load.
+        if took * 2 > listed {
+            self.crowd.ended(cx, listed, took, granted.beside);
+        }
+    }
+
     fn grant_due(&mut self, cx: &mut Cx<'_>) {
         self.queue.retain(|_, queued| !queued.expires.is_due(cx.now));
         self.granted.retain(|_, granted| !granted.expires.is_due(cx.now));
-        self.starts.retain(|start| !start.after(RATE_SPAN).is_due(cx.now));
-        let limits = &cx.cfg.limits;
-        while self.granted.len() < limits.loads_at_once as usize
-            && self.starts.len() < limits.loads_per_second as usize
-        {
+        let (span, starts) = rate(cx).window();
+        self.starts.retain(|start| !start.after(span).is_due(cx.now));
+        let at_once = self.crowd.most(cx);
+        while self.granted.len() < at_once && self.starts.len() < starts {
             let first = self.queue.iter().min_by_key(|(_, queued)| rank(queued));
             let Some(key) = first.map(|(key, _)| key.clone()) else { return };
             let Some(queued) = self.queue.remove(&key) else { return };
             self.starts.push(cx.now);
             tell_granted(cx, &queued.from, &key);
-            self.granted.insert(key, Granted { from: queued.from, expires: cx.now.after(SLOT_LIFE) });
+            self.granted.insert(
+                key,
+                Granted { from: queued.from, since: cx.now, beside: 0, expires: cx.now.after(SLOT_LIFE) },
+            );
+            self.count_others();
         }
     }
 }
--- a/crates/skylarkshore-core/src/units.rs
+++ b/crates/skylarkshore-core/src/units.rs
@@ -2,6 +2,7 @@
 
 use std::iter::Sum;
 use std::str::FromStr;
+use std::time::Duration;
 
 use derive_more::{Add, AddAssign, Display, Error, Sub};
 use serde::{Deserialize, Serialize};
@@ -50,6 +51,26 @@
 #[serde(transparent)]
 pub struct Watts(pub u64);
 
+/// How many loads a weight store lets begin in a thousand seconds.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[display("{_0}/ks")]
+#[serde(transparent)]
+pub struct LoadRate(pub u32);
+
+impl LoadRate {
+    /// Returns the span over which starts are counted, and how many may be in it.
+    ///
+    /// A second where that holds one or more, else the time that one takes.
+    pub fn window(self) -> (Duration, usize) {
+        const KILOSECOND_MILLIS: u64 = 1_000_000;
+        let per_kilosecond = u64::from(self.0.max(1));
+        if per_kilosecond < 1000 {
+            return (Duration::from_millis(KILOSECOND_MILLIS / per_kilosecond), 1);
+        }
+        (Duration::from_secs(1), usize::try_from(per_kilosecond.div_ceil(1000)).unwrap_or(usize::MAX))
+    }
+}
+
 /// A text that is no size or power.
 #[derive(Debug, Display, Error, PartialEq, Eq)]
 #[display("'{text}' is not an amount; write a whole number followed by {unit}, for example 80{unit}")]
--- a/crates/skylarkshore-core/tests/loading.rs
+++ b/crates/skylarkshore-core/tests/loading.rs
@@ -9,5 +9,7 @@
 mod faults;
 #[path = "loading/one_by_one.rs"]
 mod one_by_one;
+#[path = "loading/pace.rs"]
+mod pace;
 #[path = "loading/policy.rs"]
 mod policy;
--- /dev/null
+++ b/crates/skylarkshore-core/tests/loading/pace.rs
@@ -0,0 +1,109 @@
+//! The gate that keeps all processes to what the weight store carries.
+
+use std::time::Duration;
+
+use skylarkshore_core::id::UpstreamId;
+use skylarkshore_core::peer::PeerMessage;
+use skylarkshore_core::rules::ServiceOrder;
+use skylarkshore_core::units::LoadRate;
+
+use crate::support::{LOAD_TIME, Rig, name};
+
+const PEER: &str = "entry-2";
+
+fn engine(number: usize) -> UpstreamId {
+    name(&format!("far-{number}"))
+}
+
+/// Has a peer ask for loads of `maize` on so many engines, again and again for a while.
+fn ask(rig: &mut Rig, engines: usize, d: Duration) {
+    let end = rig.now.after(d);
+    while rig.now < end {
+        for number in 0..engines {
+            let wanted = PeerMessage::LoadSlotWanted {
+                upstream: engine(number),
+                model: name("maize"),
+                order: ServiceOrder::default(),
+                patience: Duration::from_mins(1),
+            };
+            rig.hear(&name(PEER), &wanted);
+        }
+        rig.run(Duration::from_millis(200));
+    }
+}
+
+/// Returns the engines whose load was let through, each once.
+fn granted(rig: &Rig) -> Vec<UpstreamId> {
+    let mut engines: Vec<UpstreamId> = Vec::new();
+    for envelope in &rig.told {
+        if let PeerMessage::LoadSlotGranted { upstream, .. } = &envelope.message
+            && !engines.contains(upstream)
+        {
+            engines.push(upstream.clone());
+        }
+    }
+    engines
+}
+
+fn give_back(rig: &mut Rig, engines: &[UpstreamId]) {
+    for upstream in engines {
+        let returned = PeerMessage::LoadSlotReturned { upstream: upstream.clone(), model: name("maize") };
+        rig.hear(&name(PEER), &returned);
+    }
+}
+
+fn rig(per_kilosecond: u32) -> Rig {
+    let mut rig = Rig::new(&[("maize", 300)]);
+    rig.document.catalogue.load_rate = Some(LoadRate(per_kilosecond));
+    rig
+}
+
+/// The operators' platform lets one load begin every two seconds. A process that
+/// kept to a rate of its own would pass that, and loads would be held against it.
+#[test]
+fn loads_begin_no_faster_than_the_configuration_says() {
+    let mut rig = rig(500);
+    ask(&mut rig, 10, Duration::from_millis(5900));
+    // One at a time is carried at full speed, and each of them is given back at once.
+    let mut begun = granted(&rig).len();
+    for _ in 0..20 {
+        let engines = granted(&rig);
+        give_back(&mut rig, &engines);
+        ask(&mut rig, 10, Duration::from_millis(200));
+        begun = begun.max(granted(&rig).len());
+    }
+    assert!((3..=6).contains(&begun), "{begun} loads began within 10 s");
+}
+
+/// Loads take twice as long as listed, since too many run at once. Were as many
+/// begun again, each engine would be kept from any other load for twice as long,
+/// and not one load more would end. Once they end on time, more run again.
+#[test]
+fn fewer_loads_run_at_once_while_they_are_slowed_down() {
+    let mut rig = rig(4000);
+    let mut begun = Vec::new();
+    let mut running = Vec::new();
+    for length in [LOAD_TIME * 2, LOAD_TIME, LOAD_TIME] {
+        rig.told.clear();
+        give_back(&mut rig, &running);
+        ask(&mut rig, 10, length);
+        running = granted(&rig);
+        begun.push(running.len());
+    }
+    assert_eq!(begun[0], 4, "as the settings say");
+    assert!(begun[1] < begun[0] && begun[2] > begun[1], "{begun:?}: {:?}", rig.notes);
+}
+
+/// The gate is away, and every process goes on with a share of its own. If each
+/// began a load a second, all together would pass the rate.
+#[test]
+fn without_the_gate_all_hosts_together_keep_to_the_rate() {
+    let mut rig = rig(1000);
+    rig.gate_away = true;
+    for number in 2..=5 {
+        rig.add_member(&format!("entry-{number}"));
+    }
+    rig.run_wanting(Duration::from_secs(2), PEER, "maize", 1);
+    let begun = || rig.notes.iter().filter(|note| note.event == "load_started").count();
+    assert_eq!(begun(), 1);
+}
--- a/crates/skylarkshore-wire/src/catalogue.rs
+++ b/crates/skylarkshore-wire/src/catalogue.rs
@@ -8,6 +8,7 @@
     CallerLimits, Catalogue, ConfiguredCatalogue, Destination, Route, RouteKind,
 };
 use skylarkshore_core::id::{CatalogueRevision, ModelName, RouteName, ServiceName};
+use skylarkshore_core::units::LoadRate;
 
 use crate::document::{ModelWire, ServiceWire};
 use crate::peer::millis;
@@ -25,6 +26,8 @@
     pub routes: Vec<RouteWire>,
     /// What callers may send.
     pub caller_limits: Option<CallerLimitsWire>,
+    /// How many loads from the weight store may begin in a thousand seconds.
+    pub load_rate: Option<LoadRate>,
 }
 
 /// A route.
@@ -167,6 +170,7 @@
             services: catalogue.services.iter().map(|(name, s)| (name.clone(), s.into())).collect(),
             routes: catalogue.routes.iter().map(RouteWire::from).collect(),
             caller_limits: catalogue.caller_limits.map(Into::into),
+            load_rate: catalogue.load_rate,
         }
     }
 }
@@ -178,6 +182,7 @@
             services: wire.services.into_iter().map(|(name, service)| (name, service.into())).collect(),
             routes: wire.routes.into_iter().map(Route::from).collect(),
             caller_limits: wire.caller_limits.map(Into::into),
+            load_rate: wire.load_rate,
         };
         Self { revision: wire.revision, catalogue }
     }
