Keep the replicas that engines come with, and rest longer between looks

Cause: engines come with several replicas of the models that are asked for most.

Test: engines_that_hold_a_model_from_before_all_become_its_homes.

--- a/crates/skylarkshore-core/src/control/homes/plan.rs
+++ b/crates/skylarkshore-core/src/control/homes/plan.rs
@@ -91,7 +91,11 @@
         // Every process works out every first home in the same order and from the
         // same knowledge, and writes only its own part. Were each to look at its own
         // part alone, all would choose the same empty engines.
-        let wanted = limits(cx, review.knowledge.roster, review.model, &[]).map_or(1, |l| l.homes_least);
+        let limits = limits(cx, review.knowledge.roster, review.model, &[]);
+        let (least, most) = limits.map_or((1, 1), |limits| (limits.homes_least, limits.homes_most));
+        // Replicas that are there already are all kept; were only the least number
+        // of homes written, the others would be unloaded while callers need them.
+        let wanted = placement.holders(cx, review.model).clamp(least, most);
         let mut homes: Vec<UpstreamId> = Vec::new();
         while homes.len() < wanted
             && let Some(home) = placement.place(cx, review.model, &homes, &[])
--- a/crates/skylarkshore-core/src/control/placement.rs
+++ b/crates/skylarkshore-core/src/control/placement.rs
@@ -37,6 +37,12 @@
         Self { roster, load }
     }
 
+    /// Returns how many live engines hold a model.
+    pub(super) fn holders(&self, cx: &Cx<'_>, model: &ModelName) -> usize {
+        let live = self.roster.iter().filter(|(_, engine)| engine.is_live());
+        live.filter(|(id, _)| Nearness::of(cx, id, model) == Nearness::Held).count()
+    }
+
     /// Chooses an engine that isn't a home of the model yet, and counts the model there.
     ///
     /// An owner knows the memory of its own engines alone. Without `left`, two
--- a/crates/skylarkshore-core/tests/control/homes.rs
+++ b/crates/skylarkshore-core/tests/control/homes.rs
@@ -148,3 +148,24 @@
     cluster
         .until("no record", secs(10), |cluster| cluster.store.record(&Key::Homes(name("model-3"))).is_none());
 }
+
+/// Four engines hold a model when the platform comes up, since it is asked for
+/// often. Were only the least number of homes written, the others' replicas
+/// would be surplus and unloaded while callers need them.
+#[test]
+fn engines_that_hold_a_model_from_before_all_become_its_homes() {
+    let plenty = document(1, 1, 6, PLENTY);
+    let mut cluster = Cluster::with(23, &["a", "b", "c"], 6, FenceCheck::Refuses, plenty);
+    let holders: Vec<UpstreamId> = cluster.engines.keys().take(4).cloned().collect();
+    for holder in &holders {
+        let engine = cluster.engines.get_mut(holder).expect("it was just listed");
+        engine.holds.push(name("model-0"));
+    }
+    for host in ["a", "b", "c"] {
+        cluster.set_host_list(&name(host));
+    }
+    cluster.until("homes", secs(20), |cluster| !homes(cluster, "model-0").is_empty());
+    let mut found = homes(&cluster, "model-0");
+    found.sort();
+    assert_eq!(found, holders);
+}
--- a/crates/skylarkshore-host/src/config.rs
+++ b/crates/skylarkshore-host/src/config.rs
@@ -86,8 +86,11 @@
     pub readiness_address: SocketAddr,
     /// Whether engines refuse orders with old fences.
     pub checks_fences: bool,
-    /// How long a process waits between two looks at what has changed.
-    pub watch_rest: Duration,
+    /// How long upstreams serve on after they have said that they leave.
+    ///
+    /// News of it has to be here within that time; every look at what has
+    /// changed is a call that counts.
+    pub leaving_notice: Duration,
     /// The shortest lease that the service grants.
     pub least_lease: Duration,
 }
--- a/crates/skylarkshore-host/src/config/platform.rs
+++ b/crates/skylarkshore-host/src/config/platform.rs
@@ -5,11 +5,8 @@
 use super::section::{Report, Section, flag, text, texts};
 use super::{EtcdSettings, PlatformSettings, RegistrySettings, address, timings};
 
-/// How long a process waits between two looks at what has changed, unless told otherwise.
-///
-/// Every look is a call that counts; news of an upstream that leaves may be a
-/// second old without harm.
-const WATCH_REST: Duration = Duration::from_millis(400);
+/// How long upstreams serve on after they have said that they leave, unless told otherwise.
+const LEAVING_NOTICE: Duration = Duration::from_secs(2);
 const LEAST_LEASE: Duration = Duration::from_secs(1);
 
 /// Reads the section of the platform that is named, the product's own where none is.
@@ -36,7 +33,8 @@
     let directory = section.required(report, "directory_address", "\"10.0.0.1:8143\"", address);
     let readiness = section.required(report, "readiness_address", "\"10.0.0.1:8141\"", address);
     let checks_fences = section.optional(report, "checks_fences", false, flag);
-    let watch_rest = section.optional(report, "watch_rest_ms", WATCH_REST, timings::millis(10, 10_000));
+    let leaving_notice =
+        section.optional(report, "leaving_notice_ms", LEAVING_NOTICE, timings::millis(100, 600_000));
     let least_lease = section.optional(report, "least_lease_ms", LEAST_LEASE, timings::millis(1, 600_000));
     section.finish(report);
     Some(RegistrySettings {
@@ -44,7 +42,7 @@
         directory_address: directory?,
         readiness_address: readiness?,
         checks_fences,
-        watch_rest,
+        leaving_notice,
         least_lease,
     })
 }
