Name near hosts to callers, and other ones each time where there are too many

Cause: the first 64 members were named to every caller. With 78 hosts fourteen got no connection at all, and two of three requests crossed data centres. From eight hosts in the caller's data centre on only these are named, else a sample of all; eight, as with fewer a caller could lose all it knows at once.

Tests: entry_hosts.rs.

--- a/crates/skylarkshore-host/src/lib.rs
+++ b/crates/skylarkshore-host/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod digest;
 pub mod driver;
 pub mod engines;
+pub mod entry_hosts;
 pub mod env;
 pub mod error;
 pub mod exchange;
--- /dev/null
+++ b/crates/skylarkshore-host/tests/entry_hosts.rs
@@ -0,0 +1,62 @@
+//! Which hosts callers are told of.
+
+use std::net::SocketAddr;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use skylarkshore_core::collections::OrderedSet;
+use skylarkshore_core::id::Digest;
+use skylarkshore_host::driver::Member;
+use skylarkshore_host::entry_hosts::choose;
+
+fn members(data_centre: &str, count: u16, from: u16) -> Vec<Member> {
+    let member = |number: u16| Member {
+        host: format!("edge-{number}").parse().expect("the name is valid"),
+        caller_address: SocketAddr::from(([127, 0, 0, 1], number)),
+        peer_address: SocketAddr::from(([127, 0, 0, 2], number)),
+        data_centre: data_centre.parse().expect("the name is valid"),
+        fingerprint: Digest([0; 32]),
+        leaving: false,
+    };
+    (from..from + count).map(member).collect()
+}
+
+/// There are more hosts than an answer may name.
+///
+/// If each answer named the same ones, the others would stand idle, and the
+/// platform would take them for broken since they get no connection.
+#[test]
+fn every_host_is_named_to_some_callers() {
+    let members = members("north", 80, 1);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut named = OrderedSet::new();
+    for _ in 0..40 {
+        let answer = choose(&members, None, 64, &mut rng);
+        assert_eq!(answer.len(), 64);
+        named.extend(answer);
+    }
+    assert_eq!(named.len(), 80);
+}
+
+#[test]
+fn callers_stay_in_their_data_centre_where_it_has_enough_hosts() {
+    let all = [members("north", 8, 1), members("south", 7, 100)].concat();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let near = choose(&all, Some("north"), 64, &mut rng);
+    assert!(near.len() == 8 && near.iter().all(|address| address.port() < 100), "{near:?}");
+    assert_eq!(choose(&all, Some("south"), 64, &mut rng).len(), 15, "seven may be lost at once");
+    assert_eq!(choose(&all, None, 64, &mut rng).len(), 15);
+}
+
+/// A host that is about to end still has its key.
+///
+/// If it were named, callers would run into its end.
+#[test]
+fn a_host_that_leaves_is_not_named() {
+    let mut all = members("north", 3, 1);
+    all[0].leaving = true;
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut named = choose(&all, Some("north"), 64, &mut rng);
+    named.sort();
+    assert_eq!(named, [all[1].caller_address, all[2].caller_address]);
+}
