--- a/crates/skylarkshore-standins/src/relay.rs
+++ b/crates/skylarkshore-standins/src/relay.rs
@@ -3,19 +3,54 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use tokio::io::copy_bidirectional;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
 
 use crate::fleet::any_port;
 
-/// Whether a relay passes bytes on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Line {
+/// The longest piece that is passed on at a time, in bytes.
+const PIECE_LEN: usize = 16 * 1024;
+
+/// How a relay treats what passes through it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Line {
+    /// Bytes pass.
+    #[default]
     Whole,
+    /// Connections are closed, and new ones at once.
     Cut,
+    /// Nothing passes any more on a connection that is used meanwhile, not even later.
+    Silent,
+    /// As silent, but only towards the target.
+    Mute,
+    /// As silent, but only from the target.
+    Deaf,
+    /// Each piece comes so much later.
+    Slow(Duration),
+}
+
+/// The way that bytes take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    Out,
+    Back,
+}
+
+impl Line {
+    fn swallows(self, way: Way) -> bool {
+        match self {
+            Self::Silent => true,
+            Self::Mute => way == Way::Out,
+            Self::Deaf => way == Way::Back,
+            Self::Whole | Self::Cut | Self::Slow(_) => false,
+        }
+    }
 }
 
 /// Passes connections on to a target until it is cut.
@@ -52,14 +87,19 @@
         self.address
     }
 
+    /// Treats what passes from now on in another way.
+    pub fn set(&self, line: Line) {
+        self.line.send_replace(line);
+    }
+
     /// Closes every connection, and each new one at once.
     pub fn cut(&self) {
-        self.line.send_replace(Line::Cut);
+        self.set(Line::Cut);
     }
 
     /// Passes new connections on again.
     pub fn mend(&self) {
-        self.line.send_replace(Line::Whole);
+        self.set(Line::Whole);
     }
 }
 
@@ -67,17 +107,46 @@
     loop {
         let Ok((from, _)) = listener.accept().await else { continue };
         let line = line.subscribe();
-        if *line.borrow() == Line::Whole {
+        if *line.borrow() != Line::Cut {
             tokio::spawn(pass_on(from, target, line));
         }
     }
 }
 
-async fn pass_on(mut from: TcpStream, target: SocketAddr, mut line: watch::Receiver<Line>) {
-    let Ok(mut to) = TcpStream::connect(target).await else { return };
+async fn pass_on(from: TcpStream, target: SocketAddr, mut line: watch::Receiver<Line>) {
+    let Ok(to) = TcpStream::connect(target).await else { return };
+    _ = from.set_nodelay(true);
+    _ = to.set_nodelay(true);
+    let (from_reader, from_writer) = from.into_split();
+    let (to_reader, to_writer) = to.into_split();
+    let out = forward(from_reader, to_writer, Way::Out, line.clone());
+    let back = forward(to_reader, from_writer, Way::Back, line.clone());
     tokio::select! {
         // A connection that breaks on either side ends here, as it would without the relay.
-        _ = copy_bidirectional(&mut from, &mut to) => {}
+        _ = async { tokio::try_join!(out, back) } => {}
         _ = line.wait_for(|line| *line == Line::Cut) => {}
     }
 }
+
+async fn forward(
+    mut reader: OwnedReadHalf,
+    mut writer: OwnedWriteHalf,
+    way: Way,
+    line: watch::Receiver<Line>,
+) -> io::Result<()> {
+    let mut buf = vec![0; PIECE_LEN];
+    loop {
+        let len = reader.read(&mut buf).await?;
+        let line = *line.borrow();
+        if line.swallows(way) {
+            return std::future::pending().await;
+        }
+        if let Line::Slow(by) = line {
+            sleep(by).await;
+        }
+        if len == 0 {
+            return writer.shutdown().await;
+        }
+        writer.write_all(&buf[..len]).await?;
+    }
+}
