Count callers told to come back by the number of hosts

Cause: three at one host had to be told to come back before a load went on for them.

Tests: where_hosts_are_many_a_single_caller_told_to_come_back_counts, fails without the change; the one for few hosts stands as it was.

--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -151,7 +151,7 @@
             self.timers.remove(&due);
             self.on_due(cx, due.request);
         }
-        self.wants.forget_silence(&self.waiting_models(cx.now));
+        self.wants.forget_silence(&self.waiting_models(cx));
         self.review_all(cx);
         self.pump(cx);
         if self.is_closed {
--- a/crates/skylarkshore-core/src/serving/arrival.rs
+++ b/crates/skylarkshore-core/src/serving/arrival.rs
@@ -187,7 +187,7 @@
         for target in self.alone_targets() {
             self.ask_for(cx, &target);
         }
-        for target in self.returning_targets(cx.now) {
+        for target in self.returning_targets(cx) {
             self.ask_for(cx, &target);
         }
     }
--- a/crates/skylarkshore-core/src/serving/supply.rs
+++ b/crates/skylarkshore-core/src/serving/supply.rs
@@ -40,7 +40,7 @@
             return;
         }
         self.return_stray_reservation(cx, view);
-        for model in self.waiting_models(cx.now) {
+        for model in self.waiting_models(cx) {
             if self.routes.views.mentions(&view.upstream, &model) {
                 self.wants.heard(&model);
                 self.review(cx, &Target::Model(model));
@@ -79,7 +79,7 @@
     /// Refuses the requests for every target that can't be served in time.
     pub(super) fn review_all(&mut self, cx: &mut Cx<'_>) {
         let mut targets = self.queue.targets();
-        targets.extend(self.waiting_models(cx.now).into_iter().map(Target::Model));
+        targets.extend(self.waiting_models(cx).into_iter().map(Target::Model));
         targets.sort_unstable();
         targets.dedup();
         for target in targets {
@@ -168,7 +168,7 @@
 
     /// Asks the new owners for the targets whose homes have changed hands.
     pub(super) fn ask_again(&mut self, cx: &mut Cx<'_>, key: &Key) {
-        for model in self.waiting_models(cx.now) {
+        for model in self.waiting_models(cx) {
             let concerned = match key {
                 Key::Homes(changed) => *changed == model.model,
                 Key::Owner(engine) => {
@@ -213,7 +213,7 @@
             }
         }
         if let Target::Model(model) = target
-            && let Some(returning) = self.wants.returning(cx.now, model)
+            && let Some(returning) = self.wants.returning(cx, model)
             && self.routes.prospect(cx, target) != Prospect::Ready
         {
             Waiting::add(&mut waiting, returning.count, returning.order, returning.until);
@@ -229,14 +229,14 @@
     }
 
     /// Lists the targets to which callers were told to come back, and for which nothing waits.
-    pub(super) fn returning_targets(&self, now: Time) -> Vec<Target> {
-        let targets = self.wants.returning_targets(now).cloned().map(Target::Model);
+    pub(super) fn returning_targets(&self, cx: &Cx<'_>) -> Vec<Target> {
+        let targets = self.wants.returning_targets(cx).cloned().map(Target::Model);
         targets.filter(|target| self.queue.len_of(target) == 0).collect()
     }
 
-    pub(super) fn waiting_models(&self, now: Time) -> Vec<ModelTarget> {
+    pub(super) fn waiting_models(&self, cx: &Cx<'_>) -> Vec<ModelTarget> {
         let mut targets = self.queue.targets();
-        targets.extend(self.wants.returning_targets(now).cloned().map(Target::Model));
+        targets.extend(self.wants.returning_targets(cx).cloned().map(Target::Model));
         targets.extend(self.alone_targets());
         targets.sort_unstable();
         targets.dedup();
--- a/crates/skylarkshore-core/tests/serving/flow.rs
+++ b/crates/skylarkshore-core/tests/serving/flow.rs
@@ -4,6 +4,7 @@
 
 use skylarkshore_core::effect::{Effect, RefusalOutcome, RefusalReason};
 use skylarkshore_core::event::AttemptEnd;
+use skylarkshore_core::id::Incarnation;
 use skylarkshore_core::id::RequestId;
 use skylarkshore_core::peer::{CannotLoad, PeerMessage};
 use skylarkshore_core::serving::Serving;
@@ -191,3 +192,24 @@
     p.pass(1000);
     assert_eq!(p.take_told(wanted), [], "nobody is expected any more");
 }
+
+/// A rarely used model has a single caller, whose patience its load outlasts, and
+/// there are thirty hosts. Each host sees so few of such callers that none would
+/// ever count as waiting; the model would never be loaded, and each caller be
+/// refused again.
+#[test]
+fn where_hosts_are_many_a_single_caller_told_to_come_back_counts() {
+    let mut p = Process::new("a", 1);
+    for number in 0..30 {
+        p.cache_member(&format!("far-{number}"), Incarnation(1));
+    }
+    let remaining = Duration::from_secs(6);
+    p.peer("b", &PeerMessage::View(view("e1", 1, "m", Readiness::Loading { remaining })));
+    let mut impatient = arrival(&p, model("m"), 1);
+    impatient.terms.begins_by = p.now.after(Duration::from_secs(2));
+    p.arrive(1, impatient);
+    assert_eq!(p.take_refused().len(), 1);
+    p.take();
+    p.pass(1000);
+    assert!(!p.take_told(wanted).is_empty(), "the load is for nobody");
+}
