--- a/crates/skylarkshore-core/src/serving/returning.rs
+++ b/crates/skylarkshore-core/src/serving/returning.rs
@@ -5,16 +5,13 @@
 use crate::rules::ServiceOrder;
 use crate::time::Time;
 
-/// From how many on they count as waiting, over all hosts.
+/// From how many on they count as waiting.
 ///
 /// Single ones often go to another host, and the load would be for nobody. Sum
 /// of worth over the six standard days of two sites with eight and nine hosts,
-/// one run each: counting all 2.27 and 2.46, counting three and more at a host
-/// 2.83 and 2.72. A host knows only of its own; where there are many, no host
-/// ever has three for a rarely used model, and nobody would load it.
-const LEAST_OVER_ALL: usize = 24;
-/// From how many on at one host they count in any case.
-const ENOUGH_AT_A_HOST: usize = 3;
+/// one run each: counting all 2.27 and 2.46, counting three and more 2.83 and
+/// 2.72. With 78 hosts single ones brought nothing either: worth 0.334 and 0.325.
+const LEAST_COUNT: u32 = 3;
 /// How much later than told they may come back.
 const GRACE: Duration = Duration::from_secs(1);
 
@@ -50,9 +47,8 @@
         self.until = self.until.max(now.after(after.saturating_add(GRACE)));
     }
 
-    /// Returns those that are expected now, if they are enough to count among so many hosts.
-    pub(super) fn at(self, now: Time, hosts: usize) -> Option<Self> {
-        let least = (LEAST_OVER_ALL / hosts.max(1)).clamp(1, ENOUGH_AT_A_HOST);
-        (!self.until.is_due(now) && self.count as usize >= least).then_some(self)
+    /// Returns those that are expected now, if they are enough to count.
+    pub(super) fn at(self, now: Time) -> Option<Self> {
+        (!self.until.is_due(now) && self.count >= LEAST_COUNT).then_some(self)
     }
 }
--- a/crates/skylarkshore-core/src/serving/wanted.rs
+++ b/crates/skylarkshore-core/src/serving/wanted.rs
@@ -236,13 +236,13 @@
 
     /// Returns the requests that are expected back.
     pub(super) fn returning(&self, cx: &Cx<'_>, target: &ModelTarget) -> Option<Returning> {
-        self.wants.get(target)?.returning.at(cx.now, hosts(cx))
+        self.wants.get(target)?.returning.at(cx.now)
     }
 
     /// Lists the targets for which requests are expected back.
     pub(super) fn returning_targets(&self, cx: &Cx<'_>) -> impl Iterator<Item = &ModelTarget> {
-        let (now, hosts) = (cx.now, hosts(cx));
-        let awaited = self.wants.iter().filter(move |(_, want)| want.returning.at(now, hosts).is_some());
+        let now = cx.now;
+        let awaited = self.wants.iter().filter(move |(_, want)| want.returning.at(now).is_some());
         awaited.map(|(target, _)| target)
     }
 
@@ -399,8 +399,3 @@
     }
     owners
 }
-
-/// Returns how many hosts callers may go to.
-fn hosts(cx: &Cx<'_>) -> usize {
-    cx.cache.members().count()
-}
