Count a crash with the life that the request was sent to

Cause: a loss was counted with the upstream's life as listed when the loss was noticed. If the host list had dropped the upstream by then, the loss was taken for a reclaimed host's and not counted at all, or counted with no life, which is never seen to end; so a request went on to a fourth upstream.

Test: an_end_that_is_listed_before_the_loss_is_noticed_counts, fails without it.

--- a/crates/skylarkshore-core/src/serving/alone.rs
+++ b/crates/skylarkshore-core/src/serving/alone.rs
@@ -12,7 +12,7 @@
 use crate::serving::attempt::owner;
 use crate::serving::decide::Step;
 use crate::serving::queue::Urgency;
-use crate::serving::request::{Company, State};
+use crate::serving::request::{Company, Run, State};
 use crate::serving::suspect::{Alone, Standing};
 use crate::view::EngineView;
 
@@ -118,12 +118,15 @@
     }
 
     /// Counts a request that was lost with its upstream, here and at the peers.
-    pub(super) fn count_loss(&mut self, cx: &mut Cx<'_>, id: RequestId, upstream: &UpstreamId) {
+    ///
+    /// The life is the one that it was sent to. When the loss is noticed, the host
+    /// list may name that life no more, or the next one already; either would
+    /// then never be seen to end, and the request would end more upstreams.
+    pub(super) fn count_loss(&mut self, cx: &mut Cx<'_>, id: RequestId, run: &Run) {
         let Some(request) = self.requests.get(&id) else { return };
         let digests = vec![request.arrival.digest];
-        let incarnation = cx.upstreams.get(upstream).map(|listed| listed.incarnation);
-        self.suspects.count_loss(cx, upstream, incarnation, &digests);
-        let upstream = upstream.clone();
+        let (upstream, incarnation) = (run.upstream.clone(), run.life);
+        self.suspects.count_loss(cx, &upstream, incarnation, &digests);
         cx.tell_all(&PeerMessage::Suspects { upstream, incarnation, requests: digests, alone: false });
     }
 
--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -156,6 +156,10 @@
     }
 
     fn on_lost(&mut self, cx: &mut Cx<'_>, id: RequestId, run: &Run, passed_on: bool, died: bool) {
+        if died && cx.cfg.limits.suspects == SuspectPolicy::CountEnds {
+            // An upstream that the request has ended may have left the host list already.
+            self.count_loss(cx, id, run);
+        }
         // A host that is reclaimed takes its upstream with it. That is nobody's
         // fault; were all its requests suspect, each would wait for an engine of its own.
         let died = died && !self.routes.is_going(cx, &run.upstream);
@@ -169,11 +173,7 @@
         request.passed_on |= passed_on;
         request.runs += 1;
         request.past = if died && run.company == Company::Alone { Past::Crashed } else { Past::Lost };
-        if !died {
-            return self.after_loss(cx, id);
-        }
-        if cx.cfg.limits.suspects == SuspectPolicy::CountEnds {
-            self.count_loss(cx, id, &run.upstream);
+        if !died || cx.cfg.limits.suspects == SuspectPolicy::CountEnds {
             return self.after_loss(cx, id);
         }
         request.enter(State::TellingPeers, cx.now);
--- a/crates/skylarkshore-core/src/serving/decide.rs
+++ b/crates/skylarkshore-core/src/serving/decide.rs
@@ -73,7 +73,8 @@
                 && !request.passed_on
                 && request.runs + 1 < request.arrival.terms.tries.min(cx.cfg.limits.attempts),
         });
-        request.enter(State::Sent(Run { attempt, upstream, company, sent: cx.now }), cx.now);
+        let life = cx.upstreams.get(&upstream).map(|listed| listed.incarnation);
+        request.enter(State::Sent(Run { attempt, upstream, life, company, sent: cx.now }), cx.now);
         self.attempts.insert(attempt, id);
         self.paces.begin(&request.arrival.target);
         self.tally.sent += 1;
--- a/crates/skylarkshore-core/src/serving/request.rs
+++ b/crates/skylarkshore-core/src/serving/request.rs
@@ -3,7 +3,7 @@
 use crate::collections::OrderedSet;
 use crate::effect::{Refusal, RefusalOutcome};
 use crate::event::{Arrival, Repeat};
-use crate::id::{AttemptId, Digest, RequestId, UpstreamId};
+use crate::id::{AttemptId, Digest, Incarnation, RequestId, UpstreamId};
 use crate::rules::ServiceOrder;
 use crate::store::RecordedAnswer;
 use crate::time::Time;
@@ -24,6 +24,8 @@
     pub(super) attempt: AttemptId,
     /// Where it runs.
     pub(super) upstream: UpstreamId,
+    /// The upstream's life when it was sent, as far as the host list told.
+    pub(super) life: Option<Incarnation>,
     /// Who else may run there.
     pub(super) company: Company,
     /// When it was sent.
--- a/crates/skylarkshore-core/tests/serving/crash.rs
+++ b/crates/skylarkshore-core/tests/serving/crash.rs
@@ -216,3 +216,30 @@
     let refused = p.take_refused().remove(0).1;
     assert_eq!((refused.outcome, refused.reason), (RefusalOutcome::Unknown, RefusalReason::CrashesUpstreams));
 }
+
+/// An upstream's end is on the host list before the loss of the request that
+/// ended it is noticed. If the loss were counted with what the list says by then,
+/// no end would ever be seen for it, and the request would go on to others.
+#[test]
+fn an_end_that_is_listed_before_the_loss_is_noticed_counts() {
+    let limits = Limits { suspects: SuspectPolicy::CountEnds, ..Limits::default() };
+    let mut p = Process::with_limits("a", 1, limits);
+    for life in 1..=2 {
+        let mut single = arrival(&p, service("booking"), 7);
+        single.terms.tries = 1;
+        p.arrive(life, single);
+        let sent = p.take_sent().remove(0);
+        let ended = p.end_life(sent.upstream.as_str());
+        p.end(sent.attempt, DIED);
+        p.upstreams.insert(ended.id.clone(), ended);
+        p.begin_life(sent.upstream.as_str(), life);
+        p.pass(2000);
+    }
+    p.take_refused();
+    p.arrive(3, arrival(&p, service("booking"), 7));
+    let third = p.take_sent().remove(0);
+    p.end(third.attempt, DIED);
+    assert_eq!(p.take_sent(), [], "one upstream more would end");
+    let refused = p.take_refused().remove(0).1;
+    assert_eq!(refused.reason, RefusalReason::CrashesUpstreams);
+}
--- a/crates/skylarkshore-core/tests/support/serving.rs
+++ b/crates/skylarkshore-core/tests/support/serving.rs
@@ -188,6 +188,13 @@
         self.cache(&Key::Homes(name(model)), Some(Record::Homes(record)));
     }
 
+    /// Has the host list name an upstream no more; returns it for a later life.
+    pub fn end_life(&mut self, upstream: &str) -> Upstream {
+        let ended = self.upstreams.remove(&name::<UpstreamId>(upstream)).unwrap();
+        self.with(Serving::on_host_list);
+        ended
+    }
+
     /// Has the host list name a new life of an upstream.
     pub fn begin_life(&mut self, upstream: &str, incarnation: u64) {
         let listed = self.upstreams.get_mut(&name::<UpstreamId>(upstream)).unwrap();
