Tell the lives of an upstream apart by their birth

Cause: an instance may begin again under its name, its entry written over. Its life was taken from the revision of the entry's first write, which stays. Orders then bear a stale number, and models are taken for held that are gone.

A load that a former life didn't answer keeps its memory reserved, as the new life may have the same name and count up to the number that the load expects. Loads of a former life don't count as failed.

--- a/crates/skylarkshore-core/src/loading/describe.rs
+++ b/crates/skylarkshore-core/src/loading/describe.rs
@@ -91,7 +91,7 @@
 }
 
 fn reserved(engine: &Engine) -> Mebibytes {
-    engine.ledger.reserved(engine.report()) + engine.late_orders_memory
+    engine.ledger.reserved(engine.report(), None) + engine.late_orders_memory
 }
 
 const fn gauge(name: &'static str, value: f64) -> Gauge {
--- a/crates/skylarkshore-core/src/loading/engine.rs
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -49,6 +49,8 @@
     pub standing: Standing,
     pub ledger: Ledger,
     pub seen: Option<Seen>,
+    /// The latest life that is known of.
+    pub life: Incarnation,
     pub next_ask: Time,
     pub loads: OrderedMap<ModelName, LoadProgress>,
     pub closing: OrderedMap<ModelName, Closing>,
@@ -111,6 +113,7 @@
             standing: Standing::Live,
             ledger: Ledger::default(),
             seen: None,
+            life: Incarnation::default(),
             next_ask: now,
             loads: OrderedMap::new(),
             closing: OrderedMap::new(),
@@ -145,6 +148,9 @@
             self.spec = upstream.engine().cloned();
             self.standing = upstream.standing;
             self.site = Some(upstream.site.clone());
+            if self.incarnation().is_some_and(|known| known < upstream.incarnation) {
+                self.on_listed_life(cx.now, upstream.incarnation);
+            }
         }
         let is_over = match self.late_orders {
             LateOrders::None => true,
@@ -382,7 +388,7 @@
 
     /// Returns the memory that isn't spoken for; none before the first report.
     pub(crate) fn free_memory(&self) -> Mebibytes {
-        self.unclaimed().saturating_sub(self.late_orders_memory)
+        self.unclaimed(None).saturating_sub(self.late_orders_memory)
     }
 
     /// Returns the memory that neither models nor unsettled orders take.
@@ -390,10 +396,16 @@
     /// What late orders of the former owner may take has to be subtracted from
     /// this, never added back to [`free_memory`](Self::free_memory): that stops
     /// at zero, and the sum would show memory that a loaded model uses.
-    pub(crate) fn unclaimed(&self) -> Mebibytes {
+    fn unclaimed(&self, model: Option<&ModelName>) -> Mebibytes {
         let Some(report) = self.report() else { return Mebibytes(0) };
         let loaded: Mebibytes = report.models.iter().map(memory_of).sum();
-        self.memory().saturating_sub(loaded + self.ledger.reserved(Some(report)))
+        self.memory().saturating_sub(loaded + self.ledger.reserved(Some(report), model))
+    }
+
+    /// Returns the memory that a load of the model may use.
+    pub(crate) fn free_for(&self, cx: &Cx<'_>, model: &ModelName) -> Mebibytes {
+        // A late order of the former owner for the same model would change nothing.
+        self.unclaimed(Some(model)).saturating_sub(self.late_orders_reserve(cx, Some(model)))
     }
 
     /// Tells whether anything is or may be loaded.
@@ -514,7 +526,9 @@
         {
             self.phase = Phase::Known;
         }
-        if self.is_outdated(asked, report) {
+        // A report that was under way when the next life began tells of models
+        // that are gone; orders and requests for them would all be refused.
+        if report.incarnation < self.life || self.is_outdated(asked, report) {
             return ReportNews::Unusable;
         }
         if self.phase != Phase::Known || self.seen.as_ref().is_some_and(|seen| seen.asked > asked) {
@@ -525,6 +539,7 @@
         }
         self.recount(asked, report);
         let restarted = self.incarnation().is_some_and(|known| known != report.incarnation);
+        self.life = report.incarnation;
         self.seen = Some(Seen { asked, heard: now, report: report.clone() });
         if restarted { ReportNews::Restarted } else { ReportNews::Usable }
     }
@@ -534,9 +549,20 @@
         self.seen.as_ref().map(|seen| seen.report.incarnation)
     }
 
+    /// Takes the host list's word that the engine has begun a new life, of which no report has come yet.
+    fn on_listed_life(&mut self, now: Time, life: Incarnation) {
+        self.life = life;
+        self.seen = None;
+        self.next_ask = now;
+        self.on_restart(now);
+    }
+
     /// Forgets what an earlier life of the engine had loaded, and raises the fence again.
     pub(crate) fn on_restart(&mut self, now: Time) {
         self.ledger.begin_life();
+        // They ended with that life. Taken for loads that failed, each model would
+        // have to wait for its next try while its callers do.
+        self.loads.clear();
         self.closing.clear();
         self.closing_adapters.clear();
         self.ready_since.clear();
--- a/crates/skylarkshore-core/src/loading/ledger.rs
+++ b/crates/skylarkshore-core/src/loading/ledger.rs
@@ -29,6 +29,15 @@
     progress: Progress,
     /// When a copy of it was last given up for lost; that copy may still arrive.
     lost: Option<Time>,
+    /// The life of the engine that it was meant for.
+    life: Life,
+}
+
+/// Whether an order was meant for the engine's present life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Life {
+    Present,
+    Former,
 }
 
 impl PendingOrder {
@@ -86,8 +95,17 @@
         let earlier = self.orders.get(&order);
         let lost = earlier.and_then(|pending| pending.lost);
         let after = earlier.map_or(after, |pending| pending.after);
-        self.orders
-            .insert(order, PendingOrder { action, sent: now, after, progress: Progress::InFlight, lost });
+        self.orders.insert(
+            order,
+            PendingOrder {
+                action,
+                sent: now,
+                after,
+                progress: Progress::InFlight,
+                lost,
+                life: Life::Present,
+            },
+        );
         after
     }
 
@@ -99,6 +117,9 @@
         now: Time,
     ) -> Option<(Order, Answered)> {
         let pending = self.orders.get_mut(&order)?;
+        if pending.life == Life::Former {
+            return None;
+        }
         let action = pending.action.clone();
         match answer {
             OrderAnswer::Accepted => {
@@ -126,13 +147,29 @@
         }
     }
 
-    /// Drops the numbered orders of an engine's former life.
+    /// Ends the numbered orders of an engine's former life.
     ///
-    /// They name that life, so that no other obeys them, and a new life counts
-    /// from zero. Were they sent again, it would refuse them for their numbers,
-    /// and nothing else could be loaded for as long as they are in doubt.
+    /// A new life counts from zero. Were they sent again, it would refuse them for
+    /// their numbers, and nothing else could be loaded for as long as they are in
+    /// doubt. One that no answer came to may still be on its way, though, and the
+    /// new life may have the same name and reach the number that it states. Were
+    /// its memory given away, that load would be one too many and end the engine
+    /// with all that runs on it; so the memory stays reserved.
     pub(crate) fn begin_life(&mut self) {
-        self.orders.retain(|_, pending| pending.after.is_none());
+        let is_over = |pending: &PendingOrder| {
+            pending.after.is_some() && matches!(pending.progress, Progress::Accepted { .. })
+        };
+        self.orders.retain(|_, pending| !is_over(pending));
+        for pending in self.orders.values_mut().filter(|pending| pending.after.is_some()) {
+            pending.life = Life::Former;
+            pending.progress = Progress::Unanswered;
+            pending.lost = pending.lost.max(Some(pending.sent));
+        }
+    }
+
+    /// Returns the orders that were meant for the engine's present life.
+    fn present(&self) -> impl Iterator<Item = (&OrderId, &PendingOrder)> {
+        self.orders.iter().filter(|(_, pending)| pending.life == Life::Present)
     }
 
     /// Gives up for lost what was sent too long ago to be answered any more.
@@ -174,10 +211,16 @@
     }
 
     /// Returns the memory that unsettled orders may take beside what the report shows.
-    pub(crate) fn reserved(&self, report: Option<&EngineReport>) -> Mebibytes {
+    ///
+    /// A load of `model` that was meant for a former life doesn't count: it would
+    /// only be doubled.
+    pub(crate) fn reserved(&self, report: Option<&EngineReport>, model: Option<&ModelName>) -> Mebibytes {
         let mut models: OrderedMap<&ModelName, Mebibytes> = OrderedMap::new();
         let mut adapters: OrderedMap<(&ModelName, &AdapterName), Mebibytes> = OrderedMap::new();
         for pending in self.orders.values() {
+            if pending.life == Life::Former && model_of(&pending.action) == model {
+                continue;
+            }
             match &pending.action {
                 Order::Load { model, memory, .. } => {
                     let shown = find(report, model).map_or(Mebibytes(0), |seen| seen.memory);
@@ -200,8 +243,7 @@
 
     /// Returns an unsettled order for the model with its number, if there is one that `wanted` accepts.
     pub(crate) fn find(&self, model: &ModelName, wanted: fn(&Order) -> bool) -> Option<UnsettledOrder<'_>> {
-        self.orders
-            .iter()
+        self.present()
             .find(|(_, pending)| model_of(&pending.action) == Some(model) && wanted(&pending.action))
             .map(|(id, pending)| pending.unsettled(*id))
     }
@@ -217,25 +259,23 @@
             | Order::UnloadAdapter { model: base, adapter: name } => base == model && name == adapter,
             _ => false,
         };
-        let found = self.orders.iter().find(|(_, pending)| is_it(&pending.action));
+        let found = self.present().find(|(_, pending)| is_it(&pending.action));
         found.map(|(id, pending)| pending.unsettled(*id))
     }
 
     /// Tells whether an unsettled order concerns the model.
     pub(crate) fn concerns(&self, model: &ModelName) -> bool {
-        self.orders.values().any(|pending| model_of(&pending.action) == Some(model))
+        self.present().any(|(_, pending)| model_of(&pending.action) == Some(model))
     }
 
     /// Tells whether an order that loads or unloads a base model isn't settled.
     pub(crate) fn has_model_order(&self) -> bool {
-        self.orders
-            .values()
-            .any(|pending| matches!(pending.action, Order::Load { .. } | Order::Unload { .. }))
+        self.present().any(|(_, pending)| matches!(pending.action, Order::Load { .. } | Order::Unload { .. }))
     }
 
     /// Tells whether any order hasn't been answered.
     pub(crate) fn has_unanswered(&self) -> bool {
-        self.orders.values().any(|pending| !matches!(pending.progress, Progress::Accepted { .. }))
+        self.present().any(|(_, pending)| !matches!(pending.progress, Progress::Accepted { .. }))
     }
 
     /// Returns the adapters that unsettled orders load.
@@ -261,7 +301,7 @@
     /// There is at most one at a time, so that whoever takes the engine over
     /// knows that no more than one late order can be on its way.
     pub(crate) fn awaits_answer(&self) -> bool {
-        self.orders.values().any(|pending| {
+        self.present().any(|(_, pending)| {
             matches!(pending.action, Order::Load { .. } | Order::LoadAdapter { .. })
                 && !matches!(pending.progress, Progress::Accepted { .. })
         })
--- a/crates/skylarkshore-core/src/loading/load.rs
+++ b/crates/skylarkshore-core/src/loading/load.rs
@@ -50,7 +50,7 @@
         }
         let Some(model) = cx.document.catalogue.models.get(&want.model) else { continue };
         let memory = model.footprint();
-        let free = free_for(cx, engine, &want.model).saturating_sub(spoken_for);
+        let free = engine.free_for(cx, &want.model).saturating_sub(spoken_for);
         spoken_for += memory;
         let is_in_turn = !engine.is_one_by_one() || !is_turn_taken && engine.is_free_for_orders();
         if !is_in_turn {
@@ -70,12 +70,6 @@
     engine.crowded = crowded;
 }
 
-/// Returns the memory that a load of the model may use.
-fn free_for(cx: &Cx<'_>, engine: &Engine, model: &ModelName) -> Mebibytes {
-    // A late order of the former owner for the same model would change nothing.
-    engine.unclaimed().saturating_sub(engine.late_orders_reserve(cx, Some(model)))
-}
-
 /// Sends an order of unknown outcome again; tells whether an order for the model is unsettled.
 fn resend(cx: &mut Cx<'_>, engine: &mut Engine, permit: Permit, model: &ModelName) -> bool {
     let Some(unsettled) = engine.ledger.find(model, |_| true) else { return false };
@@ -126,7 +120,7 @@
         if resend_adapter(cx, engine, permit, &want.model, &adapter) {
             continue;
         }
-        let free = free_for(cx, engine, &want.model);
+        let free = engine.free_for(cx, &want.model);
         if memory > free {
             close::make_room(cx, engine, beside, want, memory.saturating_sub(free));
             continue;
--- a/crates/skylarkshore-core/tests/loading.rs
+++ b/crates/skylarkshore-core/tests/loading.rs
@@ -7,6 +7,8 @@
 mod course;
 #[path = "loading/faults.rs"]
 mod faults;
+#[path = "loading/lives.rs"]
+mod lives;
 #[path = "loading/one_by_one.rs"]
 mod one_by_one;
 #[path = "loading/pace.rs"]
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -27,7 +27,8 @@
 use skylarkshore_core::time::Time;
 use skylarkshore_core::units::{Mebibytes, Watts};
 use skylarkshore_core::upstream::{
-    Copies, EngineSpec, FenceCheck, Order, OrderAnswer, OrderMode, Standing, Upstream, UpstreamKind,
+    Copies, EngineReport, EngineSpec, FenceCheck, Order, OrderAnswer, OrderMode, Standing, Upstream,
+    UpstreamKind,
 };
 
 /// How far apart ticks are.
@@ -258,6 +259,19 @@
         listed.holds.push(name(model));
     }
 
+    /// Has the list speak of another life of the engine.
+    pub fn set_listed_life(&mut self, life: Incarnation) {
+        self.upstreams.get_mut(&name(ENGINE)).expect("the engine is listed").incarnation = life;
+    }
+
+    /// Hands a report over that was asked for just now.
+    pub fn report(&mut self, report: &EngineReport) {
+        let asked = self.now;
+        self.with(|loading, cx, authority| {
+            loading.on_report(cx, authority, &name(ENGINE), asked, Some(report));
+        });
+    }
+
     /// Adds a live process.
     pub fn add_member(&mut self, host: &str) {
         let member = MemberRecord {
