Use a model at the end of its load's time, and keep those in constant use

Hypothesis: the end of a load from a copy is noticed 0.15 s late, as reports lag. Change: it is taken to have ended when its listed time is over; reports correct how far that is relied on.

Hypothesis: after a loss or a shift one replica carries 45 requests a second for ten seconds, as its further homes load what single callers wait for first.

--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -109,17 +109,24 @@
             engines.get(&key.engine).is_some_and(|engine| load::is_running(engine, &key.model))
         });
         let ids: Vec<UpstreamId> = self.engines.keys().cloned().collect();
+        let mut served = Vec::new();
         for id in ids {
             self.with_engine(cx, authority, &id, |cx, engine, beside| {
                 engine.refresh(cx);
                 engine.reservation.expire(cx);
                 engine.expire_orders(cx);
+                if turnaround::end_due_loads(cx, engine) {
+                    served.append(&mut load::note_ended(cx, engine, beside));
+                }
                 engine.keep_in_touch(cx, beside.authority.permit(cx.now, &engine.id));
                 decide(cx, engine, beside);
                 engine.count_idle(cx.now, beside.tally);
                 views::tell_changes(cx, engine, beside.demand);
             });
         }
+        for model in served {
+            self.demand.serve(cx.now, &model);
+        }
     }
 
     /// Takes the end of an order.
@@ -154,8 +161,11 @@
     /// Takes note that an engine carries an order out, and gives the one that may follow on it.
     fn note_accepted(&mut self, cx: &mut Cx<'_>, authority: &dyn Authority, id: &UpstreamId, action: &Order) {
         self.with_engine(cx, authority, id, |cx, engine, beside| match action {
-            Order::Load { model, .. } if turnaround::unloaded(engine, cx.now, beside.load_times) => {
-                cx.note("load_started", format!("{model}@{}", engine.id), "copy=here behind=unload");
+            Order::Load { model, .. } => {
+                load::note_accepted(cx, engine, model);
+                if turnaround::unloaded(engine, cx.now, beside.load_times) {
+                    cx.note("load_started", format!("{model}@{}", engine.id), "copy=here behind=unload");
+                }
             }
             Order::Unload { .. } => decide(cx, engine, beside),
             _ => {}
@@ -174,10 +184,15 @@
         let Some(report) = report else { return };
         let mut served = Vec::new();
         self.with_engine(cx, authority, id, |cx, engine, beside| {
+            let is_first = engine.report().is_none();
             let news = engine.take_report(cx.now, asked, report);
             if news == ReportNews::Unusable {
                 return;
             }
+            if is_first {
+                note_survey(cx, engine, report);
+            }
+            turnaround::check_end(engine, asked, report, beside.load_times);
             let settled = engine.ledger.settle(report, asked, cx.cfg.timings.order_settle);
             engine.note_unexpected(cx, &settled);
             engine.note_unshown(cx, &settled);
@@ -369,6 +384,15 @@
     answer::plan(cx, engine, beside, &wants);
 }
 
+/// Notes what an engine has when it is first looked at.
+fn note_survey(cx: &mut Cx<'_>, engine: &Engine, report: &EngineReport) {
+    let held: Vec<&str> = report.models.iter().map(|seen| seen.model.as_str()).collect();
+    let copies = &report.copies;
+    let (in_memory, on_disk) = (copies.in_memory.len(), copies.on_disk.len());
+    let detail = format!("holds=[{}] copies_in_memory={in_memory} copies_on_disk={on_disk}", held.join(" "));
+    cx.note("engine_surveyed", &engine.id, detail);
+}
+
 fn note_not_done(
     cx: &mut Cx<'_>,
     engine: &mut Engine,
--- a/crates/skylarkshore-core/src/loading/answer.rs
+++ b/crates/skylarkshore-core/src/loading/answer.rs
@@ -10,6 +10,7 @@
 use crate::loading::engine::Engine;
 use crate::loading::load;
 use crate::loading::pacing::LoadKey;
+use crate::loading::turnaround;
 use crate::loading::wants::{self, Cause, Want};
 use crate::peer::{CannotLoad, PeerMessage};
 use crate::time::Time;
@@ -123,8 +124,7 @@
 /// Returns how long the order in progress is expected to last yet.
 fn in_progress(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>) -> Duration {
     let load = engine.loads.values().map(|load| load.expected.remaining(cx.now)).max();
-    let unload = engine.ledger.has_model_order().then(|| beside.load_times.unload() / 2);
-    load.or(unload).unwrap_or_default()
+    load.unwrap_or_else(|| turnaround::unload_remaining(engine, cx.now, beside.load_times))
 }
 
 /// Returns how long it takes to make room for a model.
--- a/crates/skylarkshore-core/src/loading/close.rs
+++ b/crates/skylarkshore-core/src/loading/close.rs
@@ -240,6 +240,7 @@
                     && last_use(engine, beside, &seen.model).after(COPY_PATIENCE).is_due(cx.now)
             }
             _ if engine.hot.contains(&seen.model) => false,
+            _ if wants::is_needed_more(cx, engine, beside, &seen.model, want.waiting) => false,
             Some(need) => want.waiting > 0 && want.order < need.order,
             None if kept => want.waiting > 0 && want.order < order,
             None => true,
--- a/crates/skylarkshore-core/src/loading/engine.rs
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -11,6 +11,7 @@
 use crate::loading::reservation::Reservation;
 use crate::loading::stages::{Closing, Failures, LateOrders, LoadProgress, Phase, ReportNews, Seen};
 use crate::loading::tally::Tally;
+use crate::loading::turnaround::TakenForEnded;
 use crate::loading::views::Told;
 use crate::loading::wishes::Wishes;
 use crate::rules::ServiceOrder;
@@ -71,6 +72,8 @@
     pub expected_soon: OrderedSet<ModelName>,
     /// Models that are asked for so often that they are to be loaded here too.
     pub hot: OrderedSet<ModelName>,
+    /// Those of them whose few replicas can't keep up.
+    pub scarce: OrderedSet<ModelName>,
     /// Models of which the engine is to keep a copy and doesn't.
     pub uncopied: OrderedSet<ModelName>,
     /// Models that were loaded ahead, with the last use before that.
@@ -89,6 +92,10 @@
     pub recount_from: Time,
     /// When a load may be tried again that came while another order was carried out.
     pub next_try: Time,
+    /// When the last load of a model was ordered.
+    pub last_load: Time,
+    /// The last load that was taken to have ended before a report showed it.
+    pub ended: Option<TakenForEnded>,
     /// When each adapter on it was last asked for.
     pub adapter_uses: OrderedMap<(ModelName, AdapterName), Time>,
     pub wishes: Wishes,
@@ -129,6 +136,7 @@
             kept: OrderedSet::new(),
             expected_soon: OrderedSet::new(),
             hot: OrderedSet::new(),
+            scarce: OrderedSet::new(),
             uncopied: OrderedSet::new(),
             prewarmed: OrderedMap::new(),
             next_review: now,
@@ -138,6 +146,8 @@
             accepted: None,
             recount_from: now,
             next_try: now,
+            last_load: Time::START,
+            ended: None,
             adapter_uses: OrderedMap::new(),
             wishes: Wishes::default(),
             reservation: Reservation::default(),
@@ -236,6 +246,16 @@
         self.report().is_some_and(|report| report.copies.has(model))
     }
 
+    /// Tells whether the host of the engine is known to keep the model's weights in memory.
+    ///
+    /// There is room for a few only, and each load drops one of them, so that a
+    /// report from before the last load tells nothing.
+    pub(crate) fn is_in_memory(&self, model: &ModelName) -> bool {
+        let is_newer = |seen: &Seen| seen.asked >= self.last_load.after(seen.report.lag);
+        let seen = self.seen.as_ref().filter(|seen| self.phase == Phase::Known && is_newer(seen));
+        seen.is_some_and(|seen| seen.report.copies.in_memory.contains(model))
+    }
+
     /// Takes note of adapters whose loads were accepted but that a report doesn't show.
     pub(crate) fn note_unshown(&mut self, cx: &mut Cx<'_>, settled: &[Settled]) {
         for order in settled.iter().filter(|order| !order.shown) {
@@ -318,6 +338,14 @@
         self.next_ask = now;
     }
 
+    /// Adds a model to what the last report showed, and takes the order for it as carried out.
+    pub(crate) fn show_model(&mut self, model: ReportedModel) {
+        let Some(seen) = &mut self.seen else { return };
+        seen.report.busy = false;
+        seen.report.models.retain(|held| held.model != model.model);
+        seen.report.models.push(model);
+    }
+
     /// Takes a model out of what the last report showed.
     pub(crate) fn drop_model(&mut self, model: &ModelName) {
         if let Some(seen) = &mut self.seen {
@@ -346,6 +374,14 @@
         told < known && believed && self.incarnation() == Some(report.incarnation)
     }
 
+    /// Tells whether a report may be from before the end of a load that is taken to have ended.
+    fn is_before_end(&self, asked: Time, report: &EngineReport) -> bool {
+        let Some(ended) = self.ended.as_ref().filter(|_| self.life == report.incarnation) else {
+            return false;
+        };
+        asked < ended.at.after(report.lag) && ledger::find(Some(report), &ended.model).is_none()
+    }
+
     fn recount(&mut self, asked: Time, report: &EngineReport) {
         let is_ahead = report.accepted > self.accepted;
         if is_ahead || self.accepted.is_none() && asked >= self.recount_from.after(report.lag) {
@@ -538,7 +574,10 @@
         }
         // A report that was under way when the next life began tells of models
         // that are gone; orders and requests for them would all be refused.
-        if report.incarnation < self.life || self.is_outdated(asked, report) {
+        if report.incarnation < self.life
+            || self.is_outdated(asked, report)
+            || self.is_before_end(asked, report)
+        {
             return ReportNews::Unusable;
         }
         if self.phase != Phase::Known || self.seen.as_ref().is_some_and(|seen| seen.asked > asked) {
@@ -573,6 +612,7 @@
         // They ended with that life. Taken for loads that failed, each model would
         // have to wait for its next try while its callers do.
         self.loads.clear();
+        self.ended = None;
         self.closing.clear();
         self.closing_adapters.clear();
         self.ready_since.clear();
--- a/crates/skylarkshore-core/src/loading/ledger.rs
+++ b/crates/skylarkshore-core/src/loading/ledger.rs
@@ -273,15 +273,16 @@
         self.present().any(|(_, pending)| matches!(pending.action, Order::Load { .. } | Order::Unload { .. }))
     }
 
-    /// Returns the model whose unload the engine accepted, if that is the only order for a base model.
-    pub(crate) fn accepted_unload(&self) -> Option<&ModelName> {
+    /// Returns the model whose unload the engine accepted, if that is the only order for a base model,
+    /// and when it was sent.
+    pub(crate) fn accepted_unload(&self) -> Option<(&ModelName, Time)> {
         let mut orders = self
             .present()
             .map(|(_, pending)| pending)
             .filter(|pending| matches!(pending.action, Order::Load { .. } | Order::Unload { .. }));
         let only = orders.next().filter(|_| orders.next().is_none())?;
         match (&only.action, only.progress) {
-            (Order::Unload { model }, Progress::Accepted { .. }) => Some(model),
+            (Order::Unload { model }, Progress::Accepted { .. }) => Some((model, only.sent)),
             _ => None,
         }
     }
@@ -297,6 +298,21 @@
         over.filter_map(|(_, pending)| Some((model_of(&pending.action)?.clone(), pending.sent))).collect()
     }
 
+    /// Tells whether the engine accepted a load of a model.
+    pub(crate) fn has_accepted_load(&self, model: &ModelName) -> bool {
+        self.present().any(|(_, pending)| {
+            let is_it = matches!(&pending.action, Order::Load { model: named, .. } if named == model);
+            is_it && matches!(pending.progress, Progress::Accepted { .. })
+        })
+    }
+
+    /// Takes out the load of a model that has ended; returns it.
+    pub(crate) fn finish_load(&mut self, model: &ModelName) -> Option<Order> {
+        let is_it = |pending: &PendingOrder| matches!(&pending.action, Order::Load { model: named, .. } if named == model);
+        let id = self.present().find(|(_, pending)| is_it(pending)).map(|(id, _)| *id)?;
+        self.orders.remove(&id).map(|pending| pending.action)
+    }
+
     /// Tells whether any order hasn't been answered.
     pub(crate) fn has_unanswered(&self) -> bool {
         self.present().any(|(_, pending)| !matches!(pending.progress, Progress::Accepted { .. }))
--- a/crates/skylarkshore-core/src/loading/load.rs
+++ b/crates/skylarkshore-core/src/loading/load.rs
@@ -171,16 +171,18 @@
     if is_paced && beside.pacing.request(cx, &key, urgency) == Slot::Waiting {
         return Begun::No;
     }
-    let expected = cx.now.after(beside.load_times.on(cx, engine, &want.model));
+    let begins = cx.now.after(turnaround::unload_remaining(engine, cx.now, beside.load_times));
+    let expected = begins.after(beside.load_times.on(cx, engine, &want.model));
     if want.cause == Cause::Ahead
         && let Some(last) = beside.history.last(&want.model)
     {
         engine.prewarmed.insert(want.model.clone(), last);
     }
     if matches!(load, Order::Load { .. }) {
+        engine.last_load = cx.now;
         engine.loads.insert(
             want.model.clone(),
-            LoadProgress { started: cx.now, expected, checked: cx.now, is_from_store: is_paced },
+            LoadProgress { started: cx.now, begins, expected, checked: cx.now, is_from_store: is_paced },
         );
     }
     if engine.ledger.accepted_unload().is_none() {
@@ -207,6 +209,13 @@
     );
 }
 
+/// Takes note that a load has begun, which it may do some time after it was ordered first.
+pub(crate) fn note_accepted(cx: &Cx<'_>, engine: &mut Engine, model: &ModelName) {
+    let Some(load) = engine.loads.get_mut(model) else { return };
+    load.expected = cx.now.after(load.expected.since(load.begins));
+    load.begins = cx.now;
+}
+
 /// Takes note of loads that have ended, as the engine's report shows them.
 ///
 /// Returns the models that can be used since now.
@@ -233,9 +242,6 @@
         if cx.now.since(load.checked) <= MEASURABLE_GAP && load.is_from_store {
             beside.load_times.measured(&model, took);
         }
-        if cx.now.since(load.checked) <= MEASURABLE_GAP && !load.is_from_store && engine.is_one_by_one() {
-            beside.load_times.loaded_from_copy(load.expected.since(load.started), took);
-        }
         cx.note("load_ended", format!("{model}@{}", engine.id), format!("took_ms={}", took.as_millis()));
     }
     for load in engine.loads.values_mut() {
--- a/crates/skylarkshore-core/src/loading/stages.rs
+++ b/crates/skylarkshore-core/src/loading/stages.rs
@@ -47,6 +47,8 @@
 pub(crate) struct LoadProgress {
     /// When it was ordered.
     pub started: Time,
+    /// When the engine is expected to begin it, or took it.
+    pub begins: Time,
     /// When it is expected to end.
     pub expected: Time,
     /// When it was last looked at.
--- a/crates/skylarkshore-core/src/loading/tally.rs
+++ b/crates/skylarkshore-core/src/loading/tally.rs
@@ -22,6 +22,14 @@
 
 /// How long an unload is taken to last before one was seen.
 const FIRST_UNLOAD: Duration = Duration::from_millis(300);
+/// How much longer than listed a load from a copy is taken to last at least.
+///
+/// The order's answer is on its way for a few milliseconds.
+const LEAST_BEYOND_LISTED: Duration = Duration::from_millis(20);
+/// How much longer than listed it is taken to last at most; a report tells before.
+const MOST_BEYOND_LISTED: Duration = Duration::from_secs(2);
+/// By which share the time beyond the listed one shrinks at each load that had ended in time.
+const TRUST_SHARE: f64 = 0.05;
 /// The share of a newly measured time in the mean.
 const NEWEST_SHARE: f64 = 0.2;
 
@@ -29,7 +37,7 @@
 #[derive(Debug)]
 pub(crate) struct LoadTimes {
     measured: OrderedMap<ModelName, Duration>,
-    /// How much longer than listed loads from copies take until their end is noticed.
+    /// How much longer than listed a load from a copy is taken to last.
     beyond_listed: Duration,
     /// How long it takes from an unload's order until the next one is taken.
     unload: Duration,
@@ -37,7 +45,7 @@
 
 impl Default for LoadTimes {
     fn default() -> Self {
-        Self { measured: OrderedMap::new(), beyond_listed: Duration::ZERO, unload: FIRST_UNLOAD }
+        Self { measured: OrderedMap::new(), beyond_listed: LEAST_BEYOND_LISTED, unload: FIRST_UNLOAD }
     }
 }
 
@@ -47,12 +55,8 @@
         let known = cx.document.catalogue.models.get(model);
         let times = known.and_then(|known| known.copy_load_times);
         match (times, engine.report()) {
-            (Some(times), Some(report)) if report.copies.in_memory.contains(model) => {
-                times.from_memory + self.beyond_listed
-            }
-            (Some(times), Some(report)) if report.copies.on_disk.contains(model) => {
-                times.from_disk + self.beyond_listed
-            }
+            (Some(times), Some(_)) if engine.is_in_memory(model) => times.from_memory + self.beyond_listed,
+            (Some(times), Some(report)) if report.copies.has(model) => times.from_disk + self.beyond_listed,
             _ => self.of(cx, model),
         }
     }
@@ -73,10 +77,15 @@
         self.unload = mean(self.unload, took);
     }
 
-    /// Takes the length of a load from a copy into account, of which `expected` was expected.
-    pub(crate) fn loaded_from_copy(&mut self, expected: Duration, took: Duration) {
-        let listed = expected.saturating_sub(self.beyond_listed);
-        self.beyond_listed = mean(self.beyond_listed, took.saturating_sub(listed));
+    /// Takes note that a load from a copy had ended when it was taken to have.
+    pub(crate) fn ended_as_taken(&mut self) {
+        let shorter = self.beyond_listed.mul_f64(1.0 - TRUST_SHARE);
+        self.beyond_listed = shorter.max(LEAST_BEYOND_LISTED);
+    }
+
+    /// Takes note that a load from a copy was still in progress when it was taken to have ended.
+    pub(crate) fn ended_later(&mut self) {
+        self.beyond_listed = (self.beyond_listed * 2).min(MOST_BEYOND_LISTED);
     }
 
     /// Takes a measured load into account; it counts as much as all earlier ones.
--- a/crates/skylarkshore-core/src/loading/wants.rs
+++ b/crates/skylarkshore-core/src/loading/wants.rs
@@ -4,7 +4,7 @@
 
 use crate::collections::OrderedSet;
 use crate::cx::Cx;
-use crate::id::ModelName;
+use crate::id::{ModelName, UpstreamId};
 use crate::loading::engine::Engine;
 use crate::loading::policy::{self, Use};
 use crate::loading::{Beside, demand::Need};
@@ -24,6 +24,8 @@
 const HOT_RATE: f64 = 1.0;
 /// How many replicas such a model has at least.
 const HOT_REPLICAS: u32 = 2;
+/// The part of a model's replicas below which the others are loaded before all else, as its inverse.
+const SCARCE_SHARE: u32 = 2;
 /// The requests a second that one replica takes, as a share of those it runs at a time.
 const SHARE_PER_REPLICA: f64 = 0.15;
 /// Into how many parts an engine's memory is divided, of which one is for models that are asked for often.
@@ -46,6 +48,9 @@
 /// Why a model ought to be loaded.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Cause {
+    /// It is asked for so often that its few replicas can't keep up.
+    #[display("scarce")]
+    Scarce,
     /// Requests wait for it.
     #[display("waiting")]
     Waiting,
@@ -154,6 +159,17 @@
         let Need { order, deadline, waiting, .. } = need;
         return Some(Want { cause: Cause::Waiting, model, order, deadline, aim, waiting });
     }
+    if engine.scarce.contains(&model) {
+        let order = outcome.order;
+        return Some(Want {
+            cause: Cause::Scarce,
+            model,
+            order,
+            deadline: Time::NEVER,
+            aim: None,
+            waiting: 0,
+        });
+    }
     let (cause, order) = if engine.kept.contains(&model) {
         (Cause::Kept, outcome.order)
     } else if engine.hot.contains(&model) {
@@ -181,6 +197,7 @@
 /// Works out which models are asked for so often that this engine has to hold them beside others.
 pub(crate) fn review_hot(cx: &Cx<'_>, engine: &mut Engine, beside: &Beside<'_>) {
     engine.hot.clear();
+    engine.scarce.clear();
     if !engine.is_one_by_one() {
         return;
     }
@@ -198,21 +215,65 @@
         let fits = engine.hot.is_empty() || known.footprint() <= room;
         if homes.engines.contains(&engine.id) && is_among && fits {
             room = room.saturating_sub(known.footprint());
+            if holders(cx, &model, homes) * SCARCE_SHARE < replicas_by_load(engine, rate) {
+                engine.scarce.insert(model.clone());
+            }
             engine.hot.insert(model);
         }
     }
 }
 
+/// Tells whether more callers would wait for a model's return than wait now for the one that takes its place.
+///
+/// The first homes that hold it keep it, as many as its requests take. What was
+/// used last doesn't tell: a model with forty requests a second on its only
+/// replica was unloaded for one that had a single request a moment later, and
+/// the next second's forty callers waited for it to come back.
+pub(crate) fn is_needed_more(
+    cx: &Cx<'_>,
+    engine: &Engine,
+    beside: &Beside<'_>,
+    model: &ModelName,
+    waiting: u32,
+) -> bool {
+    let rate = beside.usage.per_second(cx.now, model);
+    let away = beside.load_times.unload() + beside.load_times.on(cx, engine, model);
+    if !engine.is_one_by_one() || rate * away.as_secs_f64() < f64::from(waiting.max(1)) {
+        return false;
+    }
+    let homes = cx.cache.homes(model).map_or(&[][..], |(_, homes)| &homes.engines);
+    let earlier = homes.iter().take_while(|home| **home != engine.id);
+    let holding = earlier.filter(|home| is_holding(cx, home, model));
+    u32::try_from(holding.count()).unwrap_or(u32::MAX) < replicas_by_load(engine, rate)
+}
+
+/// Tells whether an engine holds a model and stays, as far as the list tells.
+fn is_holding(cx: &Cx<'_>, engine: &UpstreamId, model: &ModelName) -> bool {
+    let known = cx.upstreams.get(engine).filter(|known| known.standing == Standing::Live);
+    known.is_some_and(|known| known.holds.contains(model))
+}
+
+/// Returns how many of a model's homes hold it.
+fn holders(cx: &Cx<'_>, model: &ModelName, homes: &HomesRecord) -> u32 {
+    let holding = homes.engines.iter().filter(|home| is_holding(cx, home, model));
+    u32::try_from(holding.count()).unwrap_or(u32::MAX)
+}
+
 /// Returns how many replicas requests at this rate are worth.
 pub(crate) fn replicas_for(engine: &Engine, per_second: f64) -> u32 {
+    let by_load = replicas_by_load(engine, per_second);
+    if per_second >= HOT_RATE { by_load.max(HOT_REPLICAS) } else { 1 }
+}
+
+fn replicas_by_load(engine: &Engine, per_second: f64) -> u32 {
     let capacity = f64::from(engine.concurrency()) * SHARE_PER_REPLICA;
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         reason = "rates are small and positive"
     )]
-    let by_load = (per_second / capacity.max(1.0)).ceil() as u32;
-    if per_second >= HOT_RATE { by_load.max(HOT_REPLICAS) } else { 1 }
+    let replicas = (per_second / capacity.max(1.0)).ceil() as u32;
+    replicas
 }
 
 /// Works out of which models the engine is to keep a copy that it doesn't have yet.
@@ -262,14 +323,26 @@
     engine.expected_soon = expected;
 }
 
+/// Tells whether an engine is the last of a model's homes that can load at all.
+pub(crate) fn is_last(cx: &Cx<'_>, engine: &Engine, homes: &HomesRecord) -> bool {
+    usable(cx, engine, homes).last() == Some(&engine.id)
+}
+
 /// Returns an engine's place among the homes that can load at all.
 fn place(cx: &Cx<'_>, engine: &Engine, homes: &HomesRecord) -> Option<u32> {
-    let usable = homes.engines.iter().filter(|home| {
+    usable(cx, engine, homes).zip(0..).find(|(home, _)| **home == engine.id).map(|(_, place)| place)
+}
+
+fn usable<'a>(
+    cx: &'a Cx<'_>,
+    engine: &'a Engine,
+    homes: &'a HomesRecord,
+) -> impl Iterator<Item = &'a UpstreamId> {
+    homes.engines.iter().filter(|home| {
         let live = cx.upstreams.get(*home).is_some_and(|upstream| upstream.standing == Standing::Live);
         let owned = cx.cache.owner(home).is_some_and(|(_, owner)| cx.cache.member(&owner.host).is_some());
         **home == engine.id || live && owned
-    });
-    usable.zip(0..).find(|(home, _)| **home == engine.id).map(|(_, place)| place)
+    })
 }
 
 /// Returns how many replicas the requests that wait are worth.
--- a/crates/skylarkshore-core/src/loading/wishes.rs
+++ b/crates/skylarkshore-core/src/loading/wishes.rs
@@ -77,7 +77,8 @@
 fn has_too_few_homes(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, model: &ModelName) -> bool {
     let Some((_, homes)) = cx.cache.homes(model) else { return false };
     let wanted = wants::replicas_for(engine, beside.usage.per_second(cx.now, model));
-    homes.engines.last() == Some(&engine.id) && homes.engines.len() < wanted as usize
+    // The last one that can speak: one on an engine that is gone would never wish for another.
+    wants::is_last(cx, engine, homes) && homes.engines.len() < wanted as usize
 }
 
 fn keep_since(now: Time, since: &mut OrderedMap<ModelName, Time>, models: &[&ModelName]) {
--- a/crates/skylarkshore-core/tests/loading/plan.rs
+++ b/crates/skylarkshore-core/tests/loading/plan.rs
@@ -4,6 +4,7 @@
 
 use skylarkshore_core::rules::ServiceOrder;
 use skylarkshore_core::time::Time;
+use skylarkshore_core::upstream::Order;
 
 use crate::support::{Rig, TICK};
 
@@ -46,6 +47,88 @@
     assert!(!rig.notes.iter().any(|note| note.event == "load_failed"), "{:?}", rig.notes);
 }
 
+/// A load from a copy takes as long as is listed, and no report comes to show its
+/// end. If one were waited for, callers would wait a quarter longer for each swap.
+#[test]
+fn a_model_is_used_once_its_load_takes_no_longer() {
+    let mut rig = Rig::with_copies(&[("maize", 300)], COPY_LOAD_TIME);
+    rig.run(Duration::from_secs(1));
+    rig.want("entry-2", "maize", 1);
+    rig.run(TICK);
+    rig.reports_away = true;
+    rig.run(COPY_LOAD_TIME);
+    assert!(rig.shows("entry-2", "maize", "Ready"), "{:?}", rig.notes);
+}
+
+/// Loads take half as long again as is listed. Taken for ended, a model gets
+/// requests that the engine refuses, and its next order is refused as well.
+/// Reports show it, and the loads that follow have to be relied on less.
+#[test]
+fn loads_that_take_longer_than_listed_are_relied_on_less() {
+    let names: Vec<String> = (0..8).map(|number| format!("m{number}")).collect();
+    let models: Vec<(&str, u64)> = names.iter().map(|name| (name.as_str(), 300)).collect();
+    let mut rig = Rig::with_copies(&models, COPY_LOAD_TIME);
+    rig.engine.refuses_while_loading = true;
+    rig.engine.copy_load_time = COPY_LOAD_TIME * 3 / 2;
+    for model in &names[..7] {
+        rig.run_wanting(Duration::from_secs(2), "entry-2", model, 1);
+        rig.want("entry-2", model, 0);
+        assert!(rig.engine.holds(model), "{:?}", rig.notes);
+    }
+    let asked = rig.now;
+    while !rig.shows("entry-2", "m7", "Ready") {
+        rig.run_wanting(TICK, "entry-2", "m7", 1);
+    }
+    assert!(rig.now.since(asked) >= COPY_LOAD_TIME * 3 / 2, "{:?}", rig.now.since(asked));
+}
+
+/// Forty requests a second need no load, as their model is there; the routers
+/// tell of them now and then. Other models on the engine were asked for later. If
+/// what was used last decided, a single caller of a fourth model would have the
+/// first one unloaded, and the next second's forty callers would wait.
+#[test]
+fn a_model_in_constant_use_makes_no_room_for_a_single_caller() {
+    let models = [("hot", 300), ("rye", 300), ("oat", 300), ("spelt", 300)];
+    let mut rig = Rig::with_copies(&models, COPY_LOAD_TIME);
+    for model in ["hot", "rye", "oat"] {
+        rig.engine.put(model, 300);
+    }
+    for _ in 0..10 {
+        rig.arrive("entry-2", "hot", 20);
+        rig.run(Duration::from_millis(450));
+        for model in ["rye", "oat"] {
+            rig.want("entry-2", model, 1);
+        }
+        rig.run(TICK);
+    }
+    for model in ["rye", "oat"] {
+        rig.want("entry-2", model, 0);
+    }
+    rig.run_wanting(Duration::from_secs(1), "entry-2", "spelt", 1);
+    assert!(rig.engine.holds("spelt"), "{:?}", rig.notes);
+    assert!(rig.engine.holds("hot"), "{:?}", rig.notes);
+}
+
+/// Demand has moved to a model of which no engine has a replica but this one, if
+/// it loads it. Single callers of other models ask all the while; if those always
+/// went first, hundreds would wait for the one replica that there is elsewhere.
+#[test]
+fn a_model_with_too_few_replicas_is_loaded_before_one_that_a_single_caller_waits_for() {
+    let mut rig = Rig::with_copies(&[("hot", 300), ("rye", 300), ("oat", 300)], COPY_LOAD_TIME);
+    rig.engine.put("oat", 300);
+    for _ in 0..4 {
+        rig.arrive("entry-2", "hot", 40);
+    }
+    rig.want("entry-3", "rye", 1);
+    rig.run(Duration::from_secs(2));
+    let first = rig.engine.done.iter().find_map(|order| match order {
+        Order::Load { model, .. } => Some(model.to_string()),
+        _ => None,
+    });
+    assert_eq!(first.as_deref(), Some("hot"));
+    assert!(rig.engine.holds("rye"), "{:?}", rig.notes);
+}
+
 /// All places of an engine are taken by models that were used a moment ago, and
 /// callers who wait two seconds ask for another one, which is on its disk. A swap
 /// takes less than a second. If the room were taken to come free only seconds
--- a/crates/skylarkshore-core/tests/support/fake_engine.rs
+++ b/crates/skylarkshore-core/tests/support/fake_engine.rs
@@ -39,6 +39,8 @@
     pub unload_time: Duration,
     /// How long a load takes of a model of which it keeps a copy.
     pub copy_load_time: Duration,
+    /// Whether it refuses an order that comes while a load is carried out, instead of failing the test.
+    pub refuses_while_loading: bool,
     /// Until when it is carrying an unload out.
     unloading_until: Time,
     memory: Mebibytes,
@@ -58,6 +60,7 @@
             copies: Copies::default(),
             unload_time: Duration::ZERO,
             copy_load_time: LOAD_TIME,
+            refuses_while_loading: false,
             unloading_until: Time::START,
             memory,
             models: OrderedMap::new(),
@@ -118,8 +121,12 @@
         if self.copies.has(model) { self.copy_load_time } else { LOAD_TIME }
     }
 
-    /// Tells whether it is carrying an unload out, so that it refuses any other order.
-    pub fn is_unloading(&self, now: Time) -> bool {
+    /// Tells whether it refuses any other order for now.
+    pub fn refuses_orders(&self, now: Time) -> bool {
+        self.is_unloading(now) || self.refuses_while_loading && self.is_loading(now)
+    }
+
+    fn is_unloading(&self, now: Time) -> bool {
         !self.unloading_until.is_due(now)
     }
 
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -354,6 +354,19 @@
         self.hear(&name(router), &message);
     }
 
+    /// Says on a router's behalf how many requests have arrived that needn't wait.
+    pub fn arrive(&mut self, router: &str, model: &str, arrived: u32) {
+        let message = PeerMessage::Wanted {
+            target: target(model),
+            waiting: 0,
+            order: ServiceOrder::default(),
+            patience: Duration::ZERO,
+            aim: None,
+            arrived,
+        };
+        self.hear(&name(router), &message);
+    }
+
     /// Hands a peer's message over.
     pub fn hear(&mut self, from: &HostId, message: &PeerMessage) {
         self.with(|loading, cx, authority| loading.on_peer(cx, authority, from, message));
@@ -453,7 +466,7 @@
                 self.numbers.push(after);
                 let differs =
                     self.engine.accepted.zip(after).is_some_and(|(accepted, after)| accepted != after);
-                if (differs || self.engine.is_unloading(self.now)) && self.engine.up {
+                if (differs || self.engine.refuses_orders(self.now)) && self.engine.up {
                     return self.answer(effects, order, &OrderAnswer::OutOfTurn);
                 }
                 self.carry(effects, order, &action);
