Load a model once, count replicas by work, and price loads from the store

Once all who wait have passed their aim, the second home is asked without one and takes the model on too. Kept; its test fails without the change.

Hypothesis: of two engines on which a model would be ready at about the same time, the one without a copy loses ten swaps.

Hypothesis: eight of 27 places for the two models in constant use are too many.

The count of requests is told to all owners of a model's homes and no longer only to those who are asked to load it.

--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -222,8 +222,19 @@
     ) {
         self.pacing.on_peer(cx, from, message);
         match message {
-            PeerMessage::Wanted { target, waiting, order, patience, aim, arrived } => {
-                self.note_use(cx, &target.model, *waiting, *arrived);
+            PeerMessage::Used { target, arrived, worked, waited_for } => {
+                self.usage.count(cx.now, &target.model, *arrived, *worked);
+                self.note_use(cx, &target.model);
+                self.note_adapter_use(cx.now, target);
+                self.demand.listens(cx.now, from, &target.model, &cx.cfg.timings);
+                if !*waited_for {
+                    self.demand.satisfied(from, target);
+                }
+            }
+            PeerMessage::Wanted { target, waiting, order, patience, aim } => {
+                if *waiting > 0 {
+                    self.history.used(cx.now, &target.model);
+                }
                 self.note_adapter_use(cx.now, target);
                 let wanted =
                     Wanted { from, target, waiting: *waiting, order: *order, patience: *patience, aim: *aim };
@@ -250,15 +261,14 @@
         }
     }
 
-    /// Takes note of a router's requests.
+    /// Takes note that requests of a router run.
     ///
     /// Requests that don't wait are only told now and then, and are seen in the
     /// engine's reports before that, unless they are short.
-    fn note_use(&mut self, cx: &Cx<'_>, model: &ModelName, waiting: u32, arrived: u32) {
-        self.usage.count(cx.now, model, arrived);
+    fn note_use(&mut self, cx: &Cx<'_>, model: &ModelName) {
         let told_every = cx.cfg.timings.usage_every;
         let unseen = self.history.last(model).is_none_or(|last| last.after(told_every).is_due(cx.now));
-        if waiting > 0 || arrived > 0 && unseen {
+        if unseen {
             self.history.used(cx.now, model);
         }
     }
@@ -289,7 +299,7 @@
         let mut soonest = Duration::MAX;
         for id in &concerned {
             self.with_engine(cx, authority, id, |cx, engine, beside| {
-                soonest = soonest.min(answer::expected(cx, engine, beside, model, &own));
+                soonest = soonest.min(answer::price(cx, engine, beside, model, &own));
             });
         }
         let (target, retry_after) = (wanted.target.clone(), soonest);
--- a/crates/skylarkshore-core/src/loading/answer.rs
+++ b/crates/skylarkshore-core/src/loading/answer.rs
@@ -121,6 +121,24 @@
         + beside.load_times.on(cx, engine, model)
 }
 
+/// Estimates when a model could be used on an engine, and adds what its load costs others.
+///
+/// A load from the weight store keeps the engine from any other for seconds, in
+/// which it could make ten swaps from its own disk. Of two engines on which a
+/// model would be ready at about the same time, the one with a copy had better
+/// load it.
+pub(crate) fn price(
+    cx: &Cx<'_>,
+    engine: &Engine,
+    beside: &Beside<'_>,
+    model: &ModelName,
+    own: &Need,
+) -> Duration {
+    let ready = expected(cx, engine, beside, model, own);
+    let is_there = engine.model(model).is_some() || engine.loads.contains_key(model);
+    if is_there || engine.has_copy(model) { ready } else { ready + beside.load_times.of(cx, model) }
+}
+
 /// Returns how long the order in progress is expected to last yet.
 fn in_progress(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>) -> Duration {
     let load = engine.loads.values().map(|load| load.expected.remaining(cx.now)).max();
--- a/crates/skylarkshore-core/src/loading/demand.rs
+++ b/crates/skylarkshore-core/src/loading/demand.rs
@@ -84,13 +84,9 @@
 impl Demand {
     /// Takes a router's word; it replaces the router's earlier one.
     pub(crate) fn wanted(&mut self, now: Time, wanted: Wanted<'_>, timings: &Timings) {
-        let listeners = self.interest.entry(wanted.target.model.clone()).or_default();
-        listeners.insert(wanted.from.clone(), now.after(timings.interest));
+        self.listens(now, wanted.from, &wanted.target.model, timings);
         if wanted.waiting == 0 {
-            if let Some(routers) = self.waiting.get_mut(wanted.target) {
-                routers.retain(|host, waiting| host != wanted.from || waiting.promised);
-            }
-            return;
+            return self.satisfied(wanted.from, wanted.target);
         }
         let waiting = Waiting {
             count: wanted.waiting,
@@ -103,6 +99,19 @@
         self.waiting.entry(wanted.target.clone()).or_default().insert(wanted.from.clone(), waiting);
     }
 
+    /// Takes note that a router wants to hear of a model.
+    pub(crate) fn listens(&mut self, now: Time, from: &HostId, model: &ModelName, timings: &Timings) {
+        let until = now.after(timings.interest);
+        self.interest.entry(model.clone()).or_default().insert(from.clone(), until);
+    }
+
+    /// Takes note that nothing waits at a router any more, but for callers who were told to come back.
+    pub(crate) fn satisfied(&mut self, from: &HostId, target: &ModelTarget) {
+        if let Some(routers) = self.waiting.get_mut(target) {
+            routers.retain(|host, waiting| host != from || waiting.promised);
+        }
+    }
+
     /// Keeps a router's word for as long as its callers were told to wait before they ask again.
     ///
     /// Callers with little patience are refused before a load has even begun. If
--- a/crates/skylarkshore-core/src/loading/wants.rs
+++ b/crates/skylarkshore-core/src/loading/wants.rs
@@ -26,8 +26,12 @@
 const HOT_REPLICAS: u32 = 2;
 /// The part of a model's replicas below which the others are loaded before all else, as its inverse.
 const SCARCE_SHARE: u32 = 2;
-/// The requests a second that one replica takes, as a share of those it runs at a time.
-const SHARE_PER_REPLICA: f64 = 0.15;
+/// How full a replica may be, as a share of the requests that it runs at a time, before one more helps.
+///
+/// Requests that run beside each other slow each other down, and prompts are
+/// read between the steps of all. Counted by the time that requests take, models
+/// that make tokens slowly get as many replicas as their work needs.
+const FULL_SHARE: f64 = 0.4;
 /// Into how many parts an engine's memory is divided, of which one is for models that are asked for often.
 ///
 /// Were all of it theirs, none of the rarely used models that have their home
@@ -211,11 +215,13 @@
     for (rate, model) in often {
         let Some(known) = cx.document.catalogue.models.get(&model) else { continue };
         let Some((_, homes)) = cx.cache.homes(&model) else { continue };
-        let is_among = place(cx, engine, homes).is_some_and(|place| place < replicas_for(engine, rate));
+        let running = beside.usage.running(cx.now, &model);
+        let is_among =
+            place(cx, engine, homes).is_some_and(|place| place < replicas_for(engine, rate, running));
         let fits = engine.hot.is_empty() || known.footprint() <= room;
         if homes.engines.contains(&engine.id) && is_among && fits {
             room = room.saturating_sub(known.footprint());
-            if holders(cx, &model, homes) * SCARCE_SHARE < replicas_by_load(engine, rate) {
+            if holders(cx, &model, homes) * SCARCE_SHARE < replicas_by_load(engine, running) {
                 engine.scarce.insert(model.clone());
             }
             engine.hot.insert(model);
@@ -244,7 +250,8 @@
     let homes = cx.cache.homes(model).map_or(&[][..], |(_, homes)| &homes.engines);
     let earlier = homes.iter().take_while(|home| **home != engine.id);
     let holding = earlier.filter(|home| is_holding(cx, home, model));
-    u32::try_from(holding.count()).unwrap_or(u32::MAX) < replicas_by_load(engine, rate)
+    u32::try_from(holding.count()).unwrap_or(u32::MAX)
+        < replicas_by_load(engine, beside.usage.running(cx.now, model))
 }
 
 /// Tells whether an engine holds a model and stays, as far as the list tells.
@@ -259,21 +266,22 @@
     u32::try_from(holding.count()).unwrap_or(u32::MAX)
 }
 
-/// Returns how many replicas requests at this rate are worth.
-pub(crate) fn replicas_for(engine: &Engine, per_second: f64) -> u32 {
-    let by_load = replicas_by_load(engine, per_second);
+/// Returns how many replicas requests at this rate are worth, of which so many run at a time.
+pub(crate) fn replicas_for(engine: &Engine, per_second: f64, running: f64) -> u32 {
+    let by_load = replicas_by_load(engine, running);
     if per_second >= HOT_RATE { by_load.max(HOT_REPLICAS) } else { 1 }
 }
 
-fn replicas_by_load(engine: &Engine, per_second: f64) -> u32 {
-    let capacity = f64::from(engine.concurrency()) * SHARE_PER_REPLICA;
+/// Returns how many replicas it takes for so many requests to run at a time.
+fn replicas_by_load(engine: &Engine, running: f64) -> u32 {
+    let capacity = f64::from(engine.concurrency()) * FULL_SHARE;
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
-        reason = "rates are small and positive"
+        reason = "such numbers are small and positive"
     )]
-    let replicas = (per_second / capacity.max(1.0)).ceil() as u32;
-    replicas
+    let replicas = (running / capacity.max(1.0)).ceil() as u32;
+    replicas.max(1)
 }
 
 /// Works out of which models the engine is to keep a copy that it doesn't have yet.
--- a/crates/skylarkshore-core/src/loading/wishes.rs
+++ b/crates/skylarkshore-core/src/loading/wishes.rs
@@ -76,7 +76,11 @@
 /// Tells whether a model, of which this is the last home, is asked for more than its homes can take.
 fn has_too_few_homes(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, model: &ModelName) -> bool {
     let Some((_, homes)) = cx.cache.homes(model) else { return false };
-    let wanted = wants::replicas_for(engine, beside.usage.per_second(cx.now, model));
+    let wanted = wants::replicas_for(
+        engine,
+        beside.usage.per_second(cx.now, model),
+        beside.usage.running(cx.now, model),
+    );
     // The last one that can speak: one on an engine that is gone would never wish for another.
     wants::is_last(cx, engine, homes) && homes.engines.len() < wanted as usize
 }
--- a/crates/skylarkshore-core/src/peer.rs
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -68,8 +68,17 @@
         patience: Duration,
         /// How long the least patient of them can wait for its answer to have its full value.
         aim: Option<Duration>,
-        /// How many requests for it arrived at the sender since its last message.
+    },
+    /// A model is used from the sender, which wants to hear of it for a while.
+    Used {
+        /// The model or adapter.
+        target: ModelTarget,
+        /// How many requests for it arrived at the sender since it last told.
         arrived: u32,
+        /// For how long its requests from there have run since then, added up.
+        worked: Duration,
+        /// Whether requests wait there.
+        waited_for: bool,
     },
     /// How an engine stands, from its owner.
     View(EngineView),
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -168,7 +168,7 @@
         self.routes.forget_old(cx.now);
         self.once.forget_old(cx.now);
         self.suspects.forget_old(cx);
-        self.wants.renew(cx);
+        self.wants.renew(cx, &mut self.paces);
         self.budget.note_hosts(cx.now, cx.cache.members().count());
     }
 
--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -49,7 +49,7 @@
         }
         let answered =
             matches!(end, AttemptEnd::Whole { .. } | AttemptEnd::WholeTooLarge | AttemptEnd::FailedWhole);
-        self.paces.end(&request.arrival.target, answered.then(|| cx.now.since(run.sent)));
+        self.paces.end(cx.now, &request.arrival.target, answered.then(|| cx.now.since(run.sent)));
         match end {
             AttemptEnd::Whole { held } => self.on_whole(cx, id, &run.upstream, held),
             AttemptEnd::WholeTooLarge => self.on_whole(cx, id, &run.upstream, None),
--- a/crates/skylarkshore-core/src/serving/decide.rs
+++ b/crates/skylarkshore-core/src/serving/decide.rs
@@ -76,7 +76,7 @@
         let life = cx.upstreams.get(&upstream).map(|listed| listed.incarnation);
         request.enter(State::Sent(Run { attempt, upstream, life, company, sent: cx.now }), cx.now);
         self.attempts.insert(attempt, id);
-        self.paces.begin(&request.arrival.target);
+        self.paces.begin(cx.now, &request.arrival.target);
         self.tally.sent += 1;
     }
 
@@ -105,7 +105,7 @@
         if let Some(run) = request.run() {
             cx.push(Effect::Cancel { attempt: run.attempt });
             self.attempts.remove(&run.attempt);
-            self.paces.end(&request.arrival.target, None);
+            self.paces.end(cx.now, &request.arrival.target, None);
             request.past = Past::Lost;
         }
         self.queue.drop_out(id, request);
--- a/crates/skylarkshore-core/src/serving/wanted.rs
+++ b/crates/skylarkshore-core/src/serving/wanted.rs
@@ -8,9 +8,11 @@
 use crate::catalogue::ModelTarget;
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::cx::Cx;
+use crate::event::Target;
 use crate::id::{HostId, UpstreamId};
 use crate::peer::{CannotLoad, PeerMessage};
 use crate::rules::ServiceOrder;
+use crate::serving::pace::Paces;
 use crate::serving::queue::Waiting;
 use crate::serving::returning::Returning;
 use crate::time::Time;
@@ -40,6 +42,8 @@
     arrived: u32,
     last_arrival: Time,
     told: Option<Time>,
+    /// When the owners were last told how often it is asked for.
+    counted: Time,
     /// How many owners have been asked to load, in the order of the homes.
     asked: usize,
     /// Since when requests have waited without a word from any owner.
@@ -107,6 +111,7 @@
             arrived: 1,
             last_arrival: now,
             told: None,
+            counted: Time::START,
             asked: 1,
             unheard_since: None,
             waiting_since: None,
@@ -148,7 +153,6 @@
         want.widen(cx, &owners, supply, due);
         want.assign(cx, target, &owners, supply);
         want.patient_until = want.patient_until.max(waiting.patient_until);
-        let arrived = std::mem::take(&mut want.arrived);
         let first = want.told.replace(cx.now).is_none();
         for (i, owner) in owners.iter().enumerate() {
             let asked =
@@ -158,28 +162,36 @@
             }
             let count = if asked { waiting.count } else { 0 };
             let patience = waiting.patient_until.remaining(cx.now);
+            if asked && waiting.aim.is_none() && want.is_taken_on_by_others(owner) {
+                continue;
+            }
             // Whoever has taken it on keeps it; two loads of it would be one too many.
             let is_open = want.told_to.insert(owner.clone()) || !asked;
             let aim = waiting.aim.filter(|_| is_open).map(|aim| aim.remaining(cx.now));
-            tell(cx, owner, target, Ask { count, order: waiting.order, patience, aim, arrived });
+            tell(cx, owner, target, Ask { count, order: waiting.order, patience, aim });
         }
     }
 
-    /// Tells the owners of targets in use that this router still wants to hear of them.
-    pub(super) fn renew(&mut self, cx: &mut Cx<'_>) {
+    /// Tells the owners of targets in use how much they are used, and that this router still wants to hear of them.
+    ///
+    /// All of a model's owners are told, whoever is asked to load it: each has to
+    /// know whether its own replica is needed.
+    pub(super) fn renew(&mut self, cx: &mut Cx<'_>, paces: &mut Paces) {
         self.wants.retain(|_, want| !want.last_arrival.after(REMEMBERED).is_due(cx.now));
         let every = cx.cfg.timings.usage_every;
         for (target, want) in &mut self.wants {
-            let due = want.told.is_none_or(|told| told.after(every).is_due(cx.now));
-            if want.arrived == 0 || !due {
+            if !want.counted.after(every).is_due(cx.now) {
+                continue;
+            }
+            let worked = paces.take_worked(cx.now, &Target::Model(target.clone()));
+            if want.arrived == 0 && worked == Duration::ZERO {
                 continue;
             }
-            want.told = Some(cx.now);
+            want.counted = cx.now;
             let arrived = std::mem::take(&mut want.arrived);
             for owner in owners(cx, target, &OrderedSet::new()) {
-                let (order, patience) = (ServiceOrder::default(), Duration::ZERO);
-                let ask = Ask { count: 0, order, patience, aim: None, arrived };
-                tell(cx, &owner, target, ask);
+                let (target, waited_for) = (target.clone(), want.waiting_since.is_some());
+                cx.tell(&owner, PeerMessage::Used { target, arrived, worked, waited_for });
             }
         }
     }
@@ -338,6 +350,17 @@
         self.assigned_until = busy.ready_at.after(ASSIGNED_GRACE);
     }
 
+    /// Tells whether other owners have taken the target on, and this one hasn't.
+    ///
+    /// Once all those who wait have passed their aim, an owner can't say any more
+    /// that it would take too long, and takes the target on. If it were asked
+    /// beside the one that loads already, a model that comes from the weight
+    /// store would be loaded at each of its homes, and keep three engines from all
+    /// other loads for as long.
+    fn is_taken_on_by_others(&self, owner: &HostId) -> bool {
+        !self.told_to.contains(owner) && !self.told_to.is_empty() && self.assigned.as_ref() != Some(owner)
+    }
+
     fn widen(&mut self, cx: &Cx<'_>, owners: &[HostId], supply: Supply, due: bool) {
         if !due || self.told.is_none() || self.asked >= owners.len() {
             return;
@@ -360,7 +383,6 @@
     order: ServiceOrder,
     patience: Duration,
     aim: Option<Duration>,
-    arrived: u32,
 }
 
 fn tell(cx: &mut Cx<'_>, owner: &HostId, target: &ModelTarget, ask: Ask) {
@@ -370,7 +392,6 @@
         order: ask.order,
         patience: ask.patience,
         aim: ask.aim,
-        arrived: ask.arrived,
     };
     cx.tell(owner, message);
 }
--- a/crates/skylarkshore-core/tests/loading/one_by_one.rs
+++ b/crates/skylarkshore-core/tests/loading/one_by_one.rs
@@ -73,7 +73,6 @@
         order: ServiceOrder::default(),
         patience: PATIENT,
         aim,
-        arrived: 1,
     };
     rig.hear(&name("entry-3"), &wanted(Some(Duration::from_secs(3))));
     assert_eq!(rig.refusals(), ["rye Busy"]);
--- a/crates/skylarkshore-core/tests/loading/plan.rs
+++ b/crates/skylarkshore-core/tests/loading/plan.rs
@@ -129,6 +129,26 @@
     assert!(rig.engine.holds("rye"), "{:?}", rig.notes);
 }
 
+/// Two models are asked for equally often, and the requests of one run eight times
+/// as long. If replicas were counted by requests, that one's engines would run
+/// more at a time than they can at a good pace, and its callers wait.
+#[test]
+fn a_model_whose_requests_run_for_long_has_more_replicas() {
+    let mut rig = Rig::with_copies(&[("quick", 300), ("slow", 300)], COPY_LOAD_TIME);
+    rig.add_engine("engine-b", "entry-8");
+    rig.add_engine("engine-c", "entry-9");
+    for model in ["quick", "slow"] {
+        rig.set_homes(model, &["engine-b", "engine-c", "engine-a"]);
+    }
+    for _ in 0..10 {
+        rig.arrive_for("entry-2", "quick", 2, Duration::from_millis(400));
+        rig.arrive_for("entry-2", "slow", 2, Duration::from_millis(3200));
+        rig.run(Duration::from_millis(500));
+    }
+    assert!(rig.engine.holds("slow"), "{:?}", rig.notes);
+    assert!(!rig.engine.holds("quick"), "two other engines are enough for it");
+}
+
 /// All places of an engine are taken by models that were used a moment ago, and
 /// callers who wait two seconds ask for another one, which is on its disk. A swap
 /// takes less than a second. If the room were taken to come free only seconds
--- a/crates/skylarkshore-core/tests/serving/flow.rs
+++ b/crates/skylarkshore-core/tests/serving/flow.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use skylarkshore_core::catalogue::ModelTarget;
 use skylarkshore_core::effect::{Effect, RefusalOutcome, RefusalReason};
 use skylarkshore_core::event::AttemptEnd;
 use skylarkshore_core::id::Incarnation;
@@ -213,3 +214,32 @@
     p.pass(1000);
     assert!(!p.take_told(wanted).is_empty(), "the load is for nobody");
 }
+
+/// Both owners of a model's homes say that it takes them seconds, and the first
+/// one takes it on. Then the caller's aim passes. If the second one were asked
+/// again now, with nothing left by which it could say no, both would load the
+/// model from the weight store, and two engines could load nothing else meanwhile.
+#[test]
+fn one_owner_takes_a_model_on_also_once_the_callers_aim_has_passed() {
+    let mut p = Process::new("a", 1);
+    let mut request = arrival(&p, model("m"), 1);
+    request.terms.aim = p.now.after(Duration::from_secs(1));
+    p.arrive(1, request);
+    let busy = |seconds| PeerMessage::CannotLoad {
+        target: ModelTarget { model: name("m"), adapter: None },
+        reason: CannotLoad::Busy,
+        retry_after: Duration::from_secs(seconds),
+    };
+    p.peer("b", &busy(4));
+    p.peer("c", &busy(6));
+    let remaining = Duration::from_secs(4);
+    p.peer("b", &PeerMessage::View(view("e1", 1, "m", Readiness::Loading { remaining })));
+    p.take();
+    p.pass(3000);
+    let told = p.take_told(wanted);
+    assert!(told.iter().any(|(owner, _)| *owner == name("b")), "{told:?}");
+    let second = told.iter().filter(|(owner, _)| *owner == name("c"));
+    let without_aim =
+        second.filter(|(_, message)| matches!(message, PeerMessage::Wanted { aim: None, .. })).count();
+    assert_eq!(without_aim, 0, "{told:?}");
+}
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -36,6 +36,8 @@
 pub const TICK: Duration = Duration::from_millis(50);
 /// How long the fake engine takes for a load.
 pub const LOAD_TIME: Duration = Duration::from_secs(4);
+/// How long a request runs that needn't wait.
+const RUN_TIME: Duration = Duration::from_millis(400);
 /// What an engine draws with something loaded.
 pub const ACTIVE: Watts = Watts(700);
 /// The host whose process is under test.
@@ -303,6 +305,15 @@
         });
     }
 
+    /// Has the list name another engine, which a live process owns.
+    pub fn add_engine(&mut self, engine: &str, owner: &str) {
+        let memory = Mebibytes(1000);
+        self.upstreams.insert(name(engine), Upstream { id: name(engine), ..engine_upstream(memory) });
+        self.add_member(owner);
+        let record = OwnerRecord { host: name(owner), incarnation: Incarnation(1), fence: Fence(7) };
+        self.put(Key::Owner(name(engine)), Record::Owner(record));
+    }
+
     /// Adds a live process.
     pub fn add_member(&mut self, host: &str) {
         let member = MemberRecord {
@@ -343,27 +354,19 @@
         order: ServiceOrder,
         patience: Duration,
     ) {
-        let message = PeerMessage::Wanted {
-            target: target(wanted),
-            waiting,
-            order,
-            patience,
-            aim: None,
-            arrived: waiting,
-        };
+        let message = PeerMessage::Wanted { target: target(wanted), waiting, order, patience, aim: None };
         self.hear(&name(router), &message);
     }
 
     /// Says on a router's behalf how many requests have arrived that needn't wait.
     pub fn arrive(&mut self, router: &str, model: &str, arrived: u32) {
-        let message = PeerMessage::Wanted {
-            target: target(model),
-            waiting: 0,
-            order: ServiceOrder::default(),
-            patience: Duration::ZERO,
-            aim: None,
-            arrived,
-        };
+        self.arrive_for(router, model, arrived, RUN_TIME);
+    }
+
+    /// Says the same of requests that run for a given time each.
+    pub fn arrive_for(&mut self, router: &str, model: &str, arrived: u32, run: Duration) {
+        let (target, worked) = (target(model), run * arrived);
+        let message = PeerMessage::Used { target, arrived, worked, waited_for: false };
         self.hear(&name(router), &message);
     }
 
--- a/crates/skylarkshore-standins/src/world/meter.rs
+++ b/crates/skylarkshore-standins/src/world/meter.rs
@@ -64,6 +64,7 @@
         PeerMessage::RecordsWanted { .. } => "records_wanted",
         PeerMessage::Records(_) => "records",
         PeerMessage::Wanted { .. } => "wanted",
+        PeerMessage::Used { .. } => "used",
         PeerMessage::View(_) => "view",
         PeerMessage::CannotLoad { .. } => "cannot_load",
         PeerMessage::LoadSlotWanted { .. }
--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -111,7 +111,12 @@
         order: u16,
         patience_ms: u64,
         aim_ms: Option<u64>,
+    },
+    Used {
+        target: TargetWire,
         arrived: u32,
+        worked_ms: u64,
+        waited_for: bool,
     },
     View(EngineViewWire),
     CannotLoad {
@@ -278,13 +283,18 @@
                 upto: batch.upto,
                 records: batch.records.iter().map(RecordWire::from).collect(),
             },
-            M::Wanted { target, waiting, order, patience, aim, arrived } => Self::Wanted {
+            M::Wanted { target, waiting, order, patience, aim } => Self::Wanted {
                 target: target.into(),
                 waiting: *waiting,
                 order: order.0,
                 patience_ms: millis(*patience),
                 aim_ms: aim.map(millis),
+            },
+            M::Used { target, arrived, worked, waited_for } => Self::Used {
+                target: target.into(),
                 arrived: *arrived,
+                worked_ms: millis(*worked),
+                waited_for: *waited_for,
             },
             M::View(view) => Self::View(view.into()),
             M::CannotLoad { target, reason, retry_after } => Self::CannotLoad {
@@ -343,13 +353,18 @@
                 let records = records.into_iter().map(Versioned::try_from).collect::<Result<_, _>>()?;
                 Self::Records(RecordBatch { after, upto, records })
             }
-            W::Wanted { target, waiting, order, patience_ms, aim_ms, arrived } => Self::Wanted {
+            W::Wanted { target, waiting, order, patience_ms, aim_ms } => Self::Wanted {
                 target: target.into(),
                 waiting,
                 order: ServiceOrder(order),
                 patience: Duration::from_millis(patience_ms),
                 aim: aim_ms.map(Duration::from_millis),
+            },
+            W::Used { target, arrived, worked_ms, waited_for } => Self::Used {
+                target: target.into(),
                 arrived,
+                worked: Duration::from_millis(worked_ms),
+                waited_for,
             },
             W::View(view) => Self::View(view.into()),
             W::CannotLoad { target, reason, retry_after_ms } => Self::CannotLoad {
--- a/crates/skylarkshore-wire/tests/formats.rs
+++ b/crates/skylarkshore-wire/tests/formats.rs
@@ -159,7 +159,12 @@
             order: ServiceOrder(10),
             patience: Duration::from_secs(5),
             aim: Some(Duration::from_millis(900)),
+        },
+        PeerMessage::Used {
+            target: ModelTarget { model: "maize".parse().unwrap(), adapter: None },
             arrived: 4,
+            worked: Duration::from_millis(900),
+            waited_for: true,
         },
         PeerMessage::View(view),
         PeerMessage::Suspects {
