--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -10,9 +10,11 @@
 mod history;
 mod ledger;
 mod load;
+mod load_times;
 mod own;
 mod pacing;
 mod policy;
+mod replicas;
 mod reservation;
 mod shortage;
 mod stages;
@@ -36,12 +38,13 @@
 use crate::loading::engine::Engine;
 use crate::loading::history::History;
 use crate::loading::ledger::Answered;
+use crate::loading::load_times::LoadTimes;
 use crate::loading::own::OwnEngines;
 use crate::loading::pacing::Pacing;
 use crate::loading::shortage::Shortages;
 use crate::loading::stages::ReportNews;
-use crate::loading::tally::{LoadTimes, Tally};
-use crate::loading::usage::Usage;
+use crate::loading::tally::Tally;
+use crate::loading::usage::{Told, Usage};
 use crate::peer::{CannotLoad, PeerMessage};
 use crate::rules::ServiceOrder;
 use crate::time::Time;
@@ -222,8 +225,12 @@
     ) {
         self.pacing.on_peer(cx, from, message);
         match message {
-            PeerMessage::Used { target, arrived, worked, waited_for } => {
-                self.usage.count(cx.now, &target.model, *arrived, *worked);
+            PeerMessage::Used { target, arrived, late, worked, waited_for } => {
+                self.usage.count(
+                    cx.now,
+                    &target.model,
+                    Told { arrived: *arrived, late: *late, worked: *worked },
+                );
                 self.note_use(cx, &target.model);
                 self.note_adapter_use(cx.now, target);
                 self.demand.listens(cx.now, from, &target.model, &cx.cfg.timings);
@@ -374,7 +381,7 @@
     if is_review_due {
         engine.next_review = cx.now.after(REVIEW_EVERY);
         wants::review_kept(cx, engine, beside);
-        wants::review_hot(cx, engine, beside);
+        replicas::review_hot(cx, engine, beside);
         wants::review_uncopied(cx, engine, beside);
     }
     let wants = wants::collect(cx, engine, beside);
--- a/crates/skylarkshore-core/src/loading/answer.rs
+++ b/crates/skylarkshore-core/src/loading/answer.rs
@@ -57,11 +57,10 @@
         return Verdict::Not { reason: CannotLoad::OwnershipInDoubt, retry_after: RETRY_SHORT };
     }
     let load_time = beside.load_times.on(cx, engine, model);
-    let key = LoadKey { engine: engine.id.clone(), model: model.clone() };
     let load = if engine.model(model).is_some_and(|seen| seen.state != LoadState::Unloading) {
         remaining(cx, engine, beside, wanted)
     } else {
-        load_time + beside.pacing.expected_wait(cx, &key)
+        load_time + store_wait(cx, engine, beside, model)
     };
     if let Some(failures) = engine.failures.get(model) {
         let retry = failures.retry.remaining(cx.now);
@@ -100,7 +99,7 @@
         return UNABLE;
     }
     if engine.model(model).is_some() || engine.loads.contains_key(model) {
-        return engine.loads.get(model).map_or(Duration::ZERO, |load| load.expected.remaining(cx.now));
+        return engine.loads.get(model).map_or(Duration::ZERO, |load| load.remaining(cx.now));
     }
     let own = wants::rank_of(cx, engine, beside, model, own);
     let goes_first = |other: &ModelName| {
@@ -115,8 +114,7 @@
     });
     let swap = |model: &ModelName| beside.load_times.unload() + beside.load_times.on(cx, engine, model);
     let ahead: Duration = ahead.map(swap).sum();
-    in_progress(cx, engine, beside)
-        + ahead
+    (in_progress(cx, engine, beside) + ahead).max(store_wait(cx, engine, beside, model))
         + room(cx, engine, beside, model)
         + beside.load_times.on(cx, engine, model)
 }
@@ -139,9 +137,18 @@
     if is_there || engine.has_copy(model) { ready } else { ready + beside.load_times.of(cx, model) }
 }
 
+/// Returns how long a load has to wait until the weight store has a share for it.
+fn store_wait(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, model: &ModelName) -> Duration {
+    if engine.is_one_by_one() && engine.has_copy(model) {
+        return Duration::ZERO;
+    }
+    let key = LoadKey { engine: engine.id.clone(), model: model.clone() };
+    beside.pacing.expected_wait(cx, &key)
+}
+
 /// Returns how long the order in progress is expected to last yet.
 fn in_progress(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>) -> Duration {
-    let load = engine.loads.values().map(|load| load.expected.remaining(cx.now)).max();
+    let load = engine.loads.values().map(|load| load.remaining(cx.now)).max();
     load.unwrap_or_else(|| turnaround::unload_remaining(engine, cx.now, beside.load_times))
 }
 
@@ -180,9 +187,8 @@
             let Want { order, deadline, waiting, .. } = *want;
             expected(cx, engine, beside, model, &Need { order, deadline, aim, waiting })
         } else {
-            let key = LoadKey { engine: engine.id.clone(), model: model.clone() };
             beside.load_times.on(cx, engine, model)
-                + beside.pacing.expected_wait(cx, &key)
+                + store_wait(cx, engine, beside, model)
                 + delay(cx, engine, beside, model)
         };
         planned.insert(model.clone(), cx.now.after(takes));
@@ -200,7 +206,7 @@
 fn remaining(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, wanted: &Wanted<'_>) -> Duration {
     let least = beside.load_times.on(cx, engine, &wanted.target.model) / OVERDUE_SHARE;
     let load = engine.loads.get(&wanted.target.model);
-    load.map_or(least, |load| load.expected.remaining(cx.now).max(least))
+    load.map_or(least, |load| load.remaining(cx.now).max(least))
 }
 
 fn within(wanted: &Wanted<'_>, takes: Duration, reason: CannotLoad, retry_after: Duration) -> Verdict {
--- a/crates/skylarkshore-core/src/loading/close.rs
+++ b/crates/skylarkshore-core/src/loading/close.rs
@@ -10,6 +10,7 @@
 use crate::loading::Beside;
 use crate::loading::engine::{Engine, memory_of};
 use crate::loading::policy::{self, Stay};
+use crate::loading::replicas;
 use crate::loading::shortage::Margin;
 use crate::loading::stages::{CloseReason, Closing};
 use crate::loading::wants::{self, Cause, Want};
@@ -240,7 +241,7 @@
                     && last_use(engine, beside, &seen.model).after(COPY_PATIENCE).is_due(cx.now)
             }
             _ if engine.hot.contains(&seen.model) => false,
-            _ if wants::is_needed_more(cx, engine, beside, &seen.model, want.waiting) => false,
+            _ if replicas::is_needed_more(cx, engine, beside, &seen.model, want.waiting) => false,
             Some(need) => want.waiting > 0 && want.order < need.order,
             None if kept => want.waiting > 0 && want.order < order,
             None => true,
--- a/crates/skylarkshore-core/src/loading/engine.rs
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -1,39 +1,27 @@
 //! What is known of one engine that this process owns.
 
+mod contact;
+mod reports;
+
 use std::time::Duration;
 
-use crate::authority::Permit;
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::cx::Cx;
-use crate::effect::Effect;
-use crate::id::{AdapterName, Fence, Incarnation, ModelName, OrderId, SiteName, UpstreamId};
-use crate::loading::ledger::{self, Ledger, Settled};
+use crate::id::{AdapterName, Fence, Incarnation, ModelName, SiteName, UpstreamId};
+use crate::loading::ledger::{self, Ledger};
 use crate::loading::reservation::Reservation;
-use crate::loading::stages::{Closing, Failures, LateOrders, LoadProgress, Phase, ReportNews, Seen};
+use crate::loading::stages::{Closing, Failures, LateOrders, LoadProgress, Phase, Seen, TakenForEnded};
 use crate::loading::tally::Tally;
-use crate::loading::turnaround::TakenForEnded;
 use crate::loading::views::Told;
 use crate::loading::wishes::Wishes;
 use crate::rules::ServiceOrder;
 use crate::time::Time;
 use crate::units::{Mebibytes, Watts};
-use crate::upstream::{
-    EngineReport, EngineSpec, FenceCheck, LoadState, Order, OrderAnswer, OrderMode, ReportedModel, Standing,
-};
-
-/// How long to wait before the fence is raised once more.
-const FENCE_RETRY: Duration = Duration::from_millis(500);
+use crate::upstream::{EngineReport, EngineSpec, LoadState, OrderMode, ReportedModel, Standing};
 
 /// How long an adapter takes to answer after its order was accepted; engines
 /// state 5 to 10 ms.
 const ADAPTER_LOAD_TIME: Duration = Duration::from_millis(20);
-/// For how long reports are passed over that show fewer orders than were counted.
-const OUTDATED_FOR: Duration = Duration::from_secs(1);
-/// How long before a load's expected end reports are asked for often.
-const REPORT_AHEAD: Duration = Duration::from_millis(50);
-
-/// How many times as often reports are asked for while a load is under way.
-const REPORTS_WHILE_LOADING: u32 = 4;
 
 /// One engine that this process owns.
 #[derive(Debug)]
@@ -180,44 +168,6 @@
         self.late_orders_memory = self.late_orders_reserve(cx, None);
     }
 
-    /// Gives up for lost the orders whose answer never came.
-    pub(crate) fn expire_orders(&mut self, cx: &mut Cx<'_>) {
-        let expired = self.ledger.expire(cx.now, cx.cfg.timings.order_settle);
-        if expired > 0 {
-            cx.note("order_lost", &self.id, format!("unanswered={expired}"));
-        }
-    }
-
-    /// Notes models that appeared without an order of this process.
-    ///
-    /// They are the work of a late order of the former owner; until none has
-    /// been seen for long enough, another one may come.
-    pub(crate) fn note_unexpected(&mut self, cx: &mut Cx<'_>, settled: &[Settled]) {
-        let Some(report) = self.report() else { return };
-        let known = |model: &ModelName| {
-            self.expected.contains(model)
-                || self.ledger.concerns(model)
-                || settled.iter().any(|order| ledger::model_of(&order.action) == Some(model))
-        };
-        let shown: OrderedSet<ModelName> = report.models.iter().map(|seen| seen.model.clone()).collect();
-        let unexpected: Vec<ModelName> = shown.iter().filter(|model| !known(model)).cloned().collect();
-        self.expected = shown;
-        let is_first = matches!(self.late_orders, LateOrders::UntilQuiet { since: None });
-        if is_first || !unexpected.is_empty() && matches!(self.late_orders, LateOrders::UntilQuiet { .. }) {
-            self.late_orders = LateOrders::UntilQuiet { since: Some(cx.now) };
-        }
-        // Engines that number their orders hold models from before anyone owned them.
-        if !is_first && !self.is_one_by_one() {
-            for model in unexpected {
-                cx.note(
-                    "unexpected_model",
-                    format!("{model}@{}", self.id),
-                    "loaded by no order of the owner",
-                );
-            }
-        }
-    }
-
     /// Tells whether the model is neither loaded nor loading nor possibly so.
     pub(crate) fn is_free_of(&self, model: &ModelName) -> bool {
         self.report().is_some()
@@ -256,19 +206,6 @@
         seen.is_some_and(|seen| seen.report.copies.in_memory.contains(model))
     }
 
-    /// Takes note of adapters whose loads were accepted but that a report doesn't show.
-    pub(crate) fn note_unshown(&mut self, cx: &mut Cx<'_>, settled: &[Settled]) {
-        for order in settled.iter().filter(|order| !order.shown) {
-            if let Order::LoadAdapter { model, adapter, .. } = &order.action {
-                cx.note(
-                    "adapter_not_shown",
-                    format!("{model}/{adapter}@{}", self.id),
-                    "will be asked for anew",
-                );
-            }
-        }
-    }
-
     /// Tells whether an adapter answers requests.
     pub(crate) fn has_adapter(&self, now: Time, model: &ModelName, adapter: &AdapterName) -> bool {
         let seen = self.model(model);
@@ -306,89 +243,6 @@
             || self.accepted.is_some() && !self.ledger.has_unanswered() && !self.ledger.has_model_order()
     }
 
-    /// Takes the answer to an order, as far as it tells how many orders were accepted.
-    pub(crate) fn count_answer(&mut self, now: Time, answer: &OrderAnswer) {
-        match answer {
-            OrderAnswer::Accepted => self.accepted = self.accepted.map(|accepted| accepted + 1),
-            OrderAnswer::OutOfTurn | OrderAnswer::Refused { .. } | OrderAnswer::Lost => {
-                self.accepted = None;
-                self.recount_from = now;
-                self.next_ask = now;
-            }
-            // Whether the engine has counted one that is done is told by what it was; see `note_done`.
-            OrderAnswer::Done | OrderAnswer::FenceTooLow { .. } | OrderAnswer::NotSent => {}
-        }
-    }
-
-    /// Takes note of an order that was carried out at once.
-    ///
-    /// Waiting for a report that shows it would hold the next order up for a
-    /// quarter of a second, as reports lag.
-    pub(crate) fn note_done(&mut self, now: Time, action: &Order) {
-        let held = match action {
-            Order::UnloadAdapter { model, adapter } => self.drop_adapter(model, adapter),
-            _ => false,
-        };
-        if held {
-            self.accepted = self.accepted.map(|accepted| accepted + 1);
-            return;
-        }
-        self.accepted = None;
-        self.recount_from = now;
-        self.next_ask = now;
-    }
-
-    /// Adds a model to what the last report showed, and takes the order for it as carried out.
-    pub(crate) fn show_model(&mut self, model: ReportedModel) {
-        let Some(seen) = &mut self.seen else { return };
-        seen.report.busy = false;
-        seen.report.models.retain(|held| held.model != model.model);
-        seen.report.models.push(model);
-    }
-
-    /// Takes a model out of what the last report showed.
-    pub(crate) fn drop_model(&mut self, model: &ModelName) {
-        if let Some(seen) = &mut self.seen {
-            seen.report.models.retain(|held| held.model != *model);
-        }
-    }
-
-    /// Takes an adapter out of what the last report showed; tells whether it was there.
-    fn drop_adapter(&mut self, model: &ModelName, adapter: &AdapterName) -> bool {
-        let Some(seen) = &mut self.seen else { return false };
-        let Some(held) = seen.report.models.iter_mut().find(|held| held.model == *model) else {
-            return false;
-        };
-        let before = held.adapters.len();
-        held.adapters.retain(|held| held.adapter != *adapter);
-        held.adapters.len() < before
-    }
-
-    /// Tells whether a report is from before the last order that the engine accepted.
-    ///
-    /// Its figures lag. One that shows an earlier number of orders shows models
-    /// and adapters as they were then.
-    fn is_outdated(&self, asked: Time, report: &EngineReport) -> bool {
-        let (Some(known), Some(told)) = (self.accepted, report.accepted) else { return false };
-        let believed = self.seen.as_ref().is_some_and(|seen| !seen.heard.after(OUTDATED_FOR).is_due(asked));
-        told < known && believed && self.incarnation() == Some(report.incarnation)
-    }
-
-    /// Tells whether a report may be from before the end of a load that is taken to have ended.
-    fn is_before_end(&self, asked: Time, report: &EngineReport) -> bool {
-        let Some(ended) = self.ended.as_ref().filter(|_| self.life == report.incarnation) else {
-            return false;
-        };
-        asked < ended.at.after(report.lag) && ledger::find(Some(report), &ended.model).is_none()
-    }
-
-    fn recount(&mut self, asked: Time, report: &EngineReport) {
-        let is_ahead = report.accepted > self.accepted;
-        if is_ahead || self.accepted.is_none() && asked >= self.recount_from.after(report.lag) {
-            self.accepted = report.accepted;
-        }
-    }
-
     /// Returns the report, once it may be relied on.
     pub(crate) fn report(&self) -> Option<&EngineReport> {
         self.seen.as_ref().filter(|_| self.phase == Phase::Known).map(|seen| &seen.report)
@@ -478,151 +332,10 @@
             .unwrap_or_default()
     }
 
-    /// Raises the fence and asks for reports when these are due.
-    pub(crate) fn keep_in_touch(&mut self, cx: &mut Cx<'_>, permit: Option<Permit>) {
-        if let (Phase::RaisingFence { order, retry }, Some(permit)) = (self.phase, permit)
-            && retry.is_due(cx.now)
-        {
-            // The same number again: an engine that always answers later than the next
-            // try would otherwise never give the answer that is waited for, and its
-            // models could not be loaded.
-            let order = self.send(cx, permit, order, Order::RaiseFence);
-            let retry = cx.now.after(cx.cfg.timings.engine_timeout);
-            self.phase = Phase::RaisingFence { order: Some(order), retry };
-        }
-        if self.next_ask.is_due(cx.now) && !matches!(self.phase, Phase::RaisingFence { .. }) {
-            self.ask_report(cx);
-        }
-    }
-
-    /// Asks the engine how it stands.
-    pub(crate) fn ask_report(&mut self, cx: &mut Cx<'_>) {
-        let every = cx.cfg.timings.report_every;
-        // Those who wait for a load feel how late its end is noticed. Where the
-        // length of loads is known, only the reports round the end tell anything;
-        // asked for all along, they were 37,000 calls in a day of 48 s at 112 engines.
-        let is_awaited =
-            if self.is_one_by_one() { self.awaits_report(cx.now) } else { !self.loads.is_empty() };
-        let every = if is_awaited { every / REPORTS_WHILE_LOADING } else { every };
-        self.next_ask = cx.now.after(every);
-        cx.push(Effect::AskReport { upstream: self.id.clone() });
-    }
-
-    /// Tells whether something can only go on once a new report comes.
-    fn awaits_report(&self, now: Time) -> bool {
-        let expected = self.loads.values().map(|load| load.expected).min();
-        let is_near = expected.is_none_or(|expected| now.after(REPORT_AHEAD) >= expected);
-        self.accepted.is_none() || self.ledger.has_model_order() && is_near
-    }
-
-    /// Sends an order and enters it into the ledger; `again` repeats one whose answer was lost.
-    pub(crate) fn send(
-        &mut self,
-        cx: &mut Cx<'_>,
-        permit: Permit,
-        again: Option<OrderId>,
-        action: Order,
-    ) -> OrderId {
-        let order = again.unwrap_or_else(|| cx.next_order());
-        let mut after = None;
-        if action != Order::RaiseFence {
-            after = self.ledger.begin(order, action.clone(), self.accepted, cx.now);
-        }
-        cx.push(Effect::Order {
-            upstream: self.id.clone(),
-            order,
-            fence: permit.fence,
-            not_after: permit.not_after,
-            after,
-            action,
-        });
-        order
-    }
-
-    /// Takes the answer to the order that raises the fence; tells whether it was that one.
-    pub(crate) fn on_fence_answer(&mut self, cx: &mut Cx<'_>, order: OrderId, answer: &OrderAnswer) -> bool {
-        let Phase::RaisingFence { order: Some(sent), .. } = self.phase else { return false };
-        if sent != order {
-            return false;
-        }
-        let ignores = self.spec.as_ref().is_some_and(|spec| spec.fence_check == FenceCheck::Ignores);
-        match answer {
-            OrderAnswer::Accepted | OrderAnswer::Done => self.on_fence_raised(cx),
-            OrderAnswer::Refused { .. } if ignores => self.on_fence_raised(cx),
-            OrderAnswer::FenceTooLow { .. } => self.phase = Phase::Superseded,
-            OrderAnswer::Refused { .. }
-            | OrderAnswer::OutOfTurn
-            | OrderAnswer::NotSent
-            | OrderAnswer::Lost => {
-                self.phase = Phase::RaisingFence { order: None, retry: cx.now.after(FENCE_RETRY) };
-            }
-        }
-        true
-    }
-
-    fn on_fence_raised(&mut self, cx: &mut Cx<'_>) {
-        self.phase = Phase::FenceRaised { at: cx.now };
-        self.ask_report(cx);
-    }
-
-    /// Takes a report over; tells what else it means.
-    pub(crate) fn take_report(&mut self, now: Time, asked: Time, report: &EngineReport) -> ReportNews {
-        if let Phase::FenceRaised { at } = self.phase
-            && asked >= at
-        {
-            self.phase = Phase::Known;
-        }
-        // A report that was under way when the next life began tells of models
-        // that are gone; orders and requests for them would all be refused.
-        if report.incarnation < self.life
-            || self.is_outdated(asked, report)
-            || self.is_before_end(asked, report)
-        {
-            return ReportNews::Unusable;
-        }
-        if self.phase != Phase::Known || self.seen.as_ref().is_some_and(|seen| seen.asked > asked) {
-            return ReportNews::Unusable;
-        }
-        for seen in report.models.iter().filter(|seen| seen.running > 0) {
-            self.last_busy.insert(seen.model.clone(), now);
-        }
-        self.recount(asked, report);
-        let restarted = self.incarnation().is_some_and(|known| known != report.incarnation);
-        self.life = report.incarnation;
-        self.seen = Some(Seen { asked, heard: now, report: report.clone() });
-        if restarted { ReportNews::Restarted } else { ReportNews::Usable }
-    }
-
     /// Returns which life of the engine the last report spoke of.
     pub(crate) fn incarnation(&self) -> Option<Incarnation> {
         self.seen.as_ref().map(|seen| seen.report.incarnation)
     }
-
-    /// Takes the host list's word that the engine has begun a new life, of which no report has come yet.
-    fn on_listed_life(&mut self, now: Time, life: Incarnation) {
-        self.life = life;
-        self.seen = None;
-        self.next_ask = now;
-        self.on_restart(now);
-    }
-
-    /// Forgets what an earlier life of the engine had loaded, and raises the fence again.
-    pub(crate) fn on_restart(&mut self, now: Time) {
-        self.ledger.begin_life();
-        // They ended with that life. Taken for loads that failed, each model would
-        // have to wait for its next try while its callers do.
-        self.loads.clear();
-        self.ended = None;
-        self.closing.clear();
-        self.closing_adapters.clear();
-        self.ready_since.clear();
-        self.last_busy.clear();
-        self.adapter_uses.clear();
-        self.accepted = None;
-        self.recount_from = now;
-        // A new life may have forgotten the fence and would obey a former owner.
-        self.phase = Phase::RaisingFence { order: None, retry: now };
-    }
 }
 
 /// Returns the memory that a model takes with its adapters.
--- a/crates/skylarkshore-core/src/loading/pacing.rs
+++ b/crates/skylarkshore-core/src/loading/pacing.rs
@@ -30,13 +30,11 @@
 const QUEUE_LIFE: Duration = Duration::from_secs(2);
 /// How far apart loads of the fixed share start at least.
 const LOCAL_SPACING: Duration = Duration::from_secs(1);
-/// For how many engines one more load may run at once than the settings say.
+/// For how many engines one load may run at once at most, however many the store carries.
 ///
-/// An engine that loads from the store can't swap models for as long. With 132
-/// at once on 112 engines, 1,038 of 2,394 callers of rarely used models were
-/// served in time, with four 1,227, with one for fourteen engines 1,215; the
-/// last of these leaves fewer models without any copy.
-const ENGINES_PER_LOAD: usize = 14;
+/// An engine that loads from the store can't swap models for as long; half of
+/// them have to go on serving those whose models lie on disks.
+const ENGINES_PER_LOAD: usize = 2;
 /// From how many times its listed length on a load counts as slowed down.
 const SLOWED: f64 = 1.5;
 /// Up to how many times its listed length a load counts as run at full speed.
@@ -87,7 +85,8 @@
     next: Time,
     /// When the gate was last heard of.
     heard: Option<Time>,
-    ahead: u32,
+    /// When the gate is expected to grant it.
+    granted_by: Time,
     share: Share,
     /// Whether the load has begun.
     started: bool,
@@ -99,6 +98,8 @@
 pub(crate) struct Pacing {
     asks: OrderedMap<LoadKey, Ask>,
     last_local: Option<Time>,
+    /// Until when the weight store is taken, as the gate last told.
+    busy_until: Time,
     gate: Gate,
 }
 
@@ -111,7 +112,7 @@
             wanted: now,
             next: now,
             heard: None,
-            ahead: 0,
+            granted_by: now,
             share: Share::None,
             started: false,
             urgency,
@@ -184,12 +185,14 @@
     }
 
     /// Returns how long a load has to wait for its slot, as far as the gate has told.
+    ///
+    /// One that wasn't asked for yet waits as long at least as the last one that was.
     pub(crate) fn expected_wait(&self, cx: &Cx<'_>, key: &LoadKey) -> Duration {
-        let Some(ask) = self.asks.get(key).filter(|ask| ask.share == Share::None) else {
-            return Duration::ZERO;
-        };
-        let (span, starts) = rate(cx).window();
-        span * (ask.ahead / u32::try_from(starts).unwrap_or(u32::MAX).max(1))
+        match self.asks.get(key) {
+            Some(ask) if ask.share == Share::None => ask.granted_by.remaining(cx.now),
+            Some(_) => Duration::ZERO,
+            None => self.busy_until.remaining(cx.now),
+        }
     }
 
     /// Renews slots, drops what isn't wanted any more and grants what can be granted.
@@ -207,6 +210,7 @@
                 (false, _) => {}
             }
         }
+        self.gate.look_at_running(cx);
         self.gate.grant_due(cx);
     }
 
@@ -231,11 +235,12 @@
                 let key = LoadKey { engine: upstream.clone(), model: model.clone() };
                 self.on_granted(cx, from, &key);
             }
-            PeerMessage::LoadSlotQueued { upstream, model, ahead } => {
+            PeerMessage::LoadSlotQueued { upstream, model, wait } => {
                 let key = LoadKey { engine: upstream.clone(), model: model.clone() };
+                self.busy_until = cx.now.after(*wait);
                 if let Some(ask) = self.asks.get_mut(&key) {
                     ask.heard = Some(cx.now);
-                    ask.ahead = *ahead;
+                    ask.granted_by = cx.now.after(*wait);
                 }
             }
             _ => {}
@@ -307,16 +312,40 @@
 ///
 /// Beyond that number each takes longer in proportion, so that more at once
 /// bring nothing and keep every engine busy. One would see loads end late, all
-/// at the same time.
+/// at the same time, or none end at all: where the store runs one load of 13 s
+/// at full speed, five at once took over a minute, and callers of twenty models
+/// waited in vain for a day of 48 s. So the number begins as the settings say, and
+/// doubles with each load that ends in time until the first doesn't.
 #[derive(Debug, Default)]
 struct Crowd {
     learned: Option<usize>,
+    /// Whether a load has been slowed down.
+    slowed: bool,
 }
 
 impl Crowd {
     fn most(&self, cx: &Cx<'_>) -> usize {
-        let most = most_at_once(cx);
-        self.learned.map_or(most, |learned| learned.min(most))
+        self.learned.unwrap_or(cx.cfg.limits.loads_at_once as usize).min(most_at_once(cx))
+    }
+
+    /// Takes note of a load that is still in progress, beside which `others` have run.
+    ///
+    /// What its length tells by now is enough; its end may be far away.
+    fn lasts(&mut self, cx: &mut Cx<'_>, listed: Duration, so_far: Duration, others: usize) {
+        let ratio = so_far.as_secs_f64() / listed.as_secs_f64().max(f64::MIN_POSITIVE);
+        let before = self.most(cx);
+        if ratio <= SLOWED || others == 0 {
+            return;
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            clippy::cast_precision_loss,
+            reason = "a few loads at once"
+        )]
+        let carried = ((others + 1) as f64 / ratio) as usize;
+        self.slowed = true;
+        self.learn(cx, before, carried.clamp(1, before), listed, so_far);
     }
 
     /// Takes the length of a load beside which `others` have run.
@@ -324,18 +353,24 @@
         let before = self.most(cx);
         let ratio = took.as_secs_f64() / listed.as_secs_f64().max(f64::MIN_POSITIVE);
         let now = if ratio > SLOWED {
+            self.slowed = true;
             ((others + 1) * 2 / 3).clamp(1, before)
         } else if ratio <= ON_TIME && others + 1 >= before {
-            (before + 1).min(most_at_once(cx))
+            let more = if self.slowed { before + 1 } else { before * 2 };
+            more.min(most_at_once(cx))
         } else {
             before
         };
-        if now != before {
-            self.learned = Some(now);
-            let detail =
-                format!("from={before} took_ms={} listed_ms={}", took.as_millis(), listed.as_millis());
-            cx.note("loads_at_once", now, detail);
+        self.learn(cx, before, now, listed, took);
+    }
+
+    fn learn(&mut self, cx: &mut Cx<'_>, before: usize, now: usize, listed: Duration, took: Duration) {
+        if now == before {
+            return;
         }
+        self.learned = Some(now);
+        let detail = format!("from={before} took_ms={} listed_ms={}", took.as_millis(), listed.as_millis());
+        cx.note("loads_at_once", now, detail);
     }
 }
 
@@ -374,9 +409,9 @@
         self.grant_due(cx);
         if let Some(own) = self.queue.get(key) {
             let ahead = self.queue.values().filter(|other| rank(other) < rank(own)).count();
-            let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+            let wait = self.wait(cx, ahead);
             let (upstream, model) = (key.engine.clone(), key.model.clone());
-            cx.tell(from, PeerMessage::LoadSlotQueued { upstream, model, ahead });
+            cx.tell(from, PeerMessage::LoadSlotQueued { upstream, model, wait });
         }
     }
 
@@ -390,6 +425,34 @@
         self.grant_due(cx);
     }
 
+    /// Learns from the loads that are in progress.
+    fn look_at_running(&mut self, cx: &mut Cx<'_>) {
+        for (key, granted) in &self.granted {
+            let Some(model) = cx.document.catalogue.models.get(&key.model) else { continue };
+            self.crowd.lasts(cx, model.load_time, cx.now.since(granted.since), granted.beside);
+        }
+    }
+
+    /// Estimates how long the load that has so many before it waits for its slot.
+    fn wait(&self, cx: &Cx<'_>, ahead: usize) -> Duration {
+        let at_once = self.crowd.most(cx);
+        let mut ends: Vec<Duration> = self
+            .granted
+            .iter()
+            .filter_map(|(key, granted)| {
+                let model = cx.document.catalogue.models.get(&key.model)?;
+                Some(granted.since.after(model.load_time).remaining(cx.now))
+            })
+            .collect();
+        ends.sort_unstable();
+        let spare = at_once.saturating_sub(ends.len());
+        let Some(behind) = ahead.checked_sub(spare) else { return Duration::ZERO };
+        let first = ends.get(behind % ends.len().max(1)).copied().unwrap_or_default();
+        let longest = cx.document.catalogue.models.values().map(|model| model.load_time).max();
+        let rounds = u32::try_from(behind / at_once).unwrap_or(u32::MAX);
+        first + longest.unwrap_or_default() * rounds
+    }
+
     fn count_others(&mut self) {
         let others = self.granted.len().saturating_sub(1);
         for granted in self.granted.values_mut() {
--- a/crates/skylarkshore-core/src/loading/stages.rs
+++ b/crates/skylarkshore-core/src/loading/stages.rs
@@ -1,12 +1,17 @@
 //! How far an engine and the models on it have come, as their owner knows it.
 
+use std::time::Duration;
+
 use derive_more::Display;
 
-use crate::id::OrderId;
+use crate::id::{ModelName, OrderId};
 use crate::rules::ServiceOrder;
 use crate::time::Time;
 use crate::upstream::EngineReport;
 
+/// Which part of the time that an overdue load has taken it is expected to last yet.
+const OVERDUE_PART: u32 = 3;
+
 /// How far the taking over of an engine has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -57,6 +62,30 @@
     pub is_from_store: bool,
 }
 
+impl LoadProgress {
+    /// Returns how long the load is expected to last yet.
+    ///
+    /// One that is overdue isn't about to end: the longer it has taken already, the
+    /// longer it may take. Callers who were told that it is nearly there, again and
+    /// again, waited for its model until they gave up.
+    pub(crate) fn remaining(&self, now: Time) -> Duration {
+        if self.expected.is_due(now) {
+            now.since(self.started) / OVERDUE_PART
+        } else {
+            self.expected.remaining(now)
+        }
+    }
+}
+
+/// A load that was taken to have ended before a report showed it.
+#[derive(Clone, Debug)]
+pub(crate) struct TakenForEnded {
+    /// The model.
+    pub model: ModelName,
+    /// When it was taken to have ended.
+    pub at: Time,
+}
+
 /// Why a model is to leave an engine.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub(crate) enum CloseReason {
--- a/crates/skylarkshore-core/src/loading/turnaround.rs
+++ b/crates/skylarkshore-core/src/loading/turnaround.rs
@@ -16,8 +16,8 @@
 use crate::cx::Cx;
 use crate::id::ModelName;
 use crate::loading::engine::{Engine, memory_of};
-use crate::loading::stages::LoadProgress;
-use crate::loading::tally::LoadTimes;
+use crate::loading::load_times::LoadTimes;
+use crate::loading::stages::{LoadProgress, TakenForEnded};
 use crate::time::Time;
 use crate::units::Mebibytes;
 use crate::upstream::{EngineReport, LoadState, Order, OrderAnswer, ReportedModel};
@@ -67,15 +67,6 @@
     !unloads.is_empty()
 }
 
-/// A load that was taken to have ended before a report showed it.
-#[derive(Clone, Debug)]
-pub(crate) struct TakenForEnded {
-    /// The model.
-    pub model: ModelName,
-    /// When it was taken to have ended.
-    pub at: Time,
-}
-
 /// Takes the loads from copies whose time is over to have ended, and shows their models as ready; tells
 /// whether there were any.
 ///
--- a/crates/skylarkshore-core/src/loading/usage.rs
+++ b/crates/skylarkshore-core/src/loading/usage.rs
@@ -17,6 +17,8 @@
 struct Rate {
     /// Requests that arrive in a second.
     requests: f64,
+    /// Those of them that engines began to answer late.
+    late: f64,
     /// Requests that run at a time.
     running: f64,
     at: Time,
@@ -26,10 +28,21 @@
     fn at(self, now: Time) -> Self {
         let age = now.since(self.at).as_secs_f64() / MEMORY.as_secs_f64();
         let left = (-age).exp();
-        Self { requests: self.requests * left, running: self.running * left, at: now }
+        Self { requests: self.requests * left, late: self.late * left, running: self.running * left, at: now }
     }
 }
 
+/// What a router tells of a model's use since it last did.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Told {
+    /// Requests that arrived.
+    pub arrived: u32,
+    /// Answers that began late for the engine's sake.
+    pub late: u32,
+    /// For how long requests ran, added up.
+    pub worked: Duration,
+}
+
 /// How much each model is used.
 #[derive(Debug, Default)]
 pub(crate) struct Usage {
@@ -37,11 +50,12 @@
 }
 
 impl Usage {
-    /// Counts requests that arrived at a router, and for how long its requests ran.
-    pub(crate) fn count(&mut self, now: Time, model: &ModelName, requests: u32, worked: Duration) {
+    /// Counts what a router tells.
+    pub(crate) fn count(&mut self, now: Time, model: &ModelName, told: Told) {
         let mut rate = self.rate(now, model);
-        rate.requests += f64::from(requests) / MEMORY.as_secs_f64();
-        rate.running += worked.as_secs_f64() / MEMORY.as_secs_f64();
+        rate.requests += f64::from(told.arrived) / MEMORY.as_secs_f64();
+        rate.late += f64::from(told.late) / MEMORY.as_secs_f64();
+        rate.running += told.worked.as_secs_f64() / MEMORY.as_secs_f64();
         self.rates.insert(model.clone(), rate);
     }
 
@@ -55,6 +69,12 @@
         self.rate(now, model).running
     }
 
+    /// Returns the share of the model's requests that engines begin to answer late.
+    pub(crate) fn late_share(&self, now: Time, model: &ModelName) -> f64 {
+        let rate = self.rate(now, model);
+        if rate.requests > 0.0 { rate.late / rate.requests } else { 0.0 }
+    }
+
     /// Returns the models that are asked for at least as often as this.
     pub(crate) fn above(&self, now: Time, per_second: f64) -> impl Iterator<Item = &ModelName> {
         self.rates.keys().filter(move |model| self.per_second(now, model) >= per_second)
--- a/crates/skylarkshore-core/src/loading/views.rs
+++ b/crates/skylarkshore-core/src/loading/views.rs
@@ -14,6 +14,8 @@
 
 /// How often changes of load alone are told at most.
 const LOAD_CHANGES_EVERY: Duration = Duration::from_secs(1);
+/// By how much later than told a load has to be ready for routers to hear of it.
+const LATER_TOLD: Duration = Duration::from_secs(1);
 /// How many such messages are sent for one engine in a second at most.
 ///
 /// A model in use everywhere has every host as a listener; telling each of 350
@@ -39,6 +41,7 @@
     let hosts = listeners(engine, &view, demand);
     let is_due = match &engine.told.last {
         None => true,
+        Some(last) if is_later(cx.now.since(engine.told.at), last, &view) => true,
         Some(last) if is_same(last, &view, true) && engine.closing.is_empty() => false,
         Some(last) => !is_same(last, &view, false) || engine.told.at.after(load_pause(&hosts)).is_due(cx.now),
     };
@@ -86,7 +89,9 @@
 }
 
 fn remember(now: Time, engine: &mut Engine, mut view: EngineView) -> EngineView {
-    if engine.told.last.as_ref().is_none_or(|last| !is_same(last, &view, true)) {
+    let ago = now.since(engine.told.at);
+    let is_news = |last: &EngineView| !is_same(last, &view, true) || is_later(ago, last, &view);
+    if engine.told.last.as_ref().is_none_or(is_news) {
         engine.told.number += 1;
         engine.told.at = now;
         engine.told.to.clear();
@@ -96,6 +101,22 @@
     view
 }
 
+/// Tells whether a load will be ready later than was told some time ago.
+///
+/// The remaining time runs down by itself at the routers. If they didn't hear
+/// that a load takes longer, they would have their callers wait for it in vain.
+fn is_later(ago: Duration, last: &EngineView, view: &EngineView) -> bool {
+    let remaining = |view: &EngineView, model: &ModelName| {
+        let seen = view.models.iter().find(|seen| seen.model == *model)?;
+        if let Readiness::Loading { remaining } = seen.readiness { Some(remaining) } else { None }
+    };
+    view.models.iter().any(|seen| {
+        let now = remaining(view, &seen.model);
+        let told = remaining(last, &seen.model);
+        now.zip(told).is_some_and(|(now, told)| now + ago > told + LATER_TOLD)
+    })
+}
+
 /// Tells whether two views say the same, `with_load` or apart from it.
 fn is_same(a: &EngineView, b: &EngineView, with_load: bool) -> bool {
     let structure = a.leaving == b.leaving
@@ -123,7 +144,7 @@
     let report = engine.report().filter(|_| !silent);
     let seen = report.map_or(&[][..], |report| &report.models);
     let mut models: Vec<ModelView> = seen.iter().map(|seen| model_view(cx.now, engine, seen)).collect();
-    let begun = engine.loads.iter().map(|(model, load)| (model, load.expected));
+    let begun = engine.loads.iter().map(|(model, load)| (model, cx.now.after(load.remaining(cx.now))));
     let planned = engine.planned.iter().map(|(model, ready)| (model, *ready));
     for (model, ready) in begun.chain(planned).filter(|(model, _)| engine.model(model).is_none()) {
         let Some(known) = cx.document.catalogue.models.get(model) else { continue };
@@ -159,8 +180,7 @@
         LoadState::Ready => Readiness::Ready,
         LoadState::Unloading => Readiness::Closing,
         LoadState::Loading => {
-            let remaining =
-                engine.loads.get(&seen.model).map_or(Duration::ZERO, |load| load.expected.remaining(now));
+            let remaining = engine.loads.get(&seen.model).map_or(Duration::ZERO, |load| load.remaining(now));
             Readiness::Loading { remaining }
         }
     };
--- a/crates/skylarkshore-core/src/loading/wants.rs
+++ b/crates/skylarkshore-core/src/loading/wants.rs
@@ -4,40 +4,18 @@
 
 use crate::collections::OrderedSet;
 use crate::cx::Cx;
-use crate::id::{ModelName, UpstreamId};
+use crate::id::ModelName;
 use crate::loading::engine::Engine;
 use crate::loading::policy::{self, Use};
+use crate::loading::replicas;
 use crate::loading::{Beside, demand::Need};
 use crate::rules::{Outcome, Percent, ServiceOrder};
-use crate::store::HomesRecord;
 use crate::time::Time;
-use crate::units::{Mebibytes, Watts};
-use crate::upstream::Standing;
+use crate::units::Watts;
 
 /// How many requests may wait for each slot of a replica before one more replica helps.
 const WAITING_PER_SLOT: u32 = 2;
 
-/// From how many requests a second on a model has a second replica.
-///
-/// At this rate the requests that a lost replica would keep waiting for a load
-/// are worth more than the memory of the second one.
-const HOT_RATE: f64 = 1.0;
-/// How many replicas such a model has at least.
-const HOT_REPLICAS: u32 = 2;
-/// The part of a model's replicas below which the others are loaded before all else, as its inverse.
-const SCARCE_SHARE: u32 = 2;
-/// How full a replica may be, as a share of the requests that it runs at a time, before one more helps.
-///
-/// Requests that run beside each other slow each other down, and prompts are
-/// read between the steps of all. Counted by the time that requests take, models
-/// that make tokens slowly get as many replicas as their work needs.
-const FULL_SHARE: f64 = 0.4;
-/// Into how many parts an engine's memory is divided, of which one is for models that are asked for often.
-///
-/// Were all of it theirs, none of the rarely used models that have their home
-/// there could ever be loaded.
-const HOT_SHARE: u64 = 2;
-
 /// From how many requests on a model is loaded before those that fewer wait for.
 const MANY_WAIT: u32 = 4;
 
@@ -193,97 +171,11 @@
     let homes = cx.cache.all_homes().filter(|(_, homes)| homes.engines.contains(&engine.id));
     let kept = homes.filter(|(model, homes)| {
         let least = rule(cx, engine, beside, model).replicas_min;
-        least > 0 && place(cx, engine, homes).is_some_and(|place| place < least)
+        least > 0 && replicas::place(cx, engine, homes).is_some_and(|place| place < least)
     });
     engine.kept = kept.map(|(model, _)| model.clone()).collect();
 }
 
-/// Works out which models are asked for so often that this engine has to hold them beside others.
-pub(crate) fn review_hot(cx: &Cx<'_>, engine: &mut Engine, beside: &Beside<'_>) {
-    engine.hot.clear();
-    engine.scarce.clear();
-    if !engine.is_one_by_one() {
-        return;
-    }
-    let mut often: Vec<(f64, ModelName)> = beside
-        .usage
-        .above(cx.now, HOT_RATE)
-        .map(|model| (beside.usage.per_second(cx.now, model), model.clone()))
-        .collect();
-    often.sort_by(|(a, _), (b, _)| b.total_cmp(a));
-    let mut room = Mebibytes(engine.memory().0 / HOT_SHARE);
-    for (rate, model) in often {
-        let Some(known) = cx.document.catalogue.models.get(&model) else { continue };
-        let Some((_, homes)) = cx.cache.homes(&model) else { continue };
-        let running = beside.usage.running(cx.now, &model);
-        let is_among =
-            place(cx, engine, homes).is_some_and(|place| place < replicas_for(engine, rate, running));
-        let fits = engine.hot.is_empty() || known.footprint() <= room;
-        if homes.engines.contains(&engine.id) && is_among && fits {
-            room = room.saturating_sub(known.footprint());
-            if holders(cx, &model, homes) * SCARCE_SHARE < replicas_by_load(engine, running) {
-                engine.scarce.insert(model.clone());
-            }
-            engine.hot.insert(model);
-        }
-    }
-}
-
-/// Tells whether more callers would wait for a model's return than wait now for the one that takes its place.
-///
-/// The first homes that hold it keep it, as many as its requests take. What was
-/// used last doesn't tell: a model with forty requests a second on its only
-/// replica was unloaded for one that had a single request a moment later, and
-/// the next second's forty callers waited for it to come back.
-pub(crate) fn is_needed_more(
-    cx: &Cx<'_>,
-    engine: &Engine,
-    beside: &Beside<'_>,
-    model: &ModelName,
-    waiting: u32,
-) -> bool {
-    let rate = beside.usage.per_second(cx.now, model);
-    let away = beside.load_times.unload() + beside.load_times.on(cx, engine, model);
-    if !engine.is_one_by_one() || rate * away.as_secs_f64() < f64::from(waiting.max(1)) {
-        return false;
-    }
-    let homes = cx.cache.homes(model).map_or(&[][..], |(_, homes)| &homes.engines);
-    let earlier = homes.iter().take_while(|home| **home != engine.id);
-    let holding = earlier.filter(|home| is_holding(cx, home, model));
-    u32::try_from(holding.count()).unwrap_or(u32::MAX)
-        < replicas_by_load(engine, beside.usage.running(cx.now, model))
-}
-
-/// Tells whether an engine holds a model and stays, as far as the list tells.
-fn is_holding(cx: &Cx<'_>, engine: &UpstreamId, model: &ModelName) -> bool {
-    let known = cx.upstreams.get(engine).filter(|known| known.standing == Standing::Live);
-    known.is_some_and(|known| known.holds.contains(model))
-}
-
-/// Returns how many of a model's homes hold it.
-fn holders(cx: &Cx<'_>, model: &ModelName, homes: &HomesRecord) -> u32 {
-    let holding = homes.engines.iter().filter(|home| is_holding(cx, home, model));
-    u32::try_from(holding.count()).unwrap_or(u32::MAX)
-}
-
-/// Returns how many replicas requests at this rate are worth, of which so many run at a time.
-pub(crate) fn replicas_for(engine: &Engine, per_second: f64, running: f64) -> u32 {
-    let by_load = replicas_by_load(engine, running);
-    if per_second >= HOT_RATE { by_load.max(HOT_REPLICAS) } else { 1 }
-}
-
-/// Returns how many replicas it takes for so many requests to run at a time.
-fn replicas_by_load(engine: &Engine, running: f64) -> u32 {
-    let capacity = f64::from(engine.concurrency()) * FULL_SHARE;
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "such numbers are small and positive"
-    )]
-    let replicas = (running / capacity.max(1.0)).ceil() as u32;
-    replicas.max(1)
-}
-
 /// Works out of which models the engine is to keep a copy that it doesn't have yet.
 ///
 /// The first load of a model comes from the weight store and takes several
@@ -331,28 +223,6 @@
     engine.expected_soon = expected;
 }
 
-/// Tells whether an engine is the last of a model's homes that can load at all.
-pub(crate) fn is_last(cx: &Cx<'_>, engine: &Engine, homes: &HomesRecord) -> bool {
-    usable(cx, engine, homes).last() == Some(&engine.id)
-}
-
-/// Returns an engine's place among the homes that can load at all.
-fn place(cx: &Cx<'_>, engine: &Engine, homes: &HomesRecord) -> Option<u32> {
-    usable(cx, engine, homes).zip(0..).find(|(home, _)| **home == engine.id).map(|(_, place)| place)
-}
-
-fn usable<'a>(
-    cx: &'a Cx<'_>,
-    engine: &'a Engine,
-    homes: &'a HomesRecord,
-) -> impl Iterator<Item = &'a UpstreamId> {
-    homes.engines.iter().filter(|home| {
-        let live = cx.upstreams.get(*home).is_some_and(|upstream| upstream.standing == Standing::Live);
-        let owned = cx.cache.owner(home).is_some_and(|(_, owner)| cx.cache.member(&owner.host).is_some());
-        **home == engine.id || live && owned
-    })
-}
-
 /// Returns how many replicas the requests that wait are worth.
 fn replicas_needed(engine: &Engine, need: &Need, outcome: &Outcome) -> u32 {
     let worth = need.waiting.div_ceil(engine.concurrency() * WAITING_PER_SLOT);
--- a/crates/skylarkshore-core/src/loading/wishes.rs
+++ b/crates/skylarkshore-core/src/loading/wishes.rs
@@ -8,7 +8,8 @@
 use crate::id::ModelName;
 use crate::loading::Beside;
 use crate::loading::engine::Engine;
-use crate::loading::wants::{self, Want};
+use crate::loading::replicas;
+use crate::loading::wants::Want;
 use crate::time::Time;
 
 /// How long replicas have to be full before one more home is wished for.
@@ -76,13 +77,9 @@
 /// Tells whether a model, of which this is the last home, is asked for more than its homes can take.
 fn has_too_few_homes(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, model: &ModelName) -> bool {
     let Some((_, homes)) = cx.cache.homes(model) else { return false };
-    let wanted = wants::replicas_for(
-        engine,
-        beside.usage.per_second(cx.now, model),
-        beside.usage.running(cx.now, model),
-    );
+    let wanted = replicas::replicas_for(cx, engine, beside, model, homes);
     // The last one that can speak: one on an engine that is gone would never wish for another.
-    wants::is_last(cx, engine, homes) && homes.engines.len() < wanted as usize
+    replicas::is_last(cx, engine, homes) && homes.engines.len() < wanted as usize
 }
 
 fn keep_since(now: Time, since: &mut OrderedMap<ModelName, Time>, models: &[&ModelName]) {
--- a/crates/skylarkshore-core/src/peer.rs
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -75,6 +75,8 @@
         target: ModelTarget,
         /// How many requests for it arrived at the sender since it last told.
         arrived: u32,
+        /// How many answers since then began late although their requests hadn't waited there.
+        late: u32,
         /// For how long its requests from there have run since then, added up.
         worked: Duration,
         /// Whether requests wait there.
@@ -108,8 +110,8 @@
         upstream: UpstreamId,
         /// The model.
         model: ModelName,
-        /// How many loads go before it.
-        ahead: u32,
+        /// How long it is expected to wait.
+        wait: Duration,
     },
     /// The load may begin.
     LoadSlotGranted {
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -27,7 +27,7 @@
 use crate::cx::Cx;
 use crate::dump::{Belief, Gauge};
 use crate::effect::RefusalReason;
-use crate::event::{Arrival, AttemptEnd, LoadTold};
+use crate::event::{Arrival, AttemptEnd, LoadTold, Target};
 use crate::id::{AttemptId, CallId, HostId, RequestId, UpstreamId};
 use crate::peer::PeerMessage;
 use crate::store::{Key, StoreResult, WriteOutcome};
@@ -115,6 +115,14 @@
         };
         let Some(request) = self.requests.get_mut(id) else { return };
         if let State::Sent(run) = request.state.clone() {
+            let is_late = request.arrival.terms.aim.is_due(cx.now);
+            let waited = run.sent.since(request.arrived);
+            let by_engine = is_late && waited * 2 < cx.now.since(request.arrived);
+            if let Target::Model(target) = &request.arrival.target
+                && by_engine
+            {
+                self.wants.count_late(target);
+            }
             request.enter(State::Answering(run), cx.now);
         }
     }
--- a/crates/skylarkshore-core/src/serving/wanted.rs
+++ b/crates/skylarkshore-core/src/serving/wanted.rs
@@ -40,6 +40,8 @@
 #[derive(Debug)]
 struct Want {
     arrived: u32,
+    /// Answers that began late for the engine's sake.
+    late: u32,
     last_arrival: Time,
     told: Option<Time>,
     /// When the owners were last told how often it is asked for.
@@ -109,6 +111,7 @@
         }
         let want = Want {
             arrived: 1,
+            late: 0,
             last_arrival: now,
             told: None,
             counted: Time::START,
@@ -127,6 +130,13 @@
         None
     }
 
+    /// Counts an answer that began late although its request hadn't waited here.
+    pub(super) fn count_late(&mut self, target: &ModelTarget) {
+        if let Some(want) = self.wants.get_mut(target) {
+            want.late = want.late.saturating_add(1);
+        }
+    }
+
     /// Asks the owners for a target that requests wait for.
     ///
     /// The first home's owner is asked first, by every router, so that a burst
@@ -189,9 +199,10 @@
             }
             want.counted = cx.now;
             let arrived = std::mem::take(&mut want.arrived);
+            let late = std::mem::take(&mut want.late);
             for owner in owners(cx, target, &OrderedSet::new()) {
                 let (target, waited_for) = (target.clone(), want.waiting_since.is_some());
-                cx.tell(&owner, PeerMessage::Used { target, arrived, worked, waited_for });
+                cx.tell(&owner, PeerMessage::Used { target, arrived, late, worked, waited_for });
             }
         }
     }
--- a/crates/skylarkshore-core/tests/loading/pace.rs
+++ b/crates/skylarkshore-core/tests/loading/pace.rs
@@ -107,3 +107,36 @@
     let begun = || rig.notes.iter().filter(|note| note.event == "load_started").count();
     assert_eq!(begun(), 1);
 }
+
+/// The weight store runs one load at full speed, and four were let through at
+/// first. Each takes four times as long, so that for a minute none ends. If only
+/// the loads that have ended told how many it carries, further ones would be let
+/// in beside them, none would ever end, and callers of their models would wait
+/// in vain for as long as the deployment runs.
+#[test]
+fn loads_that_do_not_end_tell_how_many_the_store_carries() {
+    let mut rig = rig(100_000);
+    ask(&mut rig, 12, Duration::from_secs(1));
+    let first = granted(&rig);
+    assert_eq!(first.len(), 4);
+    ask(&mut rig, 12, LOAD_TIME * 3);
+    give_back(&mut rig, &first[..2]);
+    ask(&mut rig, 12, Duration::from_secs(1));
+    assert_eq!(granted(&rig).len(), 4, "two of four slow loads are still in progress");
+}
+
+/// Four loads are in progress and eight wait. Whoever waits hears for how long,
+/// so that callers who can't wait as long are told at once.
+#[test]
+fn those_who_wait_for_the_store_hear_for_how_long() {
+    let mut rig = rig(100_000);
+    ask(&mut rig, 12, Duration::from_secs(1));
+    let waits = rig.told.iter().rev().take(12).filter_map(|envelope| match &envelope.message {
+        PeerMessage::LoadSlotQueued { wait, .. } => Some(*wait),
+        _ => None,
+    });
+    let waits: Vec<Duration> = waits.collect();
+    let longest = waits.iter().max().expect("eight wait");
+    assert!(*longest > LOAD_TIME && *longest < LOAD_TIME * 2, "{waits:?}");
+    assert!(waits.iter().all(|wait| *wait > Duration::ZERO), "{waits:?}");
+}
--- a/crates/skylarkshore-core/tests/loading/plan.rs
+++ b/crates/skylarkshore-core/tests/loading/plan.rs
@@ -6,7 +6,7 @@
 use skylarkshore_core::time::Time;
 use skylarkshore_core::upstream::Order;
 
-use crate::support::{Rig, TICK};
+use crate::support::{LOAD_TIME, Rig, TICK, name};
 
 const COPY_LOAD_TIME: Duration = Duration::from_millis(500);
 const PATIENT: Duration = Duration::from_secs(8);
@@ -149,6 +149,41 @@
     assert!(!rig.engine.holds("quick"), "two other engines are enough for it");
 }
 
+/// Two engines have a model that is asked for twice a second, which is little
+/// work; but their answers begin late, as prompts are long or others run there.
+/// If only the work counted, callers would go on waiting on two engines while a
+/// third stands idle.
+#[test]
+fn a_model_whose_answers_begin_late_gets_one_more_replica() {
+    for (late, is_needed) in [(0, false), (2, true)] {
+        let mut rig = Rig::with_copies(&[("hot", 300)], COPY_LOAD_TIME);
+        for (engine, owner) in [("engine-b", "entry-8"), ("engine-c", "entry-9")] {
+            rig.add_engine(engine, owner);
+            rig.set_held(engine, "hot");
+        }
+        rig.set_homes("hot", &["engine-b", "engine-c", "engine-a"]);
+        for _ in 0..10 {
+            rig.arrive_late("entry-2", "hot", 4, late);
+            rig.run(Duration::from_secs(2));
+        }
+        assert_eq!(rig.engine.holds("hot"), is_needed, "{late} of 4 late: {:?}", rig.notes);
+    }
+}
+
+/// A load takes four times as long as it should. A router that hears once that it
+/// is nearly there, and nothing more, has its callers wait until they give up,
+/// and sends new ones there too.
+#[test]
+fn routers_hear_that_a_load_takes_longer_than_they_were_told() {
+    let mut rig = Rig::one_by_one(&[("maize", 300)]);
+    let known = rig.document.catalogue.models.get_mut(&name("maize")).expect("the model is listed");
+    known.load_time = LOAD_TIME / 4;
+    rig.run(Duration::from_millis(100));
+    rig.run_wanting(LOAD_TIME * 9 / 10, "entry-2", "maize", 1);
+    let remaining = rig.remaining("entry-2", "maize").expect("the router hears when it comes");
+    assert!(remaining > Duration::from_millis(300), "{remaining:?}");
+}
+
 /// All places of an engine are taken by models that were used a moment ago, and
 /// callers who wait two seconds ask for another one, which is on its disk. A swap
 /// takes less than a second. If the room were taken to come free only seconds
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -363,10 +363,17 @@
         self.arrive_for(router, model, arrived, RUN_TIME);
     }
 
+    /// Says the same where engines began to answer some of them late.
+    pub fn arrive_late(&mut self, router: &str, model: &str, arrived: u32, late: u32) {
+        let (target, worked) = (target(model), RUN_TIME * arrived);
+        let message = PeerMessage::Used { target, arrived, late, worked, waited_for: false };
+        self.hear(&name(router), &message);
+    }
+
     /// Says the same of requests that run for a given time each.
     pub fn arrive_for(&mut self, router: &str, model: &str, arrived: u32, run: Duration) {
         let (target, worked) = (target(model), run * arrived);
-        let message = PeerMessage::Used { target, arrived, worked, waited_for: false };
+        let message = PeerMessage::Used { target, arrived, late: 0, worked, waited_for: false };
         self.hear(&name(router), &message);
     }
 
--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -115,6 +115,7 @@
     Used {
         target: TargetWire,
         arrived: u32,
+        late: u32,
         worked_ms: u64,
         waited_for: bool,
     },
@@ -133,7 +134,7 @@
     LoadSlotQueued {
         upstream: UpstreamId,
         model: ModelName,
-        ahead: u32,
+        wait_ms: u64,
     },
     LoadSlotGranted {
         upstream: UpstreamId,
@@ -290,9 +291,10 @@
                 patience_ms: millis(*patience),
                 aim_ms: aim.map(millis),
             },
-            M::Used { target, arrived, worked, waited_for } => Self::Used {
+            M::Used { target, arrived, late, worked, waited_for } => Self::Used {
                 target: target.into(),
                 arrived: *arrived,
+                late: *late,
                 worked_ms: millis(*worked),
                 waited_for: *waited_for,
             },
@@ -308,9 +310,11 @@
                 order: order.0,
                 patience_ms: millis(*patience),
             },
-            M::LoadSlotQueued { upstream, model, ahead } => {
-                Self::LoadSlotQueued { upstream: upstream.clone(), model: model.clone(), ahead: *ahead }
-            }
+            M::LoadSlotQueued { upstream, model, wait } => Self::LoadSlotQueued {
+                upstream: upstream.clone(),
+                model: model.clone(),
+                wait_ms: millis(*wait),
+            },
             M::LoadSlotGranted { upstream, model } => {
                 Self::LoadSlotGranted { upstream: upstream.clone(), model: model.clone() }
             }
@@ -360,9 +364,10 @@
                 patience: Duration::from_millis(patience_ms),
                 aim: aim_ms.map(Duration::from_millis),
             },
-            W::Used { target, arrived, worked_ms, waited_for } => Self::Used {
+            W::Used { target, arrived, late, worked_ms, waited_for } => Self::Used {
                 target: target.into(),
                 arrived,
+                late,
                 worked: Duration::from_millis(worked_ms),
                 waited_for,
             },
@@ -378,7 +383,9 @@
                 order: ServiceOrder(order),
                 patience: Duration::from_millis(patience_ms),
             },
-            W::LoadSlotQueued { upstream, model, ahead } => Self::LoadSlotQueued { upstream, model, ahead },
+            W::LoadSlotQueued { upstream, model, wait_ms } => {
+                Self::LoadSlotQueued { upstream, model, wait: Duration::from_millis(wait_ms) }
+            }
             W::LoadSlotGranted { upstream, model } => Self::LoadSlotGranted { upstream, model },
             W::LoadSlotReturned { upstream, model } => Self::LoadSlotReturned { upstream, model },
             W::PowerWanted { site, watts, order } => {
--- a/crates/skylarkshore-wire/tests/formats.rs
+++ b/crates/skylarkshore-wire/tests/formats.rs
@@ -163,6 +163,7 @@
         PeerMessage::Used {
             target: ModelTarget { model: "maize".parse().unwrap(), adapter: None },
             arrived: 4,
+            late: 1,
             worked: Duration::from_millis(900),
             waited_for: true,
         },
