Split the store's gate from what asks of it, and cut the circle round an engine

The gate and what it learns have a file of their own beside the asking process's side; what routers were told of an engine and since when its models need another home are types that the engine's file takes from below. No change of behaviour.

--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -7,6 +7,7 @@
 mod describe;
 mod engine;
 mod gaps;
+mod gate;
 mod history;
 mod ledger;
 mod load;
@@ -19,6 +20,7 @@
 mod shortage;
 mod stages;
 mod tally;
+mod told;
 mod turnaround;
 mod usage;
 mod views;
@@ -455,6 +457,6 @@
     }
 
     fn home_wishes(&self) -> Vec<HomeWish> {
-        self.engines.values().flat_map(|engine| engine.wishes.due()).cloned().collect()
+        self.engines.values().flat_map(|engine| &engine.wishes.due).cloned().collect()
     }
 }
--- a/crates/skylarkshore-core/src/loading/engine.rs
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -10,10 +10,11 @@
 use crate::id::{AdapterName, Fence, Incarnation, ModelName, SiteName, UpstreamId};
 use crate::loading::ledger::{self, Ledger};
 use crate::loading::reservation::Reservation;
-use crate::loading::stages::{Closing, Failures, LateOrders, LoadProgress, Phase, Seen, TakenForEnded};
+use crate::loading::stages::{
+    Closing, Failures, LateOrders, LoadProgress, Phase, Seen, TakenForEnded, Wishes,
+};
 use crate::loading::tally::Tally;
-use crate::loading::views::Told;
-use crate::loading::wishes::Wishes;
+use crate::loading::told::Told;
 use crate::rules::ServiceOrder;
 use crate::time::Time;
 use crate::units::{Mebibytes, Watts};
--- a/crates/skylarkshore-core/src/loading/stages.rs
+++ b/crates/skylarkshore-core/src/loading/stages.rs
@@ -4,6 +4,8 @@
 
 use derive_more::Display;
 
+use crate::authority::HomeWish;
+use crate::collections::OrderedMap;
 use crate::id::{ModelName, OrderId};
 use crate::rules::ServiceOrder;
 use crate::time::Time;
@@ -149,3 +151,14 @@
     /// It is the newest, and the engine has begun a new life.
     Restarted,
 }
+
+/// Since when an engine's models have needed another home.
+#[derive(Debug, Default)]
+pub(crate) struct Wishes {
+    /// Where the replicas are full.
+    pub full: OrderedMap<ModelName, Time>,
+    /// Where no room can be made.
+    pub crowded: OrderedMap<ModelName, Time>,
+    /// What has been wished for long enough.
+    pub due: Vec<HomeWish>,
+}
--- a/crates/skylarkshore-core/src/loading/views.rs
+++ b/crates/skylarkshore-core/src/loading/views.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::collections::{OrderedMap, OrderedSet};
+use crate::collections::OrderedSet;
 use crate::cx::Cx;
 use crate::id::{AdapterName, HostId, ModelName};
 use crate::loading::demand::Demand;
@@ -22,16 +22,6 @@
 /// hosts once a second would take several times what control may spend.
 const LOAD_CHANGES_PER_SECOND: u32 = 20;
 
-/// What was last told of an engine.
-#[derive(Debug, Default)]
-pub(crate) struct Told {
-    last: Option<EngineView>,
-    at: Time,
-    number: u64,
-    /// The routers that know the last account, and since when.
-    to: OrderedMap<HostId, Time>,
-}
-
 /// Tells every router that is interested in one of the engine's models what has changed.
 pub(crate) fn tell_changes(cx: &mut Cx<'_>, engine: &mut Engine, demand: &Demand) {
     if engine.seen.is_none() {
--- a/crates/skylarkshore-core/src/loading/wishes.rs
+++ b/crates/skylarkshore-core/src/loading/wishes.rs
@@ -17,21 +17,6 @@
 /// How long no room can be made before the home is to move.
 const CROWDED_FOR: Duration = Duration::from_secs(1);
 
-/// Since when an engine's models have needed another home.
-#[derive(Debug, Default)]
-pub(crate) struct Wishes {
-    full: OrderedMap<ModelName, Time>,
-    crowded: OrderedMap<ModelName, Time>,
-    due: Vec<HomeWish>,
-}
-
-impl Wishes {
-    /// Returns what has been wished for long enough.
-    pub(crate) fn due(&self) -> &[HomeWish] {
-        &self.due
-    }
-}
-
 /// Works out which models on an engine need another home.
 pub(crate) fn review(cx: &Cx<'_>, engine: &mut Engine, beside: &Beside<'_>, wants: &[Want]) {
     let waiting = |want: &&Want| want.waiting > 0;
