--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -46,7 +46,7 @@
 use crate::loading::shortage::Shortages;
 use crate::loading::stages::ReportNews;
 use crate::loading::tally::Tally;
-use crate::loading::usage::{Told, Usage};
+use crate::loading::usage::{Counted, Usage};
 use crate::peer::{CannotLoad, PeerMessage};
 use crate::rules::ServiceOrder;
 use crate::time::Time;
@@ -231,7 +231,7 @@
                 self.usage.count(
                     cx.now,
                     &target.model,
-                    Told { arrived: *arrived, late: *late, worked: *worked },
+                    Counted { arrived: *arrived, late: *late, worked: *worked },
                 );
                 self.note_use(cx, &target.model);
                 self.note_adapter_use(cx.now, target);
--- a/crates/skylarkshore-core/src/loading/usage.rs
+++ b/crates/skylarkshore-core/src/loading/usage.rs
@@ -34,7 +34,7 @@
 
 /// What a router tells of a model's use since it last did.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Told {
+pub(crate) struct Counted {
     /// Requests that arrived.
     pub arrived: u32,
     /// Answers that began late for the engine's sake.
@@ -51,7 +51,7 @@
 
 impl Usage {
     /// Counts what a router tells.
-    pub(crate) fn count(&mut self, now: Time, model: &ModelName, told: Told) {
+    pub(crate) fn count(&mut self, now: Time, model: &ModelName, told: Counted) {
         let mut rate = self.rate(now, model);
         rate.requests += f64::from(told.arrived) / MEMORY.as_secs_f64();
         rate.late += f64::from(told.late) / MEMORY.as_secs_f64();
