Learn nothing of the weight store from loads whose watchers stood still

Now a load counts as lasting when its holder last said so; a slot whose holder or gate stood still tells nothing; the gate's word holds for others for a second; an overdue load is expected to take its whole time once more at most.

--- a/crates/skylarkshore-core/src/loading/gate.rs
+++ b/crates/skylarkshore-core/src/loading/gate.rs
@@ -12,6 +12,11 @@
 
 /// After how long a slot that isn't renewed is given to others.
 const SLOT_LIFE: Duration = Duration::from_secs(35);
+/// After how long without its holder's word a slot tells nothing about its load;
+/// holders renew theirs every ten seconds.
+const HOLDER_SILENT: Duration = Duration::from_secs(12);
+/// After how long between two looks this process has stood still.
+const OWN_PAUSE: Duration = Duration::from_secs(2);
 /// After how long a load that isn't asked for any more leaves the queue.
 pub(crate) const QUEUE_LIFE: Duration = Duration::from_secs(2);
 /// For how many engines one load may run at once at most, however many the store carries.
@@ -63,6 +68,13 @@
 struct Granted {
     from: HostId,
     since: Time,
+    /// When its holder was last heard of.
+    renewed: Time,
+    /// Whether its holder or this process has stood still meanwhile.
+    ///
+    /// The end of the load is noticed late then. Were that taken for its length,
+    /// the store would seem slow, and callers be refused for want of a load.
+    was_paused: bool,
     /// The most others that have run beside it.
     beside: usize,
     expires: Time,
@@ -143,6 +155,8 @@
 /// The weight store's gate, in use at one process at a time.
 #[derive(Debug, Default)]
 pub(crate) struct Gate {
+    /// When it last looked at what runs.
+    looked: Time,
     queue: OrderedMap<LoadKey, Queued>,
     granted: OrderedMap<LoadKey, Granted>,
     /// When loads were let through within the last second.
@@ -154,6 +168,8 @@
     pub(crate) fn wanted(&mut self, cx: &mut Cx<'_>, from: &HostId, key: &LoadKey, urgency: Urgency) {
         if let Some(granted) = self.granted.get_mut(key).filter(|granted| granted.from == *from) {
             granted.expires = cx.now.after(SLOT_LIFE);
+            granted.was_paused |= granted.renewed.after(HOLDER_SILENT).is_due(cx.now);
+            granted.renewed = cx.now;
             tell_granted(cx, from, key);
             return;
         }
@@ -187,9 +203,18 @@
 
     /// Learns from the loads that are in progress.
     pub(crate) fn look_at_running(&mut self, cx: &mut Cx<'_>) {
+        // This process may have stood still, and the ends of loads with it.
+        if self.looked.after(OWN_PAUSE).is_due(cx.now) {
+            self.granted.values_mut().for_each(|granted| granted.was_paused = true);
+        }
+        self.looked = cx.now;
         for (key, granted) in &self.granted {
             let Some(model) = cx.document.catalogue.models.get(&key.model) else { continue };
-            self.crowd.lasts(cx, model.load_time, cx.now.since(granted.since), granted.beside);
+            // What counts is when its holder last said that it lasts.
+            let so_far = granted.renewed.since(granted.since);
+            if !granted.was_paused {
+                self.crowd.lasts(cx, model.load_time, so_far, granted.beside);
+            }
         }
     }
 
@@ -225,7 +250,7 @@
         let Some(model) = cx.document.catalogue.models.get(&key.model) else { return };
         let (listed, took) = (model.load_time, cx.now.since(granted.since));
         // A slot that was given back sooner wasn't used for a load.
-        if took * 2 > listed {
+        if took * 2 > listed && !granted.was_paused {
             self.crowd.ended(cx, listed, took, granted.beside);
         }
     }
@@ -244,7 +269,14 @@
             tell_granted(cx, &queued.from, &key);
             self.granted.insert(
                 key,
-                Granted { from: queued.from, since: cx.now, beside: 0, expires: cx.now.after(SLOT_LIFE) },
+                Granted {
+                    from: queued.from,
+                    since: cx.now,
+                    renewed: cx.now,
+                    was_paused: false,
+                    beside: 0,
+                    expires: cx.now.after(SLOT_LIFE),
+                },
             );
             self.count_others();
         }
--- a/crates/skylarkshore-core/src/loading/pacing.rs
+++ b/crates/skylarkshore-core/src/loading/pacing.rs
@@ -21,6 +21,8 @@
 const ASK_EVERY: Duration = Duration::from_millis(150);
 /// After how long without the gate's word the fixed share is used.
 const GATE_SILENT: Duration = Duration::from_millis(300);
+/// For how long the gate's word on one load is believed for others.
+const GATE_BELIEVED: Duration = Duration::from_secs(1);
 /// How often a running load renews its slot.
 const RENEW_EVERY: Duration = Duration::from_secs(10);
 /// How far apart loads of the fixed share start at least.
@@ -68,6 +70,8 @@
     last_local: Option<Time>,
     /// Until when the weight store is taken, as the gate last told.
     busy_until: Time,
+    /// Until when that is believed.
+    believed_until: Time,
     gate: Gate,
 }
 
@@ -154,11 +158,15 @@
 
     /// Returns how long a load has to wait for its slot, as far as the gate has told.
     ///
-    /// One that wasn't asked for yet waits as long at least as the last one that was.
+    /// One that wasn't asked for yet waits as long at least as the last one that was,
+    /// if that was just now. Were the gate's word believed for longer, callers would
+    /// be refused on account of loads that nobody wants any more, and as all are
+    /// refused, nobody would ask the gate anew.
     pub(crate) fn expected_wait(&self, cx: &Cx<'_>, key: &LoadKey) -> Duration {
         match self.asks.get(key) {
             Some(ask) if ask.share == Share::None => ask.granted_by.remaining(cx.now),
             Some(_) => Duration::ZERO,
+            None if self.believed_until.is_due(cx.now) => Duration::ZERO,
             None => self.busy_until.remaining(cx.now),
         }
     }
@@ -206,6 +214,7 @@
             PeerMessage::LoadSlotQueued { upstream, model, wait } => {
                 let key = LoadKey { engine: upstream.clone(), model: model.clone() };
                 self.busy_until = cx.now.after(*wait);
+                self.believed_until = cx.now.after(GATE_BELIEVED);
                 if let Some(ask) = self.asks.get_mut(&key) {
                     ask.heard = Some(cx.now);
                     ask.granted_by = cx.now.after(*wait);
--- a/crates/skylarkshore-core/src/loading/stages.rs
+++ b/crates/skylarkshore-core/src/loading/stages.rs
@@ -69,13 +69,15 @@
     ///
     /// One that is overdue isn't about to end: the longer it has taken already, the
     /// longer it may take. Callers who were told that it is nearly there, again and
-    /// again, waited for its model until they gave up.
+    /// again, waited for its model until they gave up. It isn't expected to take
+    /// more than its whole time once again: what held it up may have been a pause
+    /// of this process, after which callers would be refused for no reason.
     pub(crate) fn remaining(&self, now: Time) -> Duration {
-        if self.expected.is_due(now) {
-            now.since(self.started) / OVERDUE_PART
-        } else {
-            self.expected.remaining(now)
+        if !self.expected.is_due(now) {
+            return self.expected.remaining(now);
         }
+        let whole = self.expected.since(self.begins);
+        whole.min(now.since(self.started) / OVERDUE_PART)
     }
 }
 
