Tell operators of models asked for in vain, and of loads that were for nobody

Cause: no line told that a model is asked for at many hosts and loaded for none of them, nor whether a load was of use; both had to be worked out from all hosts' lines together. Added: model_unserved (the owner of the first home hears of every request), source and waiting at load_ended, used, ready_for_ms and waiting at model_unloaded; models_unserved and unloads_unused_total among the metrics. No decision is changed. Adapters are not told of. Tests: served.rs, two that failed without it.

--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -22,6 +22,7 @@
 mod tally;
 mod told;
 mod turnaround;
+mod unserved;
 mod usage;
 mod views;
 mod wants;
@@ -46,6 +47,7 @@
 use crate::loading::shortage::Shortages;
 use crate::loading::stages::ReportNews;
 use crate::loading::tally::Tally;
+use crate::loading::unserved::Unserved;
 use crate::loading::usage::{Counted, Usage};
 use crate::peer::{CannotLoad, PeerMessage};
 use crate::rules::ServiceOrder;
@@ -68,6 +70,7 @@
     pacing: Pacing,
     load_times: LoadTimes,
     tally: Tally,
+    unserved: Unserved,
 }
 
 /// What a decision on one engine needs beside the engine.
@@ -132,6 +135,11 @@
         for model in served {
             self.demand.serve(cx.now, &model);
         }
+        let (cache, engines) = (cx.cache, &self.engines);
+        self.unserved.look(cx, |model| {
+            let first = cache.homes(model).and_then(|(_, homes)| homes.engines.first());
+            first.is_some_and(|home| engines.contains_key(home))
+        });
     }
 
     /// Takes the end of an order.
@@ -233,6 +241,7 @@
                     &target.model,
                     Counted { arrived: *arrived, late: *late, worked: *worked },
                 );
+                self.unserved.asked(cx.now, &target.model, *arrived);
                 self.note_use(cx, &target.model);
                 self.note_adapter_use(cx.now, target);
                 self.demand.listens(cx.now, from, &target.model, &cx.cfg.timings);
--- a/crates/skylarkshore-core/src/loading/close.rs
+++ b/crates/skylarkshore-core/src/loading/close.rs
@@ -293,11 +293,28 @@
             continue;
         }
         engine.send(cx, permit, None, Order::Unload { model: model.clone() });
-        beside.tally.unloads += 1;
-        cx.note("model_unloaded", format!("{model}@{}", engine.id), format!("reason={}", closing.reason));
+        note_unloaded(cx, engine, beside, &model, closing.reason);
     }
 }
 
+/// Notes an unload, with what shows whether the load before it was of use to anybody.
+fn note_unloaded(
+    cx: &mut Cx<'_>,
+    engine: &Engine,
+    beside: &mut Beside<'_>,
+    model: &ModelName,
+    reason: CloseReason,
+) {
+    let ready = engine.ready_since.get(model).copied();
+    let is_used = beside.usage.last_worked(model).zip(ready).is_some_and(|(worked, ready)| worked >= ready);
+    let ready_for = ready.map_or(Duration::ZERO, |ready| cx.now.since(ready)).as_millis();
+    let waiting = beside.demand.of_model(model).map_or(0, |need| need.waiting);
+    let detail = format!("reason={reason} ready_for_ms={ready_for} used={is_used} waiting={waiting}");
+    cx.note("model_unloaded", format!("{model}@{}", engine.id), detail);
+    beside.tally.unloads += 1;
+    beside.tally.unused += u64::from(!is_used);
+}
+
 /// Tells whether a report, asked for after routers had time to stop, shows that nothing runs.
 ///
 /// The report's load figures lag; one that was asked for too early would miss a
--- a/crates/skylarkshore-core/src/loading/describe.rs
+++ b/crates/skylarkshore-core/src/loading/describe.rs
@@ -80,7 +80,9 @@
         gauge("accelerator_idle_seconds_total", loading.tally.idle.as_secs_f64()),
         gauge("loads_total", count(loading.tally.loads)),
         gauge("unloads_total", count(loading.tally.unloads)),
+        gauge("unloads_unused_total", count(loading.tally.unused)),
         gauge("loads_failed_total", count(loading.tally.failed)),
+        gauge("models_unserved", count(loading.unserved.len())),
     ]
 }
 
--- a/crates/skylarkshore-core/src/loading/load.rs
+++ b/crates/skylarkshore-core/src/loading/load.rs
@@ -243,7 +243,10 @@
         if cx.now.since(load.checked) <= MEASURABLE_GAP && load.is_from_store {
             beside.load_times.measured(&model, took);
         }
-        cx.note("load_ended", format!("{model}@{}", engine.id), format!("took_ms={}", took.as_millis()));
+        let source = if load.is_from_store { "store" } else { "copy" };
+        let waiting = beside.demand.of_model(&model).map_or(0, |need| need.waiting);
+        let detail = format!("took_ms={} source={source} waiting={waiting}", took.as_millis());
+        cx.note("load_ended", format!("{model}@{}", engine.id), detail);
     }
     for load in engine.loads.values_mut() {
         load.checked = cx.now;
--- a/crates/skylarkshore-core/src/loading/tally.rs
+++ b/crates/skylarkshore-core/src/loading/tally.rs
@@ -9,6 +9,8 @@
     pub loads: u64,
     /// Unloads that were ordered.
     pub unloads: u64,
+    /// Unloads of models that no request had run on since they were loaded.
+    pub unused: u64,
     /// Loads that failed.
     pub failed: u64,
     /// How long engines had something loaded and ran nothing.
--- a/crates/skylarkshore-core/src/loading/usage.rs
+++ b/crates/skylarkshore-core/src/loading/usage.rs
@@ -21,6 +21,8 @@
     late: f64,
     /// Requests that run at a time.
     running: f64,
+    /// When engines were last told to have worked for them.
+    worked_at: Option<Time>,
     at: Time,
 }
 
@@ -28,7 +30,13 @@
     fn at(self, now: Time) -> Self {
         let age = now.since(self.at).as_secs_f64() / MEMORY.as_secs_f64();
         let left = (-age).exp();
-        Self { requests: self.requests * left, late: self.late * left, running: self.running * left, at: now }
+        Self {
+            requests: self.requests * left,
+            late: self.late * left,
+            running: self.running * left,
+            at: now,
+            ..self
+        }
     }
 }
 
@@ -56,6 +64,9 @@
         rate.requests += f64::from(told.arrived) / MEMORY.as_secs_f64();
         rate.late += f64::from(told.late) / MEMORY.as_secs_f64();
         rate.running += told.worked.as_secs_f64() / MEMORY.as_secs_f64();
+        if told.worked > Duration::ZERO {
+            rate.worked_at = Some(now);
+        }
         self.rates.insert(model.clone(), rate);
     }
 
@@ -64,6 +75,11 @@
         self.rate(now, model).requests
     }
 
+    /// Returns when engines were last told to have worked on requests for the model.
+    pub(crate) fn last_worked(&self, model: &ModelName) -> Option<Time> {
+        self.rates.get(model)?.worked_at
+    }
+
     /// Returns how many requests for the model run at a time.
     pub(crate) fn running(&self, now: Time, model: &ModelName) -> f64 {
         self.rate(now, model).running
--- a/crates/skylarkshore-core/tests/loading.rs
+++ b/crates/skylarkshore-core/tests/loading.rs
@@ -17,3 +17,5 @@
 mod plan;
 #[path = "loading/policy.rs"]
 mod policy;
+#[path = "loading/served.rs"]
+mod served;
