Tell which loads the weight store's gate let through, and which went past it

Added: load_slot_granted at the gate, store_gate_silent where a load begins without it, with how long ago the gate was heard. No decision is changed.

--- a/crates/skylarkshore-core/src/loading/gate.rs
+++ b/crates/skylarkshore-core/src/loading/gate.rs
@@ -266,6 +266,13 @@
             let Some(key) = first.map(|(key, _)| key.clone()) else { return };
             let Some(queued) = self.queue.remove(&key) else { return };
             self.starts.push(cx.now);
+            let detail = format!(
+                "to={} running={} of={at_once} waiting={}",
+                queued.from,
+                self.granted.len(),
+                self.queue.len()
+            );
+            cx.note("load_slot_granted", format!("{}@{}", key.model, key.engine), detail);
             tell_granted(cx, &queued.from, &key);
             self.granted.insert(
                 key,
--- a/crates/skylarkshore-core/src/loading/pacing.rs
+++ b/crates/skylarkshore-core/src/loading/pacing.rs
@@ -108,7 +108,7 @@
         }
     }
 
-    fn take_local(&mut self, cx: &Cx<'_>, key: &LoadKey) -> bool {
+    fn take_local(&mut self, cx: &mut Cx<'_>, key: &LoadKey) -> bool {
         let now = cx.now;
         let spacing = local_spacing(cx);
         let is_taken = self.asks.values().any(|ask| ask.share == Share::Local);
@@ -119,6 +119,10 @@
         self.last_local = Some(now);
         if let Some(ask) = self.asks.get_mut(key) {
             ask.share = Share::Local;
+            let heard =
+                ask.heard.map_or_else(|| "never".to_owned(), |at| now.since(at).as_millis().to_string());
+            let detail = format!("asked_for_ms={} heard_ms_ago={heard}", now.since(ask.since).as_millis());
+            cx.note("store_gate_silent", format!("{}@{}", key.model, key.engine), detail);
         }
         true
     }
