Take a load that has just become overdue to end soon

Cause: from its listed time on a load was taken to last a third of its length more, 4.4 s of 13.2 s, and reports show each end some tenths of a second late. So callers whose patience ended within that time were refused just before every end of a load from the weight store. Ruled out: loads that are slowed down; they are told of as before (the test for that holds), only by how long they have been overdue.

--- a/crates/skylarkshore-core/src/loading/stages.rs
+++ b/crates/skylarkshore-core/src/loading/stages.rs
@@ -67,17 +67,21 @@
 impl LoadProgress {
     /// Returns how long the load is expected to last yet.
     ///
-    /// One that is overdue isn't about to end: the longer it has taken already, the
-    /// longer it may take. Callers who were told that it is nearly there, again and
-    /// again, waited for its model until they gave up. It isn't expected to take
-    /// more than its whole time once again: what held it up may have been a pause
-    /// of this process, after which callers would be refused for no reason.
+    /// One that is overdue isn't about to end: the longer it is, the longer it may
+    /// take. Callers who were told that it is nearly there, again and again, waited
+    /// for its model until they gave up. It isn't expected to take more than its
+    /// whole time once again: what held it up may have been a pause of this
+    /// process, after which callers would be refused for no reason. Nor is it taken
+    /// to last for longer than it has been overdue: a report shows each end some
+    /// tenths of a second late, and callers who had waited ten seconds were sent
+    /// away just before the model was there.
     pub(crate) fn remaining(&self, now: Time) -> Duration {
         if !self.expected.is_due(now) {
             return self.expected.remaining(now);
         }
         let whole = self.expected.since(self.begins);
-        whole.min(now.since(self.started) / OVERDUE_PART)
+        let overdue = now.since(self.expected);
+        overdue.min(whole).min(now.since(self.started) / OVERDUE_PART)
     }
 }
 
