--- a/crates/skylarkshore-core/tests/loading/pace.rs
+++ b/crates/skylarkshore-core/tests/loading/pace.rs
@@ -9,6 +9,9 @@
 
 use crate::support::{LOAD_TIME, Rig, name};
 
+/// How long a load from an engine's own disk takes here.
+const COPY_LOAD_TIME: Duration = Duration::from_millis(600);
+
 const PEER: &str = "entry-2";
 
 fn engine(number: usize) -> UpstreamId {
@@ -140,3 +143,31 @@
     assert!(*longest > LOAD_TIME && *longest < LOAD_TIME * 2, "{waits:?}");
     assert!(waits.iter().all(|wait| *wait > Duration::ZERO), "{waits:?}");
 }
+
+/// The weight store is taken by others, and a load waits for its turn at the
+/// gate, which answers within milliseconds. Meanwhile the engine loads another
+/// model from its own disk and asks the gate for nothing. With its next question
+/// the owner found that it had not heard of the gate for half a second, took it
+/// for silent and began the load without it. On eighty hosts that came to
+/// forty-four loads on a store that carries one at full speed: all of them slowed
+/// each other down, two ended in a day, and callers of forty models were refused
+/// from morning to night.
+/// The proof: all of those loads but the gate's two followed a line that says
+/// that the gate was silent, while the gate answered all other questions.
+#[test]
+fn a_load_that_pauses_asking_does_not_go_past_the_gate() {
+    let mut rig = Rig::with_copies(&[("maize", 300), ("rye", 300)], COPY_LOAD_TIME);
+    rig.engine.copies.on_disk.remove(&name("maize"));
+    rig.document.catalogue.load_rate = Some(LoadRate(100_000));
+    ask(&mut rig, 12, Duration::from_secs(1));
+    assert_eq!(granted(&rig).len(), 4, "the store is taken");
+    for round in 0..10 {
+        rig.want("entry-3", "maize", 1);
+        if round == 2 {
+            rig.want_with("entry-4", "rye", 1, ServiceOrder(1), Duration::from_secs(2));
+        }
+        ask(&mut rig, 12, Duration::from_millis(200));
+    }
+    assert!(rig.engine.holds("rye"), "{:?}", rig.notes);
+    assert_eq!(rig.engine.loads_of("maize"), 0, "{:?}", rig.notes);
+}
