Keep a model from the weight store for those who were told to come back

Cause: a model that had taken 13 s from the weight store was unloaded for the next one in the moment it was there, as nobody its owner knew of waited just then; its callers came back as told and were refused again. Mend: it stays for a quarter of the time that its load took. Ruled out: keeping the owner's counts of those who wait for longer; the model would then block the engine after having served them.

--- a/crates/skylarkshore-core/src/loading/close.rs
+++ b/crates/skylarkshore-core/src/loading/close.rs
@@ -232,6 +232,7 @@
         let kept = engine.kept.contains(&seen.model);
         let is_weaker = match waiting {
             _ if want.cause == Cause::Ahead => false,
+            _ if engine.stays_until.contains_key(&seen.model) => false,
             _ if want.cause == Cause::Copy => {
                 waiting.is_none()
                     && !kept
--- a/crates/skylarkshore-core/src/loading/engine.rs
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -48,6 +48,8 @@
     pub failures: OrderedMap<ModelName, Failures>,
     /// Since when each model is ready here.
     pub ready_since: OrderedMap<ModelName, Time>,
+    /// Until when models that came from the weight store aren't unloaded for others.
+    pub stays_until: OrderedMap<ModelName, Time>,
     /// When each model last had a request in progress here.
     pub last_busy: OrderedMap<ModelName, Time>,
     pub lacks: Option<(Watts, ServiceOrder)>,
@@ -118,6 +120,7 @@
             closing_adapters: OrderedMap::new(),
             failures: OrderedMap::new(),
             ready_since: OrderedMap::new(),
+            stays_until: OrderedMap::new(),
             last_busy: OrderedMap::new(),
             lacks: None,
             expected: OrderedSet::new(),
--- a/crates/skylarkshore-core/src/loading/engine/reports.rs
+++ b/crates/skylarkshore-core/src/loading/engine/reports.rs
@@ -173,6 +173,7 @@
         self.closing.clear();
         self.closing_adapters.clear();
         self.ready_since.clear();
+        self.stays_until.clear();
         self.last_busy.clear();
         self.adapter_uses.clear();
         self.accepted = None;
--- a/crates/skylarkshore-core/src/loading/load.rs
+++ b/crates/skylarkshore-core/src/loading/load.rs
@@ -27,6 +27,13 @@
 const MEASURABLE_GAP: Duration = Duration::from_secs(2);
 /// How often that wait is doubled at most.
 const MAX_DOUBLINGS: u32 = 7;
+/// For which part of its load's time a model that came from the weight store stays at least.
+///
+/// Callers who couldn't wait for it were told to come back about now, and hosts
+/// that wait for it may not have said so here. Unloaded at once, it has kept an
+/// engine and the store busy for nobody: of 40 such loads in a day 13 were
+/// undone within a second and 24 never used.
+const STAY_PART: u32 = 4;
 
 /// Begins the loads that are wanted and possible, the most urgent first.
 pub(crate) fn step(
@@ -226,6 +233,7 @@
     let ready: Vec<ModelName> =
         report.models.iter().filter(|m| m.state == LoadState::Ready).map(|m| m.model.clone()).collect();
     engine.ready_since.retain(|model, _| ready.contains(model));
+    engine.stays_until.retain(|model, until| ready.contains(model) && !until.is_due(cx.now));
     for model in ready {
         engine.failures.remove(&model);
         engine.ready_since.entry(model.clone()).or_insert(cx.now);
@@ -243,6 +251,9 @@
         if cx.now.since(load.checked) <= MEASURABLE_GAP && load.is_from_store {
             beside.load_times.measured(&model, took);
         }
+        if engine.is_one_by_one() && load.is_from_store {
+            engine.stays_until.insert(model.clone(), cx.now.after(took / STAY_PART));
+        }
         let source = if load.is_from_store { "store" } else { "copy" };
         let waiting = beside.demand.of_model(&model).map_or(0, |need| need.waiting);
         let detail = format!("took_ms={} source={source} waiting={waiting}", took.as_millis());
--- a/crates/skylarkshore-core/tests/loading/served.rs
+++ b/crates/skylarkshore-core/tests/loading/served.rs
@@ -56,9 +56,9 @@
 #[test]
 fn a_load_that_is_overdue_for_a_moment_is_not_taken_to_last_long() {
     let mut rig = Rig::one_by_one(&[("maize", 300)]);
-    let late = Duration::from_millis(400);
+    let late = LOAD_TIME / 10;
     let known = rig.document.catalogue.models.get_mut(&name("maize")).expect("the model is listed");
-    known.load_time = LOAD_TIME - late;
+    known.load_time = LOAD_TIME * 9 / 10;
     rig.run(Duration::from_millis(100));
     rig.want("entry-2", "maize", 1);
     rig.run_until("the load begins", |rig| rig.engine.loads_of("maize") == 1);
