Judge the weight store by how many loads ran when one began

Cause: a load that began alone and ended in time counted as run beside those that had begun later, so that the number let through rose from 2 to 4 on a store that carries one. Mend: what counts is how many ran when it was let through; the line of the grant tells that number.

--- a/crates/skylarkshore-core/src/loading/gate.rs
+++ b/crates/skylarkshore-core/src/loading/gate.rs
@@ -75,7 +75,12 @@
     /// The end of the load is noticed late then. Were that taken for its length,
     /// the store would seem slow, and callers be refused for want of a load.
     was_paused: bool,
-    /// The most others that have run beside it.
+    /// How many others ran when it was let through.
+    ///
+    /// The store sets a load's pace at its beginning; what begins later takes
+    /// longer itself. Counted by the most that ever ran beside it, a load that had
+    /// begun alone and ended in time doubled the number let through on a store
+    /// that carries one.
     beside: usize,
     expires: Time,
 }
@@ -238,13 +243,6 @@
         first + longest.unwrap_or_default() * rounds
     }
 
-    fn count_others(&mut self) {
-        let others = self.granted.len().saturating_sub(1);
-        for granted in self.granted.values_mut() {
-            granted.beside = granted.beside.max(others);
-        }
-    }
-
     fn note_end(&mut self, cx: &mut Cx<'_>, key: &LoadKey) {
         let Some(granted) = self.granted.remove(key) else { return };
         let Some(model) = cx.document.catalogue.models.get(&key.model) else { return };
@@ -266,12 +264,9 @@
             let Some(key) = first.map(|(key, _)| key.clone()) else { return };
             let Some(queued) = self.queue.remove(&key) else { return };
             self.starts.push(cx.now);
-            let detail = format!(
-                "to={} running={} of={at_once} waiting={}",
-                queued.from,
-                self.granted.len(),
-                self.queue.len()
-            );
+            let beside = self.granted.len();
+            let (to, waiting) = (&queued.from, self.queue.len());
+            let detail = format!("to={to} running={beside} of={at_once} waiting={waiting}");
             cx.note("load_slot_granted", format!("{}@{}", key.model, key.engine), detail);
             tell_granted(cx, &queued.from, &key);
             self.granted.insert(
@@ -281,11 +276,10 @@
                     since: cx.now,
                     renewed: cx.now,
                     was_paused: false,
-                    beside: 0,
+                    beside,
                     expires: cx.now.after(SLOT_LIFE),
                 },
             );
-            self.count_others();
         }
     }
 }
