Tell the owner that loads a model who waits for it

Cause: hosts asked the owner of the first home, whichever home had taken the model on. So the owner that loads counted nobody, and the first home's owner was asked without an aim and would have taken the model on as well. The test's output without the mend shows just that: only the other owner is asked. Test: the_owner_that_loads_is_told_who_waits, failing without it.

--- a/crates/skylarkshore-core/src/serving/supply.rs
+++ b/crates/skylarkshore-core/src/serving/supply.rs
@@ -193,10 +193,21 @@
             Prospect::Loading { .. } => Supply::Coming,
             Prospect::None => Supply::Nothing,
         };
+        if supply == Supply::Coming
+            && let Some(loader) = self.loader(cx, model)
+        {
+            self.wants.taken_on(cx, model, loader);
+        }
         let loaded = self.loaded(cx, model);
         self.wants.ask(cx, model, waiting, supply, pace, &loaded);
     }
 
+    /// Returns the owner of the engine that will be the first to be ready with a target.
+    fn loader(&self, cx: &Cx<'_>, target: &ModelTarget) -> Option<HostId> {
+        let engine = self.routes.views.first_loading(cx, target)?;
+        cx.cache.owner(engine).map(|(_, owner)| owner.host.clone())
+    }
+
     /// Returns the engines on which the base of a target can be used.
     fn loaded(&self, cx: &Cx<'_>, target: &ModelTarget) -> OrderedSet<UpstreamId> {
         let base = ModelTarget { model: target.model.clone(), adapter: None };
--- a/crates/skylarkshore-core/src/serving/views.rs
+++ b/crates/skylarkshore-core/src/serving/views.rs
@@ -160,6 +160,13 @@
         self.known.values().filter_map(move |known| known.ready_at(cx, &target))
     }
 
+    /// Returns the engine that will probably be the first to be ready with a target, of those that load it.
+    pub(super) fn first_loading(&self, cx: &Cx<'_>, target: &ModelTarget) -> Option<&UpstreamId> {
+        let loading =
+            self.known.iter().filter_map(|(engine, known)| Some((known.ready_at(cx, target)?, engine)));
+        loading.min().map(|(_, engine)| engine)
+    }
+
     /// Tells whether any account mentions a model on an engine, whatever its state.
     pub(super) fn mentions(&self, upstream: &UpstreamId, target: &ModelTarget) -> bool {
         let known = self.known.get(upstream);
--- a/crates/skylarkshore-core/src/serving/wanted.rs
+++ b/crates/skylarkshore-core/src/serving/wanted.rs
@@ -23,6 +23,9 @@
 /// How long an owner's word that it would take long is believed.
 const BUSY_FOR: Duration = Duration::from_millis(700);
 
+/// How long an owner that loads is counted on after its load was last heard of.
+const TAKEN_ON_FOR: Duration = Duration::from_secs(2);
+
 /// How long after the time that an assigned owner said the others are asked anew.
 const ASSIGNED_GRACE: Duration = Duration::from_millis(500);
 
@@ -269,6 +272,18 @@
         awaited.map(|(target, _)| target)
     }
 
+    /// Takes note of the owner whose engine loads a target, so that it is told of those who wait.
+    ///
+    /// Hosts ask the owner of the first home, whichever home has taken a model on.
+    /// An owner that isn't told who waits for its load gives the model's place to
+    /// others as soon as it is there, and those who waited are refused.
+    pub(super) fn taken_on(&mut self, cx: &Cx<'_>, target: &ModelTarget, loader: HostId) {
+        let Some(want) = self.wants.get_mut(target) else { return };
+        want.assigned_until = cx.now.after(TAKEN_ON_FOR);
+        want.told_to.insert(loader.clone());
+        want.assigned = Some(loader);
+    }
+
     /// Takes note that an owner spoke of a target that is on its way.
     pub(super) fn heard(&mut self, target: &ModelTarget) {
         if let Some(want) = self.wants.get_mut(target) {
--- a/crates/skylarkshore-core/tests/serving/flow.rs
+++ b/crates/skylarkshore-core/tests/serving/flow.rs
@@ -243,3 +243,21 @@
         second.filter(|(_, message)| matches!(message, PeerMessage::Wanted { aim: None, .. })).count();
     assert_eq!(without_aim, 0, "{told:?}");
 }
+
+/// The second home's owner loads a model, and callers come to other hosts that
+/// hear of it. Each of these hosts asked the first home's owner, so that the one
+/// that loads knew of nobody, and gave the model's place away as soon as it was
+/// there. Its callers had waited for ten seconds and were refused.
+#[test]
+fn the_owner_that_loads_is_told_who_waits() {
+    let mut p = Process::new("a", 1);
+    let remaining = Duration::from_secs(4);
+    p.peer("c", &PeerMessage::View(view("e2", 1, "m", Readiness::Loading { remaining })));
+    p.take();
+    p.arrive(1, arrival(&p, model("m"), 1));
+    p.pass(1000);
+    let told = p.take_told(wanted);
+    let is_counted = |message: &PeerMessage| matches!(message, PeerMessage::Wanted { waiting: 1, .. });
+    let counted = told.iter().any(|(owner, message)| *owner == name("c") && is_counted(message));
+    assert!(counted, "{told:?}");
+}
