--- a/crates/skylarkshore-core/tests/serving/flow.rs
+++ b/crates/skylarkshore-core/tests/serving/flow.rs
@@ -4,7 +4,7 @@
 
 use skylarkshore_core::catalogue::ModelTarget;
 use skylarkshore_core::effect::{Effect, RefusalOutcome, RefusalReason};
-use skylarkshore_core::event::AttemptEnd;
+use skylarkshore_core::event::{AttemptEnd, Target};
 use skylarkshore_core::id::Incarnation;
 use skylarkshore_core::id::RequestId;
 use skylarkshore_core::peer::{CannotLoad, PeerMessage};
@@ -261,3 +261,28 @@
     let counted = told.iter().any(|(owner, message)| *owner == name("c") && is_counted(message));
     assert!(counted, "{told:?}");
 }
+
+/// A model in constant use is ready on one engine and is to be loaded on another
+/// one too, from the weight store, in eighteen seconds. Callers ask for one of its
+/// adapters, which the first engine would load in a hundredth of a second. They
+/// were refused on arrival, with eighteen seconds to come back: what counted was
+/// the load of the base elsewhere. Adapters that were asked for all day were never
+/// served, while hundreds of other requests for the same base were.
+/// The proof: each of these refusals came in the millisecond of arrival and named
+/// the time of such a load; the owner of the ready base was not asked once.
+#[test]
+fn an_adapter_is_asked_for_where_its_base_is_ready() {
+    let mut p = Process::new("a", 1);
+    p.peer("b", &PeerMessage::View(view("e1", 1, "m", Readiness::Ready)));
+    let remaining = Duration::from_secs(18);
+    p.peer("c", &PeerMessage::View(view("e2", 1, "m", Readiness::Loading { remaining })));
+    p.take();
+    let adapted = Target::Model(ModelTarget { model: name("m"), adapter: Some(name("bern")) });
+    let mut impatient = arrival(&p, adapted, 1);
+    impatient.terms.begins_by = p.now.after(Duration::from_secs(2));
+    p.arrive(1, impatient);
+    assert_eq!(p.take_refused(), []);
+    p.pass(1000);
+    let told = p.take_told(wanted);
+    assert!(told.iter().any(|(owner, _)| *owner == name("b")), "{told:?}");
+}
