Ask for an adapter where its base is ready, whatever is loaded elsewhere

Cause: what could be expected for an adapter was the load of its base on any engine. Mend: the load of the base counts only where no engine has it ready.

--- a/crates/skylarkshore-core/src/serving/routing.rs
+++ b/crates/skylarkshore-core/src/serving/routing.rs
@@ -344,10 +344,24 @@
             return Prospect::Ready;
         }
         let Target::Model(target) = target else { return Prospect::None };
+        if self.lacks_only_adapter(cx, target) {
+            return Prospect::None;
+        }
         let ready_at = self.views.loading(cx, target).min();
         ready_at.map_or(Prospect::None, |ready_at| Prospect::Loading { ready_at })
     }
 
+    /// Tells whether a target is an adapter whose base is ready on an engine.
+    ///
+    /// It takes that engine a hundredth of a second. If the load of the base on one
+    /// more engine counted, callers of the adapter would be refused on arrival for
+    /// as long as that lasts, and nobody would be asked for the adapter.
+    fn lacks_only_adapter(&self, cx: &Cx<'_>, target: &ModelTarget) -> bool {
+        let base = ModelTarget { model: target.model.clone(), adapter: None };
+        let mut ready = self.views.ready(cx, &base).map(|known| &known.view.upstream);
+        target.adapter.is_some() && ready.any(|engine| self.usable(cx, engine))
+    }
+
     /// Tells whether the host list names a live replica of a service, be it paused or not.
     pub(super) fn has_replica(&self, cx: &Cx<'_>, service: &ServiceName) -> bool {
         let live = |u: &&Upstream| u.service() == Some(service) && u.standing == Standing::Live;
