--- a/crates/skylarkshore-core/tests/loading/pace.rs
+++ b/crates/skylarkshore-core/tests/loading/pace.rs
@@ -194,3 +194,21 @@
     rig.run_wanting(Duration::from_millis(500), PEER, "maize", 1);
     assert_eq!(rig.engine.loads_of("maize"), 1, "{:?}", rig.notes);
 }
+
+/// A load begins alone, and three more begin beside it some time later. The first
+/// one ends in time, as it had the store to itself at its beginning; the others
+/// will last several times as long. If it counted as run beside them, twice as
+/// many would be let through, and none of those would end for minutes.
+#[test]
+fn a_load_that_began_alone_does_not_tell_that_the_store_carries_more() {
+    let mut rig = rig(100_000);
+    for number in 0..20 {
+        rig.add_engine(&format!("far-{number}"), PEER);
+    }
+    ask(&mut rig, 1, LOAD_TIME / 2);
+    ask(&mut rig, 12, LOAD_TIME / 2);
+    assert_eq!(granted(&rig).len(), 4);
+    give_back(&mut rig, &[engine(0)]);
+    ask(&mut rig, 12, Duration::from_secs(1));
+    assert!(granted(&rig).len() <= 5, "{:?}", rig.notes);
+}
