Split what routers ask owners for, and what peers tell of loads

wanted.rs and loading.rs had grown to 470 lines each: which owner is asked, and what owners are told, are files of their own now, and so is what peers tell. No logic is changed.

--- a/crates/skylarkshore-core/src/serving/wanted.rs
+++ b/crates/skylarkshore-core/src/serving/wanted.rs
@@ -1,9 +1,11 @@
 //! What this router asks the engines' owners for, and what they said.
 
-use std::hash::BuildHasher;
+mod assign;
+mod owners;
+
 use std::time::Duration;
 
-use foldhash::fast::FixedState;
+use owners::{Ask, owners, tell};
 
 use crate::catalogue::ModelTarget;
 use crate::collections::{OrderedMap, OrderedSet};
@@ -26,9 +28,6 @@
 /// How long an owner that loads is counted on after its load was last heard of.
 const TAKEN_ON_FOR: Duration = Duration::from_secs(2);
 
-/// How long after the time that an assigned owner said the others are asked anew.
-const ASSIGNED_GRACE: Duration = Duration::from_millis(500);
-
 /// An owner's word that it can't make a target available.
 #[derive(Clone, Debug)]
 pub(super) struct Refused {
@@ -338,111 +337,3 @@
         self.wants.get(target)?.unheard_since
     }
 }
-
-impl Want {
-    /// Looks further where the owners that were asked would take long.
-    ///
-    /// Where all would, the one that would be ready first is asked all the same.
-    ///
-    /// Its word is only an estimate. Once the time it said is over, and nothing
-    /// is ready, all are asked anew: what held it up may last, and the callers
-    /// of a model that many ask for would wait behind it until they give up.
-    fn assign(&mut self, cx: &mut Cx<'_>, target: &ModelTarget, owners: &[HostId], supply: Supply) {
-        let now = cx.now;
-        self.busy.retain(|_, busy| !busy.until.is_due(now));
-        if self.assigned.is_some() && supply == Supply::Nothing && self.assigned_until.is_due(now) {
-            self.assigned = None;
-            self.told_to.clear();
-            self.asked = 1;
-        }
-        if supply != Supply::Nothing || self.assigned.is_some() {
-            return;
-        }
-        let is_open = |owner: &HostId| !self.busy.contains_key(owner) && !self.refused.contains_key(owner);
-        if owners.iter().take(self.asked).any(is_open) {
-            return;
-        }
-        if let Some(place) = owners.iter().position(is_open) {
-            self.asked = self.asked.max(place + 1);
-            return;
-        }
-        let fastest = self.busy.iter().min_by_key(|(_, busy)| busy.ready_at);
-        let Some((owner, busy)) = fastest else { return };
-        let takes = busy.ready_at.remaining(now).as_millis();
-        cx.note("load_assigned", target, format!("to={owner} takes_ms={takes} of={}", self.busy.len()));
-        // It is told without an aim, so that it takes the target on.
-        self.told_to.insert(owner.clone());
-        self.assigned = Some(owner.clone());
-        self.assigned_until = busy.ready_at.after(ASSIGNED_GRACE);
-    }
-
-    /// Tells whether other owners have taken the target on, and this one hasn't.
-    ///
-    /// Once all those who wait have passed their aim, an owner can't say any more
-    /// that it would take too long, and takes the target on. If it were asked
-    /// beside the one that loads already, a model that comes from the weight
-    /// store would be loaded at each of its homes, and keep three engines from all
-    /// other loads for as long.
-    fn is_taken_on_by_others(&self, owner: &HostId) -> bool {
-        !self.told_to.contains(owner) && !self.told_to.is_empty() && self.assigned.as_ref() != Some(owner)
-    }
-
-    fn widen(&mut self, cx: &Cx<'_>, owners: &[HostId], supply: Supply, due: bool) {
-        if !due || self.told.is_none() || self.asked >= owners.len() {
-            return;
-        }
-        let all_asked_refuse = owners.iter().take(self.asked).all(|o| self.refused.contains_key(o));
-        let silent = supply == Supply::Nothing
-            && self
-                .unheard_since
-                .is_some_and(|since| since.after(cx.cfg.timings.peer_timeout).is_due(cx.now));
-        if supply == Supply::Full || all_asked_refuse || silent {
-            self.asked += 1;
-        }
-    }
-}
-
-/// What an owner is told of the requests for a target.
-#[derive(Clone, Copy, Debug)]
-struct Ask {
-    count: u32,
-    order: ServiceOrder,
-    patience: Duration,
-    aim: Option<Duration>,
-}
-
-fn tell(cx: &mut Cx<'_>, owner: &HostId, target: &ModelTarget, ask: Ask) {
-    let message = PeerMessage::Wanted {
-        target: target.clone(),
-        waiting: ask.count,
-        order: ask.order,
-        patience: ask.patience,
-        aim: ask.aim,
-    };
-    cx.tell(owner, message);
-}
-
-/// Returns the owners of a model's homes, each once, in the order in which they are asked.
-///
-/// That is the order of the homes for a base model. Engines hold only a few
-/// adapters at a time, so each adapter has an order of its own among the homes
-/// where its base is `loaded`; else the first home would load and unload them in
-/// turn while the others have room.
-fn owners(cx: &Cx<'_>, target: &ModelTarget, loaded: &OrderedSet<UpstreamId>) -> Vec<HostId> {
-    let mut owners = Vec::new();
-    let Some((_, homes)) = cx.cache.homes(&target.model) else { return owners };
-    let mut engines: Vec<&UpstreamId> = homes.engines.iter().collect();
-    if let Some(adapter) = &target.adapter {
-        engines.sort_by_key(|engine| {
-            let own = FixedState::default().hash_one((adapter.as_str(), engine.as_str()));
-            (!loaded.contains(*engine), own)
-        });
-    }
-    for engine in engines {
-        let Some((_, owner)) = cx.cache.owner(engine) else { continue };
-        if !owners.contains(&owner.host) {
-            owners.push(owner.host.clone());
-        }
-    }
-    owners
-}
