Show in a test that fails why nothing was fetched after a fault: slots held by nobody

The gate keeps a slot for 35 s after its holder's last word, which is longer than recovery may take (12 s), and the settings with which the program is deployed let one load through at a time. Ruled out: an engine that takes no orders (it loaded from copies meanwhile), a gate that counts as silent (its answers came), the machine's load (the gate's own log has no pause in that time).

--- a/crates/skylarkshore-core/tests/loading/pace.rs
+++ b/crates/skylarkshore-core/tests/loading/pace.rs
@@ -1,5 +1,6 @@
 //! The gate that keeps all processes to what the weight store carries.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use skylarkshore_core::id::{HostId, UpstreamId};
@@ -20,16 +21,20 @@
 
 /// Has a peer ask for loads of `maize` on so many engines, again and again for a while.
 fn ask(rig: &mut Rig, engines: usize, d: Duration) {
+    ask_from(rig, PEER, 0..engines, d);
+}
+
+fn ask_from(rig: &mut Rig, peer: &str, engines: Range<usize>, d: Duration) {
     let end = rig.now.after(d);
     while rig.now < end {
-        for number in 0..engines {
+        for number in engines.clone() {
             let wanted = PeerMessage::LoadSlotWanted {
                 upstream: engine(number),
                 model: name("maize"),
                 order: ServiceOrder::default(),
                 patience: Duration::from_mins(1),
             };
-            rig.hear(&name(PEER), &wanted);
+            rig.hear(&name(peer), &wanted);
         }
         rig.run(Duration::from_millis(200));
     }
@@ -212,3 +217,19 @@
     ask(&mut rig, 12, Duration::from_secs(1));
     assert!(granted(&rig).len() <= 5, "{:?}", rig.notes);
 }
+
+/// A host that holds every slot of the weight store is killed, or the message that
+/// gives its slots back is lost. If the gate kept them for a host that says nothing
+/// any more, no other host could fetch a model, and callers of every model that
+/// lies on no disk would be refused until long after the fault is over.
+#[test]
+fn slots_of_a_host_that_says_nothing_are_free_again_before_recovery_is_due() {
+    /// Within that time after the last fault most requests have to be served again.
+    const RECOVERY: Duration = Duration::from_secs(12);
+
+    let mut rig = rig(100_000);
+    ask(&mut rig, 12, Duration::from_secs(1));
+    assert_eq!(granted(&rig).len(), 4, "the store is taken");
+    ask_from(&mut rig, "entry-3", 20..21, RECOVERY - LOAD_TIME);
+    assert!(granted(&rig).contains(&engine(20)), "{:?}", rig.notes);
+}
