Free the weight store's slots of hosts that say nothing within seconds

Cause: a slot lived for 35 s after its holder's last word, and holders renewed every 10 s. Change: holders renew every 2 s by a message of its own, LoadSlotHeld, to whichever process keeps the gate now; a slot lives for three renewals and a second. So a successor of the gate also hears of loads that run (it knew of none until holders asked the former one again), loads begun without a gate count once there is one, and the learning of slow stores looks at ages of 2 s instead of 10 s. The former gate is told that the slot is returned.

--- a/crates/skylarkshore-core/src/loading/gate.rs
+++ b/crates/skylarkshore-core/src/loading/gate.rs
@@ -10,11 +10,18 @@
 use crate::time::Time;
 use crate::units::LoadRate;
 
-/// After how long a slot that isn't renewed is given to others.
-const SLOT_LIFE: Duration = Duration::from_secs(35);
-/// After how long without its holder's word a slot tells nothing about its load;
-/// holders renew theirs every ten seconds.
-const HOLDER_SILENT: Duration = Duration::from_secs(12);
+/// How often the holder of a slot renews it.
+pub(crate) const RENEW_EVERY: Duration = Duration::from_secs(2);
+/// After how long a slot that isn't renewed is given to others; two renewals in
+/// a row may be lost.
+///
+/// Its holder may be gone, or what gave it back be lost. With one load at a time
+/// that slot is the whole store: held for 35 s, nothing was fetched until long
+/// after a fault, and callers of models that lie on no disk were refused. A
+/// holder that is paused for longer goes on loading, beside one load more.
+const SLOT_LIFE: Duration = RENEW_EVERY.saturating_mul(3).saturating_add(Duration::from_secs(1));
+/// After how long without its holder's word a slot tells nothing about its load.
+const HOLDER_SILENT: Duration = RENEW_EVERY.saturating_mul(2).saturating_add(Duration::from_millis(500));
 /// After how long between two looks this process has stood still.
 const OWN_PAUSE: Duration = Duration::from_secs(2);
 /// After how long a load that isn't asked for any more leaves the queue.
@@ -174,10 +181,8 @@
 
 impl Gate {
     pub(crate) fn wanted(&mut self, cx: &mut Cx<'_>, from: &HostId, key: &LoadKey, urgency: Urgency) {
-        if let Some(granted) = self.granted.get_mut(key).filter(|granted| granted.from == *from) {
-            granted.expires = cx.now.after(SLOT_LIFE);
-            granted.was_paused |= granted.renewed.after(HOLDER_SILENT).is_due(cx.now);
-            granted.renewed = cx.now;
+        if self.granted.get(key).is_some_and(|granted| granted.from == *from) {
+            self.held(cx, from, key);
             tell_granted(cx, from, key);
             return;
         }
@@ -199,6 +204,24 @@
         }
     }
 
+    /// Takes note that a load is in progress, whoever let it through.
+    pub(crate) fn held(&mut self, cx: &Cx<'_>, from: &HostId, key: &LoadKey) {
+        self.queue.remove(key);
+        let granted = self.granted.entry(key.clone()).or_insert_with(|| Granted {
+            from: from.clone(),
+            since: cx.now,
+            renewed: cx.now,
+            // It began some time ago; what seems its length tells nothing.
+            was_paused: true,
+            beside: 0,
+            expires: cx.now,
+        });
+        granted.was_paused |= granted.renewed.after(HOLDER_SILENT).is_due(cx.now);
+        granted.from.clone_from(from);
+        granted.renewed = cx.now;
+        granted.expires = cx.now.after(SLOT_LIFE);
+    }
+
     pub(crate) fn returned(&mut self, cx: &mut Cx<'_>, from: &HostId, key: &LoadKey) {
         self.note_own_pause(cx.now);
         if self.granted.get(key).is_some_and(|granted| granted.from == *from) {
--- a/crates/skylarkshore-core/src/loading/pacing.rs
+++ b/crates/skylarkshore-core/src/loading/pacing.rs
@@ -18,7 +18,7 @@
 use crate::collections::OrderedMap;
 use crate::cx::Cx;
 use crate::id::{HostId, UpstreamId};
-use crate::loading::gate::{Gate, LoadKey, QUEUE_LIFE, Urgency, rate};
+use crate::loading::gate::{Gate, LoadKey, QUEUE_LIFE, RENEW_EVERY, Urgency, rate};
 use crate::peer::PeerMessage;
 use crate::time::Time;
 
@@ -34,8 +34,6 @@
 const GATES: usize = 2;
 /// For how long the gate's word on one load is believed for others.
 const GATE_BELIEVED: Duration = Duration::from_secs(1);
-/// How often a running load renews its slot.
-const RENEW_EVERY: Duration = Duration::from_secs(10);
 /// How far apart loads of the fixed share start at least.
 const LOCAL_SPACING: Duration = Duration::from_secs(1);
 
@@ -175,7 +173,7 @@
         true
     }
 
-    /// Asks the gate for a slot, or to go on with it, if that is due.
+    /// Asks the gate for a slot, if that is due.
     fn ask_gate(&mut self, cx: &mut Cx<'_>, key: &LoadKey) {
         let now = cx.now;
         if self.asks.get(key).is_none_or(|ask| !ask.next.is_due(now)) {
@@ -184,10 +182,8 @@
         self.silent.retain(|_, until| !until.is_due(now));
         let gate = self.gate_host(cx);
         let Some(ask) = self.asks.get_mut(key) else { return };
-        ask.next = now.after(if ask.share == Share::None { ASK_EVERY } else { RENEW_EVERY });
-        let granting = ask.gate.clone().filter(|_| ask.share == Share::Gate);
-        let granting = granting.filter(|gate| cx.cache.member(gate).is_some());
-        let Some(gate) = granting.or(gate) else { return };
+        ask.next = now.after(ASK_EVERY);
+        let Some(gate) = gate else { return };
         // What was asked before a pause tells nothing: an engine that is busy with
         // another order asks for nothing meanwhile.
         let is_repeated = ask.asked.is_some_and(|asked| !asked.after(GATE_SILENT).is_due(now));
@@ -210,9 +206,7 @@
     pub(crate) fn release(&mut self, cx: &mut Cx<'_>, key: &LoadKey) {
         let Some(ask) = self.asks.remove(key) else { return };
         if let Some(gate) = ask.gate {
-            let returned =
-                PeerMessage::LoadSlotReturned { upstream: key.engine.clone(), model: key.model.clone() };
-            cx.tell(&gate, returned);
+            cx.tell(&gate, returned(key));
         }
     }
 
@@ -248,7 +242,7 @@
             let Some(ask) = self.asks.get(&key) else { continue };
             let stale = ask.wanted.after(QUEUE_LIFE).is_due(cx.now);
             match (ask.started, running(&key)) {
-                (true, true) => self.ask_gate_to_renew(cx, &key),
+                (true, true) => self.renew(cx, &key),
                 (true, false) => self.release(cx, &key),
                 (false, _) if stale => self.release(cx, &key),
                 (false, _) => {}
@@ -258,10 +252,25 @@
         self.gate.grant_due(cx);
     }
 
-    fn ask_gate_to_renew(&mut self, cx: &mut Cx<'_>, key: &LoadKey) {
-        if self.asks.get(key).is_some_and(|ask| ask.share == Share::Gate) {
-            self.ask_gate(cx, key);
+    /// Tells whichever process keeps the gate now that a load is in progress, if that is due.
+    ///
+    /// Only the process that let it through would know of it otherwise. Its successor
+    /// would let as many through beside those that still run, and all would be slow.
+    fn renew(&mut self, cx: &mut Cx<'_>, key: &LoadKey) {
+        let now = cx.now;
+        if self.asks.get(key).is_none_or(|ask| !ask.next.is_due(now)) {
+            return;
         }
+        self.silent.retain(|_, until| !until.is_due(now));
+        let gate = self.gate_host(cx);
+        let Some(ask) = self.asks.get_mut(key) else { return };
+        ask.next = now.after(RENEW_EVERY);
+        let Some(gate) = gate else { return };
+        let former = ask.gate.replace(gate.clone()).filter(|former| *former != gate);
+        if let Some(former) = former {
+            cx.tell(&former, returned(key));
+        }
+        cx.tell(&gate, held(key));
     }
 
     /// Takes a peer's message about slots.
@@ -275,6 +284,10 @@
                 let key = LoadKey { engine: upstream.clone(), model: model.clone() };
                 self.gate.returned(cx, from, &key);
             }
+            PeerMessage::LoadSlotHeld { upstream, model } => {
+                let key = LoadKey { engine: upstream.clone(), model: model.clone() };
+                self.gate.held(cx, from, &key);
+            }
             PeerMessage::LoadSlotGranted { upstream, model } => {
                 let key = LoadKey { engine: upstream.clone(), model: model.clone() };
                 self.on_granted(cx, from, &key);
@@ -295,9 +308,7 @@
     fn on_granted(&mut self, cx: &mut Cx<'_>, from: &HostId, key: &LoadKey) {
         let Some(ask) = self.asks.get_mut(key) else {
             // The load isn't wanted any more; others could use the slot.
-            let returned =
-                PeerMessage::LoadSlotReturned { upstream: key.engine.clone(), model: key.model.clone() };
-            cx.tell(from, returned);
+            cx.tell(from, returned(key));
             return;
         };
         ask.unanswered = None;
@@ -309,6 +320,14 @@
     }
 }
 
+fn returned(key: &LoadKey) -> PeerMessage {
+    PeerMessage::LoadSlotReturned { upstream: key.engine.clone(), model: key.model.clone() }
+}
+
+fn held(key: &LoadKey) -> PeerMessage {
+    PeerMessage::LoadSlotHeld { upstream: key.engine.clone(), model: key.model.clone() }
+}
+
 /// Returns how far apart loads begin while the gate is silent.
 ///
 /// Every process may be without it at the same moment, and all of them together
--- a/crates/skylarkshore-core/src/peer.rs
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -179,6 +179,13 @@
         /// The upstream.
         upstream: UpstreamId,
     },
+    /// The load is in progress and still uses its share of the weight store.
+    LoadSlotHeld {
+        /// The engine that loads.
+        upstream: UpstreamId,
+        /// The model.
+        model: ModelName,
+    },
 }
 
 /// A message with its receiver.
--- a/crates/skylarkshore-core/tests/loading/pace.rs
+++ b/crates/skylarkshore-core/tests/loading/pace.rs
@@ -233,3 +233,45 @@
     ask_from(&mut rig, "entry-3", 20..21, RECOVERY - LOAD_TIME);
     assert!(granted(&rig).contains(&engine(20)), "{:?}", rig.notes);
 }
+
+/// The process that kept the gate goes, and with it what it knew of loads in
+/// progress. If its successor heard of none, it would let as many more through
+/// beside them, all of them would be slow, and their callers would leave.
+#[test]
+fn the_next_gate_hears_of_loads_in_progress() {
+    let mut rig = rig(100_000);
+    let began = granted_elsewhere(&mut rig);
+    rig.remove_member(began.as_str());
+    rig.told.clear();
+    rig.run_wanting(Duration::from_millis(2500), PEER, "maize", 1);
+    let told = rig.told.iter().filter(|e| matches!(e.message, PeerMessage::LoadSlotHeld { .. }));
+    assert!(told.count() >= 1, "{:?}", rig.notes);
+}
+
+/// Has another process let a load of `maize` through, and returns that process.
+fn granted_elsewhere(rig: &mut Rig) -> HostId {
+    for number in 2..=9 {
+        rig.add_member(&format!("entry-{number}"));
+    }
+    rig.run_wanting(Duration::from_millis(200), PEER, "maize", 1);
+    let asked = rig.told.iter().find(|e| matches!(e.message, PeerMessage::LoadSlotWanted { .. }));
+    let gate = asked.expect("a gate is asked").to.clone();
+    let granted = PeerMessage::LoadSlotGranted { upstream: name(ENGINE), model: name("maize") };
+    rig.hear(&gate, &granted);
+    rig.run_wanting(Duration::from_millis(200), PEER, "maize", 1);
+    assert_eq!(rig.engine.loads_of("maize"), 1, "{:?}", rig.notes);
+    gate
+}
+
+/// Four loads are in progress that another process let through, and their holders
+/// tell of them. None more begins beside them on a store that carries four.
+#[test]
+fn loads_that_a_former_gate_let_through_count() {
+    let mut rig = rig(100_000);
+    for number in 0..4 {
+        let held = PeerMessage::LoadSlotHeld { upstream: engine(number), model: name("maize") };
+        rig.hear(&name(PEER), &held);
+    }
+    ask_from(&mut rig, "entry-3", 10..14, Duration::from_secs(2));
+    assert_eq!(granted(&rig), [], "{:?}", rig.notes);
+}
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -327,6 +327,13 @@
         self.put(Key::Member(name(host)), Record::Member(member));
     }
 
+    pub fn remove_member(&mut self, host: &str) {
+        self.revision += 1;
+        let key = Key::Member(name(host));
+        let revision = StoreRevision(self.revision);
+        self.cache.apply(Versioned { key, revision, writer: None, record: None });
+    }
+
     fn put(&mut self, key: Key, record: Record) {
         self.revision += 1;
         let writer = Writer { host: name(OWN), incarnation: Incarnation(1), call: CallId(self.revision) };
@@ -498,7 +505,9 @@
     fn deliver(&mut self, effects: &mut Vec<Effect>, envelope: Envelope) {
         let is_slot = matches!(
             envelope.message,
-            PeerMessage::LoadSlotWanted { .. } | PeerMessage::LoadSlotReturned { .. }
+            PeerMessage::LoadSlotWanted { .. }
+                | PeerMessage::LoadSlotHeld { .. }
+                | PeerMessage::LoadSlotReturned { .. }
         );
         if is_slot && self.gate_away {
             return;
--- a/crates/skylarkshore-standins/src/world/meter.rs
+++ b/crates/skylarkshore-standins/src/world/meter.rs
@@ -69,6 +69,7 @@
         PeerMessage::CannotLoad { .. } => "cannot_load",
         PeerMessage::LoadSlotWanted { .. }
         | PeerMessage::LoadSlotGranted { .. }
+        | PeerMessage::LoadSlotHeld { .. }
         | PeerMessage::LoadSlotReturned { .. } => "load_slot",
         PeerMessage::PowerWanted { .. } => "power_wanted",
         PeerMessage::Suspects { .. } | PeerMessage::SuspectsNoted { .. } | PeerMessage::Cleared { .. } => {
--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -174,6 +174,10 @@
     UpstreamUnreachable {
         upstream: UpstreamId,
     },
+    LoadSlotHeld {
+        upstream: UpstreamId,
+        model: ModelName,
+    },
 }
 
 /// Encodes a message for the wire.
@@ -338,6 +342,9 @@
             M::ReservationReturned { upstream } => Self::ReservationReturned { upstream: upstream.clone() },
             M::UpstreamLeaving { upstream } => Self::UpstreamLeaving { upstream: upstream.clone() },
             M::UpstreamUnreachable { upstream } => Self::UpstreamUnreachable { upstream: upstream.clone() },
+            M::LoadSlotHeld { upstream, model } => {
+                Self::LoadSlotHeld { upstream: upstream.clone(), model: model.clone() }
+            }
         }
     }
 }
@@ -402,6 +409,7 @@
             W::ReservationReturned { upstream } => Self::ReservationReturned { upstream },
             W::UpstreamLeaving { upstream } => Self::UpstreamLeaving { upstream },
             W::UpstreamUnreachable { upstream } => Self::UpstreamUnreachable { upstream },
+            W::LoadSlotHeld { upstream, model } => Self::LoadSlotHeld { upstream, model },
         })
     }
 }
