Show in two tests that fail that orders in doubt keep the weight store's slot

The state of edge-3 shows owl ready, without adapters, and 100 MiB reserved: the order for owl's adapter, lost four times until 31.6 s, which nobody asked for any more, so that it was neither sent again nor settled. That counted as a load of owl in progress, and its slot was renewed at the gate, which lets one load through at a time. Ruled out: a silent gate (no line says so), slots of hosts that are gone (mended before), failed loads (none).

--- a/crates/skylarkshore-core/tests/loading/pace.rs
+++ b/crates/skylarkshore-core/tests/loading/pace.rs
@@ -8,7 +8,7 @@
 use skylarkshore_core::rules::ServiceOrder;
 use skylarkshore_core::units::LoadRate;
 
-use crate::support::{ENGINE, LOAD_TIME, Rig, name};
+use crate::support::{ENGINE, Fate, LOAD_TIME, Rig, name};
 
 /// How long a load from an engine's own disk takes here.
 const COPY_LOAD_TIME: Duration = Duration::from_millis(600);
@@ -275,3 +275,50 @@
     ask_from(&mut rig, "entry-3", 10..14, Duration::from_secs(2));
     assert_eq!(granted(&rig), [], "{:?}", rig.notes);
 }
+
+/// Tells whether the process still uses its share of the weight store for `maize`.
+fn holds_slot(rig: &Rig) -> bool {
+    let of_engine = rig.told.iter().rev().find(|envelope| match &envelope.message {
+        PeerMessage::LoadSlotHeld { upstream, .. }
+        | PeerMessage::LoadSlotWanted { upstream, .. }
+        | PeerMessage::LoadSlotReturned { upstream, .. } => *upstream == name::<UpstreamId>(ENGINE),
+        _ => false,
+    });
+    of_engine.is_some_and(|last| !matches!(last.message, PeerMessage::LoadSlotReturned { .. }))
+}
+
+/// A model has come from the weight store, and the order for its adapter gets lost
+/// on its way. Nobody asks for the adapter any more, so the order isn't sent again
+/// and stays in doubt. If that counted as a load in progress, the slot would be
+/// renewed for ever: where one load runs at a time, no host could fetch any model
+/// until the process ends, and callers would be refused.
+/// The proof: a host's state showed every engine idle and half empty, one adapter's
+/// memory reserved, and the gate let nothing through for the ten seconds in which
+/// callers of two models waited.
+#[test]
+fn an_adapter_order_in_doubt_keeps_no_share_of_the_store() {
+    let mut rig = Rig::with_copies(&[("maize", 300)], COPY_LOAD_TIME);
+    rig.engine.copies.on_disk.clear();
+    rig.add_adapter("maize", "blue");
+    rig.fates = vec![Fate::Arrives];
+    rig.fates.extend([Fate::Held; 20]);
+    rig.run_wanting(LOAD_TIME + Duration::from_secs(1), PEER, "maize/blue", 1);
+    assert!(rig.engine.holds("maize") && !rig.held.is_empty(), "{:?}", rig.notes);
+    rig.run(Duration::from_secs(3));
+    assert!(!holds_slot(&rig), "{:?}", rig.told);
+}
+
+/// The order to load a model is lost on its way, and its callers leave. The engine
+/// loads nothing, and the order isn't sent again. If its share of the weight store
+/// were kept for an order in doubt, no host could use it, and callers of other
+/// models would be refused.
+#[test]
+fn a_load_in_doubt_that_nobody_waits_for_keeps_no_share_of_the_store() {
+    let mut rig = Rig::with_copies(&[("maize", 300)], COPY_LOAD_TIME);
+    rig.engine.copies.on_disk.clear();
+    rig.fates = vec![Fate::Held];
+    rig.run_wanting(Duration::from_millis(300), PEER, "maize", 1);
+    assert!(!rig.held.is_empty() && holds_slot(&rig), "{:?}", rig.notes);
+    rig.run(Duration::from_secs(4));
+    assert!(!holds_slot(&rig), "{:?}", rig.told);
+}
