Give the weight store's slot back while it is in doubt whether anything loads

Change: a slot is in use while the engine shows the load, took the order, has it on its way, or says that it is busy while it is in doubt. Should an order that is sent again be taken after all, its load is told to the gate anew. Ruled out: a limit by time since the order was last sent (tried first: 2 s). It is sent again every half second for as long as anybody, also the product itself, wants the model; so an engine that can't be reached would have kept the store's only slot for as long. The class: what one host holds for all, kept on a belief about itself that nothing confirms.

--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -39,6 +39,7 @@
 use crate::id::{ModelName, OrderId, UpstreamId};
 use crate::loading::demand::Demand;
 use crate::loading::engine::Engine;
+use crate::loading::gate::LoadKey;
 use crate::loading::history::History;
 use crate::loading::ledger::Answered;
 use crate::loading::load_times::LoadTimes;
@@ -111,9 +112,14 @@
     /// Does what is due: asks for reports, loads, unloads, tells routers.
     pub fn on_tick(&mut self, cx: &mut Cx<'_>, authority: &dyn Authority) {
         self.demand.expire(cx.now);
+        for engine in self.engines.values() {
+            for model in load::from_store(engine) {
+                self.pacing.runs(cx.now, &LoadKey { engine: engine.id.clone(), model: model.clone() });
+            }
+        }
         let engines = &self.engines;
         self.pacing.on_tick(cx, |key| {
-            engines.get(&key.engine).is_some_and(|engine| load::is_running(engine, &key.model))
+            engines.get(&key.engine).is_some_and(|engine| load::uses_store(engine, &key.model))
         });
         let ids: Vec<UpstreamId> = self.engines.keys().cloned().collect();
         let mut served = Vec::new();
--- a/crates/skylarkshore-core/src/loading/ledger.rs
+++ b/crates/skylarkshore-core/src/loading/ledger.rs
@@ -306,6 +306,14 @@
         })
     }
 
+    /// Tells whether an order to load the model or its adapters is on its way or was accepted.
+    pub(crate) fn is_loading(&self, model: &ModelName) -> bool {
+        self.present().any(|(_, pending)| {
+            let is_load = matches!(pending.action, Order::Load { .. } | Order::LoadAdapter { .. });
+            is_load && model_of(&pending.action) == Some(model) && pending.progress != Progress::Unanswered
+        })
+    }
+
     /// Takes out the load of a model that has ended; returns it.
     pub(crate) fn finish_load(&mut self, model: &ModelName) -> Option<Order> {
         let is_it = |pending: &PendingOrder| matches!(&pending.action, Order::Load { model: named, .. } if named == model);
--- a/crates/skylarkshore-core/src/loading/load.rs
+++ b/crates/skylarkshore-core/src/loading/load.rs
@@ -287,11 +287,33 @@
     cx.note("load_failed", format!("{model}@{}", engine.id), format!("count={count} reason={reason}"));
 }
 
-/// Tells whether the engine is busy with a load of the model or of its adapters.
+/// Tells whether the engine is busy with a load of the model or of its adapters, or may be.
 pub(crate) fn is_running(engine: &Engine, model: &ModelName) -> bool {
     let loading = |order: &Order| matches!(order, Order::Load { .. } | Order::LoadAdapter { .. });
-    let shown = engine.model(model).is_some_and(|seen| {
+    is_shown_loading(engine, model)
+        || engine.loads.contains_key(model)
+        || engine.ledger.find(model, loading).is_some()
+}
+
+/// Tells whether a load of the model or of its adapters uses the weight store.
+///
+/// An order in doubt does only while the engine says that it is busy. Otherwise it
+/// may never have arrived, and it stays in doubt for as long as the engine can't be
+/// reached or nobody asks for what it loads. Where the store runs one load at a
+/// time, no host could fetch any model meanwhile, though every engine is idle.
+pub(crate) fn uses_store(engine: &Engine, model: &ModelName) -> bool {
+    let may_be_loading = || engine.report().is_some_and(|report| report.busy) && is_running(engine, model);
+    is_shown_loading(engine, model) || engine.ledger.is_loading(model) || may_be_loading()
+}
+
+/// Returns the models that the engine loads from the weight store now.
+pub(crate) fn from_store(engine: &Engine) -> impl Iterator<Item = &ModelName> {
+    let loads = engine.loads.iter().filter(|(_, load)| load.is_from_store);
+    loads.map(|(model, _)| model).filter(|model| uses_store(engine, model))
+}
+
+fn is_shown_loading(engine: &Engine, model: &ModelName) -> bool {
+    engine.model(model).is_some_and(|seen| {
         seen.state == LoadState::Loading || seen.adapters.iter().any(|adapter| !adapter.ready)
-    });
-    shown || engine.loads.contains_key(model) || engine.ledger.find(model, loading).is_some()
+    })
 }
--- a/crates/skylarkshore-core/src/loading/pacing.rs
+++ b/crates/skylarkshore-core/src/loading/pacing.rs
@@ -20,6 +20,7 @@
 use crate::id::{HostId, UpstreamId};
 use crate::loading::gate::{Gate, LoadKey, QUEUE_LIFE, RENEW_EVERY, Urgency, rate};
 use crate::peer::PeerMessage;
+use crate::rules::ServiceOrder;
 use crate::time::Time;
 
 /// How often a waiting load asks again.
@@ -75,6 +76,22 @@
     urgency: Urgency,
 }
 
+impl Ask {
+    const fn new(now: Time, urgency: Urgency) -> Self {
+        Self {
+            wanted: now,
+            next: now,
+            gate: None,
+            asked: None,
+            unanswered: None,
+            granted_by: now,
+            share: Share::None,
+            started: false,
+            urgency,
+        }
+    }
+}
+
 /// What the process asks of the gate, and the gate itself.
 #[derive(Debug, Default)]
 pub(crate) struct Pacing {
@@ -93,17 +110,7 @@
     /// Asks for a slot, or learns whether it has been granted.
     pub(crate) fn request(&mut self, cx: &mut Cx<'_>, key: &LoadKey, urgency: Urgency) -> Slot {
         let now = cx.now;
-        let ask = self.asks.entry(key.clone()).or_insert(Ask {
-            wanted: now,
-            next: now,
-            gate: None,
-            asked: None,
-            unanswered: None,
-            granted_by: now,
-            share: Share::None,
-            started: false,
-            urgency,
-        });
+        let ask = self.asks.entry(key.clone()).or_insert_with(|| Ask::new(now, urgency));
         ask.wanted = now;
         ask.urgency = urgency;
         if ask.share != Share::None {
@@ -140,6 +147,18 @@
         }
     }
 
+    /// Takes note that a load is in progress, also one whose slot was given back.
+    ///
+    /// An order in doubt that is sent again may be taken after all.
+    pub(crate) fn runs(&mut self, now: Time, key: &LoadKey) {
+        if self.asks.contains_key(key) {
+            return;
+        }
+        let urgency = Urgency { order: ServiceOrder::default(), patience: Duration::ZERO };
+        let ask = Ask { share: Share::Gate, started: true, ..Ask::new(now, urgency) };
+        self.asks.insert(key.clone(), ask);
+    }
+
     /// Returns the process that keeps the gate, if one of the first in the hash's order isn't silent.
     ///
     /// It is the same at every process that knows the same members.
--- a/crates/skylarkshore-core/tests/loading/pace.rs
+++ b/crates/skylarkshore-core/tests/loading/pace.rs
@@ -13,6 +13,11 @@
 /// How long a load from an engine's own disk takes here.
 const COPY_LOAD_TIME: Duration = Duration::from_millis(600);
 
+/// Within that time after the last fault most requests have to be served again.
+const RECOVERY: Duration = Duration::from_secs(12);
+/// For how long a fault may keep the weight store idle, so that a load can still end within [`RECOVERY`].
+const STORE_IDLE: Duration = RECOVERY.saturating_sub(LOAD_TIME);
+
 const PEER: &str = "entry-2";
 
 fn engine(number: usize) -> UpstreamId {
@@ -224,13 +229,10 @@
 /// lies on no disk would be refused until long after the fault is over.
 #[test]
 fn slots_of_a_host_that_says_nothing_are_free_again_before_recovery_is_due() {
-    /// Within that time after the last fault most requests have to be served again.
-    const RECOVERY: Duration = Duration::from_secs(12);
-
     let mut rig = rig(100_000);
     ask(&mut rig, 12, Duration::from_secs(1));
     assert_eq!(granted(&rig).len(), 4, "the store is taken");
-    ask_from(&mut rig, "entry-3", 20..21, RECOVERY - LOAD_TIME);
+    ask_from(&mut rig, "entry-3", 20..21, STORE_IDLE);
     assert!(granted(&rig).contains(&engine(20)), "{:?}", rig.notes);
 }
 
@@ -300,25 +302,39 @@
     let mut rig = Rig::with_copies(&[("maize", 300)], COPY_LOAD_TIME);
     rig.engine.copies.on_disk.clear();
     rig.add_adapter("maize", "blue");
-    rig.fates = vec![Fate::Arrives];
-    rig.fates.extend([Fate::Held; 20]);
+    rig.fates = vec![Fate::Held; 20];
+    rig.fates[0] = Fate::Arrives;
     rig.run_wanting(LOAD_TIME + Duration::from_secs(1), PEER, "maize/blue", 1);
     assert!(rig.engine.holds("maize") && !rig.held.is_empty(), "{:?}", rig.notes);
-    rig.run(Duration::from_secs(3));
+    rig.run(STORE_IDLE);
     assert!(!holds_slot(&rig), "{:?}", rig.told);
 }
 
-/// The order to load a model is lost on its way, and its callers leave. The engine
-/// loads nothing, and the order isn't sent again. If its share of the weight store
-/// were kept for an order in doubt, no host could use it, and callers of other
-/// models would be refused.
+/// Every order to load a model is lost on its way to the engine, which stands idle.
+/// If its share of the weight store were kept for an order in doubt, no host could
+/// use it, and callers of other models would be refused.
 #[test]
-fn a_load_in_doubt_that_nobody_waits_for_keeps_no_share_of_the_store() {
+fn a_load_in_doubt_keeps_no_share_of_the_store() {
     let mut rig = Rig::with_copies(&[("maize", 300)], COPY_LOAD_TIME);
     rig.engine.copies.on_disk.clear();
-    rig.fates = vec![Fate::Held];
+    rig.fates = vec![Fate::Held; 20];
     rig.run_wanting(Duration::from_millis(300), PEER, "maize", 1);
-    assert!(!rig.held.is_empty() && holds_slot(&rig), "{:?}", rig.notes);
-    rig.run(Duration::from_secs(4));
+    assert!(!rig.held.is_empty(), "{:?}", rig.notes);
+    rig.run(STORE_IDLE);
+    assert!(!holds_slot(&rig), "{:?}", rig.told);
+}
+
+/// An order to load a model is lost, its share of the weight store is given back,
+/// and the order is sent once more and taken. If the gate didn't hear of that load,
+/// it would let as many through beside it as the store carries, and all be slow.
+#[test]
+fn a_load_that_is_taken_after_all_uses_its_share_again() {
+    let mut rig = Rig::with_copies(&[("maize", 300)], COPY_LOAD_TIME);
+    rig.engine.copies.on_disk.clear();
+    rig.fates = vec![Fate::Held; 3];
+    rig.run_wanting(Duration::from_millis(400), PEER, "maize", 1);
     assert!(!holds_slot(&rig), "{:?}", rig.told);
+    rig.run_wanting(Duration::from_secs(2), PEER, "maize", 1);
+    assert_eq!(rig.engine.loads_of("maize"), 1, "{:?}", rig.notes);
+    assert!(holds_slot(&rig), "{:?}", rig.told);
 }
