Tell in the state who holds the weight store, and which orders are in doubt

Cause: the two faults before could only be read from a reserved size and from lines that weren't there. Nothing said which load held the store's slot, who waited for one, or that an order was in doubt. Change: the state dump has the kinds load_slot (what this host asks of the gate), store_slot (what the gate has let through and who waits) and order. What the gate learns of the store has a module of its own, crowd.rs. Ruled out: a log line for each renewal (one for each load every two seconds).

--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -3,6 +3,7 @@
 mod adapters;
 mod answer;
 mod close;
+mod crowd;
 mod demand;
 mod describe;
 mod engine;
--- a/crates/skylarkshore-core/src/loading/describe.rs
+++ b/crates/skylarkshore-core/src/loading/describe.rs
@@ -16,6 +16,7 @@
     let mut beliefs = Vec::new();
     for engine in loading.engines.values() {
         beliefs.push(engine_belief(cx, engine));
+        beliefs.extend(engine.ledger.beliefs(&engine.id));
         let shown = engine.report().into_iter().flat_map(|report| &report.models);
         beliefs.extend(shown.map(|seen| model_belief(engine, seen)));
         let hidden = engine.loads.iter().filter(|(model, _)| engine.model(model).is_none());
@@ -23,6 +24,7 @@
             belief(engine, model, "load ordered, not seen yet".to_owned(), Some(progress.started))
         }));
     }
+    beliefs.extend(loading.pacing.beliefs());
     beliefs
 }
 
--- a/crates/skylarkshore-core/src/loading/gate.rs
+++ b/crates/skylarkshore-core/src/loading/gate.rs
@@ -2,9 +2,13 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+
 use crate::collections::OrderedMap;
 use crate::cx::Cx;
+use crate::dump::Belief;
 use crate::id::{HostId, ModelName, UpstreamId};
+use crate::loading::crowd::Crowd;
 use crate::peer::PeerMessage;
 use crate::rules::ServiceOrder;
 use crate::time::Time;
@@ -26,18 +30,9 @@
 const OWN_PAUSE: Duration = Duration::from_secs(2);
 /// After how long a load that isn't asked for any more leaves the queue.
 pub(crate) const QUEUE_LIFE: Duration = Duration::from_secs(2);
-/// For how many engines one load may run at once at most, however many the store carries.
-///
-/// An engine that loads from the store can't swap models for as long; half of
-/// them have to go on serving those whose models lie on disks.
-const ENGINES_PER_LOAD: usize = 2;
-/// From how many times its listed length on a load counts as slowed down.
-const SLOWED: f64 = 1.5;
-/// Up to how many times its listed length a load counts as run at full speed.
-const ON_TIME: f64 = 1.2;
-
 /// A load, as the gate knows it.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+#[display("{model}@{engine}")]
 pub(crate) struct LoadKey {
     /// The engine that loads.
     pub engine: UpstreamId,
@@ -92,81 +87,6 @@
     expires: Time,
 }
 
-/// How many loads the weight store runs at full speed, learned from how long they take.
-///
-/// Beyond that number each takes longer in proportion, so that more at once
-/// bring nothing and keep every engine busy. One would see loads end late, all
-/// at the same time, or none end at all: where the store runs one load of 13 s
-/// at full speed, five at once took over a minute, and callers of twenty models
-/// waited in vain for a day of 48 s. So the number begins as the settings say, and
-/// doubles with each load that ends in time until the first doesn't.
-#[derive(Debug, Default)]
-struct Crowd {
-    learned: Option<usize>,
-    /// Whether a load has been slowed down.
-    slowed: bool,
-}
-
-impl Crowd {
-    fn most(&self, cx: &Cx<'_>) -> usize {
-        self.learned.unwrap_or(cx.cfg.limits.loads_at_once as usize).min(most_at_once(cx))
-    }
-
-    /// Takes note of a load that is still in progress, beside which `others` have run.
-    ///
-    /// What its length tells by now is enough; its end may be far away.
-    fn lasts(&mut self, cx: &mut Cx<'_>, listed: Duration, so_far: Duration, others: usize) {
-        let ratio = so_far.as_secs_f64() / listed.as_secs_f64().max(f64::MIN_POSITIVE);
-        let before = self.most(cx);
-        if ratio <= SLOWED || others == 0 {
-            return;
-        }
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            clippy::cast_precision_loss,
-            reason = "a few loads at once"
-        )]
-        let carried = ((others + 1) as f64 / ratio) as usize;
-        self.slowed = true;
-        self.learn(cx, before, carried.clamp(1, before), listed, so_far);
-    }
-
-    /// Takes the length of a load beside which `others` have run.
-    fn ended(&mut self, cx: &mut Cx<'_>, listed: Duration, took: Duration, others: usize) {
-        let before = self.most(cx);
-        let ratio = took.as_secs_f64() / listed.as_secs_f64().max(f64::MIN_POSITIVE);
-        // One that began alone and took long was held up by something else than others.
-        let now = if ratio > SLOWED && others == 0 {
-            before
-        } else if ratio > SLOWED {
-            self.slowed = true;
-            ((others + 1) * 2 / 3).clamp(1, before)
-        } else if ratio <= ON_TIME && others + 1 >= before {
-            let more = if self.slowed { before + 1 } else { before * 2 };
-            more.min(most_at_once(cx))
-        } else {
-            before
-        };
-        self.learn(cx, before, now, listed, took);
-    }
-
-    fn learn(&mut self, cx: &mut Cx<'_>, before: usize, now: usize, listed: Duration, took: Duration) {
-        if now == before {
-            return;
-        }
-        self.learned = Some(now);
-        let detail = format!("from={before} took_ms={} listed_ms={}", took.as_millis(), listed.as_millis());
-        cx.note("loads_at_once", now, detail);
-    }
-}
-
-/// Returns how many loads are let through at once where the weight store carries them.
-fn most_at_once(cx: &Cx<'_>) -> usize {
-    let engines = cx.upstreams.values().filter(|upstream| upstream.engine().is_some()).count();
-    (engines / ENGINES_PER_LOAD).max(cx.cfg.limits.loads_at_once as usize)
-}
-
 /// The weight store's gate, in use at one process at a time.
 #[derive(Debug, Default)]
 pub(crate) struct Gate {
@@ -288,6 +208,19 @@
         }
     }
 
+    /// Tells which loads hold a share of the weight store and which wait for one.
+    pub(crate) fn beliefs(&self) -> impl Iterator<Item = Belief> {
+        let granted = self.granted.iter().map(|(key, granted)| {
+            let state = format!("let through for {}", granted.from);
+            Belief { kind: "store_slot", subject: key.to_string(), state, since: Some(granted.renewed) }
+        });
+        let queued = self.queue.iter().map(|(key, queued)| {
+            let state = format!("waits for {}", queued.from);
+            Belief { kind: "store_slot", subject: key.to_string(), state, since: Some(queued.since) }
+        });
+        granted.chain(queued)
+    }
+
     pub(crate) fn grant_due(&mut self, cx: &mut Cx<'_>) {
         self.queue.retain(|_, queued| !queued.expires.is_due(cx.now));
         self.granted.retain(|_, granted| !granted.expires.is_due(cx.now));
@@ -302,7 +235,7 @@
             let beside = self.granted.len();
             let (to, waiting) = (&queued.from, self.queue.len());
             let detail = format!("to={to} running={beside} of={at_once} waiting={waiting}");
-            cx.note("load_slot_granted", format!("{}@{}", key.model, key.engine), detail);
+            cx.note("load_slot_granted", &key, detail);
             tell_granted(cx, &queued.from, &key);
             self.granted.insert(
                 key,
--- a/crates/skylarkshore-core/src/loading/ledger.rs
+++ b/crates/skylarkshore-core/src/loading/ledger.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use crate::collections::OrderedMap;
-use crate::id::{AdapterName, ModelName, OrderId};
+use crate::dump::Belief;
+use crate::id::{AdapterName, ModelName, OrderId, UpstreamId};
 use crate::time::Time;
 use crate::units::Mebibytes;
 use crate::upstream::{EngineReport, Order, OrderAnswer, ReportedModel};
@@ -236,6 +237,19 @@
         models.into_values().chain(adapters.into_values()).sum()
     }
 
+    /// Tells which orders the engine has yet to answer or to carry out.
+    pub(crate) fn beliefs(&self, engine: &UpstreamId) -> impl Iterator<Item = Belief> {
+        self.orders.iter().map(move |(id, pending)| {
+            let progress = match pending.progress {
+                Progress::InFlight => "on its way",
+                Progress::Accepted { .. } => "taken",
+                Progress::Unanswered => "in doubt",
+            };
+            let state = format!("order {id}, {progress}: {:?}", pending.action);
+            Belief { kind: "order", subject: engine.to_string(), state, since: Some(pending.sent) }
+        })
+    }
+
     /// Tells whether no order is in progress or in doubt.
     pub(crate) fn is_empty(&self) -> bool {
         self.orders.is_empty()
--- a/crates/skylarkshore-core/src/loading/pacing.rs
+++ b/crates/skylarkshore-core/src/loading/pacing.rs
@@ -17,6 +17,7 @@
 
 use crate::collections::OrderedMap;
 use crate::cx::Cx;
+use crate::dump::Belief;
 use crate::id::{HostId, UpstreamId};
 use crate::loading::gate::{Gate, LoadKey, QUEUE_LIFE, RENEW_EVERY, Urgency, rate};
 use crate::peer::PeerMessage;
@@ -131,7 +132,7 @@
             ask.unanswered = None;
             ask.next = now;
             if let Some(gate) = ask.gate.clone() {
-                cx.note("store_gate_silent", &gate, format!("asked for {}@{}", key.model, key.engine));
+                cx.note("store_gate_silent", &gate, format!("asked for {key}"));
                 self.silent.insert(gate, now.after(GATE_AVOIDED));
             }
             self.ask_gate(cx, key);
@@ -184,11 +185,7 @@
         if let Some(ask) = self.asks.get_mut(key) {
             ask.share = Share::Local;
         }
-        cx.note(
-            "store_gates_away",
-            format!("{}@{}", key.model, key.engine),
-            "the load begins without a gate",
-        );
+        cx.note("store_gates_away", key, "the load begins without a gate");
         true
     }
 
@@ -229,6 +226,21 @@
         }
     }
 
+    /// Tells what this process asks of the gate, and what it grants where it keeps the gate itself.
+    pub(crate) fn beliefs(&self) -> impl Iterator<Item = Belief> {
+        let asks = self.asks.iter().map(|(key, ask)| {
+            let gate = ask.gate.as_ref().map_or("none", HostId::as_str);
+            let stage = match (ask.share, ask.started) {
+                (Share::None, _) => "waits",
+                (_, false) => "may begin",
+                (_, true) => "in progress",
+            };
+            let state = format!("{stage}; gate={gate}");
+            Belief { kind: "load_slot", subject: key.to_string(), state, since: ask.asked }
+        });
+        asks.chain(self.gate.beliefs())
+    }
+
     /// Gives back every slot of an engine.
     pub(crate) fn release_engine(&mut self, cx: &mut Cx<'_>, engine: &UpstreamId) {
         let keys: Vec<LoadKey> = self.asks.keys().filter(|key| key.engine == *engine).cloned().collect();
--- a/crates/skylarkshore-core/tests/loading/pace.rs
+++ b/crates/skylarkshore-core/tests/loading/pace.rs
@@ -338,3 +338,25 @@
     assert_eq!(rig.engine.loads_of("maize"), 1, "{:?}", rig.notes);
     assert!(holds_slot(&rig), "{:?}", rig.told);
 }
+
+/// Nothing is fetched from the weight store, and an operator asks why. The state
+/// has to name the loads that hold its shares, those that wait, and the orders
+/// that are in doubt; from the logs alone it looked as if nobody asked for a load.
+#[test]
+fn the_state_tells_who_holds_the_store_and_who_waits() {
+    let mut rig = Rig::with_copies(&[("maize", 300)], COPY_LOAD_TIME);
+    rig.engine.copies.on_disk.clear();
+    rig.fates = vec![Fate::Held; 20];
+    ask(&mut rig, 4, Duration::from_secs(1));
+    rig.want("entry-3", "maize", 1);
+    rig.run(Duration::from_millis(100));
+    let own = format!("maize@{ENGINE}");
+    assert_eq!(rig.beliefs("load_slot"), [format!("{own}: waits; gate=entry-1")]);
+    let slots = rig.beliefs("store_slot");
+    assert_eq!(slots[0], "maize@far-0: let through for entry-2");
+    assert_eq!(slots.last(), Some(&format!("{own}: waits for entry-1")));
+    give_back(&mut rig, &[engine(0)]);
+    rig.run(Duration::from_millis(200));
+    assert_eq!(rig.beliefs("order").len(), 1);
+    assert!(rig.beliefs("order")[0].contains("in doubt: Load"), "{:?}", rig.beliefs("order"));
+}
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -297,6 +297,14 @@
         self.upstreams.get_mut(&name(ENGINE)).expect("the engine is listed").incarnation = life;
     }
 
+    /// Returns what the process believes of the kind, each as its subject and state.
+    pub fn beliefs(&mut self, kind: &str) -> Vec<String> {
+        let mut beliefs = Vec::new();
+        self.with(|loading, cx, _| beliefs = loading.dump(cx));
+        let of_kind = beliefs.into_iter().filter(|belief| belief.kind == kind);
+        of_kind.map(|belief| format!("{}: {}", belief.subject, belief.state)).collect()
+    }
+
     /// Hands a report over that was asked for just now.
     pub fn report(&mut self, report: &EngineReport) {
         let asked = self.now;
