--- a/crates/skylarkshore-core/src/loading/pacing.rs
+++ b/crates/skylarkshore-core/src/loading/pacing.rs
@@ -230,12 +230,12 @@
     pub(crate) fn beliefs(&self) -> impl Iterator<Item = Belief> {
         let asks = self.asks.iter().map(|(key, ask)| {
             let gate = ask.gate.as_ref().map_or("none", HostId::as_str);
-            let stage = match (ask.share, ask.started) {
+            let standing = match (ask.share, ask.started) {
                 (Share::None, _) => "waits",
                 (_, false) => "may begin",
                 (_, true) => "in progress",
             };
-            let state = format!("{stage}; gate={gate}");
+            let state = format!("{standing}; gate={gate}");
             Belief { kind: "load_slot", subject: key.to_string(), state, since: ask.asked }
         });
         asks.chain(self.gate.beliefs())
