Tell operators of adapters that are asked for in vain

Cause: the report speaks of models or adapters that were never served, and model_unserved told of models only; an adapter on a base in use was lost among the base's answers. Change: a spell is kept for each target; it ends when a request of it has run (as routers tell), for a base also when an engine holds it. An adapter is told of only where its base is held, else the base is. Ruled out: what engines' reports show of adapters; an owner sees its own only. Only sight changed.

--- a/crates/skylarkshore-core/src/loading/peers.rs
+++ b/crates/skylarkshore-core/src/loading/peers.rs
@@ -29,7 +29,7 @@
                     &target.model,
                     Counted { arrived: *arrived, late: *late, worked: *worked },
                 );
-                self.unserved.asked(cx.now, &target.model, *arrived);
+                self.unserved.asked(cx.now, target, *arrived, *worked);
                 self.note_use(cx, &target.model);
                 self.note_adapter_use(cx.now, target);
                 self.demand.listens(cx.now, from, &target.model, &cx.cfg.timings);
--- a/crates/skylarkshore-core/src/loading/unserved.rs
+++ b/crates/skylarkshore-core/src/loading/unserved.rs
@@ -1,28 +1,29 @@
-//! Models that callers ask for again and again and that no engine has had since.
+//! Models and adapters that callers ask for again and again and none of whose requests has run since.
 //!
 //! Each host sees few of the callers of a rarely used model, so that none of
 //! them could tell that all of them are refused. The owner of the model's first
-//! home is told of every request at every host, and knows from the list which
-//! engines hold what.
+//! home is told of every request at every host and of what has run, and knows
+//! from the list which engines hold what.
 
 use std::time::Duration;
 
-use crate::collections::OrderedMap;
+use crate::catalogue::ModelTarget;
+use crate::collections::{OrderedMap, OrderedSet};
 use crate::cx::Cx;
 use crate::id::ModelName;
 use crate::time::Time;
 use crate::upstream::{Standing, Upstream};
 
-/// How long a model has to be asked for in vain before it is told of; a load from a copy takes a second.
+/// How long a target has to be asked for in vain before it is told of; a load from a copy takes a second.
 const TOLD_AFTER: Duration = Duration::from_secs(8);
-/// How often a model is told of while that lasts.
+/// How often a target is told of while that lasts.
 const TOLD_EVERY: Duration = Duration::from_secs(10);
 /// From how many requests on it is told of.
 const ASKED_LEAST: u32 = 4;
-/// How often the models are looked at; the list changes about as often.
+/// How often the targets are looked at; the list changes about as often.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
 
-/// A time in which a model was asked for, and no engine held it.
+/// A time in which a target was asked for, and no request for it ran.
 #[derive(Clone, Copy, Debug)]
 struct Spell {
     since: Time,
@@ -30,46 +31,63 @@
     next_told: Time,
 }
 
-/// The models that are asked for in vain, as far as this process looks after their first home.
+/// The targets that are asked for in vain, as far as this process looks after their first home.
 #[derive(Debug, Default)]
 pub(crate) struct Unserved {
-    spells: OrderedMap<ModelName, Spell>,
+    spells: OrderedMap<ModelTarget, Spell>,
     next_look: Time,
 }
 
 impl Unserved {
-    /// Takes note of requests that arrived at a router.
-    pub(crate) fn asked(&mut self, now: Time, model: &ModelName, arrived: u32) {
-        if arrived == 0 {
-            return;
+    /// Takes note of requests that arrived at a router, and of those that ran.
+    pub(crate) fn asked(&mut self, now: Time, target: &ModelTarget, arrived: u32, worked: Duration) {
+        let base = ModelTarget { model: target.model.clone(), adapter: None };
+        if worked > Duration::ZERO {
+            self.spells.remove(&base);
+            self.spells.remove(target);
+        } else if arrived > 0 {
+            self.count(now, &base, arrived);
+            if target.adapter.is_some() {
+                self.count(now, target, arrived);
+            }
         }
-        let spell = self.spells.entry(model.clone()).or_insert(Spell {
-            since: now,
-            asked: 0,
-            next_told: now.after(TOLD_AFTER),
-        });
+    }
+
+    fn count(&mut self, now: Time, target: &ModelTarget, arrived: u32) {
+        let next_told = now.after(TOLD_AFTER);
+        let spell = self.spells.entry(target.clone()).or_insert(Spell { since: now, asked: 0, next_told });
         spell.asked = spell.asked.saturating_add(arrived);
     }
 
-    /// Forgets the models that an engine holds, and tells the operators of those that were asked for in vain.
+    /// Forgets the models that an engine holds, and tells the operators of targets that were asked for in vain.
+    ///
+    /// An adapter is told of only where its base is held; else the base is.
     pub(crate) fn look(&mut self, cx: &mut Cx<'_>, is_own: impl Fn(&ModelName) -> bool) {
         if !self.next_look.is_due(cx.now) {
             return;
         }
         self.next_look = cx.now.after(LOOK_EVERY);
-        self.spells.retain(|model, _| is_own(model) && !live(cx).any(|known| known.holds.contains(model)));
-        for (model, spell) in &mut self.spells {
-            if spell.asked < ASKED_LEAST || !spell.next_told.is_due(cx.now) {
+        let held: OrderedSet<&ModelName> = live(cx).flat_map(|known| &known.holds).collect();
+        self.spells.retain(|target, _| {
+            is_own(&target.model) && (target.adapter.is_some() || !held.contains(&target.model))
+        });
+        for (target, spell) in &mut self.spells {
+            let is_base_missing = target.adapter.is_some() && !held.contains(&target.model);
+            if is_base_missing || spell.asked < ASKED_LEAST || !spell.next_told.is_due(cx.now) {
                 continue;
             }
             spell.next_told = cx.now.after(TOLD_EVERY);
-            let copies = live(cx).filter(|known| known.copies.has(model)).count();
+            let copies = live(cx).filter(|known| known.copies.has(&target.model)).count();
             let lasts = cx.now.since(spell.since).as_millis();
-            cx.note("model_unserved", model, format!("asked={} for_ms={lasts} copies={copies}", spell.asked));
+            cx.note(
+                "model_unserved",
+                target,
+                format!("asked={} for_ms={lasts} copies={copies}", spell.asked),
+            );
         }
     }
 
-    /// Returns how many models have been asked for in vain for long enough to be told of.
+    /// Returns how many targets have been asked for in vain for long enough to be told of.
     pub(crate) fn len(&self) -> usize {
         let is_told =
             |spell: &&Spell| spell.asked >= ASKED_LEAST && spell.next_told > spell.since.after(TOLD_AFTER);
--- a/crates/skylarkshore-core/tests/loading/served.rs
+++ b/crates/skylarkshore-core/tests/loading/served.rs
@@ -26,6 +26,28 @@
     assert_eq!(told, ["maize"], "{:?}", rig.notes);
 }
 
+/// An engine holds a model, whose own callers are served. Those of one of its
+/// adapters are all refused, each at another host. Told of models only, operators
+/// would see a model that is in use, and nothing of the adapter.
+#[test]
+fn operators_are_told_of_an_adapter_that_is_asked_for_in_vain() {
+    let mut rig = Rig::one_by_one(&[("maize", 300)]);
+    rig.add_adapter("maize", "blue");
+    rig.add_adapter("maize", "red");
+    rig.authority.permitted = false;
+    rig.add_engine("engine-b", "entry-8");
+    rig.set_held("engine-b", "maize");
+    for number in 0..6 {
+        let router = format!("entry-{number}");
+        rig.arrive_for(&router, "maize/blue", 1, Duration::ZERO);
+        rig.arrive(&router, "maize/red", 1);
+        rig.run(Duration::from_secs(2));
+    }
+    let told: Vec<&str> =
+        rig.notes.iter().filter(|note| note.event == "model_unserved").map(|n| n.subject.as_str()).collect();
+    assert_eq!(told, ["maize/blue"], "{:?}", rig.notes);
+}
+
 /// A model is loaded from the weight store and unloaded before a request has run
 /// on it. Its callers see refusals only; the line of the unload shows that the
 /// load was for nobody.
