--- a/crates/skylarkshore-core/tests/loading.rs
+++ b/crates/skylarkshore-core/tests/loading.rs
@@ -19,3 +19,5 @@
 mod policy;
 #[path = "loading/served.rs"]
 mod served;
+#[path = "loading/slots.rs"]
+mod slots;
