Split one process from the cluster of processes in the tests of control

Cause: support/cluster.rs had 600 lines on two subjects. Moved word for word, fields that the cluster uses made public; 34 tests of control green.

--- a/crates/skylarkshore-core/tests/control.rs
+++ b/crates/skylarkshore-core/tests/control.rs
@@ -2,6 +2,8 @@
 
 #[path = "support/cluster.rs"]
 mod cluster;
+#[path = "support/process.rs"]
+mod process;
 #[path = "support/store.rs"]
 mod store;
 
--- a/crates/skylarkshore-core/tests/control/homes.rs
+++ b/crates/skylarkshore-core/tests/control/homes.rs
@@ -21,7 +21,7 @@
     engines.filter(may_load).cloned().collect()
 }
 
-fn owner<'a>(cluster: &'a mut Cluster, engine: &UpstreamId) -> &'a mut crate::cluster::Process {
+fn owner<'a>(cluster: &'a mut Cluster, engine: &UpstreamId) -> &'a mut crate::process::Process {
     let host = cluster.holders(engine).first().map(ToString::to_string).expect("the engine has an owner");
     cluster.process(&host)
 }
--- a/crates/skylarkshore-core/tests/control/power.rs
+++ b/crates/skylarkshore-core/tests/control/power.rs
@@ -4,7 +4,8 @@
 use skylarkshore_core::units::Watts;
 use skylarkshore_core::upstream::FenceCheck;
 
-use crate::cluster::{ACTIVE_WATTS, Cluster, SITE, SLEEP_WATTS, document, name, secs};
+use crate::cluster::{Cluster, SITE, document, name, secs};
+use crate::process::{ACTIVE_WATTS, SLEEP_WATTS};
 
 /// Room for two engines at work among four.
 const TIGHT: Watts = Watts(2 * ACTIVE_WATTS.0 + 2 * SLEEP_WATTS.0);
--- a/crates/skylarkshore-core/tests/control/stale.rs
+++ b/crates/skylarkshore-core/tests/control/stale.rs
@@ -6,9 +6,8 @@
 use skylarkshore_core::units::Watts;
 use skylarkshore_core::upstream::FenceCheck;
 
-use crate::cluster::{
-    ACTIVE_WATTS, Cluster, PLENTY, SLEEP_WATTS, all_owned, document, name, one_holder_each, secs,
-};
+use crate::cluster::{Cluster, PLENTY, all_owned, document, name, one_holder_each, secs};
+use crate::process::{ACTIVE_WATTS, SLEEP_WATTS};
 
 const HOSTS: [&str; 3] = ["a", "b", "c"];
 
--- a/crates/skylarkshore-core/tests/control/storm.rs
+++ b/crates/skylarkshore-core/tests/control/storm.rs
@@ -9,9 +9,8 @@
 use skylarkshore_core::units::Watts;
 use skylarkshore_core::upstream::FenceCheck;
 
-use crate::cluster::{
-    ACTIVE_WATTS, Cluster, SLEEP_WATTS, all_owned, config, document, name, one_holder_each, secs,
-};
+use crate::cluster::{Cluster, all_owned, config, document, name, one_holder_each, secs};
+use crate::process::{ACTIVE_WATTS, SLEEP_WATTS};
 
 const HOSTS: [&str; 4] = ["a", "b", "c", "d"];
 const ENGINES: usize = 6;
--- a/crates/skylarkshore-core/tests/support/cluster.rs
+++ b/crates/skylarkshore-core/tests/support/cluster.rs
@@ -1,243 +1,38 @@
 //! Several processes' control parts with a key-value service, engines and faults.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use skylarkshore_core::Time;
-use skylarkshore_core::authority::{Authority, EngineUse, HomeWish, OwnershipChange};
 use skylarkshore_core::catalogue::{Document, Model};
 use skylarkshore_core::config::{Limits, NodeConfig, Timings, Watchers};
 use skylarkshore_core::control::Control;
-use skylarkshore_core::cx::{Counters, Cx};
+use skylarkshore_core::cx::Counters;
 use skylarkshore_core::effect::Effect;
-use skylarkshore_core::id::{CallId, Digest, HostId, Incarnation, ModelName, StoreRevision, UpstreamId};
+use skylarkshore_core::id::{Digest, HostId, Incarnation, StoreRevision, UpstreamId};
 use skylarkshore_core::peer::PeerMessage;
-use skylarkshore_core::rules::{MinuteOfDay, Outcome, Rules, ServiceOrder};
+use skylarkshore_core::rules::{Outcome, Rules, ServiceOrder};
 use skylarkshore_core::store::{
-    Key, Record, StoreAnswer, StoreCache, StoreCall, StoreFailure, StoreResult, Versioned, WriteOutcome,
-    Writes,
+    Key, Record, StoreCache, StoreCall, StoreFailure, StoreResult, Versioned, Writes,
 };
 use skylarkshore_core::units::{Mebibytes, Watts};
 use skylarkshore_core::upstream::{
     Copies, EngineSpec, FenceCheck, OrderMode, Standing, Upstream, UpstreamKind,
 };
 
+use crate::process::{ACTIVE_WATTS, FakeEngines, Inbound, Process, SLEEP_WATTS};
 use crate::store::Store;
 
 pub const STEP: Duration = Duration::from_millis(50);
-pub const SLEEP_WATTS: Watts = Watts(50);
-pub const ACTIVE_WATTS: Watts = Watts(400);
 pub const SITE: &str = "site";
 
 pub fn name<T: std::str::FromStr>(text: &str) -> T {
     text.parse().unwrap_or_else(|_| panic!("'{text}' is a name"))
 }
 
-/// What the fake loading part of one process does with its engines.
-#[derive(Debug, Default)]
-pub struct FakeEngines {
-    /// Engines that draw power, with what is loaded on them.
-    pub loaded: BTreeSet<(UpstreamId, ModelName)>,
-    /// Engines for which requests wait.
-    pub lacking: BTreeSet<UpstreamId>,
-    pub unsettled: BTreeSet<UpstreamId>,
-    pub wishes: Vec<HomeWish>,
-}
-
-impl EngineUse for FakeEngines {
-    fn is_free_of(&self, engine: &UpstreamId, model: &ModelName) -> bool {
-        !self.loaded.contains(&(engine.clone(), model.clone()))
-    }
-
-    fn is_settled(&self, engine: &UpstreamId) -> bool {
-        !self.unsettled.contains(engine)
-    }
-
-    fn drawn(&self, engine: &UpstreamId) -> Watts {
-        let at_work = self.loaded.iter().any(|(loaded, _)| loaded == engine);
-        if at_work { ACTIVE_WATTS } else { SLEEP_WATTS }
-    }
-
-    fn lacks(&self, engine: &UpstreamId) -> Option<(Watts, ServiceOrder)> {
-        let lacks = self.lacking.contains(engine) && self.drawn(engine) == SLEEP_WATTS;
-        lacks.then(|| (ACTIVE_WATTS.saturating_sub(SLEEP_WATTS), ServiceOrder::default()))
-    }
-
-    fn free_memory(&self, _engine: &UpstreamId) -> Mebibytes {
-        Mebibytes(0)
-    }
-
-    fn home_wishes(&self) -> Vec<HomeWish> {
-        self.wishes.clone()
-    }
-}
-
-/// One process.
-pub struct Process {
-    pub cfg: NodeConfig,
-    pub control: Control,
-    pub engines: FakeEngines,
-    pub cache: StoreCache,
-    pub document: Arc<Document>,
-    pub upstreams: BTreeMap<UpstreamId, Upstream>,
-    pub changes: Vec<OwnershipChange>,
-    pub notes: Vec<(&'static str, String)>,
-    writes: Writes,
-    counters: Counters,
-    rng: SmallRng,
-    watched: Option<StoreRevision>,
-    /// Neither runs nor ends; what is sent to it waits.
-    pub frozen: bool,
-    /// Can't reach the key-value service.
-    pub cut: bool,
-    /// Hears neither its watch nor its peers, though its calls are answered.
-    pub deaf: bool,
-    inbox: VecDeque<Inbound>,
-}
-
-/// Something that reaches a process.
-pub enum Inbound {
-    Result(CallId, StoreResult),
-    Watched(Vec<Versioned>, StoreRevision),
-    Peer(HostId, PeerMessage),
-    Refused(HostId, Incarnation),
-}
-
-impl Process {
-    fn with<T>(
-        &mut self,
-        now: Time,
-        effects: &mut Vec<Effect>,
-        f: impl FnOnce(&mut Cx<'_>, Parts<'_>) -> T,
-    ) -> T {
-        let mut wanted = Vec::new();
-        let mut cx = Cx {
-            now,
-            at: MinuteOfDay::default(),
-            cfg: &self.cfg,
-            document: &self.document,
-            cache: &self.cache,
-            upstreams: &self.upstreams,
-            effects,
-            writes: &mut wanted,
-            counters: &mut self.counters,
-            rng: &mut self.rng,
-        };
-        let parts = Parts { control: &mut self.control, writes: &mut self.writes, engines: &self.engines };
-        let value = f(&mut cx, parts);
-        for req in std::mem::take(cx.writes) {
-            self.writes.begin(&mut cx, req);
-        }
-        self.changes.extend(self.control.take_changes());
-        value
-    }
-
-    fn take_changed(&mut self, now: Time, changed: &[Key], effects: &mut Vec<Effect>) {
-        for key in changed {
-            if let Some(Record::Document(document)) =
-                self.cache.get(&Key::Document).and_then(|entry| entry.record.as_ref())
-                && document.revision > self.document.revision
-            {
-                self.document = Arc::clone(document);
-            }
-            self.with(now, effects, |cx, parts| parts.control.on_change(cx, key));
-        }
-    }
-
-    fn take_records(&mut self, now: Time, records: Vec<Versioned>, effects: &mut Vec<Effect>) {
-        let keys: Vec<Key> = records
-            .into_iter()
-            .filter_map(|record| {
-                let key = record.key.clone();
-                self.cache.apply(record).then_some(key)
-            })
-            .collect();
-        self.take_changed(now, &keys, effects);
-    }
-
-    fn take_written(&mut self, now: Time, ended: Option<(Key, WriteOutcome)>, effects: &mut Vec<Effect>) {
-        let Some((key, outcome)) = ended else { return };
-        if let WriteOutcome::Done(found) | WriteOutcome::Conflict(found) = &outcome {
-            self.take_records(now, vec![found.clone()], effects);
-        }
-        self.with(now, effects, |cx, parts| parts.control.on_write(cx, &key, &outcome));
-    }
-
-    fn take(&mut self, now: Time, inbound: Inbound, effects: &mut Vec<Effect>) {
-        match inbound {
-            Inbound::Result(call, result) => {
-                if let Ok(StoreAnswer::Shared { revision, records }) = &result {
-                    let changed = self.cache.apply_all(*revision, records.clone());
-                    self.take_changed(now, &changed, effects);
-                }
-                if let Ok(StoreAnswer::One(found)) = &result {
-                    self.take_records(now, vec![found.clone()], effects);
-                }
-                let ended = self.with(now, effects, |cx, parts| {
-                    parts.control.on_store(cx, call, &result);
-                    parts.writes.on_result(cx, call, &result)
-                });
-                self.take_written(now, ended, effects);
-            }
-            Inbound::Watched(changes, upto) => {
-                self.take_records(now, changes.clone(), effects);
-                self.with(now, effects, |cx, parts| parts.control.on_watched(cx, changes, upto));
-            }
-            Inbound::Peer(from, PeerMessage::Records(batch)) => {
-                if batch.after.is_some() {
-                    self.take_records(now, batch.records, effects);
-                } else {
-                    let changed = self.cache.apply_all(batch.upto, batch.records);
-                    self.take_changed(now, &changed, effects);
-                }
-                self.with(now, effects, |cx, parts| {
-                    parts.control.on_records(cx, &from, batch.after, batch.upto);
-                });
-            }
-            Inbound::Peer(from, message) => {
-                self.with(now, effects, |cx, parts| parts.control.on_peer(cx, &from, &message));
-            }
-            Inbound::Refused(host, incarnation) => {
-                self.with(now, effects, |cx, parts| parts.control.on_peer_refused(cx, &host, incarnation));
-            }
-        }
-    }
-
-    pub fn holds(&self, now: Time, engine: &UpstreamId) -> bool {
-        self.control.permit(now, engine).is_some_and(|permit| !permit.not_after.is_due(now))
-    }
-
-    /// Tells whether the answer to a call about the lease waits to be taken.
-    pub fn has_lease_answer(&self) -> bool {
-        self.inbox.iter().any(|inbound| matches!(inbound, Inbound::Result(_, Ok(StoreAnswer::Lease { .. }))))
-    }
-
-    /// Returns what the process believes, a line for each thing.
-    pub fn beliefs(&mut self, now: Time) -> String {
-        let beliefs = self.with(now, &mut Vec::new(), |cx, parts| parts.control.dump(cx));
-        let lines: Vec<String> =
-            beliefs.iter().map(|b| format!("{} {}: {}", b.kind, b.subject, b.state)).collect();
-        lines.join("\n")
-    }
-
-    pub fn is_watching(&self) -> bool {
-        self.watched.is_some()
-    }
-
-    pub fn noted(&self, event: &str) -> usize {
-        self.notes.iter().filter(|(name, _)| *name == event).count()
-    }
-}
-
-struct Parts<'a> {
-    control: &'a mut Control,
-    writes: &'a mut Writes,
-    engines: &'a FakeEngines,
-}
-
 /// How often answers of the key-value service are lost, in percent.
 #[derive(Default)]
 pub struct Faults {
