Strike brief faults at every step where the weight store runs one load at a time

Cause: the fault matrix has four slots, and asks 69 s after the last strike; a slot that is held for 35 s by nobody can't be seen there. Test: three hosts, one load at a time, four models to be fetched, one brief fault at each step (lost, late or doubled messages, orders and answers, killed hosts, a pause of 2 s). Twelve seconds after the last fault every model has to be served.

--- a/crates/skylarkshore-standins/tests/world/main.rs
+++ b/crates/skylarkshore-standins/tests/world/main.rs
@@ -2,5 +2,6 @@
 
 mod fault_matrix;
 mod mutants;
+mod recovery;
 mod support;
 mod whole_path;
