Take what asking and renewing share into one place, and name a gap that is left

Cause: both began with the same four lines; the tests of what operators are told repeated a filter. Found while reading: a late grant by a gate that was silent isn't given back.

--- a/crates/skylarkshore-core/src/loading/pacing.rs
+++ b/crates/skylarkshore-core/src/loading/pacing.rs
@@ -189,13 +189,21 @@
         true
     }
 
+    /// Tells whether the gate is to hear of a load now; if so, gates that were silent long ago are asked again.
+    fn is_message_due(&mut self, now: Time, key: &LoadKey) -> bool {
+        if self.asks.get(key).is_none_or(|ask| !ask.next.is_due(now)) {
+            return false;
+        }
+        self.silent.retain(|_, until| !until.is_due(now));
+        true
+    }
+
     /// Asks the gate for a slot, if that is due.
     fn ask_gate(&mut self, cx: &mut Cx<'_>, key: &LoadKey) {
         let now = cx.now;
-        if self.asks.get(key).is_none_or(|ask| !ask.next.is_due(now)) {
+        if !self.is_message_due(now, key) {
             return;
         }
-        self.silent.retain(|_, until| !until.is_due(now));
         let gate = self.gate_host(cx);
         let Some(ask) = self.asks.get_mut(key) else { return };
         ask.next = now.after(ASK_EVERY);
@@ -288,14 +296,12 @@
     /// Only the process that let it through would know of it otherwise. Its successor
     /// would let as many through beside those that still run, and all would be slow.
     fn renew(&mut self, cx: &mut Cx<'_>, key: &LoadKey) {
-        let now = cx.now;
-        if self.asks.get(key).is_none_or(|ask| !ask.next.is_due(now)) {
+        if !self.is_message_due(cx.now, key) {
             return;
         }
-        self.silent.retain(|_, until| !until.is_due(now));
         let gate = self.gate_host(cx);
         let Some(ask) = self.asks.get_mut(key) else { return };
-        ask.next = now.after(RENEW_EVERY);
+        ask.next = cx.now.after(RENEW_EVERY);
         let Some(gate) = gate else { return };
         let former = ask.gate.replace(gate.clone()).filter(|former| *former != gate);
         if let Some(former) = former {
--- a/crates/skylarkshore-core/tests/loading/served.rs
+++ b/crates/skylarkshore-core/tests/loading/served.rs
@@ -6,6 +6,11 @@
 
 use crate::support::{LOAD_TIME, Rig, TICK, name};
 
+/// Returns what operators were told of as asked for in vain.
+fn told_unserved(rig: &Rig) -> Vec<&str> {
+    rig.notes.iter().filter(|note| note.event == "model_unserved").map(|note| note.subject.as_str()).collect()
+}
+
 /// Callers at many hosts ask for a model that no engine has, one or two at each
 /// host. All are told to come back and none is served. No host could tell; the
 /// owner that hears of all of them has to say so.
@@ -21,9 +26,7 @@
         rig.arrive(&router, "rye", 1);
         rig.run(Duration::from_secs(2));
     }
-    let told: Vec<&str> =
-        rig.notes.iter().filter(|note| note.event == "model_unserved").map(|n| n.subject.as_str()).collect();
-    assert_eq!(told, ["maize"], "{:?}", rig.notes);
+    assert_eq!(told_unserved(&rig), ["maize"], "{:?}", rig.notes);
 }
 
 /// An engine holds a model, whose own callers are served. Those of one of its
@@ -43,9 +46,7 @@
         rig.arrive(&router, "maize/red", 1);
         rig.run(Duration::from_secs(2));
     }
-    let told: Vec<&str> =
-        rig.notes.iter().filter(|note| note.event == "model_unserved").map(|n| n.subject.as_str()).collect();
-    assert_eq!(told, ["maize/blue"], "{:?}", rig.notes);
+    assert_eq!(told_unserved(&rig), ["maize/blue"], "{:?}", rig.notes);
 }
 
 /// A model is loaded from the weight store and unloaded before a request has run
