Give back a share of the weight store that a former gate grants late

Cause: a gate stands still, the next one lets the load through, the first one wakes, reads the old question and grants a second share. Ruled out: a doubled grant of the same gate, which must not be given back; the test has both.

--- a/crates/skylarkshore-core/src/loading/pacing.rs
+++ b/crates/skylarkshore-core/src/loading/pacing.rs
@@ -353,6 +353,9 @@
             ask.share = Share::Gate;
             ask.gate = Some(from.clone());
             ask.next = cx.now.after(RENEW_EVERY);
+        } else if ask.gate.as_ref() != Some(from) {
+            // Another gate has let it through meanwhile, and only that one is told of its end.
+            cx.tell(from, returned(key));
         }
     }
 }
--- a/crates/skylarkshore-core/tests/loading/slots.rs
+++ b/crates/skylarkshore-core/tests/loading/slots.rs
@@ -150,3 +150,25 @@
     assert_eq!(rig.beliefs("order").len(), 1);
     assert!(rig.beliefs("order")[0].contains("in doubt: Load"), "{:?}", rig.beliefs("order"));
 }
+
+/// The gate stands still, so the next host lets the load through. Then the first
+/// one wakes, reads the old question and lets it through as well. If that second
+/// share weren't given back, the gate would keep it for a load that it doesn't
+/// need, and where the store runs one load at a time, nobody else would be let
+/// through for seconds after each pause of the gate's host.
+#[test]
+fn a_share_that_comes_late_from_a_former_gate_is_given_back() {
+    let mut rig = rig(100_000);
+    let gate = granted_elsewhere(&mut rig);
+    rig.told.clear();
+    let granted = PeerMessage::LoadSlotGranted { upstream: name(ENGINE), model: name("maize") };
+    rig.hear(&gate, &granted);
+    let is_returned = |rig: &Rig, to: &HostId| {
+        let mut told = rig.told.iter().filter(|envelope| envelope.to == *to);
+        told.any(|envelope| matches!(envelope.message, PeerMessage::LoadSlotReturned { .. }))
+    };
+    assert!(!is_returned(&rig, &gate), "the gate has only said it twice: {:?}", rig.told);
+    let former: HostId = name(if gate.as_str() == "entry-7" { "entry-8" } else { "entry-7" });
+    rig.hear(&former, &granted);
+    assert!(is_returned(&rig, &former), "{:?}", rig.told);
+}
