Use the system's allocator, and no more threads than can run

Cause: a play of 295 hosts took all of the machine's memory. Of a host's 32 MB of its own, 20 MB and more were huge pages (AnonHugePages in smaps_rollup): mimalloc asks for them with madvise, and each of 13 threads touched some of its arena. What the program knows is a small part of it.

Ruled out: MIMALLOC_ALLOW_THP=0 in the deploy file; a small play with it had not ended after 100 s and was given up, untraced.

--- a/crates/skylarkshore-host/src/callers.rs
+++ b/crates/skylarkshore-host/src/callers.rs
@@ -55,7 +55,7 @@
     let head_timeout = exchange.intake.head_timeout;
     let state = CallerState { exchange, rotation: entry::Rotation::default() };
     let app = App::new().with_state(state).at("/", fn_service(handle)).at("/{*path}", fn_service(handle));
-    server::start(app.serve(), [watched], head_timeout, server::CALLER_WORKERS)
+    server::start(app.serve(), [watched], head_timeout, server::caller_workers())
 }
 
 async fn handle(mut ctx: WebContext<'_, CallerState>) -> Result<WebResponse, Infallible> {
--- a/crates/skylarkshore-host/src/run.rs
+++ b/crates/skylarkshore-host/src/run.rs
@@ -3,7 +3,6 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::thread::available_parallelism;
 use std::time::Duration;
 
 use skylarkshore_core::config::{NodeConfig, Settings};
@@ -27,12 +26,12 @@
 use crate::peers::{Identity, LinkTimings, Peers};
 use crate::pending::Requests;
 use crate::platform::Platform;
-use crate::server::RunningServer;
+use crate::server::{RunningServer, workers};
 use crate::shutdown::Signals;
 use crate::upstreams::Upstreams;
 
-const MIN_WORKERS: usize = 2;
-const MAX_WORKERS: usize = 4;
+/// The most threads that run the core, its calls and its peers' messages.
+const MOST_WORKERS: usize = 4;
 /// How long slow callers are given to read the last answers.
 const LAST_ANSWERS: Duration = Duration::from_secs(30);
 const LAST_BYTES: Duration = Duration::from_millis(100);
@@ -82,9 +81,8 @@
 }
 
 fn runtime() -> Result<Runtime, Error> {
-    let workers = available_parallelism().map_or(MIN_WORKERS, |n| n.get().clamp(MIN_WORKERS, MAX_WORKERS));
     Builder::new_multi_thread()
-        .worker_threads(workers)
+        .worker_threads(workers(MOST_WORKERS))
         .thread_name("skylarkshore")
         .enable_all()
         .build()
--- a/crates/skylarkshore-host/src/server.rs
+++ b/crates/skylarkshore-host/src/server.rs
@@ -1,6 +1,8 @@
 //! What the servers for callers and operators have in common.
 
 use std::fmt;
+use std::num::NonZero;
+use std::thread::available_parallelism;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -24,11 +26,21 @@
 /// How long a connection may stay idle between requests.
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
 
-/// Threads that serve callers.
-pub const CALLER_WORKERS: usize = 2;
+/// The most threads that serve callers.
+const MOST_CALLER_WORKERS: usize = 2;
 /// Threads that serve operators.
 pub const OPERATOR_WORKERS: usize = 1;
 
+/// Returns how many threads serve callers: no more than can run at a time.
+pub fn caller_workers() -> usize {
+    workers(MOST_CALLER_WORKERS)
+}
+
+/// Returns how many of `most` threads can run at a time on this host.
+pub(crate) fn workers(most: usize) -> usize {
+    available_parallelism().map_or(1, NonZero::get).min(most)
+}
+
 /// A server that runs.
 #[expect(missing_debug_implementations, reason = "the handle of the library's server shows nothing")]
 pub struct RunningServer {
--- a/crates/skylarkshore-standins/src/process.rs
+++ b/crates/skylarkshore-standins/src/process.rs
@@ -296,6 +296,19 @@
         if status.success() { Ok(()) } else { Err(io::Error::other("kill has failed")) }
     }
 
+    /// Returns how much memory it holds that it shares with no other process, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// The process has ended, or the system tells nothing of it.
+    pub fn private_memory(&self) -> io::Result<u64> {
+        let pid = self.child.id().ok_or_else(|| io::Error::other("the process has ended"))?;
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        let kibibytes = line.and_then(|line| line.trim().trim_end_matches(" kB").parse::<u64>().ok());
+        kibibytes.map(|n| n * 1024).ok_or_else(|| io::Error::other("no line RssAnon in kB"))
+    }
+
     /// Waits for its end.
     ///
     /// # Errors
--- a/crates/skylarkshore/src/main.rs
+++ b/crates/skylarkshore/src/main.rs
@@ -2,11 +2,6 @@
 
 use std::process::ExitCode;
 
-use mimalloc::MiMalloc;
-
-#[global_allocator]
-static ALLOCATOR: MiMalloc = MiMalloc;
-
 fn main() -> ExitCode {
     skylarkshore::cli::main(std::env::args_os().skip(1))
 }
