Send signs of life to few where every process watches the store

Cause: a process that watches for its data centre sends heartbeats to all of it, so that another steps in when they cease.

Ruled out that ownership needs them: it asks whether a process was heard of only to give one that may come back longer, and the watch by one process works with the ring's five and one at random.

--- a/crates/skylarkshore-core/src/control/peers.rs
+++ b/crates/skylarkshore-core/src/control/peers.rs
@@ -10,6 +10,7 @@
 use super::hashing::name_hash;
 use super::membership::Membership;
 use crate::collections::{OrderedMap, OrderedSet};
+use crate::config::Watchers;
 use crate::cx::Cx;
 use crate::effect::Effect;
 use crate::id::{HostId, Incarnation};
@@ -183,7 +184,8 @@
             leaving: membership.is_leaving(),
         };
         let mut receivers = heartbeat_receivers(cx);
-        if feed.watching_since().is_some() {
+        // Only where one process watches for its data centre do the others wait for its signs of life.
+        if cx.cfg.watchers == Watchers::OnePerDataCentre && feed.watching_since().is_some() {
             receivers.extend(neighbours(cx));
         }
         for host in receivers {
--- a/crates/skylarkshore-core/tests/control/leases.rs
+++ b/crates/skylarkshore-core/tests/control/leases.rs
@@ -1,11 +1,14 @@
 use std::time::Duration;
 
 use skylarkshore_core::authority::Authority;
+use skylarkshore_core::config::{NodeConfig, Watchers};
 use skylarkshore_core::id::{Incarnation, UpstreamId};
+use skylarkshore_core::peer::PeerMessage;
 use skylarkshore_core::store::{Key, MemberRecord, Record};
 use skylarkshore_core::upstream::FenceCheck;
 
-use crate::cluster::{Cluster, PLENTY, all_owned, document, name, one_holder_each, secs, settled};
+use crate::cluster::{Cluster, PLENTY, all_owned, config, document, name, one_holder_each, secs, settled};
+use crate::process::Inbound;
 
 fn member(cluster: &Cluster, host: &str) -> Option<MemberRecord> {
     match cluster.store.record(&Key::Member(name(host))) {
@@ -105,6 +108,34 @@
     assert!((renewals / 2..renewals * 3 / 2).contains(&calls), "{calls} calls in a minute");
 }
 
+/// Signs of life between all hosts of a data centre take up its machines.
+#[test]
+fn where_every_process_watches_signs_of_life_go_to_few() {
+    const HOSTS: usize = 60;
+    const SECS: usize = 10;
+    /// Six receivers, each half of the regular interval at the shortest.
+    const MOST_A_SECOND: usize = 6 * 2;
+
+    let mut cluster = Cluster::new(17);
+    cluster.store.put(Key::Document, Record::Document(document(1, 1, 1, PLENTY).into()));
+    for number in 0..HOSTS {
+        let cfg = config(&format!("h{number}"), 1, 17);
+        cluster.start(NodeConfig { watchers: Watchers::All, ..cfg });
+    }
+    cluster.run(secs(10), |_| {});
+    let mut sent = 0;
+    cluster.run(secs(SECS as u64), |cluster| {
+        let inboxes = cluster.processes.values().map(|process| &process.inbox);
+        sent += inboxes.flatten().filter(|inbound| is_heartbeat(inbound)).count();
+    });
+    assert!(sent > 0);
+    assert!(sent <= HOSTS * SECS * MOST_A_SECOND, "{sent} signs of life in {SECS} s");
+}
+
+const fn is_heartbeat(inbound: &Inbound) -> bool {
+    matches!(inbound, Inbound::Peer(_, PeerMessage::Heartbeat { .. }))
+}
+
 #[test]
 fn a_state_dump_tells_what_a_process_believes() {
     let mut cluster = Cluster::with(15, &["a", "b"], 2, FenceCheck::Ignores, document(1, 2, 1, PLENTY));
