Look at all models' homes four times a second, and place them by a table

Each review, ten a second while anything changes, worked out the first homes of 786 models, four times over 256 engines each, with a search by name for what every engine has and a sort, also where the result was thrown away because the list had not settled or another process's turn it was.

Now: an index by model of what the engines have, the three best in one pass, made once for a review that places anything; all models four times a second, what changed or is wished for at once; first homes only where this process has some to give; the members' hashes once a review. The places are the same, as the order of preference is.

--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -63,6 +63,7 @@
     /// When the live members last changed.
     eligible_since: Time,
     last_review: Time,
+    next_roster_review: Time,
     /// Whether something has changed since the last review.
     changed: bool,
 }
@@ -83,6 +84,7 @@
             members_changed: true,
             eligible_since: Time::START,
             last_review: Time::START,
+            next_roster_review: Time::START,
             changed: false,
         }
     }
@@ -255,7 +257,10 @@
         if !self.membership.is_gone() {
             self.feed.review(cx, &self.peers, &self.eligible);
         }
-        self.roster.review(cx, &named_engines(cx));
+        if self.next_roster_review.is_due(cx.now) {
+            self.next_roster_review = cx.now.after(REVIEW_EVERY);
+            self.roster.review(cx, &named_engines(cx));
+        }
         let knowledge = Knowledge {
             membership: &self.membership,
             peers: &self.peers,
--- a/crates/skylarkshore-core/src/control/hashing.rs
+++ b/crates/skylarkshore-core/src/control/hashing.rs
@@ -34,8 +34,28 @@
     ranked
 }
 
-/// Returns the host that looks after the key.
-pub(super) fn winner<'a>(key: &str, hosts: impl Iterator<Item = &'a HostId>) -> Option<&'a HostId> {
-    let key = name_hash(key);
-    hosts.max_by_key(|host| pair_weight(key, name_hash(host.as_str())))
+/// Hosts with their hashes, for whoever asks about many keys.
+#[derive(Debug)]
+pub(super) struct Ring<'a> {
+    hosts: Vec<(u64, &'a HostId)>,
+}
+
+impl<'a> Ring<'a> {
+    pub(super) fn new(hosts: &'a [HostId]) -> Self {
+        Self { hosts: hosts.iter().map(|host| (name_hash(host.as_str()), host)).collect() }
+    }
+
+    /// Returns the host that looks after the key.
+    pub(super) fn winner(&self, key: &str) -> Option<&'a HostId> {
+        let key = name_hash(key);
+        self.hosts.iter().max_by_key(|(hash, _)| pair_weight(key, *hash)).map(|(_, host)| *host)
+    }
+
+    /// Returns how many hosts look after the key before this one does.
+    pub(super) fn rank(&self, key: &str, host: &HostId) -> Option<usize> {
+        let key = name_hash(key);
+        let (own, _) = self.hosts.iter().find(|(_, known)| *known == host)?;
+        let own = pair_weight(key, *own);
+        Some(self.hosts.iter().filter(|(hash, _)| pair_weight(key, *hash) > own).count())
+    }
 }
--- a/crates/skylarkshore-core/src/control/homes.rs
+++ b/crates/skylarkshore-core/src/control/homes.rs
@@ -10,12 +10,12 @@
 
 use plan::{Plan, Review, limits};
 
-use super::hashing;
+use super::hashing::Ring;
 use super::knowledge::Knowledge;
 use super::ownership::Ownership;
 use super::placement::Placement;
 use super::roster::Roster;
-use crate::authority::EngineUse;
+use crate::authority::{EngineUse, HomeWish};
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::cx::Cx;
 use crate::id::{ModelName, StoreRevision, UpstreamId};
@@ -28,6 +28,8 @@
 const REST: Duration = Duration::from_secs(1);
 /// How many homes records one process writes at a time.
 const WRITES_AT_ONCE: usize = 16;
+/// How often all models are looked at; what is wished for or has changed is looked at sooner.
+const WHOLE_EVERY: Duration = Duration::from_millis(250);
 /// How long the process that should look after a model is given before the next one does.
 const NEXT_IN_RANK: Duration = Duration::from_secs(10);
 
@@ -81,6 +83,10 @@
     lacking: OrderedMap<ModelName, Time>,
     /// Models that no engine can hold.
     unplaceable: OrderedSet<ModelName>,
+    /// Models whose homes have changed since they were last looked at.
+    touched: OrderedSet<ModelName>,
+    /// When all models are looked at again.
+    next_whole: Time,
 }
 
 impl Homes {
@@ -125,6 +131,7 @@
         if self.pending.get(model).is_some_and(|pending| pending.based_on < revision) {
             self.pending.remove(model);
         }
+        self.touched.insert(model.clone());
         self.update(cx, roster, model);
     }
 
@@ -151,6 +158,7 @@
                 }
             }
         }
+        self.touched.insert(model.clone());
         self.update(cx, roster, model);
     }
 
@@ -170,23 +178,28 @@
         ownership: &Ownership,
         engines: &dyn EngineUse,
     ) {
-        self.update_all(cx, knowledge.roster);
+        let is_whole = self.next_whole.is_due(cx.now);
+        if is_whole {
+            self.next_whole = cx.now.after(WHOLE_EVERY);
+            self.update_all(cx, knowledge.roster);
+        }
         if !knowledge.may_decide(cx) || !cx.document.is_known() {
             return;
         }
         self.settle_doubts(cx);
         self.end_rests(cx.now);
         let wishes = engines.home_wishes();
+        let models = if is_whole { self.all_models(cx) } else { self.pressing_models(&wishes) };
+        let ring = Ring::new(knowledge.eligible);
+        let owes_first = is_whole && self.owes_first_homes(cx, knowledge, &ring, &models);
         let mut placement = Placement::new(cx, knowledge.roster);
-        let known = cx.cache.all_homes().map(|(model, _)| model.clone());
-        let models: OrderedSet<ModelName> =
-            cx.document.catalogue.models.keys().cloned().chain(known).collect();
-        self.lacking.retain(|model, _| models.contains(model));
         for model in models {
-            if self.pending.contains_key(&model) || self.pending.len() >= WRITES_AT_ONCE {
+            let is_left = !owes_first && !self.allowed.contains_key(&model);
+            if is_left || self.pending.contains_key(&model) || self.pending.len() >= WRITES_AT_ONCE {
                 continue;
             }
-            let review = Review { knowledge, ownership, engines, wishes: &wishes, model: &model };
+            let review =
+                Review { knowledge, ownership, engines, wishes: &wishes, ring: &ring, model: &model };
             let plan = self.plan(cx, &review, &mut placement);
             if plan.changed {
                 self.write(cx, &model, plan);
@@ -194,16 +207,59 @@
         }
     }
 
+    /// Tells whether it is up to this process to give some model its first homes.
+    ///
+    /// Those are worked out for all models together; a process that has none to
+    /// give is spared that.
+    fn owes_first_homes(
+        &mut self,
+        cx: &Cx<'_>,
+        knowledge: &Knowledge<'_>,
+        ring: &Ring<'_>,
+        models: &OrderedSet<ModelName>,
+    ) -> bool {
+        if !knowledge.roster.is_settled(cx.now) {
+            return false;
+        }
+        let mut owes = false;
+        for model in models {
+            if !self.allowed.contains_key(model) && !self.pending.contains_key(model) {
+                owes |= self.is_own_turn(cx, ring, model);
+            }
+        }
+        owes
+    }
+
+    /// Returns every model that is in the catalogue or has homes.
+    fn all_models(&mut self, cx: &Cx<'_>) -> OrderedSet<ModelName> {
+        let known = cx.cache.all_homes().map(|(model, _)| model);
+        let models: OrderedSet<ModelName> =
+            cx.document.catalogue.models.keys().chain(known).cloned().collect();
+        self.lacking.retain(|model, _| models.contains(model));
+        self.touched.clear();
+        models
+    }
+
+    /// Returns the models that can't wait until all are looked at.
+    fn pressing_models(&mut self, wishes: &[HomeWish]) -> OrderedSet<ModelName> {
+        let mut models = std::mem::take(&mut self.touched);
+        models.extend(wishes.iter().map(|wish| wish.model.clone()));
+        models
+    }
+
     fn update(&mut self, cx: &Cx<'_>, roster: &Roster, model: &ModelName) {
         let Some((revision, homes)) = cx.cache.homes(model) else {
             self.allowed.remove(model);
             return;
         };
-        let engines = homes.engines.clone();
-        let replicas_max = limits(cx, roster, model, &engines).map_or(0, |limits| limits.most);
-        let known = self.allowed.get(model).filter(|known| known.engines == engines);
-        let since = known.map_or(cx.now, |known| known.since);
-        self.allowed.insert(model.clone(), Allowed { since, revision, engines, replicas_max });
+        let replicas_max = limits(cx, roster, model, &homes.engines).map_or(0, |limits| limits.most);
+        if let Some(known) = self.allowed.get_mut(model).filter(|known| known.engines == homes.engines) {
+            known.revision = revision;
+            known.replicas_max = replicas_max;
+            return;
+        }
+        let allowed = Allowed { since: cx.now, revision, engines: homes.engines.clone(), replicas_max };
+        self.allowed.insert(model.clone(), allowed);
     }
 
     fn write(&mut self, cx: &mut Cx<'_>, model: &ModelName, plan: Plan) {
@@ -258,16 +314,15 @@
 }
 
 /// Tells whether it is up to this process to look after a model that has needed it `since`.
-fn is_own_turn(cx: &Cx<'_>, knowledge: &Knowledge<'_>, model: &ModelName, since: Time) -> bool {
+fn is_own_turn(cx: &Cx<'_>, ring: &Ring<'_>, model: &ModelName, since: Time) -> bool {
     let key = format!("homes/{model}");
-    if hashing::winner(&key, knowledge.eligible.iter()) == Some(&cx.cfg.host) {
+    if ring.winner(&key) == Some(&cx.cfg.host) {
         return true;
     }
     if !since.after(NEXT_IN_RANK).is_due(cx.now) {
         return false;
     }
-    let ranked = hashing::ranking(&key, knowledge.eligible.iter());
-    let Some(rank) = ranked.iter().position(|host| *host == &cx.cfg.host) else { return false };
+    let Some(rank) = ring.rank(&key, &cx.cfg.host) else { return false };
     since.after(NEXT_IN_RANK.saturating_mul(u32::try_from(rank).unwrap_or(u32::MAX))).is_due(cx.now)
 }
 
--- a/crates/skylarkshore-core/src/control/homes/plan.rs
+++ b/crates/skylarkshore-core/src/control/homes/plan.rs
@@ -2,6 +2,7 @@
 
 use super::{Homes, is_own_turn};
 use crate::authority::{EngineUse, HomeWish};
+use crate::control::hashing::Ring;
 use crate::control::knowledge::Knowledge;
 use crate::control::ownership::Ownership;
 use crate::control::placement::Placement;
@@ -30,6 +31,8 @@
     pub(super) ownership: &'a Ownership,
     pub(super) engines: &'a dyn EngineUse,
     pub(super) wishes: &'a [HomeWish],
+    /// The members that share the work out among themselves.
+    pub(super) ring: &'a Ring<'a>,
     pub(super) model: &'a ModelName,
 }
 
@@ -47,7 +50,7 @@
         let unowned = cx.cache.owner(engine).is_none();
         unowned
             && self.knowledge.roster.is_gone(cx, engine, None)
-            && is_own_turn(cx, self.knowledge, self.model, cx.now)
+            && is_own_turn(cx, self.ring, self.model, cx.now)
     }
 
     /// Tells whether the record is older than this process's ownership of the engine.
@@ -95,14 +98,14 @@
         let (least, most) = limits.map_or((1, 1), |limits| (limits.homes_least, limits.homes_most));
         // Replicas that are there already are all kept; were only the least number
         // of homes written, the others would be unloaded while callers need them.
-        let wanted = placement.holders(cx, review.model).clamp(least, most);
+        let wanted = placement.holders(review.model).clamp(least, most);
         let mut homes: Vec<UpstreamId> = Vec::new();
         while homes.len() < wanted
-            && let Some(home) = placement.place(cx, review.model, &homes, &[])
+            && let Some(home) = placement.place(review.model, &homes, &[])
         {
             homes.push(home);
         }
-        if !review.knowledge.roster.is_settled(cx.now) || !self.is_own_turn(cx, review) {
+        if !self.is_own_turn(cx, review.ring, review.model) {
             return Plan::default();
         }
         if homes.is_empty() {
@@ -124,23 +127,23 @@
         let wished = review.wishes.iter().any(|wish| wish.model == *review.model && wish.leave.is_none());
         let owns_home = plan.engines.iter().any(|home| review.ownership.held(home).is_some());
         let too_few = plan.engines.len() < limits.homes_least;
-        let wanted = (wished && owns_home) || (too_few && self.is_own_turn(cx, review));
+        let wanted = (wished && owns_home) || (too_few && self.is_own_turn(cx, review.ring, review.model));
         if !too_few {
             self.lacking.remove(review.model);
         }
         if !wanted || plan.engines.len() >= limits.homes_most {
             return;
         }
-        if let Some(home) = placement.place(cx, review.model, &plan.engines, &plan.left) {
+        if let Some(home) = placement.place(review.model, &plan.engines, &plan.left) {
             plan.engines.push(home);
             plan.changed = true;
         }
     }
 
     /// Tells whether it is up to this process to give the model a home that it lacks.
-    fn is_own_turn(&mut self, cx: &Cx<'_>, review: &Review<'_>) -> bool {
-        let since = *self.lacking.entry(review.model.clone()).or_insert(cx.now);
-        is_own_turn(cx, review.knowledge, review.model, since)
+    pub(super) fn is_own_turn(&mut self, cx: &Cx<'_>, ring: &Ring<'_>, model: &ModelName) -> bool {
+        let since = *self.lacking.entry(model.clone()).or_insert(cx.now);
+        is_own_turn(cx, ring, model, since)
     }
 
     fn note_unplaceable(&mut self, cx: &mut Cx<'_>, review: &Review<'_>) {
@@ -227,7 +230,7 @@
             let surplus = plan.left.len().saturating_sub(LEFT_KEPT);
             plan.left.drain(..surplus);
         }
-        let next = placement.place(cx, review.model, &plan.engines, &plan.left);
+        let next = placement.place(review.model, &plan.engines, &plan.left);
         match next {
             Some(next) if plan.engines.len() <= most => plan.engines[rank] = next,
             None if plan.engines.len() == 1 => continue,
--- a/crates/skylarkshore-core/src/control/placement.rs
+++ b/crates/skylarkshore-core/src/control/placement.rs
@@ -1,11 +1,16 @@
 //! On which engine a model gets its next home.
 
+use std::cmp::Reverse;
+
 use super::hashing::{name_hash, pair_weight};
 use super::roster::{KnownEngine, Roster};
-use crate::collections::OrderedMap;
+use crate::catalogue::Document;
+use crate::collections::{HashMap, OrderedMap};
 use crate::cx::Cx;
 use crate::id::{ModelName, UpstreamId};
+use crate::store::StoreCache;
 use crate::units::Mebibytes;
+use crate::upstream::Upstream;
 
 /// From how many engines that the hash prefers the least loaded one is taken.
 ///
@@ -20,27 +25,22 @@
 /// How the models' homes lie on the engines' memory.
 #[derive(Debug)]
 pub(super) struct Placement<'a> {
+    document: &'a Document,
+    cache: &'a StoreCache,
+    upstreams: &'a OrderedMap<UpstreamId, Upstream>,
     roster: &'a Roster,
-    load: OrderedMap<UpstreamId, Mebibytes>,
+    /// Made for the first model that needs it; most reviews place none.
+    table: Option<Table<'a>>,
 }
 
 impl<'a> Placement<'a> {
-    /// Adds up the footprints of all homes.
-    pub(super) fn new(cx: &Cx<'_>, roster: &'a Roster) -> Self {
-        let mut load: OrderedMap<UpstreamId, Mebibytes> = OrderedMap::new();
-        for (model, homes) in cx.cache.all_homes() {
-            let Some(model) = cx.document.catalogue.models.get(model) else { continue };
-            for engine in &homes.engines {
-                *load.entry(engine.clone()).or_default() += model.footprint();
-            }
-        }
-        Self { roster, load }
+    pub(super) fn new(cx: &Cx<'a>, roster: &'a Roster) -> Self {
+        Self { document: cx.document, cache: cx.cache, upstreams: cx.upstreams, roster, table: None }
     }
 
     /// Returns how many live engines hold a model.
-    pub(super) fn holders(&self, cx: &Cx<'_>, model: &ModelName) -> usize {
-        let live = self.roster.iter().filter(|(_, engine)| engine.is_live());
-        live.filter(|(id, _)| Nearness::of(cx, id, model) == Nearness::Held).count()
+    pub(super) fn holders(&mut self, model: &ModelName) -> usize {
+        self.table().near_to(model).iter().filter(|near| near.nearness == Nearness::Held).count()
     }
 
     /// Chooses an engine that isn't a home of the model yet, and counts the model there.
@@ -51,42 +51,143 @@
     /// it left for want of memory come last, the one left longest ago first.
     pub(super) fn place(
         &mut self,
-        cx: &Cx<'_>,
         model: &ModelName,
         homes: &[UpstreamId],
         left: &[UpstreamId],
     ) -> Option<UpstreamId> {
-        let known = cx.document.catalogue.models.get(model)?;
+        let known = self.document.catalogue.models.get(model)?;
         let footprint = known.footprint();
-        let near: Vec<&KnownEngine> = homes.iter().filter_map(|home| self.roster.get(home)).collect();
+        let roster = self.roster;
+        let near: Vec<&KnownEngine> = homes.iter().filter_map(|home| roster.get(home)).collect();
         let key = name_hash(model.as_str());
-        let mut candidates: Vec<Candidate<'_>> = self
-            .roster
-            .iter()
-            .filter(|(id, engine)| engine.is_live() && engine.memory >= footprint && !homes.contains(id))
-            .filter(|(_, engine)| known.pool.is_none() || engine.pool == known.pool)
-            .map(|(id, engine)| Candidate {
-                id,
-                nearness: Nearness::of(cx, id, model),
-                left: left.iter().rposition(|known| known == id),
+        let table = self.table();
+        let mut nearness = NearnessCursor::new(table.near_to(model));
+        let mut best = Best::default();
+        for (seat, place) in table.places.iter().enumerate() {
+            let nearness = nearness.at(seat);
+            let engine = place.engine;
+            let fits = engine.memory >= footprint && (known.pool.is_none() || engine.pool == known.pool);
+            if !fits || homes.contains(place.id) {
+                continue;
+            }
+            best.offer(Candidate {
+                seat,
+                nearness,
+                left: left.iter().rposition(|known| known == place.id),
                 shares_data_centre: near.iter().any(|home| home.data_centre == engine.data_centre),
-                weight: pair_weight(key, name_hash(id.as_str())),
-                load: self.load_with(id, engine, footprint),
-            })
-            .collect();
-        candidates.sort_by_key(|c| (c.nearness, c.left, c.shares_data_centre, std::cmp::Reverse(c.weight)));
-        let best = candidates
-            .iter()
-            .take(CHOICES)
-            .min_by_key(|c| (c.nearness, c.left, c.shares_data_centre, c.load))?;
-        let chosen = best.id.clone();
-        *self.load.entry(chosen.clone()).or_default() += footprint;
-        Some(chosen)
+                weight: Reverse(pair_weight(key, place.hash)),
+            });
+        }
+        let load = |c: &Candidate| table.places[c.seat].load_with(footprint);
+        let chosen = best.into_iter().min_by_key(|c| (c.nearness, c.left, c.shares_data_centre, load(c)))?;
+        let place = &mut table.places[chosen.seat];
+        place.load += footprint;
+        Some(place.id.clone())
+    }
+
+    fn table(&mut self) -> &mut Table<'a> {
+        let (document, cache, upstreams, roster) = (self.document, self.cache, self.upstreams, self.roster);
+        self.table.get_or_insert_with(|| Table::new(document, cache, upstreams, roster))
     }
+}
 
-    fn load_with(&self, id: &UpstreamId, engine: &KnownEngine, footprint: Mebibytes) -> u64 {
-        let load = self.load.get(id).copied().unwrap_or_default() + footprint;
-        load.0.saturating_mul(LOAD_PARTS) / engine.memory.0.max(1)
+/// A live engine, with what all its homes take of it.
+#[derive(Debug)]
+struct Place<'a> {
+    id: &'a UpstreamId,
+    engine: &'a KnownEngine,
+    hash: u64,
+    load: Mebibytes,
+}
+
+impl Place<'_> {
+    /// Returns which part of the memory is taken once a footprint is added.
+    fn load_with(&self, footprint: Mebibytes) -> u64 {
+        let load = self.load + footprint;
+        load.0.saturating_mul(LOAD_PARTS) / self.engine.memory.0.max(1)
+    }
+}
+
+/// An engine that has something of a model already.
+#[derive(Clone, Copy, Debug)]
+struct Near {
+    seat: usize,
+    nearness: Nearness,
+}
+
+/// The live engines, and which models they have, looked up by model.
+#[derive(Debug)]
+struct Table<'a> {
+    places: Vec<Place<'a>>,
+    /// By model, the seats of the engines that have it, in ascending order.
+    near: HashMap<&'a ModelName, Vec<Near>>,
+}
+
+impl<'a> Table<'a> {
+    fn new(
+        document: &Document,
+        cache: &StoreCache,
+        upstreams: &'a OrderedMap<UpstreamId, Upstream>,
+        roster: &'a Roster,
+    ) -> Self {
+        let loads = loads(document, cache);
+        let mut table = Self { places: Vec::new(), near: HashMap::default() };
+        for (id, engine) in roster.iter().filter(|(_, engine)| engine.is_live()) {
+            let seat = table.places.len();
+            let load = loads.get(id).copied().unwrap_or_default();
+            table.places.push(Place { id, engine, hash: name_hash(id.as_str()), load });
+            if let Some(upstream) = upstreams.get(id) {
+                table.note_models(seat, upstream);
+            }
+        }
+        table
+    }
+
+    fn note_models(&mut self, seat: usize, upstream: &'a Upstream) {
+        let held = upstream.holds.iter().map(|model| (model, Nearness::Held));
+        let copies = upstream.copies.in_memory.iter().chain(&upstream.copies.on_disk);
+        for (model, nearness) in held.chain(copies.map(|model| (model, Nearness::Copied))) {
+            let near = self.near.entry(model).or_default();
+            // What it holds comes first, so that a copy beside it tells nothing new.
+            if near.last().is_none_or(|last| last.seat != seat) {
+                near.push(Near { seat, nearness });
+            }
+        }
+    }
+
+    fn near_to(&self, model: &ModelName) -> &[Near] {
+        self.near.get(model).map_or(&[], Vec::as_slice)
+    }
+}
+
+/// Adds up the footprints of all homes, by engine.
+fn loads<'a>(document: &Document, cache: &'a StoreCache) -> HashMap<&'a UpstreamId, Mebibytes> {
+    let mut loads: HashMap<&UpstreamId, Mebibytes> = HashMap::default();
+    for (model, homes) in cache.all_homes() {
+        let Some(model) = document.catalogue.models.get(model) else { continue };
+        for engine in &homes.engines {
+            *loads.entry(engine).or_default() += model.footprint();
+        }
+    }
+    loads
+}
+
+/// Tells the nearness of one seat after the other.
+struct NearnessCursor<'a> {
+    rest: &'a [Near],
+}
+
+impl<'a> NearnessCursor<'a> {
+    const fn new(near: &'a [Near]) -> Self {
+        Self { rest: near }
+    }
+
+    fn at(&mut self, seat: usize) -> Nearness {
+        let Some((first, rest)) = self.rest.split_first().filter(|(first, _)| first.seat == seat) else {
+            return Nearness::Nothing;
+        };
+        self.rest = rest;
+        first.nearness
     }
 }
 
@@ -101,22 +202,40 @@
     Nothing,
 }
 
-impl Nearness {
-    fn of(cx: &Cx<'_>, engine: &UpstreamId, model: &ModelName) -> Self {
-        let Some(upstream) = cx.upstreams.get(engine) else { return Self::Nothing };
-        if upstream.holds.contains(model) {
-            return Self::Held;
-        }
-        if upstream.copies.has(model) { Self::Copied } else { Self::Nothing }
-    }
-}
-
-struct Candidate<'a> {
-    id: &'a UpstreamId,
+/// An engine that could be chosen; the least is preferred.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Candidate {
     nearness: Nearness,
     /// Its place among the engines that the model left.
     left: Option<usize>,
     shares_data_centre: bool,
-    weight: u64,
-    load: u64,
+    weight: Reverse<u64>,
+    seat: usize,
+}
+
+/// The few candidates that are preferred, the first before the others.
+#[derive(Debug, Default)]
+struct Best {
+    candidates: [Option<Candidate>; CHOICES],
+}
+
+impl Best {
+    /// Takes a candidate in where it is preferred to one of those so far.
+    fn offer(&mut self, candidate: Candidate) {
+        let mut offered = candidate;
+        for kept in &mut self.candidates {
+            match kept {
+                Some(kept) if *kept < offered => {}
+                Some(kept) => std::mem::swap(kept, &mut offered),
+                None => {
+                    *kept = Some(offered);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn into_iter(self) -> impl Iterator<Item = Candidate> {
+        self.candidates.into_iter().flatten()
+    }
 }
