Keep idle connections to peers for half a minute

Cause: a connection was given up after 2.1 s without traffic. In a large fleet each host speaks to most others now and then (owners of homes, listeners), so that most messages paid for a handshake: a fifth of the samples of a profile of 120 of 295 hosts in QUIC, TLS and its arithmetic.

The short time also found out peers that had gone silent. That is now asked of the connection itself: a peer that has shown nothing since something was first sent to it, for as long as peers count as silent, is connected to anew.

--- a/crates/skylarkshore-host/src/peers/link.rs
+++ b/crates/skylarkshore-host/src/peers/link.rs
@@ -12,7 +12,7 @@
 use skylarkshore_core::id::HostId;
 use slog::debug;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::metrics::Direction;
 use crate::peers::directory::Known;
@@ -29,27 +29,31 @@
 const STREAM_BUFFER: u32 = 1024 * 1024;
 const PEER_BUFFER: u32 = 4 * STREAM_BUFFER;
 
+/// How long a connection that carries nothing is kept.
+///
+/// In a large fleet a process speaks to most others now and then, and making a
+/// connection costs both ends more than hundreds of messages do.
+const IDLE: Duration = Duration::from_secs(30);
+
 /// The times that connections to peers keep.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LinkTimings {
-    idle: Duration,
+    /// How long a peer that is sent to may be silent before it is connected to anew.
+    silence: Duration,
 }
 
 impl From<&Timings> for LinkTimings {
     fn from(timings: &Timings) -> Self {
-        Self { idle: timings.peer_timeout.max(timings.heartbeat_every * 3) }
+        Self { silence: timings.peer_timeout.max(timings.heartbeat_every * 3) }
     }
 }
 
 impl LinkTimings {
     /// Makes the transport's settings.
-    ///
-    /// A connection whose other end is silent is given up after the idle time,
-    /// so that a restarted peer is connected to anew.
     pub(super) fn transport(self) -> Arc<TransportConfig> {
         let mut transport = TransportConfig::default();
         transport
-            .max_idle_timeout(IdleTimeout::try_from(self.idle).ok())
+            .max_idle_timeout(IdleTimeout::try_from(IDLE.max(self.silence)).ok())
             .max_concurrent_uni_streams(STREAMS.into())
             .max_concurrent_bidi_streams(VarInt::from_u32(0))
             .stream_receive_window(STREAM_BUFFER.into())
@@ -80,19 +84,29 @@
     Closed(ClosedStream),
 }
 
+/// Something was sent on a connection, and nothing has come back since.
+#[derive(Clone, Copy, Debug)]
+struct Unheard {
+    since: Instant,
+    /// The connection, and the datagrams that had come on it by then.
+    connection: usize,
+    datagrams: u64,
+}
+
 /// The way to one peer.
 pub(super) struct Link {
     peers: Peers,
     host: HostId,
+    unheard: Option<Unheard>,
 }
 
 impl Link {
     pub(super) const fn new(peers: Peers, host: HostId) -> Self {
-        Self { peers, host }
+        Self { peers, host, unheard: None }
     }
 
     /// Sends what is queued until the process ends.
-    pub(super) async fn run(self, mut queue: mpsc::Receiver<Bytes>) {
+    pub(super) async fn run(mut self, mut queue: mpsc::Receiver<Bytes>) {
         let env = self.peers.shared.env.clone();
         while let Some(message) = queue.recv().await {
             match timeout(SEND_TIMEOUT, self.send(&message)).await.unwrap_or(Err(LinkError::Slow)) {
@@ -107,9 +121,10 @@
         }
     }
 
-    async fn send(&self, message: &Bytes) -> Result<(), LinkError> {
+    async fn send(&mut self, message: &Bytes) -> Result<(), LinkError> {
         let known = self.peers.shared.directory.get(&self.host).ok_or(LinkError::Unknown)?;
-        let connection = match self.peers.kept(&self.host, known.fingerprint) {
+        let kept = self.peers.kept(&self.host, known.fingerprint);
+        let connection = match kept.filter(|connection| self.is_heard(connection)) {
             Some(connection) => connection,
             None => self.connect(known).await?,
         };
@@ -119,6 +134,23 @@
         Ok(())
     }
 
+    /// Tells whether the other end has shown itself since something was sent to it, or may yet do so.
+    ///
+    /// Every message is acknowledged. A peer that was cut off would else be sent to
+    /// in vain until the connection counts as idle.
+    fn is_heard(&mut self, connection: &Connection) -> bool {
+        let now = Instant::now();
+        let (id, datagrams) = (connection.stable_id(), connection.stats().udp_rx.datagrams);
+        let silent = self.unheard.filter(|u| u.connection == id && u.datagrams == datagrams);
+        let unheard = silent.unwrap_or(Unheard { since: now, connection: id, datagrams });
+        let is_heard = now.duration_since(unheard.since) < self.peers.shared.timings.silence;
+        self.unheard = is_heard.then_some(unheard);
+        if !is_heard {
+            connection.close(VarInt::from_u32(0), b"silent");
+        }
+        is_heard
+    }
+
     async fn connect(&self, known: Known) -> Result<Connection, LinkError> {
         let shared = &self.peers.shared;
         let config = shared.identity.client_config(known.fingerprint, shared.timings)?;
