--- a/crates/skylarkshore-core/src/control/membership.rs
+++ b/crates/skylarkshore-core/src/control/membership.rs
@@ -309,8 +309,8 @@
             }
             (Purpose::Grant | Purpose::Renew, StoreAnswer::Lease { lease, ttl }) => {
                 self.lease = Some(HeldLease { id: *lease, confirmed: sent.sent, ttl: *ttl });
-                let half = cx.cfg.timings.renew_every / 2;
-                let next = sent.sent.after(half + cx.jitter(half));
+                let every = cx.cfg.timings.renew_every;
+                let next = sent.sent.after(every * 3 / 4 + cx.jitter(every / 4));
                 self.calls.rest_until(next);
                 self.register_when_due(cx);
             }
--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -174,6 +174,8 @@
         /// The revision up to which nothing is missing.
         upto: StoreRevision,
     },
+    /// The watch had no answer in time, and is asked again from where it stood.
+    WatchUnanswered,
     /// The watch broke and may have missed changes.
     WatchBroken,
     /// A message from a peer, whose identity was checked.
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -182,6 +182,7 @@
                 self.take_records(now, changes.clone(), effects);
                 self.with(now, effects, |cx, parts| parts.control.on_watched(cx, changes, upto));
             }
+            Event::WatchUnanswered => self.listing.silent(),
             Event::WatchBroken => {
                 self.listing.silent();
                 self.with(now, effects, |cx, parts| parts.control.on_watch_broken(cx));
--- a/crates/skylarkshore-host/src/driver/effects.rs
+++ b/crates/skylarkshore-host/src/driver/effects.rs
@@ -39,6 +39,10 @@
     fn seen(&self, seen: Seen) -> BoxFuture<'_, ()> {
         Box::pin(self.0.event(Event::Watched { changes: seen.changes, upto: seen.upto }))
     }
+
+    fn unanswered(&self) -> BoxFuture<'_, ()> {
+        Box::pin(self.0.event(Event::WatchUnanswered))
+    }
 }
 
 impl Effects {
--- a/crates/skylarkshore-host/src/store.rs
+++ b/crates/skylarkshore-host/src/store.rs
@@ -36,4 +36,7 @@
 pub trait WatchSink: Send + Sync {
     /// Takes what was seen.
     fn seen(&self, seen: Seen) -> BoxFuture<'_, ()>;
+
+    /// Takes note that no answer came in time.
+    fn unanswered(&self) -> BoxFuture<'_, ()>;
 }
