Break four circles between files, and cut stories from two comments

Control's feed and peers, the host's settings and errors, calls and kept connections, and the peers' identity, transport and verifier: what two files shared stands in a file of its own, or is passed by value. No change of what the program does.

--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -24,7 +24,7 @@
 use knowledge::Knowledge;
 use membership::Membership;
 use ownership::Ownership;
-use peers::Peers;
+use peers::{OwnState, Peers};
 use power::Power;
 use roster::Roster;
 
@@ -103,13 +103,22 @@
     /// Does what is due.
     pub fn on_tick(&mut self, cx: &mut Cx<'_>, engines: &dyn EngineUse) {
         self.membership.on_tick(cx);
-        self.peers.on_tick(cx, &self.membership, &self.feed);
+        self.peers.on_tick(cx, self.own_state());
         self.feed.on_tick(cx);
         if self.last_review.after(self.review_every(engines)).is_due(cx.now) {
             self.review(cx, engines);
         }
     }
 
+    fn own_state(&self) -> OwnState {
+        OwnState {
+            frontier: self.feed.frontier(),
+            is_store_reachable: self.membership.is_store_reachable() && self.feed.is_store_reachable(),
+            is_watching: self.feed.watching_since().is_some(),
+            is_leaving: self.membership.is_leaving(),
+        }
+    }
+
     fn review_every(&self, engines: &dyn EngineUse) -> Duration {
         if self.changed {
             return REVIEW_SOON;
--- a/crates/skylarkshore-core/src/control/peers.rs
+++ b/crates/skylarkshore-core/src/control/peers.rs
@@ -6,14 +6,13 @@
 
 use rand::Rng;
 
-use super::feed::Feed;
 use super::hashing::name_hash;
 use super::membership::Membership;
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::config::Watchers;
 use crate::cx::Cx;
 use crate::effect::Effect;
-use crate::id::{HostId, Incarnation};
+use crate::id::{HostId, Incarnation, StoreRevision};
 use crate::peer::PeerMessage;
 use crate::store::MemberRecord;
 use crate::time::Time;
@@ -54,6 +53,16 @@
     seen: Time,
 }
 
+/// What a process tells its peers of itself.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OwnState {
+    /// The revision up to which it knows the shared keys.
+    pub(super) frontier: StoreRevision,
+    pub(super) is_store_reachable: bool,
+    pub(super) is_watching: bool,
+    pub(super) is_leaving: bool,
+}
+
 /// What is known of the other processes.
 #[derive(Debug, Default)]
 pub(super) struct Peers {
@@ -166,7 +175,7 @@
     }
 
     /// Sends the heartbeats that are due and forgets who went long ago.
-    pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>, membership: &Membership, feed: &Feed) {
+    pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>, own: OwnState) {
         if !self.next_heartbeat.is_due(cx.now) {
             return;
         }
@@ -179,13 +188,13 @@
         let message = PeerMessage::Heartbeat {
             incarnation: cx.cfg.incarnation,
             rules: cx.document.revision,
-            store: feed.frontier(),
-            store_reachable: membership.is_store_reachable() && feed.is_store_reachable(),
-            leaving: membership.is_leaving(),
+            store: own.frontier,
+            store_reachable: own.is_store_reachable,
+            leaving: own.is_leaving,
         };
         let mut receivers = heartbeat_receivers(cx);
         // Only where one process watches for its data centre do the others wait for its signs of life.
-        if cx.cfg.watchers == Watchers::OnePerDataCentre && feed.watching_since().is_some() {
+        if cx.cfg.watchers == Watchers::OnePerDataCentre && own.is_watching {
             receivers.extend(neighbours(cx));
         }
         for host in receivers {
--- a/crates/skylarkshore-core/src/loading/crowd.rs
+++ b/crates/skylarkshore-core/src/loading/crowd.rs
@@ -17,11 +17,8 @@
 /// How many loads the weight store runs at full speed, learned from how long they take.
 ///
 /// Beyond that number each takes longer in proportion, so that more at once
-/// bring nothing and keep every engine busy. One would see loads end late, all
-/// at the same time, or none end at all: where the store runs one load of 13 s
-/// at full speed, five at once took over a minute, and callers of twenty models
-/// waited in vain for a day of 48 s. So the number begins as the settings say, and
-/// doubles with each load that ends in time until the first doesn't.
+/// bring nothing and keep every engine busy. The number begins as the settings
+/// say, and doubles with each load that ends in time until the first doesn't.
 #[derive(Debug, Default)]
 pub(crate) struct Crowd {
     learned: Option<usize>,
--- a/crates/skylarkshore-core/src/serving/returning.rs
+++ b/crates/skylarkshore-core/src/serving/returning.rs
@@ -7,10 +7,7 @@
 
 /// From how many on they count as waiting.
 ///
-/// Single ones often go to another host, and the load would be for nobody. Sum
-/// of worth over the six standard days of two sites with eight and nine hosts,
-/// one run each: counting all 2.27 and 2.46, counting three and more 2.83 and
-/// 2.72. With 78 hosts single ones brought nothing either: worth 0.334 and 0.325.
+/// Single ones often go to another host, and the load would be for nobody.
 const LEAST_COUNT: u32 = 3;
 /// How much later than told they may come back.
 const GRACE: Duration = Duration::from_secs(1);
--- a/crates/skylarkshore-host/src/config.rs
+++ b/crates/skylarkshore-host/src/config.rs
@@ -1,11 +1,11 @@
 //! The settings of a host: JSON with comments, checked as a whole.
 
+pub(crate) mod invalid;
 mod platform;
 mod section;
 mod timings;
 mod url;
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::str::FromStr;
@@ -23,6 +23,7 @@
 
 use crate::error::Error as ProgramError;
 
+pub use invalid::InvalidSettings;
 pub use section::Fault;
 pub use url::{HttpUrl, InvalidHttpUrl};
 
@@ -143,20 +144,6 @@
     }
 }
 
-/// Everything that is wrong with a settings file.
-#[derive(Debug, Error, PartialEq, Eq)]
-pub struct InvalidSettings {
-    /// The faults in the order of their lines.
-    pub faults: Vec<Fault>,
-}
-
-impl fmt::Display for InvalidSettings {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "the settings have {} error(s)", self.faults.len())?;
-        self.faults.iter().try_for_each(|fault| write!(f, "\n  {fault}"))
-    }
-}
-
 impl Config {
     /// Reads and checks a settings file.
     ///
--- /dev/null
+++ b/crates/skylarkshore-host/src/config/invalid.rs
@@ -0,0 +1,21 @@
+//! What is wrong with a settings file.
+
+use std::fmt;
+
+use derive_more::Error;
+
+use super::section::Fault;
+
+/// Everything that is wrong with a settings file.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub struct InvalidSettings {
+    /// The faults in the order of their lines.
+    pub faults: Vec<Fault>,
+}
+
+impl fmt::Display for InvalidSettings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the settings have {} error(s)", self.faults.len())?;
+        self.faults.iter().try_for_each(|fault| write!(f, "\n  {fault}"))
+    }
+}
--- a/crates/skylarkshore-host/src/error.rs
+++ b/crates/skylarkshore-host/src/error.rs
@@ -6,7 +6,7 @@
 
 use derive_more::{Display, Error, From};
 
-use crate::config::InvalidSettings;
+use crate::config::invalid::InvalidSettings;
 
 /// Why the program can't start or go on.
 #[derive(Debug, Display, Error, From)]
--- a/crates/skylarkshore-host/src/http.rs
+++ b/crates/skylarkshore-host/src/http.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use derive_more::{Display, Error};
 use http::header::{CONTENT_TYPE, HOST};
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -14,8 +13,11 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::time::Instant;
 
+use crate::call_error::chain;
 use crate::pool::Connection;
 
+pub use crate::call_error::CallError;
+
 /// How long a connection may take to be made.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a connection is kept for reuse. Most servers close idle ones after
@@ -31,23 +33,6 @@
 /// The largest answer that is read whole, in bytes.
 const MAX_ANSWER_LEN: usize = 16 * 1024 * 1024;
 
-/// Why a call has no answer.
-#[derive(Debug, Display, Error)]
-pub enum CallError {
-    /// No connection could be made, so nothing was sent.
-    #[display("no connection: {reason}")]
-    NotConnected {
-        /// What stood in the way.
-        reason: String,
-    },
-    /// It was sent, and the answer is missing, cut short or too large.
-    #[display("no whole answer: {reason}")]
-    Lost {
-        /// What went wrong.
-        reason: String,
-    },
-}
-
 /// An answer that was read whole.
 #[derive(Debug)]
 pub struct Answer {
@@ -161,15 +146,3 @@
 fn timed_out() -> CallError {
     CallError::Lost { reason: "timed out".to_owned() }
 }
-
-/// Joins an error's causes, which its own text leaves out.
-pub fn chain(err: &dyn std::error::Error) -> String {
-    let mut text = err.to_string();
-    let mut source = err.source();
-    while let Some(cause) = source {
-        text.push_str(": ");
-        text.push_str(&cause.to_string());
-        source = cause.source();
-    }
-    text
-}
--- a/crates/skylarkshore-host/src/peers.rs
+++ b/crates/skylarkshore-host/src/peers.rs
@@ -1,8 +1,10 @@
 //! Messages to and from peers over QUIC, one stream for each message.
 
 mod directory;
+mod fingerprint;
 mod identity;
 mod link;
+mod transport;
 mod verifier;
 
 use std::net::UdpSocket;
@@ -27,7 +29,7 @@
 use link::Link;
 
 pub(crate) use identity::Identity;
-pub(crate) use link::LinkTimings;
+pub(crate) use transport::LinkTimings;
 
 /// Messages that may wait for one peer; more are dropped. Whoever needs an
 /// answer asks again, so that a lost message costs time and nothing else.
@@ -143,7 +145,7 @@
                 return;
             }
         };
-        let shown = identity::shown_by(&connection);
+        let shown = fingerprint::shown_by(&connection);
         let Some((fingerprint, host)) =
             shown.and_then(|shown| Some((shown, self.shared.directory.host_of(shown)?)))
         else {
--- /dev/null
+++ b/crates/skylarkshore-host/src/peers/fingerprint.rs
@@ -0,0 +1,17 @@
+//! By what certificates are known.
+
+use quinn::Connection;
+use rustls::pki_types::CertificateDer;
+use sha2::{Digest as _, Sha256};
+use skylarkshore_core::id::Digest;
+
+/// Returns the SHA-256 of a certificate.
+pub(super) fn fingerprint(certificate: &CertificateDer<'_>) -> Digest {
+    Digest(Sha256::digest(certificate).into())
+}
+
+/// Returns the fingerprint of the certificate that the other end has shown.
+pub(super) fn shown_by(connection: &Connection) -> Option<Digest> {
+    let shown = connection.peer_identity()?.downcast::<Vec<CertificateDer<'static>>>().ok()?;
+    shown.first().map(fingerprint)
+}
--- a/crates/skylarkshore-host/src/peers/identity.rs
+++ b/crates/skylarkshore-host/src/peers/identity.rs
@@ -3,15 +3,15 @@
 use std::sync::Arc;
 
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
-use quinn::{ClientConfig, Connection, ServerConfig};
+use quinn::{ClientConfig, ServerConfig};
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, PrivatePkcs8KeyDer};
 use rustls::version::TLS13;
-use sha2::{Digest as _, Sha256};
 use skylarkshore_core::id::Digest;
 
 use crate::error::Error;
 use crate::peers::directory::Directory;
-use crate::peers::link::LinkTimings;
+use crate::peers::fingerprint::fingerprint;
+use crate::peers::transport::LinkTimings;
 use crate::peers::verifier::{PublishedClients, PublishedServer, provider};
 
 /// The name in every certificate; nobody checks it, as certificates are pinned.
@@ -87,14 +87,3 @@
 fn unsuitable() -> Error {
     Error::Tls(rustls::Error::General("no cipher suite for QUIC".to_owned()))
 }
-
-/// Returns the SHA-256 of a certificate.
-pub(super) fn fingerprint(certificate: &CertificateDer<'_>) -> Digest {
-    Digest(Sha256::digest(certificate).into())
-}
-
-/// Returns the fingerprint of the certificate that the other end has shown.
-pub(super) fn shown_by(connection: &Connection) -> Option<Digest> {
-    let shown = connection.peer_identity()?.downcast::<Vec<CertificateDer<'static>>>().ok()?;
-    shown.first().map(fingerprint)
-}
--- a/crates/skylarkshore-host/src/peers/link.rs
+++ b/crates/skylarkshore-host/src/peers/link.rs
@@ -1,14 +1,10 @@
 //! The way to one peer: a queue, and a connection that is made when there is something to send.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use derive_more::{Display, Error, From};
-use quinn::{
-    ClosedStream, ConnectError, Connection, ConnectionError, IdleTimeout, TransportConfig, VarInt, WriteError,
-};
-use skylarkshore_core::config::Timings;
+use quinn::{ClosedStream, ConnectError, Connection, ConnectionError, VarInt, WriteError};
 use skylarkshore_core::id::HostId;
 use slog::debug;
 use tokio::sync::mpsc;
@@ -23,45 +19,6 @@
 const REST: Duration = Duration::from_millis(200);
 /// How long connecting or handing a message over may take.
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
-/// Messages of one peer that are read at a time.
-const STREAMS: u32 = 64;
-/// What is buffered of one message and of all messages of a peer, in bytes.
-const STREAM_BUFFER: u32 = 1024 * 1024;
-const PEER_BUFFER: u32 = 4 * STREAM_BUFFER;
-
-/// How long a connection that carries nothing is kept.
-///
-/// In a large fleet a process speaks to most others now and then, and making a
-/// connection costs both ends more than hundreds of messages do.
-const IDLE: Duration = Duration::from_secs(30);
-
-/// The times that connections to peers keep.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct LinkTimings {
-    /// How long a peer that is sent to may be silent before it is connected to anew.
-    silence: Duration,
-}
-
-impl From<&Timings> for LinkTimings {
-    fn from(timings: &Timings) -> Self {
-        Self { silence: timings.peer_timeout.max(timings.heartbeat_every * 3) }
-    }
-}
-
-impl LinkTimings {
-    /// Makes the transport's settings.
-    pub(super) fn transport(self) -> Arc<TransportConfig> {
-        let mut transport = TransportConfig::default();
-        transport
-            .max_idle_timeout(IdleTimeout::try_from(IDLE.max(self.silence)).ok())
-            .max_concurrent_uni_streams(STREAMS.into())
-            .max_concurrent_bidi_streams(VarInt::from_u32(0))
-            .stream_receive_window(STREAM_BUFFER.into())
-            .receive_window(PEER_BUFFER.into())
-            .datagram_receive_buffer_size(None);
-        Arc::new(transport)
-    }
-}
 
 /// Why a message didn't get to a peer.
 #[derive(Debug, Display, Error, From)]
--- a/crates/skylarkshore-host/src/peers/verifier.rs
+++ b/crates/skylarkshore-host/src/peers/verifier.rs
@@ -10,7 +10,7 @@
 use skylarkshore_core::id::Digest;
 
 use crate::peers::directory::Directory;
-use crate::peers::identity::fingerprint;
+use crate::peers::fingerprint::fingerprint;
 
 /// Returns the cryptography that connections use.
 pub(super) fn provider() -> Arc<CryptoProvider> {
--- a/crates/skylarkshore-host/src/pool.rs
+++ b/crates/skylarkshore-host/src/pool.rs
@@ -16,7 +16,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
-use crate::http::{CallError, chain};
+use crate::call_error::{CallError, chain};
 
 /// How long a connection may take to be made; data centres lie a millisecond
 /// apart, and an upstream whose queue of connections is full answers no sooner.
--- a/crates/skylarkshore-host/src/store/etcd.rs
+++ b/crates/skylarkshore-host/src/store/etcd.rs
@@ -22,6 +22,7 @@
 use slog::{Logger, debug, warn};
 use tokio::time::Instant;
 
+use crate::call_error::chain;
 use crate::config::HttpUrl;
 use crate::http::{Answer, CallError, PooledClient, call, client, json_request};
 use crate::metrics::Metrics;
@@ -156,7 +157,7 @@
         let begin = tokio::time::timeout(self.timeout, self.client.request(req));
         let res = begin.await.map_err(|_elapsed| "timed out".to_owned())?.map_err(|err| {
             self.current.store(index + 1, Ordering::Relaxed);
-            crate::http::chain(&err)
+            chain(&err)
         })?;
         if res.status() != StatusCode::OK {
             return Err(format!("status {}", res.status()));
