Tell swaps to those whom they concern, and believe the list where accounts are old

An owner's account was believed for ever once it had spoken in an engine's life, though owners tell only hosts that used a model lately. Now the host list goes before an account that is older than the list's own lag, where they differ.

And a host got some 50 accounts a second for 5 requests, as each swap was told to all who used any model of the engine. Now only those are told whose model has changed.

Effect at size: not measured when this was written.

--- a/crates/skylarkshore-core/src/loading/views.rs
+++ b/crates/skylarkshore-core/src/loading/views.rs
@@ -28,16 +28,25 @@
         return;
     }
     let view = make(cx, engine);
-    let hosts = listeners(engine, &view, demand);
-    let is_due = match &engine.told.last {
-        None => true,
-        Some(last) if is_later(cx.now.since(engine.told.at), last, &view) => true,
-        Some(last) if is_same(last, &view, true) && engine.closing.is_empty() => false,
-        Some(last) => !is_same(last, &view, false) || engine.told.at.after(load_pause(&hosts)).is_due(cx.now),
+    let hosts = match &engine.told.last {
+        None => listeners(&view, &view, demand),
+        Some(last) if is_later(cx.now.since(engine.told.at), last, &view) => {
+            listeners_in(&view, |readiness| matches!(readiness, Readiness::Loading { .. }), demand)
+        }
+        Some(last) if !is_same(last, &view, false) => listeners_to_change(last, &view, demand),
+        Some(last) => {
+            let hosts = if is_same(last, &view, true) {
+                // Whoever missed that a model is about to go would keep it busy.
+                listeners_in(&view, |readiness| readiness == Readiness::Closing, demand)
+            } else {
+                listeners(last, &view, demand)
+            };
+            if hosts.is_empty() || !engine.told.at.after(load_pause(&hosts)).is_due(cx.now) {
+                return;
+            }
+            hosts
+        }
     };
-    if !is_due {
-        return;
-    }
     let view = remember(cx.now, engine, view);
     for host in hosts {
         engine.told.to.insert(host.clone(), cx.now);
@@ -46,12 +55,40 @@
 }
 
 /// Returns the routers that want to hear of a model that is or was on the engine.
-fn listeners(engine: &Engine, view: &EngineView, demand: &Demand) -> OrderedSet<HostId> {
-    let mut models: OrderedSet<&ModelName> = view.models.iter().map(|m| &m.model).collect();
-    if let Some(last) = &engine.told.last {
-        models.extend(last.models.iter().map(|m| &m.model));
+fn listeners(last: &EngineView, view: &EngineView, demand: &Demand) -> OrderedSet<HostId> {
+    listeners_to(view.models.iter().chain(&last.models), demand)
+}
+
+/// Returns the routers that want to hear of a model for which something has changed.
+///
+/// An engine that serves many rarely used models by turns swaps all the time.
+/// Were all told of it who use any of its models, the messages would take up
+/// every host of a large fleet.
+fn listeners_to_change(last: &EngineView, view: &EngineView, demand: &Demand) -> OrderedSet<HostId> {
+    let is_engine_same = last.leaving == view.leaving
+        && last.concurrency == view.concurrency
+        && last.reserved_for == view.reserved_for
+        && last.incarnation == view.incarnation;
+    if !is_engine_same {
+        return listeners(last, view, demand);
     }
-    models.into_iter().flat_map(|model| demand.listeners(model)).cloned().collect()
+    let changed = view.models.iter().filter(|model| !has_same(last, model));
+    let gone = last.models.iter().filter(|model| !has_same(view, model));
+    listeners_to(changed.chain(gone), demand)
+}
+
+/// Returns the routers that want to hear of a model that stands like this.
+fn listeners_in(view: &EngineView, is_it: impl Fn(Readiness) -> bool, demand: &Demand) -> OrderedSet<HostId> {
+    listeners_to(view.models.iter().filter(|model| is_it(model.readiness)), demand)
+}
+
+fn listeners_to<'a>(models: impl Iterator<Item = &'a ModelView>, demand: &Demand) -> OrderedSet<HostId> {
+    models.flat_map(|seen| demand.listeners(&seen.model)).cloned().collect()
+}
+
+/// Tells whether a view says of a model what is said here.
+fn has_same(view: &EngineView, model: &ModelView) -> bool {
+    view.models.iter().any(|seen| is_same_model(seen, model))
 }
 
 /// Returns how long to wait between two messages that tell of changed load alone.
--- a/crates/skylarkshore-core/src/serving/views.rs
+++ b/crates/skylarkshore-core/src/serving/views.rs
@@ -18,6 +18,11 @@
 /// next owner's word.
 const OVERDUE: Duration = Duration::from_secs(10);
 
+/// After how long the host list shows what an engine holds.
+///
+/// Engines register about once a second, and the list is read every two.
+const LISTED_WITHIN: Duration = Duration::from_secs(4);
+
 /// An owner's account of an engine, with what this process had there when it came.
 #[derive(Clone, Debug)]
 pub(super) struct KnownView {
@@ -55,6 +60,29 @@
             && settled <= self.taken
     }
 
+    /// Tells whether the account says more of an engine than the host list does.
+    fn goes_before(&self, cx: &Cx<'_>, listed: &Upstream) -> bool {
+        let life = self.view.incarnation;
+        if life != listed.incarnation {
+            return life > listed.incarnation;
+        }
+        let is_owners = self.view.version != ViewVersion::default();
+        is_owners && (!self.taken.after(LISTED_WITHIN).is_due(cx.now) || self.agrees_with(listed))
+    }
+
+    /// Tells whether the host list names just the models that can be used by the account.
+    fn agrees_with(&self, listed: &Upstream) -> bool {
+        let ready = self.view.models.iter().filter(|m| m.readiness == Readiness::Ready);
+        let mut count = 0;
+        for model in ready {
+            if !listed.holds.contains(&model.model) {
+                return false;
+            }
+            count += 1;
+        }
+        count == listed.holds.len()
+    }
+
     fn model(&self, cx: &Cx<'_>, target: &ModelTarget) -> Option<&ModelView> {
         let listed = cx.upstreams.get(&self.view.upstream)?;
         if listed.incarnation > self.view.incarnation {
@@ -144,22 +172,23 @@
         }
     }
 
-    /// Takes over what the host list tells of engines that no owner has spoken of in their present life.
+    /// Takes over what the host list tells of engines of which no owner has spoken lately.
     ///
     /// A process that has just started would otherwise have to wait for each
-    /// owner's word, and where an owner is away, for its successor's.
+    /// owner's word, and where an owner is away, for its successor's. Owners tell
+    /// only those of changes who use a model; whoever last asked for one long ago
+    /// would go on sending its requests where it was then.
     pub(super) fn take_listed(&mut self, cx: &Cx<'_>) {
         for upstream in cx.upstreams.values().filter(|upstream| !upstream.holds.is_empty()) {
             let Some(spec) = upstream.engine() else { continue };
             let known = self.known.get(&upstream.id);
-            if known.is_some_and(|known| {
-                known.view.incarnation > upstream.incarnation
-                    || known.view.incarnation == upstream.incarnation
-                        && known.view.version != ViewVersion::default()
-            }) {
+            if known.is_some_and(|known| known.goes_before(cx, upstream)) {
                 continue;
             }
-            let view = listed_view(cx, upstream, spec.concurrency);
+            let mut view = listed_view(cx, upstream, spec.concurrency);
+            if let Some(known) = known.filter(|known| known.view.incarnation == view.incarnation) {
+                keep_adapters(&mut view, &known.view);
+            }
             let others = OthersLoad::new(cx.now, 0);
             self.insert(KnownView { view, taken: cx.now, others, reserved_since: cx.now });
         }
@@ -228,6 +257,16 @@
     }
 }
 
+/// Takes over which adapters can be used on models that are still there.
+fn keep_adapters(view: &mut EngineView, known: &EngineView) {
+    for model in &mut view.models {
+        let before = known.models.iter().find(|m| m.model == model.model && m.version == model.version);
+        if let Some(before) = before {
+            model.adapters.clone_from(&before.adapters);
+        }
+    }
+}
+
 /// Tells whether the same models can be used, so that earlier loads say something of present ones.
 fn holds_the_same(a: &EngineView, b: &EngineView) -> bool {
     let usable = |view: &EngineView| -> Vec<ModelName> {
--- a/crates/skylarkshore-core/tests/loading/course.rs
+++ b/crates/skylarkshore-core/tests/loading/course.rs
@@ -117,3 +117,22 @@
     let told = rig.views_told() - before;
     assert!(told <= 40 * 20 + 200, "{told} views in 40 s");
 }
+
+/// An engine swaps rarely used models by turns; were all told of each swap who
+/// use another of its models, the messages would take up a large fleet.
+#[test]
+fn a_swap_is_told_to_those_who_use_the_models_concerned() {
+    let mut rig = Rig::new(&[("maize", 500), ("oats", 400), ("rye", 400)]);
+    rig.document.rules.otherwise.idle_after = IdleAfter::Never;
+    for (router, model) in [("entry-1", "maize"), ("entry-2", "oats")] {
+        rig.run_wanting(Duration::from_secs(6), router, model, 1);
+        rig.want(router, model, 0);
+    }
+    rig.engine.set_running("maize", 1);
+    rig.run(Duration::from_secs(2));
+    let before = rig.views_told_to("entry-1");
+    rig.run_wanting(Duration::from_secs(10), "entry-3", "rye", 1);
+    assert!(rig.shows("entry-3", "rye", "Ready") && !rig.engine.holds("oats"));
+    assert!(rig.views_told_to("entry-2") > 0 && !rig.shows("entry-2", "oats", "Ready"));
+    assert_eq!(rig.views_told_to("entry-1"), before);
+}
--- a/crates/skylarkshore-core/tests/serving/routing.rs
+++ b/crates/skylarkshore-core/tests/serving/routing.rs
@@ -116,3 +116,20 @@
     }
     assert_eq!(order, [11, 12, 13, 14, 15, 16, 17, 18, 10, 19]);
 }
+
+/// An owner tells only those of a swap who use the models; whoever asks again
+/// later would be sent to where its model no longer is.
+#[test]
+fn the_list_goes_before_an_account_that_is_no_longer_kept_up() {
+    let mut p = Process::new("a", 1);
+    p.peer("b", &PeerMessage::View(view("e1", 1, "m", Readiness::Ready)));
+    p.pass(5000);
+    if let Some(listed) = p.upstreams.get_mut(&name("e1")) {
+        listed.holds = vec![name("n")];
+    }
+    p.with(|serving, cx| serving.on_host_list(cx));
+    p.arrive(1, arrival(&p, model("m"), 1));
+    assert_eq!(p.take_sent().len(), 0);
+    p.arrive(2, arrival(&p, model("n"), 2));
+    assert_eq!(p.take_sent().remove(0).upstream.as_str(), "e1");
+}
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -449,6 +449,12 @@
         self.told.iter().filter(|e| matches!(e.message, PeerMessage::View(_))).count()
     }
 
+    /// Counts the views that a router was sent.
+    pub fn views_told_to(&self, router: &str) -> usize {
+        let to_it = self.told.iter().filter(|e| e.to.as_str() == router);
+        to_it.filter(|e| matches!(e.message, PeerMessage::View(_))).count()
+    }
+
     /// Lists the refusals that routers were given.
     pub fn refusals(&self) -> Vec<String> {
         let refusal = |e: &Envelope| match &e.message {
