--- a/crates/skylarkshore-core/tests/serving/routing.rs
+++ b/crates/skylarkshore-core/tests/serving/routing.rs
@@ -127,7 +127,7 @@
     if let Some(listed) = p.upstreams.get_mut(&name("e1")) {
         listed.holds = vec![name("n")];
     }
-    p.with(|serving, cx| serving.on_host_list(cx));
+    p.with(skylarkshore_core::serving::Serving::on_host_list);
     p.arrive(1, arrival(&p, model("m"), 1));
     assert_eq!(p.take_sent().len(), 0);
     p.arrive(2, arrival(&p, model("n"), 2));
