--- a/crates/skylarkshore-core/src/control/homes/plan.rs
+++ b/crates/skylarkshore-core/src/control/homes/plan.rs
@@ -85,6 +85,7 @@
         };
         drop_surplus(review, &mut plan, limits.homes_most);
         replace_left(cx, review, &mut plan, placement, limits.homes_most);
+        join_holders(cx, review, &mut plan, &limits);
         self.add_lacking(cx, review, &mut plan, placement, &limits);
         plan.changed |= plan.engines.iter().any(|home| review.is_unconfirmed(home, revision));
         plan
@@ -208,6 +209,23 @@
     }
 }
 
+/// Makes engines of this process homes that hold the model already.
+///
+/// In a large fleet some engines are listed after the first homes were given
+/// out. Were what they hold taken for surplus, it would be unloaded, and may be
+/// nowhere else.
+fn join_holders(cx: &Cx<'_>, review: &Review<'_>, plan: &mut Plan, limits: &Limits) {
+    for engine in review.ownership.holdings().keys() {
+        let holds = cx.upstreams.get(engine).is_some_and(|listed| listed.holds_live(review.model));
+        let is_new = !plan.engines.contains(engine) && !plan.left.contains(engine);
+        let is_held = review.ownership.held(engine).is_some();
+        if holds && is_new && is_held && plan.engines.len() < limits.most {
+            plan.engines.push(engine.clone());
+            plan.changed = true;
+        }
+    }
+}
+
 /// Takes the home from engines that are gone, about to go, or crowded.
 fn replace_left(
     cx: &Cx<'_>,
--- a/crates/skylarkshore-core/src/loading/close.rs
+++ b/crates/skylarkshore-core/src/loading/close.rs
@@ -78,7 +78,7 @@
     // A home that is only unconfirmed isn't lost. After an engine has changed
     // hands its homes are written anew one by one; were its models taken for
     // homeless meanwhile, each take-over would empty the engine.
-    if beside.authority.must_close(&engine.id, &seen.model) {
+    if beside.authority.must_close(&engine.id, &seen.model) && !may_become_home(cx, engine, beside, seen) {
         return Some(CloseReason::Surplus);
     }
     if seen.version != known.version {
@@ -88,6 +88,14 @@
     (!is_used && engine.unneeded.contains(&seen.model)).then_some(CloseReason::Idle)
 }
 
+/// Tells whether the engine holds the model from before and is about to become its home.
+fn may_become_home(cx: &Cx<'_>, engine: &Engine, beside: &Beside<'_>, seen: &ReportedModel) -> bool {
+    let holds = cx.upstreams.get(&engine.id).is_some_and(|listed| listed.holds_live(&seen.model));
+    let Some((_, homes)) = cx.cache.homes(&seen.model) else { return false };
+    let most = wants::rule(cx, engine, beside, &seen.model).replicas_max as usize;
+    engine.is_one_by_one() && holds && !homes.left.contains(&engine.id) && homes.engines.len() < most
+}
+
 /// Works out which idle models the policy would rather unload.
 pub(crate) fn review_idle(cx: &Cx<'_>, engine: &mut Engine, beside: &Beside<'_>, wants: &[Want]) {
     let Some(report) = engine.report() else { return };
--- a/crates/skylarkshore-core/src/serving/views.rs
+++ b/crates/skylarkshore-core/src/serving/views.rs
@@ -179,9 +179,15 @@
     /// only those of changes who use a model; whoever last asked for one long ago
     /// would go on sending its requests where it was then.
     pub(super) fn take_listed(&mut self, cx: &Cx<'_>) {
-        for upstream in cx.upstreams.values().filter(|upstream| !upstream.holds.is_empty()) {
+        for upstream in cx.upstreams.values() {
             let Some(spec) = upstream.engine() else { continue };
             let known = self.known.get(&upstream.id);
+            if upstream.holds.is_empty() {
+                if known.is_some_and(|known| known.view.version == ViewVersion::default()) {
+                    self.remove(&upstream.id);
+                }
+                continue;
+            }
             if known.is_some_and(|known| known.goes_before(cx, upstream)) {
                 continue;
             }
--- a/crates/skylarkshore-core/src/upstream.rs
+++ b/crates/skylarkshore-core/src/upstream.rs
@@ -125,6 +125,11 @@
         }
     }
 
+    /// Tells whether it held the model when it last registered, and may get new work.
+    pub fn holds_live(&self, model: &ModelName) -> bool {
+        self.standing == Standing::Live && self.holds.contains(model)
+    }
+
     /// Returns the service's name, if this is a replica of one.
     pub const fn service(&self) -> Option<&ServiceName> {
         match &self.kind {
--- a/crates/skylarkshore-core/tests/control/homes.rs
+++ b/crates/skylarkshore-core/tests/control/homes.rs
@@ -169,3 +169,18 @@
     found.sort();
     assert_eq!(found, holders);
 }
+
+/// An engine that is listed late would have what it holds unloaded as surplus.
+#[test]
+fn an_engine_listed_late_becomes_a_home_of_what_it_holds() {
+    let plenty = document(1, 1, 6, PLENTY);
+    let mut cluster = Cluster::with(24, &["a", "b", "c"], 3, FenceCheck::Ignores, plenty);
+    cluster.until("homes", secs(20), |cluster| !homes(cluster, "model-0").is_empty());
+    let mut late = crate::cluster::engine("late", FenceCheck::Ignores);
+    late.holds.push(name("model-0"));
+    cluster.engines.insert(late.id.clone(), late);
+    for host in ["a", "b", "c"] {
+        cluster.set_host_list(&name(host));
+    }
+    cluster.until("one more home", secs(20), |cluster| homes(cluster, "model-0").contains(&name("late")));
+}
--- a/crates/skylarkshore-core/tests/loading/one_by_one.rs
+++ b/crates/skylarkshore-core/tests/loading/one_by_one.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use skylarkshore_core::peer::PeerMessage;
-use skylarkshore_core::rules::ServiceOrder;
+use skylarkshore_core::rules::{IdleAfter, ServiceOrder};
 use skylarkshore_core::upstream::Order;
 use skylarkshore_core::view::Readiness;
 
@@ -97,6 +97,25 @@
     assert!(rig.engine.holds("maize"));
 }
 
+/// Homes were given out before an engine was listed; what it holds, perhaps as
+/// the only one, would be unloaded before it becomes a home.
+#[test]
+fn what_an_engine_holds_from_before_stays_while_there_may_be_another_home() {
+    let mut rig = Rig::one_by_one(&[("maize", 300)]);
+    rig.document.rules.otherwise.replicas_max = 2;
+    rig.document.rules.otherwise.idle_after = IdleAfter::Never;
+    rig.set_homes("maize", &["engine-b"]);
+    rig.set_held(crate::support::ENGINE, "maize");
+    rig.authority.homes.clear();
+    rig.authority.surplus.insert(name("maize"));
+    rig.engine.put("maize", 300);
+    rig.run(Duration::from_secs(5));
+    assert!(rig.engine.holds("maize"));
+    rig.set_homes("maize", &["engine-b", "engine-c"]);
+    rig.run(Duration::from_secs(5));
+    assert!(!rig.engine.holds("maize"), "the rules allow no third one");
+}
+
 /// An engine takes an adapter's load at once and shows it in its reports only
 /// later. The next one's number has to follow on it all the same, or it is
 /// refused, and callers of the second adapter wait for another round.
--- a/crates/skylarkshore-core/tests/serving/routing.rs
+++ b/crates/skylarkshore-core/tests/serving/routing.rs
@@ -133,3 +133,17 @@
     p.arrive(2, arrival(&p, model("n"), 2));
     assert_eq!(p.take_sent().remove(0).upstream.as_str(), "e1");
 }
+
+/// An engine that has been emptied would be sent requests for what it once held.
+#[test]
+fn an_engine_that_lists_nothing_any_more_gets_no_requests() {
+    let mut p = Process::new("a", 1);
+    for holds in [vec![name("m")], Vec::new()] {
+        if let Some(listed) = p.upstreams.get_mut(&name("e1")) {
+            listed.holds = holds;
+        }
+        p.with(skylarkshore_core::serving::Serving::on_host_list);
+    }
+    p.arrive(1, arrival(&p, model("m"), 1));
+    assert_eq!(p.take_sent().len(), 0);
+}
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -78,6 +78,8 @@
     pub granted: Watts,
     /// The models whose home the engine is.
     pub homes: OrderedSet<ModelName>,
+    /// The models that may not stay, as other engines are their homes.
+    pub surplus: OrderedSet<ModelName>,
 }
 
 impl Authority for FakeAuthority {
@@ -89,6 +91,10 @@
         self.homes.contains(model)
     }
 
+    fn must_close(&self, _engine: &UpstreamId, model: &ModelName) -> bool {
+        self.surplus.contains(model)
+    }
+
     fn granted(&self, _engine: &UpstreamId) -> Watts {
         self.granted
     }
@@ -200,7 +206,12 @@
         let mut rig = Self {
             now: Time::from_millis(1000),
             loading: Loading::new(&cfg),
-            authority: FakeAuthority { permitted: true, granted: ACTIVE, homes: OrderedSet::new() },
+            authority: FakeAuthority {
+                permitted: true,
+                granted: ACTIVE,
+                homes: OrderedSet::new(),
+                surplus: OrderedSet::new(),
+            },
             engine: FakeEngine::new(memory),
             document: Document::default(),
             fates: Vec::new(),
