--- a/crates/skylarkshore-core/src/control/hashing.rs
+++ b/crates/skylarkshore-core/src/control/hashing.rs
@@ -36,11 +36,11 @@
 
 /// Hosts with their hashes, for whoever asks about many keys.
 #[derive(Debug)]
-pub(super) struct Ring<'a> {
+pub(super) struct HashedHosts<'a> {
     hosts: Vec<(u64, &'a HostId)>,
 }
 
-impl<'a> Ring<'a> {
+impl<'a> HashedHosts<'a> {
     pub(super) fn new(hosts: &'a [HostId]) -> Self {
         Self { hosts: hosts.iter().map(|host| (name_hash(host.as_str()), host)).collect() }
     }
--- a/crates/skylarkshore-core/src/control/homes.rs
+++ b/crates/skylarkshore-core/src/control/homes.rs
@@ -10,7 +10,7 @@
 
 use plan::{Plan, Review, limits};
 
-use super::hashing::Ring;
+use super::hashing::HashedHosts;
 use super::knowledge::Knowledge;
 use super::ownership::Ownership;
 use super::placement::Placement;
@@ -29,7 +29,7 @@
 /// How many homes records one process writes at a time.
 const WRITES_AT_ONCE: usize = 16;
 /// How often all models are looked at; what is wished for or has changed is looked at sooner.
-const WHOLE_EVERY: Duration = Duration::from_millis(250);
+const FULL_REVIEW_EVERY: Duration = Duration::from_millis(250);
 /// How long the process that should look after a model is given before the next one does.
 const NEXT_IN_RANK: Duration = Duration::from_secs(10);
 
@@ -86,7 +86,7 @@
     /// Models whose homes have changed since they were last looked at.
     touched: OrderedSet<ModelName>,
     /// When all models are looked at again.
-    next_whole: Time,
+    next_full: Time,
 }
 
 impl Homes {
@@ -178,9 +178,9 @@
         ownership: &Ownership,
         engines: &dyn EngineUse,
     ) {
-        let is_whole = self.next_whole.is_due(cx.now);
-        if is_whole {
-            self.next_whole = cx.now.after(WHOLE_EVERY);
+        let is_full = self.next_full.is_due(cx.now);
+        if is_full {
+            self.next_full = cx.now.after(FULL_REVIEW_EVERY);
             self.update_all(cx, knowledge.roster);
         }
         if !knowledge.may_decide(cx) || !cx.document.is_known() {
@@ -189,17 +189,17 @@
         self.settle_doubts(cx);
         self.end_rests(cx.now);
         let wishes = engines.home_wishes();
-        let models = if is_whole { self.all_models(cx) } else { self.pressing_models(&wishes) };
-        let ring = Ring::new(knowledge.eligible);
-        let owes_first = is_whole && self.owes_first_homes(cx, knowledge, &ring, &models);
+        let models = if is_full { self.all_models(cx) } else { self.pressing_models(&wishes) };
+        let hosts = HashedHosts::new(knowledge.eligible);
+        let places_first = is_full && self.must_place_first_homes(cx, knowledge, &hosts, &models);
         let mut placement = Placement::new(cx, knowledge.roster);
         for model in models {
-            let is_left = !owes_first && !self.allowed.contains_key(&model);
+            let is_left = !places_first && !self.allowed.contains_key(&model);
             if is_left || self.pending.contains_key(&model) || self.pending.len() >= WRITES_AT_ONCE {
                 continue;
             }
             let review =
-                Review { knowledge, ownership, engines, wishes: &wishes, ring: &ring, model: &model };
+                Review { knowledge, ownership, engines, wishes: &wishes, hosts: &hosts, model: &model };
             let plan = self.plan(cx, &review, &mut placement);
             if plan.changed {
                 self.write(cx, &model, plan);
@@ -211,23 +211,23 @@
     ///
     /// Those are worked out for all models together; a process that has none to
     /// give is spared that.
-    fn owes_first_homes(
+    fn must_place_first_homes(
         &mut self,
         cx: &Cx<'_>,
         knowledge: &Knowledge<'_>,
-        ring: &Ring<'_>,
+        hosts: &HashedHosts<'_>,
         models: &OrderedSet<ModelName>,
     ) -> bool {
         if !knowledge.roster.is_settled(cx.now) {
             return false;
         }
-        let mut owes = false;
+        let mut must = false;
         for model in models {
             if !self.allowed.contains_key(model) && !self.pending.contains_key(model) {
-                owes |= self.is_own_turn(cx, ring, model);
+                must |= self.is_own_turn(cx, hosts, model);
             }
         }
-        owes
+        must
     }
 
     /// Returns every model that is in the catalogue or has homes.
@@ -314,15 +314,15 @@
 }
 
 /// Tells whether it is up to this process to look after a model that has needed it `since`.
-fn is_own_turn(cx: &Cx<'_>, ring: &Ring<'_>, model: &ModelName, since: Time) -> bool {
+fn is_own_turn(cx: &Cx<'_>, hosts: &HashedHosts<'_>, model: &ModelName, since: Time) -> bool {
     let key = format!("homes/{model}");
-    if ring.winner(&key) == Some(&cx.cfg.host) {
+    if hosts.winner(&key) == Some(&cx.cfg.host) {
         return true;
     }
     if !since.after(NEXT_IN_RANK).is_due(cx.now) {
         return false;
     }
-    let Some(rank) = ring.rank(&key, &cx.cfg.host) else { return false };
+    let Some(rank) = hosts.rank(&key, &cx.cfg.host) else { return false };
     since.after(NEXT_IN_RANK.saturating_mul(u32::try_from(rank).unwrap_or(u32::MAX))).is_due(cx.now)
 }
 
--- a/crates/skylarkshore-core/src/control/homes/plan.rs
+++ b/crates/skylarkshore-core/src/control/homes/plan.rs
@@ -2,7 +2,7 @@
 
 use super::{Homes, is_own_turn};
 use crate::authority::{EngineUse, HomeWish};
-use crate::control::hashing::Ring;
+use crate::control::hashing::HashedHosts;
 use crate::control::knowledge::Knowledge;
 use crate::control::ownership::Ownership;
 use crate::control::placement::Placement;
@@ -32,7 +32,7 @@
     pub(super) engines: &'a dyn EngineUse,
     pub(super) wishes: &'a [HomeWish],
     /// The members that share the work out among themselves.
-    pub(super) ring: &'a Ring<'a>,
+    pub(super) hosts: &'a HashedHosts<'a>,
     pub(super) model: &'a ModelName,
 }
 
@@ -50,7 +50,7 @@
         let unowned = cx.cache.owner(engine).is_none();
         unowned
             && self.knowledge.roster.is_gone(cx, engine, None)
-            && is_own_turn(cx, self.ring, self.model, cx.now)
+            && is_own_turn(cx, self.hosts, self.model, cx.now)
     }
 
     /// Tells whether the record is older than this process's ownership of the engine.
@@ -106,7 +106,7 @@
         {
             homes.push(home);
         }
-        if !self.is_own_turn(cx, review.ring, review.model) {
+        if !self.is_own_turn(cx, review.hosts, review.model) {
             return Plan::default();
         }
         if homes.is_empty() {
@@ -128,7 +128,7 @@
         let wished = review.wishes.iter().any(|wish| wish.model == *review.model && wish.leave.is_none());
         let owns_home = plan.engines.iter().any(|home| review.ownership.held(home).is_some());
         let too_few = plan.engines.len() < limits.homes_least;
-        let wanted = (wished && owns_home) || (too_few && self.is_own_turn(cx, review.ring, review.model));
+        let wanted = (wished && owns_home) || (too_few && self.is_own_turn(cx, review.hosts, review.model));
         if !too_few {
             self.lacking.remove(review.model);
         }
@@ -142,9 +142,9 @@
     }
 
     /// Tells whether it is up to this process to give the model a home that it lacks.
-    pub(super) fn is_own_turn(&mut self, cx: &Cx<'_>, ring: &Ring<'_>, model: &ModelName) -> bool {
+    pub(super) fn is_own_turn(&mut self, cx: &Cx<'_>, hosts: &HashedHosts<'_>, model: &ModelName) -> bool {
         let since = *self.lacking.entry(model.clone()).or_insert(cx.now);
-        is_own_turn(cx, ring, model, since)
+        is_own_turn(cx, hosts, model, since)
     }
 
     fn note_unplaceable(&mut self, cx: &mut Cx<'_>, review: &Review<'_>) {
--- a/crates/skylarkshore-core/src/control/placement.rs
+++ b/crates/skylarkshore-core/src/control/placement.rs
@@ -62,27 +62,27 @@
         let key = name_hash(model.as_str());
         let table = self.table();
         let mut nearness = NearnessCursor::new(table.near_to(model));
-        let mut best = Best::default();
-        for (seat, place) in table.places.iter().enumerate() {
-            let nearness = nearness.at(seat);
-            let engine = place.engine;
+        let mut best = BestCandidates::default();
+        for (index, live) in table.engines.iter().enumerate() {
+            let nearness = nearness.at(index);
+            let engine = live.known;
             let fits = engine.memory >= footprint && (known.pool.is_none() || engine.pool == known.pool);
-            if !fits || homes.contains(place.id) {
+            if !fits || homes.contains(live.id) {
                 continue;
             }
             best.offer(Candidate {
-                seat,
+                index,
                 nearness,
-                left: left.iter().rposition(|known| known == place.id),
+                left: left.iter().rposition(|known| known == live.id),
                 shares_data_centre: near.iter().any(|home| home.data_centre == engine.data_centre),
-                weight: Reverse(pair_weight(key, place.hash)),
+                weight: Reverse(pair_weight(key, live.hash)),
             });
         }
-        let load = |c: &Candidate| table.places[c.seat].load_with(footprint);
+        let load = |c: &Candidate| table.engines[c.index].load_with(footprint);
         let chosen = best.into_iter().min_by_key(|c| (c.nearness, c.left, c.shares_data_centre, load(c)))?;
-        let place = &mut table.places[chosen.seat];
-        place.load += footprint;
-        Some(place.id.clone())
+        let live = &mut table.engines[chosen.index];
+        live.load += footprint;
+        Some(live.id.clone())
     }
 
     fn table(&mut self) -> &mut Table<'a> {
@@ -93,33 +93,33 @@
 
 /// A live engine, with what all its homes take of it.
 #[derive(Debug)]
-struct Place<'a> {
+struct LiveEngine<'a> {
     id: &'a UpstreamId,
-    engine: &'a KnownEngine,
+    known: &'a KnownEngine,
     hash: u64,
     load: Mebibytes,
 }
 
-impl Place<'_> {
+impl LiveEngine<'_> {
     /// Returns which part of the memory is taken once a footprint is added.
     fn load_with(&self, footprint: Mebibytes) -> u64 {
         let load = self.load + footprint;
-        load.0.saturating_mul(LOAD_PARTS) / self.engine.memory.0.max(1)
+        load.0.saturating_mul(LOAD_PARTS) / self.known.memory.0.max(1)
     }
 }
 
 /// An engine that has something of a model already.
 #[derive(Clone, Copy, Debug)]
 struct Near {
-    seat: usize,
+    index: usize,
     nearness: Nearness,
 }
 
 /// The live engines, and which models they have, looked up by model.
 #[derive(Debug)]
 struct Table<'a> {
-    places: Vec<Place<'a>>,
-    /// By model, the seats of the engines that have it, in ascending order.
+    engines: Vec<LiveEngine<'a>>,
+    /// By model, the indexes of the engines that have it, in ascending order.
     near: HashMap<&'a ModelName, Vec<Near>>,
 }
 
@@ -131,26 +131,26 @@
         roster: &'a Roster,
     ) -> Self {
         let loads = loads(document, cache);
-        let mut table = Self { places: Vec::new(), near: HashMap::default() };
-        for (id, engine) in roster.iter().filter(|(_, engine)| engine.is_live()) {
-            let seat = table.places.len();
+        let mut table = Self { engines: Vec::new(), near: HashMap::default() };
+        for (id, known) in roster.iter().filter(|(_, known)| known.is_live()) {
+            let index = table.engines.len();
             let load = loads.get(id).copied().unwrap_or_default();
-            table.places.push(Place { id, engine, hash: name_hash(id.as_str()), load });
+            table.engines.push(LiveEngine { id, known, hash: name_hash(id.as_str()), load });
             if let Some(upstream) = upstreams.get(id) {
-                table.note_models(seat, upstream);
+                table.note_models(index, upstream);
             }
         }
         table
     }
 
-    fn note_models(&mut self, seat: usize, upstream: &'a Upstream) {
+    fn note_models(&mut self, index: usize, upstream: &'a Upstream) {
         let held = upstream.holds.iter().map(|model| (model, Nearness::Held));
         let copies = upstream.copies.in_memory.iter().chain(&upstream.copies.on_disk);
         for (model, nearness) in held.chain(copies.map(|model| (model, Nearness::Copied))) {
             let near = self.near.entry(model).or_default();
             // What it holds comes first, so that a copy beside it tells nothing new.
-            if near.last().is_none_or(|last| last.seat != seat) {
-                near.push(Near { seat, nearness });
+            if near.last().is_none_or(|last| last.index != index) {
+                near.push(Near { index, nearness });
             }
         }
     }
@@ -172,7 +172,7 @@
     loads
 }
 
-/// Tells the nearness of one seat after the other.
+/// Tells the nearness of one engine after the other.
 struct NearnessCursor<'a> {
     rest: &'a [Near],
 }
@@ -182,8 +182,8 @@
         Self { rest: near }
     }
 
-    fn at(&mut self, seat: usize) -> Nearness {
-        let Some((first, rest)) = self.rest.split_first().filter(|(first, _)| first.seat == seat) else {
+    fn at(&mut self, index: usize) -> Nearness {
+        let Some((first, rest)) = self.rest.split_first().filter(|(first, _)| first.index == index) else {
             return Nearness::Nothing;
         };
         self.rest = rest;
@@ -210,16 +210,16 @@
     left: Option<usize>,
     shares_data_centre: bool,
     weight: Reverse<u64>,
-    seat: usize,
+    index: usize,
 }
 
 /// The few candidates that are preferred, the first before the others.
 #[derive(Debug, Default)]
-struct Best {
+struct BestCandidates {
     candidates: [Option<Candidate>; CHOICES],
 }
 
-impl Best {
+impl BestCandidates {
     /// Takes a candidate in where it is preferred to one of those so far.
     fn offer(&mut self, candidate: Candidate) {
         let mut offered = candidate;
--- a/crates/skylarkshore-core/src/serving/views.rs
+++ b/crates/skylarkshore-core/src/serving/views.rs
@@ -61,7 +61,7 @@
     }
 
     /// Tells whether the account says more of an engine than the host list does.
-    fn goes_before(&self, cx: &Cx<'_>, listed: &Upstream) -> bool {
+    fn outranks(&self, cx: &Cx<'_>, listed: &Upstream) -> bool {
         let life = self.view.incarnation;
         if life != listed.incarnation {
             return life > listed.incarnation;
@@ -188,7 +188,7 @@
                 }
                 continue;
             }
-            if known.is_some_and(|known| known.goes_before(cx, upstream)) {
+            if known.is_some_and(|known| known.outranks(cx, upstream)) {
                 continue;
             }
             let mut view = listed_view(cx, upstream, spec.concurrency);
