--- a/crates/skylarkshore-core/src/catalogue.rs
+++ b/crates/skylarkshore-core/src/catalogue.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::accounts::Accounts;
 use crate::collections::OrderedMap;
 use crate::id::{
     AdapterName, CatalogueRevision, ModelName, ModelVersion, RouteName, RulesRevision, ServiceName, SiteName,
@@ -115,6 +116,8 @@
     pub tries: u32,
     /// Where it goes.
     pub destinations: Vec<Destination>,
+    /// Whether it is open to callers without a client account.
+    pub is_public: bool,
 }
 
 /// What callers may send, and how long they may take.
@@ -143,6 +146,8 @@
     pub caller_limits: Option<CallerLimits>,
     /// How many loads may begin, where the configuration says.
     pub load_rate: Option<LoadRate>,
+    /// The client accounts; where there are none, callers need no key.
+    pub accounts: Accounts,
 }
 
 impl std::fmt::Display for ModelTarget {
--- a/crates/skylarkshore-core/src/config.rs
+++ b/crates/skylarkshore-core/src/config.rs
@@ -5,6 +5,7 @@
 
 use crate::id::{DataCentre, Digest, HostId, Incarnation};
 use crate::rules::Rules;
+use crate::units::Credits;
 
 /// What a process is told about itself when it starts.
 #[derive(Clone, Debug)]
@@ -149,6 +150,25 @@
     pub retries: RetryLimits,
     /// How requests that may crash upstreams are found out.
     pub suspects: SuspectPolicy,
+    /// How closely the limits of client accounts are kept.
+    pub quota: QuotaPolicy,
+}
+
+/// How closely the limits of client accounts are kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuotaPolicy {
+    /// Over which time use is counted.
+    pub window: Duration,
+    /// How much more than the limit may be used within a window, in percent.
+    pub overage_percent: u32,
+    /// How much may be used beside.
+    pub slack: Credits,
+}
+
+impl Default for QuotaPolicy {
+    fn default() -> Self {
+        Self { window: Duration::from_secs(10), overage_percent: 10, slack: Credits(0) }
+    }
 }
 
 /// How retries are held down.
@@ -192,6 +212,7 @@
             homes_ahead: 1,
             retries: RetryLimits::PerProcess,
             suspects: SuspectPolicy::RunAlone,
+            quota: QuotaPolicy::default(),
         }
     }
 }
--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -3,7 +3,7 @@
 mod backoff;
 mod budget;
 mod feed;
-mod hashing;
+pub(crate) mod hashing;
 mod holdings;
 mod homes;
 mod knowledge;
--- a/crates/skylarkshore-core/src/control/hashing.rs
+++ b/crates/skylarkshore-core/src/control/hashing.rs
@@ -9,7 +9,7 @@
 const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
 
 /// Returns a name's hash.
-pub(super) fn name_hash(name: &str) -> u64 {
+pub(crate) fn name_hash(name: &str) -> u64 {
     let fnv = name.bytes().fold(FNV_OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME));
     mix(fnv)
 }
@@ -27,7 +27,7 @@
 }
 
 /// Returns the hosts in the order in which they look after the key.
-pub(super) fn ranking<'a>(key: &str, hosts: impl Iterator<Item = &'a HostId>) -> Vec<&'a HostId> {
+pub(crate) fn ranking<'a>(key: &str, hosts: impl Iterator<Item = &'a HostId>) -> Vec<&'a HostId> {
     let key = name_hash(key);
     let mut ranked: Vec<&HostId> = hosts.collect();
     ranked.sort_by_key(|host| std::cmp::Reverse(pair_weight(key, name_hash(host.as_str()))));
--- a/crates/skylarkshore-core/src/effect.rs
+++ b/crates/skylarkshore-core/src/effect.rs
@@ -81,6 +81,18 @@
     /// The process is about to end.
     #[display("this host is about to go; use another one")]
     Leaving,
+    /// The client account has used up its limit.
+    #[display("the client account is over its limit; ask again later")]
+    OverLimit,
+    /// The client account's limit is lower than what the request counts.
+    #[display("the request is larger than the client account's limit ever allows; make it smaller")]
+    BeyondLimit,
+    /// The key was taken from its client account while the request waited.
+    #[display("the key isn't valid any more; use another one")]
+    KeyWithdrawn,
+    /// The key was given to another client account while the request waited.
+    #[display("the key was given to another client account; ask again")]
+    AccountChanged,
 }
 
 /// A final answer without the wanted result.
--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -2,6 +2,7 @@
 
 use derive_more::Display;
 
+use crate::accounts::Charge;
 use crate::catalogue::ModelTarget;
 use crate::config::Settings;
 use crate::id::{
@@ -76,6 +77,8 @@
     pub deadline: Time,
     /// What is wanted of its kind.
     pub terms: Terms,
+    /// Its client account, where callers have one.
+    pub charge: Option<Charge>,
 }
 
 /// How an attempt ended.
--- a/crates/skylarkshore-core/src/id.rs
+++ b/crates/skylarkshore-core/src/id.rs
@@ -124,6 +124,10 @@
     /// The caller on whose behalf a request is made.
     CallerId
 }
+name! {
+    /// A client account.
+    AccountName
+}
 
 number! {
     /// One life of a process; a later life has a higher number.
--- a/crates/skylarkshore-core/src/lib.rs
+++ b/crates/skylarkshore-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! clock, opens no socket, starts no task and draws its randomness from a seed,
 //! so that a test can hold nine of them and strike a fault after any effect.
 
+pub mod accounts;
 pub mod authority;
 pub mod catalogue;
 pub mod collections;
@@ -14,11 +15,13 @@
 pub mod dump;
 pub mod effect;
 pub mod event;
+mod headcount;
 pub mod id;
 mod listing;
 pub mod loading;
 pub mod node;
 pub mod peer;
+pub mod quota;
 pub mod rules;
 pub mod serving;
 pub mod store;
--- a/crates/skylarkshore-core/src/peer.rs
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -4,6 +4,7 @@
 
 use crate::catalogue::ModelTarget;
 use crate::id::{Digest, HostId, Incarnation, ModelName, RulesRevision, SiteName, StoreRevision, UpstreamId};
+use crate::quota::CreditMessage;
 use crate::rules::ServiceOrder;
 use crate::store::RecordBatch;
 use crate::units::Watts;
@@ -186,6 +187,8 @@
         /// The model.
         model: ModelName,
     },
+    /// About the credit of client accounts.
+    Credit(CreditMessage),
 }
 
 /// A message with its receiver.
--- /dev/null
+++ b/crates/skylarkshore-core/src/quota.rs
@@ -0,0 +1,332 @@
+//! The limits of client accounts, kept over all hosts together.
+//!
+//! Each account's credit is lent out by one host, its keeper: rendezvous hashing
+//! picks it among the members, and whoever gets no answer from it turns to the
+//! next one. Every host brings an equal part of all limits to the keepers that it
+//! signs on with, and a host that reaches no keeper spends its own part. So the
+//! parts add up to the limit however hosts are cut off from one another, and a
+//! process that starts knows nothing that could be spent twice.
+//!
+//! A keeper lends for each request; what wasn't run is given back.
+
+mod books;
+mod bucket;
+mod keepers;
+mod message;
+mod share;
+mod terms;
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::accounts::Charge;
+use crate::collections::{HashMap, HashSet, OrderedMap};
+use crate::cx::Cx;
+use crate::dump::Belief;
+use crate::headcount::Headcount;
+use crate::id::{AccountName, HostId, RequestId};
+use crate::peer::PeerMessage;
+use crate::time::Time;
+use crate::units::Credits;
+
+pub use message::CreditMessage;
+
+use books::{Books, SIGNED_ON_FOR, terms_of};
+use bucket::Bucket;
+use keepers::Keepers;
+use share::Share;
+
+/// After how long without an answer another keeper is asked.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
+/// How many keepers are asked before a request is judged by this host's own share.
+const KEEPERS_ASKED: u32 = 3;
+/// For how long at most a keeper's refusal is believed for other requests of the account.
+const DENIAL_BELIEVED: Duration = Duration::from_millis(100);
+/// How often it is looked who the members are.
+const MEMBERS_EVERY: Duration = Duration::from_secs(1);
+
+/// Whether a request may use its account's credit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ruling {
+    /// It may, from then on.
+    Granted {
+        /// When the credit is there.
+        not_before: Time,
+    },
+    /// The account is over its limit.
+    Over {
+        /// When there will be enough credit.
+        retry_after: Duration,
+    },
+    /// It is larger than what the limit allows in any window.
+    TooLarge,
+}
+
+impl Ruling {
+    const NOW: Self = Self::Granted { not_before: Time::START };
+}
+
+/// What was found for a request that had to wait for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    /// The request.
+    pub request: RequestId,
+    /// The ruling.
+    pub ruling: Ruling,
+}
+
+/// A question that a keeper hasn't answered.
+#[derive(Clone, Debug)]
+struct Ask {
+    request: RequestId,
+    charge: Charge,
+    lost_at: Time,
+    asked: u32,
+}
+
+/// What this host may spend of an account's limit while it reaches no keeper.
+#[derive(Debug)]
+struct OwnShare {
+    bucket: Bucket,
+}
+
+/// A keeper's refusal.
+#[derive(Clone, Copy, Debug)]
+struct Denial {
+    believed_until: Time,
+    credit_at: Time,
+    cost: Credits,
+}
+
+/// This process's questions to keepers, its own shares, and the books that it keeps itself.
+#[derive(Debug)]
+pub struct Quota {
+    keepers: Keepers,
+    books: Books,
+    asks: OrderedMap<u64, Ask>,
+    own: HashMap<AccountName, OwnShare>,
+    denials: HashMap<AccountName, Denial>,
+    hosts: Headcount,
+    members_due: Time,
+    /// When the own shares were last somebody else's to lend.
+    brought: Time,
+}
+
+impl Default for Quota {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Quota {
+    /// Makes the state of a process that has lent nothing.
+    pub fn new() -> Self {
+        Self {
+            keepers: Keepers::default(),
+            books: Books::default(),
+            asks: OrderedMap::new(),
+            own: HashMap::default(),
+            denials: HashMap::default(),
+            hosts: Headcount::ALONE,
+            members_due: Time::START,
+            brought: Time::START,
+        }
+    }
+
+    /// Asks for a request's credit; none while the answer is awaited.
+    pub fn ask(&mut self, cx: &mut Cx<'_>, request: RequestId, charge: &Charge) -> Option<Ruling> {
+        if terms_of(cx, &charge.account).is_none() {
+            return Some(Ruling::NOW);
+        }
+        if let Some(denial) = self.denials.get(&charge.account)
+            && !denial.believed_until.is_due(cx.now)
+            && charge.cost >= denial.cost
+        {
+            return Some(Ruling::Over { retry_after: denial.credit_at.remaining(cx.now) });
+        }
+        self.ask_keeper(cx, request, charge, 1)
+    }
+
+    /// Stops waiting for a request's credit.
+    pub fn forget(&mut self, request: RequestId) {
+        self.asks.retain(|_, ask| ask.request != request);
+    }
+
+    /// Gives back the credit of a request that wasn't run.
+    pub fn give_back(&mut self, cx: &mut Cx<'_>, charge: &Charge) {
+        if terms_of(cx, &charge.account).is_none() {
+            return;
+        }
+        if let Some(keeper) = self.keepers.keeper(&charge.account) {
+            tell(cx, &keeper, returned(charge.account.clone(), charge.cost));
+        }
+    }
+
+    /// Does what is due, and rules on requests whose keepers were silent.
+    pub fn on_tick(&mut self, cx: &mut Cx<'_>) -> Vec<Verdict> {
+        if cx.document.catalogue.accounts.iter().all(|(_, account)| account.limit.is_none()) {
+            return Vec::new();
+        }
+        if self.members_due.is_due(cx.now) {
+            self.members_due = cx.now.after(MEMBERS_EVERY);
+            self.hosts.note(cx.now, hosts_known(cx));
+            self.keepers.note_members(cx);
+            self.books.forget_old(cx.now);
+            self.denials.retain(|_, denial| !denial.believed_until.is_due(cx.now));
+        }
+        if self.keepers.on_tick(cx) {
+            self.brought = cx.now;
+        }
+        self.ask_others(cx)
+    }
+
+    /// Takes a peer's message, and returns what was found for the request that it concerns.
+    pub fn on_peer(&mut self, cx: &mut Cx<'_>, from: &HostId, message: &CreditMessage) -> Option<Verdict> {
+        match message {
+            CreditMessage::SignOn { with_share } => {
+                if *with_share {
+                    self.books.sign_on(cx.now, from);
+                }
+                tell(cx, from, CreditMessage::SignedOn);
+            }
+            CreditMessage::SignOff => self.books.sign_off(from),
+            CreditMessage::SignedOn => self.keepers.note_heard(from),
+            CreditMessage::Wanted { ask, account, cost } => {
+                self.books.sign_on(cx.now, from);
+                let answer = match self.books.lend(cx, self.hosts.get(), account, *cost) {
+                    Ruling::Granted { not_before } => CreditMessage::Lent {
+                        ask: *ask,
+                        account: account.clone(),
+                        cost: *cost,
+                        wait: not_before.remaining(cx.now),
+                    },
+                    Ruling::Over { retry_after } => {
+                        CreditMessage::Denied { ask: *ask, retry_after: Some(retry_after) }
+                    }
+                    Ruling::TooLarge => CreditMessage::Denied { ask: *ask, retry_after: None },
+                };
+                tell(cx, from, answer);
+            }
+            CreditMessage::Lent { ask, account, cost, wait } => {
+                self.keepers.note_heard(from);
+                let Some(ask) = self.asks.remove(ask) else {
+                    // Nobody waits for it any more; others could use it.
+                    tell(cx, from, returned(account.clone(), *cost));
+                    return None;
+                };
+                let ruling = Ruling::Granted { not_before: cx.now.after(*wait) };
+                return Some(Verdict { request: ask.request, ruling });
+            }
+            CreditMessage::Denied { ask, retry_after } => {
+                self.keepers.note_heard(from);
+                let ask = self.asks.remove(ask)?;
+                let ruling = match *retry_after {
+                    Some(retry_after) => self.note_denial(cx.now, &ask.charge, retry_after),
+                    None => Ruling::TooLarge,
+                };
+                return Some(Verdict { request: ask.request, ruling });
+            }
+            CreditMessage::Returned { account, cost } => self.books.give_back(account, *cost),
+        }
+        None
+    }
+
+    /// Tells the keepers that this host's share goes with it.
+    pub fn on_shutdown(&self, cx: &mut Cx<'_>) {
+        for keeper in self.keepers.in_use() {
+            tell(cx, &keeper, CreditMessage::SignOff);
+        }
+    }
+
+    /// Tells which books are kept here.
+    pub fn beliefs(&self) -> impl Iterator<Item = Belief> {
+        self.books.beliefs()
+    }
+
+    fn note_denial(&mut self, now: Time, charge: &Charge, retry_after: Duration) -> Ruling {
+        let denial = Denial {
+            believed_until: now.after(retry_after.min(DENIAL_BELIEVED)),
+            credit_at: now.after(retry_after),
+            cost: charge.cost,
+        };
+        self.denials.insert(charge.account.clone(), denial);
+        Ruling::Over { retry_after }
+    }
+
+    fn ask_keeper(
+        &mut self,
+        cx: &mut Cx<'_>,
+        request: RequestId,
+        charge: &Charge,
+        asked: u32,
+    ) -> Option<Ruling> {
+        if self.members_due == Time::START {
+            self.keepers.note_members(cx);
+        }
+        let Some(keeper) = self.keepers.keeper(&charge.account) else {
+            return Some(self.spend_own(cx, charge));
+        };
+        let number = cx.rng.random();
+        let lost_at = cx.now.after(ANSWER_TIMEOUT);
+        let (account, cost) = (charge.account.clone(), charge.cost);
+        self.keepers.note_told(cx.now, &keeper);
+        self.brought = cx.now;
+        let ask = Ask { request, charge: charge.clone(), lost_at, asked };
+        self.asks.insert(number, ask);
+        tell(cx, &keeper, CreditMessage::Wanted { ask: number, account, cost });
+        None
+    }
+
+    /// Turns to other keepers where one gave no answer in time.
+    fn ask_others(&mut self, cx: &mut Cx<'_>) -> Vec<Verdict> {
+        let lost: Vec<(u64, Ask)> = self.asks.extract_if(.., |_, ask| ask.lost_at.is_due(cx.now)).collect();
+        let mut verdicts = Vec::new();
+        for (_, ask) in lost {
+            let ruling = if ask.asked < KEEPERS_ASKED {
+                self.ask_keeper(cx, ask.request, &ask.charge, ask.asked + 1)
+            } else {
+                Some(self.spend_own(cx, &ask.charge))
+            };
+            verdicts.extend(ruling.map(|ruling| Verdict { request: ask.request, ruling }));
+        }
+        verdicts
+    }
+
+    /// Rules on a request by this host's own share.
+    fn spend_own(&mut self, cx: &Cx<'_>, charge: &Charge) -> Ruling {
+        let Some(terms) = terms_of(cx, &charge.account) else { return Ruling::NOW };
+        let share = Share { hosts: 1, of: self.hosts.get() };
+        let (rate, size) = (share.rate(terms.limit.rate), share.credits(terms.size()));
+        let debt = share.credits(terms.debt());
+        let empty = || OwnShare { bucket: Bucket::new(Credits(0), cx.now) };
+        let own = self.own.entry(charge.account.clone()).or_insert_with(empty);
+        // Until then a keeper lends this host's share to others.
+        own.bucket.skip_to(self.brought.after(SIGNED_ON_FOR));
+        own.bucket.fill(cx.now, rate, size.max(charge.cost));
+        if own.bucket.covers(charge.cost, debt) {
+            own.bucket.take(charge.cost);
+            return Ruling::NOW;
+        }
+        let wanted = Credits(charge.cost.0.saturating_sub(debt.0));
+        let retry_after = own.bucket.time_until(wanted, rate).unwrap_or(SIGNED_ON_FOR);
+        Ruling::Over { retry_after }
+    }
+}
+
+fn tell(cx: &mut Cx<'_>, to: &HostId, message: CreditMessage) {
+    cx.tell(to, PeerMessage::Credit(message));
+}
+
+fn returned(account: AccountName, cost: Credits) -> CreditMessage {
+    CreditMessage::Returned { account, cost }
+}
+
+/// Returns how many hosts there are by what the key-value service shows.
+///
+/// Where all processes were killed, their members' keys come back one by one;
+/// the owners of engines are still those of before.
+fn hosts_known(cx: &Cx<'_>) -> usize {
+    let owners: HashSet<&HostId> = cx.cache.owners().map(|(_, owner)| &owner.host).collect();
+    cx.cache.members().count().max(owners.len())
+}
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -4,6 +4,7 @@
 mod arrival;
 mod attempt;
 mod budget;
+mod credit;
 mod decide;
 mod lease;
 mod load;
@@ -30,6 +31,7 @@
 use crate::event::{Arrival, AttemptEnd, LoadTold, Target};
 use crate::id::{AttemptId, CallId, HostId, RequestId, UpstreamId};
 use crate::peer::PeerMessage;
+use crate::quota::Quota;
 use crate::store::{Key, StoreResult, WriteOutcome};
 use crate::time::Time;
 
@@ -60,6 +62,7 @@
     suspects: Suspects,
     budget: RetryBudget,
     paces: Paces,
+    quota: Quota,
     tally: Tally,
     house_due: Time,
     /// Callers have been sent elsewhere, and nothing more may wait.
@@ -80,6 +83,7 @@
             suspects: Suspects::new(cfg.limits.suspects),
             budget: RetryBudget::new(cfg.limits.retries),
             paces: Paces::default(),
+            quota: Quota::new(),
             tally: Tally::default(),
             house_due: Time::START,
             is_closed: false,
@@ -149,6 +153,9 @@
     /// Does what is due.
     pub fn on_tick(&mut self, cx: &mut Cx<'_>) {
         self.keep_house(cx);
+        for verdict in self.quota.on_tick(cx) {
+            self.on_ruling(cx, verdict);
+        }
         for learnt in self.once.on_tick(cx) {
             self.on_learnt(cx, learnt);
         }
@@ -193,6 +200,7 @@
     pub fn on_change(&mut self, cx: &mut Cx<'_>, key: &Key) {
         match key {
             Key::Document | Key::Catalogue => {
+                self.refuse_withdrawn(cx);
                 self.routes.keep_listed(cx);
                 self.pump(cx);
             }
@@ -222,6 +230,11 @@
     pub fn on_peer(&mut self, cx: &mut Cx<'_>, from: &HostId, message: &PeerMessage) {
         self.suspects.heard_from(cx.now, from);
         match message {
+            PeerMessage::Credit(message) => {
+                if let Some(verdict) = self.quota.on_peer(cx, from, message) {
+                    self.on_ruling(cx, verdict);
+                }
+            }
             PeerMessage::View(view) => self.on_view(cx, view),
             PeerMessage::CannotLoad { target, reason, retry_after } => {
                 self.on_cannot_load(cx, from, target, reason, *retry_after);
@@ -250,6 +263,7 @@
     /// New ones are still taken, since callers keep the answer to the question
     /// which hosts to use for a while.
     pub fn on_shutdown(&mut self, cx: &mut Cx<'_>) {
+        self.quota.on_shutdown(cx);
         cx.note("serving_drains", self.requests.len(), "requests in progress go on to their end");
     }
 
@@ -291,6 +305,9 @@
             // The peers hear of a suspect before its caller does; that takes but a moment.
             State::Recording { .. } | State::Releasing { .. } | State::TellingPeers => {}
             _ if passed => self.refuse_late(cx, id),
+            State::AwaitingCredit { not_before: Some(not_before) } => {
+                self.on_credit_due(cx, id, not_before);
+            }
             State::Queued | State::QueuedAlone if request.waits_until().is_due(cx.now) => {
                 self.refuse_late(cx, id);
             }
@@ -318,6 +335,7 @@
         self.timers.remove(&Due { at: request.arrival.terms.begins_by, request: id });
         self.suspects.waiting.remove(&queue::Urgency::of(id, &request));
         self.end_alone(cx, id);
+        self.settle_credit(cx, id, &request);
         Some(request)
     }
 }
--- a/crates/skylarkshore-core/src/serving/arrival.rs
+++ b/crates/skylarkshore-core/src/serving/arrival.rs
@@ -51,7 +51,7 @@
         self.timers.insert(Due { at: begins_by, request: id });
         match verdict {
             Ok(_) if deadline.is_due(cx.now) => self.refuse_late(cx, id),
-            Ok(_) => self.admit(cx, id),
+            Ok(_) => self.ask_credit(cx, id),
             Err(reason) => self.advance(cx, id, Step::Refuse { reason, retry_after: None }),
         }
     }
@@ -85,8 +85,8 @@
         outcome.refuse.clone().map_or(Ok(outcome.order), |words| Err(RefusalReason::Rule(words)))
     }
 
-    /// Takes in a request that no rule refuses.
-    fn admit(&mut self, cx: &mut Cx<'_>, id: RequestId) {
+    /// Takes in a request that no rule and no limit refuses.
+    pub(super) fn admit(&mut self, cx: &mut Cx<'_>, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(key) = request.once_key() else { return self.enqueue(cx, id) };
         let digest = request.arrival.digest;
--- a/crates/skylarkshore-core/src/serving/budget.rs
+++ b/crates/skylarkshore-core/src/serving/budget.rs
@@ -5,6 +5,7 @@
 
 use crate::collections::OrderedMap;
 use crate::config::RetryLimits;
+use crate::headcount::Headcount;
 use crate::id::ServiceName;
 use crate::time::Time;
 
@@ -21,12 +22,6 @@
 /// Processes count their windows from different moments and learn late that one
 /// of them has left; the rest is for that.
 const USED_OF_SHARED: u64 = 80;
-/// How long the largest number of processes that was seen is believed.
-///
-/// In an outage the members' keys may vanish while every process lives. If each
-/// then took the whole budget for itself, all together would pass it.
-const HOSTS_BELIEVED: Duration = Duration::from_secs(30);
-
 /// What a retry is for.
 pub(super) type Destination = Option<ServiceName>;
 
@@ -48,9 +43,13 @@
     pub(super) const fn new(limits: RetryLimits) -> Self {
         match limits {
             RetryLimits::PerProcess => Self::Own(Bucket { saved: MOST, filled: Time::START }),
-            RetryLimits::Shared { percent, slack, window } => {
-                Self::Shared(Share { percent, slack, window, hosts: Hosts::ALONE, used: OrderedMap::new() })
-            }
+            RetryLimits::Shared { percent, slack, window } => Self::Shared(Share {
+                percent,
+                slack,
+                window,
+                hosts: Headcount::ALONE,
+                used: OrderedMap::new(),
+            }),
         }
     }
 
@@ -110,31 +109,13 @@
     }
 }
 
-/// How many processes there are.
-#[derive(Clone, Copy, Debug)]
-struct Hosts {
-    most: u64,
-    seen: Time,
-}
-
-impl Hosts {
-    const ALONE: Self = Self { most: 1, seen: Time::START };
-
-    fn note(&mut self, now: Time, hosts: usize) {
-        let hosts = u64::try_from(hosts).unwrap_or(u64::MAX).max(1);
-        if hosts >= self.most || self.seen.after(HOSTS_BELIEVED).is_due(now) {
-            *self = Self { most: hosts, seen: now };
-        }
-    }
-}
-
 /// This process's part of a budget that all processes share.
 #[derive(Debug)]
 pub(super) struct Share {
     percent: u32,
     slack: u32,
     window: Duration,
-    hosts: Hosts,
+    hosts: Headcount,
     used: OrderedMap<Destination, Usage>,
 }
 
@@ -159,7 +140,7 @@
         forget_before(&mut usage.requests, now, window);
         forget_before(&mut usage.retries, now, window);
         let earned = usage.requests.len() as u64 * u64::from(self.percent);
-        let slack = u64::from(self.slack) * 100 / self.hosts.most;
+        let slack = u64::from(self.slack) * 100 / self.hosts.get();
         let allowed = (earned + slack) * USED_OF_SHARED / 10_000;
         let has_room = (usage.retries.len() as u64) < allowed;
         if has_room {
--- a/crates/skylarkshore-core/src/serving/decide.rs
+++ b/crates/skylarkshore-core/src/serving/decide.rs
@@ -57,8 +57,11 @@
         let attempt = cx.next_attempt();
         let waited = cx.now.since(request.arrived).as_millis();
         let seen = self.routes.seen(cx, &upstream);
-        let detail =
-            format!("upstream={upstream} attempt={attempt} runs={} waited_ms={waited} {seen}", request.runs);
+        let detail = format!(
+            "upstream={upstream} attempt={attempt} runs={} account={} waited_ms={waited} {seen}",
+            request.runs,
+            request.account()
+        );
         cx.decided(id, "request_sent", detail);
         cx.push(Effect::Send {
             request: id,
@@ -92,8 +95,9 @@
         let kept = cx.now.since(request.arrived).as_millis();
         let again = refusal.retry_after.map_or(0, |after| after.as_millis());
         let detail = format!(
-            "outcome={} kept_ms={kept} retry_after_ms={again} state=\"{}\" reason=\"{}\"",
+            "outcome={} account={} kept_ms={kept} retry_after_ms={again} state=\"{}\" reason=\"{}\"",
             refusal.outcome,
+            request.account(),
             request.describe(),
             refusal.reason
         );
--- a/crates/skylarkshore-core/src/serving/report.rs
+++ b/crates/skylarkshore-core/src/serving/report.rs
@@ -28,7 +28,7 @@
             };
             Belief { kind: "suspect", subject: digest.to_string(), state: state.to_owned(), since: None }
         });
-        requests.chain(routes).chain(suspects).collect()
+        requests.chain(routes).chain(suspects).chain(self.quota.beliefs()).collect()
     }
 
     /// Returns the numbers for the metrics.
--- a/crates/skylarkshore-core/src/serving/request.rs
+++ b/crates/skylarkshore-core/src/serving/request.rs
@@ -44,6 +44,11 @@
 /// Where a request stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum State {
+    /// It waits for its client account's credit, which may be there only from a time on.
+    AwaitingCredit {
+        /// When the credit is there; none while it is asked for.
+        not_before: Option<Time>,
+    },
     /// Its idempotency key is being looked up before it is queued.
     LookingUp,
     /// It waits for an upstream.
@@ -128,6 +133,8 @@
     pub(super) passed_on: bool,
     /// Whether anyone waits.
     pub(super) caller: Caller,
+    /// Whether its client account's credit was lent for it.
+    pub(super) has_credit: bool,
 }
 
 impl Request {
@@ -156,6 +163,7 @@
             past: Past::Clean,
             passed_on: false,
             caller: Caller::Waiting,
+            has_credit: false,
         }
     }
 
@@ -190,6 +198,24 @@
         }
     }
 
+    /// Tells whether it was let in and hasn't been sent.
+    pub(super) const fn is_waiting(&self) -> bool {
+        matches!(
+            self.state,
+            State::AwaitingCredit { .. } | State::LookingUp | State::Queued | State::QueuedAlone
+        )
+    }
+
+    /// Tells whether no attempt at it is in progress or has brought its answer.
+    pub(super) const fn has_not_begun(&self) -> bool {
+        self.run().is_none() && !matches!(self.state, State::Recording { .. })
+    }
+
+    /// Returns the name of its client account, for the log.
+    pub(super) fn account(&self) -> &str {
+        self.arrival.charge.as_ref().map_or("none", |charge| charge.account.as_str())
+    }
+
     /// Tells whether it may be sent now without the risk of a forbidden second run.
     pub(super) fn may_be_sent(&self) -> bool {
         self.run().is_none() && (self.past == Past::Clean || self.arrival.repeat == Repeat::Allowed)
@@ -225,6 +251,7 @@
     /// Names the state for the state dump.
     pub(super) fn describe(&self) -> String {
         match &self.state {
+            State::AwaitingCredit { .. } => "waiting for its client account's credit".to_owned(),
             State::LookingUp => "looking its key up".to_owned(),
             State::Queued => "queued".to_owned(),
             State::QueuedAlone => "suspect, waiting for an upstream of its own".to_owned(),
--- a/crates/skylarkshore-core/src/serving/tally.rs
+++ b/crates/skylarkshore-core/src/serving/tally.rs
@@ -75,5 +75,9 @@
         RefusalReason::CallerGone => "refused_caller_gone_total",
         RefusalReason::CrashesUpstreams => "refused_crashes_upstreams_total",
         RefusalReason::Leaving => "refused_leaving_total",
+        RefusalReason::OverLimit => "refused_over_limit_total",
+        RefusalReason::BeyondLimit => "refused_beyond_limit_total",
+        RefusalReason::KeyWithdrawn => "refused_key_withdrawn_total",
+        RefusalReason::AccountChanged => "refused_account_changed_total",
     }
 }
--- a/crates/skylarkshore-core/src/units.rs
+++ b/crates/skylarkshore-core/src/units.rs
@@ -51,6 +51,41 @@
 #[serde(transparent)]
 pub struct Watts(pub u64);
 
+/// What the limit of a client account counts: tokens, or whole requests.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Add,
+    AddAssign,
+    Sub,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0}credits")]
+#[serde(transparent)]
+pub struct Credits(pub u64);
+
+/// How many credits come in a thousand seconds.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[display("{_0}credits/ks")]
+#[serde(transparent)]
+pub struct CreditRate(pub u64);
+
+impl CreditRate {
+    /// Returns the whole credits that come in a second.
+    pub const fn per_second(self) -> Credits {
+        Credits(self.0 / 1000)
+    }
+}
+
 /// How many loads a weight store lets begin in a thousand seconds.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[display("{_0}/ks")]
@@ -106,6 +141,22 @@
     }
 }
 
+impl FromStr for Credits {
+    type Err = InvalidAmount;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        parse(s, "credits").map(Self)
+    }
+}
+
+impl FromStr for CreditRate {
+    type Err = InvalidAmount;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        parse(s, "credits/ks").map(Self)
+    }
+}
+
 impl Mebibytes {
     /// Subtracts, stopping at zero.
     #[must_use]
--- a/crates/skylarkshore-core/tests/support/serving.rs
+++ b/crates/skylarkshore-core/tests/support/serving.rs
@@ -354,6 +354,7 @@
         prefix: None,
         deadline: process.now.after(Duration::from_secs(10)),
         terms,
+        charge: None,
     }
 }
 
--- a/crates/skylarkshore-host/src/callers.rs
+++ b/crates/skylarkshore-host/src/callers.rs
@@ -8,11 +8,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use http::header::CONNECTION;
+use http::header::{AUTHORIZATION, CONNECTION, HeaderName};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
 use skylarkshore_core::Time;
+use skylarkshore_core::accounts::Charge;
 use skylarkshore_core::event::{Arrival, Target, Terms};
-use skylarkshore_wire::caller::REQUEST_ID_HEADER;
+use skylarkshore_wire::caller::{ACCOUNT_HEADER, REQUEST_ID_HEADER};
 use skylarkshore_wire::operator::Health;
 use slog::debug;
 use tokio::time::Instant;
@@ -20,6 +21,7 @@
 use xitca_web::service::fn_service;
 use xitca_web::{App, WebContext};
 
+use crate::accounts;
 use crate::digest::request_digest;
 use crate::driver::Snapshot;
 use crate::exchange::{CheckedRequest, Exchange, WatchedListener, read_off};
@@ -158,8 +160,9 @@
         body: &mut xitca_web::body::RequestBody,
     ) -> Result<WebResponse, Invalid> {
         let common = Common::read(self, head)?;
-        let body = self.exchange.read_body(body, &head.headers).await?;
         let snapshot = self.known_document()?;
+        let charge = charge(&snapshot, head)?;
+        let body = self.exchange.read_body(body, &head.headers).await?;
         let chat = ChatBody::parse(&body)?;
         let target = snapshot.document.catalogue.resolve(&chat.model);
         let target = Target::Model(target.ok_or_else(|| Invalid::UnknownModel { name: chat.model.clone() })?);
@@ -173,12 +176,13 @@
             prefix: chat.prefix,
             deadline: common.deadline,
             terms: Terms::plain(common.deadline, true),
+            charge,
         };
         let outgoing = Outgoing {
             label: head.label(),
             method: head.method.clone(),
             path,
-            headers: forwarded(&head.headers),
+            headers: forwarded_for(&head.headers, &arrival),
             body,
         };
         Ok(self.run(head, "model", arrival, outgoing).await)
@@ -193,6 +197,7 @@
         let common = Common::read(self, head)?;
         let call = ServiceCall::parse(rest, head.uri.query())?;
         let snapshot = self.known_document()?;
+        let charge = charge(&snapshot, head)?;
         let service = snapshot.document.catalogue.services.get(&call.service);
         let service = service.ok_or_else(|| Invalid::UnknownService { name: call.service.to_string() })?;
         let is_once = call.spellings().iter().any(|path| service.is_once(path));
@@ -206,12 +211,13 @@
             prefix: None,
             deadline: common.deadline,
             terms: Terms::plain(common.deadline, false),
+            charge,
         };
         let outgoing = Outgoing {
             label: head.label(),
             method: head.method.clone(),
             path: call.path_and_query,
-            headers: forwarded(&head.headers),
+            headers: forwarded_for(&head.headers, &arrival),
             body,
         };
         Ok(self.run(head, "service", arrival, outgoing).await)
@@ -262,6 +268,25 @@
     }
 }
 
+/// Finds the client account of a request, where callers need one.
+fn charge(snapshot: &Snapshot, head: &Head) -> Result<Option<Charge>, Invalid> {
+    let accounts = &snapshot.document.catalogue.accounts;
+    if accounts.is_empty() {
+        return Ok(None);
+    }
+    let shown = accounts::only_value(&head.headers, &AUTHORIZATION).map(HeaderValue::as_bytes);
+    let key = shown.and_then(|value| value.strip_prefix(b"Bearer ")).ok_or(Invalid::UnknownAccount)?;
+    accounts::charge(accounts, key, None).map(Some).ok_or(Invalid::UnknownAccount)
+}
+
+/// Returns the headers for the upstream, which name the client account to it.
+fn forwarded_for(headers: &HeaderMap, arrival: &Arrival) -> HeaderMap {
+    let mut headers = forwarded(headers);
+    let account = arrival.charge.as_ref().map(|charge| &charge.account);
+    accounts::name_account(&mut headers, &HeaderName::from_static(ACCOUNT_HEADER), account);
+    headers
+}
+
 /// What every request that is sent upstream has in common.
 struct Common {
     caller: skylarkshore_core::id::CallerId,
--- a/crates/skylarkshore-host/src/callers/invalid.rs
+++ b/crates/skylarkshore-host/src/callers/invalid.rs
@@ -30,6 +30,7 @@
     BadTimeout,
     BadRequestId,
     BadCaller,
+    UnknownAccount,
     BadPath,
     NoSuchPath { path: String },
     WrongMethod { method: Method, expected: Method },
@@ -88,6 +89,7 @@
             | Self::BadRequestId
             | Self::BadCaller
             | Self::BadPath => StatusCode::BAD_REQUEST,
+            Self::UnknownAccount => StatusCode::UNAUTHORIZED,
         }
     }
 
@@ -107,6 +109,7 @@
             Self::BadTimeout => "bad_timeout",
             Self::BadRequestId => "bad_request_id",
             Self::BadCaller => "bad_caller",
+            Self::UnknownAccount => "unknown_account",
             Self::BadPath => "bad_path",
             Self::NoSuchPath { .. } => "no_such_path",
             Self::WrongMethod { .. } => "wrong_method",
@@ -129,6 +132,7 @@
             Self::BadTimeout => format!("the {TIMEOUT_HEADER} header makes no sense"),
             Self::BadRequestId => format!("the {REQUEST_ID_HEADER} header is no plain text or too long"),
             Self::BadCaller => format!("the {CALLER_HEADER} header is no name"),
+            Self::UnknownAccount => "no client account holds the key".to_owned(),
             Self::BadPath => "the path has empty parts, dots as parts or broken percent signs".to_owned(),
             Self::NoSuchPath { path } => format!("there is nothing at '{}'", shortened(path)),
             Self::WrongMethod { method, .. } => format!("{method} isn't answered here"),
@@ -159,6 +163,7 @@
                 format!("send 1 to {MAX_TOKEN_LEN} printable ASCII characters, or leave it out")
             }
             Self::BadCaller => "send 1 to 128 letters, digits or any of . _ : / @ -".to_owned(),
+            Self::UnknownAccount => "send one valid key as authorization: Bearer KEY".to_owned(),
             Self::BadPath => "send the plain path, /services/<name>/<path>".to_owned(),
             Self::NoSuchPath { .. } => "see the page INTERFACES for the paths".to_owned(),
             Self::WrongMethod { expected, .. } => format!("use {expected}"),
--- a/crates/skylarkshore-host/src/config.rs
+++ b/crates/skylarkshore-host/src/config.rs
@@ -1,6 +1,7 @@
 //! The settings of a host: JSON with comments, checked as a whole.
 
 pub(crate) mod invalid;
+mod limits;
 mod platform;
 mod section;
 mod timings;
@@ -15,7 +16,7 @@
 use jsonc_parser::ast::Value;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
 use serde::Deserialize;
-use skylarkshore_core::config::{Limits, RetryLimits, SuspectPolicy, Timings, Watchers};
+use skylarkshore_core::config::{Limits, Timings, Watchers};
 use skylarkshore_core::id::{DataCentre, HostId};
 use skylarkshore_core::rules::Rules;
 use skylarkshore_wire::document::RulesWire;
@@ -27,7 +28,7 @@
 pub use section::Fault;
 pub use url::{HttpUrl, InvalidHttpUrl};
 
-use section::{Report, Section, flag, fraction, json_of, number, text};
+use section::{Report, Section, flag, json_of, text};
 
 /// The settings of a host.
 #[derive(Clone, Debug)]
@@ -208,7 +209,7 @@
     let default_rules = read_rules(&mut root, report);
     let watchers = root.optional(report, "everyone_watches", false, flag);
     let log_level = read_log(&mut root, report);
-    let (intake, limits) = read_limits(&mut root, report);
+    let (intake, limits) = limits::read_limits(&mut root, report);
     let timings = timings::read(&mut root, report);
     root.finish(report);
     Some(Config {
@@ -254,76 +255,3 @@
     log.finish(report);
     level
 }
-
-const MAX_COUNT: u64 = 1_000_000;
-const MAX_BODY_LEN: u64 = 64 * 1024 * 1024;
-/// The key-value service takes values up to a mebibyte, and Base64 takes a third more.
-const MAX_RECORDED_ANSWER: u64 = 700 * 1024;
-
-fn read_limits(root: &mut Section<'_>, report: &mut Report<'_>) -> (Intake, Limits) {
-    let mut section = root.optional_section(report, "limits");
-    let mut limits = Limits::default();
-    let mut intake = Intake::default();
-    let size = |min, max| move |value: &Value<'_>| number(value, min, max).map(to_size);
-    let count = |min, max| move |value: &Value<'_>| number(value, min, max).map(to_count);
-    intake.body_len = section.optional(report, "body_bytes", intake.body_len, size(1024, MAX_BODY_LEN));
-    limits.queue_total = section.optional(report, "queue_total", limits.queue_total, size(1, MAX_COUNT));
-    limits.queue_per_caller =
-        section.optional(report, "queue_per_caller", limits.queue_per_caller, size(1, MAX_COUNT));
-    limits.recorded_answer = section.optional(
-        report,
-        "recorded_answer_bytes",
-        limits.recorded_answer,
-        size(0, MAX_RECORDED_ANSWER),
-    );
-    limits.loads_at_once = section.optional(report, "loads_at_once", limits.loads_at_once, count(1, 1000));
-    limits.loads_per_second =
-        section.optional(report, "loads_per_second", limits.loads_per_second, count(1, 1000));
-    limits.attempts = section.optional(report, "attempts", limits.attempts, count(1, 10));
-    limits.homes_ahead = section.optional(report, "homes_ahead", limits.homes_ahead, size(1, 100));
-    limits.retries = read_retries(&mut section, report);
-    let counts_ends = section.optional(report, "suspects_run_beside_others", false, flag);
-    limits.suspects = if counts_ends { SuspectPolicy::CountEnds } else { SuspectPolicy::RunAlone };
-    intake.head_timeout =
-        section.optional(report, "head_timeout_ms", intake.head_timeout, timings::millis(100, 60_000));
-    intake.body_timeout =
-        section.optional(report, "body_timeout_ms", intake.body_timeout, timings::millis(100, 600_000));
-    section.finish(report);
-    (intake, limits)
-}
-
-/// Reads the budget of retries that all hosts share, if there is one.
-fn read_retries(limits: &mut Section<'_>, report: &mut Report<'_>) -> RetryLimits {
-    let Some(shared) = limits.present_section(report, "shared_retries") else {
-        return RetryLimits::PerProcess;
-    };
-    let mut shared = shared;
-    let percent = shared
-        .required(report, "ratio", "0.2", |value| fraction(value, 0.0, 1.0).map(|ratio| part(ratio, 100.0)));
-    let slack = shared.required(report, "slack", "50", |value| {
-        fraction(value, 0.0, f64::from(u16::MAX)).map(|slack| part(slack, 1.0))
-    });
-    let window = shared
-        .required(report, "window_s", "10", |value| fraction(value, 0.1, 600.0).map(Duration::from_secs_f64));
-    shared.finish(report);
-    match (percent, slack, window) {
-        (Some(percent), Some(slack), Some(window)) => RetryLimits::Shared { percent, slack, window },
-        _ => RetryLimits::PerProcess,
-    }
-}
-
-/// Returns so many parts of a number, rounded down.
-#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "the number was checked")]
-fn part(number: f64, parts: f64) -> u32 {
-    // A product that should be whole may fall short of it by a rounding error.
-    const ROUNDING: f64 = 1e-6;
-    (number * parts + ROUNDING) as u32
-}
-
-fn to_size(number: u64) -> usize {
-    usize::try_from(number).unwrap_or(usize::MAX)
-}
-
-fn to_count(number: u64) -> u32 {
-    u32::try_from(number).unwrap_or(u32::MAX)
-}
--- a/crates/skylarkshore-host/src/lib.rs
+++ b/crates/skylarkshore-host/src/lib.rs
@@ -5,6 +5,7 @@
 //! done is carried out in tasks of their own. What differs from one platform to
 //! another is behind the traits that [`platform`] brings together.
 
+pub mod accounts;
 pub mod call_error;
 pub mod clock;
 pub mod config;
--- a/crates/skylarkshore-host/src/upstreams/own.rs
+++ b/crates/skylarkshore-host/src/upstreams/own.rs
@@ -1,10 +1,11 @@
 //! The product's own protocol between entry hosts and upstreams.
 
-use http::header::{ACCEPT_ENCODING, CONTENT_LENGTH, EXPECT, HOST};
+use http::header::{ACCEPT_ENCODING, AUTHORIZATION, CONTENT_LENGTH, EXPECT, HOST, HeaderName};
 use http::{HeaderMap, HeaderValue, StatusCode};
 use skylarkshore_core::event::{LoadTold, Rejection};
 use skylarkshore_core::id::{HostId, Incarnation};
 use skylarkshore_core::upstream::Upstream;
+use skylarkshore_wire::caller::ACCOUNT_HEADER;
 use skylarkshore_wire::engine::{NotRun, PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER, TIMEOUT_HEADER};
 
 use super::{Call, StreamEnd, UpstreamProtocol, Verdict, remove_hop_by_hop};
@@ -88,6 +89,10 @@
     for name in [HOST, CONTENT_LENGTH, EXPECT, ACCEPT_ENCODING] {
         headers.remove(name);
     }
+    // The key is between the caller and this system.
+    for name in [AUTHORIZATION, HeaderName::from_static(ACCOUNT_HEADER)] {
+        headers.remove(name);
+    }
     // These are this system's own; the upstream gets them anew for each try.
     for name in [REQUEST_ID_HEADER, PRIORITY_HEADER, TIMEOUT_HEADER, RESUME_HEADER] {
         headers.remove(name);
--- a/crates/skylarkshore-standins/src/world/callers.rs
+++ b/crates/skylarkshore-standins/src/world/callers.rs
@@ -122,6 +122,7 @@
             prefix: ask.prefix,
             deadline,
             terms: Terms::plain(deadline, matches!(ask.target, Target::Model(_))),
+            charge: None,
         };
         let log = RequestLog {
             ask: ask.clone(),
--- a/crates/skylarkshore-wire/src/caller.rs
+++ b/crates/skylarkshore-wire/src/caller.rs
@@ -11,6 +11,8 @@
 pub const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
 /// Who the caller is.
 pub const CALLER_HEADER: &str = "x-caller";
+/// Names the client account to the upstream.
+pub const ACCOUNT_HEADER: &str = "x-client-account";
 /// The caller's name for the request; echoed on every answer.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Names a request that may not be repeated.
@@ -151,15 +153,21 @@
         RefusalReason::CallerGone => "caller_gone",
         RefusalReason::CrashesUpstreams => "crashes_upstreams",
         RefusalReason::Leaving => "leaving",
+        RefusalReason::OverLimit => "over_limit",
+        RefusalReason::BeyondLimit => "beyond_limit",
+        RefusalReason::KeyWithdrawn => "key_withdrawn",
+        RefusalReason::AccountChanged => "account_changed",
     }
 }
 
 /// Returns the HTTP status of a refusal.
 pub const fn refusal_status(refusal: &Refusal) -> u16 {
     match refusal.reason {
+        RefusalReason::KeyWithdrawn => 401,
         RefusalReason::Rule(_) => 403,
         RefusalReason::KeyConflict | RefusalReason::KeyInProgress | RefusalReason::KeyInDoubt => 409,
         RefusalReason::CrashesUpstreams => 422,
+        RefusalReason::OverLimit | RefusalReason::BeyondLimit => 429,
         RefusalReason::DeadlinePassed | RefusalReason::DeadlinePassedRunning => 504,
         RefusalReason::UpstreamLost | RefusalReason::AnswerNotKept => 502,
         RefusalReason::ColdStartTooLong
@@ -168,6 +176,7 @@
         | RefusalReason::NoUpstream
         | RefusalReason::StoreUnreachable
         | RefusalReason::CallerGone
+        | RefusalReason::AccountChanged
         | RefusalReason::Leaving => 503,
     }
 }
--- a/crates/skylarkshore-wire/src/catalogue.rs
+++ b/crates/skylarkshore-wire/src/catalogue.rs
@@ -7,9 +7,10 @@
 use skylarkshore_core::catalogue::{
     CallerLimits, Catalogue, ConfiguredCatalogue, Destination, Route, RouteKind,
 };
-use skylarkshore_core::id::{CatalogueRevision, ModelName, RouteName, ServiceName};
+use skylarkshore_core::id::{AccountName, CatalogueRevision, ModelName, RouteName, ServiceName};
 use skylarkshore_core::units::LoadRate;
 
+use crate::accounts::{AccountWire, InvalidAccount, accounts_from_wire, accounts_to_wire};
 use crate::document::{ModelWire, ServiceWire};
 use crate::peer::millis;
 
@@ -28,6 +29,9 @@
     pub caller_limits: Option<CallerLimitsWire>,
     /// How many loads from the weight store may begin in a thousand seconds.
     pub load_rate: Option<LoadRate>,
+    /// The client accounts.
+    #[serde(default)]
+    pub accounts: BTreeMap<AccountName, AccountWire>,
 }
 
 /// A route.
@@ -53,6 +57,9 @@
     pub tries: u32,
     /// Where it goes, with weights.
     pub destinations: Vec<(ServiceName, u32)>,
+    /// Whether it needs no client account.
+    #[serde(default)]
+    pub is_public: bool,
 }
 
 /// What may be done with a request whose outcome isn't known.
@@ -117,6 +124,7 @@
             priority: route.priority,
             tries: route.tries,
             destinations: route.destinations.iter().map(|d| (d.service.clone(), d.weight)).collect(),
+            is_public: route.is_public,
         }
     }
 }
@@ -135,6 +143,7 @@
             priority: wire.priority,
             tries: wire.tries,
             destinations: wire.destinations.into_iter().map(destination).collect(),
+            is_public: wire.is_public,
         }
     }
 }
@@ -171,19 +180,24 @@
             routes: catalogue.routes.iter().map(RouteWire::from).collect(),
             caller_limits: catalogue.caller_limits.map(Into::into),
             load_rate: catalogue.load_rate,
+            accounts: accounts_to_wire(&catalogue.accounts),
         }
     }
 }
 
-impl From<CatalogueWire> for ConfiguredCatalogue {
-    fn from(wire: CatalogueWire) -> Self {
+impl TryFrom<CatalogueWire> for ConfiguredCatalogue {
+    type Error = InvalidAccount;
+
+    fn try_from(wire: CatalogueWire) -> Result<Self, Self::Error> {
+        let accounts = accounts_from_wire(wire.accounts)?;
         let catalogue = Catalogue {
             models: wire.models.into_iter().map(|(name, model)| (name, model.into())).collect(),
             services: wire.services.into_iter().map(|(name, service)| (name, service.into())).collect(),
             routes: wire.routes.into_iter().map(Route::from).collect(),
             caller_limits: wire.caller_limits.map(Into::into),
             load_rate: wire.load_rate,
+            accounts,
         };
-        Self { revision: wire.revision, catalogue }
+        Ok(Self { revision: wire.revision, catalogue })
     }
 }
--- a/crates/skylarkshore-wire/src/document.rs
+++ b/crates/skylarkshore-wire/src/document.rs
@@ -11,14 +11,15 @@
 use skylarkshore_core::catalogue::{Catalogue, CopyLoadTimes, Document, Model, Service};
 use skylarkshore_core::collections::OrderedSet;
 use skylarkshore_core::id::{
-    AdapterName, CallerId, CatalogueRevision, DataCentre, ModelName, ModelVersion, RulesRevision,
-    ServiceName, SiteName,
+    AccountName, AdapterName, CallerId, CatalogueRevision, DataCentre, ModelName, ModelVersion,
+    RulesRevision, ServiceName, SiteName,
 };
 use skylarkshore_core::rules::{
     Condition, Hours, IdleAfter, InvalidMinuteOfDay, InvalidPercent, Outcome, Rule, Rules, ServiceOrder,
 };
 use skylarkshore_core::units::{Mebibytes, Watts};
 
+use crate::accounts::{AccountWire, InvalidAccount, accounts_from_wire, accounts_to_wire};
 use crate::peer::millis;
 
 pub use check::{Finding, Severity, check};
@@ -40,6 +41,9 @@
     /// The plain services.
     #[serde(default)]
     pub services: BTreeMap<ServiceName, ServiceWire>,
+    /// The client accounts; where there are none, callers need no key.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub accounts: BTreeMap<AccountName, AccountWire>,
     /// The rules, the first one first.
     #[serde(default)]
     pub rules: Vec<RuleWire>,
@@ -250,6 +254,9 @@
         /// Its size.
         len: usize,
     },
+    /// A client account is wrong.
+    #[display("{_0}")]
+    Account(InvalidAccount),
     /// A rule has a wrong value.
     #[display("rule '{rule}': {reason}")]
     Rule {
@@ -305,10 +312,11 @@
         let rules = RulesWire { rules: wire.rules, otherwise: wire.otherwise };
         let models = wire.models.into_iter().map(|(name, model)| (name, model.into())).collect();
         let services = wire.services.into_iter().map(|(name, service)| (name, service.into())).collect();
+        let accounts = accounts_from_wire(wire.accounts).map_err(InvalidDocument::Account)?;
         Ok(Self {
             revision: RulesRevision(wire.revision),
             power_caps: wire.power_caps.into_iter().map(|(site, watts)| (site, Watts(watts))).collect(),
-            catalogue: Catalogue { models, services, ..Catalogue::default() },
+            catalogue: Catalogue { models, services, accounts, ..Catalogue::default() },
             catalogue_revision: CatalogueRevision::default(),
             rules: rules.try_into()?,
         })
@@ -324,6 +332,7 @@
             power_caps: document.power_caps.iter().map(|(site, watts)| (site.clone(), watts.0)).collect(),
             models: models.iter().map(|(name, model)| (name.clone(), model.into())).collect(),
             services: services.iter().map(|(name, service)| (name.clone(), service.into())).collect(),
+            accounts: accounts_to_wire(&document.catalogue.accounts),
             rules: document.rules.list.iter().map(RuleWire::from).collect(),
             otherwise: (&document.rules.otherwise).into(),
         }
--- a/crates/skylarkshore-wire/src/keys/value.rs
+++ b/crates/skylarkshore-wire/src/keys/value.rs
@@ -17,6 +17,7 @@
 };
 use skylarkshore_core::units::Watts;
 
+use crate::accounts::InvalidAccount;
 use crate::catalogue::CatalogueWire;
 use crate::document::{DocumentWire, InvalidDocument};
 
@@ -129,6 +130,9 @@
     /// The operators' document is wrong.
     #[display("{_0}")]
     Document(InvalidDocument),
+    /// A client account is wrong.
+    #[display("{_0}")]
+    Account(InvalidAccount),
 }
 
 /// A value with the one who wrote it.
@@ -223,9 +227,11 @@
     }
 }
 
-impl From<CatalogueWire> for Record {
-    fn from(wire: CatalogueWire) -> Self {
-        Self::Catalogue(Arc::new(wire.into()))
+impl TryFrom<CatalogueWire> for Record {
+    type Error = InvalidAccount;
+
+    fn try_from(wire: CatalogueWire) -> Result<Self, Self::Error> {
+        Ok(Self::Catalogue(Arc::new(wire.try_into()?)))
     }
 }
 
--- a/crates/skylarkshore-wire/src/lib.rs
+++ b/crates/skylarkshore-wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each format has wire types of its own, which turn into the core's checked
 //! types by `TryFrom` and come from them by `From`.
 
+pub mod accounts;
 pub mod caller;
 pub mod catalogue;
 pub mod document;
--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -4,6 +4,7 @@
 //! so that the core can change without changing what is on the wire; a variant
 //! may be added at the end, never moved.
 
+mod credit;
 mod view;
 
 use std::time::Duration;
@@ -21,6 +22,7 @@
 
 use crate::keys::{InvalidKey, InvalidValue, KeyText, StoredValue};
 
+pub use credit::CreditMessageWire;
 pub use view::{EngineViewWire, ModelViewWire, ReadinessWire};
 
 /// The largest message in bytes.
@@ -178,6 +180,7 @@
         upstream: UpstreamId,
         model: ModelName,
     },
+    Credit(CreditMessageWire),
 }
 
 /// Encodes a message for the wire.
@@ -345,6 +348,7 @@
             M::LoadSlotHeld { upstream, model } => {
                 Self::LoadSlotHeld { upstream: upstream.clone(), model: model.clone() }
             }
+            M::Credit(message) => Self::Credit(message.into()),
         }
     }
 }
@@ -410,6 +414,7 @@
             W::UpstreamLeaving { upstream } => Self::UpstreamLeaving { upstream },
             W::UpstreamUnreachable { upstream } => Self::UpstreamUnreachable { upstream },
             W::LoadSlotHeld { upstream, model } => Self::LoadSlotHeld { upstream, model },
+            W::Credit(message) => Self::Credit(message.into()),
         })
     }
 }
--- a/crates/skylarkshore-wire/tests/document.rs
+++ b/crates/skylarkshore-wire/tests/document.rs
@@ -80,7 +80,7 @@
     let lines: Vec<String> = errors.into_iter().map(|err| err.unwrap_err()).collect();
     insta::assert_snapshot!(lines.join("\n"), @r"
     the document is not JSON with comments: Unterminated object on line 1 column 2; mend the place named
-    the document has a wrong shape: unknown field `rule`, expected one of `revision`, `power_caps`, `models`, `services`, `rules`, `otherwise`; see the page OPERATIONS for the keys and their values
+    the document has a wrong shape: unknown field `rule`, expected one of `revision`, `power_caps`, `models`, `services`, `accounts`, `rules`, `otherwise`; see the page OPERATIONS for the keys and their values
     rule 'by day': '25:00' is not a time of day; write hours and minutes in UTC, for example 18:30
     the document has a wrong shape: 'sum mary' is not a name; use 1 to 128 letters, digits or any of . _ : / @ -; see the page OPERATIONS for the keys and their values
     ");
--- a/crates/skylarkshore-wire/tests/formats.rs
+++ b/crates/skylarkshore-wire/tests/formats.rs
@@ -4,15 +4,19 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use skylarkshore_core::catalogue::{Document, ModelTarget};
-use skylarkshore_core::id::{CallId, Digest, Fence, Incarnation, RulesRevision, StoreRevision};
+use skylarkshore_core::accounts::{Account, AccountLimit, KeyDigest, Measure};
+use skylarkshore_core::catalogue::{ConfiguredCatalogue, Document, ModelTarget};
+use skylarkshore_core::id::{
+    AccountName, CallId, CatalogueRevision, Digest, Fence, Incarnation, RulesRevision, StoreRevision,
+};
 use skylarkshore_core::peer::PeerMessage;
+use skylarkshore_core::quota::CreditMessage;
 use skylarkshore_core::rules::ServiceOrder;
 use skylarkshore_core::store::{
     HomesRecord, Key, MemberRecord, OnceRecord, OnceState, OwnerRecord, PowerRecord, Record, RecordBatch,
     RecordedAnswer, Versioned, Writer,
 };
-use skylarkshore_core::units::Watts;
+use skylarkshore_core::units::{CreditRate, Credits, Watts};
 use skylarkshore_core::view::{EngineView, ModelView, Readiness, ViewVersion};
 use skylarkshore_wire::keys::{KeyText, StoredValue};
 use skylarkshore_wire::peer::{InvalidMessage, MAX_MESSAGE_LEN, decode, encode};
@@ -177,9 +181,41 @@
     ]
 }
 
+fn credit_messages() -> Vec<PeerMessage> {
+    let (account, cost): (AccountName, _) = ("orchard".parse().unwrap(), Credits(1540));
+    let messages = [
+        CreditMessage::SignOn { with_share: true },
+        CreditMessage::SignedOn,
+        CreditMessage::SignOff,
+        CreditMessage::Wanted { ask: 7, account: account.clone(), cost },
+        CreditMessage::Lent { ask: 7, account: account.clone(), cost, wait: Duration::from_micros(1500) },
+        CreditMessage::Denied { ask: 7, retry_after: Some(Duration::from_micros(12_345)) },
+        CreditMessage::Denied { ask: 7, retry_after: None },
+        CreditMessage::Returned { account, cost },
+    ];
+    messages.into_iter().map(PeerMessage::Credit).collect()
+}
+
+/// Guards against client accounts that are lost, or keys that are told, on the way between hosts.
+#[test]
+fn a_catalogue_with_client_accounts_comes_back_the_same() {
+    let account = Account {
+        keys: [KeyDigest(Digest([0xab; 32]))].into(),
+        priority: Some(1),
+        measure: Measure::Tokens { plain: Credits(200) },
+        limit: Some(AccountLimit { rate: CreditRate(34_647_000), burst: Credits(34_647) }),
+    };
+    let mut configured = ConfiguredCatalogue { revision: CatalogueRevision(4), ..Default::default() };
+    configured.catalogue.accounts.add("orchard".parse().unwrap(), account).unwrap();
+    let value = StoredValue { writer: writer(), record: Record::Catalogue(Arc::new(configured)) };
+    let json = value.to_json();
+    assert_eq!(StoredValue::from_json(&Key::Catalogue, json.as_bytes()).unwrap(), value);
+    insta::assert_snapshot!(json, @r#"{"writer":{"host":"entry-1","incarnation":7,"call":12},"value":{"revision":4,"models":{},"services":{},"routes":[],"caller_limits":null,"load_rate":null,"accounts":{"orchard":{"key_digests":["abababababababababababababababababababababababababababababababab"],"priority":1,"plain_tokens":200,"limit":{"per_kilosecond":34647000,"burst":34647}}}}}"#);
+}
+
 #[test]
 fn messages_come_back_the_same() {
-    for message in messages() {
+    for message in messages().into_iter().chain(credit_messages()) {
         assert_eq!(decode(&encode(&message).unwrap()).unwrap(), message);
     }
 }
