Have one host of each data centre read the store's news for the others

Change: the two first of a ranking of each data centre's members pass on what their watch reads, in the store's own words; whoever hears nothing for half of the notice that leaving upstreams give reads for itself. Larger hosts come first in the ranking and among the keepers of client accounts' books (setting `cores`). `news_relayed` switches it; off is the way that stood.

--- a/crates/skylarkshore-core/src/config.rs
+++ b/crates/skylarkshore-core/src/config.rs
@@ -5,7 +5,7 @@
 
 use crate::id::{DataCentre, Digest, HostId, Incarnation};
 use crate::rules::Rules;
-use crate::units::Credits;
+use crate::units::{Capacity, Credits};
 
 /// What a process is told about itself when it starts.
 #[derive(Clone, Debug)]
@@ -32,6 +32,8 @@
     pub default_rules: Rules,
     /// Who watches the key-value service.
     pub watchers: Watchers,
+    /// What the host can do beside the others.
+    pub capacity: Capacity,
 }
 
 /// Who watches the key-value service.
@@ -42,6 +44,8 @@
     OnePerDataCentre,
     /// Every process, so that news doesn't depend on any other one.
     All,
+    /// Every process that hears no news from another one of its data centre.
+    Relayed,
 }
 
 /// What may change while a process runs.
--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -12,6 +12,7 @@
 mod peers;
 mod placement;
 mod power;
+mod relay;
 mod report;
 mod roster;
 mod shares;
@@ -26,6 +27,7 @@
 use ownership::Ownership;
 use peers::{OwnState, Peers};
 use power::Power;
+use relay::Relay;
 use roster::Roster;
 
 use crate::authority::{Authority, EngineUse, OwnershipChange, Permit};
@@ -34,7 +36,7 @@
 use crate::cx::Cx;
 use crate::dump::{Belief, Gauge};
 use crate::id::{CallId, HostId, Incarnation, ModelName, StoreRevision, UpstreamId};
-use crate::peer::PeerMessage;
+use crate::peer::{News, PeerMessage};
 use crate::store::{Key, StoreResult, Versioned, WriteOutcome};
 use crate::time::Time;
 use crate::units::Watts;
@@ -53,6 +55,7 @@
     membership: Membership,
     peers: Peers,
     feed: Feed,
+    relay: Relay,
     roster: Roster,
     ownership: Ownership,
     homes: Homes,
@@ -76,6 +79,7 @@
             membership: Membership::new(),
             peers: Peers::default(),
             feed: Feed::default(),
+            relay: Relay::default(),
             roster: Roster::default(),
             ownership: Ownership::default(),
             homes: Homes::default(),
@@ -105,6 +109,7 @@
         self.membership.on_tick(cx);
         self.peers.on_tick(cx, self.own_state());
         self.feed.on_tick(cx);
+        self.relay.on_tick(cx);
         if self.last_review.after(self.review_every(engines)).is_due(cx.now) {
             self.review(cx, engines);
         }
@@ -128,6 +133,11 @@
         if pressing { REVIEW_PRESSING } else { REVIEW_EVERY }
     }
 
+    /// Takes news that this process has read itself.
+    pub fn on_news_read(&self, cx: &mut Cx<'_>, news: &News) {
+        self.relay.on_read(cx, news);
+    }
+
     /// Begins to leave.
     pub fn on_shutdown(&mut self, _cx: &mut Cx<'_>) {
         self.membership.leave();
--- a/crates/skylarkshore-core/src/control/feed.rs
+++ b/crates/skylarkshore-core/src/control/feed.rs
@@ -254,7 +254,7 @@
     /// death; so it sends heartbeats to the whole data centre, and the next of
     /// the ranking steps in when they cease.
     fn is_watcher(&self, cx: &Cx<'_>, peers: &Peers, eligible: &[HostId]) -> bool {
-        if cx.cfg.watchers == Watchers::All {
+        if cx.cfg.watchers != Watchers::OnePerDataCentre {
             return true;
         }
         let own = &cx.cfg.host;
--- a/crates/skylarkshore-core/src/control/hashing.rs
+++ b/crates/skylarkshore-core/src/control/hashing.rs
@@ -3,7 +3,10 @@
 //! The hash is written out here, since processes of different builds have to
 //! agree on it while an upgrade is under way.
 
+use crate::collections::OrderedMap;
 use crate::id::HostId;
+use crate::store::MemberRecord;
+use crate::units::Capacity;
 
 const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
 const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
@@ -34,6 +37,20 @@
     ranked
 }
 
+/// Returns members in the order in which they look after what is easier for large hosts.
+///
+/// The larger ones come first, and the hash decides among equal ones.
+pub(crate) fn ranking_by_capacity<'a>(
+    key: &str,
+    members: impl Iterator<Item = (&'a HostId, &'a MemberRecord)>,
+) -> Vec<&'a HostId> {
+    let capacities: OrderedMap<&HostId, Capacity> =
+        members.map(|(host, member)| (host, member.capacity)).collect();
+    let mut ranked = ranking(key, capacities.keys().copied());
+    ranked.sort_by_key(|host| std::cmp::Reverse(capacities.get(host)));
+    ranked
+}
+
 /// Hosts with their hashes, for whoever asks about many keys.
 #[derive(Debug)]
 pub(super) struct HashedHosts<'a> {
--- a/crates/skylarkshore-core/src/control/membership.rs
+++ b/crates/skylarkshore-core/src/control/membership.rs
@@ -361,5 +361,6 @@
         data_centre: cfg.data_centre.clone(),
         fingerprint: cfg.fingerprint,
         leaving,
+        capacity: cfg.capacity,
     }
 }
--- a/crates/skylarkshore-core/src/effect.rs
+++ b/crates/skylarkshore-core/src/effect.rs
@@ -8,7 +8,7 @@
 use crate::id::{
     AttemptId, CallId, Fence, HostId, Incarnation, OrderId, RequestId, StoreRevision, UpstreamId,
 };
-use crate::peer::Envelope;
+use crate::peer::{Envelope, News};
 use crate::rules::ServiceOrder;
 use crate::store::{RecordedAnswer, StoreCall};
 use crate::time::Time;
@@ -123,6 +123,10 @@
     },
     /// Stop watching.
     Unwatch,
+    /// Take news that a peer has read.
+    TakeNews(News),
+    /// Read news often, since others wait for it, or as seldom as for this process alone.
+    ReadNewsForOthers(bool),
     /// Send a message to a peer.
     Peer(Envelope),
     /// Find out whether a life of a process has ended for certain.
--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -9,7 +9,7 @@
     AttemptId, CallId, CallerId, Digest, HostId, Incarnation, OrderId, RequestId, ServiceName, StoreRevision,
     UpstreamId,
 };
-use crate::peer::PeerMessage;
+use crate::peer::{News, PeerMessage};
 use crate::rules::MinuteOfDay;
 use crate::store::{RecordedAnswer, StoreResult, Versioned};
 use crate::time::Time;
@@ -177,6 +177,8 @@
         /// The revision up to which nothing is missing.
         upto: StoreRevision,
     },
+    /// The watch has told something that other processes may want to know.
+    NewsRead(News),
     /// The watch had no answer in time, and is asked again from where it stood.
     WatchUnanswered,
     /// The watch broke and may have missed changes.
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -182,6 +182,9 @@
                 self.take_records(now, changes.clone(), effects);
                 self.with(now, effects, |cx, parts| parts.control.on_watched(cx, changes, upto));
             }
+            Event::NewsRead(news) => {
+                self.with(now, effects, |cx, parts| parts.control.on_news_read(cx, &news));
+            }
             Event::WatchUnanswered => self.listing.silent(),
             Event::WatchBroken => {
                 self.listing.silent();
@@ -290,6 +293,10 @@
             self.take_batch(now, from, batch, effects);
             return;
         }
+        if let PeerMessage::News(news) = message {
+            effects.push(Effect::TakeNews(news));
+            return;
+        }
         self.with(now, effects, |cx, parts| {
             parts.control.on_peer(cx, from, &message);
             parts.loading.on_peer(cx, &*parts.control, from, &message);
--- a/crates/skylarkshore-core/src/peer.rs
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -1,5 +1,6 @@
 //! What processes tell one another.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::catalogue::ModelTarget;
@@ -189,6 +190,19 @@
     },
     /// About the credit of client accounts.
     Credit(CreditMessage),
+    /// What the sender has read of the key-value service.
+    News(News),
+}
+
+/// Changes at the key-value service, as it told them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct News {
+    /// The revision after which they came.
+    pub after: StoreRevision,
+    /// The revision up to which nothing is missing.
+    pub upto: StoreRevision,
+    /// The service's own words; empty where nothing has changed.
+    pub body: Arc<str>,
 }
 
 /// A message with its receiver.
--- a/crates/skylarkshore-core/src/quota/keepers.rs
+++ b/crates/skylarkshore-core/src/quota/keepers.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use crate::collections::{OrderedMap, OrderedSet};
-use crate::control::hashing::{name_hash, ranking};
+use crate::control::hashing::{name_hash, ranking_by_capacity};
 use crate::cx::Cx;
 use crate::id::{AccountName, HostId};
+use crate::store::MemberRecord;
 use crate::time::Time;
 
 use super::{CreditMessage, tell};
@@ -45,12 +46,12 @@
 impl Keepers {
     /// Takes note of who the members are.
     pub(super) fn note_members(&mut self, cx: &Cx<'_>) {
-        let staying: Vec<&HostId> =
-            cx.cache.members().filter(|(_, member)| !member.leaving).map(|(host, _)| host).collect();
+        let staying: Vec<(&HostId, &MemberRecord)> =
+            cx.cache.members().filter(|(_, member)| !member.leaving).collect();
         let parts = PARTS.iter().find(|(hosts, _)| staying.len() >= *hosts).map_or(1, |(_, parts)| *parts);
         self.parts = (0..parts)
             .map(|part| {
-                let ranked = ranking(&format!("credit/{part}"), staying.iter().copied());
+                let ranked = ranking_by_capacity(&format!("credit/{part}"), staying.iter().copied());
                 ranked.into_iter().take(RANKS).cloned().collect()
             })
             .collect();
--- a/crates/skylarkshore-core/src/store.rs
+++ b/crates/skylarkshore-core/src/store.rs
@@ -13,7 +13,7 @@
     CallId, DataCentre, Digest, Fence, HostId, Incarnation, LeaseId, ModelName, SiteName, StoreRevision,
     UpstreamId,
 };
-use crate::units::Watts;
+use crate::units::{Capacity, Watts};
 
 pub use cache::StoreCache;
 pub use writes::{WriteOutcome, WriteRequest, Writes};
@@ -63,6 +63,8 @@
     pub fingerprint: Digest,
     /// Whether it is about to go: no new ownership, not in the entry list.
     pub leaving: bool,
+    /// What the host can do beside the others.
+    pub capacity: Capacity,
 }
 
 /// Who owns an engine.
--- a/crates/skylarkshore-core/src/units.rs
+++ b/crates/skylarkshore-core/src/units.rs
@@ -51,6 +51,14 @@
 #[serde(transparent)]
 pub struct Watts(pub u64);
 
+/// What a host can do beside others: the share of a core that it has, in thousandths.
+#[derive(
+    Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{_0}mcores")]
+#[serde(transparent)]
+pub struct Capacity(pub u32);
+
 /// What the limit of a client account counts: tokens, or whole requests.
 #[derive(
     Clone,
@@ -149,6 +157,14 @@
     }
 }
 
+impl FromStr for Capacity {
+    type Err = InvalidAmount;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        parse(s, "mcores").map(|mcores| Self(u32::try_from(mcores).unwrap_or(u32::MAX)))
+    }
+}
+
 impl FromStr for CreditRate {
     type Err = InvalidAmount;
 
--- a/crates/skylarkshore-core/tests/support/cluster.rs
+++ b/crates/skylarkshore-core/tests/support/cluster.rs
@@ -18,7 +18,7 @@
 use skylarkshore_core::store::{
     Key, Record, StoreCache, StoreCall, StoreFailure, StoreResult, Versioned, Writes,
 };
-use skylarkshore_core::units::{Mebibytes, Watts};
+use skylarkshore_core::units::{Capacity, Mebibytes, Watts};
 use skylarkshore_core::upstream::{
     Copies, EngineSpec, FenceCheck, OrderMode, Standing, Upstream, UpstreamKind,
 };
@@ -73,6 +73,7 @@
         limits: Limits::default(),
         default_rules: Rules::default(),
         watchers: Watchers::default(),
+        capacity: Capacity::default(),
     }
 }
 
--- a/crates/skylarkshore-core/tests/support/fleet.rs
+++ b/crates/skylarkshore-core/tests/support/fleet.rs
@@ -19,7 +19,7 @@
 use skylarkshore_core::rules::{MinuteOfDay, Rules};
 use skylarkshore_core::store::{Key, MemberRecord, Record, StoreCache, Versioned};
 use skylarkshore_core::time::Time;
-use skylarkshore_core::units::{CreditRate, Credits};
+use skylarkshore_core::units::{Capacity, CreditRate, Credits};
 
 const STEP: Duration = Duration::from_millis(5);
 const TICK: Duration = Duration::from_millis(50);
@@ -152,6 +152,7 @@
             limits: Limits { quota, ..Limits::default() },
             default_rules: Rules::default(),
             watchers: Watchers::default(),
+            capacity: Capacity::default(),
         };
         Self {
             cfg,
@@ -178,6 +179,7 @@
                 data_centre: "north-1".parse().unwrap(),
                 fingerprint: Digest([0; 32]),
                 leaving: false,
+                capacity: Capacity::default(),
             };
             cache.apply(Versioned {
                 key: Key::Member(host_name(number)),
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -25,7 +25,7 @@
     HomesRecord, Key, MemberRecord, OwnerRecord, Record, StoreCache, Versioned, Writer,
 };
 use skylarkshore_core::time::Time;
-use skylarkshore_core::units::{Mebibytes, Watts};
+use skylarkshore_core::units::{Capacity, Mebibytes, Watts};
 use skylarkshore_core::upstream::{
     Copies, EngineReport, EngineSpec, FenceCheck, Order, OrderAnswer, OrderMode, Standing, Upstream,
     UpstreamKind,
@@ -152,6 +152,7 @@
         limits: Limits::default(),
         default_rules: Rules::default(),
         watchers: Watchers::default(),
+        capacity: Capacity::default(),
     }
 }
 
@@ -342,6 +343,7 @@
             data_centre: name("bern-a"),
             fingerprint: Digest([0; 32]),
             leaving: false,
+            capacity: Capacity::default(),
         };
         self.put(Key::Member(name(host)), Record::Member(member));
     }
--- a/crates/skylarkshore-core/tests/support/serving.rs
+++ b/crates/skylarkshore-core/tests/support/serving.rs
@@ -22,7 +22,7 @@
     StoreResult, Versioned, WriteRequest, Writes,
 };
 use skylarkshore_core::time::Time;
-use skylarkshore_core::units::Mebibytes;
+use skylarkshore_core::units::{Capacity, Mebibytes};
 use skylarkshore_core::upstream::{
     Copies, EngineSpec, FenceCheck, OrderMode, Standing, Upstream, UpstreamKind,
 };
@@ -134,6 +134,7 @@
             limits,
             default_rules: Rules::default(),
             watchers: Watchers::default(),
+            capacity: Capacity::default(),
         };
         let mut process = Self {
             now: Time::from_millis(1000),
@@ -179,6 +180,7 @@
             data_centre: name("bern-a"),
             fingerprint: digest(0),
             leaving: false,
+            capacity: Capacity::default(),
         };
         self.cache(&Key::Member(name(host)), Some(Record::Member(record)));
     }
--- a/crates/skylarkshore-host/src/config.rs
+++ b/crates/skylarkshore-host/src/config.rs
@@ -19,6 +19,7 @@
 use skylarkshore_core::config::{Limits, Timings, Watchers};
 use skylarkshore_core::id::{DataCentre, HostId};
 use skylarkshore_core::rules::Rules;
+use skylarkshore_core::units::Capacity;
 use skylarkshore_wire::document::RulesWire;
 use slog::Level;
 
@@ -49,6 +50,8 @@
     pub default_rules: Rules,
     /// Who watches the key-value service.
     pub watchers: Watchers,
+    /// What the host can do beside the others.
+    pub capacity: Capacity,
     /// The least important events that are logged.
     pub log_level: LogLevel,
     /// How much callers may send, and how long they may take.
@@ -207,7 +210,9 @@
     let operator_address = root.required(report, "operator_address", "\"10.0.0.1:8082\"", address);
     let platform = platform::read(&mut root, report);
     let default_rules = read_rules(&mut root, report);
-    let watchers = root.optional(report, "everyone_watches", false, flag);
+    let everyone_watches = root.optional(report, "everyone_watches", false, flag);
+    let news_relayed = root.optional(report, "news_relayed", false, flag);
+    let capacity = root.optional(report, "cores", Capacity::default(), limits::capacity);
     let log_level = read_log(&mut root, report);
     let (intake, limits) = limits::read_limits(&mut root, report);
     let timings = timings::read(&mut root, report);
@@ -220,7 +225,12 @@
         operator_address: operator_address?,
         platform: platform?,
         default_rules,
-        watchers: if watchers { Watchers::All } else { Watchers::OnePerDataCentre },
+        watchers: match (everyone_watches, news_relayed) {
+            (false, _) => Watchers::OnePerDataCentre,
+            (true, false) => Watchers::All,
+            (true, true) => Watchers::Relayed,
+        },
+        capacity,
         log_level,
         intake,
         limits,
--- a/crates/skylarkshore-host/src/config/limits.rs
+++ b/crates/skylarkshore-host/src/config/limits.rs
@@ -4,7 +4,7 @@
 
 use jsonc_parser::ast::Value;
 use skylarkshore_core::config::{Limits, QuotaPolicy, RetryLimits, SuspectPolicy};
-use skylarkshore_core::units::Credits;
+use skylarkshore_core::units::{Capacity, Credits};
 
 use super::section::{Report, Section, flag, fraction, number};
 use super::{Intake, timings};
@@ -86,6 +86,11 @@
     policy
 }
 
+/// Reads the share of a core that the host has, or how many cores.
+pub(super) fn capacity(value: &Value<'_>) -> Result<Capacity, String> {
+    fraction(value, 0.001, 10_000.0).map(|cores| Capacity(part(cores, 1000.0)))
+}
+
 /// Returns so many parts of a number, rounded down.
 #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "the number was checked")]
 fn part(number: f64, parts: f64) -> u32 {
--- a/crates/skylarkshore-host/src/driver/effects.rs
+++ b/crates/skylarkshore-host/src/driver/effects.rs
@@ -6,6 +6,7 @@
 use skylarkshore_core::collections::{HashMap, OrderedMap};
 use skylarkshore_core::effect::{Decision, Note, Refusal};
 use skylarkshore_core::id::{AttemptId, CallId, HostId, Incarnation, RequestId, StoreRevision, UpstreamId};
+use skylarkshore_core::peer::News;
 use skylarkshore_core::store::StoreCall;
 use skylarkshore_core::upstream::{OrderAnswer, Upstream};
 use skylarkshore_core::{Effect, Event};
@@ -40,6 +41,10 @@
         Box::pin(self.0.event(Event::Watched { changes: seen.changes, upto: seen.upto }))
     }
 
+    fn read(&self, news: News) -> BoxFuture<'_, ()> {
+        Box::pin(self.0.event(Event::NewsRead(news)))
+    }
+
     fn unanswered(&self) -> BoxFuture<'_, ()> {
         Box::pin(self.0.event(Event::WatchUnanswered))
     }
@@ -70,6 +75,8 @@
             Effect::Store { call, request } => self.call_store(call, request),
             Effect::Watch { from } => self.watch(from),
             Effect::Unwatch => self.unwatch(),
+            Effect::TakeNews(news) => self.store.take_news(news),
+            Effect::ReadNewsForOthers(is_wanted) => self.store.read_for_others(is_wanted),
             Effect::Peer(envelope) => self.peers.send(envelope),
             Effect::Probe { host, incarnation, address } => self.probe(host, incarnation, address),
             Effect::Order { upstream, order, fence, not_after, after, action } => {
--- a/crates/skylarkshore-host/src/run.rs
+++ b/crates/skylarkshore-host/src/run.rs
@@ -187,6 +187,7 @@
         limits: config.limits.clone(),
         default_rules: config.default_rules.clone(),
         watchers: config.watchers,
+        capacity: config.capacity,
     }
 }
 
--- a/crates/skylarkshore-host/src/store.rs
+++ b/crates/skylarkshore-host/src/store.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 
 use skylarkshore_core::id::StoreRevision;
+use skylarkshore_core::peer::News;
 use skylarkshore_core::store::{StoreCall, StoreResult, Versioned};
 
 pub(crate) use etcd::EtcdStore;
@@ -21,6 +22,12 @@
 
     /// Watches the shared keys and returns when the watch breaks.
     fn watch<'a>(&'a self, from: StoreRevision, sink: &'a dyn WatchSink) -> BoxFuture<'a, ()>;
+
+    /// Takes news that a peer has read, in place of reading it here.
+    fn take_news(&self, _news: News) {}
+
+    /// Has the watch read often, since others wait for what it reads.
+    fn read_for_others(&self, _is_wanted: bool) {}
 }
 
 /// What the watch has seen.
@@ -37,6 +44,9 @@
     /// Takes what was seen.
     fn seen(&self, seen: Seen) -> BoxFuture<'_, ()>;
 
+    /// Takes what others may want to know.
+    fn read(&self, news: News) -> BoxFuture<'_, ()>;
+
     /// Takes note that no answer came in time.
     fn unanswered(&self) -> BoxFuture<'_, ()>;
 }
--- a/crates/skylarkshore-standins/src/world/host.rs
+++ b/crates/skylarkshore-standins/src/world/host.rs
@@ -10,6 +10,7 @@
 use skylarkshore_core::id::{Digest, HostId, Incarnation, RequestId};
 use skylarkshore_core::rules::Rules;
 use skylarkshore_core::time::Time;
+use skylarkshore_core::units::Capacity;
 
 use super::agenda::Sender;
 use super::callers::RequestKey;
@@ -54,6 +55,7 @@
             limits: setup.limits.clone(),
             default_rules: Rules::default(),
             watchers: Watchers::default(),
+            capacity: Capacity::default(),
         };
         Self {
             id: host.host.clone(),
--- a/crates/skylarkshore-standins/src/world/perform.rs
+++ b/crates/skylarkshore-standins/src/world/perform.rs
@@ -137,7 +137,11 @@
                 self.notes.push(HostNote { at: self.now, host, note });
             }
             // No upstream of this world answers that it failed, and callers come to hosts that stay.
-            Effect::PassOn { .. } | Effect::CloseIntake | Effect::Decision(_) => {}
+            Effect::PassOn { .. }
+            | Effect::CloseIntake
+            | Effect::Decision(_)
+            | Effect::TakeNews(_)
+            | Effect::ReadNewsForOthers(_) => {}
             Effect::Exit => {
                 self.hosts[h].exited = true;
                 self.kill_for_good(h);
--- a/crates/skylarkshore-wire/src/keys/value.rs
+++ b/crates/skylarkshore-wire/src/keys/value.rs
@@ -15,7 +15,7 @@
     HomesRecord, Key, MemberRecord, OnceRecord, OnceState, OwnerRecord, PowerRecord, Record, RecordedAnswer,
     Writer,
 };
-use skylarkshore_core::units::Watts;
+use skylarkshore_core::units::{Capacity, Watts};
 
 use crate::accounts::InvalidAccount;
 use crate::catalogue::CatalogueWire;
@@ -48,6 +48,9 @@
     /// Whether it is about to go.
     #[serde(default)]
     pub leaving: bool,
+    /// The share of a core that the host has, in thousandths.
+    #[serde(default)]
+    pub capacity: Capacity,
 }
 
 /// The value of an owner key.
@@ -244,6 +247,7 @@
             data_centre: record.data_centre.clone(),
             fingerprint: record.fingerprint.to_hex(),
             leaving: record.leaving,
+            capacity: record.capacity,
         }
     }
 }
@@ -259,6 +263,7 @@
             data_centre: wire.data_centre,
             fingerprint: wire.fingerprint.parse()?,
             leaving: wire.leaving,
+            capacity: wire.capacity,
         }))
     }
 }
--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -15,7 +15,7 @@
 use skylarkshore_core::id::{
     AdapterName, Digest, Incarnation, ModelName, RulesRevision, SiteName, StoreRevision, UpstreamId,
 };
-use skylarkshore_core::peer::{CannotLoad, PeerMessage};
+use skylarkshore_core::peer::{CannotLoad, News, PeerMessage};
 use skylarkshore_core::rules::ServiceOrder;
 use skylarkshore_core::store::{Key, RecordBatch, Versioned};
 use skylarkshore_core::units::Watts;
@@ -181,6 +181,11 @@
         model: ModelName,
     },
     Credit(CreditMessageWire),
+    News {
+        after: StoreRevision,
+        upto: StoreRevision,
+        body: String,
+    },
 }
 
 /// Encodes a message for the wire.
@@ -349,6 +354,9 @@
                 Self::LoadSlotHeld { upstream: upstream.clone(), model: model.clone() }
             }
             M::Credit(message) => Self::Credit(message.into()),
+            M::News(News { after, upto, body }) => {
+                Self::News { after: *after, upto: *upto, body: body.to_string() }
+            }
         }
     }
 }
@@ -415,6 +423,7 @@
             W::UpstreamUnreachable { upstream } => Self::UpstreamUnreachable { upstream },
             W::LoadSlotHeld { upstream, model } => Self::LoadSlotHeld { upstream, model },
             W::Credit(message) => Self::Credit(message.into()),
+            W::News { after, upto, body } => Self::News(News { after, upto, body: body.into() }),
         })
     }
 }
--- a/crates/skylarkshore-wire/tests/formats.rs
+++ b/crates/skylarkshore-wire/tests/formats.rs
@@ -16,7 +16,7 @@
     HomesRecord, Key, MemberRecord, OnceRecord, OnceState, OwnerRecord, PowerRecord, Record, RecordBatch,
     RecordedAnswer, Versioned, Writer,
 };
-use skylarkshore_core::units::{CreditRate, Credits, Watts};
+use skylarkshore_core::units::{Capacity, CreditRate, Credits, Watts};
 use skylarkshore_core::view::{EngineView, ModelView, Readiness, ViewVersion};
 use skylarkshore_wire::keys::{KeyText, StoredValue};
 use skylarkshore_wire::peer::{InvalidMessage, MAX_MESSAGE_LEN, decode, encode};
@@ -34,6 +34,7 @@
         data_centre: "bern-a".parse().unwrap(),
         fingerprint: Digest([0xab; 32]),
         leaving: false,
+        capacity: Capacity::default(),
     };
     let owner =
         OwnerRecord { host: "entry-1".parse().unwrap(), incarnation: Incarnation(7), fence: Fence(4) };
@@ -80,7 +81,7 @@
     skylarkshore/shared/document
       {"writer":{"host":"entry-1","incarnation":7,"call":12},"value":{"revision":3,"power_caps":{},"models":{},"services":{},"rules":[],"otherwise":{"replicas_min":0,"replicas_max":1,"idle_after":"adaptive","order":100,"cold_start_weight":1,"idle_weight":1}}}
     skylarkshore/shared/members/entry-1
-      {"writer":{"host":"entry-1","incarnation":7,"call":12},"value":{"incarnation":7,"caller_address":"10.0.0.1:8080","peer_address":"10.0.0.1:8081","data_centre":"bern-a","fingerprint":"abababababababababababababababababababababababababababababababab","leaving":false}}
+      {"writer":{"host":"entry-1","incarnation":7,"call":12},"value":{"incarnation":7,"caller_address":"10.0.0.1:8080","peer_address":"10.0.0.1:8081","data_centre":"bern-a","fingerprint":"abababababababababababababababababababababababababababababababab","leaving":false,"capacity":0}}
     skylarkshore/shared/owners/engine%3A2
       {"writer":{"host":"entry-1","incarnation":7,"call":12},"value":{"host":"entry-1","incarnation":7,"fence":4}}
     skylarkshore/shared/homes/mail%2Fsummary%402
