--- a/crates/skylarkshore-core/src/serving/load.rs
+++ b/crates/skylarkshore-core/src/serving/load.rs
@@ -14,6 +14,11 @@
 /// too much.
 const BELIEVED: Duration = Duration::from_secs(10);
 
+/// How long a mean keeps requests away from an upstream that seems full.
+///
+/// A router that sends nothing there hears nothing of it either.
+const FULL_BELIEVED: Duration = Duration::from_secs(1);
+
 /// Thousandths of a request in progress.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Millis(pub(super) u64);
@@ -57,6 +62,14 @@
         Self { mean: Millis(mean), reports, at: now }
     }
 
+    /// Returns what may still be there of the mean, since upstreams work off what they have.
+    pub(super) fn left(self, now: Time) -> Millis {
+        let age = now.since(self.at).min(FULL_BELIEVED);
+        let left = FULL_BELIEVED.saturating_sub(age).as_millis();
+        let mean = u128::from(self.mean.0) * left / FULL_BELIEVED.as_millis();
+        Millis(u64::try_from(mean).unwrap_or(self.mean.0))
+    }
+
     /// Returns the mean, or nothing when it is too old.
     pub(super) fn mean(self, now: Time) -> Millis {
         if self.at.after(BELIEVED).is_due(now) { Millis::default() } else { self.mean }
--- a/crates/skylarkshore-core/src/serving/routing.rs
+++ b/crates/skylarkshore-core/src/serving/routing.rs
@@ -383,9 +383,8 @@
             .filter(|known| self.usable(cx, &known.view.upstream))
             .filter(|known| !self.is_missing(cx, &known.view.upstream, target))
             .map(|known| {
-                let told = self.told.get(&known.view.upstream);
-                let others = told.unwrap_or(&known.others).mean(cx.now);
-                self.candidate(cx, &known.view.upstream, others, known.view.concurrency)
+                let others = self.told.get(&known.view.upstream).unwrap_or(&known.others);
+                self.candidate(cx, &known.view.upstream, Some(others), known.view.concurrency)
             })
             .collect()
     }
@@ -393,9 +392,8 @@
     fn replica_candidates(&self, cx: &Cx<'_>, service: &ServiceName) -> Vec<Candidate> {
         let concurrency = cx.document.catalogue.services.get(service).map_or(0, |s| s.concurrency);
         let candidate = |id: &UpstreamId| {
-            let others = self.told.get(id).map_or(Millis::default(), |told| told.mean(cx.now));
             let own = cx.upstreams.get(id).and_then(|upstream| upstream.concurrency);
-            self.candidate(cx, id, others, own.unwrap_or(concurrency))
+            self.candidate(cx, id, self.told.get(id), own.unwrap_or(concurrency))
         };
         self.replicas(cx, service).map(candidate).collect()
     }
@@ -416,19 +414,26 @@
         live && !paused && !self.leaving.contains_key(upstream)
     }
 
-    fn candidate(&self, cx: &Cx<'_>, upstream: &UpstreamId, others: Millis, concurrency: u32) -> Candidate {
+    fn candidate(
+        &self,
+        cx: &Cx<'_>,
+        upstream: &UpstreamId,
+        others: Option<&OthersLoad>,
+        concurrency: u32,
+    ) -> Candidate {
         let near = cx.upstreams.get(upstream).is_some_and(|u| u.data_centre == cx.cfg.data_centre);
         let distance = if near { 0 } else { FAR };
         let own = self.in_flight(upstream);
-        let load = Millis::of(own).0 + others.0;
-        let share = load / u64::from(concurrency.max(1));
-        let room = match share {
+        let share = |others: Millis| (Millis::of(own).0 + others.0) / u64::from(concurrency.max(1));
+        let others_mean = others.map_or(Millis::default(), |others| others.mean(cx.now));
+        let others_left = others.map_or(Millis::default(), |others| others.left(cx.now));
+        let room = match share(others_left) {
             _ if own >= concurrency => Room::Full,
             0..1000 => Room::Free,
             1000..CROWDED => Room::Crowded,
             _ => Room::Full,
         };
-        Candidate { upstream: upstream.clone(), cost: share + distance, room, concurrency }
+        Candidate { upstream: upstream.clone(), cost: share(others_mean) + distance, room, concurrency }
     }
 
     fn is_missing(&self, cx: &Cx<'_>, upstream: &UpstreamId, target: &ModelTarget) -> bool {
--- a/crates/skylarkshore-core/tests/serving/routing.rs
+++ b/crates/skylarkshore-core/tests/serving/routing.rs
@@ -1,6 +1,7 @@
 //! Which upstream a request gets.
 
-use skylarkshore_core::event::{AttemptEnd, Rejection};
+use skylarkshore_core::event::{AttemptEnd, LoadTold, Rejection};
+use skylarkshore_core::id::UpstreamId;
 use skylarkshore_core::peer::PeerMessage;
 use skylarkshore_core::view::Readiness;
 
@@ -117,6 +118,27 @@
     assert_eq!(order, [11, 12, 13, 14, 15, 16, 17, 18, 10, 19]);
 }
 
+/// Guards against replicas that were full for a moment and are believed to be so by a host that, as
+/// it sends nothing there, hears of no change.
+#[test]
+fn a_replica_that_was_full_once_is_tried_again_within_a_second() {
+    let mut p = two_engines();
+    let booked = arrival(&p, service("booking"), 1);
+    p.arrive(1, booked);
+    let sent = p.take_sent().remove(0);
+    let full = LoadTold { running: 6, waiting: 12, concurrency: 6 };
+    let replicas: Vec<UpstreamId> =
+        p.upstreams.values().filter(|u| u.service().is_some()).map(|u| u.id.clone()).collect();
+    for replica in &replicas {
+        p.with(|serving, cx| serving.on_load_told(cx, replica, full));
+    }
+    p.end(sent.attempt, AttemptEnd::Whole { held: None });
+    p.arrive(2, arrival(&p, service("booking"), 2));
+    assert_eq!(p.take_sent().len(), 0, "it was full just now");
+    p.pass(1000);
+    assert_eq!(p.take_sent().len(), 1);
+}
+
 /// An owner tells only those of a swap who use the models; whoever asks again
 /// later would be sent to where its model no longer is.
 #[test]
