Count no host's share at two keepers, and let hosts that just started spend their own

Each had two cuts, or a cut and a kill of all, within one window: a keeper counted hosts for 2.5 s after they had gone to another one, each new book began with a third of the tolerance, and a keeper that had stood still filled its books for that time.

Change: hosts sign on every 0.4 s and count for 1.2 s; new books begin with a sixth of the tolerance, hosts without a keeper may owe half; credit comes at every tick by the hosts signed on at that moment, and for no pause of the keeper. So a book that nobody asked for a while keeps what it had saved up, which was cut before.

A host whose keeper has never answered spends its own share first.

--- a/crates/skylarkshore-core/src/quota.rs
+++ b/crates/skylarkshore-core/src/quota.rs
@@ -175,6 +175,7 @@
             self.books.forget_old(cx.now);
             self.denials.retain(|_, denial| !denial.believed_until.is_due(cx.now));
         }
+        self.books.on_tick(cx, self.hosts.get());
         if self.keepers.on_tick(cx) {
             self.brought = cx.now;
         }
@@ -267,6 +268,10 @@
         let Some(keeper) = self.keepers.keeper(&charge.account) else {
             return Some(self.spend_own(cx, charge));
         };
+        // When all hosts start at once, keepers are slow to answer.
+        if !self.keepers.has_answered(&keeper) && self.spend_own(cx, charge) == Ruling::NOW {
+            return Some(Ruling::NOW);
+        }
         let number = cx.rng.random();
         let lost_at = cx.now.after(ANSWER_TIMEOUT);
         let (account, cost) = (charge.account.clone(), charge.cost);
--- a/crates/skylarkshore-core/src/quota/books.rs
+++ b/crates/skylarkshore-core/src/quota/books.rs
@@ -14,11 +14,11 @@
 use crate::units::Credits;
 
 /// How long a host counts as signed on after its last word.
-pub(super) const SIGNED_ON_FOR: Duration = Duration::from_millis(2500);
+pub(super) const SIGNED_ON_FOR: Duration = Duration::from_millis(1200);
 /// How long a request may be made to wait for credit that is about to come.
 const LONGEST_WAIT: Duration = Duration::from_millis(100);
-/// After how long without questions another keeper may have lent meanwhile.
-const STALE_AFTER: Duration = Duration::from_secs(1);
+/// After how long between two looks this process has stood still.
+const OWN_PAUSE: Duration = Duration::from_millis(500);
 /// After how long without questions a book is thrown away.
 const FORGET_AFTER: Duration = Duration::from_mins(1);
 
@@ -32,7 +32,9 @@
 #[derive(Debug, Default)]
 pub(super) struct Books {
     signed_on: OrderedMap<HostId, Time>,
-    books: HashMap<AccountName, Book>,
+    by_account: HashMap<AccountName, Book>,
+    /// When this process last looked at its books.
+    looked: Time,
 }
 
 impl Books {
@@ -55,14 +57,12 @@
         if cost > terms.most() {
             return Ruling::TooLarge;
         }
+        self.note_own_pause(cx.now);
         let share = self.share(cx.now, of);
         let (rate, size) = (share.rate(terms.limit.rate), share.credits(terms.size()));
         let fresh = || Book { bucket: Bucket::new(terms.new_book(), cx.now), asked: cx.now };
-        let book = self.books.entry(account.clone()).or_insert_with(fresh);
+        let book = self.by_account.entry(account.clone()).or_insert_with(fresh);
         book.bucket.fill(cx.now, rate, size.max(terms.new_book()));
-        if book.asked.after(STALE_AFTER).is_due(cx.now) {
-            book.bucket.cut_to(terms.new_book());
-        }
         book.asked = cx.now;
         // A request larger than what can be saved up goes once all is there that can be.
         let wanted = cost.min(size);
@@ -83,20 +83,31 @@
 
     /// Takes credit back that wasn't used.
     pub(super) fn give_back(&mut self, account: &AccountName, cost: Credits) {
-        if let Some(book) = self.books.get_mut(account) {
+        if let Some(book) = self.by_account.get_mut(account) {
             book.bucket.put(cost);
         }
     }
 
+    /// Has credit come for all books, by the hosts that are signed on now.
+    pub(super) fn on_tick(&mut self, cx: &Cx<'_>, of: u64) {
+        self.note_own_pause(cx.now);
+        let share = self.share(cx.now, of);
+        for (account, book) in &mut self.by_account {
+            let Some(terms) = terms_of(cx, account) else { continue };
+            let size = share.credits(terms.size()).max(terms.new_book());
+            book.bucket.fill(cx.now, share.rate(terms.limit.rate), size);
+        }
+    }
+
     /// Forgets hosts and books that are of no use any more.
     pub(super) fn forget_old(&mut self, now: Time) {
         self.signed_on.retain(|_, heard| !heard.after(SIGNED_ON_FOR).is_due(now));
-        self.books.retain(|_, book| !book.asked.after(FORGET_AFTER).is_due(now));
+        self.by_account.retain(|_, book| !book.asked.after(FORGET_AFTER).is_due(now));
     }
 
     /// Tells which accounts' credit is lent out here.
     pub(super) fn beliefs(&self) -> impl Iterator<Item = Belief> {
-        self.books.iter().map(|(account, book)| Belief {
+        self.by_account.iter().map(|(account, book)| Belief {
             kind: "credit_book",
             subject: account.to_string(),
             state: format!("{} hosts signed on", self.signed_on.len()),
@@ -104,6 +115,16 @@
         })
     }
 
+    /// Lets no credit come for the time in which this process may have stood still.
+    ///
+    /// Others have lent it meanwhile.
+    fn note_own_pause(&mut self, now: Time) {
+        if self.looked.after(OWN_PAUSE).is_due(now) {
+            self.by_account.values_mut().for_each(|book| book.bucket.skip_to(now));
+        }
+        self.looked = now;
+    }
+
     fn share(&self, now: Time, of: u64) -> Share {
         let here = self.signed_on.values().filter(|heard| !heard.after(SIGNED_ON_FOR).is_due(now)).count();
         Share { hosts: u64::try_from(here).unwrap_or(u64::MAX), of }
--- a/crates/skylarkshore-core/src/quota/bucket.rs
+++ b/crates/skylarkshore-core/src/quota/bucket.rs
@@ -38,11 +38,6 @@
         self.filled = self.filled.max(now);
     }
 
-    /// Keeps no more than so much.
-    pub(super) fn cut_to(&mut self, most: Credits) {
-        self.level = self.level.min(milli(most));
-    }
-
     pub(super) fn take(&mut self, cost: Credits) {
         self.level = self.level.saturating_sub(milli(cost));
     }
--- a/crates/skylarkshore-core/src/quota/keepers.rs
+++ b/crates/skylarkshore-core/src/quota/keepers.rs
@@ -19,11 +19,13 @@
 /// How many hosts may keep a part's books when those before them are silent.
 const RANKS: usize = 6;
 /// How often a keeper is told that this host counts on it.
-const SIGN_ON_EVERY: Duration = Duration::from_secs(1);
+const SIGN_ON_EVERY: Duration = Duration::from_millis(400);
 /// How often a silent keeper is asked whether it is back.
 const PROBE_EVERY: Duration = Duration::from_millis(500);
 /// After how long without any answer a keeper counts as silent.
 const SILENT_AFTER: Duration = Duration::from_millis(200);
+/// The same for one that has never answered; the first message takes a handshake.
+const SILENT_AT_FIRST: Duration = Duration::from_millis(600);
 
 /// The way to one keeper.
 #[derive(Clone, Copy, Debug, Default)]
@@ -32,9 +34,17 @@
     told: Option<Time>,
     /// Since when it has answered nothing.
     unanswered: Option<Time>,
+    has_answered: bool,
     is_silent: bool,
 }
 
+impl Link {
+    fn is_lost(&self, now: Time) -> bool {
+        let patience = if self.has_answered { SILENT_AFTER } else { SILENT_AT_FIRST };
+        self.unanswered.is_some_and(|since| since.after(patience).is_due(now))
+    }
+}
+
 /// The keepers of all parts, as this process sees them.
 #[derive(Debug, Default)]
 pub(super) struct Keepers {
@@ -66,6 +76,11 @@
         self.first_heard(self.parts.get(part)?).cloned()
     }
 
+    /// Tells whether a keeper has ever answered.
+    pub(super) fn has_answered(&self, host: &HostId) -> bool {
+        self.links.get(host).is_some_and(|link| link.has_answered)
+    }
+
     /// Takes note that a keeper was told or asked something.
     pub(super) fn note_told(&mut self, now: Time, host: &HostId) {
         let link = self.links.entry(host.clone()).or_default();
@@ -77,6 +92,7 @@
     pub(super) fn note_heard(&mut self, host: &HostId) {
         if let Some(link) = self.links.get_mut(host) {
             link.unanswered = None;
+            link.has_answered = true;
             link.is_silent = false;
         }
     }
@@ -84,8 +100,7 @@
     /// Finds out which keepers are silent, signs on with the others, and tells whether it did.
     pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>) -> bool {
         for (host, link) in &mut self.links {
-            let lost = link.unanswered.is_some_and(|since| since.after(SILENT_AFTER).is_due(cx.now));
-            if lost && !link.is_silent && *host != cx.cfg.host {
+            if link.is_lost(cx.now) && !link.is_silent && *host != cx.cfg.host {
                 link.is_silent = true;
                 cx.note("credit_keeper_silent", host, "the next one is asked");
             }
--- a/crates/skylarkshore-core/src/quota/terms.rs
+++ b/crates/skylarkshore-core/src/quota/terms.rs
@@ -4,8 +4,12 @@
 use crate::config::QuotaPolicy;
 use crate::units::Credits;
 
-/// Of the tolerance, what all new books together may hold at their beginning.
-const OF_NEW_BOOKS: u64 = 3;
+/// Of the tolerance, the part that a new book begins with.
+///
+/// Books may begin anew several times in a window, as keepers are lost or cut off.
+const OF_NEW_BOOK: u64 = 6;
+/// Of the tolerance, the part that hosts without a keeper may owe together.
+const OF_DEBTS: u64 = 2;
 
 /// A limit with what may be used beyond it.
 #[derive(Clone, Copy, Debug)]
@@ -36,11 +40,11 @@
 
     /// Returns what a new book holds.
     pub(super) fn new_book(&self) -> Credits {
-        Credits(self.tolerance.0 / OF_NEW_BOOKS).min(self.size())
+        Credits(self.tolerance.0 / OF_NEW_BOOK).min(self.size())
     }
 
     /// Returns what all hosts together may owe that spend their own shares.
     pub(super) const fn debt(&self) -> Credits {
-        Credits(self.tolerance.0 - self.tolerance.0 / OF_NEW_BOOKS)
+        Credits(self.tolerance.0 / OF_DEBTS)
     }
 }
--- a/crates/skylarkshore-core/tests/quota.rs
+++ b/crates/skylarkshore-core/tests/quota.rs
@@ -29,7 +29,8 @@
 /// Guards against a limit that is passed while hosts are cut off, paused, killed or restarted.
 #[test]
 fn no_window_passes_the_limit_whatever_fails() {
-    for seed in 0..30 {
+    // The later ones passed the limit when a keeper counted hosts for longer after they had left.
+    for seed in (0..30).chain([149, 247, 297, 302, 439, 607, 693, 821, 888]) {
         let mut fleet = fleet(seed);
         fleet.ask_for(PER_SECOND * 4);
         fleet.run_with(Plan::random(seed, HOSTS), secs(30));
@@ -97,6 +98,16 @@
     }
 }
 
+/// Guards against callers who wait for credit while all hosts start and don't hear of each other yet.
+#[test]
+fn hosts_that_just_started_serve_from_their_own_shares() {
+    let mut fleet = fleet(1);
+    fleet.isolate_all();
+    fleet.ask_for(PER_SECOND * 55 / 100);
+    fleet.run(Time::from_millis(500));
+    assert!(fleet.granted() >= 1, "all wait for keepers that can't answer");
+}
+
 /// Guards against two halves that each spend the whole limit while they don't hear of each other.
 #[test]
 fn two_halves_spend_the_limit_once_between_them() {
--- a/crates/skylarkshore-core/tests/support/fleet.rs
+++ b/crates/skylarkshore-core/tests/support/fleet.rs
@@ -237,6 +237,17 @@
         }
     }
 
+    /// Cuts every host off from every other one.
+    pub fn isolate_all(&mut self) {
+        for (number, host) in self.hosts.iter_mut().enumerate() {
+            host.island = u8::try_from(number).unwrap();
+        }
+    }
+
+    pub fn granted(&self) -> usize {
+        self.used.len()
+    }
+
     pub fn heal(&mut self) {
         self.cut(0..0);
     }
