Pass over an engine's old reports for as long as orders follow on one another

Reports show an engine as it was some hundred milliseconds ago; one that shows fewer orders than were counted is passed over, but only until no other has come for a second. Where swaps or adapters follow on one another faster than reports lag, every report is such a one, so that after a second one was believed: a model that had just been unloaded was taken for held, unloaded once more in vain, and the next load came into its place while another model still stood there.

Ruled out: the lag alone.

Change: reports that show fewer orders than the engine accepted in this life are passed over while one was accepted within the lag before they were asked for, whatever came since; the engine counts as alive meanwhile.

--- a/crates/skylarkshore-core/src/loading/engine.rs
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -79,6 +79,10 @@
     pub counted: Time,
     /// How many orders it has accepted, where it numbers them and that is known.
     pub accepted: Option<u64>,
+    /// The most orders that it is known to have accepted in this life.
+    pub most_accepted: u64,
+    /// When it last accepted one.
+    pub last_accepted: Time,
     /// Reports that were asked for earlier don't tell how many orders it has accepted.
     pub recount_from: Time,
     /// When a load may be tried again that came while another order was carried out.
@@ -136,6 +140,8 @@
             crowded: OrderedSet::new(),
             counted: now,
             accepted: None,
+            most_accepted: 0,
+            last_accepted: Time::START,
             recount_from: now,
             next_try: now,
             last_load: Time::START,
--- a/crates/skylarkshore-core/src/loading/engine/contact.rs
+++ b/crates/skylarkshore-core/src/loading/engine/contact.rs
@@ -117,7 +117,7 @@
     /// Takes the answer to an order, as far as it tells how many orders were accepted.
     pub(crate) fn count_answer(&mut self, now: Time, answer: &OrderAnswer) {
         match answer {
-            OrderAnswer::Accepted => self.accepted = self.accepted.map(|accepted| accepted + 1),
+            OrderAnswer::Accepted => self.count_accepted(now),
             OrderAnswer::OutOfTurn | OrderAnswer::Refused { .. } | OrderAnswer::Lost => {
                 self.accepted = None;
                 self.recount_from = now;
--- a/crates/skylarkshore-core/src/loading/engine/reports.rs
+++ b/crates/skylarkshore-core/src/loading/engine/reports.rs
@@ -68,7 +68,7 @@
             _ => false,
         };
         if held {
-            self.accepted = self.accepted.map(|accepted| accepted + 1);
+            self.count_accepted(now);
             return;
         }
         self.accepted = None;
@@ -107,9 +107,21 @@
     /// Its figures lag. One that shows an earlier number of orders shows models
     /// and adapters as they were then.
     pub(super) fn is_outdated(&self, asked: Time, report: &EngineReport) -> bool {
-        let (Some(known), Some(told)) = (self.accepted, report.accepted) else { return false };
-        let believed = self.seen.as_ref().is_some_and(|seen| !seen.heard.after(OUTDATED_FOR).is_due(asked));
-        told < known && believed && self.incarnation() == Some(report.incarnation)
+        let Some(told) = report.accepted else { return false };
+        let known_lately =
+            self.seen.as_ref().is_some_and(|seen| !seen.asked.after(OUTDATED_FOR).is_due(asked));
+        // Where orders follow on one another, every report is from before the last one.
+        let ordered_lately = !self.last_accepted.after(report.lag).is_due(asked);
+        told < self.most_accepted
+            && (known_lately || ordered_lately)
+            && self.incarnation() == Some(report.incarnation)
+    }
+
+    /// Counts an order that the engine accepted.
+    pub(super) fn count_accepted(&mut self, now: Time) {
+        self.last_accepted = now;
+        self.accepted = self.accepted.map(|accepted| accepted + 1);
+        self.most_accepted = self.most_accepted.max(self.accepted.unwrap_or_default());
     }
 
     /// Tells whether a report may be from before the end of a load that is taken to have ended.
@@ -120,10 +132,18 @@
         asked < ended.at.after(report.lag) && ledger::find(Some(report), &ended.model).is_none()
     }
 
+    /// Takes note that an engine answers, though what it tells is too old to be of use.
+    fn note_alive(&mut self, now: Time, report: &EngineReport) {
+        if let Some(seen) = self.seen.as_mut().filter(|seen| seen.report.incarnation == report.incarnation) {
+            seen.heard = now;
+        }
+    }
+
     pub(super) fn recount(&mut self, asked: Time, report: &EngineReport) {
         let is_ahead = report.accepted > self.accepted;
         if is_ahead || self.accepted.is_none() && asked >= self.recount_from.after(report.lag) {
             self.accepted = report.accepted;
+            self.most_accepted = report.accepted.unwrap_or_default();
         }
     }
 
@@ -140,6 +160,7 @@
             || self.is_outdated(asked, report)
             || self.is_before_end(asked, report)
         {
+            self.note_alive(now, report);
             return ReportNews::Unusable;
         }
         if self.phase != Phase::Known || self.seen.as_ref().is_some_and(|seen| seen.asked > asked) {
@@ -177,6 +198,7 @@
         self.last_busy.clear();
         self.adapter_uses.clear();
         self.accepted = None;
+        self.most_accepted = 0;
         self.recount_from = now;
         // A new life may have forgotten the fence and would obey a former owner.
         self.phase = Phase::RaisingFence { order: None, retry: now };
