Answer hosts that need credit in a function of its own

Cause: the message handler of the limits was its longest function, and a struct with one field stood for a bucket. No change of what is decided; 13 tests of limits pass.

--- a/crates/skylarkshore-core/src/quota.rs
+++ b/crates/skylarkshore-core/src/quota.rs
@@ -85,12 +85,6 @@
     asked: u32,
 }
 
-/// What this host may spend of an account's limit while it reaches no keeper.
-#[derive(Debug)]
-struct OwnShare {
-    bucket: Bucket,
-}
-
 /// A keeper's refusal.
 #[derive(Clone, Copy, Debug)]
 struct Denial {
@@ -105,7 +99,8 @@
     keepers: Keepers,
     books: Books,
     asks: OrderedMap<u64, Ask>,
-    own: HashMap<AccountName, OwnShare>,
+    /// What this host may spend of each account's limit while it reaches no keeper.
+    own: HashMap<AccountName, Bucket>,
     denials: HashMap<AccountName, Denial>,
     hosts: Headcount,
     members_due: Time,
@@ -193,22 +188,7 @@
             }
             CreditMessage::SignOff => self.books.sign_off(from),
             CreditMessage::SignedOn => self.keepers.note_heard(from),
-            CreditMessage::Wanted { ask, account, cost } => {
-                self.books.sign_on(cx.now, from);
-                let answer = match self.books.lend(cx, self.hosts.get(), account, *cost) {
-                    Ruling::Granted { not_before } => CreditMessage::Lent {
-                        ask: *ask,
-                        account: account.clone(),
-                        cost: *cost,
-                        wait: not_before.remaining(cx.now),
-                    },
-                    Ruling::Over { retry_after } => {
-                        CreditMessage::Denied { ask: *ask, retry_after: Some(retry_after) }
-                    }
-                    Ruling::TooLarge => CreditMessage::Denied { ask: *ask, retry_after: None },
-                };
-                tell(cx, from, answer);
-            }
+            CreditMessage::Wanted { ask, account, cost } => self.lend(cx, from, *ask, account, *cost),
             CreditMessage::Lent { ask, account, cost, wait } => {
                 self.keepers.note_heard(from);
                 let Some(ask) = self.asks.remove(ask) else {
@@ -233,6 +213,20 @@
         None
     }
 
+    /// Answers a host that needs credit of an account whose book is kept here.
+    fn lend(&mut self, cx: &mut Cx<'_>, to: &HostId, ask: u64, account: &AccountName, cost: Credits) {
+        self.books.sign_on(cx.now, to);
+        let answer = match self.books.lend(cx, self.hosts.get(), account, cost) {
+            Ruling::Granted { not_before } => {
+                let wait = not_before.remaining(cx.now);
+                CreditMessage::Lent { ask, account: account.clone(), cost, wait }
+            }
+            Ruling::Over { retry_after } => CreditMessage::Denied { ask, retry_after: Some(retry_after) },
+            Ruling::TooLarge => CreditMessage::Denied { ask, retry_after: None },
+        };
+        tell(cx, to, answer);
+    }
+
     /// Tells the keepers that this host's share goes with it.
     pub fn on_shutdown(&self, cx: &mut Cx<'_>) {
         for keeper in self.keepers.in_use() {
@@ -304,17 +298,17 @@
         let share = Share { hosts: 1, of: self.hosts.get() };
         let (rate, size) = (share.rate(terms.limit.rate), share.credits(terms.size()));
         let debt = share.credits(terms.debt());
-        let empty = || OwnShare { bucket: Bucket::new(Credits(0), cx.now) };
+        let empty = || Bucket::new(Credits(0), cx.now);
         let own = self.own.entry(charge.account.clone()).or_insert_with(empty);
         // Until then a keeper lends this host's share to others.
-        own.bucket.skip_to(self.brought.after(SIGNED_ON_FOR));
-        own.bucket.fill(cx.now, rate, size.max(charge.cost));
-        if own.bucket.covers(charge.cost, debt) {
-            own.bucket.take(charge.cost);
+        own.skip_to(self.brought.after(SIGNED_ON_FOR));
+        own.fill(cx.now, rate, size.max(charge.cost));
+        if own.covers(charge.cost, debt) {
+            own.take(charge.cost);
             return Ruling::NOW;
         }
         let wanted = Credits(charge.cost.0.saturating_sub(debt.0));
-        let retry_after = own.bucket.time_until(wanted, rate).unwrap_or(SIGNED_ON_FOR);
+        let retry_after = own.time_until(wanted, rate).unwrap_or(SIGNED_ON_FOR);
         Ruling::Over { retry_after }
     }
 }
