Move the messages about credit beside the other messages

Cause: the file of all peers' messages took one from the limits, which use the file of all messages: a circle of six files.

--- a/crates/skylarkshore-core/src/peer.rs
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -1,16 +1,19 @@
 //! What processes tell one another.
 
+mod credit;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::catalogue::ModelTarget;
 use crate::id::{Digest, HostId, Incarnation, ModelName, RulesRevision, SiteName, StoreRevision, UpstreamId};
-use crate::quota::CreditMessage;
 use crate::rules::ServiceOrder;
 use crate::store::RecordBatch;
 use crate::units::Watts;
 use crate::view::EngineView;
 
+pub use credit::CreditMessage;
+
 /// Why an owner can't make a model available in time.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CannotLoad {
--- a/crates/skylarkshore-core/src/quota.rs
+++ b/crates/skylarkshore-core/src/quota.rs
@@ -12,7 +12,6 @@
 mod books;
 mod bucket;
 mod keepers;
-mod message;
 mod share;
 mod terms;
 
@@ -26,12 +25,10 @@
 use crate::dump::Belief;
 use crate::headcount::Headcount;
 use crate::id::{AccountName, HostId, RequestId};
-use crate::peer::PeerMessage;
+use crate::peer::{CreditMessage, PeerMessage};
 use crate::time::Time;
 use crate::units::Credits;
 
-pub use message::CreditMessage;
-
 use books::{Books, SIGNED_ON_FOR, terms_of};
 use bucket::Bucket;
 use keepers::Keepers;
--- a/crates/skylarkshore-core/src/quota/keepers.rs
+++ b/crates/skylarkshore-core/src/quota/keepers.rs
@@ -6,10 +6,11 @@
 use crate::control::hashing::{name_hash, ranking_by_capacity};
 use crate::cx::Cx;
 use crate::id::{AccountName, HostId};
+use crate::peer::CreditMessage;
 use crate::store::MemberRecord;
 use crate::time::Time;
 
-use super::{CreditMessage, tell};
+use super::tell;
 
 /// In how many parts the accounts are given out, with the fewest hosts for which they are so many.
 ///
--- a/crates/skylarkshore-core/tests/support/fleet.rs
+++ b/crates/skylarkshore-core/tests/support/fleet.rs
@@ -14,8 +14,8 @@
 use skylarkshore_core::id::{
     AccountName, CatalogueRevision, Digest, HostId, Incarnation, RequestId, StoreRevision,
 };
-use skylarkshore_core::peer::{Envelope, PeerMessage};
-use skylarkshore_core::quota::{CreditMessage, Quota, Ruling, Verdict};
+use skylarkshore_core::peer::{CreditMessage, Envelope, PeerMessage};
+use skylarkshore_core::quota::{Quota, Ruling, Verdict};
 use skylarkshore_core::rules::{MinuteOfDay, Rules};
 use skylarkshore_core::store::{Key, MemberRecord, Record, StoreCache, Versioned};
 use skylarkshore_core::time::Time;
--- a/crates/skylarkshore-wire/src/peer/credit.rs
+++ b/crates/skylarkshore-wire/src/peer/credit.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use skylarkshore_core::id::AccountName;
-use skylarkshore_core::quota::CreditMessage;
+use skylarkshore_core::peer::CreditMessage;
 use skylarkshore_core::units::Credits;
 
 /// A message as it is sent. Durations are in microseconds.
--- a/crates/skylarkshore-wire/tests/formats.rs
+++ b/crates/skylarkshore-wire/tests/formats.rs
@@ -9,8 +9,7 @@
 use skylarkshore_core::id::{
     AccountName, CallId, CatalogueRevision, Digest, Fence, Incarnation, RulesRevision, StoreRevision,
 };
-use skylarkshore_core::peer::PeerMessage;
-use skylarkshore_core::quota::CreditMessage;
+use skylarkshore_core::peer::{CreditMessage, PeerMessage};
 use skylarkshore_core::rules::ServiceOrder;
 use skylarkshore_core::store::{
     HomesRecord, Key, MemberRecord, OnceRecord, OnceState, OwnerRecord, PowerRecord, Record, RecordBatch,
