Give the world's violations a file of their own

Cause: callers, checks and hosts of the given-time world took types from one another in a circle. The type that all need lies below them now; no circle of files is left.

--- a/crates/skylarkshore-standins/src/world.rs
+++ b/crates/skylarkshore-standins/src/world.rs
@@ -15,6 +15,7 @@
 mod perform;
 mod service;
 mod store;
+mod violation;
 
 use std::time::Duration;
 
@@ -35,11 +36,12 @@
 use service::ServiceReplica;
 
 pub use callers::{Ask, Callers, Final, RequestKey, RequestLog};
-pub use checks::{Checks, Violation};
+pub use checks::Checks;
 pub use engine::Engine;
 pub use fault::{Faults, NoFaults, Planned, Strike, StrikeAt};
 pub use meter::{Count, Meter};
 pub use store::{Store, StoreMode};
+pub use violation::Violation;
 
 /// Where a host of the world stands.
 #[derive(Clone, Debug)]
--- a/crates/skylarkshore-standins/src/world/callers.rs
+++ b/crates/skylarkshore-standins/src/world/callers.rs
@@ -9,7 +9,7 @@
 use skylarkshore_core::time::Time;
 
 use super::agenda::Sender;
-use super::checks::Violation;
+use super::violation::Violation;
 
 /// A request that a caller makes.
 #[derive(Clone, Debug)]
--- a/crates/skylarkshore-standins/src/world/checks.rs
+++ b/crates/skylarkshore-standins/src/world/checks.rs
@@ -11,6 +11,7 @@
 use super::callers::Callers;
 use super::engine::Engine;
 use super::host::Host;
+use super::violation::Violation;
 
 /// How long after a change of rules what the former ones allowed may still stand.
 const RULES_GRACE: Duration = Duration::from_mins(1);
@@ -19,21 +20,6 @@
 /// How long an upstream that is marked as leaving may still get new work.
 pub(crate) const LEAVING_GRACE: Duration = Duration::from_secs(5);
 
-/// Something that must never happen, and did.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Violation {
-    /// When.
-    pub at: Time,
-    /// What.
-    pub what: String,
-}
-
-impl Violation {
-    pub(crate) const fn new(at: Time, what: String) -> Self {
-        Self { at, what }
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Life {
     host: usize,
