Tell the core only of upstreams that changed, and index them

Cause: every batch of news had a host build all upstreams anew, compare them all, and walk all of them for each look at a service's replicas, a model's copies or the engines in all. Beyond 4,096 names, each further registration looked through all names for all upstreams: work with the third power of the fleet. On 9,808 engines a host would be at it for tens of minutes. The shared keys lay in one map that each look at members, owners or homes walked whole.

Now the registry tells what changed, the list keeps indexes by service and model, views are looked at again only where owner and list differ, and shared keys lie in a map for each kind.

Test: twice the engines cost a host at most three times the processor time (3,000 and 6,000 registrations).

--- a/crates/skylarkshore-core/examples/routing.rs
+++ b/crates/skylarkshore-core/examples/routing.rs
@@ -292,13 +292,13 @@
 
 fn router(seed: u64) -> Process {
     let mut process = Process::new("a", seed);
-    let one = process.upstreams[&name::<UpstreamId>("e1")].clone();
+    let one = process.upstreams.get(&name::<UpstreamId>("e1")).expect("it is listed").clone();
     for engine in 0..ENGINES {
         let id: UpstreamId = name(&format!("e{engine}"));
         let mut upstream = one.clone();
         upstream.id = id.clone();
         upstream.data_centre = name(["bern-a", "olten-b", "aarau-c"][engine % 3]);
-        process.upstreams.insert(id, upstream);
+        process.upstreams.insert(upstream);
     }
     process
 }
--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -157,9 +157,9 @@
         self.membership.is_gone()
     }
 
-    /// Takes note of a new host list.
-    pub fn on_host_list(&mut self, cx: &mut Cx<'_>) {
-        self.roster.on_host_list(cx);
+    /// Takes note that upstreams of the host list have changed.
+    pub fn on_host_list(&mut self, cx: &mut Cx<'_>, touched: &[UpstreamId]) {
+        self.roster.on_host_list(cx, touched);
         self.changed = true;
     }
 
--- a/crates/skylarkshore-core/src/control/placement.rs
+++ b/crates/skylarkshore-core/src/control/placement.rs
@@ -5,12 +5,12 @@
 use super::hashing::{name_hash, pair_weight};
 use super::roster::{KnownEngine, Roster};
 use crate::catalogue::Document;
-use crate::collections::{HashMap, OrderedMap};
+use crate::collections::HashMap;
 use crate::cx::Cx;
 use crate::id::{ModelName, UpstreamId};
 use crate::store::StoreCache;
 use crate::units::Mebibytes;
-use crate::upstream::Upstream;
+use crate::upstream::{Upstream, UpstreamList};
 
 /// From how many engines that the hash prefers the least loaded one is taken.
 ///
@@ -27,7 +27,7 @@
 pub(super) struct Placement<'a> {
     document: &'a Document,
     cache: &'a StoreCache,
-    upstreams: &'a OrderedMap<UpstreamId, Upstream>,
+    upstreams: &'a UpstreamList,
     roster: &'a Roster,
     /// Made for the first model that needs it; most reviews place none.
     table: Option<Table<'a>>,
@@ -127,7 +127,7 @@
     fn new(
         document: &Document,
         cache: &StoreCache,
-        upstreams: &'a OrderedMap<UpstreamId, Upstream>,
+        upstreams: &'a UpstreamList,
         roster: &'a Roster,
     ) -> Self {
         let loads = loads(document, cache);
--- a/crates/skylarkshore-core/src/control/roster.rs
+++ b/crates/skylarkshore-core/src/control/roster.rs
@@ -7,7 +7,7 @@
 use crate::id::{DataCentre, ServiceName, SiteName, UpstreamId};
 use crate::time::Time;
 use crate::units::{Mebibytes, Watts};
-use crate::upstream::{FenceCheck, Standing};
+use crate::upstream::{FenceCheck, Standing, Upstream};
 
 /// For how long no new engine is listed before the first homes are given out.
 ///
@@ -67,32 +67,40 @@
         at_last.is_some_and(|at_last| quiet.min(at_last).is_due(now))
     }
 
-    /// Takes a new host list over.
-    pub(super) fn on_host_list(&mut self, cx: &Cx<'_>) {
-        let listed = cx.upstreams.iter().filter(|(_, upstream)| upstream.engine().is_some());
-        let is_news = listed.clone().any(|(id, _)| !self.engines.get(id).is_some_and(KnownEngine::is_listed));
-        if is_news {
-            self.listed_since = cx.now;
-            self.first_listed.get_or_insert(cx.now);
+    /// Takes over what has changed on the host list.
+    pub(super) fn on_host_list(&mut self, cx: &Cx<'_>, touched: &[UpstreamId]) {
+        for id in touched {
+            match cx.upstreams.get(id) {
+                Some(upstream) => self.list(cx.now, upstream),
+                None => self.unlist(cx.now, id),
+            }
         }
-        for engine in self.engines.values_mut() {
-            engine.unlisted.get_or_insert(cx.now);
+    }
+
+    fn list(&mut self, now: Time, upstream: &Upstream) {
+        let Some(spec) = upstream.engine() else { return self.unlist(now, &upstream.id) };
+        if !self.engines.get(&upstream.id).is_some_and(KnownEngine::is_listed) {
+            self.listed_since = now;
+            self.first_listed.get_or_insert(now);
         }
-        for (id, upstream) in cx.upstreams {
-            let Some(spec) = upstream.engine() else { continue };
-            self.never_listed.remove(id);
-            let known = KnownEngine {
-                data_centre: upstream.data_centre.clone(),
-                site: upstream.site.clone(),
-                memory: spec.memory,
-                sleep_watts: spec.sleep_watts,
-                active_watts: spec.active_watts,
-                fence_check: spec.fence_check,
-                pool: spec.pool.clone(),
-                standing: upstream.standing,
-                unlisted: None,
-            };
-            self.engines.insert(id.clone(), known);
+        self.never_listed.remove(&upstream.id);
+        let known = KnownEngine {
+            data_centre: upstream.data_centre.clone(),
+            site: upstream.site.clone(),
+            memory: spec.memory,
+            sleep_watts: spec.sleep_watts,
+            active_watts: spec.active_watts,
+            fence_check: spec.fence_check,
+            pool: spec.pool.clone(),
+            standing: upstream.standing,
+            unlisted: None,
+        };
+        self.engines.insert(upstream.id.clone(), known);
+    }
+
+    fn unlist(&mut self, now: Time, id: &UpstreamId) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.unlisted.get_or_insert(now);
         }
     }
 
--- a/crates/skylarkshore-core/src/cx.rs
+++ b/crates/skylarkshore-core/src/cx.rs
@@ -4,15 +4,14 @@
 use rand::rngs::SmallRng;
 
 use crate::catalogue::Document;
-use crate::collections::OrderedMap;
 use crate::config::NodeConfig;
 use crate::effect::{Decision, Effect, Note};
-use crate::id::{AttemptId, CallId, HostId, OrderId, RequestId, UpstreamId};
+use crate::id::{AttemptId, CallId, HostId, OrderId, RequestId};
 use crate::peer::{Envelope, PeerMessage};
 use crate::rules::MinuteOfDay;
 use crate::store::{StoreCache, WriteRequest};
 use crate::time::Time;
-use crate::upstream::Upstream;
+use crate::upstream::UpstreamList;
 
 /// The numbers that a process has given out.
 #[derive(Clone, Copy, Debug, Default)]
@@ -36,7 +35,7 @@
     /// The shared keys as this process knows them.
     pub cache: &'a StoreCache,
     /// The host list as last read.
-    pub upstreams: &'a OrderedMap<UpstreamId, Upstream>,
+    pub upstreams: &'a UpstreamList,
     /// Where the effects go.
     pub effects: &'a mut Vec<Effect>,
     /// Where the wanted writes go.
--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -13,7 +13,7 @@
 use crate::rules::MinuteOfDay;
 use crate::store::{RecordedAnswer, StoreResult, Versioned};
 use crate::time::Time;
-use crate::upstream::{EngineReport, OrderAnswer, Upstream};
+use crate::upstream::{EngineReport, OrderAnswer, Upstream, UpstreamChanges};
 
 /// What a request is for.
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
@@ -163,6 +163,8 @@
     Shutdown,
     /// The host list was read.
     HostList(Vec<Upstream>),
+    /// Some upstreams of the host list have changed.
+    Upstreams(UpstreamChanges),
     /// A call to the key-value service ended.
     Store {
         /// The call.
--- a/crates/skylarkshore-core/src/listing.rs
+++ b/crates/skylarkshore-core/src/listing.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use crate::collections::{OrderedMap, OrderedSet};
+use crate::collections::OrderedSet;
 use crate::id::UpstreamId;
 use crate::time::Time;
-use crate::upstream::{Standing, Upstream};
+use crate::upstream::{Standing, Upstream, UpstreamChanges, UpstreamList};
 
 /// What is known of the way to the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,28 +46,43 @@
         }
     }
 
-    /// Returns the upstreams to count on, given the list and what was counted on before.
-    pub(crate) fn merge(
+    /// Returns what a list that was read whole changes of what was counted on before.
+    pub(crate) fn compare(
         &mut self,
         now: Time,
         grace: Duration,
         list: Vec<Upstream>,
-        before: &OrderedMap<UpstreamId, Upstream>,
-    ) -> OrderedMap<UpstreamId, Upstream> {
-        let mut merged: OrderedMap<UpstreamId, Upstream> =
-            list.into_iter().map(|upstream| (upstream.id.clone(), upstream)).collect();
-        self.missing.clear();
-        if !self.is_in_doubt(now, grace) {
-            return merged;
+        before: &UpstreamList,
+    ) -> UpstreamChanges {
+        let listed: OrderedSet<&UpstreamId> = list.iter().map(|upstream| &upstream.id).collect();
+        let gone = before.iter().map(|upstream| &upstream.id).filter(|id| !listed.contains(id));
+        let gone = gone.cloned().collect();
+        self.weigh(now, grace, UpstreamChanges { changed: list, gone }, before)
+    }
+
+    /// Returns which changes count, given what was counted on before.
+    pub(crate) fn weigh(
+        &mut self,
+        now: Time,
+        grace: Duration,
+        mut changes: UpstreamChanges,
+        before: &UpstreamList,
+    ) -> UpstreamChanges {
+        for upstream in &changes.changed {
+            self.missing.remove(&upstream.id);
         }
-        for (id, upstream) in before {
-            let hidden = upstream.standing == Standing::Live && !merged.contains_key(id);
-            if hidden {
+        let is_in_doubt = self.is_in_doubt(now, grace);
+        changes.gone.retain(|id| {
+            let is_live = before.get(id).is_some_and(|known| known.standing == Standing::Live);
+            let is_hidden = is_in_doubt && is_live;
+            if is_hidden {
                 self.missing.insert(id.clone());
-                merged.insert(id.clone(), upstream.clone());
+            } else {
+                self.missing.remove(id);
             }
-        }
-        merged
+            !is_hidden
+        });
+        changes
     }
 
     /// Returns the upstreams that have been missing for too long, once.
--- a/crates/skylarkshore-core/src/loading/close.rs
+++ b/crates/skylarkshore-core/src/loading/close.rs
@@ -270,7 +270,7 @@
 /// often, which no process has seen yet when it starts. Were they unloaded for
 /// copies of rarely used ones, the first callers of the former would all wait.
 fn is_widely_held(cx: &Cx<'_>, model: &ModelName) -> bool {
-    cx.upstreams.values().filter(|upstream| upstream.holds.contains(model)).count() > 1
+    cx.upstreams.holders(model).nth(1).is_some()
 }
 
 #[expect(
--- a/crates/skylarkshore-core/src/loading/crowd.rs
+++ b/crates/skylarkshore-core/src/loading/crowd.rs
@@ -83,6 +83,5 @@
 
 /// Returns how many loads are let through at once where the weight store carries them.
 fn most_at_once(cx: &Cx<'_>) -> usize {
-    let engines = cx.upstreams.values().filter(|upstream| upstream.engine().is_some()).count();
-    (engines / ENGINES_PER_LOAD).max(cx.cfg.limits.loads_at_once as usize)
+    (cx.upstreams.engines() / ENGINES_PER_LOAD).max(cx.cfg.limits.loads_at_once as usize)
 }
--- a/crates/skylarkshore-core/src/loading/replicas.rs
+++ b/crates/skylarkshore-core/src/loading/replicas.rs
@@ -78,9 +78,7 @@
     model: &ModelName,
     homes: &HomesRecord,
 ) -> bool {
-    let staying = cx.upstreams.values().filter(|known| known.standing == Standing::Live);
-    let keeping = staying.filter(|known| known.holds.contains(model) || known.copies.has(model));
-    keeping.count() < COPIES_LEAST
+    cx.upstreams.keepers(model).take(COPIES_LEAST).count() < COPIES_LEAST
         || beside.usage.late_share(cx.now, model) > SCARCE_LATE_SHARE
         || holders(cx, model, homes) * SCARCE_SHARE < replicas_by_use(cx, engine, beside, model, homes)
 }
--- a/crates/skylarkshore-core/src/loading/unserved.rs
+++ b/crates/skylarkshore-core/src/loading/unserved.rs
@@ -8,11 +8,10 @@
 use std::time::Duration;
 
 use crate::catalogue::ModelTarget;
-use crate::collections::{OrderedMap, OrderedSet};
+use crate::collections::OrderedMap;
 use crate::cx::Cx;
 use crate::id::ModelName;
 use crate::time::Time;
-use crate::upstream::{Standing, Upstream};
 
 /// How long a target has to be asked for in vain before it is told of; a load from a copy takes a second.
 const TOLD_AFTER: Duration = Duration::from_secs(8);
@@ -67,17 +66,18 @@
             return;
         }
         self.next_look = cx.now.after(LOOK_EVERY);
-        let held: OrderedSet<&ModelName> = live(cx).flat_map(|known| &known.holds).collect();
+        let upstreams = cx.upstreams;
+        let is_held = |model: &ModelName| upstreams.holders(model).next().is_some();
         self.spells.retain(|target, _| {
-            is_own(&target.model) && (target.adapter.is_some() || !held.contains(&target.model))
+            is_own(&target.model) && (target.adapter.is_some() || !is_held(&target.model))
         });
         for (target, spell) in &mut self.spells {
-            let is_base_missing = target.adapter.is_some() && !held.contains(&target.model);
+            let is_base_missing = target.adapter.is_some() && !is_held(&target.model);
             if is_base_missing || spell.asked < ASKED_LEAST || !spell.next_told.is_due(cx.now) {
                 continue;
             }
             spell.next_told = cx.now.after(TOLD_EVERY);
-            let copies = live(cx).filter(|known| known.copies.has(&target.model)).count();
+            let copies = upstreams.keepers(&target.model).count();
             let lasts = cx.now.since(spell.since).as_millis();
             cx.note(
                 "model_unserved",
@@ -94,7 +94,3 @@
         self.spells.values().filter(is_told).count()
     }
 }
-
-fn live<'a>(cx: &Cx<'a>) -> impl Iterator<Item = &'a Upstream> {
-    cx.upstreams.values().filter(|known| known.standing == Standing::Live)
-}
--- a/crates/skylarkshore-core/src/loading/wants.rs
+++ b/crates/skylarkshore-core/src/loading/wants.rs
@@ -12,7 +12,6 @@
 use crate::rules::{Outcome, Percent, ServiceOrder};
 use crate::time::Time;
 use crate::units::Watts;
-use crate::upstream::Standing;
 
 /// How many requests may wait for each slot of a replica before one more replica helps.
 const WAITING_PER_SLOT: u32 = 2;
@@ -198,9 +197,7 @@
 
 /// Tells whether an engine that stays has the model or a copy of it, as far as the list tells.
 fn has_copy_elsewhere(cx: &Cx<'_>, engine: &Engine, model: &ModelName) -> bool {
-    let others = cx.upstreams.values().filter(|known| known.id != engine.id);
-    let mut staying = others.filter(|known| known.standing == Standing::Live);
-    staying.any(|known| known.copies.has(model) || known.holds.contains(model))
+    cx.upstreams.keepers(model).any(|known| known.id != engine.id)
 }
 
 /// Works out which models are better loaded ahead of their next request.
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -7,14 +7,13 @@
 
 use crate::authority::OwnershipChange;
 use crate::catalogue::Document;
-use crate::collections::OrderedMap;
 use crate::config::NodeConfig;
 use crate::control::Control;
 use crate::cx::{Counters, Cx};
 use crate::dump::{Belief, Gauge};
 use crate::effect::Effect;
 use crate::event::Event;
-use crate::id::{HostId, StoreRevision, UpstreamId};
+use crate::id::{HostId, StoreRevision};
 use crate::listing::Listing;
 use crate::loading::Loading;
 use crate::peer::{Envelope, PeerMessage};
@@ -24,7 +23,7 @@
     Key, Record, RecordBatch, StoreAnswer, StoreCache, Versioned, WriteOutcome, WriteRequest, Writes,
 };
 use crate::time::Time;
-use crate::upstream::Upstream;
+use crate::upstream::{UpstreamChanges, UpstreamList};
 
 /// One process's state.
 #[derive(Debug)]
@@ -33,7 +32,7 @@
     at: MinuteOfDay,
     document: Arc<Document>,
     cache: StoreCache,
-    upstreams: OrderedMap<UpstreamId, Upstream>,
+    upstreams: UpstreamList,
     listing: Listing,
     counters: Counters,
     rng: SmallRng,
@@ -71,7 +70,7 @@
             at: MinuteOfDay::default(),
             document: Arc::new(Document { rules: cfg.default_rules.clone(), ..Document::default() }),
             cache: StoreCache::default(),
-            upstreams: OrderedMap::new(),
+            upstreams: UpstreamList::default(),
             listing: Listing::new(),
             counters: Counters::default(),
             rng: SmallRng::seed_from_u64(cfg.seed),
@@ -112,7 +111,7 @@
     }
 
     /// Returns the host list as last read.
-    pub const fn upstreams(&self) -> &OrderedMap<UpstreamId, Upstream> {
+    pub const fn upstreams(&self) -> &UpstreamList {
         &self.upstreams
     }
 
@@ -155,7 +154,16 @@
                 self.control.configure(&self.cfg);
             }
             Event::Shutdown => self.on_shutdown(now, effects),
-            Event::HostList(list) => self.on_host_list(now, list, effects),
+            Event::HostList(list) => {
+                let grace = self.cfg.timings.list_grace;
+                let changes = self.listing.compare(now, grace, list, &self.upstreams);
+                self.change_upstreams(now, changes, effects);
+            }
+            Event::Upstreams(changes) => {
+                let grace = self.cfg.timings.list_grace;
+                let changes = self.listing.weigh(now, grace, changes, &self.upstreams);
+                self.change_upstreams(now, changes, effects);
+            }
             Event::Store { call, result } => {
                 match &result {
                     Ok(_) => self.listing.answered(now),
@@ -266,25 +274,20 @@
         }
     }
 
-    fn on_host_list(&mut self, now: Time, list: Vec<Upstream>, effects: &mut Vec<Effect>) {
-        let grace = self.cfg.timings.list_grace;
-        self.upstreams = self.listing.merge(now, grace, list, &self.upstreams);
-        self.on_upstreams_changed(now, effects);
-    }
-
     fn drop_gone_upstreams(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let gone = self.listing.take_gone(now, self.cfg.timings.list_grace);
-        if gone.is_empty() {
-            return;
-        }
-        self.upstreams.retain(|id, _| !gone.contains(id));
-        self.on_upstreams_changed(now, effects);
+        let gone = gone.into_iter().collect();
+        self.change_upstreams(now, UpstreamChanges { changed: Vec::new(), gone }, effects);
     }
 
-    fn on_upstreams_changed(&mut self, now: Time, effects: &mut Vec<Effect>) {
+    fn change_upstreams(&mut self, now: Time, changes: UpstreamChanges, effects: &mut Vec<Effect>) {
+        let touched = self.upstreams.apply(changes);
+        if touched.is_empty() {
+            return;
+        }
         self.with(now, effects, |cx, parts| {
-            parts.control.on_host_list(cx);
-            parts.serving.on_host_list(cx);
+            parts.control.on_host_list(cx, &touched);
+            parts.serving.on_host_list(cx, &touched);
         });
     }
 
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -181,15 +181,16 @@
         }
         self.house_due = cx.now.after(HOUSEKEEPING_EVERY);
         self.routes.forget_old(cx.now);
+        self.routes.review_listed(cx);
         self.once.forget_old(cx.now);
         self.suspects.forget_old(cx);
         self.wants.renew(cx, &mut self.paces);
         self.budget.note_hosts(cx.now, cx.cache.members().count());
     }
 
-    /// Takes note of a new host list.
-    pub fn on_host_list(&mut self, cx: &mut Cx<'_>) {
-        self.routes.keep_listed(cx);
+    /// Takes note that upstreams of the host list have changed.
+    pub fn on_host_list(&mut self, cx: &mut Cx<'_>, touched: &[UpstreamId]) {
+        self.routes.on_host_list(cx, touched);
         self.suspects.on_host_list(cx);
         self.refuse_convicted(cx);
         self.review_all(cx);
@@ -201,7 +202,7 @@
         match key {
             Key::Document | Key::Catalogue => {
                 self.refuse_withdrawn(cx);
-                self.routes.keep_listed(cx);
+                self.routes.review_listed(cx);
                 self.pump(cx);
             }
             Key::Owner(_) | Key::Homes(_) => self.ask_again(cx, key),
--- a/crates/skylarkshore-core/src/serving/routing.rs
+++ b/crates/skylarkshore-core/src/serving/routing.rs
@@ -156,14 +156,19 @@
         news != News::Late
     }
 
-    /// Forgets what the host list no longer names, and takes over what it tells of engines.
-    pub(super) fn keep_listed(&mut self, cx: &Cx<'_>) {
-        let list = cx.upstreams;
-        self.views.keep_listed(list);
-        self.views.take_listed(cx);
-        self.told.retain(|upstream, _| list.contains_key(upstream));
-        self.leaving.retain(|upstream, _| list.contains_key(upstream));
-        self.paused.retain(|upstream, _| list.contains_key(upstream));
+    /// Takes over what has changed on the host list, and forgets what it no longer names.
+    pub(super) fn on_host_list(&mut self, cx: &Cx<'_>, touched: &[UpstreamId]) {
+        self.views.on_host_list(cx, touched);
+        for id in touched.iter().filter(|id| !cx.upstreams.contains(id)) {
+            self.told.remove(id);
+            self.leaving.remove(id);
+            self.paused.remove(id);
+        }
+    }
+
+    /// Looks again at what the host list tells of engines, as far as that depends on time or catalogue.
+    pub(super) fn review_listed(&mut self, cx: &Cx<'_>) {
+        self.views.review_listed(cx);
     }
 
     /// Forgets pauses that are long over.
@@ -364,8 +369,8 @@
 
     /// Tells whether the host list names a live replica of a service, be it paused or not.
     pub(super) fn has_replica(&self, cx: &Cx<'_>, service: &ServiceName) -> bool {
-        let live = |u: &&Upstream| u.service() == Some(service) && u.standing == Standing::Live;
-        cx.upstreams.values().filter(live).any(|u| !self.leaving.contains_key(&u.id))
+        let mut live = cx.upstreams.replicas(service).filter(|u| u.standing == Standing::Live);
+        live.any(|u| !self.leaving.contains_key(&u.id))
     }
 
     fn candidates(&self, cx: &Cx<'_>, target: &Target) -> Vec<Candidate> {
@@ -403,9 +408,8 @@
         cx: &'a Cx<'_>,
         service: &ServiceName,
     ) -> impl Iterator<Item = &'a UpstreamId> + use<'a> {
-        let service = service.clone();
-        let of_service = cx.upstreams.values().filter(move |u| u.service() == Some(&service));
-        of_service.map(|u| &u.id).filter(|id| self.usable(cx, id) && !self.kept_free.contains(*id))
+        let ids = cx.upstreams.replicas(service).map(|u| &u.id);
+        ids.filter(|id| self.usable(cx, id) && !self.kept_free.contains(*id))
     }
 
     fn usable(&self, cx: &Cx<'_>, upstream: &UpstreamId) -> bool {
--- a/crates/skylarkshore-core/src/serving/views.rs
+++ b/crates/skylarkshore-core/src/serving/views.rs
@@ -5,7 +5,7 @@
 use crate::catalogue::ModelTarget;
 use crate::collections::{HashMap, OrderedMap, OrderedSet};
 use crate::cx::Cx;
-use crate::id::{ModelName, UpstreamId};
+use crate::id::{ModelName, ModelVersion, UpstreamId};
 use crate::serving::load::OthersLoad;
 use crate::time::Time;
 use crate::upstream::Upstream;
@@ -112,6 +112,10 @@
     known: OrderedMap<UpstreamId, KnownView>,
     /// The engines whose accounts mention a model.
     by_model: HashMap<ModelName, OrderedSet<UpstreamId>>,
+    /// The engines of which the host list may say something else than their owners.
+    disputed: OrderedSet<UpstreamId>,
+    /// The models of the catalogue for which the host list was last read.
+    catalogue: OrderedMap<ModelName, ModelVersion>,
     /// How many accounts came that were older than what was known.
     pub(super) late: u64,
 }
@@ -131,6 +135,7 @@
         // The account counts this process's own requests too, which are known exactly.
         let reported = view.running.saturating_sub(own);
         let same_models = known.filter(|known| holds_the_same(&known.view, &view));
+        self.disputed.insert(view.upstream.clone());
         let others = same_models
             .map_or_else(|| OthersLoad::new(now, reported), |known| known.others.with(now, reported));
         self.insert(KnownView { view, taken: now, others, reserved_since });
@@ -163,41 +168,60 @@
         engines.filter_map(|engine| self.known.get(engine))
     }
 
-    /// Forgets the engines that the host list no longer names.
-    pub(super) fn keep_listed(&mut self, list: &OrderedMap<UpstreamId, Upstream>) {
-        let gone: Vec<UpstreamId> =
-            self.known.keys().filter(|upstream| !list.contains_key(*upstream)).cloned().collect();
-        for upstream in &gone {
-            self.remove(upstream);
+    /// Takes over what the host list now tells of some engines.
+    pub(super) fn on_host_list(&mut self, cx: &Cx<'_>, touched: &[UpstreamId]) {
+        for id in touched {
+            match cx.upstreams.get(id) {
+                Some(upstream) => self.take_listed(cx, upstream),
+                None => self.remove(id),
+            }
+        }
+    }
+
+    /// Looks again at the engines of which owner and host list say different things.
+    ///
+    /// An owner's account counts for a while; then the list is right.
+    pub(super) fn review_listed(&mut self, cx: &Cx<'_>) {
+        let catalogue = cx.document.catalogue.models.iter();
+        if !catalogue.clone().map(|(name, model)| (name, &model.version)).eq(self.catalogue.iter()) {
+            self.catalogue = catalogue.map(|(name, model)| (name.clone(), model.version.clone())).collect();
+            cx.upstreams.iter().for_each(|upstream| self.take_listed(cx, upstream));
+            return;
+        }
+        for id in std::mem::take(&mut self.disputed) {
+            if let Some(upstream) = cx.upstreams.get(&id) {
+                self.take_listed(cx, upstream);
+            }
         }
     }
 
-    /// Takes over what the host list tells of engines of which no owner has spoken lately.
+    /// Takes over what the host list tells of an engine of which no owner has spoken lately.
     ///
     /// A process that has just started would otherwise have to wait for each
     /// owner's word, and where an owner is away, for its successor's. Owners tell
     /// only those of changes who use a model; whoever last asked for one long ago
     /// would go on sending its requests where it was then.
-    pub(super) fn take_listed(&mut self, cx: &Cx<'_>) {
-        for upstream in cx.upstreams.values() {
-            let Some(spec) = upstream.engine() else { continue };
-            let known = self.known.get(&upstream.id);
-            if upstream.holds.is_empty() {
-                if known.is_some_and(|known| known.view.version == ViewVersion::default()) {
-                    self.remove(&upstream.id);
-                }
-                continue;
-            }
-            if known.is_some_and(|known| known.outranks(cx, upstream)) {
-                continue;
+    fn take_listed(&mut self, cx: &Cx<'_>, upstream: &Upstream) {
+        let Some(spec) = upstream.engine() else { return };
+        let known = self.known.get(&upstream.id);
+        if upstream.holds.is_empty() {
+            if known.is_some_and(|known| known.view.version == ViewVersion::default()) {
+                self.remove(&upstream.id);
             }
-            let mut view = listed_view(cx, upstream, spec.concurrency);
-            if let Some(known) = known.filter(|known| known.view.incarnation == view.incarnation) {
-                keep_adapters(&mut view, &known.view);
+            return;
+        }
+        if let Some(known) = known.filter(|known| known.outranks(cx, upstream)) {
+            if !known.agrees_with(upstream) {
+                self.disputed.insert(upstream.id.clone());
             }
-            let others = OthersLoad::new(cx.now, 0);
-            self.insert(KnownView { view, taken: cx.now, others, reserved_since: cx.now });
+            return;
+        }
+        let mut view = listed_view(cx, upstream, spec.concurrency);
+        if let Some(known) = known.filter(|known| known.view.incarnation == view.incarnation) {
+            keep_adapters(&mut view, &known.view);
         }
+        let others = OthersLoad::new(cx.now, 0);
+        self.insert(KnownView { view, taken: cx.now, others, reserved_since: cx.now });
     }
 
     /// Returns the newest account of an engine.
--- a/crates/skylarkshore-core/src/store/cache.rs
+++ b/crates/skylarkshore-core/src/store/cache.rs
@@ -1,6 +1,6 @@
 //! A process's copy of the shared keys.
 
-use crate::collections::{OrderedMap, OrderedSet};
+use crate::collections::{HashSet, OrderedMap};
 use crate::id::{HostId, ModelName, SiteName, StoreRevision, UpstreamId};
 use crate::store::{HomesRecord, Key, MemberRecord, OwnerRecord, PowerRecord, Record, Versioned};
 
@@ -11,33 +11,44 @@
 /// message can't bring an older value back into force.
 #[derive(Clone, Debug, Default)]
 pub struct StoreCache {
-    entries: OrderedMap<Key, Versioned>,
+    members: OrderedMap<HostId, Versioned>,
+    owners: OrderedMap<UpstreamId, Versioned>,
+    homes: OrderedMap<ModelName, Versioned>,
+    others: OrderedMap<Key, Versioned>,
     newest: StoreRevision,
 }
 
 impl StoreCache {
     /// Takes a change over and tells whether it was news.
     pub fn apply(&mut self, change: Versioned) -> bool {
-        let known = self.entries.get(&change.key);
+        let known = self.get(&change.key);
         if known.is_some_and(|known| known.revision >= change.revision) {
             return false;
         }
         let known_record = known.and_then(|known| known.record.as_ref());
         let news = known_record != change.record.as_ref();
         self.newest = self.newest.max(change.revision);
-        self.entries.insert(change.key.clone(), change);
+        self.put(change);
         news
     }
 
+    fn put(&mut self, change: Versioned) {
+        match change.key.clone() {
+            Key::Member(host) => drop(self.members.insert(host, change)),
+            Key::Owner(engine) => drop(self.owners.insert(engine, change)),
+            Key::Homes(model) => drop(self.homes.insert(model, change)),
+            key => drop(self.others.insert(key, change)),
+        }
+    }
+
     /// Takes a read of all shared keys over and returns the keys that changed.
     ///
     /// A known key that the read lacks was deleted, unless the read is older
     /// than what is known of the key.
     pub fn apply_all(&mut self, revision: StoreRevision, records: Vec<Versioned>) -> Vec<Key> {
-        let present: OrderedSet<Key> = records.iter().map(|r| r.key.clone()).collect();
+        let present: HashSet<&Key> = records.iter().map(|r| &r.key).collect();
         let gone: Vec<Versioned> = self
-            .entries
-            .values()
+            .entries()
             .filter(|known| {
                 known.record.is_some() && known.revision < revision && !present.contains(&known.key)
             })
@@ -61,74 +72,83 @@
 
     /// Returns what is known of a key, deletions included.
     pub fn get(&self, key: &Key) -> Option<&Versioned> {
-        self.entries.get(key)
+        match key {
+            Key::Member(host) => self.members.get(host),
+            Key::Owner(engine) => self.owners.get(engine),
+            Key::Homes(model) => self.homes.get(model),
+            key => self.others.get(key),
+        }
+    }
+
+    fn entries(&self) -> impl Iterator<Item = &Versioned> {
+        let named = self.members.values().chain(self.owners.values()).chain(self.homes.values());
+        self.others.values().chain(named)
     }
 
     /// Returns every change after `revision`, deletions included.
     pub fn changes_after(&self, revision: StoreRevision) -> impl Iterator<Item = &Versioned> {
-        self.entries.values().filter(move |entry| entry.revision > revision)
+        self.entries().filter(move |entry| entry.revision > revision)
     }
 
     /// Returns a live member's record.
     pub fn member(&self, host: &HostId) -> Option<&MemberRecord> {
-        match self.record(&Key::Member(host.clone()))? {
-            Record::Member(record) => Some(record),
-            _ => None,
-        }
+        member_of(self.members.get(host)?)
     }
 
     /// Returns every live member.
     pub fn members(&self) -> impl Iterator<Item = (&HostId, &MemberRecord)> {
-        self.entries.values().filter_map(|entry| match (&entry.key, &entry.record) {
-            (Key::Member(host), Some(Record::Member(record))) => Some((host, record)),
-            _ => None,
-        })
+        self.members.iter().filter_map(|(host, entry)| Some((host, member_of(entry)?)))
     }
 
     /// Returns who owns an engine, with the revision of that record.
     pub fn owner(&self, engine: &UpstreamId) -> Option<(StoreRevision, &OwnerRecord)> {
-        let entry = self.entries.get(&Key::Owner(engine.clone()))?;
-        match entry.record.as_ref()? {
-            Record::Owner(record) => Some((entry.revision, record)),
-            _ => None,
-        }
+        let entry = self.owners.get(engine)?;
+        Some((entry.revision, owner_of(entry)?))
     }
 
     /// Returns every engine that has an owner.
     pub fn owners(&self) -> impl Iterator<Item = (&UpstreamId, &OwnerRecord)> {
-        self.entries.values().filter_map(|entry| match (&entry.key, &entry.record) {
-            (Key::Owner(engine), Some(Record::Owner(record))) => Some((engine, record)),
-            _ => None,
-        })
+        self.owners.iter().filter_map(|(engine, entry)| Some((engine, owner_of(entry)?)))
     }
 
     /// Returns a model's homes, with the revision of that record.
     pub fn homes(&self, model: &ModelName) -> Option<(StoreRevision, &HomesRecord)> {
-        let entry = self.entries.get(&Key::Homes(model.clone()))?;
-        match entry.record.as_ref()? {
-            Record::Homes(record) => Some((entry.revision, record)),
-            _ => None,
-        }
+        let entry = self.homes.get(model)?;
+        Some((entry.revision, homes_of(entry)?))
     }
 
     /// Returns every model's homes.
     pub fn all_homes(&self) -> impl Iterator<Item = (&ModelName, &HomesRecord)> {
-        self.entries.values().filter_map(|entry| match (&entry.key, &entry.record) {
-            (Key::Homes(model), Some(Record::Homes(record))) => Some((model, record)),
-            _ => None,
-        })
+        self.homes.iter().filter_map(|(model, entry)| Some((model, homes_of(entry)?)))
     }
 
     /// Returns how a site's power is shared out, with the revision of that record.
     pub fn power(&self, site: &SiteName) -> Option<(StoreRevision, &PowerRecord)> {
-        let entry = self.entries.get(&Key::Power(site.clone()))?;
+        let entry = self.others.get(&Key::Power(site.clone()))?;
         match entry.record.as_ref()? {
             Record::Power(record) => Some((entry.revision, record)),
             _ => None,
         }
     }
+}
+
+const fn member_of(entry: &Versioned) -> Option<&MemberRecord> {
+    match &entry.record {
+        Some(Record::Member(record)) => Some(record),
+        _ => None,
+    }
+}
+
+const fn owner_of(entry: &Versioned) -> Option<&OwnerRecord> {
+    match &entry.record {
+        Some(Record::Owner(record)) => Some(record),
+        _ => None,
+    }
+}
 
-    fn record(&self, key: &Key) -> Option<&Record> {
-        self.entries.get(key)?.record.as_ref()
+const fn homes_of(entry: &Versioned) -> Option<&HomesRecord> {
+    match &entry.record {
+        Some(Record::Homes(record)) => Some(record),
+        _ => None,
     }
 }
--- a/crates/skylarkshore-core/src/upstream.rs
+++ b/crates/skylarkshore-core/src/upstream.rs
@@ -1,5 +1,7 @@
 //! Model engines and service replicas, as the host list and they themselves describe them.
 
+mod list;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,6 +12,8 @@
 };
 use crate::units::{Mebibytes, Watts};
 
+pub use list::{UpstreamChanges, UpstreamList};
+
 /// What an engine does with an order that carries an old fence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FenceCheck {
--- a/crates/skylarkshore-core/tests/serving/crash.rs
+++ b/crates/skylarkshore-core/tests/serving/crash.rs
@@ -231,7 +231,7 @@
         let sent = p.take_sent().remove(0);
         let ended = p.end_life(sent.upstream.as_str());
         p.end(sent.attempt, DIED);
-        p.upstreams.insert(ended.id.clone(), ended);
+        p.upstreams.insert(ended);
         p.begin_life(sent.upstream.as_str(), life);
         p.pass(2000);
     }
--- a/crates/skylarkshore-core/tests/serving/queue.rs
+++ b/crates/skylarkshore-core/tests/serving/queue.rs
@@ -132,8 +132,8 @@
     let mut p = Process::new("a", 1);
     for n in 3..15 {
         let replica =
-            Upstream { id: name(&format!("s{n}")), ..p.upstreams[&name::<UpstreamId>("s1")].clone() };
-        p.upstreams.insert(replica.id.clone(), replica);
+            Upstream { id: name(&format!("s{n}")), ..p.upstreams.get(&name::<UpstreamId>("s1")).unwrap().clone() };
+        p.upstreams.insert(replica);
     }
     let (mut arrived, mut sent) = (0, 0);
     for id in 0..1200 {
--- a/crates/skylarkshore-core/tests/serving/random.rs
+++ b/crates/skylarkshore-core/tests/serving/random.rs
@@ -140,9 +140,8 @@
             }
             Op::Listed { at, upstream, live } => {
                 let p = &mut self.processes[at];
-                let upstream = p.upstreams.get_mut(&name::<UpstreamId>(UPSTREAMS[upstream])).unwrap();
-                upstream.standing = if live { Standing::Live } else { Standing::Leaving };
-                p.with(skylarkshore_core::serving::Serving::on_host_list);
+                let standing = if live { Standing::Live } else { Standing::Leaving };
+                p.change_listed(UPSTREAMS[upstream], |listed| listed.standing = standing);
             }
         }
     }
@@ -260,7 +259,7 @@
                 assert_eq!(asking.finals, 0, "sent after its end: {request:?}");
                 assert_eq!(resume, asking.passed_on, "resumes what the caller has a part of: {request:?}");
                 assert!(!self.leaving.contains(&(at, upstream.clone())), "sent to a leaving upstream");
-                let live = self.processes[at].upstreams[&upstream].standing == Standing::Live;
+                let live = self.processes[at].upstreams.get(&upstream).unwrap().standing == Standing::Live;
                 assert!(live, "sent to an upstream that the host list calls leaving");
                 let tried = Tried { request, upstream: upstream.clone(), truth: Truth::Running };
                 self.attempts.insert(Name { at, id: attempt }, tried);
--- a/crates/skylarkshore-core/tests/serving/routing.rs
+++ b/crates/skylarkshore-core/tests/serving/routing.rs
@@ -38,9 +38,7 @@
 #[test]
 fn a_near_engine_goes_before_a_far_one_that_is_as_free() {
     let mut p = two_engines();
-    if let Some(far) = p.upstreams.get_mut(&name("e1")) {
-        far.data_centre = name("olten-b");
-    }
+    p.upstreams.change(&name("e1"), |far| far.data_centre = name("olten-b"));
     for id in 0..4 {
         p.arrive(id, arrival(&p, model("m"), 1));
         let sent = p.take_sent().remove(0);
@@ -128,7 +126,7 @@
     let sent = p.take_sent().remove(0);
     let full = LoadTold { running: 6, waiting: 12, concurrency: 6 };
     let replicas: Vec<UpstreamId> =
-        p.upstreams.values().filter(|u| u.service().is_some()).map(|u| u.id.clone()).collect();
+        p.upstreams.iter().filter(|u| u.service().is_some()).map(|u| u.id.clone()).collect();
     for replica in &replicas {
         p.with(|serving, cx| serving.on_load_told(cx, replica, full));
     }
@@ -146,10 +144,7 @@
     let mut p = Process::new("a", 1);
     p.peer("b", &PeerMessage::View(view("e1", 1, "m", Readiness::Ready)));
     p.pass(5000);
-    if let Some(listed) = p.upstreams.get_mut(&name("e1")) {
-        listed.holds = vec![name("n")];
-    }
-    p.with(skylarkshore_core::serving::Serving::on_host_list);
+    p.change_listed("e1", |listed| listed.holds = vec![name("n")]);
     p.arrive(1, arrival(&p, model("m"), 1));
     assert_eq!(p.take_sent().len(), 0);
     p.arrive(2, arrival(&p, model("n"), 2));
@@ -161,10 +156,7 @@
 fn an_engine_that_lists_nothing_any_more_gets_no_requests() {
     let mut p = Process::new("a", 1);
     for holds in [vec![name("m")], Vec::new()] {
-        if let Some(listed) = p.upstreams.get_mut(&name("e1")) {
-            listed.holds = holds;
-        }
-        p.with(skylarkshore_core::serving::Serving::on_host_list);
+        p.change_listed("e1", |listed| listed.holds = holds);
     }
     p.arrive(1, arrival(&p, model("m"), 1));
     assert_eq!(p.take_sent().len(), 0);
--- a/crates/skylarkshore-core/tests/support/cluster.rs
+++ b/crates/skylarkshore-core/tests/support/cluster.rs
@@ -20,7 +20,7 @@
 };
 use skylarkshore_core::units::{Capacity, Mebibytes, Watts};
 use skylarkshore_core::upstream::{
-    Copies, EngineSpec, FenceCheck, OrderMode, Standing, Upstream, UpstreamKind,
+    Copies, EngineSpec, FenceCheck, OrderMode, Standing, Upstream, UpstreamChanges, UpstreamKind, UpstreamList,
 };
 
 use crate::process::{ACTIVE_WATTS, FakeEngines, Inbound, Process, SLEEP_WATTS};
@@ -159,7 +159,7 @@
             engines: FakeEngines::default(),
             cache: StoreCache::default(),
             document: Arc::default(),
-            upstreams: BTreeMap::new(),
+            upstreams: UpstreamList::default(),
             changes: Vec::new(),
             notes: Vec::new(),
             writes: Writes::default(),
@@ -195,9 +195,12 @@
         let now = self.now;
         let list = self.engines.clone();
         let Some(process) = self.processes.get_mut(host) else { return };
-        process.upstreams = list;
+        let gone = process.upstreams.iter().map(|known| known.id.clone());
+        let gone = gone.filter(|id| !list.contains_key(id)).collect();
+        let changes = UpstreamChanges { changed: list.into_values().collect(), gone };
+        let touched = process.upstreams.apply(changes);
         let mut effects = Vec::new();
-        process.with(now, &mut effects, |cx, parts| parts.control.on_host_list(cx));
+        process.with(now, &mut effects, |cx, parts| parts.control.on_host_list(cx, &touched));
     }
 
     /// Ends a process's watch, as a service that goes away does.
--- a/crates/skylarkshore-core/tests/support/fleet.rs
+++ b/crates/skylarkshore-core/tests/support/fleet.rs
@@ -20,6 +20,7 @@
 use skylarkshore_core::store::{Key, MemberRecord, Record, StoreCache, Versioned};
 use skylarkshore_core::time::Time;
 use skylarkshore_core::units::{Capacity, CreditRate, Credits};
+use skylarkshore_core::upstream::UpstreamList;
 
 const STEP: Duration = Duration::from_millis(5);
 const TICK: Duration = Duration::from_millis(50);
@@ -402,7 +403,7 @@
     fn with<T>(&mut self, number: usize, f: impl FnOnce(&mut Quota, &mut Cx<'_>) -> T) -> T {
         let mut effects = Vec::new();
         let mut writes = Vec::new();
-        let upstreams = BTreeMap::new();
+        let upstreams = UpstreamList::default();
         let host = &mut self.hosts[number];
         let mut cx = Cx {
             now: self.now,
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -28,7 +28,7 @@
 use skylarkshore_core::units::{Capacity, Mebibytes, Watts};
 use skylarkshore_core::upstream::{
     Copies, EngineReport, EngineSpec, FenceCheck, Order, OrderAnswer, OrderMode, Standing, Upstream,
-    UpstreamKind,
+    UpstreamKind, UpstreamList,
 };
 use skylarkshore_core::view::Readiness;
 
@@ -129,7 +129,7 @@
     pub gate_away: bool,
     cfg: NodeConfig,
     cache: StoreCache,
-    upstreams: OrderedMap<UpstreamId, Upstream>,
+    upstreams: UpstreamList,
     counters: Counters,
     rng: SmallRng,
     revision: u64,
@@ -224,7 +224,7 @@
             gate_away: false,
             cfg,
             cache: StoreCache::default(),
-            upstreams: std::iter::once((name(ENGINE), engine_upstream(memory))).collect(),
+            upstreams: std::iter::once(engine_upstream(memory)).collect(),
             counters: Counters::default(),
             rng: SmallRng::seed_from_u64(1),
             revision: 0,
@@ -249,10 +249,11 @@
     pub fn one_by_one(models: &[(&str, u64)]) -> Self {
         let mut rig = Self::new(models);
         rig.engine.accepted = Some(0);
-        let engine = rig.upstreams.get_mut(&name(ENGINE)).expect("the engine is listed");
-        if let UpstreamKind::Engine(spec) = &mut engine.kind {
-            spec.order_mode = OrderMode::OneByOne;
-        }
+        rig.upstreams.change(&name(ENGINE), |engine| {
+            if let UpstreamKind::Engine(spec) = &mut engine.kind {
+                spec.order_mode = OrderMode::OneByOne;
+            }
+        });
         rig
     }
 
@@ -300,13 +301,16 @@
     /// Has the list say that an engine holds a model.
     pub fn set_held(&mut self, engine: &str, model: &str) {
         let memory = Mebibytes(1000);
-        let listed = self.upstreams.entry(name(engine)).or_insert_with(|| engine_upstream(memory));
-        listed.holds.push(name(model));
+        let id: UpstreamId = name(engine);
+        if !self.upstreams.contains(&id) {
+            self.upstreams.insert(Upstream { id: id.clone(), ..engine_upstream(memory) });
+        }
+        self.upstreams.change(&id, |listed| listed.holds.push(name(model)));
     }
 
     /// Has the list speak of another life of the engine.
     pub fn set_listed_life(&mut self, life: Incarnation) {
-        self.upstreams.get_mut(&name(ENGINE)).expect("the engine is listed").incarnation = life;
+        self.upstreams.change(&name(ENGINE), |listed| listed.incarnation = life);
     }
 
     /// Returns what the process believes of the kind, each as its subject and state.
@@ -328,7 +332,7 @@
     /// Has the list name another engine, which a live process owns.
     pub fn add_engine(&mut self, engine: &str, owner: &str) {
         let memory = Mebibytes(1000);
-        self.upstreams.insert(name(engine), Upstream { id: name(engine), ..engine_upstream(memory) });
+        self.upstreams.insert(Upstream { id: name(engine), ..engine_upstream(memory) });
         self.add_member(owner);
         let record = OwnerRecord { host: name(owner), incarnation: Incarnation(1), fence: Fence(7) };
         self.put(Key::Owner(name(engine)), Record::Owner(record));
--- a/crates/skylarkshore-core/tests/support/process.rs
+++ b/crates/skylarkshore-core/tests/support/process.rs
@@ -1,6 +1,6 @@
 //! One process's control part, with what it would know of engines and the key-value service.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use rand::rngs::SmallRng;
@@ -18,7 +18,7 @@
     Key, Record, StoreAnswer, StoreCache, StoreResult, Versioned, WriteOutcome, Writes,
 };
 use skylarkshore_core::units::{Mebibytes, Watts};
-use skylarkshore_core::upstream::Upstream;
+use skylarkshore_core::upstream::UpstreamList;
 
 /// What an engine draws with nothing loaded.
 pub const SLEEP_WATTS: Watts = Watts(50);
@@ -71,7 +71,7 @@
     pub engines: FakeEngines,
     pub cache: StoreCache,
     pub document: Arc<Document>,
-    pub upstreams: BTreeMap<UpstreamId, Upstream>,
+    pub upstreams: UpstreamList,
     pub changes: Vec<OwnershipChange>,
     pub notes: Vec<(&'static str, String)>,
     pub writes: Writes,
--- a/crates/skylarkshore-core/tests/support/serving.rs
+++ b/crates/skylarkshore-core/tests/support/serving.rs
@@ -24,7 +24,7 @@
 use skylarkshore_core::time::Time;
 use skylarkshore_core::units::{Capacity, Mebibytes};
 use skylarkshore_core::upstream::{
-    Copies, EngineSpec, FenceCheck, OrderMode, Standing, Upstream, UpstreamKind,
+    Copies, EngineSpec, FenceCheck, OrderMode, Standing, Upstream, UpstreamKind, UpstreamList,
 };
 use skylarkshore_core::view::{EngineView, ModelView, Readiness, ViewVersion};
 
@@ -102,7 +102,7 @@
     pub cfg: NodeConfig,
     pub document: Document,
     pub cache: StoreCache,
-    pub upstreams: OrderedMap<UpstreamId, Upstream>,
+    pub upstreams: UpstreamList,
     pub serving: Serving,
     /// What it wanted done since this was last taken.
     pub effects: Vec<Effect>,
@@ -193,15 +193,24 @@
     /// Has the host list name an upstream no more; returns it for a later life.
     pub fn end_life(&mut self, upstream: &str) -> Upstream {
         let ended = self.upstreams.remove(&name::<UpstreamId>(upstream)).unwrap();
-        self.with(Serving::on_host_list);
+        self.list_changed(upstream);
         ended
     }
 
     /// Has the host list name a new life of an upstream.
     pub fn begin_life(&mut self, upstream: &str, incarnation: u64) {
-        let listed = self.upstreams.get_mut(&name::<UpstreamId>(upstream)).unwrap();
-        listed.incarnation = Incarnation(incarnation);
-        self.with(Serving::on_host_list);
+        self.change_listed(upstream, |listed| listed.incarnation = Incarnation(incarnation));
+    }
+
+    /// Has the host list tell something new of an upstream.
+    pub fn change_listed(&mut self, upstream: &str, f: impl FnOnce(&mut Upstream)) {
+        self.upstreams.change(&name(upstream), f);
+        self.list_changed(upstream);
+    }
+
+    fn list_changed(&mut self, upstream: &str) {
+        let touched = [name(upstream)];
+        self.with(|serving, cx| serving.on_host_list(cx, &touched));
     }
 
     pub fn with<T>(&mut self, f: impl FnOnce(&mut Serving, &mut Cx<'_>) -> T) -> T {
@@ -401,7 +410,7 @@
     Document { catalogue: Catalogue { models, services, ..Catalogue::default() }, ..Document::default() }
 }
 
-fn upstreams() -> OrderedMap<UpstreamId, Upstream> {
+fn upstreams() -> UpstreamList {
     let engine = UpstreamKind::Engine(EngineSpec {
         memory: Mebibytes(10_000),
         sleep_watts: skylarkshore_core::units::Watts(10),
@@ -414,7 +423,7 @@
     });
     let replica = UpstreamKind::Service(name("booking"));
     let all = [("e1", &engine), ("e2", &engine), ("e3", &engine), ("s1", &replica), ("s2", &replica)];
-    all.into_iter().map(|(id, kind)| (name(id), upstream(id, kind.clone()))).collect()
+    all.into_iter().map(|(id, kind)| upstream(id, kind.clone())).collect()
 }
 
 fn upstream(id: &str, kind: UpstreamKind) -> Upstream {
--- a/crates/skylarkshore-host/src/driver/effects.rs
+++ b/crates/skylarkshore-host/src/driver/effects.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use skylarkshore_core::collections::{HashMap, OrderedMap};
+use skylarkshore_core::collections::HashMap;
 use skylarkshore_core::effect::{Decision, Note, Refusal};
 use skylarkshore_core::id::{AttemptId, CallId, HostId, Incarnation, RequestId, StoreRevision, UpstreamId};
 use skylarkshore_core::peer::News;
 use skylarkshore_core::store::StoreCall;
-use skylarkshore_core::upstream::{OrderAnswer, Upstream};
+use skylarkshore_core::upstream::{OrderAnswer, Upstream, UpstreamList};
 use skylarkshore_core::{Effect, Event};
 use slog::{debug, info};
 use tokio::task::AbortHandle;
@@ -70,7 +70,7 @@
     }
 
     /// Carries an effect out.
-    pub(crate) fn carry_out(&mut self, effect: Effect, upstreams: &OrderedMap<UpstreamId, Upstream>) {
+    pub(crate) fn carry_out(&mut self, effect: Effect, upstreams: &UpstreamList) {
         match effect {
             Effect::Store { call, request } => self.call_store(call, request),
             Effect::Watch { from } => self.watch(from),
--- a/crates/skylarkshore-standins/src/process.rs
+++ b/crates/skylarkshore-standins/src/process.rs
@@ -19,6 +19,9 @@
 use crate::ports::free_port;
 use crate::programs::Programs;
 
+/// The unit in which Linux tells processor times.
+const MILLIS_PER_TICK: u64 = 10;
+
 /// How often a condition is looked at while waiting for it.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 
@@ -309,6 +312,23 @@
         kibibytes.map(|n| n * 1024).ok_or_else(|| io::Error::other("no line RssAnon in kB"))
     }
 
+    /// Returns the processor time that the process has used.
+    ///
+    /// # Errors
+    ///
+    /// The process has ended, or the system tells nothing of it.
+    pub fn processor_time(&self) -> io::Result<Duration> {
+        let pid = self.child.id().ok_or_else(|| io::Error::other("the process has ended"))?;
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
+        // The program's name, which may hold anything, ends with the last bracket.
+        let fields = stat.rsplit_once(')').map_or("", |(_, rest)| rest).split_whitespace();
+        let ticks: Vec<u64> = fields.skip(11).take(2).filter_map(|field| field.parse().ok()).collect();
+        match ticks.as_slice() {
+            [user, system] => Ok(Duration::from_millis((user + system) * MILLIS_PER_TICK)),
+            _ => Err(io::Error::other("no times of the processor")),
+        }
+    }
+
     /// Waits for its end.
     ///
     /// # Errors
