Ask the weight store's gate before room is made for a load

Cause: an owner unloaded an idle model to make room and only then asked for a slot of the weight store.

Change: where a load needs the store, room is made once its slot is granted; if none can be made, the slot is given back at once.

Test: a model stays in use while the load that needs its place waits at the gate, and makes way once the slot is granted.

--- a/crates/skylarkshore-core/src/loading/close.rs
+++ b/crates/skylarkshore-core/src/loading/close.rs
@@ -174,6 +174,19 @@
     }
 }
 
+/// Tells whether closing idle models would free `missing` memory.
+pub(crate) fn can_make_room(
+    cx: &Cx<'_>,
+    engine: &Engine,
+    beside: &Beside<'_>,
+    want: &Want,
+    missing: Mebibytes,
+) -> bool {
+    let missing = missing.saturating_sub(on_its_way(engine));
+    let victims = victims(cx, engine, beside, want);
+    victims.values().copied().sum::<Mebibytes>() >= missing
+}
+
 /// Closes idle models until `missing` memory will be free; tells whether that will be enough.
 pub(crate) fn make_room(
     cx: &mut Cx<'_>,
--- a/crates/skylarkshore-core/src/loading/load.rs
+++ b/crates/skylarkshore-core/src/loading/load.rs
@@ -62,18 +62,23 @@
         let behind = turnaround::room(engine, cx.now).filter(|_| engine.has_copy(&want.model));
         let free = engine.free_for(cx, &want.model) + behind.unwrap_or_default();
         let free = free.saturating_sub(spoken_for);
-        spoken_for += memory;
+        let missing = memory.saturating_sub(free);
         let is_open = engine.is_free_for_orders() || behind.is_some();
         let is_in_turn = !engine.is_one_by_one() || !is_turn_taken && is_open;
+        let needs_room = is_in_turn && missing > Mebibytes(0);
+        if needs_room && !close::can_make_room(cx, engine, beside, want, missing) {
+            crowded.insert(want.model.clone());
+            beside.pacing.forgo(cx, &LoadKey { engine: engine.id.clone(), model: want.model.clone() });
+        } else if needs_room && !has_share(cx, engine, beside, want) {
+            // What is loaded stays in use until the load can begin.
+            continue;
+        }
+        spoken_for += memory;
         if !is_in_turn {
             continue;
         }
-        if memory > free {
-            if close::make_room(cx, engine, beside, want, memory.saturating_sub(free)) {
-                is_turn_taken = true;
-            } else {
-                crowded.insert(want.model.clone());
-            }
+        if needs_room {
+            is_turn_taken |= close::make_room(cx, engine, beside, want, missing);
             continue;
         }
         let load = Order::Load { model: want.model.clone(), version: model.version.clone(), memory };
@@ -156,6 +161,21 @@
     engine.model(model).is_some_and(|seen| seen.adapters.iter().any(|a| a.adapter == *adapter))
 }
 
+/// Tells whether a load of a model needs a share of the weight store.
+fn needs_share(engine: &Engine, want: &Want) -> bool {
+    !engine.is_one_by_one() || !engine.has_copy(&want.model)
+}
+
+/// Tells whether a load of a model may begin as far as the weight store goes, and asks for its share.
+fn has_share(cx: &mut Cx<'_>, engine: &Engine, beside: &mut Beside<'_>, want: &Want) -> bool {
+    if !needs_share(engine, want) {
+        return true;
+    }
+    let key = LoadKey { engine: engine.id.clone(), model: want.model.clone() };
+    let urgency = Urgency { order: want.order, patience: want.deadline.remaining(cx.now) };
+    beside.pacing.request(cx, &key, urgency) == Slot::Granted
+}
+
 /// Sends a load once the weight store has a share for it and no other load is unanswered.
 fn begin(
     cx: &mut Cx<'_>,
@@ -172,11 +192,8 @@
     if engine.ledger.awaits_answer() || !is_free {
         return Begun::No;
     }
-    let key = LoadKey { engine: engine.id.clone(), model: want.model.clone() };
-    let urgency = Urgency { order: want.order, patience: want.deadline.remaining(cx.now) };
-    let is_paced =
-        !engine.is_one_by_one() || matches!(load, Order::Load { .. }) && !engine.has_copy(&want.model);
-    if is_paced && beside.pacing.request(cx, &key, urgency) == Slot::Waiting {
+    let is_paced = !engine.is_one_by_one() || matches!(load, Order::Load { .. }) && needs_share(engine, want);
+    if is_paced && !has_share(cx, engine, beside, want) {
         return Begun::No;
     }
     let begins = cx.now.after(turnaround::unload_remaining(engine, cx.now, beside.load_times));
@@ -198,7 +215,7 @@
     }
     engine.send(cx, permit, None, load);
     if is_paced {
-        beside.pacing.started(&key);
+        beside.pacing.started(&LoadKey { engine: engine.id.clone(), model: want.model.clone() });
     }
     beside.tally.loads += 1;
     Begun::Yes
--- a/crates/skylarkshore-core/src/loading/pacing.rs
+++ b/crates/skylarkshore-core/src/loading/pacing.rs
@@ -226,6 +226,13 @@
         cx.tell(&gate, wanted);
     }
 
+    /// Gives a share back that a load can't use, unless it has begun.
+    pub(crate) fn forgo(&mut self, cx: &mut Cx<'_>, key: &LoadKey) {
+        if self.asks.get(key).is_some_and(|ask| !ask.started) {
+            self.release(cx, key);
+        }
+    }
+
     /// Gives a slot back, or leaves the queue.
     pub(crate) fn release(&mut self, cx: &mut Cx<'_>, key: &LoadKey) {
         let Some(ask) = self.asks.remove(key) else { return };
--- a/crates/skylarkshore-core/tests/loading/slots.rs
+++ b/crates/skylarkshore-core/tests/loading/slots.rs
@@ -4,6 +4,7 @@
 
 use skylarkshore_core::id::{HostId, UpstreamId};
 use skylarkshore_core::peer::PeerMessage;
+use skylarkshore_core::upstream::Order;
 
 use crate::pace::{COPY_LOAD_TIME, PEER, ask, ask_from, engine, give_back, granted, rig};
 use crate::support::{ENGINE, Fate, LOAD_TIME, Rig, name};
@@ -172,3 +173,43 @@
     rig.hear(&former, &granted);
     assert!(is_returned(&rig, &former), "{:?}", rig.told);
 }
+
+/// Guards against a model that is unloaded long before the one that takes its
+/// place can be fetched, so that its callers are refused though it had a place.
+#[test]
+fn a_model_stays_in_use_until_the_load_that_needs_its_place_may_begin() {
+    let mut rig = Rig::one_by_one(&[("maize", 600), ("rye", 600)]);
+    rig.run_wanting(Duration::from_secs(1), PEER, "maize", 1);
+    rig.run(LOAD_TIME * 2);
+    assert_eq!(rig.engine.loads_of("maize"), 1, "{:?}", rig.notes);
+    for number in 2..=9 {
+        rig.add_member(&format!("entry-{number}"));
+    }
+    let gate = wait_at_gate(&mut rig, "rye", Duration::from_secs(3));
+    let unloads = rig.engine.done.iter().filter(|order| matches!(order, Order::Unload { .. })).count();
+    assert_eq!(unloads, 0, "{:?}", rig.notes);
+    rig.hear(&gate, &PeerMessage::LoadSlotGranted { upstream: name(ENGINE), model: name("rye") });
+    rig.run_wanting(Duration::from_secs(2), PEER, "rye", 1);
+    assert_eq!(rig.engine.loads_of("rye"), 1, "{:?}", rig.notes);
+}
+
+/// Has another process keep a load waiting for its slot, and returns that process.
+fn wait_at_gate(rig: &mut Rig, model: &str, time: Duration) -> HostId {
+    const STEP: Duration = Duration::from_millis(100);
+    let mut gate = None;
+    for _ in 0..time.as_millis() / STEP.as_millis() {
+        rig.told.clear();
+        rig.want(PEER, model, 1);
+        rig.run(STEP);
+        let asked = rig.told.iter().find(|e| matches!(e.message, PeerMessage::LoadSlotWanted { .. }));
+        if let Some(asked) = asked.map(|envelope| envelope.to.clone()) {
+            let wait = Duration::from_secs(10);
+            rig.hear(
+                &asked,
+                &PeerMessage::LoadSlotQueued { upstream: name(ENGINE), model: name(model), wait },
+            );
+            gate = Some(asked);
+        }
+    }
+    gate.expect("a gate is asked")
+}
