Ask engines at rest seldom how they stand

Cause: an owner asked each of its engines twice a second, whatever they did.

Change: an engine that takes orders one at a time, runs nothing, has nothing under way and holds nothing that any host uses or awaits is asked every 10 s. Silence counts from the first question without an answer, no longer from the last answer.

Test: at most 15 questions in a minute, and a load as fast as before.

--- a/crates/skylarkshore-core/src/loading.rs
+++ b/crates/skylarkshore-core/src/loading.rs
@@ -132,6 +132,7 @@
                 if turnaround::end_due_loads(cx, engine) {
                     served.append(&mut load::note_ended(cx, engine, beside));
                 }
+                engine.is_in_use = is_in_use(engine, beside);
                 engine.keep_in_touch(cx, beside.authority.permit(cx.now, &engine.id));
                 decide(cx, engine, beside);
                 engine.count_idle(cx.now, beside.tally);
@@ -265,6 +266,13 @@
     }
 }
 
+/// Tells whether any host uses or awaits what an engine holds.
+fn is_in_use(engine: &Engine, beside: &Beside<'_>) -> bool {
+    let report = engine.report();
+    let mut held = report.into_iter().flat_map(|report| &report.models);
+    held.any(|seen| beside.demand.listeners(&seen.model).next().is_some())
+}
+
 /// Decides on loads and unloads of one engine, where this process may act.
 fn decide(cx: &mut Cx<'_>, engine: &mut Engine, beside: &mut Beside<'_>) {
     if engine.report().is_none() {
--- a/crates/skylarkshore-core/src/loading/engine.rs
+++ b/crates/skylarkshore-core/src/loading/engine.rs
@@ -69,6 +69,10 @@
     pub uncopied: OrderedSet<ModelName>,
     /// Models that were loaded ahead, with the last use before that.
     pub prewarmed: OrderedMap<ModelName, Time>,
+    /// Whether any host uses or awaits what the engine holds.
+    pub is_in_use: bool,
+    /// Since when the engine has been asked for a report in vain.
+    pub unanswered_since: Option<Time>,
     /// When the policy is to be asked again.
     pub next_review: Time,
     /// Models that wait for memory, power or the weight store, and when they should be ready.
@@ -136,6 +140,8 @@
             uncopied: OrderedSet::new(),
             prewarmed: OrderedMap::new(),
             next_review: now,
+            is_in_use: false,
+            unanswered_since: None,
             planned: OrderedMap::new(),
             crowded: OrderedSet::new(),
             counted: now,
@@ -269,10 +275,11 @@
             && !self.closing.contains_key(model)
     }
 
-    /// Tells whether the engine has been silent for too long.
+    /// Tells whether the engine has left questions unanswered for too long.
     pub(crate) fn is_silent(&self, now: Time, timeout: Duration) -> bool {
         let heard = self.seen.as_ref().map_or(self.acquired, |seen| seen.heard);
-        heard.after(timeout).is_due(now)
+        let since = self.unanswered_since.unwrap_or(now).max(heard);
+        since.after(timeout).is_due(now)
     }
 
     /// Tells whether the engine gets no new work.
--- a/crates/skylarkshore-core/src/loading/engine/contact.rs
+++ b/crates/skylarkshore-core/src/loading/engine/contact.rs
@@ -17,6 +17,10 @@
 const REPORT_AHEAD: Duration = Duration::from_millis(50);
 /// How many times as often reports are asked for while a load is under way.
 const REPORTS_WHILE_LOADING: u32 = 4;
+/// How many times as seldom reports are asked of an engine that takes orders one at a time and is at rest.
+///
+/// Nothing changes there without an order, and its registration tells of its end.
+const REPORTS_AT_REST: u32 = 20;
 
 impl Engine {
     /// Gives up for lost the orders whose answer never came.
@@ -29,6 +33,9 @@
 
     /// Raises the fence and asks for reports when these are due.
     pub(crate) fn keep_in_touch(&mut self, cx: &mut Cx<'_>, permit: Option<Permit>) {
+        if !self.is_at_rest() {
+            self.next_ask = self.next_ask.min(cx.now.after(cx.cfg.timings.report_every));
+        }
         if let (Phase::RaisingFence { order, retry }, Some(permit)) = (self.phase, permit)
             && retry.is_due(cx.now)
         {
@@ -52,11 +59,24 @@
         // asked for all along, they were 37,000 calls in a day of 48 s at 112 engines.
         let is_awaited =
             if self.is_one_by_one() { self.awaits_report(cx.now) } else { !self.loads.is_empty() };
-        let every = if is_awaited { every / REPORTS_WHILE_LOADING } else { every };
+        let every = match is_awaited {
+            true => every / REPORTS_WHILE_LOADING,
+            false if self.is_at_rest() => every * REPORTS_AT_REST,
+            false => every,
+        };
         self.next_ask = cx.now.after(every);
+        self.unanswered_since.get_or_insert(cx.now);
         cx.push(Effect::AskReport { upstream: self.id.clone() });
     }
 
+    /// Tells whether nothing runs, waits or is under way here, and nobody is interested.
+    fn is_at_rest(&self) -> bool {
+        let is_quiet =
+            self.report().is_some_and(|report| !report.busy && report.running == 0 && report.waiting == 0);
+        let is_done = self.ledger.is_empty() && self.loads.is_empty() && self.closing.is_empty();
+        self.is_one_by_one() && !self.is_in_use && is_quiet && is_done && self.accepted.is_some()
+    }
+
     /// Tells whether something can only go on once a new report comes.
     pub(super) fn awaits_report(&self, now: Time) -> bool {
         let expected = self.loads.values().map(|load| load.expected).min();
--- a/crates/skylarkshore-core/src/loading/engine/reports.rs
+++ b/crates/skylarkshore-core/src/loading/engine/reports.rs
@@ -149,6 +149,7 @@
 
     /// Takes a report over; tells what else it means.
     pub(crate) fn take_report(&mut self, now: Time, asked: Time, report: &EngineReport) -> ReportNews {
+        self.unanswered_since = None;
         if let Phase::FenceRaised { at } = self.phase
             && asked >= at
         {
--- a/crates/skylarkshore-core/tests/loading/one_by_one.rs
+++ b/crates/skylarkshore-core/tests/loading/one_by_one.rs
@@ -196,3 +196,18 @@
     rig.run_wanting(Duration::from_secs(3), "entry-2", "rye", 1);
     assert_eq!(loads(&rig), ["rye"], "{:?}", rig.notes);
 }
+
+/// Guards against questions to thousands of engines that nobody uses, each of
+/// which takes their time and the host's.
+#[test]
+fn an_engine_at_rest_is_seldom_asked_how_it_stands() {
+    let mut rig = Rig::one_by_one(&[("maize", 300)]);
+    rig.run(Duration::from_secs(2));
+    let before = rig.reports_asked;
+    rig.run(Duration::from_secs(60));
+    let asked = rig.reports_asked - before;
+    assert!(asked <= 15, "{asked} questions in a minute");
+    rig.want("entry-2", "maize", 1);
+    rig.run(LOAD_TIME + Duration::from_secs(1));
+    assert!(rig.shows("entry-2", "maize", "Ready"), "{:?}", rig.notes);
+}
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -123,6 +123,8 @@
     pub told: Vec<Envelope>,
     /// Notes for the operators.
     pub notes: Vec<Note>,
+    /// How many reports were asked for.
+    pub reports_asked: usize,
     /// Whether the engine's reports get lost.
     pub reports_away: bool,
     /// Whether messages to the weight-store gate get lost.
@@ -153,6 +155,7 @@
         default_rules: Rules::default(),
         watchers: Watchers::default(),
         capacity: Capacity::default(),
+        leaving_notice: Duration::from_secs(2),
     }
 }
 
@@ -220,6 +223,7 @@
             held: Vec::new(),
             told: Vec::new(),
             notes: Vec::new(),
+            reports_asked: 0,
             reports_away: false,
             gate_away: false,
             cfg,
@@ -520,6 +524,7 @@
                 self.carry(effects, order, &action);
             }
             Effect::AskReport { .. } => {
+                self.reports_asked += 1;
                 let is_heard = self.engine.up && !self.reports_away;
                 let report = is_heard.then(|| self.engine.report(self.now));
                 let asked = self.now;
