Have a tree of hosts pass news on, and peers tell a host that starts everything

Cause: one reader of a data centre sent every change, as the service's JSON, to each of some 200 hosts, and at the start every host read all keys for itself: 7 MB from the service for each of 985 hosts takes its link a minute. With the code untouched no host of the fleet was ready 50 s after its start.

Change: the members of a data centre form a tree by capacity, with 2 to 16 children each; the root reads, everyone passes on what it hears, whoever hears nothing reads for itself and passes that on. Items travel as they are and compressed. Where members are many, a host that starts reads only who they are and asks its parent for the rest; so does one that missed news. What all are to hear (an upstream leaves, requests lost with one) goes by way of the trees. Heartbeats no longer pull shared keys where news is relayed; a host that hears nothing asks whoever knows more for everything.

Ruled out: waiting for the parent where there is none (a replica's leaving was heeded late); ending the watch of a host that is cut off from the service (it then took no peer's news).

--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -2,6 +2,7 @@
 
 mod backoff;
 mod budget;
+mod catch_up;
 mod feed;
 pub(crate) mod hashing;
 mod holdings;
@@ -12,14 +13,16 @@
 mod peers;
 mod placement;
 mod power;
-mod relay;
+pub(crate) mod relay;
 mod report;
 mod roster;
 mod shares;
+mod tree;
 mod vacancy;
 
 use std::time::Duration;
 
+use catch_up::CatchUp;
 use feed::Feed;
 use homes::Homes;
 use knowledge::Knowledge;
@@ -55,6 +58,7 @@
     membership: Membership,
     peers: Peers,
     feed: Feed,
+    catch_up: CatchUp,
     relay: Relay,
     roster: Roster,
     ownership: Ownership,
@@ -79,6 +83,7 @@
             membership: Membership::new(),
             peers: Peers::default(),
             feed: Feed::default(),
+            catch_up: CatchUp::default(),
             relay: Relay::default(),
             roster: Roster::default(),
             ownership: Ownership::default(),
@@ -100,7 +105,7 @@
 
     /// Begins the lease and the first read of the shared keys.
     pub fn start(&mut self, cx: &mut Cx<'_>) {
-        self.feed.start(cx);
+        self.catch_up.start(cx, &mut self.feed);
         self.membership.on_tick(cx);
     }
 
@@ -109,6 +114,7 @@
         self.membership.on_tick(cx);
         self.peers.on_tick(cx, self.own_state());
         self.feed.on_tick(cx);
+        self.catch_up.on_tick(cx, &mut self.feed);
         self.relay.on_tick(cx);
         if self.last_review.after(self.review_every(engines)).is_due(cx.now) {
             self.review(cx, engines);
@@ -134,7 +140,8 @@
     }
 
     /// Takes news that this process has read itself.
-    pub fn on_news_read(&self, cx: &mut Cx<'_>, news: &News) {
+    pub fn on_news_read(&mut self, cx: &mut Cx<'_>, news: &News) {
+        self.feed.note_told(cx.now);
         self.relay.on_read(cx, news);
     }
 
@@ -167,6 +174,8 @@
     pub fn on_store(&mut self, cx: &mut Cx<'_>, call: CallId, result: &StoreResult) {
         self.membership.on_store(cx, call, result);
         self.feed.on_store(cx, call, result);
+        self.catch_up.on_store(cx, &mut self.feed, call, result);
+        self.catch_up.on_synced(cx, &self.feed);
     }
 
     /// Takes the outcome of a write of a member, owner, homes or power key.
@@ -194,6 +203,19 @@
         }
     }
 
+    /// Takes note that a peer has told every shared key.
+    pub fn on_state(&mut self, cx: &mut Cx<'_>, upto: StoreRevision) {
+        self.feed.on_state(cx, upto);
+        self.catch_up.on_synced(cx, &self.feed);
+    }
+
+    /// Asks for everything, since news from peers doesn't go on where the last one ended.
+    pub fn on_news_missed(&self, cx: &mut Cx<'_>) {
+        if self.feed.is_synced() {
+            self.relay.ask_parent(cx);
+        }
+    }
+
     /// Takes note that the watch may have missed changes.
     pub fn on_watch_broken(&mut self, cx: &mut Cx<'_>) {
         self.feed.on_watch_broken(cx);
@@ -224,6 +246,15 @@
     pub fn on_peer(&mut self, cx: &mut Cx<'_>, from: &HostId, message: &PeerMessage) {
         self.peers.on_peer(cx, from, message);
         self.feed.on_peer(cx, from, message);
+        self.catch_up.on_peer(cx, &self.feed, from, message);
+        match message {
+            PeerMessage::News(news) => {
+                self.feed.note_told(cx.now);
+                self.relay.on_news(cx, from, news);
+            }
+            PeerMessage::Spread { .. } => self.relay.on_spread(cx, from, message),
+            _ => {}
+        }
         if let PeerMessage::PowerWanted { site, watts, .. } = message {
             self.power.on_wanted(cx, site, *watts);
             self.changed = true;
@@ -270,7 +301,7 @@
     }
 
     fn review(&mut self, cx: &mut Cx<'_>, engines: &dyn EngineUse) {
-        self.changed = false;
+        let has_changed = std::mem::take(&mut self.changed);
         self.last_review = cx.now;
         self.review_members(cx);
         if !self.membership.is_gone() {
@@ -287,6 +318,7 @@
             roster: &self.roster,
             eligible: &self.eligible,
             eligible_since: self.eligible_since,
+            has_changed,
         };
         self.ownership.review(cx, &knowledge, engines);
         self.homes.review(cx, &knowledge, &self.ownership, engines);
--- /dev/null
+++ b/crates/skylarkshore-core/src/control/catch_up.rs
@@ -0,0 +1,166 @@
+//! How a process that starts learns all that the key-value service holds.
+//!
+//! Where all processes start together, the service would send everything to each
+//! of them, and its link would be busy with that for longer than callers wait.
+//! In a large fleet a process reads only who the members are, and asks one of
+//! them for the rest; where nobody answers it reads for itself.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::feed::Feed;
+use super::tree::{Tree, roots};
+use crate::config::Watchers;
+use crate::cx::Cx;
+use crate::effect::Effect;
+use crate::id::{CallId, HostId, StoreRevision};
+use crate::peer::{PeerMessage, StatePart};
+use crate::store::{Key, StoreAnswer, StoreCall, StoreResult};
+use crate::time::Time;
+
+/// From how many members on they are asked rather than the service.
+const MANY_MEMBERS: usize = 64;
+/// How long a process that starts waits before it asks, so that others that start with it are registered.
+const FIRST_ASK_AFTER: Duration = Duration::from_millis(500);
+/// After how long without an answer another member is asked.
+const ASK_AGAIN_AFTER: Duration = Duration::from_secs(1);
+/// How many members are asked, and how often it is waited for one of them to know more itself.
+const MOST_ASKS: u32 = 6;
+
+#[derive(Clone, Debug)]
+enum Stage {
+    /// The members are being read.
+    ReadingMembers { call: CallId },
+    /// Somebody is to be asked.
+    Resting { until: Time },
+    /// The member key of the one to ask is being read, since it may have just started too.
+    Looking { call: CallId, host: HostId, lost_at: Time },
+}
+
+/// How far this process has come with learning everything, and who waits for it.
+#[derive(Debug, Default)]
+pub(super) struct CatchUp {
+    stage: Option<Stage>,
+    asks: u32,
+    /// Members that asked before this process knew everything itself.
+    waiting: Vec<HostId>,
+}
+
+impl CatchUp {
+    /// Begins to learn everything.
+    pub(super) fn start(&mut self, cx: &mut Cx<'_>, feed: &mut Feed) {
+        if cx.cfg.watchers != Watchers::Relayed {
+            return feed.read(cx);
+        }
+        let call = cx.next_call();
+        self.stage = Some(Stage::ReadingMembers { call });
+        cx.push(Effect::Store { call, request: StoreCall::ReadMembers });
+    }
+
+    /// Takes the result of a call if it is one of this part.
+    pub(super) fn on_store(&mut self, cx: &mut Cx<'_>, feed: &mut Feed, call: CallId, result: &StoreResult) {
+        match self.stage.clone() {
+            Some(Stage::ReadingMembers { call: own }) if own == call => {
+                let is_known = matches!(result, Ok(StoreAnswer::Members(_)));
+                if !is_known || cx.cache.members().nth(MANY_MEMBERS).is_none() || Tree::of(cx).is_root {
+                    self.stage = None;
+                    return feed.read(cx);
+                }
+                feed.await_state(cx);
+                self.stage = Some(Stage::Resting { until: cx.now.after(cx.jitter(FIRST_ASK_AFTER)) });
+            }
+            Some(Stage::Looking { call: own, host, .. }) if own == call => {
+                if matches!(result, Ok(StoreAnswer::One(found)) if found.record.is_some()) {
+                    cx.tell(&host, PeerMessage::StateWanted);
+                }
+                self.stage = Some(Stage::Resting { until: cx.now.after(ASK_AGAIN_AFTER) });
+            }
+            _ => {}
+        }
+    }
+
+    /// Asks the next member when that is due.
+    pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>, feed: &mut Feed) {
+        if feed.is_synced() || !feed.is_store_reachable() {
+            self.stage = None;
+            return;
+        }
+        match &self.stage {
+            Some(Stage::Resting { until }) if until.is_due(cx.now) => self.ask(cx, feed),
+            Some(Stage::Looking { lost_at, .. }) if lost_at.is_due(cx.now) => self.ask(cx, feed),
+            _ => {}
+        }
+    }
+
+    /// Begins to ask a member, or reads everything where enough have been asked.
+    fn ask(&mut self, cx: &mut Cx<'_>, feed: &mut Feed) {
+        let host = self.next_to_ask(cx).filter(|_| self.asks < MOST_ASKS);
+        let Some(host) = host else {
+            self.stage = None;
+            return feed.read(cx);
+        };
+        self.asks += 1;
+        let call = cx.next_call();
+        let lost_at = cx.now.after(cx.cfg.timings.store_timeout * 2);
+        cx.push(Effect::Store { call, request: StoreCall::Read(Key::Member(host.clone())) });
+        self.stage = Some(Stage::Looking { call, host, lost_at });
+    }
+
+    /// Returns whom to ask: the parent first, then the roots, and at last anybody.
+    fn next_to_ask(&self, cx: &mut Cx<'_>) -> Option<HostId> {
+        let parent = Tree::of(cx).parent;
+        let mut known: Vec<HostId> = parent.into_iter().chain(roots(cx)).collect();
+        known.retain(|host| *host != cx.cfg.host);
+        if let Some(host) = known.get(self.asks as usize) {
+            return Some(host.clone());
+        }
+        let others = cx.cache.members().map(|(host, _)| host).filter(|host| **host != cx.cfg.host);
+        let others: Vec<&HostId> = others.collect();
+        (!others.is_empty()).then(|| others[cx.rng.random_range(0..others.len())].clone())
+    }
+
+    /// Takes a peer's message, where it concerns this part.
+    pub(super) fn on_peer(&mut self, cx: &mut Cx<'_>, feed: &Feed, from: &HostId, message: &PeerMessage) {
+        match message {
+            PeerMessage::StateWanted if feed.is_synced() => tell_state(cx, feed, vec![from.clone()]),
+            PeerMessage::StateWanted => {
+                if !self.waiting.contains(from) {
+                    self.waiting.push(from.clone());
+                }
+                cx.tell(from, PeerMessage::StateComing);
+            }
+            PeerMessage::StateComing => {
+                if let Some(Stage::Resting { until }) = &mut self.stage {
+                    *until = cx.now.after(ASK_AGAIN_AFTER * 2);
+                    cx.push(Effect::AwaitState);
+                }
+            }
+            PeerMessage::State(part) => self.on_part(cx, part),
+            _ => {}
+        }
+    }
+
+    /// Takes a part of the state, and gives the next ones time to come.
+    fn on_part(&mut self, cx: &mut Cx<'_>, part: &StatePart) {
+        if let Some(Stage::Resting { until }) = &mut self.stage {
+            *until = cx.now.after(ASK_AGAIN_AFTER);
+        }
+        cx.push(Effect::TakeState(part.clone()));
+    }
+
+    /// Tells those who have waited, now that everything is known.
+    pub(super) fn on_synced(&mut self, cx: &mut Cx<'_>, feed: &Feed) {
+        let waiting = std::mem::take(&mut self.waiting);
+        if feed.is_synced() && !waiting.is_empty() {
+            tell_state(cx, feed, waiting);
+        }
+    }
+}
+
+fn tell_state(cx: &mut Cx<'_>, feed: &Feed, to: Vec<HostId>) {
+    let everything = cx.cache.changes_after(StoreRevision(0));
+    let records = everything.filter(|entry| entry.record.is_some()).cloned().collect();
+    let series = cx.rng.random();
+    cx.push(Effect::TellState { to, series, upto: feed.frontier(), records });
+}
--- a/crates/skylarkshore-core/src/control/feed.rs
+++ b/crates/skylarkshore-core/src/control/feed.rs
@@ -9,6 +9,7 @@
 use super::backoff::Backoff;
 use super::hashing;
 use super::peers::{Peers, neighbours};
+use super::tree::Tree;
 use crate::config::Watchers;
 use crate::cx::Cx;
 use crate::effect::Effect;
@@ -30,6 +31,8 @@
 const ASK_EVERY: Duration = Duration::from_millis(300);
 /// How long a peer may lag behind before it is sent what it lacks unasked.
 const USUAL_LAG: Duration = Duration::from_millis(1500);
+/// How often at most a process that hears no news asks for everything.
+const ASK_STATE_EVERY: Duration = Duration::from_secs(3);
 /// How many times the time-out of a call its answer is waited for.
 const LOST_AFTER_TIMEOUTS: u32 = 3;
 
@@ -63,6 +66,9 @@
     last_snapshot: Option<StoreRevision>,
     synced_at: Time,
     next_ask: Time,
+    /// When news was last heard or read, be it that nothing has changed.
+    told_at: Time,
+    next_state_ask: Time,
 }
 
 impl Feed {
@@ -91,12 +97,29 @@
         self.watch.map(|watch| watch.since)
     }
 
-    /// Reads every shared key for the first time.
-    pub(super) fn start(&mut self, cx: &mut Cx<'_>) {
+    /// Reads every shared key.
+    pub(super) fn read(&mut self, cx: &mut Cx<'_>) {
         self.wants_read = true;
         self.read_when_due(cx);
     }
 
+    /// Waits for a peer to tell every shared key, and for news after that.
+    pub(super) fn await_state(&mut self, cx: &mut Cx<'_>) {
+        self.watch = Some(Watch { upto: StoreRevision(0), since: cx.now });
+        cx.push(Effect::AwaitState);
+        cx.push(Effect::Watch { from: StoreRevision(0) });
+    }
+
+    /// Takes note that a peer has told every shared key.
+    pub(super) fn on_state(&mut self, cx: &mut Cx<'_>, upto: StoreRevision) {
+        if let Some(watch) = &mut self.watch {
+            watch.upto = watch.upto.max(upto);
+        }
+        self.wants_read = false;
+        self.told_at = cx.now;
+        self.take_snapshot(cx, upto);
+    }
+
     /// Does what is due.
     pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>) {
         if self.next_expected.is_due(cx.now) {
@@ -128,6 +151,11 @@
         self.take_snapshot(cx, *revision);
     }
 
+    /// Takes note that a peer or the service itself has told what is new, or that nothing is.
+    pub(super) const fn note_told(&mut self, now: Time) {
+        self.told_at = now;
+    }
+
     /// Passes on what the watch has seen to the members of this data centre.
     pub(super) fn on_watched(&mut self, cx: &mut Cx<'_>, changes: Vec<Versioned>, upto: StoreRevision) {
         let Some(watch) = &mut self.watch else { return };
@@ -135,7 +163,9 @@
         watch.upto = watch.upto.max(upto);
         let settled =
             cx.cfg.watchers == Watchers::OnePerDataCentre && watch.since.after(SETTLED_AFTER).is_due(cx.now);
-        self.frontier = self.frontier.max(upto);
+        if self.is_synced() && upto > self.frontier {
+            self.frontier = upto;
+        }
         if changes.is_empty() || !settled {
             return;
         }
@@ -178,6 +208,9 @@
     /// Answers a peer that is behind, and asks one that is ahead.
     pub(super) fn on_peer(&mut self, cx: &mut Cx<'_>, from: &HostId, message: &PeerMessage) {
         match message {
+            PeerMessage::Heartbeat { store, .. } if cx.cfg.watchers == Watchers::Relayed => {
+                self.ask_if_cut_off(cx, from, *store);
+            }
             PeerMessage::Heartbeat { store, .. } if *store > self.frontier => self.ask(cx, from),
             PeerMessage::Heartbeat { store, .. } if *store < self.expected => self.answer(cx, from, *store),
             PeerMessage::RecordsWanted { after } => self.answer(cx, from, *after),
@@ -201,6 +234,18 @@
         }
     }
 
+    /// Asks a peer that knows more for everything, where neither service nor parent have told anything.
+    fn ask_if_cut_off(&mut self, cx: &mut Cx<'_>, from: &HostId, store: StoreRevision) {
+        if store <= self.frontier || !self.is_synced() {
+            return;
+        }
+        let is_silent = self.told_at.after(cx.cfg.leaving_notice * 3 / 5).is_due(cx.now);
+        if is_silent && self.next_state_ask.is_due(cx.now) {
+            self.next_state_ask = cx.now.after(ASK_STATE_EVERY);
+            cx.tell(from, PeerMessage::StateWanted);
+        }
+    }
+
     fn ask(&mut self, cx: &mut Cx<'_>, from: &HostId) {
         if !self.next_ask.is_due(cx.now) {
             return;
@@ -241,6 +286,9 @@
             Some(_) if !wanted => self.stop(cx),
             None if wanted && self.is_synced() && !self.wants_read => {
                 self.watch = Some(Watch { upto: self.frontier, since: cx.now });
+                if cx.cfg.watchers == Watchers::Relayed && Tree::of(cx).parent.is_some() {
+                    cx.push(Effect::AwaitState);
+                }
                 cx.push(Effect::Watch { from: self.frontier.next() });
             }
             _ => {}
--- a/crates/skylarkshore-core/src/control/knowledge.rs
+++ b/crates/skylarkshore-core/src/control/knowledge.rs
@@ -8,6 +8,11 @@
 use crate::id::HostId;
 use crate::time::Time;
 
+/// How many engines a host looks after at least, where there are as many.
+const ENGINES_PER_HOST: usize = 4;
+/// Up to how many engines all are looked after, however few the hosts.
+const FEW_ENGINES: usize = 512;
+
 /// What the decisions on ownership, homes and power look at beside [`Cx`].
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Knowledge<'a> {
@@ -19,9 +24,22 @@
     pub(super) eligible: &'a [HostId],
     /// When they last changed.
     pub(super) eligible_since: Time,
+    /// Whether members, engines or records have changed since the last review.
+    pub(super) has_changed: bool,
 }
 
 impl Knowledge<'_> {
+    /// Tells whether there are more engines than the hosts can look after, and need to.
+    pub(super) fn has_spare_engines(&self, cx: &Cx<'_>) -> bool {
+        let engines = cx.upstreams.engines();
+        engines > FEW_ENGINES && engines > self.engines_looked_after()
+    }
+
+    /// Returns how many engines the hosts look after at least, where there are as many.
+    pub(super) fn engines_looked_after(&self) -> usize {
+        self.eligible.len() * ENGINES_PER_HOST
+    }
+
     /// Tells whether this process may write decisions now.
     ///
     /// It has to know the shared keys, and its own member key has to stand:
--- a/crates/skylarkshore-core/src/control/placement.rs
+++ b/crates/skylarkshore-core/src/control/placement.rs
@@ -124,12 +124,7 @@
 }
 
 impl<'a> Table<'a> {
-    fn new(
-        document: &Document,
-        cache: &StoreCache,
-        upstreams: &'a UpstreamList,
-        roster: &'a Roster,
-    ) -> Self {
+    fn new(document: &Document, cache: &StoreCache, upstreams: &'a UpstreamList, roster: &'a Roster) -> Self {
         let loads = loads(document, cache);
         let mut table = Self { engines: Vec::new(), near: HashMap::default() };
         for (id, known) in roster.iter().filter(|(_, known)| known.is_live()) {
--- a/crates/skylarkshore-core/src/control/relay.rs
+++ b/crates/skylarkshore-core/src/control/relay.rs
@@ -1,33 +1,38 @@
 //! News of the key-value service that one process of a data centre reads and passes on to the others.
 //!
 //! Where every process looks for news itself, each change costs as many calls
-//! as there are processes. With the relay the first few of a ranking pass on
-//! what they read; whoever hears nothing for a while reads for itself, so that
-//! nobody depends on another one for longer than that.
+//! as there are processes. With the relay the root of a tree reads, and each
+//! process passes on what it hears to its children; whoever hears nothing for a
+//! while reads for itself and passes that on, so that nobody depends on another
+//! one for longer than that.
 
 use std::time::Duration;
 
-use super::hashing::ranking_by_capacity;
-use super::peers::neighbours;
+use super::tree::{Tree, roots};
 use crate::config::Watchers;
 use crate::cx::Cx;
 use crate::effect::Effect;
-use crate::id::HostId;
+use crate::id::{HostId, StoreRevision};
 use crate::peer::{News, PeerMessage};
 use crate::time::Time;
 
-/// How many processes of a data centre pass on what they read.
-///
-/// All but the first do so only while they hear nothing, as only then they read.
-const READERS: usize = 2;
-/// How often the ranking is worked out anew.
+/// How often the tree is worked out anew.
 const REVIEW_EVERY: Duration = Duration::from_secs(1);
+/// How often a process that has just started does so, which learns of most members then.
+const REVIEW_EARLY: Duration = Duration::from_millis(200);
+/// For how long a process has just started.
+const EARLY: Duration = Duration::from_secs(5);
+/// Up to how many members each is told by itself of what all are to hear.
+const FEW_MEMBERS: usize = 64;
 
-/// Whether this process passes on what it reads.
+/// This process's part in passing news on.
 #[derive(Debug, Default)]
 pub(super) struct Relay {
-    rank: Option<usize>,
+    tree: Tree,
+    started: Option<Time>,
     due: Time,
+    /// Up to where news has been passed on.
+    passed: StoreRevision,
 }
 
 impl Relay {
@@ -36,30 +41,67 @@
         if cx.cfg.watchers != Watchers::Relayed || !self.due.is_due(cx.now) {
             return;
         }
-        self.due = cx.now.after(REVIEW_EVERY);
-        let members = cx.cache.members().filter(|(_, member)| !member.leaving);
-        let near = members.filter(|(_, member)| member.data_centre == cx.cfg.data_centre);
-        let ranked = ranking_by_capacity(&format!("news/{}", cx.cfg.data_centre), near);
-        let rank = ranked.iter().position(|host| **host == cx.cfg.host);
-        let was_first = self.is_first();
-        self.rank = rank;
-        if self.is_first() != was_first {
-            cx.push(Effect::ReadNewsForOthers(self.is_first()));
+        let started = *self.started.get_or_insert(cx.now);
+        let is_early = !started.after(EARLY).is_due(cx.now);
+        self.due = cx.now.after(if is_early { REVIEW_EARLY } else { REVIEW_EVERY });
+        let was_root = self.tree.is_root;
+        self.tree = Tree::of(cx);
+        if self.tree.is_root != was_root {
+            cx.push(Effect::ReadNewsForOthers(self.tree.is_root));
         }
     }
 
     /// Passes on what this process has read.
-    pub(super) fn on_read(&self, cx: &mut Cx<'_>, news: &News) {
-        if self.rank.is_none_or(|rank| rank >= READERS) {
-            return;
+    pub(super) fn on_read(&mut self, cx: &mut Cx<'_>, news: &News) {
+        self.tell_children(cx, news);
+    }
+
+    /// Passes on what a peer has told.
+    ///
+    /// While two processes know different members, each may take itself for the
+    /// other's parent. So nothing is passed on twice, unless it comes from the
+    /// parent: then it shows the children that nothing has changed.
+    pub(super) fn on_news(&mut self, cx: &mut Cx<'_>, from: &HostId, news: &News) {
+        if news.upto > self.passed || self.is_parent(from) {
+            self.tell_children(cx, news);
+        }
+    }
+
+    /// Passes on what all processes are to hear.
+    pub(super) fn on_spread(&self, cx: &mut Cx<'_>, from: &HostId, message: &PeerMessage) {
+        if self.tree.is_root || self.is_parent(from) {
+            for child in &self.tree.children {
+                cx.tell(child, message.clone());
+            }
         }
-        let others: Vec<HostId> = neighbours(cx).collect();
-        for host in others {
-            cx.tell(&host, PeerMessage::News(news.clone()));
+    }
+
+    /// Asks the parent for everything.
+    pub(super) fn ask_parent(&self, cx: &mut Cx<'_>) {
+        if let Some(parent) = &self.tree.parent {
+            cx.tell(parent, PeerMessage::StateWanted);
         }
     }
 
-    fn is_first(&self) -> bool {
-        self.rank == Some(0)
+    fn is_parent(&self, host: &HostId) -> bool {
+        self.tree.parent.as_ref() == Some(host)
+    }
+
+    fn tell_children(&mut self, cx: &mut Cx<'_>, news: &News) {
+        self.passed = self.passed.max(news.upto);
+        for child in &self.tree.children {
+            cx.tell(child, PeerMessage::News(news.clone()));
+        }
+    }
+}
+
+/// Sends a message to every other live member, by way of the trees where there are many.
+pub(crate) fn tell_everyone(cx: &mut Cx<'_>, message: &PeerMessage) {
+    if cx.cfg.watchers != Watchers::Relayed || cx.cache.members().nth(FEW_MEMBERS).is_none() {
+        return cx.tell_all(message);
+    }
+    let spread = PeerMessage::Spread { origin: cx.cfg.host.clone(), message: Box::new(message.clone()) };
+    for root in roots(cx) {
+        cx.tell(&root, spread.clone());
     }
 }
--- a/crates/skylarkshore-core/src/effect.rs
+++ b/crates/skylarkshore-core/src/effect.rs
@@ -8,9 +8,9 @@
 use crate::id::{
     AttemptId, CallId, Fence, HostId, Incarnation, OrderId, RequestId, StoreRevision, UpstreamId,
 };
-use crate::peer::{Envelope, News};
+use crate::peer::{Envelope, News, StatePart};
 use crate::rules::ServiceOrder;
-use crate::store::{RecordedAnswer, StoreCall};
+use crate::store::{RecordedAnswer, StoreCall, Versioned};
 use crate::time::Time;
 use crate::upstream::Order;
 
@@ -127,6 +127,21 @@
     TakeNews(News),
     /// Read news often, since others wait for it, or as seldom as for this process alone.
     ReadNewsForOthers(bool),
+    /// Tell peers all that the key-value service holds.
+    TellState {
+        /// Whom to tell.
+        to: Vec<HostId>,
+        /// What the parts are to have in common.
+        series: u64,
+        /// The revision up to which nothing is missing.
+        upto: StoreRevision,
+        /// The shared keys; the platform's part adds what it knows beside them.
+        records: Vec<Versioned>,
+    },
+    /// Take a part of all that the key-value service holds, from a peer.
+    TakeState(StatePart),
+    /// Go on waiting for a peer's state.
+    AwaitState,
     /// Send a message to a peer.
     Peer(Envelope),
     /// Find out whether a life of a process has ended for certain.
--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -172,6 +172,15 @@
         /// What became of it.
         result: StoreResult,
     },
+    /// A peer has told all that the key-value service holds.
+    State {
+        /// The revision up to which nothing is missing.
+        upto: StoreRevision,
+        /// Every shared key that has a value.
+        records: Vec<Versioned>,
+    },
+    /// News from peers doesn't go on where the last one ended.
+    NewsMissed,
     /// The watch has seen changes.
     Watched {
         /// The changes.
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -172,6 +172,9 @@
                 if let Ok(StoreAnswer::Shared { revision, records }) = &result {
                     self.take_snapshot(now, *revision, records.clone(), effects);
                 }
+                if let Ok(StoreAnswer::Members(records)) = &result {
+                    self.take_records(now, records.clone(), effects);
+                }
                 if let Ok(StoreAnswer::One(found)) = &result
                     && !matches!(found.key, Key::Once(_))
                 {
@@ -193,6 +196,13 @@
             Event::NewsRead(news) => {
                 self.with(now, effects, |cx, parts| parts.control.on_news_read(cx, &news));
             }
+            Event::State { upto, records } => {
+                self.take_snapshot(now, upto, records, effects);
+                self.with(now, effects, |cx, parts| parts.control.on_state(cx, upto));
+            }
+            Event::NewsMissed => {
+                self.with(now, effects, |cx, parts| parts.control.on_news_missed(cx));
+            }
             Event::WatchUnanswered => self.listing.silent(),
             Event::WatchBroken => {
                 self.listing.silent();
@@ -296,8 +306,16 @@
             self.take_batch(now, from, batch, effects);
             return;
         }
-        if let PeerMessage::News(news) = message {
-            effects.push(Effect::TakeNews(news));
+        if let PeerMessage::News(news) = &message {
+            effects.push(Effect::TakeNews(news.clone()));
+        }
+        if let PeerMessage::Spread { origin, message: inner } = &message {
+            let is_own = *origin == self.cfg.host;
+            let inner = (**inner).clone();
+            self.with(now, effects, |cx, parts| parts.control.on_peer(cx, from, &message));
+            if !is_own {
+                self.on_peer(now, &origin.clone(), inner, effects);
+            }
             return;
         }
         self.with(now, effects, |cx, parts| {
--- a/crates/skylarkshore-core/src/peer.rs
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -195,6 +195,19 @@
     Credit(CreditMessage),
     /// What the sender has read of the key-value service.
     News(News),
+    /// The sender has just started and asks for all that the key-value service holds.
+    StateWanted,
+    /// The sender doesn't know all of that itself yet, and will tell once it does.
+    StateComing,
+    /// A part of all that the key-value service holds.
+    State(StatePart),
+    /// Something that all processes are to hear; whoever hears it from its parent passes it on.
+    Spread {
+        /// Who says it.
+        origin: HostId,
+        /// What is said.
+        message: Box<PeerMessage>,
+    },
 }
 
 /// Changes at the key-value service, as it told them.
@@ -204,8 +217,23 @@
     pub after: StoreRevision,
     /// The revision up to which nothing is missing.
     pub upto: StoreRevision,
-    /// The service's own words; empty where nothing has changed.
-    pub body: Arc<str>,
+    /// The changes as the platform's part packs them; empty where nothing has changed.
+    pub body: Arc<[u8]>,
+}
+
+/// A part of all that the key-value service holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StatePart {
+    /// What parts have in common that were told together.
+    pub series: u64,
+    /// The revision up to which nothing is missing.
+    pub upto: StoreRevision,
+    /// Which part it is, from 0 on.
+    pub part: u32,
+    /// How many parts there are.
+    pub parts: u32,
+    /// The keys and values as the platform's part packs them.
+    pub body: Arc<[u8]>,
 }
 
 /// A message with its receiver.
--- a/crates/skylarkshore-core/src/serving/alone.rs
+++ b/crates/skylarkshore-core/src/serving/alone.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::config::SuspectPolicy;
+use crate::control::relay::tell_everyone;
 use crate::cx::Cx;
 use crate::effect::RefusalReason;
 use crate::event::Target;
@@ -127,7 +128,7 @@
         let digests = vec![request.arrival.digest];
         let (upstream, incarnation) = (run.upstream.clone(), run.life);
         self.suspects.count_loss(cx, &upstream, incarnation, &digests);
-        cx.tell_all(&PeerMessage::Suspects { upstream, incarnation, requests: digests, alone: false });
+        tell_everyone(cx, &PeerMessage::Suspects { upstream, incarnation, requests: digests, alone: false });
     }
 
     /// Takes a peer's word of suspects.
--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::config::SuspectPolicy;
+use crate::control::relay::tell_everyone;
 use crate::cx::Cx;
 use crate::effect::{Effect, RefusalReason};
 use crate::event::{AttemptEnd, Rejection, Target};
@@ -85,7 +86,7 @@
             _ => self.finish(cx, id),
         }
         if cleared {
-            cx.tell_all(&PeerMessage::Cleared { request: digest });
+            tell_everyone(cx, &PeerMessage::Cleared { request: digest });
             self.requeue_cleared(cx, digest);
         }
     }
@@ -146,7 +147,7 @@
             }
             (Rejection::Leaving, _) => {
                 if self.routes.note_leaving(cx.now, upstream) {
-                    cx.tell_all(&PeerMessage::UpstreamLeaving { upstream: upstream.clone() });
+                    tell_everyone(cx, &PeerMessage::UpstreamLeaving { upstream: upstream.clone() });
                 }
                 self.fail_once(cx, id, upstream);
                 return self.retry(cx, id, Cost::Free);
--- a/crates/skylarkshore-core/src/store.rs
+++ b/crates/skylarkshore-core/src/store.rs
@@ -191,6 +191,8 @@
 pub enum StoreCall {
     /// Read every key but [`Key::Once`] ones.
     ReadShared,
+    /// Read every [`Key::Member`].
+    ReadMembers,
     /// Read one key.
     Read(Key),
     /// Write one key if it is as expected.
@@ -222,6 +224,7 @@
     pub const fn name(&self) -> &'static str {
         match self {
             Self::ReadShared => "read_shared",
+            Self::ReadMembers => "read_members",
             Self::Read(_) => "read",
             Self::Write { .. } => "write",
             Self::GrantLease { .. } => "grant_lease",
@@ -241,6 +244,8 @@
         /// Every key that has a value.
         records: Vec<Versioned>,
     },
+    /// To [`StoreCall::ReadMembers`].
+    Members(Vec<Versioned>),
     /// To [`StoreCall::Read`].
     One(Versioned),
     /// The write took effect at this revision.
--- a/crates/skylarkshore-core/src/store/cache.rs
+++ b/crates/skylarkshore-core/src/store/cache.rs
@@ -16,6 +16,7 @@
     homes: OrderedMap<ModelName, Versioned>,
     others: OrderedMap<Key, Versioned>,
     newest: StoreRevision,
+    members_version: u64,
 }
 
 impl StoreCache {
@@ -34,7 +35,10 @@
 
     fn put(&mut self, change: Versioned) {
         match change.key.clone() {
-            Key::Member(host) => drop(self.members.insert(host, change)),
+            Key::Member(host) => {
+                self.members_version += 1;
+                self.members.insert(host, change);
+            }
             Key::Owner(engine) => drop(self.owners.insert(engine, change)),
             Key::Homes(model) => drop(self.homes.insert(model, change)),
             key => drop(self.others.insert(key, change)),
@@ -95,6 +99,11 @@
         member_of(self.members.get(host)?)
     }
 
+    /// Returns a number that rises with every change of a member's key.
+    pub const fn members_version(&self) -> u64 {
+        self.members_version
+    }
+
     /// Returns every live member.
     pub fn members(&self) -> impl Iterator<Item = (&HostId, &MemberRecord)> {
         self.members.iter().filter_map(|(host, entry)| Some((host, member_of(entry)?)))
--- a/crates/skylarkshore-core/tests/serving/queue.rs
+++ b/crates/skylarkshore-core/tests/serving/queue.rs
@@ -131,8 +131,10 @@
 fn an_outage_does_not_multiply_the_load() {
     let mut p = Process::new("a", 1);
     for n in 3..15 {
-        let replica =
-            Upstream { id: name(&format!("s{n}")), ..p.upstreams.get(&name::<UpstreamId>("s1")).unwrap().clone() };
+        let replica = Upstream {
+            id: name(&format!("s{n}")),
+            ..p.upstreams.get(&name::<UpstreamId>("s1")).unwrap().clone()
+        };
         p.upstreams.insert(replica);
     }
     let (mut arrived, mut sent) = (0, 0);
--- a/crates/skylarkshore-core/tests/support/cluster.rs
+++ b/crates/skylarkshore-core/tests/support/cluster.rs
@@ -1,6 +1,6 @@
 //! Several processes' control parts with a key-value service, engines and faults.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,7 +20,8 @@
 };
 use skylarkshore_core::units::{Capacity, Mebibytes, Watts};
 use skylarkshore_core::upstream::{
-    Copies, EngineSpec, FenceCheck, OrderMode, Standing, Upstream, UpstreamChanges, UpstreamKind, UpstreamList,
+    Copies, EngineSpec, FenceCheck, OrderMode, Standing, Upstream, UpstreamChanges, UpstreamKind,
+    UpstreamList,
 };
 
 use crate::process::{ACTIVE_WATTS, FakeEngines, Inbound, Process, SLEEP_WATTS};
@@ -74,6 +75,7 @@
         default_rules: Rules::default(),
         watchers: Watchers::default(),
         capacity: Capacity::default(),
+        leaving_notice: Duration::from_secs(2),
     }
 }
 
@@ -243,6 +245,16 @@
         self.processes.iter().filter(|(_, p)| p.holds(self.now, engine)).map(|(host, _)| host).collect()
     }
 
+    /// Returns the engines that are homes of any model.
+    pub fn homes(&self) -> Vec<UpstreamId> {
+        let homes = self.store.records().filter_map(|record| match record {
+            Record::Homes(homes) => Some(&homes.engines),
+            _ => None,
+        });
+        let homes: BTreeSet<&UpstreamId> = homes.flatten().collect();
+        homes.into_iter().cloned().collect()
+    }
+
     pub fn run(&mut self, time: Duration, mut check: impl FnMut(&mut Self)) {
         let end = self.now.after(time);
         while !end.is_due(self.now) {
--- a/crates/skylarkshore-core/tests/support/serving.rs
+++ b/crates/skylarkshore-core/tests/support/serving.rs
@@ -83,9 +83,10 @@
                 self.leases += 1;
                 StoreAnswer::Lease { lease: LeaseId(self.leases), ttl: *ttl }
             }
-            StoreCall::ReadShared | StoreCall::RenewLease(_) | StoreCall::RevokeLease(_) => {
-                StoreAnswer::LeaseGone
-            }
+            StoreCall::ReadShared
+            | StoreCall::ReadMembers
+            | StoreCall::RenewLease(_)
+            | StoreCall::RevokeLease(_) => StoreAnswer::LeaseGone,
         }
     }
 
@@ -135,6 +136,7 @@
             default_rules: Rules::default(),
             watchers: Watchers::default(),
             capacity: Capacity::default(),
+            leaving_notice: Duration::from_secs(2),
         };
         let mut process = Self {
             now: Time::from_millis(1000),
--- a/crates/skylarkshore-core/tests/support/store.rs
+++ b/crates/skylarkshore-core/tests/support/store.rs
@@ -37,6 +37,11 @@
         self.entries.get(key).and_then(|entry| entry.versioned.record.as_ref())
     }
 
+    /// Returns every record.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.entries.values().filter_map(|entry| entry.versioned.record.as_ref())
+    }
+
     /// Puts a record there from outside.
     pub fn put(&mut self, key: Key, record: Record) {
         self.change(key, Some(record), None, None);
@@ -57,6 +62,11 @@
                 revision: self.revision,
                 records: self.entries.values().map(|entry| entry.versioned.clone()).collect(),
             },
+            StoreCall::ReadMembers => {
+                let entries = self.entries.values().map(|entry| &entry.versioned);
+                let members = entries.filter(|found| matches!(found.key, Key::Member(_)));
+                StoreAnswer::Members(members.cloned().collect())
+            }
             StoreCall::Read(key) => StoreAnswer::One(self.get(&key)),
             StoreCall::Write { key, expect, record, writer, lease } => {
                 let found = self.get(&key);
--- a/crates/skylarkshore-host/src/driver/effects.rs
+++ b/crates/skylarkshore-host/src/driver/effects.rs
@@ -6,8 +6,8 @@
 use skylarkshore_core::collections::HashMap;
 use skylarkshore_core::effect::{Decision, Note, Refusal};
 use skylarkshore_core::id::{AttemptId, CallId, HostId, Incarnation, RequestId, StoreRevision, UpstreamId};
-use skylarkshore_core::peer::News;
-use skylarkshore_core::store::StoreCall;
+use skylarkshore_core::peer::{Envelope, News, PeerMessage, StatePart};
+use skylarkshore_core::store::{StoreCall, Versioned};
 use skylarkshore_core::upstream::{OrderAnswer, Upstream, UpstreamList};
 use skylarkshore_core::{Effect, Event};
 use slog::{debug, info};
@@ -45,6 +45,14 @@
         Box::pin(self.0.event(Event::NewsRead(news)))
     }
 
+    fn state(&self, upto: StoreRevision, records: Vec<Versioned>) -> BoxFuture<'_, ()> {
+        Box::pin(self.0.event(Event::State { upto, records }))
+    }
+
+    fn missed(&self) -> BoxFuture<'_, ()> {
+        Box::pin(self.0.event(Event::NewsMissed))
+    }
+
     fn unanswered(&self) -> BoxFuture<'_, ()> {
         Box::pin(self.0.event(Event::WatchUnanswered))
     }
@@ -76,6 +84,12 @@
             Effect::Watch { from } => self.watch(from),
             Effect::Unwatch => self.unwatch(),
             Effect::TakeNews(news) => self.store.take_news(news),
+            Effect::TakeState(part) => self.store.take_state(part),
+            Effect::AwaitState => self.store.await_state(),
+            Effect::TellState { to, series, upto, records } => {
+                let parts = self.store.state(series, upto, &records);
+                self.tell_state(&to, &parts);
+            }
             Effect::ReadNewsForOthers(is_wanted) => self.store.read_for_others(is_wanted),
             Effect::Peer(envelope) => self.peers.send(envelope),
             Effect::Probe { host, incarnation, address } => self.probe(host, incarnation, address),
@@ -139,6 +153,15 @@
         }
     }
 
+    fn tell_state(&self, to: &[HostId], parts: &[StatePart]) {
+        for part in parts {
+            for host in to {
+                let message = PeerMessage::State(part.clone());
+                self.peers.send(Envelope { to: host.clone(), message });
+            }
+        }
+    }
+
     fn call_store(&self, call: CallId, request: StoreCall) {
         let store = Arc::clone(&self.store);
         let inbox = self.env.inbox.clone();
--- a/crates/skylarkshore-host/src/store.rs
+++ b/crates/skylarkshore-host/src/store.rs
@@ -5,7 +5,7 @@
 use std::pin::Pin;
 
 use skylarkshore_core::id::StoreRevision;
-use skylarkshore_core::peer::News;
+use skylarkshore_core::peer::{News, StatePart};
 use skylarkshore_core::store::{StoreCall, StoreResult, Versioned};
 
 pub(crate) use etcd::EtcdStore;
@@ -26,6 +26,17 @@
     /// Takes news that a peer has read, in place of reading it here.
     fn take_news(&self, _news: News) {}
 
+    /// Takes a part of all that a peer knows of the service, in place of reading it here.
+    fn take_state(&self, _part: StatePart) {}
+
+    /// Has the watch go on waiting for a peer's state.
+    fn await_state(&self) {}
+
+    /// Packs all that is known of the service for peers, given the shared keys.
+    fn state(&self, _series: u64, _upto: StoreRevision, _records: &[Versioned]) -> Vec<StatePart> {
+        Vec::new()
+    }
+
     /// Has the watch read often, since others wait for what it reads.
     fn read_for_others(&self, _is_wanted: bool) {}
 }
@@ -47,6 +58,12 @@
     /// Takes what others may want to know.
     fn read(&self, news: News) -> BoxFuture<'_, ()>;
 
+    /// Takes all that a peer knows of the shared keys.
+    fn state(&self, upto: StoreRevision, records: Vec<Versioned>) -> BoxFuture<'_, ()>;
+
+    /// Takes note that news from peers doesn't go on where the last one ended.
+    fn missed(&self) -> BoxFuture<'_, ()>;
+
     /// Takes note that no answer came in time.
     fn unanswered(&self) -> BoxFuture<'_, ()>;
 }
--- a/crates/skylarkshore-standins/src/world/perform.rs
+++ b/crates/skylarkshore-standins/src/world/perform.rs
@@ -141,6 +141,9 @@
             | Effect::CloseIntake
             | Effect::Decision(_)
             | Effect::TakeNews(_)
+            | Effect::TakeState(_)
+            | Effect::AwaitState
+            | Effect::TellState { .. }
             | Effect::ReadNewsForOthers(_) => {}
             Effect::Exit => {
                 self.hosts[h].exited = true;
--- a/crates/skylarkshore-wire/src/keys.rs
+++ b/crates/skylarkshore-wire/src/keys.rs
@@ -20,6 +20,8 @@
 
 /// What every key begins with that all processes keep a copy of.
 pub const SHARED_PREFIX: &str = "skylarkshore/shared/";
+/// What the key of every live process begins with.
+pub const MEMBERS_PREFIX: &str = "skylarkshore/shared/members/";
 /// What every key begins with that belongs to a request that may not be repeated.
 pub const ONCE_PREFIX: &str = "skylarkshore/once/";
 /// The key of a catalogue that is configured apart from the document.
--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -13,9 +13,9 @@
 use serde::{Deserialize, Serialize};
 use skylarkshore_core::catalogue::ModelTarget;
 use skylarkshore_core::id::{
-    AdapterName, Digest, Incarnation, ModelName, RulesRevision, SiteName, StoreRevision, UpstreamId,
+    AdapterName, Digest, HostId, Incarnation, ModelName, RulesRevision, SiteName, StoreRevision, UpstreamId,
 };
-use skylarkshore_core::peer::{CannotLoad, News, PeerMessage};
+use skylarkshore_core::peer::{CannotLoad, News, PeerMessage, StatePart};
 use skylarkshore_core::rules::ServiceOrder;
 use skylarkshore_core::store::{Key, RecordBatch, Versioned};
 use skylarkshore_core::units::Watts;
@@ -44,6 +44,16 @@
         /// Its size.
         len: usize,
     },
+    /// It is of a kind that is no longer used.
+    #[display(
+        "a peer runs an earlier version, whose news isn't understood; it is read elsewhere until all run this one"
+    )]
+    #[from(skip)]
+    Retired,
+    /// It holds a message that holds another one.
+    #[display("a message to all processes holds another one to all; a peer misbehaves")]
+    #[from(skip)]
+    Nested,
     /// A key in it is wrong.
     #[display("{_0}")]
     Key(InvalidKey),
@@ -181,11 +191,30 @@
         model: ModelName,
     },
     Credit(CreditMessageWire),
+    /// Sent by earlier versions; see [`PackedNews`](Self::PackedNews).
     News {
         after: StoreRevision,
         upto: StoreRevision,
         body: String,
     },
+    PackedNews {
+        after: StoreRevision,
+        upto: StoreRevision,
+        body: Vec<u8>,
+    },
+    StateWanted,
+    StateComing,
+    State {
+        series: u64,
+        upto: StoreRevision,
+        part: u32,
+        parts: u32,
+        body: Vec<u8>,
+    },
+    Spread {
+        origin: HostId,
+        message: Box<PeerMessageWire>,
+    },
 }
 
 /// Encodes a message for the wire.
@@ -355,7 +384,15 @@
             }
             M::Credit(message) => Self::Credit(message.into()),
             M::News(News { after, upto, body }) => {
-                Self::News { after: *after, upto: *upto, body: body.to_string() }
+                Self::PackedNews { after: *after, upto: *upto, body: body.to_vec() }
+            }
+            M::StateWanted => Self::StateWanted,
+            M::StateComing => Self::StateComing,
+            M::State(StatePart { series, upto, part, parts, body }) => {
+                Self::State { series: *series, upto: *upto, part: *part, parts: *parts, body: body.to_vec() }
+            }
+            M::Spread { origin, message } => {
+                Self::Spread { origin: origin.clone(), message: Box::new((&**message).into()) }
             }
         }
     }
@@ -423,7 +460,19 @@
             W::UpstreamUnreachable { upstream } => Self::UpstreamUnreachable { upstream },
             W::LoadSlotHeld { upstream, model } => Self::LoadSlotHeld { upstream, model },
             W::Credit(message) => Self::Credit(message.into()),
-            W::News { after, upto, body } => Self::News(News { after, upto, body: body.into() }),
+            W::News { .. } => return Err(InvalidMessage::Retired),
+            W::PackedNews { after, upto, body } => Self::News(News { after, upto, body: body.into() }),
+            W::StateWanted => Self::StateWanted,
+            W::StateComing => Self::StateComing,
+            W::State { series, upto, part, parts, body } => {
+                Self::State(StatePart { series, upto, part, parts, body: body.into() })
+            }
+            W::Spread { message, .. } if matches!(*message, W::Spread { .. }) => {
+                return Err(InvalidMessage::Nested);
+            }
+            W::Spread { origin, message } => {
+                Self::Spread { origin, message: Box::new((*message).try_into()?) }
+            }
         })
     }
 }
