Look after the engines that are homes, and look at what has changed only

Cause: every host looked at all engines, all members and all models ten times a second: who should own each engine, who lives, which home is lacking. Each engine had an owner, whose record all hosts read: 9,808 of them, though 1,800 would do for all models.

Change: where engines are many more than four for each host, only homes have owners, and a model begins with its part of the engines that are looked after (room for its adapters counts); the others serve what they hold. Owners are looked through when members, engines or records have changed, at most four times a second; homes only of models that this host may have to change. The ring of heartbeats and the list of members that callers get are made anew only when members change.

Ruled out: a hash ring in place of rendezvous hashing for the shares.

Test: of 600 engines at three hosts only homes have owners.

--- a/crates/skylarkshore-core/src/control/homes.rs
+++ b/crates/skylarkshore-core/src/control/homes.rs
@@ -14,7 +14,7 @@
 use super::knowledge::Knowledge;
 use super::ownership::Ownership;
 use super::placement::Placement;
-use super::roster::Roster;
+use super::roster::{KnownEngine, Roster};
 use crate::authority::{EngineUse, HomeWish};
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::cx::Cx;
@@ -30,6 +30,8 @@
 const WRITES_AT_ONCE: usize = 16;
 /// How often all models are looked at; what is wished for or has changed is looked at sooner.
 const FULL_REVIEW_EVERY: Duration = Duration::from_millis(250);
+/// How often the limits of all models are worked out, which change with the time of day.
+const UPDATE_EVERY: Duration = Duration::from_secs(1);
 /// How long the process that should look after a model is given before the next one does.
 const NEXT_IN_RANK: Duration = Duration::from_secs(10);
 
@@ -42,6 +44,8 @@
     engines: Vec<UpstreamId>,
     /// How many of the engines, the first ones first, may have a replica.
     replicas_max: usize,
+    /// How many homes the model should have at least.
+    homes_least: usize,
 }
 
 impl Allowed {
@@ -87,6 +91,8 @@
     touched: OrderedSet<ModelName>,
     /// When all models are looked at again.
     next_full: Time,
+    /// When the limits of all models are worked out again.
+    next_update: Time,
 }
 
 impl Homes {
@@ -181,6 +187,9 @@
         let is_full = self.next_full.is_due(cx.now);
         if is_full {
             self.next_full = cx.now.after(FULL_REVIEW_EVERY);
+        }
+        if self.next_update.is_due(cx.now) {
+            self.next_update = cx.now.after(UPDATE_EVERY);
             self.update_all(cx, knowledge.roster);
         }
         if !knowledge.may_decide(cx) || !cx.document.is_known() {
@@ -189,7 +198,11 @@
         self.settle_doubts(cx);
         self.end_rests(cx.now);
         let wishes = engines.home_wishes();
-        let models = if is_full { self.all_models(cx) } else { self.pressing_models(&wishes) };
+        let mut models = self.pressing_models(&wishes);
+        if is_full {
+            models.extend(self.concerned_models(cx, knowledge, ownership));
+            self.lacking.retain(|model, _| models.contains(model));
+        }
         let hosts = HashedHosts::new(knowledge.eligible);
         let places_first = is_full && self.must_place_first_homes(cx, knowledge, &hosts, &models);
         let mut placement = Placement::new(cx, knowledge.roster);
@@ -230,14 +243,26 @@
         must
     }
 
-    /// Returns every model that is in the catalogue or has homes.
-    fn all_models(&mut self, cx: &Cx<'_>) -> OrderedSet<ModelName> {
-        let known = cx.cache.all_homes().map(|(model, _)| model);
-        let models: OrderedSet<ModelName> =
-            cx.document.catalogue.models.keys().chain(known).cloned().collect();
-        self.lacking.retain(|model, _| models.contains(model));
-        self.touched.clear();
-        models
+    /// Returns the models whose homes this process may have to change.
+    fn concerned_models(
+        &self,
+        cx: &Cx<'_>,
+        knowledge: &Knowledge<'_>,
+        ownership: &Ownership,
+    ) -> OrderedSet<ModelName> {
+        let catalogue = &cx.document.catalogue.models;
+        let is_concerned = |model: &ModelName, homes: &HomesRecord| {
+            let lacks = self.allowed.get(model).is_none_or(|known| homes.engines.len() < known.homes_least);
+            let is_own = |home: &UpstreamId| ownership.holdings().contains_key(home);
+            let is_away = |home: &UpstreamId| !knowledge.roster.get(home).is_some_and(KnownEngine::is_live);
+            let calls = |home: &UpstreamId| is_own(home) || is_away(home);
+            lacks || !catalogue.contains_key(model) || homes.engines.iter().any(calls)
+        };
+        let held = ownership.holdings().keys().filter_map(|engine| cx.upstreams.get(engine));
+        let held = held.flat_map(|listed| &listed.holds).filter(|model| catalogue.contains_key(*model));
+        let homeless = catalogue.keys().filter(|model| cx.cache.homes(model).is_none());
+        let concerned = cx.cache.all_homes().filter(|(model, homes)| is_concerned(model, homes));
+        homeless.chain(held).chain(concerned.map(|(model, _)| model)).cloned().collect()
     }
 
     /// Returns the models that can't wait until all are looked at.
@@ -252,13 +277,17 @@
             self.allowed.remove(model);
             return;
         };
-        let replicas_max = limits(cx, roster, model, &homes.engines).map_or(0, |limits| limits.most);
+        let limits = limits(cx, roster, model, &homes.engines);
+        let replicas_max = limits.map_or(0, |limits| limits.most);
+        let homes_least = limits.map_or(0, |limits| limits.homes_least);
         if let Some(known) = self.allowed.get_mut(model).filter(|known| known.engines == homes.engines) {
             known.revision = revision;
             known.replicas_max = replicas_max;
+            known.homes_least = homes_least;
             return;
         }
-        let allowed = Allowed { since: cx.now, revision, engines: homes.engines.clone(), replicas_max };
+        let allowed =
+            Allowed { since: cx.now, revision, engines: homes.engines.clone(), replicas_max, homes_least };
         self.allowed.insert(model.clone(), allowed);
     }
 
--- a/crates/skylarkshore-core/src/control/homes/plan.rs
+++ b/crates/skylarkshore-core/src/control/homes/plan.rs
@@ -11,6 +11,8 @@
 use crate::id::{ModelName, StoreRevision, UpstreamId};
 use crate::rules::Facts;
 
+/// For how many of a model's adapters one home is enough.
+const ADAPTERS_PER_HOME: usize = 4;
 /// How many of the engines that a model left for want of memory are remembered.
 const LEFT_KEPT: usize = 16;
 
@@ -99,6 +101,7 @@
         let (least, most) = limits.map_or((1, 1), |limits| (limits.homes_least, limits.homes_most));
         // Replicas that are there already are all kept; were only the least number
         // of homes written, the others would be unloaded while callers need them.
+        let most = most.min(first_homes_most(cx, review)).max(least);
         let wanted = placement.holders(review.model).clamp(least, most);
         let mut homes: Vec<UpstreamId> = Vec::new();
         while homes.len() < wanted
@@ -155,13 +158,28 @@
     }
 }
 
+/// Returns how many homes a model gets at first at most.
+///
+/// A home makes its engine one that somebody looks after. Where there are many
+/// more engines than that is worth for, a model gets its part of those that are
+/// looked after, and room for its adapters; the others that hold it serve as well.
+fn first_homes_most(cx: &Cx<'_>, review: &Review<'_>) -> usize {
+    if !review.knowledge.has_spare_engines(cx) {
+        return usize::MAX;
+    }
+    let models = &cx.document.catalogue.models;
+    let part = review.knowledge.engines_looked_after() / models.len().max(1);
+    let adapters = models.get(review.model).map_or(0, |model| model.adapters.len());
+    part.max(adapters.div_ceil(ADAPTERS_PER_HOME))
+}
+
 /// How many homes a model may and should have.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Limits {
     /// How many replicas the rules allow.
     pub(super) most: usize,
     /// How many homes are kept at least; one stays even where no replica is allowed.
-    homes_least: usize,
+    pub(super) homes_least: usize,
     /// How many homes are kept at most.
     homes_most: usize,
 }
@@ -215,6 +233,9 @@
 /// out. Were what they hold taken for surplus, it would be unloaded, and may be
 /// nowhere else.
 fn join_holders(cx: &Cx<'_>, review: &Review<'_>, plan: &mut Plan, limits: &Limits) {
+    if review.knowledge.has_spare_engines(cx) {
+        return;
+    }
     for engine in review.ownership.holdings().keys() {
         let holds = cx.upstreams.get(engine).is_some_and(|listed| listed.holds_live(review.model));
         let is_new = !plan.engines.contains(engine) && !plan.left.contains(engine);
--- a/crates/skylarkshore-core/src/control/ownership.rs
+++ b/crates/skylarkshore-core/src/control/ownership.rs
@@ -9,7 +9,7 @@
 use super::membership::Membership;
 use super::roster::Roster;
 use super::shares;
-use super::vacancy::{Former, Vacancies, Vacant};
+use super::vacancy::{self, Former, Vacancies, Vacant};
 use crate::authority::{EngineUse, OwnershipChange, Permit};
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::config::NodeConfig;
@@ -24,6 +24,9 @@
 /// How long a write of unknown outcome rests before it is made again.
 const DOUBT_REST: Duration = Duration::from_secs(1);
 
+/// How often at most all engines are looked at.
+const SCAN_EVERY: Duration = Duration::from_millis(250);
+
 /// A take-over that was written, and may have taken effect.
 #[derive(Clone, Copy, Debug)]
 struct Intent {
@@ -45,6 +48,10 @@
     resting: OrderedMap<UpstreamId, Time>,
     vacancies: Vacancies,
     shares: Shares,
+    /// Engines that had no live owner when all were last looked at.
+    open: Vec<UpstreamId>,
+    is_scan_due: bool,
+    next_scan: Time,
     next_handover: Time,
     changes: Vec<OwnershipChange>,
     retired: bool,
@@ -101,6 +108,7 @@
             self.changes.push(OwnershipChange::Lost { engine });
         }
         self.intents.clear();
+        self.open.clear();
         self.vacancies.clear();
     }
 
@@ -185,7 +193,14 @@
             return;
         }
         self.resting.retain(|_, until| !until.is_due(cx.now));
-        self.share_out(cx, knowledge);
+        if knowledge.has_changed {
+            self.is_scan_due = true;
+        }
+        if self.is_scan_due && self.next_scan.is_due(cx.now) {
+            self.is_scan_due = false;
+            self.next_scan = cx.now.after(SCAN_EVERY);
+            self.scan(cx, knowledge);
+        }
         self.settle_handovers(cx, knowledge, engines);
         if !knowledge.may_decide(cx) {
             return;
@@ -250,17 +265,19 @@
         self.changes.push(OwnershipChange::Lost { engine: engine.clone() });
     }
 
-    fn share_out(&mut self, cx: &Cx<'_>, knowledge: &Knowledge<'_>) {
-        let listed = knowledge.roster.iter().filter(|(_, known)| known.is_listed());
-        let engines: OrderedSet<UpstreamId> = listed.map(|(id, _)| id.clone()).collect();
-        let owned = cx.cache.owners().map(|(engine, _)| engine.clone());
-        let engines: OrderedSet<UpstreamId> = engines.into_iter().chain(owned).collect();
-        if self.shares.hosts == knowledge.eligible && self.shares.engines == engines {
-            return;
+    /// Looks at all engines: who should own them, and which have no live owner.
+    fn scan(&mut self, cx: &Cx<'_>, knowledge: &Knowledge<'_>) {
+        let engines = looked_after(cx, knowledge);
+        if self.shares.hosts != knowledge.eligible || self.shares.engines != engines {
+            self.shares.owners = shares::assign(engines.iter(), knowledge.eligible);
+            self.shares.hosts = knowledge.eligible.to_vec();
+            self.vacancies.retain(&engines);
+            self.shares.engines = engines;
         }
-        self.shares.owners = shares::assign(engines.iter(), knowledge.eligible);
-        self.shares.hosts = knowledge.eligible.to_vec();
-        self.shares.engines = engines;
+        let others = self.shares.engines.iter().filter(|engine| !self.holdings.contains_key(*engine));
+        let open = others.filter(|engine| !vacancy::has_owner(cx, knowledge, engine));
+        self.open = open.cloned().collect();
+        self.vacancies.keep_open(&self.open);
     }
 
     fn is_free(&self, engine: &UpstreamId) -> bool {
@@ -313,15 +330,10 @@
     }
 
     fn take_vacant(&mut self, cx: &mut Cx<'_>, knowledge: &Knowledge<'_>) {
-        let engines: Vec<UpstreamId> = self
-            .shares
-            .engines
-            .iter()
-            .filter(|engine| !self.holdings.contains_key(*engine))
-            .cloned()
-            .collect();
-        self.vacancies.retain(&self.shares.engines);
-        for engine in engines {
+        for engine in self.open.clone() {
+            if self.holdings.contains_key(&engine) {
+                continue;
+            }
             let share = self.shares.owners.get(&engine);
             let Some(vacant) = self.vacancies.look(cx, knowledge, &engine, share) else { continue };
             if self.is_free(&engine) {
@@ -358,6 +370,23 @@
     }
 }
 
+/// Returns the engines that are to have an owner.
+///
+/// An owner asks its engines how they stand, and all processes hear who owns
+/// which. Where there are many more engines than hosts, that is left out for
+/// those on which nothing is to be loaded; requests use what they hold.
+fn looked_after(cx: &Cx<'_>, knowledge: &Knowledge<'_>) -> OrderedSet<UpstreamId> {
+    let mut engines: OrderedSet<UpstreamId> = cx.cache.owners().map(|(engine, _)| engine.clone()).collect();
+    if knowledge.has_spare_engines(cx) {
+        let homes = cx.cache.all_homes().flat_map(|(_, homes)| &homes.engines);
+        engines.extend(homes.cloned());
+    } else {
+        let listed = knowledge.roster.iter().filter(|(_, known)| known.is_listed());
+        engines.extend(listed.map(|(id, _)| id.clone()));
+    }
+    engines
+}
+
 /// A record that names this process.
 #[derive(Clone, Copy, Debug)]
 struct Named {
--- a/crates/skylarkshore-core/src/control/ownership/handover.rs
+++ b/crates/skylarkshore-core/src/control/ownership/handover.rs
@@ -27,13 +27,17 @@
 impl Ownership {
     pub(super) fn begin_handovers(&mut self, cx: &mut Cx<'_>, knowledge: &Knowledge<'_>) {
         let leaving = knowledge.membership.is_leaving();
+        let has_few = !cx.cfg.timings.order_gap.is_zero() && self.holdings.len() < EXCESS_WORTH_A_GAP;
+        if !leaving && (has_few || !self.next_handover.is_due(cx.now)) {
+            return;
+        }
         let mut balance = Balance::new(cx.cache, knowledge.eligible);
         let most = if leaving { MOST_HANDOVERS } else { handovers_at_once(balance.excess(&cx.cfg.host)) };
         if !leaving && !is_worth_a_gap(cx, balance.excess(&cx.cfg.host)) {
             return;
         }
         let going = self.holdings.values().filter(|holding| !holding.is_held()).count();
-        if going >= most || (!leaving && !self.next_handover.is_due(cx.now)) {
+        if going >= most {
             return;
         }
         let candidates: Vec<UpstreamId> = self.holdings.keys().cloned().collect();
--- a/crates/skylarkshore-core/src/control/peers.rs
+++ b/crates/skylarkshore-core/src/control/peers.rs
@@ -69,6 +69,10 @@
     known: OrderedMap<HostId, Peer>,
     vanished: VecDeque<Time>,
     next_heartbeat: Time,
+    /// The other members in the order in which they follow this one on the hash ring.
+    ring: Vec<HostId>,
+    /// The members of which the ring was made.
+    ring_version: Option<u64>,
 }
 
 impl Peers {
@@ -174,6 +178,24 @@
         cx.push(Effect::Probe { host: host.clone(), incarnation, address: member.address });
     }
 
+    /// Returns the next few members on the hash ring, and one more at random.
+    ///
+    /// The number doesn't grow with the deployment; news and signs of life still
+    /// spread within a few rounds, since every member has as many senders.
+    fn heartbeat_receivers(&mut self, cx: &mut Cx<'_>) -> OrderedSet<HostId> {
+        let version = cx.cache.members_version();
+        if self.ring_version != Some(version) {
+            self.ring = ring(cx);
+            self.ring_version = Some(version);
+        }
+        let mut receivers: OrderedSet<HostId> = self.ring.iter().take(RING_SUCCESSORS).cloned().collect();
+        let rest = self.ring.get(RING_SUCCESSORS..).unwrap_or_default();
+        if !rest.is_empty() {
+            receivers.insert(rest[cx.rng.random_range(0..rest.len())].clone());
+        }
+        receivers
+    }
+
     /// Sends the heartbeats that are due and forgets who went long ago.
     pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>, own: OwnState) {
         if !self.next_heartbeat.is_due(cx.now) {
@@ -192,7 +214,7 @@
             store_reachable: own.is_store_reachable,
             leaving: own.is_leaving,
         };
-        let mut receivers = heartbeat_receivers(cx);
+        let mut receivers = self.heartbeat_receivers(cx);
         // Only where one process watches for its data centre do the others wait for its signs of life.
         if cx.cfg.watchers == Watchers::OnePerDataCentre && own.is_watching {
             receivers.extend(neighbours(cx));
@@ -203,24 +225,14 @@
     }
 }
 
-/// Returns the next few members on the hash ring, and one more at random.
-///
-/// The number doesn't grow with the deployment; news and signs of life still
-/// spread within a few rounds, since every member has as many senders.
-fn heartbeat_receivers(cx: &mut Cx<'_>) -> OrderedSet<HostId> {
+/// Returns the other members in the order in which they follow this one on the hash ring.
+fn ring(cx: &Cx<'_>) -> Vec<HostId> {
     let own = &cx.cfg.host;
     let own_place = name_hash(own.as_str());
-    let mut others: Vec<&HostId> =
-        cx.cache.members().map(|(host, _)| host).filter(|host| *host != own).collect();
-    others.sort_by_key(|host| name_hash(host.as_str()).wrapping_sub(own_place));
-    let mut receivers: OrderedSet<HostId> =
-        others.iter().take(RING_SUCCESSORS).map(|host| (*host).clone()).collect();
-    let rest = others.get(RING_SUCCESSORS..).unwrap_or_default();
-    if !rest.is_empty() {
-        let pick = cx.rng.random_range(0..rest.len());
-        receivers.insert(rest[pick].clone());
-    }
-    receivers
+    let mut others: Vec<HostId> =
+        cx.cache.members().map(|(host, _)| host).filter(|host| *host != own).cloned().collect();
+    others.sort_by_cached_key(|host| name_hash(host.as_str()).wrapping_sub(own_place));
+    others
 }
 
 /// Returns the other members of this data centre.
--- a/crates/skylarkshore-core/src/control/vacancy.rs
+++ b/crates/skylarkshore-core/src/control/vacancy.rs
@@ -4,7 +4,7 @@
 
 use super::hashing;
 use super::knowledge::Knowledge;
-use crate::collections::{OrderedMap, OrderedSet};
+use crate::collections::{HashSet, OrderedMap, OrderedSet};
 use crate::cx::Cx;
 use crate::effect::Effect;
 use crate::id::{HostId, Incarnation, StoreRevision, UpstreamId};
@@ -97,6 +97,13 @@
         self.unowned.retain(|engine, _| engines.contains(engine));
     }
 
+    /// Forgets the engines that have an owner again.
+    pub(super) fn keep_open(&mut self, open: &[UpstreamId]) {
+        let open: HashSet<&UpstreamId> = open.iter().collect();
+        self.absent.retain(|engine, _| open.contains(engine));
+        self.unowned.retain(|engine, _| open.contains(engine));
+    }
+
     /// Forgets everything.
     pub(super) fn clear(&mut self) {
         *self = Self::default();
@@ -193,6 +200,12 @@
     }
 }
 
+/// Tells whether an engine has an owner that lives, as far as this process knows.
+pub(super) fn has_owner(cx: &Cx<'_>, knowledge: &Knowledge<'_>, engine: &UpstreamId) -> bool {
+    let owner = cx.cache.owner(engine);
+    owner.is_some_and(|(revision, owner)| owner_state(cx, knowledge, revision, owner) == OwnerState::Present)
+}
+
 fn owner_state(
     cx: &Cx<'_>,
     knowledge: &Knowledge<'_>,
--- a/crates/skylarkshore-core/tests/control/ownership.rs
+++ b/crates/skylarkshore-core/tests/control/ownership.rs
@@ -5,7 +5,7 @@
 use skylarkshore_core::id::UpstreamId;
 use skylarkshore_core::upstream::FenceCheck;
 
-use crate::cluster::{Cluster, all_owned, config, name, one_holder_each, secs, settled};
+use crate::cluster::{Cluster, PLENTY, all_owned, config, document, name, one_holder_each, secs, settled};
 
 fn shares(cluster: &Cluster) -> BTreeMap<String, usize> {
     let mut shares = BTreeMap::new();
@@ -186,3 +186,23 @@
     cluster.process("a").engines.unsettled.clear();
     cluster.until("the other one owns all", secs(10), all_owned);
 }
+
+/// Guards against hosts that look after every engine of a fleet that has many
+/// more than its models need, each of which costs a record that all hosts read.
+#[test]
+fn engines_on_which_nothing_is_to_be_loaded_have_no_owner_where_there_are_plenty() {
+    let models = 4;
+    let document = document(1, models, 24, PLENTY);
+    let mut cluster = Cluster::with(7, &["a", "b", "c"], 600, FenceCheck::Ignores, document);
+    for engine in cluster.engines.values_mut() {
+        engine.holds = vec![name("model-0"), name("model-1")];
+    }
+    for host in ["a", "b", "c"] {
+        cluster.set_host_list(&name(host));
+    }
+    cluster.run(secs(30), one_holder_each);
+    let homes: Vec<UpstreamId> = cluster.homes();
+    let owned = cluster.engines.keys().filter(|engine| !cluster.holders(engine).is_empty()).count();
+    assert!(homes.iter().all(|home| !cluster.holders(home).is_empty()), "a home has no owner");
+    assert!(owned <= homes.len() && owned < 50, "{owned} engines have owners, {} are homes", homes.len());
+}
--- a/crates/skylarkshore-host/src/driver.rs
+++ b/crates/skylarkshore-host/src/driver.rs
@@ -168,7 +168,8 @@
     }
 
     fn publish(&self) {
-        self.snapshot.send_replace(Arc::new(Snapshot::of(&self.node)));
+        let next = Snapshot::of(&self.node, &self.snapshot.borrow());
+        self.snapshot.send_replace(Arc::new(next));
     }
 
     fn dump(&mut self) -> StateDump {
--- a/crates/skylarkshore-host/src/driver/snapshot.rs
+++ b/crates/skylarkshore-host/src/driver/snapshot.rs
@@ -32,7 +32,9 @@
     /// The highest revision of the key-value service that has been seen.
     pub store_revision: StoreRevision,
     /// The live processes.
-    pub members: Vec<Member>,
+    pub members: Arc<Vec<Member>>,
+    /// Which members these are; see `StoreCache::members_version`.
+    members_version: u64,
     /// Whether the process knows enough to serve.
     pub ready: bool,
     /// Whether the process is about to go.
@@ -40,19 +42,16 @@
 }
 
 impl Snapshot {
-    pub(crate) fn of(node: &Node) -> Self {
-        let members = node.cache().members().map(|(host, record)| Member {
-            host: host.clone(),
-            caller_address: record.caller_address,
-            peer_address: record.peer_address,
-            data_centre: record.data_centre.clone(),
-            fingerprint: record.fingerprint,
-            leaving: record.leaving,
-        });
+    /// Takes a node's state over, given what was taken before.
+    pub(crate) fn of(node: &Node, before: &Self) -> Self {
+        let version = node.cache().members_version();
+        let is_same = version == before.members_version;
+        let members = if is_same { Arc::clone(&before.members) } else { Arc::new(members_of(node)) };
         Self {
             document: Arc::clone(node.document()),
             store_revision: node.cache().newest(),
-            members: members.collect(),
+            members,
+            members_version: version,
             ready: node.is_ready(),
             leaving: node.is_leaving(),
         }
@@ -65,7 +64,20 @@
     pub(crate) fn is_outdated(&self, node: &Node) -> bool {
         !Arc::ptr_eq(&self.document, node.document())
             || self.store_revision != node.cache().newest()
+            || self.members_version != node.cache().members_version()
             || self.ready != node.is_ready()
             || self.leaving != node.is_leaving()
     }
 }
+
+fn members_of(node: &Node) -> Vec<Member> {
+    let members = node.cache().members().map(|(host, record)| Member {
+        host: host.clone(),
+        caller_address: record.caller_address,
+        peer_address: record.peer_address,
+        data_centre: record.data_centre.clone(),
+        fingerprint: record.fingerprint,
+        leaving: record.leaving,
+    });
+    members.collect()
+}
--- a/crates/skylarkshore-host/src/peers.rs
+++ b/crates/skylarkshore-host/src/peers.rs
@@ -124,9 +124,13 @@
 
     /// Keeps the directory up to date with the published fingerprints.
     async fn follow(self, mut snapshots: watch::Receiver<Arc<Snapshot>>) {
+        let mut known = Arc::default();
         while snapshots.changed().await.is_ok() {
             let snapshot = Arc::clone(&snapshots.borrow_and_update());
-            self.shared.directory.learn(&snapshot.members);
+            if !Arc::ptr_eq(&known, &snapshot.members) {
+                self.shared.directory.learn(&snapshot.members);
+                known = Arc::clone(&snapshot.members);
+            }
         }
     }
 
