--- a/crates/skylarkshore-core/src/loading/replicas.rs
+++ b/crates/skylarkshore-core/src/loading/replicas.rs
@@ -172,7 +172,7 @@
     homes: &'a HomesRecord,
 ) -> impl Iterator<Item = &'a UpstreamId> {
     homes.engines.iter().filter(|home| {
-        let live = cx.upstreams.get(*home).is_some_and(|upstream| upstream.standing == Standing::Live);
+        let live = cx.upstreams.get(home).is_some_and(|upstream| upstream.standing == Standing::Live);
         let owned = cx.cache.owner(home).is_some_and(|(_, owner)| cx.cache.member(&owner.host).is_some());
         **home == engine.id || live && owned
     })
--- a/crates/skylarkshore-core/src/upstream/list.rs
+++ b/crates/skylarkshore-core/src/upstream/list.rs
@@ -144,9 +144,9 @@
 }
 
 impl FromIterator<Upstream> for UpstreamList {
-    fn from_iter<I: IntoIterator<Item = Upstream>>(upstreams: I) -> Self {
+    fn from_iter<I: IntoIterator<Item = Upstream>>(iter: I) -> Self {
         let mut list = Self::default();
-        upstreams.into_iter().for_each(|upstream| list.insert(upstream));
+        iter.into_iter().for_each(|upstream| list.insert(upstream));
         list
     }
 }
--- a/crates/skylarkshore-core/tests/fleet_size.rs
+++ b/crates/skylarkshore-core/tests/fleet_size.rs
@@ -119,7 +119,7 @@
 fn deliver(nodes: &mut BTreeMap<HostId, Node>, from: &HostId, effects: &[Effect]) -> Course {
     let mut course = Course::default();
     let mut wire: VecDeque<(HostId, Envelope, usize)> = VecDeque::new();
-    let mut sent = |course: &mut Course, wire: &mut VecDeque<_>, from: &HostId, effects: &[Effect], step| {
+    let sent = |course: &mut Course, wire: &mut VecDeque<_>, from: &HostId, effects: &[Effect], step| {
         let envelopes = told(effects);
         course.most_sent = course.most_sent.max(envelopes.len());
         wire.extend(envelopes.into_iter().map(|envelope| (from.clone(), envelope, step)));
--- a/crates/skylarkshore-core/tests/loading/one_by_one.rs
+++ b/crates/skylarkshore-core/tests/loading/one_by_one.rs
@@ -204,7 +204,7 @@
     let mut rig = Rig::one_by_one(&[("maize", 300)]);
     rig.run(Duration::from_secs(2));
     let before = rig.reports_asked;
-    rig.run(Duration::from_secs(60));
+    rig.run(Duration::from_mins(1));
     let asked = rig.reports_asked - before;
     assert!(asked <= 15, "{asked} questions in a minute");
     rig.want("entry-2", "maize", 1);
