Let hosts that start wait for each other's keys, and look up who connects

Cause: at a start of all, processes read the members at once, when a part of them had registered.

Change: where members are many, they are read again 0.7 s later; the parent is asked three times, then somebody near. A host to which an unknown process connects reads the members, once a second at most. Peers are asked for everything only where the service has left a watch unanswered. Rankings hash each name once; the place in the queue for an engine without an owner is counted, not sorted.

--- a/crates/skylarkshore-core/src/config.rs
+++ b/crates/skylarkshore-core/src/config.rs
@@ -34,8 +34,6 @@
     pub watchers: Watchers,
     /// What the host can do beside the others.
     pub capacity: Capacity,
-    /// For how long upstreams that are about to go serve on after they have said so.
-    pub leaving_notice: Duration,
 }
 
 /// Who watches the key-value service.
--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -141,7 +141,7 @@
 
     /// Takes news that this process has read itself.
     pub fn on_news_read(&mut self, cx: &mut Cx<'_>, news: &News) {
-        self.feed.note_told(cx.now);
+        self.feed.note_watch(true);
         self.relay.on_read(cx, news);
     }
 
@@ -216,8 +216,14 @@
         }
     }
 
+    /// Takes note that the service didn't answer a watch.
+    pub fn on_watch_unanswered(&mut self) {
+        self.feed.note_watch(false);
+    }
+
     /// Takes note that the watch may have missed changes.
     pub fn on_watch_broken(&mut self, cx: &mut Cx<'_>) {
+        self.feed.note_watch(false);
         self.feed.on_watch_broken(cx);
     }
 
@@ -248,10 +254,7 @@
         self.feed.on_peer(cx, from, message);
         self.catch_up.on_peer(cx, &self.feed, from, message);
         match message {
-            PeerMessage::News(news) => {
-                self.feed.note_told(cx.now);
-                self.relay.on_news(cx, from, news);
-            }
+            PeerMessage::News(news) => self.relay.on_news(cx, from, news),
             PeerMessage::Spread { .. } => self.relay.on_spread(cx, from, message),
             _ => {}
         }
@@ -261,6 +264,11 @@
         }
     }
 
+    /// Takes note that a process has connected whose certificate no known member has published.
+    pub fn on_unknown_peer(&mut self, cx: &mut Cx<'_>) {
+        self.catch_up.on_unknown_peer(cx);
+    }
+
     /// Takes note that a process has ended for certain.
     pub fn on_peer_refused(&mut self, cx: &mut Cx<'_>, host: &HostId, incarnation: Incarnation) {
         self.peers.on_refused(cx, host, incarnation);
--- a/crates/skylarkshore-core/src/control/catch_up.rs
+++ b/crates/skylarkshore-core/src/control/catch_up.rs
@@ -10,19 +10,24 @@
 use rand::Rng;
 
 use super::feed::Feed;
-use super::tree::{Tree, roots};
+use super::peers::neighbours;
+use super::tree::Tree;
 use crate::config::Watchers;
 use crate::cx::Cx;
 use crate::effect::Effect;
 use crate::id::{CallId, HostId, StoreRevision};
 use crate::peer::{PeerMessage, StatePart};
-use crate::store::{Key, StoreAnswer, StoreCall, StoreResult};
+use crate::store::{StoreAnswer, StoreCall, StoreResult};
 use crate::time::Time;
 
 /// From how many members on they are asked rather than the service.
 const MANY_MEMBERS: usize = 64;
-/// How long a process that starts waits before it asks, so that others that start with it are registered.
-const FIRST_ASK_AFTER: Duration = Duration::from_millis(500);
+/// How long a process waits before it reads the members again, so that others that start with it are registered.
+const REGISTERED_WITHIN: Duration = Duration::from_millis(700);
+/// How often at most the members are read because an unknown process has connected.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+/// How many times the parent is asked before anybody else is.
+const ASKS_OF_PARENT: u32 = 3;
 /// After how long without an answer another member is asked.
 const ASK_AGAIN_AFTER: Duration = Duration::from_secs(1);
 /// How many members are asked, and how often it is waited for one of them to know more itself.
@@ -30,12 +35,14 @@
 
 #[derive(Clone, Debug)]
 enum Stage {
-    /// The members are being read.
+    /// The members are being read; their keys may be those of former processes.
     ReadingMembers { call: CallId },
+    /// They are to be read again.
+    Waiting { until: Time },
+    /// They are being read again.
+    ReadingAgain { call: CallId, lost_at: Time },
     /// Somebody is to be asked.
     Resting { until: Time },
-    /// The member key of the one to ask is being read, since it may have just started too.
-    Looking { call: CallId, host: HostId, lost_at: Time },
 }
 
 /// How far this process has come with learning everything, and who waits for it.
@@ -43,6 +50,7 @@
 pub(super) struct CatchUp {
     stage: Option<Stage>,
     asks: u32,
+    next_look: Time,
     /// Members that asked before this process knew everything itself.
     waiting: Vec<HostId>,
 }
@@ -63,23 +71,36 @@
         match self.stage.clone() {
             Some(Stage::ReadingMembers { call: own }) if own == call => {
                 let is_known = matches!(result, Ok(StoreAnswer::Members(_)));
-                if !is_known || cx.cache.members().nth(MANY_MEMBERS).is_none() || Tree::of(cx).is_root {
+                if !is_known || cx.cache.members().nth(MANY_MEMBERS).is_none() {
                     self.stage = None;
                     return feed.read(cx);
                 }
-                feed.await_state(cx);
-                self.stage = Some(Stage::Resting { until: cx.now.after(cx.jitter(FIRST_ASK_AFTER)) });
-            }
-            Some(Stage::Looking { call: own, host, .. }) if own == call => {
-                if matches!(result, Ok(StoreAnswer::One(found)) if found.record.is_some()) {
-                    cx.tell(&host, PeerMessage::StateWanted);
-                }
-                self.stage = Some(Stage::Resting { until: cx.now.after(ASK_AGAIN_AFTER) });
+                self.stage = Some(Stage::Waiting { until: cx.now.after(cx.jitter(REGISTERED_WITHIN)) });
             }
+            Some(Stage::ReadingAgain { call: own, .. }) if own == call => self.on_members(cx, feed),
             _ => {}
         }
     }
 
+    /// Begins to ask, unless it is this process that reads for the others.
+    fn on_members(&mut self, cx: &mut Cx<'_>, feed: &mut Feed) {
+        if Tree::of(cx).is_root {
+            self.stage = None;
+            return feed.read(cx);
+        }
+        feed.await_state(cx);
+        self.ask(cx, feed);
+    }
+
+    /// Reads who the members are, since a process has connected that isn't known as one.
+    pub(super) fn on_unknown_peer(&mut self, cx: &mut Cx<'_>) {
+        if cx.cfg.watchers == Watchers::Relayed && self.next_look.is_due(cx.now) {
+            self.next_look = cx.now.after(LOOK_EVERY);
+            let call = cx.next_call();
+            cx.push(Effect::Store { call, request: StoreCall::ReadMembers });
+        }
+    }
+
     /// Asks the next member when that is due.
     pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>, feed: &mut Feed) {
         if feed.is_synced() || !feed.is_store_reachable() {
@@ -87,13 +108,21 @@
             return;
         }
         match &self.stage {
+            Some(Stage::Waiting { until }) if until.is_due(cx.now) => self.read_again(cx),
+            Some(Stage::ReadingAgain { lost_at, .. }) if lost_at.is_due(cx.now) => self.on_members(cx, feed),
             Some(Stage::Resting { until }) if until.is_due(cx.now) => self.ask(cx, feed),
-            Some(Stage::Looking { lost_at, .. }) if lost_at.is_due(cx.now) => self.ask(cx, feed),
             _ => {}
         }
     }
 
-    /// Begins to ask a member, or reads everything where enough have been asked.
+    fn read_again(&mut self, cx: &mut Cx<'_>) {
+        let call = cx.next_call();
+        let lost_at = cx.now.after(cx.cfg.timings.store_timeout * 8);
+        self.stage = Some(Stage::ReadingAgain { call, lost_at });
+        cx.push(Effect::Store { call, request: StoreCall::ReadMembers });
+    }
+
+    /// Asks a member, or reads everything where enough have been asked.
     fn ask(&mut self, cx: &mut Cx<'_>, feed: &mut Feed) {
         let host = self.next_to_ask(cx).filter(|_| self.asks < MOST_ASKS);
         let Some(host) = host else {
@@ -101,23 +130,20 @@
             return feed.read(cx);
         };
         self.asks += 1;
-        let call = cx.next_call();
-        let lost_at = cx.now.after(cx.cfg.timings.store_timeout * 2);
-        cx.push(Effect::Store { call, request: StoreCall::Read(Key::Member(host.clone())) });
-        self.stage = Some(Stage::Looking { call, host, lost_at });
+        cx.push(Effect::AwaitState);
+        cx.tell(&host, PeerMessage::StateWanted);
+        self.stage = Some(Stage::Resting { until: cx.now.after(ASK_AGAIN_AFTER) });
     }
 
-    /// Returns whom to ask: the parent first, then the roots, and at last anybody.
+    /// Returns whom to ask: the parent, which may have to learn of this process first, then anybody near.
     fn next_to_ask(&self, cx: &mut Cx<'_>) -> Option<HostId> {
-        let parent = Tree::of(cx).parent;
-        let mut known: Vec<HostId> = parent.into_iter().chain(roots(cx)).collect();
-        known.retain(|host| *host != cx.cfg.host);
-        if let Some(host) = known.get(self.asks as usize) {
-            return Some(host.clone());
+        if self.asks < ASKS_OF_PARENT
+            && let Some(parent) = Tree::of(cx).parent
+        {
+            return Some(parent);
         }
-        let others = cx.cache.members().map(|(host, _)| host).filter(|host| **host != cx.cfg.host);
-        let others: Vec<&HostId> = others.collect();
-        (!others.is_empty()).then(|| others[cx.rng.random_range(0..others.len())].clone())
+        let near: Vec<HostId> = neighbours(cx).collect();
+        (!near.is_empty()).then(|| near[cx.rng.random_range(0..near.len())].clone())
     }
 
     /// Takes a peer's message, where it concerns this part.
--- a/crates/skylarkshore-core/src/control/feed.rs
+++ b/crates/skylarkshore-core/src/control/feed.rs
@@ -31,8 +31,8 @@
 const ASK_EVERY: Duration = Duration::from_millis(300);
 /// How long a peer may lag behind before it is sent what it lacks unasked.
 const USUAL_LAG: Duration = Duration::from_millis(1500);
-/// How often at most a process that hears no news asks for everything.
-const ASK_STATE_EVERY: Duration = Duration::from_secs(3);
+/// How often at most a process that the service doesn't answer asks a peer for everything.
+const ASK_STATE_EVERY: Duration = Duration::from_secs(1);
 /// How many times the time-out of a call its answer is waited for.
 const LOST_AFTER_TIMEOUTS: u32 = 3;
 
@@ -66,8 +66,8 @@
     last_snapshot: Option<StoreRevision>,
     synced_at: Time,
     next_ask: Time,
-    /// When news was last heard or read, be it that nothing has changed.
-    told_at: Time,
+    /// Whether the service has left the last watch unanswered.
+    is_unanswered: bool,
     next_state_ask: Time,
 }
 
@@ -97,8 +97,11 @@
         self.watch.map(|watch| watch.since)
     }
 
-    /// Reads every shared key.
+    /// Reads every shared key, and waits for no peer to tell them any more.
     pub(super) fn read(&mut self, cx: &mut Cx<'_>) {
+        if !self.is_synced() {
+            self.stop(cx);
+        }
         self.wants_read = true;
         self.read_when_due(cx);
     }
@@ -116,7 +119,6 @@
             watch.upto = watch.upto.max(upto);
         }
         self.wants_read = false;
-        self.told_at = cx.now;
         self.take_snapshot(cx, upto);
     }
 
@@ -151,9 +153,9 @@
         self.take_snapshot(cx, *revision);
     }
 
-    /// Takes note that a peer or the service itself has told what is new, or that nothing is.
-    pub(super) const fn note_told(&mut self, now: Time) {
-        self.told_at = now;
+    /// Takes note of whether the service has answered a watch.
+    pub(super) const fn note_watch(&mut self, is_answered: bool) {
+        self.is_unanswered = !is_answered;
     }
 
     /// Passes on what the watch has seen to the members of this data centre.
@@ -234,13 +236,12 @@
         }
     }
 
-    /// Asks a peer that knows more for everything, where neither service nor parent have told anything.
+    /// Asks a peer that knows more for everything, where the service doesn't answer.
     fn ask_if_cut_off(&mut self, cx: &mut Cx<'_>, from: &HostId, store: StoreRevision) {
         if store <= self.frontier || !self.is_synced() {
             return;
         }
-        let is_silent = self.told_at.after(cx.cfg.leaving_notice * 3 / 5).is_due(cx.now);
-        if is_silent && self.next_state_ask.is_due(cx.now) {
+        if self.is_unanswered && self.next_state_ask.is_due(cx.now) {
             self.next_state_ask = cx.now.after(ASK_STATE_EVERY);
             cx.tell(from, PeerMessage::StateWanted);
         }
--- a/crates/skylarkshore-core/src/control/hashing.rs
+++ b/crates/skylarkshore-core/src/control/hashing.rs
@@ -33,7 +33,7 @@
 pub(crate) fn ranking<'a>(key: &str, hosts: impl Iterator<Item = &'a HostId>) -> Vec<&'a HostId> {
     let key = name_hash(key);
     let mut ranked: Vec<&HostId> = hosts.collect();
-    ranked.sort_by_key(|host| std::cmp::Reverse(pair_weight(key, name_hash(host.as_str()))));
+    ranked.sort_by_cached_key(|host| std::cmp::Reverse(pair_weight(key, name_hash(host.as_str()))));
     ranked
 }
 
@@ -47,7 +47,7 @@
     let capacities: OrderedMap<&HostId, Capacity> =
         members.map(|(host, member)| (host, member.capacity)).collect();
     let mut ranked = ranking(key, capacities.keys().copied());
-    ranked.sort_by_key(|host| std::cmp::Reverse(capacities.get(host)));
+    ranked.sort_by_cached_key(|host| std::cmp::Reverse(capacities.get(host)));
     ranked
 }
 
@@ -70,9 +70,15 @@
 
     /// Returns how many hosts look after the key before this one does.
     pub(super) fn rank(&self, key: &str, host: &HostId) -> Option<usize> {
+        self.rank_beside(key, host, None)
+    }
+
+    /// Returns the same where one of the others doesn't count.
+    pub(super) fn rank_beside(&self, key: &str, host: &HostId, left_out: Option<&HostId>) -> Option<usize> {
         let key = name_hash(key);
         let (own, _) = self.hosts.iter().find(|(_, known)| *known == host)?;
         let own = pair_weight(key, *own);
-        Some(self.hosts.iter().filter(|(hash, _)| pair_weight(key, *hash) > own).count())
+        let before = self.hosts.iter().filter(|(hash, _)| pair_weight(key, *hash) > own);
+        Some(before.filter(|(_, known)| Some(*known) != left_out).count())
     }
 }
--- a/crates/skylarkshore-core/src/control/ownership.rs
+++ b/crates/skylarkshore-core/src/control/ownership.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use super::hashing::HashedHosts;
 use super::holdings::{Holding, Phase};
 use super::knowledge::Knowledge;
 use super::membership::Membership;
@@ -330,12 +331,13 @@
     }
 
     fn take_vacant(&mut self, cx: &mut Cx<'_>, knowledge: &Knowledge<'_>) {
+        let hosts = HashedHosts::new(knowledge.eligible);
         for engine in self.open.clone() {
             if self.holdings.contains_key(&engine) {
                 continue;
             }
             let share = self.shares.owners.get(&engine);
-            let Some(vacant) = self.vacancies.look(cx, knowledge, &engine, share) else { continue };
+            let Some(vacant) = self.vacancies.look(cx, knowledge, &hosts, &engine, share) else { continue };
             if self.is_free(&engine) {
                 self.take_over(cx, vacant);
             }
--- a/crates/skylarkshore-core/src/control/vacancy.rs
+++ b/crates/skylarkshore-core/src/control/vacancy.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::hashing;
+use super::hashing::HashedHosts;
 use super::knowledge::Knowledge;
 use crate::collections::{HashSet, OrderedMap, OrderedSet};
 use crate::cx::Cx;
@@ -114,6 +114,7 @@
         &mut self,
         cx: &mut Cx<'_>,
         knowledge: &Knowledge<'_>,
+        hosts: &HashedHosts<'_>,
         engine: &UpstreamId,
         share: Option<&HostId>,
     ) -> Option<Vacant> {
@@ -124,7 +125,7 @@
                 return None;
             }
             let vacant = Vacant { engine: engine.clone(), former: None };
-            return is_own_turn(cx, knowledge, engine, share, since).then_some(vacant);
+            return is_own_turn(cx, hosts, engine, share, since).then_some(vacant);
         };
         self.unowned.remove(engine);
         let owner = owner.clone();
@@ -144,7 +145,7 @@
         let ended = state == OwnerState::Ended;
         let since = self.note(cx, knowledge, engine, revision, &owner, ended)?;
         let vacant = Vacant { engine: engine.clone(), former: Some(Former { revision, owner, ended }) };
-        is_own_turn(cx, knowledge, engine, share, since).then_some(vacant)
+        is_own_turn(cx, hosts, engine, share, since).then_some(vacant)
     }
 
     /// Takes note of the vacancy; returns since when the engine may be taken, if it may.
@@ -252,7 +253,7 @@
 /// Tells whether it is up to this process to take an engine that has been free `since`.
 fn is_own_turn(
     cx: &Cx<'_>,
-    knowledge: &Knowledge<'_>,
+    hosts: &HashedHosts<'_>,
     engine: &UpstreamId,
     share: Option<&HostId>,
     since: Time,
@@ -266,9 +267,7 @@
     if !since.after(NEXT_IN_RANK).is_due(cx.now) {
         return false;
     }
-    let others = knowledge.eligible.iter().filter(|host| Some(*host) != share);
-    let ranked = hashing::ranking(engine.as_str(), others);
-    let Some(rank) = ranked.iter().position(|host| *host == own) else { return false };
+    let Some(rank) = hosts.rank_beside(engine.as_str(), own, share) else { return false };
     let turns = u32::try_from(rank + 1).unwrap_or(u32::MAX);
     since.after(NEXT_IN_RANK.saturating_mul(turns)).is_due(cx.now)
 }
--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -172,6 +172,8 @@
         /// What became of it.
         result: StoreResult,
     },
+    /// A process has connected whose certificate no known member has published.
+    UnknownPeer,
     /// A peer has told all that the key-value service holds.
     State {
         /// The revision up to which nothing is missing.
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -200,10 +200,16 @@
                 self.take_snapshot(now, upto, records, effects);
                 self.with(now, effects, |cx, parts| parts.control.on_state(cx, upto));
             }
+            Event::UnknownPeer => {
+                self.with(now, effects, |cx, parts| parts.control.on_unknown_peer(cx));
+            }
             Event::NewsMissed => {
                 self.with(now, effects, |cx, parts| parts.control.on_news_missed(cx));
             }
-            Event::WatchUnanswered => self.listing.silent(),
+            Event::WatchUnanswered => {
+                self.listing.silent();
+                self.control.on_watch_unanswered();
+            }
             Event::WatchBroken => {
                 self.listing.silent();
                 self.with(now, effects, |cx, parts| parts.control.on_watch_broken(cx));
--- a/crates/skylarkshore-core/tests/fleet_size.rs
+++ b/crates/skylarkshore-core/tests/fleet_size.rs
@@ -7,7 +7,7 @@
 use skylarkshore_core::id::{CallId, Digest, HostId, Incarnation, StoreRevision};
 use skylarkshore_core::peer::{Envelope, News, PeerMessage, StatePart};
 use skylarkshore_core::rules::{MinuteOfDay, Rules};
-use skylarkshore_core::store::{Key, MemberRecord, Record, StoreAnswer, StoreCall, StoreFailure, Versioned};
+use skylarkshore_core::store::{Key, MemberRecord, Record, StoreAnswer, StoreCall, Versioned};
 use skylarkshore_core::units::Capacity;
 use skylarkshore_core::{Effect, Event, Node, Time};
 
@@ -35,7 +35,6 @@
         default_rules: Rules::default(),
         watchers: Watchers::Relayed,
         capacity: capacity(number),
-        leaving_notice: Duration::from_secs(5),
     }
 }
 
@@ -172,31 +171,53 @@
     assert!(passing <= 2, "passed on {passing} times");
 }
 
+/// Lets a process that has started go on until something holds, answering its questions who the members are.
+fn run_start(
+    number: usize,
+    hosts: usize,
+    within: Duration,
+    done: impl Fn(&[Effect]) -> bool,
+) -> (Node, Vec<Effect>) {
+    let (mut node, mut effects) = start(number, hosts);
+    let mut now = NOW;
+    while !done(&effects) {
+        assert!(now < NOW.after(within), "it waits for too long");
+        let asked = call_of(&effects, |call| *call == StoreCall::ReadMembers);
+        now = now.after(TICK);
+        effects = match asked {
+            Some(call) => {
+                node.handle(now, Event::Store { call, result: Ok(StoreAnswer::Members(members(hosts))) })
+            }
+            None => tick(&mut node, now),
+        };
+    }
+    (node, effects)
+}
+
+fn reads_everything(effects: &[Effect]) -> bool {
+    call_of(effects, |call| *call == StoreCall::ReadShared).is_some()
+}
+
+/// Returns whom a process asks for everything.
+fn asked(effects: &[Effect]) -> Option<HostId> {
+    let wanted = told(effects).into_iter().find(|envelope| envelope.message == PeerMessage::StateWanted);
+    wanted.map(|envelope| envelope.to)
+}
+
+fn not_the_root(hosts: usize) -> usize {
+    (0..hosts).find(|number| !settled(*number, hosts).1).expect("not all are the root")
+}
+
 /// Guards against hosts that all read everything from the service when they
 /// start together, which takes its link longer than callers wait.
 #[test]
 fn where_members_are_many_a_host_that_starts_asks_one_of_them() {
     let hosts = 100;
-    let number = (0..hosts).find(|number| !settled(*number, hosts).1).expect("not all are the root");
-    let (mut node, first) = start(number, hosts);
-    let mut effects = first;
-    let mut now = NOW;
-    let mut asked = Vec::new();
-    while now < NOW.after(Duration::from_secs(2)) && asked.is_empty() {
-        assert_eq!(call_of(&effects, |call| *call == StoreCall::ReadShared), None, "it reads everything");
-        let looked_up = call_of(&effects, |call| matches!(call, StoreCall::Read(Key::Member(_))));
-        if let Some(call) = looked_up {
-            let found = members(hosts).swap_remove(1);
-            effects = node.handle(now, Event::Store { call, result: Ok(StoreAnswer::One(found)) });
-            let wanted = told(&effects).into_iter().filter(|e| e.message == PeerMessage::StateWanted);
-            asked.extend(wanted.map(|envelope| envelope.to));
-        }
-        now = now.after(TICK);
-        effects = tick(&mut node, now);
-    }
-    assert_eq!(asked.len(), 1);
+    let done = |effects: &[Effect]| asked(effects).is_some() || reads_everything(effects);
+    let (mut node, effects) = run_start(not_the_root(hosts), hosts, Duration::from_secs(2), done);
+    let parent = asked(&effects).expect("it asks nobody");
     let part = StatePart { series: 1, upto: upto(hosts), part: 0, parts: 1, body: Vec::new().into() };
-    let effects = node.handle(now, Event::Peer { from: asked[0].clone(), message: PeerMessage::State(part) });
+    let effects = node.handle(NOW, Event::Peer { from: parent, message: PeerMessage::State(part) });
     assert!(effects.iter().any(|effect| matches!(effect, Effect::TakeState(_))), "{effects:?}");
 }
 
@@ -204,18 +225,19 @@
 #[test]
 fn a_host_whose_peers_are_silent_reads_everything_itself() {
     let hosts = 100;
-    let number = (0..hosts).find(|number| !settled(*number, hosts).1).expect("not all are the root");
-    let (mut node, mut effects) = start(number, hosts);
-    let mut now = NOW;
-    while call_of(&effects, |call| *call == StoreCall::ReadShared).is_none() {
-        assert!(now < NOW.after(Duration::from_secs(10)), "it waits for ever");
-        let looked_up = call_of(&effects, |call| matches!(call, StoreCall::Read(Key::Member(_))));
-        now = now.after(TICK);
-        effects = match looked_up {
-            Some(call) => node.handle(now, Event::Store { call, result: Err(StoreFailure::Unknown) }),
-            None => tick(&mut node, now),
-        };
+    run_start(not_the_root(hosts), hosts, Duration::from_secs(10), reads_everything);
+}
+
+/// Guards against hosts that turn a new one away for as long as no news tells them of it.
+#[test]
+fn a_host_that_does_not_know_who_connects_looks_it_up_at_most_once_a_second() {
+    let (mut node, _) = settled(0, 100);
+    let mut looks = 0;
+    for millis in (0..3000).step_by(100) {
+        let effects = node.handle(NOW.after(Duration::from_millis(millis)), Event::UnknownPeer);
+        looks += usize::from(call_of(&effects, |call| *call == StoreCall::ReadMembers).is_some());
     }
+    assert_eq!(looks, 3);
 }
 
 /// Guards against a small site whose hosts wait for one another at their start.
--- a/crates/skylarkshore-core/tests/support/cluster.rs
+++ b/crates/skylarkshore-core/tests/support/cluster.rs
@@ -75,7 +75,6 @@
         default_rules: Rules::default(),
         watchers: Watchers::default(),
         capacity: Capacity::default(),
-        leaving_notice: Duration::from_secs(2),
     }
 }
 
--- a/crates/skylarkshore-core/tests/support/fleet.rs
+++ b/crates/skylarkshore-core/tests/support/fleet.rs
@@ -154,7 +154,6 @@
             default_rules: Rules::default(),
             watchers: Watchers::default(),
             capacity: Capacity::default(),
-            leaving_notice: Duration::from_secs(2),
         };
         Self {
             cfg,
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -155,7 +155,6 @@
         default_rules: Rules::default(),
         watchers: Watchers::default(),
         capacity: Capacity::default(),
-        leaving_notice: Duration::from_secs(2),
     }
 }
 
--- a/crates/skylarkshore-core/tests/support/serving.rs
+++ b/crates/skylarkshore-core/tests/support/serving.rs
@@ -136,7 +136,6 @@
             default_rules: Rules::default(),
             watchers: Watchers::default(),
             capacity: Capacity::default(),
-            leaving_notice: Duration::from_secs(2),
         };
         let mut process = Self {
             now: Time::from_millis(1000),
--- a/crates/skylarkshore-host/src/config/platform.rs
+++ b/crates/skylarkshore-host/src/config/platform.rs
@@ -9,16 +9,6 @@
 const LEAVING_NOTICE: Duration = Duration::from_secs(2);
 const LEAST_LEASE: Duration = Duration::from_secs(1);
 
-impl PlatformSettings {
-    /// Returns how long upstreams serve on after they have said that they leave.
-    pub fn leaving_notice(&self) -> Duration {
-        match self {
-            Self::Registry(settings) => settings.leaving_notice,
-            Self::Etcd(_) => LEAVING_NOTICE,
-        }
-    }
-}
-
 /// Reads the section of the platform that is named, the product's own where none is.
 pub(super) fn read(root: &mut Section<'_>, report: &mut Report<'_>) -> Option<PlatformSettings> {
     let registry = root.present_section(report, "registry");
--- a/crates/skylarkshore-host/src/peers.rs
+++ b/crates/skylarkshore-host/src/peers.rs
@@ -154,6 +154,7 @@
             shown.and_then(|shown| Some((shown, self.shared.directory.host_of(shown)?)))
         else {
             connection.close(1_u32.into(), b"unknown fingerprint");
+            self.shared.env.inbox.event_later(Event::UnknownPeer);
             return;
         };
         self.keep(&host, Pinned { fingerprint, connection: connection.clone() });
--- a/crates/skylarkshore-host/src/run.rs
+++ b/crates/skylarkshore-host/src/run.rs
@@ -188,7 +188,6 @@
         default_rules: config.default_rules.clone(),
         watchers: config.watchers,
         capacity: config.capacity,
-        leaving_notice: config.platform.leaving_notice(),
     }
 }
 
--- a/crates/skylarkshore-standins/src/world/host.rs
+++ b/crates/skylarkshore-standins/src/world/host.rs
@@ -1,7 +1,5 @@
 //! One entry host with its process.
 
-use std::time::Duration;
-
 use std::collections::VecDeque;
 use std::time::Instant;
 
@@ -58,7 +56,6 @@
             default_rules: Rules::default(),
             watchers: Watchers::default(),
             capacity: Capacity::default(),
-            leaving_notice: Duration::from_secs(2),
         };
         Self {
             id: host.host.clone(),
