--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -255,6 +255,7 @@
         self.catch_up.on_peer(cx, &self.feed, from, message);
         match message {
             PeerMessage::News(news) => self.relay.on_news(cx, from, news),
+            PeerMessage::StateWanted => self.relay.note_asked(cx.now, from),
             PeerMessage::Spread { .. } => self.relay.on_spread(cx, from, message),
             _ => {}
         }
--- a/crates/skylarkshore-core/src/control/catch_up.rs
+++ b/crates/skylarkshore-core/src/control/catch_up.rs
@@ -12,6 +12,7 @@
 use super::feed::Feed;
 use super::peers::neighbours;
 use super::tree::Tree;
+use crate::collections::OrderedMap;
 use crate::config::Watchers;
 use crate::cx::Cx;
 use crate::effect::Effect;
@@ -30,6 +31,8 @@
 const ASKS_OF_PARENT: u32 = 3;
 /// After how long without an answer another member is asked.
 const ASK_AGAIN_AFTER: Duration = Duration::from_secs(1);
+/// After how long a member is told everything again that asks for it again.
+const TELL_AGAIN_AFTER: Duration = Duration::from_secs(4);
 /// How many members are asked, and how often it is waited for one of them to know more itself.
 const MOST_ASKS: u32 = 6;
 
@@ -53,6 +56,8 @@
     next_look: Time,
     /// Members that asked before this process knew everything itself.
     waiting: Vec<HostId>,
+    /// When members were told everything.
+    told: OrderedMap<HostId, Time>,
 }
 
 impl CatchUp {
@@ -149,12 +154,12 @@
     /// Takes a peer's message, where it concerns this part.
     pub(super) fn on_peer(&mut self, cx: &mut Cx<'_>, feed: &Feed, from: &HostId, message: &PeerMessage) {
         match message {
-            PeerMessage::StateWanted if feed.is_synced() => tell_state(cx, feed, vec![from.clone()]),
             PeerMessage::StateWanted => {
-                if !self.waiting.contains(from) {
+                if !self.waiting.contains(from) && !self.is_being_told(cx.now, from) {
                     self.waiting.push(from.clone());
                 }
                 cx.tell(from, PeerMessage::StateComing);
+                self.on_synced(cx, feed);
             }
             PeerMessage::StateComing => {
                 if let Some(Stage::Resting { until }) = &mut self.stage {
@@ -177,10 +182,18 @@
 
     /// Tells those who have waited, now that everything is known.
     pub(super) fn on_synced(&mut self, cx: &mut Cx<'_>, feed: &Feed) {
-        let waiting = std::mem::take(&mut self.waiting);
-        if feed.is_synced() && !waiting.is_empty() {
-            tell_state(cx, feed, waiting);
+        if !feed.is_synced() || self.waiting.is_empty() {
+            return;
         }
+        let waiting = std::mem::take(&mut self.waiting);
+        self.told.retain(|_, at| !at.after(TELL_AGAIN_AFTER).is_due(cx.now));
+        self.told.extend(waiting.iter().map(|host| (host.clone(), cx.now)));
+        tell_state(cx, feed, waiting);
+    }
+
+    /// Tells whether everything is probably on its way to a process that asks for it again.
+    fn is_being_told(&self, now: Time, host: &HostId) -> bool {
+        self.told.get(host).is_some_and(|at| !at.after(TELL_AGAIN_AFTER).is_due(now))
     }
 }
 
--- a/crates/skylarkshore-core/src/control/relay.rs
+++ b/crates/skylarkshore-core/src/control/relay.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use super::tree::{Tree, roots};
+use crate::collections::OrderedMap;
 use crate::config::Watchers;
 use crate::cx::Cx;
 use crate::effect::Effect;
@@ -25,6 +26,11 @@
 /// Up to how many members each is told by itself of what all are to hear.
 const FEW_MEMBERS: usize = 64;
 
+/// For how long a process that asked for everything is told news beside the children.
+///
+/// It takes this process for its parent, which other members may not do yet.
+const GUEST_FOR: Duration = Duration::from_secs(5);
+
 /// This process's part in passing news on.
 #[derive(Debug, Default)]
 pub(super) struct Relay {
@@ -33,6 +39,8 @@
     due: Time,
     /// Up to where news has been passed on.
     passed: StoreRevision,
+    /// Who has asked for everything lately, and until when each is told news.
+    guests: OrderedMap<HostId, Time>,
 }
 
 impl Relay {
@@ -67,6 +75,11 @@
         }
     }
 
+    /// Takes note that a process has asked for everything.
+    pub(super) fn note_asked(&mut self, now: Time, from: &HostId) {
+        self.guests.insert(from.clone(), now.after(GUEST_FOR));
+    }
+
     /// Passes on what all processes are to hear.
     pub(super) fn on_spread(&self, cx: &mut Cx<'_>, from: &HostId, message: &PeerMessage) {
         if self.tree.is_root || self.is_parent(from) {
@@ -89,8 +102,10 @@
 
     fn tell_children(&mut self, cx: &mut Cx<'_>, news: &News) {
         self.passed = self.passed.max(news.upto);
-        for child in &self.tree.children {
-            cx.tell(child, PeerMessage::News(news.clone()));
+        self.guests.retain(|_, until| !until.is_due(cx.now));
+        let guests = self.guests.keys().filter(|guest| !self.tree.children.contains(guest));
+        for host in self.tree.children.iter().chain(guests) {
+            cx.tell(host, PeerMessage::News(news.clone()));
         }
     }
 }
