Work out only the shares of engines that are of interest, where they are many

Change: beyond 100,000 pairs a host works out the shares of engines that have no owner or that it owns, each by itself and kept until members change, and looks at those that others should take once a second.

Ruled out: the same below that; an even distribution from the start is worth more to small sites.

--- a/crates/skylarkshore-core/src/control/ownership.rs
+++ b/crates/skylarkshore-core/src/control/ownership.rs
@@ -9,7 +9,7 @@
 use super::knowledge::Knowledge;
 use super::membership::Membership;
 use super::roster::Roster;
-use super::shares;
+use super::shares::Shares;
 use super::vacancy::{self, Former, Vacancies, Vacant};
 use crate::authority::{EngineUse, OwnershipChange, Permit};
 use crate::collections::{OrderedMap, OrderedSet};
@@ -27,6 +27,10 @@
 
 /// How often at most all engines are looked at.
 const SCAN_EVERY: Duration = Duration::from_millis(250);
+/// The same where there are many.
+const SCAN_LARGE_EVERY: Duration = Duration::from_secs(1);
+/// How often a process looks at engines that others should take.
+const OTHERS_EVERY: Duration = Duration::from_secs(1);
 
 /// A take-over that was written, and may have taken effect.
 #[derive(Clone, Copy, Debug)]
@@ -53,19 +57,12 @@
     open: Vec<UpstreamId>,
     is_scan_due: bool,
     next_scan: Time,
+    next_others: Time,
     next_handover: Time,
     changes: Vec<OwnershipChange>,
     retired: bool,
 }
 
-/// Who should own what, kept until members or engines change.
-#[derive(Debug, Default)]
-struct Shares {
-    hosts: Vec<HostId>,
-    engines: OrderedSet<UpstreamId>,
-    owners: OrderedMap<UpstreamId, HostId>,
-}
-
 impl Ownership {
     /// Returns the changes of ownership since the last call.
     pub(super) fn take_changes(&mut self) -> Vec<OwnershipChange> {
@@ -199,7 +196,8 @@
         }
         if self.is_scan_due && self.next_scan.is_due(cx.now) {
             self.is_scan_due = false;
-            self.next_scan = cx.now.after(SCAN_EVERY);
+            let is_large = knowledge.has_spare_engines(cx);
+            self.next_scan = cx.now.after(if is_large { SCAN_LARGE_EVERY } else { SCAN_EVERY });
             self.scan(cx, knowledge);
         }
         self.settle_handovers(cx, knowledge, engines);
@@ -269,16 +267,12 @@
     /// Looks at all engines: who should own them, and which have no live owner.
     fn scan(&mut self, cx: &Cx<'_>, knowledge: &Knowledge<'_>) {
         let engines = looked_after(cx, knowledge);
-        if self.shares.hosts != knowledge.eligible || self.shares.engines != engines {
-            self.shares.owners = shares::assign(engines.iter(), knowledge.eligible);
-            self.shares.hosts = knowledge.eligible.to_vec();
-            self.vacancies.retain(&engines);
-            self.shares.engines = engines;
-        }
-        let others = self.shares.engines.iter().filter(|engine| !self.holdings.contains_key(*engine));
+        self.vacancies.retain(&engines);
+        let others = engines.iter().filter(|engine| !self.holdings.contains_key(*engine));
         let open = others.filter(|engine| !vacancy::has_owner(cx, knowledge, engine));
         self.open = open.cloned().collect();
         self.vacancies.keep_open(&self.open);
+        self.shares.update(knowledge.eligible, engines, self.open.iter().chain(self.holdings.keys()));
     }
 
     fn is_free(&self, engine: &UpstreamId) -> bool {
@@ -332,11 +326,16 @@
 
     fn take_vacant(&mut self, cx: &mut Cx<'_>, knowledge: &Knowledge<'_>) {
         let hosts = HashedHosts::new(knowledge.eligible);
+        let looks_at_others = self.next_others.is_due(cx.now);
+        if looks_at_others {
+            self.next_others = cx.now.after(OTHERS_EVERY);
+        }
         for engine in self.open.clone() {
-            if self.holdings.contains_key(&engine) {
+            let share = self.shares.owner(&engine);
+            let is_own = share == Some(&cx.cfg.host);
+            if self.holdings.contains_key(&engine) || !is_own && !looks_at_others {
                 continue;
             }
-            let share = self.shares.owners.get(&engine);
             let Some(vacant) = self.vacancies.look(cx, knowledge, &hosts, &engine, share) else { continue };
             if self.is_free(&engine) {
                 self.take_over(cx, vacant);
--- a/crates/skylarkshore-core/src/control/ownership/handover.rs
+++ b/crates/skylarkshore-core/src/control/ownership/handover.rs
@@ -49,7 +49,7 @@
             if !self.is_free(&engine) || self.held(&engine).is_none() {
                 continue;
             }
-            let share = self.shares.owners.get(&engine);
+            let share = self.shares.owner(&engine);
             let Some(to) = balance.receiver(&cx.cfg.host, share, leaving).cloned() else { continue };
             balance.move_one(&cx.cfg.host, &to);
             begun += 1;
--- a/crates/skylarkshore-core/src/control/shares.rs
+++ b/crates/skylarkshore-core/src/control/shares.rs
@@ -1,7 +1,7 @@
 //! Which process each engine should belong to.
 
-use super::hashing::{name_hash, pair_weight};
-use crate::collections::OrderedMap;
+use super::hashing::{HashedHosts, name_hash, pair_weight};
+use crate::collections::{OrderedMap, OrderedSet};
 use crate::id::{HostId, UpstreamId};
 use crate::store::StoreCache;
 
@@ -9,6 +9,11 @@
 /// less, the engine could as well move back.
 const WORTHWHILE: usize = 2;
 
+/// Up to how many pairs of an engine and a host all engines are shared out together.
+///
+/// Beyond, the hosts' largest shares aren't bounded from the start; hand-overs even them out.
+const FEW_PAIRS: usize = 100_000;
+
 /// The most engines that one of `hosts` processes should own.
 pub(super) fn largest_share(engines: usize, hosts: usize) -> usize {
     (engines * 5).div_ceil(hosts.max(1) * 4)
@@ -18,7 +23,7 @@
 ///
 /// The result depends on the two sets alone, so that processes that know the
 /// same members and engines agree on it.
-pub(super) fn assign<'a>(
+fn assign<'a>(
     engines: impl ExactSizeIterator<Item = &'a UpstreamId>,
     hosts: &[HostId],
 ) -> OrderedMap<UpstreamId, HostId> {
@@ -40,6 +45,50 @@
     shares
 }
 
+/// Who should own which engine, kept until members or engines change.
+#[derive(Debug, Default)]
+pub(super) struct Shares {
+    hosts: Vec<HostId>,
+    engines: OrderedSet<UpstreamId>,
+    owners: OrderedMap<UpstreamId, HostId>,
+}
+
+impl Shares {
+    /// Returns who should own an engine, as far as that is of interest to this process.
+    pub(super) fn owner(&self, engine: &UpstreamId) -> Option<&HostId> {
+        self.owners.get(engine)
+    }
+
+    /// Shares the engines out anew where members or engines have changed.
+    ///
+    /// Where they are many, only the engines `of_interest` are, each by itself.
+    pub(super) fn update<'a>(
+        &mut self,
+        hosts: &[HostId],
+        engines: OrderedSet<UpstreamId>,
+        of_interest: impl Iterator<Item = &'a UpstreamId>,
+    ) {
+        let are_hosts_known = self.hosts == hosts;
+        if hosts.len() * engines.len() <= FEW_PAIRS {
+            if !are_hosts_known || self.engines != engines {
+                self.owners = assign(engines.iter(), hosts);
+            }
+        } else {
+            let hashed = HashedHosts::new(hosts);
+            let known = if are_hosts_known { std::mem::take(&mut self.owners) } else { OrderedMap::new() };
+            let owner = |engine: &UpstreamId| match known.get(engine) {
+                Some(host) => Some(host.clone()),
+                None => hashed.winner(engine.as_str()).cloned(),
+            };
+            self.owners = of_interest.filter_map(|engine| Some((engine.clone(), owner(engine)?))).collect();
+        }
+        if !are_hosts_known {
+            self.hosts = hosts.to_vec();
+        }
+        self.engines = engines;
+    }
+}
+
 struct Candidate<'a> {
     host: &'a HostId,
     hash: u64,
