Read what news left out at once where members are few

Cause: since what is missing is asked of the parent, a host of a small site whose new reader had begun further on waited for a second or two; a new configuration was not in force two seconds after it was acknowledged.

Change: the core decides.

Test: a host among ten reads at once, one among a hundred waits and then asks.

--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -38,6 +38,7 @@
 use crate::config::NodeConfig;
 use crate::cx::Cx;
 use crate::dump::{Belief, Gauge};
+use crate::effect::Effect;
 use crate::id::{CallId, HostId, Incarnation, ModelName, StoreRevision, UpstreamId};
 use crate::peer::{News, PeerMessage};
 use crate::store::{Key, StoreResult, Versioned, WriteOutcome};
@@ -209,9 +210,14 @@
         self.catch_up.on_synced(cx, &self.feed);
     }
 
-    /// Asks for everything, since news from peers doesn't go on where the last one ended.
-    pub fn on_news_missed(&self, cx: &mut Cx<'_>) {
-        if self.feed.is_synced() {
+    /// Decides where to learn what news from peers have left out.
+    ///
+    /// Where members are few the service is read, which takes a moment; were all
+    /// of many to do so, its link would be busy for longer than a parent takes.
+    pub fn on_news_missed(&self, cx: &mut Cx<'_>, lasts: bool) {
+        if !relay::are_members_many(cx) {
+            cx.push(Effect::ReadOn);
+        } else if lasts && self.feed.is_synced() {
             self.relay.ask_parent(cx);
         }
     }
--- a/crates/skylarkshore-core/src/control/catch_up.rs
+++ b/crates/skylarkshore-core/src/control/catch_up.rs
@@ -11,6 +11,7 @@
 
 use super::feed::Feed;
 use super::peers::neighbours;
+use super::relay::are_members_many;
 use super::tree::Tree;
 use crate::collections::OrderedMap;
 use crate::config::Watchers;
@@ -21,8 +22,6 @@
 use crate::store::{StoreAnswer, StoreCall, StoreResult};
 use crate::time::Time;
 
-/// From how many members on they are asked rather than the service.
-const MANY_MEMBERS: usize = 64;
 /// How long a process waits before it reads the members again, so that others that start with it are registered.
 const REGISTERED_WITHIN: Duration = Duration::from_millis(700);
 /// How often at most the members are read because an unknown process has connected.
@@ -76,7 +75,7 @@
         match self.stage.clone() {
             Some(Stage::ReadingMembers { call: own }) if own == call => {
                 let is_known = matches!(result, Ok(StoreAnswer::Members(_)));
-                if !is_known || cx.cache.members().nth(MANY_MEMBERS).is_none() {
+                if !is_known || !are_members_many(cx) {
                     self.stage = None;
                     return feed.read(cx);
                 }
--- a/crates/skylarkshore-core/src/control/relay.rs
+++ b/crates/skylarkshore-core/src/control/relay.rs
@@ -23,7 +23,7 @@
 const REVIEW_EARLY: Duration = Duration::from_millis(200);
 /// For how long a process has just started.
 const EARLY: Duration = Duration::from_secs(5);
-/// Up to how many members each is told by itself of what all are to hear.
+/// Up to how many members are few.
 const FEW_MEMBERS: usize = 64;
 
 /// For how long a process that asked for everything is told news beside the children.
@@ -110,9 +110,14 @@
     }
 }
 
+/// Tells whether the members are so many that what all of them do at once is too much for anyone.
+pub(super) fn are_members_many(cx: &Cx<'_>) -> bool {
+    cx.cache.members().nth(FEW_MEMBERS).is_some()
+}
+
 /// Sends a message to every other live member, by way of the trees where there are many.
 pub(crate) fn tell_everyone(cx: &mut Cx<'_>, message: &PeerMessage) {
-    if cx.cfg.watchers != Watchers::Relayed || cx.cache.members().nth(FEW_MEMBERS).is_none() {
+    if cx.cfg.watchers != Watchers::Relayed || !are_members_many(cx) {
         return cx.tell_all(message);
     }
     let spread = PeerMessage::Spread { origin: cx.cfg.host.clone(), message: Box::new(message.clone()) };
--- a/crates/skylarkshore-core/src/effect.rs
+++ b/crates/skylarkshore-core/src/effect.rs
@@ -142,6 +142,8 @@
     TakeState(StatePart),
     /// Go on waiting for a peer's state.
     AwaitState,
+    /// Read what news from peers have left out.
+    ReadOn,
     /// Send a message to a peer.
     Peer(Envelope),
     /// Find out whether a life of a process has ended for certain.
--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -182,7 +182,10 @@
         records: Vec<Versioned>,
     },
     /// News from peers doesn't go on where the last one ended.
-    NewsMissed,
+    NewsMissed {
+        /// Whether that has been so for a while; messages may overtake each other.
+        lasts: bool,
+    },
     /// The watch has seen changes.
     Watched {
         /// The changes.
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -203,8 +203,8 @@
             Event::UnknownPeer => {
                 self.with(now, effects, |cx, parts| parts.control.on_unknown_peer(cx));
             }
-            Event::NewsMissed => {
-                self.with(now, effects, |cx, parts| parts.control.on_news_missed(cx));
+            Event::NewsMissed { lasts } => {
+                self.with(now, effects, |cx, parts| parts.control.on_news_missed(cx, lasts));
             }
             Event::WatchUnanswered => {
                 self.listing.silent();
--- a/crates/skylarkshore-core/tests/fleet_size.rs
+++ b/crates/skylarkshore-core/tests/fleet_size.rs
@@ -246,3 +246,17 @@
     let (_, effects) = start(0, 10);
     assert!(call_of(&effects, |call| *call == StoreCall::ReadShared).is_some(), "{effects:?}");
 }
+
+/// Guards against a small site that waits for a peer to tell what its news left
+/// out, while a new configuration has to be in force within two seconds.
+#[test]
+fn what_news_left_out_is_read_at_once_where_members_are_few_and_asked_for_where_they_are_many() {
+    let (mut node, _) = settled(1, 10);
+    let effects = node.handle(NOW, Event::NewsMissed { lasts: false });
+    assert!(effects.contains(&Effect::ReadOn), "{effects:?}");
+    let (mut node, _) = settled(not_the_root(100), 100);
+    let effects = node.handle(NOW, Event::NewsMissed { lasts: false });
+    assert_eq!(effects, []);
+    let effects = node.handle(NOW, Event::NewsMissed { lasts: true });
+    assert!(asked(&effects).is_some(), "{effects:?}");
+}
--- a/crates/skylarkshore-host/src/driver/effects.rs
+++ b/crates/skylarkshore-host/src/driver/effects.rs
@@ -49,8 +49,8 @@
         Box::pin(self.0.event(Event::State { upto, records }))
     }
 
-    fn missed(&self) -> BoxFuture<'_, ()> {
-        Box::pin(self.0.event(Event::NewsMissed))
+    fn missed(&self, lasts: bool) -> BoxFuture<'_, ()> {
+        Box::pin(self.0.event(Event::NewsMissed { lasts }))
     }
 
     fn unanswered(&self) -> BoxFuture<'_, ()> {
@@ -86,6 +86,7 @@
             Effect::TakeNews(news) => self.store.take_news(news),
             Effect::TakeState(part) => self.store.take_state(part),
             Effect::AwaitState => self.store.await_state(),
+            Effect::ReadOn => self.store.read_on(),
             Effect::TellState { to, series, upto, records } => {
                 let parts = self.store.state(series, upto, &records);
                 self.tell_state(&to, &parts);
--- a/crates/skylarkshore-host/src/store.rs
+++ b/crates/skylarkshore-host/src/store.rs
@@ -32,6 +32,9 @@
     /// Has the watch go on waiting for a peer's state.
     fn await_state(&self) {}
 
+    /// Has the watch read for itself until peers tell something again.
+    fn read_on(&self) {}
+
     /// Packs all that is known of the service for peers, given the shared keys.
     fn state(&self, _series: u64, _upto: StoreRevision, _records: &[Versioned]) -> Vec<StatePart> {
         Vec::new()
@@ -62,7 +65,9 @@
     fn state(&self, upto: StoreRevision, records: Vec<Versioned>) -> BoxFuture<'_, ()>;
 
     /// Takes note that news from peers doesn't go on where the last one ended.
-    fn missed(&self) -> BoxFuture<'_, ()>;
+    ///
+    /// It `lasts` once it has been so for a while.
+    fn missed(&self, lasts: bool) -> BoxFuture<'_, ()>;
 
     /// Takes note that no answer came in time.
     fn unanswered(&self) -> BoxFuture<'_, ()>;
--- a/crates/skylarkshore-standins/src/world/perform.rs
+++ b/crates/skylarkshore-standins/src/world/perform.rs
@@ -143,6 +143,7 @@
             | Effect::TakeNews(_)
             | Effect::TakeState(_)
             | Effect::AwaitState
+            | Effect::ReadOn
             | Effect::TellState { .. }
             | Effect::ReadNewsForOthers(_) => {}
             Effect::Exit => {
