Look for a home among engines that have something of the model first

Cause: each home was chosen among all engines, whose names and data centres were compared with those of the homes so far: 3 million comparisons of text for one model that many engines hold, and every host that has a model to place works out all of them.

Change: engines that hold or keep a copy of the model are weighed first; the others only where those are fewer than are chosen from. The choice is the same.

Ruled out: a table of numbers in place of names; not needed any more.

--- a/crates/skylarkshore-core/src/control/placement.rs
+++ b/crates/skylarkshore-core/src/control/placement.rs
@@ -61,22 +61,32 @@
         let near: Vec<&KnownEngine> = homes.iter().filter_map(|home| roster.get(home)).collect();
         let key = name_hash(model.as_str());
         let table = self.table();
-        let mut nearness = NearnessCursor::new(table.near_to(model));
-        let mut best = BestCandidates::default();
-        for (index, live) in table.engines.iter().enumerate() {
-            let nearness = nearness.at(index);
+        let candidate = |index: usize, nearness: Nearness| {
+            let live = &table.engines[index];
             let engine = live.known;
             let fits = engine.memory >= footprint && (known.pool.is_none() || engine.pool == known.pool);
             if !fits || homes.contains(live.id) {
-                continue;
+                return None;
             }
-            best.offer(Candidate {
+            Some(Candidate {
                 index,
                 nearness,
                 left: left.iter().rposition(|known| known == live.id),
                 shares_data_centre: near.iter().any(|home| home.data_centre == engine.data_centre),
                 weight: Reverse(pair_weight(key, live.hash)),
-            });
+            })
+        };
+        let mut best = BestCandidates::default();
+        let close = table.near_to(model);
+        for near in close {
+            candidate(near.index, near.nearness).into_iter().for_each(|found| best.offer(found));
+        }
+        // Whatever has something of the model is preferred to what has nothing.
+        if !best.is_full() {
+            let is_close = |index: &usize| close.binary_search_by_key(index, |near| near.index).is_ok();
+            for index in (0..table.engines.len()).filter(|index| !is_close(index)) {
+                candidate(index, Nearness::Nothing).into_iter().for_each(|found| best.offer(found));
+            }
         }
         let load = |c: &Candidate| table.engines[c.index].load_with(footprint);
         let chosen = best.into_iter().min_by_key(|c| (c.nearness, c.left, c.shares_data_centre, load(c)))?;
@@ -167,25 +177,6 @@
     loads
 }
 
-/// Tells the nearness of one engine after the other.
-struct NearnessCursor<'a> {
-    rest: &'a [Near],
-}
-
-impl<'a> NearnessCursor<'a> {
-    const fn new(near: &'a [Near]) -> Self {
-        Self { rest: near }
-    }
-
-    fn at(&mut self, index: usize) -> Nearness {
-        let Some((first, rest)) = self.rest.split_first().filter(|(first, _)| first.index == index) else {
-            return Nearness::Nothing;
-        };
-        self.rest = rest;
-        first.nearness
-    }
-}
-
 /// How far an engine has come with a model already; the first is the best.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Nearness {
@@ -230,6 +221,11 @@
         }
     }
 
+    /// Tells whether there are as many as are chosen from.
+    fn is_full(&self) -> bool {
+        self.candidates.iter().all(Option::is_some)
+    }
+
     fn into_iter(self) -> impl Iterator<Item = Candidate> {
         self.candidates.into_iter().flatten()
     }
