--- a/crates/skylarkshore-core/src/control/catch_up.rs
+++ b/crates/skylarkshore-core/src/control/catch_up.rs
@@ -26,6 +26,8 @@
 const REGISTERED_WITHIN: Duration = Duration::from_millis(700);
 /// How often at most the members are read because an unknown process has connected.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
+/// How many times the time-out of a call the members are waited for, which come in several.
+const LOST_AFTER_TIMEOUTS: u32 = 8;
 /// How many times the parent is asked before anybody else is.
 const ASKS_OF_PARENT: u32 = 3;
 /// After how long without an answer another member is asked.
@@ -121,7 +123,7 @@
 
     fn read_again(&mut self, cx: &mut Cx<'_>) {
         let call = cx.next_call();
-        let lost_at = cx.now.after(cx.cfg.timings.store_timeout * 8);
+        let lost_at = cx.now.after(cx.cfg.timings.store_timeout * LOST_AFTER_TIMEOUTS);
         self.stage = Some(Stage::ReadingAgain { call, lost_at });
         cx.push(Effect::Store { call, request: StoreCall::ReadMembers });
     }
--- a/crates/skylarkshore-core/src/control/placement.rs
+++ b/crates/skylarkshore-core/src/control/placement.rs
@@ -79,13 +79,17 @@
         let mut best = BestCandidates::default();
         let close = table.near_to(model);
         for near in close {
-            candidate(near.index, near.nearness).into_iter().for_each(|found| best.offer(found));
+            if let Some(found) = candidate(near.index, near.nearness) {
+                best.offer(found);
+            }
         }
         // Whatever has something of the model is preferred to what has nothing.
         if !best.is_full() {
             let is_close = |index: &usize| close.binary_search_by_key(index, |near| near.index).is_ok();
             for index in (0..table.engines.len()).filter(|index| !is_close(index)) {
-                candidate(index, Nearness::Nothing).into_iter().for_each(|found| best.offer(found));
+                if let Some(found) = candidate(index, Nearness::Nothing) {
+                    best.offer(found);
+                }
             }
         }
         let load = |c: &Candidate| table.engines[c.index].load_with(footprint);
