--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -2,6 +2,7 @@
 
 mod backoff;
 mod budget;
+mod catch_up;
 mod feed;
 pub(crate) mod hashing;
 mod holdings;
@@ -12,14 +13,16 @@
 mod peers;
 mod placement;
 mod power;
-mod relay;
+pub(crate) mod relay;
 mod report;
 mod roster;
 mod shares;
+mod tree;
 mod vacancy;
 
 use std::time::Duration;
 
+use catch_up::CatchUp;
 use feed::Feed;
 use homes::Homes;
 use knowledge::Knowledge;
@@ -35,6 +38,7 @@
 use crate::config::NodeConfig;
 use crate::cx::Cx;
 use crate::dump::{Belief, Gauge};
+use crate::effect::Effect;
 use crate::id::{CallId, HostId, Incarnation, ModelName, StoreRevision, UpstreamId};
 use crate::peer::{News, PeerMessage};
 use crate::store::{Key, StoreResult, Versioned, WriteOutcome};
@@ -55,6 +59,7 @@
     membership: Membership,
     peers: Peers,
     feed: Feed,
+    catch_up: CatchUp,
     relay: Relay,
     roster: Roster,
     ownership: Ownership,
@@ -79,6 +84,7 @@
             membership: Membership::new(),
             peers: Peers::default(),
             feed: Feed::default(),
+            catch_up: CatchUp::default(),
             relay: Relay::default(),
             roster: Roster::default(),
             ownership: Ownership::default(),
@@ -100,7 +106,7 @@
 
     /// Begins the lease and the first read of the shared keys.
     pub fn start(&mut self, cx: &mut Cx<'_>) {
-        self.feed.start(cx);
+        self.catch_up.start(cx, &mut self.feed);
         self.membership.on_tick(cx);
     }
 
@@ -109,6 +115,7 @@
         self.membership.on_tick(cx);
         self.peers.on_tick(cx, self.own_state());
         self.feed.on_tick(cx);
+        self.catch_up.on_tick(cx, &mut self.feed);
         self.relay.on_tick(cx);
         if self.last_review.after(self.review_every(engines)).is_due(cx.now) {
             self.review(cx, engines);
@@ -134,7 +141,8 @@
     }
 
     /// Takes news that this process has read itself.
-    pub fn on_news_read(&self, cx: &mut Cx<'_>, news: &News) {
+    pub fn on_news_read(&mut self, cx: &mut Cx<'_>, news: &News) {
+        self.feed.note_watch(true);
         self.relay.on_read(cx, news);
     }
 
@@ -157,9 +165,9 @@
         self.membership.is_gone()
     }
 
-    /// Takes note of a new host list.
-    pub fn on_host_list(&mut self, cx: &mut Cx<'_>) {
-        self.roster.on_host_list(cx);
+    /// Takes note that upstreams of the host list have changed.
+    pub fn on_host_list(&mut self, cx: &mut Cx<'_>, touched: &[UpstreamId]) {
+        self.roster.on_host_list(cx, touched);
         self.changed = true;
     }
 
@@ -167,6 +175,8 @@
     pub fn on_store(&mut self, cx: &mut Cx<'_>, call: CallId, result: &StoreResult) {
         self.membership.on_store(cx, call, result);
         self.feed.on_store(cx, call, result);
+        self.catch_up.on_store(cx, &mut self.feed, call, result);
+        self.catch_up.on_synced(cx, &self.feed);
     }
 
     /// Takes the outcome of a write of a member, owner, homes or power key.
@@ -194,8 +204,32 @@
         }
     }
 
+    /// Takes note that a peer has told every shared key.
+    pub fn on_state(&mut self, cx: &mut Cx<'_>, upto: StoreRevision) {
+        self.feed.on_state(cx, upto);
+        self.catch_up.on_synced(cx, &self.feed);
+    }
+
+    /// Decides where to learn what news from peers have left out.
+    ///
+    /// Where members are few the service is read, which takes a moment; were all
+    /// of many to do so, its link would be busy for longer than a parent takes.
+    pub fn on_news_missed(&self, cx: &mut Cx<'_>, lasts: bool) {
+        if !relay::are_members_many(cx) {
+            cx.push(Effect::ReadOn);
+        } else if lasts && self.feed.is_synced() {
+            self.relay.ask_parent(cx);
+        }
+    }
+
+    /// Takes note that the service didn't answer a watch.
+    pub fn on_watch_unanswered(&mut self) {
+        self.feed.note_watch(false);
+    }
+
     /// Takes note that the watch may have missed changes.
     pub fn on_watch_broken(&mut self, cx: &mut Cx<'_>) {
+        self.feed.note_watch(false);
         self.feed.on_watch_broken(cx);
     }
 
@@ -224,12 +258,24 @@
     pub fn on_peer(&mut self, cx: &mut Cx<'_>, from: &HostId, message: &PeerMessage) {
         self.peers.on_peer(cx, from, message);
         self.feed.on_peer(cx, from, message);
+        self.catch_up.on_peer(cx, &self.feed, from, message);
+        match message {
+            PeerMessage::News(news) => self.relay.on_news(cx, from, news),
+            PeerMessage::StateWanted => self.relay.note_asked(cx.now, from),
+            PeerMessage::Spread { .. } => self.relay.on_spread(cx, from, message),
+            _ => {}
+        }
         if let PeerMessage::PowerWanted { site, watts, .. } = message {
             self.power.on_wanted(cx, site, *watts);
             self.changed = true;
         }
     }
 
+    /// Takes note that a process has connected whose certificate no known member has published.
+    pub fn on_unknown_peer(&mut self, cx: &mut Cx<'_>) {
+        self.catch_up.on_unknown_peer(cx);
+    }
+
     /// Takes note that a process has ended for certain.
     pub fn on_peer_refused(&mut self, cx: &mut Cx<'_>, host: &HostId, incarnation: Incarnation) {
         self.peers.on_refused(cx, host, incarnation);
@@ -270,7 +316,7 @@
     }
 
     fn review(&mut self, cx: &mut Cx<'_>, engines: &dyn EngineUse) {
-        self.changed = false;
+        let has_changed = std::mem::take(&mut self.changed);
         self.last_review = cx.now;
         self.review_members(cx);
         if !self.membership.is_gone() {
@@ -287,6 +333,7 @@
             roster: &self.roster,
             eligible: &self.eligible,
             eligible_since: self.eligible_since,
+            has_changed,
         };
         self.ownership.review(cx, &knowledge, engines);
         self.homes.review(cx, &knowledge, &self.ownership, engines);
--- a/crates/skylarkshore-core/src/control/ownership.rs
+++ b/crates/skylarkshore-core/src/control/ownership.rs
@@ -4,12 +4,13 @@
 
 use std::time::Duration;
 
+use super::hashing::HashedHosts;
 use super::holdings::{Holding, Phase};
 use super::knowledge::Knowledge;
 use super::membership::Membership;
 use super::roster::Roster;
-use super::shares;
-use super::vacancy::{Former, Vacancies, Vacant};
+use super::shares::Shares;
+use super::vacancy::{self, Former, Vacancies, Vacant};
 use crate::authority::{EngineUse, OwnershipChange, Permit};
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::config::NodeConfig;
@@ -24,6 +25,13 @@
 /// How long a write of unknown outcome rests before it is made again.
 const DOUBT_REST: Duration = Duration::from_secs(1);
 
+/// How often at most all engines are looked at.
+const SCAN_EVERY: Duration = Duration::from_millis(250);
+/// The same where there are many.
+const SCAN_LARGE_EVERY: Duration = Duration::from_secs(1);
+/// How often a process looks at engines that others should take.
+const OTHERS_EVERY: Duration = Duration::from_secs(1);
+
 /// A take-over that was written, and may have taken effect.
 #[derive(Clone, Copy, Debug)]
 struct Intent {
@@ -45,19 +53,16 @@
     resting: OrderedMap<UpstreamId, Time>,
     vacancies: Vacancies,
     shares: Shares,
+    /// Engines that had no live owner when all were last looked at.
+    open: Vec<UpstreamId>,
+    is_scan_due: bool,
+    next_scan: Time,
+    next_others: Time,
     next_handover: Time,
     changes: Vec<OwnershipChange>,
     retired: bool,
 }
 
-/// Who should own what, kept until members or engines change.
-#[derive(Debug, Default)]
-struct Shares {
-    hosts: Vec<HostId>,
-    engines: OrderedSet<UpstreamId>,
-    owners: OrderedMap<UpstreamId, HostId>,
-}
-
 impl Ownership {
     /// Returns the changes of ownership since the last call.
     pub(super) fn take_changes(&mut self) -> Vec<OwnershipChange> {
@@ -101,6 +106,7 @@
             self.changes.push(OwnershipChange::Lost { engine });
         }
         self.intents.clear();
+        self.open.clear();
         self.vacancies.clear();
     }
 
@@ -185,7 +191,15 @@
             return;
         }
         self.resting.retain(|_, until| !until.is_due(cx.now));
-        self.share_out(cx, knowledge);
+        if knowledge.has_changed {
+            self.is_scan_due = true;
+        }
+        if self.is_scan_due && self.next_scan.is_due(cx.now) {
+            self.is_scan_due = false;
+            let is_large = knowledge.has_spare_engines(cx);
+            self.next_scan = cx.now.after(if is_large { SCAN_LARGE_EVERY } else { SCAN_EVERY });
+            self.scan(cx, knowledge);
+        }
         self.settle_handovers(cx, knowledge, engines);
         if !knowledge.may_decide(cx) {
             return;
@@ -250,17 +264,15 @@
         self.changes.push(OwnershipChange::Lost { engine: engine.clone() });
     }
 
-    fn share_out(&mut self, cx: &Cx<'_>, knowledge: &Knowledge<'_>) {
-        let listed = knowledge.roster.iter().filter(|(_, known)| known.is_listed());
-        let engines: OrderedSet<UpstreamId> = listed.map(|(id, _)| id.clone()).collect();
-        let owned = cx.cache.owners().map(|(engine, _)| engine.clone());
-        let engines: OrderedSet<UpstreamId> = engines.into_iter().chain(owned).collect();
-        if self.shares.hosts == knowledge.eligible && self.shares.engines == engines {
-            return;
-        }
-        self.shares.owners = shares::assign(engines.iter(), knowledge.eligible);
-        self.shares.hosts = knowledge.eligible.to_vec();
-        self.shares.engines = engines;
+    /// Looks at all engines: who should own them, and which have no live owner.
+    fn scan(&mut self, cx: &Cx<'_>, knowledge: &Knowledge<'_>) {
+        let engines = looked_after(cx, knowledge);
+        self.vacancies.retain(&engines);
+        let others = engines.iter().filter(|engine| !self.holdings.contains_key(*engine));
+        let open = others.filter(|engine| !vacancy::has_owner(cx, knowledge, engine));
+        self.open = open.cloned().collect();
+        self.vacancies.keep_open(&self.open);
+        self.shares.update(knowledge.eligible, engines, self.open.iter().chain(self.holdings.keys()));
     }
 
     fn is_free(&self, engine: &UpstreamId) -> bool {
@@ -313,17 +325,18 @@
     }
 
     fn take_vacant(&mut self, cx: &mut Cx<'_>, knowledge: &Knowledge<'_>) {
-        let engines: Vec<UpstreamId> = self
-            .shares
-            .engines
-            .iter()
-            .filter(|engine| !self.holdings.contains_key(*engine))
-            .cloned()
-            .collect();
-        self.vacancies.retain(&self.shares.engines);
-        for engine in engines {
-            let share = self.shares.owners.get(&engine);
-            let Some(vacant) = self.vacancies.look(cx, knowledge, &engine, share) else { continue };
+        let hosts = HashedHosts::new(knowledge.eligible);
+        let looks_at_others = self.next_others.is_due(cx.now);
+        if looks_at_others {
+            self.next_others = cx.now.after(OTHERS_EVERY);
+        }
+        for engine in self.open.clone() {
+            let share = self.shares.owner(&engine);
+            let is_own = share == Some(&cx.cfg.host);
+            if self.holdings.contains_key(&engine) || !is_own && !looks_at_others {
+                continue;
+            }
+            let Some(vacant) = self.vacancies.look(cx, knowledge, &hosts, &engine, share) else { continue };
             if self.is_free(&engine) {
                 self.take_over(cx, vacant);
             }
@@ -358,6 +371,23 @@
     }
 }
 
+/// Returns the engines that are to have an owner.
+///
+/// An owner asks its engines how they stand, and all processes hear who owns
+/// which. Where there are many more engines than hosts, that is left out for
+/// those on which nothing is to be loaded; requests use what they hold.
+fn looked_after(cx: &Cx<'_>, knowledge: &Knowledge<'_>) -> OrderedSet<UpstreamId> {
+    let mut engines: OrderedSet<UpstreamId> = cx.cache.owners().map(|(engine, _)| engine.clone()).collect();
+    if knowledge.has_spare_engines(cx) {
+        let homes = cx.cache.all_homes().flat_map(|(_, homes)| &homes.engines);
+        engines.extend(homes.cloned());
+    } else {
+        let listed = knowledge.roster.iter().filter(|(_, known)| known.is_listed());
+        engines.extend(listed.map(|(id, _)| id.clone()));
+    }
+    engines
+}
+
 /// A record that names this process.
 #[derive(Clone, Copy, Debug)]
 struct Named {
--- a/crates/skylarkshore-core/src/control/placement.rs
+++ b/crates/skylarkshore-core/src/control/placement.rs
@@ -5,12 +5,12 @@
 use super::hashing::{name_hash, pair_weight};
 use super::roster::{KnownEngine, Roster};
 use crate::catalogue::Document;
-use crate::collections::{HashMap, OrderedMap};
+use crate::collections::HashMap;
 use crate::cx::Cx;
 use crate::id::{ModelName, UpstreamId};
 use crate::store::StoreCache;
 use crate::units::Mebibytes;
-use crate::upstream::Upstream;
+use crate::upstream::{Upstream, UpstreamList};
 
 /// From how many engines that the hash prefers the least loaded one is taken.
 ///
@@ -27,7 +27,7 @@
 pub(super) struct Placement<'a> {
     document: &'a Document,
     cache: &'a StoreCache,
-    upstreams: &'a OrderedMap<UpstreamId, Upstream>,
+    upstreams: &'a UpstreamList,
     roster: &'a Roster,
     /// Made for the first model that needs it; most reviews place none.
     table: Option<Table<'a>>,
@@ -61,22 +61,36 @@
         let near: Vec<&KnownEngine> = homes.iter().filter_map(|home| roster.get(home)).collect();
         let key = name_hash(model.as_str());
         let table = self.table();
-        let mut nearness = NearnessCursor::new(table.near_to(model));
-        let mut best = BestCandidates::default();
-        for (index, live) in table.engines.iter().enumerate() {
-            let nearness = nearness.at(index);
+        let candidate = |index: usize, nearness: Nearness| {
+            let live = &table.engines[index];
             let engine = live.known;
             let fits = engine.memory >= footprint && (known.pool.is_none() || engine.pool == known.pool);
             if !fits || homes.contains(live.id) {
-                continue;
+                return None;
             }
-            best.offer(Candidate {
+            Some(Candidate {
                 index,
                 nearness,
                 left: left.iter().rposition(|known| known == live.id),
                 shares_data_centre: near.iter().any(|home| home.data_centre == engine.data_centre),
                 weight: Reverse(pair_weight(key, live.hash)),
-            });
+            })
+        };
+        let mut best = BestCandidates::default();
+        let close = table.near_to(model);
+        for near in close {
+            if let Some(found) = candidate(near.index, near.nearness) {
+                best.offer(found);
+            }
+        }
+        // Whatever has something of the model is preferred to what has nothing.
+        if !best.is_full() {
+            let is_close = |index: &usize| close.binary_search_by_key(index, |near| near.index).is_ok();
+            for index in (0..table.engines.len()).filter(|index| !is_close(index)) {
+                if let Some(found) = candidate(index, Nearness::Nothing) {
+                    best.offer(found);
+                }
+            }
         }
         let load = |c: &Candidate| table.engines[c.index].load_with(footprint);
         let chosen = best.into_iter().min_by_key(|c| (c.nearness, c.left, c.shares_data_centre, load(c)))?;
@@ -124,12 +138,7 @@
 }
 
 impl<'a> Table<'a> {
-    fn new(
-        document: &Document,
-        cache: &StoreCache,
-        upstreams: &'a OrderedMap<UpstreamId, Upstream>,
-        roster: &'a Roster,
-    ) -> Self {
+    fn new(document: &Document, cache: &StoreCache, upstreams: &'a UpstreamList, roster: &'a Roster) -> Self {
         let loads = loads(document, cache);
         let mut table = Self { engines: Vec::new(), near: HashMap::default() };
         for (id, known) in roster.iter().filter(|(_, known)| known.is_live()) {
@@ -172,25 +181,6 @@
     loads
 }
 
-/// Tells the nearness of one engine after the other.
-struct NearnessCursor<'a> {
-    rest: &'a [Near],
-}
-
-impl<'a> NearnessCursor<'a> {
-    const fn new(near: &'a [Near]) -> Self {
-        Self { rest: near }
-    }
-
-    fn at(&mut self, index: usize) -> Nearness {
-        let Some((first, rest)) = self.rest.split_first().filter(|(first, _)| first.index == index) else {
-            return Nearness::Nothing;
-        };
-        self.rest = rest;
-        first.nearness
-    }
-}
-
 /// How far an engine has come with a model already; the first is the best.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Nearness {
@@ -235,6 +225,11 @@
         }
     }
 
+    /// Tells whether there are as many as are chosen from.
+    fn is_full(&self) -> bool {
+        self.candidates.iter().all(Option::is_some)
+    }
+
     fn into_iter(self) -> impl Iterator<Item = Candidate> {
         self.candidates.into_iter().flatten()
     }
--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -13,7 +13,7 @@
 use crate::rules::MinuteOfDay;
 use crate::store::{RecordedAnswer, StoreResult, Versioned};
 use crate::time::Time;
-use crate::upstream::{EngineReport, OrderAnswer, Upstream};
+use crate::upstream::{EngineReport, OrderAnswer, Upstream, UpstreamChanges};
 
 /// What a request is for.
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
@@ -163,6 +163,8 @@
     Shutdown,
     /// The host list was read.
     HostList(Vec<Upstream>),
+    /// Some upstreams of the host list have changed.
+    Upstreams(UpstreamChanges),
     /// A call to the key-value service ended.
     Store {
         /// The call.
@@ -170,6 +172,20 @@
         /// What became of it.
         result: StoreResult,
     },
+    /// A process has connected whose certificate no known member has published.
+    UnknownPeer,
+    /// A peer has told all that the key-value service holds.
+    State {
+        /// The revision up to which nothing is missing.
+        upto: StoreRevision,
+        /// Every shared key that has a value.
+        records: Vec<Versioned>,
+    },
+    /// News from peers doesn't go on where the last one ended.
+    NewsMissed {
+        /// Whether that has been so for a while; messages may overtake each other.
+        lasts: bool,
+    },
     /// The watch has seen changes.
     Watched {
         /// The changes.
--- a/crates/skylarkshore-host/src/peers.rs
+++ b/crates/skylarkshore-host/src/peers.rs
@@ -124,9 +124,13 @@
 
     /// Keeps the directory up to date with the published fingerprints.
     async fn follow(self, mut snapshots: watch::Receiver<Arc<Snapshot>>) {
+        let mut known = Arc::default();
         while snapshots.changed().await.is_ok() {
             let snapshot = Arc::clone(&snapshots.borrow_and_update());
-            self.shared.directory.learn(&snapshot.members);
+            if !Arc::ptr_eq(&known, &snapshot.members) {
+                self.shared.directory.learn(&snapshot.members);
+                known = Arc::clone(&snapshot.members);
+            }
         }
     }
 
@@ -150,6 +154,7 @@
             shown.and_then(|shown| Some((shown, self.shared.directory.host_of(shown)?)))
         else {
             connection.close(1_u32.into(), b"unknown fingerprint");
+            self.shared.env.inbox.event_later(Event::UnknownPeer);
             return;
         };
         self.keep(&host, Pinned { fingerprint, connection: connection.clone() });
