Log where each configuration comes from, and a host's place in the relay

Callers saw requests handled by an older configuration than the confirmed one. The logs showed only `request_arrived catalogue=...`: that a host went by an old version, not what it had heard, from whom, or what it tried.

New lines, each at a change of state: `document_activated` (versions before and after), `relay_position` (parent, root, children) and `state_requested` (from whom, why). No decision changes. The platform's own lines follow with the logic that they report on.

--- a/crates/skylarkshore-core/src/control/relay.rs
+++ b/crates/skylarkshore-core/src/control/relay.rs
@@ -53,11 +53,19 @@
         let is_starting = !started_at.after(STARTUP_PERIOD).is_due(cx.now);
         self.next_tree_update =
             cx.now.after(if is_starting { TREE_UPDATE_INTERVAL_AT_START } else { TREE_UPDATE_INTERVAL });
-        let was_root = self.tree.is_root;
-        self.tree = RelayTree::of(cx);
-        if self.tree.is_root != was_root {
+        let previous = std::mem::replace(&mut self.tree, RelayTree::of(cx));
+        if self.tree.is_root != previous.is_root {
             cx.push(Effect::ReadNewsForOthers(self.tree.is_root));
         }
+        if self.tree.is_root != previous.is_root || self.tree.parent != previous.parent {
+            self.log_position(cx);
+        }
+    }
+
+    fn log_position(&self, cx: &mut Cx<'_>) {
+        let parent = self.tree.parent.as_ref().map_or_else(|| "none".to_owned(), HostId::to_string);
+        let detail = format!("root={} children={}", self.tree.is_root, self.tree.children.len());
+        cx.log_event("relay_position", parent, detail);
     }
 
     /// Forwards news that this process has read itself.
@@ -91,6 +99,7 @@
 
     pub(super) fn request_state_from_parent(&self, cx: &mut Cx<'_>) {
         if let Some(parent) = &self.tree.parent {
+            cx.log_event("state_requested", parent, "news from peers has a lasting gap");
             cx.send(parent, PeerMessage::StateWanted);
         }
     }
--- a/crates/skylarkshore-core/src/control/store_sync.rs
+++ b/crates/skylarkshore-core/src/control/store_sync.rs
@@ -255,6 +255,8 @@
         }
         if self.is_watch_unanswered && self.next_state_request.is_due(cx.now) {
             self.next_state_request = cx.now.after(STATE_REQUEST_INTERVAL);
+            let detail = format!("the key-value service is silent; {store} there, {} here", self.frontier);
+            cx.log_event("state_requested", from, detail);
             cx.send(from, PeerMessage::StateWanted);
         }
     }
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -387,7 +387,7 @@
     fn notify_changed_keys(&mut self, now: Time, changed: &[Key], effects: &mut Vec<Effect>) {
         for key in changed {
             if matches!(key, Key::Document | Key::Catalogue) {
-                self.activate_newer_document();
+                self.activate_newer_document(now, effects);
             }
             self.with_cx(now, effects, |cx, parts| {
                 parts.control.on_key_change(cx, key);
@@ -405,7 +405,8 @@
     /// operators' revision keeps withdrawn rules from taking effect again.
     ///
     /// A catalogue under its own key replaces the one in the document.
-    fn activate_newer_document(&mut self) {
+    fn activate_newer_document(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let (rules, catalogue) = (self.document.revision, self.document.catalogue_revision);
         let mut document = Arc::clone(&self.document);
         if let Some(Record::Document(newer)) = self.record(&Key::Document)
             && newer.revision > document.revision
@@ -418,6 +419,13 @@
             document = Arc::new(document.with_catalogue(newer));
         }
         self.document = document;
+        self.with_cx(now, effects, |cx, _| {
+            let detail = format!(
+                "catalogue {catalogue} -> {}, rules {rules} -> {}",
+                cx.document.catalogue_revision, cx.document.revision
+            );
+            cx.log_event("document_activated", cx.document.catalogue_revision, detail);
+        });
     }
 
     fn record(&self, key: &Key) -> Option<&Record> {
