Decide in the core whether a host follows its peers or reads the store

When to follow relayed changes, when to read the key-value service, what to do about a gap: these decisions were three files of the platform's adapter, tied to its sockets and to the real clock, so that no test could play a tree of hosts in given time. They are now `follower.rs` in the core, a state machine that says the next step; the adapter executes it. No decision changes.

--- /dev/null
+++ b/crates/skylarkshore-core/src/follower.rs
@@ -0,0 +1,438 @@
+//! Decides whether a process follows the news of its peers or reads the key-value service itself.
+//!
+//! News is a batch of changes that one process has read from the service and relays to the others;
+//! the complete state is sent separately, in [`StatePart`]s. The adapter of a platform drives the
+//! [`Follower`]: it passes updates in, executes each [`Step`] and reports its result. Start reading
+//! at [`Follower::next_step`].
+
+mod state_parts;
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::id::StoreRevision;
+use crate::peer::{News, StatePart};
+use crate::time::Time;
+use state_parts::StateParts;
+
+/// Limit of queued updates; when it is exceeded, the process reads the service itself.
+const MAX_QUEUED_UPDATES: usize = 256;
+/// Limit of news messages that are buffered beyond a gap.
+const MAX_BUFFERED_NEWS: usize = 64;
+/// Age of a gap at which a peer is asked for its complete state.
+const GAP_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long the short rest between reads applies after the start.
+const STARTUP_PHASE: Duration = Duration::from_secs(10);
+/// Upper bound of the time that a read's answer may take beyond its wait.
+const MAX_ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// Number of consecutive unanswered reads after which a peer is asked for its state.
+///
+/// Each read resumes at the last known revision, so no change is lost once the
+/// service answers again.
+const MAX_UNANSWERED_READS: u32 = 2;
+
+/// Timing of reads, chosen so that a leaving upstream is known before it ends.
+///
+/// A connection can go silent for good without a reset. Until such a read times
+/// out, the process receives no changes and would send requests to upstreams that
+/// are leaving; they keep running for the notice period after they announce it.
+#[derive(Clone, Copy, Debug)]
+struct ReadTiming {
+    /// Wait for changes of a read that starts directly after the previous one.
+    wait: Duration,
+    /// Wait for changes of a read that starts after a rest.
+    wait_after_rest: Duration,
+    /// Time that the answer may take beyond the wait.
+    slack: Duration,
+    /// Pause after a read that returned changes; bounds the call rate under constant change.
+    rest: Duration,
+    /// Pause of a process that reads for others or has just begun to watch.
+    ///
+    /// Hosts that start together must know each other before they can exchange
+    /// suspicions of requests that crash upstreams.
+    short_rest: Duration,
+    /// Time without updates from peers after which the process reads the service itself.
+    silence: Duration,
+}
+
+impl ReadTiming {
+    /// Divides the notice period of leaving upstreams; the remainder is for applying the changes.
+    fn from_notice(notice: Duration) -> Self {
+        Self {
+            wait: notice * 3 / 5,
+            wait_after_rest: notice / 5,
+            slack: MAX_ANSWER_SLACK.min(notice / 4),
+            rest: notice * 2 / 5,
+            short_rest: notice / 5,
+            silence: notice / 2,
+        }
+    }
+}
+
+/// A read of the changes after a revision, which waits until there are some.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ChangesRead {
+    /// The revision after which changes are wanted.
+    pub after: StoreRevision,
+    /// How long the service may wait for changes.
+    pub wait: Duration,
+    /// Time-out of the call.
+    pub timeout: Duration,
+}
+
+/// How a read ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadOutcome {
+    /// The service answered.
+    Answered {
+        /// Revision up to which the answer is complete.
+        upto: StoreRevision,
+        /// Whether it holds changes.
+        has_changes: bool,
+    },
+    /// The service did not answer in time, or the connection failed.
+    Unanswered,
+    /// The service refused the call without executing it.
+    Refused,
+    /// The service no longer has the changes since that revision, or its answer cannot be used.
+    HistoryGone,
+}
+
+/// How the adapter goes on after a read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterRead {
+    /// Take the next step.
+    Continue,
+    /// Report that the service did not answer, then take the next step.
+    ReportUnanswered {
+        /// Whether a peer is to be asked for its state.
+        asks_peer: bool,
+    },
+    /// End the watch and read the complete state.
+    ReadState,
+}
+
+/// What the adapter does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Apply changes that a peer has relayed, then call [`Follower::on_applied`].
+    ApplyNews(News),
+    /// Apply the complete state of a peer, then call [`Follower::on_applied`].
+    ApplyState {
+        /// Revision up to which the state is complete.
+        upto: StoreRevision,
+        /// The bodies of its parts, in order.
+        bodies: Vec<Arc<[u8]>>,
+    },
+    /// Report changes that the news of peers has skipped.
+    ReportGap {
+        /// The revision after which changes are missing.
+        known_upto: StoreRevision,
+        /// The revision after which the next news begins.
+        next_from: StoreRevision,
+        /// Whether the gap has lasted for a while.
+        lasts: bool,
+    },
+    /// Read changes from the service and call [`Follower::on_read`].
+    ///
+    /// The read is abandoned as soon as [`Follower::is_read_wanted`] returns false.
+    Read(ChangesRead),
+    /// Do nothing until an update arrives or the time is due.
+    Wait {
+        /// The time, if any.
+        until: Option<Time>,
+    },
+    /// Read the complete state, since nothing is known yet and no peer sends it.
+    ReadState,
+}
+
+/// An update from a peer.
+#[derive(Clone, Debug)]
+enum Update {
+    News(News),
+    State(StatePart),
+}
+
+/// What the follower is doing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Phase {
+    /// Applying the updates of peers.
+    #[default]
+    Following,
+    /// Reading the service.
+    Reading,
+    /// Pausing between two reads.
+    Resting { until: Time },
+}
+
+/// When a read starts relative to the previous one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum ReadStart {
+    #[default]
+    Immediate,
+    AfterRest,
+}
+
+/// The missing changes between the last applied news and the next.
+#[derive(Clone, Copy, Debug)]
+struct Gap {
+    since: Time,
+    is_reported_as_lasting: bool,
+}
+
+/// The progress of a process that follows the news of its peers or reads by itself.
+#[derive(Debug)]
+pub struct Follower {
+    timing: ReadTiming,
+    /// The revision up to which all changes are applied.
+    after: StoreRevision,
+    queue: VecDeque<Update>,
+    /// When a peer last sent or announced an update.
+    last_update: Option<Time>,
+    reads_for_peers: bool,
+    phase: Phase,
+    gap: Option<Gap>,
+    /// News that starts beyond the gap.
+    buffered: Vec<News>,
+    parts: StateParts,
+    unanswered: u32,
+    read_start: ReadStart,
+    startup_until: Time,
+}
+
+impl Follower {
+    /// Creates a follower for the notice period that leaving upstreams give.
+    pub fn new(leaving_notice: Duration) -> Self {
+        Self {
+            timing: ReadTiming::from_notice(leaving_notice),
+            after: StoreRevision(0),
+            queue: VecDeque::new(),
+            last_update: None,
+            reads_for_peers: false,
+            phase: Phase::Following,
+            gap: None,
+            buffered: Vec::new(),
+            parts: StateParts::default(),
+            unanswered: 0,
+            read_start: ReadStart::Immediate,
+            startup_until: Time::START,
+        }
+    }
+
+    /// Starts to follow after a revision; updates that are already queued stay.
+    pub fn start(&mut self, now: Time, after: StoreRevision) {
+        self.after = after;
+        self.unanswered = 0;
+        self.read_start = ReadStart::Immediate;
+        self.startup_until = now.after(STARTUP_PHASE);
+        self.follow();
+    }
+
+    /// Returns the revision up to which all changes are applied.
+    pub const fn after(&self) -> StoreRevision {
+        self.after
+    }
+
+    /// Returns the number of consecutive reads that the service did not answer.
+    pub const fn unanswered(&self) -> u32 {
+        self.unanswered
+    }
+
+    /// Queues changes that a peer has relayed.
+    pub fn push_news(&mut self, now: Time, news: News) {
+        self.push(now, Update::News(news));
+    }
+
+    /// Queues a part of a peer's complete state.
+    pub fn push_state(&mut self, now: Time, part: StatePart) {
+        self.push(now, Update::State(part));
+    }
+
+    /// Restarts the silence timer because a peer has announced an update.
+    pub const fn expect_update(&mut self, now: Time) {
+        self.last_update = Some(now);
+    }
+
+    /// Drops all queued updates, so that the process reads the service itself until a peer sends more.
+    pub fn reset(&mut self) {
+        self.queue.clear();
+        self.last_update = None;
+    }
+
+    /// Sets whether this process reads the service for its peers.
+    pub const fn set_reads_for_peers(&mut self, is_wanted: bool) {
+        self.reads_for_peers = is_wanted;
+    }
+
+    /// Reports whether this process reads the service for its peers.
+    pub const fn reads_for_peers(&self) -> bool {
+        self.reads_for_peers
+    }
+
+    /// Returns what to do next.
+    pub fn next_step(&mut self, now: Time) -> Step {
+        loop {
+            let step = match self.phase {
+                Phase::Following => self.follow_next(now),
+                Phase::Reading => Some(Step::Wait { until: None }),
+                Phase::Resting { until } => self.rest_until(now, until),
+            };
+            if let Some(step) = step {
+                return step;
+            }
+        }
+    }
+
+    /// Reports whether the running read is still wanted; an update from a peer ends it.
+    pub fn is_read_wanted(&self) -> bool {
+        self.phase == Phase::Reading && self.queue.is_empty()
+    }
+
+    /// Abandons the running read.
+    pub fn abandon_read(&mut self) {
+        self.follow();
+    }
+
+    /// Records that all changes up to a revision are applied.
+    pub fn on_applied(&mut self, upto: StoreRevision) {
+        self.after = upto;
+        self.gap = None;
+    }
+
+    /// Records the end of a read and returns how to go on.
+    pub fn on_read(&mut self, now: Time, outcome: ReadOutcome) -> AfterRead {
+        match outcome {
+            ReadOutcome::Answered { upto, has_changes } => {
+                self.on_answer(now, upto, has_changes);
+                AfterRead::Continue
+            }
+            ReadOutcome::Unanswered => self.on_unanswered(now),
+            ReadOutcome::Refused | ReadOutcome::HistoryGone => AfterRead::ReadState,
+        }
+    }
+
+    fn on_answer(&mut self, now: Time, upto: StoreRevision, has_changes: bool) {
+        self.unanswered = 0;
+        self.after = self.after.max(upto);
+        if has_changes {
+            self.rest(now);
+        } else {
+            self.read_start = ReadStart::Immediate;
+            self.follow();
+        }
+    }
+
+    fn on_unanswered(&mut self, now: Time) -> AfterRead {
+        self.unanswered += 1;
+        self.rest(now);
+        AfterRead::ReportUnanswered { asks_peer: self.unanswered >= MAX_UNANSWERED_READS }
+    }
+
+    fn push(&mut self, now: Time, update: Update) {
+        self.last_update = Some(now);
+        if self.queue.len() >= MAX_QUEUED_UPDATES {
+            self.queue.clear();
+        }
+        self.queue.push_back(update);
+    }
+
+    /// Returns to the updates of peers; news beyond a gap is dropped.
+    fn follow(&mut self) {
+        self.phase = Phase::Following;
+        self.gap = None;
+        self.buffered.clear();
+        self.parts = StateParts::default();
+    }
+
+    /// Returns the next step while peers send updates; none if the phase has changed.
+    fn follow_next(&mut self, now: Time) -> Option<Step> {
+        if let Some(news) = self.next_contiguous() {
+            return Some(Step::ApplyNews(news));
+        }
+        match self.queue.pop_front() {
+            Some(Update::News(news)) => self.take_news(now, news),
+            Some(Update::State(part)) => {
+                let (upto, bodies) = self.parts.add(part)?;
+                (upto > self.after).then_some(Step::ApplyState { upto, bodies })
+            }
+            None => Some(self.wait_for_updates(now)),
+        }
+    }
+
+    fn take_news(&mut self, now: Time, news: News) -> Option<Step> {
+        if news.after <= self.after {
+            return (news.upto > self.after).then_some(Step::ApplyNews(news));
+        }
+        if self.gap_exceeds(now, self.timing.silence) {
+            return Some(self.read());
+        }
+        let next_from = news.after;
+        if self.buffered.len() < MAX_BUFFERED_NEWS {
+            self.buffered.push(news);
+        }
+        let lasts = self.lasting_gap(now)?;
+        Some(Step::ReportGap { known_upto: self.after, next_from, lasts })
+    }
+
+    /// Records a gap; returns `false` when it opens and `true` once when it lasts.
+    fn lasting_gap(&mut self, now: Time) -> Option<bool> {
+        let Some(gap) = &mut self.gap else {
+            self.gap = Some(Gap { since: now, is_reported_as_lasting: false });
+            return Some(false);
+        };
+        let lasts = !gap.is_reported_as_lasting && gap.since.after(GAP_TIMEOUT).is_due(now);
+        gap.is_reported_as_lasting |= lasts;
+        lasts.then_some(true)
+    }
+
+    fn gap_exceeds(&self, now: Time, max_age: Duration) -> bool {
+        self.gap.is_some_and(|gap| gap.since.after(max_age).is_due(now))
+    }
+
+    /// Removes and returns buffered news that continues the applied revision.
+    fn next_contiguous(&mut self) -> Option<News> {
+        let after = self.after;
+        self.buffered.retain(|news| news.upto > after);
+        let next = self.buffered.iter().position(|news| news.after <= after)?;
+        Some(self.buffered.swap_remove(next))
+    }
+
+    fn wait_for_updates(&mut self, now: Time) -> Step {
+        let silent_at = self.last_update.map(|at| at.after(self.timing.silence));
+        if let Some(until) = silent_at.filter(|until| !self.reads_for_peers && !until.is_due(now)) {
+            return Step::Wait { until: Some(until) };
+        }
+        if !self.reads_for_peers {
+            self.last_update = None;
+        }
+        self.read()
+    }
+
+    fn read(&mut self) -> Step {
+        if self.after == StoreRevision(0) {
+            return Step::ReadState;
+        }
+        self.follow();
+        self.phase = Phase::Reading;
+        let is_immediate = !self.reads_for_peers && self.read_start == ReadStart::Immediate;
+        let wait = if is_immediate { self.timing.wait } else { self.timing.wait_after_rest };
+        Step::Read(ChangesRead { after: self.after, wait, timeout: wait + self.timing.slack })
+    }
+
+    fn rest(&mut self, now: Time) {
+        let is_short = self.reads_for_peers || !self.startup_until.is_due(now);
+        let rest = if is_short { self.timing.short_rest } else { self.timing.rest };
+        self.read_start = ReadStart::AfterRest;
+        self.phase = Phase::Resting { until: now.after(rest) };
+    }
+
+    /// Waits for the end of a pause; an update from a peer ends it.
+    fn rest_until(&mut self, now: Time, until: Time) -> Option<Step> {
+        if self.queue.is_empty() && !until.is_due(now) {
+            return Some(Step::Wait { until: Some(until) });
+        }
+        self.follow();
+        None
+    }
+}
