--- /dev/null
+++ b/crates/skylarkshore-core/tests/relay.rs
@@ -0,0 +1,126 @@
+//! Relayed changes of the key-value service under faults, in given time.
+
+#[path = "support/relay.rs"]
+mod relay;
+#[path = "support/store.rs"]
+mod store;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use relay::{RelayFleet, StoreAccess};
+use skylarkshore_core::id::HostId;
+
+/// Hosts in each of three data centres.
+const HOSTS: usize = 28;
+/// By when a confirmed configuration has to be in force everywhere; a third of the users' limit.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(1);
+/// The users' limit for hosts that several faults meet at once.
+const APPLY_LIMIT: Duration = Duration::from_secs(3);
+const CONFIGURATION_INTERVAL: Duration = Duration::from_millis(300);
+const CONFIGURATIONS: usize = 20;
+
+/// Confirms configurations in quick succession and lists the hosts that were late for one.
+fn late_in_a_storm(fleet: &mut RelayFleet, limit: Duration, excused: &BTreeSet<HostId>) -> Vec<String> {
+    for _ in 0..CONFIGURATIONS {
+        fleet.configure();
+        fleet.run(CONFIGURATION_INTERVAL);
+    }
+    fleet.run(limit);
+    fleet.late_hosts(limit, excused)
+}
+
+/// Guards against relays that are slow without any fault, which would hide in the limits of the other tests.
+#[test]
+fn configurations_are_in_force_everywhere_on_a_calm_day() {
+    let mut fleet = RelayFleet::settled(1, HOSTS);
+    assert_eq!(fleet.member_count(), fleet.hosts.len());
+    let calls = fleet.store_calls();
+    let late = late_in_a_storm(&mut fleet, IN_FORCE_WITHIN, &BTreeSet::new());
+    assert!(late.is_empty(), "{late:#?}");
+    // Each host renews its lease every two seconds of the seven.
+    let calls = fleet.store_calls() - calls;
+    assert!(calls <= 5 * fleet.hosts.len() as u64, "{calls} calls");
+}
+
+/// Guards against hosts that miss what their parent skipped, and never fill the gap.
+#[test]
+fn configurations_reach_the_children_of_a_root_that_the_store_turns_away() {
+    for (seed, access) in [(1, StoreAccess::Resets), (2, StoreAccess::Silent), (3, StoreAccess::Resets)] {
+        let mut fleet = RelayFleet::settled(seed, HOSTS);
+        let mut turned_away = fleet.sample(HOSTS);
+        turned_away.insert(fleet.root(1));
+        for name in &turned_away {
+            fleet.host(name).access = access;
+        }
+        fleet.run(Duration::from_millis(500));
+        let late = late_in_a_storm(&mut fleet, APPLY_LIMIT, &BTreeSet::new());
+        assert!(late.is_empty(), "seed {seed}, {access:?}: {late:#?}");
+    }
+}
+
+/// Guards against hosts that stop following their peers when the store refuses them.
+#[test]
+fn configurations_reach_hosts_that_the_store_refuses() {
+    for seed in 1..=3 {
+        let mut fleet = RelayFleet::settled(seed, HOSTS);
+        let mut refused = fleet.sample(HOSTS);
+        refused.insert(fleet.root(1));
+        for name in &refused {
+            fleet.host(name).access = StoreAccess::Refuses;
+        }
+        fleet.run(Duration::from_millis(500));
+        let late = late_in_a_storm(&mut fleet, APPLY_LIMIT, &BTreeSet::new());
+        assert!(late.is_empty(), "seed {seed}: {late:#?}");
+    }
+}
+
+/// A fault of one host of the relay tree.
+#[derive(Clone, Copy, Debug)]
+enum HostFault {
+    Isolated,
+    Frozen,
+    Slow,
+    Killed,
+    ShutDown,
+}
+
+fn inject(fleet: &mut RelayFleet, name: &HostId, fault: HostFault) {
+    match fault {
+        HostFault::Isolated => fleet.host(name).is_isolated = true,
+        HostFault::Frozen => fleet.host(name).is_frozen = true,
+        HostFault::Slow => fleet.host(name).lag = Duration::from_millis(700),
+        HostFault::Killed => fleet.kill(name),
+        HostFault::ShutDown => fleet.shut_down(name),
+    }
+}
+
+/// Guards against hosts that wait too long for a parent that is slow, cut off or gone.
+#[test]
+fn configurations_pass_a_faulty_host_of_the_relay_tree_in_time() {
+    use HostFault::{Frozen, Isolated, Killed, ShutDown, Slow};
+    let mut failures = Vec::new();
+    for (seed, fault) in (1..).zip([Isolated, Frozen, Slow, Killed, ShutDown]) {
+        for is_root in [true, false] {
+            let mut fleet = RelayFleet::settled(seed, HOSTS);
+            let faulty = if is_root { fleet.root(0) } else { fleet.inner_host(0) };
+            inject(&mut fleet, &faulty, fault);
+            let late = late_in_a_storm(&mut fleet, IN_FORCE_WITHIN, &BTreeSet::from([faulty]));
+            if !late.is_empty() {
+                failures.push(format!("seed {seed}, {fault:?}, root {is_root}: {late:#?}"));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
+/// Guards against a lost message that leaves hosts behind for long.
+#[test]
+fn configurations_are_in_force_in_time_although_messages_are_lost() {
+    for seed in 1..=3 {
+        let mut fleet = RelayFleet::settled(seed, HOSTS);
+        fleet.lost_messages = 5;
+        let late = late_in_a_storm(&mut fleet, APPLY_LIMIT, &BTreeSet::new());
+        assert!(late.is_empty(), "seed {seed}: {late:#?}");
+    }
+}
--- /dev/null
+++ b/crates/skylarkshore-core/tests/support/relay.rs
@@ -0,0 +1,492 @@
+//! Hosts that relay the changes of a simulated key-value service to one another, in given time.
+//!
+//! [`RelayFleet`] runs a [`Node`] and a [`Follower`] for each host, as the adapter of a platform does.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
+use rand::{Rng, SeedableRng};
+use skylarkshore_core::catalogue::{Catalogue, ConfiguredCatalogue};
+use skylarkshore_core::config::{Limits, NodeConfig, Timings, Watchers};
+use skylarkshore_core::follower::{AfterRead, ChangesRead, Follower, ReadOutcome, Step};
+use skylarkshore_core::id::{CatalogueRevision, Digest, HostId, Incarnation, StoreRevision};
+use skylarkshore_core::peer::{News, PeerMessage, StatePart};
+use skylarkshore_core::rules::{MinuteOfDay, Rules};
+use skylarkshore_core::store::{Key, Record, StoreFailure, Versioned};
+use skylarkshore_core::units::Capacity;
+use skylarkshore_core::{Effect, Event, Node, Time};
+
+use crate::store::Store;
+
+/// The notice that leaving upstreams give, which the timing of reads follows.
+pub const NOTICE: Duration = Duration::from_secs(3);
+const STEP: Duration = Duration::from_millis(10);
+const TICK: Duration = Duration::from_millis(50);
+/// How often something else than a configuration changes.
+const FILLER_INTERVAL: Duration = Duration::from_millis(20);
+/// Time from the start of all hosts until their relay trees have settled.
+const SETTLING_TIME: Duration = Duration::from_secs(14);
+const DATA_CENTRES: usize = 3;
+/// Number of large hosts in a data centre; the others are small.
+const LARGE_HOSTS: usize = 2;
+
+/// How the key-value service treats a host.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreAccess {
+    #[default]
+    Served,
+    /// Connections are reset.
+    Resets,
+    /// Calls are answered with an error.
+    Refuses,
+    /// Calls get no answer.
+    Silent,
+}
+
+/// A read of changes in progress.
+#[derive(Clone, Copy, Debug)]
+struct PendingRead {
+    read: ChangesRead,
+    /// The earliest time of an answer with changes.
+    answer_at: Time,
+    /// When the service answers without changes, or the call ends unanswered.
+    ends_at: Time,
+}
+
+/// One host with its process.
+pub struct RelayHost {
+    node: Node,
+    follower: Follower,
+    is_watching: bool,
+    read: Option<PendingRead>,
+    next_tick: Time,
+    pub access: StoreAccess,
+    /// Whether the host is cut off from its peers.
+    pub is_isolated: bool,
+    pub is_frozen: bool,
+    /// Delay of everything that arrives here.
+    pub lag: Duration,
+}
+
+/// Hosts, their key-value service and the network between them.
+pub struct RelayFleet {
+    pub now: Time,
+    pub hosts: BTreeMap<HostId, RelayHost>,
+    store: Store,
+    rng: SmallRng,
+    /// Events on their way, in order of arrival.
+    in_flight: BTreeMap<(Time, u64), (HostId, Event)>,
+    sent: u64,
+    next_filler: Time,
+    fillers: u64,
+    /// When each configuration was confirmed.
+    confirmed: BTreeMap<CatalogueRevision, Time>,
+    /// When each host first went by a configuration.
+    activated: BTreeMap<(HostId, CatalogueRevision), Time>,
+    /// Percentage of messages between hosts that are lost.
+    pub lost_messages: u32,
+}
+
+fn host_name(data_centre: usize, number: usize) -> HostId {
+    format!("host-{data_centre}-{number}").parse().unwrap()
+}
+
+fn config(data_centre: usize, number: usize) -> NodeConfig {
+    let address = "127.0.0.1:1".parse().unwrap();
+    let timings = Timings {
+        lease_ttl: Duration::from_secs(5),
+        renew_every: Duration::from_secs(2),
+        hold: Duration::from_millis(4500),
+        store_timeout: Duration::from_millis(700),
+        heartbeat_every: Duration::from_millis(700),
+        peer_timeout: Duration::from_secs(2),
+        ..Timings::default()
+    };
+    NodeConfig {
+        host: host_name(data_centre, number),
+        incarnation: Incarnation(1),
+        data_centre: format!("dc-{data_centre}").parse().unwrap(),
+        caller_address: address,
+        peer_address: address,
+        fingerprint: Digest([0; 32]),
+        seed: (data_centre * 1000 + number) as u64,
+        timings,
+        limits: Limits::default(),
+        default_rules: Rules::default(),
+        watchers: Watchers::Relayed,
+        capacity: if number < LARGE_HOSTS { Capacity(500) } else { Capacity(120) },
+    }
+}
+
+impl RelayFleet {
+    /// Starts hosts in three data centres and runs them until their relay trees have settled.
+    pub fn settled(seed: u64, hosts_per_data_centre: usize) -> Self {
+        let mut fleet = Self {
+            now: Time::from_millis(1000),
+            hosts: BTreeMap::new(),
+            store: Store::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            in_flight: BTreeMap::new(),
+            sent: 0,
+            next_filler: Time::START,
+            fillers: 0,
+            confirmed: BTreeMap::new(),
+            activated: BTreeMap::new(),
+            lost_messages: 0,
+        };
+        fleet.configure();
+        for data_centre in 0..DATA_CENTRES {
+            for number in 0..hosts_per_data_centre {
+                fleet.start(data_centre, number);
+            }
+        }
+        fleet.run(SETTLING_TIME);
+        let unaware: Vec<&HostId> =
+            fleet.hosts.iter().filter(|(_, host)| host.revision().0 == 0).map(|(name, _)| name).collect();
+        assert!(unaware.is_empty(), "{unaware:?} know no configuration");
+        fleet
+    }
+
+    fn start(&mut self, data_centre: usize, number: usize) {
+        let (node, effects) = Node::start(config(data_centre, number), self.now);
+        let host = RelayHost {
+            node,
+            follower: Follower::new(NOTICE),
+            is_watching: false,
+            read: None,
+            next_tick: self.now,
+            access: StoreAccess::Served,
+            is_isolated: false,
+            is_frozen: false,
+            lag: Duration::ZERO,
+        };
+        let name = host_name(data_centre, number);
+        self.hosts.insert(name.clone(), host);
+        self.execute(&name, effects);
+    }
+
+    /// Writes the next configuration, as an operator does.
+    pub fn configure(&mut self) {
+        let revision = CatalogueRevision(self.confirmed.len() as u64 + 1);
+        let configured = ConfiguredCatalogue { revision, catalogue: Catalogue::default() };
+        self.store.put(Key::Catalogue, Record::Catalogue(Arc::new(configured)));
+        self.confirmed.insert(revision, self.now);
+    }
+
+    /// Returns the host that reads for a data centre.
+    pub fn root(&self, data_centre: usize) -> HostId {
+        let reads = |host: &RelayHost| host.follower.reads_for_peers();
+        let in_data_centre = self.in_data_centre(data_centre);
+        in_data_centre.into_iter().find(|name| reads(&self.hosts[name])).expect("a root has been elected")
+    }
+
+    pub fn in_data_centre(&self, data_centre: usize) -> Vec<HostId> {
+        let prefix = format!("host-{data_centre}-");
+        self.hosts.keys().filter(|name| name.as_str().starts_with(&prefix)).cloned().collect()
+    }
+
+    /// Returns the other large host of a data centre, which has children below the root.
+    pub fn inner_host(&self, data_centre: usize) -> HostId {
+        let root = self.root(data_centre);
+        let large = (0..LARGE_HOSTS).map(|number| host_name(data_centre, number));
+        large.into_iter().find(|name| *name != root).expect("a data centre has several large hosts")
+    }
+
+    /// Draws hosts at random.
+    pub fn sample(&mut self, count: usize) -> BTreeSet<HostId> {
+        self.hosts.keys().cloned().choose_multiple(&mut self.rng, count).into_iter().collect()
+    }
+
+    pub fn host(&mut self, name: &HostId) -> &mut RelayHost {
+        self.hosts.get_mut(name).expect("the host runs")
+    }
+
+    /// Ends a process without a shutdown.
+    pub fn kill(&mut self, name: &HostId) {
+        self.hosts.remove(name);
+    }
+
+    /// Begins a process's shutdown.
+    pub fn shut_down(&mut self, name: &HostId) {
+        self.handle(name, Event::Shutdown);
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now.after(time);
+        while !end.is_due(self.now) {
+            self.step();
+        }
+    }
+
+    /// Returns the number of calls other than reads of changes that the key-value service answered.
+    pub fn store_calls(&self) -> u64 {
+        self.store.calls
+    }
+
+    /// Returns the number of processes that are registered.
+    pub fn member_count(&self) -> usize {
+        self.store.records().filter(|record| matches!(record, Record::Member(_))).count()
+    }
+
+    /// Lists the hosts that went by an older configuration longer than `limit` after a confirmation.
+    pub fn late_hosts(&self, limit: Duration, excused: &BTreeSet<HostId>) -> Vec<String> {
+        let judged = self.hosts.keys().filter(|name| !excused.contains(*name));
+        judged.filter_map(|name| self.lateness(name, limit)).collect()
+    }
+
+    /// Describes the configurations that weren't in force at a host in time.
+    fn lateness(&self, name: &HostId, limit: Duration) -> Option<String> {
+        let due = self.confirmed.iter().filter(|(_, confirmed)| confirmed.after(limit).is_due(self.now));
+        let late: Vec<String> = due
+            .filter_map(|(revision, confirmed)| match self.in_force_at(name, *revision) {
+                Some(at) if at <= confirmed.after(limit) => None,
+                Some(at) => Some(format!("{revision} after {:?}", at.since(*confirmed))),
+                None => Some(format!("{revision} not at all")),
+            })
+            .collect();
+        let (first, last) = (late.first()?, late.last()?);
+        Some(format!("{name}: {} late, from {first} to {last}", late.len()))
+    }
+
+    /// Returns when a host first went by a configuration or a later one.
+    fn in_force_at(&self, name: &HostId, revision: CatalogueRevision) -> Option<Time> {
+        let since = self.activated.range((name.clone(), revision)..);
+        since.take_while(|((host, _), _)| host == name).map(|(_, at)| *at).min()
+    }
+
+    fn step(&mut self) {
+        self.now = self.now.after(STEP);
+        self.store.expire(self.now);
+        if self.next_filler.is_due(self.now) {
+            self.next_filler = self.now.after(FILLER_INTERVAL);
+            self.fill();
+        }
+        let later = self.in_flight.split_off(&(self.now.after(Duration::from_micros(1)), 0));
+        for (_, (to, event)) in std::mem::replace(&mut self.in_flight, later) {
+            self.arrive(&to, event);
+        }
+        let names: Vec<HostId> = self.hosts.keys().cloned().collect();
+        for name in names {
+            self.run_host(&name);
+        }
+    }
+
+    /// Changes a key that only the adapter of a platform knows.
+    fn fill(&mut self) {
+        self.fillers += 1;
+        let mut digest = [0; 32];
+        digest[0] = u8::try_from(self.fillers % 100).unwrap_or_default();
+        let record = self.store.record(&Key::Catalogue).expect("there is a configuration").clone();
+        self.store.put(Key::Once(Digest(digest)), record);
+    }
+
+    fn arrive(&mut self, to: &HostId, event: Event) {
+        let Some(host) = self.hosts.get(to) else { return };
+        if host.is_frozen {
+            self.send_event(to, event, STEP);
+        } else if !(host.is_isolated && matches!(event, Event::Peer { .. })) {
+            self.handle(to, event);
+        }
+    }
+
+    fn run_host(&mut self, name: &HostId) {
+        let now = self.now;
+        let Some(host) = self.hosts.get_mut(name).filter(|host| !host.is_frozen) else { return };
+        if host.next_tick.is_due(now) {
+            host.next_tick = now.after(TICK);
+            self.handle(name, Event::Tick { at: MinuteOfDay::default() });
+        }
+        self.run_follower(name);
+        self.run_read(name);
+        let Some(host) = self.hosts.get(name) else { return };
+        let revision = host.revision();
+        self.activated.entry((name.clone(), revision)).or_insert(now);
+    }
+
+    fn run_follower(&mut self, name: &HostId) {
+        let now = self.now;
+        loop {
+            let Some(host) = self.hosts.get_mut(name).filter(|host| host.is_watching) else { return };
+            if host.read.is_some() && !host.follower.is_read_wanted() {
+                host.read = None;
+                host.follower.abandon_read();
+            }
+            match host.follower.next_step(now) {
+                Step::Wait { .. } => return,
+                Step::ReportGap { lasts, .. } => self.handle(name, Event::NewsMissed { lasts }),
+                Step::ApplyNews(news) => {
+                    let changes = self.changes(news.after, news.upto);
+                    self.handle(name, Event::Watched { changes, upto: news.upto });
+                    self.host(name).follower.on_applied(news.upto);
+                }
+                Step::ApplyState { upto, .. } => {
+                    let records = self.state_at(upto);
+                    self.handle(name, Event::State { upto, records });
+                    self.host(name).follower.on_applied(upto);
+                }
+                Step::Read(read) => self.begin_read(name, read),
+                Step::ReadState => self.end_watch(name),
+            }
+        }
+    }
+
+    fn begin_read(&mut self, name: &HostId, read: ChangesRead) {
+        let now = self.now;
+        let answer_at = now.after(self.store_delay());
+        let host = self.host(name);
+        let ends_at = match host.access {
+            StoreAccess::Served => now.after(read.wait).max(answer_at),
+            StoreAccess::Resets | StoreAccess::Refuses => now.after(STEP),
+            StoreAccess::Silent => now.after(read.timeout),
+        };
+        host.read = Some(PendingRead { read, answer_at, ends_at });
+    }
+
+    /// Returns the time of a call and its answer, which takes longer where the link is slow.
+    fn store_delay(&mut self) -> Duration {
+        Duration::from_millis(self.rng.random_range(10..60))
+    }
+
+    fn run_read(&mut self, name: &HostId) {
+        let (now, revision) = (self.now, self.store.revision());
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        let Some(pending) = host.read else { return };
+        let is_served = host.access == StoreAccess::Served;
+        let has_changes = is_served && revision > pending.read.after && pending.answer_at.is_due(now);
+        if !has_changes && !pending.ends_at.is_due(now) {
+            return;
+        }
+        host.read = None;
+        if !is_served {
+            let outcome = match host.access {
+                StoreAccess::Refuses => ReadOutcome::Refused,
+                _ => ReadOutcome::Unanswered,
+            };
+            let next = host.follower.on_read(now, outcome);
+            return self.go_on(name, next);
+        }
+        let after = pending.read.after;
+        let body: Arc<[u8]> = if has_changes { Vec::from([1]).into() } else { Arc::default() };
+        self.handle(name, Event::NewsRead(News { after, upto: revision, body }));
+        if has_changes {
+            let changes = self.changes(after, revision);
+            self.handle(name, Event::Watched { changes, upto: revision });
+        }
+        let outcome = ReadOutcome::Answered { upto: revision, has_changes };
+        let next = self.host(name).follower.on_read(now, outcome);
+        self.go_on(name, next);
+    }
+
+    fn go_on(&mut self, name: &HostId, next: AfterRead) {
+        match next {
+            AfterRead::Continue => {}
+            AfterRead::ReportUnanswered { asks_peer } => {
+                if asks_peer {
+                    self.handle(name, Event::NewsMissed { lasts: true });
+                }
+                self.handle(name, Event::WatchTimedOut);
+            }
+            AfterRead::ReadState => self.end_watch(name),
+        }
+    }
+
+    fn end_watch(&mut self, name: &HostId) {
+        self.host(name).is_watching = false;
+        self.handle(name, Event::WatchBroken);
+    }
+
+    /// Returns the product's records among the changes after one revision up to another.
+    fn changes(&self, after: StoreRevision, upto: StoreRevision) -> Vec<Versioned> {
+        let is_own = |change: &&Versioned| !matches!(change.key, Key::Once(_));
+        let changes =
+            self.store.log.iter().filter(|change| change.revision > after && change.revision <= upto);
+        changes.filter(is_own).cloned().collect()
+    }
+
+    fn state_at(&self, upto: StoreRevision) -> Vec<Versioned> {
+        let changes = self.changes(StoreRevision(0), upto);
+        let latest: BTreeMap<Key, Versioned> =
+            changes.into_iter().map(|change| (change.key.clone(), change)).collect();
+        latest.into_values().filter(|change| change.record.is_some()).collect()
+    }
+
+    fn handle(&mut self, name: &HostId, event: Event) {
+        let now = self.now;
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        let effects = host.node.handle(now, event);
+        self.execute(name, effects);
+    }
+
+    fn execute(&mut self, name: &HostId, effects: Vec<Effect>) {
+        let now = self.now;
+        for effect in effects {
+            match effect {
+                Effect::Store { call, request } => {
+                    let access = self.hosts.get(name).map(|host| host.access).unwrap_or_default();
+                    let (result, delay) = match access {
+                        StoreAccess::Served => (Ok(self.store.call(now, request)), self.store_delay()),
+                        StoreAccess::Resets | StoreAccess::Refuses => (Err(StoreFailure::NotDone), STEP),
+                        StoreAccess::Silent => (Err(StoreFailure::Unknown), Duration::from_millis(700)),
+                    };
+                    self.send_event(name, Event::Store { call, result }, delay);
+                }
+                Effect::Peer(envelope) => self.send(name, &envelope.to, envelope.message),
+                Effect::SendState { to, series, upto, .. } => {
+                    for receiver in to {
+                        let part = StatePart { series, upto, part: 0, parts: 1, body: Arc::default() };
+                        self.send(name, &receiver, PeerMessage::State(part));
+                    }
+                }
+                effect => {
+                    if let Some(host) = self.hosts.get_mut(name) {
+                        host.execute(now, effect);
+                    }
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, from: &HostId, to: &HostId, message: PeerMessage) {
+        let is_cut = |name: &HostId| self.hosts.get(name).is_none_or(|host| host.is_isolated);
+        if is_cut(from) || is_cut(to) || self.rng.random_range(0..100) < self.lost_messages {
+            return;
+        }
+        let delay = Duration::from_millis(self.rng.random_range(2..30));
+        self.send_event(to, Event::Peer { from: from.clone(), message }, delay);
+    }
+
+    fn send_event(&mut self, to: &HostId, event: Event, delay: Duration) {
+        let lag = self.hosts.get(to).map(|host| host.lag).unwrap_or_default();
+        self.sent += 1;
+        self.in_flight.insert((self.now.after(delay + lag), self.sent), (to.clone(), event));
+    }
+}
+
+impl RelayHost {
+    fn revision(&self) -> CatalogueRevision {
+        self.node.document().catalogue_revision
+    }
+
+    fn execute(&mut self, now: Time, effect: Effect) {
+        match effect {
+            Effect::Watch { from } => {
+                self.is_watching = true;
+                self.read = None;
+                self.follower.start(now, StoreRevision(from.0.saturating_sub(1)));
+            }
+            Effect::Unwatch => {
+                self.is_watching = false;
+                self.read = None;
+            }
+            Effect::ApplyNews(news) => self.follower.push_news(now, news),
+            Effect::ApplyStatePart(part) => self.follower.push_state(now, part),
+            Effect::ExtendStateWait => self.follower.expect_update(now),
+            Effect::ReadMissedNews => self.follower.reset(),
+            Effect::ReadNewsForOthers(is_wanted) => self.follower.set_reads_for_peers(is_wanted),
+            _ => {}
+        }
+    }
+}
