Fill gaps in relayed changes by a read that the next news can't end

Cause: a host that misses a piece of the relayed changes waited 1.5 s, and the read that it then began was ended by the next piece of news, which comes every 40 to 600 ms and can't be applied either. Ruled out: processor time (none was counted), the store (the hosts kept their leases).

Now a gap is read 200 ms after it opens, as long as messages may overtake each other; only an update that can be applied ends the read, and what arrived beyond the gap is kept until then. After a read, a host that hears from its peers follows them at once instead of pausing.

--- a/crates/skylarkshore-core/src/follower.rs
+++ b/crates/skylarkshore-core/src/follower.rs
@@ -20,6 +20,8 @@
 const MAX_QUEUED_UPDATES: usize = 256;
 /// Limit of news messages that are buffered beyond a gap.
 const MAX_BUFFERED_NEWS: usize = 64;
+/// How long the news that fills a gap may take; messages can overtake each other.
+const REORDERING_TIME: Duration = Duration::from_millis(200);
 /// Age of a gap at which a peer is asked for its complete state.
 const GAP_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long the short rest between reads applies after the start.
@@ -154,6 +156,13 @@
     State(StatePart),
 }
 
+/// The complete state of a peer.
+#[derive(Clone, Debug)]
+struct PeerState {
+    upto: StoreRevision,
+    bodies: Vec<Arc<[u8]>>,
+}
+
 /// What the follower is doing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Phase {
@@ -193,9 +202,11 @@
     reads_for_peers: bool,
     phase: Phase,
     gap: Option<Gap>,
-    /// News that starts beyond the gap.
+    /// News that isn't applied yet; without a gap, its first continues the applied revision.
     buffered: Vec<News>,
     parts: StateParts,
+    /// The latest complete state of a peer that isn't applied yet.
+    state: Option<PeerState>,
     unanswered: u32,
     read_start: ReadStart,
     startup_until: Time,
@@ -214,6 +225,7 @@
             gap: None,
             buffered: Vec::new(),
             parts: StateParts::default(),
+            state: None,
             unanswered: 0,
             read_start: ReadStart::Immediate,
             startup_until: Time::START,
@@ -226,7 +238,8 @@
         self.unanswered = 0;
         self.read_start = ReadStart::Immediate;
         self.startup_until = now.after(STARTUP_PHASE);
-        self.follow();
+        self.gap = None;
+        self.phase = Phase::Following;
     }
 
     /// Returns the revision up to which all changes are applied.
@@ -254,9 +267,12 @@
         self.last_update = Some(now);
     }
 
-    /// Drops all queued updates, so that the process reads the service itself until a peer sends more.
+    /// Drops all updates that aren't applied, so that the process reads the service itself until a peer
+    /// sends more.
     pub fn reset(&mut self) {
         self.queue.clear();
+        self.buffered.clear();
+        self.gap = None;
         self.last_update = None;
     }
 
@@ -274,7 +290,7 @@
     pub fn next_step(&mut self, now: Time) -> Step {
         loop {
             let step = match self.phase {
-                Phase::Following => self.follow_next(now),
+                Phase::Following => Some(self.follow_next(now)),
                 Phase::Reading => Some(Step::Wait { until: None }),
                 Phase::Resting { until } => self.rest_until(now, until),
             };
@@ -284,19 +300,23 @@
         }
     }
 
-    /// Reports whether the running read is still wanted; an update from a peer ends it.
-    pub fn is_read_wanted(&self) -> bool {
-        self.phase == Phase::Reading && self.queue.is_empty()
+    /// Reports whether the running read is still wanted.
+    ///
+    /// An update that can be applied ends it. News beyond a gap doesn't: it keeps coming, and the read
+    /// is what fills the gap.
+    pub fn is_read_wanted(&mut self) -> bool {
+        self.take_queued();
+        self.phase == Phase::Reading && !self.has_applicable()
     }
 
     /// Abandons the running read.
-    pub fn abandon_read(&mut self) {
-        self.follow();
+    pub const fn abandon_read(&mut self) {
+        self.phase = Phase::Following;
     }
 
     /// Records that all changes up to a revision are applied.
     pub fn on_applied(&mut self, upto: StoreRevision) {
-        self.after = upto;
+        self.after = self.after.max(upto);
         self.gap = None;
     }
 
@@ -314,13 +334,12 @@
 
     fn on_answer(&mut self, now: Time, upto: StoreRevision, has_changes: bool) {
         self.unanswered = 0;
-        self.after = self.after.max(upto);
-        if has_changes {
-            self.rest(now);
-        } else {
-            self.read_start = ReadStart::Immediate;
-            self.follow();
+        self.on_applied(upto);
+        if has_changes && !self.hears_from_peers(now) {
+            return self.rest(now);
         }
+        self.read_start = ReadStart::Immediate;
+        self.phase = Phase::Following;
     }
 
     fn on_unanswered(&mut self, now: Time) -> AfterRead {
@@ -337,42 +356,58 @@
         self.queue.push_back(update);
     }
 
-    /// Returns to the updates of peers; news beyond a gap is dropped.
-    fn follow(&mut self) {
-        self.phase = Phase::Following;
-        self.gap = None;
-        self.buffered.clear();
-        self.parts = StateParts::default();
-    }
-
-    /// Returns the next step while peers send updates; none if the phase has changed.
-    fn follow_next(&mut self, now: Time) -> Option<Step> {
+    /// Returns the next step while peers send updates.
+    fn follow_next(&mut self, now: Time) -> Step {
+        self.take_queued();
         if let Some(news) = self.next_contiguous() {
-            return Some(Step::ApplyNews(news));
+            return Step::ApplyNews(news);
+        }
+        if let Some(PeerState { upto, bodies }) = self.state.take().filter(|state| state.upto > self.after) {
+            return Step::ApplyState { upto, bodies };
         }
-        match self.queue.pop_front() {
-            Some(Update::News(news)) => self.take_news(now, news),
-            Some(Update::State(part)) => {
-                let (upto, bodies) = self.parts.add(part)?;
-                (upto > self.after).then_some(Step::ApplyState { upto, bodies })
+        match self.buffered.iter().map(|news| news.after).min() {
+            Some(next_from) => self.wait_at_gap(now, next_from),
+            None => self.wait_for_updates(now),
+        }
+    }
+
+    /// Sorts the queued updates into those of each kind; what is already applied is dropped.
+    fn take_queued(&mut self) {
+        for update in std::mem::take(&mut self.queue) {
+            match update {
+                Update::News(news) => self.buffer(news),
+                Update::State(part) => {
+                    if let Some((upto, bodies)) = self.parts.add(part) {
+                        self.state = Some(PeerState { upto, bodies });
+                    }
+                }
             }
-            None => Some(self.wait_for_updates(now)),
         }
     }
 
-    fn take_news(&mut self, now: Time, news: News) -> Option<Step> {
-        if news.after <= self.after {
-            return (news.upto > self.after).then_some(Step::ApplyNews(news));
+    fn buffer(&mut self, news: News) {
+        if news.upto > self.after && self.buffered.len() < MAX_BUFFERED_NEWS {
+            self.buffered.push(news);
         }
-        if self.gap_exceeds(now, self.timing.silence) {
-            return Some(self.read());
+    }
+
+    /// Reports whether an update can be applied now.
+    fn has_applicable(&self) -> bool {
+        let continues = |news: &News| news.after <= self.after && news.upto > self.after;
+        self.buffered.iter().any(continues)
+            || self.state.as_ref().is_some_and(|state| state.upto > self.after)
+    }
+
+    /// Waits for the news that fills a gap; reads the service if it doesn't come.
+    fn wait_at_gap(&mut self, now: Time, next_from: StoreRevision) -> Step {
+        if let Some(lasts) = self.lasting_gap(now) {
+            return Step::ReportGap { known_upto: self.after, next_from, lasts };
         }
-        let next_from = news.after;
-        if self.buffered.len() < MAX_BUFFERED_NEWS {
-            self.buffered.push(news);
+        let read_at = self.gap.map_or(now, |gap| gap.since.after(REORDERING_TIME));
+        if read_at.is_due(now) {
+            return self.read();
         }
-        let lasts = self.lasting_gap(now)?;
-        Some(Step::ReportGap { known_upto: self.after, next_from, lasts })
+        Step::Wait { until: Some(read_at) }
     }
 
     /// Records a gap; returns `false` when it opens and `true` once when it lasts.
@@ -386,10 +421,6 @@
         lasts.then_some(true)
     }
 
-    fn gap_exceeds(&self, now: Time, max_age: Duration) -> bool {
-        self.gap.is_some_and(|gap| gap.since.after(max_age).is_due(now))
-    }
-
     /// Removes and returns buffered news that continues the applied revision.
     fn next_contiguous(&mut self) -> Option<News> {
         let after = self.after;
@@ -399,21 +430,23 @@
     }
 
     fn wait_for_updates(&mut self, now: Time) -> Step {
-        let silent_at = self.last_update.map(|at| at.after(self.timing.silence));
-        if let Some(until) = silent_at.filter(|until| !self.reads_for_peers && !until.is_due(now)) {
-            return Step::Wait { until: Some(until) };
-        }
-        if !self.reads_for_peers {
-            self.last_update = None;
+        if self.hears_from_peers(now) {
+            let until = self.last_update.map(|at| at.after(self.timing.silence));
+            return Step::Wait { until };
         }
         self.read()
     }
 
+    /// Reports whether peers keep this process up to date.
+    fn hears_from_peers(&self, now: Time) -> bool {
+        let silent_at = self.last_update.map(|at| at.after(self.timing.silence));
+        !self.reads_for_peers && silent_at.is_some_and(|until| !until.is_due(now))
+    }
+
     fn read(&mut self) -> Step {
         if self.after == StoreRevision(0) {
             return Step::ReadState;
         }
-        self.follow();
         self.phase = Phase::Reading;
         let is_immediate = !self.reads_for_peers && self.read_start == ReadStart::Immediate;
         let wait = if is_immediate { self.timing.wait } else { self.timing.wait_after_rest };
@@ -427,12 +460,16 @@
         self.phase = Phase::Resting { until: now.after(rest) };
     }
 
-    /// Waits for the end of a pause; an update from a peer ends it.
+    /// Waits for the end of a pause.
+    ///
+    /// An update that can be applied ends it, and so does a gap, unless the service leaves reads unanswered.
     fn rest_until(&mut self, now: Time, until: Time) -> Option<Step> {
-        if self.queue.is_empty() && !until.is_due(now) {
+        self.take_queued();
+        let has_readable_gap = self.unanswered == 0 && !self.buffered.is_empty();
+        if !self.has_applicable() && !has_readable_gap && !until.is_due(now) {
             return Some(Step::Wait { until: Some(until) });
         }
-        self.follow();
+        self.phase = Phase::Following;
         None
     }
 }
--- /dev/null
+++ b/crates/skylarkshore-core/tests/follower.rs
@@ -0,0 +1,79 @@
+//! Decisions of a single follower; `relay.rs` plays whole trees of them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use skylarkshore_core::Time;
+use skylarkshore_core::follower::{AfterRead, Follower, ReadOutcome, Step};
+use skylarkshore_core::id::StoreRevision;
+use skylarkshore_core::peer::{News, StatePart};
+
+const NOTICE: Duration = Duration::from_secs(3);
+const START: Time = Time::from_millis(60_000);
+
+fn news(after: u64, upto: u64) -> News {
+    News { after: StoreRevision(after), upto: StoreRevision(upto), body: Vec::from([1]).into() }
+}
+
+fn at(ms: u64) -> Time {
+    START.after(Duration::from_millis(ms))
+}
+
+/// Returns a follower that has applied the news of its peers up to revision 10.
+fn following() -> Follower {
+    let mut follower = Follower::new(NOTICE);
+    follower.start(at(0), StoreRevision(9));
+    follower.push_news(at(0), news(9, 10));
+    assert_eq!(follower.next_step(at(0)), Step::ApplyNews(news(9, 10)));
+    follower.on_applied(StoreRevision(10));
+    follower
+}
+
+/// Opens a gap after revision 10 and returns the step once messages can no longer overtake each other.
+fn step_after_gap(follower: &mut Follower) -> Step {
+    follower.push_news(at(100), news(12, 13));
+    let gap = Step::ReportGap { known_upto: StoreRevision(10), next_from: StoreRevision(12), lasts: false };
+    assert_eq!(follower.next_step(at(100)), gap);
+    assert!(matches!(follower.next_step(at(100)), Step::Wait { until: Some(_) }));
+    follower.next_step(at(400))
+}
+
+/// Guards against a gap whose read is ended, again and again, by the news beyond it.
+#[test]
+fn news_beyond_a_gap_does_not_end_the_read_that_fills_it() {
+    let mut follower = following();
+    assert!(matches!(step_after_gap(&mut follower), Step::Read(_)));
+    follower.push_news(at(410), news(13, 14));
+    assert!(follower.is_read_wanted());
+    let outcome = ReadOutcome::Answered { upto: StoreRevision(13), has_changes: true };
+    assert_eq!(follower.on_read(at(420), outcome), AfterRead::Continue);
+    assert_eq!(follower.next_step(at(420)), Step::ApplyNews(news(13, 14)));
+}
+
+/// Guards against a call to the service although the missing news has only been overtaken.
+#[test]
+fn overtaken_news_ends_the_read_that_fills_the_gap() {
+    let mut follower = following();
+    assert!(matches!(step_after_gap(&mut follower), Step::Read(_)));
+    follower.push_news(at(410), news(10, 12));
+    assert!(!follower.is_read_wanted());
+    follower.abandon_read();
+    for expected in [news(10, 12), news(12, 13)] {
+        let upto = expected.upto;
+        assert_eq!(follower.next_step(at(410)), Step::ApplyNews(expected));
+        follower.on_applied(upto);
+    }
+}
+
+/// Guards against a read that keeps a host from the state that a peer has sent meanwhile.
+#[test]
+fn a_complete_state_ends_a_read() {
+    let mut follower = following();
+    assert!(matches!(step_after_gap(&mut follower), Step::Read(_)));
+    let part = StatePart { series: 1, upto: StoreRevision(20), part: 0, parts: 1, body: Arc::default() };
+    follower.push_state(at(410), part);
+    assert!(!follower.is_read_wanted());
+    follower.abandon_read();
+    let state = Step::ApplyState { upto: StoreRevision(20), bodies: vec![Arc::default()] };
+    assert_eq!(follower.next_step(at(410)), state);
+}
