Follow peers while the store refuses the watch

Cause: a watch answered with 429 or 503 counted as broken. A broken watch ends the task that applies the relayed changes as well, until a read of all keys succeeds, which the store refuses too; a root's children get nothing either. The trace has `watch_broken` at both roots at 2.56 s and at eleven children at their first own read at 5.06 s, and no line of theirs after it.

Both statuses say that the call wasn't executed, so the host's position is still right: a refused watch now counts like one that wasn't answered. Only a history that is gone, or an answer that can't be used, ends the watch.

--- a/crates/skylarkshore-core/src/follower.rs
+++ b/crates/skylarkshore-core/src/follower.rs
@@ -327,8 +327,8 @@
                 self.on_answer(now, upto, has_changes);
                 AfterRead::Continue
             }
-            ReadOutcome::Unanswered => self.on_unanswered(now),
-            ReadOutcome::Refused | ReadOutcome::HistoryGone => AfterRead::ReadState,
+            ReadOutcome::Unanswered | ReadOutcome::Refused => self.on_unanswered(now),
+            ReadOutcome::HistoryGone => AfterRead::ReadState,
         }
     }
 
--- a/crates/skylarkshore-core/tests/support/relay.rs
+++ b/crates/skylarkshore-core/tests/support/relay.rs
@@ -248,7 +248,9 @@
             })
             .collect();
         let (first, last) = (late.first()?, late.last()?);
-        Some(format!("{name}: {} late, from {first} to {last}", late.len()))
+        let host = &self.hosts[name];
+        let (access, position) = (host.access, host.follower.after());
+        Some(format!("{name} ({access:?}, at {position}): {} late, from {first} to {last}", late.len()))
     }
 
     /// Returns when a host first went by a configuration or a later one.
