Request news while the relay tree doesn't reach this host

Callers saw requests handled by an older configuration at hosts that the store turned away for longer than their lease.

It goes on serving callers, who are still told its address for a while.

It now requests the state from a member of its data centre as soon as its key is gone, and again before that member stops relaying news to it; also where the store is silent and no news has come for a second. No new message: the request for the state already makes its receiver relay news for five seconds.

--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -37,6 +37,7 @@
 mod introspection;
 mod inventory;
 mod membership;
+mod news_pull;
 mod owned_engine;
 mod ownership;
 mod peers;
@@ -55,6 +56,7 @@
 use homes::Homes;
 use inventory::EngineInventory;
 use membership::Membership;
+use news_pull::NewsPull;
 use ownership::Ownership;
 use peers::{LocalStatus, Peers};
 use power::Power;
@@ -89,6 +91,7 @@
     store_sync: StoreSync,
     bootstrap: Bootstrap,
     relay: Relay,
+    news_pull: NewsPull,
     inventory: EngineInventory,
     ownership: Ownership,
     homes: Homes,
@@ -114,6 +117,7 @@
             store_sync: StoreSync::default(),
             bootstrap: Bootstrap::default(),
             relay: Relay::default(),
+            news_pull: NewsPull::default(),
             inventory: EngineInventory::default(),
             ownership: Ownership::default(),
             homes: Homes::default(),
@@ -145,6 +149,7 @@
         self.store_sync.on_tick(cx);
         self.bootstrap.on_tick(cx, &mut self.store_sync);
         self.relay.on_tick(cx);
+        self.news_pull.on_tick(cx, self.store_sync.is_watch_unanswered());
         if self.last_review.after(self.review_interval(engine_use)).is_due(cx.now) {
             self.review(cx, engine_use);
         }
@@ -294,6 +299,7 @@
     /// Handles a peer message.
     pub fn on_peer(&mut self, cx: &mut Cx<'_>, from: &HostId, message: &PeerMessage) {
         self.peers.on_peer(cx, from, message);
+        self.news_pull.on_peer(cx.now, message);
         self.store_sync.on_peer(cx, from, message);
         self.bootstrap.on_peer(cx, &self.store_sync, from, message);
         match message {
--- a/crates/skylarkshore-core/src/control/store_sync.rs
+++ b/crates/skylarkshore-core/src/control/store_sync.rs
@@ -165,6 +165,11 @@
         self.record_snapshot(cx, *revision);
     }
 
+    /// Reports whether the key-value service left the last watch unanswered.
+    pub(super) const fn is_watch_unanswered(&self) -> bool {
+        self.is_watch_unanswered
+    }
+
     /// Records whether the key-value service answered a watch.
     pub(super) const fn set_watch_answered(&mut self, is_answered: bool) {
         self.is_watch_unanswered = !is_answered;
