Relay what a complete state has skipped

Cause: a host that gets ahead by a complete state, a peer's or its own read of all keys, relays only the news after that state. Its children are sent a piece that begins at 434 while they know up to 409; where the store turns them away as well, or they ask a parent that is behind too, nothing fills the gap. The trace shows `state_received upto=434 known_upto=409` at the root, and a `news_gap known_upto=409 next_from=434` at all its children.

--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -178,7 +178,12 @@
     /// records that the service answers.
     pub fn on_news_read(&mut self, cx: &mut Cx<'_>, news: &News) {
         self.store_sync.set_watch_answered(true);
-        self.relay.on_news_read(cx, news);
+        self.relay.on_own_news(cx, news);
+    }
+
+    /// Forwards changes that a complete state has brought to this process.
+    pub fn on_news_skipped(&mut self, cx: &mut Cx<'_>, news: &News) {
+        self.relay.on_own_news(cx, news);
     }
 
     /// Starts an orderly shutdown.
--- a/crates/skylarkshore-core/src/control/relay.rs
+++ b/crates/skylarkshore-core/src/control/relay.rs
@@ -68,8 +68,8 @@
         cx.log_event("relay_position", parent, detail);
     }
 
-    /// Forwards news that this process has read itself.
-    pub(super) fn on_news_read(&mut self, cx: &mut Cx<'_>, news: &News) {
+    /// Forwards news that this process has read itself or that a complete state has brought.
+    pub(super) fn on_own_news(&mut self, cx: &mut Cx<'_>, news: &News) {
         self.send_to_children(cx, news);
     }
 
--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -218,6 +218,11 @@
     ///
     /// `Watched` delivers the same changes to this process.
     NewsRead(News),
+    /// The changes that a complete state of the key-value service brought, since the revision known
+    /// before; they are to be relayed to other processes, which would lack them otherwise.
+    ///
+    /// `State` or the result of the read delivers the same changes to this process.
+    NewsSkipped(News),
     /// The watch call timed out and is repeated from the same revision.
     WatchTimedOut,
     /// The watch ended and may have missed changes.
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -15,14 +15,15 @@
 use crate::dump::{DumpEntry, Gauge};
 use crate::effect::Effect;
 use crate::event::Event;
-use crate::id::{HostId, StoreRevision};
+use crate::id::{CallId, HostId, StoreRevision};
 use crate::loading::Loading;
 use crate::peer::{Envelope, PeerMessage};
 use crate::removal_grace::RemovalGrace;
 use crate::rules::MinuteOfDay;
 use crate::serving::Serving;
 use crate::store::{
-    Key, Record, RecordBatch, StoreAnswer, StoreCache, Versioned, WriteOutcome, WriteQueue, WriteRequest,
+    Key, Record, RecordBatch, StoreAnswer, StoreCache, StoreResult, Versioned, WriteOutcome, WriteQueue,
+    WriteRequest,
 };
 use crate::time::Time;
 use crate::upstream::{UpstreamChanges, UpstreamList};
@@ -167,32 +168,7 @@
                 let changes = self.removal_grace.filter_changes(now, grace, changes, &self.upstreams);
                 self.apply_upstream_changes(now, changes, effects);
             }
-            Event::Store { call, result } => {
-                match &result {
-                    Ok(_) => self.removal_grace.record_store_success(now),
-                    Err(_failure) => self.removal_grace.record_store_failure(),
-                }
-                if let Ok(StoreAnswer::Shared { revision, records }) = &result {
-                    self.apply_snapshot(now, *revision, records.clone(), effects);
-                }
-                if let Ok(StoreAnswer::Members(records)) = &result {
-                    self.apply_records(now, records.clone(), effects);
-                }
-                // The cache holds only shared keys; `Key::Once` belongs to a single request.
-                if let Ok(StoreAnswer::One(found)) = &result
-                    && !matches!(found.key, Key::Once(_))
-                {
-                    self.apply_records(now, vec![found.clone()], effects);
-                }
-                let outcome = self.with_cx(now, effects, |cx, parts| {
-                    parts.control.on_store_result(cx, call, &result);
-                    parts.serving.on_store(cx, call, &result);
-                    parts.write_queue.on_result(cx, call, &result)
-                });
-                if let Some((key, outcome)) = outcome {
-                    self.on_write_outcome(now, &key, &outcome, effects);
-                }
-            }
+            Event::Store { call, result } => self.on_store_result(now, call, &result, effects),
             Event::Watched { changes, upto } => {
                 self.apply_records(now, changes.clone(), effects);
                 self.with_cx(now, effects, |cx, parts| parts.control.on_watched(cx, changes, upto));
@@ -200,6 +176,9 @@
             Event::NewsRead(news) => {
                 self.with_cx(now, effects, |cx, parts| parts.control.on_news_read(cx, &news));
             }
+            Event::NewsSkipped(news) => {
+                self.with_cx(now, effects, |cx, parts| parts.control.on_news_skipped(cx, &news));
+            }
             Event::State { upto, records } => {
                 self.apply_snapshot(now, upto, records, effects);
                 self.with_cx(now, effects, |cx, parts| parts.control.on_snapshot(cx, upto));
@@ -251,6 +230,33 @@
         }
     }
 
+    fn on_store_result(&mut self, now: Time, call: CallId, result: &StoreResult, effects: &mut Vec<Effect>) {
+        match result {
+            Ok(_) => self.removal_grace.record_store_success(now),
+            Err(_failure) => self.removal_grace.record_store_failure(),
+        }
+        if let Ok(StoreAnswer::Shared { revision, records }) = result {
+            self.apply_snapshot(now, *revision, records.clone(), effects);
+        }
+        if let Ok(StoreAnswer::Members(records)) = result {
+            self.apply_records(now, records.clone(), effects);
+        }
+        // The cache holds only shared keys; `Key::Once` belongs to a single request.
+        if let Ok(StoreAnswer::One(found)) = result
+            && !matches!(found.key, Key::Once(_))
+        {
+            self.apply_records(now, vec![found.clone()], effects);
+        }
+        let outcome = self.with_cx(now, effects, |cx, parts| {
+            parts.control.on_store_result(cx, call, result);
+            parts.serving.on_store(cx, call, result);
+            parts.write_queue.on_result(cx, call, result)
+        });
+        if let Some((key, outcome)) = outcome {
+            self.on_write_outcome(now, &key, &outcome, effects);
+        }
+    }
+
     fn on_tick(&mut self, now: Time, minute_of_day: MinuteOfDay, effects: &mut Vec<Effect>) {
         self.minute_of_day = minute_of_day;
         let outcomes = self.with_cx(now, effects, |cx, parts| parts.write_queue.on_tick(cx));
--- a/crates/skylarkshore-core/tests/support/relay.rs
+++ b/crates/skylarkshore-core/tests/support/relay.rs
@@ -15,7 +15,7 @@
 use skylarkshore_core::id::{CatalogueRevision, Digest, HostId, Incarnation, StoreRevision};
 use skylarkshore_core::peer::{News, PeerMessage, StatePart};
 use skylarkshore_core::rules::{MinuteOfDay, Rules};
-use skylarkshore_core::store::{Key, Record, StoreFailure, Versioned};
+use skylarkshore_core::store::{Key, Record, StoreAnswer, StoreFailure, Versioned};
 use skylarkshore_core::units::Capacity;
 use skylarkshore_core::{Effect, Event, Node, Time};
 
@@ -325,6 +325,7 @@
                     self.host(name).follower.on_applied(news.upto);
                 }
                 Step::ApplyState { upto, .. } => {
+                    self.relay_skipped(name, upto);
                     let records = self.state_at(upto);
                     self.handle(name, Event::State { upto, records });
                     self.host(name).follower.on_applied(upto);
@@ -415,7 +416,20 @@
         latest.into_values().filter(|change| change.record.is_some()).collect()
     }
 
+    /// Relays the changes that a complete state brings, as the adapter of a platform does.
+    fn relay_skipped(&mut self, name: &HostId, upto: StoreRevision) {
+        let Some(host) = self.hosts.get(name) else { return };
+        let after = host.follower.after();
+        if after != StoreRevision(0) && after < upto {
+            let news = News { after, upto, body: Vec::from([1]).into() };
+            self.handle(name, Event::NewsSkipped(news));
+        }
+    }
+
     fn handle(&mut self, name: &HostId, event: Event) {
+        if let Event::Store { result: Ok(StoreAnswer::Shared { revision, .. }), .. } = &event {
+            self.relay_skipped(name, *revision);
+        }
         let now = self.now;
         let Some(host) = self.hosts.get_mut(name) else { return };
         let effects = host.node.handle(now, event);
