Notice a slow or failed host of the relay tree within a quarter of the notice

Callers of the hosts below such a host saw the old configuration for up to 1.26 s of the 3 s (given-time test, notice of leaving upstreams 3 s).

Cause: silence was noticed after half the notice, and a host that then read for itself paused for two fifths of it between reads. A host that is slow, but not silent, wasn't noticed at all.

Silence now counts after a quarter of the notice, and a host that reads alone pauses as long. So that healthy peers are never silent for that, a host that reads for others ends each of its reads within a fifth, also after a pause; in quiet times it makes as many calls as before. A host that a peer's heartbeat shows to be behind reads for itself if news hasn't brought it there 200 ms later, and news from before its own position doesn't count as a sign of life.

--- a/crates/skylarkshore-core/src/control/store_sync.rs
+++ b/crates/skylarkshore-core/src/control/store_sync.rs
@@ -38,6 +38,10 @@
 const RECORDS_REQUEST_INTERVAL: Duration = Duration::from_millis(300);
 /// How long a peer may lag behind before it is sent the missing records unasked.
 const TOLERATED_LAG: Duration = Duration::from_millis(1500);
+/// How long relayed news may take to bring what a peer's heartbeat shows.
+///
+/// A host of the relay tree that is slow, but not silent, delays all below it.
+const MAX_RELAY_LAG: Duration = Duration::from_millis(200);
 /// Minimum interval between two requests for the state if the key-value service does not answer.
 const STATE_REQUEST_INTERVAL: Duration = Duration::from_secs(1);
 /// Timeout of the read of all shared keys, as a multiple of `store_timeout`.
@@ -49,6 +53,14 @@
     timeout_at: Time,
 }
 
+/// A revision that a peer knows and this process doesn't.
+#[derive(Clone, Copy, Debug)]
+struct PeerLead {
+    revision: StoreRevision,
+    /// When this process reads the service itself.
+    read_at: Time,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Watch {
     /// The revision up to which the watch is complete.
@@ -78,6 +90,7 @@
     /// Whether the key-value service left the last watch unanswered.
     is_watch_unanswered: bool,
     next_state_request: Time,
+    peer_lead: Option<PeerLead>,
 }
 
 impl StoreSync {
@@ -144,6 +157,7 @@
             self.read_backoff.record_failure(cx);
         }
         self.read_when_due(cx);
+        self.read_if_relay_lags(cx);
     }
 
     /// Handles the result of a store call, which may belong to another part of the process.
@@ -228,6 +242,7 @@
     pub(super) fn on_peer(&mut self, cx: &mut Cx<'_>, from: &HostId, message: &PeerMessage) {
         match message {
             PeerMessage::Heartbeat { store, .. } if cx.cfg.watchers == Watchers::Relayed => {
+                self.record_peer_lead(cx.now, *store);
                 self.request_state_if_cut_off(cx, from, *store);
             }
             PeerMessage::Heartbeat { store, .. } if *store > self.frontier => self.request_records(cx, from),
@@ -253,6 +268,20 @@
         }
     }
 
+    fn record_peer_lead(&mut self, now: Time, revision: StoreRevision) {
+        if self.peer_lead.is_none() && revision > self.frontier {
+            self.peer_lead = Some(PeerLead { revision, read_at: now.after(MAX_RELAY_LAG) });
+        }
+    }
+
+    /// Reads the changes from the service if news doesn't bring what a peer knows.
+    fn read_if_relay_lags(&mut self, cx: &mut Cx<'_>) {
+        self.peer_lead.take_if(|lead| lead.revision <= self.frontier);
+        if self.peer_lead.take_if(|lead| lead.read_at.is_due(cx.now)).is_some() && self.watch.is_some() {
+            cx.push(Effect::ReadMissedNews);
+        }
+    }
+
     /// Requests the state from a peer that is ahead, if the key-value service does not answer.
     fn request_state_if_cut_off(&mut self, cx: &mut Cx<'_>, from: &HostId, store: StoreRevision) {
         if store <= self.frontier || !self.is_synced() {
--- a/crates/skylarkshore-core/src/follower.rs
+++ b/crates/skylarkshore-core/src/follower.rs
@@ -34,40 +34,53 @@
 /// service answers again.
 const MAX_UNANSWERED_READS: u32 = 2;
 
-/// Timing of reads, chosen so that a leaving upstream is known before it ends.
-///
-/// A connection can go silent for good without a reset. Until such a read times
-/// out, the process receives no changes and would send requests to upstreams that
-/// are leaving; they keep running for the notice period after they announce it.
+/// Timing of reads of one kind.
 #[derive(Clone, Copy, Debug)]
-struct ReadTiming {
+struct ReadCadence {
     /// Wait for changes of a read that starts directly after the previous one.
     wait: Duration,
     /// Wait for changes of a read that starts after a rest.
     wait_after_rest: Duration,
-    /// Time that the answer may take beyond the wait.
-    slack: Duration,
     /// Pause after a read that returned changes; bounds the call rate under constant change.
     rest: Duration,
-    /// Pause of a process that reads for others or has just begun to watch.
+}
+
+/// Timing of reads, chosen so that a leaving upstream is known before it ends.
+///
+/// A connection can go silent for good without a reset. Until such a read times
+/// out, the process receives no changes and would send requests to upstreams that
+/// are leaving; they keep running for the notice period after they announce it.
+#[derive(Clone, Copy, Debug)]
+struct ReadTiming {
+    /// Reads of a process for itself.
+    alone: ReadCadence,
+    /// Reads of a process for its peers; each ends within a fifth of the notice, so that the peers
+    /// hear from it.
+    for_peers: ReadCadence,
+    /// Pause of a process that has just begun to watch.
     ///
     /// Hosts that start together must know each other before they can exchange
     /// suspicions of requests that crash upstreams.
-    short_rest: Duration,
-    /// Time without updates from peers after which the process reads the service itself.
+    startup_rest: Duration,
+    /// Time that the answer may take beyond the wait.
+    slack: Duration,
+    /// Time without updates from peers after which the process reads the service itself; longer than
+    /// between two reads for peers.
     silence: Duration,
 }
 
 impl ReadTiming {
     /// Divides the notice period of leaving upstreams; the remainder is for applying the changes.
+    ///
+    /// A change is known within a third of the notice, also where a peer that relays it has failed:
+    /// after the silence, or the rest of a process that reads alone, and the answer.
     fn from_notice(notice: Duration) -> Self {
         Self {
-            wait: notice * 3 / 5,
-            wait_after_rest: notice / 5,
+            alone: ReadCadence { wait: notice * 3 / 5, wait_after_rest: notice / 5, rest: notice / 4 },
+            for_peers: ReadCadence { wait: notice / 5, wait_after_rest: notice / 10, rest: notice / 10 },
+            startup_rest: notice / 5,
             slack: MAX_ANSWER_SLACK.min(notice / 4),
-            rest: notice * 2 / 5,
-            short_rest: notice / 5,
-            silence: notice / 2,
+            silence: notice / 4,
         }
     }
 }
@@ -253,13 +266,20 @@
     }
 
     /// Queues changes that a peer has relayed.
+    ///
+    /// News from before the applied revision comes from a peer that is behind; it doesn't stand for
+    /// those that keep this process up to date.
     pub fn push_news(&mut self, now: Time, news: News) {
-        self.push(now, Update::News(news));
+        if news.upto >= self.after {
+            self.last_update = Some(now);
+        }
+        self.push(Update::News(news));
     }
 
     /// Queues a part of a peer's complete state.
     pub fn push_state(&mut self, now: Time, part: StatePart) {
-        self.push(now, Update::State(part));
+        self.last_update = Some(now);
+        self.push(Update::State(part));
     }
 
     /// Restarts the silence timer because a peer has announced an update.
@@ -348,8 +368,7 @@
         AfterRead::ReportUnanswered { asks_peer: self.unanswered >= MAX_UNANSWERED_READS }
     }
 
-    fn push(&mut self, now: Time, update: Update) {
-        self.last_update = Some(now);
+    fn push(&mut self, update: Update) {
         if self.queue.len() >= MAX_QUEUED_UPDATES {
             self.queue.clear();
         }
@@ -448,14 +467,22 @@
             return Step::ReadState;
         }
         self.phase = Phase::Reading;
-        let is_immediate = !self.reads_for_peers && self.read_start == ReadStart::Immediate;
-        let wait = if is_immediate { self.timing.wait } else { self.timing.wait_after_rest };
+        let cadence = self.cadence();
+        let wait = match self.read_start {
+            ReadStart::Immediate => cadence.wait,
+            ReadStart::AfterRest => cadence.wait_after_rest,
+        };
         Step::Read(ChangesRead { after: self.after, wait, timeout: wait + self.timing.slack })
     }
 
+    const fn cadence(&self) -> ReadCadence {
+        if self.reads_for_peers { self.timing.for_peers } else { self.timing.alone }
+    }
+
     fn rest(&mut self, now: Time) {
-        let is_short = self.reads_for_peers || !self.startup_until.is_due(now);
-        let rest = if is_short { self.timing.short_rest } else { self.timing.rest };
+        let is_starting = !self.startup_until.is_due(now);
+        let rest = self.cadence().rest;
+        let rest = if is_starting { rest.min(self.timing.startup_rest) } else { rest };
         self.read_start = ReadStart::AfterRest;
         self.phase = Phase::Resting { until: now.after(rest) };
     }
--- a/crates/skylarkshore-core/tests/follower.rs
+++ b/crates/skylarkshore-core/tests/follower.rs
@@ -77,3 +77,17 @@
     let state = Step::ApplyState { upto: StoreRevision(20), bodies: vec![Arc::default()] };
     assert_eq!(follower.next_step(at(410)), state);
 }
+
+/// Guards against a host that waits for a peer although that peer is behind it.
+#[test]
+fn news_from_a_peer_that_is_behind_does_not_keep_a_host_from_reading() {
+    let mut follower = following();
+    for ms in (100..1000).step_by(100) {
+        follower.push_news(at(ms), news(8, 9));
+        if let Step::Read(read) = follower.next_step(at(ms)) {
+            assert_eq!(read.after, StoreRevision(10));
+            return;
+        }
+    }
+    panic!("the host reads nothing");
+}
