Play random faults of hosts against the relay of configurations, seeded

Hosts are killed and started again, cut off, frozen, slow, turned away in three ways, roots among them, in series and overlapping, while messages are lost and configurations come. An undisturbed host that goes by an older configuration than the users' limit allows fails the test.

--- a/crates/skylarkshore-core/tests/relay.rs
+++ b/crates/skylarkshore-core/tests/relay.rs
@@ -8,6 +8,9 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
 use relay::{RelayFleet, StoreAccess};
 use skylarkshore_core::id::HostId;
 
@@ -124,3 +127,93 @@
         assert!(late.is_empty(), "seed {seed}: {late:#?}");
     }
 }
+
+/// Seeds that CI plays; `SKYLARKSHORE_SEEDS` plays as many by hand.
+const STORM_SEEDS: u64 = 6;
+const STORM_STEPS: usize = 120;
+const STORM_STEP: Duration = Duration::from_millis(100);
+/// How long a host has to be undisturbed before the limit holds for it.
+const CONTACT_TIME: Duration = Duration::from_secs(4);
+
+/// Random faults of hosts, in series and overlapping, while configurations come.
+struct Storm {
+    fleet: RelayFleet,
+    rng: SmallRng,
+    failures: Vec<String>,
+}
+
+impl Storm {
+    fn new(seed: u64) -> Self {
+        let fleet = RelayFleet::settled(seed, HOSTS);
+        Self { fleet, rng: SmallRng::seed_from_u64(seed), failures: Vec::new() }
+    }
+
+    fn step(&mut self) {
+        let fault = self.rng.random_range(0..100);
+        let name = self.fleet.random_host();
+        match fault {
+            0..2 => self.fleet.kill(&name),
+            2..6 => self.fleet.restart_one(),
+            6..9 => self.disturb(&name, HostFault::Isolated),
+            9..12 => self.disturb(&name, HostFault::Frozen),
+            12..16 => self.disturb(&name, HostFault::Slow),
+            16..18 => {
+                let root = self.fleet.root_or(&name);
+                self.disturb(&root, HostFault::Isolated);
+            }
+            18..30 => self.turn_away(&name),
+            30..33 => self.turn_away_some(),
+            33..35 => self.recover_all(),
+            35..39 => self.recover(&name),
+            39..42 => self.fleet.lost_messages = 2,
+            42..48 => self.fleet.lost_messages = 0,
+            48..60 => self.fleet.configure(),
+            _ => {}
+        }
+        self.fleet.run(STORM_STEP);
+        self.failures.extend(self.fleet.hosts_behind(APPLY_LIMIT, CONTACT_TIME));
+    }
+
+    /// Disturbs a host; the limit doesn't hold for it meanwhile, nor for a while afterwards.
+    fn disturb(&mut self, name: &HostId, fault: HostFault) {
+        inject(&mut self.fleet, name, fault);
+        self.fleet.host(name).undisturbed_since = None;
+    }
+
+    /// Lets the service turn a host away, which keeps in contact with its peers.
+    fn turn_away(&mut self, name: &HostId) {
+        let access = [StoreAccess::Resets, StoreAccess::Refuses, StoreAccess::Silent];
+        self.fleet.host(name).access = access.choose(&mut self.rng).copied().unwrap_or_default();
+    }
+
+    fn turn_away_some(&mut self) {
+        for name in self.fleet.sample(HOSTS / 2) {
+            self.turn_away(&name);
+        }
+    }
+
+    fn recover(&mut self, name: &HostId) {
+        let now = self.fleet.now;
+        self.fleet.host(name).recover(now);
+    }
+
+    fn recover_all(&mut self) {
+        let now = self.fleet.now;
+        for host in self.fleet.hosts.values_mut() {
+            host.recover(now);
+        }
+    }
+}
+
+/// Guards against combinations of faults in which a host that could know a configuration doesn't.
+#[test]
+fn random_faults_never_keep_an_undisturbed_host_behind() {
+    let seeds = std::env::var("SKYLARKSHORE_SEEDS").ok().and_then(|text| text.parse().ok());
+    for seed in 1..=seeds.unwrap_or(STORM_SEEDS) {
+        let mut storm = Storm::new(seed);
+        for _ in 0..STORM_STEPS {
+            storm.step();
+        }
+        assert!(storm.failures.is_empty(), "seed {seed}: {:#?}", storm.failures);
+    }
+}
--- a/crates/skylarkshore-core/tests/support/relay.rs
+++ b/crates/skylarkshore-core/tests/support/relay.rs
@@ -69,6 +69,8 @@
     pub is_frozen: bool,
     /// Delay of everything that arrives here.
     pub lag: Duration,
+    /// Since when no fault of the host excuses it from the limits; none while one does.
+    pub undisturbed_since: Option<Time>,
 }
 
 /// Hosts, their key-value service and the network between them.
@@ -88,6 +90,10 @@
     activated: BTreeMap<(HostId, CatalogueRevision), Time>,
     /// Percentage of messages between hosts that are lost.
     pub lost_messages: u32,
+    /// Number of processes started so far.
+    incarnations: u64,
+    /// The hosts whose processes were ended, and may be started again.
+    ended: BTreeSet<HostId>,
 }
 
 fn host_name(data_centre: usize, number: usize) -> HostId {
@@ -136,6 +142,8 @@
             confirmed: BTreeMap::new(),
             activated: BTreeMap::new(),
             lost_messages: 0,
+            incarnations: 0,
+            ended: BTreeSet::new(),
         };
         fleet.configure();
         for data_centre in 0..DATA_CENTRES {
@@ -151,7 +159,10 @@
     }
 
     fn start(&mut self, data_centre: usize, number: usize) {
-        let (node, effects) = Node::start(config(data_centre, number), self.now);
+        self.incarnations += 1;
+        let incarnation = Incarnation(self.incarnations);
+        let cfg = NodeConfig { incarnation, ..config(data_centre, number) };
+        let (node, effects) = Node::start(cfg, self.now);
         let host = RelayHost {
             node,
             follower: Follower::new(NOTICE),
@@ -162,6 +173,7 @@
             is_isolated: false,
             is_frozen: false,
             lag: Duration::ZERO,
+            undisturbed_since: Some(self.now),
         };
         let name = host_name(data_centre, number);
         self.hosts.insert(name.clone(), host);
@@ -207,6 +219,15 @@
     /// Ends a process without a shutdown.
     pub fn kill(&mut self, name: &HostId) {
         self.hosts.remove(name);
+        self.ended.insert(name.clone());
+    }
+
+    /// Starts the process of a host again that was ended, if there is any.
+    pub fn restart_one(&mut self) {
+        let Some(name) = self.ended.pop_first() else { return };
+        let mut parts = name.as_str().split('-').skip(1).filter_map(|part| part.parse().ok());
+        let (Some(data_centre), Some(number)) = (parts.next(), parts.next()) else { return };
+        self.start(data_centre, number);
     }
 
     /// Begins a process's shutdown.
@@ -259,6 +280,34 @@
         since.take_while(|((host, _), _)| host == name).map(|(_, at)| *at).min()
     }
 
+    /// Lists the undisturbed hosts that go by an older configuration than those that were confirmed `limit` ago.
+    pub fn hosts_behind(&self, limit: Duration, contact_time: Duration) -> Vec<String> {
+        let due = self.confirmed.iter().rev().find(|(_, confirmed)| confirmed.after(limit).is_due(self.now));
+        let Some((due, _)) = due else { return Vec::new() };
+        let is_in_contact = |host: &RelayHost| {
+            host.undisturbed_since.is_some_and(|since| since.after(contact_time).is_due(self.now))
+        };
+        let behind = self.hosts.iter().filter(|(_, host)| is_in_contact(host) && host.revision() < *due);
+        behind
+            .map(|(name, host)| {
+                let (access, now) = (host.access, self.now);
+                format!("{now} {name} ({access:?}): version {} instead of {due}", host.revision())
+            })
+            .collect()
+    }
+
+    pub fn random_host(&mut self) -> HostId {
+        self.hosts.keys().choose(&mut self.rng).expect("a host runs").clone()
+    }
+
+    /// Returns the host that reads for the data centre of another, or that other if none does.
+    pub fn root_or(&self, name: &HostId) -> HostId {
+        let prefix = &name.as_str()[..name.as_str().len().min("host-0".len())];
+        let mut in_data_centre = self.hosts.iter().filter(|(host, _)| host.as_str().starts_with(prefix));
+        let root = in_data_centre.find(|(_, host)| host.follower.reads_for_peers());
+        root.map_or(name, |(root, _)| root).clone()
+    }
+
     fn step(&mut self) {
         self.now = self.now.after(STEP);
         self.store.expire(self.now);
@@ -482,6 +531,15 @@
 }
 
 impl RelayHost {
+    /// Ends all faults of the host.
+    pub fn recover(&mut self, now: Time) {
+        self.access = StoreAccess::Served;
+        self.is_isolated = false;
+        self.is_frozen = false;
+        self.lag = Duration::ZERO;
+        self.undisturbed_since.get_or_insert(now);
+    }
+
     fn revision(&self) -> CatalogueRevision {
         self.node.document().catalogue_revision
     }
