Ask another member at once where the one asked for news doesn't answer

The long interval now holds only for a member that has sent news since it was asked; any other has 400 ms to announce its state.

The store now treats a call as it did when the call was made.

--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -304,7 +304,7 @@
     /// Handles a peer message.
     pub fn on_peer(&mut self, cx: &mut Cx<'_>, from: &HostId, message: &PeerMessage) {
         self.peers.on_peer(cx, from, message);
-        self.news_pull.on_peer(cx.now, message);
+        self.news_pull.on_peer(cx.now, from, message);
         self.store_sync.on_peer(cx, from, message);
         self.bootstrap.on_peer(cx, &self.store_sync, from, message);
         match message {
--- a/crates/skylarkshore-core/src/control/news_pull.rs
+++ b/crates/skylarkshore-core/src/control/news_pull.rs
@@ -18,6 +18,8 @@
 
 /// Time without news after which another member is asked.
 const NEWS_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a member that was asked may take to announce its state.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval between two requests to a member that relays news; shorter than the time for which it does.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(4);
 
@@ -28,14 +30,22 @@
     was_member: bool,
     last_news: Time,
     next_request: Time,
+    /// The member that was asked last.
     provider: Option<HostId>,
+    /// Whether that member has sent news since.
+    is_provided: bool,
 }
 
 impl NewsPull {
     /// Records a message of a peer.
-    pub(super) const fn on_peer(&mut self, now: Time, message: &PeerMessage) {
+    pub(super) fn on_peer(&mut self, now: Time, from: &HostId, message: &PeerMessage) {
+        let is_provider = self.provider.as_ref() == Some(from);
         if matches!(message, PeerMessage::News(_) | PeerMessage::State(_)) {
             self.last_news = now;
+            self.is_provided |= is_provider;
+        }
+        if is_provider && matches!(message, PeerMessage::StateComing) {
+            self.next_request = self.next_request.max(now.after(NEWS_TIMEOUT));
         }
     }
 
@@ -52,9 +62,11 @@
         if !(is_outside_tree || lacks_news) || !self.next_request.is_due(cx.now) {
             return;
         }
-        let current = self.provider.take().filter(|_| hears_news);
+        // A member that hasn't sent anything is not asked again; it may be cut off as well.
+        let is_renewal = hears_news && std::mem::take(&mut self.is_provided);
+        let current = self.provider.take().filter(|_| is_renewal);
         let Some(provider) = current.or_else(|| random_peer(cx)) else { return };
-        self.next_request = cx.now.after(if hears_news { RENEWAL_INTERVAL } else { NEWS_TIMEOUT });
+        self.next_request = cx.now.after(if is_renewal { RENEWAL_INTERVAL } else { ANSWER_TIMEOUT });
         let reason =
             if is_outside_tree { "this process is no member" } else { "neither news nor the service" };
         cx.log_event("state_requested", &provider, reason);
--- a/crates/skylarkshore-core/tests/relay.rs
+++ b/crates/skylarkshore-core/tests/relay.rs
@@ -128,8 +128,8 @@
     }
 }
 
-/// Seeds that CI plays; `SKYLARKSHORE_SEEDS` plays as many by hand.
-const STORM_SEEDS: u64 = 6;
+/// Seeds that CI plays, among them those that showed a fault; `SKYLARKSHORE_SEEDS=N` plays 1 to N by hand.
+const STORM_SEEDS: [u64; 8] = [1, 2, 3, 4, 5, 6, 8, 14];
 const STORM_STEPS: usize = 120;
 const STORM_STEP: Duration = Duration::from_millis(100);
 /// How long a host has to be undisturbed before the limit holds for it.
@@ -208,12 +208,18 @@
 /// Guards against combinations of faults in which a host that could know a configuration doesn't.
 #[test]
 fn random_faults_never_keep_an_undisturbed_host_behind() {
-    let seeds = std::env::var("SKYLARKSHORE_SEEDS").ok().and_then(|text| text.parse().ok());
-    for seed in 1..=seeds.unwrap_or(STORM_SEEDS) {
-        let mut storm = Storm::new(seed);
-        for _ in 0..STORM_STEPS {
-            storm.step();
-        }
-        assert!(storm.failures.is_empty(), "seed {seed}: {:#?}", storm.failures);
+    let by_hand = std::env::var("SKYLARKSHORE_SEEDS").ok().and_then(|text| text.parse().ok());
+    let seeds = by_hand.map_or_else(|| STORM_SEEDS.to_vec(), |last| (1..=last).collect());
+    let failures: Vec<String> = seeds.into_iter().filter_map(play_storm).collect();
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
+/// Plays a storm and describes the first and the last time that a host was behind.
+fn play_storm(seed: u64) -> Option<String> {
+    let mut storm = Storm::new(seed);
+    for _ in 0..STORM_STEPS {
+        storm.step();
     }
+    let (first, last) = (storm.failures.first()?, storm.failures.last()?);
+    Some(format!("seed {seed}: {} times, from {first} to {last}", storm.failures.len()))
 }
--- a/crates/skylarkshore-core/tests/support/relay.rs
+++ b/crates/skylarkshore-core/tests/support/relay.rs
@@ -50,6 +50,8 @@
 #[derive(Clone, Copy, Debug)]
 struct PendingRead {
     read: ChangesRead,
+    /// How the service treated the host when the call was made.
+    access: StoreAccess,
     /// The earliest time of an answer with changes.
     answer_at: Time,
     /// When the service answers without changes, or the call ends unanswered.
@@ -394,7 +396,7 @@
             StoreAccess::Resets | StoreAccess::Refuses => now.after(STEP),
             StoreAccess::Silent => now.after(read.timeout),
         };
-        host.read = Some(PendingRead { read, answer_at, ends_at });
+        host.read = Some(PendingRead { read, access: host.access, answer_at, ends_at });
     }
 
     /// Returns the time of a call and its answer, which takes longer where the link is slow.
@@ -406,14 +408,14 @@
         let (now, revision) = (self.now, self.store.revision());
         let Some(host) = self.hosts.get_mut(name) else { return };
         let Some(pending) = host.read else { return };
-        let is_served = host.access == StoreAccess::Served;
+        let is_served = pending.access == StoreAccess::Served && host.access == StoreAccess::Served;
         let has_changes = is_served && revision > pending.read.after && pending.answer_at.is_due(now);
         if !has_changes && !pending.ends_at.is_due(now) {
             return;
         }
         host.read = None;
         if !is_served {
-            let outcome = match host.access {
+            let outcome = match pending.access {
                 StoreAccess::Refuses => ReadOutcome::Refused,
                 _ => ReadOutcome::Unanswered,
             };
