Keep together to the limit that an upstream names

Cause: nobody read the limit. Nine hosts each sent by their own view of the replica's load.

The platform's adapter reads the limit, the core keeps to it. One host, the first of a ranking by the upstream's name and the hosts' capacity, counts for all: a bucket that fills at the limit and holds one permit and half a second's worth, from which waiting hosts are granted permits in turn. Whoever wants to send there needs a permit, which lasts a second; retries, claims and suspects too. In 4 s that makes at most five and a half times the limit and one request. A host that leaves requests unanswered is passed over for the next; a new one begins with an empty bucket. The limit ends with the first answer that doesn't name it. Dividing the limit by the number of hosts was ruled out: to send at all, each host needs a whole request at hand, and 80 of those in one window are far more than any limit allows.

The two messages to peers are new at the end of their list; hosts of the version before can't read them, and the limit isn't kept among those.

--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -13,6 +13,7 @@
 use crate::rules::MinuteOfDay;
 use crate::store::{RecordedAnswer, StoreResult, Versioned};
 use crate::time::Time;
+use crate::units::RequestRate;
 use crate::upstream::{EngineReport, OrderAnswer, Upstream, UpstreamChanges};
 
 /// Destination of a request.
@@ -279,6 +280,13 @@
         /// The reported load.
         load: ReportedLoad,
     },
+    /// An upstream's answers name another limit than before, or none any more.
+    RequestLimit {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// The requests a second that it takes from all hosts together.
+        limit: Option<RequestRate>,
+    },
     /// The first part of an answer was received.
     AnswerStarted {
         /// The attempt.
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -221,6 +221,9 @@
             Event::LoadReported { upstream, load } => {
                 self.with_cx(now, effects, |cx, parts| parts.serving.on_load_reported(cx, &upstream, load));
             }
+            Event::RequestLimit { upstream, limit } => {
+                self.with_cx(now, effects, |cx, parts| parts.serving.on_request_limit(cx, &upstream, limit));
+            }
             Event::AnswerStarted { attempt } => {
                 self.with_cx(now, effects, |cx, parts| parts.serving.on_answer_started(cx, attempt));
             }
--- a/crates/skylarkshore-core/src/peer.rs
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -9,7 +9,7 @@
 use crate::id::{Digest, HostId, Incarnation, ModelName, RulesRevision, SiteName, StoreRevision, UpstreamId};
 use crate::rules::ServiceOrder;
 use crate::store::RecordBatch;
-use crate::units::Watts;
+use crate::units::{RequestRate, Watts};
 use crate::view::EngineView;
 
 pub use credit::CreditMessage;
@@ -212,6 +212,22 @@
         /// The message.
         message: Box<PeerMessage>,
     },
+    /// Requests permits to send requests to an upstream that has named a limit.
+    PermitsWanted {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// The limit that it names.
+        limit: RequestRate,
+        /// Number of permits.
+        count: u32,
+    },
+    /// Grants permits; with a count of zero, confirms that the request has arrived.
+    Permits {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Number of permits.
+        count: u32,
+    },
 }
 
 /// Changes at the key-value service, in the order it delivered them, encoded for relaying to other processes.
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -31,9 +31,11 @@
 mod lease;
 mod once;
 mod others_load;
+mod permits;
 mod published_views;
 mod queue;
 mod request;
+mod request_limits;
 mod routing;
 mod state_dump;
 mod supply;
@@ -53,12 +55,14 @@
 use crate::quota::Quota;
 use crate::store::{Key, StoreResult, WriteOutcome};
 use crate::time::Time;
+use crate::units::RequestRate;
 
 use budget::RetryBudget;
 use counters::RequestCounters;
 use demand::Demand;
 use disposition::Disposition;
 use once::OnceClaims;
+use permits::Permits;
 use queue::Queue;
 use request::{Caller, Due, Request, RunHistory, State};
 use routing::Routes;
@@ -85,6 +89,8 @@
     waits: WaitEstimator,
     /// Grants requests credit, which counts against the limits of their client accounts.
     quota: Quota,
+    /// Permits for the requests of all hosts to upstreams that have named a limit.
+    permits: Permits,
     counters: RequestCounters,
     housekeeping_due: Time,
     /// Whether callers have been redirected to other hosts, so that no request may wait any
@@ -107,6 +113,7 @@
             budget: RetryBudget::new(cfg.limits.retries),
             waits: WaitEstimator::default(),
             quota: Quota::new(),
+            permits: Permits::default(),
             counters: RequestCounters::default(),
             housekeeping_due: Time::START,
             is_closed: false,
@@ -160,6 +167,12 @@
         self.routes.record_load(cx.now, upstream, load);
     }
 
+    /// Records the limit that an upstream's answers name, or that they no longer name one.
+    pub fn on_request_limit(&mut self, cx: &mut Cx<'_>, upstream: &UpstreamId, limit: Option<RequestRate>) {
+        self.routes.limits.record(cx, upstream, limit);
+        self.dispatch_for_upstream(cx, upstream);
+    }
+
     /// Handles the end of an attempt.
     pub fn on_attempt_ended(&mut self, cx: &mut Cx<'_>, attempt: AttemptId, end: AttemptOutcome) {
         let upstream = self.upstream_of(attempt);
@@ -177,6 +190,7 @@
     /// Runs all timers and periodic work that are due.
     pub fn on_tick(&mut self, cx: &mut Cx<'_>) {
         self.run_housekeeping(cx);
+        self.permits.on_tick(cx);
         for outcome in self.quota.on_tick(cx) {
             self.on_credit_decision(cx, outcome);
         }
@@ -264,6 +278,13 @@
                     self.on_credit_decision(cx, outcome);
                 }
             }
+            PeerMessage::PermitsWanted { upstream, limit, count } => {
+                self.permits.on_wanted(cx, from, upstream, *limit, *count);
+            }
+            PeerMessage::Permits { upstream, count } => {
+                self.routes.limits.on_permits(cx.now, upstream, *count);
+                self.dispatch_for_upstream(cx, upstream);
+            }
             PeerMessage::View(view) => self.on_view(cx, view),
             PeerMessage::CannotLoad { target, reason, retry_after } => {
                 self.on_cannot_load(cx, from, target, reason, *retry_after);
--- a/crates/skylarkshore-core/src/serving/arrival.rs
+++ b/crates/skylarkshore-core/src/serving/arrival.rs
@@ -227,6 +227,10 @@
             self.queue.take(id, request);
             self.claim_or_send(cx, id, upstream, Isolation::Shared);
         }
+        let waiting = self.queue.len_of(target);
+        if waiting > 0 {
+            self.routes.request_permits(cx, target, waiting);
+        }
         self.ask_owners_for(cx, target);
     }
 
@@ -256,6 +260,7 @@
         isolation: Isolation,
     ) {
         let Some(request) = self.requests.get_mut(&id) else { return };
+        self.routes.limits.use_permit(cx.now, &upstream);
         match request.idempotency_key() {
             Some(key) if !self.once_claims.holds(key) => {
                 self.routes.occupy_slot(&upstream);
--- a/crates/skylarkshore-core/src/serving/routing.rs
+++ b/crates/skylarkshore-core/src/serving/routing.rs
@@ -16,6 +16,7 @@
 use crate::id::{Digest, ServiceName, UpstreamId};
 use crate::serving::others_load::{MilliRequests, OthersLoad};
 use crate::serving::published_views::{Freshness, PublishedViews};
+use crate::serving::request_limits::RequestLimits;
 use crate::time::Time;
 use crate::upstream::{Upstream, UpstreamStatus};
 use crate::view::EngineView;
@@ -140,6 +141,8 @@
     /// sends them nothing else. To keep other hosts away too, an engine's owner has to reserve it,
     /// which its view shows (`reserved_for`).
     held_for_suspect: OrderedSet<UpstreamId>,
+    /// The limits on requests that upstreams name.
+    pub(super) limits: RequestLimits,
 }
 
 impl Routes {
@@ -171,6 +174,7 @@
             self.reported_loads.remove(id);
             self.leaving.remove(id);
             self.backoffs.remove(id);
+            self.limits.remove(id);
         }
     }
 
@@ -281,6 +285,13 @@
         candidates.into_iter().map(|c| c.upstream).max_by_key(|upstream| affinity(prefix, upstream))
     }
 
+    /// Requests permits for the upstreams that need one before they may be sent requests for a target.
+    pub(super) fn request_permits(&mut self, cx: &mut Cx<'_>, target: &Target, waiting: u32) {
+        for candidate in self.candidates(cx, target) {
+            self.limits.request_permits(cx, &candidate.upstream, waiting);
+        }
+    }
+
     /// Reports whether an upstream is a candidate for requests for a target, even if it is full.
     pub(super) fn is_candidate(&self, cx: &Cx<'_>, target: &Target, upstream: &UpstreamId) -> bool {
         self.candidates(cx, target).iter().any(|c| c.upstream == *upstream)
@@ -302,6 +313,7 @@
             let reserved_for_other =
                 known.view.reserved_for.as_ref().is_some_and(|host| *host != cx.cfg.host);
             !reserved_for_other
+                && self.limits.may_send(cx.now, &known.view.upstream)
                 && self.is_usable(cx, &known.view.upstream)
                 && !self.is_missing(cx, &known.view.upstream, target)
         });
@@ -312,7 +324,8 @@
     /// process.
     pub(super) fn isolation_replicas(&self, cx: &Cx<'_>, service: &ServiceName) -> Vec<UpstreamId> {
         let replicas = self.replicas(cx, service);
-        replicas.filter(|id| self.in_flight(id) == 0).cloned().collect()
+        let is_free = |id: &&UpstreamId| self.in_flight(id) == 0 && self.limits.may_send(cx.now, id);
+        replicas.filter(is_free).cloned().collect()
     }
 
     /// Reports whether an engine is reserved for this host and runs nothing.
@@ -456,7 +469,7 @@
         // An upstream that seems full is sent nothing and so reports nothing. Its room is therefore
         // judged by an estimate that decays, its cost by the mean.
         let room = match load(others_decayed) {
-            _ if own >= concurrency => Room::Full,
+            _ if own >= concurrency || !self.limits.may_send(cx.now, upstream) => Room::Full,
             0..1000 => Room::Free,
             1000..MAX_CROWDED_LOAD => Room::Crowded,
             _ => Room::Full,
--- a/crates/skylarkshore-core/src/units.rs
+++ b/crates/skylarkshore-core/src/units.rs
@@ -115,6 +115,34 @@
     }
 }
 
+/// A rate of requests, in thousandths of a request per second.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[display("{}.{:03}/s", _0 / 1000, _0 % 1000)]
+#[serde(transparent)]
+pub struct RequestRate(pub u32);
+
+/// Error for a text that is not a rate of requests.
+#[derive(Debug, Display, Error, PartialEq, Eq)]
+#[display("'{text}' is not a rate; write requests a second as a decimal number of zero or more")]
+pub struct InvalidRequestRate {
+    text: String,
+}
+
+impl FromStr for RequestRate {
+    type Err = InvalidRequestRate;
+
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "checked to be in range")]
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let invalid = || InvalidRequestRate { text: text.to_owned() };
+        let per_second: f64 = text.trim().parse().map_err(|_err| invalid())?;
+        let per_kilosecond = per_second * 1000.0;
+        if !(0.0..=f64::from(u32::MAX)).contains(&per_kilosecond) {
+            return Err(invalid());
+        }
+        Ok(Self(per_kilosecond as u32))
+    }
+}
+
 /// Error for a text that is not an amount with its unit.
 #[derive(Debug, Display, Error, PartialEq, Eq)]
 #[display("'{text}' is not an amount; write a whole number followed by {unit}, for example 80{unit}")]
--- a/crates/skylarkshore-host/src/upstreams.rs
+++ b/crates/skylarkshore-host/src/upstreams.rs
@@ -4,6 +4,7 @@
 
 mod attempt;
 mod events;
+mod named_limits;
 mod native;
 
 use std::sync::Arc;
@@ -17,6 +18,7 @@
 use skylarkshore_core::event::{AttemptOutcome, Rejection, ReportedLoad};
 use skylarkshore_core::id::{AttemptId, RequestId};
 use skylarkshore_core::rules::ServiceOrder;
+use skylarkshore_core::units::RequestRate;
 use skylarkshore_core::upstream::Upstream;
 use slog::debug;
 
@@ -25,6 +27,7 @@
 use crate::pool::Pool;
 
 use attempt::Attempt;
+use named_limits::NamedLimits;
 
 pub(crate) use native::{NativeUpstreams, forwardable_headers};
 
@@ -107,6 +110,12 @@
     /// Reads the upstream's load, if the answer reports it.
     fn read_load(&self, headers: &HeaderMap) -> Option<ReportedLoad>;
 
+    /// Reads the requests a second that the upstream takes from all hosts together, if the answer names
+    /// them.
+    fn read_request_limit(&self, _headers: &HeaderMap) -> Option<RequestRate> {
+        None
+    }
+
     /// Reports whether an answer may be unframed: without a length or chunks, so that it ends with
     /// its connection.
     ///
@@ -123,13 +132,14 @@
     protocol: Arc<dyn UpstreamProtocol>,
     pool: Arc<Pool>,
     env: Env,
+    named_limits: Arc<NamedLimits>,
     /// The largest answer that is recorded, in bytes.
     max_recorded_len: usize,
 }
 
 impl Upstreams {
     pub(crate) fn new(protocol: Arc<dyn UpstreamProtocol>, max_recorded_len: usize, env: Env) -> Self {
-        Self { protocol, pool: Arc::new(Pool::default()), env, max_recorded_len }
+        Self { protocol, pool: Arc::default(), env, named_limits: Arc::default(), max_recorded_len }
     }
 
     /// Runs an attempt and returns its outcome.
--- a/crates/skylarkshore-host/src/upstreams/attempt.rs
+++ b/crates/skylarkshore-host/src/upstreams/attempt.rs
@@ -135,6 +135,9 @@
     ) -> Result<AttemptOutcome, AnswerError> {
         let protocol = &self.upstreams.protocol;
         let verdict = protocol.read_head(call, res.status(), res.headers());
+        if verdict != Verdict::Foreign {
+            self.record_request_limit(res.headers());
+        }
         let idle_timeout = idle_timeout(res.headers());
         let (parts, body) = res.into_parts();
         match verdict {
@@ -174,6 +177,15 @@
         self.forward_body(started).await
     }
 
+    fn record_request_limit(&self, headers: &HeaderMap) {
+        let limit = self.upstreams.protocol.read_request_limit(headers);
+        let upstream = &self.dispatch.upstream.id;
+        if self.upstreams.named_limits.record(upstream, limit) {
+            let event = Event::RequestLimit { upstream: upstream.clone(), limit };
+            self.upstreams.env.inbox.event_later(event);
+        }
+    }
+
     fn head(
         &self,
         status: StatusCode,
--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -21,7 +21,7 @@
 use skylarkshore_core::peer::{CannotLoad, News, PeerMessage, StatePart};
 use skylarkshore_core::rules::ServiceOrder;
 use skylarkshore_core::store::{Key, RecordBatch, Versioned};
-use skylarkshore_core::units::Watts;
+use skylarkshore_core::units::{RequestRate, Watts};
 
 use crate::keys::{InvalidKey, InvalidValue, KeyText, StoredValue};
 
@@ -198,6 +198,10 @@
     State { series: u64, upto: StoreRevision, part: u32, parts: u32, body: Vec<u8> },
     /// Broadcast from `origin`; each receiver forwards it to its children.
     Spread { origin: HostId, message: Box<PeerMessageWire> },
+    /// Asks the host that counts the requests to an upstream for permits to send some.
+    PermitsWanted { upstream: UpstreamId, limit: RequestRate, count: u32 },
+    /// Permits; none of them confirms that `PermitsWanted` has arrived.
+    Permits { upstream: UpstreamId, count: u32 },
 }
 
 /// Encodes a message for the wire.
@@ -371,6 +375,10 @@
             }
             M::StateWanted => Self::StateWanted,
             M::StateComing => Self::StateComing,
+            M::PermitsWanted { upstream, limit, count } => {
+                Self::PermitsWanted { upstream: upstream.clone(), limit: *limit, count: *count }
+            }
+            M::Permits { upstream, count } => Self::Permits { upstream: upstream.clone(), count: *count },
             M::State(StatePart { series, upto, part, parts, body }) => {
                 Self::State { series: *series, upto: *upto, part: *part, parts: *parts, body: body.to_vec() }
             }
@@ -447,6 +455,8 @@
             W::PackedNews { after, upto, body } => Self::News(News { after, upto, body: body.into() }),
             W::StateWanted => Self::StateWanted,
             W::StateComing => Self::StateComing,
+            W::PermitsWanted { upstream, limit, count } => Self::PermitsWanted { upstream, limit, count },
+            W::Permits { upstream, count } => Self::Permits { upstream, count },
             W::State { series, upto, part, parts, body } => {
                 Self::State(StatePart { series, upto, part, parts, body: body.into() })
             }
