Ask another member for the state where the news that comes has a gap

None of that news could be applied, but it counted as a sign that the host is kept up to date; and the member that was asked again doesn't send its state twice within four seconds.

News beyond a gap no longer counts, and a gap that lasts makes another member be asked at once, which sends its state.

--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -261,7 +261,10 @@
     /// service's link busy for longer than a parent takes to answer. It asks only once it
     /// is in sync and the gap has persisted for a while, since messages may overtake each
     /// other.
-    pub fn on_news_gap(&self, cx: &mut Cx<'_>, gap_persists: bool) {
+    pub fn on_news_gap(&mut self, cx: &mut Cx<'_>, gap_persists: bool) {
+        if gap_persists {
+            self.news_pull.on_lasting_gap(cx.now);
+        }
         if !relay::has_many_members(cx) {
             cx.push(Effect::ReadMissedNews);
         } else if gap_persists && self.store_sync.is_synced() {
@@ -304,7 +307,7 @@
     /// Handles a peer message.
     pub fn on_peer(&mut self, cx: &mut Cx<'_>, from: &HostId, message: &PeerMessage) {
         self.peers.on_peer(cx, from, message);
-        self.news_pull.on_peer(cx.now, from, message);
+        self.news_pull.on_peer(cx.now, self.store_sync.frontier(), from, message);
         self.store_sync.on_peer(cx, from, message);
         self.bootstrap.on_peer(cx, &self.store_sync, from, message);
         match message {
--- a/crates/skylarkshore-core/src/control/news_pull.rs
+++ b/crates/skylarkshore-core/src/control/news_pull.rs
@@ -12,7 +12,7 @@
 use super::peers::data_centre_peers;
 use crate::config::Watchers;
 use crate::cx::Cx;
-use crate::id::HostId;
+use crate::id::{HostId, StoreRevision};
 use crate::peer::PeerMessage;
 use crate::time::Time;
 
@@ -37,10 +37,22 @@
 }
 
 impl NewsPull {
-    /// Records a message of a peer.
-    pub(super) fn on_peer(&mut self, now: Time, from: &HostId, message: &PeerMessage) {
+    /// Records a message of a peer; `frontier` is the revision up to which no change is missing.
+    pub(super) fn on_peer(
+        &mut self,
+        now: Time,
+        frontier: StoreRevision,
+        from: &HostId,
+        message: &PeerMessage,
+    ) {
         let is_provider = self.provider.as_ref() == Some(from);
-        if matches!(message, PeerMessage::News(_) | PeerMessage::State(_)) {
+        let is_usable = match message {
+            // News beyond a gap can't be applied, however regularly it comes.
+            PeerMessage::News(news) => news.after <= frontier,
+            PeerMessage::State(_) => true,
+            _ => false,
+        };
+        if is_usable {
             self.last_news = now;
             self.is_provided |= is_provider;
         }
@@ -49,6 +61,14 @@
         }
     }
 
+    /// Makes the next request due, to another member than the last.
+    ///
+    /// News with a gap doesn't help, and the last member doesn't send its state again so soon.
+    pub(super) const fn on_lasting_gap(&mut self, now: Time) {
+        self.next_request = now;
+        self.is_provided = false;
+    }
+
     /// Requests news when that is due.
     pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>, is_store_silent: bool) {
         if cx.cfg.watchers != Watchers::Relayed {
