Give up early on reading changes that are known to be missing

A read for a gap had the time-out of a read that waits for changes: 2.3 s of the 3 s within which a configuration has to be in force, at a host whose calls the store leaves unanswered.

--- a/crates/skylarkshore-core/src/follower.rs
+++ b/crates/skylarkshore-core/src/follower.rs
@@ -424,7 +424,7 @@
         }
         let read_at = self.gap.map_or(now, |gap| gap.since.after(REORDERING_TIME));
         if read_at.is_due(now) {
-            return self.read();
+            return self.read_missing();
         }
         Step::Wait { until: Some(read_at) }
     }
@@ -475,6 +475,19 @@
         Step::Read(ChangesRead { after: self.after, wait, timeout: wait + self.timing.slack })
     }
 
+    /// Reads changes that are known to exist, which the service need not wait for.
+    ///
+    /// With the time-out of a read that waits, a host that the service leaves unanswered would know of
+    /// that too late to ask a peer.
+    fn read_missing(&mut self) -> Step {
+        match self.read() {
+            Step::Read(read) => {
+                Step::Read(ChangesRead { wait: Duration::ZERO, timeout: self.timing.silence, ..read })
+            }
+            step => step,
+        }
+    }
+
     const fn cadence(&self) -> ReadCadence {
         if self.reads_for_peers { self.timing.for_peers } else { self.timing.alone }
     }
