Ask a peer for the state as soon as neither news nor reads bring any

A host now asks when no news has come and no read was answered for 2.2 s, which is longer than any read that waits for changes, also while the last read is still open.

--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -178,6 +178,7 @@
     /// records that the service answers.
     pub fn on_news_read(&mut self, cx: &mut Cx<'_>, news: &News) {
         self.store_sync.set_watch_answered(true);
+        self.news_pull.on_own_read(cx.now);
         self.relay.on_own_news(cx, news);
     }
 
--- a/crates/skylarkshore-core/src/control/news_pull.rs
+++ b/crates/skylarkshore-core/src/control/news_pull.rs
@@ -18,6 +18,8 @@
 
 /// Time without news after which another member is asked.
 const NEWS_TIMEOUT: Duration = Duration::from_secs(1);
+/// The same while the key-value service isn't known to be silent; longer than a read that waits for changes.
+const READ_TIMEOUT: Duration = Duration::from_millis(2200);
 /// How long a member that was asked may take to announce its state.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval between two requests to a member that relays news; shorter than the time for which it does.
@@ -61,6 +63,11 @@
         }
     }
 
+    /// Records that the key-value service answered a read of changes.
+    pub(super) const fn on_own_read(&mut self, now: Time) {
+        self.last_news = now;
+    }
+
     /// Makes the next request due, to another member than the last.
     ///
     /// News with a gap doesn't help, and the last member doesn't send its state again so soon.
@@ -78,7 +85,8 @@
         self.was_member |= is_member;
         let is_outside_tree = self.was_member && !is_member;
         let hears_news = !self.last_news.after(NEWS_TIMEOUT).is_due(cx.now);
-        let lacks_news = is_store_silent && !hears_news;
+        let timeout = if is_store_silent { NEWS_TIMEOUT } else { READ_TIMEOUT };
+        let lacks_news = self.was_member && self.last_news.after(timeout).is_due(cx.now);
         if !(is_outside_tree || lacks_news) || !self.next_request.is_due(cx.now) {
             return;
         }
