Ask another member when a provider's news stops being usable

Whether a request is due now follows from the state at each tick: four seconds after the last one while usable news comes from that member, 0.4 s otherwise, or a second once it has announced its state.

--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -264,7 +264,7 @@
     /// other.
     pub fn on_news_gap(&mut self, cx: &mut Cx<'_>, gap_persists: bool) {
         if gap_persists {
-            self.news_pull.on_lasting_gap(cx.now);
+            self.news_pull.on_lasting_gap();
         }
         if !relay::has_many_members(cx) {
             cx.push(Effect::ReadMissedNews);
--- a/crates/skylarkshore-core/src/control/news_pull.rs
+++ b/crates/skylarkshore-core/src/control/news_pull.rs
@@ -31,9 +31,11 @@
     /// Whether this process has been a member.
     was_member: bool,
     last_news: Time,
-    next_request: Time,
-    /// The member that was asked last.
+    /// The member that was asked last, and when.
     provider: Option<HostId>,
+    asked_at: Time,
+    /// Until when that member has time to send the state that it announced.
+    state_due_at: Time,
     /// Whether that member has sent news since.
     is_provided: bool,
 }
@@ -59,7 +61,7 @@
             self.is_provided |= is_provider;
         }
         if is_provider && matches!(message, PeerMessage::StateComing) {
-            self.next_request = self.next_request.max(now.after(NEWS_TIMEOUT));
+            self.state_due_at = now.after(NEWS_TIMEOUT);
         }
     }
 
@@ -71,9 +73,9 @@
     /// Makes the next request due, to another member than the last.
     ///
     /// News with a gap doesn't help, and the last member doesn't send its state again so soon.
-    pub(super) const fn on_lasting_gap(&mut self, now: Time) {
-        self.next_request = now;
+    pub(super) const fn on_lasting_gap(&mut self) {
         self.is_provided = false;
+        self.state_due_at = Time::START;
     }
 
     /// Requests news when that is due.
@@ -87,14 +89,17 @@
         let hears_news = !self.last_news.after(NEWS_TIMEOUT).is_due(cx.now);
         let timeout = if is_store_silent { NEWS_TIMEOUT } else { READ_TIMEOUT };
         let lacks_news = self.was_member && self.last_news.after(timeout).is_due(cx.now);
-        if !(is_outside_tree || lacks_news) || !self.next_request.is_due(cx.now) {
+        // A member that hasn't sent anything usable is not asked again; it may be cut off as well.
+        let is_renewal = hears_news && self.is_provided;
+        let interval = if is_renewal { RENEWAL_INTERVAL } else { ANSWER_TIMEOUT };
+        let is_due = self.asked_at.after(interval).is_due(cx.now) && self.state_due_at.is_due(cx.now);
+        if !(is_outside_tree || lacks_news) || !is_due {
             return;
         }
-        // A member that hasn't sent anything is not asked again; it may be cut off as well.
-        let is_renewal = hears_news && std::mem::take(&mut self.is_provided);
         let current = self.provider.take().filter(|_| is_renewal);
         let Some(provider) = current.or_else(|| random_peer(cx)) else { return };
-        self.next_request = cx.now.after(if is_renewal { RENEWAL_INTERVAL } else { ANSWER_TIMEOUT });
+        self.asked_at = cx.now;
+        self.is_provided = false;
         let reason =
             if is_outside_tree { "this process is no member" } else { "neither news nor the service" };
         cx.log_event("state_requested", &provider, reason);
