--- a/crates/skylarkshore-host/src/driver/effects.rs
+++ b/crates/skylarkshore-host/src/driver/effects.rs
@@ -19,7 +19,7 @@
 use crate::exchange::Connections;
 use crate::peers::Peers;
 use crate::probe;
-use crate::store::{BoxFuture, Seen, Store, WatchSink};
+use crate::store::{BoxFuture, ChangeBatch, Store, WatchSink};
 use crate::upstreams::{Dispatch, Upstreams};
 
 /// Executes the core's effects.
@@ -39,23 +39,23 @@
 struct InboxSink(Inbox);
 
 impl WatchSink for InboxSink {
-    fn seen(&self, seen: Seen) -> BoxFuture<'_, ()> {
-        Box::pin(self.0.event(Event::Watched { changes: seen.changes, upto: seen.upto }))
+    fn on_changes(&self, batch: ChangeBatch) -> BoxFuture<'_, ()> {
+        Box::pin(self.0.event(Event::Watched { changes: batch.changes, upto: batch.upto }))
     }
 
-    fn read(&self, news: News) -> BoxFuture<'_, ()> {
+    fn on_own_read(&self, news: News) -> BoxFuture<'_, ()> {
         Box::pin(self.0.event(Event::NewsRead(news)))
     }
 
-    fn state(&self, upto: StoreRevision, records: Vec<Versioned>) -> BoxFuture<'_, ()> {
+    fn on_peer_state(&self, upto: StoreRevision, records: Vec<Versioned>) -> BoxFuture<'_, ()> {
         Box::pin(self.0.event(Event::State { upto, records }))
     }
 
-    fn missed(&self, lasts: bool) -> BoxFuture<'_, ()> {
+    fn on_news_gap(&self, lasts: bool) -> BoxFuture<'_, ()> {
         Box::pin(self.0.event(Event::NewsMissed { lasts }))
     }
 
-    fn unanswered(&self) -> BoxFuture<'_, ()> {
+    fn on_unanswered(&self) -> BoxFuture<'_, ()> {
         Box::pin(self.0.event(Event::WatchTimedOut))
     }
 }
@@ -85,15 +85,15 @@
             Effect::Store { call, request } => self.call_store(call, request),
             Effect::Watch { from } => self.watch(from),
             Effect::Unwatch => self.stop_watch(),
-            Effect::ApplyNews(news) => self.store.take_news(news),
-            Effect::ApplyStatePart(part) => self.store.take_state(part),
-            Effect::ExtendStateWait => self.store.await_state(),
-            Effect::ReadMissedNews => self.store.read_on(),
+            Effect::ApplyNews(news) => self.store.queue_news(news),
+            Effect::ApplyStatePart(part) => self.store.queue_state(part),
+            Effect::ExtendStateWait => self.store.extend_state_wait(),
+            Effect::ReadMissedNews => self.store.read_missed(),
             Effect::SendState { to, series, upto, records } => {
                 let parts = self.store.state(series, upto, &records);
                 self.send_state(&to, &parts);
             }
-            Effect::ReadNewsForOthers(is_wanted) => self.store.read_for_others(is_wanted),
+            Effect::ReadNewsForOthers(is_wanted) => self.store.read_for_peers(is_wanted),
             Effect::Peer(envelope) => self.peers.send(envelope),
             Effect::Probe { host, incarnation, address } => self.probe(host, incarnation, address),
             Effect::Order { upstream, order, fence, not_after, after, action } => {
--- a/crates/skylarkshore-host/src/store.rs
+++ b/crates/skylarkshore-host/src/store.rs
@@ -23,18 +23,18 @@
     /// Watches the shared keys; returns when the watch breaks.
     fn watch<'a>(&'a self, from: StoreRevision, sink: &'a dyn WatchSink) -> BoxFuture<'a, ()>;
 
-    /// Applies news (changes of the service's state) that a peer has read, instead of reading it from
+    /// Queues news (changes of the service's state) that a peer has read, to apply it instead of reading it from
     /// the service.
-    fn take_news(&self, _news: News) {}
+    fn queue_news(&self, _news: News) {}
 
-    /// Applies a part of a peer's copy of the service's state, instead of reading it from the service.
-    fn take_state(&self, _part: StatePart) {}
+    /// Queues a part of a peer's copy of the service's state, to apply it instead of reading it from the service.
+    fn queue_state(&self, _part: StatePart) {}
 
     /// Extends the watch's wait for a peer's state.
-    fn await_state(&self) {}
+    fn extend_state_wait(&self) {}
 
-    /// Makes the watch read from the service until news from peers resumes.
-    fn read_on(&self) {}
+    /// Drops what is queued and makes the watch read from the service until news from peers resumes.
+    fn read_missed(&self) {}
 
     /// Packs a copy of the service's state into messages for peers, given the records of the shared keys.
     fn state(&self, _series: u64, _upto: StoreRevision, _records: &[Versioned]) -> Vec<StatePart> {
@@ -42,12 +42,12 @@
     }
 
     /// Makes the watch read frequently, because peers depend on what it reads.
-    fn read_for_others(&self, _is_wanted: bool) {}
+    fn read_for_peers(&self, _is_wanted: bool) {}
 }
 
 /// A batch of changes from the watch.
 #[derive(Debug)]
-pub struct Seen {
+pub struct ChangeBatch {
     /// The changes in order.
     pub changes: Vec<Versioned>,
     /// The revision up to which the changes are complete.
@@ -57,19 +57,19 @@
 /// Receives the results of a watch.
 pub trait WatchSink: Send + Sync {
     /// Receives a batch of changes.
-    fn seen(&self, seen: Seen) -> BoxFuture<'_, ()>;
+    fn on_changes(&self, batch: ChangeBatch) -> BoxFuture<'_, ()>;
 
     /// Receives news that peers may need.
-    fn read(&self, news: News) -> BoxFuture<'_, ()>;
+    fn on_own_read(&self, news: News) -> BoxFuture<'_, ()>;
 
     /// Receives a peer's copy of the shared keys.
-    fn state(&self, upto: StoreRevision, records: Vec<Versioned>) -> BoxFuture<'_, ()>;
+    fn on_peer_state(&self, upto: StoreRevision, records: Vec<Versioned>) -> BoxFuture<'_, ()>;
 
     /// Reports a gap between the last news from peers and the next.
     ///
     /// `lasts` is set once the gap has persisted for a while.
-    fn missed(&self, lasts: bool) -> BoxFuture<'_, ()>;
+    fn on_news_gap(&self, lasts: bool) -> BoxFuture<'_, ()>;
 
     /// Reports that the service didn't answer in time.
-    fn unanswered(&self) -> BoxFuture<'_, ()>;
+    fn on_unanswered(&self) -> BoxFuture<'_, ()>;
 }
--- a/crates/skylarkshore-host/src/store/etcd.rs
+++ b/crates/skylarkshore-host/src/store/etcd.rs
@@ -26,7 +26,7 @@
 use crate::config::HttpUrl;
 use crate::http::{Answer, CallError, PooledClient, call, client, json_request};
 use crate::metrics::Metrics;
-use crate::store::{BoxFuture, Seen, Store, WatchSink};
+use crate::store::{BoxFuture, ChangeBatch, Store, WatchSink};
 
 /// The largest line of a watch, in bytes: a value of a mebibyte in Base64 together with a few others.
 const MAX_WATCH_LINE_LEN: usize = 16 * 1024 * 1024;
@@ -206,7 +206,7 @@
         }
         let upto = StoreRevision(response.header.revision.0);
         let changes = convert::changes(response.events, &self.log);
-        sink.seen(Seen { changes, upto }).await;
+        sink.on_changes(ChangeBatch { changes, upto }).await;
         Ok(())
     }
 }
