Keep news until the first state instead of reading everything for a gap

Without any state, news is now kept until the state arrives or the peers fall silent.

`a_host_that_awaits_its_first_state_does_not_take_news_for_a_gap` fails on the commit before with a reported gap.

--- a/crates/skylarkshore-core/src/follower.rs
+++ b/crates/skylarkshore-core/src/follower.rs
@@ -384,7 +384,9 @@
         if let Some(PeerState { upto, bodies }) = self.state.take().filter(|state| state.upto > self.after) {
             return Step::ApplyState { upto, bodies };
         }
-        match self.buffered.iter().map(|news| news.after).min() {
+        // Without any state, news can only be kept until a peer's state arrives.
+        let knows_state = self.after != StoreRevision(0);
+        match self.buffered.iter().map(|news| news.after).min().filter(|_| knows_state) {
             Some(next_from) => self.wait_at_gap(now, next_from),
             None => self.wait_for_updates(now),
         }
--- a/crates/skylarkshore-core/tests/follower.rs
+++ b/crates/skylarkshore-core/tests/follower.rs
@@ -91,3 +91,17 @@
     }
     panic!("the host reads nothing");
 }
+
+/// Guards against hosts of a large fleet that read everything from the service at their start because
+/// news comes before the state that they have requested.
+#[test]
+fn a_host_that_awaits_its_first_state_does_not_take_news_for_a_gap() {
+    let mut follower = Follower::new(NOTICE);
+    follower.start(at(0), StoreRevision(0));
+    follower.expect_update(at(0));
+    for ms in (100..2000).step_by(300) {
+        follower.push_news(at(ms), news(10, 12));
+        let step = follower.next_step(at(ms + 250));
+        assert!(matches!(step, Step::Wait { until: Some(_) }), "{step:?}");
+    }
+}
