Request no second state from a peer at the start

Found on reading the diff: a host that had just synchronised had no time of its last news, counted as one that hears nothing, and requested the whole state from a member, at a common start each host of a data centre at once. Requests for news now begin once the first state is there, and count from the registration.

`a_host_that_has_just_synchronised_requests_no_state` fails on the commit before.

--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -149,7 +149,9 @@
         self.store_sync.on_tick(cx);
         self.bootstrap.on_tick(cx, &mut self.store_sync);
         self.relay.on_tick(cx);
-        self.news_pull.on_tick(cx, self.store_sync.is_watch_unanswered());
+        if self.store_sync.is_synced() {
+            self.news_pull.on_tick(cx, self.store_sync.is_watch_unanswered());
+        }
         if self.last_review.after(self.review_interval(engine_use)).is_due(cx.now) {
             self.review(cx, engine_use);
         }
--- a/crates/skylarkshore-core/src/control/news_pull.rs
+++ b/crates/skylarkshore-core/src/control/news_pull.rs
@@ -78,13 +78,16 @@
         self.state_due_at = Time::START;
     }
 
-    /// Requests news when that is due.
+    /// Requests news when that is due; the first state is not requested here.
     pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>, is_store_silent: bool) {
         if cx.cfg.watchers != Watchers::Relayed {
             return;
         }
         let is_member = cx.cache.member(&cx.cfg.host).is_some();
-        self.was_member |= is_member;
+        if is_member && !self.was_member {
+            self.was_member = true;
+            self.last_news = cx.now;
+        }
         let is_outside_tree = self.was_member && !is_member;
         let hears_news = !self.last_news.after(NEWS_TIMEOUT).is_due(cx.now);
         let timeout = if is_store_silent { NEWS_TIMEOUT } else { READ_TIMEOUT };
--- a/crates/skylarkshore-core/tests/fleet_size.rs
+++ b/crates/skylarkshore-core/tests/fleet_size.rs
@@ -272,3 +272,14 @@
     let effects = node.handle(NOW, Event::NewsMissed { lasts: true });
     assert!(requested_peer(&effects).is_some(), "{effects:?}");
 }
+
+/// Guards against hosts of a large fleet that request the state twice at their start.
+#[test]
+fn a_host_that_has_just_synchronised_requests_no_state() {
+    let hosts = 100;
+    let (mut node, _) = synced(non_root(hosts), hosts);
+    for step in 1..40 {
+        let effects = tick(&mut node, NOW.after(TICK * step));
+        assert_eq!(requested_peer(&effects), None, "{effects:?}");
+    }
+}
