Report lost requests until each host has acknowledged them

Cause: where suspects run beside others, a host told its peers of a loss in one message and never again. A link drops a message, and all that wait behind it, whenever the peer can't be reached: its certificate isn't known yet, it doesn't answer in time, it has just restarted. A host that starts later was never told at all. Such a host counts from zero and ends up to three replicas by itself.

Why this works: a loss is repeated, 250 ms after the first report and then more and more seldom, to each receiver until it acknowledges the very loss; a process that starts meanwhile is a receiver of all that still counts, for as long as a request is convicted. In a large cluster the reports go down the relay trees and each hop is acknowledged, where one message in the tree that was dropped left out the whole branch. Without losses nothing is sent.

In given time, 80 hosts all learn of three losses although half of all messages are dropped.

On the way: a report that came again set the expiry of a conviction from 24 hours to two minutes; it no longer shortens it.

--- a/crates/skylarkshore-core/src/control/relay.rs
+++ b/crates/skylarkshore-core/src/control/relay.rs
@@ -135,3 +135,26 @@
         cx.send(&root, spread.clone());
     }
 }
+
+/// The processes to which this process sends a broadcast whose arrival each receiver confirms.
+#[derive(Debug)]
+pub(crate) struct BroadcastReceivers {
+    /// Receivers of this process's own broadcasts.
+    pub(crate) own: Vec<HostId>,
+    /// Receivers of those that others have sent it, too.
+    pub(crate) forwarded: Vec<HostId>,
+}
+
+/// Returns the next receivers of a confirmed broadcast: every other live member, or in a large
+/// cluster the roots of the relay trees and this process's children.
+pub(crate) fn broadcast_receivers(cx: &Cx<'_>) -> BroadcastReceivers {
+    let is_other = |host: &HostId| *host != cx.cfg.host;
+    if cx.cfg.watchers != Watchers::Relayed || !has_many_members(cx) {
+        let members = cx.cache.members().map(|(host, _)| host.clone());
+        return BroadcastReceivers { own: members.filter(is_other).collect(), forwarded: Vec::new() };
+    }
+    BroadcastReceivers {
+        own: roots(cx).into_iter().filter(is_other).collect(),
+        forwarded: RelayTree::of(cx).children,
+    }
+}
--- a/crates/skylarkshore-core/src/peer.rs
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -152,7 +152,7 @@
         /// Whether they ran in isolation; a request that crashes an upstream in isolation is convicted.
         alone: bool,
     },
-    /// Acknowledges suspects that the receiver reported.
+    /// Acknowledges suspects that the receiver reported, where suspects run alone.
     SuspectsNoted {
         /// The digests.
         requests: Vec<Digest>,
@@ -228,6 +228,15 @@
         /// Number of permits.
         count: u32,
     },
+    /// Acknowledges requests that were reported as lost with an incarnation of an upstream.
+    LossesNoted {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Its incarnation, as reported.
+        incarnation: Option<Incarnation>,
+        /// Digests of the requests.
+        requests: Vec<Digest>,
+    },
 }
 
 /// Changes at the key-value service, in the order it delivered them, encoded for relaying to other processes.
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -29,6 +29,7 @@
 mod expected_retries;
 mod isolation;
 mod lease;
+mod loss_reports;
 mod once;
 mod others_load;
 mod permits;
@@ -61,12 +62,13 @@
 use counters::RequestCounters;
 use demand::Demand;
 use disposition::Disposition;
+use loss_reports::{Loss, LossReports};
 use once::OnceClaims;
 use permits::Permits;
 use queue::Queue;
 use request::{Caller, Due, Request, RunHistory, State};
 use routing::Routes;
-use suspect::Suspects;
+use suspect::{SuspectStatus, Suspects};
 use wait_estimate::WaitEstimator;
 
 /// Interval between the scans of [`Serving::run_housekeeping`].
@@ -85,6 +87,8 @@
     /// The claims on idempotency keys.
     once_claims: OnceClaims,
     suspects: Suspects,
+    /// Reports of lost requests to the peers.
+    loss_reports: LossReports,
     budget: RetryBudget,
     waits: WaitEstimator,
     /// Grants requests credit, which counts against the limits of their client accounts.
@@ -110,6 +114,7 @@
             demand: Demand::default(),
             once_claims: OnceClaims::default(),
             suspects: Suspects::new(cfg.limits.suspects),
+            loss_reports: LossReports::default(),
             budget: RetryBudget::new(cfg.limits.retries),
             waits: WaitEstimator::default(),
             quota: Quota::new(),
@@ -200,6 +205,8 @@
         for id in self.suspects.on_tick(cx) {
             self.retry_or_refuse_lost(cx, id);
         }
+        let suspects = &self.suspects;
+        self.loss_reports.on_tick(cx, |digest| suspects.status(digest) == SuspectStatus::Convicted);
         while let Some(due) = self.timers.first().copied().filter(|due| due.at.is_due(cx.now)) {
             self.timers.remove(&due);
             self.on_due(cx, due.request);
@@ -298,6 +305,9 @@
                 }
                 self.dispatch_waiting(cx);
             }
+            PeerMessage::LossesNoted { upstream, incarnation, requests } => {
+                self.loss_reports.on_acknowledged(from, Loss::of_each(upstream, *incarnation, requests));
+            }
             PeerMessage::Cleared { request: digest } if self.suspects.clear(*digest) => {
                 self.requeue_cleared(cx, *digest);
             }
--- a/crates/skylarkshore-core/src/serving/isolation.rs
+++ b/crates/skylarkshore-core/src/serving/isolation.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use crate::config::SuspectPolicy;
-use crate::control::relay::broadcast_via_relay;
 use crate::cx::Cx;
 use crate::effect::RefusalReason;
 use crate::event::Target;
@@ -13,6 +12,7 @@
 use crate::serving::Serving;
 use crate::serving::attempt::owner_of;
 use crate::serving::disposition::Disposition;
+use crate::serving::loss_reports::{Loss, Reporter};
 use crate::serving::queue::QueuePosition;
 use crate::serving::request::{Isolation, Run, State};
 use crate::serving::suspect::{IsolatedRun, SuspectStatus};
@@ -131,13 +131,22 @@
     /// no termination would ever be counted, and the request would crash more upstreams.
     pub(super) fn record_loss(&mut self, cx: &mut Cx<'_>, id: RequestId, run: &Run) {
         let Some(request) = self.requests.get(&id) else { return };
-        let digests = vec![request.arrival.digest];
-        let (upstream, incarnation) = (run.upstream.clone(), run.incarnation);
-        self.suspects.record_loss(cx, &upstream, incarnation, &digests);
-        broadcast_via_relay(
-            cx,
-            &PeerMessage::Suspects { upstream, incarnation, requests: digests, alone: false },
-        );
+        let digest = request.arrival.digest;
+        let loss = Loss { upstream: run.upstream.clone(), incarnation: run.incarnation, request: digest };
+        self.suspects.record_loss(cx, &loss);
+        self.suspects.on_host_list(cx);
+        self.loss_reports.add(cx, &loss, Reporter::Own);
+    }
+
+    /// Records the losses that a peer has reported, and passes on those that are new.
+    fn on_losses(&mut self, cx: &mut Cx<'_>, from: &HostId, losses: &[Loss]) {
+        self.loss_reports.acknowledge(from, losses.iter().cloned());
+        for loss in losses {
+            if self.suspects.record_loss(cx, loss) {
+                self.loss_reports.add(cx, loss, Reporter::Peer);
+            }
+        }
+        self.suspects.on_host_list(cx);
     }
 
     /// Handles a peer's report of the requests that were in progress during a crash.
@@ -151,7 +160,8 @@
         was_exclusive: bool,
     ) {
         if cx.cfg.limits.suspects == SuspectPolicy::CountEnds {
-            self.suspects.record_loss(cx, upstream, incarnation, digests);
+            let losses: Vec<Loss> = Loss::of_each(upstream, incarnation, digests).collect();
+            self.on_losses(cx, from, &losses);
             return self.refuse_convicted(cx);
         }
         let isolation = if was_exclusive { Isolation::Exclusive } else { Isolation::Shared };
--- a/crates/skylarkshore-core/src/serving/suspect.rs
+++ b/crates/skylarkshore-core/src/serving/suspect.rs
@@ -28,6 +28,7 @@
 use crate::cx::Cx;
 use crate::id::{Digest, HostId, Incarnation, RequestId, UpstreamId};
 use crate::peer::PeerMessage;
+use crate::serving::loss_reports::Loss;
 use crate::serving::queue::QueuePosition;
 use crate::serving::request::Isolation;
 use crate::time::Time;
@@ -36,7 +37,7 @@
 const SUSPICION_TTL: Duration = Duration::from_hours(1);
 /// How long a loss is remembered, also while the host list doesn't show yet whether the upstream
 /// terminated.
-const LOSS_TTL: Duration = Duration::from_mins(2);
+pub(super) const LOSS_TTL: Duration = Duration::from_mins(2);
 /// How long a convicted request is refused.
 const CONVICTION_TTL: Duration = Duration::from_hours(24);
 /// Longest time that the peers' acknowledgements are awaited before the caller is answered.
@@ -250,29 +251,26 @@
         }
     }
 
-    /// Records requests that were lost with an incarnation of an upstream, at this process
-    /// or a peer (`CountEnds` only).
+    /// Records a request that was lost with an incarnation of an upstream, at this process
+    /// or a peer; reports whether the loss is new (`CountEnds` only).
     ///
     /// Only incarnations that have terminated according to the host list count; a broken
-    /// connection alone proves nothing about the request.
-    pub(super) fn record_loss(
-        &mut self,
-        cx: &mut Cx<'_>,
-        upstream: &UpstreamId,
-        incarnation: Option<Incarnation>,
-        digests: &[Digest],
-    ) {
-        for digest in digests {
-            self.evict_if_full();
-            let suspicion = self.known.entry(*digest).or_insert_with(|| Suspicion {
-                incarnations: OrderedSet::new(),
-                convicted: false,
-                until: Time::START,
-            });
-            suspicion.incarnations.insert(UpstreamIncarnation { upstream: upstream.clone(), incarnation });
-            suspicion.until = cx.now.after(LOSS_TTL);
+    /// connection alone proves nothing about the request. [`Suspects::on_host_list`] counts them.
+    pub(super) fn record_loss(&mut self, cx: &Cx<'_>, loss: &Loss) -> bool {
+        self.evict_if_full();
+        let suspicion = self.known.entry(loss.request).or_insert_with(|| Suspicion {
+            incarnations: OrderedSet::new(),
+            convicted: false,
+            until: Time::START,
+        });
+        let incarnation =
+            UpstreamIncarnation { upstream: loss.upstream.clone(), incarnation: loss.incarnation };
+        let is_new = suspicion.incarnations.insert(incarnation);
+        if is_new {
+            // A conviction lasts longer.
+            suspicion.until = suspicion.until.max(cx.now.after(LOSS_TTL));
         }
-        self.on_host_list(cx);
+        is_new
     }
 
     /// Reports whether the request would be convicted if one more of its losses were counted
--- a/crates/skylarkshore-core/tests/serving/crash.rs
+++ b/crates/skylarkshore-core/tests/serving/crash.rs
@@ -1,9 +1,11 @@
 //! Requests that were in progress when an upstream died.
 
-use skylarkshore_core::config::{Limits, SuspectPolicy};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use skylarkshore_core::config::{Limits, SuspectPolicy, Watchers};
 use skylarkshore_core::effect::{RefusalOutcome, RefusalReason};
 use skylarkshore_core::event::AttemptOutcome;
-use skylarkshore_core::id::{Digest, Fence};
+use skylarkshore_core::id::{Digest, Fence, HostId, Incarnation, UpstreamId};
 use skylarkshore_core::peer::PeerMessage;
 use skylarkshore_core::view::{EngineView, Readiness};
 
@@ -241,3 +243,167 @@
     let refused = p.take_refused().remove(0).1;
     assert_eq!(refused.reason, RefusalReason::CrashesUpstreams);
 }
+
+fn counting_losses() -> Limits {
+    Limits { suspects: SuspectPolicy::CountEnds, ..Limits::default() }
+}
+
+/// Creates a process whose request was lost with an upstream, which has terminated.
+fn with_a_loss() -> Process {
+    let mut p = Process::with_limits("a", 1, counting_losses());
+    let mut single = arrival(&p, service("booking"), 7);
+    single.policy.max_runs = 1;
+    p.arrive(1, single);
+    let sent = p.take_sent().remove(0);
+    p.end(sent.attempt, DIED);
+    p
+}
+
+fn acknowledge_losses(p: &mut Process, from: &str, reports: &[(HostId, PeerMessage)]) {
+    for (to, message) in reports {
+        let PeerMessage::Suspects { upstream, incarnation, requests, .. } = message.clone() else { continue };
+        if to.as_str() == from {
+            p.peer(from, &PeerMessage::LossesNoted { upstream, incarnation, requests });
+        }
+    }
+}
+
+/// Guards against a request that crashes more upstreams than the limit because the report of a
+/// loss was dropped, as the link to one host wasn't up yet.
+#[test]
+fn a_loss_is_reported_again_until_each_peer_has_acknowledged_it() {
+    let mut p = with_a_loss();
+    let reports = p.take_messages(is_suspects);
+    assert_eq!(reports.len(), 2, "{reports:?}");
+    acknowledge_losses(&mut p, "b", &reports);
+    p.advance(500);
+    let repeated = p.take_messages(is_suspects);
+    assert!(!repeated.is_empty(), "the report to c may have been dropped");
+    assert!(repeated.iter().all(|(to, _)| *to == name("c")), "{repeated:?}");
+    acknowledge_losses(&mut p, "c", &repeated);
+    p.advance(5000);
+    assert_eq!(p.take_messages(is_suspects), []);
+}
+
+/// Guards against a request that crashes upstreams by way of a host that has just started and has
+/// received none of the earlier reports.
+#[test]
+fn a_host_that_starts_after_a_loss_receives_the_report() {
+    let mut p = with_a_loss();
+    let reports = p.take_messages(is_suspects);
+    for peer in ["b", "c"] {
+        acknowledge_losses(&mut p, peer, &reports);
+    }
+    p.cache_member("c", Incarnation(2));
+    p.cache_member("d", Incarnation(1));
+    p.advance(300);
+    let receivers: Vec<HostId> = p.take_messages(is_suspects).into_iter().map(|(to, _)| to).collect();
+    assert!(receivers.contains(&name("c")) && receivers.contains(&name("d")), "{receivers:?}");
+    assert!(!receivers.contains(&name("b")), "{receivers:?}");
+}
+
+/// Guards against peers that acknowledge nothing, so that reports are repeated for minutes.
+#[test]
+fn a_reported_loss_is_acknowledged() {
+    let mut p = Process::with_limits("a", 1, counting_losses());
+    let requests = vec![digest(7)];
+    let upstream: UpstreamId = name("s1");
+    for _ in 0..2 {
+        let report = PeerMessage::Suspects {
+            upstream: upstream.clone(),
+            incarnation: Some(Incarnation(0)),
+            requests: requests.clone(),
+            alone: false,
+        };
+        p.peer("b", &report);
+        p.advance(100);
+        let noted = p.take_messages(|m| matches!(m, PeerMessage::LossesNoted { .. }));
+        let expected = PeerMessage::LossesNoted {
+            upstream: upstream.clone(),
+            incarnation: Some(Incarnation(0)),
+            requests: requests.clone(),
+        };
+        assert_eq!(noted, [(name("b"), expected)]);
+    }
+    assert_eq!(p.take_messages(is_suspects), [], "only the host that noticed the loss reports it");
+}
+
+/// Guards against a convicted request that runs again after two minutes, because a late or repeated
+/// report of one of its losses shortened the conviction.
+#[test]
+fn a_repeated_report_does_not_shorten_a_conviction() {
+    let mut p = Process::with_limits("a", 1, counting_losses());
+    let report = |upstream: &str| PeerMessage::Suspects {
+        upstream: name(upstream),
+        incarnation: Some(Incarnation(0)),
+        requests: vec![digest(7)],
+        alone: false,
+    };
+    for upstream in ["gone-1", "gone-2", "gone-3"] {
+        p.peer("b", &report(upstream));
+    }
+    for upstream in ["gone-1", "gone-4"] {
+        p.peer("c", &report(upstream));
+    }
+    p.advance(180_000);
+    p.arrive(1, arrival(&p, service("booking"), 7));
+    assert_eq!(p.take_sent(), []);
+    assert_eq!(p.take_refused().remove(0).1.reason, RefusalReason::CrashesUpstreams);
+}
+
+/// Guards against hosts of a large cluster that never learn of losses: reports travel along the
+/// relay trees there, and half of all messages are dropped.
+#[test]
+fn every_host_of_a_large_cluster_learns_of_losses_although_messages_are_dropped() {
+    const HOSTS: usize = 80;
+    let names: Vec<String> = ["a", "b", "c"]
+        .map(str::to_owned)
+        .into_iter()
+        .chain((3..HOSTS).map(|number| format!("host-{number}")))
+        .collect();
+    let mut cluster: Vec<Process> = names
+        .iter()
+        .map(|host| {
+            let mut p = Process::with_limits(host, 1, counting_losses());
+            p.cfg.watchers = Watchers::Relayed;
+            for member in &names {
+                p.cache_member(member, Incarnation(1));
+            }
+            p
+        })
+        .collect();
+    let mut rng = SmallRng::seed_from_u64(7);
+    for (index, incarnation) in [(5, 1), (40, 2), (79, 3)] {
+        let p = &mut cluster[index];
+        p.restart("s1", incarnation);
+        p.restart("s2", incarnation);
+        let mut single = arrival(p, service("booking"), 7);
+        single.policy.max_runs = 1;
+        p.arrive(1, single);
+        let sent = p.take_sent().remove(0);
+        p.end(sent.attempt, DIED);
+    }
+    let mut sent = 0;
+    for _ in 0..600 {
+        for index in 0..HOSTS {
+            cluster[index].advance(50);
+            let from = names[index].clone();
+            for (to, message) in cluster[index].take_messages(|_| true) {
+                sent += 1;
+                if rng.random_bool(0.5) {
+                    continue;
+                }
+                let to = names.iter().position(|host| *host == to.as_str()).expect("it is a member");
+                cluster[to].peer(&from, &message);
+            }
+        }
+    }
+    for (p, host) in cluster.iter_mut().zip(&names) {
+        p.restart("s1", 9);
+        p.restart("s2", 9);
+        p.arrive(2, arrival(p, service("booking"), 7));
+        assert_eq!(p.take_sent(), [], "{host} has not learned of all losses");
+    }
+    // Each host sends at most a few messages for each loss and receiver.
+    assert!(sent < HOSTS * 3 * 12, "{sent} messages");
+}
--- a/crates/skylarkshore-standins/src/world/meter.rs
+++ b/crates/skylarkshore-standins/src/world/meter.rs
@@ -72,9 +72,10 @@
         | PeerMessage::LoadSlotHeld { .. }
         | PeerMessage::LoadSlotReturned { .. } => "load_slot",
         PeerMessage::PowerWanted { .. } => "power_wanted",
-        PeerMessage::Suspects { .. } | PeerMessage::SuspectsNoted { .. } | PeerMessage::Cleared { .. } => {
-            "suspects"
-        }
+        PeerMessage::Suspects { .. }
+        | PeerMessage::SuspectsNoted { .. }
+        | PeerMessage::LossesNoted { .. }
+        | PeerMessage::Cleared { .. } => "suspects",
         _ => "other",
     }
 }
--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -165,7 +165,7 @@
     /// Requests that were in progress at an upstream when it died; `alone` if
     /// nothing else ran there, which proves the request to be the cause.
     Suspects { upstream: UpstreamId, incarnation: Option<Incarnation>, requests: Vec<Digest>, alone: bool },
-    /// Acknowledges `Suspects`.
+    /// Acknowledges `Suspects` that run alone.
     SuspectsNoted { requests: Vec<Digest> },
     /// A suspected request has completed and is no longer suspected.
     Cleared { request: Digest },
@@ -202,6 +202,8 @@
     PermitsWanted { upstream: UpstreamId, limit: RequestRate, count: u32 },
     /// Permits; none of them confirms that `PermitsWanted` has arrived.
     Permits { upstream: UpstreamId, count: u32 },
+    /// Acknowledges `Suspects` whose losses are counted.
+    LossesNoted { upstream: UpstreamId, incarnation: Option<Incarnation>, requests: Vec<Digest> },
 }
 
 /// Encodes a message for the wire.
@@ -379,6 +381,11 @@
                 Self::PermitsWanted { upstream: upstream.clone(), limit: *limit, count: *count }
             }
             M::Permits { upstream, count } => Self::Permits { upstream: upstream.clone(), count: *count },
+            M::LossesNoted { upstream, incarnation, requests } => Self::LossesNoted {
+                upstream: upstream.clone(),
+                incarnation: *incarnation,
+                requests: requests.clone(),
+            },
             M::State(StatePart { series, upto, part, parts, body }) => {
                 Self::State { series: *series, upto: *upto, part: *part, parts: *parts, body: body.to_vec() }
             }
@@ -457,6 +464,9 @@
             W::StateComing => Self::StateComing,
             W::PermitsWanted { upstream, limit, count } => Self::PermitsWanted { upstream, limit, count },
             W::Permits { upstream, count } => Self::Permits { upstream, count },
+            W::LossesNoted { upstream, incarnation, requests } => {
+                Self::LossesNoted { upstream, incarnation, requests }
+            }
             W::State { series, upto, part, parts, body } => {
                 Self::State(StatePart { series, upto, part, parts, body: body.into() })
             }
--- a/crates/skylarkshore-wire/tests/formats.rs
+++ b/crates/skylarkshore-wire/tests/formats.rs
@@ -178,6 +178,11 @@
             requests: vec![Digest([5; 32])],
             alone: true,
         },
+        PeerMessage::LossesNoted {
+            upstream: "engine-1".parse().unwrap(),
+            incarnation: Some(Incarnation(2)),
+            requests: vec![Digest([5; 32]), Digest([6; 32])],
+        },
     ]
 }
 
