Notify peers of suspects also after the caller's wait has ended

What callers see: where suspects run alone, the peers are notified of a crash before its requests run again, and the wait for their acknowledgements ends after 300 ms. The notice ended with the wait: a peer that was cut off or stood still for longer never learned of the suspects, and sent them to an engine beside innocent requests.

a_peer_that_was_silent_is_notified_of_suspects_when_it_is_back fails without the change: no notice in the five seconds after the wait.

--- a/crates/skylarkshore-core/src/serving/suspect.rs
+++ b/crates/skylarkshore-core/src/serving/suspect.rs
@@ -44,6 +44,8 @@
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval at which a notice is sent again to peers that haven't acknowledged it.
 const NOTICE_RESEND_INTERVAL: Duration = Duration::from_millis(100);
+/// The same once the caller has been answered.
+const LATE_NOTICE_RESEND_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum number of digests that are kept.
 const MAX_SUSPICIONS: usize = 4096;
 /// Number of crashes of different upstreams, or of terminated incarnations, that convicts a
@@ -87,13 +89,22 @@
     digests: Vec<Digest>,
     isolation: Isolation,
     unacknowledged: OrderedSet<HostId>,
+    /// Those of them for which the requests wait.
+    awaited: OrderedSet<HostId>,
     resend_at: Time,
+    /// Until when the requests wait.
+    wait_until: Time,
+    /// Until when the notice is sent again to peers that were silent.
     until: Time,
-    /// Lost requests of this process that are retried or refused when the notice is done.
+    /// Lost requests of this process that are retried or refused when the wait ends.
     waiting_requests: Vec<RequestId>,
 }
 
 impl PendingNotice {
+    fn has_wait_ended(&self, now: Time) -> bool {
+        self.awaited.is_empty() || self.wait_until.is_due(now)
+    }
+
     fn message(&self) -> PeerMessage {
         PeerMessage::Suspects {
             upstream: self.upstream.clone(),
@@ -188,14 +199,17 @@
         waiting_request: RequestId,
     ) {
         self.record_crash(cx, upstream, &digests, isolation);
-        let unacknowledged = self.peers_to_await(cx);
+        let members = cx.cache.members().map(|(host, _)| host);
+        let unacknowledged = members.filter(|host| **host != cx.cfg.host).cloned().collect();
         let notice = PendingNotice {
             upstream: upstream.clone(),
             digests,
             isolation,
+            awaited: self.peers_to_await(cx, &unacknowledged),
             unacknowledged,
             resend_at: cx.now.after(NOTICE_RESEND_INTERVAL),
-            until: cx.now.after(NOTICE_TIMEOUT),
+            wait_until: cx.now.after(NOTICE_TIMEOUT),
+            until: cx.now.after(LOSS_TTL),
             waiting_requests: vec![waiting_request],
         };
         cx.broadcast(&notice.message());
@@ -332,6 +346,7 @@
         for notice in &mut self.pending_notices {
             if notice.digests.iter().all(|digest| digests.contains(digest)) {
                 notice.unacknowledged.remove(from);
+                notice.awaited.remove(from);
             }
         }
         // Nothing is due at START, so this takes only acknowledged notices; the tick takes those
@@ -351,7 +366,9 @@
             if !notice.resend_at.is_due(cx.now) {
                 continue;
             }
-            notice.resend_at = cx.now.after(NOTICE_RESEND_INTERVAL);
+            let is_awaited = !notice.has_wait_ended(cx.now);
+            let interval = if is_awaited { NOTICE_RESEND_INTERVAL } else { LATE_NOTICE_RESEND_INTERVAL };
+            notice.resend_at = cx.now.after(interval);
             let message = notice.message();
             for host in &notice.unacknowledged {
                 cx.send(host, message.clone());
@@ -360,22 +377,24 @@
         self.take_notified(cx.now)
     }
 
-    /// Removes the notices that all peers have acknowledged or that have timed out; returns the
-    /// requests that waited for them.
+    /// Returns the requests whose wait for a notice has ended, and removes the notices that all
+    /// peers have acknowledged or that have expired.
     pub(super) fn take_notified(&mut self, now: Time) -> Vec<RequestId> {
-        let is_done =
-            |notice: &mut PendingNotice| notice.unacknowledged.is_empty() || notice.until.is_due(now);
-        self.pending_notices.extract_if(.., is_done).flat_map(|notice| notice.waiting_requests).collect()
+        let mut notified = Vec::new();
+        for notice in self.pending_notices.iter_mut().filter(|notice| notice.has_wait_ended(now)) {
+            notified.append(&mut notice.waiting_requests);
+        }
+        self.pending_notices.retain(|notice| !notice.unacknowledged.is_empty() && !notice.until.is_due(now));
+        notified
     }
 
-    /// Returns the peers whose acknowledgement is awaited.
-    fn peers_to_await(&self, cx: &Cx<'_>) -> OrderedSet<HostId> {
+    /// Returns the peers for whose acknowledgement requests wait.
+    fn peers_to_await(&self, cx: &Cx<'_>, peers: &OrderedSet<HostId>) -> OrderedSet<HostId> {
         let silent = |host: &HostId| {
             let last_contact = self.last_contact.get(host);
             last_contact.is_some_and(|at| at.after(cx.cfg.timings.peer_timeout).is_due(cx.now))
         };
-        let members = cx.cache.members().map(|(host, _)| host);
-        members.filter(|host| **host != cx.cfg.host && !silent(host)).cloned().collect()
+        peers.iter().filter(|host| !silent(host)).cloned().collect()
     }
 
     fn evict_if_full(&mut self) {
--- a/crates/skylarkshore-core/tests/serving/crash.rs
+++ b/crates/skylarkshore-core/tests/serving/crash.rs
@@ -124,6 +124,22 @@
     assert_eq!(p.take_messages(is_reservation_request).len(), 1);
 }
 
+/// Guards against a suspect that crashes another engine by way of a peer that was cut off when the
+/// first one died and was never told.
+#[test]
+fn a_peer_that_was_silent_is_notified_of_suspects_when_it_is_back() {
+    let mut p = crashed();
+    p.peer("b", &PeerMessage::SuspectsNoted { requests: vec![digest(1), digest(2)] });
+    p.advance(350);
+    p.take();
+    p.advance(5000);
+    let notices = p.take_messages(is_suspects);
+    assert!(!notices.is_empty() && notices.iter().all(|(to, _)| *to == name("c")), "{notices:?}");
+    p.peer("c", &PeerMessage::SuspectsNoted { requests: vec![digest(1), digest(2)] });
+    p.advance(5000);
+    assert_eq!(p.take_messages(is_suspects), []);
+}
+
 /// The owner of the only other engine is down and reserves nothing. A suspect runs on the
 /// engine if it seems idle, but a crash there convicts nobody: requests of other hosts may have
 /// run there too.
