Log a configuration that is older than the one in force

What callers see: nothing, as an older version was never taken back.

The line document_ignored now names what was older, once for each change of the key; a version that skips several is in force as before, and its document_activated shows the versions before and after.

an_older_configuration_is_ignored_and_one_that_skips_versions_is_in_force fails without the change: no host logs the older version.

--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -427,6 +427,9 @@
         {
             document = Arc::new(document.with_catalogue(newer));
         }
+        if Arc::ptr_eq(&self.document, &document) {
+            return self.log_ignored_document(now, effects);
+        }
         self.document = document;
         self.with_cx(now, effects, |cx, _| {
             let detail = format!(
@@ -437,6 +440,30 @@
         });
     }
 
+    /// Logs cached rules and a cached catalogue that are older than the active ones.
+    fn log_ignored_document(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let rules = match self.record(&Key::Document) {
+            Some(Record::Document(cached)) if cached.revision < self.document.revision => {
+                Some(cached.revision.to_string())
+            }
+            _ => None,
+        };
+        let catalogue = match self.record(&Key::Catalogue) {
+            Some(Record::Catalogue(cached)) if cached.revision < self.document.catalogue_revision => {
+                Some(cached.revision.to_string())
+            }
+            _ => None,
+        };
+        if rules.is_none() && catalogue.is_none() {
+            return;
+        }
+        self.with_cx(now, effects, |cx, _| {
+            let older = |revision: Option<String>| revision.unwrap_or_else(|| "none".to_owned());
+            let detail = format!("older catalogue={} older rules={}", older(catalogue), older(rules));
+            cx.log_event("document_ignored", cx.document.catalogue_revision, detail);
+        });
+    }
+
     fn record(&self, key: &Key) -> Option<&Record> {
         self.cache.get(key)?.record.as_ref()
     }
--- a/crates/skylarkshore-core/tests/relay.rs
+++ b/crates/skylarkshore-core/tests/relay.rs
@@ -12,7 +12,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use relay::{RelayFleet, StoreAccess};
-use skylarkshore_core::id::HostId;
+use skylarkshore_core::id::{CatalogueRevision, HostId};
 
 /// Hosts in each of three data centres.
 const HOSTS: usize = 28;
@@ -46,6 +46,21 @@
     assert!(calls <= 5 * fleet.hosts.len() as u64, "{calls} calls");
 }
 
+/// Guards against a withdrawn configuration that comes back, and against one that is never in force
+/// because versions between it and the last were skipped.
+#[test]
+fn an_older_configuration_is_ignored_and_one_that_skips_versions_is_in_force() {
+    let mut fleet = RelayFleet::settled(1, HOSTS);
+    fleet.configure_as(CatalogueRevision(40));
+    fleet.run(APPLY_LIMIT);
+    fleet.configure_as(CatalogueRevision(7));
+    fleet.run(APPLY_LIMIT);
+    for (name, host) in &fleet.hosts {
+        assert_eq!(host.revision(), CatalogueRevision(40), "{name}");
+        assert_eq!(host.ignored, 1, "{name} logs once that a configuration is older");
+    }
+}
+
 /// Guards against hosts that miss what their parent skipped, and never fill the gap.
 #[test]
 fn configurations_reach_the_children_of_a_root_that_the_store_turns_away() {
--- a/crates/skylarkshore-core/tests/support/relay.rs
+++ b/crates/skylarkshore-core/tests/support/relay.rs
@@ -73,6 +73,8 @@
     pub lag: Duration,
     /// Since when no fault of the host excuses it from the limits; none while one does.
     pub undisturbed_since: Option<Time>,
+    /// How often a configuration was ignored.
+    pub ignored: usize,
 }
 
 /// Hosts, their key-value service and the network between them.
@@ -176,6 +178,7 @@
             is_frozen: false,
             lag: Duration::ZERO,
             undisturbed_since: Some(self.now),
+            ignored: 0,
         };
         let name = host_name(data_centre, number);
         self.hosts.insert(name.clone(), host);
@@ -184,7 +187,11 @@
 
     /// Writes the next configuration, as an operator does.
     pub fn configure(&mut self) {
-        let revision = CatalogueRevision(self.confirmed.len() as u64 + 1);
+        self.configure_as(CatalogueRevision(self.confirmed.len() as u64 + 1));
+    }
+
+    /// Writes a configuration with any version.
+    pub fn configure_as(&mut self, revision: CatalogueRevision) {
         let configured = ConfiguredCatalogue { revision, catalogue: Catalogue::default() };
         self.store.put(Key::Catalogue, Record::Catalogue(Arc::new(configured)));
         self.confirmed.insert(revision, self.now);
@@ -544,7 +551,7 @@
         self.undisturbed_since.get_or_insert(now);
     }
 
-    fn revision(&self) -> CatalogueRevision {
+    pub fn revision(&self) -> CatalogueRevision {
         self.node.document().catalogue_revision
     }
 
@@ -563,6 +570,7 @@
             Effect::ApplyStatePart(part) => self.follower.push_state(now, part),
             Effect::ExtendStateWait => self.follower.expect_update(now),
             Effect::ReadMissedNews => self.follower.read_missed(),
+            Effect::LogEvent(logged) if logged.event == "document_ignored" => self.ignored += 1,
             Effect::ReadNewsForOthers(is_wanted) => self.follower.set_reads_for_peers(is_wanted),
             _ => {}
         }
