Let a model's owner add up the callers that hosts have refused

What callers saw: a model whose load outlasts their patience is never loaded where many hosts each see few of them. Each caller is refused at once, as the host knows how long the load takes, and the owner never hears of it (with_many_hosts_a_single_caller_told_to_retry_counts_as_waiting).

Cause: refused callers counted as waiting from three on at one host. With thirty hosts none has three, so that nobody waits as far as the owner knows.

Evidence: the test, on: no demand is sent for the model; and at the owner, three hosts that refuse one caller each start no load (callers_refused_at_many_hosts_are_added_up, which needs the new report).

Why this works: a host reports the callers that it has refused once, to the owner that loads the model or owns its first home, within a second; at most one message for each. The owner adds up the hosts' reports until the callers' time to retry is over. From three on they count as one request, and only while none waits: they may not come back, and those who wait for other models go first. A host with three or more goes on as before.

--- a/crates/skylarkshore-core/src/loading/demand.rs
+++ b/crates/skylarkshore-core/src/loading/demand.rs
@@ -8,6 +8,7 @@
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::config::Timings;
 use crate::id::{AdapterName, HostId, ModelName};
+use crate::peer::MIN_EXPECTED_RETRIES;
 use crate::rules::ServiceOrder;
 use crate::time::Time;
 
@@ -35,6 +36,9 @@
     held_for_retry: bool,
 }
 
+/// Requests by router.
+type HostDemands = OrderedMap<HostId, HostDemand>;
+
 /// Demand of all routers for a model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct ModelDemand {
@@ -77,10 +81,29 @@
     pub soft_deadline: Option<Duration>,
 }
 
+/// A router's report of requests that it refused and whose callers it expects to retry.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RefusedCallers<'a> {
+    /// The router.
+    pub from: &'a HostId,
+    /// The model or adapter.
+    pub target: &'a ModelTarget,
+    /// Number of refused requests.
+    pub count: u32,
+    /// The most urgent service order among them.
+    pub service_order: ServiceOrder,
+    /// Until when the retries are expected.
+    pub until: Time,
+}
+
 /// Waiting requests and subscriptions.
 #[derive(Debug, Default)]
 pub(crate) struct Demand {
-    waiting: OrderedMap<ModelTarget, OrderedMap<HostId, HostDemand>>,
+    waiting: OrderedMap<ModelTarget, HostDemands>,
+    /// Refused requests whose callers are expected to retry, where each router has only a few.
+    refused: OrderedMap<ModelTarget, HostDemands>,
+    /// The models of which all routers together have refused enough requests to count as waiting.
+    refused_models: OrderedSet<ModelName>,
     subscriptions: OrderedMap<ModelName, OrderedMap<HostId, Time>>,
 }
 
@@ -104,6 +127,25 @@
         self.waiting.entry(wait_report.target.clone()).or_default().insert(wait_report.from.clone(), waiting);
     }
 
+    /// Records refused requests of a router, in place of those that it reported before; returns
+    /// the model's total over all routers if these now count as waiting.
+    pub(crate) fn record_refused(&mut self, refused: &RefusedCallers<'_>) -> Option<u32> {
+        let callers = HostDemand {
+            count: refused.count,
+            service_order: refused.service_order,
+            deadline: refused.until,
+            soft_deadline: Time::NEVER,
+            expires: refused.until,
+            held_for_retry: true,
+        };
+        let routers = self.refused.entry(refused.target.clone()).or_default();
+        routers.insert(refused.from.clone(), callers);
+        let model = &refused.target.model;
+        let total = of_model(&self.refused, model).map(|callers| callers.count).sum();
+        let is_enough = total >= MIN_EXPECTED_RETRIES;
+        (is_enough && self.refused_models.insert(model.clone())).then_some(total)
+    }
+
     /// Records that a router subscribes to a model.
     pub(crate) fn subscribe(&mut self, now: Time, from: &HostId, model: &ModelName, timings: &Timings) {
         let until = now.after(timings.interest);
@@ -137,9 +179,11 @@
     pub(crate) fn mark_served(&mut self, now: Time, model: &ModelName) {
         let until = now.after(DISPATCH_TIME);
         let first = ModelTarget { model: model.clone(), adapter: None };
-        let targets = self.waiting.range_mut(first..).take_while(|(target, _)| target.model == *model);
-        for waiting in targets.flat_map(|(_, routers)| routers.values_mut()) {
-            waiting.expires = waiting.expires.min(until);
+        for demand in [&mut self.waiting, &mut self.refused] {
+            let targets = demand.range_mut(first.clone()..).take_while(|(target, _)| target.model == *model);
+            for waiting in targets.flat_map(|(_, routers)| routers.values_mut()) {
+                waiting.expires = waiting.expires.min(until);
+            }
         }
     }
 
@@ -149,17 +193,38 @@
             routers.retain(|_, waiting| !waiting.expires.is_due(now) && !waiting.deadline.is_due(now));
         }
         self.waiting.retain(|_, routers| !routers.is_empty());
+        self.expire_refused(now);
         for subscribers in self.subscriptions.values_mut() {
             subscribers.retain(|_, until| !until.is_due(now));
         }
         self.subscriptions.retain(|_, subscribers| !subscribers.is_empty());
     }
 
+    fn expire_refused(&mut self, now: Time) {
+        if self.refused.is_empty() {
+            return;
+        }
+        for routers in self.refused.values_mut() {
+            routers.retain(|_, callers| !callers.expires.is_due(now));
+        }
+        self.refused.retain(|_, routers| !routers.is_empty());
+        let refused = &self.refused;
+        self.refused_models.retain(|model| {
+            let total: u32 = of_model(refused, model).map(|callers| callers.count).sum();
+            total >= MIN_EXPECTED_RETRIES
+        });
+    }
+
     /// Returns the demand for a model, adapters included.
+    ///
+    /// Refused callers count together as one request, and only while none waits: they may not come
+    /// back, and requests that wait for other models go first.
     pub(crate) fn of_model(&self, model: &ModelName) -> Option<ModelDemand> {
-        let first = ModelTarget { model: model.clone(), adapter: None };
-        let targets = self.waiting.range(first..).take_while(|(target, _)| target.model == *model);
-        sum(targets.flat_map(|(_, routers)| routers.values()))
+        let waiting = sum(of_model(&self.waiting, model));
+        if waiting.is_some() || !self.refused_models.contains(model) {
+            return waiting;
+        }
+        sum(of_model(&self.refused, model)).map(|refused| ModelDemand { waiting: 1, ..refused })
     }
 
     /// Returns the demand for a model including a router's new report.
@@ -184,17 +249,21 @@
     /// Returns the models that requests wait for.
     pub(crate) fn models(&self) -> OrderedSet<ModelName> {
         let waiting = self.waiting.iter().filter(|(_, routers)| !routers.is_empty());
-        waiting.map(|(target, _)| target.model.clone()).collect()
+        let waiting = waiting.map(|(target, _)| &target.model);
+        waiting.chain(&self.refused_models).cloned().collect()
     }
 
     /// Returns the adapters of a model that requests wait for.
     pub(crate) fn adapters(&self, model: &ModelName) -> Vec<AdapterName> {
-        let first = ModelTarget { model: model.clone(), adapter: None };
-        let targets = self.waiting.range(first..).take_while(|(target, _)| target.model == *model);
-        targets
-            .filter(|(_, routers)| !routers.is_empty())
-            .filter_map(|(target, _)| target.adapter.clone())
-            .collect()
+        let adapters = |demand| {
+            let targets = targets_of_model(demand, model).filter(|(_, routers)| !routers.is_empty());
+            targets.filter_map(|(target, _)| target.adapter.clone())
+        };
+        let mut found: OrderedSet<AdapterName> = adapters(&self.waiting).collect();
+        if self.refused_models.contains(model) {
+            found.extend(adapters(&self.refused));
+        }
+        found.into_iter().collect()
     }
 
     /// Returns the routers that subscribe to a model.
@@ -203,6 +272,21 @@
     }
 }
 
+fn targets_of_model<'a>(
+    demand: &'a OrderedMap<ModelTarget, HostDemands>,
+    model: &'a ModelName,
+) -> impl Iterator<Item = (&'a ModelTarget, &'a HostDemands)> {
+    let first = ModelTarget { model: model.clone(), adapter: None };
+    demand.range(first..).take_while(|(target, _)| target.model == *model)
+}
+
+fn of_model<'a>(
+    demand: &'a OrderedMap<ModelTarget, HostDemands>,
+    model: &'a ModelName,
+) -> impl Iterator<Item = &'a HostDemand> {
+    targets_of_model(demand, model).flat_map(|(_, routers)| routers.values())
+}
+
 fn sum<'a>(mut all: impl Iterator<Item = &'a HostDemand>) -> Option<ModelDemand> {
     let first = all.next()?;
     let need = ModelDemand {
--- a/crates/skylarkshore-core/src/loading/peers.rs
+++ b/crates/skylarkshore-core/src/loading/peers.rs
@@ -7,7 +7,7 @@
 use crate::catalogue::ModelTarget;
 use crate::cx::Cx;
 use crate::id::{HostId, ModelName, UpstreamId};
-use crate::loading::demand::WaitReport;
+use crate::loading::demand::{RefusedCallers, WaitReport};
 use crate::loading::usage::UsageSample;
 use crate::peer::{CannotLoad, PeerMessage};
 use crate::time::Time;
@@ -37,7 +37,19 @@
                     self.demand.clear_waiting(from, target);
                 }
             }
-            PeerMessage::Wanted { target, waiting, order, max_wait, soft_deadline } => {
+            PeerMessage::Wanted { target, waiting, order, max_wait, refused: true, .. } => {
+                let refused = RefusedCallers {
+                    from,
+                    target,
+                    count: *waiting,
+                    service_order: *order,
+                    until: cx.now.after(*max_wait),
+                };
+                if let Some(total) = self.demand.record_refused(&refused) {
+                    cx.log_event("refused_callers_counted", &target.model, format!("callers={total}"));
+                }
+            }
+            PeerMessage::Wanted { target, waiting, order, max_wait, soft_deadline, refused: false } => {
                 if *waiting > 0 {
                     self.history.record_use(cx.now, &target.model);
                 }
--- a/crates/skylarkshore-core/src/peer.rs
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -14,6 +14,12 @@
 
 pub use credit::CreditMessage;
 
+/// Smallest number of refused requests for a model that counts as waiting, whether one host has
+/// refused them or all together.
+///
+/// Single callers often retry at another host, and the load would serve nobody.
+pub(crate) const MIN_EXPECTED_RETRIES: u32 = 3;
+
 /// Why an owner can't make a model available in time.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CannotLoad {
@@ -73,6 +79,10 @@
         max_wait: Duration,
         /// Time until the next of their soft deadlines.
         soft_deadline: Option<Duration>,
+        /// Whether they were refused instead, and their callers are expected to retry within `max_wait`.
+        ///
+        /// They are reported once, and the receiver sends no reply.
+        refused: bool,
     },
     /// Use of a model from the sender; subscribes the sender to views of the model for a while.
     Used {
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -230,6 +230,7 @@
         self.once_claims.remove_expired(cx.now);
         self.suspects.remove_expired(cx);
         self.demand.send_usage(cx, &mut self.waits);
+        self.report_refused_callers(cx);
         self.budget.record_host_count(cx.now, cx.cache.members().count());
     }
 
--- a/crates/skylarkshore-core/src/serving/demand.rs
+++ b/crates/skylarkshore-core/src/serving/demand.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use owners::{DemandMessage, owners, send_demand};
+use owners::{DemandMessage, first_owner, owners, send_demand, send_expected_retries};
 
 use crate::catalogue::ModelTarget;
 use crate::collections::{OrderedMap, OrderedSet};
@@ -104,6 +104,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Demand {
     targets: OrderedMap<ModelTarget, TargetDemand>,
+    /// Targets for which requests were refused since refused requests were last reported.
+    recently_refused: OrderedSet<ModelTarget>,
 }
 
 impl Demand {
@@ -273,9 +275,31 @@
     ) {
         if let Some(entry) = self.targets.get_mut(target) {
             entry.expected_retries.add(now, order, after);
+            self.recently_refused.insert(target.clone());
         }
     }
 
+    /// Takes the targets for which requests were refused since the last call.
+    pub(super) fn take_recently_refused(&mut self) -> OrderedSet<ModelTarget> {
+        std::mem::take(&mut self.recently_refused)
+    }
+
+    /// Reports the expected retries for a target to its loader or the owner of its first home,
+    /// which adds up those of all hosts.
+    ///
+    /// Where there are enough of them, [`Demand::ask`] sends them with the waiting requests.
+    pub(super) fn report_expected_retries(
+        &self,
+        cx: &mut Cx<'_>,
+        target: &ModelTarget,
+        loader: Option<HostId>,
+    ) {
+        let Some(entry) = self.targets.get(target) else { return };
+        let Some(retries) = entry.expected_retries.too_few_at(cx.now) else { return };
+        let Some(owner) = loader.or_else(|| first_owner(cx, &target.model)) else { return };
+        send_expected_retries(cx, &owner, target, retries);
+    }
+
     /// Returns the retries that are expected for a target.
     pub(super) fn expected_retries(&self, cx: &Cx<'_>, target: &ModelTarget) -> Option<ExpectedRetries> {
         self.targets.get(target)?.expected_retries.at(cx.now)
--- a/crates/skylarkshore-core/src/serving/demand/owners.rs
+++ b/crates/skylarkshore-core/src/serving/demand/owners.rs
@@ -8,9 +8,10 @@
 use crate::catalogue::ModelTarget;
 use crate::collections::OrderedSet;
 use crate::cx::Cx;
-use crate::id::{HostId, UpstreamId};
+use crate::id::{HostId, ModelName, UpstreamId};
 use crate::peer::PeerMessage;
 use crate::rules::ServiceOrder;
+use crate::serving::expected_retries::ExpectedRetries;
 
 /// The demand for a target that an owner is sent.
 #[derive(Clone, Copy, Debug)]
@@ -29,10 +30,36 @@
         order: demand.order,
         max_wait: demand.max_wait,
         soft_deadline: demand.soft_deadline,
+        refused: false,
     };
     cx.send(owner, message);
 }
 
+/// Reports refused callers, who are expected to retry, to an owner.
+pub(super) fn send_expected_retries(
+    cx: &mut Cx<'_>,
+    owner: &HostId,
+    target: &ModelTarget,
+    retries: ExpectedRetries,
+) {
+    let message = PeerMessage::Wanted {
+        target: target.clone(),
+        waiting: retries.count,
+        order: retries.order,
+        max_wait: retries.until.remaining(cx.now),
+        soft_deadline: None,
+        refused: true,
+    };
+    cx.send(owner, message);
+}
+
+/// Returns the owner of a model's first home, whatever adapter is requested.
+pub(super) fn first_owner(cx: &Cx<'_>, model: &ModelName) -> Option<HostId> {
+    let (_, homes) = cx.cache.homes(model)?;
+    let owners = homes.engines.iter().filter_map(|engine| cx.cache.owner(engine));
+    owners.map(|(_, owner)| owner.host.clone()).next()
+}
+
 /// Returns the owners of a model's homes, each once, in the order in which they are asked.
 ///
 /// For a base model that is the order of the homes. Engines hold only a few adapters at a time,
--- a/crates/skylarkshore-core/src/serving/expected_retries.rs
+++ b/crates/skylarkshore-core/src/serving/expected_retries.rs
@@ -2,13 +2,10 @@
 
 use std::time::Duration;
 
+use crate::peer::MIN_EXPECTED_RETRIES;
 use crate::rules::ServiceOrder;
 use crate::time::Time;
 
-/// Smallest number of refused requests that counts as waiting.
-///
-/// Single callers often retry at another host, and the load would serve nobody.
-const MIN_COUNT: u32 = 3;
 /// How much later than told a caller may retry.
 const RETRY_GRACE: Duration = Duration::from_secs(1);
 
@@ -44,6 +41,12 @@
 
     /// Returns the expected retries, if there are enough of them.
     pub(super) fn at(self, now: Time) -> Option<Self> {
-        (!self.until.is_due(now) && self.count >= MIN_COUNT).then_some(self)
+        (!self.until.is_due(now) && self.count >= MIN_EXPECTED_RETRIES).then_some(self)
+    }
+
+    /// Returns the expected retries, if there are too few of them to count at this process alone.
+    pub(super) fn too_few_at(self, now: Time) -> Option<Self> {
+        let range = 1..MIN_EXPECTED_RETRIES;
+        (!self.until.is_due(now) && range.contains(&self.count)).then_some(self)
     }
 }
--- a/crates/skylarkshore-core/src/serving/supply.rs
+++ b/crates/skylarkshore-core/src/serving/supply.rs
@@ -133,6 +133,14 @@
         self.demand.expect_retry(now, target, request.order, retry_after);
     }
 
+    /// Reports the callers that were refused since the last call to the owners of their models.
+    pub(super) fn report_refused_callers(&mut self, cx: &mut Cx<'_>) {
+        for target in self.demand.take_recently_refused() {
+            let loader = self.loader(cx, &target);
+            self.demand.report_expected_retries(cx, &target, loader);
+        }
+    }
+
     fn shortage(&self, cx: &Cx<'_>, target: &Target) -> Option<Shortage> {
         let all_unservable = |retry_after| Shortage {
             reason: RefusalReason::NoUpstream,
--- a/crates/skylarkshore-core/tests/loading/sequential_engines.rs
+++ b/crates/skylarkshore-core/tests/loading/sequential_engines.rs
@@ -73,6 +73,7 @@
         order: ServiceOrder::default(),
         max_wait: LONG_WAIT,
         soft_deadline,
+        refused: false,
     };
     rig.receive(&name("entry-3"), &wanted(Some(Duration::from_secs(3))));
     assert_eq!(rig.refusals(), ["rye Busy"]);
--- a/crates/skylarkshore-core/tests/loading/unserved.rs
+++ b/crates/skylarkshore-core/tests/loading/unserved.rs
@@ -124,3 +124,43 @@
     rig.run_with_demand(LOAD_TIME * 2, "entry-3", "rye", 1);
     assert!(rig.engine.holds("rye"), "the other model is loaded after that: {:?}", rig.notes);
 }
+
+/// Guards against a model that is never loaded although it is asked for all the time, because each
+/// of many hosts refuses only one caller within the time of a load.
+#[test]
+fn callers_refused_at_many_hosts_are_added_up() {
+    let mut rig = Rig::new(&[("maize", 300), ("rye", 300)]);
+    rig.run(Duration::from_secs(1));
+    for number in 1..=3 {
+        assert_eq!(rig.engine.loads_of("maize"), 0, "{number} callers");
+        rig.refuse(&format!("entry-{number}"), "maize", 1, Duration::from_secs(5));
+        rig.run(Duration::from_secs(1));
+    }
+    assert_eq!(rig.engine.loads_of("maize"), 1, "{:?}", rig.notes);
+}
+
+/// Guards against loads for callers who no longer come back, and for a single caller who is
+/// refused at one host after the other.
+#[test]
+fn callers_refused_long_ago_are_not_added_up() {
+    let mut rig = Rig::new(&[("maize", 300)]);
+    rig.run(Duration::from_secs(1));
+    for number in 1..=6 {
+        rig.refuse(&format!("entry-{number}"), "maize", 1, Duration::from_secs(5));
+        rig.run(Duration::from_secs(3));
+    }
+    assert_eq!(rig.engine.loads_of("maize"), 0, "{:?}", rig.notes);
+}
+
+/// Guards against a host whose callers count twice, because it reports them again with each further
+/// one.
+#[test]
+fn a_report_of_refused_callers_replaces_the_hosts_earlier_one() {
+    let mut rig = Rig::new(&[("maize", 300)]);
+    rig.run(Duration::from_secs(1));
+    for count in [1, 2, 2] {
+        rig.refuse("entry-2", "maize", count, Duration::from_secs(5));
+        rig.run(Duration::from_secs(1));
+    }
+    assert_eq!(rig.engine.loads_of("maize"), 0, "{:?}", rig.notes);
+}
--- a/crates/skylarkshore-core/tests/serving/flow.rs
+++ b/crates/skylarkshore-core/tests/serving/flow.rs
@@ -214,6 +214,23 @@
     assert!(!p.take_messages(has_waiting).is_empty(), "no demand was sent for the model");
 }
 
+/// Guards against the cost of refused callers: each is reported once, to one owner, and isn't
+/// repeated for as long as the caller may come back.
+#[test]
+fn a_refused_caller_is_reported_once() {
+    let mut p = Process::new("a", 1);
+    let remaining = Duration::from_secs(6);
+    p.peer("b", &PeerMessage::View(view("e1", 1, "m", Readiness::Loading { remaining })));
+    let mut impatient = arrival(&p, model("m"), 1);
+    impatient.policy.first_byte_deadline = p.now.after(Duration::from_secs(2));
+    p.arrive(1, impatient);
+    p.advance(6000);
+    let reports = p.take_messages(has_waiting);
+    assert_eq!(reports.len(), 1, "{reports:?}");
+    assert_eq!(reports[0].0, name("b"));
+    assert!(matches!(reports[0].1, PeerMessage::Wanted { waiting: 1, refused: true, .. }), "{reports:?}");
+}
+
 /// The owners of both homes of a model respond that a load takes seconds, and the first one
 /// takes it on. Then the caller's soft deadline passes. If the second owner were asked again
 /// now, it would have no ground left to refuse. Both would load the model from the weight
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -394,8 +394,25 @@
         order: ServiceOrder,
         max_wait: Duration,
     ) {
-        let message =
-            PeerMessage::Wanted { target: target(wanted), waiting, order, max_wait, soft_deadline: None };
+        self.send_demand(router, wanted, waiting, order, max_wait, false);
+    }
+
+    /// Reports callers on behalf of a router that refused them and expects them to retry in time.
+    pub fn refuse(&mut self, router: &str, wanted: &str, count: u32, retry_within: Duration) {
+        self.send_demand(router, wanted, count, ServiceOrder::default(), retry_within, true);
+    }
+
+    fn send_demand(
+        &mut self,
+        router: &str,
+        wanted: &str,
+        waiting: u32,
+        order: ServiceOrder,
+        max_wait: Duration,
+        refused: bool,
+    ) {
+        let target = target(wanted);
+        let message = PeerMessage::Wanted { target, waiting, order, max_wait, soft_deadline: None, refused };
         self.receive(&name(router), &message);
     }
 
--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -204,6 +204,14 @@
     Permits { upstream: UpstreamId, count: u32 },
     /// Acknowledges `Suspects` whose losses are counted.
     LossesNoted { upstream: UpstreamId, incarnation: Option<Incarnation>, requests: Vec<Digest> },
+    /// `Wanted` for callers that were refused and are expected to retry; sent once.
+    RetriesExpected {
+        target: TargetWire,
+        count: u32,
+        order: u16,
+        /// The core's `max_wait`.
+        within_ms: u64,
+    },
 }
 
 /// Encodes a message for the wire.
@@ -314,7 +322,13 @@
                 upto: batch.upto,
                 records: batch.records.iter().map(RecordWire::from).collect(),
             },
-            M::Wanted { target, waiting, order, max_wait, soft_deadline } => Self::Wanted {
+            M::Wanted { target, waiting, order, max_wait, refused: true, .. } => Self::RetriesExpected {
+                target: target.into(),
+                count: *waiting,
+                order: order.0,
+                within_ms: millis(*max_wait),
+            },
+            M::Wanted { target, waiting, order, max_wait, soft_deadline, refused: false } => Self::Wanted {
                 target: target.into(),
                 waiting: *waiting,
                 order: order.0,
@@ -417,6 +431,15 @@
                 order: ServiceOrder(order),
                 max_wait: Duration::from_millis(patience_ms),
                 soft_deadline: aim_ms.map(Duration::from_millis),
+                refused: false,
+            },
+            W::RetriesExpected { target, count, order, within_ms } => Self::Wanted {
+                target: target.into(),
+                waiting: count,
+                order: ServiceOrder(order),
+                max_wait: Duration::from_millis(within_ms),
+                soft_deadline: None,
+                refused: true,
             },
             W::Used { target, arrived, late, worked_ms, waited_for } => Self::Used {
                 target: target.into(),
--- a/crates/skylarkshore-wire/tests/formats.rs
+++ b/crates/skylarkshore-wire/tests/formats.rs
@@ -158,11 +158,20 @@
             records: records.chain([gone]).collect(),
         }),
         PeerMessage::Wanted {
-            target,
+            target: target.clone(),
             waiting: 3,
             order: ServiceOrder(10),
             max_wait: Duration::from_secs(5),
             soft_deadline: Some(Duration::from_millis(900)),
+            refused: false,
+        },
+        PeerMessage::Wanted {
+            target,
+            waiting: 1,
+            order: ServiceOrder(10),
+            max_wait: Duration::from_secs(7),
+            soft_deadline: None,
+            refused: true,
         },
         PeerMessage::Used {
             target: ModelTarget { model: "maize".parse().unwrap(), adapter: None },
