Log each retry that the budget grants or denies, and how long requests were queued

The lines could not tell what a process believed of the shared budget, nor when a retry was decided.

--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -11,6 +11,7 @@
 use crate::peer::PeerMessage;
 use crate::serving::Serving;
 use crate::serving::arrival::destination;
+use crate::serving::budget::Destination;
 use crate::serving::disposition::Disposition;
 use crate::serving::request::{Caller, Due, Isolation, Run, RunHistory, State};
 use crate::serving::suspect::SuspectStatus;
@@ -226,6 +227,7 @@
     fn retry(&mut self, cx: &mut Cx<'_>, id: RequestId, cost: RetryCost) {
         let Some(request) = self.requests.get(&id) else { return };
         let lost = request.history != RunHistory::NeverRan;
+        let holds_failure = request.holds_failure;
         let destination = destination(cx, &request.arrival.target);
         let cost = if self.budget.charges_every_retry() { RetryCost::Retry } else { cost };
         if request.queue_deadline().is_due(cx.now) {
@@ -237,13 +239,12 @@
             && request.may_be_sent()
             && (!request.passed_on || request.can_resume())
             && request.failures < cx.cfg.limits.attempts
-            && request.runs < request.arrival.policy.max_runs
-            && (cost == RetryCost::Free || self.budget.try_spend(cx.now, &destination));
-        if may_retry {
+            && request.runs < request.arrival.policy.max_runs;
+        if may_retry && (cost == RetryCost::Free || self.spend_retry(cx, id, &destination)) {
             self.counters.retries += 1;
             return self.push_to_queue(cx, id);
         }
-        if request.holds_failure {
+        if holds_failure {
             cx.push(Effect::ForwardHeldAnswer { request: id });
             return self.finish_forwarded(cx, id);
         }
@@ -252,6 +253,14 @@
         self.apply_disposition(cx, id, Disposition::Refuse { reason, retry_after });
     }
 
+    /// Takes a retry from the budget, if it allows one.
+    fn spend_retry(&mut self, cx: &mut Cx<'_>, id: RequestId, destination: &Destination) -> bool {
+        let is_granted = self.budget.try_spend(cx.now, destination);
+        let event = if is_granted { "retry_granted" } else { "retry_denied" };
+        cx.log_decision(id, event, self.budget.describe(destination));
+        is_granted
+    }
+
     /// Ends the isolation of a request whose attempt has ended, and marks the upstream as tried.
     ///
     /// The request isn't in the queue yet: [`Serving::retry`] puts it there or refuses it.
--- a/crates/skylarkshore-core/src/serving/budget.rs
+++ b/crates/skylarkshore-core/src/serving/budget.rs
@@ -70,6 +70,14 @@
         }
     }
 
+    /// Describes what is left for a destination, for the log.
+    pub(super) fn describe(&self, destination: &Destination) -> String {
+        match self {
+            Self::Local(bucket) => format!("left={}", bucket.units / UNITS_PER_RETRY),
+            Self::Shared(budget) => budget.describe(destination),
+        }
+    }
+
     /// Reports whether even retries of attempts without effect are charged.
     pub(super) const fn charges_every_retry(&self) -> bool {
         matches!(self, Self::Shared(_))
@@ -127,7 +135,25 @@
     retries: VecDeque<Time>,
 }
 
+impl Usage {
+    /// Returns how many retries are allowed; the slack is given in hundredths of a retry.
+    fn allowed(&self, percent: u32, slack: u64) -> u64 {
+        let earned = self.requests.len() as u64 * u64::from(percent);
+        (earned + slack) * SHARED_PERCENT_USED / 10_000
+    }
+}
+
 impl SharedBudget {
+    fn describe(&self, destination: &Destination) -> String {
+        let service = destination.as_ref().map_or("none", ServiceName::as_str);
+        let hosts = self.hosts.get();
+        let (retries, requests, allowed) = self.used.get(destination).map_or((0, 0, 0), |usage| {
+            let allowed = usage.allowed(self.percent, u64::from(self.slack) * 100 / hosts);
+            (usage.retries.len(), usage.requests.len(), allowed)
+        });
+        format!("service={service} retries={retries} allowed={allowed} requests={requests} hosts={hosts}")
+    }
+
     fn count(&mut self, now: Time, destination: &Destination, of: fn(&mut Usage) -> &mut VecDeque<Time>) {
         let window = self.window;
         let times = of(self.used.entry(destination.clone()).or_default());
@@ -137,13 +163,11 @@
 
     fn try_spend(&mut self, now: Time, destination: &Destination) -> bool {
         let window = self.window;
+        let (percent, slack) = (self.percent, u64::from(self.slack) * 100 / self.hosts.get());
         let usage = self.used.entry(destination.clone()).or_default();
         remove_older(&mut usage.requests, now, window);
         remove_older(&mut usage.retries, now, window);
-        let earned = usage.requests.len() as u64 * u64::from(self.percent);
-        let slack = u64::from(self.slack) * 100 / self.hosts.get();
-        let allowed = (earned + slack) * SHARED_PERCENT_USED / 10_000;
-        let has_room = (usage.retries.len() as u64) < allowed;
+        let has_room = (usage.retries.len() as u64) < usage.allowed(percent, slack);
         if has_room {
             usage.retries.push_back(now);
         }
--- a/crates/skylarkshore-core/src/serving/disposition.rs
+++ b/crates/skylarkshore-core/src/serving/disposition.rs
@@ -60,9 +60,10 @@
         let waited = cx.now.since(request.arrived).as_millis();
         let load = self.routes.load_summary(cx, &upstream);
         let detail = format!(
-            "upstream={upstream} attempt={attempt} runs={} account={} waited_ms={waited} {load}",
+            "upstream={upstream} attempt={attempt} runs={} account={} waited_ms={waited} queued_ms={} {load}",
             request.runs,
-            request.account()
+            request.account(),
+            cx.now.since(request.since).as_millis()
         );
         cx.log_decision(id, "request_sent", detail);
         cx.push(Effect::Send {
