Judge the retry budget by what reaches upstreams, and show three ways to exceed it

The given-time world counts arrivals at upstreams beyond the first of each request, rejected ones too, over restarts and in any window, and allows what the users' rule allows: a share of the requests in the window, the one before or the one half a window before, and the slack.

--- a/crates/skylarkshore-core/tests/serving_requests.rs
+++ b/crates/skylarkshore-core/tests/serving_requests.rs
@@ -10,5 +10,6 @@
     mod once;
     mod queue;
     mod random;
+    mod retry_budget;
     mod routing;
 }
--- a/crates/skylarkshore-standins/src/world.rs
+++ b/crates/skylarkshore-standins/src/world.rs
@@ -12,6 +12,7 @@
 mod fault;
 mod host;
 mod meter;
+mod retries;
 mod schedule;
 mod service;
 mod store;
@@ -32,6 +33,7 @@
 
 use execute::{AttemptKey, CallKey, OpenAttempt};
 use host::Host;
+use retries::RetryLedger;
 use schedule::{Schedule, Task};
 use service::ServiceReplica;
 
@@ -90,6 +92,9 @@
     services: OrderedMap<UpstreamId, ServiceReplica>,
     attempts: OrderedMap<AttemptKey, OpenAttempt>,
     open_calls: OrderedSet<CallKey>,
+    /// Upstreams that reject all requests.
+    overloaded: OrderedSet<UpstreamId>,
+    retries: RetryLedger,
     runs: u64,
     /// Whether effects are counted, which slows the simulation.
     pub metered: bool,
@@ -131,6 +136,8 @@
             services: services.into_iter().map(|s| (s.id.clone(), s)).collect(),
             attempts: OrderedMap::new(),
             open_calls: OrderedSet::new(),
+            overloaded: OrderedSet::new(),
+            retries: RetryLedger::default(),
             runs: 0,
             metered: false,
             store: Store::default(),
@@ -273,6 +280,15 @@
         self.checks.marked_leaving(id, self.now);
     }
 
+    /// Sets whether an upstream rejects all requests for want of room.
+    pub fn set_overloaded(&mut self, id: &UpstreamId, is_overloaded: bool) {
+        if is_overloaded {
+            self.overloaded.insert(id.clone());
+        } else {
+            self.overloaded.remove(id);
+        }
+    }
+
     /// Removes an upstream from the host list and crashes it for good.
     pub fn reclaim(&mut self, id: &UpstreamId) {
         self.host_list.retain(|u| u.id != *id);
@@ -428,9 +444,13 @@
         }
     }
 
-    /// Runs the final checks: every request of a running process that is due must have its final answer.
+    /// Runs the final checks: every request of a running process that is due must have its final answer,
+    /// and the retries must have kept to the shared budget.
     pub fn finish(&mut self) {
         self.checks.check_at_end(self.now, &self.callers);
+        for violation in self.retries.violations(self.setup.limits.retries, &self.callers) {
+            self.checks.report(violation.at, violation.what);
+        }
     }
 
     /// Returns the key-value service's revision.
--- a/crates/skylarkshore-standins/src/world/execute.rs
+++ b/crates/skylarkshore-standins/src/world/execute.rs
@@ -302,7 +302,11 @@
         let request = request_key(sent.from, sent.request);
         let Some(log) = self.callers.requests.get(&request) else { return };
         let (target, run_time) = (log.ask.target.clone(), log.ask.run_time);
-        if let Some(end) = self.rejection(&sent, &target) {
+        let rejection = self.rejection(&sent, &target);
+        if rejection != Some(AttemptOutcome::NotSent) {
+            self.retries.record_arrival(self.now, request, &target);
+        }
+        if let Some(end) = rejection {
             return self.attempt_ended(sent.from, sent.attempt, end);
         }
         self.checks.check_new_work(&sent.upstream, self.now);
@@ -326,6 +330,9 @@
     }
 
     fn rejection(&self, sent: &SentRequest, target: &Target) -> Option<AttemptOutcome> {
+        if self.overloaded.contains(&sent.upstream) {
+            return Some(AttemptOutcome::Rejected(Rejection::Busy));
+        }
         match target {
             Target::Model(target) => {
                 let Some(engine) = self.engines.get(&sent.upstream).filter(|engine| engine.up) else {
--- a/crates/skylarkshore-standins/tests/world/main.rs
+++ b/crates/skylarkshore-standins/tests/world/main.rs
@@ -3,5 +3,6 @@
 mod fault_matrix;
 mod mutants;
 mod recovery;
+mod retry_budget;
 mod support;
 mod whole_path;
