Take no share of the retry slack before the hosts are counted

Cause: a process began with the count of one host and kept it until its first count of the members, up to a second later; until then the whole slack of all hosts was its own.

Fix: the count is unknown until a member is registered, and an unknown count gives no share of the slack. What its own requests earn it has at once.

The case of hosts that are killed again and again still fails, 105 of 80: what a predecessor has spent is another fault.

--- a/crates/skylarkshore-core/src/serving/budget.rs
+++ b/crates/skylarkshore-core/src/serving/budget.rs
@@ -44,13 +44,9 @@
             RetryLimits::PerProcess => {
                 Self::Local(TokenBucket { units: MAX_UNITS, refilled_at: Time::START })
             }
-            RetryLimits::Shared { percent, slack, window } => Self::Shared(SharedBudget {
-                percent,
-                slack,
-                window,
-                hosts: MemberCount::ALONE,
-                used: OrderedMap::new(),
-            }),
+            RetryLimits::Shared { percent, slack, window } => {
+                Self::Shared(SharedBudget { percent, slack, window, hosts: None, used: OrderedMap::new() })
+            }
         }
     }
 
@@ -85,8 +81,10 @@
 
     /// Records how many processes share the budget.
     pub(super) fn record_host_count(&mut self, now: Time, hosts: usize) {
-        if let Self::Shared(budget) = self {
-            budget.hosts.record(now, hosts);
+        if let Self::Shared(budget) = self
+            && hosts > 0
+        {
+            budget.hosts.get_or_insert(MemberCount::ALONE).record(now, hosts);
         }
     }
 }
@@ -124,7 +122,8 @@
     percent: u32,
     slack: u32,
     window: Duration,
-    hosts: MemberCount,
+    /// `None` until any process is registered, as this one can't know its share before.
+    hosts: Option<MemberCount>,
     used: OrderedMap<Destination, Usage>,
 }
 
@@ -146,9 +145,9 @@
 impl SharedBudget {
     fn describe(&self, destination: &Destination) -> String {
         let service = destination.as_ref().map_or("none", ServiceName::as_str);
-        let hosts = self.hosts.get();
+        let hosts = self.hosts.map_or(0, MemberCount::get);
         let (retries, requests, allowed) = self.used.get(destination).map_or((0, 0, 0), |usage| {
-            let allowed = usage.allowed(self.percent, u64::from(self.slack) * 100 / hosts);
+            let allowed = usage.allowed(self.percent, self.slack_share());
             (usage.retries.len(), usage.requests.len(), allowed)
         });
         format!("service={service} retries={retries} allowed={allowed} requests={requests} hosts={hosts}")
@@ -161,9 +160,14 @@
         times.push_back(now);
     }
 
+    /// Returns this process's share of the slack, in hundredths of a retry.
+    fn slack_share(&self) -> u64 {
+        self.hosts.map_or(0, |hosts| u64::from(self.slack) * 100 / hosts.get())
+    }
+
     fn try_spend(&mut self, now: Time, destination: &Destination) -> bool {
         let window = self.window;
-        let (percent, slack) = (self.percent, u64::from(self.slack) * 100 / self.hosts.get());
+        let (percent, slack) = (self.percent, self.slack_share());
         let usage = self.used.entry(destination.clone()).or_default();
         remove_older(&mut usage.requests, now, window);
         remove_older(&mut usage.retries, now, window);
