Save few retries instead of counting those of the last window

Cause: each process counted the retries of its last window and could spend all that its share allowed at once. The count was lost with the process, and its successor spent the same again within the same window. The class is a limit over time that is kept in the memory of a process which may end at any moment.

Fix: a process that starts has nothing saved. It earns with each request and with time, and can save half of its share of the slack and what two seconds of requests earn. In any window all lives of a host together send at most what one life has saved before and what the window has earned.

Ruled out: counts kept in the key-value service (a write for each retry, and nothing while it is away), or by one host for all (the permits of limited upstreams; an answer from a peer before each retry).

--- a/crates/skylarkshore-core/src/serving/budget.rs
+++ b/crates/skylarkshore-core/src/serving/budget.rs
@@ -19,9 +19,13 @@
 const MAX_UNITS: u64 = 20 * UNITS_PER_RETRY;
 /// Percentage of the shared budget that the processes use.
 ///
-/// Their windows start at different times, and they learn late that one of them has left; the
-/// rest covers both.
+/// The rest covers what they have saved before a window, and that they learn late how many they are.
 const SHARED_PERCENT_USED: u64 = 80;
+/// Percentage of its share of the slack that a process can save; the rest is earned evenly.
+const SLACK_PERCENT_SAVED: u64 = 50;
+/// How long what a request earns can be saved.
+const SAVING_TIME: Duration = Duration::from_secs(2);
+
 /// The service or pool that a retry is sent to; `None` for models outside of pools.
 pub(super) type Destination = Option<ServiceName>;
 
@@ -38,14 +42,14 @@
 }
 
 impl RetryBudget {
-    /// Creates a full budget.
+    /// Creates the budget of a process; a shared one is empty at first.
     pub(super) const fn new(limits: RetryLimits) -> Self {
         match limits {
             RetryLimits::PerProcess => {
                 Self::Local(TokenBucket { units: MAX_UNITS, refilled_at: Time::START })
             }
             RetryLimits::Shared { percent, slack, window } => {
-                Self::Shared(SharedBudget { percent, slack, window, hosts: None, used: OrderedMap::new() })
+                Self::Shared(SharedBudget { percent, slack, window, hosts: None, savings: OrderedMap::new() })
             }
         }
     }
@@ -54,7 +58,7 @@
     pub(super) fn record_request(&mut self, now: Time, destination: &Destination) {
         match self {
             Self::Local(bucket) => bucket.units = (bucket.units + UNITS_PER_REQUEST).min(MAX_UNITS),
-            Self::Shared(budget) => budget.count(now, destination, |usage| &mut usage.requests),
+            Self::Shared(budget) => budget.record_request(now, destination),
         }
     }
 
@@ -117,6 +121,10 @@
 }
 
 /// This process's share of a budget that all processes have in common.
+///
+/// What a process may spend within any window is what it has saved before, which is little, and
+/// what it earns within the window. A count of what was spent in the last window would be lost
+/// with the process, and its successor would spend the same again.
 #[derive(Debug)]
 pub(super) struct SharedBudget {
     percent: u32,
@@ -124,63 +132,99 @@
     window: Duration,
     /// `None` until any process is registered, as this one can't know its share before.
     hosts: Option<MemberCount>,
-    used: OrderedMap<Destination, Usage>,
+    savings: OrderedMap<Destination, Savings>,
 }
 
-/// Requests and retries for one destination within the last window.
-#[derive(Debug, Default)]
-struct Usage {
+/// The retries that a process may still send to one destination, in thousandths of a retry.
+#[derive(Debug)]
+struct Savings {
+    units: u64,
+    refilled_at: Time,
+    /// The latest requests, which limit what can be saved.
     requests: VecDeque<Time>,
-    retries: VecDeque<Time>,
 }
 
-impl Usage {
-    /// Returns how many retries are allowed; the slack is given in hundredths of a retry.
-    fn allowed(&self, percent: u32, slack: u64) -> u64 {
-        let earned = self.requests.len() as u64 * u64::from(percent);
-        (earned + slack) * SHARED_PERCENT_USED / 10_000
+impl SharedBudget {
+    fn record_request(&mut self, now: Time, destination: &Destination) {
+        let earned = self.units_per_request();
+        let savings = self.refilled(now, destination);
+        savings.requests.push_back(now);
+        savings.units += earned;
+    }
+
+    fn try_spend(&mut self, now: Time, destination: &Destination) -> bool {
+        let savings = self.refilled(now, destination);
+        let is_enough = savings.units >= UNITS_PER_RETRY;
+        if is_enough {
+            savings.units -= UNITS_PER_RETRY;
+        }
+        is_enough
     }
-}
 
-impl SharedBudget {
     fn describe(&self, destination: &Destination) -> String {
         let service = destination.as_ref().map_or("none", ServiceName::as_str);
         let hosts = self.hosts.map_or(0, MemberCount::get);
-        let (retries, requests, allowed) = self.used.get(destination).map_or((0, 0, 0), |usage| {
-            let allowed = usage.allowed(self.percent, self.slack_share());
-            (usage.retries.len(), usage.requests.len(), allowed)
-        });
-        format!("service={service} retries={retries} allowed={allowed} requests={requests} hosts={hosts}")
+        let (left, requests) = self
+            .savings
+            .get(destination)
+            .map_or((0, 0), |savings| (savings.units / UNITS_PER_RETRY, savings.requests.len()));
+        format!("service={service} left={left} recent_requests={requests} hosts={hosts}")
     }
 
-    fn count(&mut self, now: Time, destination: &Destination, of: fn(&mut Usage) -> &mut VecDeque<Time>) {
-        let window = self.window;
-        let times = of(self.used.entry(destination.clone()).or_default());
-        remove_older(times, now, window);
-        times.push_back(now);
+    /// Returns the savings after adding what the time since the last call has earned, and dropping what
+    /// can't be saved.
+    fn refilled(&mut self, now: Time, destination: &Destination) -> &mut Savings {
+        let (slack, per_request, window) = (self.slack_units(), self.units_per_request(), self.window);
+        let savings = self.savings.entry(destination.clone()).or_insert_with(|| Savings::new(now));
+        remove_older(&mut savings.requests, now, SAVING_TIME);
+        let most = slack.saved + per_request * savings.requests.len() as u64;
+        savings.units = savings.units.saturating_add(savings.earn(now, slack.earned, window)).min(most);
+        savings
     }
 
-    /// Returns this process's share of the slack, in hundredths of a retry.
-    fn slack_share(&self) -> u64 {
-        self.hosts.map_or(0, |hosts| u64::from(self.slack) * 100 / hosts.get())
+    /// Returns what a request earns.
+    fn units_per_request(&self) -> u64 {
+        u64::from(self.percent) * UNITS_PER_RETRY / 100 * SHARED_PERCENT_USED / 100
     }
 
-    fn try_spend(&mut self, now: Time, destination: &Destination) -> bool {
-        let window = self.window;
-        let (percent, slack) = (self.percent, self.slack_share());
-        let usage = self.used.entry(destination.clone()).or_default();
-        remove_older(&mut usage.requests, now, window);
-        remove_older(&mut usage.retries, now, window);
-        let has_room = (usage.retries.len() as u64) < usage.allowed(percent, slack);
-        if has_room {
-            usage.retries.push_back(now);
+    /// Returns this process's share of the slack.
+    fn slack_units(&self) -> SlackUnits {
+        let share = self.hosts.map_or(0, |hosts| {
+            u64::from(self.slack) * UNITS_PER_RETRY / hosts.get() * SHARED_PERCENT_USED / 100
+        });
+        let saved = share * SLACK_PERCENT_SAVED / 100;
+        SlackUnits { saved, earned: share - saved }
+    }
+}
+
+/// The two parts of a process's share of the slack.
+#[derive(Clone, Copy, Debug)]
+struct SlackUnits {
+    /// What can be saved.
+    saved: u64,
+    /// What is earned within a window.
+    earned: u64,
+}
+
+impl Savings {
+    const fn new(now: Time) -> Self {
+        Self { units: 0, refilled_at: now, requests: VecDeque::new() }
+    }
+
+    /// Returns what has been earned since the last call, at a rate of `per_window` units.
+    fn earn(&mut self, now: Time, per_window: u64, window: Duration) -> u64 {
+        let window_us = window.as_micros().max(1);
+        let elapsed_us = now.since(self.refilled_at).as_micros();
+        let earned = u128::from(per_window) * elapsed_us / window_us;
+        if earned > 0 {
+            self.refilled_at = now;
         }
-        has_room
+        u64::try_from(earned).unwrap_or(u64::MAX)
     }
 }
 
-fn remove_older(times: &mut VecDeque<Time>, now: Time, window: Duration) {
-    while times.front().is_some_and(|time| time.after(window).is_due(now)) {
+fn remove_older(times: &mut VecDeque<Time>, now: Time, age: Duration) {
+    while times.front().is_some_and(|time| time.after(age).is_due(now)) {
         times.pop_front();
     }
 }
--- a/crates/skylarkshore-core/tests/serving/retry_budget.rs
+++ b/crates/skylarkshore-core/tests/serving/retry_budget.rs
@@ -18,13 +18,14 @@
     RetryLimits::Shared { percent: PERCENT, slack: SLACK, window: Duration::from_secs(10) };
 
 /// A model with its home and the owner of that engine, as in the deployment of [`Process`].
-struct Place {
-    model: &'static str,
-    engine: &'static str,
-    owner: &'static str,
+#[derive(Clone, Copy)]
+struct Place<'a> {
+    model: &'a str,
+    engine: &'a str,
+    owner: &'a str,
 }
 
-const PLACES: [Place; 2] =
+const PLACES: [Place<'static>; 2] =
     [Place { model: "m", engine: "e1", owner: "b" }, Place { model: "n", engine: "e2", owner: "c" }];
 
 fn process() -> Process {
@@ -32,13 +33,13 @@
 }
 
 /// Publishes the state of a model on an engine with room for many requests.
-fn publish(p: &mut Process, at: &Place, version: u64, readiness: Readiness) {
+fn publish(p: &mut Process, at: &Place<'_>, version: u64, readiness: Readiness) {
     let state = EngineView { concurrency: 64, ..view(at.engine, version, at.model, readiness) };
     p.peer(at.owner, &PeerMessage::View(state));
 }
 
 /// Sends requests whose callers wait for two minutes.
-fn arrive(p: &mut Process, at: &Place, ids: Range<u64>) {
+fn arrive(p: &mut Process, at: &Place<'_>, ids: Range<u64>) {
     for id in ids {
         let mut patient = arrival(p, model(at.model), 1);
         patient.deadline = p.now.after(Duration::from_mins(2));
@@ -87,3 +88,36 @@
     let sent = p.take_sent().len();
     assert!(sent <= allowed(20), "{sent} retries are sent at once, {} are allowed", allowed(20));
 }
+
+/// Guards against retries for many models that wait for longer than a window and are sent together.
+#[test]
+fn retries_that_waited_for_many_models_keep_to_the_budget_when_they_are_sent() {
+    const ROUNDS: u64 = 8;
+    let mut p = process();
+    let known = p.document.catalogue.models[&name("m")].clone();
+    let names: Vec<String> = (0..ROUNDS).map(|round| format!("m-{round}")).collect();
+    for added in &names {
+        p.document.catalogue.models.insert(name(added), known.clone());
+    }
+    p.advance(20_000);
+    for (round, model) in (0..).zip(&names) {
+        let at = Place { model, ..PLACES[0] };
+        publish(&mut p, &at, 100 * round + 1, Readiness::Ready);
+        arrive(&mut p, &at, 10 * round..10 * round + 10);
+        // The next view of the engine doesn't list this model any more.
+        let sent = p.take_sent();
+        publish(&mut p, &PLACES[0], 100 * (round + 1), Readiness::Ready);
+        for sent in sent {
+            p.end(sent.attempt, AttemptOutcome::Lost { passed_on: false, died: false });
+        }
+        p.advance(3000);
+    }
+    let mut all = view(PLACES[0].engine, 10_000, "m", Readiness::Ready);
+    all.concurrency = 64;
+    all.models.extend(names.iter().flat_map(|model| view("e1", 1, model, Readiness::Ready).models));
+    p.peer(PLACES[0].owner, &PeerMessage::View(all));
+    let sent = p.take_sent().len();
+    // Rounds of the last ten seconds.
+    let recent = 40;
+    assert!(sent <= allowed(recent), "{sent} retries are sent at once, {} are allowed", allowed(recent));
+}
