Count retries that wait as saved until they are sent

Evidence: ten requests each for eight models fail within 24 s and wait; when the models are back, 21 retries are sent at once, 18 are allowed.

Fix: a retry that was granted takes up room among the savings until it is sent, so that no others are saved in its place; one that isn't sent is given back.

--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -403,6 +403,9 @@
         self.suspects.waiting.remove(&queue::QueuePosition::of(id, &request));
         self.end_isolation(cx, id);
         self.settle_credit(cx, id, &request);
+        if let Some(destination) = &request.unsent_retry {
+            self.budget.give_back(destination);
+        }
         Some(request)
     }
 }
--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -258,6 +258,9 @@
         let is_granted = self.budget.try_spend(cx.now, destination);
         let event = if is_granted { "retry_granted" } else { "retry_denied" };
         cx.log_decision(id, event, self.budget.describe(destination));
+        if is_granted && let Some(request) = self.requests.get_mut(&id) {
+            request.unsent_retry = Some(destination.clone());
+        }
         is_granted
     }
 
--- a/crates/skylarkshore-core/src/serving/budget.rs
+++ b/crates/skylarkshore-core/src/serving/budget.rs
@@ -70,6 +70,20 @@
         }
     }
 
+    /// Records that a retry that was taken is sent.
+    pub(super) fn record_sent(&mut self, destination: &Destination) {
+        if let Self::Shared(budget) = self {
+            budget.release(destination);
+        }
+    }
+
+    /// Gives a retry back that was taken and isn't sent.
+    pub(super) fn give_back(&mut self, destination: &Destination) {
+        if let Self::Shared(budget) = self {
+            budget.give_back(destination);
+        }
+    }
+
     /// Describes what is left for a destination, for the log.
     pub(super) fn describe(&self, destination: &Destination) -> String {
         match self {
@@ -140,6 +154,8 @@
 struct Savings {
     units: u64,
     refilled_at: Time,
+    /// Retries that were taken and wait to be sent; they count as saved.
+    unsent: u64,
     /// The latest requests, which limit what can be saved.
     requests: VecDeque<Time>,
 }
@@ -157,18 +173,31 @@
         let is_enough = savings.units >= UNITS_PER_RETRY;
         if is_enough {
             savings.units -= UNITS_PER_RETRY;
+            savings.unsent += 1;
         }
         is_enough
     }
 
+    fn release(&mut self, destination: &Destination) {
+        if let Some(savings) = self.savings.get_mut(destination) {
+            savings.unsent = savings.unsent.saturating_sub(1);
+        }
+    }
+
+    fn give_back(&mut self, destination: &Destination) {
+        self.release(destination);
+        if let Some(savings) = self.savings.get_mut(destination) {
+            savings.units += UNITS_PER_RETRY;
+        }
+    }
+
     fn describe(&self, destination: &Destination) -> String {
         let service = destination.as_ref().map_or("none", ServiceName::as_str);
         let hosts = self.hosts.map_or(0, MemberCount::get);
-        let (left, requests) = self
-            .savings
-            .get(destination)
-            .map_or((0, 0), |savings| (savings.units / UNITS_PER_RETRY, savings.requests.len()));
-        format!("service={service} left={left} recent_requests={requests} hosts={hosts}")
+        let (left, unsent, requests) = self.savings.get(destination).map_or((0, 0, 0), |savings| {
+            (savings.units / UNITS_PER_RETRY, savings.unsent, savings.requests.len())
+        });
+        format!("service={service} left={left} unsent={unsent} recent_requests={requests} hosts={hosts}")
     }
 
     /// Returns the savings after adding what the time since the last call has earned, and dropping what
@@ -178,6 +207,7 @@
         let savings = self.savings.entry(destination.clone()).or_insert_with(|| Savings::new(now));
         remove_older(&mut savings.requests, now, SAVING_TIME);
         let most = slack.saved + per_request * savings.requests.len() as u64;
+        let most = most.saturating_sub(savings.unsent * UNITS_PER_RETRY);
         savings.units = savings.units.saturating_add(savings.earn(now, slack.earned, window)).min(most);
         savings
     }
@@ -208,7 +238,7 @@
 
 impl Savings {
     const fn new(now: Time) -> Self {
-        Self { units: 0, refilled_at: now, requests: VecDeque::new() }
+        Self { units: 0, refilled_at: now, unsent: 0, requests: VecDeque::new() }
     }
 
     /// Returns what has been earned since the last call, at a rate of `per_window` units.
--- a/crates/skylarkshore-core/src/serving/disposition.rs
+++ b/crates/skylarkshore-core/src/serving/disposition.rs
@@ -56,6 +56,9 @@
         if request.occupied_upstream() != Some(&upstream) {
             self.routes.occupy_slot(&upstream);
         }
+        if let Some(destination) = request.unsent_retry.take() {
+            self.budget.record_sent(&destination);
+        }
         let attempt = cx.next_attempt();
         let waited = cx.now.since(request.arrived).as_millis();
         let load = self.routes.load_summary(cx, &upstream);
--- a/crates/skylarkshore-core/src/serving/request.rs
+++ b/crates/skylarkshore-core/src/serving/request.rs
@@ -7,6 +7,7 @@
 use crate::event::{Arrival, Repeat};
 use crate::id::{AttemptId, Digest, Incarnation, RequestId, UpstreamId};
 use crate::rules::ServiceOrder;
+use crate::serving::budget::Destination;
 use crate::store::RecordedAnswer;
 use crate::time::Time;
 
@@ -127,6 +128,8 @@
     pub(super) caller: Caller,
     /// Whether its client account's credit has been granted.
     pub(super) has_credit: bool,
+    /// Whose budget a retry was taken from that hasn't been sent yet.
+    pub(super) unsent_retry: Option<Destination>,
 }
 
 impl Request {
@@ -157,6 +160,7 @@
             passed_on: false,
             caller: Caller::Waiting,
             has_credit: false,
+            unsent_retry: None,
         }
     }
 
