Cut hosts off from all upstreams in given time, and judge how their callers fare

The given-time world takes the links between hosts and all upstreams away: connections hang, are reset, or live on while new ones are refused.

--- a/crates/skylarkshore-standins/src/world.rs
+++ b/crates/skylarkshore-standins/src/world.rs
@@ -12,6 +12,7 @@
 mod fault;
 mod host;
 mod meter;
+mod partitions;
 mod retries;
 mod schedule;
 mod service;
@@ -33,6 +34,7 @@
 
 use execute::{AttemptKey, CallKey, OpenAttempt};
 use host::Host;
+use partitions::{HostCut, Partitions};
 use retries::RetryLedger;
 use schedule::{Schedule, Task};
 use service::ServiceReplica;
@@ -42,6 +44,7 @@
 pub use engine::Engine;
 pub use fault::{Faults, NoFaults, Planned, Strike, StrikeAt};
 pub use meter::{Count, Meter};
+pub use partitions::LinkLoss;
 pub use store::{Store, StoreMode};
 pub use violation::Violation;
 
@@ -95,6 +98,7 @@
     /// Upstreams that reject all requests.
     overloaded: OrderedSet<UpstreamId>,
     retries: RetryLedger,
+    partitions: Partitions,
     runs: u64,
     /// Whether effects are counted, which slows the simulation.
     pub metered: bool,
@@ -138,6 +142,7 @@
             open_calls: OrderedSet::new(),
             overloaded: OrderedSet::new(),
             retries: RetryLedger::default(),
+            partitions: Partitions::default(),
             runs: 0,
             metered: false,
             store: Store::default(),
@@ -250,6 +255,15 @@
         self.hosts[h].peers_unreachable_until = until;
     }
 
+    /// Cuts hosts off from all upstreams until `until`.
+    pub fn cut_upstreams(&mut self, hosts: &[usize], loss: LinkLoss, until: Time) {
+        self.partitions.record(hosts, self.now, until);
+        for h in hosts {
+            self.hosts[*h].upstreams_cut = Some(HostCut { loss, until });
+            self.break_attempts(*h, loss);
+        }
+    }
+
     /// Sets the mode of the key-value service; an outage breaks every watch.
     pub fn set_store_mode(&mut self, mode: StoreMode) {
         self.store.mode = mode;
@@ -378,6 +392,7 @@
                 self.notify_watchers();
                 self.schedule.add(self.now.after(LEASE_CHECK_INTERVAL), Task::ExpireLeases);
             }
+            Task::AttemptFails { from, attempt, end } => self.attempt_ended(from, attempt, end),
             Task::StoreUp => self.set_store_mode(StoreMode::Up),
             Task::StoreTimeout { from, call } => self.store_answered(from, call, Err(StoreFailure::Unknown)),
             Task::Crash { engine } => self.crash_and_restart(&engine),
@@ -445,10 +460,13 @@
     }
 
     /// Runs the final checks: every request of a running process that is due must have its final answer,
-    /// and the retries must have kept to the shared budget.
+    /// the retries must have kept to the shared budget, and hosts that were cut off from the upstreams must
+    /// have served their callers.
     pub fn finish(&mut self) {
         self.checks.check_at_end(self.now, &self.callers);
-        for violation in self.retries.violations(self.setup.limits.retries, &self.callers) {
+        let retries = self.retries.violations(self.setup.limits.retries, &self.callers);
+        let partitions = self.partitions.violations(&self.callers);
+        for violation in retries.into_iter().chain(partitions) {
             self.checks.report(violation.at, violation.what);
         }
     }
--- a/crates/skylarkshore-standins/src/world/execute.rs
+++ b/crates/skylarkshore-standins/src/world/execute.rs
@@ -14,6 +14,7 @@
 use super::callers::{FinalAnswer, RequestKey};
 use super::engine::{Engine, Run};
 use super::fault::Strike;
+use super::partitions::LinkLoss;
 use super::schedule::{RunId, Sender, SentCall, SentOrder, SentRequest, Task};
 use super::store::StoreMode;
 use super::{HostNote, LATENCY, World};
@@ -31,6 +32,19 @@
 /// Time to first token.
 const FIRST_TOKEN: Duration = Duration::from_millis(50);
 
+/// How long a host waits for a connection to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// How long sent bytes may stay unacknowledged.
+const ACK_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Returns how long a host waits for a connection that can't be opened.
+const fn connect_failure_time(loss: LinkLoss) -> Duration {
+    match loss {
+        LinkLoss::Hangs => CONNECT_TIMEOUT,
+        LinkLoss::Resets | LinkLoss::RefusesNew => LATENCY,
+    }
+}
+
 /// Returns the outcome of a run whose upstream or answer is lost.
 pub(crate) const fn lost_outcome(run: &Run, died: bool) -> AttemptOutcome {
     AttemptOutcome::Lost { passed_on: run.started && !run.sent.hold, died }
@@ -89,7 +103,7 @@
             Effect::Peer(envelope) => self.send_to_peer(h, envelope, fault),
             Effect::Probe { host, incarnation, .. } => self.probe(from, host, incarnation),
             Effect::Order { upstream, order, fence, not_after, action, .. } => {
-                if not_after < self.now {
+                if not_after < self.now || self.hosts[h].link_loss(self.now).is_some() {
                     let event = Event::Order { upstream, order, answer: OrderAnswer::NotSent };
                     return self.send_event(from, event);
                 }
@@ -102,6 +116,10 @@
                 self.send(fault, Task::Order(sent));
                 self.crash_upstream_if_planned(&upstream, fault);
             }
+            Effect::RequestReport { upstream } if self.hosts[h].link_loss(self.now).is_some() => {
+                let event = Event::Report { upstream, asked: self.now, report: None };
+                self.schedule.add(self.now.after(REPORT_TIMEOUT), Task::Event { to: from, event });
+            }
             Effect::RequestReport { upstream } => {
                 self.send(fault, Task::ReportRequest { from, engine: upstream, asked: self.now });
             }
@@ -112,7 +130,10 @@
                 self.schedule.add(deadline, Task::AttemptTimeout { from, attempt });
                 self.attempts
                     .insert(AttemptKey::new(from, attempt), OpenAttempt { request, delivered: false });
-                if fault == Strike::Lose {
+                if let Some(loss) = self.hosts[h].send_failure(self.now) {
+                    let at = self.now.after(connect_failure_time(loss));
+                    self.schedule.add(at, Task::AttemptFails { from, attempt, end: AttemptOutcome::NotSent });
+                } else if fault == Strike::Lose {
                     let end = AttemptOutcome::Lost { passed_on: false, died: false };
                     self.attempt_ended(from, attempt, end);
                 } else {
@@ -155,6 +176,22 @@
         }
     }
 
+    /// Ends the attempts of a host whose connections to upstreams are lost.
+    pub(crate) fn break_attempts(&mut self, h: usize, loss: LinkLoss) {
+        if loss == LinkLoss::RefusesNew {
+            return;
+        }
+        let from = self.hosts[h].sender();
+        let open: Vec<AttemptId> =
+            self.attempts.keys().filter(|key| key.is_of(from)).map(|key| key.attempt).collect();
+        let after = if loss == LinkLoss::Hangs { ACK_TIMEOUT } else { LATENCY };
+        for attempt in open {
+            let passed_on = self.stop_runs(from, attempt).iter().any(|run| run.started && !run.sent.hold);
+            let end = AttemptOutcome::Lost { passed_on, died: true };
+            self.schedule.add(self.now.after(after), Task::AttemptFails { from, attempt, end });
+        }
+    }
+
     fn stop_runs(&mut self, from: Sender, attempt: AttemptId) -> Vec<Run> {
         let now = self.now;
         self.engines.values_mut().flat_map(|engine| engine.cancel(from, attempt, now)).collect()
@@ -389,7 +426,7 @@
         self.attempt_ended(run.sent.from, run.sent.attempt, end);
     }
 
-    fn attempt_ended(&mut self, from: Sender, attempt: AttemptId, end: AttemptOutcome) {
+    pub(crate) fn attempt_ended(&mut self, from: Sender, attempt: AttemptId, end: AttemptOutcome) {
         let Some(OpenAttempt { request, .. }) = self.attempts.remove(&AttemptKey::new(from, attempt)) else {
             return;
         };
@@ -420,6 +457,10 @@
     const fn new(from: Sender, attempt: AttemptId) -> Self {
         Self { host: from.host, life: from.life, attempt }
     }
+
+    fn is_of(&self, sender: Sender) -> bool {
+        self.host == sender.host && self.life == sender.life
+    }
 }
 
 /// An attempt in progress.
--- a/crates/skylarkshore-standins/src/world/host.rs
+++ b/crates/skylarkshore-standins/src/world/host.rs
@@ -14,9 +14,13 @@
 
 use super::callers::RequestKey;
 use super::meter::Meter;
+use super::partitions::{HostCut, LinkLoss};
 use super::schedule::Sender;
 use super::{HostSetup, Setup};
 
+/// One in so many requests finds a connection that is open.
+const KEPT_CONNECTION_EVERY: u32 = 4;
+
 /// Effects and events that a paused process handles once it resumes.
 #[derive(Debug, Default)]
 pub(crate) struct Pause {
@@ -35,6 +39,8 @@
     pub(crate) exited: bool,
     pub(crate) store_unreachable_until: Time,
     pub(crate) peers_unreachable_until: Time,
+    pub(crate) upstreams_cut: Option<HostCut>,
+    sends_while_cut: u32,
     pub(crate) meter: Meter,
     pause: Option<Pause>,
     requests: u64,
@@ -66,12 +72,27 @@
             exited: false,
             store_unreachable_until: Time::START,
             peers_unreachable_until: Time::START,
+            upstreams_cut: None,
+            sends_while_cut: 0,
             meter: Meter::default(),
             pause: None,
             requests: 0,
         }
     }
 
+    /// Returns how the links to the upstreams are lost, if they are.
+    pub(crate) fn link_loss(&self, now: Time) -> Option<LinkLoss> {
+        self.upstreams_cut.filter(|cut| !cut.until.is_due(now)).map(|cut| cut.loss)
+    }
+
+    /// Returns how a request that is sent now fails, if it does.
+    pub(crate) fn send_failure(&mut self, now: Time) -> Option<LinkLoss> {
+        let loss = self.link_loss(now)?;
+        self.sends_while_cut += 1;
+        let is_on_kept_connection = self.sends_while_cut.is_multiple_of(KEPT_CONNECTION_EVERY);
+        (loss != LinkLoss::RefusesNew || !is_on_kept_connection).then_some(loss)
+    }
+
     pub(crate) const fn sender(&self) -> Sender {
         Sender { host: self.index, life: self.life }
     }
--- a/crates/skylarkshore-standins/src/world/schedule.rs
+++ b/crates/skylarkshore-standins/src/world/schedule.rs
@@ -1,7 +1,7 @@
 //! Scheduled tasks of the simulation, ordered by time. Start with [`Schedule`].
 
 use skylarkshore_core::collections::OrderedMap;
-use skylarkshore_core::event::Event;
+use skylarkshore_core::event::{AttemptOutcome, Event};
 use skylarkshore_core::id::{
     AttemptId, CallId, Fence, Incarnation, ModelName, OrderId, RequestId, UpstreamId,
 };
@@ -68,6 +68,7 @@
     ReportRequest { from: Sender, engine: UpstreamId, asked: Time },
     StartRun(SentRequest),
     AttemptTimeout { from: Sender, attempt: AttemptId },
+    AttemptFails { from: Sender, attempt: AttemptId, end: AttemptOutcome },
     LoadDone { engine: UpstreamId, incarnation: Incarnation, model: ModelName },
     RunStarted { upstream: UpstreamId, run: RunId },
     RunDone { upstream: UpstreamId, run: RunId },
--- /dev/null
+++ b/crates/skylarkshore-standins/tests/world/cut_off_hosts.rs
@@ -0,0 +1,84 @@
+//! Hosts that lose their links to all upstreams while callers and peers still reach them.
+
+use std::time::Duration;
+
+use skylarkshore_core::config::RetryLimits;
+use skylarkshore_core::event::{Repeat, Target};
+use skylarkshore_core::upstream::UpstreamKind;
+use skylarkshore_standins::world::{Ask, LinkLoss, NoFaults, Setup, World};
+
+use crate::support::{MODELS, ask_model, ask_once, assert_sound, at_secs, name, setup, upstream, world};
+
+const HOSTS: usize = 9;
+const REPLICAS: usize = 3;
+/// When the requests that load the models are sent.
+const BEGIN_SECS: u64 = 10;
+/// When the cut begins; all models are loaded by then.
+const CUT_SECS: u64 = 40;
+const CUT_TIME: Duration = Duration::from_secs(12);
+const REQUEST_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Returns a setup whose hosts share the retry budget of the users' sites.
+fn cut_setup(seed: u64) -> Setup {
+    let mut setup = setup(HOSTS, seed);
+    let replica = |i| upstream(&format!("market-{i}"), i, UpstreamKind::Service(name("market")));
+    setup.upstreams.extend((2..REPLICAS).map(replica));
+    setup.limits.attempts = 4;
+    setup.limits.retries = RetryLimits::Shared { percent: 20, slack: 58, window: Duration::from_secs(10) };
+    setup.timings.engine_timeout = Duration::from_secs(3);
+    setup
+}
+
+/// Sends requests for models and a service to all hosts in turn.
+fn ask_in_turn(world: &mut World, until: u64) {
+    let first = world.callers.requests.len() as u64;
+    for number in first.. {
+        if world.now() >= at_secs(until) {
+            return;
+        }
+        let place = usize::try_from(number).expect("the number is small");
+        let ask = if number.is_multiple_of(2) {
+            Ask {
+                target: Target::Service(name("market")),
+                repeat: Repeat::Allowed,
+                run_time: Duration::from_millis(20),
+                ..ask_once(number, number)
+            }
+        } else {
+            Ask { run_time: Duration::from_millis(100), ..ask_model(MODELS[place / 2 % 2], number) }
+        };
+        world.ask(place % HOSTS, &Ask { timeout: Duration::from_secs(4), ..ask });
+        world.run_for(REQUEST_INTERVAL);
+    }
+}
+
+/// Cuts hosts off twice and checks what their callers see.
+fn play(seed: u64, hosts: &[usize], loss: LinkLoss) {
+    let mut world = world(cut_setup(seed), NoFaults);
+    world.run_until(at_secs(BEGIN_SECS));
+    ask_in_turn(&mut world, CUT_SECS);
+    world.cut_upstreams(hosts, loss, world.now().after(CUT_TIME));
+    ask_in_turn(&mut world, CUT_SECS + 30);
+    world.cut_upstreams(hosts, loss, world.now().after(CUT_TIME));
+    ask_in_turn(&mut world, CUT_SECS + 50);
+    world.run_for(Duration::from_secs(5));
+    assert_sound(&mut world, HOSTS);
+}
+
+/// Guards against hosts that refuse callers for as long as their connections to upstreams hang.
+#[test]
+fn callers_of_hosts_whose_links_to_upstreams_hang_are_served() {
+    play(1, &[0, 1, 2, 3, 4, 5], LinkLoss::Hangs);
+}
+
+/// Guards against hosts that refuse callers for as long as upstreams refuse their connections.
+#[test]
+fn callers_of_hosts_whose_links_to_upstreams_are_reset_are_served() {
+    play(2, &[0, 1, 2, 3, 4, 5], LinkLoss::Resets);
+}
+
+/// Guards against hosts that take themselves for connected while old connections live on.
+#[test]
+fn callers_of_hosts_that_can_open_no_connections_to_upstreams_are_served() {
+    play(3, &[0, 3, 6], LinkLoss::RefusesNew);
+}
