Reach upstreams through a peer while a host's own links to them are lost

Cause: each host has a single way to an upstream, its own connection. One that reaches none still takes requests, tries up to four upstreams within milliseconds, and refuses. Its peers, which it reaches, were no way around. The class is a part that judges others by its own view: to such a host all upstreams look dead.

Ruled out: leaving the entry list and asking callers to go. A third of the callers keep a list for three times as long, requests on kept connections fail until their callers learn of it, and where most hosts of a data centre are cut off the others would have to take all of their callers.

Fix: when an upstream can't be reached, a few others are probed with new connections, at most once a second. If three fail, those upstreams (all, if none answers) count as lost to this host, and requests and reports go through a peer, on a stream of the connection that both have anyway; the peer connects to an upstream on its own list and copies bytes. Lost links are probed each second and used again as soon as one opens. A host that reaches few upstreams says so to its peers; one that has no peer left refuses at once. Orders to engines are not relayed: the platform counts the machine that they come from, and two would take turns.

An attempt that no peer relayed is tried at another and costs no retry, as no upstream received it.

--- a/crates/skylarkshore-core/src/effect.rs
+++ b/crates/skylarkshore-core/src/effect.rs
@@ -182,6 +182,14 @@
     RequestReport {
         /// The engine.
         upstream: UpstreamId,
+        /// The peer that relays the request while this host has lost its own links to the upstreams.
+        via: Option<HostId>,
+    },
+    /// Check whether a new connection to an upstream can be opened; answered by
+    /// [`Event::UpstreamProbed`](crate::Event::UpstreamProbed).
+    ProbeUpstream {
+        /// The upstream.
+        upstream: UpstreamId,
     },
     /// Send a request to an upstream and forward its answer; answered by
     /// [`Event::AttemptEnded`](crate::Event::AttemptEnded).
@@ -205,6 +213,8 @@
         /// Whether to buffer an answer that reports a failure of the upstream instead of forwarding it,
         /// because another upstream may be tried.
         keep_failure: bool,
+        /// The peer that relays the attempt while this host has lost its own links to the upstreams.
+        via: Option<HostId>,
     },
     /// Forward the buffered failure answer of a request's last attempt.
     ForwardHeldAnswer {
--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -109,6 +109,8 @@
     CompletedWithFailure,
     /// No part of the request reached the upstream.
     NotSent,
+    /// The peer that should relay the attempt doesn't; no part of the request was sent.
+    NoPath,
     /// The upstream rejected the request without running it.
     Rejected(Rejection),
     /// The connection broke, the answer was truncated or the deadline passed.
@@ -128,6 +130,7 @@
             Self::CompletedTooLarge => "whole_too_large",
             Self::CompletedWithFailure => "failed",
             Self::NotSent => "not_sent",
+            Self::NoPath => "no_path",
             Self::Rejected(Rejection::NotLoaded) => "rejected_not_loaded",
             Self::Rejected(Rejection::Busy) => "rejected_busy",
             Self::Rejected(Rejection::Leaving) => "rejected_leaving",
@@ -273,6 +276,13 @@
         /// The request.
         request: RequestId,
     },
+    /// An [`Effect::ProbeUpstream`](crate::Effect::ProbeUpstream) ended.
+    UpstreamProbed {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Whether the connection was opened.
+        reached: bool,
+    },
     /// An upstream reported its load with an answer.
     LoadReported {
         /// The upstream.
--- a/crates/skylarkshore-core/src/lib.rs
+++ b/crates/skylarkshore-core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod time;
 pub mod units;
 pub mod upstream;
+mod upstream_paths;
 pub mod view;
 
 pub use config::NodeConfig;
--- a/crates/skylarkshore-core/src/loading/engine/orders.rs
+++ b/crates/skylarkshore-core/src/loading/engine/orders.rs
@@ -66,7 +66,7 @@
         };
         self.next_poll = cx.now.after(every);
         self.unanswered_since.get_or_insert(cx.now);
-        cx.push(Effect::RequestReport { upstream: self.id.clone() });
+        cx.push(Effect::RequestReport { upstream: self.id.clone(), via: None });
     }
 
     /// Reports whether the engine is idle: no requests, no pending orders, no subscribed host.
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -17,7 +17,7 @@
 use crate::dump::{DumpEntry, Gauge};
 use crate::effect::Effect;
 use crate::event::Event;
-use crate::id::{CallId, HostId, StoreRevision};
+use crate::id::{CallId, HostId, StoreRevision, UpstreamId};
 use crate::loading::Loading;
 use crate::peer::{Envelope, PeerMessage};
 use crate::removal_grace::RemovalGrace;
@@ -27,7 +27,8 @@
     Key, RecordBatch, StoreAnswer, StoreCache, StoreResult, Versioned, WriteOutcome, WriteQueue, WriteRequest,
 };
 use crate::time::Time;
-use crate::upstream::{UpstreamChanges, UpstreamList};
+use crate::upstream::{Upstream, UpstreamChanges, UpstreamList};
+use crate::upstream_paths::UpstreamPaths;
 
 /// State machine of one process.
 #[derive(Debug)]
@@ -44,6 +45,7 @@
     control: Control,
     loading: Loading,
     serving: Serving,
+    paths: UpstreamPaths,
     shutdown: Shutdown,
 }
 
@@ -66,6 +68,7 @@
     control: &'a mut Control,
     loading: &'a mut Loading,
     serving: &'a mut Serving,
+    paths: &'a mut UpstreamPaths,
 }
 
 impl Node {
@@ -83,6 +86,7 @@
             control: Control::new(&cfg),
             loading: Loading::new(&cfg),
             serving: Serving::new(&cfg),
+            paths: UpstreamPaths::new(),
             shutdown: Shutdown::NotRequested,
             cfg,
         };
@@ -94,9 +98,23 @@
     /// Handles an event and returns the effects to execute.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
+        let switched = self.with_cx(now, &mut effects, |cx, parts| parts.paths.observe(cx, &event));
         self.dispatch(now, event, &mut effects);
+        if switched.is_some() {
+            self.with_cx(now, &mut effects, |cx, parts| parts.serving.on_paths_switched(cx));
+        }
         self.apply_ownership_changes(now, &mut effects);
         self.deliver_messages_to_self(now, &mut effects);
+        self.choose_paths(now, effects)
+    }
+
+    /// Chooses the way of all effects that concern upstreams.
+    fn choose_paths(&mut self, now: Time, mut effects: Vec<Effect>) -> Vec<Effect> {
+        self.with_cx(now, &mut Vec::new(), |cx, parts| {
+            for effect in &mut effects {
+                parts.paths.route(cx, effect);
+            }
+        });
         effects
     }
 
@@ -125,6 +143,12 @@
         self.shutdown != Shutdown::NotRequested
     }
 
+    /// Returns an upstream to which this host can relay connections of its peers: one that is listed and
+    /// that it reaches directly.
+    pub fn relay_target(&self, id: &UpstreamId) -> Option<&Upstream> {
+        self.upstreams.get(id).filter(|_| self.paths.reaches_directly(id))
+    }
+
     /// Reports whether the process has a document and upstreams and isn't shutting down.
     pub fn is_ready(&self) -> bool {
         !self.is_leaving() && self.document.is_configured() && !self.upstreams.is_empty()
@@ -219,6 +243,8 @@
             Event::CallerGone { request } => {
                 self.with_cx(now, effects, |cx, parts| parts.serving.on_caller_gone(cx, request));
             }
+            // The paths have handled it.
+            Event::UpstreamProbed { .. } => {}
             Event::LoadReported { upstream, load } => {
                 self.with_cx(now, effects, |cx, parts| parts.serving.on_load_reported(cx, &upstream, load));
             }
@@ -271,6 +297,8 @@
         self.with_cx(now, effects, |cx, parts| {
             parts.control.on_tick(cx, &*parts.loading);
             parts.loading.on_tick(cx, &*parts.control);
+            let is_stranded = parts.paths.is_stranded(cx);
+            parts.serving.set_stranded(cx, is_stranded);
             parts.serving.on_tick(cx);
         });
         self.exit_when_done(now, effects);
@@ -329,6 +357,10 @@
             self.apply_batch(now, from, batch, effects);
             return;
         }
+        if let PeerMessage::UpstreamsReached { reached } = message {
+            self.with_cx(now, effects, |cx, parts| parts.paths.on_notice(cx, from, reached));
+            return;
+        }
         // Only the platform adapter can decode news; the changes return in `Event::Watched`.
         if let PeerMessage::News(news) = &message {
             effects.push(Effect::ApplyNews(news.clone()));
@@ -453,6 +485,7 @@
             control: &mut self.control,
             loading: &mut self.loading,
             serving: &mut self.serving,
+            paths: &mut self.paths,
         };
         let value = f(&mut cx, parts);
         for req in std::mem::take(cx.writes) {
--- a/crates/skylarkshore-core/src/peer.rs
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -238,6 +238,11 @@
         /// Number of permits.
         count: u32,
     },
+    /// Whether the sender reaches most upstreams directly; otherwise it is little use as a relay.
+    UpstreamsReached {
+        /// Whether it does.
+        reached: bool,
+    },
     /// Acknowledges requests that were reported as lost with an incarnation of an upstream.
     LossesNoted {
         /// The upstream.
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -100,6 +100,8 @@
     /// Whether callers have been redirected to other hosts, so that no request may wait any
     /// longer.
     is_closed: bool,
+    /// Whether this host reaches no upstream, neither directly nor through a peer.
+    is_stranded: bool,
 }
 
 impl Serving {
@@ -122,6 +124,7 @@
             counters: RequestCounters::default(),
             housekeeping_due: Time::START,
             is_closed: false,
+            is_stranded: false,
         }
     }
 
@@ -234,6 +237,20 @@
         self.budget.record_host_count(cx.now, cx.cache.members().count());
     }
 
+    /// Tries upstreams again that failed before this host's links to them were lost, or came back.
+    pub(crate) fn on_paths_switched(&mut self, cx: &mut Cx<'_>) {
+        self.routes.clear_all_backoffs();
+        self.dispatch_waiting(cx);
+    }
+
+    /// Refuses requests for as long as this host reaches no upstream, neither directly nor through a peer.
+    pub(crate) fn set_stranded(&mut self, cx: &mut Cx<'_>, is_stranded: bool) {
+        if is_stranded && !self.is_stranded {
+            self.refuse_queued(cx, &RefusalReason::NoUpstream, attempt::RETRY_AFTER);
+        }
+        self.is_stranded = is_stranded;
+    }
+
     /// Handles changes to upstreams on the host list.
     pub fn on_host_list(&mut self, cx: &mut Cx<'_>, touched: &[UpstreamId]) {
         self.routes.on_host_list(cx, touched);
--- a/crates/skylarkshore-core/src/serving/arrival.rs
+++ b/crates/skylarkshore-core/src/serving/arrival.rs
@@ -8,6 +8,7 @@
 use crate::id::{RequestId, UpstreamId};
 use crate::rules::{RuleInput, ServiceOrder};
 use crate::serving::Serving;
+use crate::serving::attempt::RETRY_AFTER;
 use crate::serving::budget::Destination;
 use crate::serving::disposition::Disposition;
 use crate::serving::once::{ClaimProgress, LocalUse};
@@ -51,6 +52,11 @@
         self.timers.insert(Due { at: first_byte_deadline, request: id });
         match rules_result {
             Ok(_) if deadline.is_due(cx.now) => self.refuse_late(cx, id),
+            Ok(_) if self.is_stranded => {
+                let reason = RefusalReason::NoUpstream;
+                let disposition = Disposition::Refuse { reason, retry_after: Some(RETRY_AFTER) };
+                self.apply_disposition(cx, id, disposition);
+            }
             Ok(_) => self.request_credit(cx, id),
             Err(reason) => self.apply_disposition(cx, id, Disposition::Refuse { reason, retry_after: None }),
         }
--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -21,11 +21,13 @@
 /// idempotency key.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(300);
 /// Retry delay after all attempts have failed.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// What another attempt costs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RetryCost {
+    /// Nothing under any budget: no upstream received the request.
+    Unsent,
     /// Nothing: the upstream stated that it did nothing, and why.
     Free,
     /// One retry from the budget.
@@ -62,6 +64,7 @@
             AttemptOutcome::CompletedTooLarge => self.on_completed(cx, id, &run.upstream, None),
             AttemptOutcome::CompletedWithFailure => self.on_failure_answer(cx, id, &run.upstream),
             AttemptOutcome::NotSent => self.on_not_sent(cx, id, &run.upstream),
+            AttemptOutcome::NoPath => self.on_no_path(cx, id),
             AttemptOutcome::Rejected(rejection) => self.on_rejected(cx, id, &run.upstream, rejection),
             AttemptOutcome::Lost { passed_on, died } => self.on_lost(cx, id, &run, passed_on, died),
         }
@@ -107,6 +110,15 @@
         self.retry(cx, id, RetryCost::Retry);
     }
 
+    /// Sends a request again that a peer didn't relay; the next one is sent through another.
+    fn on_no_path(&mut self, cx: &mut Cx<'_>, id: RequestId) {
+        self.end_isolation(cx, id);
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.set_state(State::Queued, cx.now);
+        }
+        self.retry(cx, id, RetryCost::Unsent);
+    }
+
     fn on_not_sent(&mut self, cx: &mut Cx<'_>, id: RequestId, upstream: &UpstreamId) {
         self.routes.back_off(cx, upstream);
         if let Some(owner) = owner_of(cx, upstream) {
@@ -229,7 +241,11 @@
         let lost = request.history != RunHistory::NeverRan;
         let holds_failure = request.holds_failure;
         let destination = destination(cx, &request.arrival.target);
-        let cost = if self.budget.charges_every_retry() { RetryCost::Retry } else { cost };
+        let is_charged = match cost {
+            RetryCost::Unsent => false,
+            RetryCost::Free => self.budget.charges_every_retry(),
+            RetryCost::Retry => true,
+        };
         if request.queue_deadline().is_due(cx.now) {
             let reason =
                 if lost { RefusalReason::DeadlinePassedRunning } else { RefusalReason::DeadlinePassed };
@@ -240,7 +256,7 @@
             && (!request.passed_on || request.can_resume())
             && request.failures < cx.cfg.limits.attempts
             && request.runs < request.arrival.policy.max_runs;
-        if may_retry && (cost == RetryCost::Free || self.spend_retry(cx, id, &destination)) {
+        if may_retry && (!is_charged || self.spend_retry(cx, id, &destination)) {
             self.counters.retries += 1;
             return self.push_to_queue(cx, id);
         }
--- a/crates/skylarkshore-core/src/serving/disposition.rs
+++ b/crates/skylarkshore-core/src/serving/disposition.rs
@@ -81,6 +81,7 @@
             keep_failure: request.arrival.repeat == Repeat::Allowed
                 && !request.passed_on
                 && request.runs + 1 < request.arrival.policy.max_runs.min(cx.cfg.limits.attempts),
+            via: None,
         });
         let incarnation = cx.upstreams.get(&upstream).map(|listed| listed.incarnation);
         request
--- a/crates/skylarkshore-core/src/serving/routing.rs
+++ b/crates/skylarkshore-core/src/serving/routing.rs
@@ -244,6 +244,11 @@
         self.backoffs.remove(upstream);
     }
 
+    /// Ends all backoffs.
+    pub(super) fn clear_all_backoffs(&mut self) {
+        self.backoffs.clear();
+    }
+
     /// Records that a model isn't on the engine that its owner's last view named.
     pub(super) fn record_missing(&mut self, cx: &mut Cx<'_>, upstream: &UpstreamId, target: &ModelTarget) {
         let until = cx.now.after(cx.jitter(MAX_BACKOFF));
--- a/crates/skylarkshore-core/src/serving/supply.rs
+++ b/crates/skylarkshore-core/src/serving/supply.rs
@@ -111,17 +111,22 @@
 
     /// Refuses every waiting request; another host has to serve them.
     pub(super) fn refuse_waiting(&mut self, cx: &mut Cx<'_>) {
+        self.refuse_queued(cx, &RefusalReason::Leaving, Duration::ZERO);
+    }
+
+    /// Refuses every queued request.
+    pub(super) fn refuse_queued(&mut self, cx: &mut Cx<'_>, reason: &RefusalReason, retry_after: Duration) {
         let mut targets = self.queue.targets();
         targets.extend(self.suspect_targets());
         targets.sort_unstable();
         targets.dedup();
         for target in targets {
             for id in self.waiting_for(&target) {
-                let reason = RefusalReason::Leaving;
+                let reason = reason.clone();
                 self.apply_disposition(
                     cx,
                     id,
-                    Disposition::Refuse { reason, retry_after: Some(Duration::ZERO) },
+                    Disposition::Refuse { reason, retry_after: Some(retry_after) },
                 );
             }
         }
--- a/crates/skylarkshore-host/src/driver.rs
+++ b/crates/skylarkshore-host/src/driver.rs
@@ -5,10 +5,12 @@
 mod effects;
 mod snapshot;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use skylarkshore_core::dump::Gauge;
+use skylarkshore_core::id::UpstreamId;
 use skylarkshore_core::{Effect, Event, Node};
 use skylarkshore_wire::operator::{BeliefWire, StateDump};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -34,6 +36,7 @@
     Event(Box<Event>),
     Dump(oneshot::Sender<StateDump>),
     Gauges(oneshot::Sender<Vec<Gauge>>),
+    RelayTarget(UpstreamId, oneshot::Sender<Option<SocketAddr>>),
 }
 
 /// The sending half of the driver's input queue.
@@ -75,6 +78,13 @@
         rx.await.ok()
     }
 
+    /// Requests the address of an upstream to which this host can relay; `None` if it can't.
+    pub(crate) async fn relay_target(&self, upstream: UpstreamId) -> Option<SocketAddr> {
+        let (tx, rx) = oneshot::channel();
+        self.tx.send(Input::RelayTarget(upstream, tx)).await.ok()?;
+        rx.await.ok().flatten()
+    }
+
     /// Requests the core's gauges; empty if the driver has ended.
     pub(crate) async fn gauges(&self) -> Vec<Gauge> {
         let (tx, rx) = oneshot::channel();
@@ -147,6 +157,10 @@
                 _ = tx.send(self.dump());
                 Step::Continue
             }
+            Input::RelayTarget(upstream, tx) => {
+                _ = tx.send(self.node.relay_target(&upstream).map(|target| target.address));
+                Step::Continue
+            }
             Input::Gauges(tx) => {
                 _ = tx.send(self.node.gauges(self.clock.now()));
                 Step::Continue
--- a/crates/skylarkshore-host/src/driver/effects.rs
+++ b/crates/skylarkshore-host/src/driver/effects.rs
@@ -20,6 +20,7 @@
 use crate::peers::Peers;
 use crate::probe;
 use crate::store::{BoxFuture, ChangeBatch, Store, WatchSink};
+use crate::upstream_path::UpstreamPath;
 use crate::upstreams::{Dispatch, Upstreams};
 
 /// Executes the core's effects.
@@ -100,9 +101,13 @@
                 let engine = upstreams.get(&upstream).cloned();
                 self.order(upstream, engine, EngineOrder { order, fence, not_after, after, action });
             }
-            Effect::RequestReport { upstream } => {
+            Effect::RequestReport { upstream, via } => {
                 let engine = upstreams.get(&upstream).cloned();
-                self.request_report(upstream, engine);
+                self.request_report(upstream, engine, via);
+            }
+            Effect::ProbeUpstream { upstream } => {
+                let address = upstreams.get(&upstream).map(|listed| listed.address);
+                self.probe_upstream(upstream, address);
             }
             Effect::Send {
                 request,
@@ -114,6 +119,7 @@
                 hold,
                 once,
                 keep_failure,
+                via,
             } => {
                 let Some(upstream) = upstreams.get(&upstream).cloned() else {
                     self.report_not_sent(attempt);
@@ -129,6 +135,7 @@
                     hold,
                     once,
                     keep_failure,
+                    via,
                 });
             }
             // The held answer is a stored failure; see `PendingRequest::store_failure`.
@@ -216,13 +223,25 @@
         });
     }
 
-    fn request_report(&self, upstream: UpstreamId, engine: Option<Upstream>) {
+    fn probe_upstream(&self, upstream: UpstreamId, address: Option<SocketAddr>) {
+        let inbox = self.env.inbox.clone();
+        tokio::spawn(async move {
+            let reached = match address {
+                Some(address) => probe::accepts_connections(address).await,
+                None => false,
+            };
+            inbox.event(Event::UpstreamProbed { upstream, reached }).await;
+        });
+    }
+
+    fn request_report(&self, upstream: UpstreamId, engine: Option<Upstream>, via: Option<HostId>) {
+        let path = UpstreamPath::new(self.peers.clone(), via);
         let engines = Arc::clone(&self.engines);
         let inbox = self.env.inbox.clone();
         let asked = self.env.clock.now();
         tokio::spawn(async move {
             let report = match &engine {
-                Some(engine) => engines.ask(engine).await,
+                Some(engine) => engines.ask(engine, &path).await,
                 None => None,
             };
             inbox.event(Event::Report { upstream, asked, report }).await;
--- a/crates/skylarkshore-host/src/engines.rs
+++ b/crates/skylarkshore-host/src/engines.rs
@@ -13,8 +13,9 @@
 use tokio::time::Instant;
 
 use crate::clock::Clock;
-use crate::http::{CallError, PooledClient, call, call_anew, client, json_request};
+use crate::http::{CallError, PooledClient, call_anew, call_by, client, json_request};
 use crate::store::BoxFuture;
+use crate::upstream_path::UpstreamPath;
 
 /// How long an engine may take to accept an order; loading itself takes longer.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -49,7 +50,8 @@
     fn give<'a>(&'a self, engine: &'a Upstream, order: EngineOrder) -> BoxFuture<'a, OrderAnswer>;
 
     /// Fetches an engine's report; `None` if it doesn't arrive in time.
-    fn ask<'a>(&'a self, engine: &'a Upstream) -> BoxFuture<'a, Option<EngineReport>>;
+    fn ask<'a>(&'a self, engine: &'a Upstream, path: &'a UpstreamPath)
+    -> BoxFuture<'a, Option<EngineReport>>;
 }
 
 /// The product's own engine protocol.
@@ -89,9 +91,10 @@
         }
     }
 
-    async fn fetch_report_from(&self, address: SocketAddr) -> Option<EngineReport> {
+    async fn fetch_report_from(&self, engine: &Upstream, path: &UpstreamPath) -> Option<EngineReport> {
+        let address = engine.address;
         let req = json_request(Method::GET, address, REPORT_PATH, Bytes::new());
-        let answer = call(&self.client, req, Instant::now() + REPORT_TIMEOUT).await;
+        let answer = call_by(path, &self.client, engine, req, Instant::now() + REPORT_TIMEOUT).await;
         let answer = answer.inspect_err(|err| {
             debug!(self.log, "report_missing"; "address" => %address, "reason" => err.to_string());
         });
@@ -106,8 +109,12 @@
         Box::pin(self.send_order_to(engine.address, order))
     }
 
-    fn ask<'a>(&'a self, engine: &'a Upstream) -> BoxFuture<'a, Option<EngineReport>> {
-        Box::pin(self.fetch_report_from(engine.address))
+    fn ask<'a>(
+        &'a self,
+        engine: &'a Upstream,
+        path: &'a UpstreamPath,
+    ) -> BoxFuture<'a, Option<EngineReport>> {
+        Box::pin(self.fetch_report_from(engine, path))
     }
 }
 
--- a/crates/skylarkshore-host/src/http.rs
+++ b/crates/skylarkshore-host/src/http.rs
@@ -13,10 +13,12 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use skylarkshore_core::upstream::Upstream;
 use tokio::time::Instant;
 
 use crate::call_error::chain;
 use crate::pool::Connection;
+use crate::upstream_path::UpstreamPath;
 
 pub use crate::call_error::CallError;
 
@@ -104,20 +106,51 @@
 /// See [`CallError`].
 pub async fn call_anew(
     address: SocketAddr,
-    mut req: Request<Full<Bytes>>,
+    req: Request<Full<Bytes>>,
     may_send: impl FnOnce() -> bool,
     deadline: Instant,
 ) -> Result<Option<Answer>, CallError> {
-    let mut connection = tokio::time::timeout_at(deadline, Connection::open(address))
+    let connection = tokio::time::timeout_at(deadline, Connection::open(address))
         .await
         .unwrap_or_else(|_elapsed| Err(not_connected("timed out")))?;
-    to_origin_form(&mut req, address);
     if !may_send() {
         return Ok(None);
     }
+    call_on(connection, address, req, deadline).await.map(Some)
+}
+
+/// Sends a request to an upstream by a path: on a pooled connection, or on a new one that a peer relays.
+///
+/// # Errors
+///
+/// See [`CallError`].
+pub async fn call_by(
+    path: &UpstreamPath,
+    client: &PooledClient,
+    upstream: &Upstream,
+    req: Request<Full<Bytes>>,
+    deadline: Instant,
+) -> Result<Answer, CallError> {
+    if path.is_direct() {
+        return call(client, req, deadline).await;
+    }
+    let connection = tokio::time::timeout_at(deadline, path.open(upstream))
+        .await
+        .map_err(|_elapsed| not_connected("timed out"))?
+        .map_err(|err| not_connected(&err.to_string()))?;
+    call_on(connection, upstream.address, req, deadline).await
+}
+
+async fn call_on(
+    mut connection: Connection,
+    address: SocketAddr,
+    mut req: Request<Full<Bytes>>,
+    deadline: Instant,
+) -> Result<Answer, CallError> {
+    to_origin_form(&mut req, address);
     let exchange = async {
         let res = connection.send(req).await.map_err(|err| CallError::Lost { reason: chain(&err) })?;
-        read_complete(res).await.map(Some)
+        read_complete(res).await
     };
     tokio::time::timeout_at(deadline, exchange).await.unwrap_or_else(|_elapsed| Err(timed_out()))
 }
--- a/crates/skylarkshore-host/src/lib.rs
+++ b/crates/skylarkshore-host/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod run;
 pub mod server;
 pub mod store;
+pub mod upstream_path;
 pub mod upstreams;
 
 mod callers;
--- a/crates/skylarkshore-host/src/metrics.rs
+++ b/crates/skylarkshore-host/src/metrics.rs
@@ -199,6 +199,7 @@
             AttemptOutcome::Completed { .. } | AttemptOutcome::CompletedTooLarge => "whole",
             AttemptOutcome::CompletedWithFailure => "failed",
             AttemptOutcome::NotSent => "not_sent",
+            AttemptOutcome::NoPath => "no_path",
             AttemptOutcome::Rejected(_) => "rejected",
             AttemptOutcome::Lost { died: true, .. } => "upstream_died",
             AttemptOutcome::Lost { died: false, .. } => "lost",
--- a/crates/skylarkshore-host/src/peers.rs
+++ b/crates/skylarkshore-host/src/peers.rs
@@ -5,6 +5,7 @@
 mod identity;
 mod link;
 mod transport;
+mod tunnel;
 mod verifier;
 
 use std::net::UdpSocket;
@@ -25,11 +26,13 @@
 use crate::error::Error;
 use crate::metrics::Direction;
 
-use directory::Directory;
-use link::Link;
+use directory::{Directory, PeerEndpoint};
+use identity::SERVER_NAME;
+use link::{Link, LinkError};
 
 pub(crate) use identity::Identity;
 pub(crate) use transport::LinkTimings;
+pub(crate) use tunnel::{Tunnel, TunnelError};
 
 /// Messages queued for one peer; more are dropped. Requests are repeated until
 /// they are answered, so a lost message costs only time.
@@ -175,8 +178,30 @@
         usable.then(|| pinned.connection.clone())
     }
 
-    /// Receives messages until the connection ends.
+    /// Returns a connection to a peer, opening one if necessary; `None` if it can't be reached.
+    async fn connection_to(&self, host: &HostId) -> Option<Connection> {
+        let known = self.shared.directory.get(host)?;
+        match self.usable_connection(host, known.fingerprint) {
+            Some(connection) => Some(connection),
+            None => self.connect(host, known).await.ok(),
+        }
+    }
+
+    async fn connect(&self, host: &HostId, known: PeerEndpoint) -> Result<Connection, LinkError> {
+        let shared = &self.shared;
+        let config = shared.identity.client_config(known.fingerprint, shared.timings)?;
+        let connection = shared.endpoint.connect_with(config, known.address, SERVER_NAME)?.await?;
+        self.store_connection(
+            host,
+            Pinned { fingerprint: known.fingerprint, connection: connection.clone() },
+        );
+        tokio::spawn(self.clone().receive(host.clone(), connection.clone()));
+        Ok(connection)
+    }
+
+    /// Receives messages and relays connections until the connection ends.
     async fn receive(self, host: HostId, connection: Connection) {
+        tokio::spawn(self.clone().serve_tunnels(host.clone(), connection.clone()));
         while let Ok(mut stream) = connection.accept_uni().await {
             let this = self.clone();
             let host = host.clone();
--- a/crates/skylarkshore-host/src/peers/link.rs
+++ b/crates/skylarkshore-host/src/peers/link.rs
@@ -11,9 +11,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::metrics::Direction;
-use crate::peers::directory::PeerEndpoint;
-use crate::peers::identity::SERVER_NAME;
-use crate::peers::{Peers, Pinned};
+use crate::peers::Peers;
 
 /// How long to wait after a failed send before the next one.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -22,7 +20,7 @@
 
 /// Why a message wasn't sent.
 #[derive(Debug, Display, Error, From)]
-enum LinkError {
+pub(super) enum LinkError {
     #[display("its address is unknown, as it has no member key yet; wait for it to start")]
     #[from(skip)]
     Unknown,
@@ -83,7 +81,7 @@
         let usable_connection = self.peers.usable_connection(&self.host, known.fingerprint);
         let connection = match usable_connection.filter(|connection| self.is_responsive(connection)) {
             Some(connection) => connection,
-            None => self.connect(known).await?,
+            None => self.peers.connect(&self.host, known).await?,
         };
         let mut stream = connection.open_uni().await?;
         stream.write_all(message).await?;
@@ -108,16 +106,6 @@
         }
         is_responsive
     }
-
-    async fn connect(&self, known: PeerEndpoint) -> Result<Connection, LinkError> {
-        let shared = &self.peers.shared;
-        let config = shared.identity.client_config(known.fingerprint, shared.timings)?;
-        let connection = shared.endpoint.connect_with(config, known.address, SERVER_NAME)?.await?;
-        let pinned = Pinned { fingerprint: known.fingerprint, connection: connection.clone() };
-        self.peers.store_connection(&self.host, pinned);
-        tokio::spawn(self.peers.clone().receive(self.host.clone(), connection.clone()));
-        Ok(connection)
-    }
 }
 
 /// Drops the messages queued for an unreachable peer, as they would be stale when it is back.
--- a/crates/skylarkshore-host/src/peers/transport.rs
+++ b/crates/skylarkshore-host/src/peers/transport.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quinn::{IdleTimeout, TransportConfig, VarInt};
+use quinn::{IdleTimeout, TransportConfig};
 use skylarkshore_core::config::Timings;
 
 /// Concurrent messages from one peer.
 const MAX_STREAMS: u32 = 64;
+/// Concurrent connections to upstreams that are relayed for one peer.
+const MAX_TUNNELS: u32 = 256;
 /// Receive buffers per message and per peer, in bytes.
 const MESSAGE_BUFFER_LEN: u32 = 1024 * 1024;
 const PEER_BUFFER_LEN: u32 = 4 * MESSAGE_BUFFER_LEN;
@@ -38,7 +40,7 @@
         transport
             .max_idle_timeout(IdleTimeout::try_from(IDLE_TIMEOUT.max(self.silence_timeout)).ok())
             .max_concurrent_uni_streams(MAX_STREAMS.into())
-            .max_concurrent_bidi_streams(VarInt::from_u32(0))
+            .max_concurrent_bidi_streams(MAX_TUNNELS.into())
             .stream_receive_window(MESSAGE_BUFFER_LEN.into())
             .receive_window(PEER_BUFFER_LEN.into())
             .datagram_receive_buffer_size(None);
--- a/crates/skylarkshore-host/src/pool.rs
+++ b/crates/skylarkshore-host/src/pool.rs
@@ -14,11 +14,13 @@
 use hyper_util::rt::TokioIo;
 use skylarkshore_core::collections::HashMap;
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
 use crate::call_error::{CallError, chain};
+use crate::peers::Tunnel;
 
 /// Time-out for connecting. Data centres are a millisecond apart; an upstream whose
 /// accept queue is full answers no sooner.
@@ -39,7 +41,8 @@
 /// A connection that is closed when it is dropped.
 #[derive(Debug)]
 pub struct Connection {
-    address: SocketAddr,
+    /// Where it can be used again; `None` if a peer relays it.
+    address: Option<SocketAddr>,
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
 }
@@ -58,11 +61,22 @@
     ///
     /// The connection fails or times out.
     pub async fn open(address: SocketAddr) -> Result<Self, CallError> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-            .await
-            .map_err(|_elapsed| not_connected(&"timed out"))?
-            .map_err(|err| not_connected(&err))?;
-        configure_socket(&stream).map_err(|err| not_connected(&err))?;
+        Self::over(connect(address).await?, Some(address)).await
+    }
+
+    /// Uses a connection that a peer relays.
+    ///
+    /// # Errors
+    ///
+    /// The connection fails.
+    pub(crate) async fn relayed(tunnel: Tunnel) -> Result<Self, CallError> {
+        Self::over(tunnel, None).await
+    }
+
+    async fn over<S>(stream: S, address: Option<SocketAddr>) -> Result<Self, CallError>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
         let (sender, connection) =
             handshake(TokioIo::new(stream)).await.map_err(|err| not_connected(&err))?;
         // Errors of the connection are also reported by the response.
@@ -80,6 +94,20 @@
     }
 }
 
+/// Opens a socket to an upstream.
+///
+/// # Errors
+///
+/// The connection fails or times out.
+pub(crate) async fn connect(address: SocketAddr) -> Result<TcpStream, CallError> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_elapsed| not_connected(&"timed out"))?
+        .map_err(|err| not_connected(&err))?;
+    configure_socket(&stream).map_err(|err| not_connected(&err))?;
+    Ok(stream)
+}
+
 fn not_connected(reason: &dyn std::fmt::Display) -> CallError {
     CallError::NotConnected { reason: reason.to_string() }
 }
@@ -121,8 +149,10 @@
     /// Returns a connection to the pool after a complete and valid answer.
     ///
     /// Bytes sent with or after an invalid answer belong to no request; a connection that
-    /// carried one must be dropped instead.
+    /// carried one must be dropped instead. A relayed connection is closed, as the next request may be
+    /// sent directly.
     pub async fn put(&self, mut connection: Connection, idle_timeout: Option<Duration>) {
+        let Some(address) = connection.address else { return };
         // The connection becomes ready once the answer has been read completely.
         let ready = timeout(Duration::from_millis(100), connection.sender.ready()).await;
         if !matches!(ready, Ok(Ok(()))) {
@@ -130,7 +160,7 @@
         }
         let expires_at = Instant::now() + idle_timeout.unwrap_or(MAX_IDLE).min(MAX_IDLE);
         let mut idle = self.lock();
-        let for_address = idle.entry(connection.address).or_default();
+        let for_address = idle.entry(address).or_default();
         if for_address.len() < MAX_IDLE_PER_ADDRESS {
             for_address.push(IdleConnection { connection, expires_at });
         }
--- a/crates/skylarkshore-host/src/probe.rs
+++ b/crates/skylarkshore-host/src/probe.rs
@@ -1,4 +1,4 @@
-//! Determines whether an incarnation of a process has ended for certain.
+//! Determines whether an incarnation of a process has ended for certain, and whether an upstream is reached.
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -17,6 +17,13 @@
 pub(crate) const HEALTH_PATH: &str = "/healthz";
 
 const TIMEOUT: Duration = Duration::from_secs(1);
+/// How long an upstream may take to accept a connection; data centres are milliseconds apart.
+const UPSTREAM_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Reports whether an upstream accepts a new connection.
+pub(crate) async fn accepts_connections(address: SocketAddr) -> bool {
+    matches!(timeout(UPSTREAM_TIMEOUT, TcpStream::connect(address)).await, Ok(Ok(_stream)))
+}
 
 /// Reports whether the incarnation of the process has ended.
 ///
--- a/crates/skylarkshore-host/src/run.rs
+++ b/crates/skylarkshore-host/src/run.rs
@@ -211,7 +211,8 @@
 ) -> EffectExecutor {
     let store = platform.store(env);
     let engines = platform.engines(env);
-    let upstreams = Upstreams::new(platform.upstreams(env), config.limits.recorded_answer, env.clone());
+    let upstreams =
+        Upstreams::new(platform.upstreams(env), peers.clone(), config.limits.recorded_answer, env.clone());
     EffectExecutor::new(env.clone(), store, engines, upstreams, peers, connections)
 }
 
--- a/crates/skylarkshore-host/src/upstreams.rs
+++ b/crates/skylarkshore-host/src/upstreams.rs
@@ -16,13 +16,14 @@
 use http_body_util::Full;
 use skylarkshore_core::Time;
 use skylarkshore_core::event::{AttemptOutcome, Rejection, ReportedLoad};
-use skylarkshore_core::id::{AttemptId, RequestId};
+use skylarkshore_core::id::{AttemptId, HostId, RequestId};
 use skylarkshore_core::rules::ServiceOrder;
 use skylarkshore_core::units::RequestRate;
 use skylarkshore_core::upstream::Upstream;
 use slog::debug;
 
 use crate::env::Env;
+use crate::peers::Peers;
 use crate::pending::{Delivered, Outgoing, PendingRequest};
 use crate::pool::Pool;
 
@@ -54,6 +55,8 @@
     pub once: bool,
     /// Whether to store an answer that reports a failure of the upstream, as another attempt may follow.
     pub keep_failure: bool,
+    /// The peer that relays the attempt, if this host has lost its own links to the upstreams.
+    pub via: Option<HostId>,
 }
 
 /// What a protocol needs to know of an attempt to write the head of its request.
@@ -131,6 +134,7 @@
 pub(crate) struct Upstreams {
     protocol: Arc<dyn UpstreamProtocol>,
     pool: Arc<Pool>,
+    peers: Peers,
     env: Env,
     named_limits: Arc<NamedLimits>,
     /// The largest answer that is recorded, in bytes.
@@ -138,8 +142,13 @@
 }
 
 impl Upstreams {
-    pub(crate) fn new(protocol: Arc<dyn UpstreamProtocol>, max_recorded_len: usize, env: Env) -> Self {
-        Self { protocol, pool: Arc::default(), env, named_limits: Arc::default(), max_recorded_len }
+    pub(crate) fn new(
+        protocol: Arc<dyn UpstreamProtocol>,
+        peers: Peers,
+        max_recorded_len: usize,
+        env: Env,
+    ) -> Self {
+        Self { protocol, pool: Arc::default(), peers, env, named_limits: Arc::default(), max_recorded_len }
     }
 
     /// Runs an attempt and returns its outcome.
--- a/crates/skylarkshore-host/src/upstreams/attempt.rs
+++ b/crates/skylarkshore-host/src/upstreams/attempt.rs
@@ -15,6 +15,7 @@
 
 use crate::pending::{Delivered, Head, NotForwarded, PendingRequest};
 use crate::pool::{Connection, reason};
+use crate::upstream_path::{PathError, UpstreamPath};
 use crate::upstreams::events::Splitter;
 use crate::upstreams::{Call, Dispatch, StreamEnd, Upstreams, Verdict, remove_hop_by_hop};
 
@@ -95,19 +96,25 @@
         &self,
         call: &Call<'_>,
     ) -> Result<(Response<Incoming>, Connection), AttemptOutcome> {
-        let address = self.dispatch.upstream.address;
-        let connection = if self.dispatch.once {
-            Connection::open(address).await
-        } else {
-            self.upstreams.pool.get(address).await
-        };
-        let mut connection = connection.map_err(|err| self.no_answer_outcome(&err.to_string(), None))?;
+        let mut connection = self.connect().await.map_err(|err| match err {
+            PathError::Unreachable(err) => self.no_answer_outcome(&err.to_string(), None),
+            PathError::NoPath { .. } => AttemptOutcome::NoPath,
+        })?;
         let req = self.upstreams.build_request(call);
         let res =
             connection.send(req).await.map_err(|err| self.no_answer_outcome(&reason(&err), Some(&err)))?;
         Ok((res, connection))
     }
 
+    async fn connect(&self) -> Result<Connection, PathError> {
+        let upstream = &self.dispatch.upstream;
+        let path = UpstreamPath::new(self.upstreams.peers.clone(), self.dispatch.via.clone());
+        if self.dispatch.once || !path.is_direct() {
+            return path.open(upstream).await;
+        }
+        Ok(self.upstreams.pool.get(upstream.address).await?)
+    }
+
     fn no_answer_outcome(&self, reason: &str, cause: Option<&hyper::Error>) -> AttemptOutcome {
         debug!(self.upstreams.env.log, "upstream_gave_no_answer";
             "upstream" => %self.dispatch.upstream.id, "request" => %self.dispatch.request, "reason" => reason);
--- a/crates/skylarkshore-standins/src/world/execute.rs
+++ b/crates/skylarkshore-standins/src/world/execute.rs
@@ -14,6 +14,7 @@
 use super::callers::{FinalAnswer, RequestKey};
 use super::engine::{Engine, Run};
 use super::fault::Strike;
+use super::host::Host;
 use super::partitions::LinkLoss;
 use super::schedule::{RunId, Sender, SentCall, SentOrder, SentRequest, Task};
 use super::store::StoreMode;
@@ -37,6 +38,13 @@
 /// How long sent bytes may stay unacknowledged.
 const ACK_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Why a request doesn't leave its host, and after which time that shows.
+#[derive(Clone, Debug)]
+struct SendFailure {
+    end: AttemptOutcome,
+    after: Duration,
+}
+
 /// Returns how long a host waits for a connection that can't be opened.
 const fn connect_failure_time(loss: LinkLoss) -> Duration {
     match loss {
@@ -116,23 +124,24 @@
                 self.send(fault, Task::Order(sent));
                 self.crash_upstream_if_planned(&upstream, fault);
             }
-            Effect::RequestReport { upstream } if self.hosts[h].link_loss(self.now).is_some() => {
+            Effect::RequestReport { upstream, via } if !self.has_path(h, via.as_ref()) => {
                 let event = Event::Report { upstream, asked: self.now, report: None };
                 self.schedule.add(self.now.after(REPORT_TIMEOUT), Task::Event { to: from, event });
             }
-            Effect::RequestReport { upstream } => {
+            Effect::ProbeUpstream { upstream } => self.probe_upstream(h, upstream),
+            Effect::RequestReport { upstream, .. } => {
                 self.send(fault, Task::ReportRequest { from, engine: upstream, asked: self.now });
             }
-            Effect::Send { request, attempt, upstream, deadline, hold, .. } => {
+            Effect::Send { request, attempt, upstream, deadline, hold, via, .. } => {
                 let answer_lost = fault == Strike::LoseAnswer;
                 let sent =
                     SentRequest { from, request, attempt, upstream: upstream.clone(), hold, answer_lost };
                 self.schedule.add(deadline, Task::AttemptTimeout { from, attempt });
                 self.attempts
                     .insert(AttemptKey::new(from, attempt), OpenAttempt { request, delivered: false });
-                if let Some(loss) = self.hosts[h].send_failure(self.now) {
-                    let at = self.now.after(connect_failure_time(loss));
-                    self.schedule.add(at, Task::AttemptFails { from, attempt, end: AttemptOutcome::NotSent });
+                if let Some(failure) = self.send_failure(h, via.as_ref()) {
+                    let at = self.now.after(failure.after);
+                    self.schedule.add(at, Task::AttemptFails { from, attempt, end: failure.end });
                 } else if fault == Strike::Lose {
                     let end = AttemptOutcome::Lost { passed_on: false, died: false };
                     self.attempt_ended(from, attempt, end);
@@ -176,6 +185,44 @@
         }
     }
 
+    /// Reports whether a host reaches the upstreams, directly or through a peer.
+    fn has_path(&self, h: usize, via: Option<&HostId>) -> bool {
+        match via {
+            None => self.hosts[h].link_loss(self.now).is_none(),
+            Some(peer) => self.can_relay(h, peer),
+        }
+    }
+
+    fn can_relay(&self, h: usize, peer: &HostId) -> bool {
+        let is_reached = self.hosts[h].peers_unreachable_until <= self.now;
+        let relays = |host: &Host| {
+            host.is_up()
+                && !host.is_frozen()
+                && host.peers_unreachable_until <= self.now
+                && host.link_loss(self.now).is_none()
+        };
+        is_reached && self.hosts.iter().any(|host| host.id == *peer && relays(host))
+    }
+
+    /// Returns how a request that is sent now fails, if it does.
+    fn send_failure(&mut self, h: usize, via: Option<&HostId>) -> Option<SendFailure> {
+        if let Some(peer) = via {
+            let failure = SendFailure { end: AttemptOutcome::NoPath, after: LATENCY * 2 };
+            return (!self.can_relay(h, peer)).then_some(failure);
+        }
+        let loss = self.hosts[h].send_failure(self.now)?;
+        Some(SendFailure { end: AttemptOutcome::NotSent, after: connect_failure_time(loss) })
+    }
+
+    fn probe_upstream(&mut self, h: usize, upstream: UpstreamId) {
+        let is_up = self.engines.get(&upstream).is_none_or(|engine| engine.up);
+        let loss = self.hosts[h].link_loss(self.now);
+        let after = loss.map_or(LATENCY, connect_failure_time);
+        let event = Event::UpstreamProbed { upstream, reached: is_up && loss.is_none() };
+        let to = self.hosts[h].sender();
+        self.schedule.add(self.now.after(after), Task::Event { to, event });
+    }
+
     /// Ends the attempts of a host whose connections to upstreams are lost.
     pub(crate) fn break_attempts(&mut self, h: usize, loss: LinkLoss) {
         if loss == LinkLoss::RefusesNew {
--- a/crates/skylarkshore-standins/src/world/meter.rs
+++ b/crates/skylarkshore-standins/src/world/meter.rs
@@ -75,6 +75,7 @@
         PeerMessage::Suspects { .. }
         | PeerMessage::SuspectsNoted { .. }
         | PeerMessage::LossesNoted { .. }
+        | PeerMessage::UpstreamsReached { .. }
         | PeerMessage::Cleared { .. } => "suspects",
         _ => "other",
     }
--- a/crates/skylarkshore-wire/src/lib.rs
+++ b/crates/skylarkshore-wire/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod operator;
 pub mod peer;
 pub mod percent;
+pub mod tunnel;
--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -212,6 +212,8 @@
         /// The core's `max_wait`.
         within_ms: u64,
     },
+    /// Whether the sender reaches the upstreams itself; sent when that changes, and while it doesn't.
+    UpstreamsReached { reached: bool },
 }
 
 /// Encodes a message for the wire.
@@ -304,6 +306,16 @@
     }
 }
 
+impl From<&RecordBatch> for PeerMessageWire {
+    fn from(batch: &RecordBatch) -> Self {
+        Self::Records {
+            after: batch.after,
+            upto: batch.upto,
+            records: batch.records.iter().map(RecordWire::from).collect(),
+        }
+    }
+}
+
 impl From<&PeerMessage> for PeerMessageWire {
     fn from(message: &PeerMessage) -> Self {
         use PeerMessage as M;
@@ -317,11 +329,7 @@
                 leaving: *leaving,
             },
             M::RecordsWanted { after } => Self::RecordsWanted { after: *after },
-            M::Records(batch) => Self::Records {
-                after: batch.after,
-                upto: batch.upto,
-                records: batch.records.iter().map(RecordWire::from).collect(),
-            },
+            M::Records(batch) => batch.into(),
             M::Wanted { target, waiting, order, max_wait, refused: true, .. } => Self::RetriesExpected {
                 target: target.into(),
                 count: *waiting,
@@ -395,6 +403,7 @@
                 Self::PermitsWanted { upstream: upstream.clone(), limit: *limit, count: *count }
             }
             M::Permits { upstream, count } => Self::Permits { upstream: upstream.clone(), count: *count },
+            M::UpstreamsReached { reached } => Self::UpstreamsReached { reached: *reached },
             M::LossesNoted { upstream, incarnation, requests } => Self::LossesNoted {
                 upstream: upstream.clone(),
                 incarnation: *incarnation,
@@ -487,6 +496,7 @@
             W::StateComing => Self::StateComing,
             W::PermitsWanted { upstream, limit, count } => Self::PermitsWanted { upstream, limit, count },
             W::Permits { upstream, count } => Self::Permits { upstream, count },
+            W::UpstreamsReached { reached } => Self::UpstreamsReached { reached },
             W::LossesNoted { upstream, incarnation, requests } => {
                 Self::LossesNoted { upstream, incarnation, requests }
             }
--- a/crates/skylarkshore-wire/tests/formats.rs
+++ b/crates/skylarkshore-wire/tests/formats.rs
@@ -187,6 +187,7 @@
             requests: vec![Digest([5; 32])],
             alone: true,
         },
+        PeerMessage::UpstreamsReached { reached: false },
         PeerMessage::LossesNoted {
             upstream: "engine-1".parse().unwrap(),
             incarnation: Some(Incarnation(2)),
