Keep upstreams that withstand few rejections from falling over

Cause: nobody read the header, and hosts find out that an upstream is full only by being rejected, each for itself. The class is that of the request limits: a limit over all hosts that each would have to keep alone.

Once such an upstream has rejected a request for want of room, its host tells the others, and each keeps to a share of the upstream's concurrency; the shares add up to it, so that all requests fit. A host that uses up its share exceeds it by one request, after a time in which all hosts together are rejected at most half as often as allowed. Requests beyond the concurrency are not sent to such an upstream at all.

--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -297,6 +297,13 @@
         /// The requests a second that it takes from all hosts together.
         limit: Option<RequestRate>,
     },
+    /// An upstream's answers name another limit on its rejections than before, or none any more.
+    RejectionLimit {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// How many rejections for want of room it withstands within a second.
+        limit: Option<u32>,
+    },
     /// The first part of an answer was received.
     AnswerStarted {
         /// The attempt.
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -251,6 +251,11 @@
             Event::RequestLimit { upstream, limit } => {
                 self.with_cx(now, effects, |cx, parts| parts.serving.on_request_limit(cx, &upstream, limit));
             }
+            Event::RejectionLimit { upstream, limit } => {
+                self.with_cx(now, effects, |cx, parts| {
+                    parts.serving.on_rejection_limit(cx, &upstream, limit);
+                });
+            }
             Event::AnswerStarted { attempt } => {
                 self.with_cx(now, effects, |cx, parts| parts.serving.on_answer_started(cx, attempt));
             }
--- a/crates/skylarkshore-core/src/peer.rs
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -243,6 +243,11 @@
         /// Whether it does.
         reached: bool,
     },
+    /// An upstream that withstands few rejections has rejected a request of the sender for want of room.
+    UpstreamFull {
+        /// The upstream.
+        upstream: UpstreamId,
+    },
     /// Acknowledges requests that were reported as lost with an incarnation of an upstream.
     LossesNoted {
         /// The upstream.
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -27,6 +27,7 @@
 mod demand;
 mod disposition;
 mod expected_retries;
+mod fragile;
 mod isolation;
 mod lease;
 mod loss_reports;
@@ -181,6 +182,11 @@
         self.dispatch_for_upstream(cx, upstream);
     }
 
+    /// Records how many rejections an upstream withstands, or that it no longer says so.
+    pub fn on_rejection_limit(&mut self, cx: &mut Cx<'_>, upstream: &UpstreamId, limit: Option<u32>) {
+        self.routes.fragile.record(cx, upstream, limit);
+    }
+
     /// Handles the end of an attempt.
     pub fn on_attempt_ended(&mut self, cx: &mut Cx<'_>, attempt: AttemptId, end: AttemptOutcome) {
         let upstream = self.upstream_of(attempt);
@@ -199,6 +205,7 @@
     pub fn on_tick(&mut self, cx: &mut Cx<'_>) {
         self.run_housekeeping(cx);
         self.permits.on_tick(cx);
+        self.routes.extend_shares(cx);
         for outcome in self.quota.on_tick(cx) {
             self.on_credit_decision(cx, outcome);
         }
@@ -329,6 +336,7 @@
             PeerMessage::Cleared { request: digest } if self.suspects.clear(*digest) => {
                 self.requeue_cleared(cx, *digest);
             }
+            PeerMessage::UpstreamFull { upstream } => self.routes.fragile.on_peer_rejected(cx, upstream),
             PeerMessage::UpstreamLeaving { upstream } => {
                 self.routes.record_leaving(cx.now, upstream);
             }
--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -155,6 +155,7 @@
             // it would have if the upstream's load had been known.
             (Rejection::Busy, _) => {
                 self.routes.back_off(cx, upstream);
+                self.routes.fragile.on_rejected(cx, upstream);
                 self.reset_for_retry(cx, id, upstream);
                 return self.retry(cx, id, RetryCost::Free);
             }
--- a/crates/skylarkshore-core/src/serving/routing.rs
+++ b/crates/skylarkshore-core/src/serving/routing.rs
@@ -14,6 +14,7 @@
 use crate::cx::Cx;
 use crate::event::{ReportedLoad, Target};
 use crate::id::{Digest, ServiceName, UpstreamId};
+use crate::serving::fragile::FragileUpstreams;
 use crate::serving::others_load::{MilliRequests, OthersLoad};
 use crate::serving::published_views::{Freshness, PublishedViews};
 use crate::serving::request_limits::RequestLimits;
@@ -143,6 +144,8 @@
     held_for_suspect: OrderedSet<UpstreamId>,
     /// The limits on requests that upstreams name.
     pub(super) limits: RequestLimits,
+    /// Upstreams that withstand few rejections.
+    pub(super) fragile: FragileUpstreams,
 }
 
 impl Routes {
@@ -175,6 +178,7 @@
             self.leaving.remove(id);
             self.backoffs.remove(id);
             self.limits.remove(id);
+            self.fragile.remove(id);
         }
     }
 
@@ -432,11 +436,8 @@
     }
 
     fn replica_candidates(&self, cx: &Cx<'_>, service: &ServiceName) -> Vec<Candidate> {
-        let concurrency = cx.document.catalogue.services.get(service).map_or(0, |s| s.concurrency);
-        let candidate = |id: &UpstreamId| {
-            let listed = cx.upstreams.get(id).and_then(|upstream| upstream.concurrency);
-            self.candidate(cx, id, self.reported_loads.get(id), listed.unwrap_or(concurrency))
-        };
+        let candidate =
+            |id: &UpstreamId| self.candidate(cx, id, self.reported_loads.get(id), self.concurrency(cx, id));
         self.replicas(cx, service).map(candidate).collect()
     }
 
@@ -457,6 +458,30 @@
         live && !backed_off && !self.leaving.contains_key(upstream)
     }
 
+    /// Lets requests exceed this host's shares of upstreams that withstand few rejections, now and then.
+    pub(super) fn extend_shares(&mut self, cx: &mut Cx<'_>) {
+        let mut fragile = std::mem::take(&mut self.fragile);
+        fragile.on_tick(cx, |cx, fragile, upstream| {
+            let concurrency = self.concurrency(cx, upstream);
+            let limit = fragile.own_limit(cx, upstream, concurrency);
+            limit.is_some_and(|limit| self.in_flight(upstream) >= limit && limit < concurrency)
+        });
+        self.fragile = fragile;
+    }
+
+    /// Returns how many requests an upstream runs at a time.
+    fn concurrency(&self, cx: &Cx<'_>, upstream: &UpstreamId) -> u32 {
+        if let Some(known) = self.views.get(upstream) {
+            return known.view.concurrency;
+        }
+        let listed = cx.upstreams.get(upstream);
+        let by_service = || {
+            let service = listed?.service()?;
+            cx.document.catalogue.services.get(service).map(|service| service.concurrency)
+        };
+        listed.and_then(|listed| listed.concurrency).or_else(by_service).unwrap_or(0)
+    }
+
     fn candidate(
         &self,
         cx: &Cx<'_>,
@@ -475,7 +500,17 @@
         // judged by an estimate that decays, its cost by the mean.
         let room = match load(others_decayed) {
             _ if own >= concurrency || !self.limits.may_send(cx.now, upstream) => Room::Full,
+            // Within the shares of all hosts there is room, however old the reports of its load are.
+            _ if let Some(limit) = self.fragile.own_limit(cx, upstream, concurrency) => {
+                if own < limit {
+                    Room::Free
+                } else {
+                    Room::Full
+                }
+            }
             0..1000 => Room::Free,
+            // One that withstands few rejections may let nothing wait.
+            _ if self.fragile.contains(upstream) => Room::Full,
             1000..MAX_CROWDED_LOAD => Room::Crowded,
             _ => Room::Full,
         };
--- a/crates/skylarkshore-host/src/upstreams.rs
+++ b/crates/skylarkshore-host/src/upstreams.rs
@@ -119,6 +119,12 @@
         None
     }
 
+    /// Reads how many rejections for want of room the upstream withstands within a second, if the answer
+    /// names them.
+    fn read_rejection_limit(&self, _headers: &HeaderMap) -> Option<u32> {
+        None
+    }
+
     /// Reports whether an answer may be unframed: without a length or chunks, so that it ends with
     /// its connection.
     ///
@@ -136,7 +142,8 @@
     pool: Arc<Pool>,
     peers: Peers,
     env: Env,
-    named_limits: Arc<NamedLimits>,
+    request_limits: Arc<NamedLimits<RequestRate>>,
+    rejection_limits: Arc<NamedLimits<u32>>,
     /// The largest answer that is recorded, in bytes.
     max_recorded_len: usize,
 }
@@ -148,7 +155,15 @@
         max_recorded_len: usize,
         env: Env,
     ) -> Self {
-        Self { protocol, pool: Arc::default(), peers, env, named_limits: Arc::default(), max_recorded_len }
+        Self {
+            protocol,
+            pool: Arc::default(),
+            peers,
+            env,
+            request_limits: Arc::default(),
+            rejection_limits: Arc::default(),
+            max_recorded_len,
+        }
     }
 
     /// Runs an attempt and returns its outcome.
--- a/crates/skylarkshore-host/src/upstreams/attempt.rs
+++ b/crates/skylarkshore-host/src/upstreams/attempt.rs
@@ -143,7 +143,7 @@
         let protocol = &self.upstreams.protocol;
         let verdict = protocol.read_head(call, res.status(), res.headers());
         if verdict != Verdict::Foreign {
-            self.record_request_limit(res.headers());
+            self.record_limits(res.headers());
         }
         let idle_timeout = idle_timeout(res.headers());
         let (parts, body) = res.into_parts();
@@ -184,12 +184,16 @@
         self.forward_body(started).await
     }
 
-    fn record_request_limit(&self, headers: &HeaderMap) {
-        let limit = self.upstreams.protocol.read_request_limit(headers);
+    fn record_limits(&self, headers: &HeaderMap) {
+        let Upstreams { protocol, request_limits, rejection_limits, env, .. } = self.upstreams;
         let upstream = &self.dispatch.upstream.id;
-        if self.upstreams.named_limits.record(upstream, limit) {
-            let event = Event::RequestLimit { upstream: upstream.clone(), limit };
-            self.upstreams.env.inbox.event_later(event);
+        let limit = protocol.read_request_limit(headers);
+        if request_limits.record(upstream, limit) {
+            env.inbox.event_later(Event::RequestLimit { upstream: upstream.clone(), limit });
+        }
+        let limit = protocol.read_rejection_limit(headers);
+        if rejection_limits.record(upstream, limit) {
+            env.inbox.event_later(Event::RejectionLimit { upstream: upstream.clone(), limit });
         }
     }
 
--- a/crates/skylarkshore-standins/src/world.rs
+++ b/crates/skylarkshore-standins/src/world.rs
@@ -5,6 +5,7 @@
 //! value can lose, delay or duplicate it, or stop the process. After every event
 //! [`Checks`] compares the simulated state with the invariants.
 
+mod brittle;
 mod callers;
 mod checks;
 mod engine;
@@ -32,6 +33,7 @@
 use skylarkshore_core::time::Time;
 use skylarkshore_core::upstream::{Upstream, UpstreamStatus};
 
+use brittle::BrittleUpstreams;
 use execute::{AttemptKey, CallKey, OpenAttempt};
 use host::Host;
 use partitions::{HostCut, Partitions};
@@ -99,6 +101,7 @@
     overloaded: OrderedSet<UpstreamId>,
     retries: RetryLedger,
     partitions: Partitions,
+    brittle: BrittleUpstreams,
     runs: u64,
     /// Whether effects are counted, which slows the simulation.
     pub metered: bool,
@@ -143,6 +146,7 @@
             overloaded: OrderedSet::new(),
             retries: RetryLedger::default(),
             partitions: Partitions::default(),
+            brittle: BrittleUpstreams::default(),
             runs: 0,
             metered: false,
             store: Store::default(),
@@ -294,6 +298,12 @@
         self.checks.marked_leaving(id, self.now);
     }
 
+    /// Makes upstreams brittle: each runs `concurrency` requests at a time, and falls over when it has to
+    /// reject more than `limit` within a second.
+    pub fn set_brittle(&mut self, ids: &[UpstreamId], limit: u32, concurrency: usize) {
+        self.brittle.begin(self.now, ids, limit, concurrency);
+    }
+
     /// Sets whether an upstream rejects all requests for want of room.
     pub fn set_overloaded(&mut self, id: &UpstreamId, is_overloaded: bool) {
         if is_overloaded {
@@ -461,12 +471,12 @@
 
     /// Runs the final checks: every request of a running process that is due must have its final answer,
     /// the retries must have kept to the shared budget, and hosts that were cut off from the upstreams must
-    /// have served their callers.
+    /// have served their callers, and brittle upstreams must have fallen over rarely.
     pub fn finish(&mut self) {
         self.checks.check_at_end(self.now, &self.callers);
         let retries = self.retries.violations(self.setup.limits.retries, &self.callers);
         let partitions = self.partitions.violations(&self.callers);
-        for violation in retries.into_iter().chain(partitions) {
+        for violation in retries.into_iter().chain(partitions).chain(self.brittle.violation()) {
             self.checks.report(violation.at, violation.what);
         }
     }
--- a/crates/skylarkshore-standins/src/world/execute.rs
+++ b/crates/skylarkshore-standins/src/world/execute.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use skylarkshore_core::effect::Effect;
-use skylarkshore_core::event::{AttemptOutcome, Event, Rejection, Target};
+use skylarkshore_core::event::{AttemptOutcome, Event, Rejection, ReportedLoad, Target};
 use skylarkshore_core::id::{AttemptId, CallId, HostId, Incarnation, RequestId, StoreRevision, UpstreamId};
 use skylarkshore_core::peer::Envelope;
 use skylarkshore_core::store::{RecordedAnswer, StoreFailure, StoreResult};
@@ -386,7 +386,8 @@
         let request = request_key(sent.from, sent.request);
         let Some(log) = self.callers.requests.get(&request) else { return };
         let (target, run_time) = (log.ask.target.clone(), log.ask.run_time);
-        let rejection = self.rejection(&sent, &target);
+        let rejection = self.rejection(&sent, &target).or_else(|| self.brittle_rejection(&sent));
+        self.report_brittle_state(&sent);
         if rejection != Some(AttemptOutcome::NotSent) {
             self.retries.record_arrival(self.now, request, &target);
         }
@@ -413,6 +414,47 @@
         self.schedule.add(self.now.after(run_time), Task::RunDone { upstream, run: id });
     }
 
+    /// Rejects a request for want of room at a brittle upstream, which may fall over then.
+    fn brittle_rejection(&mut self, sent: &SentRequest) -> Option<AttemptOutcome> {
+        if self.brittle.is_down(self.now, &sent.upstream) {
+            return Some(AttemptOutcome::NotSent);
+        }
+        let (concurrency, is_strict) = self.brittle.concurrency(self.now, &sent.upstream)?;
+        let runs = self.services.get(&sent.upstream).map_or(0, |service| service.runs.len());
+        let room = if is_strict { concurrency } else { concurrency * REQUEST_LIMIT_FACTOR };
+        if runs < room {
+            return None;
+        }
+        if self.brittle.record_rejection(self.now, &sent.upstream) {
+            let lost = self.services.get_mut(&sent.upstream).map(|service| std::mem::take(&mut service.runs));
+            for run in lost.into_iter().flatten() {
+                self.end_run(&run.1, lost_outcome(&run.1, true));
+            }
+        }
+        Some(AttemptOutcome::Rejected(Rejection::Busy))
+    }
+
+    /// Tells a host what a brittle upstream says of itself in its answers: its limit and its load.
+    fn report_brittle_state(&mut self, sent: &SentRequest) {
+        let upstream = sent.upstream.clone();
+        let Some(limit) = self.brittle.named_limit(&upstream) else { return };
+        if self.brittle.is_down(self.now, &upstream) {
+            return;
+        }
+        let running = self.services.get(&upstream).map_or(0, |service| service.runs.len());
+        let concurrency =
+            self.brittle.concurrency(self.now, &upstream).map_or(0, |(concurrency, _)| concurrency);
+        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        let load = ReportedLoad {
+            running: count(running.min(concurrency)),
+            waiting: count(running.saturating_sub(concurrency)),
+            concurrency: count(concurrency),
+        };
+        let limit = Event::RejectionLimit { upstream: upstream.clone(), limit: Some(limit) };
+        self.send_event(sent.from, limit);
+        self.send_event(sent.from, Event::LoadReported { upstream, load });
+    }
+
     fn rejection(&self, sent: &SentRequest, target: &Target) -> Option<AttemptOutcome> {
         if self.overloaded.contains(&sent.upstream) {
             return Some(AttemptOutcome::Rejected(Rejection::Busy));
--- a/crates/skylarkshore-standins/src/world/meter.rs
+++ b/crates/skylarkshore-standins/src/world/meter.rs
@@ -76,6 +76,7 @@
         | PeerMessage::SuspectsNoted { .. }
         | PeerMessage::LossesNoted { .. }
         | PeerMessage::UpstreamsReached { .. }
+        | PeerMessage::UpstreamFull { .. }
         | PeerMessage::Cleared { .. } => "suspects",
         _ => "other",
     }
--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -214,6 +214,8 @@
     },
     /// Whether the sender reaches the upstreams itself; sent when that changes, and while it doesn't.
     UpstreamsReached { reached: bool },
+    /// An upstream that withstands few rejections has rejected a request of the sender for want of room.
+    UpstreamFull { upstream: UpstreamId },
 }
 
 /// Encodes a message for the wire.
@@ -404,6 +406,7 @@
             }
             M::Permits { upstream, count } => Self::Permits { upstream: upstream.clone(), count: *count },
             M::UpstreamsReached { reached } => Self::UpstreamsReached { reached: *reached },
+            M::UpstreamFull { upstream } => Self::UpstreamFull { upstream: upstream.clone() },
             M::LossesNoted { upstream, incarnation, requests } => Self::LossesNoted {
                 upstream: upstream.clone(),
                 incarnation: *incarnation,
@@ -497,6 +500,7 @@
             W::PermitsWanted { upstream, limit, count } => Self::PermitsWanted { upstream, limit, count },
             W::Permits { upstream, count } => Self::Permits { upstream, count },
             W::UpstreamsReached { reached } => Self::UpstreamsReached { reached },
+            W::UpstreamFull { upstream } => Self::UpstreamFull { upstream },
             W::LossesNoted { upstream, incarnation, requests } => {
                 Self::LossesNoted { upstream, incarnation, requests }
             }
--- a/crates/skylarkshore-wire/tests/formats.rs
+++ b/crates/skylarkshore-wire/tests/formats.rs
@@ -188,6 +188,7 @@
             alone: true,
         },
         PeerMessage::UpstreamsReached { reached: false },
+        PeerMessage::UpstreamFull { upstream: "e1".parse().expect("the name is valid") },
         PeerMessage::LossesNoted {
             upstream: "engine-1".parse().unwrap(),
             incarnation: Some(Incarnation(2)),
