Let a second keep-alive probe go out before a connection is given up

Cause: connections to upstreams are probed after one second without a byte and each second after that, and two probes were meant to go unanswered. The user time-out of two seconds ended the connection at the time of the second probe, so that a single probe that fell into a silence, however short, ended an answer that was merely waiting for its first token.

Fix: the user time-out is three seconds, which is when the second probe has had its second. An upstream that takes no bytes any more is given up after three seconds instead of two.

--- a/crates/skylarkshore-host/src/pool.rs
+++ b/crates/skylarkshore-host/src/pool.rs
@@ -29,9 +29,10 @@
 ///
 /// A connection can go silent without a reset. Only this limit and the
 /// keep-alive probes detect it; otherwise a request would wait for its deadline.
-const ACK_TIMEOUT: Duration = Duration::from_secs(2);
+/// The limit also ends the probes, whatever their number, so two of them must fit.
+pub const ACK_TIMEOUT: Duration = Duration::from_secs(3);
 /// Idle time before a keep-alive probe, interval of the probes, and their number.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+pub const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 const MAX_PROBES: u32 = 2;
 /// The longest time that an idle connection is kept; the upstream may state a shorter one.
 const MAX_IDLE: Duration = Duration::from_secs(3);
