--- a/crates/skylarkshore-host/src/probe.rs
+++ b/crates/skylarkshore-host/src/probe.rs
@@ -20,9 +20,14 @@
 /// How long an upstream may take to accept a connection; data centres are milliseconds apart.
 const UPSTREAM_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Reports whether an upstream accepts a new connection.
+/// How long a connection must stay open; something in between may accept it and close it at once.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// Reports whether an upstream accepts a new connection and keeps it open.
 pub(crate) async fn accepts_connections(address: SocketAddr) -> bool {
-    matches!(timeout(UPSTREAM_TIMEOUT, TcpStream::connect(address)).await, Ok(Ok(_stream)))
+    let Ok(Ok(stream)) = timeout(UPSTREAM_TIMEOUT, TcpStream::connect(address)).await else { return false };
+    // An upstream sends nothing before it is asked, so that a result means the end of the connection.
+    timeout(CLOSE_TIMEOUT, stream.peek(&mut [0])).await.is_err()
 }
 
 /// Reports whether the incarnation of the process has ended.
--- a/crates/skylarkshore-standins/src/lib.rs
+++ b/crates/skylarkshore-standins/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod relay;
 pub mod replay;
 pub mod service;
+pub mod socket_owner;
 pub mod store;
 pub mod weights;
 pub mod world;
--- a/crates/skylarkshore-standins/src/process.rs
+++ b/crates/skylarkshore-standins/src/process.rs
@@ -288,13 +288,22 @@
         }
     }
 
+    /// Returns the id of the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn pid(&self) -> io::Result<u32> {
+        self.child.id().ok_or_else(|| io::Error::other("the process has ended"))
+    }
+
     /// Sends a signal with the system's `kill` program.
     ///
     /// # Errors
     ///
     /// Returns an error if the process has ended, or there is no `kill` program.
     pub async fn signal(&self, signal: Signal) -> io::Result<()> {
-        let pid = self.child.id().ok_or_else(|| io::Error::other("the process has ended"))?;
+        let pid = self.pid()?;
         let status = Command::new("kill").arg(format!("-{signal}")).arg(pid.to_string()).status().await?;
         if status.success() { Ok(()) } else { Err(io::Error::other("the kill program failed")) }
     }
@@ -305,7 +314,7 @@
     ///
     /// Returns an error if the process has ended or `/proc` has no entry for it.
     pub fn private_memory(&self) -> io::Result<u64> {
-        let pid = self.child.id().ok_or_else(|| io::Error::other("the process has ended"))?;
+        let pid = self.pid()?;
         let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
         let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
         let kibibytes = line.and_then(|line| line.trim().trim_end_matches(" kB").parse::<u64>().ok());
@@ -318,7 +327,7 @@
     ///
     /// Returns an error if the process has ended or `/proc` has no entry for it.
     pub fn processor_time(&self) -> io::Result<Duration> {
-        let pid = self.child.id().ok_or_else(|| io::Error::other("the process has ended"))?;
+        let pid = self.pid()?;
         let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
         // The program name may contain any characters and ends at the last bracket.
         let fields = stat.rsplit_once(')').map_or("", |(_, rest)| rest).split_whitespace();
--- a/crates/skylarkshore-standins/src/relay.rs
+++ b/crates/skylarkshore-standins/src/relay.rs
@@ -13,6 +13,7 @@
 use tokio::time::sleep;
 
 use crate::fleet::any_port;
+use crate::socket_owner::owns_port;
 
 /// Largest number of bytes forwarded at a time.
 const BUFFER_LEN: usize = 16 * 1024;
@@ -58,6 +59,8 @@
 pub struct Relay {
     address: SocketAddr,
     line: Arc<watch::Sender<Line>>,
+    /// Processes whose connections are closed.
+    cut_off: Arc<watch::Sender<Vec<u32>>>,
     task: JoinHandle<()>,
 }
 
@@ -78,8 +81,9 @@
         let listener = TcpListener::bind(any_port()).await?;
         let address = listener.local_addr()?;
         let line = Arc::new(watch::Sender::new(Line::Whole));
-        let task = tokio::spawn(accept(listener, target, Arc::clone(&line)));
-        Ok(Self { address, line, task })
+        let cut_off = Arc::new(watch::Sender::new(Vec::new()));
+        let task = tokio::spawn(accept(listener, target, Arc::clone(&line), Arc::clone(&cut_off)));
+        Ok(Self { address, line, cut_off, task })
     }
 
     /// Returns the listening address.
@@ -97,19 +101,41 @@
         self.set(Line::Cut);
     }
 
+    /// Closes all connections of a process, and new ones immediately.
+    pub fn cut_off(&self, pid: u32) {
+        self.cut_off.send_modify(|pids| pids.push(pid));
+    }
+
+    /// Forwards the connections of a process again.
+    pub fn mend_for(&self, pid: u32) {
+        self.cut_off.send_modify(|pids| pids.retain(|cut| *cut != pid));
+    }
+
     /// Removes the fault.
     pub fn mend(&self) {
         self.set(Line::Whole);
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, line: Arc<watch::Sender<Line>>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    line: Arc<watch::Sender<Line>>,
+    cut_off: Arc<watch::Sender<Vec<u32>>>,
+) {
     loop {
-        let Ok((from, _)) = listener.accept().await else { continue };
-        let line = line.subscribe();
-        if *line.borrow() != Line::Cut {
-            tokio::spawn(relay_connection(from, target, line));
+        let Ok((from, peer)) = listener.accept().await else { continue };
+        let (line, mut cut_off) = (line.subscribe(), cut_off.subscribe());
+        if *line.borrow() == Line::Cut {
+            continue;
         }
+        tokio::spawn(async move {
+            tokio::select! {
+                // The sender has dropped the connections before the relay ends.
+                _ = cut_off.wait_for(|pids| pids.iter().any(|pid| owns_port(*pid, peer.port()))) => {}
+                () = relay_connection(from, target, line) => {}
+            }
+        });
     }
 }
 
