Split routing, the node and the world by concern, and pass over peers for as long as they ask

A host that is cut off and has been told that a peer is cut off, too, passes it over for 12 s; a stream which that peer refused shortened this to 2 s. Where all hosts are cut off, requests then waited for their deadline instead of being refused at once. hosts_that_are_all_cut_off_refuse_at_once_and_serve_again_afterwards failed so and passes.

The rest moves code: candidates of routing, the paths of a node's effects, the links of the given-time world.

--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -3,6 +3,7 @@
 //! [`Node`] is the entry point.
 
 mod documents;
+mod paths;
 
 use std::sync::Arc;
 
@@ -17,7 +18,7 @@
 use crate::dump::{DumpEntry, Gauge};
 use crate::effect::Effect;
 use crate::event::Event;
-use crate::id::{CallId, HostId, StoreRevision, UpstreamId};
+use crate::id::{CallId, HostId, StoreRevision};
 use crate::loading::Loading;
 use crate::peer::{Envelope, PeerMessage};
 use crate::removal_grace::RemovalGrace;
@@ -27,7 +28,7 @@
     Key, RecordBatch, StoreAnswer, StoreCache, StoreResult, Versioned, WriteOutcome, WriteQueue, WriteRequest,
 };
 use crate::time::Time;
-use crate::upstream::{Upstream, UpstreamChanges, UpstreamList};
+use crate::upstream::{UpstreamChanges, UpstreamList};
 use crate::upstream_paths::UpstreamPaths;
 
 /// State machine of one process.
@@ -108,16 +109,6 @@
         self.choose_paths(now, effects)
     }
 
-    /// Chooses the way of all effects that concern upstreams.
-    fn choose_paths(&mut self, now: Time, mut effects: Vec<Effect>) -> Vec<Effect> {
-        self.with_cx(now, &mut Vec::new(), |cx, parts| {
-            for effect in &mut effects {
-                parts.paths.route(cx, effect);
-            }
-        });
-        effects
-    }
-
     /// Returns the active operator document (rules and catalogue).
     pub fn document(&self) -> &Arc<Document> {
         &self.document
@@ -143,12 +134,6 @@
         self.shutdown != Shutdown::NotRequested
     }
 
-    /// Returns an upstream to which this host can relay connections of its peers: one that is listed and
-    /// that it reaches directly.
-    pub fn relay_target(&self, id: &UpstreamId) -> Option<&Upstream> {
-        self.upstreams.get(id).filter(|_| self.paths.reaches_directly(id))
-    }
-
     /// Reports whether the process has a document and upstreams and isn't shutting down.
     pub fn is_ready(&self) -> bool {
         !self.is_leaving() && self.document.is_configured() && !self.upstreams.is_empty()
--- a/crates/skylarkshore-core/src/upstream_paths.rs
+++ b/crates/skylarkshore-core/src/upstream_paths.rs
@@ -146,10 +146,15 @@
         if reached {
             self.unusable.remove(from);
         } else {
-            self.unusable.insert(from.clone(), cx.now.after(NOTICE_TTL));
+            self.pass_over(from.clone(), cx.now.after(NOTICE_TTL));
         }
     }
 
+    fn pass_over(&mut self, peer: HostId, until: Time) {
+        let known = self.unusable.entry(peer).or_insert(until);
+        *known = until.max(*known);
+    }
+
     fn on_attempt_ended(
         &mut self,
         cx: &mut Cx<'_>,
@@ -158,7 +163,7 @@
     ) -> Option<Switched> {
         if let Some(peer) = self.relayed.remove(&attempt) {
             if *end == AttemptOutcome::NoPath {
-                self.unusable.insert(peer, cx.now.after(REFUSAL_TTL));
+                self.pass_over(peer, cx.now.after(REFUSAL_TTL));
             }
             return None;
         }
--- a/crates/skylarkshore-standins/src/world.rs
+++ b/crates/skylarkshore-standins/src/world.rs
@@ -12,6 +12,7 @@
 mod execute;
 mod fault;
 mod host;
+mod links;
 mod meter;
 mod partitions;
 mod retries;
--- a/crates/skylarkshore-standins/src/world/execute.rs
+++ b/crates/skylarkshore-standins/src/world/execute.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use skylarkshore_core::effect::Effect;
-use skylarkshore_core::event::{AttemptOutcome, Event, Rejection, ReportedLoad, Target};
+use skylarkshore_core::event::{AttemptOutcome, Event, Rejection, Target};
 use skylarkshore_core::id::{AttemptId, CallId, HostId, Incarnation, RequestId, StoreRevision, UpstreamId};
 use skylarkshore_core::peer::Envelope;
 use skylarkshore_core::store::{RecordedAnswer, StoreFailure, StoreResult};
@@ -14,8 +14,6 @@
 use super::callers::{FinalAnswer, RequestKey};
 use super::engine::{Engine, Run};
 use super::fault::Strike;
-use super::host::Host;
-use super::partitions::LinkLoss;
 use super::schedule::{RunId, Sender, SentCall, SentOrder, SentRequest, Task};
 use super::store::StoreMode;
 use super::{HostNote, LATENCY, World};
@@ -25,7 +23,7 @@
 /// Timeout of a report request to an engine that is down.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Limit on the requests in an engine, as a multiple of its concurrency.
-const REQUEST_LIMIT_FACTOR: usize = 4;
+pub(crate) const REQUEST_LIMIT_FACTOR: usize = 4;
 /// Number of concurrent loads that the weight store serves at full speed.
 const LOADS_AT_FULL_SPEED: u32 = 4;
 /// Load time of a model that is missing from the document.
@@ -33,26 +31,6 @@
 /// Time to first token.
 const FIRST_TOKEN: Duration = Duration::from_millis(50);
 
-/// How long a host waits for a connection to open.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
-/// How long sent bytes may stay unacknowledged.
-const ACK_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Why a request doesn't leave its host, and after which time that shows.
-#[derive(Clone, Debug)]
-struct SendFailure {
-    end: AttemptOutcome,
-    after: Duration,
-}
-
-/// Returns how long a host waits for a connection that can't be opened.
-const fn connect_failure_time(loss: LinkLoss) -> Duration {
-    match loss {
-        LinkLoss::Hangs => CONNECT_TIMEOUT,
-        LinkLoss::Resets | LinkLoss::RefusesNew => LATENCY,
-    }
-}
-
 /// Returns the outcome of a run whose upstream or answer is lost.
 pub(crate) const fn lost_outcome(run: &Run, died: bool) -> AttemptOutcome {
     AttemptOutcome::Lost { passed_on: run.started && !run.sent.hold, died }
@@ -185,61 +163,7 @@
         }
     }
 
-    /// Reports whether a host reaches the upstreams, directly or through a peer.
-    fn has_path(&self, h: usize, via: Option<&HostId>) -> bool {
-        match via {
-            None => self.hosts[h].link_loss(self.now).is_none(),
-            Some(peer) => self.can_relay(h, peer),
-        }
-    }
-
-    fn can_relay(&self, h: usize, peer: &HostId) -> bool {
-        let is_reached = self.hosts[h].peers_unreachable_until <= self.now;
-        let relays = |host: &Host| {
-            host.is_up()
-                && !host.is_frozen()
-                && host.peers_unreachable_until <= self.now
-                && host.link_loss(self.now).is_none()
-        };
-        is_reached && self.hosts.iter().any(|host| host.id == *peer && relays(host))
-    }
-
-    /// Returns how a request that is sent now fails, if it does.
-    fn send_failure(&mut self, h: usize, via: Option<&HostId>) -> Option<SendFailure> {
-        if let Some(peer) = via {
-            let failure = SendFailure { end: AttemptOutcome::NoPath, after: LATENCY * 2 };
-            return (!self.can_relay(h, peer)).then_some(failure);
-        }
-        let loss = self.hosts[h].send_failure(self.now)?;
-        Some(SendFailure { end: AttemptOutcome::NotSent, after: connect_failure_time(loss) })
-    }
-
-    fn probe_upstream(&mut self, h: usize, upstream: UpstreamId) {
-        let is_up = self.engines.get(&upstream).is_none_or(|engine| engine.up);
-        let loss = self.hosts[h].link_loss(self.now);
-        let after = loss.map_or(LATENCY, connect_failure_time);
-        let event = Event::UpstreamProbed { upstream, reached: is_up && loss.is_none() };
-        let to = self.hosts[h].sender();
-        self.schedule.add(self.now.after(after), Task::Event { to, event });
-    }
-
-    /// Ends the attempts of a host whose connections to upstreams are lost.
-    pub(crate) fn break_attempts(&mut self, h: usize, loss: LinkLoss) {
-        if loss == LinkLoss::RefusesNew {
-            return;
-        }
-        let from = self.hosts[h].sender();
-        let open: Vec<AttemptId> =
-            self.attempts.keys().filter(|key| key.is_of(from)).map(|key| key.attempt).collect();
-        let after = if loss == LinkLoss::Hangs { ACK_TIMEOUT } else { LATENCY };
-        for attempt in open {
-            let passed_on = self.stop_runs(from, attempt).iter().any(|run| run.started && !run.sent.hold);
-            let end = AttemptOutcome::Lost { passed_on, died: true };
-            self.schedule.add(self.now.after(after), Task::AttemptFails { from, attempt, end });
-        }
-    }
-
-    fn stop_runs(&mut self, from: Sender, attempt: AttemptId) -> Vec<Run> {
+    pub(crate) fn stop_runs(&mut self, from: Sender, attempt: AttemptId) -> Vec<Run> {
         let now = self.now;
         self.engines.values_mut().flat_map(|engine| engine.cancel(from, attempt, now)).collect()
     }
@@ -263,7 +187,7 @@
         }
     }
 
-    fn send_event(&mut self, to: Sender, event: Event) {
+    pub(crate) fn send_event(&mut self, to: Sender, event: Event) {
         self.schedule.add(self.now.after(LATENCY), Task::Event { to, event });
     }
 
@@ -414,47 +338,6 @@
         self.schedule.add(self.now.after(run_time), Task::RunDone { upstream, run: id });
     }
 
-    /// Rejects a request for want of room at a brittle upstream, which may fall over then.
-    fn brittle_rejection(&mut self, sent: &SentRequest) -> Option<AttemptOutcome> {
-        if self.brittle.is_down(self.now, &sent.upstream) {
-            return Some(AttemptOutcome::NotSent);
-        }
-        let (concurrency, is_strict) = self.brittle.concurrency(self.now, &sent.upstream)?;
-        let runs = self.services.get(&sent.upstream).map_or(0, |service| service.runs.len());
-        let room = if is_strict { concurrency } else { concurrency * REQUEST_LIMIT_FACTOR };
-        if runs < room {
-            return None;
-        }
-        if self.brittle.record_rejection(self.now, &sent.upstream) {
-            let lost = self.services.get_mut(&sent.upstream).map(|service| std::mem::take(&mut service.runs));
-            for run in lost.into_iter().flatten() {
-                self.end_run(&run.1, lost_outcome(&run.1, true));
-            }
-        }
-        Some(AttemptOutcome::Rejected(Rejection::Busy))
-    }
-
-    /// Tells a host what a brittle upstream says of itself in its answers: its limit and its load.
-    fn report_brittle_state(&mut self, sent: &SentRequest) {
-        let upstream = sent.upstream.clone();
-        let Some(limit) = self.brittle.named_limit(&upstream) else { return };
-        if self.brittle.is_down(self.now, &upstream) {
-            return;
-        }
-        let running = self.services.get(&upstream).map_or(0, |service| service.runs.len());
-        let concurrency =
-            self.brittle.concurrency(self.now, &upstream).map_or(0, |(concurrency, _)| concurrency);
-        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-        let load = ReportedLoad {
-            running: count(running.min(concurrency)),
-            waiting: count(running.saturating_sub(concurrency)),
-            concurrency: count(concurrency),
-        };
-        let limit = Event::RejectionLimit { upstream: upstream.clone(), limit: Some(limit) };
-        self.send_event(sent.from, limit);
-        self.send_event(sent.from, Event::LoadReported { upstream, load });
-    }
-
     fn rejection(&self, sent: &SentRequest, target: &Target) -> Option<AttemptOutcome> {
         if self.overloaded.contains(&sent.upstream) {
             return Some(AttemptOutcome::Rejected(Rejection::Busy));
@@ -539,7 +422,7 @@
 pub(crate) struct AttemptKey {
     host: usize,
     life: u64,
-    attempt: AttemptId,
+    pub(crate) attempt: AttemptId,
 }
 
 impl AttemptKey {
@@ -547,7 +430,7 @@
         Self { host: from.host, life: from.life, attempt }
     }
 
-    fn is_of(&self, sender: Sender) -> bool {
+    pub(crate) fn is_of(&self, sender: Sender) -> bool {
         self.host == sender.host && self.life == sender.life
     }
 }
--- a/crates/skylarkshore-standins/tests/world/cut_off_hosts.rs
+++ b/crates/skylarkshore-standins/tests/world/cut_off_hosts.rs
@@ -82,3 +82,39 @@
 fn callers_of_hosts_that_can_open_no_connections_to_upstreams_are_served() {
     play(3, &[0, 3, 6], LinkLoss::RefusesNew);
 }
+
+/// Guards against hosts that take the crash of an engine for the loss of their own links.
+#[test]
+fn a_crashed_engine_is_not_taken_for_lost_links() {
+    let mut world = world(cut_setup(4), NoFaults);
+    world.run_until(at_secs(BEGIN_SECS));
+    ask_in_turn(&mut world, CUT_SECS);
+    world.crash_engine(&name("engine-0"), Some(Duration::from_secs(5)));
+    ask_in_turn(&mut world, CUT_SECS + 10);
+    let lost = world.notes.iter().filter(|note| note.note.event == "links_lost").count();
+    assert_eq!(lost, 0, "{lost} times links counted as lost");
+    assert_sound(&mut world, HOSTS);
+}
+
+/// Guards against callers that wait in vain where no host reaches the upstreams.
+#[test]
+fn hosts_that_are_all_cut_off_refuse_at_once_and_serve_again_afterwards() {
+    let mut world = world(cut_setup(5), NoFaults);
+    world.run_until(at_secs(BEGIN_SECS));
+    ask_in_turn(&mut world, CUT_SECS);
+    let all: Vec<usize> = (0..HOSTS).collect();
+    world.cut_upstreams(&all, LinkLoss::Hangs, world.now().after(CUT_TIME));
+    ask_in_turn(&mut world, CUT_SECS + 6);
+    let now = world.now();
+    let key = world.ask(0, &Ask { timeout: Duration::from_secs(4), ..ask_model(MODELS[0], 1_000_000) });
+    world.run_for(Duration::from_millis(200));
+    let refused = world.callers.requests[&key]
+        .ended
+        .as_ref()
+        .is_some_and(|ended| ended.at <= now.after(Duration::from_millis(100)));
+    assert!(refused, "{:?}", world.callers.requests[&key]);
+    world.run_for(Duration::from_secs(12));
+    let key = world.ask(0, &Ask { timeout: Duration::from_secs(4), ..ask_model(MODELS[0], 1_000_001) });
+    world.run_for(Duration::from_secs(5));
+    assert!(world.callers.requests[&key].is_answered(), "{:?}", world.callers.requests[&key]);
+}
