--- a/crates/skylarkshore-standins/tests/world/cut_off_hosts.rs
+++ b/crates/skylarkshore-standins/tests/world/cut_off_hosts.rs
@@ -118,3 +118,20 @@
     world.run_for(Duration::from_secs(5));
     assert!(world.callers.requests[&key].is_answered(), "{:?}", world.callers.requests[&key]);
 }
+
+/// Guards against callers that wait in vain at a host which has had no requests since all hosts were cut off.
+#[test]
+fn an_idle_host_refuses_at_once_where_all_hosts_are_cut_off() {
+    let mut world = world(cut_setup(5), NoFaults);
+    world.run_until(at_secs(BEGIN_SECS));
+    ask_in_turn(&mut world, CUT_SECS);
+    let all: Vec<usize> = (0..HOSTS).collect();
+    world.cut_upstreams(&all, LinkLoss::Hangs, world.now().after(CUT_TIME));
+    world.run_for(Duration::from_secs(6));
+    let now = world.now();
+    let key = world.ask(0, &Ask { timeout: Duration::from_secs(4), ..ask_model(MODELS[0], 1_000_000) });
+    world.run_for(Duration::from_millis(200));
+    let ended = world.callers.requests[&key].ended.as_ref();
+    let refused = ended.is_some_and(|ended| ended.at <= now.after(Duration::from_millis(100)));
+    assert!(refused, "{:?}", world.callers.requests[&key]);
+}
