--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -49,7 +49,13 @@
         self.routes.release_slot(&run.upstream);
         if !matches!(end, AttemptOutcome::Completed { .. } | AttemptOutcome::CompletedTooLarge) {
             let after = cx.now.since(run.sent).as_millis();
-            let detail = format!("upstream={} after_ms={after} end={}", run.upstream, end.label());
+            let incarnation = run.incarnation.map_or_else(|| "unknown".to_owned(), |own| own.to_string());
+            let detail = format!(
+                "upstream={} incarnation={incarnation} after_ms={after} end={} digest={}",
+                run.upstream,
+                end.label(),
+                request.arrival.digest
+            );
             cx.log_decision(id, "request_not_answered", detail);
         }
         let answered = matches!(
--- a/crates/skylarkshore-core/src/serving/isolation.rs
+++ b/crates/skylarkshore-core/src/serving/isolation.rs
@@ -23,6 +23,8 @@
 const RESERVATION_TIMEOUT: Duration = Duration::from_secs(3);
 /// Interval between reservation requests to an owner.
 const RESERVATION_REQUEST_INTERVAL: Duration = Duration::from_millis(500);
+/// Maximum number of digests in a line of the log.
+const MAX_LOGGED_DIGESTS: usize = 8;
 
 impl Serving {
     /// Dispatches the next suspect, one at a time.
@@ -141,11 +143,14 @@
     /// Records the losses that a peer has reported, and passes on those that are new.
     fn on_losses(&mut self, cx: &mut Cx<'_>, from: &HostId, losses: &[Loss]) {
         self.loss_reports.acknowledge(from, losses.iter().cloned());
+        let mut new = Vec::new();
         for loss in losses {
             if self.suspects.record_loss(cx, loss) {
                 self.loss_reports.add(cx, loss, Reporter::Peer);
+                new.push(loss);
             }
         }
+        log_reported_losses(cx, from, &new);
         self.suspects.on_host_list(cx);
     }
 
@@ -221,3 +226,17 @@
         found.map(|(id, _)| *id).collect()
     }
 }
+
+/// Logs the losses that a peer has reported and that were new, in one line for all of them.
+fn log_reported_losses(cx: &mut Cx<'_>, from: &HostId, losses: &[&Loss]) {
+    let Some(first) = losses.first() else { return };
+    let incarnation = first.incarnation.map_or_else(|| "unknown".to_owned(), |own| own.to_string());
+    let digests: Vec<String> =
+        losses.iter().take(MAX_LOGGED_DIGESTS).map(|loss| loss.request.to_string()).collect();
+    let detail = format!(
+        "from={from} incarnation={incarnation} losses={} digests={}",
+        losses.len(),
+        digests.join(",")
+    );
+    cx.log_event("losses_reported", &first.upstream, detail);
+}
