Play requests that crash replicas in given time, and show that one is sent on

The given-time world now lets replicas of services crash or fall silent under a request, shows their terminations on the host list after three heartbeats, and judges BUDGET as worded: after the third crash and the contact time a request may reach replicas from hosts in touch three times more.

--- a/crates/skylarkshore-standins/examples/capacity.rs
+++ b/crates/skylarkshore-standins/examples/capacity.rs
@@ -125,6 +125,7 @@
         timeout: Duration::from_secs(30),
         run_time: Duration::from_millis(300),
         crashes: false,
+        silences: false,
     }
 }
 
--- a/crates/skylarkshore-standins/src/replay/run.rs
+++ b/crates/skylarkshore-standins/src/replay/run.rs
@@ -91,6 +91,7 @@
         timeout: entry.timeout,
         run_time: entry.run,
         crashes: false,
+        silences: false,
     })
 }
 
--- a/crates/skylarkshore-standins/src/world.rs
+++ b/crates/skylarkshore-standins/src/world.rs
@@ -8,6 +8,7 @@
 mod brittle;
 mod callers;
 mod checks;
+mod crashes;
 mod engine;
 mod execute;
 mod fault;
@@ -15,6 +16,7 @@
 mod links;
 mod meter;
 mod partitions;
+mod replicas;
 mod retries;
 mod schedule;
 mod service;
@@ -28,13 +30,14 @@
 use skylarkshore_core::config::{Limits, Timings};
 use skylarkshore_core::effect::LogEvent;
 use skylarkshore_core::event::Event;
-use skylarkshore_core::id::{DataCentre, HostId, RulesRevision, StoreRevision, UpstreamId};
+use skylarkshore_core::id::{DataCentre, Digest, HostId, RulesRevision, StoreRevision, UpstreamId};
 use skylarkshore_core::rules::MinuteOfDay;
 use skylarkshore_core::store::{Expect, Key, Record, StoreAnswer, StoreFailure};
 use skylarkshore_core::time::Time;
 use skylarkshore_core::upstream::{Upstream, UpstreamStatus};
 
 use brittle::BrittleUpstreams;
+use crashes::CrashLedger;
 use execute::{AttemptKey, CallKey, OpenAttempt};
 use host::Host;
 use partitions::{HostCut, Partitions};
@@ -103,6 +106,9 @@
     retries: RetryLedger,
     partitions: Partitions,
     brittle: BrittleUpstreams,
+    crashes: CrashLedger,
+    /// How long the host list still names a replica that has ended; if unset, it doesn't show restarts.
+    termination_listed_after: Option<Duration>,
     runs: u64,
     /// Whether effects are counted, which slows the simulation.
     pub metered: bool,
@@ -148,6 +154,8 @@
             retries: RetryLedger::default(),
             partitions: Partitions::default(),
             brittle: BrittleUpstreams::default(),
+            crashes: CrashLedger::default(),
+            termination_listed_after: None,
             runs: 0,
             metered: false,
             store: Store::default(),
@@ -219,16 +227,19 @@
     /// Kills a host's process without a restart.
     pub fn kill_without_restart(&mut self, h: usize) {
         let Some(sender) = self.hosts[h].end_process() else { return };
+        self.hosts[h].disturb(self.now);
         self.store.unwatch(h);
         self.callers.abandon_from(sender, self.now);
         for engine in self.engines.values_mut() {
             engine.cancel_from(sender, self.now);
         }
+        self.end_silent_replicas(|sent| sent.from == sender);
     }
 
     /// Pauses a process for `d`; events that arrive meanwhile are queued.
     pub fn freeze(&mut self, h: usize, d: Duration) {
         if self.hosts[h].freeze() {
+            self.hosts[h].disturb(self.now.after(d));
             self.checks.record_pause(h, self.now, self.now.after(d));
             self.schedule.add(self.now.after(d), Task::Resume { host: h });
         }
@@ -251,6 +262,7 @@
     /// Disconnects a host from the key-value service until `until`.
     pub fn cut_store(&mut self, h: usize, until: Time) {
         self.hosts[h].store_unreachable_until = until;
+        self.hosts[h].disturb(until);
         self.store.unwatch(h);
         self.deliver(h, Event::WatchBroken);
     }
@@ -258,6 +270,7 @@
     /// Disconnects a host from its peers until `until`.
     pub fn cut_peers(&mut self, h: usize, until: Time) {
         self.hosts[h].peers_unreachable_until = until;
+        self.hosts[h].disturb(until);
     }
 
     /// Cuts hosts off from all upstreams until `until`.
@@ -299,6 +312,16 @@
         self.checks.marked_leaving(id, self.now);
     }
 
+    /// Makes the host list show new incarnations of replicas, and those that have ended after `lag`.
+    pub const fn list_terminations(&mut self, lag: Duration) {
+        self.termination_listed_after = Some(lag);
+    }
+
+    /// Returns how many upstreams the requests with a digest have crashed.
+    pub fn crashes(&self, request: Digest) -> usize {
+        self.crashes.crashes(request)
+    }
+
     /// Makes upstreams brittle: each runs `concurrency` requests at a time, and falls over when it has to
     /// reject more than `limit` within a second.
     pub fn set_brittle(&mut self, ids: &[UpstreamId], limit: u32, concurrency: usize) {
@@ -375,6 +398,7 @@
     }
 
     fn start_host(&mut self, h: usize) {
+        self.hosts[h].disturb(self.now);
         let effects = self.hosts[h].start(self.now);
         let life = self.hosts[h].life;
         let phase = Duration::from_millis(7 * (h as u64 + 1));
@@ -415,6 +439,8 @@
             Task::Store(call) => self.handle_store_call(call),
             Task::Order(order) => self.handle_order(&order),
             Task::ReportRequest { from, engine, asked } => self.handle_report_request(from, &engine, asked),
+            Task::ReplicaUp { replica } => self.restart_replica(&replica),
+            Task::Delist { replica, incarnation } => self.delist(&replica, incarnation),
             Task::StartRun(start) => self.start_run(start),
             Task::AttemptTimeout { from, attempt } => self.time_out(from, attempt),
             Task::LoadDone { engine, incarnation, model } => {
@@ -472,12 +498,15 @@
 
     /// Runs the final checks: every request of a running process that is due must have its final answer,
     /// the retries must have kept to the shared budget, and hosts that were cut off from the upstreams must
-    /// have served their callers, and brittle upstreams must have fallen over rarely.
+    /// have served their callers, brittle upstreams must have fallen over rarely, and requests that crash
+    /// upstreams must not have been sent on.
     pub fn finish(&mut self) {
         self.checks.check_at_end(self.now, &self.callers);
         let retries = self.retries.violations(self.setup.limits.retries, &self.callers);
         let partitions = self.partitions.violations(&self.callers);
-        for violation in retries.into_iter().chain(partitions).chain(self.brittle.violation()) {
+        let crashes = self.crashes.violations();
+        let found = retries.into_iter().chain(partitions).chain(crashes).chain(self.brittle.violation());
+        for violation in found {
             self.checks.report(violation.at, violation.what);
         }
     }
--- a/crates/skylarkshore-standins/src/world/callers.rs
+++ b/crates/skylarkshore-standins/src/world/callers.rs
@@ -8,7 +8,7 @@
 use skylarkshore_core::id::{CallerId, Digest, RequestId};
 use skylarkshore_core::time::Time;
 
-use super::schedule::Sender;
+use super::schedule::{Sender, SentRequest};
 use super::violation::Violation;
 
 /// A request to be sent by a caller.
@@ -30,6 +30,8 @@
     pub run_time: Duration,
     /// Whether the request crashes the upstream that runs it.
     pub crashes: bool,
+    /// Whether the replica that runs it goes silent, and ends as soon as the request is cancelled.
+    pub silences: bool,
 }
 
 /// Identifies a request across all hosts and process incarnations.
@@ -43,6 +45,12 @@
     pub request: RequestId,
 }
 
+impl RequestKey {
+    pub(crate) const fn of(sent: &SentRequest) -> Self {
+        Self { host: sent.from.host, life: sent.from.life, request: sent.request }
+    }
+}
+
 /// A request's final answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FinalAnswer {
--- a/crates/skylarkshore-standins/src/world/execute.rs
+++ b/crates/skylarkshore-standins/src/world/execute.rs
@@ -165,7 +165,10 @@
 
     pub(crate) fn stop_runs(&mut self, from: Sender, attempt: AttemptId) -> Vec<Run> {
         let now = self.now;
-        self.engines.values_mut().flat_map(|engine| engine.cancel(from, attempt, now)).collect()
+        let stopped =
+            self.engines.values_mut().flat_map(|engine| engine.cancel(from, attempt, now)).collect();
+        self.end_silent_replicas(|sent| sent.from == from && sent.attempt == attempt);
+        stopped
     }
 
     /// Ends an attempt without a complete answer at its deadline, as the host runtime does.
@@ -200,6 +203,7 @@
 
     pub(crate) fn crash_and_restart(&mut self, id: &UpstreamId) {
         self.crash_engine(id, Some(CRASH_DOWNTIME));
+        self.crash_replica(id);
     }
 
     fn watch(&mut self, h: usize, from: StoreRevision, fault: Strike) {
@@ -314,6 +318,7 @@
         self.report_brittle_state(&sent);
         if rejection != Some(AttemptOutcome::NotSent) {
             self.retries.record_arrival(self.now, request, &target);
+            self.record_crashing_arrival(&sent, &request);
         }
         if let Some(end) = rejection {
             return self.attempt_ended(sent.from, sent.attempt, end);
@@ -354,24 +359,34 @@
                 (engine.run_count() >= most).then_some(AttemptOutcome::Rejected(Rejection::Busy))
             }
             Target::Service(name) => {
-                let known = self.services.get(&sent.upstream).is_some_and(|service| service.service == *name);
+                let replica = self.services.get(&sent.upstream).filter(|replica| replica.up);
+                let known = replica.is_some_and(|replica| replica.service == *name);
                 (!known).then_some(AttemptOutcome::NotSent)
             }
         }
     }
 
     pub(crate) fn run_started(&mut self, upstream: &UpstreamId, id: RunId) {
+        let is_silent = self.is_silent(upstream);
         let run = match self.engines.get_mut(upstream) {
             Some(engine) => engine.run_mut(id),
             None => self.services.get_mut(upstream).and_then(|service| service.runs.get_mut(&id)),
         };
         let Some(run) = run else { return };
-        run.started = true;
         let sent = run.sent.clone();
         let request = request_key(sent.from, sent.request);
-        if self.callers.requests.get(&request).is_some_and(|log| log.ask.crashes) {
+        let Some(ask) = self.callers.requests.get(&request).map(|log| &log.ask) else { return };
+        if ask.crashes {
+            self.crashes.record_crash(self.now, ask.digest);
             return self.crash_and_restart(upstream);
         }
+        if ask.silences {
+            return self.silence(upstream);
+        }
+        if is_silent {
+            return;
+        }
+        run.started = true;
         if self.attempts.contains_key(&AttemptKey::new(sent.from, sent.attempt)) {
             self.callers.record_answer_start(&request, self.now);
             self.send_event(sent.from, Event::AnswerStarted { attempt: sent.attempt });
@@ -379,6 +394,9 @@
     }
 
     pub(crate) fn run_done(&mut self, upstream: &UpstreamId, id: RunId) {
+        if self.is_silent(upstream) {
+            return;
+        }
         let run = match self.engines.get_mut(upstream) {
             Some(engine) => engine.remove_run(id, self.now),
             None => self.services.get_mut(upstream).and_then(|service| service.runs.remove(&id)),
--- a/crates/skylarkshore-standins/src/world/host.rs
+++ b/crates/skylarkshore-standins/src/world/host.rs
@@ -13,6 +13,7 @@
 use skylarkshore_core::units::Capacity;
 
 use super::callers::RequestKey;
+use super::crashes::CONTACT_TIME;
 use super::meter::Meter;
 use super::partitions::{HostCut, LinkLoss};
 use super::schedule::Sender;
@@ -39,6 +40,8 @@
     pub(crate) exited: bool,
     pub(crate) store_unreachable_until: Time,
     pub(crate) peers_unreachable_until: Time,
+    /// Until when the host was last killed, started, frozen or cut off.
+    disturbed_until: Time,
     pub(crate) upstreams_cut: Option<HostCut>,
     sends_while_cut: u32,
     pub(crate) meter: Meter,
@@ -72,6 +75,7 @@
             exited: false,
             store_unreachable_until: Time::START,
             peers_unreachable_until: Time::START,
+            disturbed_until: Time::START,
             upstreams_cut: None,
             sends_while_cut: 0,
             meter: Meter::default(),
@@ -80,6 +84,16 @@
         }
     }
 
+    /// Records that the host is disturbed until a time.
+    pub(crate) fn disturb(&mut self, until: Time) {
+        self.disturbed_until = self.disturbed_until.max(until);
+    }
+
+    /// Reports whether the process has run undisturbed for the platform's contact time.
+    pub(crate) fn is_in_touch(&self, now: Time) -> bool {
+        self.is_up() && self.disturbed_until.after(CONTACT_TIME).is_due(now)
+    }
+
     /// Returns how the links to the upstreams are lost, if they are.
     pub(crate) fn link_loss(&self, now: Time) -> Option<LinkLoss> {
         self.upstreams_cut.filter(|cut| !cut.until.is_due(now)).map(|cut| cut.loss)
--- a/crates/skylarkshore-standins/src/world/schedule.rs
+++ b/crates/skylarkshore-standins/src/world/schedule.rs
@@ -63,6 +63,8 @@
     StoreTimeout { from: Sender, call: CallId },
     Crash { engine: UpstreamId },
     EngineUp { engine: UpstreamId },
+    ReplicaUp { replica: UpstreamId },
+    Delist { replica: UpstreamId, incarnation: Incarnation },
     Store(SentCall),
     Order(SentOrder),
     ReportRequest { from: Sender, engine: UpstreamId, asked: Time },
--- a/crates/skylarkshore-standins/tests/world/main.rs
+++ b/crates/skylarkshore-standins/tests/world/main.rs
@@ -1,6 +1,7 @@
 //! Several nodes in simulated time: requests end to end, and a fault injected at every step.
 
 mod brittle_upstreams;
+mod crashing_requests;
 mod cut_off_hosts;
 mod fault_matrix;
 mod mutants;
--- a/crates/skylarkshore-standins/tests/world/support.rs
+++ b/crates/skylarkshore-standins/tests/world/support.rs
@@ -120,6 +120,7 @@
         timeout: Duration::from_secs(20),
         run_time: Duration::from_millis(400),
         crashes: false,
+        silences: false,
     }
 }
 
