Hold a request back while the host list can't show the ends of its losses

Cause: a loss counted only when the host list showed the termination, up to three heartbeats (3.6 s) late. A client attempt that was lost itself was refused one loss short of the conviction; every new client attempt was sent on.

Now a loss counts as a possible termination for four heartbeats of the upstreams. A request with three losses that count so is refused at once, with Retry-After, also if it waits inside an upstream. A loss is forgotten where the incarnation answers a request that was sent after the loss was noticed, so that broken connections alone hold nobody back for longer than needed. The interval is a setting, which the platform fills in.

New unit tests: held back, released by an answer or by time, recalled.

--- a/crates/skylarkshore-core/src/config.rs
+++ b/crates/skylarkshore-core/src/config.rs
@@ -98,6 +98,8 @@
     /// The minimum time between the last order of an engine's former owner on another
     /// host and the first order of its new owner.
     pub order_gap: Duration,
+    /// The interval at which upstreams renew their entries on the host list.
+    pub upstream_heartbeat: Duration,
     /// How long an upstream that went missing from the host list during an outage still
     /// counts as live after the list can be read again.
     pub list_grace: Duration,
@@ -124,6 +126,7 @@
             entry_kept: Duration::from_secs(10),
             gone_after: Duration::from_secs(30),
             order_gap: Duration::ZERO,
+            upstream_heartbeat: Duration::from_millis(1500),
             list_grace: Duration::ZERO,
         }
     }
--- a/crates/skylarkshore-core/src/effect.rs
+++ b/crates/skylarkshore-core/src/effect.rs
@@ -78,6 +78,9 @@
     /// It has crashed upstreams before.
     #[display("this request has crashed the upstreams that ran it; do not send it again")]
     CrashesUpstreams,
+    /// It was lost with upstreams that may have crashed.
+    #[display("upstreams were lost while they ran this request, and may have crashed; ask again later")]
+    MayCrashUpstreams,
     /// The process is shutting down.
     #[display("this host is about to go; use another one")]
     Leaving,
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -158,6 +158,7 @@
         };
         let Some(request) = self.requests.get_mut(id) else { return };
         if let State::Sent(run) = request.state.clone() {
+            self.suspects.record_answer(&run);
             let is_late = request.arrival.policy.soft_deadline.is_due(cx.now);
             let waited = run.sent.since(request.arrived);
             // The engine caused the delay if most of the time passed after the request was sent.
--- a/crates/skylarkshore-core/src/serving/arrival.rs
+++ b/crates/skylarkshore-core/src/serving/arrival.rs
@@ -27,6 +27,8 @@
 const QUEUE_FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Retry delay for the answer of a request in progress.
 const IN_PROGRESS_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Retry delay while it isn't known whether a request crashes upstreams.
+pub(super) const HELD_BACK_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Retry delay when the key-value service can't be reached.
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -58,7 +60,11 @@
                 self.apply_disposition(cx, id, disposition);
             }
             Ok(_) => self.request_credit(cx, id),
-            Err(reason) => self.apply_disposition(cx, id, Disposition::Refuse { reason, retry_after: None }),
+            Err(reason) => {
+                let retry_after =
+                    (reason == RefusalReason::MayCrashUpstreams).then_some(HELD_BACK_RETRY_AFTER);
+                self.apply_disposition(cx, id, Disposition::Refuse { reason, retry_after });
+            }
         }
     }
 
@@ -72,6 +78,9 @@
         if self.suspects.status(arrival.digest) == SuspectStatus::Convicted {
             return Err(RefusalReason::CrashesUpstreams);
         }
+        if self.suspects.is_held_back(cx, arrival.digest) {
+            return Err(RefusalReason::MayCrashUpstreams);
+        }
         let mut input = RuleInput {
             caller: Some(&arrival.caller),
             data_centre: Some(&cx.cfg.data_centre),
@@ -315,6 +324,11 @@
             return self.refuse_late(cx, id);
         }
         let suspect = self.suspects.status(request.arrival.digest);
+        if self.suspects.is_held_back(cx, request.arrival.digest) {
+            let reason = RefusalReason::MayCrashUpstreams;
+            let retry_after = Some(HELD_BACK_RETRY_AFTER);
+            return self.apply_disposition(cx, id, Disposition::Refuse { reason, retry_after });
+        }
         let can_proceed = match suspect {
             SuspectStatus::Unsuspected => self.routes.is_candidate(cx, &request.arrival.target, &upstream),
             SuspectStatus::Suspect => {
--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -46,6 +46,9 @@
         };
         let Some(request) = self.requests.get(&id) else { return };
         let Some(run) = request.run().cloned() else { return };
+        if matches!(end, AttemptOutcome::Completed { .. } | AttemptOutcome::CompletedWithFailure) {
+            self.suspects.record_answer(&run);
+        }
         self.routes.release_slot(&run.upstream);
         if !matches!(end, AttemptOutcome::Completed { .. } | AttemptOutcome::CompletedTooLarge) {
             let after = cx.now.since(run.sent).as_millis();
@@ -235,11 +238,15 @@
         let Some(request) = self.requests.get(&id) else { return };
         let digest = request.arrival.digest;
         let convicted = self.suspects.status(digest) == SuspectStatus::Convicted;
-        if convicted || self.suspects.is_one_loss_from_conviction(cx, digest) {
-            let reason = RefusalReason::CrashesUpstreams;
-            return self.apply_disposition(cx, id, Disposition::Refuse { reason, retry_after: None });
-        }
-        self.retry(cx, id, RetryCost::Retry);
+        let reason = if convicted || self.suspects.is_one_loss_from_conviction(cx, digest) {
+            RefusalReason::CrashesUpstreams
+        } else if self.suspects.is_held_back(cx, digest) {
+            RefusalReason::MayCrashUpstreams
+        } else {
+            return self.retry(cx, id, RetryCost::Retry);
+        };
+        self.apply_disposition(cx, id, Disposition::Refuse { reason, retry_after: None });
+        self.refuse_convicted(cx);
     }
 
     /// Requeues a request whose attempt ended without an answer, or refuses it.
--- a/crates/skylarkshore-core/src/serving/isolation.rs
+++ b/crates/skylarkshore-core/src/serving/isolation.rs
@@ -6,15 +6,16 @@
 use crate::config::SuspectPolicy;
 use crate::cx::Cx;
 use crate::effect::RefusalReason;
-use crate::event::Target;
+use crate::event::{Repeat, Target};
 use crate::id::{Digest, HostId, Incarnation, RequestId, UpstreamId};
 use crate::peer::PeerMessage;
 use crate::serving::Serving;
+use crate::serving::arrival::HELD_BACK_RETRY_AFTER;
 use crate::serving::attempt::owner_of;
 use crate::serving::disposition::Disposition;
 use crate::serving::loss_reports::{Loss, Reporter};
 use crate::serving::queue::QueuePosition;
-use crate::serving::request::{Isolation, Run, State};
+use crate::serving::request::{Isolation, Request, Run, State};
 use crate::serving::suspect::{IsolatedRun, SuspectStatus};
 use crate::view::EngineView;
 
@@ -177,13 +178,34 @@
         self.dispatch_waiting(cx);
     }
 
-    /// Refuses the waiting requests that are convicted of crashing upstreams.
+    /// Refuses the requests that are convicted of crashing upstreams or held back, also those that
+    /// wait inside an upstream.
     pub(super) fn refuse_convicted(&mut self, cx: &mut Cx<'_>) {
-        let ids = self.waiting_with(SuspectStatus::Convicted);
-        for id in ids {
+        for id in self.waiting_with(SuspectStatus::Convicted) {
             let reason = RefusalReason::CrashesUpstreams;
             self.apply_disposition(cx, id, Disposition::Refuse { reason, retry_after: None });
         }
+        for id in self.held_back(cx) {
+            let reason = RefusalReason::MayCrashUpstreams;
+            let retry_after = Some(HELD_BACK_RETRY_AFTER);
+            self.apply_disposition(cx, id, Disposition::Refuse { reason, retry_after });
+        }
+    }
+
+    /// Returns the requests that are held back and wait, here or inside an upstream.
+    ///
+    /// One that may not run twice is left where it is once it was sent.
+    fn held_back(&self, cx: &Cx<'_>) -> Vec<RequestId> {
+        let is_to_be_refused = |request: &Request| match &request.state {
+            State::Queued => true,
+            State::Sent(_) => request.arrival.repeat == Repeat::Allowed,
+            _ => false,
+        };
+        let held = self
+            .requests
+            .iter()
+            .filter(|(_, r)| is_to_be_refused(r) && self.suspects.is_held_back(cx, r.arrival.digest));
+        held.map(|(id, _)| *id).collect()
     }
 
     /// Moves queued requests that have become suspect to the queue for isolated runs.
--- a/crates/skylarkshore-core/src/serving/suspect.rs
+++ b/crates/skylarkshore-core/src/serving/suspect.rs
@@ -19,7 +19,8 @@
 //!   convicted if its upstream crashes while nothing else runs there, or after
 //!   [`CONVICTION_THRESHOLD`] crashes; it is cleared if it completes.
 //! - `CountEnds`: nothing runs in isolation. A request is convicted after it was lost with
-//!   [`CONVICTION_THRESHOLD`] incarnations that have terminated.
+//!   [`CONVICTION_THRESHOLD`] incarnations that have terminated. The host list shows a termination
+//!   late; until it can show those of the other losses, the request is *held back*.
 
 use std::time::Duration;
 
@@ -30,7 +31,7 @@
 use crate::peer::PeerMessage;
 use crate::serving::loss_reports::Loss;
 use crate::serving::queue::QueuePosition;
-use crate::serving::request::Isolation;
+use crate::serving::request::{Isolation, Run};
 use crate::time::Time;
 
 /// How long a request remains suspect after the last crash that it was involved in.
@@ -42,6 +43,9 @@
 const CONVICTION_TTL: Duration = Duration::from_hours(24);
 /// Longest time that the peers' acknowledgements are awaited before the caller is answered.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(300);
+/// After how many intervals of the upstreams' heartbeats the host list shows a termination: three are
+/// missed, and the change takes some time to arrive.
+const LISTING_HEARTBEATS: u32 = 4;
 /// Interval at which a notice is sent again to peers that haven't acknowledged it.
 const NOTICE_RESEND_INTERVAL: Duration = Duration::from_millis(100);
 /// The same once the caller has been answered.
@@ -77,11 +81,31 @@
 /// The crashes or losses that a request was involved in.
 #[derive(Debug)]
 struct Suspicion {
-    incarnations: OrderedSet<UpstreamIncarnation>,
+    /// Those that it was lost with, and when that was noticed here.
+    incarnations: OrderedMap<UpstreamIncarnation, Time>,
     convicted: bool,
     until: Time,
 }
 
+impl Suspicion {
+    const fn new() -> Self {
+        Self { incarnations: OrderedMap::new(), convicted: false, until: Time::START }
+    }
+
+    fn terminated(&self, cx: &Cx<'_>) -> usize {
+        self.incarnations.keys().filter(|incarnation| incarnation.has_terminated(cx)).count()
+    }
+
+    /// Returns how many incarnations have terminated or may have, as the host list can't show it yet.
+    fn perhaps_terminated(&self, cx: &Cx<'_>) -> usize {
+        let listed_after = cx.cfg.timings.upstream_heartbeat * LISTING_HEARTBEATS;
+        let may_have = |(incarnation, noticed): &(&UpstreamIncarnation, &Time)| {
+            incarnation.has_terminated(cx) || !noticed.after(listed_after).is_due(cx.now)
+        };
+        self.incarnations.iter().filter(may_have).count()
+    }
+}
+
 /// A crash of which the peers have been notified and not all have acknowledged.
 #[derive(Debug)]
 struct PendingNotice {
@@ -143,6 +167,8 @@
     policy: SuspectPolicy,
     /// Suspect and convicted requests by digest; under `CountEnds`, all recently lost ones.
     known: OrderedMap<Digest, Suspicion>,
+    /// The incarnations that requests were lost with, and when that was last noticed.
+    lost_with: OrderedMap<UpstreamIncarnation, Time>,
     pending_notices: Vec<PendingNotice>,
     last_contact: OrderedMap<HostId, Time>,
     /// The suspect requests that wait for an upstream of their own.
@@ -157,6 +183,7 @@
         Self {
             policy,
             known: OrderedMap::new(),
+            lost_with: OrderedMap::new(),
             pending_notices: Vec::new(),
             last_contact: OrderedMap::new(),
             waiting: OrderedSet::new(),
@@ -244,14 +271,10 @@
     ) {
         for digest in digests {
             self.evict_if_full();
-            let suspicion = self.known.entry(*digest).or_insert_with(|| Suspicion {
-                incarnations: OrderedSet::new(),
-                convicted: false,
-                until: Time::START,
-            });
+            let suspicion = self.known.entry(*digest).or_insert_with(Suspicion::new);
             suspicion
                 .incarnations
-                .insert(UpstreamIncarnation { upstream: upstream.clone(), incarnation: None });
+                .insert(UpstreamIncarnation { upstream: upstream.clone(), incarnation: None }, cx.now);
             let convicted =
                 isolation == Isolation::Exclusive || suspicion.incarnations.len() >= CONVICTION_THRESHOLD;
             if convicted && !suspicion.convicted {
@@ -272,19 +295,43 @@
     /// connection alone proves nothing about the request. [`Suspects::on_host_list`] counts them.
     pub(super) fn record_loss(&mut self, cx: &Cx<'_>, loss: &Loss) -> bool {
         self.evict_if_full();
-        let suspicion = self.known.entry(loss.request).or_insert_with(|| Suspicion {
-            incarnations: OrderedSet::new(),
-            convicted: false,
-            until: Time::START,
-        });
+        let suspicion = self.known.entry(loss.request).or_insert_with(Suspicion::new);
         let incarnation =
             UpstreamIncarnation { upstream: loss.upstream.clone(), incarnation: loss.incarnation };
-        let is_new = suspicion.incarnations.insert(incarnation);
-        if is_new {
-            // A conviction lasts longer.
-            suspicion.until = suspicion.until.max(cx.now.after(LOSS_TTL));
+        if suspicion.incarnations.contains_key(&incarnation) {
+            return false;
         }
-        is_new
+        suspicion.incarnations.insert(incarnation.clone(), cx.now);
+        // A conviction lasts longer.
+        suspicion.until = suspicion.until.max(cx.now.after(LOSS_TTL));
+        self.lost_with.insert(incarnation, cx.now);
+        true
+    }
+
+    /// Records that an incarnation has answered a request that was sent to it after its losses were
+    /// noticed, so that none of them has terminated it (`CountEnds` only).
+    pub(super) fn record_answer(&mut self, run: &Run) {
+        let Some(incarnation) = run.incarnation else { return };
+        let answered = UpstreamIncarnation { upstream: run.upstream.clone(), incarnation: Some(incarnation) };
+        if self.lost_with.get(&answered).is_none_or(|noticed| run.sent <= *noticed) {
+            return;
+        }
+        self.lost_with.remove(&answered);
+        for suspicion in self.known.values_mut().filter(|suspicion| !suspicion.convicted) {
+            suspicion.incarnations.remove(&answered);
+        }
+        self.known.retain(|_, suspicion| !suspicion.incarnations.is_empty());
+    }
+
+    /// Reports whether a request is held back: it would be convicted if all its losses whose
+    /// terminations can't be listed yet counted (`CountEnds` only).
+    ///
+    /// Each attempt until then could crash one more upstream.
+    pub(super) fn is_held_back(&self, cx: &Cx<'_>, digest: Digest) -> bool {
+        self.policy == SuspectPolicy::CountEnds
+            && self.known.get(&digest).is_some_and(|suspicion| {
+                !suspicion.convicted && suspicion.perhaps_terminated(cx) >= CONVICTION_THRESHOLD
+            })
     }
 
     /// Reports whether the request would be convicted if one more of its losses were counted
@@ -296,8 +343,8 @@
         if self.policy != SuspectPolicy::CountEnds {
             return false;
         }
-        let incarnations = self.known.get(&digest).into_iter().flat_map(|suspicion| &suspicion.incarnations);
-        incarnations.filter(|incarnation| incarnation.has_terminated(cx)).count() + 1 >= CONVICTION_THRESHOLD
+        let terminated = self.known.get(&digest).map_or(0, |suspicion| suspicion.terminated(cx));
+        terminated + 1 >= CONVICTION_THRESHOLD
     }
 
     /// Convicts requests that were lost with too many terminated incarnations (`CountEnds` only).
@@ -306,8 +353,7 @@
             return;
         }
         for (digest, suspicion) in &mut self.known {
-            let terminated =
-                suspicion.incarnations.iter().filter(|incarnation| incarnation.has_terminated(cx)).count();
+            let terminated = suspicion.terminated(cx);
             if terminated >= CONVICTION_THRESHOLD && !suspicion.convicted {
                 suspicion.convicted = true;
                 suspicion.until = cx.now.after(CONVICTION_TTL);
@@ -357,6 +403,7 @@
     /// Removes expired suspicions, and contacts with peers that are no longer members.
     pub(super) fn remove_expired(&mut self, cx: &Cx<'_>) {
         self.known.retain(|_, suspicion| !suspicion.until.is_due(cx.now));
+        self.lost_with.retain(|_, noticed| !noticed.after(LOSS_TTL).is_due(cx.now));
         self.last_contact.retain(|host, _| cx.cache.member(host).is_some());
     }
 
--- a/crates/skylarkshore-core/tests/serving/crash.rs
+++ b/crates/skylarkshore-core/tests/serving/crash.rs
@@ -3,7 +3,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use skylarkshore_core::config::{Limits, SuspectPolicy, Watchers};
-use skylarkshore_core::effect::{RefusalOutcome, RefusalReason};
+use skylarkshore_core::effect::{Effect, RefusalOutcome, RefusalReason};
 use skylarkshore_core::event::AttemptOutcome;
 use skylarkshore_core::id::{Digest, Fence, HostId, Incarnation, UpstreamId};
 use skylarkshore_core::peer::PeerMessage;
@@ -435,3 +435,69 @@
     // are told twice.
     assert!(sent < HOSTS * LOSSES * 12, "{sent} messages");
 }
+
+/// Reports from a peer that a request was lost with upstreams, the first of which the host list no longer
+/// names.
+fn with_losses_that_are_not_listed() -> Process {
+    let mut p = Process::with_limits("a", 1, counting_losses());
+    for upstream in ["gone-1", "s1", "s2"] {
+        let report = PeerMessage::Suspects {
+            upstream: name(upstream),
+            incarnation: Some(Incarnation(0)),
+            requests: vec![digest(7)],
+            alone: false,
+        };
+        p.peer("b", &report);
+    }
+    p
+}
+
+/// Guards against a request that crashes further upstreams while the host list still names those that it
+/// crashed.
+#[test]
+fn a_request_is_held_back_while_the_list_cannot_show_the_terminations_of_its_losses() {
+    let mut p = with_losses_that_are_not_listed();
+    p.arrive(1, arrival(&p, service("booking"), 7));
+    assert_eq!(p.take_sent(), [], "it may crash another upstream");
+    let refused = p.take_refused().remove(0).1;
+    assert_eq!((refused.outcome, refused.reason), (RefusalOutcome::NotRun, RefusalReason::MayCrashUpstreams));
+    assert!(refused.retry_after.is_some(), "the caller may come back");
+}
+
+/// Guards against requests that are refused for minutes because connections broke, though no upstream has
+/// terminated.
+#[test]
+fn a_request_is_no_longer_held_back_once_an_upstream_answers_or_the_list_would_show_its_end() {
+    let mut p = with_losses_that_are_not_listed();
+    p.advance(50);
+    p.arrive(1, arrival(&p, service("booking"), 8));
+    let other = p.take_sent().remove(0);
+    p.end(other.attempt, AttemptOutcome::Completed { held: None });
+    p.arrive(2, arrival(&p, service("booking"), 7));
+    assert_eq!(p.take_sent().len(), 1, "one of the upstreams is alive");
+
+    let mut p = with_losses_that_are_not_listed();
+    p.advance(6_500);
+    p.arrive(1, arrival(&p, service("booking"), 7));
+    assert_eq!(p.take_sent().len(), 1, "the list would show that they have terminated");
+}
+
+/// Guards against a request that waits inside an upstream and crashes it after it was found to crash others.
+#[test]
+fn a_request_inside_an_upstream_is_recalled_when_it_is_held_back() {
+    let mut p = Process::with_limits("a", 1, counting_losses());
+    p.arrive(1, arrival(&p, service("booking"), 7));
+    let sent = p.take_sent().remove(0);
+    for upstream in ["gone-1", "s1", "s2"] {
+        let report = PeerMessage::Suspects {
+            upstream: name(upstream),
+            incarnation: Some(Incarnation(0)),
+            requests: vec![digest(7)],
+            alone: false,
+        };
+        p.peer("b", &report);
+    }
+    let effects = p.take();
+    let cancels = |effect: &Effect| matches!(effect, Effect::Cancel { attempt } if *attempt == sent.attempt);
+    assert!(effects.iter().any(cancels), "{effects:?}");
+}
--- a/crates/skylarkshore-host/src/config/timings.rs
+++ b/crates/skylarkshore-host/src/config/timings.rs
@@ -20,7 +20,7 @@
 pub(super) fn read(root: &mut Section<'_>, report: &mut Report<'_>) -> Timings {
     let mut section = root.optional_section(report, "timings");
     let mut timings = Timings::default();
-    let fields: [(&'static str, &mut Duration); 16] = [
+    let fields: [(&'static str, &mut Duration); 17] = [
         ("lease_ttl_ms", &mut timings.lease_ttl),
         ("renew_every_ms", &mut timings.renew_every),
         ("hold_ms", &mut timings.hold),
@@ -37,6 +37,7 @@
         ("close_grace_ms", &mut timings.close_grace),
         ("entry_ttl_ms", &mut timings.entry_ttl),
         ("gone_after_ms", &mut timings.gone_after),
+        ("upstream_heartbeat_ms", &mut timings.upstream_heartbeat),
     ];
     for (key, field) in fields {
         *field = section.optional(report, key, *field, millis(10, MAX_MILLIS));
--- a/crates/skylarkshore-wire/src/caller.rs
+++ b/crates/skylarkshore-wire/src/caller.rs
@@ -152,6 +152,7 @@
         RefusalReason::AnswerNotKept => "answer_not_kept",
         RefusalReason::CallerGone => "caller_gone",
         RefusalReason::CrashesUpstreams => "crashes_upstreams",
+        RefusalReason::MayCrashUpstreams => "may_crash_upstreams",
         RefusalReason::Leaving => "leaving",
         RefusalReason::OverLimit => "over_limit",
         RefusalReason::BeyondLimit => "beyond_limit",
@@ -177,6 +178,7 @@
         | RefusalReason::StoreUnreachable
         | RefusalReason::CallerGone
         | RefusalReason::AccountChanged
+        | RefusalReason::MayCrashUpstreams
         | RefusalReason::Leaving => 503,
     }
 }
