Count a request lost with a replica that ends as its caller leaves

Callers of other requests saw: a request under which replicas fall silent ended one after the other, for as long as it came.

Cause: a loss was recorded only if the connection broke while the attempt ran. Where the replica goes silent and ends when the caller leaves or the time is over, the attempt is already gone.

Now attempts that end so are remembered for as long as the host list may take to show the end of their upstream. If the list shows it, or if a probe of an upstream that had answered nothing for a second is refused, the attempt counts as lost and is reported to the peers like any other loss. One probe a second for each upstream at most; none while the upstream answers others, nor a conclusion while this host's own links are lost.

Not covered: a host that is killed before the list shows the end forgets its unfinished attempts.

--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -228,8 +228,14 @@
             Event::CallerGone { request } => {
                 self.with_cx(now, effects, |cx, parts| parts.serving.on_caller_gone(cx, request));
             }
-            // The paths have handled it.
-            Event::UpstreamProbed { .. } => {}
+            // Where this host's links are lost, the result says nothing of the upstream.
+            Event::UpstreamProbed { upstream, reached } => {
+                self.with_cx(now, effects, |cx, parts| {
+                    if parts.paths.reaches_directly(&upstream) {
+                        parts.serving.on_probed(cx, &upstream, reached);
+                    }
+                });
+            }
             Event::LoadReported { upstream, load } => {
                 self.with_cx(now, effects, |cx, parts| parts.serving.on_load_reported(cx, &upstream, load));
             }
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -42,6 +42,7 @@
 mod state_dump;
 mod supply;
 mod suspect;
+mod unfinished;
 mod wait_estimate;
 
 use std::time::Duration;
@@ -70,6 +71,7 @@
 use request::{Caller, Due, Request, RunHistory, State};
 use routing::Routes;
 use suspect::{SuspectStatus, Suspects};
+use unfinished::UnfinishedAttempts;
 use wait_estimate::WaitEstimator;
 
 /// Interval between the scans of [`Serving::run_housekeeping`].
@@ -90,6 +92,7 @@
     suspects: Suspects,
     /// Reports of lost requests to the peers.
     loss_reports: LossReports,
+    unfinished: UnfinishedAttempts,
     budget: RetryBudget,
     waits: WaitEstimator,
     /// Grants requests credit, which counts against the limits of their client accounts.
@@ -118,6 +121,7 @@
             once_claims: OnceClaims::default(),
             suspects: Suspects::new(cfg.limits.suspects),
             loss_reports: LossReports::default(),
+            unfinished: UnfinishedAttempts::default(),
             budget: RetryBudget::new(cfg.limits.retries),
             waits: WaitEstimator::default(),
             quota: Quota::new(),
@@ -156,9 +160,12 @@
             self.counters.late_events += 1;
             return;
         };
-        let Some(request) = self.requests.get_mut(id) else { return };
+        let id = *id;
+        if let Some(run) = self.requests.get(&id).and_then(Request::run).cloned() {
+            self.record_answer(cx, &run);
+        }
+        let Some(request) = self.requests.get_mut(&id) else { return };
         if let State::Sent(run) = request.state.clone() {
-            self.suspects.record_answer(&run);
             let is_late = request.arrival.policy.soft_deadline.is_due(cx.now);
             let waited = run.sent.since(request.arrived);
             // The engine caused the delay if most of the time passed after the request was sent.
@@ -216,6 +223,7 @@
         for id in self.suspects.on_tick(cx) {
             self.retry_or_refuse_lost(cx, id);
         }
+        self.unfinished.on_tick(cx);
         let suspects = &self.suspects;
         self.loss_reports.on_tick(cx, |digest| suspects.status(digest) == SuspectStatus::Convicted);
         while let Some(due) = self.timers.first().copied().filter(|due| due.at.is_due(cx.now)) {
@@ -259,9 +267,21 @@
         self.is_stranded = is_stranded;
     }
 
+    /// Handles the result of a probe of an upstream over this host's own links.
+    pub(crate) fn on_probed(&mut self, cx: &mut Cx<'_>, upstream: &UpstreamId, reached: bool) {
+        if reached {
+            return;
+        }
+        let lost = self.unfinished.on_unreachable(upstream);
+        self.record_unfinished(cx, &lost);
+        self.refuse_convicted(cx);
+    }
+
     /// Handles changes to upstreams on the host list.
     pub fn on_host_list(&mut self, cx: &mut Cx<'_>, touched: &[UpstreamId]) {
         self.routes.on_host_list(cx, touched);
+        let lost = self.unfinished.on_host_list(cx);
+        self.record_unfinished(cx, &lost);
         self.suspects.on_host_list(cx);
         self.refuse_convicted(cx);
         self.refuse_all_unservable(cx);
--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -46,9 +46,6 @@
         };
         let Some(request) = self.requests.get(&id) else { return };
         let Some(run) = request.run().cloned() else { return };
-        if matches!(end, AttemptOutcome::Completed { .. } | AttemptOutcome::CompletedWithFailure) {
-            self.suspects.record_answer(&run);
-        }
         self.routes.release_slot(&run.upstream);
         if !matches!(end, AttemptOutcome::Completed { .. } | AttemptOutcome::CompletedTooLarge) {
             let after = cx.now.since(run.sent).as_millis();
@@ -68,6 +65,9 @@
                 | AttemptOutcome::CompletedWithFailure
         );
         self.waits.record_ended(cx.now, &request.arrival.target, answered.then(|| cx.now.since(run.sent)));
+        if answered {
+            self.record_answer(cx, &run);
+        }
         match end {
             AttemptOutcome::Completed { held } => self.on_completed(cx, id, &run.upstream, held),
             AttemptOutcome::CompletedTooLarge => self.on_completed(cx, id, &run.upstream, None),
@@ -191,6 +191,9 @@
             // already have dropped an upstream that the request crashed.
             self.record_loss(cx, id, run);
         }
+        if !died {
+            self.note_unfinished(cx, id, run);
+        }
         // A reclaimed host takes its upstream with it, which is no request's fault. If
         // all its requests became suspects, each would wait for an engine of its own.
         let crashed = died && !self.routes.is_leaving(cx, &run.upstream);
--- a/crates/skylarkshore-core/src/serving/disposition.rs
+++ b/crates/skylarkshore-core/src/serving/disposition.rs
@@ -114,13 +114,22 @@
         if let Some(occupied_upstream) = request.occupied_upstream() {
             self.routes.release_slot(occupied_upstream);
         }
-        if let Some(run) = request.run() {
+        let run = request.run().cloned();
+        if let Some(run) = &run {
             cx.push(Effect::Cancel { attempt: run.attempt });
             self.attempts.remove(&run.attempt);
             self.waits.record_ended(cx.now, &request.arrival.target, None);
             request.history = RunHistory::MayHaveRun;
         }
         self.queue.remove_if_queued(id, request);
+        let is_recalled =
+            matches!(refusal.reason, RefusalReason::CrashesUpstreams | RefusalReason::MayCrashUpstreams);
+        if let Some(run) = run
+            && !is_recalled
+        {
+            self.note_unfinished(cx, id, &run);
+        }
+        let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(key) = request.idempotency_key() else { return self.finish_refused(cx, id, refusal) };
         if refusal.outcome != RefusalOutcome::NotRun {
             self.once_claims.leave_claimed(cx, key, id);
--- a/crates/skylarkshore-core/src/serving/isolation.rs
+++ b/crates/skylarkshore-core/src/serving/isolation.rs
@@ -141,6 +141,37 @@
         self.loss_reports.add(cx, &loss, Reporter::Own);
     }
 
+    /// Remembers an attempt that ends without an answer although no connection broke.
+    pub(super) fn note_unfinished(&mut self, cx: &Cx<'_>, id: RequestId, run: &Run) {
+        let is_counted = cx.cfg.limits.suspects == SuspectPolicy::CountEnds;
+        if !is_counted || self.routes.is_leaving(cx, &run.upstream) {
+            return;
+        }
+        if let Some(request) = self.requests.get(&id) {
+            self.unfinished.record(cx.now, run, request.arrival.digest);
+        }
+    }
+
+    /// Records the losses of unfinished attempts whose upstream has ended, here and at the peers.
+    pub(super) fn record_unfinished(&mut self, cx: &mut Cx<'_>, losses: &[Loss]) {
+        for loss in losses {
+            if self.suspects.record_loss(cx, loss) {
+                self.loss_reports.add(cx, loss, Reporter::Own);
+            }
+        }
+        if !losses.is_empty() {
+            self.suspects.on_host_list(cx);
+        }
+    }
+
+    /// Records that an upstream has answered an attempt, so that earlier ones haven't ended it.
+    pub(super) fn record_answer(&mut self, cx: &Cx<'_>, run: &Run) {
+        if cx.cfg.limits.suspects == SuspectPolicy::CountEnds {
+            self.suspects.record_answer(run);
+            self.unfinished.on_answer(cx.now, run);
+        }
+    }
+
     /// Records the losses that a peer has reported, and passes on those that are new.
     fn on_losses(&mut self, cx: &mut Cx<'_>, from: &HostId, losses: &[Loss]) {
         self.loss_reports.acknowledge(from, losses.iter().cloned());
--- a/crates/skylarkshore-core/src/serving/suspect.rs
+++ b/crates/skylarkshore-core/src/serving/suspect.rs
@@ -45,7 +45,7 @@
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(300);
 /// After how many intervals of the upstreams' heartbeats the host list shows a termination: three are
 /// missed, and the change takes some time to arrive.
-const LISTING_HEARTBEATS: u32 = 4;
+pub(super) const LISTING_HEARTBEATS: u32 = 4;
 /// Interval at which a notice is sent again to peers that haven't acknowledged it.
 const NOTICE_RESEND_INTERVAL: Duration = Duration::from_millis(100);
 /// The same once the caller has been answered.
--- a/crates/skylarkshore-standins/src/world/links.rs
+++ b/crates/skylarkshore-standins/src/world/links.rs
@@ -54,7 +54,8 @@
     }
 
     pub(crate) fn probe_upstream(&mut self, h: usize, upstream: UpstreamId) {
-        let is_up = self.engines.get(&upstream).is_none_or(|engine| engine.up);
+        let is_up = self.engines.get(&upstream).is_none_or(|engine| engine.up)
+            && self.services.get(&upstream).is_none_or(|replica| replica.up);
         let loss = self.hosts[h].link_loss(self.now);
         let after = loss.map_or(LATENCY, connect_failure_time);
         let event = Event::UpstreamProbed { upstream, reached: is_up && loss.is_none() };
--- a/crates/skylarkshore-standins/tests/world/crashing_requests.rs
+++ b/crates/skylarkshore-standins/tests/world/crashing_requests.rs
@@ -85,6 +85,10 @@
     Ask { crashes: true, ..ask_service(CRASHING) }
 }
 
+fn silencing() -> Ask {
+    Ask { silences: true, ..ask_service(CRASHING) }
+}
+
 /// Guards against a request that is sent on for as long as the host list still names the replicas that it
 /// crashed.
 #[test]
@@ -93,3 +97,14 @@
         play(seed, &crashing(), |_, _| {});
     }
 }
+
+/// Guards against losses that aren't counted because the caller leaves a silent replica, or its time is
+/// over, before the replica ends.
+#[test]
+fn a_request_under_which_replicas_fall_silent_is_refused_although_its_callers_leave() {
+    for seed in 1..=4 {
+        play(seed, &silencing(), |_, _| {});
+        let in_time = Ask { timeout: WAIT / 2, ..silencing() };
+        play(seed, &in_time, |_, _| {});
+    }
+}
