Tell hosts that start later of losses that peers have reported

Where hosts are killed one after the other, each new one passed the request on to further replicas.

Cause: only the host that had noticed a loss reported it, to all members and to those that started later. Once it had ended itself, nobody told the hosts that started after it, though all others knew.

Now each host remembers since when it has known each member's incarnation, and tells a later one all that was reported before. In a cluster of more than 64 members a host is told by its parent, as before, and a new root by the other roots; it would otherwise be told the same by every member. Open there: the only root of a deployment of one data centre learns of others' losses only from those that noticed them.

--- a/crates/skylarkshore-core/src/control/relay.rs
+++ b/crates/skylarkshore-core/src/control/relay.rs
@@ -143,6 +143,10 @@
     pub(crate) own: Vec<HostId>,
     /// Receivers of those that others have sent it, too.
     pub(crate) forwarded: Vec<HostId>,
+    /// Whether this process tells receivers of its own broadcasts that start later what others have sent.
+    ///
+    /// In a large cluster only the roots do, or each new root would be told the same by every member.
+    pub(crate) informs_later: bool,
 }
 
 /// Returns the next receivers of a confirmed broadcast: every other live member, or in a large
@@ -151,10 +155,13 @@
     let is_other = |host: &HostId| *host != cx.cfg.host;
     if cx.cfg.watchers != Watchers::Relayed || !has_many_members(cx) {
         let members = cx.cache.members().map(|(host, _)| host.clone());
-        return BroadcastReceivers { own: members.filter(is_other).collect(), forwarded: Vec::new() };
+        let own = members.filter(is_other).collect();
+        return BroadcastReceivers { own, forwarded: Vec::new(), informs_later: true };
     }
+    let tree = RelayTree::of(cx);
     BroadcastReceivers {
         own: roots(cx).into_iter().filter(is_other).collect(),
-        forwarded: RelayTree::of(cx).children,
+        forwarded: tree.children,
+        informs_later: tree.is_root,
     }
 }
--- a/crates/skylarkshore-core/src/serving/loss_reports.rs
+++ b/crates/skylarkshore-core/src/serving/loss_reports.rs
@@ -8,7 +8,8 @@
 //! one more upstream.
 //!
 //! In a small cluster, each process reports its own losses to all others. In a large one, reports
-//! travel along the relay trees, and each process repeats them to its children.
+//! travel along the relay trees, and each process repeats them to its children. A process that starts
+//! later is also told what others have reported, as those may have ended.
 
 use std::time::Duration;
 
@@ -62,9 +63,17 @@
 #[derive(Clone, Copy, Debug)]
 struct Report {
     reporter: Reporter,
+    at: Time,
     until: Time,
 }
 
+/// A member as it was first known.
+#[derive(Clone, Copy, Debug)]
+struct KnownMember {
+    incarnation: Incarnation,
+    since: Time,
+}
+
 /// A process that receives reports.
 #[derive(Debug)]
 struct Receiver {
@@ -95,6 +104,9 @@
     receivers: OrderedMap<HostId, Receiver>,
     /// The version of the members for which `receivers` was computed.
     members_version: Option<u64>,
+    /// Since when each member has been known in its incarnation.
+    known_members: OrderedMap<HostId, KnownMember>,
+    known_members_version: Option<u64>,
     /// Losses that peers have reported since the last tick.
     to_acknowledge: OrderedMap<HostId, OrderedSet<Loss>>,
 }
@@ -105,14 +117,11 @@
     /// The loss isn't held back until the next tick: its caller may send the request to another
     /// host as soon as it is answered.
     pub(super) fn add(&mut self, cx: &mut Cx<'_>, loss: &Loss, reporter: Reporter) {
+        self.update_known_members(cx);
         self.update_receivers(cx);
-        let has_receivers = self.receivers.values().any(|receiver| receiver.receives(reporter));
-        // An own loss is kept for processes that start later.
-        if reporter == Reporter::Peer && !has_receivers {
-            return;
-        }
         self.evict_if_full();
-        self.reports.insert(loss.clone(), Report { reporter, until: cx.now.after(LOSS_TTL) });
+        let report = Report { reporter, at: cx.now, until: cx.now.after(LOSS_TTL) };
+        self.reports.insert(loss.clone(), report);
         for (host, receiver) in &mut self.receivers {
             if !receiver.receives(reporter) {
                 continue;
@@ -148,6 +157,7 @@
             send_acknowledgements(cx, &host, losses.iter());
         }
         let now = cx.now;
+        self.update_known_members(cx);
         self.reports.retain(|loss, report| !report.until.is_due(now) || is_convicted(loss.request));
         if self.reports.is_empty() {
             self.receivers.clear();
@@ -168,9 +178,25 @@
         }
     }
 
+    /// Records since when members have been known, if they have changed.
+    fn update_known_members(&mut self, cx: &Cx<'_>) {
+        if self.known_members_version == Some(cx.cache.members_version()) {
+            return;
+        }
+        self.known_members_version = Some(cx.cache.members_version());
+        self.known_members.retain(|host, _| cx.cache.member(host).is_some());
+        for (host, member) in cx.cache.members() {
+            let known = self.known_members.get(host);
+            if known.is_none_or(|known| known.incarnation != member.incarnation) {
+                let known = KnownMember { incarnation: member.incarnation, since: cx.now };
+                self.known_members.insert(host.clone(), known);
+            }
+        }
+    }
+
     /// Updates the receivers when the members have changed.
     ///
-    /// A process that has started since receives all reports.
+    /// A process that has started since is told all that was reported before.
     fn update_receivers(&mut self, cx: &Cx<'_>) {
         let now = cx.now;
         self.receivers.retain(|_, receiver| !receiver.until.is_due(now));
@@ -201,7 +227,10 @@
                 resends: 0,
                 until: Time::NEVER,
             };
-            let reports = self.reports.iter().filter(|(_, report)| receiver.receives(report.reporter));
+            let since = self.known_members.get(host).map_or(Time::START, |known| known.since);
+            let reports = self.reports.iter().filter(|(_, report)| {
+                receiver.receives(report.reporter) || (current.informs_later && report.at < since)
+            });
             receiver.unacknowledged = reports.map(|(loss, _)| loss.clone()).collect();
             self.receivers.insert(host.clone(), receiver);
         }
--- a/crates/skylarkshore-core/tests/serving/crash.rs
+++ b/crates/skylarkshore-core/tests/serving/crash.rs
@@ -501,3 +501,28 @@
     let cancels = |effect: &Effect| matches!(effect, Effect::Cancel { attempt } if *attempt == sent.attempt);
     assert!(effects.iter().any(cancels), "{effects:?}");
 }
+
+/// Guards against a host that starts after all who noticed a loss have ended, and passes the request on.
+#[test]
+fn a_host_that_starts_later_is_told_of_losses_that_others_have_reported() {
+    let mut p = Process::with_limits("a", 1, counting_losses());
+    p.advance(50);
+    let report = PeerMessage::Suspects {
+        upstream: name("s1"),
+        incarnation: Some(Incarnation(0)),
+        requests: vec![digest(7)],
+        alone: false,
+    };
+    p.peer("b", &report);
+    p.advance(1000);
+    assert_eq!(p.take_messages(is_suspects), [], "hosts that run have been told by the one that noticed it");
+    p.cache_member("b", Incarnation(2));
+    p.cache_member("d", Incarnation(1));
+    p.advance(300);
+    let told = p.take_messages(is_suspects);
+    assert!(told.iter().all(|(_, message)| *message == report), "{told:?}");
+    let mut receivers: Vec<&str> = told.iter().map(|(to, _)| to.as_str()).collect();
+    receivers.sort_unstable();
+    receivers.dedup();
+    assert_eq!(receivers, ["b", "d"]);
+}
--- a/crates/skylarkshore-standins/tests/world/crashing_requests.rs
+++ b/crates/skylarkshore-standins/tests/world/crashing_requests.rs
@@ -22,6 +22,8 @@
 const CRASHING_EVERY: u64 = 5;
 /// The digest of the request that ends replicas.
 const CRASHING: u64 = 666;
+/// How many replicas it may end; it may reach as many more until all hosts know.
+const CRASHES: usize = 3;
 /// How long its callers wait for a silent replica.
 const WAIT: Duration = Duration::from_millis(900);
 
@@ -71,14 +73,17 @@
     }
 }
 
-fn play(seed: u64, harmful: &Ask, at_second: impl FnMut(&mut World, u64)) {
+/// Plays a world; returns how many replicas the request has ended.
+fn play(seed: u64, harmful: &Ask, at_second: impl FnMut(&mut World, u64)) -> usize {
     let mut world = world(crash_setup(seed), NoFaults);
     world.list_terminations(LISTING_LAG);
     world.run_until(at_secs(BEGIN_SECS));
     ask_in_turn(&mut world, harmful, at_second);
     world.run_for(Duration::from_secs(5));
-    assert!(world.crashes(digest(CRASHING)) > 0, "the request ended no replica");
+    let crashes = world.crashes(digest(CRASHING));
+    assert!(crashes > 0, "the request ended no replica");
     assert_sound(&mut world, HOSTS);
+    crashes
 }
 
 fn crashing() -> Ask {
@@ -108,3 +113,22 @@
         play(seed, &in_time, |_, _| {});
     }
 }
+
+/// Guards against hosts that start later and aren't told of losses that a peer has reported.
+#[test]
+fn a_request_that_crashed_three_replicas_is_refused_while_hosts_are_killed_in_series() {
+    for seed in 1..=4 {
+        for interval in 4..=7 {
+            let crashed = play(seed, &crashing(), |world, second| {
+                if second % interval == 0 {
+                    let host = usize::try_from(second / interval).expect("the number is small") % HOSTS;
+                    world.kill(host);
+                }
+            });
+            assert!(
+                crashed <= 2 * CRASHES,
+                "{crashed} replicas crashed, a host is killed every {interval} s"
+            );
+        }
+    }
+}
