Read the software versions of replicas, and show streams that mix them

The host list and the registrations now state the version of an upstream's software, and a request says which part of a stream it asks for: the whole, or the rest of one that it names (Resumes). Nothing is decided by either yet.

--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -7,7 +7,7 @@
 use crate::config::Settings;
 use crate::id::{
     AttemptId, CallId, CallerId, Digest, HostId, Incarnation, OrderId, RequestId, ServiceName, StoreRevision,
-    UpstreamId,
+    StreamId, UpstreamId,
 };
 use crate::peer::{News, PeerMessage};
 use crate::rules::MinuteOfDay;
@@ -71,6 +71,16 @@
     }
 }
 
+/// The part of a stream that a request asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamPart {
+    /// The whole stream, which callers name by this id if they take it up later.
+    Whole(StreamId),
+    /// What follows the events that the caller has from earlier requests; `None` if it doesn't say of
+    /// which stream.
+    Rest(Option<StreamId>),
+}
+
 /// A validated request from a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Arrival {
@@ -90,6 +100,8 @@
     pub policy: RequestPolicy,
     /// Client account and cost to charge, if client accounts are in use.
     pub charge: Option<Charge>,
+    /// The part of a stream that it asks for, if its answer is a stream that may be resumed.
+    pub stream: Option<StreamPart>,
 }
 
 /// Outcome of an attempt.
--- a/crates/skylarkshore-core/src/id.rs
+++ b/crates/skylarkshore-core/src/id.rs
@@ -108,6 +108,10 @@
     /// The version of a model's weights.
     ModelVersion
 }
+name! {
+    /// The version of an upstream's software, as opposed to that of a model's weights.
+    SoftwareVersion
+}
 name! {
     /// A model engine or a replica of a plain service.
     UpstreamId
@@ -188,6 +192,31 @@
     }
 }
 
+impl From<Digest> for SoftwareVersion {
+    /// Names a version by a digest, where its own text isn't a name.
+    fn from(digest: Digest) -> Self {
+        Self(digest.to_hex().into())
+    }
+}
+
+/// A stream, by the digest of the id that its caller gave the request that brought its first event.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    derive_more::FromStr,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct StreamId(pub Digest);
+
 /// Error for a text that is not a digest.
 #[derive(Debug, Display, Error, PartialEq, Eq)]
 #[display("a digest has 64 hexadecimal digits; read it again from its source")]
--- a/crates/skylarkshore-core/src/upstream.rs
+++ b/crates/skylarkshore-core/src/upstream.rs
@@ -9,7 +9,7 @@
 use crate::collections::OrderedSet;
 use crate::id::{
     AdapterName, DataCentre, Fence, Incarnation, ModelName, ModelVersion, OrderId, ServiceName, SiteName,
-    UpstreamId,
+    SoftwareVersion, UpstreamId,
 };
 use crate::units::{Mebibytes, Watts};
 
@@ -96,6 +96,10 @@
     pub status: UpstreamStatus,
     /// The incarnation that is listed; it rises with every restart.
     pub incarnation: Incarnation,
+    /// The version of its software, if it states that.
+    ///
+    /// A stream may go on only at the version that began it, whatever the model.
+    pub software: Option<SoftwareVersion>,
     /// How many requests a service replica runs concurrently, if it states that; for engines,
     /// [`EngineSpec::concurrency`] applies.
     pub concurrency: Option<u32>,
--- a/crates/skylarkshore-core/tests/support/cluster.rs
+++ b/crates/skylarkshore-core/tests/support/cluster.rs
@@ -97,6 +97,7 @@
         kind: UpstreamKind::Engine(spec),
         status: UpstreamStatus::Live,
         incarnation: Incarnation::default(),
+        software: None,
         concurrency: None,
         holds: Vec::new(),
         copies: WeightCopies::default(),
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -177,6 +177,7 @@
         kind: UpstreamKind::Engine(spec),
         status: UpstreamStatus::Live,
         incarnation: Incarnation::default(),
+        software: None,
         concurrency: None,
         holds: Vec::new(),
         copies: WeightCopies::default(),
--- a/crates/skylarkshore-core/tests/support/serving.rs
+++ b/crates/skylarkshore-core/tests/support/serving.rs
@@ -370,6 +370,7 @@
         deadline: process.now.after(Duration::from_secs(10)),
         policy,
         charge: None,
+        stream: None,
     }
 }
 
@@ -439,6 +440,7 @@
         kind,
         status: UpstreamStatus::Live,
         incarnation: Incarnation::default(),
+        software: None,
         concurrency: None,
         holds: Vec::new(),
         copies: WeightCopies::default(),
--- a/crates/skylarkshore-host/src/callers.rs
+++ b/crates/skylarkshore-host/src/callers.rs
@@ -180,6 +180,7 @@
             deadline: context.deadline,
             policy: RequestPolicy::plain(context.deadline, true),
             charge,
+            stream: None,
         };
         let outgoing = Outgoing {
             label: head.label(),
@@ -217,6 +218,7 @@
             deadline: context.deadline,
             policy: RequestPolicy::plain(context.deadline, false),
             charge,
+            stream: None,
         };
         let outgoing = Outgoing {
             label: head.label(),
--- a/crates/skylarkshore-standins/examples/capacity.rs
+++ b/crates/skylarkshore-standins/examples/capacity.rs
@@ -84,6 +84,7 @@
         kind: UpstreamKind::Engine(spec),
         status: UpstreamStatus::Live,
         incarnation: Incarnation::default(),
+        software: None,
         concurrency: None,
         holds: Vec::new(),
         copies: WeightCopies::default(),
@@ -126,6 +127,7 @@
         run_time: Duration::from_millis(300),
         crashes: false,
         silences: false,
+        stream: None,
     }
 }
 
--- a/crates/skylarkshore-standins/src/engine.rs
+++ b/crates/skylarkshore-standins/src/engine.rs
@@ -153,6 +153,7 @@
                 concurrency: settings.concurrency,
             },
             state: HostState::Live,
+            software: None,
         }
     }
 
--- a/crates/skylarkshore-standins/src/replay/deployment.rs
+++ b/crates/skylarkshore-standins/src/replay/deployment.rs
@@ -145,6 +145,7 @@
         kind,
         status: UpstreamStatus::Live,
         incarnation: Incarnation::default(),
+        software: None,
         concurrency: None,
         holds: Vec::new(),
         copies: WeightCopies::default(),
--- a/crates/skylarkshore-standins/src/replay/run.rs
+++ b/crates/skylarkshore-standins/src/replay/run.rs
@@ -92,6 +92,7 @@
         run_time: entry.run,
         crashes: false,
         silences: false,
+        stream: None,
     })
 }
 
--- a/crates/skylarkshore-standins/src/service.rs
+++ b/crates/skylarkshore-standins/src/service.rs
@@ -91,6 +91,7 @@
             site: settings.site.clone(),
             kind: HostKind::Service { service: settings.service.clone() },
             state: HostState::Live,
+            software: None,
         }
     }
 
--- a/crates/skylarkshore-standins/src/world.rs
+++ b/crates/skylarkshore-standins/src/world.rs
@@ -21,6 +21,7 @@
 mod schedule;
 mod service;
 mod store;
+mod streams;
 mod violation;
 
 use std::time::Duration;
@@ -29,7 +30,7 @@
 use skylarkshore_core::collections::{OrderedMap, OrderedSet};
 use skylarkshore_core::config::{Limits, Timings};
 use skylarkshore_core::effect::LogEvent;
-use skylarkshore_core::event::Event;
+use skylarkshore_core::event::{Event, StreamPart};
 use skylarkshore_core::id::{DataCentre, Digest, HostId, RulesRevision, StoreRevision, UpstreamId};
 use skylarkshore_core::rules::MinuteOfDay;
 use skylarkshore_core::store::{Expect, Key, Record, StoreAnswer, StoreFailure};
@@ -44,6 +45,7 @@
 use retries::RetryLedger;
 use schedule::{Schedule, Task};
 use service::ServiceReplica;
+use streams::StreamLedger;
 
 pub use callers::{Ask, Callers, FinalAnswer, RequestKey, RequestLog};
 pub use checks::Checks;
@@ -107,6 +109,7 @@
     partitions: Partitions,
     brittle: BrittleUpstreams,
     crashes: CrashLedger,
+    streams: StreamLedger,
     /// How long the host list still names a replica that has ended; if unset, it doesn't show restarts.
     termination_listed_after: Option<Duration>,
     runs: u64,
@@ -155,6 +158,7 @@
             partitions: Partitions::default(),
             brittle: BrittleUpstreams::default(),
             crashes: CrashLedger::default(),
+            streams: StreamLedger::default(),
             termination_listed_after: None,
             runs: 0,
             metered: false,
@@ -205,6 +209,9 @@
         let host = &mut self.hosts[h];
         let (key, arrival) = self.callers.record_arrival(host.next_request(), ask, self.now);
         if host.is_up() {
+            if let Some(StreamPart::Rest(Some(stream))) = ask.stream {
+                self.record_taken_up(key, stream);
+            }
             self.deliver(h, Event::Arrived { request: key.request, arrival });
         } else {
             self.callers.abandon_unreachable(&key, self.now);
@@ -498,14 +505,20 @@
 
     /// Runs the final checks: every request of a running process that is due must have its final answer,
     /// the retries must have kept to the shared budget, and hosts that were cut off from the upstreams must
-    /// have served their callers, brittle upstreams must have fallen over rarely, and requests that crash
-    /// upstreams must not have been sent on.
+    /// have served their callers, brittle upstreams must have fallen over rarely, requests that crash
+    /// upstreams must not have been sent on, and streams must have gone on at their software version.
     pub fn finish(&mut self) {
         self.checks.check_at_end(self.now, &self.callers);
         let retries = self.retries.violations(self.setup.limits.retries, &self.callers);
         let partitions = self.partitions.violations(&self.callers);
         let crashes = self.crashes.violations();
-        let found = retries.into_iter().chain(partitions).chain(crashes).chain(self.brittle.violation());
+        let streams = self.streams.violations(&self.callers);
+        let found = retries
+            .into_iter()
+            .chain(partitions)
+            .chain(crashes)
+            .chain(streams)
+            .chain(self.brittle.violation());
         for violation in found {
             self.checks.report(violation.at, violation.what);
         }
--- a/crates/skylarkshore-standins/src/world/callers.rs
+++ b/crates/skylarkshore-standins/src/world/callers.rs
@@ -4,7 +4,7 @@
 
 use skylarkshore_core::collections::OrderedMap;
 use skylarkshore_core::effect::{Refusal, RefusalOutcome};
-use skylarkshore_core::event::{Arrival, Repeat, RequestPolicy, Target};
+use skylarkshore_core::event::{Arrival, Repeat, RequestPolicy, StreamPart, Target};
 use skylarkshore_core::id::{CallerId, Digest, RequestId};
 use skylarkshore_core::time::Time;
 
@@ -32,6 +32,8 @@
     pub crashes: bool,
     /// Whether the replica that runs it goes silent, and ends as soon as the request is cancelled.
     pub silences: bool,
+    /// The part of a stream that it asks for, if its answer may be resumed.
+    pub stream: Option<StreamPart>,
 }
 
 /// Identifies a request across all hosts and process incarnations.
@@ -122,6 +124,7 @@
 impl Callers {
     pub(crate) fn record_arrival(&mut self, key: RequestKey, ask: &Ask, now: Time) -> (RequestKey, Arrival) {
         let deadline = now.after(ask.timeout);
+        let is_resumable = ask.stream.is_some() || matches!(ask.target, Target::Model(_));
         let arrival = Arrival {
             caller: ask.caller.clone(),
             target: ask.target.clone(),
@@ -129,8 +132,9 @@
             digest: ask.digest,
             prefix: ask.prefix,
             deadline,
-            policy: RequestPolicy::plain(deadline, matches!(ask.target, Target::Model(_))),
+            policy: RequestPolicy::plain(deadline, is_resumable),
             charge: None,
+            stream: ask.stream,
         };
         let log = RequestLog {
             ask: ask.clone(),
--- a/crates/skylarkshore-standins/src/world/execute.rs
+++ b/crates/skylarkshore-standins/src/world/execute.rs
@@ -389,6 +389,7 @@
         run.started = true;
         if self.attempts.contains_key(&AttemptKey::new(sent.from, sent.attempt)) {
             self.callers.record_answer_start(&request, self.now);
+            self.record_events(upstream, &request);
             self.send_event(sent.from, Event::AnswerStarted { attempt: sent.attempt });
         }
     }
--- a/crates/skylarkshore-standins/src/world/replicas.rs
+++ b/crates/skylarkshore-standins/src/world/replicas.rs
@@ -32,13 +32,13 @@
     pub(crate) fn restart_replica(&mut self, id: &UpstreamId) {
         let Some(replica) = self.services.get_mut(id).filter(|replica| !replica.up) else { return };
         replica.restart();
-        let incarnation = replica.incarnation;
+        let (incarnation, software) = (replica.incarnation, replica.software.clone());
         if self.termination_listed_after.is_none() {
             return;
         }
         self.host_list.retain(|listed| listed.id != *id);
         let listed = self.setup.upstreams.iter().find(|listed| listed.id == *id).cloned();
-        self.host_list.extend(listed.map(|listed| Upstream { incarnation, ..listed }));
+        self.host_list.extend(listed.map(|listed| Upstream { incarnation, software, ..listed }));
     }
 
     /// Removes an incarnation of a replica from the host list, unless a later one is listed.
--- a/crates/skylarkshore-standins/src/world/service.rs
+++ b/crates/skylarkshore-standins/src/world/service.rs
@@ -1,7 +1,7 @@
 //! Simulated replica of a plain service.
 
 use skylarkshore_core::collections::OrderedMap;
-use skylarkshore_core::id::{Incarnation, ServiceName, UpstreamId};
+use skylarkshore_core::id::{Incarnation, ServiceName, SoftwareVersion, UpstreamId};
 use skylarkshore_core::upstream::Upstream;
 
 use super::engine::Run;
@@ -18,6 +18,9 @@
     /// Whether it has gone silent: it neither answers nor ends a connection.
     pub(crate) is_silent: bool,
     pub(crate) incarnation: Incarnation,
+    pub(crate) software: Option<SoftwareVersion>,
+    /// The software with which it starts the next time.
+    pub(crate) next_software: Option<SoftwareVersion>,
 }
 
 impl ServiceReplica {
@@ -30,6 +33,8 @@
             up: true,
             is_silent: false,
             incarnation: upstream.incarnation,
+            software: upstream.software.clone(),
+            next_software: upstream.software.clone(),
         })
     }
 
@@ -43,5 +48,6 @@
     pub(crate) fn restart(&mut self) {
         self.up = true;
         self.incarnation = self.incarnation.next();
+        self.software.clone_from(&self.next_software);
     }
 }
--- a/crates/skylarkshore-standins/tests/world/main.rs
+++ b/crates/skylarkshore-standins/tests/world/main.rs
@@ -7,5 +7,6 @@
 mod mutants;
 mod recovery;
 mod retry_budget;
+mod streams;
 mod support;
 mod whole_path;
--- a/crates/skylarkshore-standins/tests/world/support.rs
+++ b/crates/skylarkshore-standins/tests/world/support.rs
@@ -83,6 +83,7 @@
         kind,
         status: UpstreamStatus::Live,
         incarnation: Incarnation::default(),
+        software: None,
         concurrency: None,
         holds: Vec::new(),
         copies: WeightCopies::default(),
@@ -121,6 +122,7 @@
         run_time: Duration::from_millis(400),
         crashes: false,
         silences: false,
+        stream: None,
     }
 }
 
--- a/crates/skylarkshore-wire/src/hostlist.rs
+++ b/crates/skylarkshore-wire/src/hostlist.rs
@@ -4,7 +4,7 @@
 
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
-use skylarkshore_core::id::{DataCentre, Incarnation, ServiceName, SiteName, UpstreamId};
+use skylarkshore_core::id::{DataCentre, Incarnation, ServiceName, SiteName, SoftwareVersion, UpstreamId};
 use skylarkshore_core::units::{Mebibytes, Watts};
 use skylarkshore_core::upstream::{
     EngineSpec, FenceCheck, OrderMode, Upstream, UpstreamKind, UpstreamStatus, WeightCopies,
@@ -36,6 +36,9 @@
     pub kind: HostKind,
     /// Whether it may receive new requests.
     pub state: HostState,
+    /// Version of its software; streams go on only at the version that began them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
 }
 
 /// Kind of an upstream with its properties.
@@ -128,6 +131,7 @@
             kind: entry.kind.into(),
             status: entry.state.into(),
             incarnation: Incarnation::default(),
+            software: entry.software,
             concurrency: None,
             holds: Vec::new(),
             copies: WeightCopies::default(),
