Let a stream that is taken up at any host go on at its own version

Callers saw: a stream that broke off with its host or its replica went on, at the host where they took it up, at another software version (the users' record, 77.19 s: began at v1, goes on at v1.1).

Cause: a host knew nothing of streams that had begun elsewhere, nor read by which request their caller names them (Resumes). Ruled out: a replica that is replaced at its address while a request is on its way, as each request names the instance that it expects.

Now the host where a stream begins sends its version to three hosts, found by hashing the stream's id, and withholds the first event until one of them confirms it, 100 ms at most; not for hosts that have been silent. A host where a stream is taken up asks the six that rank first, pins the request to what they keep, and sends the version to the keepers again, as members may have changed. Unknown: refused at once, unless one version alone has served while the stream can have begun, at this host or by a host that was asked; hosts that disagree count as not knowing. Each stream costs a few messages and one entry at four hosts, whatever the number of hosts (tested with 1,000); an entry lasts for twice the request's time, 30 s at least.

Copied memory can't cross versions: this system neither orders nor forwards moves of prompts between replicas; the callers' headers for that are removed.

--- a/crates/skylarkshore-core/src/effect.rs
+++ b/crates/skylarkshore-core/src/effect.rs
@@ -81,6 +81,9 @@
     /// It was lost with upstreams that may have crashed.
     #[display("upstreams were lost while they ran this request, and may have crashed; ask again later")]
     MayCrashUpstreams,
+    /// It takes up a stream of which it isn't known which software version began it.
+    #[display("it isn't known which version began this stream; begin it anew")]
+    StreamUnknown,
     /// No upstream of the software version that began the stream is left.
     #[display("no upstream of the version that began this stream is left; begin it anew")]
     VersionGone,
@@ -219,9 +222,18 @@
         /// Whether to buffer an answer that reports a failure of the upstream instead of forwarding it,
         /// because another upstream may be tried.
         keep_failure: bool,
+        /// Whether to withhold the first event until [`Effect::ForwardAnswer`].
+        withhold: bool,
         /// The peer that relays the attempt while this host has lost its own links to the upstreams.
         via: Option<HostId>,
     },
+    /// Forward the first event of an attempt's answer, which was withheld until another host knew of it.
+    ForwardAnswer {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// Forward the buffered failure answer of a request's last attempt.
     ForwardHeldAnswer {
         /// The request.
--- a/crates/skylarkshore-core/src/peer.rs
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -1,6 +1,7 @@
 //! Messages between processes. [`PeerMessage`] is the type to start with.
 
 mod credit;
+mod stream;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use crate::view::EngineView;
 
 pub use credit::CreditMessage;
+pub use stream::{StreamMessage, StreamOrigin};
 
 /// Smallest number of refused requests for a model that counts as waiting, whether one host has
 /// refused them or all together.
@@ -248,6 +250,8 @@
         /// The upstream.
         upstream: UpstreamId,
     },
+    /// Streams that callers may take up at another host.
+    Stream(StreamMessage),
     /// Acknowledges requests that were reported as lost with an incarnation of an upstream.
     LossesNoted {
         /// The upstream.
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -39,9 +39,12 @@
 mod request;
 mod request_limits;
 mod routing;
+mod served_versions;
 mod state_dump;
+mod stream_origins;
 mod supply;
 mod suspect;
+mod take_up;
 mod unfinished;
 mod version_pin;
 mod wait_estimate;
@@ -71,6 +74,8 @@
 use queue::Queue;
 use request::{Caller, Due, Request, RunHistory, State};
 use routing::Routes;
+use served_versions::ServedVersions;
+use stream_origins::StreamOrigins;
 use suspect::{SuspectStatus, Suspects};
 use unfinished::UnfinishedAttempts;
 use version_pin::PinnedRequests;
@@ -88,6 +93,9 @@
     queue: Queue,
     /// The requests that wait for an upstream of one software version.
     pinned: PinnedRequests,
+    /// The versions that began streams.
+    origins: StreamOrigins,
+    served_versions: ServedVersions,
     routes: Routes,
     /// The models that requests here need, and which owners are asked to load them.
     demand: Demand,
@@ -121,6 +129,8 @@
             timers: OrderedSet::new(),
             queue: Queue::default(),
             pinned: PinnedRequests::new(),
+            origins: StreamOrigins::default(),
+            served_versions: ServedVersions::default(),
             routes: Routes::default(),
             demand: Demand::default(),
             once_claims: OnceClaims::default(),
@@ -172,6 +182,8 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         if let State::Sent(run) = request.state.clone() {
             request.pin_to(&run);
+            self.on_stream_begun(cx, id, &run);
+            let Some(request) = self.requests.get_mut(&id) else { return };
             let is_late = request.arrival.policy.soft_deadline.is_due(cx.now);
             let waited = run.sent.since(request.arrived);
             // The engine caused the delay if most of the time passed after the request was sent.
@@ -230,6 +242,7 @@
             self.retry_or_refuse_lost(cx, id);
         }
         self.unfinished.on_tick(cx);
+        self.run_stream_timers(cx);
         let suspects = &self.suspects;
         self.loss_reports.on_tick(cx, |digest| suspects.status(digest) == SuspectStatus::Convicted);
         while let Some(due) = self.timers.first().copied().filter(|due| due.at.is_due(cx.now)) {
@@ -254,6 +267,7 @@
         self.routes.reapply_host_list(cx);
         self.once_claims.remove_expired(cx.now);
         self.suspects.remove_expired(cx);
+        self.remove_expired_streams(cx);
         self.demand.send_usage(cx, &mut self.waits);
         self.report_refused_callers(cx);
         self.budget.record_host_count(cx.now, cx.cache.members().count());
@@ -286,6 +300,7 @@
     /// Handles changes to upstreams on the host list.
     pub fn on_host_list(&mut self, cx: &mut Cx<'_>, touched: &[UpstreamId]) {
         self.routes.on_host_list(cx, touched);
+        self.served_versions.on_host_list(cx, touched);
         let lost = self.unfinished.on_host_list(cx);
         self.record_unfinished(cx, &lost);
         self.suspects.on_host_list(cx);
@@ -345,6 +360,7 @@
                 self.routes.limits.on_permits(cx.now, upstream, *count);
                 self.dispatch_for_upstream(cx, upstream);
             }
+            PeerMessage::Stream(message) => self.on_stream_message(cx, from, message),
             PeerMessage::View(view) => self.on_view(cx, view),
             PeerMessage::CannotLoad { target, reason, retry_after } => {
                 self.on_cannot_load(cx, from, target, reason, *retry_after);
--- a/crates/skylarkshore-core/src/serving/arrival.rs
+++ b/crates/skylarkshore-core/src/serving/arrival.rs
@@ -104,6 +104,9 @@
     /// Queues a request that no rule and no limit refuses, after checking its idempotency
     /// key.
     pub(super) fn admit(&mut self, cx: &mut Cx<'_>, id: RequestId) {
+        if !self.find_origin(cx, id) {
+            return;
+        }
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(key) = request.idempotency_key() else { return self.enqueue(cx, id) };
         let digest = request.arrival.digest;
--- a/crates/skylarkshore-core/src/serving/counters.rs
+++ b/crates/skylarkshore-core/src/serving/counters.rs
@@ -76,6 +76,7 @@
         RefusalReason::CrashesUpstreams => "refused_crashes_upstreams_total",
         RefusalReason::MayCrashUpstreams => "refused_may_crash_upstreams_total",
         RefusalReason::VersionGone => "refused_version_gone_total",
+        RefusalReason::StreamUnknown => "refused_stream_unknown_total",
         RefusalReason::Leaving => "refused_leaving_total",
         RefusalReason::OverLimit => "refused_over_limit_total",
         RefusalReason::BeyondLimit => "refused_beyond_limit_total",
--- a/crates/skylarkshore-core/src/serving/disposition.rs
+++ b/crates/skylarkshore-core/src/serving/disposition.rs
@@ -6,7 +6,7 @@
 
 use crate::cx::Cx;
 use crate::effect::{Effect, Refusal, RefusalOutcome, RefusalReason};
-use crate::event::Repeat;
+use crate::event::{Repeat, StreamPart};
 use crate::id::{RequestId, UpstreamId};
 use crate::serving::Serving;
 use crate::serving::queue::QueuePosition;
@@ -82,6 +82,7 @@
             keep_failure: request.arrival.repeat == Repeat::Allowed
                 && !request.passed_on
                 && request.runs + 1 < request.arrival.policy.max_runs.min(cx.cfg.limits.attempts),
+            withhold: matches!(request.arrival.stream, Some(StreamPart::Whole(_))) && !request.passed_on,
             via: None,
         });
         let listed = cx.upstreams.get(&upstream);
--- a/crates/skylarkshore-core/src/serving/request.rs
+++ b/crates/skylarkshore-core/src/serving/request.rs
@@ -5,12 +5,13 @@
 use crate::collections::OrderedSet;
 use crate::effect::{Refusal, RefusalOutcome};
 use crate::event::{Arrival, Repeat};
-use crate::id::{AttemptId, Digest, Incarnation, RequestId, SoftwareVersion, UpstreamId};
+use crate::id::{AttemptId, Digest, Incarnation, RequestId, UpstreamId};
 use crate::rules::ServiceOrder;
 use crate::serving::budget::Destination;
 use crate::serving::version_pin::VersionPin;
 use crate::store::RecordedAnswer;
 use crate::time::Time;
+use crate::upstream::StatedVersion;
 
 /// A time at which a request is due for a check, as a timer or a deadline. Ordered by time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -27,7 +28,7 @@
     /// The upstream's incarnation on the host list when the attempt was sent.
     pub(super) incarnation: Option<Incarnation>,
     /// The version of its software, as listed then.
-    pub(super) software: Option<SoftwareVersion>,
+    pub(super) software: StatedVersion,
     pub(super) isolation: Isolation,
     pub(super) sent: Time,
 }
@@ -51,6 +52,8 @@
     },
     /// Its idempotency key is being read before it is queued.
     LookingUp,
+    /// Takes up a stream, and other hosts are asked for the version that began it.
+    FindingOrigin,
     /// Waits for an upstream.
     Queued,
     /// Is a suspect and waits for an upstream on which it runs in isolation.
@@ -205,7 +208,11 @@
     pub(super) const fn is_waiting(&self) -> bool {
         matches!(
             self.state,
-            State::AwaitingCredit { .. } | State::LookingUp | State::Queued | State::QueuedForIsolation
+            State::AwaitingCredit { .. }
+                | State::LookingUp
+                | State::FindingOrigin
+                | State::Queued
+                | State::QueuedForIsolation
         )
     }
 
@@ -264,6 +271,7 @@
         match &self.state {
             State::AwaitingCredit { .. } => "waiting for its client account's credit".to_owned(),
             State::LookingUp => "looking its key up".to_owned(),
+            State::FindingOrigin => "looking its stream up".to_owned(),
             State::Queued => "queued".to_owned(),
             State::QueuedForIsolation => "suspect, waiting for an upstream of its own".to_owned(),
             State::Claiming { upstream, .. } => format!("claiming its key, to be sent to {upstream}"),
--- a/crates/skylarkshore-core/src/serving/suspect.rs
+++ b/crates/skylarkshore-core/src/serving/suspect.rs
@@ -437,11 +437,13 @@
 
     /// Returns the peers for whose acknowledgement requests wait.
     fn peers_to_await(&self, cx: &Cx<'_>, peers: &OrderedSet<HostId>) -> OrderedSet<HostId> {
-        let silent = |host: &HostId| {
-            let last_contact = self.last_contact.get(host);
-            last_contact.is_some_and(|at| at.after(cx.cfg.timings.peer_timeout).is_due(cx.now))
-        };
-        peers.iter().filter(|host| !silent(host)).cloned().collect()
+        peers.iter().filter(|host| !self.is_silent(cx, host)).cloned().collect()
+    }
+
+    /// Reports whether a peer that was heard of has been silent for long.
+    pub(super) fn is_silent(&self, cx: &Cx<'_>, host: &HostId) -> bool {
+        let last_contact = self.last_contact.get(host);
+        last_contact.is_some_and(|at| at.after(cx.cfg.timings.peer_timeout).is_due(cx.now))
     }
 
     fn evict_if_full(&mut self) {
--- a/crates/skylarkshore-core/src/serving/version_pin.rs
+++ b/crates/skylarkshore-core/src/serving/version_pin.rs
@@ -8,14 +8,14 @@
 use crate::cx::Cx;
 use crate::effect::RefusalReason;
 use crate::event::Target;
-use crate::id::{RequestId, SoftwareVersion, UpstreamId};
+use crate::id::{RequestId, UpstreamId};
 use crate::serving::Serving;
 use crate::serving::arrival::route_query;
 use crate::serving::attempt::RETRY_AFTER;
 use crate::serving::disposition::Disposition;
 use crate::serving::queue::QueuePosition;
 use crate::serving::request::Isolation;
-use crate::upstream::{Upstream, UpstreamStatus};
+use crate::upstream::{StatedVersion, Upstream, UpstreamStatus};
 
 /// The versions of the upstreams' software that may serve a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -24,7 +24,7 @@
     #[default]
     Any,
     /// Only the version that began the stream; `None` stands for upstreams that state none.
-    Only(Option<SoftwareVersion>),
+    Only(StatedVersion),
 }
 
 impl VersionPin {
--- a/crates/skylarkshore-core/src/upstream.rs
+++ b/crates/skylarkshore-core/src/upstream.rs
@@ -15,6 +15,9 @@
 
 pub use list::{UpstreamChanges, UpstreamList};
 
+/// The version of its software that an upstream states; `None` if it states none.
+pub type StatedVersion = Option<SoftwareVersion>;
+
 /// How an engine treats an order with an outdated fence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FenceCheck {
@@ -99,7 +102,7 @@
     /// The version of its software, if it states that.
     ///
     /// A stream may go on only at the version that began it, whatever the model.
-    pub software: Option<SoftwareVersion>,
+    pub software: StatedVersion,
     /// How many requests a service replica runs concurrently, if it states that; for engines,
     /// [`EngineSpec::concurrency`] applies.
     pub concurrency: Option<u32>,
--- a/crates/skylarkshore-core/tests/serving_requests.rs
+++ b/crates/skylarkshore-core/tests/serving_requests.rs
@@ -12,4 +12,5 @@
     mod random;
     mod retry_budget;
     mod routing;
+    mod streams;
 }
--- a/crates/skylarkshore-host/src/driver/effects.rs
+++ b/crates/skylarkshore-host/src/driver/effects.rs
@@ -119,6 +119,7 @@
                 hold,
                 once,
                 keep_failure,
+                withhold,
                 via,
             } => {
                 let Some(upstream) = upstreams.get(&upstream).cloned() else {
@@ -135,9 +136,15 @@
                     hold,
                     once,
                     keep_failure,
+                    withhold,
                     via,
                 });
             }
+            Effect::ForwardAnswer { request, attempt } => {
+                if let Some(pending) = self.env.requests.get(request) {
+                    pending.release(attempt);
+                }
+            }
             // The held answer is a stored failure; see `PendingRequest::store_failure`.
             Effect::ForwardHeldAnswer { request } => {
                 if let Some(pending) = self.env.requests.get(request) {
--- a/crates/skylarkshore-host/src/pending.rs
+++ b/crates/skylarkshore-host/src/pending.rs
@@ -18,7 +18,7 @@
 use skylarkshore_core::id::{AttemptId, RequestId};
 use skylarkshore_core::store::RecordedAnswer;
 use skylarkshore_wire::caller::{RefusalBody, refusal_status};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::metrics::RequestEnd;
 
@@ -190,6 +190,8 @@
     pub outgoing: Outgoing,
     refusals: Arc<dyn RefusalFormat>,
     inner: Mutex<Inner>,
+    /// The last attempt whose first event may be forwarded.
+    released: watch::Sender<AttemptId>,
 }
 
 impl std::fmt::Debug for PendingRequest {
@@ -205,7 +207,20 @@
     ) -> (Self, oneshot::Receiver<Reply>) {
         let (tx, rx) = oneshot::channel();
         let inner = Inner { state: State::Waiting(tx), attempt: AttemptId::default(), failure_answer: None };
-        (Self { outgoing, refusals, inner: Mutex::new(inner) }, rx)
+        let released = watch::Sender::new(AttemptId::default());
+        (Self { outgoing, refusals, inner: Mutex::new(inner), released }, rx)
+    }
+
+    /// Allows the first event of an attempt to be forwarded.
+    pub(crate) fn release(&self, attempt: AttemptId) {
+        self.released.send_replace(attempt);
+    }
+
+    /// Waits until the first event of an attempt may be forwarded.
+    pub(crate) async fn released(&self, attempt: AttemptId) {
+        let mut rx = self.released.subscribe();
+        // The sender lives as long as the request, so that waiting can't fail.
+        _ = rx.wait_for(|released| *released == attempt).await;
     }
 
     /// Makes an attempt the only one that can forward its answer.
--- a/crates/skylarkshore-host/src/upstreams.rs
+++ b/crates/skylarkshore-host/src/upstreams.rs
@@ -55,6 +55,8 @@
     pub once: bool,
     /// Whether to store an answer that reports a failure of the upstream, as another attempt may follow.
     pub keep_failure: bool,
+    /// Whether the first event is withheld until the core releases it.
+    pub withhold: bool,
     /// The peer that relays the attempt, if this host has lost its own links to the upstreams.
     pub via: Option<HostId>,
 }
--- a/crates/skylarkshore-host/src/upstreams/attempt.rs
+++ b/crates/skylarkshore-host/src/upstreams/attempt.rs
@@ -330,6 +330,9 @@
 
     async fn start_forwarding(&self, head: Head) -> Result<(), AnswerError> {
         self.upstreams.env.inbox.event(Event::AnswerStarted { attempt: self.dispatch.attempt }).await;
+        if self.dispatch.withhold && head.is_event_stream {
+            self.pending.released(self.dispatch.attempt).await;
+        }
         self.pending.forward_head(self.dispatch.attempt, head)?;
         Ok(())
     }
--- a/crates/skylarkshore-standins/src/world/execute.rs
+++ b/crates/skylarkshore-standins/src/world/execute.rs
@@ -112,8 +112,17 @@
             }
             Effect::Send { request, attempt, upstream, deadline, hold, via, .. } => {
                 let answer_lost = fault == Strike::LoseAnswer;
-                let sent =
-                    SentRequest { from, request, attempt, upstream: upstream.clone(), hold, answer_lost };
+                let listed = self.hosts[h].node.as_ref().and_then(|node| node.upstreams().get(&upstream));
+                let incarnation = listed.map(|listed| listed.incarnation);
+                let sent = SentRequest {
+                    from,
+                    request,
+                    attempt,
+                    upstream: upstream.clone(),
+                    incarnation,
+                    hold,
+                    answer_lost,
+                };
                 self.schedule.add(deadline, Task::AttemptTimeout { from, attempt });
                 self.attempts
                     .insert(AttemptKey::new(from, attempt), OpenAttempt { request, delivered: false });
@@ -145,9 +154,10 @@
                 let host = self.hosts[h].id.clone();
                 self.notes.push(HostNote { at: self.now, host, note });
             }
-            // Not simulated: upstreams here never answer with a failure, and the hosts that callers
-            // connect to don't change.
+            // Not simulated: upstreams here never answer with a failure, first events aren't withheld, and the
+            // hosts that callers connect to don't change.
             Effect::ForwardHeldAnswer { .. }
+            | Effect::ForwardAnswer { .. }
             | Effect::CloseIntake
             | Effect::Decision(_)
             | Effect::ApplyNews(_)
@@ -360,8 +370,12 @@
             }
             Target::Service(name) => {
                 let replica = self.services.get(&sent.upstream).filter(|replica| replica.up);
-                let known = replica.is_some_and(|replica| replica.service == *name);
-                (!known).then_some(AttemptOutcome::NotSent)
+                let Some(replica) = replica.filter(|replica| replica.service == *name) else {
+                    return Some(AttemptOutcome::NotSent);
+                };
+                let is_other = sent.incarnation.is_some_and(|expected| expected != replica.incarnation);
+                (is_other && self.termination_listed_after.is_some())
+                    .then_some(AttemptOutcome::Rejected(Rejection::Replaced))
             }
         }
     }
--- a/crates/skylarkshore-standins/src/world/meter.rs
+++ b/crates/skylarkshore-standins/src/world/meter.rs
@@ -72,6 +72,7 @@
         | PeerMessage::LoadSlotHeld { .. }
         | PeerMessage::LoadSlotReturned { .. } => "load_slot",
         PeerMessage::PowerWanted { .. } => "power_wanted",
+        PeerMessage::Stream(_) => "streams",
         PeerMessage::Suspects { .. }
         | PeerMessage::SuspectsNoted { .. }
         | PeerMessage::LossesNoted { .. }
--- a/crates/skylarkshore-standins/src/world/schedule.rs
+++ b/crates/skylarkshore-standins/src/world/schedule.rs
@@ -43,6 +43,8 @@
     pub(crate) request: RequestId,
     pub(crate) attempt: AttemptId,
     pub(crate) upstream: UpstreamId,
+    /// The incarnation on the sender's host list; any other one rejects the request.
+    pub(crate) incarnation: Option<Incarnation>,
     pub(crate) hold: bool,
     pub(crate) answer_lost: bool,
 }
--- a/crates/skylarkshore-standins/tests/world/mutants.rs
+++ b/crates/skylarkshore-standins/tests/world/mutants.rs
@@ -94,6 +94,7 @@
                     hold: true,
                     once: true,
                     keep_failure: false,
+                    withhold: false,
                     via: None,
                 };
                 vec![effect, again]
--- a/crates/skylarkshore-standins/tests/world/streams.rs
+++ b/crates/skylarkshore-standins/tests/world/streams.rs
@@ -7,7 +7,7 @@
 use skylarkshore_core::id::{StreamId, UpstreamId};
 use skylarkshore_core::time::Time;
 use skylarkshore_core::upstream::UpstreamKind;
-use skylarkshore_standins::world::{Ask, NoFaults, RequestKey, Setup, World};
+use skylarkshore_standins::world::{Ask, NoFaults, RequestKey, Setup, StoreMode, World};
 
 use crate::support::{ask_once, assert_sound, at_secs, digest, name, setup, upstream, world};
 
@@ -153,3 +153,72 @@
         play(seed, 0, crash_in_turn);
     }
 }
+
+/// Lets replicas start again with another version, one every second.
+fn release(world: &mut World, second: u64, numbers: std::ops::Range<usize>, from: u64, software: &str) {
+    let Some(number) = second.checked_sub(from).and_then(|i| usize::try_from(i).ok()) else { return };
+    if number < numbers.len() {
+        let id = replica(numbers.start + number);
+        world.set_next_software(&id, Some(name(software)));
+        world.crash_replica(&id);
+    }
+}
+
+/// Guards against mixed streams, and against streams that end with their host, in a release and its rollback.
+#[test]
+fn streams_go_on_at_their_version_in_a_release_and_a_rollback_while_hosts_are_killed() {
+    for seed in 1..=4 {
+        play(seed, MAX_TRIES, |world, second| {
+            release(world, second, 0..3, 13, "1.1");
+            release(world, second, 0..3, 24, "1");
+            if second % 5 == 1 {
+                world.kill(usize::try_from(second / 5).expect("the number is small") % HOSTS);
+            }
+        });
+    }
+}
+
+/// Guards against the same while the key-value service is away, so that hosts know neither new members nor
+/// new replicas.
+#[test]
+fn streams_go_on_at_their_version_while_hosts_are_killed_and_the_store_is_away() {
+    for seed in 1..=4 {
+        play(seed, MAX_TRIES, |world, second| {
+            match second {
+                15 => world.set_store_mode(StoreMode::Hanging),
+                27 => world.set_store_mode(StoreMode::Up),
+                _ => {}
+            }
+            crash_in_turn(world, second);
+            if second % 5 == 1 {
+                world.kill(usize::try_from(second / 5).expect("the number is small") % HOSTS);
+            }
+        });
+    }
+}
+
+/// Guards against streams that go on at another version since no replica of theirs is left, or since all
+/// hosts that knew it were killed.
+#[test]
+fn streams_whose_version_or_whose_hosts_are_gone_are_not_mixed() {
+    for seed in 1..=4 {
+        play(seed, MAX_TRIES, |world, second| {
+            release(world, second, 4..8, 14, "1");
+            if second == 16 || second == 22 {
+                (0..HOSTS).for_each(|host| world.kill(host));
+            }
+        });
+    }
+}
+
+/// Guards against streams of a host that was killed, which go on at another host at another version.
+#[test]
+fn a_stream_of_a_killed_host_goes_on_at_its_version_elsewhere() {
+    for seed in 1..=4 {
+        play(seed, MAX_TRIES, |world, second| {
+            if second.is_multiple_of(4) {
+                world.kill(usize::try_from(second / 4).expect("the number is small") % HOSTS);
+            }
+        });
+    }
+}
--- a/crates/skylarkshore-wire/src/caller.rs
+++ b/crates/skylarkshore-wire/src/caller.rs
@@ -154,6 +154,7 @@
         RefusalReason::CrashesUpstreams => "crashes_upstreams",
         RefusalReason::MayCrashUpstreams => "may_crash_upstreams",
         RefusalReason::VersionGone => "version_gone",
+        RefusalReason::StreamUnknown => "stream_unknown",
         RefusalReason::Leaving => "leaving",
         RefusalReason::OverLimit => "over_limit",
         RefusalReason::BeyondLimit => "beyond_limit",
@@ -181,6 +182,7 @@
         | RefusalReason::AccountChanged
         | RefusalReason::MayCrashUpstreams
         | RefusalReason::VersionGone
+        | RefusalReason::StreamUnknown
         | RefusalReason::Leaving => 503,
     }
 }
--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -8,6 +8,7 @@
 //! the engines on which it may be loaded.
 
 mod credit;
+mod stream;
 mod view;
 
 use std::time::Duration;
@@ -26,6 +27,7 @@
 use crate::keys::{InvalidKey, InvalidValue, KeyText, StoredValue};
 
 pub use credit::CreditMessageWire;
+pub use stream::{StreamMessageWire, StreamOriginWire};
 pub use view::{EngineViewWire, ModelViewWire, ReadinessWire};
 
 /// Maximum size of a message in bytes.
@@ -216,6 +218,8 @@
     UpstreamsReached { reached: bool },
     /// An upstream that withstands few rejections has rejected a request of the sender for want of room.
     UpstreamFull { upstream: UpstreamId },
+    /// Streams that callers may take up at another host.
+    Stream(StreamMessageWire),
 }
 
 /// Encodes a message for the wire.
@@ -396,6 +400,7 @@
                 Self::LoadSlotHeld { upstream: upstream.clone(), model: model.clone() }
             }
             M::Credit(message) => Self::Credit(message.into()),
+            M::Stream(message) => Self::Stream(message.into()),
             M::News(News { after, upto, body }) => {
                 Self::PackedNews { after: *after, upto: *upto, body: body.to_vec() }
             }
@@ -493,6 +498,7 @@
             W::UpstreamUnreachable { upstream } => Self::UpstreamUnreachable { upstream },
             W::LoadSlotHeld { upstream, model } => Self::LoadSlotHeld { upstream, model },
             W::Credit(message) => Self::Credit(message.into()),
+            W::Stream(message) => Self::Stream(message.into()),
             W::News { .. } => return Err(InvalidMessage::Retired),
             W::PackedNews { after, upto, body } => Self::News(News { after, upto, body: body.into() }),
             W::StateWanted => Self::StateWanted,
--- a/crates/skylarkshore-wire/tests/formats.rs
+++ b/crates/skylarkshore-wire/tests/formats.rs
@@ -7,9 +7,10 @@
 use skylarkshore_core::accounts::{Account, AccountLimit, KeyDigest, LimitUnit};
 use skylarkshore_core::catalogue::{ConfiguredCatalogue, Document, ModelTarget};
 use skylarkshore_core::id::{
-    AccountName, CallId, CatalogueRevision, Digest, Fence, Incarnation, RulesRevision, StoreRevision,
+    AccountName, CallId, CatalogueRevision, Digest, Fence, Incarnation, RulesRevision, SoftwareVersion,
+    StoreRevision, StreamId,
 };
-use skylarkshore_core::peer::{CreditMessage, PeerMessage};
+use skylarkshore_core::peer::{CreditMessage, PeerMessage, StreamMessage, StreamOrigin};
 use skylarkshore_core::rules::ServiceOrder;
 use skylarkshore_core::store::{
     HomesRecord, Key, MemberRecord, OnceRecord, OnceState, OwnerRecord, PowerRecord, Record, RecordBatch,
@@ -212,6 +213,25 @@
     messages.into_iter().map(PeerMessage::Credit).collect()
 }
 
+fn stream_messages() -> Vec<PeerMessage> {
+    let stream = StreamId(Digest([3; 32]));
+    let software: Option<SoftwareVersion> = Some("v1.1".parse().unwrap());
+    let destination = Some("drafts".parse().unwrap());
+    let origins = [
+        StreamOrigin::Kept(software.clone()),
+        StreamOrigin::Kept(None),
+        StreamOrigin::OnlyServed(software.clone()),
+        StreamOrigin::Unknown,
+    ];
+    let known = origins.map(|origin| StreamMessage::Known { stream, origin });
+    let messages = [
+        StreamMessage::Begun { stream, software, kept: Duration::from_secs(24) },
+        StreamMessage::Noted { stream },
+        StreamMessage::Wanted { stream, destination },
+    ];
+    messages.into_iter().chain(known).map(PeerMessage::Stream).collect()
+}
+
 /// Guards against client accounts being lost, or their plain keys being exposed, when a catalogue is
 /// passed between hosts.
 #[test]
@@ -232,7 +252,7 @@
 
 #[test]
 fn messages_survive_a_round_trip() {
-    for message in messages().into_iter().chain(credit_messages()) {
+    for message in messages().into_iter().chain(credit_messages()).chain(stream_messages()) {
         assert_eq!(decode(&encode(&message).unwrap()).unwrap(), message);
     }
 }
