Let callers that don't name their stream go on where one version has served

Callers state how much of their time is left, so that a stream is at most as old as the rest of its route's time-out, or twice that where they state more. One version alone counts as having served if it did for that age and the three seconds in which hosts read a change of the host list. A host that has not been running for so long asks others, also where no stream is named.

--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -1,5 +1,7 @@
 //! Inputs to the state machine. [`Event`] is the type to start with; [`Arrival`] describes a request.
 
+use std::time::Duration;
+
 use derive_more::Display;
 
 use crate::accounts::Charge;
@@ -76,9 +78,13 @@
 pub enum StreamPart {
     /// The whole stream, which callers name by this id if they take it up later.
     Whole(StreamId),
-    /// What follows the events that the caller has from earlier requests; `None` if it doesn't say of
-    /// which stream.
-    Rest(Option<StreamId>),
+    /// What follows the events that the caller has from earlier requests.
+    Rest {
+        /// The stream, if the caller names it.
+        stream: Option<StreamId>,
+        /// How long before the request arrived the stream can have begun.
+        max_age: Duration,
+    },
 }
 
 /// A validated request from a caller.
--- a/crates/skylarkshore-core/src/peer/stream.rs
+++ b/crates/skylarkshore-core/src/peer/stream.rs
@@ -28,6 +28,8 @@
         stream: StreamId,
         /// The service or pool whose upstreams serve it; `None` for engines without a pool.
         destination: Option<ServiceName>,
+        /// How long ago it can have begun.
+        max_age: Duration,
     },
     /// Answers [`StreamMessage::Wanted`].
     Known {
@@ -43,7 +45,7 @@
 pub enum StreamOrigin {
     /// This version began it.
     Kept(StatedVersion),
-    /// Nothing is kept, but only this version has served while the stream can have begun.
+    /// Nothing is kept, but this version alone has served since the stream can have begun.
     OnlyServed(StatedVersion),
     /// Nothing is known.
     Unknown,
--- a/crates/skylarkshore-core/src/serving/served_versions.rs
+++ b/crates/skylarkshore-core/src/serving/served_versions.rs
@@ -11,6 +11,9 @@
 use crate::time::Time;
 use crate::upstream::{StatedVersion, Upstream, UpstreamKind};
 
+/// How long a version is remembered that nothing runs any more; longer than any stream lasts.
+const USE_TTL: Duration = Duration::from_hours(1);
+
 /// The version that an upstream runs, and whom it serves.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Service {
@@ -73,7 +76,7 @@
         }
     }
 
-    /// Returns the version that alone has served a destination for at least `span`, if that is known.
+    /// Returns the version that alone has served a destination for the last `span`, if that is known.
     pub(super) fn only_one(
         &self,
         now: Time,
@@ -92,8 +95,8 @@
         served.next().is_none().then(|| first.software.clone())
     }
 
-    /// Forgets versions that nothing has run for at least `span`.
-    pub(super) fn remove_expired(&mut self, now: Time, span: Duration) {
-        self.uses.retain(|_, used| used.ended_at.is_none_or(|at| !at.after(span).is_due(now)));
+    /// Forgets versions that nothing has run for long.
+    pub(super) fn remove_expired(&mut self, now: Time) {
+        self.uses.retain(|_, used| used.ended_at.is_none_or(|at| !at.after(USE_TTL).is_due(now)));
     }
 }
--- a/crates/skylarkshore-core/src/serving/take_up.rs
+++ b/crates/skylarkshore-core/src/serving/take_up.rs
@@ -5,11 +5,11 @@
 
 use std::time::Duration;
 
-use crate::catalogue::RouteKind;
+use crate::control::hashing::name_hash;
 use crate::cx::Cx;
 use crate::effect::{Effect, RefusalReason};
 use crate::event::StreamPart;
-use crate::id::{AttemptId, HostId, RequestId, SoftwareVersion, StreamId};
+use crate::id::{AttemptId, Digest, HostId, RequestId, ServiceName, SoftwareVersion, StreamId};
 use crate::peer::{PeerMessage, StreamMessage, StreamOrigin};
 use crate::serving::Serving;
 use crate::serving::arrival::destination;
@@ -24,10 +24,8 @@
 const KEPT_FACTOR: u32 = 2;
 /// The least time for which the version of a stream is kept.
 const MIN_KEPT: Duration = Duration::from_secs(30);
-/// Longest stream if no route states a time-out.
-const DEFAULT_STREAM_TIME: Duration = Duration::from_mins(1);
 /// How much earlier or later hosts may read a change of the host list.
-const LISTING_SKEW: Duration = Duration::from_secs(5);
+const LISTING_SKEW: Duration = Duration::from_secs(3);
 
 impl Serving {
     /// Keeps the version of a stream that begins, and forwards its first event once another host has it.
@@ -66,12 +64,13 @@
     /// be queued now.
     pub(super) fn find_origin(&mut self, cx: &mut Cx<'_>, id: RequestId) -> bool {
         let Some(request) = self.requests.get_mut(&id) else { return false };
-        let Some(StreamPart::Rest(stream)) = request.arrival.stream else { return true };
+        let Some(StreamPart::Rest { stream, max_age }) = request.arrival.stream else { return true };
         if request.pin != VersionPin::Any {
             return true;
         }
+        let destination = destination(cx, &request.arrival.target);
         let Some(stream) = stream else {
-            self.settle_origin(cx, Found { requests: vec![id], ..Found::default() });
+            self.find_only_served(cx, id, destination, max_age);
             return false;
         };
         if let Some(software) = self.origins.get(stream) {
@@ -80,21 +79,45 @@
             return false;
         }
         request.set_state(State::FindingOrigin, cx.now);
-        let destination = destination(cx, &request.arrival.target);
-        let wanted = StreamMessage::Wanted { stream, destination };
+        let wanted = StreamMessage::Wanted { stream, destination, max_age };
         if let Some(found) = self.origins.look_up(cx, stream, id, &wanted) {
             self.settle_origin(cx, found);
         }
         false
     }
 
+    /// Finds out for a stream that its caller doesn't name whether one version alone has served.
+    ///
+    /// Other hosts are asked under an id that stands for the destination and names no stream.
+    fn find_only_served(
+        &mut self,
+        cx: &mut Cx<'_>,
+        id: RequestId,
+        destination: Destination,
+        max_age: Duration,
+    ) {
+        if self.only_served(cx, &destination, max_age).is_some() {
+            return self.settle_origin(cx, Found { requests: vec![id], ..Found::default() });
+        }
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.set_state(State::FindingOrigin, cx.now);
+        }
+        let stream = stand_in(&destination, max_age);
+        let wanted = StreamMessage::Wanted { stream, destination, max_age };
+        if let Some(found) = self.origins.look_up(cx, stream, id, &wanted) {
+            self.settle_origin(cx, found);
+        }
+    }
+
     /// Queues or refuses the requests whose stream's version was looked up.
     fn settle_origin(&mut self, cx: &mut Cx<'_>, found: Found) {
         let Found { requests, kept, only_served } = found;
         for id in requests {
             let Some(request) = self.requests.get(&id) else { continue };
+            let Some(StreamPart::Rest { max_age, .. }) = request.arrival.stream else { continue };
             let mut only_served = only_served.clone();
-            only_served.extend(self.only_served(cx, &destination(cx, &request.arrival.target)));
+            let destination = destination(cx, &request.arrival.target);
+            only_served.extend(self.only_served(cx, &destination, max_age + cx.now.since(request.arrived)));
             // Hosts that disagree haven't read the same host list.
             let only_one = (only_served.len() == 1).then(|| only_served.pop_first()).flatten();
             let source = if kept.is_some() { "kept" } else { "only_served" };
@@ -119,16 +142,21 @@
         cx.log_decision(id, "stream_taken_up", format!("version={named} source={source}"));
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.pin = VersionPin::Only(software.clone());
-        if let Some(StreamPart::Rest(Some(stream))) = request.arrival.stream {
+        if let Some(StreamPart::Rest { stream: Some(stream), .. }) = request.arrival.stream {
             self.keep_origin(cx, id, stream, software);
             self.origins.send(cx, stream);
         }
         self.admit(cx, id);
     }
 
-    /// Returns the version that alone has served a destination while a stream can have begun.
-    fn only_served(&self, cx: &Cx<'_>, destination: &Destination) -> Option<StatedVersion> {
-        self.served_versions.only_one(cx.now, destination, stream_span(cx))
+    /// Returns the version that alone has served a destination since a stream can have begun.
+    fn only_served(
+        &self,
+        cx: &Cx<'_>,
+        destination: &Destination,
+        max_age: Duration,
+    ) -> Option<StatedVersion> {
+        self.served_versions.only_one(cx.now, destination, max_age + LISTING_SKEW)
     }
 
     /// Handles a peer's message about a stream.
@@ -143,8 +171,9 @@
                 let attempts = self.origins.on_noted(*stream);
                 self.forward_withheld(cx, attempts);
             }
-            StreamMessage::Wanted { stream, destination } => {
-                let only_served = || self.only_served(cx, destination).map(StreamOrigin::OnlyServed);
+            StreamMessage::Wanted { stream, destination, max_age } => {
+                let only_served =
+                    || self.only_served(cx, destination, *max_age).map(StreamOrigin::OnlyServed);
                 let kept = self.origins.get(*stream).cloned().map(StreamOrigin::Kept);
                 let origin = kept.or_else(only_served).unwrap_or(StreamOrigin::Unknown);
                 cx.send(from, PeerMessage::Stream(StreamMessage::Known { stream: *stream, origin }));
@@ -169,15 +198,17 @@
     /// Forgets streams that callers no longer take up, and versions that nothing has run since.
     pub(super) fn remove_expired_streams(&mut self, cx: &Cx<'_>) {
         self.origins.remove_expired(cx.now);
-        self.served_versions.remove_expired(cx.now, stream_span(cx));
+        self.served_versions.remove_expired(cx.now);
     }
 }
 
-/// Returns for how long before it is taken up a stream can have begun: two of the longest answers, as a
-/// stream may have been taken up before, and the time in which hosts read a change of the host list.
-fn stream_span(cx: &Cx<'_>) -> Duration {
-    let routes = cx.document.catalogue.routes.iter();
-    let resumable = routes.filter(|route| route.kind == RouteKind::Stream { resumable: true });
-    let longest = resumable.map(|route| route.timeout).max().unwrap_or(DEFAULT_STREAM_TIME);
-    longest * 2 + LISTING_SKEW
+/// Returns an id that stands for the streams of a service or pool and is no stream's own.
+///
+/// Requests whose streams can be equally old, to a second, share it.
+fn stand_in(destination: &Destination, max_age: Duration) -> StreamId {
+    let name = destination.as_ref().map_or("", ServiceName::as_str);
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&name_hash(name).to_le_bytes());
+    bytes[8..16].copy_from_slice(&max_age.as_secs().to_le_bytes());
+    StreamId(Digest(bytes))
 }
--- a/crates/skylarkshore-standins/src/world/streams.rs
+++ b/crates/skylarkshore-standins/src/world/streams.rs
@@ -113,7 +113,9 @@
     /// Records that a replica sends events of a request's stream.
     pub(crate) fn record_events(&mut self, upstream: &UpstreamId, request: &RequestKey) {
         let stream = self.callers.requests.get(request).and_then(|log| log.ask.stream);
-        let Some(StreamPart::Whole(stream) | StreamPart::Rest(Some(stream))) = stream else { return };
+        let Some(StreamPart::Whole(stream) | StreamPart::Rest { stream: Some(stream), .. }) = stream else {
+            return;
+        };
         let software = self.services.get(upstream).and_then(|replica| replica.software.clone());
         self.streams.record_events(self.now, stream, software);
     }
--- a/crates/skylarkshore-wire/src/peer/stream.rs
+++ b/crates/skylarkshore-wire/src/peer/stream.rs
@@ -12,7 +12,7 @@
 pub enum StreamMessageWire {
     Begun { stream: StreamId, software: Option<SoftwareVersion>, kept_ms: u64 },
     Noted { stream: StreamId },
-    Wanted { stream: StreamId, destination: Option<ServiceName> },
+    Wanted { stream: StreamId, destination: Option<ServiceName>, max_age_ms: u64 },
     Known { stream: StreamId, origin: StreamOriginWire },
 }
 
@@ -29,11 +29,12 @@
     fn from(message: &StreamMessage) -> Self {
         match message.clone() {
             StreamMessage::Begun { stream, software, kept } => {
-                let kept_ms = u64::try_from(kept.as_millis()).unwrap_or(u64::MAX);
-                Self::Begun { stream, software, kept_ms }
+                Self::Begun { stream, software, kept_ms: millis(kept) }
             }
             StreamMessage::Noted { stream } => Self::Noted { stream },
-            StreamMessage::Wanted { stream, destination } => Self::Wanted { stream, destination },
+            StreamMessage::Wanted { stream, destination, max_age } => {
+                Self::Wanted { stream, destination, max_age_ms: millis(max_age) }
+            }
             StreamMessage::Known { stream, origin } => Self::Known { stream, origin: origin.into() },
         }
     }
@@ -46,7 +47,9 @@
                 Self::Begun { stream, software, kept: Duration::from_millis(kept_ms) }
             }
             StreamMessageWire::Noted { stream } => Self::Noted { stream },
-            StreamMessageWire::Wanted { stream, destination } => Self::Wanted { stream, destination },
+            StreamMessageWire::Wanted { stream, destination, max_age_ms } => {
+                Self::Wanted { stream, destination, max_age: Duration::from_millis(max_age_ms) }
+            }
             StreamMessageWire::Known { stream, origin } => Self::Known { stream, origin: origin.into() },
         }
     }
@@ -71,3 +74,7 @@
         }
     }
 }
+
+fn millis(d: Duration) -> u64 {
+    u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
+}
