Strike at each effect while streams are broken off and taken up

The fault matrix has a third scenario: replicas of two software versions serve streams, which are broken off within an answer or taken up at another host; one replica is replaced by one of the other version and back; a request that crashes replicas comes again and again. The callers of streams are shared with the tests of streams.rs.

--- a/crates/skylarkshore-standins/tests/world/fault_matrix.rs
+++ b/crates/skylarkshore-standins/tests/world/fault_matrix.rs
@@ -8,14 +8,18 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use crate::stream_callers::{StreamCallers, replica};
 use crate::support::{
-    ACTIVE_WATTS, MODELS, SLEEP_WATTS, ask_model, ask_once, at_secs, describe, document, name, setup, world,
+    ACTIVE_WATTS, MODELS, SLEEP_WATTS, ask_model, ask_once, at_secs, describe, document, name, setup,
+    upstream, world,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use skylarkshore_core::catalogue::Document;
-use skylarkshore_core::event::Target;
+use skylarkshore_core::config::SuspectPolicy;
+use skylarkshore_core::event::{Repeat, Target};
 use skylarkshore_core::id::RulesRevision;
+use skylarkshore_core::upstream::UpstreamKind;
 use skylarkshore_standins::world::{
     Ask, NoFaults, Planned, RequestKey, RequestLog, Setup, Strike, StrikeAt, Violation, World,
 };
@@ -23,6 +27,11 @@
 const HOSTS: usize = 3;
 /// When the scenario's requests start; owners and homes are assigned by then.
 const BEGIN_SECS: u64 = 10;
+/// Replicas of the service that serves streams, and how long the host list names those that have ended.
+const REPLICAS: usize = 6;
+const LISTING_LAG: Duration = Duration::from_millis(3600);
+const STREAM_STEPS: usize = 56;
+const STREAM_INTERVAL: Duration = Duration::from_millis(250);
 /// When fault injection ends, to leave time for recovery.
 const STRIKES_END_SECS: u64 = 26;
 /// When recovery is checked.
@@ -56,6 +65,9 @@
     /// Power for two of the four engines, a request that crashes upstreams, an
     /// engine that leaves and one that is reclaimed.
     Scarce,
+    /// Streams of replicas of two software versions, which are broken off, go on and are taken up at other
+    /// hosts, a release and its rollback, and a request that crashes replicas.
+    Streams,
 }
 
 impl Scenario {
@@ -64,6 +76,17 @@
         if self == Self::Scarce {
             setup.document = document(2 * ACTIVE_WATTS + 2 * SLEEP_WATTS);
         }
+        if self == Self::Streams {
+            let extra = |i| upstream(&format!("market-{i}"), i, UpstreamKind::Service(name("market")));
+            setup.upstreams.extend((2..REPLICAS).map(extra));
+            for (number, software) in ["1", "1", "1", "1.1", "1.1", "1.1"].into_iter().enumerate() {
+                let id = replica(number);
+                let listed = setup.upstreams.iter_mut().find(|listed| listed.id == id);
+                listed.expect("it is listed").software = Some(name(software));
+            }
+            setup.limits.suspects = SuspectPolicy::CountEnds;
+            setup.limits.attempts = 4;
+        }
         setup
     }
 }
@@ -90,7 +113,11 @@
 
     fn parse(text: &str) -> Self {
         let mut words = text.split_whitespace();
-        let scenario = if words.next().unwrap() == "Scarce" { Scenario::Scarce } else { Scenario::Plenty };
+        let scenario = match words.next().unwrap() {
+            "Scarce" => Scenario::Scarce,
+            "Streams" => Scenario::Streams,
+            _ => Scenario::Plenty,
+        };
         let seed = words.next().unwrap().parse().unwrap();
         let mut strikes = Vec::new();
         while let Some(serial) = words.next() {
@@ -107,6 +134,7 @@
     match scenario {
         Scenario::Plenty => plenty(world),
         Scenario::Scarce => scarce(world),
+        Scenario::Streams => streams(world),
     }
     world.run_until(at_secs(STRIKES_END_SECS));
 }
@@ -155,6 +183,39 @@
     apply_new_rules(world, document(2 * ACTIVE_WATTS + 2 * SLEEP_WATTS));
 }
 
+/// Begins streams, breaks them off, replaces replicas by those of another version and back, and repeats a
+/// request that crashes replicas.
+fn streams(world: &mut World) {
+    let crashing = Ask {
+        crashes: true,
+        target: Target::Service(name("market")),
+        repeat: Repeat::Allowed,
+        ..ask_once(666, 666)
+    };
+    let mut callers = StreamCallers::new(HOSTS, 3);
+    for step in 0..STREAM_STEPS {
+        callers.begin(world);
+        callers.take_up(world);
+        match step {
+            12 => world.crash_replica(&replica(4)),
+            24 => start_with(world, 0, "1.1"),
+            36 => start_with(world, 0, "1"),
+            _ => {}
+        }
+        if step % 5 == 4 {
+            world.ask(step % HOSTS, &crashing);
+        }
+        world.run_for(STREAM_INTERVAL);
+    }
+    apply_new_rules(world, document(4 * ACTIVE_WATTS));
+}
+
+/// Replaces a replica by one of another software version.
+fn start_with(world: &mut World, number: usize, software: &str) {
+    world.set_next_software(&replica(number), Some(name(software)));
+    world.crash_replica(&replica(number));
+}
+
 fn apply_new_rules(world: &mut World, mut rules: Document) {
     rules.revision = RulesRevision(2);
     rules.rules.otherwise.replicas_max = 2;
@@ -164,6 +225,9 @@
 /// Runs a case and returns the violations.
 fn run(case: &Case) -> Vec<Violation> {
     let mut world = world(case.scenario.setup(case.seed), case.faults());
+    if case.scenario == Scenario::Streams {
+        world.list_terminations(LISTING_LAG);
+    }
     world.run_until(at_secs(BEGIN_SECS));
     requests(&mut world, case.scenario);
     world.run_until(at_secs(RECOVERED_SECS));
@@ -189,7 +253,7 @@
     let logs = || late.iter().map(|key| (key, &world.callers.requests[key]));
     let some = logs().any(|(_, log)| matches!(log.ask.target, Target::Model(_)) && log.is_answered());
     let missing = |log: &RequestLog| match (scenario, &log.ask.target) {
-        (Scenario::Plenty, _) | (_, Target::Service(_)) => !log.is_answered(),
+        (Scenario::Plenty | Scenario::Streams, _) | (_, Target::Service(_)) => !log.is_answered(),
         (Scenario::Scarce, Target::Model(_)) => !some,
     };
     logs()
@@ -248,6 +312,9 @@
 /// Returns the serial numbers of the effects that leave the processes while a scenario runs.
 fn steps(scenario: Scenario, seed: u64) -> std::ops::Range<u64> {
     let mut world = world(scenario.setup(seed), NoFaults);
+    if scenario == Scenario::Streams {
+        world.list_terminations(LISTING_LAG);
+    }
     world.run_until(at_secs(BEGIN_SECS));
     let first = world.serial() + 1;
     requests(&mut world, scenario);
@@ -279,7 +346,7 @@
 
 #[test]
 fn scenarios_without_faults_violate_nothing() {
-    for scenario in [Scenario::Plenty, Scenario::Scarce] {
+    for scenario in [Scenario::Plenty, Scenario::Scarce, Scenario::Streams] {
         for seed in 1..=4 {
             let case = Case { scenario, seed, strikes: Vec::new() };
             assert_eq!(run(&case), [], "{scenario:?} seed {seed}");
@@ -304,6 +371,16 @@
     run_all(&single(Scenario::Scarce, 6));
 }
 
+#[test]
+fn one_fault_at_each_step_violates_nothing_while_streams_are_broken_off() {
+    run_all(&single(Scenario::Streams, 3));
+}
+
+#[test]
+fn two_faults_together_violate_nothing_while_streams_are_broken_off() {
+    run_all(&pairs(Scenario::Streams, 3, steps(Scenario::Streams, 3), 300));
+}
+
 #[test]
 fn two_faults_together_violate_nothing() {
     run_all(&pairs(Scenario::Plenty, 1, steps(Scenario::Plenty, 1), 300));
--- a/crates/skylarkshore-standins/tests/world/main.rs
+++ b/crates/skylarkshore-standins/tests/world/main.rs
@@ -7,6 +7,7 @@
 mod mutants;
 mod recovery;
 mod retry_budget;
+mod stream_callers;
 mod streams;
 mod support;
 mod whole_path;
--- a/crates/skylarkshore-standins/tests/world/streams.rs
+++ b/crates/skylarkshore-standins/tests/world/streams.rs
@@ -3,13 +3,11 @@
 use std::time::Duration;
 
 use skylarkshore_core::config::SuspectPolicy;
-use skylarkshore_core::event::{Repeat, StreamPart, Target};
-use skylarkshore_core::id::{StreamId, UpstreamId};
-use skylarkshore_core::time::Time;
 use skylarkshore_core::upstream::UpstreamKind;
-use skylarkshore_standins::world::{Ask, NoFaults, RequestKey, Setup, StoreMode, World};
+use skylarkshore_standins::world::{NoFaults, Setup, StoreMode, World};
 
-use crate::support::{ask_once, assert_sound, at_secs, digest, name, setup, upstream, world};
+use crate::stream_callers::{StreamCallers, replica};
+use crate::support::{assert_sound, at_secs, name, setup, upstream, world};
 
 const HOSTS: usize = 4;
 const REPLICAS: usize = 8;
@@ -18,15 +16,9 @@
 const END_SECS: u64 = 40;
 const LISTING_LAG: Duration = Duration::from_millis(3600);
 const INTERVAL: Duration = Duration::from_millis(50);
-const STREAM_TIME: Duration = Duration::from_secs(2);
-const TIMEOUT: Duration = Duration::from_secs(10);
 /// How often a caller takes up a stream.
 const MAX_TRIES: u32 = 3;
 
-fn replica(number: usize) -> UpstreamId {
-    name(&format!("market-{number}"))
-}
-
 /// Returns a setup in which replicas of two versions serve side by side, and one of a third.
 fn stream_setup(seed: u64) -> Setup {
     let mut setup = setup(HOSTS, seed);
@@ -47,76 +39,12 @@
     setup
 }
 
-/// A caller and the stream that it reads.
-#[derive(Debug)]
-struct Caller {
-    stream: StreamId,
-    key: RequestKey,
-    has_events: bool,
-    tries: u32,
-    deadline: Time,
-}
-
-/// Callers that begin streams at all hosts in turn, and take up those that were broken off.
-#[derive(Debug, Default)]
-struct Callers {
-    reading: Vec<Caller>,
-    begun: u64,
-    max_tries: u32,
-}
-
-impl Callers {
-    fn ask(number: u64, part: StreamPart, timeout: Duration) -> Ask {
-        Ask {
-            target: Target::Service(name("market")),
-            repeat: Repeat::Allowed,
-            timeout,
-            run_time: STREAM_TIME,
-            stream: Some(part),
-            ..ask_once(number, number)
-        }
-    }
-
-    fn begin(&mut self, world: &mut World) {
-        self.begun += 1;
-        let stream = StreamId(digest(self.begun));
-        let host = usize::try_from(self.begun).expect("the number is small") % HOSTS;
-        let key = world.ask(host, &Self::ask(self.begun, StreamPart::Whole(stream), TIMEOUT));
-        let deadline = world.now().after(TIMEOUT);
-        self.reading.push(Caller { stream, key, has_events: false, tries: 0, deadline });
-    }
-
-    /// Takes up the streams that were broken off, each at another host than before.
-    fn take_up(&mut self, world: &mut World) {
-        let now = world.now();
-        for caller in &mut self.reading {
-            let log = &world.callers.requests[&caller.key];
-            caller.has_events |= log.started.is_some();
-            let is_broken = log.abandoned || log.refusal().is_some();
-            if !is_broken || !caller.has_events || caller.tries >= self.max_tries {
-                continue;
-            }
-            let Some(host) =
-                (1..HOSTS).map(|i| (caller.key.host + i) % HOSTS).find(|h| world.node(*h).is_some())
-            else {
-                continue;
-            };
-            caller.tries += 1;
-            let number = world.callers.requests.len() as u64 + 100_000;
-            let left = caller.deadline.remaining(now);
-            let part = StreamPart::Rest { stream: Some(caller.stream), max_age: TIMEOUT - left };
-            caller.key = world.ask(host, &Self::ask(number, part, left));
-        }
-        self.reading.retain(|caller| !caller.deadline.is_due(now));
-    }
-}
-
 /// Plays streams while `each_second` does something to the hosts and replicas.
 fn play(seed: u64, max_tries: u32, mut each_second: impl FnMut(&mut World, u64)) {
     let mut world = world(stream_setup(seed), NoFaults);
     world.list_terminations(LISTING_LAG);
     world.run_until(at_secs(BEGIN_SECS));
-    let mut callers = Callers { max_tries, ..Callers::default() };
+    let mut callers = StreamCallers::new(HOSTS, max_tries);
     let mut second = BEGIN_SECS;
     while world.now() < at_secs(END_SECS) {
         while world.now() >= at_secs(second) {
