Let idle hosts find out that they are cut off when their peers are

Callers saw: where all hosts were cut off from the upstreams, a request at a host that had sent nothing lately waited for seconds instead of being refused at once.

Cause: a host notices lost links only by what it sends. One that owns no engine and has no requests sends nothing, so that it neither learns nor says that it is cut off; its peers take it for one that can relay, and it takes them for the same. In the test's world four of nine hosts own an engine and say so; the five others never do.

--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -354,7 +354,10 @@
             return;
         }
         if let PeerMessage::UpstreamsReached { reached } = message {
-            self.with_cx(now, effects, |cx, parts| parts.paths.on_notice(cx, from, reached));
+            let switched = self.with_cx(now, effects, |cx, parts| parts.paths.on_notice(cx, from, reached));
+            if switched.is_some() {
+                self.with_cx(now, effects, |cx, parts| parts.serving.on_paths_switched(cx));
+            }
             return;
         }
         // Only the platform adapter can decode news; the changes return in `Event::Watched`.
--- a/crates/skylarkshore-core/src/upstream_paths.rs
+++ b/crates/skylarkshore-core/src/upstream_paths.rs
@@ -142,12 +142,18 @@
     }
 
     /// Records what a peer says of its own links.
-    pub(crate) fn on_notice(&mut self, cx: &Cx<'_>, from: &HostId, reached: bool) {
+    ///
+    /// If half of them have none, this host's own may be lost, too. One that sends nothing to upstreams
+    /// wouldn't notice nor say so, and its callers would wait for what nobody can serve.
+    pub(crate) fn on_notice(&mut self, cx: &mut Cx<'_>, from: &HostId, reached: bool) -> Option<Switched> {
         if reached {
             self.unusable.remove(from);
-        } else {
-            self.pass_over(from.clone(), cx.now.after(NOTICE_TTL));
+            return None;
         }
+        self.pass_over(from.clone(), cx.now.after(NOTICE_TTL));
+        let usable = self.usable_peers(cx).len();
+        let is_likely = self.lost.is_empty() && usable <= self.unusable.len();
+        is_likely.then(|| self.begin_check(cx, OrderedSet::new())).flatten()
     }
 
     fn pass_over(&mut self, peer: HostId, until: Time) {
@@ -185,12 +191,17 @@
         if !self.lost.is_empty() {
             return Some(self.lose(cx, OrderedSet::from([upstream.clone()])));
         }
-        if !self.next_check.is_due(cx.now) {
+        self.begin_check(cx, OrderedSet::from([upstream.clone()]))
+    }
+
+    /// Begins a check, unless one is in progress or has just ended.
+    fn begin_check(&mut self, cx: &mut Cx<'_>, failed: OrderedSet<UpstreamId>) -> Option<Switched> {
+        if self.check.is_some() || !self.next_check.is_due(cx.now) {
             return None;
         }
         self.next_check = cx.now.after(CHECK_INTERVAL);
         self.check = Some(Check {
-            failed: OrderedSet::from([upstream.clone()]),
+            failed,
             reached: OrderedSet::new(),
             unanswered: 0,
             rounds: 0,
