Take back a trial: hold back what has completed lately, too

Suspected, not shown: a request's digest has its method, path and body but not its caller, so that completions of other callers' equal requests exempted the one that crashes. They may also clear its losses through an upstream's answer, with and without the trial.

The price: the test which the trial made green is red again. a_host_that_is_cut_off_from_all_replicas_serves_through_its_peers serves 0 of 20: a host whose own links are lost refuses what many callers send alike, for six seconds.

--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -377,7 +377,7 @@
             PeerMessage::LossesNoted { upstream, incarnation, requests } => {
                 self.loss_reports.on_acknowledged(from, Loss::of_each(upstream, *incarnation, requests));
             }
-            PeerMessage::Cleared { request: digest } if self.suspects.clear(cx.now, *digest) => {
+            PeerMessage::Cleared { request: digest } if self.suspects.clear(*digest) => {
                 self.requeue_cleared(cx, *digest);
             }
             PeerMessage::UpstreamFull { upstream } => self.routes.fragile.on_peer_rejected(cx, upstream),
--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -90,7 +90,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let digest = request.arrival.digest;
         let key = request.idempotency_key();
-        let cleared = self.suspects.clear(cx.now, digest);
+        let cleared = self.suspects.clear(digest);
         if let Some(key) = key {
             self.once_claims.record(cx, key, held_answer.clone());
         }
--- a/crates/skylarkshore-core/src/serving/suspect.rs
+++ b/crates/skylarkshore-core/src/serving/suspect.rs
@@ -52,8 +52,6 @@
 const LATE_NOTICE_RESEND_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum number of digests that are kept.
 const MAX_SUSPICIONS: usize = 4096;
-/// Maximum number of requests that are remembered as completed.
-const MAX_COMPLETED: usize = 1024;
 /// Number of crashes of different upstreams, or of terminated incarnations, that convicts a
 /// request, isolated or not.
 ///
@@ -169,8 +167,6 @@
     policy: SuspectPolicy,
     /// Suspect and convicted requests by digest; under `CountEnds`, all recently lost ones.
     known: OrderedMap<Digest, Suspicion>,
-    /// Requests that completed here lately (`CountEnds` only).
-    completed: OrderedMap<Digest, Time>,
     /// The incarnations that requests were lost with, and when that was last noticed.
     lost_with: OrderedMap<UpstreamIncarnation, Time>,
     pending_notices: Vec<PendingNotice>,
@@ -187,7 +183,6 @@
         Self {
             policy,
             known: OrderedMap::new(),
-            completed: OrderedMap::new(),
             lost_with: OrderedMap::new(),
             pending_notices: Vec::new(),
             last_contact: OrderedMap::new(),
@@ -331,11 +326,9 @@
     /// Reports whether a request is held back: it would be convicted if all its losses whose
     /// terminations can't be listed yet counted (`CountEnds` only).
     ///
-    /// Each attempt until then could crash one more upstream. One that has completed lately doesn't crash
-    /// them; many callers may send the same, and a host that loses its links loses all of them at once.
+    /// Each attempt until then could crash one more upstream.
     pub(super) fn is_held_back(&self, cx: &Cx<'_>, digest: Digest) -> bool {
         self.policy == SuspectPolicy::CountEnds
-            && !self.completed.contains_key(&digest)
             && self.known.get(&digest).is_some_and(|suspicion| {
                 !suspicion.convicted && suspicion.perhaps_terminated(cx) >= CONVICTION_THRESHOLD
             })
@@ -377,10 +370,9 @@
     /// requests have to be requeued.
     ///
     /// Under `CountEnds` no request waits for isolation, and none has to be requeued.
-    pub(super) fn clear(&mut self, now: Time, digest: Digest) -> bool {
+    pub(super) fn clear(&mut self, digest: Digest) -> bool {
         if self.policy == SuspectPolicy::CountEnds {
             self.known.remove(&digest);
-            self.record_completed(now, digest);
             return false;
         }
         if self.status(digest) != SuspectStatus::Suspect {
@@ -390,14 +382,6 @@
         true
     }
 
-    fn record_completed(&mut self, now: Time, digest: Digest) {
-        if self.completed.len() >= MAX_COMPLETED {
-            let oldest = self.completed.iter().min_by_key(|(_, at)| **at).map(|(oldest, _)| *oldest);
-            oldest.map(|oldest| self.completed.remove(&oldest));
-        }
-        self.completed.insert(digest, now);
-    }
-
     /// Records that a peer is alive.
     pub(super) fn record_contact(&mut self, now: Time, host: &HostId) {
         self.last_contact.insert(host.clone(), now);
@@ -419,7 +403,6 @@
     /// Removes expired suspicions, and contacts with peers that are no longer members.
     pub(super) fn remove_expired(&mut self, cx: &Cx<'_>) {
         self.known.retain(|_, suspicion| !suspicion.until.is_due(cx.now));
-        self.completed.retain(|_, at| !at.after(LOSS_TTL).is_due(cx.now));
         self.lost_with.retain(|_, noticed| !noticed.after(LOSS_TTL).is_due(cx.now));
         self.last_contact.retain(|host, _| cx.cache.member(host).is_some());
     }
