Pass prompt parts and unframed answers to the core, and name both in the log

No decision changes. A request that is refused or not answered names its digest and the digests of its shared prompt parts, so that the log tells which requests were lost together and which refusals a conviction causes. The runtime tells apart answers that have neither length nor chunks, which look whole when their upstream has crashed between two events, and forwarded failures, which aren't an upstream's whole work.

--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -87,6 +87,9 @@
     },
 }
 
+/// Maximum number of prompt parts that a line of the log names.
+const MAX_PART_LABELS: usize = 8;
+
 /// A validated request from a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Arrival {
@@ -98,6 +101,8 @@
     pub repeat: Repeat,
     /// Digest of method, path and body.
     pub digest: Digest,
+    /// Digests of the prompt's parts that other requests may share.
+    pub parts: Vec<Digest>,
     /// Digest of the prompt prefix, which engines cache; used for prefix-affinity routing.
     pub prefix: Option<Digest>,
     /// Deadline for the complete answer.
@@ -110,6 +115,14 @@
     pub stream: Option<StreamPart>,
 }
 
+impl Arrival {
+    /// Returns the first digits of the digests of its prompt parts, for the log.
+    pub(crate) fn part_labels(&self) -> String {
+        let labels = self.parts.iter().take(MAX_PART_LABELS).map(Digest::short);
+        labels.collect::<Vec<_>>().join(",")
+    }
+}
+
 /// Outcome of an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AttemptOutcome {
@@ -118,6 +131,12 @@
         /// The answer, if it has to be recorded before it is forwarded.
         held: Option<RecordedAnswer>,
     },
+    /// An answer that has neither a length nor chunks was forwarded to the end of its connection.
+    ///
+    /// It is complete, or its upstream has crashed.
+    CompletedUnframed,
+    /// A complete answer that reports a failure of the upstream was forwarded.
+    ForwardedFailure,
     /// The complete answer was too large to be recorded first and was forwarded directly.
     CompletedTooLarge,
     /// The complete answer reports a failure of the upstream.
@@ -145,6 +164,8 @@
     pub const fn label(&self) -> &'static str {
         match self {
             Self::Completed { .. } => "whole",
+            Self::CompletedUnframed => "whole_unframed",
+            Self::ForwardedFailure => "whole_failure",
             Self::CompletedTooLarge => "whole_too_large",
             Self::CompletedWithFailure => "failed",
             Self::NotSent => "not_sent",
--- a/crates/skylarkshore-core/src/id.rs
+++ b/crates/skylarkshore-core/src/id.rs
@@ -192,6 +192,15 @@
     }
 }
 
+impl Digest {
+    /// Returns the first eight hexadecimal digits.
+    pub fn short(&self) -> String {
+        let mut hex = self.to_hex();
+        hex.truncate(8);
+        hex
+    }
+}
+
 impl From<Digest> for SoftwareVersion {
     /// Names a version by a digest, where its own text isn't a name.
     fn from(digest: Digest) -> Self {
--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -47,20 +47,29 @@
         let Some(request) = self.requests.get(&id) else { return };
         let Some(run) = request.run().cloned() else { return };
         self.routes.release_slot(&run.upstream);
-        if !matches!(end, AttemptOutcome::Completed { .. } | AttemptOutcome::CompletedTooLarge) {
+        if !matches!(
+            end,
+            AttemptOutcome::Completed { .. }
+                | AttemptOutcome::CompletedUnframed
+                | AttemptOutcome::ForwardedFailure
+                | AttemptOutcome::CompletedTooLarge
+        ) {
             let after = cx.now.since(run.sent).as_millis();
             let incarnation = run.incarnation.map_or_else(|| "unknown".to_owned(), |own| own.to_string());
             let detail = format!(
-                "upstream={} incarnation={incarnation} after_ms={after} end={} digest={}",
+                "upstream={} incarnation={incarnation} after_ms={after} end={} digest={} parts={}",
                 run.upstream,
                 end.label(),
-                request.arrival.digest
+                request.arrival.digest,
+                request.arrival.part_labels()
             );
             cx.log_decision(id, "request_not_answered", detail);
         }
         let answered = matches!(
             end,
             AttemptOutcome::Completed { .. }
+                | AttemptOutcome::CompletedUnframed
+                | AttemptOutcome::ForwardedFailure
                 | AttemptOutcome::CompletedTooLarge
                 | AttemptOutcome::CompletedWithFailure
         );
@@ -70,7 +79,11 @@
         }
         match end {
             AttemptOutcome::Completed { held } => self.on_completed(cx, id, &run.upstream, held),
-            AttemptOutcome::CompletedTooLarge => self.on_completed(cx, id, &run.upstream, None),
+            AttemptOutcome::CompletedUnframed
+            | AttemptOutcome::ForwardedFailure
+            | AttemptOutcome::CompletedTooLarge => {
+                self.on_completed(cx, id, &run.upstream, None);
+            }
             AttemptOutcome::CompletedWithFailure => self.on_failure_answer(cx, id, &run.upstream),
             AttemptOutcome::NotSent => self.on_not_sent(cx, id, &run.upstream),
             AttemptOutcome::NoPath => self.on_no_path(cx, id),
--- a/crates/skylarkshore-core/src/serving/disposition.rs
+++ b/crates/skylarkshore-core/src/serving/disposition.rs
@@ -107,9 +107,11 @@
         let kept = cx.now.since(request.arrived).as_millis();
         let again = refusal.retry_after.map_or(0, |after| after.as_millis());
         let detail = format!(
-            "outcome={} account={} kept_ms={kept} retry_after_ms={again} state=\"{}\" reason=\"{}\"",
+            "outcome={} account={} kept_ms={kept} retry_after_ms={again} digest={} parts={} state=\"{}\" reason=\"{}\"",
             refusal.outcome,
             request.account(),
+            request.arrival.digest.short(),
+            request.arrival.part_labels(),
             request.describe(),
             refusal.reason
         );
--- a/crates/skylarkshore-core/tests/support/serving.rs
+++ b/crates/skylarkshore-core/tests/support/serving.rs
@@ -366,6 +366,7 @@
         target,
         repeat: Repeat::Allowed,
         digest: digest(body),
+        parts: Vec::new(),
         prefix: None,
         deadline: process.now.after(Duration::from_secs(10)),
         policy,
--- a/crates/skylarkshore-host/src/metrics.rs
+++ b/crates/skylarkshore-host/src/metrics.rs
@@ -196,7 +196,10 @@
 
     pub(crate) fn attempt_ended(&self, end: &AttemptOutcome) {
         let label = match end {
-            AttemptOutcome::Completed { .. } | AttemptOutcome::CompletedTooLarge => "whole",
+            AttemptOutcome::Completed { .. }
+            | AttemptOutcome::CompletedUnframed
+            | AttemptOutcome::ForwardedFailure
+            | AttemptOutcome::CompletedTooLarge => "whole",
             AttemptOutcome::CompletedWithFailure => "failed",
             AttemptOutcome::NotSent => "not_sent",
             AttemptOutcome::NoPath => "no_path",
--- a/crates/skylarkshore-host/src/upstreams/attempt.rs
+++ b/crates/skylarkshore-host/src/upstreams/attempt.rs
@@ -59,6 +59,8 @@
     connection: Connection,
     idle_timeout: Option<Duration>,
     is_failure: bool,
+    /// Whether it has a length or chunks.
+    is_framed: bool,
 }
 
 impl<'a> Attempt<'a> {
@@ -168,13 +170,13 @@
         // Any other stream is forwarded like a plain body.
         let is_event_stream = is_stream && (requires_end_marker || protocol.takes_unframed());
         // An unframed body ends with its connection; only an end marker shows that it is complete.
-        let framed = body.size_hint().exact().is_some() || parts.headers.contains_key(TRANSFER_ENCODING);
-        if !framed && !is_event_stream && !protocol.takes_unframed() {
+        let is_framed = body.size_hint().exact().is_some() || parts.headers.contains_key(TRANSFER_ENCODING);
+        if !is_framed && !is_event_stream && !protocol.takes_unframed() {
             return Err(AnswerError::Unusable);
         }
         let head = self.head(parts.status, parts.headers, &body, is_event_stream);
         let is_failure = verdict == Verdict::Failure;
-        let started = StartedAnswer { head, body, connection, idle_timeout, is_failure };
+        let started = StartedAnswer { head, body, connection, idle_timeout, is_failure, is_framed };
         if self.dispatch.hold {
             return self.read_for_recording(started.head, started.body).await;
         }
@@ -252,7 +254,7 @@
         self.upstreams.protocol.clean_answer(&mut headers);
         headers.remove(CONTENT_LENGTH);
         self.pending.forward_complete(self.dispatch.attempt, status, headers, body)?;
-        Ok(AttemptOutcome::Completed { held: None })
+        Ok(completed(true, !status.is_success()))
     }
 
     /// Forwards an answer, in one piece if it fits [`MAX_BUFFERED_ANSWER_LEN`].
@@ -268,14 +270,14 @@
             }
         }
         let attempt = self.dispatch.attempt;
-        let StartedAnswer { head, connection, idle_timeout, is_failure, .. } = started;
+        let StartedAnswer { head, connection, idle_timeout, is_failure, is_framed, .. } = started;
         self.return_to_pool(connection, idle_timeout);
         if is_failure && self.dispatch.keep_failure {
             self.pending.store_failure(attempt, head.status, head.headers, read.freeze());
             return Ok(AttemptOutcome::CompletedWithFailure);
         }
         self.pending.forward_complete(attempt, head.status, head.headers, read.freeze())?;
-        Ok(AttemptOutcome::Completed { held: None })
+        Ok(completed(is_framed, is_failure))
     }
 
     async fn forward_long_body(
@@ -284,7 +286,7 @@
         read: Bytes,
     ) -> Result<AttemptOutcome, AnswerError> {
         let attempt = self.dispatch.attempt;
-        let StartedAnswer { head, mut body, connection, idle_timeout, .. } = started;
+        let StartedAnswer { head, mut body, connection, idle_timeout, is_failure, is_framed } = started;
         self.start_forwarding(head).await?;
         self.pending.forward(attempt, read, Delivered::default()).await?;
         while let Some(data) = next_data(&mut body).await? {
@@ -292,14 +294,14 @@
         }
         self.pending.forward_end(attempt).await?;
         self.return_to_pool(connection, idle_timeout);
-        Ok(AttemptOutcome::Completed { held: None })
+        Ok(completed(is_framed, is_failure))
     }
 
     /// Forwards complete events up to the end of the stream.
     ///
     /// The head is withheld until the first event is complete or an empty stream has ended.
     async fn forward_events(&self, started: StartedAnswer) -> Result<AttemptOutcome, AnswerError> {
-        let StartedAnswer { head, mut body, connection, idle_timeout, .. } = started;
+        let StartedAnswer { head, mut body, connection, idle_timeout, is_failure, is_framed } = started;
         let requires_end_marker =
             self.upstreams.protocol.stream_end(&self.dispatch.upstream) == StreamEnd::Marker;
         let attempt = self.dispatch.attempt;
@@ -325,7 +327,7 @@
         }
         self.pending.forward_end(attempt).await?;
         self.return_to_pool(connection, idle_timeout);
-        Ok(AttemptOutcome::Completed { held: None })
+        Ok(completed(is_framed, is_failure))
     }
 
     async fn start_forwarding(&self, head: Head) -> Result<(), AnswerError> {
@@ -406,6 +408,15 @@
     }
 }
 
+/// Builds the outcome of an answer that was forwarded to its end.
+const fn completed(is_framed: bool, is_failure: bool) -> AttemptOutcome {
+    match (is_failure, is_framed) {
+        (true, _) => AttemptOutcome::ForwardedFailure,
+        (false, true) => AttemptOutcome::Completed { held: None },
+        (false, false) => AttemptOutcome::CompletedUnframed,
+    }
+}
+
 async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, AnswerError> {
     while let Some(frame) = body.frame().await {
         let frame = frame
