Draw prompt parts that crash replicas in given time, and check BUDGET and LOST on them

The world crashes a replica that begins an answer on a fatal part: before the head, within or between two events, framed or not. Its ledger checks both rules as worded: no more than three arrivals from hosts in touch later than 3 s after the fifth crash, and from 6 s after it sound requests with the same target and first part begin at least half as often as before the first crash. Each play ends with all sound requests sent once more, of which none may be refused.

--- a/crates/skylarkshore-standins/examples/capacity.rs
+++ b/crates/skylarkshore-standins/examples/capacity.rs
@@ -122,11 +122,14 @@
         target: Target::Model(ModelTarget { model: name(&format!("model-{model}")), adapter: None }),
         repeat: Repeat::Allowed,
         digest: Digest(digest),
+        parts: Vec::new(),
         prefix: None,
         timeout: Duration::from_secs(30),
         run_time: Duration::from_millis(300),
         crashes: false,
         silences: false,
+        unframed: false,
+        is_repeat: false,
         stream: None,
     }
 }
--- a/crates/skylarkshore-standins/src/replay/run.rs
+++ b/crates/skylarkshore-standins/src/replay/run.rs
@@ -87,11 +87,14 @@
         target,
         repeat,
         digest: to_digest(digest),
+        parts: Vec::new(),
         prefix: None,
         timeout: entry.timeout,
         run_time: entry.run,
         crashes: false,
         silences: false,
+        unframed: false,
+        is_repeat: false,
         stream: None,
     })
 }
--- a/crates/skylarkshore-standins/src/world.rs
+++ b/crates/skylarkshore-standins/src/world.rs
@@ -11,6 +11,7 @@
 mod crashes;
 mod engine;
 mod execute;
+mod fatal_parts;
 mod fault;
 mod host;
 mod links;
@@ -40,6 +41,7 @@
 use brittle::BrittleUpstreams;
 use crashes::CrashLedger;
 use execute::{AttemptKey, CallKey, OpenAttempt};
+use fatal_parts::PartLedger;
 use host::Host;
 use partitions::{HostCut, Partitions};
 use retries::RetryLedger;
@@ -50,6 +52,7 @@
 pub use callers::{Ask, Callers, FinalAnswer, RequestKey, RequestLog};
 pub use checks::Checks;
 pub use engine::Engine;
+pub use fatal_parts::CrashPoint;
 pub use fault::{Faults, NoFaults, Planned, Strike, StrikeAt};
 pub use meter::{Count, Meter};
 pub use partitions::LinkLoss;
@@ -109,6 +112,7 @@
     partitions: Partitions,
     brittle: BrittleUpstreams,
     crashes: CrashLedger,
+    parts: PartLedger,
     streams: StreamLedger,
     /// How long the host list still names a replica that has ended; if unset, it doesn't show restarts.
     termination_listed_after: Option<Duration>,
@@ -158,6 +162,7 @@
             partitions: Partitions::default(),
             brittle: BrittleUpstreams::default(),
             crashes: CrashLedger::default(),
+            parts: PartLedger::default(),
             streams: StreamLedger::default(),
             termination_listed_after: None,
             runs: 0,
@@ -207,7 +212,8 @@
     /// Delivers a caller's request to a host immediately.
     pub fn ask(&mut self, h: usize, ask: &Ask) -> RequestKey {
         let host = &mut self.hosts[h];
-        let (key, arrival) = self.callers.record_arrival(host.next_request(), ask, self.now);
+        let is_in_touch = host.is_in_touch(self.now);
+        let (key, arrival) = self.callers.record_arrival(host.next_request(), ask, self.now, is_in_touch);
         if host.is_up() {
             if let Some(StreamPart::Rest { stream: Some(stream), .. }) = ask.stream {
                 self.record_taken_up(key, stream);
@@ -329,6 +335,16 @@
         self.crashes.crashes(request)
     }
 
+    /// Makes each replica crash that begins an answer on a prompt part.
+    pub fn set_fatal(&mut self, part: Digest, at: CrashPoint) {
+        self.parts.set_fatal(part, at);
+    }
+
+    /// Returns how many replicas a prompt part has crashed.
+    pub fn crashes_of_part(&self, part: Digest) -> usize {
+        self.parts.crashes(part)
+    }
+
     /// Makes upstreams brittle: each runs `concurrency` requests at a time, and falls over when it has to
     /// reject more than `limit` within a second.
     pub fn set_brittle(&mut self, ids: &[UpstreamId], limit: u32, concurrency: usize) {
@@ -355,7 +371,8 @@
         let Some(engine) = self.engines.get_mut(id) else { return };
         let lost = engine.crash(self.now);
         for run in lost {
-            self.end_run(&run, execute::lost_outcome(&run, true));
+            let outcome = self.crash_outcome(&run);
+            self.end_run(&run, outcome);
         }
         if let Some(down) = down {
             self.schedule.add(self.now.after(down), Task::EngineUp { engine: id.clone() });
@@ -457,6 +474,7 @@
             }
             Task::RunStarted { upstream, run } => self.run_started(&upstream, run),
             Task::RunDone { upstream, run } => self.run_done(&upstream, run),
+            Task::FatalEvent { upstream, run, part } => self.end_fatal_answer(&upstream, run, part),
         }
     }
 
@@ -512,11 +530,13 @@
         let retries = self.retries.violations(self.setup.limits.retries, &self.callers);
         let partitions = self.partitions.violations(&self.callers);
         let crashes = self.crashes.violations();
+        let parts = self.parts.violations(&self.callers);
         let streams = self.streams.violations(&self.callers);
         let found = retries
             .into_iter()
             .chain(partitions)
             .chain(crashes)
+            .chain(parts)
             .chain(streams)
             .chain(self.brittle.violation());
         for violation in found {
--- a/crates/skylarkshore-standins/src/world/callers.rs
+++ b/crates/skylarkshore-standins/src/world/callers.rs
@@ -22,6 +22,8 @@
     pub repeat: Repeat,
     /// Digest of the request, which its answer repeats.
     pub digest: Digest,
+    /// Digests of the prompt's parts that other requests share.
+    pub parts: Vec<Digest>,
     /// Digest of the prompt's prefix.
     pub prefix: Option<Digest>,
     /// Time from arrival to the deadline.
@@ -32,6 +34,10 @@
     pub crashes: bool,
     /// Whether the replica that runs it goes silent, and ends as soon as the request is cancelled.
     pub silences: bool,
+    /// Whether its answer has neither a length nor chunks and ends with its connection.
+    pub unframed: bool,
+    /// Whether its caller was refused before and comes again.
+    pub is_repeat: bool,
     /// The part of a stream that it asks for, if its answer may be resumed.
     pub stream: Option<StreamPart>,
 }
@@ -71,6 +77,8 @@
     pub ask: Ask,
     /// Arrival time.
     pub arrived: Time,
+    /// Whether the host that received it was in touch.
+    pub is_in_touch: bool,
     /// Time by which the final answer is due.
     pub deadline: Time,
     /// Number of runs started by upstreams.
@@ -122,7 +130,13 @@
 }
 
 impl Callers {
-    pub(crate) fn record_arrival(&mut self, key: RequestKey, ask: &Ask, now: Time) -> (RequestKey, Arrival) {
+    pub(crate) fn record_arrival(
+        &mut self,
+        key: RequestKey,
+        ask: &Ask,
+        now: Time,
+        is_in_touch: bool,
+    ) -> (RequestKey, Arrival) {
         let deadline = now.after(ask.timeout);
         let is_resumable = ask.stream.is_some() || matches!(ask.target, Target::Model(_));
         let arrival = Arrival {
@@ -130,6 +144,7 @@
             target: ask.target.clone(),
             repeat: ask.repeat.clone(),
             digest: ask.digest,
+            parts: ask.parts.clone(),
             prefix: ask.prefix,
             deadline,
             policy: RequestPolicy::plain(deadline, is_resumable),
@@ -139,6 +154,7 @@
         let log = RequestLog {
             ask: ask.clone(),
             arrived: now,
+            is_in_touch,
             deadline,
             runs: 0,
             started: None,
--- a/crates/skylarkshore-standins/src/world/execute.rs
+++ b/crates/skylarkshore-standins/src/world/execute.rs
@@ -394,6 +394,9 @@
             self.crashes.record_crash(self.now, ask.digest);
             return self.crash_and_restart(upstream);
         }
+        if let Some((part, at)) = self.parts.fatal_of(&ask.parts) {
+            return self.begin_fatal_answer(upstream, id, part, at);
+        }
         if ask.silences {
             return self.silence(upstream);
         }
@@ -422,6 +425,9 @@
         }
         let request = request_key(run.sent.from, run.sent.request);
         let Some(log) = self.callers.requests.get(&request) else { return };
+        if log.ask.unframed {
+            return self.end_run(&run, AttemptOutcome::CompletedUnframed);
+        }
         let body = log.ask.digest.0.to_vec();
         let held = run.sent.hold.then_some(RecordedAnswer { status: 200, content_type: None, body });
         self.end_run(&run, AttemptOutcome::Completed { held });
@@ -439,7 +445,7 @@
         if !host.is_up() || host.life != from.life {
             return;
         }
-        if matches!(end, AttemptOutcome::Completed { held: None }) {
+        if matches!(end, AttemptOutcome::Completed { held: None } | AttemptOutcome::CompletedUnframed) {
             self.callers.record_end(&request_key(from, request), FinalAnswer::Answered, self.now);
         }
         self.send_event(from, Event::AttemptEnded { attempt, end });
--- a/crates/skylarkshore-standins/src/world/replicas.rs
+++ b/crates/skylarkshore-standins/src/world/replicas.rs
@@ -2,17 +2,22 @@
 
 use std::time::Duration;
 
+use skylarkshore_core::event::{AttemptOutcome, Event};
 use skylarkshore_core::id::{Digest, Incarnation, UpstreamId};
 use skylarkshore_core::upstream::Upstream;
 
 use super::World;
 use super::callers::RequestKey;
+use super::engine::Run;
 use super::execute::lost_outcome;
-use super::schedule::{SentRequest, Task};
+use super::fatal_parts::CrashPoint;
+use super::schedule::{RunId, SentRequest, Task};
 use super::service::ServiceReplica;
 
 /// How long a replica that has ended is down.
 const DOWNTIME: Duration = Duration::from_secs(5);
+/// Time from the first event of an answer on a fatal part to the crash.
+const FATAL_EVENT: Duration = Duration::from_millis(50);
 
 impl World {
     /// Crashes a replica of a service; it starts again later.
@@ -21,7 +26,8 @@
         let incarnation = replica.incarnation;
         let lost = replica.crash();
         for run in lost {
-            self.end_run(&run, lost_outcome(&run, true));
+            let outcome = self.crash_outcome(&run);
+            self.end_run(&run, outcome);
         }
         self.schedule.add(self.now.after(DOWNTIME), Task::ReplicaUp { replica: id.clone() });
         if let Some(lag) = self.termination_listed_after {
@@ -86,9 +92,58 @@
     /// Records that a request that ends upstreams reaches one, if its host is in touch.
     pub(crate) fn record_crashing_arrival(&mut self, sent: &SentRequest, request: &RequestKey) {
         let Some(log) = self.callers.requests.get(request) else { return };
-        let harms = log.ask.crashes || log.ask.silences;
-        if harms && self.hosts[sent.from.host].is_in_touch(self.now) {
+        if !self.hosts[sent.from.host].is_in_touch(self.now) {
+            return;
+        }
+        if log.ask.crashes || log.ask.silences {
             self.crashes.record_arrival(self.now, log.ask.digest);
         }
+        self.parts.record_arrival(self.now, &log.ask.parts);
+    }
+
+    /// Begins an answer on a fatal part; the replica crashes now or within the answer.
+    pub(crate) fn begin_fatal_answer(
+        &mut self,
+        upstream: &UpstreamId,
+        run: RunId,
+        part: Digest,
+        at: CrashPoint,
+    ) {
+        if at == CrashPoint::BeforeHead {
+            return self.crash_under_part(upstream, part);
+        }
+        let replica = self.services.get_mut(upstream);
+        let Some(begun) = replica.and_then(|replica| replica.runs.get_mut(&run)) else { return };
+        begun.started = true;
+        let sent = begun.sent.clone();
+        self.callers.record_answer_start(&RequestKey::of(&sent), self.now);
+        self.send_event(sent.from, Event::AnswerStarted { attempt: sent.attempt });
+        let task = Task::FatalEvent { upstream: upstream.clone(), run, part };
+        self.schedule.add(self.now.after(FATAL_EVENT), task);
+    }
+
+    /// Crashes a replica within an answer on a fatal part, if the answer hasn't been cancelled.
+    pub(crate) fn end_fatal_answer(&mut self, upstream: &UpstreamId, run: RunId, part: Digest) {
+        if self.services.get(upstream).is_some_and(|replica| replica.runs.contains_key(&run)) {
+            self.crash_under_part(upstream, part);
+        }
+    }
+
+    fn crash_under_part(&mut self, upstream: &UpstreamId, part: Digest) {
+        self.parts.record_crash(self.now, part);
+        self.crash_and_restart(upstream);
+    }
+
+    /// Returns how a run ends whose upstream crashes.
+    ///
+    /// An answer that has neither a length nor chunks looks complete between two events.
+    pub(crate) fn crash_outcome(&self, run: &Run) -> AttemptOutcome {
+        let ask = self.callers.requests.get(&RequestKey::of(&run.sent)).map(|log| &log.ask);
+        let is_unframed = ask.is_some_and(|ask| ask.unframed);
+        let point = ask.and_then(|ask| self.parts.fatal_of(&ask.parts)).map(|(_, at)| at);
+        if run.started && is_unframed && point != Some(CrashPoint::WithinEvent) {
+            return AttemptOutcome::CompletedUnframed;
+        }
+        lost_outcome(run, true)
     }
 }
--- a/crates/skylarkshore-standins/src/world/schedule.rs
+++ b/crates/skylarkshore-standins/src/world/schedule.rs
@@ -3,7 +3,7 @@
 use skylarkshore_core::collections::OrderedMap;
 use skylarkshore_core::event::{AttemptOutcome, Event};
 use skylarkshore_core::id::{
-    AttemptId, CallId, Fence, Incarnation, ModelName, OrderId, RequestId, UpstreamId,
+    AttemptId, CallId, Digest, Fence, Incarnation, ModelName, OrderId, RequestId, UpstreamId,
 };
 use skylarkshore_core::store::StoreCall;
 use skylarkshore_core::time::Time;
@@ -55,27 +55,79 @@
 
 #[derive(Clone, Debug)]
 pub(crate) enum Task {
-    Tick { host: usize, life: u64 },
-    HostList { host: usize, life: u64 },
-    Event { to: Sender, event: Event },
-    Resume { host: usize },
-    Restart { host: usize },
+    Tick {
+        host: usize,
+        life: u64,
+    },
+    HostList {
+        host: usize,
+        life: u64,
+    },
+    Event {
+        to: Sender,
+        event: Event,
+    },
+    Resume {
+        host: usize,
+    },
+    Restart {
+        host: usize,
+    },
     ExpireLeases,
     StoreUp,
-    StoreTimeout { from: Sender, call: CallId },
-    Crash { engine: UpstreamId },
-    EngineUp { engine: UpstreamId },
-    ReplicaUp { replica: UpstreamId },
-    Delist { replica: UpstreamId, incarnation: Incarnation },
+    StoreTimeout {
+        from: Sender,
+        call: CallId,
+    },
+    Crash {
+        engine: UpstreamId,
+    },
+    EngineUp {
+        engine: UpstreamId,
+    },
+    ReplicaUp {
+        replica: UpstreamId,
+    },
+    Delist {
+        replica: UpstreamId,
+        incarnation: Incarnation,
+    },
     Store(SentCall),
     Order(SentOrder),
-    ReportRequest { from: Sender, engine: UpstreamId, asked: Time },
+    ReportRequest {
+        from: Sender,
+        engine: UpstreamId,
+        asked: Time,
+    },
     StartRun(SentRequest),
-    AttemptTimeout { from: Sender, attempt: AttemptId },
-    AttemptFails { from: Sender, attempt: AttemptId, end: AttemptOutcome },
-    LoadDone { engine: UpstreamId, incarnation: Incarnation, model: ModelName },
-    RunStarted { upstream: UpstreamId, run: RunId },
-    RunDone { upstream: UpstreamId, run: RunId },
+    AttemptTimeout {
+        from: Sender,
+        attempt: AttemptId,
+    },
+    AttemptFails {
+        from: Sender,
+        attempt: AttemptId,
+        end: AttemptOutcome,
+    },
+    LoadDone {
+        engine: UpstreamId,
+        incarnation: Incarnation,
+        model: ModelName,
+    },
+    RunStarted {
+        upstream: UpstreamId,
+        run: RunId,
+    },
+    RunDone {
+        upstream: UpstreamId,
+        run: RunId,
+    },
+    /// A replica crashes within an answer on a fatal part.
+    FatalEvent {
+        upstream: UpstreamId,
+        run: RunId,
+        part: Digest,
+    },
 }
 
 impl Task {
--- a/crates/skylarkshore-standins/tests/world/main.rs
+++ b/crates/skylarkshore-standins/tests/world/main.rs
@@ -3,6 +3,7 @@
 mod brittle_upstreams;
 mod crashing_requests;
 mod cut_off_hosts;
+mod fatal_parts;
 mod fault_matrix;
 mod mutants;
 mod recovery;
--- a/crates/skylarkshore-standins/tests/world/support.rs
+++ b/crates/skylarkshore-standins/tests/world/support.rs
@@ -117,11 +117,14 @@
         target: Target::Model(ModelTarget { model: name(base), adapter }),
         repeat: Repeat::Allowed,
         digest: digest(number),
+        parts: Vec::new(),
         prefix: None,
         timeout: Duration::from_secs(20),
         run_time: Duration::from_millis(400),
         crashes: false,
         silences: false,
+        unframed: false,
+        is_repeat: false,
         stream: None,
     }
 }
