Hold back prompt parts that crash replicas, and clear what was only lost with them

Callers saw requests of one kind crash back ends one after the other, as no two are alike but for one part of their prompts, and saw sound requests refused that had been lost in the same crashes.

Cause: losses were counted by whole requests only, so that nothing counted for a part; and whatever was lost three times was convicted, for 24 hours, although a crash takes all requests in progress with it and what is lost together was retried together, at the same replica. Ruled out: an answer that has begun as proof of a living replica; it strikes losses from before it was sent only, which is right. Found beside it: an answer without length and chunks that ended with its connection, and a forwarded failure, cleared the losses of their request.

The module evidence takes the place of what suspect, isolation, unfinished and loss_reports held for services. A suspect is a request or a part. Any whole answer at any host clears it, as a fatal one has none, and is told where its losses were. After three losses requests with it are refused, but for one trial at a time over all hosts, with growing pauses; a part that was in whole answers before needs five losses apart from each other. A trial has no other suspect with losses at first, so that its loss tells them apart. What was lost is distributed by its own digest. An unframed answer counts once its upstream has lived on.

--- a/crates/skylarkshore-core/src/serving/loss_reports.rs
+++ b/crates/skylarkshore-core/src/evidence/loss_reports.rs
@@ -1,7 +1,6 @@
-//! Reports of lost requests to the other processes, repeated until each has acknowledged them.
+//! Reports of losses to the other processes, repeated until each has acknowledged them.
 //!
-//! Open [`LossReports`] first. Only [`SuspectPolicy::CountEnds`](crate::config::SuspectPolicy) uses
-//! it.
+//! Open [`LossReports`] first.
 //!
 //! A message to a process is dropped while there is no connection to it, and a process that has
 //! just started has received none. A process that doesn't know of a loss passes the request on to
@@ -18,38 +17,16 @@
 use crate::cx::Cx;
 use crate::id::{Digest, HostId, Incarnation, UpstreamId};
 use crate::peer::PeerMessage;
-use crate::serving::suspect::LOSS_TTL;
 use crate::time::Time;
 
+use super::loss::{LOSS_TTL, Loss};
+
 /// Delay before the first repetition; each further one takes twice as long.
 const FIRST_RESEND_DELAY: Duration = Duration::from_millis(250);
 /// Longest delay between two repetitions.
 const MAX_RESEND_DELAY: Duration = Duration::from_secs(2);
 /// Maximum number of losses that are reported at a time.
-const MAX_REPORTS: usize = 1024;
-
-/// A request that was lost with an incarnation of an upstream.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Loss {
-    pub(super) upstream: UpstreamId,
-    pub(super) incarnation: Option<Incarnation>,
-    pub(super) request: Digest,
-}
-
-impl Loss {
-    /// Returns the losses of several requests with the same incarnation.
-    pub(super) fn of_each<'a>(
-        upstream: &'a UpstreamId,
-        incarnation: Option<Incarnation>,
-        requests: &'a [Digest],
-    ) -> impl Iterator<Item = Self> + 'a {
-        requests.iter().map(move |request| Self {
-            upstream: upstream.clone(),
-            incarnation,
-            request: *request,
-        })
-    }
-}
+const MAX_REPORTS: usize = 4096;
 
 /// Which process noticed a loss.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -119,7 +96,6 @@
     pub(super) fn add(&mut self, cx: &mut Cx<'_>, loss: &Loss, reporter: Reporter) {
         self.update_known_members(cx);
         self.update_receivers(cx);
-        self.evict_if_full();
         let report = Report { reporter, at: cx.now, until: cx.now.after(LOSS_TTL) };
         self.reports.insert(loss.clone(), report);
         for (host, receiver) in &mut self.receivers {
@@ -150,15 +126,15 @@
 
     /// Sends acknowledgements, and repeats the reports that are not acknowledged.
     ///
-    /// Losses of a convicted request are reported for as long as it `is_convicted`, so that a
-    /// process that starts in the meantime doesn't run it.
-    pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>, is_convicted: impl Fn(Digest) -> bool) {
+    /// Losses of a suspect are reported for as long as `is_proved` holds for it, so that a process that
+    /// starts in the meantime holds it back, too.
+    pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>, is_proved: impl Fn(Digest) -> bool) {
         for (host, losses) in std::mem::take(&mut self.to_acknowledge) {
             send_acknowledgements(cx, &host, losses.iter());
         }
         let now = cx.now;
         self.update_known_members(cx);
-        self.reports.retain(|loss, report| !report.until.is_due(now) || is_convicted(loss.request));
+        self.reports.retain(|loss, report| !report.until.is_due(now) || is_proved(loss.suspect));
         if self.reports.is_empty() {
             self.receivers.clear();
             self.members_version = None;
@@ -236,11 +212,22 @@
         }
     }
 
-    fn evict_if_full(&mut self) {
+    /// Forgets the losses of a suspect that is cleared.
+    pub(super) fn forget(&mut self, suspect: Digest) {
+        self.reports.retain(|loss, _| loss.suspect != suspect);
+        for receiver in self.receivers.values_mut() {
+            receiver.unacknowledged.retain(|loss| loss.suspect != suspect);
+        }
+    }
+
+    /// Removes a report of the suspect with the fewest losses, the oldest of several.
+    pub(super) fn evict_if_full(&mut self, losses_of: impl Fn(Digest) -> usize) {
         if self.reports.len() < MAX_REPORTS {
             return;
         }
-        let first = self.reports.iter().min_by_key(|(_, report)| report.until).map(|(loss, _)| loss.clone());
+        let rank = |loss: &Loss, report: &Report| (losses_of(loss.suspect), report.until);
+        let first = self.reports.iter().min_by_key(|(loss, report)| rank(loss, report));
+        let first = first.map(|(loss, _)| loss.clone());
         if let Some(first) = first {
             self.reports.remove(&first);
         }
@@ -265,11 +252,11 @@
     losses: impl IntoIterator<Item = &'a Loss>,
 ) -> Vec<(UpstreamId, Option<Incarnation>, Vec<Digest>)> {
     let losses: Vec<&Loss> = losses.into_iter().collect();
-    let groups = losses.chunk_by(|a, b| (&a.upstream, a.incarnation) == (&b.upstream, b.incarnation));
+    let groups = losses.chunk_by(|a, b| a.with == b.with);
     groups
         .map(|group| {
-            let requests = group.iter().map(|loss| loss.request).collect();
-            (group[0].upstream.clone(), group[0].incarnation, requests)
+            let requests = group.iter().map(|loss| loss.suspect).collect();
+            (group[0].with.upstream.clone(), group[0].with.incarnation, requests)
         })
         .collect()
 }
--- a/crates/skylarkshore-core/src/lib.rs
+++ b/crates/skylarkshore-core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod dump;
 pub mod effect;
 pub mod event;
+mod evidence;
 pub mod follower;
 pub mod id;
 pub mod loading;
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -17,8 +17,10 @@
 //! - The *order of service* is a number; requests with lower numbers are dispatched first.
 //! - An answer after the *soft deadline* has reduced value. A request that isn't answered by its
 //!   *deadline* is refused.
-//! - *Loss*, *crash*, *termination*, *suspect* and *convicted* are defined in the module `suspect`.
+//! - *Loss*, *crash*, *suspect* and *convicted* are defined in the module `suspect`, *termination*, *held
+//!   back* and *trial* in the module `evidence` of the crate.
 
+mod admission;
 mod arrival;
 mod attempt;
 mod budget;
@@ -30,7 +32,6 @@
 mod fragile;
 mod isolation;
 mod lease;
-mod loss_reports;
 mod once;
 mod others_load;
 mod permits;
@@ -45,7 +46,6 @@
 mod supply;
 mod suspect;
 mod take_up;
-mod unfinished;
 mod version_pin;
 mod wait_estimate;
 
@@ -57,6 +57,7 @@
 use crate::dump::{DumpEntry, Gauge};
 use crate::effect::RefusalReason;
 use crate::event::{Arrival, AttemptOutcome, ReportedLoad, Target};
+use crate::evidence::{Evidence, Loss, SentTo};
 use crate::id::{AttemptId, CallId, HostId, RequestId, UpstreamId};
 use crate::peer::PeerMessage;
 use crate::quota::Quota;
@@ -68,7 +69,6 @@
 use counters::RequestCounters;
 use demand::Demand;
 use disposition::Disposition;
-use loss_reports::{Loss, LossReports};
 use once::OnceClaims;
 use permits::Permits;
 use queue::Queue;
@@ -76,8 +76,7 @@
 use routing::Routes;
 use served_versions::ServedVersions;
 use stream_origins::StreamOrigins;
-use suspect::{SuspectStatus, Suspects};
-use unfinished::UnfinishedAttempts;
+use suspect::Suspects;
 use version_pin::PinnedRequests;
 use wait_estimate::WaitEstimator;
 
@@ -101,10 +100,10 @@
     demand: Demand,
     /// The claims on idempotency keys.
     once_claims: OnceClaims,
+    /// Where suspects run alone.
     suspects: Suspects,
-    /// Reports of lost requests to the peers.
-    loss_reports: LossReports,
-    unfinished: UnfinishedAttempts,
+    /// Where the upstreams are counted that ended under suspects.
+    evidence: Evidence,
     budget: RetryBudget,
     waits: WaitEstimator,
     /// Grants requests credit, which counts against the limits of their client accounts.
@@ -134,9 +133,8 @@
             routes: Routes::default(),
             demand: Demand::default(),
             once_claims: OnceClaims::default(),
-            suspects: Suspects::new(cfg.limits.suspects),
-            loss_reports: LossReports::default(),
-            unfinished: UnfinishedAttempts::default(),
+            suspects: Suspects::new(),
+            evidence: Evidence::new(cfg.limits.suspects),
             budget: RetryBudget::new(cfg.limits.retries),
             waits: WaitEstimator::default(),
             quota: Quota::new(),
@@ -177,7 +175,7 @@
         };
         let id = *id;
         if let Some(run) = self.requests.get(&id).and_then(Request::run).cloned() {
-            self.record_answer(cx, &run);
+            self.evidence.on_alive(cx, &SentTo::from(&run));
         }
         let Some(request) = self.requests.get_mut(&id) else { return };
         if let State::Sent(run) = request.state.clone() {
@@ -241,10 +239,8 @@
         for id in self.suspects.on_tick(cx) {
             self.retry_or_refuse_lost(cx, id);
         }
-        self.unfinished.on_tick(cx);
+        self.evidence.on_tick(cx);
         self.run_stream_timers(cx);
-        let suspects = &self.suspects;
-        self.loss_reports.on_tick(cx, |digest| suspects.status(digest) == SuspectStatus::Convicted);
         while let Some(due) = self.timers.first().copied().filter(|due| due.at.is_due(cx.now)) {
             self.timers.remove(&due);
             self.on_due(cx, due.request);
@@ -267,6 +263,7 @@
         self.routes.reapply_host_list(cx);
         self.once_claims.remove_expired(cx.now);
         self.suspects.remove_expired(cx);
+        self.evidence.remove_expired(cx);
         self.remove_expired_streams(cx);
         self.demand.send_usage(cx, &mut self.waits);
         self.report_refused_callers(cx);
@@ -292,19 +289,16 @@
         if reached {
             return;
         }
-        let lost = self.unfinished.on_unreachable(upstream);
-        self.record_unfinished(cx, &lost);
-        self.refuse_convicted(cx);
+        self.evidence.on_unreachable(cx, upstream);
+        self.refuse_held_back(cx);
     }
 
     /// Handles changes to upstreams on the host list.
     pub fn on_host_list(&mut self, cx: &mut Cx<'_>, touched: &[UpstreamId]) {
         self.routes.on_host_list(cx, touched);
         self.served_versions.on_host_list(cx, touched);
-        let lost = self.unfinished.on_host_list(cx);
-        self.record_unfinished(cx, &lost);
-        self.suspects.on_host_list(cx);
-        self.refuse_convicted(cx);
+        self.evidence.on_host_list(cx);
+        self.refuse_held_back(cx);
         self.refuse_unservable_pinned(cx);
         self.refuse_all_unservable(cx);
         self.dispatch_waiting(cx);
@@ -375,10 +369,13 @@
                 self.dispatch_waiting(cx);
             }
             PeerMessage::LossesNoted { upstream, incarnation, requests } => {
-                self.loss_reports.on_acknowledged(from, Loss::of_each(upstream, *incarnation, requests));
+                self.evidence.on_acknowledged(from, Loss::of_each(upstream, *incarnation, requests));
             }
-            PeerMessage::Cleared { request: digest } if self.suspects.clear(*digest) => {
-                self.requeue_cleared(cx, *digest);
+            PeerMessage::Cleared { request: digest } => {
+                self.evidence.clear(cx, *digest);
+                if self.suspects.clear(*digest) {
+                    self.requeue_cleared(cx, *digest);
+                }
             }
             PeerMessage::UpstreamFull { upstream } => self.routes.fragile.on_peer_rejected(cx, upstream),
             PeerMessage::UpstreamLeaving { upstream } => {
--- a/crates/skylarkshore-core/src/serving/arrival.rs
+++ b/crates/skylarkshore-core/src/serving/arrival.rs
@@ -5,6 +5,7 @@
 use crate::cx::Cx;
 use crate::effect::RefusalReason;
 use crate::event::{Arrival, Target};
+use crate::evidence::{Admission, Suspects};
 use crate::id::{RequestId, UpstreamId};
 use crate::rules::{RuleInput, ServiceOrder};
 use crate::serving::Serving;
@@ -28,8 +29,6 @@
 const QUEUE_FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Retry delay for the answer of a request in progress.
 const IN_PROGRESS_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Retry delay while it isn't known whether a request crashes upstreams.
-pub(super) const HELD_BACK_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Retry delay when the key-value service can't be reached.
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -50,6 +49,7 @@
         let (deadline, first_byte_deadline) = (arrival.deadline, arrival.policy.first_byte_deadline);
         let order = rules_result.as_ref().map_or(ServiceOrder::default(), |order| *order);
         let order = ServiceOrder(order.0.saturating_add_signed(arrival.policy.order_offset));
+        let admission = self.evidence.admission(cx, Suspects::from(&arrival));
         self.requests.insert(id, Request::new(arrival, order, cx.now));
         self.timers.insert(Due { at: deadline, request: id });
         self.timers.insert(Due { at: first_byte_deadline, request: id });
@@ -60,11 +60,15 @@
                 let disposition = Disposition::Refuse { reason, retry_after: Some(RETRY_AFTER) };
                 self.apply_disposition(cx, id, disposition);
             }
-            Ok(_) => self.request_credit(cx, id),
+            Ok(_) => match admission {
+                Admission::Free | Admission::Trial => self.request_credit(cx, id),
+                Admission::HeldBack(held) => {
+                    let disposition = self.refusal_of(cx, held);
+                    self.apply_disposition(cx, id, disposition);
+                }
+            },
             Err(reason) => {
-                let retry_after =
-                    (reason == RefusalReason::MayCrashUpstreams).then_some(HELD_BACK_RETRY_AFTER);
-                self.apply_disposition(cx, id, Disposition::Refuse { reason, retry_after });
+                self.apply_disposition(cx, id, Disposition::Refuse { reason, retry_after: None });
             }
         }
     }
@@ -79,9 +83,6 @@
         if self.suspects.status(arrival.digest) == SuspectStatus::Convicted {
             return Err(RefusalReason::CrashesUpstreams);
         }
-        if self.suspects.is_held_back(cx, arrival.digest) {
-            return Err(RefusalReason::MayCrashUpstreams);
-        }
         let mut input = RuleInput {
             caller: Some(&arrival.caller),
             data_centre: Some(&cx.cfg.data_centre),
@@ -142,7 +143,7 @@
     fn would_dispatch_now(&self, cx: &mut Cx<'_>, id: RequestId) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
         self.queue.len_of(&request.arrival.target) == 0
-            && self.routes.choose(cx, route_query(request)).is_some()
+            && self.routes.choose(cx, self.route_query(request)).is_some()
     }
 
     /// Queues a request, unless the queue is full or the wait would be too long.
@@ -249,7 +250,7 @@
     fn dispatch_target(&mut self, cx: &mut Cx<'_>, target: &Target) {
         while let Some(id) = self.queue.first(target) {
             let Some(request) = self.requests.get(&id) else { break };
-            let Some(upstream) = self.routes.choose(cx, route_query(request)) else { break };
+            let Some(upstream) = self.routes.choose(cx, self.route_query(request)) else { break };
             let id = self.best_fit(cx, id, &upstream);
             let Some(request) = self.requests.get(&id) else { break };
             self.queue.take(id, request);
@@ -262,6 +263,16 @@
         self.ask_owners_for(cx, target);
     }
 
+    /// Builds the routing query for a request.
+    ///
+    /// A request that was lost before is distributed by its own digest. By their common prefix, all that were
+    /// lost with an upstream would go to the same one again, among them the one that crashed it.
+    pub(super) fn route_query<'a>(&self, request: &'a Request) -> RouteQuery<'a> {
+        let Arrival { target, digest, prefix, .. } = &request.arrival;
+        let prefix = prefix.map(|prefix| if self.evidence.has_losses(*digest) { *digest } else { prefix });
+        RouteQuery { target, prefix, tried: &request.tried, pin: &request.pin }
+    }
+
     /// Returns one of the next requests whose prompt prefix the upstream probably has
     /// cached, or the first.
     fn best_fit(&self, cx: &Cx<'_>, first: RequestId, upstream: &UpstreamId) -> RequestId {
@@ -276,7 +287,7 @@
     fn is_preferred(&self, cx: &Cx<'_>, id: RequestId, upstream: &UpstreamId) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
         let untried = !request.tried.contains(upstream);
-        untried && self.routes.preferred(cx, route_query(request)).as_ref() == Some(upstream)
+        untried && self.routes.preferred(cx, self.route_query(request)).as_ref() == Some(upstream)
     }
 
     /// Sends a request, after claiming its key if it may run only once.
@@ -337,11 +348,6 @@
             return self.refuse_late(cx, id);
         }
         let suspect = self.suspects.status(request.arrival.digest);
-        if self.suspects.is_held_back(cx, request.arrival.digest) {
-            let reason = RefusalReason::MayCrashUpstreams;
-            let retry_after = Some(HELD_BACK_RETRY_AFTER);
-            return self.apply_disposition(cx, id, Disposition::Refuse { reason, retry_after });
-        }
         let can_proceed = match suspect {
             SuspectStatus::Unsuspected => self.routes.is_candidate(cx, &request.arrival.target, &upstream),
             SuspectStatus::Suspect => {
@@ -395,13 +401,3 @@
         Target::Model(target) => cx.document.catalogue.models.get(&target.model)?.pool.clone(),
     }
 }
-
-/// Builds the routing query for a request.
-pub(super) const fn route_query(request: &Request) -> RouteQuery<'_> {
-    RouteQuery {
-        target: &request.arrival.target,
-        prefix: request.arrival.prefix,
-        tried: &request.tried,
-        pin: &request.pin,
-    }
-}
--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -7,6 +7,7 @@
 use crate::cx::Cx;
 use crate::effect::{Effect, RefusalReason};
 use crate::event::{AttemptOutcome, Rejection, Target};
+use crate::evidence::{SentTo, Suspects};
 use crate::id::{AttemptId, Digest, HostId, RequestId, UpstreamId};
 use crate::peer::PeerMessage;
 use crate::serving::Serving;
@@ -75,8 +76,9 @@
         );
         self.waits.record_ended(cx.now, &request.arrival.target, answered.then(|| cx.now.since(run.sent)));
         if answered {
-            self.record_answer(cx, &run);
+            self.evidence.on_alive(cx, &SentTo::from(&run));
         }
+        self.record_answer(cx, id, &run, &end);
         match end {
             AttemptOutcome::Completed { held } => self.on_completed(cx, id, &run.upstream, held),
             AttemptOutcome::CompletedUnframed
@@ -92,6 +94,21 @@
         }
     }
 
+    /// Records what the end of an answer says of its request's suspects.
+    fn record_answer(&mut self, cx: &mut Cx<'_>, id: RequestId, run: &Run, end: &AttemptOutcome) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let suspects = Suspects::from(&request.arrival);
+        match end {
+            AttemptOutcome::Completed { .. } | AttemptOutcome::CompletedTooLarge => {
+                self.evidence.on_answered(cx, suspects);
+            }
+            AttemptOutcome::CompletedUnframed => {
+                self.evidence.on_answered_unframed(cx.now, suspects, &SentTo::from(run));
+            }
+            _ => {}
+        }
+    }
+
     fn on_completed(
         &mut self,
         cx: &mut Cx<'_>,
@@ -257,15 +274,15 @@
         let Some(request) = self.requests.get(&id) else { return };
         let digest = request.arrival.digest;
         let convicted = self.suspects.status(digest) == SuspectStatus::Convicted;
-        let reason = if convicted || self.suspects.is_one_loss_from_conviction(cx, digest) {
-            RefusalReason::CrashesUpstreams
-        } else if self.suspects.is_held_back(cx, digest) {
-            RefusalReason::MayCrashUpstreams
+        let refusal = if convicted {
+            Some(RefusalReason::CrashesUpstreams)
         } else {
-            return self.retry(cx, id, RetryCost::Retry);
+            self.refusal_after_loss(cx, request)
         };
+        let Some(reason) = refusal else { return self.retry(cx, id, RetryCost::Retry) };
         self.apply_disposition(cx, id, Disposition::Refuse { reason, retry_after: None });
         self.refuse_convicted(cx);
+        self.refuse_held_back(cx);
     }
 
     /// Requeues a request whose attempt ended without an answer, or refuses it.
--- a/crates/skylarkshore-core/src/serving/disposition.rs
+++ b/crates/skylarkshore-core/src/serving/disposition.rs
@@ -7,6 +7,7 @@
 use crate::cx::Cx;
 use crate::effect::{Effect, Refusal, RefusalOutcome, RefusalReason};
 use crate::event::{Repeat, StreamPart};
+use crate::evidence::{Admission, Suspects};
 use crate::id::{RequestId, UpstreamId};
 use crate::serving::Serving;
 use crate::serving::queue::QueuePosition;
@@ -45,14 +46,43 @@
         let Some(request) = self.requests.get(&id) else { return };
         match disposition {
             Disposition::Send { upstream, isolation } if request.may_be_sent() => {
-                self.send(cx, id, upstream, isolation);
+                self.send_if_admitted(cx, id, upstream, isolation);
             }
             Disposition::Send { .. } => self.refuse(cx, id, RefusalReason::UpstreamLost, None),
             Disposition::Refuse { reason, retry_after } => self.refuse(cx, id, reason, retry_after),
         }
     }
 
-    fn send(&mut self, cx: &mut Cx<'_>, id: RequestId, upstream: UpstreamId, isolation: Isolation) {
+    fn send_if_admitted(
+        &mut self,
+        cx: &mut Cx<'_>,
+        id: RequestId,
+        upstream: UpstreamId,
+        isolation: Isolation,
+    ) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let suspects = Suspects::from(&request.arrival);
+        match self.evidence.admission(cx, suspects) {
+            Admission::Free => self.send(cx, id, upstream, isolation, false),
+            Admission::Trial => {
+                self.evidence.begin_trial(cx, suspects, &upstream);
+                self.send(cx, id, upstream, isolation, true);
+            }
+            Admission::HeldBack(held) => {
+                let disposition = self.refusal_of(cx, held);
+                self.apply_disposition(cx, id, disposition);
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        cx: &mut Cx<'_>,
+        id: RequestId,
+        upstream: UpstreamId,
+        isolation: Isolation,
+        is_trial: bool,
+    ) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         if request.occupied_upstream() != Some(&upstream) {
             self.routes.occupy_slot(&upstream);
@@ -88,7 +118,7 @@
         let listed = cx.upstreams.get(&upstream);
         let incarnation = listed.map(|listed| listed.incarnation);
         let software = listed.and_then(|listed| listed.software.clone());
-        let run = Run { attempt, upstream, incarnation, software, isolation, sent: cx.now };
+        let run = Run { attempt, upstream, incarnation, software, isolation, is_trial, sent: cx.now };
         request.set_state(State::Sent(run), cx.now);
         self.attempts.insert(attempt, id);
         self.waits.record_sent(cx.now, &request.arrival.target);
--- a/crates/skylarkshore-core/src/serving/isolation.rs
+++ b/crates/skylarkshore-core/src/serving/isolation.rs
@@ -6,16 +6,14 @@
 use crate::config::SuspectPolicy;
 use crate::cx::Cx;
 use crate::effect::RefusalReason;
-use crate::event::{Repeat, Target};
+use crate::event::Target;
 use crate::id::{Digest, HostId, Incarnation, RequestId, UpstreamId};
 use crate::peer::PeerMessage;
 use crate::serving::Serving;
-use crate::serving::arrival::HELD_BACK_RETRY_AFTER;
 use crate::serving::attempt::owner_of;
 use crate::serving::disposition::Disposition;
-use crate::serving::loss_reports::{Loss, Reporter};
 use crate::serving::queue::QueuePosition;
-use crate::serving::request::{Isolation, Request, Run, State};
+use crate::serving::request::{Isolation, State};
 use crate::serving::suspect::{IsolatedRun, SuspectStatus};
 use crate::view::EngineView;
 
@@ -24,8 +22,6 @@
 const RESERVATION_TIMEOUT: Duration = Duration::from_secs(3);
 /// Interval between reservation requests to an owner.
 const RESERVATION_REQUEST_INTERVAL: Duration = Duration::from_millis(500);
-/// Maximum number of digests in a line of the log.
-const MAX_LOGGED_DIGESTS: usize = 8;
 
 impl Serving {
     /// Dispatches the next suspect, one at a time.
@@ -128,65 +124,6 @@
         }
     }
 
-    /// Records the loss of a request with its upstream, here and at the peers.
-    ///
-    /// The incarnation is the one that the request was sent to. When the loss is noticed,
-    /// the host list may no longer name it, or may name the next one. With either of these,
-    /// no termination would ever be counted, and the request would crash more upstreams.
-    pub(super) fn record_loss(&mut self, cx: &mut Cx<'_>, id: RequestId, run: &Run) {
-        let Some(request) = self.requests.get(&id) else { return };
-        let digest = request.arrival.digest;
-        let loss = Loss { upstream: run.upstream.clone(), incarnation: run.incarnation, request: digest };
-        self.suspects.record_loss(cx, &loss);
-        self.suspects.on_host_list(cx);
-        self.loss_reports.add(cx, &loss, Reporter::Own);
-    }
-
-    /// Remembers an attempt that ends without an answer although no connection broke.
-    pub(super) fn note_unfinished(&mut self, cx: &Cx<'_>, id: RequestId, run: &Run) {
-        let is_counted = cx.cfg.limits.suspects == SuspectPolicy::CountEnds;
-        if !is_counted || self.routes.is_leaving(cx, &run.upstream) {
-            return;
-        }
-        if let Some(request) = self.requests.get(&id) {
-            self.unfinished.record(cx.now, run, request.arrival.digest);
-        }
-    }
-
-    /// Records the losses of unfinished attempts whose upstream has ended, here and at the peers.
-    pub(super) fn record_unfinished(&mut self, cx: &mut Cx<'_>, losses: &[Loss]) {
-        for loss in losses {
-            if self.suspects.record_loss(cx, loss) {
-                self.loss_reports.add(cx, loss, Reporter::Own);
-            }
-        }
-        if !losses.is_empty() {
-            self.suspects.on_host_list(cx);
-        }
-    }
-
-    /// Records that an upstream has answered an attempt, so that earlier ones haven't ended it.
-    pub(super) fn record_answer(&mut self, cx: &Cx<'_>, run: &Run) {
-        if cx.cfg.limits.suspects == SuspectPolicy::CountEnds {
-            self.suspects.record_answer(run);
-            self.unfinished.on_answer(cx.now, run);
-        }
-    }
-
-    /// Records the losses that a peer has reported, and passes on those that are new.
-    fn on_losses(&mut self, cx: &mut Cx<'_>, from: &HostId, losses: &[Loss]) {
-        self.loss_reports.acknowledge(from, losses.iter().cloned());
-        let mut new = Vec::new();
-        for loss in losses {
-            if self.suspects.record_loss(cx, loss) {
-                self.loss_reports.add(cx, loss, Reporter::Peer);
-                new.push(loss);
-            }
-        }
-        log_reported_losses(cx, from, &new);
-        self.suspects.on_host_list(cx);
-    }
-
     /// Handles a peer's report of the requests that were in progress during a crash.
     pub(super) fn on_suspects(
         &mut self,
@@ -198,9 +135,8 @@
         was_exclusive: bool,
     ) {
         if cx.cfg.limits.suspects == SuspectPolicy::CountEnds {
-            let losses: Vec<Loss> = Loss::of_each(upstream, incarnation, digests).collect();
-            self.on_losses(cx, from, &losses);
-            return self.refuse_convicted(cx);
+            self.evidence.on_reported(cx, from, upstream, incarnation, digests);
+            return self.refuse_held_back(cx);
         }
         let isolation = if was_exclusive { Isolation::Exclusive } else { Isolation::Shared };
         self.suspects.record_crash(cx, upstream, digests, isolation);
@@ -210,34 +146,12 @@
         self.dispatch_waiting(cx);
     }
 
-    /// Refuses the requests that are convicted of crashing upstreams or held back, also those that
-    /// wait inside an upstream.
+    /// Refuses the waiting requests that are convicted of crashing upstreams.
     pub(super) fn refuse_convicted(&mut self, cx: &mut Cx<'_>) {
         for id in self.waiting_with(SuspectStatus::Convicted) {
             let reason = RefusalReason::CrashesUpstreams;
             self.apply_disposition(cx, id, Disposition::Refuse { reason, retry_after: None });
         }
-        for id in self.held_back(cx) {
-            let reason = RefusalReason::MayCrashUpstreams;
-            let retry_after = Some(HELD_BACK_RETRY_AFTER);
-            self.apply_disposition(cx, id, Disposition::Refuse { reason, retry_after });
-        }
-    }
-
-    /// Returns the requests that are held back and wait, here or inside an upstream.
-    ///
-    /// One that may not run twice is left where it is once it was sent.
-    fn held_back(&self, cx: &Cx<'_>) -> Vec<RequestId> {
-        let is_to_be_refused = |request: &Request| match &request.state {
-            State::Queued => true,
-            State::Sent(_) => request.arrival.repeat == Repeat::Allowed,
-            _ => false,
-        };
-        let held = self
-            .requests
-            .iter()
-            .filter(|(_, r)| is_to_be_refused(r) && self.suspects.is_held_back(cx, r.arrival.digest));
-        held.map(|(id, _)| *id).collect()
     }
 
     /// Moves queued requests that have become suspect to the queue for isolated runs.
@@ -280,17 +194,3 @@
         found.map(|(id, _)| *id).collect()
     }
 }
-
-/// Logs the losses that a peer has reported and that were new, in one line for all of them.
-fn log_reported_losses(cx: &mut Cx<'_>, from: &HostId, losses: &[&Loss]) {
-    let Some(first) = losses.first() else { return };
-    let incarnation = first.incarnation.map_or_else(|| "unknown".to_owned(), |own| own.to_string());
-    let digests: Vec<String> =
-        losses.iter().take(MAX_LOGGED_DIGESTS).map(|loss| loss.request.to_string()).collect();
-    let detail = format!(
-        "from={from} incarnation={incarnation} losses={} digests={}",
-        losses.len(),
-        digests.join(",")
-    );
-    cx.log_event("losses_reported", &first.upstream, detail);
-}
--- a/crates/skylarkshore-core/src/serving/request.rs
+++ b/crates/skylarkshore-core/src/serving/request.rs
@@ -5,6 +5,7 @@
 use crate::collections::OrderedSet;
 use crate::effect::{Refusal, RefusalOutcome};
 use crate::event::{Arrival, Repeat};
+use crate::evidence::SentTo;
 use crate::id::{AttemptId, Digest, Incarnation, RequestId, UpstreamId};
 use crate::rules::ServiceOrder;
 use crate::serving::budget::Destination;
@@ -30,9 +31,17 @@
     /// The version of its software, as listed then.
     pub(super) software: StatedVersion,
     pub(super) isolation: Isolation,
+    /// Whether it is the trial of suspects that are held back.
+    pub(super) is_trial: bool,
     pub(super) sent: Time,
 }
 
+impl From<&Run> for SentTo {
+    fn from(run: &Run) -> Self {
+        Self { upstream: run.upstream.clone(), incarnation: run.incarnation, at: run.sent }
+    }
+}
+
 /// Whether other requests may run on the upstream of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Isolation {
--- a/crates/skylarkshore-core/src/serving/state_dump.rs
+++ b/crates/skylarkshore-core/src/serving/state_dump.rs
@@ -24,13 +24,21 @@
         let suspects = self.suspects.digests().map(|digest| {
             let state = match self.suspects.status(digest) {
                 SuspectStatus::Convicted => "crashes upstreams and is refused",
-                // Unsuspected ones are listed under `CountEnds`, where nothing runs alone.
                 SuspectStatus::Suspect | SuspectStatus::Unsuspected => {
                     "was in progress when an upstream died and runs alone"
                 }
             };
             DumpEntry { kind: "suspect", subject: digest.to_string(), state: state.to_owned(), since: None }
         });
+        let counted = self.evidence.all().map(|(digest, is_held_back)| {
+            let state = if is_held_back {
+                "was lost with upstreams that ended, and is held back"
+            } else {
+                "was lost with an upstream"
+            };
+            DumpEntry { kind: "suspect", subject: digest.to_string(), state: state.to_owned(), since: None }
+        });
+        let suspects = suspects.chain(counted);
         requests.chain(routes).chain(suspects).chain(self.quota.dump_entries()).collect()
     }
 
@@ -44,6 +52,7 @@
             gauge("attempts_in_flight", self.attempts.len() as u64),
             gauge("suspect_requests", self.suspects.count(SuspectStatus::Suspect) as u64),
             gauge("convicted_requests", self.suspects.count(SuspectStatus::Convicted) as u64),
+            gauge("suspects_held_back", self.evidence.held_back_count() as u64),
             gauge("once_in_doubt_total", self.once_claims.unknown_outcome_count),
             gauge("late_views_total", self.routes.views.stale),
         ];
--- a/crates/skylarkshore-core/src/serving/suspect.rs
+++ b/crates/skylarkshore-core/src/serving/suspect.rs
@@ -1,108 +1,63 @@
-//! Detection of requests that crash upstreams.
+//! Detection of requests that crash upstreams, where suspects run alone.
 //!
 //! Open [`Suspects`] first.
 //!
 //! - A *loss* is an attempt that ended without a complete answer and with an unknown outcome, for
 //!   example because the connection broke or the time ran out. Its upstream may still run.
 //! - A *crash* is a loss after which the upstream seems to have died although it wasn't leaving.
-//! - An incarnation of an upstream has *terminated* when the host list no longer names the upstream
-//!   or names a later incarnation.
 //! - A *suspect* is a request that was in progress during a crash and may have caused it. It runs
 //!   only in isolation, one suspect at a time.
 //! - A request is *convicted* when it is taken to crash upstreams; it is refused for
 //!   [`CONVICTION_TTL`].
 //!
-//! Requests with the same [`Digest`] of method, path and body count as the same request. The
-//! [`SuspectPolicy`] decides how they are judged:
-//!
-//! - `RunAlone`: after a crash, all requests in progress at the upstream become suspects. One is
-//!   convicted if its upstream crashes while nothing else runs there, or after
-//!   [`CONVICTION_THRESHOLD`] crashes; it is cleared if it completes.
-//! - `CountEnds`: nothing runs in isolation. A request is convicted after it was lost with
-//!   [`CONVICTION_THRESHOLD`] incarnations that have terminated. The host list shows a termination
-//!   late; until it can show those of the other losses, the request is *held back*.
+//! Requests with the same [`Digest`] of method, path and body count as the same request. After a crash,
+//! all requests in progress at the upstream become suspects. One is convicted if its upstream crashes
+//! while nothing else runs there, or after [`CONVICTION_THRESHOLD`] crashes; it is cleared if it completes.
+//! Where suspects don't run alone, `evidence.rs` counts the upstreams that ended under them.
 
 use std::time::Duration;
 
 use crate::collections::{OrderedMap, OrderedSet};
-use crate::config::SuspectPolicy;
 use crate::cx::Cx;
-use crate::id::{Digest, HostId, Incarnation, RequestId, UpstreamId};
+use crate::id::{Digest, HostId, RequestId, UpstreamId};
 use crate::peer::PeerMessage;
-use crate::serving::loss_reports::Loss;
 use crate::serving::queue::QueuePosition;
-use crate::serving::request::{Isolation, Run};
+use crate::serving::request::Isolation;
 use crate::time::Time;
 
 /// How long a request remains suspect after the last crash that it was involved in.
 const SUSPICION_TTL: Duration = Duration::from_hours(1);
-/// How long a loss is remembered, also while the host list doesn't show yet whether the upstream
-/// terminated.
-pub(super) const LOSS_TTL: Duration = Duration::from_mins(2);
+/// Until when a notice is sent again to peers that were silent.
+const NOTICE_TTL: Duration = Duration::from_mins(2);
 /// How long a convicted request is refused.
 const CONVICTION_TTL: Duration = Duration::from_hours(24);
 /// Longest time that the peers' acknowledgements are awaited before the caller is answered.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(300);
-/// After how many intervals of the upstreams' heartbeats the host list shows a termination: three are
-/// missed, and the change takes some time to arrive.
-pub(super) const LISTING_HEARTBEATS: u32 = 4;
 /// Interval at which a notice is sent again to peers that haven't acknowledged it.
 const NOTICE_RESEND_INTERVAL: Duration = Duration::from_millis(100);
 /// The same once the caller has been answered.
 const LATE_NOTICE_RESEND_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum number of digests that are kept.
 const MAX_SUSPICIONS: usize = 4096;
-/// Number of crashes of different upstreams, or of terminated incarnations, that convicts a
-/// request, isolated or not.
+/// Number of crashes of different upstreams that convicts a request, isolated or not.
 ///
 /// Replicas of services can't be reserved, so it is never proved that a suspect request to a
 /// service runs in isolation. Without this limit, one request could crash all replicas in turn,
 /// forever.
 const CONVICTION_THRESHOLD: usize = 3;
 
-/// One incarnation of an upstream, with which a request was lost.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct UpstreamIncarnation {
-    upstream: UpstreamId,
-    /// `None` if it is unknown. Crashes are recorded without it, so that repeated reports of a
-    /// crash, and several crashes of one upstream, count once.
-    incarnation: Option<Incarnation>,
-}
-
-impl UpstreamIncarnation {
-    /// Reports whether the host list shows that this incarnation has terminated; if it is unknown,
-    /// only that the upstream has left the list.
-    fn has_terminated(&self, cx: &Cx<'_>) -> bool {
-        let listed = cx.upstreams.get(&self.upstream);
-        listed.is_none_or(|listed| self.incarnation.is_some_and(|own| own < listed.incarnation))
-    }
-}
-
-/// The crashes or losses that a request was involved in.
+/// The crashes that a request was involved in.
 #[derive(Debug)]
 struct Suspicion {
-    /// Those that it was lost with, and when that was noticed here.
-    incarnations: OrderedMap<UpstreamIncarnation, Time>,
+    /// The upstreams; several crashes of one count once, as reports of a crash may be repeated.
+    crashed: OrderedSet<UpstreamId>,
     convicted: bool,
     until: Time,
 }
 
 impl Suspicion {
     const fn new() -> Self {
-        Self { incarnations: OrderedMap::new(), convicted: false, until: Time::START }
-    }
-
-    fn terminated(&self, cx: &Cx<'_>) -> usize {
-        self.incarnations.keys().filter(|incarnation| incarnation.has_terminated(cx)).count()
-    }
-
-    /// Returns how many incarnations have terminated or may have, as the host list can't show it yet.
-    fn perhaps_terminated(&self, cx: &Cx<'_>) -> usize {
-        let listed_after = cx.cfg.timings.upstream_heartbeat * LISTING_HEARTBEATS;
-        let may_have = |(incarnation, noticed): &(&UpstreamIncarnation, &Time)| {
-            incarnation.has_terminated(cx) || !noticed.after(listed_after).is_due(cx.now)
-        };
-        self.incarnations.iter().filter(may_have).count()
+        Self { crashed: OrderedSet::new(), convicted: false, until: Time::START }
     }
 }
 
@@ -164,11 +119,8 @@
 /// The suspects known to a process.
 #[derive(Debug)]
 pub(super) struct Suspects {
-    policy: SuspectPolicy,
-    /// Suspect and convicted requests by digest; under `CountEnds`, all recently lost ones.
+    /// Suspect and convicted requests by digest.
     known: OrderedMap<Digest, Suspicion>,
-    /// The incarnations that requests were lost with, and when that was last noticed.
-    lost_with: OrderedMap<UpstreamIncarnation, Time>,
     pending_notices: Vec<PendingNotice>,
     last_contact: OrderedMap<HostId, Time>,
     /// The suspect requests that wait for an upstream of their own.
@@ -179,11 +131,9 @@
 
 impl Suspects {
     /// Creates the state of a process without suspects.
-    pub(super) const fn new(policy: SuspectPolicy) -> Self {
+    pub(super) const fn new() -> Self {
         Self {
-            policy,
             known: OrderedMap::new(),
-            lost_with: OrderedMap::new(),
             pending_notices: Vec::new(),
             last_contact: OrderedMap::new(),
             waiting: OrderedSet::new(),
@@ -196,8 +146,6 @@
         match self.known.get(&digest) {
             None => SuspectStatus::Unsuspected,
             Some(suspicion) if suspicion.convicted => SuspectStatus::Convicted,
-            // Its losses are counted, but it runs like any other request.
-            Some(_) if self.policy == SuspectPolicy::CountEnds => SuspectStatus::Unsuspected,
             Some(_) => SuspectStatus::Suspect,
         }
     }
@@ -207,8 +155,7 @@
         self.known.keys().filter(|digest| self.status(**digest) == status).count()
     }
 
-    /// Returns the digests of suspect and convicted requests; under `CountEnds`, also of those whose
-    /// losses are counted.
+    /// Returns the digests of suspect and convicted requests.
     pub(super) fn digests(&self) -> impl Iterator<Item = Digest> {
         self.known.keys().copied()
     }
@@ -236,7 +183,7 @@
             unacknowledged,
             resend_at: cx.now.after(NOTICE_RESEND_INTERVAL),
             wait_until: cx.now.after(NOTICE_TIMEOUT),
-            until: cx.now.after(LOSS_TTL),
+            until: cx.now.after(NOTICE_TTL),
             waiting_requests: vec![waiting_request],
         };
         cx.broadcast(&notice.message());
@@ -261,7 +208,7 @@
     }
 
     /// Records a crash and the requests that were in progress at the upstream, at this process or a
-    /// peer; convicts those that ran exclusively or reach [`CONVICTION_THRESHOLD`] (`RunAlone` only).
+    /// peer; convicts those that ran exclusively or reach [`CONVICTION_THRESHOLD`].
     pub(super) fn record_crash(
         &mut self,
         cx: &mut Cx<'_>,
@@ -272,11 +219,9 @@
         for digest in digests {
             self.evict_if_full();
             let suspicion = self.known.entry(*digest).or_insert_with(Suspicion::new);
-            suspicion
-                .incarnations
-                .insert(UpstreamIncarnation { upstream: upstream.clone(), incarnation: None }, cx.now);
+            suspicion.crashed.insert(upstream.clone());
             let convicted =
-                isolation == Isolation::Exclusive || suspicion.incarnations.len() >= CONVICTION_THRESHOLD;
+                isolation == Isolation::Exclusive || suspicion.crashed.len() >= CONVICTION_THRESHOLD;
             if convicted && !suspicion.convicted {
                 cx.log_event("request_convicted", digest, format!("crashed {upstream}"));
             } else if !convicted {
@@ -288,93 +233,9 @@
         }
     }
 
-    /// Records a request that was lost with an incarnation of an upstream, at this process
-    /// or a peer; reports whether the loss is new (`CountEnds` only).
-    ///
-    /// Only incarnations that have terminated according to the host list count; a broken
-    /// connection alone proves nothing about the request. [`Suspects::on_host_list`] counts them.
-    pub(super) fn record_loss(&mut self, cx: &Cx<'_>, loss: &Loss) -> bool {
-        self.evict_if_full();
-        let suspicion = self.known.entry(loss.request).or_insert_with(Suspicion::new);
-        let incarnation =
-            UpstreamIncarnation { upstream: loss.upstream.clone(), incarnation: loss.incarnation };
-        if suspicion.incarnations.contains_key(&incarnation) {
-            return false;
-        }
-        suspicion.incarnations.insert(incarnation.clone(), cx.now);
-        // A conviction lasts longer.
-        suspicion.until = suspicion.until.max(cx.now.after(LOSS_TTL));
-        self.lost_with.insert(incarnation, cx.now);
-        true
-    }
-
-    /// Records that an incarnation has answered a request that was sent to it after its losses were
-    /// noticed, so that none of them has terminated it (`CountEnds` only).
-    pub(super) fn record_answer(&mut self, run: &Run) {
-        let Some(incarnation) = run.incarnation else { return };
-        let answered = UpstreamIncarnation { upstream: run.upstream.clone(), incarnation: Some(incarnation) };
-        if self.lost_with.get(&answered).is_none_or(|noticed| run.sent <= *noticed) {
-            return;
-        }
-        self.lost_with.remove(&answered);
-        for suspicion in self.known.values_mut().filter(|suspicion| !suspicion.convicted) {
-            suspicion.incarnations.remove(&answered);
-        }
-        self.known.retain(|_, suspicion| !suspicion.incarnations.is_empty());
-    }
-
-    /// Reports whether a request is held back: it would be convicted if all its losses whose
-    /// terminations can't be listed yet counted (`CountEnds` only).
-    ///
-    /// Each attempt until then could crash one more upstream.
-    pub(super) fn is_held_back(&self, cx: &Cx<'_>, digest: Digest) -> bool {
-        self.policy == SuspectPolicy::CountEnds
-            && self.known.get(&digest).is_some_and(|suspicion| {
-                !suspicion.convicted && suspicion.perhaps_terminated(cx) >= CONVICTION_THRESHOLD
-            })
-    }
-
-    /// Reports whether the request would be convicted if one more of its losses were counted
-    /// (`CountEnds` only).
-    ///
-    /// The host list shows a termination only after a while. A request that is one termination
-    /// short of conviction would be sent again in the meantime and crash one more upstream.
-    pub(super) fn is_one_loss_from_conviction(&self, cx: &Cx<'_>, digest: Digest) -> bool {
-        if self.policy != SuspectPolicy::CountEnds {
-            return false;
-        }
-        let terminated = self.known.get(&digest).map_or(0, |suspicion| suspicion.terminated(cx));
-        terminated + 1 >= CONVICTION_THRESHOLD
-    }
-
-    /// Convicts requests that were lost with too many terminated incarnations (`CountEnds` only).
-    pub(super) fn on_host_list(&mut self, cx: &mut Cx<'_>) {
-        if self.policy != SuspectPolicy::CountEnds {
-            return;
-        }
-        for (digest, suspicion) in &mut self.known {
-            let terminated = suspicion.terminated(cx);
-            if terminated >= CONVICTION_THRESHOLD && !suspicion.convicted {
-                suspicion.convicted = true;
-                suspicion.until = cx.now.after(CONVICTION_TTL);
-                cx.log_event(
-                    "request_convicted",
-                    digest,
-                    format!("{terminated} upstreams terminated while running it"),
-                );
-            }
-        }
-    }
-
     /// Clears a request that ran to completion; reports whether it was suspect, so that its waiting
     /// requests have to be requeued.
-    ///
-    /// Under `CountEnds` no request waits for isolation, and none has to be requeued.
     pub(super) fn clear(&mut self, digest: Digest) -> bool {
-        if self.policy == SuspectPolicy::CountEnds {
-            self.known.remove(&digest);
-            return false;
-        }
         if self.status(digest) != SuspectStatus::Suspect {
             return false;
         }
@@ -403,7 +264,6 @@
     /// Removes expired suspicions, and contacts with peers that are no longer members.
     pub(super) fn remove_expired(&mut self, cx: &Cx<'_>) {
         self.known.retain(|_, suspicion| !suspicion.until.is_due(cx.now));
-        self.lost_with.retain(|_, noticed| !noticed.after(LOSS_TTL).is_due(cx.now));
         self.last_contact.retain(|host, _| cx.cache.member(host).is_some());
     }
 
--- a/crates/skylarkshore-core/src/serving/version_pin.rs
+++ b/crates/skylarkshore-core/src/serving/version_pin.rs
@@ -10,7 +10,6 @@
 use crate::event::Target;
 use crate::id::{RequestId, UpstreamId};
 use crate::serving::Serving;
-use crate::serving::arrival::route_query;
 use crate::serving::attempt::RETRY_AFTER;
 use crate::serving::disposition::Disposition;
 use crate::serving::queue::QueuePosition;
@@ -54,7 +53,7 @@
         for position in waiting {
             let id = position.due.request;
             let Some(request) = self.requests.get(&id) else { continue };
-            if let Some(upstream) = self.routes.choose(cx, route_query(request)) {
+            if let Some(upstream) = self.routes.choose(cx, self.route_query(request)) {
                 self.pinned.remove(&position);
                 self.claim_or_send(cx, id, upstream, Isolation::Shared);
             }
--- a/crates/skylarkshore-standins/examples/capacity.rs
+++ b/crates/skylarkshore-standins/examples/capacity.rs
@@ -17,7 +17,7 @@
 use skylarkshore_core::upstream::{
     EngineSpec, FenceCheck, OrderMode, Upstream, UpstreamKind, UpstreamStatus, WeightCopies,
 };
-use skylarkshore_standins::world::{Ask, HostSetup, Meter, NoFaults, Setup, World};
+use skylarkshore_standins::world::{Ask, Framing, HostSetup, Meter, NoFaults, Setup, World};
 
 const WARM_UP_SECS: u64 = 40;
 const MEASURED_SECS: u64 = 60;
@@ -128,7 +128,7 @@
         run_time: Duration::from_millis(300),
         crashes: false,
         silences: false,
-        unframed: false,
+        framing: Framing::Framed,
         is_repeat: false,
         stream: None,
     }
--- a/crates/skylarkshore-standins/src/replay/run.rs
+++ b/crates/skylarkshore-standins/src/replay/run.rs
@@ -12,7 +12,7 @@
 use super::outcome::Outcome;
 use super::policy::Policy;
 use super::trace::{Entry, RequestTarget, Trace};
-use crate::world::{Ask, NoFaults, Violation, World};
+use crate::world::{Ask, Framing, NoFaults, Violation, World};
 
 /// The time for the processes to acquire ownership of the engines before the trace starts.
 const WARM_UP: Duration = Duration::from_mins(1);
@@ -93,7 +93,7 @@
         run_time: entry.run,
         crashes: false,
         silences: false,
-        unframed: false,
+        framing: Framing::Framed,
         is_repeat: false,
         stream: None,
     })
--- a/crates/skylarkshore-standins/src/world.rs
+++ b/crates/skylarkshore-standins/src/world.rs
@@ -49,7 +49,7 @@
 use service::ServiceReplica;
 use streams::StreamLedger;
 
-pub use callers::{Ask, Callers, FinalAnswer, RequestKey, RequestLog};
+pub use callers::{Ask, Callers, FinalAnswer, Framing, RequestKey, RequestLog};
 pub use checks::Checks;
 pub use engine::Engine;
 pub use fatal_parts::CrashPoint;
--- a/crates/skylarkshore-standins/src/world/callers.rs
+++ b/crates/skylarkshore-standins/src/world/callers.rs
@@ -11,6 +11,15 @@
 use super::schedule::{Sender, SentRequest};
 use super::violation::Violation;
 
+/// How an answer ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By its length or its last chunk.
+    Framed,
+    /// With its connection.
+    Unframed,
+}
+
 /// A request to be sent by a caller.
 #[derive(Clone, Debug)]
 pub struct Ask {
@@ -34,8 +43,8 @@
     pub crashes: bool,
     /// Whether the replica that runs it goes silent, and ends as soon as the request is cancelled.
     pub silences: bool,
-    /// Whether its answer has neither a length nor chunks and ends with its connection.
-    pub unframed: bool,
+    /// How its answer ends.
+    pub framing: Framing,
     /// Whether its caller was refused before and comes again.
     pub is_repeat: bool,
     /// The part of a stream that it asks for, if its answer may be resumed.
--- a/crates/skylarkshore-standins/src/world/execute.rs
+++ b/crates/skylarkshore-standins/src/world/execute.rs
@@ -11,7 +11,7 @@
 use skylarkshore_core::time::Time;
 use skylarkshore_core::upstream::OrderAnswer;
 
-use super::callers::{FinalAnswer, RequestKey};
+use super::callers::{FinalAnswer, Framing, RequestKey};
 use super::engine::{Engine, Run};
 use super::fault::Strike;
 use super::schedule::{RunId, Sender, SentCall, SentOrder, SentRequest, Task};
@@ -425,7 +425,7 @@
         }
         let request = request_key(run.sent.from, run.sent.request);
         let Some(log) = self.callers.requests.get(&request) else { return };
-        if log.ask.unframed {
+        if log.ask.framing == Framing::Unframed {
             return self.end_run(&run, AttemptOutcome::CompletedUnframed);
         }
         let body = log.ask.digest.0.to_vec();
--- a/crates/skylarkshore-standins/src/world/replicas.rs
+++ b/crates/skylarkshore-standins/src/world/replicas.rs
@@ -7,7 +7,7 @@
 use skylarkshore_core::upstream::Upstream;
 
 use super::World;
-use super::callers::RequestKey;
+use super::callers::{Framing, RequestKey};
 use super::engine::Run;
 use super::execute::lost_outcome;
 use super::fatal_parts::CrashPoint;
@@ -139,7 +139,7 @@
     /// An answer that has neither a length nor chunks looks complete between two events.
     pub(crate) fn crash_outcome(&self, run: &Run) -> AttemptOutcome {
         let ask = self.callers.requests.get(&RequestKey::of(&run.sent)).map(|log| &log.ask);
-        let is_unframed = ask.is_some_and(|ask| ask.unframed);
+        let is_unframed = ask.is_some_and(|ask| ask.framing == Framing::Unframed);
         let point = ask.and_then(|ask| self.parts.fatal_of(&ask.parts)).map(|(_, at)| at);
         if run.started && is_unframed && point != Some(CrashPoint::WithinEvent) {
             return AttemptOutcome::CompletedUnframed;
--- a/crates/skylarkshore-standins/tests/world/fatal_parts.rs
+++ b/crates/skylarkshore-standins/tests/world/fatal_parts.rs
@@ -8,7 +8,7 @@
 use skylarkshore_core::time::Time;
 use skylarkshore_core::upstream::UpstreamKind;
 use skylarkshore_standins::world::{
-    Ask, CrashPoint, LinkLoss, NoFaults, RequestKey, Setup, StoreMode, World,
+    Ask, CrashPoint, Framing, LinkLoss, NoFaults, RequestKey, Setup, StoreMode, World,
 };
 
 use crate::support::{ask_once, assert_sound, at_secs, describe, digest, name, setup, upstream, world};
@@ -84,13 +84,17 @@
             timeout: Duration::from_secs(6),
             run_time: self.run_time,
             parts,
-            unframed: self.unframed && number % 2 == 0,
+            framing: if self.unframed && number.is_multiple_of(2) {
+                Framing::Unframed
+            } else {
+                Framing::Framed
+            },
             ..ask_once(number, number)
         }
     }
 
     fn fatal_of(&self, number: u64) -> Option<u64> {
-        let is_fatal = number % self.every == 0;
+        let is_fatal = number.is_multiple_of(self.every);
         let chosen = usize::try_from(number / self.every).expect("the number is small") % self.fatal.len();
         is_fatal.then(|| self.fatal[chosen])
     }
--- a/crates/skylarkshore-standins/tests/world/support.rs
+++ b/crates/skylarkshore-standins/tests/world/support.rs
@@ -12,7 +12,7 @@
 use skylarkshore_core::upstream::{
     EngineSpec, FenceCheck, OrderMode, Upstream, UpstreamKind, UpstreamStatus, WeightCopies,
 };
-use skylarkshore_standins::world::{Ask, Faults, HostSetup, Setup, World};
+use skylarkshore_standins::world::{Ask, Faults, Framing, HostSetup, Setup, World};
 
 pub(crate) const DATA_CENTRES: [&str; 3] = ["bern-a", "olten-b", "aarau-c"];
 pub(crate) const MODELS: [&str; 4] = ["summary", "lease", "classify", "draft"];
@@ -123,7 +123,7 @@
         run_time: Duration::from_millis(400),
         crashes: false,
         silences: false,
-        unframed: false,
+        framing: Framing::Framed,
         is_repeat: false,
         stream: None,
     }
