Try a request later that nothing else was lost with

A whole request that was lost with three upstreams that have ended, and with which no other suspect was lost each time, is probably the one that crashes them; a trial after half a second was one crash more than the three that tests/platform/multiple_hosts.rs allows. Requests whose losses a held back suspect of other requests explains are still tried at once.

--- a/crates/skylarkshore-core/src/evidence.rs
+++ b/crates/skylarkshore-core/src/evidence.rs
@@ -34,7 +34,7 @@
 use answered_parts::AnsweredParts;
 use loss::{LOSS_TTL, UpstreamIncarnation};
 use loss_reports::{LossReports, Reporter};
-use suspect::{HOLD_THRESHOLD, Suspect, SuspectKind};
+use suspect::{HOLD_THRESHOLD, Suspect, SuspectKind, TrialQuery};
 use unfinished::{Ending, UnfinishedAttempts};
 
 pub(crate) use loss::{Loss, SentTo};
@@ -139,14 +139,29 @@
         }
         let with_losses = self.known(cx, suspects).filter(|known| known.suspect.has_losses()).count();
         let held = self.known(cx, suspects).filter(|known| known.suspect.is_held_back(cx, known.kind));
-        let held = held.map(|known| HeldBack {
-            suspect: known.digest,
-            is_proved: known.suspect.terminated(cx) >= HOLD_THRESHOLD,
-            until: known.suspect.trial_due(cx, known.kind, with_losses == 1),
+        let held = held.map(|known| {
+            let is_explained =
+                known.kind == SuspectKind::Request && self.is_explained(cx, suspects, known.suspect);
+            let query = TrialQuery { kind: known.kind, is_single: with_losses == 1, is_explained };
+            HeldBack {
+                suspect: known.digest,
+                is_proved: known.suspect.terminated(cx) >= HOLD_THRESHOLD,
+                until: known.suspect.trial_due(cx, query),
+            }
         });
         held.max_by_key(|held| held.until)
     }
 
+    /// Reports whether suspects of other requests that are held back were lost with the same incarnations.
+    fn is_explained(&self, cx: &Cx<'_>, own: Suspects<'_>, suspect: &Suspect) -> bool {
+        let is_other = |digest: &Digest| *digest != own.request && !own.parts.contains(digest);
+        let held = self
+            .suspects
+            .iter()
+            .filter(|(digest, other)| is_other(digest) && other.is_held_back(cx, SuspectKind::PromptPart));
+        suspect.is_covered_by(&held.map(|(_, other)| other).collect::<Vec<_>>())
+    }
+
     /// Returns those suspects of a request that are known.
     fn known<'a>(
         &'a self,
--- a/crates/skylarkshore-core/src/evidence/suspect.rs
+++ b/crates/skylarkshore-core/src/evidence/suspect.rs
@@ -34,6 +34,18 @@
 const MAX_PAUSE: Duration = Duration::from_hours(24);
 /// After what time without a loss a request with other suspects may serve as a trial.
 const SINGLE_SUSPECT_TIME: Duration = Duration::from_secs(10);
+/// Shortest pause for a request whose upstreams have terminated, and nothing else was lost with all of them.
+const UNEXPLAINED_PAUSE: Duration = Duration::from_mins(1);
+
+/// What is known of the request that may serve as a trial of a suspect.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TrialQuery {
+    pub(super) kind: SuspectKind,
+    /// Whether no other suspect of the request has losses; otherwise its loss wouldn't tell them apart.
+    pub(super) is_single: bool,
+    /// Whether other suspects that are held back were lost with the same incarnations.
+    pub(super) is_explained: bool,
+}
 
 /// What a suspect is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -146,21 +158,30 @@
 
     /// Returns when a request with it may be tried, if it is held back.
     ///
-    /// A process that has started later knows of no trials, but of the losses in them. A request with other
-    /// suspects that have losses is tried later: its loss would not tell them apart.
-    pub(super) fn trial_due(&self, cx: &Cx<'_>, kind: SuspectKind, is_single_suspect: bool) -> Time {
-        let failed = match kind {
-            SuspectKind::Request | SuspectKind::PromptPart => self.count(cx).saturating_sub(HOLD_THRESHOLD),
-            SuspectKind::AnsweredPart => self.failed_trials,
-        };
-        let pauses = match kind {
-            SuspectKind::Request => &REQUEST_PAUSES[..],
-            SuspectKind::PromptPart | SuspectKind::AnsweredPart => &PART_PAUSES[..],
+    /// A process that has started later knows of no trials, but of the losses in them.
+    pub(super) fn trial_due(&self, cx: &Cx<'_>, query: TrialQuery) -> Time {
+        let after_trial = self.tried.map_or(Time::START, |tried| tried.after(TRIAL_TIME));
+        self.last_loss().after(self.pause(cx, query)).max(after_trial)
+    }
+
+    fn pause(&self, cx: &Cx<'_>, query: TrialQuery) -> Duration {
+        let further = self.count(cx).saturating_sub(HOLD_THRESHOLD);
+        let (pauses, failed) = match query.kind {
+            SuspectKind::Request => (&REQUEST_PAUSES[..], further),
+            SuspectKind::PromptPart => (&PART_PAUSES[..], further),
+            SuspectKind::AnsweredPart => (&PART_PAUSES[..], self.failed_trials),
         };
         let pause = pauses.get(failed).copied().unwrap_or(MAX_PAUSE);
-        let pause = if is_single_suspect { pause } else { pause.max(SINGLE_SUSPECT_TIME) };
-        let after_trial = self.tried.map_or(Time::START, |tried| tried.after(TRIAL_TIME));
-        self.last_loss().after(pause).max(after_trial)
+        let is_proved = self.terminated(cx) >= HOLD_THRESHOLD;
+        if query.kind == SuspectKind::Request && is_proved && !query.is_explained {
+            return pause.max(UNEXPLAINED_PAUSE);
+        }
+        if query.is_single { pause } else { pause.max(SINGLE_SUSPECT_TIME) }
+    }
+
+    /// Reports whether each of its losses is one of the others, too.
+    pub(super) fn is_covered_by(&self, others: &[&Self]) -> bool {
+        self.open().all(|(with, _)| others.iter().any(|other| other.losses.contains_key(with)))
     }
 
     /// Returns until when it has to be remembered.
