--- a/crates/skylarkshore-standins/tests/world/fault_matrix.rs
+++ b/crates/skylarkshore-standins/tests/world/fault_matrix.rs
@@ -10,7 +10,7 @@
 
 use crate::stream_callers::{StreamCallers, replica};
 use crate::support::{
-    ACTIVE_WATTS, MODELS, SLEEP_WATTS, ask_model, ask_once, at_secs, describe, document, name, setup,
+    ACTIVE_WATTS, MODELS, SLEEP_WATTS, ask_model, ask_once, at_secs, describe, digest, document, name, setup,
     upstream, world,
 };
 use rand::rngs::SmallRng;
@@ -21,7 +21,7 @@
 use skylarkshore_core::id::RulesRevision;
 use skylarkshore_core::upstream::UpstreamKind;
 use skylarkshore_standins::world::{
-    Ask, NoFaults, Planned, RequestKey, RequestLog, Setup, Strike, StrikeAt, Violation, World,
+    Ask, CrashPoint, NoFaults, Planned, RequestKey, RequestLog, Setup, Strike, StrikeAt, Violation, World,
 };
 
 const HOSTS: usize = 3;
@@ -68,9 +68,16 @@
     /// Streams of replicas of two software versions, which are broken off, go on and are taken up at other
     /// hosts, a release and its rollback, and a request that crashes replicas.
     Streams,
+    /// Requests of which no two are alike, some with a prompt part that crashes replicas.
+    FatalPart,
 }
 
 impl Scenario {
+    /// Reports whether the host list shows terminations of replicas.
+    const fn lists_terminations(self) -> bool {
+        matches!(self, Self::Streams | Self::FatalPart)
+    }
+
     fn setup(self, seed: u64) -> Setup {
         let mut setup = setup(HOSTS, seed);
         if self == Self::Scarce {
@@ -87,6 +94,12 @@
             setup.limits.suspects = SuspectPolicy::CountEnds;
             setup.limits.attempts = 4;
         }
+        if self == Self::FatalPart {
+            let extra = |i| upstream(&format!("market-{i}"), i, UpstreamKind::Service(name("market")));
+            setup.upstreams.extend((2..REPLICAS).map(extra));
+            setup.limits.suspects = SuspectPolicy::CountEnds;
+            setup.limits.attempts = 2;
+        }
         setup
     }
 }
@@ -116,6 +129,7 @@
         let scenario = match words.next().unwrap() {
             "Scarce" => Scenario::Scarce,
             "Streams" => Scenario::Streams,
+            "FatalPart" => Scenario::FatalPart,
             _ => Scenario::Plenty,
         };
         let seed = words.next().unwrap().parse().unwrap();
@@ -135,6 +149,7 @@
         Scenario::Plenty => plenty(world),
         Scenario::Scarce => scarce(world),
         Scenario::Streams => streams(world),
+        Scenario::FatalPart => fatal_part(world),
     }
     world.run_until(at_secs(STRIKES_END_SECS));
 }
@@ -210,6 +225,30 @@
     apply_new_rules(world, document(4 * ACTIVE_WATTS));
 }
 
+/// Sends requests about a few subjects, and after a while some with a fatal part among theirs.
+fn fatal_part(world: &mut World) {
+    const FATAL: u64 = 666;
+    const SOUND_STEPS: u64 = 25;
+    const STEPS: u64 = 140;
+
+    world.set_fatal(digest(FATAL), CrashPoint::WithinEvent);
+    for step in 0..STEPS {
+        let mut ask = Ask {
+            target: Target::Service(name("market")),
+            repeat: Repeat::Allowed,
+            parts: vec![digest(1), digest(100 + step % 5)],
+            run_time: Duration::from_millis(300),
+            ..ask_once(3000 + step, 3000 + step)
+        };
+        if step >= SOUND_STEPS && step.is_multiple_of(4) {
+            ask.parts.insert(1, digest(FATAL));
+        }
+        world.ask(usize::try_from(step).expect("the number is small") % HOSTS, &ask);
+        world.run_for(Duration::from_millis(100));
+    }
+    apply_new_rules(world, document(4 * ACTIVE_WATTS));
+}
+
 /// Replaces a replica by one of another software version.
 fn start_with(world: &mut World, number: usize, software: &str) {
     world.set_next_software(&replica(number), Some(name(software)));
@@ -225,7 +264,7 @@
 /// Runs a case and returns the violations.
 fn run(case: &Case) -> Vec<Violation> {
     let mut world = world(case.scenario.setup(case.seed), case.faults());
-    if case.scenario == Scenario::Streams {
+    if case.scenario.lists_terminations() {
         world.list_terminations(LISTING_LAG);
     }
     world.run_until(at_secs(BEGIN_SECS));
@@ -253,7 +292,9 @@
     let logs = || late.iter().map(|key| (key, &world.callers.requests[key]));
     let some = logs().any(|(_, log)| matches!(log.ask.target, Target::Model(_)) && log.is_answered());
     let missing = |log: &RequestLog| match (scenario, &log.ask.target) {
-        (Scenario::Plenty | Scenario::Streams, _) | (_, Target::Service(_)) => !log.is_answered(),
+        (Scenario::Plenty | Scenario::Streams | Scenario::FatalPart, _) | (_, Target::Service(_)) => {
+            !log.is_answered()
+        }
         (Scenario::Scarce, Target::Model(_)) => !some,
     };
     logs()
@@ -312,7 +353,7 @@
 /// Returns the serial numbers of the effects that leave the processes while a scenario runs.
 fn steps(scenario: Scenario, seed: u64) -> std::ops::Range<u64> {
     let mut world = world(scenario.setup(seed), NoFaults);
-    if scenario == Scenario::Streams {
+    if scenario.lists_terminations() {
         world.list_terminations(LISTING_LAG);
     }
     world.run_until(at_secs(BEGIN_SECS));
@@ -321,9 +362,13 @@
     first..world.serial() + 1
 }
 
-/// Returns cases with one fault each; each kind is injected at every `stride`-th effect.
+/// Returns cases with one fault each; each kind is injected at every eleventh effect.
 fn single(scenario: Scenario, seed: u64) -> Vec<Case> {
-    let stride = setting("FAULT_STRIDE", 11);
+    single_every(scenario, seed, 11)
+}
+
+fn single_every(scenario: Scenario, seed: u64, stride: u64) -> Vec<Case> {
+    let stride = setting("FAULT_STRIDE", stride);
     let mut cases = Vec::new();
     for serial in steps(scenario, seed) {
         for kind in 0..KINDS.len() {
@@ -346,7 +391,7 @@
 
 #[test]
 fn scenarios_without_faults_violate_nothing() {
-    for scenario in [Scenario::Plenty, Scenario::Scarce, Scenario::Streams] {
+    for scenario in [Scenario::Plenty, Scenario::Scarce, Scenario::Streams, Scenario::FatalPart] {
         for seed in 1..=4 {
             let case = Case { scenario, seed, strikes: Vec::new() };
             assert_eq!(run(&case), [], "{scenario:?} seed {seed}");
@@ -381,6 +426,17 @@
     run_all(&pairs(Scenario::Streams, 3, steps(Scenario::Streams, 3), 300));
 }
 
+#[test]
+fn one_fault_at_each_step_violates_nothing_while_a_prompt_part_crashes_replicas() {
+    // The scenario has many effects.
+    run_all(&single_every(Scenario::FatalPart, 4, 44));
+}
+
+#[test]
+fn two_faults_together_violate_nothing_while_a_prompt_part_crashes_replicas() {
+    run_all(&pairs(Scenario::FatalPart, 4, steps(Scenario::FatalPart, 4), 300));
+}
+
 #[test]
 fn two_faults_together_violate_nothing() {
     run_all(&pairs(Scenario::Plenty, 1, steps(Scenario::Plenty, 1), 300));
