Break the circle of files in serving

Nine files used one another in a circle: arrival, attempt, disposition, loss_reports, queue, request, routing, suspect, version_pin. The retry delay stands with the disposition and whose budget a target draws on with the budget, where neither of two needs the other, and the dispatch of pinned streams has a file of its own. No behaviour changes.

--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -35,6 +35,7 @@
 mod once;
 mod others_load;
 mod permits;
+mod pinned_requests;
 mod published_views;
 mod queue;
 mod request;
@@ -71,13 +72,13 @@
 use disposition::Disposition;
 use once::OnceClaims;
 use permits::Permits;
+use pinned_requests::PinnedRequests;
 use queue::Queue;
 use request::{Caller, Due, Request, RunHistory, State};
 use routing::Routes;
 use served_versions::ServedVersions;
 use stream_origins::StreamOrigins;
 use suspect::Suspects;
-use version_pin::PinnedRequests;
 use wait_estimate::WaitEstimator;
 
 /// Interval between the scans of [`Serving::run_housekeeping`].
@@ -279,7 +280,7 @@
     /// Refuses requests for as long as this host reaches no upstream, neither directly nor through a peer.
     pub(crate) fn set_stranded(&mut self, cx: &mut Cx<'_>, is_stranded: bool) {
         if is_stranded && !self.is_stranded {
-            self.refuse_queued(cx, &RefusalReason::NoUpstream, attempt::RETRY_AFTER);
+            self.refuse_queued(cx, &RefusalReason::NoUpstream, disposition::RETRY_AFTER);
         }
         self.is_stranded = is_stranded;
     }
--- a/crates/skylarkshore-core/src/serving/arrival.rs
+++ b/crates/skylarkshore-core/src/serving/arrival.rs
@@ -9,9 +9,8 @@
 use crate::id::{RequestId, UpstreamId};
 use crate::rules::{RuleInput, ServiceOrder};
 use crate::serving::Serving;
-use crate::serving::attempt::RETRY_AFTER;
-use crate::serving::budget::Destination;
-use crate::serving::disposition::Disposition;
+use crate::serving::budget::destination;
+use crate::serving::disposition::{Disposition, RETRY_AFTER};
 use crate::serving::once::{ClaimProgress, LocalUse};
 use crate::serving::queue::{Overflow, QueuePosition};
 use crate::serving::request::{Due, Isolation, Request, RunHistory, State};
@@ -393,11 +392,3 @@
         self.apply_disposition(cx, id, Disposition::Refuse { reason, retry_after });
     }
 }
-
-/// Returns whose retry budget a target draws on.
-pub(super) fn destination(cx: &Cx<'_>, target: &Target) -> Destination {
-    match target {
-        Target::Service(service) => Some(service.clone()),
-        Target::Model(target) => cx.document.catalogue.models.get(&target.model)?.pool.clone(),
-    }
-}
--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -11,9 +11,9 @@
 use crate::id::{AttemptId, Digest, HostId, RequestId, UpstreamId};
 use crate::peer::PeerMessage;
 use crate::serving::Serving;
-use crate::serving::arrival::destination;
 use crate::serving::budget::Destination;
-use crate::serving::disposition::Disposition;
+use crate::serving::budget::destination;
+use crate::serving::disposition::{Disposition, RETRY_AFTER};
 use crate::serving::request::{Caller, Due, Isolation, Run, RunHistory, State};
 use crate::serving::suspect::SuspectStatus;
 use crate::store::RecordedAnswer;
@@ -21,8 +21,6 @@
 /// Longest time that an answer is withheld from its caller until it is recorded under its
 /// idempotency key.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(300);
-/// Retry delay after all attempts have failed.
-pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// What another attempt costs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/skylarkshore-core/src/serving/budget.rs
+++ b/crates/skylarkshore-core/src/serving/budget.rs
@@ -5,6 +5,8 @@
 
 use crate::collections::OrderedMap;
 use crate::config::RetryLimits;
+use crate::cx::Cx;
+use crate::event::Target;
 use crate::id::ServiceName;
 use crate::member_count::MemberCount;
 use crate::time::Time;
@@ -29,6 +31,14 @@
 /// The service or pool that a retry is sent to; `None` for models outside of pools.
 pub(super) type Destination = Option<ServiceName>;
 
+/// Returns whose retry budget a target draws on.
+pub(super) fn destination(cx: &Cx<'_>, target: &Target) -> Destination {
+    match target {
+        Target::Service(service) => Some(service.clone()),
+        Target::Model(target) => cx.document.catalogue.models.get(&target.model)?.pool.clone(),
+    }
+}
+
 /// Limits retries.
 ///
 /// If many upstreams fail together, retrying every request would send several times the usual
--- a/crates/skylarkshore-core/src/serving/disposition.rs
+++ b/crates/skylarkshore-core/src/serving/disposition.rs
@@ -14,6 +14,8 @@
 use crate::serving::request::{Caller, Due, Isolation, Run, RunHistory, State};
 use crate::store::RecordedAnswer;
 
+/// Retry delay after all attempts have failed, or without an upstream.
+pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Longest time that a refusal waits for its claim to be released.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(300);
 
