--- a/crates/skylarkshore-core/src/evidence.rs
+++ b/crates/skylarkshore-core/src/evidence.rs
@@ -12,8 +12,8 @@
 //! - A suspect is *held back* after losses with [`HOLD_THRESHOLD`] incarnations that have terminated, or may
 //!   have as the host list can't show it yet. Requests with it are refused, except for a *trial*: one
 //!   at a time over all hosts, with a pause that grows with each trial that is lost, too.
-//! - A whole answer at any host clears all suspects of its request, as no fatal one has any. The other
-//!   requests that were lost in the same crashes are cleared in this way.
+//! - A whole answer clears all suspects of its request, as no fatal one has any: parts at all hosts, and the
+//!   request at its own, as the requests of other callers may have the same digest.
 
 mod answered_parts;
 mod loss;
@@ -68,6 +68,27 @@
     fn digests(&self) -> Vec<Digest> {
         std::iter::once(&self.request).chain(self.parts).copied().collect()
     }
+
+    fn with_reach(&self) -> Vec<AnsweredSuspect> {
+        let request = AnsweredSuspect { digest: self.request, reach: Reach::ThisHost };
+        let parts = self.parts.iter().map(|part| AnsweredSuspect { digest: *part, reach: Reach::AllHosts });
+        std::iter::once(request).chain(parts).collect()
+    }
+}
+
+/// For which hosts a whole answer speaks for a suspect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reach {
+    /// Only here: other callers may send a request with the same method, path and body that is sound.
+    ThisHost,
+    AllHosts,
+}
+
+/// A suspect of a request that got a whole answer.
+#[derive(Clone, Copy, Debug)]
+struct AnsweredSuspect {
+    digest: Digest,
+    reach: Reach,
 }
 
 /// Whether a request may be sent to an upstream.
@@ -328,29 +349,37 @@
         }
         self.answered_parts.record(cx.now, suspects.parts);
         if !self.suspects.is_empty() {
-            self.clear_all(cx, &suspects.digests());
+            self.clear_all(cx, &suspects.with_reach());
         }
     }
 
-    fn clear_all(&mut self, cx: &mut Cx<'_>, digests: &[Digest]) {
-        for digest in digests {
+    fn clear_all(&mut self, cx: &mut Cx<'_>, answered: &[AnsweredSuspect]) {
+        for AnsweredSuspect { digest, reach } in answered {
             let Some(suspect) = self.suspects.get(digest) else { continue };
-            let is_told = suspect.has_own_losses() || suspect.count(cx) >= TOLD_LOSSES;
+            let has_told_losses = suspect.has_own_losses() || suspect.count(cx) >= TOLD_LOSSES;
             self.clear(cx, *digest);
-            if is_told {
+            if *reach == Reach::ThisHost {
+                continue;
+            }
+            self.reports.forget(*digest);
+            if has_told_losses {
                 broadcast_via_relay(cx, &PeerMessage::Cleared { request: *digest });
             }
         }
     }
 
-    /// Clears a suspect of which a whole answer has been received, here or at a peer.
-    pub(crate) fn clear(&mut self, cx: &mut Cx<'_>, digest: Digest) {
+    /// Handles a peer's message that a suspect has had a whole answer.
+    pub(crate) fn on_cleared(&mut self, cx: &mut Cx<'_>, digest: Digest) {
+        self.clear(cx, digest);
+        self.reports.forget(digest);
+    }
+
+    fn clear(&mut self, cx: &mut Cx<'_>, digest: Digest) {
         let Some(suspect) = self.suspects.get_mut(&digest) else { return };
         if suspect.is_logged {
             cx.log_event("suspect_cleared", digest, "a request with it was answered");
         }
         suspect.clear();
-        self.reports.forget(digest);
     }
 
     /// Records that an incarnation has answered a request that was sent to it after its losses were
@@ -371,13 +400,13 @@
 
     /// Remembers an attempt that ended without an answer although no connection broke.
     pub(crate) fn on_unfinished(&mut self, now: Time, suspects: Suspects<'_>, sent: &SentTo) {
-        self.unfinished.record(now, sent, &suspects.digests(), Ending::WithoutAnswer);
+        self.unfinished.record(now, sent, &suspects.with_reach(), Ending::WithoutAnswer);
     }
 
     /// Remembers an attempt whose answer ended with its connection, which may be the end of its upstream.
     pub(crate) fn on_answered_unframed(&mut self, now: Time, suspects: Suspects<'_>, sent: &SentTo) {
         if self.is_kept {
-            self.unfinished.record(now, sent, &suspects.digests(), Ending::Unframed);
+            self.unfinished.record(now, sent, &suspects.with_reach(), Ending::Unframed);
         }
     }
 
--- a/crates/skylarkshore-core/src/evidence/unfinished.rs
+++ b/crates/skylarkshore-core/src/evidence/unfinished.rs
@@ -9,10 +9,11 @@
 
 use crate::collections::{HashMap, OrderedMap};
 use crate::cx::Cx;
-use crate::id::{Digest, UpstreamId};
+use crate::id::UpstreamId;
 use crate::time::Time;
 
 use super::loss::{Loss, SentTo, UpstreamIncarnation, listing_time};
+use super::{AnsweredSuspect, Reach};
 
 /// How long an upstream must have answered nothing to count as silent.
 const SILENCE: Duration = Duration::from_secs(1);
@@ -38,6 +39,7 @@
 struct Ended {
     at: Time,
     ending: Ending,
+    reach: Reach,
 }
 
 /// The unfinished attempts of the last seconds, which become losses if their upstream has ended.
@@ -53,13 +55,14 @@
 
 impl UnfinishedAttempts {
     /// Records an attempt that ends now.
-    pub(super) fn record(&mut self, now: Time, sent: &SentTo, suspects: &[Digest], ending: Ending) {
+    pub(super) fn record(&mut self, now: Time, sent: &SentTo, suspects: &[AnsweredSuspect], ending: Ending) {
         if sent.incarnation.is_none() {
             return;
         }
-        for loss in Loss::of_each(&sent.upstream, sent.incarnation, suspects) {
+        for AnsweredSuspect { digest, reach } in suspects {
             self.evict_if_full();
-            self.attempts.insert(loss, Ended { at: now, ending });
+            let loss = Loss { with: sent.incarnation(), suspect: *digest };
+            self.attempts.insert(loss, Ended { at: now, ending, reach: *reach });
         }
         let last_answer = self.last_answers.get(&sent.upstream);
         let is_silent = last_answer.is_none_or(|at| *at < sent.at || at.after(SILENCE).is_due(now));
@@ -71,7 +74,7 @@
 
     /// Records that an upstream has answered an attempt; returns the suspects of unframed answers that
     /// were whole, as the upstream has lived on.
-    pub(super) fn on_alive(&mut self, now: Time, sent: &SentTo) -> Vec<Digest> {
+    pub(super) fn on_alive(&mut self, now: Time, sent: &SentTo) -> Vec<AnsweredSuspect> {
         self.last_answers.insert(sent.upstream.clone(), now);
         if self.attempts.is_empty() {
             return Vec::new();
@@ -79,7 +82,7 @@
         let alive = sent.incarnation();
         let struck = self.attempts.extract_if(.., |loss, ended| loss.with == alive && sent.at > ended.at);
         let whole = struck.filter(|(_, ended)| ended.ending == Ending::Unframed);
-        whole.map(|(loss, _)| loss.suspect).collect()
+        whole.map(|(loss, ended)| AnsweredSuspect { digest: loss.suspect, reach: ended.reach }).collect()
     }
 
     /// Returns the upstreams to be probed, and forgets attempts whose upstream would be shown to have ended.
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -373,7 +373,7 @@
                 self.evidence.on_acknowledged(from, Loss::of_each(upstream, *incarnation, requests));
             }
             PeerMessage::Cleared { request: digest } => {
-                self.evidence.clear(cx, *digest);
+                self.evidence.on_cleared(cx, *digest);
                 if self.suspects.clear(*digest) {
                     self.requeue_cleared(cx, *digest);
                 }
