Don't report losses whose incarnation isn't known

Peers take a report without an incarnation for a trial, don't acknowledge it, and would be told again for two minutes, with no trial of their own all the while. An upstream that is sent a request is listed with its incarnation, so that no test reaches the case; found by reading.

--- a/crates/skylarkshore-core/src/evidence.rs
+++ b/crates/skylarkshore-core/src/evidence.rs
@@ -290,7 +290,7 @@
         self.record_losses(cx, &losses, Reporter::Own);
     }
 
-    /// Records losses, and reports those that are new.
+    /// Records losses, and reports those that are new; returns how many are.
     fn record_losses(&mut self, cx: &mut Cx<'_>, losses: &[Loss], reporter: Reporter) -> usize {
         let mut new = 0;
         for loss in losses {
@@ -300,8 +300,11 @@
             new += 1;
             let Self { suspects, reports, .. } = self;
             let count = |digest| suspects.get(&digest).map_or(0, |suspect| suspect.count(cx));
-            reports.evict_if_full(count);
-            reports.add(cx, loss, reporter);
+            // Peers would take a loss without an incarnation for a trial.
+            if loss.with.incarnation.is_some() {
+                reports.evict_if_full(count);
+                reports.add(cx, loss, reporter);
+            }
         }
         new
     }
@@ -342,7 +345,8 @@
         self.reports.on_acknowledged(from, losses);
     }
 
-    /// Records that a request has got a whole answer, which clears its suspects here and at the peers.
+    /// Records that a request has got a whole answer, which clears the request here, and the parts of its prompt
+    /// at the peers, too.
     pub(crate) fn on_answered(&mut self, cx: &mut Cx<'_>, suspects: Suspects<'_>) {
         if !self.is_kept {
             return;
@@ -353,6 +357,7 @@
         }
     }
 
+    /// Clears suspects, and tells the peers of parts that these may hold back.
     fn clear_all(&mut self, cx: &mut Cx<'_>, answered: &[AnsweredSuspect]) {
         for AnsweredSuspect { digest, reach } in answered {
             let Some(suspect) = self.suspects.get(digest) else { continue };
