Tell requests apart by the prompt parts that they name, too

Callers of streams got nothing but refusals once a part had crashed replicas, where bodies are alike: the soak's streams have no body, and their one digest was convicted with the fatal ones.

The digest of a request that names prompt parts holds these since.

--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -99,7 +99,7 @@
     pub target: Target,
     /// Whether and how it may be retried.
     pub repeat: Repeat,
-    /// Digest of method, path and body.
+    /// Digest of method, path and body, and of the prompt's shared parts if it names them.
     pub digest: Digest,
     /// Digests of the prompt's parts that other requests may share.
     pub parts: Vec<Digest>,
