--- a/crates/skylarkshore-core/src/config.rs
+++ b/crates/skylarkshore-core/src/config.rs
@@ -200,7 +200,7 @@
 pub enum SuspectPolicy {
     /// A request that was in progress when an upstream died is retried alone on an upstream.
     RunAlone,
-    /// Counts, for each request, the upstreams that terminated while it ran.
+    /// Counts, for each request and each part of its prompt, the upstreams that terminated while it ran.
     ///
     /// If upstreams often lose connections without dying, running every suspect alone
     /// would block an engine for all other requests each time.
