--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -34,6 +34,7 @@
 mod context;
 pub(crate) mod hashing;
 mod homes;
+mod introductions;
 mod introspection;
 mod inventory;
 mod membership;
@@ -45,7 +46,9 @@
 mod power;
 mod power_budget;
 pub(crate) mod relay;
+mod relay_root;
 mod relay_tree;
+mod state_provider;
 mod store_sync;
 mod vacancy;
 
@@ -54,6 +57,7 @@
 use bootstrap::Bootstrap;
 use context::ReviewContext;
 use homes::Homes;
+use introductions::Introductions;
 use inventory::EngineInventory;
 use membership::Membership;
 use news_pull::NewsPull;
@@ -61,6 +65,8 @@
 use peers::{LocalStatus, Peers};
 use power::Power;
 use relay::Relay;
+use relay_root::RelayRoot;
+use state_provider::StateProvider;
 use store_sync::StoreSync;
 
 use crate::authority::{Authority, EngineUse, OwnershipChange, Permit};
@@ -90,7 +96,10 @@
     peers: Peers,
     store_sync: StoreSync,
     bootstrap: Bootstrap,
+    introductions: Introductions,
+    state_provider: StateProvider,
     relay: Relay,
+    relay_root: RelayRoot,
     news_pull: NewsPull,
     inventory: EngineInventory,
     ownership: Ownership,
@@ -116,7 +125,10 @@
             peers: Peers::default(),
             store_sync: StoreSync::default(),
             bootstrap: Bootstrap::default(),
+            introductions: Introductions::default(),
+            state_provider: StateProvider::default(),
             relay: Relay::default(),
+            relay_root: RelayRoot::default(),
             news_pull: NewsPull::default(),
             inventory: EngineInventory::default(),
             ownership: Ownership::default(),
@@ -147,9 +159,10 @@
         self.membership.on_tick(cx);
         self.peers.on_tick(cx, self.local_status());
         self.store_sync.on_tick(cx);
-        self.bootstrap.on_tick(cx, &mut self.store_sync);
-        self.relay.on_tick(cx);
+        self.bootstrap.on_tick(cx, &mut self.store_sync, &mut self.peers);
         if self.store_sync.is_synced() {
+            self.relay.on_tick(cx, &mut self.peers);
+            self.relay_root.on_tick(cx, self.relay.is_root());
             self.news_pull.on_tick(cx, self.store_sync.is_watch_unanswered());
         }
         if self.last_review.after(self.review_interval(engine_use)).is_due(cx.now) {
@@ -223,7 +236,6 @@
         self.membership.on_store(cx, call, result);
         self.store_sync.on_store(cx, call, result);
         self.bootstrap.on_store(cx, &mut self.store_sync, call, result);
-        self.bootstrap.send_pending_state(cx, &self.store_sync);
     }
 
     /// Handles the outcome of a write of a member, owner, homes or power key.
@@ -234,6 +246,7 @@
             Key::Owner(engine) => self.ownership.on_write(cx, &self.inventory, engine, outcome),
             Key::Homes(model) => self.homes.on_write(cx, &self.inventory, model, outcome),
             Key::Power(site) => self.power.on_write(cx, site, outcome),
+            Key::RelayRoot(_) => self.on_root_written(cx, outcome),
             Key::Document | Key::Catalogue | Key::Once(_) => {}
         }
     }
@@ -247,14 +260,18 @@
             Key::Homes(model) => self.homes.on_change(cx, &self.inventory, model),
             Key::Power(site) => self.power.on_change(cx, site),
             Key::Document | Key::Catalogue => self.homes.update_all(cx, &self.inventory),
-            Key::Once(_) => {}
+            Key::RelayRoot(_) | Key::Once(_) => {}
         }
     }
 
+    fn on_root_written(&mut self, cx: &mut Cx<'_>, outcome: &WriteOutcome) {
+        self.bootstrap.on_write(cx, &mut self.store_sync, outcome);
+        self.relay_root.on_write();
+    }
+
     /// Records that a peer has sent the state up to `upto`.
     pub fn on_snapshot(&mut self, cx: &mut Cx<'_>, upto: StoreRevision) {
         self.store_sync.on_peer_state(cx, upto);
-        self.bootstrap.send_pending_state(cx, &self.store_sync);
     }
 
     /// Requests the changes that are missing between two news messages from peers.
@@ -312,11 +329,16 @@
         self.peers.on_peer(cx, from, message);
         self.news_pull.on_peer(cx.now, self.store_sync.frontier(), from, message);
         self.store_sync.on_peer(cx, from, message);
-        self.bootstrap.on_peer(cx, &self.store_sync, from, message);
+        self.bootstrap.on_peer(cx, from, message);
+        if let PeerMessage::Heartbeat { store, .. } = message {
+            self.state_provider.on_heartbeat(from, *store);
+        }
         match message {
             PeerMessage::News(news) => self.relay.on_news(cx, from, news),
             // The requester regards this process as its parent and expects news from it.
-            PeerMessage::StateWanted => self.relay.add_temporary_child(cx.now, from),
+            PeerMessage::StateWanted if self.state_provider.on_request(cx, &self.store_sync, from) => {
+                self.relay.add_temporary_child(cx.now, from);
+            }
             // A broadcast to all processes, which travels along the relay trees as news does.
             PeerMessage::Spread { .. } => self.relay.relay_spread(cx, from, message),
             _ => {}
@@ -328,8 +350,8 @@
     }
 
     /// Handles a connection from a process whose certificate no known member has published.
-    pub fn on_unknown_peer(&mut self, cx: &mut Cx<'_>) {
-        self.bootstrap.on_unknown_peer(cx);
+    pub fn on_unknown_peer(&mut self, cx: &mut Cx<'_>, host: &HostId) {
+        self.introductions.on_unknown_peer(cx, host);
     }
 
     /// Records that this incarnation of a process has definitely ended.
--- a/crates/skylarkshore-core/src/control/backoff.rs
+++ b/crates/skylarkshore-core/src/control/backoff.rs
@@ -39,6 +39,11 @@
         *self = Self::default();
     }
 
+    /// Returns when the next attempt is allowed.
+    pub(super) const fn retry_at(&self) -> Time {
+        self.retry_at
+    }
+
     /// Delays the next attempt until `time` without counting a failure.
     pub(super) fn delay_until(&mut self, time: Time) {
         self.retry_at = time;
--- a/crates/skylarkshore-core/src/control/bootstrap.rs
+++ b/crates/skylarkshore-core/src/control/bootstrap.rs
@@ -1,64 +1,95 @@
 //! Initial synchronisation of a process with the shared keys.
 //!
-//! If all processes of a large cluster start together and read everything, the key-value
-//! service's link is busy for longer than callers wait. A process of a large cluster
-//! therefore reads only the members and requests the rest from one of them; it reads
-//! everything itself if none answers. Start reading at [`Bootstrap`].
+//! If all processes of a large cluster start together and read everything, or even all members, the
+//! key-value service's link is busy for longer than callers wait, and every read times out. What a
+//! process reads before it knows how many others there are is therefore a single key, the
+//! [`RelayRootRecord`] of its data centre:
+//!
+//! - It names a small cluster: the process reads the shared keys itself.
+//! - There is none: the process claims it, waits until others are registered, and reads for them.
+//! - Otherwise it waits for a heartbeat of a process that knows the shared keys and requests them
+//!   there. If the record stays the same for too long meanwhile, it claims it.
+//!
+//! So at most one process of a data centre begins to read in [`ROOT_TIMEOUT`], and no wait is without
+//! an end. Start reading at [`Bootstrap`].
 
 use std::time::Duration;
 
-use rand::Rng;
-
-use super::peers::data_centre_peers;
-use super::relay::has_many_members;
-use super::relay_tree::RelayTree;
+use super::backoff::Backoff;
+use super::peers::Peers;
+use super::relay::MAX_DIRECT_MEMBERS;
 use super::store_sync::StoreSync;
-use crate::collections::OrderedMap;
 use crate::config::Watchers;
 use crate::cx::Cx;
 use crate::effect::Effect;
 use crate::id::{CallId, HostId, StoreRevision};
-use crate::peer::{PeerMessage, StatePart};
-use crate::store::{StoreAnswer, StoreCall, StoreResult};
+use crate::peer::PeerMessage;
+use crate::store::{
+    Expect, Key, Record, RelayRootRecord, StoreAnswer, StoreCall, StoreResult, Versioned, WriteOutcome,
+    WriteRequest,
+};
 use crate::time::Time;
 
-/// Delay before the members are read again, so that processes that start at the same time are registered.
+/// Delay before a claimed root reads, so that processes that start at the same time are registered.
 const REGISTRATION_WAIT: Duration = Duration::from_millis(700);
-/// Minimum interval between two reads of the members caused by unknown peers.
-const MEMBERS_READ_INTERVAL: Duration = Duration::from_secs(1);
-/// Timeout of the read of the members, which takes several calls, as a multiple of `store_timeout`.
-const MEMBERS_READ_TIMEOUT_FACTOR: u32 = 8;
-/// Number of requests to the parent before another member is asked.
-const MAX_PARENT_REQUESTS: u32 = 3;
-/// How long to wait for an answer before another member is asked.
-const STATE_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
-/// How soon the state is sent again to a member that repeats its request.
-const STATE_RESEND_INTERVAL: Duration = Duration::from_secs(4);
-/// Maximum number of requests, including repeats to a member that is not in sync itself.
-const MAX_STATE_REQUESTS: u32 = 6;
+/// Interval between two reads of the root's record.
+const ROOT_READ_INTERVAL: Duration = Duration::from_secs(1);
+/// How long a root may take before another process claims its record.
+const ROOT_TIMEOUT: Duration = Duration::from_secs(4);
+/// Deadline of the write of the root's record.
+const CLAIM_DEADLINE: Duration = Duration::from_secs(2);
+/// How long a member that was asked may take to announce the state.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time without a part of the announced state after which another member is asked.
+const STATE_TIMEOUT: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Debug)]
 enum Stage {
-    /// Reading the members; the keys may belong to processes that no longer run.
-    ReadingMembers { call: CallId },
-    /// Waiting until other starting processes are registered.
+    /// Reading the root's record.
+    ReadingRoot { call: CallId, deadline: Time },
+    /// Writing the root's record.
+    Claiming,
+    /// Waiting until other starting processes are registered, as the root.
     AwaitingRegistrations { until: Time },
-    /// Reading the members again.
-    Rereading { call: CallId, deadline: Time },
+    /// Reading the shared keys, as the root.
+    ReadingAll,
+    /// Reading the shared keys, as every process of a small cluster does.
+    ReadingAlone,
+    /// Waiting for the heartbeat of a member that knows the shared keys.
+    AwaitingOffer { next_root_read: Time },
     /// Waiting for the state from a member.
-    AwaitingState { until: Time },
+    AwaitingState { from: HostId, until: Time },
+}
+
+impl Stage {
+    /// Returns the stage's name for the log.
+    const fn name(&self) -> &'static str {
+        match self {
+            Self::ReadingRoot { .. } => "reading_root",
+            Self::Claiming => "claiming_root",
+            Self::AwaitingRegistrations { .. } => "awaiting_registrations",
+            Self::ReadingAll => "reading_for_others",
+            Self::ReadingAlone => "reading_alone",
+            Self::AwaitingOffer { .. } => "awaiting_offer",
+            Self::AwaitingState { .. } => "awaiting_state",
+        }
+    }
 }
 
-/// Progress of the initial synchronisation, and the members that wait for this process.
+/// The root's record as it was first read.
+#[derive(Clone, Copy, Debug)]
+struct SeenRoot {
+    revision: StoreRevision,
+    since: Time,
+}
+
+/// Progress of the initial synchronisation.
 #[derive(Debug, Default)]
 pub(super) struct Bootstrap {
     stage: Option<Stage>,
-    state_requests: u32,
-    next_members_read: Time,
-    /// Members that requested the state before this process was in sync.
-    pending_requesters: Vec<HostId>,
-    /// When the state was last sent to each member.
-    state_sent_at: OrderedMap<HostId, Time>,
+    started_at: Time,
+    seen_root: Option<SeenRoot>,
+    backoff: Backoff,
 }
 
 impl Bootstrap {
@@ -67,9 +98,14 @@
         if cx.cfg.watchers != Watchers::Relayed {
             return sync.read(cx);
         }
-        let call = cx.next_call();
-        self.stage = Some(Stage::ReadingMembers { call });
-        cx.push(Effect::Store { call, request: StoreCall::ReadMembers });
+        self.started_at = cx.now;
+        sync.await_peer_state(cx);
+        self.read_root(cx);
+    }
+
+    /// Returns the name of the current stage; none once this process knows the shared keys.
+    pub(super) fn stage_name(&self) -> Option<&'static str> {
+        self.stage.as_ref().map(Stage::name)
     }
 
     /// Handles the result of a store call, which may belong to another part of the process.
@@ -80,142 +116,179 @@
         call: CallId,
         result: &StoreResult,
     ) {
-        match self.stage.clone() {
-            Some(Stage::ReadingMembers { call: own }) if own == call => {
-                let is_known = matches!(result, Ok(StoreAnswer::Members(_)));
-                if !is_known || !has_many_members(cx) {
-                    self.stage = None;
-                    return sync.read(cx);
-                }
-                self.stage =
-                    Some(Stage::AwaitingRegistrations { until: cx.now.after(cx.jitter(REGISTRATION_WAIT)) });
+        let Some(Stage::ReadingRoot { call: own, .. }) = self.stage else { return };
+        if own != call {
+            return;
+        }
+        match result {
+            Ok(StoreAnswer::One(found)) => {
+                self.backoff.reset();
+                self.on_root(cx, sync, found);
             }
-            Some(Stage::Rereading { call: own, .. }) if own == call => self.on_members(cx, sync),
-            _ => {}
+            _ => self.retry_root(cx, "the service didn't answer"),
         }
     }
 
-    /// Requests the state from a member, or reads it if this process is the root of the relay tree.
-    fn on_members(&mut self, cx: &mut Cx<'_>, sync: &mut StoreSync) {
-        if RelayTree::of(cx).is_root {
-            self.stage = None;
-            return sync.read(cx);
+    /// Handles the outcome of a write of the root's record.
+    pub(super) fn on_write(&mut self, cx: &mut Cx<'_>, sync: &mut StoreSync, outcome: &WriteOutcome) {
+        if !matches!(self.stage, Some(Stage::Claiming)) {
+            return;
         }
-        sync.await_peer_state(cx);
-        self.request_state(cx, sync);
-    }
-
-    /// Reads the members after a connection from a process that is not a known member.
-    pub(super) fn on_unknown_peer(&mut self, cx: &mut Cx<'_>) {
-        if cx.cfg.watchers == Watchers::Relayed && self.next_members_read.is_due(cx.now) {
-            self.next_members_read = cx.now.after(MEMBERS_READ_INTERVAL);
-            let call = cx.next_call();
-            cx.push(Effect::Store { call, request: StoreCall::ReadMembers });
+        match outcome {
+            WriteOutcome::Done(_) => {
+                let until = cx.now.after(cx.jitter(REGISTRATION_WAIT));
+                self.enter(cx, Stage::AwaitingRegistrations { until }, "this process reads for the others");
+            }
+            WriteOutcome::Conflict(found) => self.on_root(cx, sync, found),
+            WriteOutcome::NotDone | WriteOutcome::Unknown => self.retry_root(cx, "the claim wasn't written"),
         }
     }
 
-    /// Requests the state from the next member when that is due.
-    pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>, sync: &mut StoreSync) {
-        // The state has arrived, or this process is reading it from the key-value service.
-        if sync.is_synced() || !sync.has_no_pending_read() {
-            self.stage = None;
-            return;
+    /// Decides by the root's record who reads the shared keys.
+    fn on_root(&mut self, cx: &mut Cx<'_>, sync: &mut StoreSync, found: &Versioned) {
+        let Some(Record::RelayRoot(root)) = &found.record else {
+            return self.claim(cx, Expect::Absent, "there is no root");
+        };
+        if root.members.is_some_and(|members| members <= MAX_DIRECT_MEMBERS) {
+            self.enter(cx, Stage::ReadingAlone, "the cluster is small");
+            return sync.read(cx);
         }
-        match &self.stage {
-            Some(Stage::AwaitingRegistrations { until }) if until.is_due(cx.now) => self.reread_members(cx),
-            Some(Stage::Rereading { deadline, .. }) if deadline.is_due(cx.now) => self.on_members(cx, sync),
-            Some(Stage::AwaitingState { until }) if until.is_due(cx.now) => self.request_state(cx, sync),
-            _ => {}
+        if root.host == cx.cfg.host {
+            return self.claim(cx, Expect::At(found.revision), "the record names this host");
+        }
+        let seen = self.seen_root.filter(|seen| seen.revision == found.revision);
+        let seen =
+            *self.seen_root.insert(seen.unwrap_or(SeenRoot { revision: found.revision, since: cx.now }));
+        if seen.since.after(ROOT_TIMEOUT).is_due(cx.now) {
+            return self.claim(cx, Expect::At(found.revision), "the root takes too long");
         }
+        self.await_offer(cx, &format!("{} reads for the others", root.host));
     }
 
-    fn reread_members(&mut self, cx: &mut Cx<'_>) {
+    fn claim(&mut self, cx: &mut Cx<'_>, expect: Expect, why: &str) {
+        let record =
+            RelayRootRecord { host: cx.cfg.host.clone(), incarnation: cx.cfg.incarnation, members: None };
+        cx.write(WriteRequest {
+            key: root_key(cx),
+            expect,
+            record: Some(Record::RelayRoot(record)),
+            lease: None,
+            deadline: cx.now.after(CLAIM_DEADLINE),
+        });
+        self.enter(cx, Stage::Claiming, why);
+    }
+
+    fn read_root(&mut self, cx: &mut Cx<'_>) {
         let call = cx.next_call();
-        let deadline = cx.now.after(cx.cfg.timings.store_timeout * MEMBERS_READ_TIMEOUT_FACTOR);
-        self.stage = Some(Stage::Rereading { call, deadline });
-        cx.push(Effect::Store { call, request: StoreCall::ReadMembers });
+        let deadline = cx.now.after(cx.cfg.timings.store_timeout * 2);
+        self.stage = Some(Stage::ReadingRoot { call, deadline });
+        cx.push(Effect::Store { call, request: StoreCall::Read(root_key(cx)) });
     }
 
-    /// Requests the state from a member, or reads it from the key-value service after enough requests.
-    fn request_state(&mut self, cx: &mut Cx<'_>, sync: &mut StoreSync) {
-        let host = self.next_provider(cx).filter(|_| self.state_requests < MAX_STATE_REQUESTS);
-        let Some(host) = host else {
-            self.stage = None;
-            return sync.read(cx);
-        };
-        self.state_requests += 1;
-        cx.push(Effect::ExtendStateWait);
-        cx.send(&host, PeerMessage::StateWanted);
-        self.stage = Some(Stage::AwaitingState { until: cx.now.after(STATE_REQUEST_TIMEOUT) });
+    /// Reads the root's record again after a pause that grows with each failure.
+    fn retry_root(&mut self, cx: &mut Cx<'_>, why: &str) {
+        self.backoff.record_failure(cx);
+        self.enter(cx, Stage::AwaitingOffer { next_root_read: self.backoff.retry_at() }, why);
     }
 
-    /// Returns the member to ask: first the parent, which may not know this process
-    /// yet, then a random one of the data centre.
-    fn next_provider(&self, cx: &mut Cx<'_>) -> Option<HostId> {
-        if self.state_requests < MAX_PARENT_REQUESTS
-            && let Some(parent) = RelayTree::of(cx).parent
-        {
-            return Some(parent);
+    fn await_offer(&mut self, cx: &mut Cx<'_>, why: &str) {
+        let next_root_read = cx.now.after(cx.jitter(ROOT_READ_INTERVAL));
+        self.enter(cx, Stage::AwaitingOffer { next_root_read }, why);
+    }
+
+    fn enter(&mut self, cx: &mut Cx<'_>, stage: Stage, why: &str) {
+        let name = stage.name();
+        let is_repeated = self.stage_name() == Some(name);
+        self.stage = Some(stage);
+        if !is_repeated {
+            let waited_ms = cx.now.since(self.started_at).as_millis();
+            cx.log_event("start_stage", name, format!("{why}; after_ms={waited_ms}"));
         }
-        let local_peers: Vec<HostId> = data_centre_peers(cx).collect();
-        (!local_peers.is_empty()).then(|| local_peers[cx.rng.random_range(0..local_peers.len())].clone())
     }
 
-    /// Handles a peer message.
-    pub(super) fn on_peer(
-        &mut self,
-        cx: &mut Cx<'_>,
-        sync: &StoreSync,
-        from: &HostId,
-        message: &PeerMessage,
-    ) {
-        match message {
-            PeerMessage::StateWanted => {
-                if !self.pending_requesters.contains(from) && !self.was_sent_recently(cx.now, from) {
-                    self.pending_requesters.push(from.clone());
-                }
-                cx.send(from, PeerMessage::StateComing);
-                self.send_pending_state(cx, sync);
+    /// Goes on when a wait has ended.
+    pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>, sync: &mut StoreSync, peers: &mut Peers) {
+        if self.stage.is_none() {
+            return;
+        }
+        if sync.is_synced() {
+            return self.finish(cx, sync, peers);
+        }
+        match &self.stage {
+            Some(Stage::ReadingRoot { deadline, .. }) if deadline.is_due(cx.now) => {
+                self.retry_root(cx, "the service didn't answer");
+            }
+            Some(Stage::AwaitingRegistrations { until }) if until.is_due(cx.now) => {
+                self.enter(cx, Stage::ReadingAll, "others are registered");
+                sync.read(cx);
+            }
+            // Another process may have claimed the record meanwhile.
+            Some(Stage::ReadingAll) if sync.has_failed_read() => {
+                sync.await_peer_state(cx);
+                self.retry_root(cx, "the shared keys weren't read");
             }
-            PeerMessage::StateComing => {
-                if let Some(Stage::AwaitingState { until }) = &mut self.stage {
-                    *until = cx.now.after(STATE_REQUEST_TIMEOUT * 2);
-                    cx.push(Effect::ExtendStateWait);
-                }
+            Some(Stage::AwaitingOffer { next_root_read }) if next_root_read.is_due(cx.now) => {
+                self.read_root(cx);
+            }
+            Some(Stage::AwaitingState { from, until }) if until.is_due(cx.now) => {
+                let why = format!("{from} doesn't send the state");
+                self.await_offer(cx, &why);
             }
-            PeerMessage::State(part) => self.on_state_part(cx, part),
             _ => {}
         }
     }
 
-    /// Applies a part of the state, and extends the timeout for the next one.
-    fn on_state_part(&mut self, cx: &mut Cx<'_>, part: &StatePart) {
-        if let Some(Stage::AwaitingState { until }) = &mut self.stage {
-            *until = cx.now.after(STATE_REQUEST_TIMEOUT);
+    fn finish(&mut self, cx: &mut Cx<'_>, sync: &StoreSync, peers: &mut Peers) {
+        // The sender may have others waiting.
+        if let Some(Stage::AwaitingState { from, .. }) = &self.stage {
+            peers.send_heartbeats_to(cx.now, from);
+        }
+        let stage = self.stage_name().unwrap_or("none");
+        self.stage = None;
+        let after_ms = cx.now.since(self.started_at).as_millis();
+        let revision = sync.frontier();
+        cx.log_event("start_synchronised", stage, format!("revision={revision} after_ms={after_ms}"));
+    }
+
+    /// Handles a peer message.
+    pub(super) fn on_peer(&mut self, cx: &mut Cx<'_>, from: &HostId, message: &PeerMessage) {
+        match message {
+            PeerMessage::Heartbeat { store, .. } if *store > StoreRevision(0) => self.on_offer(cx, from),
+            PeerMessage::StateComing => self.extend_wait(cx, from),
+            PeerMessage::State(part) => {
+                self.extend_wait(cx, from);
+                cx.push(Effect::ApplyStatePart(part.clone()));
+            }
+            _ => {}
         }
-        cx.push(Effect::ApplyStatePart(part.clone()));
     }
 
-    /// Sends the state to all members that wait for it, once this process is in sync.
-    pub(super) fn send_pending_state(&mut self, cx: &mut Cx<'_>, sync: &StoreSync) {
-        if !sync.is_synced() || self.pending_requesters.is_empty() {
+    /// Requests the state from a member that knows it.
+    fn on_offer(&mut self, cx: &mut Cx<'_>, from: &HostId) {
+        let is_waiting = matches!(
+            self.stage,
+            Some(
+                Stage::ReadingRoot { .. } | Stage::AwaitingRegistrations { .. } | Stage::AwaitingOffer { .. }
+            )
+        );
+        if !is_waiting {
             return;
         }
-        let pending_requesters = std::mem::take(&mut self.pending_requesters);
-        self.state_sent_at.retain(|_, at| !at.after(STATE_RESEND_INTERVAL).is_due(cx.now));
-        self.state_sent_at.extend(pending_requesters.iter().map(|host| (host.clone(), cx.now)));
-        send_state(cx, sync, pending_requesters);
+        cx.send(from, PeerMessage::StateWanted);
+        let until = cx.now.after(ANNOUNCEMENT_TIMEOUT);
+        self.enter(cx, Stage::AwaitingState { from: from.clone(), until }, &format!("asks {from}"));
     }
 
-    /// Reports whether the state was sent so recently that it is probably still in transit.
-    fn was_sent_recently(&self, now: Time, host: &HostId) -> bool {
-        self.state_sent_at.get(host).is_some_and(|at| !at.after(STATE_RESEND_INTERVAL).is_due(now))
+    /// Extends the time for the next part of the state.
+    fn extend_wait(&mut self, cx: &Cx<'_>, from: &HostId) {
+        if let Some(Stage::AwaitingState { from: asked, until }) = &mut self.stage
+            && asked == from
+        {
+            *until = cx.now.after(STATE_TIMEOUT);
+        }
     }
 }
 
-fn send_state(cx: &mut Cx<'_>, sync: &StoreSync, to: Vec<HostId>) {
-    let all_entries = cx.cache.changes_after(StoreRevision(0));
-    let records = all_entries.filter(|entry| entry.record.is_some()).cloned().collect();
-    let series = cx.rng.random();
-    cx.push(Effect::SendState { to, series, upto: sync.frontier(), records });
+fn root_key(cx: &Cx<'_>) -> Key {
+    Key::RelayRoot(cx.cfg.data_centre.clone())
 }
--- a/crates/skylarkshore-core/src/control/peers.rs
+++ b/crates/skylarkshore-core/src/control/peers.rs
@@ -21,6 +21,8 @@
 
 /// Number of ring successors that receive every heartbeat.
 const RING_SUCCESSORS: usize = 5;
+/// How long a member that needs to know this process's state receives heartbeats.
+const TEMPORARY_RECEIVER_TTL: Duration = Duration::from_secs(5);
 /// How long a former member is remembered.
 const FORGET_PEER_AFTER: Duration = Duration::from_mins(10);
 /// Time window in which deleted member keys count as one mass expiry.
@@ -73,6 +75,8 @@
     /// When member keys were recently deleted.
     recent_expiries: VecDeque<Time>,
     next_heartbeat: Time,
+    /// Members that receive heartbeats in addition to those on the ring, and until when.
+    temporary_receivers: OrderedMap<HostId, Time>,
     /// The other members in hash ring order, starting after this process.
     ring: Vec<HostId>,
     /// The version of the members from which the ring was built.
@@ -204,6 +208,12 @@
         receivers
     }
 
+    /// Sends heartbeats to a member for a while, by which it knows that this process has the shared keys.
+    pub(super) fn send_heartbeats_to(&mut self, now: Time, host: &HostId) {
+        self.temporary_receivers.insert(host.clone(), now.after(TEMPORARY_RECEIVER_TTL));
+        self.next_heartbeat = now;
+    }
+
     /// Sends the heartbeats that are due and removes processes that were last seen long ago.
     pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>, own: LocalStatus) {
         if !self.next_heartbeat.is_due(cx.now) {
@@ -222,7 +232,9 @@
             store_reachable: own.is_store_reachable,
             leaving: own.is_leaving,
         };
+        self.temporary_receivers.retain(|_, until| !until.is_due(cx.now));
         let mut receivers = self.heartbeat_receivers(cx);
+        receivers.extend(self.temporary_receivers.keys().filter(|host| **host != cx.cfg.host).cloned());
         // Other members monitor the watcher's heartbeats only if one process watches per data centre.
         if cx.cfg.watchers == Watchers::OnePerDataCentre && own.is_watching {
             receivers.extend(data_centre_peers(cx));
--- a/crates/skylarkshore-core/src/control/relay.rs
+++ b/crates/skylarkshore-core/src/control/relay.rs
@@ -8,12 +8,13 @@
 
 use std::time::Duration;
 
-use super::relay_tree::{RelayTree, roots};
+use super::peers::Peers;
+use super::relay_tree::{RelayTree, root_of, roots};
 use crate::collections::OrderedMap;
 use crate::config::Watchers;
 use crate::cx::Cx;
 use crate::effect::Effect;
-use crate::id::{HostId, StoreRevision};
+use crate::id::{HostId, Incarnation, StoreRevision};
 use crate::peer::{News, PeerMessage};
 use crate::time::Time;
 
@@ -24,7 +25,7 @@
 /// How long a process counts as just started.
 const STARTUP_PERIOD: Duration = Duration::from_secs(5);
 /// Maximum number of members that contact each other and the key-value service directly.
-const MAX_DIRECT_MEMBERS: usize = 64;
+pub(super) const MAX_DIRECT_MEMBERS: u32 = 64;
 
 /// How long a process that requested the state receives news in addition to the children.
 ///
@@ -37,6 +38,11 @@
     tree: RelayTree,
     started_at: Option<Time>,
     next_tree_update: Time,
+    updated_at: Time,
+    /// The version of the members from which the tree was computed.
+    members_version: u64,
+    /// The incarnations of the members that were sent heartbeats because they had registered.
+    offered: OrderedMap<HostId, Incarnation>,
     /// The revision up to which news was forwarded.
     relayed_upto: StoreRevision,
     /// Processes that recently requested the state, and until when each receives news.
@@ -45,10 +51,12 @@
 
 impl Relay {
     /// Recomputes the position in the tree when that is due.
-    pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>) {
-        if cx.cfg.watchers != Watchers::Relayed || !self.next_tree_update.is_due(cx.now) {
+    pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>, peers: &mut Peers) {
+        if cx.cfg.watchers != Watchers::Relayed || !self.is_update_due(cx) {
             return;
         }
+        self.members_version = cx.cache.members_version();
+        self.updated_at = cx.now;
         let started_at = *self.started_at.get_or_insert(cx.now);
         let is_starting = !started_at.after(STARTUP_PERIOD).is_due(cx.now);
         self.next_tree_update =
@@ -60,6 +68,33 @@
         if self.tree.is_root != previous.is_root || self.tree.parent != previous.parent {
             self.log_position(cx);
         }
+        self.offer_state(cx, peers);
+    }
+
+    /// Reports whether the tree is computed again: regularly, and soon after the members have changed.
+    fn is_update_due(&self, cx: &Cx<'_>) -> bool {
+        let has_changed = self.members_version != cx.cache.members_version();
+        self.next_tree_update.is_due(cx.now)
+            || has_changed && self.updated_at.after(TREE_UPDATE_INTERVAL_AT_START).is_due(cx.now)
+    }
+
+    /// Sends heartbeats to children that have just registered, by which they know whom to ask for the state.
+    fn offer_state(&mut self, cx: &Cx<'_>, peers: &mut Peers) {
+        let incarnation = |host: &HostId| cx.cache.member(host).map(|member| member.incarnation);
+        let own_root = root_of(cx, &cx.cfg.data_centre);
+        for host in self.tree.children.iter().chain(&own_root) {
+            let current = incarnation(host);
+            if current.is_some() && self.offered.get(host).copied() != current {
+                peers.send_heartbeats_to(cx.now, host);
+                self.offered.extend(current.map(|current| (host.clone(), current)));
+            }
+        }
+        self.offered.retain(|host, _| incarnation(host).is_some());
+    }
+
+    /// Reports whether this process reads the key-value service for the others of its data centre.
+    pub(super) const fn is_root(&self) -> bool {
+        self.tree.is_root
     }
 
     fn log_position(&self, cx: &mut Cx<'_>) {
@@ -122,7 +157,7 @@
 /// Reports whether there are too many members for all of them to contact a peer or the
 /// key-value service at once.
 pub(super) fn has_many_members(cx: &Cx<'_>) -> bool {
-    cx.cache.members().nth(MAX_DIRECT_MEMBERS).is_some()
+    cx.cache.members().nth(MAX_DIRECT_MEMBERS as usize).is_some()
 }
 
 /// Sends a message to every other live member, through the relay trees in a large cluster.
--- a/crates/skylarkshore-core/src/control/relay_tree.rs
+++ b/crates/skylarkshore-core/src/control/relay_tree.rs
@@ -36,7 +36,7 @@
         let mut tree = Self { is_root: own == 0, ..Self::default() };
         let mut next = 1;
         for (index, (host, member)) in tree_order.iter().enumerate() {
-            let end = (next + fan_out(member)).min(tree_order.len());
+            let end = (next + children_of(member)).min(tree_order.len());
             let children = next.min(end)..end;
             if children.contains(&own) {
                 tree.parent = Some((*host).clone());
@@ -57,10 +57,12 @@
         cx.cache.members().map(|(_, member)| &member.data_centre).collect();
     data_centres.sort_unstable();
     data_centres.dedup();
-    data_centres
-        .into_iter()
-        .filter_map(|in_data_centre| Some(tree_order(cx, in_data_centre).first()?.0.clone()))
-        .collect()
+    data_centres.into_iter().filter_map(|in_data_centre| root_of(cx, in_data_centre)).collect()
+}
+
+/// Returns the root of a data centre's tree.
+pub(super) fn root_of(cx: &Cx<'_>, data_centre: &DataCentre) -> Option<HostId> {
+    tree_order(cx, data_centre).first().map(|(host, _)| (*host).clone())
 }
 
 /// Returns the members of a data centre in breadth-first order of the tree, leaving members last.
@@ -72,11 +74,13 @@
     staying.chain(in_data_centre().filter(|(_, member)| member.leaving)).collect()
 }
 
-fn fan_out(member: &MemberRecord) -> usize {
-    if member.leaving {
-        return 0;
-    }
-    let Capacity(mcores) = member.capacity;
+fn children_of(member: &MemberRecord) -> usize {
+    if member.leaving { 0 } else { fan_out(member.capacity) }
+}
+
+/// Returns how many others a host of this capacity serves at once.
+pub(super) fn fan_out(capacity: Capacity) -> usize {
+    let Capacity(mcores) = capacity;
     let children = usize::try_from(mcores / MCORES_PER_CHILD).unwrap_or(MAX_CHILDREN);
     children.clamp(MIN_CHILDREN, MAX_CHILDREN)
 }
--- a/crates/skylarkshore-core/src/control/store_sync.rs
+++ b/crates/skylarkshore-core/src/control/store_sync.rs
@@ -45,7 +45,9 @@
 /// Minimum interval between two requests for the state if the key-value service does not answer.
 const STATE_REQUEST_INTERVAL: Duration = Duration::from_secs(1);
 /// Timeout of the read of all shared keys, as a multiple of `store_timeout`.
-const READ_TIMEOUT_FACTOR: u32 = 3;
+///
+/// The read takes a call for each page, and each call has a timeout of its own.
+const READ_TIMEOUT_FACTOR: u32 = 30;
 
 #[derive(Clone, Copy, Debug)]
 struct Read {
@@ -113,6 +115,11 @@
         !self.is_read_pending
     }
 
+    /// Reports whether the last read of all shared keys has failed and the next hasn't begun.
+    pub(super) const fn has_failed_read(&self) -> bool {
+        self.is_read_pending && self.read.is_none()
+    }
+
     /// Returns since when this process has watched the key-value service.
     pub(super) fn watching_since(&self) -> Option<Time> {
         self.watch.map(|watch| watch.since)
@@ -130,11 +137,12 @@
 
     /// Waits for a peer to send the state, and for news after that.
     ///
-    /// The watch starts at revision 0 because this process knows nothing yet.
-    /// [`Effect::ExtendStateWait`] lets the watch wait for the peer.
+    /// The watch starts at revision 0 because this process knows nothing yet; it reads nothing before
+    /// the state has arrived.
     pub(super) fn await_peer_state(&mut self, cx: &mut Cx<'_>) {
+        self.read = None;
+        self.is_read_pending = false;
         self.watch = Some(Watch { upto: StoreRevision(0), since: cx.now });
-        cx.push(Effect::ExtendStateWait);
         cx.push(Effect::Watch { from: StoreRevision(0) });
     }
 
--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -235,7 +235,10 @@
     },
     /// A process connected with a certificate that isn't in any cached member record; the cache may
     /// be out of date.
-    UnknownPeer,
+    UnknownPeer {
+        /// The host that it claims to be.
+        host: HostId,
+    },
     /// A peer sent the full state of the key-value service; the answer to
     /// [`Effect::ApplyStatePart`](crate::Effect::ApplyStatePart) for the last missing part.
     State {
--- a/crates/skylarkshore-core/src/follower.rs
+++ b/crates/skylarkshore-core/src/follower.rs
@@ -107,8 +107,6 @@
         /// The time, if any.
         until: Option<Time>,
     },
-    /// Read the complete state, since nothing is known yet and no peer sends it.
-    ReadState,
 }
 
 /// An update from a peer.
@@ -418,8 +416,9 @@
     }
 
     fn read(&mut self) -> Step {
+        // Nothing is known yet; the core decides who reads the complete state.
         if self.after == StoreRevision(0) {
-            return Step::ReadState;
+            return Step::Wait { until: None };
         }
         self.phase = Phase::Reading;
         self.is_read_requested = false;
@@ -440,7 +439,7 @@
             Step::Read(read) => {
                 Step::Read(ChangesRead { wait: Duration::ZERO, timeout: self.timing.silence, ..read })
             }
-            step => step,
+            wait => wait,
         }
     }
 
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -193,8 +193,8 @@
                 self.apply_snapshot(now, upto, records, effects);
                 self.with_cx(now, effects, |cx, parts| parts.control.on_snapshot(cx, upto));
             }
-            Event::UnknownPeer => {
-                self.with_cx(now, effects, |cx, parts| parts.control.on_unknown_peer(cx));
+            Event::UnknownPeer { host } => {
+                self.with_cx(now, effects, |cx, parts| parts.control.on_unknown_peer(cx, &host));
             }
             Event::NewsMissed { lasts } => {
                 self.with_cx(now, effects, |cx, parts| parts.control.on_news_gap(cx, lasts));
@@ -264,9 +264,6 @@
         if let Ok(StoreAnswer::Shared { revision, records }) = result {
             self.apply_snapshot(now, *revision, records.clone(), effects);
         }
-        if let Ok(StoreAnswer::Members(records)) = result {
-            self.apply_records(now, records.clone(), effects);
-        }
         // The cache holds only shared keys; `Key::Once` belongs to a single request.
         if let Ok(StoreAnswer::One(found)) = result
             && !matches!(found.key, Key::Once(_))
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -318,7 +318,7 @@
             Key::Owner(_) | Key::Homes(_) => self.ask_new_owners(cx, key),
             // Hosts, the shares of a site's electrical power, and records of idempotency keys;
             // the last are read when a request needs them.
-            Key::Member(_) | Key::Power(_) | Key::Once(_) => {}
+            Key::Member(_) | Key::Power(_) | Key::RelayRoot(_) | Key::Once(_) => {}
         }
     }
 
--- a/crates/skylarkshore-core/src/store.rs
+++ b/crates/skylarkshore-core/src/store.rs
@@ -37,6 +37,8 @@
     Homes(ModelName),
     /// The power grants of a site.
     Power(SiteName),
+    /// The process of a data centre that reads the service for the others; see [`RelayRootRecord`].
+    RelayRoot(DataCentre),
     /// A request with an idempotency key, which runs at most once; by the digest of that key,
     /// the caller and the service.
     Once(Digest),
@@ -103,6 +105,20 @@
     pub grants: OrderedMap<UpstreamId, Watts>,
 }
 
+/// The process of a data centre that reads the shared keys for those that start after it.
+///
+/// The key isn't attached to a lease: a process that starts while no other runs still learns from it
+/// how many there are.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelayRootRecord {
+    /// The host.
+    pub host: HostId,
+    /// The incarnation of its process.
+    pub incarnation: Incarnation,
+    /// The number of members that it knew; none while it hasn't read the shared keys yet.
+    pub members: Option<u32>,
+}
+
 /// An answer that is recorded and replayed when the request is repeated.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RecordedAnswer {
@@ -153,6 +169,8 @@
     Homes(HomesRecord),
     /// Under [`Key::Power`].
     Power(PowerRecord),
+    /// Under [`Key::RelayRoot`].
+    RelayRoot(RelayRootRecord),
     /// Under [`Key::Once`].
     Once(OnceRecord),
 }
@@ -201,8 +219,6 @@
 pub enum StoreCall {
     /// Read every key but [`Key::Once`] ones.
     ReadShared,
-    /// Read every [`Key::Member`].
-    ReadMembers,
     /// Read one key.
     Read(Key),
     /// Write one key if its precondition holds.
@@ -234,7 +250,6 @@
     pub const fn name(&self) -> &'static str {
         match self {
             Self::ReadShared => "read_shared",
-            Self::ReadMembers => "read_members",
             Self::Read(_) => "read",
             Self::Write { .. } => "write",
             Self::GrantLease { .. } => "grant_lease",
@@ -254,8 +269,6 @@
         /// Every key that has a value.
         records: Vec<Versioned>,
     },
-    /// To [`StoreCall::ReadMembers`].
-    Members(Vec<Versioned>),
     /// To [`StoreCall::Read`].
     One(Versioned),
     /// The write took effect at this revision.
--- /dev/null
+++ b/crates/skylarkshore-core/tests/relay/start.rs
@@ -0,0 +1,165 @@
+//! Starts of hundreds of hosts at once, over links and a key-value service of limited rates.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use skylarkshore_core::id::{CatalogueRevision, HostId};
+
+use crate::relay::{RelayFleet, StoreAccess};
+
+const DATA_CENTRES: usize = 5;
+/// Hosts of each data centre, 985 in all.
+const HOSTS: usize = 197;
+const ENGINES: u64 = 9808;
+/// Time within which all processes start.
+const START_SPREAD: Duration = Duration::from_millis(100);
+/// When a configuration has to be in force at nearly all hosts.
+const MOST_AFTER: Duration = Duration::from_secs(15);
+/// When callers arrive.
+const ALL_AFTER: Duration = Duration::from_secs(24);
+/// How long a confirmed configuration may take.
+const APPLY_LIMIT: Duration = Duration::from_secs(5);
+/// How long a host has to be undisturbed before a limit holds for it.
+const CONTACT_TIME: Duration = Duration::from_secs(6);
+
+/// Starts all hosts of a fleet, in an order that mixes the data centres.
+fn start_all(fleet: &mut RelayFleet) {
+    let steps = 10;
+    for step in 0..steps {
+        for number in (0..HOSTS).filter(|number| number % steps == step) {
+            for data_centre in 0..DATA_CENTRES {
+                fleet.start(data_centre, number);
+            }
+        }
+        fleet.run(START_SPREAD / u32::try_from(steps).expect("a few steps"));
+    }
+}
+
+fn started(seed: u64) -> RelayFleet {
+    let mut fleet = RelayFleet::limited(seed, ENGINES);
+    start_all(&mut fleet);
+    fleet
+}
+
+/// Asserts that a share of the hosts, in hundredths, goes by a configuration.
+fn assert_in_force(fleet: &RelayFleet, revision: u64, hundredths: usize) {
+    let hosts = fleet.hosts.len();
+    let behind: Vec<&HostId> = fleet.behind(CatalogueRevision(revision));
+    let sample: Vec<&&HostId> = behind.iter().take(5).collect();
+    assert!(
+        (hosts - behind.len()) * 100 >= hosts * hundredths,
+        "{} of {hosts} hosts are behind version {revision} at {}, such as {sample:?}",
+        behind.len(),
+        fleet.now
+    );
+}
+
+/// Confirms a configuration and asserts that it is in force everywhere in time.
+fn assert_change_in_force(fleet: &mut RelayFleet) {
+    let revision = fleet.configure();
+    fleet.run(APPLY_LIMIT);
+    assert_in_force(fleet, revision.0, 100);
+}
+
+/// Guards against hosts that all read everything when they start together, of which most never know a
+/// configuration.
+#[test]
+fn hundreds_of_hosts_that_start_at_once_know_the_configuration_in_time() {
+    let mut fleet = started(1);
+    fleet.run(MOST_AFTER.saturating_sub(START_SPREAD));
+    assert_in_force(&fleet, 1, 95);
+    fleet.run(ALL_AFTER.saturating_sub(MOST_AFTER));
+    assert_in_force(&fleet, 1, 100);
+    assert_change_in_force(&mut fleet);
+}
+
+/// Guards against a start that depends on the hosts from which the others get the state.
+#[test]
+fn a_start_ends_in_time_although_hosts_that_read_for_others_are_killed() {
+    let mut fleet = started(2);
+    for second in 1..=6 {
+        fleet.run(Duration::from_secs(1));
+        let data_centre = second % DATA_CENTRES;
+        for name in fleet.readers(data_centre) {
+            fleet.kill(&name);
+        }
+    }
+    fleet.run(ALL_AFTER.saturating_sub(Duration::from_secs(6)));
+    assert_in_force(&fleet, 1, 100);
+    assert_change_in_force(&mut fleet);
+}
+
+/// Guards against hosts that all read at once when the service answers again.
+#[test]
+fn a_start_ends_in_time_after_the_service_was_away() {
+    let mut fleet = RelayFleet::limited(3, ENGINES);
+    fleet.set_access_at_start(StoreAccess::Silent);
+    start_all(&mut fleet);
+    fleet.run(Duration::from_secs(10));
+    for host in fleet.hosts.values_mut() {
+        host.access = StoreAccess::Served;
+    }
+    fleet.run(ALL_AFTER);
+    assert_in_force(&fleet, 1, 100);
+    assert_change_in_force(&mut fleet);
+}
+
+/// Guards against a data centre that stays without a configuration after it was cut off, or keeps others waiting.
+#[test]
+fn a_start_ends_in_time_where_a_data_centre_is_cut_off() {
+    let mut fleet = started(4);
+    let cut: BTreeSet<HostId> = fleet.in_data_centre(3).into_iter().collect();
+    for name in &cut {
+        fleet.host(name).is_isolated = true;
+        fleet.host(name).access = StoreAccess::Silent;
+    }
+    fleet.run(ALL_AFTER);
+    let behind = fleet.behind(CatalogueRevision(1)).into_iter().filter(|name| !cut.contains(*name));
+    assert_eq!(behind.count(), 0);
+    let now = fleet.now;
+    for name in &cut {
+        fleet.host(name).recover(now);
+    }
+    fleet.run(ALL_AFTER);
+    assert_in_force(&fleet, 1, 100);
+    assert_change_in_force(&mut fleet);
+}
+
+/// Guards against hosts that serve and are held up by others that start beside them.
+#[test]
+fn a_second_wave_of_starts_ends_in_time_and_holds_up_no_running_host() {
+    let mut fleet = started(5);
+    fleet.run(ALL_AFTER);
+    assert_in_force(&fleet, 1, 100);
+    let restarted: BTreeSet<HostId> = fleet.sample(fleet.hosts.len() / 2);
+    for name in &restarted {
+        fleet.kill(name);
+    }
+    fleet.run(Duration::from_secs(2));
+    while fleet.restart_one() {}
+    for _ in 0..4 {
+        fleet.configure();
+        fleet.run(Duration::from_secs(4));
+        let behind = fleet.hosts_behind(APPLY_LIMIT, CONTACT_TIME);
+        assert!(behind.is_empty(), "{} behind, such as {}", behind.len(), behind[0]);
+    }
+    fleet.run(ALL_AFTER.saturating_sub(Duration::from_secs(16)));
+    assert_change_in_force(&mut fleet);
+}
+
+/// Guards against hosts that wait for members of a former life.
+#[test]
+fn a_start_ends_in_time_although_members_of_a_former_life_are_listed() {
+    let mut fleet = started(6);
+    fleet.run(ALL_AFTER);
+    let all: BTreeSet<HostId> = fleet.hosts.keys().cloned().collect();
+    for name in &all {
+        fleet.kill(name);
+    }
+    while fleet.restart_one() {}
+    fleet.run(MOST_AFTER);
+    assert_in_force(&fleet, 1, 95);
+    fleet.run(ALL_AFTER.saturating_sub(MOST_AFTER));
+    assert_in_force(&fleet, 1, 100);
+    assert_change_in_force(&mut fleet);
+}
--- a/crates/skylarkshore-host/src/peers.rs
+++ b/crates/skylarkshore-host/src/peers.rs
@@ -10,16 +10,19 @@
 
 use std::net::UdpSocket;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
 use quinn::{Connection, Endpoint, EndpointConfig, Incoming, TokioRuntime};
+use rustls::pki_types::CertificateDer;
 use skylarkshore_core::Event;
 use skylarkshore_core::collections::HashMap;
 use skylarkshore_core::id::{Digest, HostId};
 use skylarkshore_core::peer::Envelope;
 use skylarkshore_wire::peer::{MAX_MESSAGE_LEN, decode, encode};
 use slog::{debug, warn};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, Semaphore, mpsc, watch};
+use tokio::time::timeout;
 
 use crate::driver::Snapshot;
 use crate::env::Env;
@@ -37,6 +40,9 @@
 /// Messages queued for one peer; more are dropped. Requests are repeated until
 /// they are answered, so a lost message costs only time.
 const QUEUE_CAPACITY: usize = 256;
+/// How long the connection of a process that isn't known yet is kept.
+const INTRODUCTION_TIMEOUT: Duration = Duration::from_secs(1);
+const MAX_INTRODUCTIONS: usize = 64;
 
 /// Sends and receives peer messages; cheap to clone.
 #[derive(Clone, Debug)]
@@ -50,6 +56,9 @@
     endpoint: Endpoint,
     identity: Identity,
     directory: Arc<Directory>,
+    directory_updated: Notify,
+    /// Limits the connections of processes that aren't known yet.
+    introductions: Semaphore,
     timings: LinkTimings,
     queues: Mutex<HashMap<HostId, mpsc::Sender<Bytes>>>,
     connections: Mutex<HashMap<HostId, Pinned>>,
@@ -84,6 +93,8 @@
             endpoint,
             identity,
             directory,
+            directory_updated: Notify::new(),
+            introductions: Semaphore::new(MAX_INTRODUCTIONS),
             timings,
             queues: Mutex::default(),
             connections: Mutex::default(),
@@ -132,6 +143,7 @@
             let snapshot = Arc::clone(&snapshots.borrow_and_update());
             if !Arc::ptr_eq(&known, &snapshot.members) {
                 self.shared.directory.update(&snapshot.members);
+                self.shared.directory_updated.notify_waiters();
                 known = Arc::clone(&snapshot.members);
             }
         }
@@ -152,18 +164,45 @@
                 return;
             }
         };
-        let presented = fingerprint::presented_by(&connection);
-        let Some((fingerprint, host)) =
-            presented.and_then(|presented| Some((presented, self.shared.directory.host_of(presented)?)))
-        else {
+        let identified = match fingerprint::presented_by(&connection) {
+            Some(certificate) => self.identify(&certificate).await,
+            None => None,
+        };
+        let Some((fingerprint, host)) = identified else {
+            debug!(self.shared.env.log, "peer_turned_away"; "address" => %address, "reason" => "not a member");
             connection.close(1_u32.into(), b"unknown fingerprint");
-            self.shared.env.inbox.event_later(Event::UnknownPeer);
             return;
         };
         self.store_connection(&host, Pinned { fingerprint, connection: connection.clone() });
         self.receive(host, connection).await;
     }
 
+    /// Returns the host that published a certificate; `None` if it isn't published in time.
+    ///
+    /// A process that has just started knows no member, and others don't know it yet. The core
+    /// looks up the host that the certificate names.
+    async fn identify(&self, certificate: &CertificateDer<'_>) -> Option<(Digest, HostId)> {
+        let presented = fingerprint::fingerprint(certificate);
+        if let Some(host) = self.shared.directory.host_of(presented) {
+            return Some((presented, host));
+        }
+        let claimed = identity::claimed_host(certificate)?;
+        let _permit = self.shared.introductions.try_acquire().ok()?;
+        self.shared.env.inbox.event_later(Event::UnknownPeer { host: claimed });
+        timeout(INTRODUCTION_TIMEOUT, self.published(presented)).await.ok().map(|host| (presented, host))
+    }
+
+    /// Waits until a certificate is published.
+    async fn published(&self, presented: Digest) -> HostId {
+        loop {
+            let updated = self.shared.directory_updated.notified();
+            if let Some(host) = self.shared.directory.host_of(presented) {
+                return host;
+            }
+            updated.await;
+        }
+    }
+
     /// Stores the connection to send on; replaces an older one.
     fn store_connection(&self, host: &HostId, pinned: Pinned) {
         let mut connections = self.shared.connections.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/skylarkshore-host/src/peers/fingerprint.rs
+++ b/crates/skylarkshore-host/src/peers/fingerprint.rs
@@ -10,8 +10,8 @@
     Digest(Sha256::digest(certificate).into())
 }
 
-/// Returns the fingerprint of the certificate that the other end presented.
-pub(super) fn presented_by(connection: &Connection) -> Option<Digest> {
+/// Returns the certificate that the other end presented.
+pub(super) fn presented_by(connection: &Connection) -> Option<CertificateDer<'static>> {
     let presented = connection.peer_identity()?.downcast::<Vec<CertificateDer<'static>>>().ok()?;
-    presented.first().map(fingerprint)
+    presented.into_iter().next()
 }
--- a/crates/skylarkshore-host/src/peers/identity.rs
+++ b/crates/skylarkshore-host/src/peers/identity.rs
@@ -6,9 +6,11 @@
 
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use quinn::{ClientConfig, ServerConfig};
+use rcgen::{CertificateParams, KeyPair, SanType};
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, PrivatePkcs8KeyDer};
 use rustls::version::TLS13;
-use skylarkshore_core::id::Digest;
+use skylarkshore_core::id::{Digest, HostId};
+use webpki::EndEntityCert;
 
 use crate::error::Error;
 use crate::peers::directory::Directory;
@@ -18,9 +20,20 @@
 
 /// The name in every certificate; it isn't verified, as certificates are pinned.
 pub(super) const SERVER_NAME: &str = "skylarkshore";
+/// Prefix of the URI in every certificate that names the host.
+const HOST_URI_PREFIX: &str = "skylarkshore://";
 /// The ALPN protocol; the number is the version of the messages.
 const ALPN_PROTOCOL: &[u8] = b"skylarkshore/1";
 
+/// Returns the host that a certificate names.
+///
+/// Anyone can issue such a certificate; only the member key that publishes its fingerprint proves the host.
+pub(super) fn claimed_host(certificate: &CertificateDer<'_>) -> Option<HostId> {
+    let certificate = EndEntityCert::try_from(certificate).ok()?;
+    let mut uris = certificate.valid_uri_names();
+    uris.find_map(|uri| uri.strip_prefix(HOST_URI_PREFIX)?.parse().ok())
+}
+
 /// A process's certificate and its private key.
 #[derive(Debug)]
 pub(crate) struct Identity {
@@ -29,15 +42,17 @@
 }
 
 impl Identity {
-    /// Generates a new key pair.
+    /// Generates a new key pair for a host.
     ///
     /// # Errors
     ///
     /// The system's random number generator fails.
-    pub(crate) fn generate() -> Result<Self, Error> {
-        let generated = rcgen::generate_simple_self_signed([SERVER_NAME.to_owned()])?;
-        let key = PrivatePkcs8KeyDer::from(generated.signing_key.serialize_der());
-        Ok(Self { certificate: generated.cert.der().clone(), key })
+    pub(crate) fn generate(host: &HostId) -> Result<Self, Error> {
+        let mut params = CertificateParams::new([SERVER_NAME.to_owned()])?;
+        params.subject_alt_names.push(SanType::URI(format!("{HOST_URI_PREFIX}{host}").try_into()?));
+        let key_pair = KeyPair::generate()?;
+        let certificate = params.self_signed(&key_pair)?.der().clone();
+        Ok(Self { certificate, key: PrivatePkcs8KeyDer::from(key_pair.serialize_der()) })
     }
 
     /// Returns the fingerprint that is published for peers to verify.
--- a/crates/skylarkshore-host/src/peers/verifier.rs
+++ b/crates/skylarkshore-host/src/peers/verifier.rs
@@ -11,6 +11,7 @@
 
 use crate::peers::directory::Directory;
 use crate::peers::fingerprint::fingerprint;
+use crate::peers::identity::claimed_host;
 
 /// Returns the cryptography provider for all connections.
 pub(super) fn provider() -> Arc<CryptoProvider> {
@@ -72,7 +73,9 @@
     }
 }
 
-/// Verifies that a client presents any published certificate.
+/// Verifies that a client presents a published certificate, or one that names its host.
+///
+/// The latter is looked up before the connection is used.
 #[derive(Debug)]
 pub(super) struct PublishedClientVerifier {
     directory: Arc<Directory>,
@@ -96,7 +99,7 @@
         _intermediates: &[CertificateDer<'_>],
         _now: UnixTime,
     ) -> Result<ClientCertVerified, Error> {
-        if self.directory.host_of(fingerprint(end_entity)).is_none() {
+        if self.directory.host_of(fingerprint(end_entity)).is_none() && claimed_host(end_entity).is_none() {
             return Err(untrusted());
         }
         Ok(ClientCertVerified::assertion())
--- a/crates/skylarkshore-host/src/run.rs
+++ b/crates/skylarkshore-host/src/run.rs
@@ -132,7 +132,7 @@
     let runtime_error = |source| Error::Runtime { source };
     let signals = Signals::listen().map_err(runtime_error)?;
     let sockets = Sockets::bind(&mut config)?;
-    let identity = Identity::generate()?;
+    let identity = Identity::generate(&config.host)?;
     let (inbox, receiver) = Inbox::open();
     let env = Env {
         clock: Clock::start(),
--- a/crates/skylarkshore-host/src/store/etcd.rs
+++ b/crates/skylarkshore-host/src/store/etcd.rs
@@ -18,7 +18,7 @@
     LeaseGrantRequest, LeaseRequest, LeaseResponse, RANGE_PATH, RangeRequest, RangeResponse, Streamed,
     TXN_PATH, TxnResponse, WATCH_PATH, WatchCreateRequest, WatchRequest, WatchResponse,
 };
-use skylarkshore_wire::keys::{MEMBERS_PREFIX, SHARED_PREFIX};
+use skylarkshore_wire::keys::SHARED_PREFIX;
 use slog::{Logger, debug, warn};
 use tokio::time::Instant;
 
@@ -72,15 +72,6 @@
                 let response: RangeResponse = self.post(RANGE_PATH, &range).await?;
                 Ok(convert::shared(response, &self.log))
             }
-            StoreCall::ReadMembers => {
-                let range = RangeRequest {
-                    key: Bytes64::from(MEMBERS_PREFIX),
-                    range_end: Bytes64::from(MEMBERS_PREFIX).prefix_end(),
-                    ..RangeRequest::default()
-                };
-                let response: RangeResponse = self.post(RANGE_PATH, &range).await?;
-                Ok(convert::members(response, &self.log))
-            }
             StoreCall::Read(key) => {
                 let response: RangeResponse = self.post(RANGE_PATH, &convert::range_of(&key)).await?;
                 let found = convert::single_record(&key, response).map_err(|err| self.unreadable(&err))?;
--- a/crates/skylarkshore-host/src/store/etcd/convert.rs
+++ b/crates/skylarkshore-host/src/store/etcd/convert.rs
@@ -93,12 +93,6 @@
     StoreAnswer::Shared { revision, records }
 }
 
-pub(super) fn members(response: RangeResponse, log: &Logger) -> StoreAnswer {
-    StoreAnswer::Members(
-        response.kvs.into_iter().filter_map(|kv| log_if_invalid(versioned(&kv), log)).collect(),
-    )
-}
-
 pub(super) fn changes(events: Vec<WatchEvent>, log: &Logger) -> Vec<Versioned> {
     events.into_iter().filter_map(|event| log_if_invalid(change(&event), log)).collect()
 }
--- a/crates/skylarkshore-wire/src/keys.rs
+++ b/crates/skylarkshore-wire/src/keys.rs
@@ -8,20 +8,20 @@
 use std::str::FromStr;
 
 use derive_more::{Display, Error, From};
-use skylarkshore_core::id::{Digest, HostId, InvalidDigest, InvalidName, ModelName, SiteName, UpstreamId};
+use skylarkshore_core::id::{
+    DataCentre, Digest, HostId, InvalidDigest, InvalidName, ModelName, SiteName, UpstreamId,
+};
 use skylarkshore_core::store::Key;
 
 use crate::percent::{self, InvalidEncoding};
 
 pub use value::{
     AnswerWire, HomesWire, InvalidValue, MemberWire, OnceStateWire, OnceWire, OwnerWire, PowerWire,
-    StoredValue, WriterWire,
+    RelayRootWire, StoredValue, WriterWire,
 };
 
 /// Prefix of all keys that every process replicates.
 pub const SHARED_PREFIX: &str = "skylarkshore/shared/";
-/// Prefix of the keys of live processes.
-pub const MEMBERS_PREFIX: &str = "skylarkshore/shared/members/";
 /// Prefix of the keys of requests that must run at most once.
 pub const ONCE_PREFIX: &str = "skylarkshore/once/";
 /// Key of a catalogue that is configured separately from the document.
@@ -33,6 +33,7 @@
 const OWNERS_FOLDER: &str = "owners/";
 const HOMES_FOLDER: &str = "homes/";
 const POWER_FOLDER: &str = "power/";
+const RELAY_ROOTS_FOLDER: &str = "relay_roots/";
 
 /// A key in its stored text form.
 ///
@@ -82,6 +83,7 @@
             Key::Owner(engine) => shared_key(OWNERS_FOLDER, engine.as_str()),
             Key::Homes(model) => shared_key(HOMES_FOLDER, model.as_str()),
             Key::Power(site) => shared_key(POWER_FOLDER, site.as_str()),
+            Key::RelayRoot(data_centre) => shared_key(RELAY_ROOTS_FOLDER, data_centre.as_str()),
             Key::Once(digest) => format!("{ONCE_PREFIX}{digest}"),
         })
     }
@@ -122,6 +124,9 @@
     if let Some(name) = rest.strip_prefix(POWER_FOLDER) {
         return Ok(Key::Power(decode_name::<SiteName>(name)?));
     }
+    if let Some(name) = rest.strip_prefix(RELAY_ROOTS_FOLDER) {
+        return Ok(Key::RelayRoot(decode_name::<DataCentre>(name)?));
+    }
     Err(InvalidKeyReason::Prefix)
 }
 
--- a/crates/skylarkshore-wire/src/keys/value.rs
+++ b/crates/skylarkshore-wire/src/keys/value.rs
@@ -13,7 +13,7 @@
 };
 use skylarkshore_core::store::{
     HomesRecord, Key, MemberRecord, OnceRecord, OnceState, OwnerRecord, PowerRecord, Record, RecordedAnswer,
-    Writer,
+    RelayRootRecord, Writer,
 };
 use skylarkshore_core::units::{Capacity, Watts};
 
@@ -81,6 +81,18 @@
     pub grants: BTreeMap<UpstreamId, u64>,
 }
 
+/// The value of the key of a relay root.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayRootWire {
+    /// The host.
+    pub host: HostId,
+    /// Incarnation of its process.
+    pub incarnation: Incarnation,
+    /// Number of members that it knew, once it knows the shared keys.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub members: Option<u32>,
+}
+
 /// A recorded answer that is returned when the request is repeated.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnswerWire {
@@ -167,6 +179,7 @@
             Record::Owner(record) => self.to_envelope(OwnerWire::from(record)),
             Record::Homes(record) => self.to_envelope(HomesWire::from(record)),
             Record::Power(record) => self.to_envelope(PowerWire::from(record)),
+            Record::RelayRoot(record) => self.to_envelope(RelayRootWire::from(record)),
             Record::Once(record) => self.to_envelope(OnceWire::from(record)),
         }
     }
@@ -184,6 +197,7 @@
             Key::Owner(_) => from_envelope::<OwnerWire>(text),
             Key::Homes(_) => from_envelope::<HomesWire>(text),
             Key::Power(_) => from_envelope::<PowerWire>(text),
+            Key::RelayRoot(_) => from_envelope::<RelayRootWire>(text),
             Key::Once(_) => from_envelope::<OnceWire>(text),
         }
     }
@@ -305,6 +319,22 @@
     }
 }
 
+impl From<&RelayRootRecord> for RelayRootWire {
+    fn from(record: &RelayRootRecord) -> Self {
+        Self { host: record.host.clone(), incarnation: record.incarnation, members: record.members }
+    }
+}
+
+impl From<RelayRootWire> for Record {
+    fn from(wire: RelayRootWire) -> Self {
+        Self::RelayRoot(RelayRootRecord {
+            host: wire.host,
+            incarnation: wire.incarnation,
+            members: wire.members,
+        })
+    }
+}
+
 impl From<&RecordedAnswer> for AnswerWire {
     fn from(answer: &RecordedAnswer) -> Self {
         Self {
