Request the state from a peer only if this host stays behind it

Callers saw nothing yet; it is load at the time when they arrive.

Cause: the flag "the service left the last watch unanswered" ends only with a read of the host's own. In the logs such hosts are behind by 1 to 7 revisions (17198 there, 17191 here).

Now a peer has to be ahead for half a second by what is missing here. A host that is cut off from the news is behind for longer than that. The test fails on the code before at its first heartbeat. The tests of the relay, with hosts that the service leaves unanswered, pass as they were.

--- a/crates/skylarkshore-core/src/control/store_sync.rs
+++ b/crates/skylarkshore-core/src/control/store_sync.rs
@@ -44,6 +44,10 @@
 const MAX_RELAY_LAG: Duration = Duration::from_millis(200);
 /// Minimum interval between two requests for the state if the key-value service does not answer.
 const STATE_REQUEST_INTERVAL: Duration = Duration::from_secs(1);
+/// How long a peer must be ahead before a process that the service leaves unanswered asks it for the state.
+///
+/// News that is on its way makes every peer seem ahead now and then.
+const LASTING_LEAD: Duration = Duration::from_millis(500);
 /// Timeout of the read of all shared keys, as a multiple of `store_timeout`.
 ///
 /// The read takes a call for each page, and each call has a timeout of its own.
@@ -92,6 +96,8 @@
     /// Whether the key-value service left the last watch unanswered.
     is_watch_unanswered: bool,
     next_state_request: Time,
+    /// What a peer knew first of what is missing here while the service doesn't answer, and since when.
+    unanswered_lead: Option<(StoreRevision, Time)>,
     peer_lead: Option<PeerLead>,
 }
 
@@ -292,10 +298,12 @@
 
     /// Requests the state from a peer that is ahead, if the key-value service does not answer.
     fn request_state_if_cut_off(&mut self, cx: &mut Cx<'_>, from: &HostId, store: StoreRevision) {
-        if store <= self.frontier || !self.is_synced() {
+        if store <= self.frontier || !self.is_synced() || !self.is_watch_unanswered {
             return;
         }
-        if self.is_watch_unanswered && self.next_state_request.is_due(cx.now) {
+        let known_lead = self.unanswered_lead.filter(|(revision, _)| *revision > self.frontier);
+        let (_, since) = *self.unanswered_lead.insert(known_lead.unwrap_or((store, cx.now)));
+        if since.after(LASTING_LEAD).is_due(cx.now) && self.next_state_request.is_due(cx.now) {
             self.next_state_request = cx.now.after(STATE_REQUEST_INTERVAL);
             let detail = format!("the key-value service is silent; {store} there, {} here", self.frontier);
             cx.log_event("state_requested", from, detail);
--- a/crates/skylarkshore-core/tests/fleet_size.rs
+++ b/crates/skylarkshore-core/tests/fleet_size.rs
@@ -348,6 +348,29 @@
     assert!(requested_peer(&effects).is_some(), "{effects:?}");
 }
 
+/// Guards against hosts that follow news and still request the state whenever a peer is ahead for a moment.
+#[test]
+fn a_host_whose_reads_are_unanswered_requests_the_state_only_if_it_stays_behind() {
+    let hosts = 100;
+    let (mut node, _) = synced(non_root(hosts), hosts);
+    node.handle(NOW, Event::WatchTimedOut);
+    let mut revision = upto(hosts);
+    for step in 1..20 {
+        let now = NOW.after(TICK * step);
+        revision = revision.next();
+        let effects = node.handle(now, Event::Peer { from: host(7), message: heartbeat(revision) });
+        assert_eq!(requested_peer(&effects), None, "{effects:?}");
+        node.handle(now, Event::Watched { changes: Vec::new(), upto: revision });
+    }
+    let behind = revision.next();
+    let requests = (20..60).filter(|step| {
+        let message = heartbeat(behind);
+        let effects = node.handle(NOW.after(TICK * *step), Event::Peer { from: host(7), message });
+        requested_peer(&effects).is_some()
+    });
+    assert!((1..=2).contains(&requests.count()));
+}
+
 /// Guards against hosts of a large fleet that request the state twice at their start.
 #[test]
 fn a_host_that_has_just_synchronised_requests_no_state() {
