End the wait of a starting host for a peer that only offers its state

Cause: each heartbeat of a peer that knows the shared keys ends the wait for the next read of the root's record, and each of the requests that follow ends after 0.3 s with a new wait of 0.5 to 1.5 s. Heartbeats come every 0.5 to 0.9 s, so the record is never read again, and the host neither claims it nor reads the shared keys.

Evidence: a_starting_host_reads_the_state_itself_if_a_peer_only_offers_it fails before: no read of the shared keys in 15 s. Ruled out: counting requests for each peer; several peers may offer in turn.

Now offers are taken up for 4 s from the first since the root's record was read; then the record is read again. It shows that another process reads meanwhile, which gives the offers 4 s more, or it is claimed as before, and offers no longer interrupt the claim. At most one host of a data centre claims in 4 s, as before.

--- a/crates/skylarkshore-core/src/control/bootstrap.rs
+++ b/crates/skylarkshore-core/src/control/bootstrap.rs
@@ -36,6 +36,8 @@
 const ROOT_READ_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a root may take before another process claims its record.
 const ROOT_TIMEOUT: Duration = Duration::from_secs(4);
+/// How long offers are taken up, from the first, before the root's record is read again.
+const OFFERS_TIMEOUT: Duration = ROOT_TIMEOUT;
 /// Deadline of the write of the root's record.
 const CLAIM_DEADLINE: Duration = Duration::from_secs(2);
 /// How long a member that was asked may take to announce the state.
@@ -89,6 +91,8 @@
     stage: Option<Stage>,
     started_at: Time,
     seen_root: Option<SeenRoot>,
+    /// Until when offers are taken up; none before the first since the root's record was read.
+    offers_until: Option<Time>,
     backoff: Backoff,
 }
 
@@ -162,6 +166,7 @@
         if seen.since.after(ROOT_TIMEOUT).is_due(cx.now) {
             return self.claim(cx, Expect::At(found.revision), "the root takes too long");
         }
+        self.offers_until = None;
         self.await_offer(cx, &format!("{} reads for the others", root.host));
     }
 
@@ -188,6 +193,7 @@
     /// Reads the root's record again after a pause that grows with each failure.
     fn retry_root(&mut self, cx: &mut Cx<'_>, why: &str) {
         self.backoff.record_failure(cx);
+        self.offers_until = None;
         self.enter(cx, Stage::AwaitingOffer { next_root_read: self.backoff.retry_at() }, why);
     }
 
@@ -227,7 +233,9 @@
                 sync.await_peer_state(cx);
                 self.retry_root(cx, "the shared keys weren't read");
             }
-            Some(Stage::AwaitingOffer { next_root_read }) if next_root_read.is_due(cx.now) => {
+            Some(Stage::AwaitingOffer { next_root_read })
+                if next_root_read.is_due(cx.now) || self.have_offers_failed(cx.now) =>
+            {
                 self.read_root(cx);
             }
             Some(Stage::AwaitingState { from, until }) if until.is_due(cx.now) => {
@@ -271,14 +279,23 @@
                 Stage::ReadingRoot { .. } | Stage::AwaitingRegistrations { .. } | Stage::AwaitingOffer { .. }
             )
         );
-        if !is_waiting {
+        if !is_waiting || self.have_offers_failed(cx.now) {
             return;
         }
+        self.offers_until.get_or_insert(cx.now.after(OFFERS_TIMEOUT));
         cx.send(from, PeerMessage::StateWanted);
         let until = cx.now.after(ANNOUNCEMENT_TIMEOUT);
         self.enter(cx, Stage::AwaitingState { from: from.clone(), until }, &format!("asks {from}"));
     }
 
+    /// Reports whether no offer has brought the state in time.
+    ///
+    /// Peers may go on to offer a state that they can't send, and each offer ends the wait for the
+    /// next read of the root's record.
+    fn have_offers_failed(&self, now: Time) -> bool {
+        self.offers_until.is_some_and(|until| until.is_due(now))
+    }
+
     /// Extends the time for the next part of the state.
     fn extend_wait(&mut self, cx: &Cx<'_>, from: &HostId) {
         if let Some(Stage::AwaitingState { from: asked, until }) = &mut self.stage
--- a/crates/skylarkshore-core/tests/fleet_size.rs
+++ b/crates/skylarkshore-core/tests/fleet_size.rs
@@ -299,6 +299,21 @@
     run_start(non_root(hosts), hosts, Duration::from_secs(10), reads_full_state);
 }
 
+/// Guards against a host that never serves because a peer offers its state again and again, but never sends it.
+#[test]
+fn a_starting_host_reads_the_state_itself_if_a_peer_only_offers_it() {
+    let hosts = 100;
+    let (mut node, mut effects) = start(non_root(hosts), hosts);
+    let mut now = NOW;
+    while !reads_full_state(&effects) {
+        assert!(now < NOW.after(Duration::from_secs(15)), "the process waits for the peer");
+        now = now.after(TICK);
+        effects = answer_start(&mut node, now, hosts, &effects);
+        let message = heartbeat(upto(hosts));
+        effects.extend(node.handle(now, Event::Peer { from: host(7), message }));
+    }
+}
+
 /// Guards against hosts that reject a new host until news of its registration
 /// arrives, and against a read of its key for each of its connections.
 #[test]
