--- a/crates/skylarkshore-core/src/control/bootstrap.rs
+++ b/crates/skylarkshore-core/src/control/bootstrap.rs
@@ -125,10 +125,7 @@
             return;
         }
         match result {
-            Ok(StoreAnswer::One(found)) => {
-                self.backoff.reset();
-                self.on_root(cx, sync, found);
-            }
+            Ok(StoreAnswer::One(found)) => self.on_root(cx, sync, found),
             _ => self.retry_root(cx, "the service didn't answer"),
         }
     }
@@ -167,6 +164,7 @@
             return self.claim(cx, Expect::At(found.revision), "the root takes too long");
         }
         self.offers_until = None;
+        self.backoff.reset();
         self.await_offer(cx, &format!("{} reads for the others", root.host));
     }
 
@@ -228,8 +226,8 @@
                 self.enter(cx, Stage::ReadingAll, "others are registered");
                 sync.read(cx);
             }
-            // Another process may have claimed the record meanwhile.
-            Some(Stage::ReadingAll) if sync.has_failed_read() => {
+            // The record may have changed meanwhile: another process has claimed it, or the cluster has grown.
+            Some(Stage::ReadingAll | Stage::ReadingAlone) if sync.has_failed_read() => {
                 sync.await_peer_state(cx);
                 self.retry_root(cx, "the shared keys weren't read");
             }
--- a/crates/skylarkshore-core/tests/fleet_size.rs
+++ b/crates/skylarkshore-core/tests/fleet_size.rs
@@ -10,7 +10,7 @@
 use skylarkshore_core::peer::{Envelope, News, PeerMessage, StatePart};
 use skylarkshore_core::rules::{MinuteOfDay, Rules};
 use skylarkshore_core::store::{
-    Key, MemberRecord, Record, RelayRootRecord, StoreAnswer, StoreCall, Versioned,
+    Key, MemberRecord, Record, RelayRootRecord, StoreAnswer, StoreCall, StoreFailure, Versioned,
 };
 use skylarkshore_core::units::Capacity;
 use skylarkshore_core::{Effect, Event, Node, Time};
@@ -314,6 +314,24 @@
     }
 }
 
+/// Guards against hosts that all go on reading after a cluster that was small has grown at once.
+#[test]
+fn a_starting_host_whose_read_fails_looks_again_whether_the_cluster_is_small() {
+    let (mut node, effects) = start(0, 10);
+    let call = call_of(&effects, |call| *call == StoreCall::ReadShared).expect("the cluster is small");
+    node.handle(NOW, Event::Store { call, result: Err(StoreFailure::Unknown) });
+    let mut reads = Vec::new();
+    for step in 1..40 {
+        let effects = tick(&mut node, NOW.after(TICK * step));
+        assert!(!reads_full_state(&effects), "{effects:?}");
+        reads.extend(root_read(&effects));
+    }
+    let call = *reads.last().expect("the process reads the root's record again");
+    let result = Ok(StoreAnswer::One(root_record(100)));
+    let effects = node.handle(NOW.after(TICK * 40), Event::Store { call, result });
+    assert!(!reads_full_state(&effects), "{effects:?}");
+}
+
 /// Guards against hosts that reject a new host until news of its registration
 /// arrives, and against a read of its key for each of its connections.
 #[test]
--- a/crates/skylarkshore-core/tests/relay/start.rs
+++ b/crates/skylarkshore-core/tests/relay/start.rs
@@ -1,6 +1,7 @@
 //! Starts of hundreds of hosts at once, over links and a key-value service of limited rates.
 
 use std::collections::BTreeSet;
+use std::ops::Range;
 use std::time::Duration;
 
 use skylarkshore_core::id::{CatalogueRevision, HostId};
@@ -10,6 +11,8 @@
 const DATA_CENTRES: usize = 5;
 /// Hosts of each data centre, 985 in all.
 const HOSTS: usize = 197;
+/// Hosts of each data centre of a cluster whose hosts all read the service.
+const HOSTS_OF_A_SMALL_CLUSTER: usize = 10;
 const ENGINES: u64 = 9808;
 /// Time within which all processes start.
 const START_SPREAD: Duration = Duration::from_millis(100);
@@ -24,9 +27,14 @@
 
 /// Starts all hosts of a fleet, in an order that mixes the data centres.
 fn start_all(fleet: &mut RelayFleet) {
+    start_numbers(fleet, 0..HOSTS);
+}
+
+/// Starts hosts of every data centre by their numbers.
+fn start_numbers(fleet: &mut RelayFleet, numbers: Range<usize>) {
     let steps = 10;
     for step in 0..steps {
-        for number in (0..HOSTS).filter(|number| number % steps == step) {
+        for number in numbers.clone().filter(|number| number % steps == step) {
             for data_centre in 0..DATA_CENTRES {
                 fleet.start(data_centre, number);
             }
@@ -163,3 +171,16 @@
     assert_in_force(&fleet, 1, 100);
     assert_change_in_force(&mut fleet);
 }
+
+/// Guards against hosts that all read everything because their cluster was small until they started.
+#[test]
+fn a_small_cluster_that_grows_at_once_knows_the_configuration_in_time() {
+    let mut fleet = RelayFleet::limited(7, ENGINES);
+    start_numbers(&mut fleet, 0..HOSTS_OF_A_SMALL_CLUSTER);
+    fleet.run(ALL_AFTER);
+    assert_in_force(&fleet, 1, 100);
+    start_numbers(&mut fleet, HOSTS_OF_A_SMALL_CLUSTER..HOSTS);
+    fleet.run(ALL_AFTER);
+    assert_in_force(&fleet, 1, 100);
+    assert_change_in_force(&mut fleet);
+}
