--- a/crates/skylarkshore-core/src/follower.rs
+++ b/crates/skylarkshore-core/src/follower.rs
@@ -350,13 +350,19 @@
                 Update::News(news) => self.buffer(news),
                 Update::State(part) => {
                     if let Some((upto, bodies)) = self.parts.add(part) {
-                        self.state = Some(PeerState { upto, bodies });
+                        self.keep_newer(PeerState { upto, bodies });
                     }
                 }
             }
         }
     }
 
+    fn keep_newer(&mut self, state: PeerState) {
+        if self.state.as_ref().is_none_or(|kept| kept.upto < state.upto) {
+            self.state = Some(state);
+        }
+    }
+
     fn buffer(&mut self, news: News) {
         if news.upto > self.after && self.buffered.len() < MAX_BUFFERED_NEWS {
             self.buffered.push(news);
--- a/crates/skylarkshore-core/tests/follower.rs
+++ b/crates/skylarkshore-core/tests/follower.rs
@@ -78,6 +78,63 @@
     assert_eq!(follower.next_step(at(410)), state);
 }
 
+/// Guards against a host that never has a complete state because two peers send it theirs at the same time.
+#[test]
+fn states_of_two_peers_that_arrive_together_do_not_displace_each_other() {
+    let mut follower = Follower::new(NOTICE);
+    follower.start(at(0), StoreRevision(0));
+    let upto = StoreRevision(20);
+    for part in 0..3 {
+        for series in 1..3 {
+            follower.push_state(at(10), StatePart { series, upto, part, parts: 3, body: Arc::default() });
+        }
+    }
+    let state = Step::ApplyState { upto, bodies: vec![Arc::default(); 3] };
+    assert_eq!(follower.next_step(at(10)), state);
+}
+
+/// Guards against a host that turns away a peer's state for that of another, of which a part was lost.
+#[test]
+fn an_incomplete_state_does_not_keep_a_host_from_an_older_one() {
+    let mut follower = Follower::new(NOTICE);
+    follower.start(at(0), StoreRevision(0));
+    let lost = StatePart { series: 1, upto: StoreRevision(20), part: 0, parts: 2, body: Arc::default() };
+    follower.push_state(at(10), lost);
+    let older = StatePart { series: 2, upto: StoreRevision(19), part: 0, parts: 1, body: Arc::default() };
+    follower.push_state(at(10), older);
+    let state = Step::ApplyState { upto: StoreRevision(19), bodies: vec![Arc::default()] };
+    assert_eq!(follower.next_step(at(10)), state);
+}
+
+/// Guards against a host that goes back to an older state that arrives after a newer one.
+#[test]
+fn the_newest_of_several_complete_states_is_applied() {
+    let mut follower = Follower::new(NOTICE);
+    follower.start(at(0), StoreRevision(0));
+    for (series, upto) in [(1, 20), (2, 19)] {
+        let upto = StoreRevision(upto);
+        follower.push_state(at(10), StatePart { series, upto, part: 0, parts: 1, body: Arc::default() });
+    }
+    let state = Step::ApplyState { upto: StoreRevision(20), bodies: vec![Arc::default()] };
+    assert_eq!(follower.next_step(at(10)), state);
+}
+
+/// Guards against a host that keeps parts of ever more states, of which none becomes complete.
+#[test]
+fn a_state_that_is_displaced_by_later_ones_is_dropped() {
+    let mut follower = Follower::new(NOTICE);
+    follower.start(at(0), StoreRevision(0));
+    let part =
+        |series, part| StatePart { series, upto: StoreRevision(20), part, parts: 2, body: Arc::default() };
+    for series in 1..10 {
+        follower.push_state(at(10), part(series, 0));
+    }
+    follower.push_state(at(10), part(1, 1));
+    assert!(matches!(follower.next_step(at(10)), Step::Wait { .. }));
+    follower.push_state(at(10), part(9, 1));
+    assert!(matches!(follower.next_step(at(10)), Step::ApplyState { .. }));
+}
+
 /// Guards against a host that waits for a peer although that peer is behind it.
 #[test]
 fn news_from_a_peer_that_is_behind_does_not_keep_a_host_from_reading() {
