Name the stage of a start in metrics and the state dump

Now each host has the gauges start_stage (0 once the start has ended) and start_duration_seconds and the counters states_sent_total and states_refused_total, and the state dump has an entry "start" with the stage and its beginning.

Both new tests of fleet_size.rs fail on ("the dump tells of the start"; None instead of Some(0.0)) and pass now. No decision is changed.

--- a/crates/skylarkshore-core/src/control/bootstrap.rs
+++ b/crates/skylarkshore-core/src/control/bootstrap.rs
@@ -74,6 +74,19 @@
             Self::AwaitingState { .. } => "awaiting_state",
         }
     }
+
+    /// Returns the stage's number for the metrics; 0 stands for a start that has ended.
+    const fn number(&self) -> u8 {
+        match self {
+            Self::ReadingRoot { .. } => 1,
+            Self::Claiming => 2,
+            Self::AwaitingRegistrations { .. } => 3,
+            Self::ReadingAll => 4,
+            Self::ReadingAlone => 5,
+            Self::AwaitingOffer { .. } => 6,
+            Self::AwaitingState { .. } => 7,
+        }
+    }
 }
 
 /// The root's record as it was first read.
@@ -87,7 +100,10 @@
 #[derive(Debug, Default)]
 pub(super) struct Bootstrap {
     stage: Option<Stage>,
+    stage_since: Time,
     started_at: Time,
+    /// When this process knew the shared keys.
+    ended_at: Option<Time>,
     seen_root: Option<SeenRoot>,
     backoff: Backoff,
 }
@@ -108,6 +124,25 @@
         self.stage.as_ref().map(Stage::name)
     }
 
+    /// Returns the number of the current stage; 0 once this process knows the shared keys.
+    pub(super) fn stage_number(&self) -> u8 {
+        self.stage.as_ref().map_or(0, Stage::number)
+    }
+
+    /// Returns when the current stage began, or when the start ended.
+    ///
+    /// Returns `None` where a process doesn't go through the stages.
+    pub(super) fn since(&self) -> Option<Time> {
+        if self.stage.is_some() { Some(self.stage_since) } else { self.ended_at }
+    }
+
+    /// Returns how long the start has taken so far, or took; `None` where a process doesn't go through
+    /// the stages.
+    pub(super) fn duration(&self, now: Time) -> Option<Duration> {
+        let until = if self.stage.is_some() { Some(now) } else { self.ended_at };
+        until.map(|until| until.since(self.started_at))
+    }
+
     /// Handles the result of a store call, which may belong to another part of the process.
     pub(super) fn on_store(
         &mut self,
@@ -181,7 +216,7 @@
     fn read_root(&mut self, cx: &mut Cx<'_>) {
         let call = cx.next_call();
         let deadline = cx.now.after(cx.cfg.timings.store_timeout * 2);
-        self.stage = Some(Stage::ReadingRoot { call, deadline });
+        self.set_stage(cx, Stage::ReadingRoot { call, deadline });
         cx.push(Effect::Store { call, request: StoreCall::Read(root_key(cx)) });
     }
 
@@ -198,14 +233,22 @@
 
     fn enter(&mut self, cx: &mut Cx<'_>, stage: Stage, why: &str) {
         let name = stage.name();
-        let is_repeated = self.stage_name() == Some(name);
-        self.stage = Some(stage);
-        if !is_repeated {
+        if self.set_stage(cx, stage) {
             let waited_ms = cx.now.since(self.started_at).as_millis();
             cx.log_event("start_stage", name, format!("{why}; after_ms={waited_ms}"));
         }
     }
 
+    /// Sets the stage; reports whether it differs from the one before by more than its deadline.
+    fn set_stage(&mut self, cx: &Cx<'_>, stage: Stage) -> bool {
+        let is_new = self.stage_name() != Some(stage.name());
+        if is_new {
+            self.stage_since = cx.now;
+        }
+        self.stage = Some(stage);
+        is_new
+    }
+
     /// Goes on when a wait has ended.
     pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>, sync: &mut StoreSync, peers: &mut Peers) {
         if self.stage.is_none() {
@@ -245,6 +288,7 @@
         }
         let stage = self.stage_name().unwrap_or("none");
         self.stage = None;
+        self.ended_at = Some(cx.now);
         let after_ms = cx.now.since(self.started_at).as_millis();
         let revision = sync.frontier();
         cx.log_event("start_synchronised", stage, format!("revision={revision} after_ms={after_ms}"));
--- a/crates/skylarkshore-core/src/control/introspection.rs
+++ b/crates/skylarkshore-core/src/control/introspection.rs
@@ -9,6 +9,7 @@
 /// Returns the entries on members, ownership, homes and power.
 pub(super) fn dump_entries(control: &Control, cx: &Cx<'_>) -> Vec<DumpEntry> {
     let mut entries = vec![own_membership(control, cx), store_sync(control, cx)];
+    entries.extend(start(control, cx));
     entries.extend(members(control, cx));
     entries.extend(owners(control, cx));
     entries.extend(homes(control, cx));
@@ -28,7 +29,13 @@
         gauge("models_without_engine", counts.unplaceable),
         gauge("watching", usize::from(control.store_sync.watching_since().is_some())),
         gauge("superseded", usize::from(control.membership.is_superseded())),
+        gauge("start_stage", usize::from(control.bootstrap.stage_number())),
+        count("states_sent_total", control.state_provider.sent()),
+        count("states_refused_total", control.state_provider.refused()),
     ];
+    if let Some(duration) = control.bootstrap.duration(cx.now) {
+        gauges.push(Gauge { name: "start_duration_seconds", value: duration.as_secs_f64() });
+    }
     if let Some(confirmed_at) = control.membership.confirmed_at() {
         let value = cx.now.since(confirmed_at).as_secs_f64();
         gauges.push(Gauge { name: "lease_confirmed_age_seconds", value });
@@ -40,6 +47,11 @@
     Gauge { name, value: u32::try_from(value).map_or(f64::MAX, f64::from) }
 }
 
+#[expect(clippy::cast_precision_loss, reason = "metrics are floating-point numbers")]
+const fn count(name: &'static str, count: u64) -> Gauge {
+    Gauge { name, value: count as f64 }
+}
+
 fn own_membership(control: &Control, cx: &Cx<'_>) -> DumpEntry {
     let membership = &control.membership;
     let state = match (membership.is_superseded(), membership.registration_revision()) {
@@ -57,6 +69,13 @@
     DumpEntry { kind: "feed", subject: cx.cfg.host.to_string(), state, since }
 }
 
+/// Returns the entry on the start; none where a process doesn't go through its stages.
+fn start(control: &Control, cx: &Cx<'_>) -> Option<DumpEntry> {
+    let since = control.bootstrap.since()?;
+    let state = control.bootstrap.stage_name().unwrap_or("synchronised").to_owned();
+    Some(DumpEntry { kind: "start", subject: cx.cfg.host.to_string(), state, since: Some(since) })
+}
+
 fn members(control: &Control, cx: &Cx<'_>) -> Vec<DumpEntry> {
     let members = cx.cache.members();
     members
--- a/crates/skylarkshore-core/src/control/state_provider.rs
+++ b/crates/skylarkshore-core/src/control/state_provider.rs
@@ -30,6 +30,8 @@
 #[derive(Debug, Default)]
 pub(super) struct StateProvider {
     transfers: OrderedMap<HostId, Transfer>,
+    sent: u64,
+    refused: u64,
 }
 
 impl StateProvider {
@@ -38,6 +40,7 @@
     /// A request that isn't served gets no answer; its sender asks another member. Reports whether it is served.
     pub(super) fn on_request(&mut self, cx: &mut Cx<'_>, sync: &StoreSync, from: &HostId) -> bool {
         if !sync.is_synced() {
+            self.refused += 1;
             return false;
         }
         self.transfers.retain(|_, transfer| !transfer.sent_at.after(RESEND_INTERVAL).is_due(cx.now));
@@ -47,15 +50,27 @@
         }
         let running = self.transfers.values().filter(|transfer| transfer.is_running(cx.now)).count();
         if running >= (fan_out(cx.cfg.capacity) / FAN_OUT_DIVISOR).max(MIN_TRANSFERS) {
+            self.refused += 1;
             cx.log_event("state_not_sent", from, format!("it is on its way to {running} others"));
             return false;
         }
         self.transfers.insert(from.clone(), Transfer { sent_at: cx.now, is_confirmed: false });
+        self.sent += 1;
         cx.send(from, PeerMessage::StateComing);
         send_state(cx, sync, from);
         true
     }
 
+    /// Returns how many states were sent since the start.
+    pub(super) const fn sent(&self) -> u64 {
+        self.sent
+    }
+
+    /// Returns how many requests for the state weren't served since the start.
+    pub(super) const fn refused(&self) -> u64 {
+        self.refused
+    }
+
     /// Records that a member knows the shared keys.
     pub(super) fn on_heartbeat(&mut self, from: &HostId, store: StoreRevision) {
         if store > StoreRevision(0)
--- a/crates/skylarkshore-core/tests/fleet_size.rs
+++ b/crates/skylarkshore-core/tests/fleet_size.rs
@@ -358,3 +358,58 @@
         assert_eq!(requested_peer(&effects), None, "{effects:?}");
     }
 }
+
+fn gauge(node: &mut Node, now: Time, name: &str) -> Option<f64> {
+    node.gauges(now).into_iter().find(|gauge| gauge.name == name).map(|gauge| gauge.value)
+}
+
+/// Returns what the state dump tells of the start.
+fn start_entry(node: &mut Node, now: Time) -> String {
+    let entries = node.dump(now);
+    let start = entries.into_iter().find(|entry| entry.kind == "start").expect("the dump tells of the start");
+    let since = start.since.expect("a stage has a beginning");
+    format!("{} since {} ms", start.state, since.since(NOW).as_millis())
+}
+
+/// Guards against a host that doesn't serve and of which nothing tells where its start hangs.
+#[test]
+fn metrics_and_state_dump_name_the_stage_of_a_start() {
+    let hosts = 100;
+    let (mut node, _) = start(non_root(hosts), hosts);
+    let later = NOW.after(Duration::from_millis(250));
+    assert_eq!(start_entry(&mut node, later), "awaiting_offer since 0 ms");
+    assert_eq!(gauge(&mut node, later, "start_stage"), Some(6.0));
+    assert_eq!(gauge(&mut node, later, "start_duration_seconds"), Some(0.25));
+
+    node.handle(later, Event::Peer { from: host(7), message: heartbeat(upto(hosts)) });
+    assert_eq!(start_entry(&mut node, later), "awaiting_state since 250 ms");
+    assert_eq!(gauge(&mut node, later, "start_stage"), Some(7.0));
+
+    let ended = NOW.after(Duration::from_millis(500));
+    node.handle(ended, Event::State { upto: upto(hosts), records: members(hosts) });
+    tick(&mut node, ended);
+    let much_later = NOW.after(Duration::from_secs(9));
+    assert_eq!(start_entry(&mut node, much_later), "synchronised since 500 ms");
+    assert_eq!(gauge(&mut node, much_later, "start_stage"), Some(0.0));
+    assert_eq!(gauge(&mut node, much_later, "start_duration_seconds"), Some(0.5));
+}
+
+/// Guards against requests for the state that stay unserved without a trace at the host that was asked.
+#[test]
+fn sent_and_refused_states_are_counted() {
+    let hosts = 100;
+    let request = |node: &mut Node, number| {
+        node.handle(NOW, Event::Peer { from: host(number), message: PeerMessage::StateWanted });
+    };
+    let (mut node, _) = start(non_root(hosts), hosts);
+    request(&mut node, 7);
+    assert_eq!(gauge(&mut node, NOW, "states_sent_total"), Some(0.0));
+    assert_eq!(gauge(&mut node, NOW, "states_refused_total"), Some(1.0));
+
+    let (mut node, _) = synced(1, hosts);
+    for number in [7, 7, 8, 9] {
+        request(&mut node, number);
+    }
+    assert_eq!(gauge(&mut node, NOW, "states_sent_total"), Some(2.0));
+    assert_eq!(gauge(&mut node, NOW, "states_refused_total"), Some(1.0));
+}
