Log and count what reads of the key-value service cost

The age of what a sender of the state knew isn't told by its message, and isn't logged.

The test of the follower doesn't compile without the new fields. Two tests of the follower compare the arrival of the parts as well. No decision is changed.

--- a/crates/skylarkshore-core/src/follower.rs
+++ b/crates/skylarkshore-core/src/follower.rs
@@ -15,7 +15,7 @@
 use crate::id::StoreRevision;
 use crate::peer::{News, StatePart};
 use crate::time::Time;
-use state_parts::StateParts;
+use state_parts::{PeerState, StateParts};
 use timing::{ReadCadence, ReadTiming};
 
 /// Limit of queued updates; when it is exceeded, the process reads the service itself.
@@ -88,6 +88,10 @@
         upto: StoreRevision,
         /// The bodies of its parts, in order.
         bodies: Vec<Arc<[u8]>>,
+        /// When the first part arrived.
+        first_part_at: Time,
+        /// When the last part arrived.
+        last_part_at: Time,
     },
     /// Report changes that the news of peers has skipped.
     ReportGap {
@@ -113,14 +117,7 @@
 #[derive(Clone, Debug)]
 enum Update {
     News(News),
-    State(StatePart),
-}
-
-/// The complete state of a peer.
-#[derive(Clone, Debug)]
-struct PeerState {
-    upto: StoreRevision,
-    bodies: Vec<Arc<[u8]>>,
+    State { at: Time, part: StatePart },
 }
 
 /// What the follower is doing.
@@ -229,7 +226,7 @@
     /// Queues a part of a peer's complete state.
     pub fn push_state(&mut self, now: Time, part: StatePart) {
         self.last_update = Some(now);
-        self.push(Update::State(part));
+        self.push(Update::State { at: now, part });
     }
 
     /// Restarts the silence timer because a peer has announced an update.
@@ -331,8 +328,9 @@
         if let Some(news) = self.next_contiguous() {
             return Step::ApplyNews(news);
         }
-        if let Some(PeerState { upto, bodies }) = self.state.take().filter(|state| state.upto > self.after) {
-            return Step::ApplyState { upto, bodies };
+        if let Some(state) = self.state.take().filter(|state| state.upto > self.after) {
+            let PeerState { upto, bodies, first_part_at, last_part_at } = state;
+            return Step::ApplyState { upto, bodies, first_part_at, last_part_at };
         }
         // Without any state, news can only be kept until a peer's state arrives.
         let knows_state = self.after != StoreRevision(0);
@@ -348,9 +346,9 @@
         for update in std::mem::take(&mut self.queue) {
             match update {
                 Update::News(news) => self.buffer(news),
-                Update::State(part) => {
-                    if let Some((upto, bodies)) = self.parts.add(part) {
-                        self.state = Some(PeerState { upto, bodies });
+                Update::State { at, part } => {
+                    if let Some(state) = self.parts.add(at, part) {
+                        self.state = Some(state);
                     }
                 }
             }
--- a/crates/skylarkshore-core/tests/follower.rs
+++ b/crates/skylarkshore-core/tests/follower.rs
@@ -65,6 +65,32 @@
     }
 }
 
+fn state_in_one_part(arrived_at: Time) -> Step {
+    Step::ApplyState {
+        upto: StoreRevision(20),
+        bodies: vec![Arc::default()],
+        first_part_at: arrived_at,
+        last_part_at: arrived_at,
+    }
+}
+
+/// Guards against a log that can't tell a state that is sent slowly from one that is sent late.
+#[test]
+fn a_complete_state_names_the_arrival_of_its_first_and_last_part() {
+    let mut follower = following();
+    let part = |part| StatePart { series: 1, upto: StoreRevision(20), part, parts: 2, body: Arc::default() };
+    follower.push_state(at(410), part(1));
+    assert!(matches!(follower.next_step(at(500)), Step::Wait { .. }));
+    follower.push_state(at(730), part(0));
+    let expected = Step::ApplyState {
+        upto: StoreRevision(20),
+        bodies: vec![Arc::default(); 2],
+        first_part_at: at(410),
+        last_part_at: at(730),
+    };
+    assert_eq!(follower.next_step(at(800)), expected);
+}
+
 /// Guards against a read that keeps a host from the state that a peer has sent meanwhile.
 #[test]
 fn a_complete_state_ends_a_read() {
@@ -74,8 +100,7 @@
     follower.push_state(at(410), part);
     assert!(!follower.is_read_wanted());
     follower.abandon_read();
-    let state = Step::ApplyState { upto: StoreRevision(20), bodies: vec![Arc::default()] };
-    assert_eq!(follower.next_step(at(410)), state);
+    assert_eq!(follower.next_step(at(410)), state_in_one_part(at(410)));
 }
 
 /// Guards against a host that waits for a peer although that peer is behind it.
@@ -117,8 +142,7 @@
     follower.read_missed();
     assert!(!follower.is_read_wanted());
     follower.abandon_read();
-    let state = Step::ApplyState { upto: StoreRevision(20), bodies: vec![Arc::default()] };
-    assert_eq!(follower.next_step(at(410)), state);
+    assert_eq!(follower.next_step(at(410)), state_in_one_part(at(410)));
 }
 
 /// Guards against a gap that never counts as lasting, because each read for missed changes forgets it
--- a/crates/skylarkshore-host/src/metrics.rs
+++ b/crates/skylarkshore-host/src/metrics.rs
@@ -31,6 +31,7 @@
     log_events: IntCounterVec,
     store_calls: IntCounterVec,
     store_duration: Histogram,
+    store_bytes: IntCounterVec,
     peer_messages: IntCounterVec,
     peer_bytes: IntCounterVec,
     peer_dropped: IntCounter,
@@ -129,6 +130,10 @@
                 "store_call_duration_seconds",
                 "How long calls to the key-value service take.",
             ))?,
+            store_bytes: IntCounterVec::new(
+                opts("store_read_bytes_total", "Bytes of whole answers of the key-value service, by call."),
+                &["call"],
+            )?,
             peer_messages: IntCounterVec::new(
                 opts("peer_messages_total", "Messages to and from peers."),
                 &["direction"],
@@ -168,6 +173,7 @@
             Box::new(self.log_events.clone()),
             Box::new(self.store_calls.clone()),
             Box::new(self.store_duration.clone()),
+            Box::new(self.store_bytes.clone()),
             Box::new(self.peer_messages.clone()),
             Box::new(self.peer_bytes.clone()),
             Box::new(self.peer_dropped.clone()),
@@ -226,6 +232,12 @@
         self.store_duration.observe(took.as_secs_f64());
     }
 
+    /// Counts the bytes of an answer of the key-value service.
+    pub fn store_bytes_read(&self, call: &str, len: usize) {
+        let len = u64::try_from(len).unwrap_or(u64::MAX);
+        self.store_bytes.with_label_values(&[call]).inc_by(len);
+    }
+
     pub(crate) fn peer_message(&self, direction: Direction, len: usize) {
         self.peer_messages.with_label_values(&[direction.label()]).inc();
         let len = u64::try_from(len).unwrap_or(u64::MAX);
