Log each introduction of an unknown peer, and why one is turned away

A host that has just started is reached by peers only once its certificate is checked against its member key.

No decision is changed.

--- a/crates/skylarkshore-host/src/peers.rs
+++ b/crates/skylarkshore-host/src/peers.rs
@@ -3,24 +3,24 @@
 mod directory;
 mod fingerprint;
 mod identity;
+mod introduction;
 mod link;
 mod transport;
 mod tunnel;
 mod verifier;
 
-use std::net::UdpSocket;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use quinn::{Connection, Endpoint, EndpointConfig, Incoming, TokioRuntime};
-use rustls::pki_types::CertificateDer;
 use skylarkshore_core::Event;
 use skylarkshore_core::collections::HashMap;
 use skylarkshore_core::id::{Digest, HostId};
 use skylarkshore_core::peer::Envelope;
 use skylarkshore_wire::peer::{MAX_MESSAGE_LEN, decode, encode};
-use slog::{debug, warn};
+use slog::{info, warn};
 use tokio::sync::{Notify, Semaphore, mpsc, watch};
 use tokio::time::timeout;
 
@@ -31,6 +31,7 @@
 
 use directory::{Directory, PeerEndpoint};
 use identity::SERVER_NAME;
+use introduction::{INTRODUCTION_TIMEOUT, MAX_INTRODUCTIONS, TurnedAway};
 use link::{Link, LinkError};
 
 pub(crate) use identity::Identity;
@@ -40,9 +41,6 @@
 /// Messages queued for one peer; more are dropped. Requests are repeated until
 /// they are answered, so a lost message costs only time.
 const QUEUE_CAPACITY: usize = 256;
-/// How long the connection of a process that isn't known yet is kept.
-const INTRODUCTION_TIMEOUT: Duration = Duration::from_secs(1);
-const MAX_INTRODUCTIONS: usize = 64;
 
 /// Sends and receives peer messages; cheap to clone.
 #[derive(Clone, Debug)]
@@ -159,37 +157,53 @@
         let address = incoming.remote_address();
         let connection = match incoming.await {
             Ok(connection) => connection,
-            Err(err) => {
-                debug!(self.shared.env.log, "peer_turned_away"; "address" => %address, "reason" => %err);
+            Err(err) => return self.log_turned_away(address, &err.into()),
+        };
+        let (fingerprint, host) = match self.identify(&connection).await {
+            Ok(identified) => identified,
+            Err(why) => {
+                self.log_turned_away(address, &why);
+                connection.close(1_u32.into(), b"unknown fingerprint");
                 return;
             }
         };
-        let identified = match fingerprint::presented_by(&connection) {
-            Some(certificate) => self.identify(&certificate).await,
-            None => None,
-        };
-        let Some((fingerprint, host)) = identified else {
-            debug!(self.shared.env.log, "peer_turned_away"; "address" => %address, "reason" => "not a member");
-            connection.close(1_u32.into(), b"unknown fingerprint");
-            return;
-        };
         self.store_connection(&host, Pinned { fingerprint, connection: connection.clone() });
         self.receive(host, connection).await;
     }
 
-    /// Returns the host that published a certificate; `None` if it isn't published in time.
+    /// Returns the host that published the certificate of a connection, and its fingerprint.
     ///
     /// A process that has just started knows no member, and others don't know it yet. The core
     /// looks up the host that the certificate names.
-    async fn identify(&self, certificate: &CertificateDer<'_>) -> Option<(Digest, HostId)> {
-        let presented = fingerprint::fingerprint(certificate);
+    async fn identify(&self, connection: &Connection) -> Result<(Digest, HostId), TurnedAway> {
+        let certificate = fingerprint::presented_by(connection).ok_or(TurnedAway::NoCertificate)?;
+        let presented = fingerprint::fingerprint(&certificate);
         if let Some(host) = self.shared.directory.host_of(presented) {
-            return Some((presented, host));
+            return Ok((presented, host));
+        }
+        let claimed = identity::claimed_host(&certificate).ok_or(TurnedAway::Unnamed)?;
+        let Ok(_permit) = self.shared.introductions.try_acquire() else { return Err(TurnedAway::TooMany) };
+        let begun = Instant::now();
+        self.shared.env.inbox.event_later(Event::UnknownPeer { host: claimed.clone() });
+        let published = timeout(INTRODUCTION_TIMEOUT, self.published(presented)).await;
+        let Ok(host) = published else { return Err(TurnedAway::NotPublished(claimed)) };
+        self.log_introduced(&host, begun);
+        Ok((presented, host))
+    }
+
+    fn log_introduced(&self, host: &HostId, begun: Instant) {
+        let env = &self.shared.env;
+        if env.may_log("peer_introduced") {
+            let took_ms = u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX);
+            info!(env.log, "peer_introduced"; "took_ms" => took_ms, "peer" => %host);
+        }
+    }
+
+    fn log_turned_away(&self, address: SocketAddr, why: &TurnedAway) {
+        let env = &self.shared.env;
+        if env.may_log("peer_turned_away") {
+            info!(env.log, "peer_turned_away"; "reason" => %why, "address" => %address);
         }
-        let claimed = identity::claimed_host(certificate)?;
-        let _permit = self.shared.introductions.try_acquire().ok()?;
-        self.shared.env.inbox.event_later(Event::UnknownPeer { host: claimed });
-        timeout(INTRODUCTION_TIMEOUT, self.published(presented)).await.ok().map(|host| (presented, host))
     }
 
     /// Waits until a certificate is published.
