--- a/crates/skylarkshore-core/src/follower/state_parts.rs
+++ b/crates/skylarkshore-core/src/follower/state_parts.rs
@@ -4,6 +4,7 @@
 
 use crate::id::StoreRevision;
 use crate::peer::StatePart;
+use crate::time::Time;
 
 /// Limit of parts in a peer's state.
 const MAX_STATE_PARTS: usize = 1024;
@@ -24,18 +25,30 @@
     series: u64,
     upto: StoreRevision,
     bodies: Vec<Option<Arc<[u8]>>>,
+    first_part_at: Time,
+}
+
+/// All parts of a peer's state, in order.
+#[derive(Clone, Debug)]
+pub(super) struct PeerState {
+    pub(super) upto: StoreRevision,
+    pub(super) bodies: Vec<Arc<[u8]>>,
+    /// When the first part arrived.
+    pub(super) first_part_at: Time,
+    /// When the last part arrived.
+    pub(super) last_part_at: Time,
 }
 
 impl StateParts {
-    /// Adds a part; returns the revision and all parts in order once a state is complete.
-    pub(super) fn add(&mut self, part: StatePart) -> Option<(StoreRevision, Vec<Arc<[u8]>>)> {
-        let index = self.position(&part).or_else(|| self.begin(&part))?;
+    /// Adds a part that arrived at `at`; returns its state once that is complete.
+    pub(super) fn add(&mut self, at: Time, part: StatePart) -> Option<PeerState> {
+        let index = self.position(&part).or_else(|| self.begin(at, &part))?;
         let state = &mut self.incomplete[index];
         *state.bodies.get_mut(part.part as usize)? = Some(part.body);
-        let complete: Vec<Arc<[u8]>> = state.bodies.iter().cloned().collect::<Option<_>>()?;
-        let upto = state.upto;
+        let bodies = state.bodies.iter().cloned().collect::<Option<_>>()?;
+        let IncompleteState { upto, first_part_at, .. } = *state;
         self.incomplete.retain(|other| other.upto > upto);
-        Some((upto, complete))
+        Some(PeerState { upto, bodies, first_part_at, last_part_at: at })
     }
 
     fn position(&self, part: &StatePart) -> Option<usize> {
@@ -46,7 +59,7 @@
     }
 
     /// Begins a state with none of its parts, and returns its index; the oldest one yields to it.
-    fn begin(&mut self, part: &StatePart) -> Option<usize> {
+    fn begin(&mut self, at: Time, part: &StatePart) -> Option<usize> {
         let parts = part.parts as usize;
         if parts > MAX_STATE_PARTS {
             return None;
@@ -54,7 +67,8 @@
         if self.incomplete.len() >= MAX_STATES {
             self.incomplete.remove(0);
         }
-        let state = IncompleteState { series: part.series, upto: part.upto, bodies: vec![None; parts] };
+        let bodies = vec![None; parts];
+        let state = IncompleteState { series: part.series, upto: part.upto, bodies, first_part_at: at };
         self.incomplete.push(state);
         Some(self.incomplete.len() - 1)
     }
--- a/crates/skylarkshore-core/tests/follower.rs
+++ b/crates/skylarkshore-core/tests/follower.rs
@@ -65,6 +65,32 @@
     }
 }
 
+fn state_in_one_part(upto: StoreRevision, arrived_at: Time) -> Step {
+    Step::ApplyState {
+        upto,
+        bodies: vec![Arc::default()],
+        first_part_at: arrived_at,
+        last_part_at: arrived_at,
+    }
+}
+
+/// Guards against a log that can't tell a state that is sent slowly from one that is sent late.
+#[test]
+fn a_complete_state_names_the_arrival_of_its_first_and_last_part() {
+    let mut follower = following();
+    let part = |part| StatePart { series: 1, upto: StoreRevision(20), part, parts: 2, body: Arc::default() };
+    follower.push_state(at(410), part(1));
+    assert!(matches!(follower.next_step(at(500)), Step::Wait { .. }));
+    follower.push_state(at(730), part(0));
+    let expected = Step::ApplyState {
+        upto: StoreRevision(20),
+        bodies: vec![Arc::default(); 2],
+        first_part_at: at(410),
+        last_part_at: at(730),
+    };
+    assert_eq!(follower.next_step(at(800)), expected);
+}
+
 /// Guards against a read that keeps a host from the state that a peer has sent meanwhile.
 #[test]
 fn a_complete_state_ends_a_read() {
@@ -74,8 +100,7 @@
     follower.push_state(at(410), part);
     assert!(!follower.is_read_wanted());
     follower.abandon_read();
-    let state = Step::ApplyState { upto: StoreRevision(20), bodies: vec![Arc::default()] };
-    assert_eq!(follower.next_step(at(410)), state);
+    assert_eq!(follower.next_step(at(410)), state_in_one_part(StoreRevision(20), at(410)));
 }
 
 /// Guards against a host that never has a complete state because two peers send it theirs at the same time.
@@ -89,7 +114,12 @@
             follower.push_state(at(10), StatePart { series, upto, part, parts: 3, body: Arc::default() });
         }
     }
-    let state = Step::ApplyState { upto, bodies: vec![Arc::default(); 3] };
+    let state = Step::ApplyState {
+        upto,
+        bodies: vec![Arc::default(); 3],
+        first_part_at: at(10),
+        last_part_at: at(10),
+    };
     assert_eq!(follower.next_step(at(10)), state);
 }
 
@@ -102,8 +132,7 @@
     follower.push_state(at(10), lost);
     let older = StatePart { series: 2, upto: StoreRevision(19), part: 0, parts: 1, body: Arc::default() };
     follower.push_state(at(10), older);
-    let state = Step::ApplyState { upto: StoreRevision(19), bodies: vec![Arc::default()] };
-    assert_eq!(follower.next_step(at(10)), state);
+    assert_eq!(follower.next_step(at(10)), state_in_one_part(StoreRevision(19), at(10)));
 }
 
 /// Guards against a host that goes back to an older state that arrives after a newer one.
@@ -115,8 +144,7 @@
         let upto = StoreRevision(upto);
         follower.push_state(at(10), StatePart { series, upto, part: 0, parts: 1, body: Arc::default() });
     }
-    let state = Step::ApplyState { upto: StoreRevision(20), bodies: vec![Arc::default()] };
-    assert_eq!(follower.next_step(at(10)), state);
+    assert_eq!(follower.next_step(at(10)), state_in_one_part(StoreRevision(20), at(10)));
 }
 
 /// Guards against a host that keeps parts of ever more states, of which none becomes complete.
@@ -174,8 +202,7 @@
     follower.read_missed();
     assert!(!follower.is_read_wanted());
     follower.abandon_read();
-    let state = Step::ApplyState { upto: StoreRevision(20), bodies: vec![Arc::default()] };
-    assert_eq!(follower.next_step(at(410)), state);
+    assert_eq!(follower.next_step(at(410)), state_in_one_part(StoreRevision(20), at(410)));
 }
 
 /// Guards against a gap that never counts as lasting, because each read for missed changes forgets it
