Leave open what a host cannot know that may have missed a configuration

Cause: a host judged a route, a key and a limit by the configuration that it knows, however long ago it was last known to be the newest. No part of the program knew that age: news and states that hosts relay carried none.

The tests of the core use what is new here and don't compile before.

Now news and states carry their age (two new variants at the end of the wire's enum). A process knows that each change before a time T has a revision of at most R: T is when its own read was sent, or when a peer's message arrived less the age that it names. That counts once no change up to R is missing, so news beyond a gap confirms nothing until the gap is filled, and empty news confirms what is known. Without the setting nothing changes.

A host that reads the service for itself waited up to 0.6 of the notice that upstreams give, so that calm knowledge was up to 1.2 notices old; its waits now follow from the limit, too. In the relay trees of the whole fleet's numbers the intervals stay: news, empty or not, keeps the age at all 985 hosts below 3.75 s in given time, calm and around a change (tests/relay/start.rs).

Ruled out: to raise the age at each relaying host by the time that it held news; the core forwards it in the same event, so that time is zero. Not counted is the time that a message waits in a queue before the core takes it.

--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -31,6 +31,7 @@
 mod assignment;
 mod backoff;
 mod bootstrap;
+mod completeness;
 mod context;
 pub(crate) mod hashing;
 mod homes;
@@ -193,6 +194,7 @@
     /// records that the service answers.
     pub fn on_news_read(&mut self, cx: &mut Cx<'_>, news: &News) {
         self.store_sync.set_watch_answered(true);
+        self.store_sync.on_news(cx.now, news);
         self.news_pull.on_own_read(cx.now);
         self.relay.on_own_news(cx, news);
     }
@@ -334,7 +336,11 @@
             self.state_provider.on_heartbeat(from, *store);
         }
         match message {
-            PeerMessage::News(news) => self.relay.on_news(cx, from, news),
+            PeerMessage::News(news) => {
+                self.store_sync.on_news(cx.now, news);
+                self.relay.on_news(cx, from, news);
+            }
+            PeerMessage::State(part) => self.store_sync.on_state_part(cx.now, part),
             // The requester regards this process as its parent and expects news from it.
             PeerMessage::StateWanted if self.state_provider.on_request(cx, &self.store_sync, from) => {
                 self.relay.add_temporary_child(cx.now, from);
@@ -360,6 +366,11 @@
         self.on_members_changed();
     }
 
+    /// Returns the time of which no earlier change of a shared key is missing here.
+    pub const fn complete_at(&self) -> Option<Time> {
+        self.store_sync.complete_at()
+    }
+
     /// Returns the ownership changes since the last call.
     pub fn take_changes(&mut self) -> Vec<OwnershipChange> {
         self.ownership.take_changes()
--- a/crates/skylarkshore-core/src/control/introspection.rs
+++ b/crates/skylarkshore-core/src/control/introspection.rs
@@ -33,6 +33,10 @@
         let value = cx.now.since(confirmed_at).as_secs_f64();
         gauges.push(Gauge { name: "lease_confirmed_age_seconds", value });
     }
+    if let Some(complete_at) = control.store_sync.complete_at() {
+        let value = cx.now.since(complete_at).as_secs_f64();
+        gauges.push(Gauge { name: "configuration_age_seconds", value });
+    }
     gauges
 }
 
--- a/crates/skylarkshore-core/src/control/state_provider.rs
+++ b/crates/skylarkshore-core/src/control/state_provider.rs
@@ -77,5 +77,6 @@
     let records: Vec<_> = all_entries.filter(|entry| entry.record.is_some()).cloned().collect();
     let series = rand::Rng::random(cx.rng);
     cx.log_event("state_sent", to, format!("revision={} shared_keys={}", sync.frontier(), records.len()));
-    cx.push(Effect::SendState { to: vec![to.clone()], series, upto: sync.frontier(), records });
+    let age = sync.complete_at().map(|at| cx.now.since(at));
+    cx.push(Effect::SendState { to: vec![to.clone()], series, upto: sync.frontier(), age, records });
 }
--- a/crates/skylarkshore-core/src/control/store_sync.rs
+++ b/crates/skylarkshore-core/src/control/store_sync.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use super::backoff::Backoff;
+use super::completeness::Completeness;
 use super::hashing;
 use super::peers::{Peers, data_centre_peers};
 use super::relay_tree::RelayTree;
@@ -21,7 +22,7 @@
 use crate::cx::Cx;
 use crate::effect::Effect;
 use crate::id::{CallId, HostId, StoreRevision};
-use crate::peer::PeerMessage;
+use crate::peer::{News, PeerMessage, StatePart};
 use crate::store::{RecordBatch, StoreAnswer, StoreCall, StoreResult, Versioned};
 use crate::time::Time;
 
@@ -52,6 +53,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Read {
     call: CallId,
+    sent_at: Time,
     timeout_at: Time,
 }
 
@@ -75,6 +77,7 @@
 pub(super) struct StoreSync {
     /// The revision up to which no change is missing.
     frontier: StoreRevision,
+    completeness: Completeness,
     /// The revision of the first complete snapshot; deletions before it are unknown here.
     first_snapshot: Option<StoreRevision>,
     /// The value of `frontier` at the last update; peers that are below it are sent records.
@@ -101,6 +104,30 @@
         self.frontier
     }
 
+    /// Returns the time of which no earlier change is missing; `None` while nothing is known.
+    pub(super) const fn complete_at(&self) -> Option<Time> {
+        self.completeness.complete_at()
+    }
+
+    /// Records the age of news, which this process has read itself or received from a peer.
+    ///
+    /// Its changes are applied later. Empty news confirms the revision that it follows.
+    pub(super) fn on_news(&mut self, now: Time, news: &News) {
+        let upto = if news.body.is_empty() { news.after } else { news.upto };
+        if let Some(age) = news.age {
+            self.completeness.confirm(self.frontier, upto, now.before(age));
+        }
+    }
+
+    /// Records the age of the state that a peer has begun to send.
+    ///
+    /// The later parts are as old as the first, however long they are on their way.
+    pub(super) fn on_state_part(&mut self, now: Time, part: &StatePart) {
+        if let Some(age) = part.age.filter(|_| part.part == 0) {
+            self.completeness.confirm(self.frontier, part.upto, now.before(age));
+        }
+    }
+
     /// Reports whether this process has received a complete snapshot of the shared keys.
     pub(super) const fn is_synced(&self) -> bool {
         self.first_snapshot.is_some()
@@ -170,20 +197,24 @@
 
     /// Handles the result of a store call, which may belong to another part of the process.
     pub(super) fn on_store(&mut self, cx: &mut Cx<'_>, call: CallId, result: &StoreResult) {
-        if self.read.take_if(|read| read.call == call).is_none() {
+        let Some(read) = self.read.take_if(|read| read.call == call) else {
             // Another call succeeded, so the remaining backoff of the read is skipped.
             if result.is_ok() {
                 self.read_backoff.reset();
                 self.read_when_due(cx);
             }
             return;
-        }
+        };
         let Ok(StoreAnswer::Shared { revision, .. }) = result else {
             self.read_backoff.record_failure(cx);
             return;
         };
         self.read_backoff.reset();
         self.is_read_pending = false;
+        // An answer from before the frontier comes from a service that is behind.
+        if *revision >= self.frontier {
+            self.completeness.confirm(self.frontier, *revision, read.sent_at);
+        }
         self.record_snapshot(cx, *revision);
     }
 
@@ -205,7 +236,7 @@
         let is_warmed_up =
             cx.cfg.watchers == Watchers::OnePerDataCentre && watch.since.after(WATCH_WARM_UP).is_due(cx.now);
         if self.is_synced() && upto > self.frontier {
-            self.frontier = upto;
+            self.advance(upto);
         }
         if changes.is_empty() || !is_warmed_up {
             return;
@@ -240,7 +271,7 @@
             return;
         };
         if self.is_synced() && after <= self.frontier {
-            self.frontier = self.frontier.max(upto);
+            self.advance(upto);
             return;
         }
         self.request_records(cx, from);
@@ -268,7 +299,7 @@
     }
 
     fn record_snapshot(&mut self, cx: &Cx<'_>, revision: StoreRevision) {
-        self.frontier = self.frontier.max(revision);
+        self.advance(revision);
         self.last_snapshot = self.last_snapshot.max(Some(revision));
         if self.first_snapshot.is_none() {
             self.first_snapshot = Some(revision);
@@ -276,6 +307,11 @@
         }
     }
 
+    fn advance(&mut self, upto: StoreRevision) {
+        self.frontier = self.frontier.max(upto);
+        self.completeness.on_frontier(self.frontier);
+    }
+
     fn record_peer_lead(&mut self, now: Time, revision: StoreRevision) {
         if self.peer_lead.is_none() && revision > self.frontier {
             self.peer_lead = Some(PeerLead { revision, read_at: now.after(MAX_RELAY_LAG) });
@@ -336,7 +372,7 @@
         }
         let call = cx.next_call();
         let timeout_at = cx.now.after(cx.cfg.timings.store_timeout * READ_TIMEOUT_FACTOR);
-        self.read = Some(Read { call, timeout_at });
+        self.read = Some(Read { call, sent_at: cx.now, timeout_at });
         cx.push(Effect::Store { call, request: StoreCall::ReadShared });
     }
 
--- a/crates/skylarkshore-core/src/effect.rs
+++ b/crates/skylarkshore-core/src/effect.rs
@@ -147,6 +147,8 @@
         series: u64,
         /// Revision up to which the state is complete.
         upto: StoreRevision,
+        /// How long ago it was known to be complete.
+        age: Option<Duration>,
         /// The shared keys; the platform adapter adds its own keys.
         records: Vec<Versioned>,
     },
--- a/crates/skylarkshore-core/src/follower.rs
+++ b/crates/skylarkshore-core/src/follower.rs
@@ -195,6 +195,12 @@
         }
     }
 
+    /// Reads often enough for knowledge that is never older than `max_age` while the service answers.
+    #[must_use]
+    pub fn with_max_age(self, max_age: Duration) -> Self {
+        Self { timing: self.timing.with_max_age(max_age), ..self }
+    }
+
     /// Starts to follow after a revision; updates that are already queued stay.
     pub fn start(&mut self, now: Time, after: StoreRevision) {
         self.after = after;
--- a/crates/skylarkshore-core/src/follower/timing.rs
+++ b/crates/skylarkshore-core/src/follower/timing.rs
@@ -38,6 +38,7 @@
     /// Time without updates from peers after which the process reads the service itself; longer than
     /// between two reads for peers.
     pub(super) silence: Duration,
+    notice: Duration,
 }
 
 impl ReadTiming {
@@ -47,11 +48,28 @@
     /// after the silence, or the rest of a process that reads alone, and the answer.
     pub(super) fn from_notice(notice: Duration) -> Self {
         Self {
-            alone: ReadCadence { wait: notice * 3 / 5, wait_after_rest: notice / 5, rest: notice / 4 },
+            alone: ReadCadence::alone(notice),
+            notice,
             for_peers: ReadCadence { wait: notice / 5, wait_after_rest: notice / 10, rest: notice / 10 },
             startup_rest: notice / 5,
             slack: MAX_ANSWER_SLACK.min(notice / 4),
             silence: notice / 4,
         }
     }
+
+    /// Shortens the waits so that knowledge is younger than `max_age` when the next answer arrives.
+    ///
+    /// An answer is as old as its read, so that knowledge is up to two waits old, or a wait and a rest. The
+    /// factors leave a third of `max_age` for the delay of answers and news.
+    pub(super) fn with_max_age(self, max_age: Duration) -> Self {
+        let for_all = Self::from_notice(self.notice.min(max_age * 3 / 2));
+        let alone = ReadCadence::alone(self.notice.min(max_age / 2));
+        Self { alone, notice: self.notice, ..for_all }
+    }
+}
+
+impl ReadCadence {
+    fn alone(period: Duration) -> Self {
+        Self { wait: period * 3 / 5, wait_after_rest: period / 5, rest: period / 4 }
+    }
 }
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -124,6 +124,11 @@
         &self.cache
     }
 
+    /// Returns the time of which no earlier change of a shared key is missing here; `None` while that isn't known.
+    pub const fn complete_at(&self) -> Option<Time> {
+        self.control.complete_at()
+    }
+
     /// Returns the upstreams (engines and service replicas), which the host list names.
     pub const fn upstreams(&self) -> &UpstreamList {
         &self.upstreams
--- a/crates/skylarkshore-core/src/peer.rs
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -270,6 +270,8 @@
     pub after: StoreRevision,
     /// Revision up to which the changes are complete.
     pub upto: StoreRevision,
+    /// How long before it was sent the changes were known to be complete; `None` if that isn't known.
+    pub age: Option<Duration>,
     /// The changes in the encoding of the platform adapter; empty if nothing changed.
     pub body: Arc<[u8]>,
 }
@@ -281,6 +283,8 @@
     pub series: u64,
     /// Revision up to which the state is complete.
     pub upto: StoreRevision,
+    /// How long before it was sent the state was known to be complete; `None` if that isn't known.
+    pub age: Option<Duration>,
     /// Index of the part, starting at 0.
     pub part: u32,
     /// Total number of parts.
--- a/crates/skylarkshore-core/src/time.rs
+++ b/crates/skylarkshore-core/src/time.rs
@@ -45,6 +45,12 @@
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
+    /// Returns the time that lies `d` before this one.
+    #[must_use]
+    pub fn before(self, d: Duration) -> Self {
+        Self(self.0.saturating_sub(u64::try_from(d.as_micros()).unwrap_or(u64::MAX)))
+    }
+
     /// Returns the duration from `now` until this time, or zero if it has passed.
     pub const fn remaining(self, now: Self) -> Duration {
         self.since(now)
--- a/crates/skylarkshore-core/tests/fleet_size.rs
+++ b/crates/skylarkshore-core/tests/fleet_size.rs
@@ -127,7 +127,7 @@
 
 fn news(hosts: usize) -> News {
     let after = upto(hosts);
-    News { after, upto: after.next(), body: Vec::from([1]).into() }
+    News { after, upto: after.next(), age: None, body: Vec::from([1]).into() }
 }
 
 /// Result of relaying a message to all processes.
@@ -256,7 +256,8 @@
     assert!(!reads_full_state(&effects), "{effects:?}");
     let effects = node.handle(NOW, Event::Peer { from: host(7), message: heartbeat(upto(hosts)) });
     assert_eq!(requested_peer(&effects), Some(host(7)), "{effects:?}");
-    let part = StatePart { series: 1, upto: upto(hosts), part: 0, parts: 1, body: Vec::new().into() };
+    let part =
+        StatePart { series: 1, upto: upto(hosts), age: None, part: 0, parts: 1, body: Vec::new().into() };
     let effects = node.handle(NOW, Event::Peer { from: host(7), message: PeerMessage::State(part) });
     assert!(effects.iter().any(|effect| matches!(effect, Effect::ApplyStatePart(_))), "{effects:?}");
 }
--- a/crates/skylarkshore-core/tests/follower.rs
+++ b/crates/skylarkshore-core/tests/follower.rs
@@ -12,7 +12,7 @@
 const START: Time = Time::from_millis(60_000);
 
 fn news(after: u64, upto: u64) -> News {
-    News { after: StoreRevision(after), upto: StoreRevision(upto), body: Vec::from([1]).into() }
+    News { after: StoreRevision(after), upto: StoreRevision(upto), age: None, body: Vec::from([1]).into() }
 }
 
 fn at(ms: u64) -> Time {
@@ -70,7 +70,8 @@
 fn a_complete_state_ends_a_read() {
     let mut follower = following();
     assert!(matches!(step_after_gap(&mut follower), Step::Read(_)));
-    let part = StatePart { series: 1, upto: StoreRevision(20), part: 0, parts: 1, body: Arc::default() };
+    let part =
+        StatePart { series: 1, upto: StoreRevision(20), age: None, part: 0, parts: 1, body: Arc::default() };
     follower.push_state(at(410), part);
     assert!(!follower.is_read_wanted());
     follower.abandon_read();
@@ -112,7 +113,8 @@
 fn a_read_for_missed_changes_keeps_the_state_of_a_peer() {
     let mut follower = following();
     assert!(matches!(step_after_gap(&mut follower), Step::Read(_)));
-    let part = StatePart { series: 1, upto: StoreRevision(20), part: 0, parts: 1, body: Arc::default() };
+    let part =
+        StatePart { series: 1, upto: StoreRevision(20), age: None, part: 0, parts: 1, body: Arc::default() };
     follower.push_state(at(410), part);
     follower.read_missed();
     assert!(!follower.is_read_wanted());
--- a/crates/skylarkshore-core/tests/relay.rs
+++ b/crates/skylarkshore-core/tests/relay.rs
@@ -1,5 +1,7 @@
 //! Relayed changes of the key-value service under faults, in given time.
 
+#[path = "relay/ages.rs"]
+mod ages;
 #[path = "support/relay.rs"]
 mod relay;
 #[path = "relay/start.rs"]
--- a/crates/skylarkshore-core/tests/relay/start.rs
+++ b/crates/skylarkshore-core/tests/relay/start.rs
@@ -19,6 +19,8 @@
 const ALL_AFTER: Duration = Duration::from_secs(24);
 /// How long a confirmed configuration may take.
 const APPLY_LIMIT: Duration = Duration::from_secs(5);
+/// The age above which callers aren't denied any more.
+const MAX_AGE: Duration = Duration::from_millis(3750);
 /// How long a host has to be undisturbed before a limit holds for it.
 const CONTACT_TIME: Duration = Duration::from_secs(6);
 
@@ -54,6 +56,17 @@
     );
 }
 
+/// Asserts that no host's knowledge is too old for callers to be denied, now and for a while.
+fn assert_young(fleet: &mut RelayFleet) {
+    let until = fleet.now.after(APPLY_LIMIT);
+    while !until.is_due(fleet.now) {
+        let is_old = |age: Option<Duration>| age.is_none_or(|age| age > MAX_AGE);
+        let old = fleet.hosts.values().filter(|host| is_old(host.age(fleet.now))).count();
+        assert_eq!(old, 0, "of {} hosts at {}", fleet.hosts.len(), fleet.now);
+        fleet.run(Duration::from_millis(200));
+    }
+}
+
 /// Confirms a configuration and asserts that it is in force everywhere in time.
 fn assert_change_in_force(fleet: &mut RelayFleet) {
     let revision = fleet.configure();
@@ -73,6 +86,16 @@
     assert_change_in_force(&mut fleet);
 }
 
+/// Guards against hosts of a large fleet that hear too rarely that nothing has changed, and deny nothing.
+#[test]
+fn hundreds_of_hosts_know_that_they_are_up_to_date() {
+    let mut fleet = started(7);
+    fleet.run(ALL_AFTER);
+    assert_young(&mut fleet);
+    assert_change_in_force(&mut fleet);
+    assert_young(&mut fleet);
+}
+
 /// Guards against a start that depends on the hosts from which the others get the state.
 #[test]
 fn a_start_ends_in_time_although_hosts_that_read_for_others_are_killed() {
--- a/crates/skylarkshore-core/tests/support/relay.rs
+++ b/crates/skylarkshore-core/tests/support/relay.rs
@@ -72,6 +72,7 @@
 #[derive(Clone, Copy, Debug)]
 struct PendingRead {
     read: ChangesRead,
+    sent_at: Time,
     /// How the service treated the host when the call was made.
     access: StoreAccess,
     /// The earliest time at which the service answers with changes.
@@ -90,6 +91,14 @@
     timeout_at: Time,
 }
 
+/// What all parts of a state have in common.
+#[derive(Clone, Copy, Debug)]
+struct StateHead {
+    series: u64,
+    upto: StoreRevision,
+    age: Option<Duration>,
+}
+
 /// What arrives at a host.
 #[derive(Clone, Debug)]
 enum Arrival {
@@ -541,7 +550,8 @@
             StoreAccess::Resets | StoreAccess::Refuses => now.after(STEP),
             StoreAccess::Silent => now.after(read.timeout),
         };
-        host.read = Some(PendingRead { read, access: host.access, answer_at, ends_at, answer: None });
+        host.read =
+            Some(PendingRead { read, sent_at: now, access: host.access, answer_at, ends_at, answer: None });
     }
 
     /// Returns the time until the service takes a read of changes; without links, until its answer is there.
@@ -590,7 +600,8 @@
             return self.end_watch(name);
         }
         let body: Arc<[u8]> = if has_changes { Vec::from([1]).into() } else { Arc::default() };
-        self.handle(name, Event::NewsRead(News { after, upto, body }));
+        let age = Some(now.since(pending.sent_at));
+        self.handle(name, Event::NewsRead(News { after, upto, age, body }));
         if has_changes {
             let changes = self.changes(after, upto);
             self.handle(name, Event::Watched { changes, upto });
@@ -656,7 +667,7 @@
         let Some(host) = self.hosts.get(name) else { return };
         let after = host.follower.after();
         if after != StoreRevision(0) && after < upto {
-            let news = News { after, upto, body: Vec::from([1]).into() };
+            let news = News { after, upto, age: None, body: Vec::from([1]).into() };
             self.handle(name, Event::NewsSkipped(news));
         }
     }
@@ -680,8 +691,8 @@
                     self.call_store(name, access, call, request);
                 }
                 Effect::Peer(envelope) => self.send(name, &envelope.to, envelope.message),
-                Effect::SendState { to, series, upto, .. } => {
-                    self.send_state(name, &to, series, upto);
+                Effect::SendState { to, series, upto, age, .. } => {
+                    self.send_state(name, &to, StateHead { series, upto, age });
                 }
                 effect => {
                     if let Some(host) = self.hosts.get_mut(name) {
@@ -704,13 +715,14 @@
         self.send_event(name, Event::Store { call, result }, delay);
     }
 
-    fn send_state(&mut self, from: &HostId, to: &[HostId], series: u64, upto: StoreRevision) {
+    fn send_state(&mut self, from: &HostId, to: &[HostId], head: StateHead) {
+        let StateHead { series, upto, age } = head;
         let parts = match self.network {
             Network::Unlimited => 1,
             Network::Limited(_) => u32::try_from(self.store.records().count() / ITEMS_PER_PART + 1).unwrap(),
         };
         for part in 0..parts {
-            let part = StatePart { series, upto, part, parts, body: Arc::default() };
+            let part = StatePart { series, upto, age, part, parts, body: Arc::default() };
             for receiver in to {
                 self.send(from, receiver, PeerMessage::State(part.clone()));
             }
@@ -769,6 +781,11 @@
         self.undisturbed_since.get_or_insert(now);
     }
 
+    /// Returns how long ago the host's knowledge was known to be complete.
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        self.node.complete_at().map(|at| now.since(at))
+    }
+
     pub fn revision(&self) -> CatalogueRevision {
         self.node.document().catalogue_revision
     }
--- a/crates/skylarkshore-host/src/config.rs
+++ b/crates/skylarkshore-host/src/config.rs
@@ -98,6 +98,9 @@
     pub leaving_notice: Duration,
     /// The shortest lease that the service grants.
     pub least_lease: Duration,
+    /// How soon a new configuration has to be in force; `None` if callers are denied however long ago this
+    /// host has heard of the service.
+    pub configuration_limit: Option<Duration>,
 }
 
 /// Limits on the size and duration of callers' requests.
--- a/crates/skylarkshore-host/src/config/platform.rs
+++ b/crates/skylarkshore-host/src/config/platform.rs
@@ -4,6 +4,7 @@
 
 use super::section::{Report, Section, boolean, text, texts};
 use super::{EtcdSettings, PlatformSettings, RegistrySettings, address, timings};
+use jsonc_parser::ast::Value;
 
 /// The default of [`RegistrySettings::leaving_notice`].
 const LEAVING_NOTICE: Duration = Duration::from_secs(2);
@@ -36,6 +37,8 @@
     let leaving_notice =
         section.optional(report, "leaving_notice_ms", LEAVING_NOTICE, timings::millis(100, 600_000));
     let least_lease = section.optional(report, "least_lease_ms", MIN_LEASE, timings::millis(1, 600_000));
+    let limit = |value: &Value<'_>| timings::millis(100, 600_000)(value).map(Some);
+    let configuration_limit = section.optional(report, "configuration_limit_ms", None, limit);
     section.finish(report);
     Some(RegistrySettings {
         address: store?,
@@ -44,5 +47,6 @@
         checks_fences,
         leaving_notice,
         least_lease,
+        configuration_limit,
     })
 }
--- a/crates/skylarkshore-host/src/driver/effects.rs
+++ b/crates/skylarkshore-host/src/driver/effects.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use skylarkshore_core::collections::HashMap;
 use skylarkshore_core::effect::{Decision, LogEvent, Refusal};
@@ -90,9 +91,9 @@
             Effect::ApplyStatePart(part) => self.store.queue_state(part),
             Effect::ExtendStateWait => self.store.extend_state_wait(),
             Effect::ReadMissedNews => self.store.read_missed(),
-            Effect::SendState { to, series, upto, records } => {
+            Effect::SendState { to, series, upto, age, records } => {
                 let parts = self.store.state(series, upto, &records);
-                self.send_state(&to, &parts);
+                self.send_state(&to, age, parts);
             }
             Effect::ReadNewsForOthers(is_wanted) => self.store.read_for_peers(is_wanted),
             Effect::Peer(envelope) => self.peers.send(envelope),
@@ -171,8 +172,9 @@
         }
     }
 
-    fn send_state(&self, to: &[HostId], parts: &[StatePart]) {
+    fn send_state(&self, to: &[HostId], age: Option<Duration>, parts: Vec<StatePart>) {
         for part in parts {
+            let part = StatePart { age, ..part };
             for host in to {
                 let message = PeerMessage::State(part.clone());
                 self.peers.send(Envelope { to: host.clone(), message });
--- a/crates/skylarkshore-host/src/driver/snapshot.rs
+++ b/crates/skylarkshore-host/src/driver/snapshot.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use skylarkshore_core::Node;
 use skylarkshore_core::catalogue::Document;
 use skylarkshore_core::id::{DataCentre, Digest, HostId, StoreRevision};
+use skylarkshore_core::{Node, Time};
 
 /// A live process of the fleet.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -35,6 +35,8 @@
     pub members: Arc<Vec<Member>>,
     /// The version of `members`; see `StoreCache::members_version`.
     members_version: u64,
+    /// The time of which no earlier change is missing in the document; `None` while that isn't known.
+    pub complete_at: Option<Time>,
     /// Whether the process has the document and upstreams that it needs to serve.
     pub ready: bool,
     /// Whether the process is shutting down.
@@ -53,6 +55,7 @@
             store_revision: node.cache().latest_revision(),
             members,
             members_version: version,
+            complete_at: node.complete_at(),
             ready: node.is_ready(),
             leaving: node.is_leaving(),
         }
@@ -66,6 +69,7 @@
         !Arc::ptr_eq(&self.document, node.document())
             || self.store_revision != node.cache().latest_revision()
             || self.members_version != node.cache().members_version()
+            || self.complete_at != node.complete_at()
             || self.ready != node.is_ready()
             || self.leaving != node.is_leaving()
     }
--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -220,6 +220,10 @@
     UpstreamFull { upstream: UpstreamId },
     /// Streams that callers may take up at another host.
     Stream(StreamMessageWire),
+    /// [`PackedNews`](Self::PackedNews) whose age is known.
+    AgedNews { after: StoreRevision, upto: StoreRevision, age_ms: u64, body: Vec<u8> },
+    /// [`State`](Self::State) whose age is known.
+    AgedState { series: u64, upto: StoreRevision, age_ms: u64, part: u32, parts: u32, body: Vec<u8> },
 }
 
 /// Encodes a message for the wire.
@@ -248,6 +252,11 @@
     u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Rounds up, so that what is relayed many times never seems younger than it is.
+fn millis_up(d: Duration) -> u64 {
+    millis(d.saturating_add(Duration::from_millis(1)).saturating_sub(Duration::from_nanos(1)))
+}
+
 impl From<&ModelTarget> for TargetWire {
     fn from(target: &ModelTarget) -> Self {
         Self { model: target.model.clone(), adapter: target.adapter.clone() }
@@ -322,6 +331,28 @@
     }
 }
 
+impl From<&News> for PeerMessageWire {
+    fn from(news: &News) -> Self {
+        let News { after, upto, age, body } = news;
+        let (after, upto, body) = (*after, *upto, body.to_vec());
+        match age {
+            Some(age) => Self::AgedNews { after, upto, age_ms: millis_up(*age), body },
+            None => Self::PackedNews { after, upto, body },
+        }
+    }
+}
+
+impl From<&StatePart> for PeerMessageWire {
+    fn from(state: &StatePart) -> Self {
+        let StatePart { series, upto, age, part, parts, body } = state;
+        let (series, upto, part, parts, body) = (*series, *upto, *part, *parts, body.to_vec());
+        match age {
+            Some(age) => Self::AgedState { series, upto, age_ms: millis_up(*age), part, parts, body },
+            None => Self::State { series, upto, part, parts, body },
+        }
+    }
+}
+
 impl From<&PeerMessage> for PeerMessageWire {
     fn from(message: &PeerMessage) -> Self {
         use PeerMessage as M;
@@ -401,9 +432,7 @@
             }
             M::Credit(message) => Self::Credit(message.into()),
             M::Stream(message) => Self::Stream(message.into()),
-            M::News(News { after, upto, body }) => {
-                Self::PackedNews { after: *after, upto: *upto, body: body.to_vec() }
-            }
+            M::News(news) => news.into(),
             M::StateWanted => Self::StateWanted,
             M::StateComing => Self::StateComing,
             M::PermitsWanted { upstream, limit, count } => {
@@ -417,9 +446,7 @@
                 incarnation: *incarnation,
                 requests: requests.clone(),
             },
-            M::State(StatePart { series, upto, part, parts, body }) => {
-                Self::State { series: *series, upto: *upto, part: *part, parts: *parts, body: body.to_vec() }
-            }
+            M::State(part) => part.into(),
             M::Spread { origin, message } => {
                 Self::Spread { origin: origin.clone(), message: Box::new((&**message).into()) }
             }
@@ -500,7 +527,13 @@
             W::Credit(message) => Self::Credit(message.into()),
             W::Stream(message) => Self::Stream(message.into()),
             W::News { .. } => return Err(InvalidMessage::Retired),
-            W::PackedNews { after, upto, body } => Self::News(News { after, upto, body: body.into() }),
+            W::PackedNews { after, upto, body } => {
+                Self::News(News { after, upto, age: None, body: body.into() })
+            }
+            W::AgedNews { after, upto, age_ms, body } => {
+                let age = Some(Duration::from_millis(age_ms));
+                Self::News(News { after, upto, age, body: body.into() })
+            }
             W::StateWanted => Self::StateWanted,
             W::StateComing => Self::StateComing,
             W::PermitsWanted { upstream, limit, count } => Self::PermitsWanted { upstream, limit, count },
@@ -511,7 +544,11 @@
                 Self::LossesNoted { upstream, incarnation, requests }
             }
             W::State { series, upto, part, parts, body } => {
-                Self::State(StatePart { series, upto, part, parts, body: body.into() })
+                Self::State(StatePart { series, upto, age: None, part, parts, body: body.into() })
+            }
+            W::AgedState { series, upto, age_ms, part, parts, body } => {
+                let age = Some(Duration::from_millis(age_ms));
+                Self::State(StatePart { series, upto, age, part, parts, body: body.into() })
             }
             W::Spread { message, .. } if matches!(*message, W::Spread { .. }) => {
                 return Err(InvalidMessage::Nested);
--- a/crates/skylarkshore-wire/tests/formats.rs
+++ b/crates/skylarkshore-wire/tests/formats.rs
@@ -10,7 +10,7 @@
     AccountName, CallId, CatalogueRevision, Digest, Fence, Incarnation, RulesRevision, SoftwareVersion,
     StoreRevision, StreamId,
 };
-use skylarkshore_core::peer::{CreditMessage, PeerMessage, StreamMessage, StreamOrigin};
+use skylarkshore_core::peer::{CreditMessage, News, PeerMessage, StatePart, StreamMessage, StreamOrigin};
 use skylarkshore_core::rules::ServiceOrder;
 use skylarkshore_core::store::{
     HomesRecord, Key, MemberRecord, OnceRecord, OnceState, OwnerRecord, PowerRecord, Record, RecordBatch,
@@ -270,3 +270,23 @@
     let refused = encode(&PeerMessage::SuspectsNoted { requests });
     assert!(matches!(refused, Err(InvalidMessage::TooLarge { .. })), "{refused:?}");
 }
+
+/// Guards against ages that are lost or shrink on the way, and against earlier versions that can't be understood.
+#[test]
+fn the_age_of_news_and_states_is_kept_and_may_be_missing() {
+    let news = |age| {
+        PeerMessage::News(News { after: StoreRevision(4), upto: StoreRevision(9), age, body: Arc::from([7]) })
+    };
+    let state = |age| {
+        let (upto, body) = (StoreRevision(9), Arc::from([7]));
+        PeerMessage::State(StatePart { series: 3, upto, age, part: 1, parts: 2, body })
+    };
+    for age in [None, Some(Duration::ZERO), Some(Duration::from_millis(1200))] {
+        for message in [news(age), state(age)] {
+            assert_eq!(decode(&encode(&message).unwrap()).unwrap(), message);
+        }
+    }
+    let part_of_ms = Some(Duration::from_micros(1_200_001));
+    let rounded_up = Some(Duration::from_millis(1201));
+    assert_eq!(decode(&encode(&news(part_of_ms)).unwrap()).unwrap(), news(rounded_up));
+}
