--- a/crates/skylarkshore-core/tests/follower.rs
+++ b/crates/skylarkshore-core/tests/follower.rs
@@ -12,7 +12,7 @@
 const START: Time = Time::from_millis(60_000);
 
 fn news(after: u64, upto: u64) -> News {
-    News { after: StoreRevision(after), upto: StoreRevision(upto), body: Vec::from([1]).into() }
+    News { after: StoreRevision(after), upto: StoreRevision(upto), age: None, body: Vec::from([1]).into() }
 }
 
 fn at(ms: u64) -> Time {
@@ -78,7 +78,14 @@
 #[test]
 fn a_complete_state_names_the_arrival_of_its_first_and_last_part() {
     let mut follower = following();
-    let part = |part| StatePart { series: 1, upto: StoreRevision(20), part, parts: 2, body: Arc::default() };
+    let part = |part| StatePart {
+        series: 1,
+        upto: StoreRevision(20),
+        part,
+        parts: 2,
+        age: None,
+        body: Arc::default(),
+    };
     follower.push_state(at(410), part(1));
     assert!(matches!(follower.next_step(at(500)), Step::Wait { .. }));
     follower.push_state(at(730), part(0));
@@ -96,7 +103,8 @@
 fn a_complete_state_ends_a_read() {
     let mut follower = following();
     assert!(matches!(step_after_gap(&mut follower), Step::Read(_)));
-    let part = StatePart { series: 1, upto: StoreRevision(20), part: 0, parts: 1, body: Arc::default() };
+    let part =
+        StatePart { series: 1, upto: StoreRevision(20), age: None, part: 0, parts: 1, body: Arc::default() };
     follower.push_state(at(410), part);
     assert!(!follower.is_read_wanted());
     follower.abandon_read();
@@ -111,7 +119,10 @@
     let upto = StoreRevision(20);
     for part in 0..3 {
         for series in 1..3 {
-            follower.push_state(at(10), StatePart { series, upto, part, parts: 3, body: Arc::default() });
+            follower.push_state(
+                at(10),
+                StatePart { series, upto, part, parts: 3, age: None, body: Arc::default() },
+            );
         }
     }
     let state = Step::ApplyState {
@@ -128,9 +139,11 @@
 fn an_incomplete_state_does_not_keep_a_host_from_an_older_one() {
     let mut follower = Follower::new(NOTICE);
     follower.start(at(0), StoreRevision(0));
-    let lost = StatePart { series: 1, upto: StoreRevision(20), part: 0, parts: 2, body: Arc::default() };
+    let lost =
+        StatePart { series: 1, upto: StoreRevision(20), part: 0, parts: 2, age: None, body: Arc::default() };
     follower.push_state(at(10), lost);
-    let older = StatePart { series: 2, upto: StoreRevision(19), part: 0, parts: 1, body: Arc::default() };
+    let older =
+        StatePart { series: 2, upto: StoreRevision(19), part: 0, parts: 1, age: None, body: Arc::default() };
     follower.push_state(at(10), older);
     assert_eq!(follower.next_step(at(10)), state_in_one_part(StoreRevision(19), at(10)));
 }
@@ -142,7 +155,10 @@
     follower.start(at(0), StoreRevision(0));
     for (series, upto) in [(1, 20), (2, 19)] {
         let upto = StoreRevision(upto);
-        follower.push_state(at(10), StatePart { series, upto, part: 0, parts: 1, body: Arc::default() });
+        follower.push_state(
+            at(10),
+            StatePart { series, upto, part: 0, parts: 1, age: None, body: Arc::default() },
+        );
     }
     assert_eq!(follower.next_step(at(10)), state_in_one_part(StoreRevision(20), at(10)));
 }
@@ -152,8 +168,14 @@
 fn a_state_that_is_displaced_by_later_ones_is_dropped() {
     let mut follower = Follower::new(NOTICE);
     follower.start(at(0), StoreRevision(0));
-    let part =
-        |series, part| StatePart { series, upto: StoreRevision(20), part, parts: 2, body: Arc::default() };
+    let part = |series, part| StatePart {
+        series,
+        upto: StoreRevision(20),
+        part,
+        parts: 2,
+        age: None,
+        body: Arc::default(),
+    };
     for series in 1..10 {
         follower.push_state(at(10), part(series, 0));
     }
@@ -197,7 +219,8 @@
 fn a_read_for_missed_changes_keeps_the_state_of_a_peer() {
     let mut follower = following();
     assert!(matches!(step_after_gap(&mut follower), Step::Read(_)));
-    let part = StatePart { series: 1, upto: StoreRevision(20), part: 0, parts: 1, body: Arc::default() };
+    let part =
+        StatePart { series: 1, upto: StoreRevision(20), age: None, part: 0, parts: 1, body: Arc::default() };
     follower.push_state(at(410), part);
     follower.read_missed();
     assert!(!follower.is_read_wanted());
