Read the next page of changes at once after a full one

Cause: the service answers a read of changes with a page of about 500, and the follower paused after each page for a tenth to a quarter of the notice that leaving upstreams give, 0.5 s to 1.25 s in that fleet. A host that lagged behind or read alone took in 400 to 1,000 changes a second at best and, once behind, read changes that were older and older, until the service had forgotten those it needed. A host that heard from peers didn't read on at all after a page.

Evidence: two of the three new tests in tests/follower.rs fail without the fix: a_full_page_is_followed_by_the_next_read_at_once (the next read waits for 1.8 s for changes where the service has some) and a_full_page_is_followed_by_the_next_read_although_peers_send_news. The third holds before and after: under constant change, the pause stays after a page that isn't full.

Now the outcome of a read says whether its page was empty, partial or full, and a full one counts as a known lack of changes: the next read begins at once and doesn't wait.

--- a/crates/skylarkshore-core/src/follower.rs
+++ b/crates/skylarkshore-core/src/follower.rs
@@ -45,6 +45,17 @@
     pub timeout: Duration,
 }
 
+/// How many of the changes that the service had an answer holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangesPage {
+    /// There were none.
+    Empty,
+    /// All of them.
+    Partial,
+    /// As many as an answer can hold; there may be more.
+    Full,
+}
+
 /// How a read ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadOutcome {
@@ -52,8 +63,8 @@
     Answered {
         /// Revision up to which the answer is complete.
         upto: StoreRevision,
-        /// Whether it holds changes.
-        has_changes: bool,
+        /// How many changes it holds.
+        page: ChangesPage,
     },
     /// The service did not answer in time, or the connection failed.
     Unanswered,
@@ -293,8 +304,8 @@
     /// Records the end of a read and returns how to go on.
     pub fn on_read(&mut self, now: Time, outcome: ReadOutcome) -> AfterRead {
         match outcome {
-            ReadOutcome::Answered { upto, has_changes } => {
-                self.on_answer(now, upto, has_changes);
+            ReadOutcome::Answered { upto, page } => {
+                self.on_answer(now, upto, page);
                 AfterRead::Continue
             }
             ReadOutcome::Unanswered | ReadOutcome::Refused => self.on_unanswered(now),
@@ -302,10 +313,11 @@
         }
     }
 
-    fn on_answer(&mut self, now: Time, upto: StoreRevision, has_changes: bool) {
+    fn on_answer(&mut self, now: Time, upto: StoreRevision, page: ChangesPage) {
         self.unanswered = 0;
         self.on_applied(upto);
-        if has_changes && !self.hears_from_peers(now) {
+        self.is_read_requested |= page == ChangesPage::Full;
+        if page == ChangesPage::Partial && !self.hears_from_peers(now) {
             return self.rest(now);
         }
         self.read_start = ReadStart::Immediate;
--- a/crates/skylarkshore-core/tests/follower.rs
+++ b/crates/skylarkshore-core/tests/follower.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use skylarkshore_core::Time;
-use skylarkshore_core::follower::{AfterRead, Follower, ReadOutcome, Step};
+use skylarkshore_core::follower::{AfterRead, ChangesPage, Follower, ReadOutcome, Step};
 use skylarkshore_core::id::StoreRevision;
 use skylarkshore_core::peer::{News, StatePart};
 
@@ -45,7 +45,7 @@
     assert!(matches!(step_after_gap(&mut follower), Step::Read(_)));
     follower.push_news(at(410), news(13, 14));
     assert!(follower.is_read_wanted());
-    let outcome = ReadOutcome::Answered { upto: StoreRevision(13), has_changes: true };
+    let outcome = ReadOutcome::Answered { upto: StoreRevision(13), page: ChangesPage::Partial };
     assert_eq!(follower.on_read(at(420), outcome), AfterRead::Continue);
     assert_eq!(follower.next_step(at(420)), Step::ApplyNews(news(13, 14)));
 }
@@ -143,3 +143,41 @@
     }
     panic!("no lasting gap is reported");
 }
+
+/// Reads until the follower rests, and returns the read that follows a page.
+fn step_after_page(follower: &mut Follower, page: ChangesPage) -> Step {
+    let silent_at = at(1000);
+    assert!(matches!(follower.next_step(silent_at), Step::Read(_)));
+    let outcome = ReadOutcome::Answered { upto: StoreRevision(510), page };
+    assert_eq!(follower.on_read(silent_at, outcome), AfterRead::Continue);
+    follower.next_step(silent_at)
+}
+
+/// Guards against a host that reads more slowly than changes come, until the service has forgotten
+/// those that it lacks.
+#[test]
+fn a_full_page_is_followed_by_the_next_read_at_once() {
+    let mut follower = following();
+    let step = step_after_page(&mut follower, ChangesPage::Full);
+    let Step::Read(read) = step else { panic!("{step:?} follows a full page") };
+    assert_eq!((read.after, read.wait), (StoreRevision(510), Duration::ZERO));
+}
+
+/// Guards against a host that follows its peers and leaves changes unread of which it has read a page.
+#[test]
+fn a_full_page_is_followed_by_the_next_read_although_peers_send_news() {
+    let mut follower = following();
+    assert!(matches!(step_after_gap(&mut follower), Step::Read(_)));
+    let outcome = ReadOutcome::Answered { upto: StoreRevision(510), page: ChangesPage::Full };
+    assert_eq!(follower.on_read(at(420), outcome), AfterRead::Continue);
+    let step = follower.next_step(at(420));
+    assert!(matches!(step, Step::Read(read) if read.after == StoreRevision(510)), "{step:?}");
+}
+
+/// Guards against hosts that read without a pause under constant change.
+#[test]
+fn a_page_that_is_not_full_is_followed_by_a_rest() {
+    let mut follower = following();
+    let step = step_after_page(&mut follower, ChangesPage::Partial);
+    assert!(matches!(step, Step::Wait { until: Some(_) }), "{step:?}");
+}
--- a/crates/skylarkshore-core/tests/support/relay.rs
+++ b/crates/skylarkshore-core/tests/support/relay.rs
@@ -16,7 +16,7 @@
 use rand::{Rng, SeedableRng};
 use skylarkshore_core::catalogue::{Catalogue, ConfiguredCatalogue};
 use skylarkshore_core::config::{Limits, NodeConfig, Timings, Watchers};
-use skylarkshore_core::follower::{AfterRead, ChangesRead, Follower, ReadOutcome, Step};
+use skylarkshore_core::follower::{AfterRead, ChangesPage, ChangesRead, Follower, ReadOutcome, Step};
 use skylarkshore_core::id::{CallId, CatalogueRevision, Digest, HostId, Incarnation, StoreRevision};
 use skylarkshore_core::peer::{News, PeerMessage, StatePart};
 use skylarkshore_core::rules::{MinuteOfDay, Rules};
@@ -26,7 +26,7 @@
 
 use crate::store::Store;
 use network::{Links, Network};
-use pages::PagedRead;
+use pages::{ITEMS_PER_PAGE, PagedRead};
 
 /// The notice that leaving upstreams give, which the timing of reads follows.
 pub const NOTICE: Duration = Duration::from_secs(3);
@@ -595,11 +595,22 @@
             let changes = self.changes(after, upto);
             self.handle(name, Event::Watched { changes, upto });
         }
-        let outcome = ReadOutcome::Answered { upto, has_changes };
+        let page = self.page(after, upto, has_changes);
+        let outcome = ReadOutcome::Answered { upto, page };
         let next = self.host(name).follower.on_read(now, outcome);
         self.go_on(name, next);
     }
 
+    /// Returns how many changes an answer to a read holds.
+    fn page(&self, after: StoreRevision, upto: StoreRevision, has_changes: bool) -> ChangesPage {
+        let is_limited = matches!(self.network, Network::Limited(_));
+        match upto.0 - after.0 {
+            _ if !has_changes => ChangesPage::Empty,
+            changes if is_limited && changes >= ITEMS_PER_PAGE as u64 => ChangesPage::Full,
+            _ => ChangesPage::Partial,
+        }
+    }
+
     fn end_unanswered(&mut self, name: &HostId, access: StoreAccess) {
         let now = self.now;
         let host = self.host(name);
@@ -639,9 +650,9 @@
     /// Returns the product's records among the changes after one revision up to another.
     fn changes(&self, after: StoreRevision, upto: StoreRevision) -> Vec<Versioned> {
         let is_own = |change: &&Versioned| !matches!(change.key, Key::Once(_));
-        let changes =
-            self.store.log.iter().filter(|change| change.revision > after && change.revision <= upto);
-        changes.filter(is_own).cloned().collect()
+        let begin = self.store.log.partition_point(|change| change.revision <= after);
+        let end = self.store.log.partition_point(|change| change.revision <= upto).max(begin);
+        self.store.log[begin..end].iter().filter(is_own).cloned().collect()
     }
 
     fn state_at(&self, upto: StoreRevision) -> Vec<Versioned> {
