Count no loss over a host's own lost links against a request

Cause: three losses held the request back, although the links were lost and not the upstreams. A check of the links takes a connection that is closed late for a whole one; whatever failed within a second after it was dropped, so that no further check began. The trial went over the same links, was lost, and put off the next.

The world's new kind of cut, Closes, accepts connections and closes them, in the first 500 ms too late for a probe.

Now an attempt that fails after a check has another check begin when it may, with all links over which attempts have failed lately. Once most links are lost, losses that this host noticed over them count only if the host list shows a termination, and attempts that still end over them are remembered as unfinished. A trial isn't sent over a link that has failed lately or while a check runs; one that reached no upstream doesn't put off the next. What peers report counts as before.

--- a/crates/skylarkshore-core/src/evidence.rs
+++ b/crates/skylarkshore-core/src/evidence.rs
@@ -30,6 +30,7 @@
 use crate::id::{Digest, HostId, Incarnation, UpstreamId};
 use crate::peer::PeerMessage;
 use crate::time::Time;
+use crate::upstream_paths::Links;
 
 use answered_parts::AnsweredParts;
 use loss::{LOSS_TTL, UpstreamIncarnation};
@@ -277,6 +278,33 @@
         }
     }
 
+    /// Handles the end of a trial that reached no upstream.
+    pub(crate) fn on_trial_unsent(&mut self, suspects: Suspects<'_>) {
+        for digest in suspects.digests() {
+            if let Some(suspect) = self.suspects.get_mut(&digest) {
+                suspect.forget_trial();
+            }
+        }
+    }
+
+    /// Handles the loss of this host's own links.
+    ///
+    /// What was lost over them says nothing of the requests, unless the host list shows terminations.
+    pub(crate) fn on_links_lost(&mut self, cx: &mut Cx<'_>, links: &Links) {
+        let doubted = self
+            .suspects
+            .values_mut()
+            .map(|suspect| suspect.doubt_own_losses(|upstream| links.explains_loss(upstream)));
+        let doubted: usize = doubted.sum();
+        if doubted > 0 {
+            cx.log_event(
+                "losses_doubted",
+                cx.cfg.host.clone(),
+                format!("losses={doubted} most links are lost"),
+            );
+        }
+    }
+
     /// Records that a request was lost, here and at the peers.
     ///
     /// The incarnation is the one that the request was sent to. When the loss is noticed,
--- a/crates/skylarkshore-core/src/evidence/suspect.rs
+++ b/crates/skylarkshore-core/src/evidence/suspect.rs
@@ -4,6 +4,7 @@
 
 use crate::collections::OrderedMap;
 use crate::cx::Cx;
+use crate::id::UpstreamId;
 use crate::time::Time;
 
 use super::loss::{LOSS_TTL, UpstreamIncarnation, listing_time};
@@ -74,6 +75,8 @@
     reporter: Reporter,
     /// Whether a whole answer has been received since.
     is_answered: bool,
+    /// Whether the link was lost over which it was noticed, so that only a termination on the host list counts.
+    is_doubted: bool,
 }
 
 /// The losses of one suspect.
@@ -90,10 +93,11 @@
 impl Suspect {
     /// Records a loss; reports whether it is new.
     pub(super) fn record_loss(&mut self, now: Time, with: &UpstreamIncarnation, reporter: Reporter) -> bool {
-        if self.losses.contains_key(with) {
+        if self.losses.get(with).is_some_and(|known| !known.is_doubted) {
             return false;
         }
-        self.losses.insert(with.clone(), Noticed { at: now, reporter, is_answered: false });
+        let noticed = Noticed { at: now, reporter, is_answered: false, is_doubted: false };
+        self.losses.insert(with.clone(), noticed);
         if self.tried.take().is_some_and(|tried| !tried.after(TRIAL_FAILS_WITHIN).is_due(now)) {
             self.failed_trials += 1;
         }
@@ -104,6 +108,24 @@
         self.tried = Some(now);
     }
 
+    pub(super) const fn forget_trial(&mut self) {
+        self.tried = None;
+    }
+
+    /// Doubts the losses that this process has noticed with some upstreams, and the trials among them; returns
+    /// how many.
+    pub(super) fn doubt_own_losses(&mut self, is_explained: impl Fn(&UpstreamId) -> bool) -> usize {
+        let own = self.losses.iter_mut().filter(|(with, loss)| {
+            let is_open = !loss.is_answered && !loss.is_doubted;
+            is_open && loss.reporter == Reporter::Own && is_explained(&with.upstream)
+        });
+        let doubted = own.map(|(_, loss)| loss.is_doubted = true).count();
+        if doubted > 0 {
+            self.tried = None;
+        }
+        doubted
+    }
+
     /// Drops the loss with an incarnation that didn't terminate.
     pub(super) fn remove_loss(&mut self, with: &UpstreamIncarnation) {
         self.losses.remove(with);
@@ -120,7 +142,7 @@
     }
 
     pub(super) fn has_losses(&self) -> bool {
-        self.open().next().is_some()
+        self.open().any(|(_, loss)| !loss.is_doubted)
     }
 
     /// Reports whether this process has noticed any of its losses.
@@ -202,7 +224,8 @@
     fn counted<'a>(&'a self, cx: &'a Cx<'_>) -> impl Iterator<Item = (&'a UpstreamIncarnation, &'a Noticed)> {
         let listed_after = listing_time(cx);
         self.open().filter(move |(with, loss)| {
-            with.has_terminated(cx) || !loss.at.after(listed_after).is_due(cx.now)
+            let may_have_terminated = !loss.is_doubted && !loss.at.after(listed_after).is_due(cx.now);
+            with.has_terminated(cx) || may_have_terminated
         })
     }
 
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -99,7 +99,11 @@
     /// Handles an event and returns the effects to execute.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
-        let switched = self.with_cx(now, &mut effects, |cx, parts| parts.paths.observe(cx, &event));
+        let switched = self.with_cx(now, &mut effects, |cx, parts| {
+            let switched = parts.paths.observe(cx, &event);
+            parts.serving.follow_links(parts.paths.links());
+            switched
+        });
         self.dispatch(now, event, &mut effects);
         if switched.is_some() {
             self.with_cx(now, &mut effects, |cx, parts| parts.serving.on_paths_switched(cx));
@@ -351,7 +355,11 @@
             return;
         }
         if let PeerMessage::UpstreamsReached { reached } = message {
-            let switched = self.with_cx(now, effects, |cx, parts| parts.paths.on_notice(cx, from, reached));
+            let switched = self.with_cx(now, effects, |cx, parts| {
+                let switched = parts.paths.on_notice(cx, from, reached);
+                parts.serving.follow_links(parts.paths.links());
+                switched
+            });
             if switched.is_some() {
                 self.with_cx(now, effects, |cx, parts| parts.serving.on_paths_switched(cx));
             }
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -65,6 +65,7 @@
 use crate::store::{Key, StoreResult, WriteOutcome};
 use crate::time::Time;
 use crate::units::RequestRate;
+use crate::upstream_paths::Links;
 
 use budget::RetryBudget;
 use counters::RequestCounters;
@@ -118,6 +119,8 @@
     is_closed: bool,
     /// Whether this host reaches no upstream, neither directly nor through a peer.
     is_stranded: bool,
+    /// The state of this host's own links to the upstreams.
+    links: Links,
 }
 
 impl Serving {
@@ -144,6 +147,7 @@
             housekeeping_due: Time::START,
             is_closed: false,
             is_stranded: false,
+            links: Links::default(),
         }
     }
 
@@ -271,9 +275,17 @@
         self.budget.record_host_count(cx.now, cx.cache.members().count());
     }
 
+    /// Takes over the state of this host's own links.
+    pub(crate) fn follow_links(&mut self, links: &Links) {
+        if self.links != *links {
+            self.links.clone_from(links);
+        }
+    }
+
     /// Tries upstreams again that failed before this host's links to them were lost, or came back.
     pub(crate) fn on_paths_switched(&mut self, cx: &mut Cx<'_>) {
         self.routes.clear_all_backoffs();
+        self.evidence.on_links_lost(cx, &self.links);
         self.dispatch_waiting(cx);
     }
 
--- a/crates/skylarkshore-core/src/serving/admission.rs
+++ b/crates/skylarkshore-core/src/serving/admission.rs
@@ -78,12 +78,24 @@
     }
 
     /// Records the loss of a request with its upstream, here and at the peers.
+    ///
+    /// Over a lost link, only the host list can show whether the upstream has ended.
     pub(super) fn record_loss(&mut self, cx: &mut Cx<'_>, id: RequestId, run: &Run) {
+        if self.links.explains_end(run.attempt) {
+            return self.note_unfinished(cx, id, run);
+        }
         if let Some(request) = self.requests.get(&id) {
             self.evidence.on_lost(cx, Suspects::from(&request.arrival), &SentTo::from(run));
         }
     }
 
+    /// Allows another trial in place of one that reached no upstream.
+    pub(super) fn end_unsent_trial(&mut self, id: RequestId, run: &Run) {
+        if let Some(request) = self.requests.get(&id).filter(|_| run.is_trial) {
+            self.evidence.on_trial_unsent(Suspects::from(&request.arrival));
+        }
+    }
+
     /// Remembers an attempt that ends without an answer although no connection broke.
     pub(super) fn note_unfinished(&mut self, cx: &Cx<'_>, id: RequestId, run: &Run) {
         let is_counted = cx.cfg.limits.suspects == SuspectPolicy::CountEnds;
--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -85,8 +85,14 @@
                 self.on_completed(cx, id, &run.upstream, None);
             }
             AttemptOutcome::CompletedWithFailure => self.on_failure_answer(cx, id, &run.upstream),
-            AttemptOutcome::NotSent => self.on_not_sent(cx, id, &run.upstream),
-            AttemptOutcome::NoPath => self.on_no_path(cx, id),
+            AttemptOutcome::NotSent => {
+                self.end_unsent_trial(id, &run);
+                self.on_not_sent(cx, id, &run.upstream);
+            }
+            AttemptOutcome::NoPath => {
+                self.end_unsent_trial(id, &run);
+                self.on_no_path(cx, id);
+            }
             AttemptOutcome::Rejected(rejection) => self.on_rejected(cx, id, &run.upstream, rejection),
             AttemptOutcome::Lost { passed_on, died } => self.on_lost(cx, id, &run, passed_on, died),
         }
--- a/crates/skylarkshore-core/src/serving/disposition.rs
+++ b/crates/skylarkshore-core/src/serving/disposition.rs
@@ -66,6 +66,11 @@
         let suspects = Suspects::from(&request.arrival);
         match self.evidence.admission(cx, suspects) {
             Admission::Free => self.send(cx, id, upstream, isolation, false),
+            Admission::Trial if !self.links.is_sound(&upstream) => {
+                cx.log_decision(id, "trial_put_off", format!("upstream={upstream} its link is doubtful"));
+                let reason = RefusalReason::MayCrashUpstreams;
+                self.refuse(cx, id, reason, Some(RETRY_AFTER));
+            }
             Admission::Trial => {
                 self.evidence.begin_trial(cx, suspects, &upstream);
                 self.send(cx, id, upstream, isolation, true);
--- a/crates/skylarkshore-core/src/upstream_paths.rs
+++ b/crates/skylarkshore-core/src/upstream_paths.rs
@@ -37,6 +37,39 @@
 /// How long a peer that didn't relay gets nothing more to relay.
 const REFUSAL_TTL: Duration = Duration::from_secs(2);
 
+/// How long a failure makes the link to an upstream doubtful, unless it works before.
+const DOUBT_TTL: Duration = Duration::from_secs(2);
+
+/// What the host's own links say of losses and trials.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Links {
+    lost: OrderedSet<UpstreamId>,
+    /// Whether more than half of the links are lost.
+    are_most_lost: bool,
+    /// Links over which an attempt has failed lately, and until when that counts.
+    doubtful: OrderedMap<UpstreamId, Time>,
+    is_checking: bool,
+    /// The attempt that has just ended, if it ran over a lost link while most are lost.
+    blind_end: Option<AttemptId>,
+}
+
+impl Links {
+    /// Reports whether a loss that was noticed over the host's own link to an upstream may be that of the link.
+    pub(crate) fn explains_loss(&self, upstream: &UpstreamId) -> bool {
+        self.are_most_lost && self.lost.contains(upstream)
+    }
+
+    /// Reports whether the end of an attempt may be that of its link.
+    pub(crate) fn explains_end(&self, attempt: AttemptId) -> bool {
+        self.blind_end == Some(attempt)
+    }
+
+    /// Reports whether nothing is known against the path to an upstream: its link, or a peer if that is lost.
+    pub(crate) fn is_sound(&self, upstream: &UpstreamId) -> bool {
+        self.lost.contains(upstream) || !self.is_checking && !self.doubtful.contains_key(upstream)
+    }
+}
+
 /// Finds out, by new connections to a few others, whether an upstream has failed or the host's links.
 #[derive(Clone, Debug)]
 struct Check {
@@ -54,14 +87,13 @@
 /// Whether and how this host reaches the upstreams.
 #[derive(Debug)]
 pub(crate) struct UpstreamPaths {
-    /// The upstreams that this host doesn't reach directly.
-    lost: OrderedSet<UpstreamId>,
+    links: Links,
     check: Option<Check>,
+    /// Whether an attempt has failed since the last check, so that there is to be another.
+    is_check_due: bool,
     next_check: Time,
     next_probe: Time,
     next_notice: Time,
-    /// Whether peers were told that this host reaches few upstreams.
-    is_announced: bool,
     /// The upstreams of the attempts that were sent directly.
     direct: HashMap<AttemptId, UpstreamId>,
     /// The peers through which the other attempts were sent.
@@ -75,12 +107,12 @@
 impl UpstreamPaths {
     pub(crate) fn new() -> Self {
         Self {
-            lost: OrderedSet::new(),
+            links: Links::default(),
             check: None,
+            is_check_due: false,
             next_check: Time::START,
             next_probe: Time::START,
             next_notice: Time::START,
-            is_announced: false,
             direct: HashMap::default(),
             relayed: HashMap::default(),
             relayed_reports: OrderedSet::new(),
@@ -88,21 +120,44 @@
         }
     }
 
+    /// Returns the state of this host's own links.
+    pub(crate) const fn links(&self) -> &Links {
+        &self.links
+    }
+
     /// Reports whether the link to an upstream isn't lost.
     pub(crate) fn reaches_directly(&self, upstream: &UpstreamId) -> bool {
-        !self.lost.contains(upstream)
+        !self.lost().contains(upstream)
+    }
+
+    /// Returns the upstreams that this host doesn't reach directly.
+    const fn lost(&self) -> &OrderedSet<UpstreamId> {
+        &self.links.lost
     }
 
     /// Reports whether this host reaches no upstream, neither directly nor through a peer.
     pub(crate) fn is_stranded(&self, cx: &Cx<'_>) -> bool {
-        !self.lost.is_empty()
-            && live_upstreams(cx).all(|id| self.lost.contains(&id))
+        !self.lost().is_empty()
+            && live_upstreams(cx).all(|id| self.lost().contains(&id))
             && self.usable_peers(cx).is_empty()
     }
 
     /// Draws conclusions from an event before the other parts handle it.
     pub(crate) fn observe(&mut self, cx: &mut Cx<'_>, event: &Event) -> Option<Switched> {
+        self.links.blind_end = None;
+        let switched = self.conclude(cx, event);
+        self.links.is_checking = self.check.is_some();
+        switched
+    }
+
+    fn conclude(&mut self, cx: &mut Cx<'_>, event: &Event) -> Option<Switched> {
         match event {
+            Event::AnswerStarted { attempt } => {
+                if let Some(upstream) = self.direct.get(attempt) {
+                    self.links.doubtful.remove(upstream);
+                }
+                None
+            }
             Event::AttemptEnded { attempt, end } => self.on_attempt_ended(cx, *attempt, end),
             Event::Report { upstream, report, .. } => {
                 let was_direct = !self.relayed_reports.remove(upstream);
@@ -152,8 +207,10 @@
         }
         self.pass_over(from.clone(), cx.now.after(NOTICE_TTL));
         let usable = self.usable_peers(cx).len();
-        let is_likely = self.lost.is_empty() && usable <= self.unusable.len();
-        is_likely.then(|| self.begin_check(cx, OrderedSet::new())).flatten()
+        let is_likely = self.lost().is_empty() && usable <= self.unusable.len();
+        let switched = is_likely.then(|| self.begin_check(cx, OrderedSet::new())).flatten();
+        self.links.is_checking = self.check.is_some();
+        switched
     }
 
     fn pass_over(&mut self, peer: HostId, until: Time) {
@@ -175,12 +232,16 @@
         }
         let upstream = self.direct.remove(&attempt)?;
         let has_failed = matches!(end, AttemptOutcome::NotSent | AttemptOutcome::Lost { died: true, .. });
-        has_failed.then(|| self.on_failure(cx, &upstream)).flatten()
+        let switched = has_failed.then(|| self.on_attempt_failed(cx, &upstream)).flatten();
+        if self.links.explains_loss(&upstream) {
+            self.links.blind_end = Some(attempt);
+        }
+        switched
     }
 
     /// Records that an upstream couldn't be reached directly.
     fn on_failure(&mut self, cx: &mut Cx<'_>, upstream: &UpstreamId) -> Option<Switched> {
-        if self.lost.contains(upstream) {
+        if !self.reaches_directly(upstream) {
             return None;
         }
         if let Some(check) = &mut self.check {
@@ -188,18 +249,31 @@
             return None;
         }
         // Links that are lost already make it likely that this one is, too.
-        if !self.lost.is_empty() {
+        if !self.lost().is_empty() {
             return Some(self.lose(cx, OrderedSet::from([upstream.clone()])));
         }
         self.begin_check(cx, OrderedSet::from([upstream.clone()]))
     }
 
+    /// Records that an attempt failed over the link to an upstream.
+    ///
+    /// A check may have just ended, with probes that were answered although the links are lost.
+    fn on_attempt_failed(&mut self, cx: &mut Cx<'_>, upstream: &UpstreamId) -> Option<Switched> {
+        if self.reaches_directly(upstream) {
+            self.links.doubtful.insert(upstream.clone(), cx.now.after(DOUBT_TTL));
+            self.is_check_due = self.check.is_none();
+        }
+        self.on_failure(cx, upstream)
+    }
+
     /// Begins a check, unless one is in progress or has just ended.
-    fn begin_check(&mut self, cx: &mut Cx<'_>, failed: OrderedSet<UpstreamId>) -> Option<Switched> {
+    fn begin_check(&mut self, cx: &mut Cx<'_>, mut failed: OrderedSet<UpstreamId>) -> Option<Switched> {
         if self.check.is_some() || !self.next_check.is_due(cx.now) {
             return None;
         }
+        self.is_check_due = false;
         self.next_check = cx.now.after(CHECK_INTERVAL);
+        failed.extend(self.links.doubtful.keys().cloned());
         self.check = Some(Check {
             failed,
             reached: OrderedSet::new(),
@@ -211,7 +285,7 @@
     }
 
     fn on_probed(&mut self, cx: &mut Cx<'_>, upstream: &UpstreamId, reached: bool) -> Option<Switched> {
-        if self.lost.contains(upstream) {
+        if !self.reaches_directly(upstream) {
             return reached.then(|| self.regain(cx, upstream));
         }
         let check = self.check.as_mut()?;
@@ -229,9 +303,8 @@
         }
         let is_untested = |id: &UpstreamId| !check.failed.contains(id) && !check.reached.contains(id);
         let untested: Vec<UpstreamId> = live_upstreams(cx).filter(is_untested).collect();
-        let may_be_lost = check.rounds == 0 || check.failed.len() > 1;
-        if check.failed.len() < MIN_FAILED && may_be_lost && check.rounds < MAX_ROUNDS && !untested.is_empty()
-        {
+        let is_open = check.rounds == 0 || (2..MIN_FAILED).contains(&check.failed.len());
+        if is_open && check.rounds < MAX_ROUNDS && !untested.is_empty() {
             let probed: Vec<UpstreamId> =
                 untested.choose_multiple(cx.rng, PROBES_PER_ROUND).cloned().collect();
             check.rounds += 1;
@@ -251,19 +324,20 @@
     }
 
     fn lose(&mut self, cx: &mut Cx<'_>, lost: OrderedSet<UpstreamId>) -> Switched {
-        if self.lost.is_empty() {
+        if self.lost().is_empty() {
             self.next_probe = cx.now.after(PROBE_INTERVAL);
         }
-        self.lost.extend(lost);
-        let detail = format!("{} of {}; peers relay", self.lost.len(), live_upstreams(cx).count());
+        self.links.doubtful.retain(|id, _| !lost.contains(id));
+        self.links.lost.extend(lost);
+        let detail = format!("{} of {}; peers relay", self.lost().len(), live_upstreams(cx).count());
         cx.log_event("links_lost", cx.cfg.host.clone(), detail);
         self.announce(cx);
         Switched
     }
 
     fn regain(&mut self, cx: &mut Cx<'_>, upstream: &UpstreamId) -> Switched {
-        self.lost.remove(upstream);
-        cx.log_event("link_regained", upstream, format!("{} are still lost", self.lost.len()));
+        self.links.lost.remove(upstream);
+        cx.log_event("link_regained", upstream, format!("{} are still lost", self.lost().len()));
         self.announce(cx);
         // What has brought one link back has probably brought back others.
         self.probe_lost(cx);
@@ -272,9 +346,9 @@
 
     /// Tells the peers when this host begins or ceases to reach few upstreams.
     fn announce(&mut self, cx: &mut Cx<'_>) {
-        let reaches_few = self.lost.len() * 2 > live_upstreams(cx).count();
-        if reaches_few != self.is_announced {
-            self.is_announced = reaches_few;
+        let reaches_few = self.lost().len() * 2 > live_upstreams(cx).count();
+        if reaches_few != self.links.are_most_lost {
+            self.links.are_most_lost = reaches_few;
             self.next_notice = cx.now.after(NOTICE_INTERVAL);
             broadcast_via_relay(cx, &PeerMessage::UpstreamsReached { reached: !reaches_few });
         }
@@ -283,12 +357,14 @@
     fn on_tick(&mut self, cx: &mut Cx<'_>) -> Option<Switched> {
         self.unusable.retain(|_, until| !until.is_due(cx.now));
         self.check.take_if(|check| check.timeout_at.is_due(cx.now));
-        if self.lost.is_empty() {
-            return None;
+        self.links.doubtful.retain(|_, until| !until.is_due(cx.now));
+        if self.lost().is_empty() {
+            return self.is_check_due.then(|| self.begin_check(cx, OrderedSet::new())).flatten();
         }
-        self.lost.retain(|id| cx.upstreams.contains(id));
+        self.is_check_due = false;
+        self.links.lost.retain(|id| cx.upstreams.contains(id));
         self.announce(cx);
-        if self.is_announced && self.next_notice.is_due(cx.now) {
+        if self.links.are_most_lost && self.next_notice.is_due(cx.now) {
             self.next_notice = cx.now.after(NOTICE_INTERVAL);
             broadcast_via_relay(cx, &PeerMessage::UpstreamsReached { reached: false });
         }
@@ -300,7 +376,7 @@
     }
 
     fn probe_lost(&self, cx: &mut Cx<'_>) {
-        let lost: Vec<&UpstreamId> = self.lost.iter().collect();
+        let lost: Vec<&UpstreamId> = self.lost().iter().collect();
         if let Some(upstream) = lost.choose(cx.rng) {
             cx.push(Effect::ProbeUpstream { upstream: (*upstream).clone() });
         }
--- a/crates/skylarkshore-standins/src/world.rs
+++ b/crates/skylarkshore-standins/src/world.rs
@@ -290,7 +290,7 @@
     pub fn cut_upstreams(&mut self, hosts: &[usize], loss: LinkLoss, until: Time) {
         self.partitions.record(hosts, self.now, until);
         for h in hosts {
-            self.hosts[*h].upstreams_cut = Some(HostCut { loss, until });
+            self.hosts[*h].upstreams_cut = Some(HostCut { loss, from: self.now, until });
             self.break_attempts(*h, loss);
         }
     }
--- a/crates/skylarkshore-standins/src/world/host.rs
+++ b/crates/skylarkshore-standins/src/world/host.rs
@@ -1,7 +1,7 @@
 //! Simulated entry host and the node process on it. Start with [`Host`].
 
 use std::collections::VecDeque;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use skylarkshore_core::Node;
 use skylarkshore_core::config::{NodeConfig, Watchers};
@@ -22,6 +22,9 @@
 /// One in so many requests finds a connection that is open.
 const KEPT_CONNECTION_EVERY: u32 = 4;
 
+/// How long after a cut connections are closed too late for a probe to notice.
+const LATE_CLOSES: Duration = Duration::from_millis(500);
+
 /// Effects and events that a paused process handles once it resumes.
 #[derive(Debug, Default)]
 pub(crate) struct Pause {
@@ -99,6 +102,12 @@
         self.upstreams_cut.filter(|cut| !cut.until.is_due(now)).map(|cut| cut.loss)
     }
 
+    /// Reports whether a probe takes a link that closes its connections for a whole one.
+    pub(crate) fn deceives_probes(&self, now: Time) -> bool {
+        let is_late = |cut: HostCut| cut.loss == LinkLoss::Closes && !cut.from.after(LATE_CLOSES).is_due(now);
+        self.upstreams_cut.is_some_and(is_late)
+    }
+
     /// Returns how a request that is sent now fails, if it does.
     pub(crate) fn send_failure(&mut self, now: Time) -> Option<LinkLoss> {
         let loss = self.link_loss(now)?;
--- a/crates/skylarkshore-standins/src/world/links.rs
+++ b/crates/skylarkshore-standins/src/world/links.rs
@@ -50,7 +50,11 @@
             return (!self.can_relay(h, peer)).then_some(failure);
         }
         let loss = self.hosts[h].send_failure(self.now)?;
-        Some(SendFailure { end: AttemptOutcome::NotSent, after: connect_failure_time(loss) })
+        let end = match loss {
+            LinkLoss::Closes => AttemptOutcome::Lost { passed_on: false, died: true },
+            LinkLoss::Hangs | LinkLoss::Resets | LinkLoss::RefusesNew => AttemptOutcome::NotSent,
+        };
+        Some(SendFailure { end, after: connect_failure_time(loss) })
     }
 
     pub(crate) fn probe_upstream(&mut self, h: usize, upstream: UpstreamId) {
@@ -58,7 +62,8 @@
             && self.services.get(&upstream).is_none_or(|replica| replica.up);
         let loss = self.hosts[h].link_loss(self.now);
         let after = loss.map_or(LATENCY, connect_failure_time);
-        let event = Event::UpstreamProbed { upstream, reached: is_up && loss.is_none() };
+        let is_whole = loss.is_none() || self.hosts[h].deceives_probes(self.now);
+        let event = Event::UpstreamProbed { upstream, reached: is_up && is_whole };
         let to = self.hosts[h].sender();
         self.schedule.add(self.now.after(after), Task::Event { to, event });
     }
@@ -125,6 +130,6 @@
 const fn connect_failure_time(loss: LinkLoss) -> Duration {
     match loss {
         LinkLoss::Hangs => CONNECT_TIMEOUT,
-        LinkLoss::Resets | LinkLoss::RefusesNew => LATENCY,
+        LinkLoss::Resets | LinkLoss::RefusesNew | LinkLoss::Closes => LATENCY,
     }
 }
--- a/crates/skylarkshore-standins/src/world/partitions.rs
+++ b/crates/skylarkshore-standins/src/world/partitions.rs
@@ -18,12 +18,15 @@
     Resets,
     /// Connections that are open live on, and new ones are refused.
     RefusesNew,
+    /// Connections are reset, and new ones are accepted and closed; at first so late that a probe misses it.
+    Closes,
 }
 
 /// A loss of the links between a host and all upstreams.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct HostCut {
     pub(crate) loss: LinkLoss,
+    pub(crate) from: Time,
     pub(crate) until: Time,
 }
 
--- a/crates/skylarkshore-standins/tests/world/cut_off_hosts.rs
+++ b/crates/skylarkshore-standins/tests/world/cut_off_hosts.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
-use skylarkshore_core::config::RetryLimits;
+use skylarkshore_core::config::{RetryLimits, SuspectPolicy};
 use skylarkshore_core::event::{Repeat, Target};
 use skylarkshore_core::upstream::UpstreamKind;
 use skylarkshore_standins::world::{Ask, LinkLoss, NoFaults, Setup, World};
 
-use crate::support::{MODELS, ask_model, ask_once, assert_sound, at_secs, name, setup, upstream, world};
+use crate::support::{
+    MODELS, ask_model, ask_once, assert_sound, at_secs, describe, digest, name, setup, upstream, world,
+};
 
 const HOSTS: usize = 9;
 const REPLICAS: usize = 3;
@@ -135,3 +137,78 @@
     let refused = ended.is_some_and(|ended| ended.at <= now.after(Duration::from_millis(100)));
     assert!(refused, "{:?}", world.callers.requests[&key]);
 }
+
+/// How long requests are sent during which a host may find another way; with the last ones' answers, it is the
+/// platform's bound on contact.
+const CONTACT_TIME: Duration = Duration::from_millis(2800);
+/// The part of the prompt that all requests have.
+const COMMON_PART: u64 = 7;
+
+/// What is alike in the requests of all callers.
+#[derive(Clone, Copy, Debug)]
+enum Alike {
+    /// The whole request.
+    Request,
+    /// One part of the prompt.
+    Part,
+}
+
+/// Sends requests that are alike to a host for a time; returns how many are sent and how many are served.
+fn ask_alike(world: &mut World, host: usize, alike: Alike, span: Duration) -> (usize, usize) {
+    let until = world.now().after(span);
+    let mut keys = Vec::new();
+    while world.now() < until {
+        let number = match alike {
+            Alike::Request => COMMON_PART,
+            Alike::Part => 1000 + world.callers.requests.len() as u64,
+        };
+        let ask = Ask {
+            target: Target::Service(name("market")),
+            repeat: Repeat::Allowed,
+            timeout: Duration::from_secs(4),
+            run_time: Duration::from_millis(20),
+            parts: vec![digest(COMMON_PART + 1)],
+            ..ask_once(number, number)
+        };
+        keys.push(world.ask(host, &ask));
+        world.run_for(Duration::from_millis(50));
+    }
+    world.run_for(Duration::from_millis(200));
+    let served = keys.iter().filter(|key| world.callers.requests[key].is_answered()).count();
+    (keys.len(), served)
+}
+
+/// Cuts one of three hosts off and checks that it serves what its callers send alike, once it may be expected to.
+fn play_alike(seed: u64, alike: Alike, loss: LinkLoss) {
+    let mut setup = cut_setup(seed);
+    setup.hosts.truncate(3);
+    setup.limits.suspects = SuspectPolicy::CountEnds;
+    let mut world = world(setup, NoFaults);
+    world.run_until(at_secs(BEGIN_SECS));
+    ask_alike(&mut world, 0, alike, Duration::from_secs(2));
+    world.cut_upstreams(&[0], loss, world.now().after(CUT_TIME));
+    ask_alike(&mut world, 0, alike, CONTACT_TIME);
+    let (sent, served) = ask_alike(&mut world, 0, alike, Duration::from_secs(1));
+    if served < sent {
+        describe(&mut world, 3);
+    }
+    assert_eq!(served, sent, "{alike:?} {loss:?}");
+}
+
+/// Guards against requests that are held back as their trials, too, go over the lost links of their host.
+#[test]
+fn requests_that_are_alike_are_served_where_lost_links_close_connections() {
+    play_alike(6, Alike::Request, LinkLoss::Closes);
+}
+
+/// Guards against prompt parts that are held back for losses over the lost links of a host.
+#[test]
+fn requests_with_a_common_part_are_served_where_lost_links_close_connections() {
+    play_alike(7, Alike::Part, LinkLoss::Closes);
+}
+
+/// Guards against losses that show after the links are known to be lost, and count against what was under way.
+#[test]
+fn requests_that_are_alike_are_served_after_hanging_connections_have_ended() {
+    play_alike(8, Alike::Request, LinkLoss::Hangs);
+}
