Probe links for as long as a close may take to arrive

Cause: a probe took a connection for a whole one that something in between had accepted and hadn't closed within 20 ms. On a busy machine that takes longer.

The logs show link_regained for all links, about 22 ms after each other, while they were cut. Ruled out: losses that hold requests back; they were doubted (losses_doubted) and cleared each time.

Now a probe waits 200 ms for the close. It costs a check up to 0.4 s instead of 0.04 s where links are whole; one that refuses connections is still told at once.

--- a/crates/skylarkshore-host/src/probe.rs
+++ b/crates/skylarkshore-host/src/probe.rs
@@ -21,7 +21,7 @@
 const UPSTREAM_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// How long a connection must stay open; something in between may accept it and close it at once.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(20);
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Reports whether an upstream accepts a new connection and keeps it open.
 pub(crate) async fn accepts_connections(address: SocketAddr) -> bool {
