Split the hosts of the relay tests by what they play

relay.rs of the tests' support had grown to 825 lines: reads of changes, messages between hosts and the judgement of late hosts now have files of their own.

--- a/crates/skylarkshore-core/tests/support/relay.rs
+++ b/crates/skylarkshore-core/tests/support/relay.rs
@@ -2,6 +2,12 @@
 //!
 //! [`RelayFleet`] runs a [`Node`] and a [`Follower`] for each host, as the adapter of a platform does.
 
+#[path = "changes.rs"]
+mod changes;
+#[path = "lateness.rs"]
+mod lateness;
+#[path = "messages.rs"]
+mod messages;
 #[path = "network.rs"]
 mod network;
 #[path = "pages.rs"]
@@ -11,14 +17,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
-use rand::{Rng, SeedableRng};
 use skylarkshore_core::catalogue::{Catalogue, ConfiguredCatalogue};
 use skylarkshore_core::config::{Limits, NodeConfig, Timings, Watchers};
-use skylarkshore_core::follower::{AfterRead, ChangesPage, ChangesRead, Follower, ReadOutcome, Step};
+use skylarkshore_core::follower::{ChangesRead, Follower, Step};
 use skylarkshore_core::id::{CallId, CatalogueRevision, Digest, HostId, Incarnation, StoreRevision};
-use skylarkshore_core::peer::{News, PeerMessage, StatePart};
+use skylarkshore_core::peer::{News, PeerMessage};
 use skylarkshore_core::rules::{MinuteOfDay, Rules};
 use skylarkshore_core::store::{Key, Record, StoreAnswer, StoreCall, StoreFailure, Versioned};
 use skylarkshore_core::units::Capacity;
@@ -26,7 +32,7 @@
 
 use crate::store::Store;
 use network::{Links, Network};
-use pages::{ITEMS_PER_PAGE, PagedRead};
+use pages::PagedRead;
 
 /// The notice that leaving upstreams give, which the timing of reads follows.
 pub const NOTICE: Duration = Duration::from_secs(3);
@@ -41,15 +47,6 @@
 /// Time from the start of all hosts until their relay trees have settled.
 const SETTLING_TIME: Duration = Duration::from_secs(14);
 const DATA_CENTRES: usize = 3;
-/// Size of a message between hosts without changes or state.
-const MESSAGE_BYTES: u64 = 200;
-/// Size of a change or an item of a state between hosts.
-const PACKED_ITEM_BYTES: u64 = 80;
-/// Items in a part of a complete state.
-const ITEMS_PER_PART: usize = 1000;
-/// How long a host keeps a message of a peer whose certificate it doesn't know.
-const INTRODUCTION_TIMEOUT: Duration = Duration::from_secs(1);
-const INTRODUCTION_INTERVAL: Duration = Duration::from_millis(50);
 /// How long a limited service keeps its history.
 const HISTORY: Duration = Duration::from_secs(20);
 /// Number of large hosts in a data centre; the others are small.
@@ -339,11 +336,6 @@
         self.access_at_start = access;
     }
 
-    /// Returns the hosts that go by an older configuration than the given one.
-    pub fn behind(&self, revision: CatalogueRevision) -> Vec<&HostId> {
-        self.hosts.iter().filter(|(_, host)| host.revision() < revision).map(|(name, _)| name).collect()
-    }
-
     /// Returns the hosts of a data centre that read the service for others.
     pub fn readers(&self, data_centre: usize) -> Vec<HostId> {
         let in_data_centre = self.in_data_centre(data_centre);
@@ -372,54 +364,6 @@
         self.store.records().filter(|record| matches!(record, Record::Member(_))).count()
     }
 
-    /// Lists the hosts that went by an older configuration longer than `limit` after a confirmation.
-    pub fn late_hosts(&self, limit: Duration, excused: &BTreeSet<HostId>) -> Vec<String> {
-        let judged = self.hosts.keys().filter(|name| !excused.contains(*name));
-        judged.filter_map(|name| self.lateness(name, limit)).collect()
-    }
-
-    /// Describes the configurations that weren't in force at a host in time.
-    fn lateness(&self, name: &HostId, limit: Duration) -> Option<String> {
-        let settled_at = self.settled_at;
-        let is_judged = |confirmed: Time| confirmed >= settled_at && confirmed.after(limit).is_due(self.now);
-        let due = self.confirmed.iter().filter(|(_, confirmed)| is_judged(**confirmed));
-        let late: Vec<String> = due
-            .filter_map(|(revision, confirmed)| match self.in_force_at(name, *revision) {
-                Some(at) if at <= confirmed.after(limit) => None,
-                Some(at) => Some(format!("{revision} after {:?}", at.since(*confirmed))),
-                None => Some(format!("{revision} not at all")),
-            })
-            .collect();
-        let (first, last) = (late.first()?, late.last()?);
-        let host = &self.hosts[name];
-        let (access, position) = (host.access, host.follower.after());
-        Some(format!("{name} ({access:?}, at {position}): {} late, from {first} to {last}", late.len()))
-    }
-
-    /// Returns when a host first went by a configuration or a later one.
-    fn in_force_at(&self, name: &HostId, revision: CatalogueRevision) -> Option<Time> {
-        let since = self.activated.range((name.clone(), revision)..);
-        since.take_while(|((host, _), _)| host == name).map(|(_, at)| *at).min()
-    }
-
-    /// Lists the undisturbed hosts that go by an older configuration than those that were confirmed `limit` ago.
-    pub fn hosts_behind(&self, limit: Duration, contact_time: Duration) -> Vec<String> {
-        let due = self.confirmed.iter().rev().find(|(_, confirmed)| confirmed.after(limit).is_due(self.now));
-        let Some((due, _)) = due else { return Vec::new() };
-        let is_in_contact = |host: &RelayHost| {
-            host.undisturbed_since.is_some_and(|since| since.after(contact_time).is_due(self.now))
-        };
-        // A host that has just started and knows no configuration refuses requests.
-        let is_behind = |host: &RelayHost| (1..due.0).contains(&host.revision().0);
-        let behind = self.hosts.iter().filter(|(_, host)| is_in_contact(host) && is_behind(host));
-        behind
-            .map(|(name, host)| {
-                let (access, now) = (host.access, self.now);
-                format!("{now} {name} ({access:?}): version {} instead of {due}", host.revision())
-            })
-            .collect()
-    }
-
     pub fn random_host(&mut self) -> HostId {
         self.hosts.keys().choose(&mut self.rng).expect("a host runs").clone()
     }
@@ -484,22 +428,6 @@
         }
     }
 
-    /// Hands a message to a host that knows the certificate of its sender.
-    fn on_message(&mut self, to: &HostId, from: HostId, message: PeerMessage, until: Time) {
-        if self.knows(to, &from) {
-            return self.handle(to, Event::Peer { from, message });
-        }
-        if until.is_due(self.now) {
-            return;
-        }
-        self.handle(to, Event::UnknownPeer { host: from.clone() });
-        self.send_arrival(to, Arrival::Message { from, message, until }, INTRODUCTION_INTERVAL);
-    }
-
-    fn knows(&self, host: &HostId, peer: &HostId) -> bool {
-        self.hosts.get(host).is_some_and(|host| host.node.cache().member(peer).is_some())
-    }
-
     fn run_host(&mut self, name: &HostId) {
         let now = self.now;
         let Some(host) = self.hosts.get_mut(name).filter(|host| !host.is_frozen) else { return };
@@ -541,124 +469,6 @@
         }
     }
 
-    fn begin_read(&mut self, name: &HostId, read: ChangesRead) {
-        let now = self.now;
-        let answer_at = now.after(self.request_delay());
-        let host = self.host(name);
-        let ends_at = match host.access {
-            StoreAccess::Served => now.after(read.wait).max(answer_at),
-            StoreAccess::Resets | StoreAccess::Refuses => now.after(STEP),
-            StoreAccess::Silent => now.after(read.timeout),
-        };
-        host.read =
-            Some(PendingRead { read, sent_at: now, access: host.access, answer_at, ends_at, answer: None });
-    }
-
-    /// Returns the time until the service takes a read of changes; without links, until its answer is there.
-    fn request_delay(&mut self) -> Duration {
-        match self.network {
-            Network::Unlimited => Duration::from_millis(self.rng.random_range(10..60)),
-            Network::Limited(_) => STEP,
-        }
-    }
-
-    /// Sends the page of changes that a read waits for, and returns its last revision once it has arrived.
-    fn answer_read(&mut self, name: &HostId, pending: PendingRead) -> Option<StoreRevision> {
-        if matches!(self.network, Network::Unlimited) {
-            return Some(self.store.revision());
-        }
-        if let Some(answer) = pending.answer {
-            return answer.arrives_at.is_due(self.now).then_some(answer.upto);
-        }
-        let upto = self.page_end(pending.read.after);
-        let items = usize::try_from(upto.0 - pending.read.after.0).expect("a page has a size");
-        let arrives_at = self.now.after(self.answer_delay(name, items));
-        let timeout_at = pending.ends_at.after(pending.read.timeout.saturating_sub(pending.read.wait));
-        let answer = Some(Answer { upto, arrives_at, timeout_at });
-        self.host(name).read = Some(PendingRead { answer, ..pending });
-        None
-    }
-
-    fn run_read(&mut self, name: &HostId) {
-        let (now, revision) = (self.now, self.store.revision());
-        let Some(host) = self.hosts.get_mut(name) else { return };
-        let Some(pending) = host.read else { return };
-        let is_served = pending.access == StoreAccess::Served && host.access == StoreAccess::Served;
-        let has_changes = is_served && revision > pending.read.after && pending.answer_at.is_due(now);
-        let is_late = pending.answer.is_some_and(|answer| answer.timeout_at.is_due(now));
-        if !has_changes && !pending.ends_at.is_due(now) {
-            return;
-        }
-        if !is_served || is_late {
-            return self.end_unanswered(name, pending.access);
-        }
-        let upto = if has_changes { self.answer_read(name, pending) } else { Some(revision) };
-        let Some(upto) = upto else { return };
-        self.host(name).read = None;
-        let after = pending.read.after;
-        if self.is_history_gone(after) {
-            return self.end_watch(name);
-        }
-        let body: Arc<[u8]> = if has_changes { Vec::from([1]).into() } else { Arc::default() };
-        let page = self.page(after, upto, has_changes);
-        // After a full page, changes are still missing.
-        let age = (page != ChangesPage::Full).then(|| now.since(pending.sent_at));
-        self.handle(name, Event::NewsRead(News { after, upto, age, body }));
-        if has_changes {
-            let changes = self.changes(after, upto);
-            self.handle(name, Event::Watched { changes, upto });
-        }
-        let outcome = ReadOutcome::Answered { upto, page };
-        let next = self.host(name).follower.on_read(now, outcome);
-        self.go_on(name, next);
-    }
-
-    /// Returns how many changes an answer to a read holds.
-    fn page(&self, after: StoreRevision, upto: StoreRevision, has_changes: bool) -> ChangesPage {
-        let is_limited = matches!(self.network, Network::Limited(_));
-        match upto.0 - after.0 {
-            _ if !has_changes => ChangesPage::Empty,
-            changes if is_limited && changes >= ITEMS_PER_PAGE as u64 => ChangesPage::Full,
-            _ => ChangesPage::Partial,
-        }
-    }
-
-    fn end_unanswered(&mut self, name: &HostId, access: StoreAccess) {
-        let now = self.now;
-        let host = self.host(name);
-        host.read = None;
-        let outcome = match access {
-            StoreAccess::Refuses => ReadOutcome::Refused,
-            _ => ReadOutcome::Unanswered,
-        };
-        let next = host.follower.on_read(now, outcome);
-        self.go_on(name, next);
-    }
-
-    /// Reports whether the service has discarded the changes after a revision.
-    fn is_history_gone(&self, after: StoreRevision) -> bool {
-        matches!(self.network, Network::Limited(_))
-            && self.history.front().is_some_and(|(_, first)| after < *first)
-    }
-
-    fn go_on(&mut self, name: &HostId, next: AfterRead) {
-        match next {
-            AfterRead::Continue => {}
-            AfterRead::ReportUnanswered { asks_peer } => {
-                if asks_peer {
-                    self.handle(name, Event::NewsMissed { lasts: true });
-                }
-                self.handle(name, Event::WatchTimedOut);
-            }
-            AfterRead::ReadState => self.end_watch(name),
-        }
-    }
-
-    fn end_watch(&mut self, name: &HostId) {
-        self.host(name).is_watching = false;
-        self.handle(name, Event::WatchBroken);
-    }
-
     /// Returns the product's records among the changes after one revision up to another.
     fn changes(&self, after: StoreRevision, upto: StoreRevision) -> Vec<Versioned> {
         let is_own = |change: &&Versioned| !matches!(change.key, Key::Once(_));
@@ -726,61 +536,6 @@
         };
         self.send_event(name, Event::Store { call, result }, delay);
     }
-
-    fn send_state(&mut self, from: &HostId, to: &[HostId], head: StateHead) {
-        let StateHead { series, upto, age } = head;
-        let parts = match self.network {
-            Network::Unlimited => 1,
-            Network::Limited(_) => u32::try_from(self.store.records().count() / ITEMS_PER_PART + 1).unwrap(),
-        };
-        for part in 0..parts {
-            let part = StatePart { series, upto, age, part, parts, body: Arc::default() };
-            for receiver in to {
-                self.send(from, receiver, PeerMessage::State(part.clone()));
-            }
-        }
-    }
-
-    fn send(&mut self, from: &HostId, to: &HostId, message: PeerMessage) {
-        let is_cut = |name: &HostId| self.hosts.get(name).is_none_or(|host| host.is_isolated);
-        if is_cut(from) || is_cut(to) || self.rng.random_range(0..100) < self.lost_messages {
-            return;
-        }
-        let is_limited = matches!(self.network, Network::Limited(_));
-        if is_limited && !self.knows(from, to) {
-            return;
-        }
-        let bytes = message_bytes(&message);
-        let Some(delay) = self.network.message_delay(self.now, from, to, bytes, &mut self.rng) else {
-            return;
-        };
-        let from = from.clone();
-        let arrival = if is_limited {
-            Arrival::Message { from, message, until: self.now.after(delay + INTRODUCTION_TIMEOUT) }
-        } else {
-            Arrival::Event(Event::Peer { from, message })
-        };
-        self.send_arrival(to, arrival, delay);
-    }
-
-    fn send_event(&mut self, to: &HostId, event: Event, delay: Duration) {
-        self.send_arrival(to, Arrival::Event(event), delay);
-    }
-
-    fn send_arrival(&mut self, to: &HostId, arrival: Arrival, delay: Duration) {
-        let lag = self.hosts.get(to).map(|host| host.lag).unwrap_or_default();
-        self.sent += 1;
-        self.in_flight.insert((self.now.after(delay + lag), self.sent), (to.clone(), arrival));
-    }
-}
-
-/// Returns the size of a message between hosts, which hold changes and states in compressed form.
-fn message_bytes(message: &PeerMessage) -> u64 {
-    match message {
-        PeerMessage::News(news) => MESSAGE_BYTES + (news.upto.0 - news.after.0) * PACKED_ITEM_BYTES,
-        PeerMessage::State(_) => MESSAGE_BYTES + ITEMS_PER_PART as u64 * PACKED_ITEM_BYTES,
-        _ => MESSAGE_BYTES,
-    }
 }
 
 impl RelayHost {
