--- a/crates/skylarkshore-core/src/peer.rs
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -210,7 +210,7 @@
     News(News),
     /// Requests the full state of the key-value service, after a start or a gap.
     StateWanted,
-    /// Acknowledges [`PeerMessage::StateWanted`]; the state follows when the sender has it.
+    /// Acknowledges [`PeerMessage::StateWanted`]; the state follows.
     StateComing,
     /// A part of the full state of the key-value service.
     State(StatePart),
