--- a/crates/skylarkshore-core/src/control/bootstrap.rs
+++ b/crates/skylarkshore-core/src/control/bootstrap.rs
@@ -36,6 +36,8 @@
 const ROOT_READ_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a root may take before another process claims its record.
 const ROOT_TIMEOUT: Duration = Duration::from_secs(4);
+/// How long offers are taken up, from the first, before the root's record is read again.
+const OFFERS_TIMEOUT: Duration = ROOT_TIMEOUT;
 /// Deadline of the write of the root's record.
 const CLAIM_DEADLINE: Duration = Duration::from_secs(2);
 /// How long a member that was asked may take to announce the state.
@@ -74,6 +76,19 @@
             Self::AwaitingState { .. } => "awaiting_state",
         }
     }
+
+    /// Returns the stage's number for the metrics; 0 stands for a start that has ended.
+    const fn number(&self) -> u8 {
+        match self {
+            Self::ReadingRoot { .. } => 1,
+            Self::Claiming => 2,
+            Self::AwaitingRegistrations { .. } => 3,
+            Self::ReadingAll => 4,
+            Self::ReadingAlone => 5,
+            Self::AwaitingOffer { .. } => 6,
+            Self::AwaitingState { .. } => 7,
+        }
+    }
 }
 
 /// The root's record as it was first read.
@@ -87,8 +102,13 @@
 #[derive(Debug, Default)]
 pub(super) struct Bootstrap {
     stage: Option<Stage>,
+    stage_since: Time,
     started_at: Time,
+    /// When this process knew the shared keys.
+    ended_at: Option<Time>,
     seen_root: Option<SeenRoot>,
+    /// Until when offers are taken up; none before the first since the root's record was read.
+    offers_until: Option<Time>,
     backoff: Backoff,
 }
 
@@ -108,6 +128,25 @@
         self.stage.as_ref().map(Stage::name)
     }
 
+    /// Returns the number of the current stage; 0 once this process knows the shared keys.
+    pub(super) fn stage_number(&self) -> u8 {
+        self.stage.as_ref().map_or(0, Stage::number)
+    }
+
+    /// Returns when the current stage began, or when the start ended.
+    ///
+    /// Returns `None` where a process doesn't go through the stages.
+    pub(super) fn since(&self) -> Option<Time> {
+        if self.stage.is_some() { Some(self.stage_since) } else { self.ended_at }
+    }
+
+    /// Returns how long the start has taken so far, or took; `None` where a process doesn't go through
+    /// the stages.
+    pub(super) fn duration(&self, now: Time) -> Option<Duration> {
+        let until = if self.stage.is_some() { Some(now) } else { self.ended_at };
+        until.map(|until| until.since(self.started_at))
+    }
+
     /// Handles the result of a store call, which may belong to another part of the process.
     pub(super) fn on_store(
         &mut self,
@@ -121,10 +160,7 @@
             return;
         }
         match result {
-            Ok(StoreAnswer::One(found)) => {
-                self.backoff.reset();
-                self.on_root(cx, sync, found);
-            }
+            Ok(StoreAnswer::One(found)) => self.on_root(cx, sync, found),
             _ => self.retry_root(cx, "the service didn't answer"),
         }
     }
@@ -162,6 +198,8 @@
         if seen.since.after(ROOT_TIMEOUT).is_due(cx.now) {
             return self.claim(cx, Expect::At(found.revision), "the root takes too long");
         }
+        self.offers_until = None;
+        self.backoff.reset();
         self.await_offer(cx, &format!("{} reads for the others", root.host));
     }
 
@@ -181,13 +219,14 @@
     fn read_root(&mut self, cx: &mut Cx<'_>) {
         let call = cx.next_call();
         let deadline = cx.now.after(cx.cfg.timings.store_timeout * 2);
-        self.stage = Some(Stage::ReadingRoot { call, deadline });
+        self.set_stage(cx, Stage::ReadingRoot { call, deadline });
         cx.push(Effect::Store { call, request: StoreCall::Read(root_key(cx)) });
     }
 
     /// Reads the root's record again after a pause that grows with each failure.
     fn retry_root(&mut self, cx: &mut Cx<'_>, why: &str) {
         self.backoff.record_failure(cx);
+        self.offers_until = None;
         self.enter(cx, Stage::AwaitingOffer { next_root_read: self.backoff.retry_at() }, why);
     }
 
@@ -198,14 +237,22 @@
 
     fn enter(&mut self, cx: &mut Cx<'_>, stage: Stage, why: &str) {
         let name = stage.name();
-        let is_repeated = self.stage_name() == Some(name);
-        self.stage = Some(stage);
-        if !is_repeated {
+        if self.set_stage(cx, stage) {
             let waited_ms = cx.now.since(self.started_at).as_millis();
             cx.log_event("start_stage", name, format!("{why}; after_ms={waited_ms}"));
         }
     }
 
+    /// Sets the stage; reports whether it differs from the one before by more than its deadline.
+    fn set_stage(&mut self, cx: &Cx<'_>, stage: Stage) -> bool {
+        let is_new = self.stage_name() != Some(stage.name());
+        if is_new {
+            self.stage_since = cx.now;
+        }
+        self.stage = Some(stage);
+        is_new
+    }
+
     /// Goes on when a wait has ended.
     pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>, sync: &mut StoreSync, peers: &mut Peers) {
         if self.stage.is_none() {
@@ -222,12 +269,14 @@
                 self.enter(cx, Stage::ReadingAll, "others are registered");
                 sync.read(cx);
             }
-            // Another process may have claimed the record meanwhile.
-            Some(Stage::ReadingAll) if sync.has_failed_read() => {
+            // The record may have changed meanwhile: another process has claimed it, or the cluster has grown.
+            Some(Stage::ReadingAll | Stage::ReadingAlone) if sync.has_failed_read() => {
                 sync.await_peer_state(cx);
                 self.retry_root(cx, "the shared keys weren't read");
             }
-            Some(Stage::AwaitingOffer { next_root_read }) if next_root_read.is_due(cx.now) => {
+            Some(Stage::AwaitingOffer { next_root_read })
+                if next_root_read.is_due(cx.now) || self.have_offers_failed(cx.now) =>
+            {
                 self.read_root(cx);
             }
             Some(Stage::AwaitingState { from, until }) if until.is_due(cx.now) => {
@@ -245,6 +294,7 @@
         }
         let stage = self.stage_name().unwrap_or("none");
         self.stage = None;
+        self.ended_at = Some(cx.now);
         let after_ms = cx.now.since(self.started_at).as_millis();
         let revision = sync.frontier();
         cx.log_event("start_synchronised", stage, format!("revision={revision} after_ms={after_ms}"));
@@ -271,14 +321,23 @@
                 Stage::ReadingRoot { .. } | Stage::AwaitingRegistrations { .. } | Stage::AwaitingOffer { .. }
             )
         );
-        if !is_waiting {
+        if !is_waiting || self.have_offers_failed(cx.now) {
             return;
         }
+        self.offers_until.get_or_insert(cx.now.after(OFFERS_TIMEOUT));
         cx.send(from, PeerMessage::StateWanted);
         let until = cx.now.after(ANNOUNCEMENT_TIMEOUT);
         self.enter(cx, Stage::AwaitingState { from: from.clone(), until }, &format!("asks {from}"));
     }
 
+    /// Reports whether no offer has brought the state in time.
+    ///
+    /// Peers may go on to offer a state that they can't send, and each offer ends the wait for the
+    /// next read of the root's record.
+    fn have_offers_failed(&self, now: Time) -> bool {
+        self.offers_until.is_some_and(|until| until.is_due(now))
+    }
+
     /// Extends the time for the next part of the state.
     fn extend_wait(&mut self, cx: &Cx<'_>, from: &HostId) {
         if let Some(Stage::AwaitingState { from: asked, until }) = &mut self.stage
--- a/crates/skylarkshore-core/src/follower.rs
+++ b/crates/skylarkshore-core/src/follower.rs
@@ -15,7 +15,7 @@
 use crate::id::StoreRevision;
 use crate::peer::{News, StatePart};
 use crate::time::Time;
-use state_parts::StateParts;
+use state_parts::{PeerState, StateParts};
 use timing::{ReadCadence, ReadTiming};
 
 /// Limit of queued updates; when it is exceeded, the process reads the service itself.
@@ -45,6 +45,17 @@
     pub timeout: Duration,
 }
 
+/// How many of the changes that the service had an answer holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangesPage {
+    /// There were none.
+    Empty,
+    /// All of them.
+    Partial,
+    /// As many as an answer can hold; there may be more.
+    Full,
+}
+
 /// How a read ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadOutcome {
@@ -52,8 +63,8 @@
     Answered {
         /// Revision up to which the answer is complete.
         upto: StoreRevision,
-        /// Whether it holds changes.
-        has_changes: bool,
+        /// How many changes it holds.
+        page: ChangesPage,
     },
     /// The service did not answer in time, or the connection failed.
     Unanswered,
@@ -88,6 +99,10 @@
         upto: StoreRevision,
         /// The bodies of its parts, in order.
         bodies: Vec<Arc<[u8]>>,
+        /// When the first part arrived.
+        first_part_at: Time,
+        /// When the last part arrived.
+        last_part_at: Time,
     },
     /// Report changes that the news of peers has skipped.
     ReportGap {
@@ -113,14 +128,7 @@
 #[derive(Clone, Debug)]
 enum Update {
     News(News),
-    State(StatePart),
-}
-
-/// The complete state of a peer.
-#[derive(Clone, Debug)]
-struct PeerState {
-    upto: StoreRevision,
-    bodies: Vec<Arc<[u8]>>,
+    State { at: Time, part: StatePart },
 }
 
 /// What the follower is doing.
@@ -195,6 +203,12 @@
         }
     }
 
+    /// Reads often enough for knowledge that is never older than `max_age` while the service answers.
+    #[must_use]
+    pub fn with_max_age(self, max_age: Duration) -> Self {
+        Self { timing: self.timing.with_max_age(max_age), ..self }
+    }
+
     /// Starts to follow after a revision; updates that are already queued stay.
     pub fn start(&mut self, now: Time, after: StoreRevision) {
         self.after = after;
@@ -229,7 +243,7 @@
     /// Queues a part of a peer's complete state.
     pub fn push_state(&mut self, now: Time, part: StatePart) {
         self.last_update = Some(now);
-        self.push(Update::State(part));
+        self.push(Update::State { at: now, part });
     }
 
     /// Restarts the silence timer because a peer has announced an update.
@@ -293,8 +307,8 @@
     /// Records the end of a read and returns how to go on.
     pub fn on_read(&mut self, now: Time, outcome: ReadOutcome) -> AfterRead {
         match outcome {
-            ReadOutcome::Answered { upto, has_changes } => {
-                self.on_answer(now, upto, has_changes);
+            ReadOutcome::Answered { upto, page } => {
+                self.on_answer(now, upto, page);
                 AfterRead::Continue
             }
             ReadOutcome::Unanswered | ReadOutcome::Refused => self.on_unanswered(now),
@@ -302,10 +316,11 @@
         }
     }
 
-    fn on_answer(&mut self, now: Time, upto: StoreRevision, has_changes: bool) {
+    fn on_answer(&mut self, now: Time, upto: StoreRevision, page: ChangesPage) {
         self.unanswered = 0;
         self.on_applied(upto);
-        if has_changes && !self.hears_from_peers(now) {
+        self.is_read_requested |= page == ChangesPage::Full;
+        if page == ChangesPage::Partial && !self.hears_from_peers(now) {
             return self.rest(now);
         }
         self.read_start = ReadStart::Immediate;
@@ -331,8 +346,9 @@
         if let Some(news) = self.next_contiguous() {
             return Step::ApplyNews(news);
         }
-        if let Some(PeerState { upto, bodies }) = self.state.take().filter(|state| state.upto > self.after) {
-            return Step::ApplyState { upto, bodies };
+        if let Some(state) = self.state.take().filter(|state| state.upto > self.after) {
+            let PeerState { upto, bodies, first_part_at, last_part_at } = state;
+            return Step::ApplyState { upto, bodies, first_part_at, last_part_at };
         }
         // Without any state, news can only be kept until a peer's state arrives.
         let knows_state = self.after != StoreRevision(0);
@@ -348,15 +364,21 @@
         for update in std::mem::take(&mut self.queue) {
             match update {
                 Update::News(news) => self.buffer(news),
-                Update::State(part) => {
-                    if let Some((upto, bodies)) = self.parts.add(part) {
-                        self.state = Some(PeerState { upto, bodies });
+                Update::State { at, part } => {
+                    if let Some(state) = self.parts.add(at, part) {
+                        self.keep_newer(state);
                     }
                 }
             }
         }
     }
 
+    fn keep_newer(&mut self, state: PeerState) {
+        if self.state.as_ref().is_none_or(|kept| kept.upto < state.upto) {
+            self.state = Some(state);
+        }
+    }
+
     fn buffer(&mut self, news: News) {
         if news.upto > self.after && self.buffered.len() < MAX_BUFFERED_NEWS {
             self.buffered.push(news);
--- a/crates/skylarkshore-core/tests/fleet_size.rs
+++ b/crates/skylarkshore-core/tests/fleet_size.rs
@@ -10,7 +10,7 @@
 use skylarkshore_core::peer::{Envelope, News, PeerMessage, StatePart};
 use skylarkshore_core::rules::{MinuteOfDay, Rules};
 use skylarkshore_core::store::{
-    Key, MemberRecord, Record, RelayRootRecord, StoreAnswer, StoreCall, Versioned,
+    Key, MemberRecord, Record, RelayRootRecord, StoreAnswer, StoreCall, StoreFailure, Versioned,
 };
 use skylarkshore_core::units::Capacity;
 use skylarkshore_core::{Effect, Event, Node, Time};
@@ -127,7 +127,7 @@
 
 fn news(hosts: usize) -> News {
     let after = upto(hosts);
-    News { after, upto: after.next(), body: Vec::from([1]).into() }
+    News { after, upto: after.next(), age: None, body: Vec::from([1]).into() }
 }
 
 /// Result of relaying a message to all processes.
@@ -256,7 +256,8 @@
     assert!(!reads_full_state(&effects), "{effects:?}");
     let effects = node.handle(NOW, Event::Peer { from: host(7), message: heartbeat(upto(hosts)) });
     assert_eq!(requested_peer(&effects), Some(host(7)), "{effects:?}");
-    let part = StatePart { series: 1, upto: upto(hosts), part: 0, parts: 1, body: Vec::new().into() };
+    let part =
+        StatePart { series: 1, upto: upto(hosts), age: None, part: 0, parts: 1, body: Vec::new().into() };
     let effects = node.handle(NOW, Event::Peer { from: host(7), message: PeerMessage::State(part) });
     assert!(effects.iter().any(|effect| matches!(effect, Effect::ApplyStatePart(_))), "{effects:?}");
 }
@@ -299,6 +300,39 @@
     run_start(non_root(hosts), hosts, Duration::from_secs(10), reads_full_state);
 }
 
+/// Guards against a host that never serves because a peer offers its state again and again, but never sends it.
+#[test]
+fn a_starting_host_reads_the_state_itself_if_a_peer_only_offers_it() {
+    let hosts = 100;
+    let (mut node, mut effects) = start(non_root(hosts), hosts);
+    let mut now = NOW;
+    while !reads_full_state(&effects) {
+        assert!(now < NOW.after(Duration::from_secs(15)), "the process waits for the peer");
+        now = now.after(TICK);
+        effects = answer_start(&mut node, now, hosts, &effects);
+        let message = heartbeat(upto(hosts));
+        effects.extend(node.handle(now, Event::Peer { from: host(7), message }));
+    }
+}
+
+/// Guards against hosts that all go on reading after a cluster that was small has grown at once.
+#[test]
+fn a_starting_host_whose_read_fails_looks_again_whether_the_cluster_is_small() {
+    let (mut node, effects) = start(0, 10);
+    let call = call_of(&effects, |call| *call == StoreCall::ReadShared).expect("the cluster is small");
+    node.handle(NOW, Event::Store { call, result: Err(StoreFailure::Unknown) });
+    let mut reads = Vec::new();
+    for step in 1..40 {
+        let effects = tick(&mut node, NOW.after(TICK * step));
+        assert!(!reads_full_state(&effects), "{effects:?}");
+        reads.extend(root_read(&effects));
+    }
+    let call = *reads.last().expect("the process reads the root's record again");
+    let result = Ok(StoreAnswer::One(root_record(100)));
+    let effects = node.handle(NOW.after(TICK * 40), Event::Store { call, result });
+    assert!(!reads_full_state(&effects), "{effects:?}");
+}
+
 /// Guards against hosts that reject a new host until news of its registration
 /// arrives, and against a read of its key for each of its connections.
 #[test]
@@ -348,6 +382,29 @@
     assert!(requested_peer(&effects).is_some(), "{effects:?}");
 }
 
+/// Guards against hosts that follow news and still request the state whenever a peer is ahead for a moment.
+#[test]
+fn a_host_whose_reads_are_unanswered_requests_the_state_only_if_it_stays_behind() {
+    let hosts = 100;
+    let (mut node, _) = synced(non_root(hosts), hosts);
+    node.handle(NOW, Event::WatchTimedOut);
+    let mut revision = upto(hosts);
+    for step in 1..20 {
+        let now = NOW.after(TICK * step);
+        revision = revision.next();
+        let effects = node.handle(now, Event::Peer { from: host(7), message: heartbeat(revision) });
+        assert_eq!(requested_peer(&effects), None, "{effects:?}");
+        node.handle(now, Event::Watched { changes: Vec::new(), upto: revision });
+    }
+    let behind = revision.next();
+    let requests = (20..60).filter(|step| {
+        let message = heartbeat(behind);
+        let effects = node.handle(NOW.after(TICK * *step), Event::Peer { from: host(7), message });
+        requested_peer(&effects).is_some()
+    });
+    assert!((1..=2).contains(&requests.count()));
+}
+
 /// Guards against hosts of a large fleet that request the state twice at their start.
 #[test]
 fn a_host_that_has_just_synchronised_requests_no_state() {
@@ -358,3 +415,58 @@
         assert_eq!(requested_peer(&effects), None, "{effects:?}");
     }
 }
+
+fn gauge(node: &mut Node, now: Time, name: &str) -> Option<f64> {
+    node.gauges(now).into_iter().find(|gauge| gauge.name == name).map(|gauge| gauge.value)
+}
+
+/// Returns what the state dump tells of the start.
+fn start_entry(node: &mut Node, now: Time) -> String {
+    let entries = node.dump(now);
+    let start = entries.into_iter().find(|entry| entry.kind == "start").expect("the dump tells of the start");
+    let since = start.since.expect("a stage has a beginning");
+    format!("{} since {} ms", start.state, since.since(NOW).as_millis())
+}
+
+/// Guards against a host that doesn't serve and of which nothing tells where its start hangs.
+#[test]
+fn metrics_and_state_dump_name_the_stage_of_a_start() {
+    let hosts = 100;
+    let (mut node, _) = start(non_root(hosts), hosts);
+    let later = NOW.after(Duration::from_millis(250));
+    assert_eq!(start_entry(&mut node, later), "awaiting_offer since 0 ms");
+    assert_eq!(gauge(&mut node, later, "start_stage"), Some(6.0));
+    assert_eq!(gauge(&mut node, later, "start_duration_seconds"), Some(0.25));
+
+    node.handle(later, Event::Peer { from: host(7), message: heartbeat(upto(hosts)) });
+    assert_eq!(start_entry(&mut node, later), "awaiting_state since 250 ms");
+    assert_eq!(gauge(&mut node, later, "start_stage"), Some(7.0));
+
+    let ended = NOW.after(Duration::from_millis(500));
+    node.handle(ended, Event::State { upto: upto(hosts), records: members(hosts) });
+    tick(&mut node, ended);
+    let much_later = NOW.after(Duration::from_secs(9));
+    assert_eq!(start_entry(&mut node, much_later), "synchronised since 500 ms");
+    assert_eq!(gauge(&mut node, much_later, "start_stage"), Some(0.0));
+    assert_eq!(gauge(&mut node, much_later, "start_duration_seconds"), Some(0.5));
+}
+
+/// Guards against requests for the state that stay unserved without a trace at the host that was asked.
+#[test]
+fn sent_and_refused_states_are_counted() {
+    let hosts = 100;
+    let request = |node: &mut Node, number| {
+        node.handle(NOW, Event::Peer { from: host(number), message: PeerMessage::StateWanted });
+    };
+    let (mut node, _) = start(non_root(hosts), hosts);
+    request(&mut node, 7);
+    assert_eq!(gauge(&mut node, NOW, "states_sent_total"), Some(0.0));
+    assert_eq!(gauge(&mut node, NOW, "states_refused_total"), Some(1.0));
+
+    let (mut node, _) = synced(1, hosts);
+    for number in [7, 7, 8, 9] {
+        request(&mut node, number);
+    }
+    assert_eq!(gauge(&mut node, NOW, "states_sent_total"), Some(2.0));
+    assert_eq!(gauge(&mut node, NOW, "states_refused_total"), Some(1.0));
+}
