--- a/crates/skylarkshore-core/tests/relay/start.rs
+++ b/crates/skylarkshore-core/tests/relay/start.rs
@@ -1,6 +1,7 @@
 //! Starts of hundreds of hosts at once, over links and a key-value service of limited rates.
 
 use std::collections::BTreeSet;
+use std::ops::Range;
 use std::time::Duration;
 
 use skylarkshore_core::id::{CatalogueRevision, HostId};
@@ -10,6 +11,8 @@
 const DATA_CENTRES: usize = 5;
 /// Hosts of each data centre, 985 in all.
 const HOSTS: usize = 197;
+/// Hosts of each data centre of a cluster whose hosts all read the service.
+const HOSTS_OF_A_SMALL_CLUSTER: usize = 10;
 const ENGINES: u64 = 9808;
 /// Time within which all processes start.
 const START_SPREAD: Duration = Duration::from_millis(100);
@@ -19,14 +22,21 @@
 const ALL_AFTER: Duration = Duration::from_secs(24);
 /// How long a confirmed configuration may take.
 const APPLY_LIMIT: Duration = Duration::from_secs(5);
+/// The age above which callers aren't denied any more.
+const MAX_AGE: Duration = Duration::from_millis(3750);
 /// How long a host has to be undisturbed before a limit holds for it.
 const CONTACT_TIME: Duration = Duration::from_secs(6);
 
 /// Starts all hosts of a fleet, in an order that mixes the data centres.
 fn start_all(fleet: &mut RelayFleet) {
+    start_numbers(fleet, 0..HOSTS);
+}
+
+/// Starts hosts of every data centre by their numbers.
+fn start_numbers(fleet: &mut RelayFleet, numbers: Range<usize>) {
     let steps = 10;
     for step in 0..steps {
-        for number in (0..HOSTS).filter(|number| number % steps == step) {
+        for number in numbers.clone().filter(|number| number % steps == step) {
             for data_centre in 0..DATA_CENTRES {
                 fleet.start(data_centre, number);
             }
@@ -54,6 +64,17 @@
     );
 }
 
+/// Asserts that no host's knowledge is too old for callers to be denied, now and for a while.
+fn assert_young(fleet: &mut RelayFleet) {
+    let until = fleet.now.after(APPLY_LIMIT);
+    while !until.is_due(fleet.now) {
+        let is_old = |age: Option<Duration>| age.is_none_or(|age| age > MAX_AGE);
+        let old = fleet.hosts.values().filter(|host| is_old(host.age(fleet.now))).count();
+        assert_eq!(old, 0, "of {} hosts at {}", fleet.hosts.len(), fleet.now);
+        fleet.run(Duration::from_millis(200));
+    }
+}
+
 /// Confirms a configuration and asserts that it is in force everywhere in time.
 fn assert_change_in_force(fleet: &mut RelayFleet) {
     let revision = fleet.configure();
@@ -73,6 +94,16 @@
     assert_change_in_force(&mut fleet);
 }
 
+/// Guards against hosts of a large fleet that hear too rarely that nothing has changed, and deny nothing.
+#[test]
+fn hundreds_of_hosts_know_that_they_are_up_to_date() {
+    let mut fleet = started(7);
+    fleet.run(ALL_AFTER);
+    assert_young(&mut fleet);
+    assert_change_in_force(&mut fleet);
+    assert_young(&mut fleet);
+}
+
 /// Guards against a start that depends on the hosts from which the others get the state.
 #[test]
 fn a_start_ends_in_time_although_hosts_that_read_for_others_are_killed() {
@@ -163,3 +194,16 @@
     assert_in_force(&fleet, 1, 100);
     assert_change_in_force(&mut fleet);
 }
+
+/// Guards against hosts that all read everything because their cluster was small until they started.
+#[test]
+fn a_small_cluster_that_grows_at_once_knows_the_configuration_in_time() {
+    let mut fleet = RelayFleet::limited(7, ENGINES);
+    start_numbers(&mut fleet, 0..HOSTS_OF_A_SMALL_CLUSTER);
+    fleet.run(ALL_AFTER);
+    assert_in_force(&fleet, 1, 100);
+    start_numbers(&mut fleet, HOSTS_OF_A_SMALL_CLUSTER..HOSTS);
+    fleet.run(ALL_AFTER);
+    assert_in_force(&fleet, 1, 100);
+    assert_change_in_force(&mut fleet);
+}
--- a/crates/skylarkshore-core/tests/support/relay.rs
+++ b/crates/skylarkshore-core/tests/support/relay.rs
@@ -16,7 +16,7 @@
 use rand::{Rng, SeedableRng};
 use skylarkshore_core::catalogue::{Catalogue, ConfiguredCatalogue};
 use skylarkshore_core::config::{Limits, NodeConfig, Timings, Watchers};
-use skylarkshore_core::follower::{AfterRead, ChangesRead, Follower, ReadOutcome, Step};
+use skylarkshore_core::follower::{AfterRead, ChangesPage, ChangesRead, Follower, ReadOutcome, Step};
 use skylarkshore_core::id::{CallId, CatalogueRevision, Digest, HostId, Incarnation, StoreRevision};
 use skylarkshore_core::peer::{News, PeerMessage, StatePart};
 use skylarkshore_core::rules::{MinuteOfDay, Rules};
@@ -26,7 +26,7 @@
 
 use crate::store::Store;
 use network::{Links, Network};
-use pages::PagedRead;
+use pages::{ITEMS_PER_PAGE, PagedRead};
 
 /// The notice that leaving upstreams give, which the timing of reads follows.
 pub const NOTICE: Duration = Duration::from_secs(3);
@@ -72,6 +72,7 @@
 #[derive(Clone, Copy, Debug)]
 struct PendingRead {
     read: ChangesRead,
+    sent_at: Time,
     /// How the service treated the host when the call was made.
     access: StoreAccess,
     /// The earliest time at which the service answers with changes.
@@ -90,6 +91,14 @@
     timeout_at: Time,
 }
 
+/// What all parts of a state have in common.
+#[derive(Clone, Copy, Debug)]
+struct StateHead {
+    series: u64,
+    upto: StoreRevision,
+    age: Option<Duration>,
+}
+
 /// What arrives at a host.
 #[derive(Clone, Debug)]
 enum Arrival {
@@ -541,7 +550,8 @@
             StoreAccess::Resets | StoreAccess::Refuses => now.after(STEP),
             StoreAccess::Silent => now.after(read.timeout),
         };
-        host.read = Some(PendingRead { read, access: host.access, answer_at, ends_at, answer: None });
+        host.read =
+            Some(PendingRead { read, sent_at: now, access: host.access, answer_at, ends_at, answer: None });
     }
 
     /// Returns the time until the service takes a read of changes; without links, until its answer is there.
@@ -590,16 +600,29 @@
             return self.end_watch(name);
         }
         let body: Arc<[u8]> = if has_changes { Vec::from([1]).into() } else { Arc::default() };
-        self.handle(name, Event::NewsRead(News { after, upto, body }));
+        let page = self.page(after, upto, has_changes);
+        // After a full page, changes are still missing.
+        let age = (page != ChangesPage::Full).then(|| now.since(pending.sent_at));
+        self.handle(name, Event::NewsRead(News { after, upto, age, body }));
         if has_changes {
             let changes = self.changes(after, upto);
             self.handle(name, Event::Watched { changes, upto });
         }
-        let outcome = ReadOutcome::Answered { upto, has_changes };
+        let outcome = ReadOutcome::Answered { upto, page };
         let next = self.host(name).follower.on_read(now, outcome);
         self.go_on(name, next);
     }
 
+    /// Returns how many changes an answer to a read holds.
+    fn page(&self, after: StoreRevision, upto: StoreRevision, has_changes: bool) -> ChangesPage {
+        let is_limited = matches!(self.network, Network::Limited(_));
+        match upto.0 - after.0 {
+            _ if !has_changes => ChangesPage::Empty,
+            changes if is_limited && changes >= ITEMS_PER_PAGE as u64 => ChangesPage::Full,
+            _ => ChangesPage::Partial,
+        }
+    }
+
     fn end_unanswered(&mut self, name: &HostId, access: StoreAccess) {
         let now = self.now;
         let host = self.host(name);
@@ -639,9 +662,9 @@
     /// Returns the product's records among the changes after one revision up to another.
     fn changes(&self, after: StoreRevision, upto: StoreRevision) -> Vec<Versioned> {
         let is_own = |change: &&Versioned| !matches!(change.key, Key::Once(_));
-        let changes =
-            self.store.log.iter().filter(|change| change.revision > after && change.revision <= upto);
-        changes.filter(is_own).cloned().collect()
+        let begin = self.store.log.partition_point(|change| change.revision <= after);
+        let end = self.store.log.partition_point(|change| change.revision <= upto).max(begin);
+        self.store.log[begin..end].iter().filter(is_own).cloned().collect()
     }
 
     fn state_at(&self, upto: StoreRevision) -> Vec<Versioned> {
@@ -656,7 +679,7 @@
         let Some(host) = self.hosts.get(name) else { return };
         let after = host.follower.after();
         if after != StoreRevision(0) && after < upto {
-            let news = News { after, upto, body: Vec::from([1]).into() };
+            let news = News { after, upto, age: None, body: Vec::from([1]).into() };
             self.handle(name, Event::NewsSkipped(news));
         }
     }
@@ -680,8 +703,8 @@
                     self.call_store(name, access, call, request);
                 }
                 Effect::Peer(envelope) => self.send(name, &envelope.to, envelope.message),
-                Effect::SendState { to, series, upto, .. } => {
-                    self.send_state(name, &to, series, upto);
+                Effect::SendState { to, series, upto, age, .. } => {
+                    self.send_state(name, &to, StateHead { series, upto, age });
                 }
                 effect => {
                     if let Some(host) = self.hosts.get_mut(name) {
@@ -704,13 +727,14 @@
         self.send_event(name, Event::Store { call, result }, delay);
     }
 
-    fn send_state(&mut self, from: &HostId, to: &[HostId], series: u64, upto: StoreRevision) {
+    fn send_state(&mut self, from: &HostId, to: &[HostId], head: StateHead) {
+        let StateHead { series, upto, age } = head;
         let parts = match self.network {
             Network::Unlimited => 1,
             Network::Limited(_) => u32::try_from(self.store.records().count() / ITEMS_PER_PART + 1).unwrap(),
         };
         for part in 0..parts {
-            let part = StatePart { series, upto, part, parts, body: Arc::default() };
+            let part = StatePart { series, upto, age, part, parts, body: Arc::default() };
             for receiver in to {
                 self.send(from, receiver, PeerMessage::State(part.clone()));
             }
@@ -769,6 +793,11 @@
         self.undisturbed_since.get_or_insert(now);
     }
 
+    /// Returns how long ago the host's knowledge was known to be complete.
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        self.node.complete_at().map(|at| now.since(at))
+    }
+
     pub fn revision(&self) -> CatalogueRevision {
         self.node.document().catalogue_revision
     }
