List a test: changes in force while much changes and the history is forgotten

On the joined code 3 hosts are behind a configuration that was confirmed more than 5 s ago, 7 s after the changes began and before the service forgets its history. Suspected: the root's own read takes 2.6 s and its news begins late; nothing is told to children beyond 1,000 changes.

--- a/crates/skylarkshore-core/tests/relay/start.rs
+++ b/crates/skylarkshore-core/tests/relay/start.rs
@@ -24,6 +24,8 @@
 const APPLY_LIMIT: Duration = Duration::from_secs(5);
 /// The age above which callers aren't denied any more.
 const MAX_AGE: Duration = Duration::from_millis(3750);
+/// Changes every 20 ms, 400 a second.
+const CHANGES_AT_ONCE: u64 = 8;
 /// How long a host has to be undisturbed before a limit holds for it.
 const CONTACT_TIME: Duration = Duration::from_secs(6);
 
@@ -75,6 +77,16 @@
     }
 }
 
+/// Confirms a configuration each second and asserts that all are in force everywhere in time.
+fn assert_changes_in_force(fleet: &mut RelayFleet, seconds: u32) {
+    for _ in 0..seconds {
+        fleet.configure();
+        fleet.run(Duration::from_secs(1));
+        let behind = fleet.hosts_behind(APPLY_LIMIT, CONTACT_TIME);
+        assert!(behind.is_empty(), "{} behind, such as {}", behind.len(), behind[0]);
+    }
+}
+
 /// Confirms a configuration and asserts that it is in force everywhere in time.
 fn assert_change_in_force(fleet: &mut RelayFleet) {
     let revision = fleet.configure();
@@ -207,3 +219,15 @@
     assert_in_force(&fleet, 1, 100);
     assert_change_in_force(&mut fleet);
 }
+
+/// Guards against hosts that all read everything when the service has forgotten its history, and against
+/// reads of changes by all hosts while changes come quickly.
+#[test]
+fn configurations_are_in_force_in_time_while_much_changes_and_the_history_is_forgotten() {
+    let mut fleet = started(7);
+    fleet.run(MOST_AFTER);
+    fleet.change_often(CHANGES_AT_ONCE);
+    assert_changes_in_force(&mut fleet, 10);
+    fleet.forget_history();
+    assert_changes_in_force(&mut fleet, 10);
+}
--- a/crates/skylarkshore-core/tests/support/relay.rs
+++ b/crates/skylarkshore-core/tests/support/relay.rs
@@ -141,6 +141,10 @@
     sent: u64,
     next_filler: Time,
     fillers: u64,
+    /// Number of changes at each filler interval.
+    fillers_at_once: u64,
+    /// Number of keys that the fillers change.
+    filler_keys: u64,
     /// When each configuration was confirmed.
     confirmed: BTreeMap<CatalogueRevision, Time>,
     /// When each host first went by a configuration.
@@ -221,6 +225,7 @@
     }
 
     fn new(seed: u64, network: Network) -> Self {
+        let filler_keys = if matches!(network, Network::Unlimited) { 100 } else { u64::MAX };
         Self {
             now: Time::from_millis(1000),
             hosts: BTreeMap::new(),
@@ -231,6 +236,8 @@
             sent: 0,
             next_filler: Time::START,
             fillers: 0,
+            fillers_at_once: 1,
+            filler_keys,
             confirmed: BTreeMap::new(),
             activated: BTreeMap::new(),
             lost_messages: 0,
@@ -354,6 +361,18 @@
         }
     }
 
+    /// Changes the known keys in turn, so many at each filler interval.
+    pub const fn change_often(&mut self, at_once: u64) {
+        self.filler_keys = self.fillers;
+        self.fillers_at_once = at_once;
+    }
+
+    /// Lets the service discard its history of changes.
+    pub fn forget_history(&mut self) {
+        self.history.clear();
+        self.record_history();
+    }
+
     /// Returns the number of calls other than reads of changes that the key-value service answered.
     pub fn store_calls(&self) -> u64 {
         self.store.calls
@@ -382,7 +401,9 @@
         self.record_history();
         if self.next_filler.is_due(self.now) {
             self.next_filler = self.now.after(FILLER_INTERVAL);
-            self.fill();
+            for _ in 0..self.fillers_at_once {
+                self.fill();
+            }
         }
         let later = self.in_flight.split_off(&(self.now.after(Duration::from_micros(1)), 0));
         for (_, (to, arrival)) in std::mem::replace(&mut self.in_flight, later) {
@@ -405,9 +426,8 @@
     /// Changes a key that only the adapter of a platform knows.
     fn fill(&mut self) {
         self.fillers += 1;
-        let distinct = if matches!(self.network, Network::Unlimited) { 100 } else { u64::MAX };
         let mut digest = [0; 32];
-        digest[..8].copy_from_slice(&(self.fillers % distinct).to_le_bytes());
+        digest[..8].copy_from_slice(&(self.fillers % self.filler_keys).to_le_bytes());
         let record = self.store.record(&Key::Catalogue).expect("there is a configuration").clone();
         self.store.put(Key::Once(Digest(digest)), record);
     }
