--- a/crates/skylarkshore-core/src/peer/slot.rs
+++ b/crates/skylarkshore-core/src/peer/slot.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+
 use crate::id::{HostId, Incarnation, UpstreamId};
 
 /// A message about the slots of an upstream.
@@ -27,7 +29,8 @@
 }
 
 /// The right of one process to lend the slots of an upstream; a later term ends the earlier ones.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+#[display("{number}/{lender}")]
 pub struct LendingTerm {
     /// Rises with each term.
     pub number: u64,
--- a/crates/skylarkshore-core/src/serving/slot_leases.rs
+++ b/crates/skylarkshore-core/src/serving/slot_leases.rs
@@ -13,6 +13,7 @@
 
 use crate::collections::OrderedMap;
 use crate::cx::Cx;
+use crate::dump::DumpEntry;
 use crate::event::Target;
 use crate::id::UpstreamId;
 use crate::peer::{LendingTerm, PeerMessage, ReportNumber, SlotMessage, SlotReport, SlotsLent};
@@ -159,6 +160,12 @@
         self.term.as_ref() == Some(term)
     }
 
+    fn describe(&self, now: Time) -> String {
+        let term = self.term.as_ref().map_or_else(|| "none".to_owned(), LendingTerm::to_string);
+        let lent = if self.usable_until.is_due(now) { 0 } else { self.lent };
+        format!("term={term} lent={lent} cancelled={} wanted={}", self.cancelled.len(), self.total_wanted())
+    }
+
     /// Gives back what no request uses.
     fn return_unused(&mut self, now: Time, used: u32) {
         if self.lent <= used {
@@ -415,6 +422,16 @@
         bound.collect()
     }
 
+    /// Returns an entry for the slots of each upstream.
+    pub(super) fn dump_entries(&self, now: Time) -> impl Iterator<Item = DumpEntry> + '_ {
+        self.leases.iter().map(move |(upstream, lease)| DumpEntry {
+            kind: "slots_borrowed",
+            subject: upstream.to_string(),
+            state: lease.describe(now),
+            since: None,
+        })
+    }
+
     /// Returns the slots lent at an upstream whose requests need one, for the log.
     pub(super) fn lent(&self, upstream: &UpstreamId) -> Option<u32> {
         self.leases.get(upstream).map(|lease| lease.lent)
--- a/crates/skylarkshore-core/src/serving/slot_lender.rs
+++ b/crates/skylarkshore-core/src/serving/slot_lender.rs
@@ -8,6 +8,7 @@
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::control::relay::broadcast_via_relay;
 use crate::cx::Cx;
+use crate::dump::DumpEntry;
 use crate::id::{HostId, UpstreamId};
 use crate::peer::{LendingTerm, PeerMessage, ReportNumber, SlotMessage, SlotReport, SlotsLent};
 use crate::serving::newcomers::Told;
@@ -163,8 +164,24 @@
     fn may_lend(&self, now: Time) -> bool {
         let withstands = usize::try_from(self.withstands).unwrap_or(usize::MAX);
         let is_calm = self.rejections.is_empty() || self.rejections.len() * USED_PART <= withstands;
-        let occupied: u32 = self.borrowers.values().map(Borrower::occupied).sum();
-        is_calm && self.is_lending(now) && occupied < self.concurrency.saturating_sub(self.withheld)
+        is_calm && self.is_lending(now) && self.occupied() < self.concurrency.saturating_sub(self.withheld)
+    }
+
+    fn describe(&self, now: Time) -> String {
+        let state = if self.is_lending(now) { "lending" } else { "waiting for reports" };
+        format!(
+            "{state} term={} occupied={} of {} withheld={} unreported={} rejections={}",
+            self.term,
+            self.occupied(),
+            self.concurrency,
+            self.withheld,
+            self.unreported.len(),
+            self.rejections.len()
+        )
+    }
+
+    fn occupied(&self) -> u32 {
+        self.borrowers.values().map(Borrower::occupied).sum()
     }
 
     /// Lends the free slots, and returns the hosts that got one.
@@ -287,9 +304,9 @@
         let lending = self.ledgers.get_mut(upstream).filter(|ledger| ledger.needed_from.is_due(cx.now));
         let Some(ledger) = lending else { return };
         ledger.record_rejection(cx.now);
-        let occupied: u32 = ledger.borrowers.values().map(Borrower::occupied).sum();
         let detail = format!(
-            "by={from} occupied={occupied} concurrency={} withheld={} rejections={}",
+            "by={from} occupied={} concurrency={} withheld={} rejections={}",
+            ledger.occupied(),
             ledger.concurrency,
             ledger.withheld,
             ledger.rejections.len()
@@ -297,6 +314,16 @@
         cx.log_event("lent_slot_rejected", upstream, detail);
     }
 
+    /// Returns an entry for each upstream whose slots this process lends.
+    pub(super) fn dump_entries(&self, now: Time) -> impl Iterator<Item = DumpEntry> + '_ {
+        self.ledgers.iter().map(move |(upstream, ledger)| DumpEntry {
+            kind: "slots_lent",
+            subject: upstream.to_string(),
+            state: ledger.describe(now),
+            since: None,
+        })
+    }
+
     /// Lends slots that have become free, and tells members that have joined.
     ///
     /// Returns the terms that end as too few hosts have reported in them: this host may be cut off, and
--- a/crates/skylarkshore-core/src/serving/state_dump.rs
+++ b/crates/skylarkshore-core/src/serving/state_dump.rs
@@ -39,7 +39,9 @@
             DumpEntry { kind: "suspect", subject: digest.to_string(), state: state.to_owned(), since: None }
         });
         let suspects = suspects.chain(counted);
-        requests.chain(routes).chain(suspects).chain(self.quota.dump_entries()).collect()
+        let borrowed = self.routes.notices.slots.dump_entries(cx.now);
+        let slots = borrowed.chain(self.slot_lender.dump_entries(cx.now));
+        requests.chain(routes).chain(suspects).chain(slots).chain(self.quota.dump_entries()).collect()
     }
 
     /// Returns the gauges for the metrics.
