Let hosts that have just started ask what upstreams have said before they send

Cause: a notice is time to begin with slots only where it is new to all hosts. A host that has just started counted the 1.5 s of the first notice from its own first answer on, and was told of the lending after up to a second, so that it sent by its own view of the load until then. Six such hosts alone send more than a full replica withstands.

Now a process asks eight peers, as soon as it knows the document and the members, which upstreams withstand few rejections and who lends their slots, and which ones are leaving; it sends nothing to any upstream until one that knows has answered, or all that were asked know no more than itself, or for 500 ms. Rounds of 100 ms begin with peers that were not asked yet, as some may have ended too. The same class elsewhere: upstreams that leave by their answers were told to a newcomer after up to a second; they are part of the answer.

--- a/crates/skylarkshore-core/src/peer.rs
+++ b/crates/skylarkshore-core/src/peer.rs
@@ -1,6 +1,7 @@
 //! Messages between processes. [`PeerMessage`] is the type to start with.
 
 mod credit;
+mod notice;
 mod slot;
 mod stream;
 
@@ -16,6 +17,7 @@
 use crate::view::EngineView;
 
 pub use credit::CreditMessage;
+pub use notice::{KnownNotices, NoticeMessage, RejectionLimit};
 pub use slot::{LendingTerm, ReportNumber, SlotMessage, SlotReport, SlotsLent};
 pub use stream::{StreamMessage, StreamOrigin};
 
@@ -264,6 +266,8 @@
     Stream(StreamMessage),
     /// Slots of upstreams that withstand few rejections.
     Slot(SlotMessage),
+    /// What upstreams have said of themselves, for processes that have just started.
+    Notice(NoticeMessage),
     /// Acknowledges requests that were reported as lost with an incarnation of an upstream.
     LossesNoted {
         /// The upstream.
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -35,6 +35,7 @@
 mod leaving;
 mod newcomers;
 mod notice_events;
+mod notice_inquiry;
 mod notices;
 mod once;
 mod others_load;
@@ -227,6 +228,7 @@
     /// Runs all timers and periodic work that are due.
     pub fn on_tick(&mut self, cx: &mut Cx<'_>) {
         self.run_housekeeping(cx);
+        self.routes.notices.inquiry.advance(cx);
         self.permits.on_tick(cx);
         for (upstream, term) in self.slot_lender.on_tick(cx) {
             self.routes.notices.slots.abandon(&upstream, &term);
@@ -389,6 +391,7 @@
             }
             PeerMessage::UpstreamFull { upstream } => self.slot_lender.on_full(cx, from, upstream),
             PeerMessage::Slot(message) => self.on_slot_message(cx, from, message),
+            PeerMessage::Notice(message) => self.on_notice_message(cx, from, message),
             PeerMessage::UpstreamRests { upstream, rest } => {
                 self.routes.notices.rests.record(cx, upstream, *rest);
                 self.on_takes_no_requests(cx);
--- a/crates/skylarkshore-core/src/serving/leaving.rs
+++ b/crates/skylarkshore-core/src/serving/leaving.rs
@@ -72,6 +72,11 @@
         !leaving.until.is_due(cx.now) && !leaving.incarnation.is_some_and(is_later)
     }
 
+    /// Returns the upstreams that are leaving.
+    pub(super) fn all(&self, cx: &Cx<'_>) -> Vec<UpstreamId> {
+        self.upstreams.keys().filter(|upstream| self.contains(cx, upstream)).cloned().collect()
+    }
+
     /// Forgets what no longer holds, and tells members that have joined; one host does that for each
     /// upstream.
     pub(super) fn on_tick(&mut self, cx: &mut Cx<'_>) {
--- a/crates/skylarkshore-core/src/serving/notice_events.rs
+++ b/crates/skylarkshore-core/src/serving/notice_events.rs
@@ -3,7 +3,7 @@
 use crate::cx::Cx;
 use crate::id::{HostId, Incarnation, UpstreamId};
 use crate::notice::UpstreamNotice;
-use crate::peer::{PeerMessage, SlotMessage};
+use crate::peer::{NoticeMessage, PeerMessage, RejectionLimit, SlotMessage};
 use crate::serving::Serving;
 
 impl Serving {
@@ -52,12 +52,33 @@
                 self.dispatch_for_upstream(cx, &lent.upstream);
             }
             SlotMessage::Named { upstream, withstands, needed_in, term } => {
-                self.routes.notices.slots.on_named(cx, upstream, *withstands, *needed_in, term);
+                let limit = RejectionLimit {
+                    upstream: upstream.clone(),
+                    withstands: *withstands,
+                    needed_in: *needed_in,
+                    term: Some(term.clone()),
+                };
+                self.routes.notices.slots.on_named(cx, &limit);
                 self.slot_lender.follow(cx, upstream, term);
             }
         }
     }
 
+    /// Handles a peer's message about what upstreams have said of themselves.
+    pub(super) fn on_notice_message(&mut self, cx: &mut Cx<'_>, from: &HostId, message: &NoticeMessage) {
+        match message {
+            NoticeMessage::Wanted => {
+                let known = self.routes.notices.known(cx);
+                cx.send(from, PeerMessage::Notice(NoticeMessage::Known(known)));
+            }
+            NoticeMessage::Known(known) => {
+                self.routes.notices.adopt(cx, from, known);
+                self.on_takes_no_requests(cx);
+                self.dispatch_waiting(cx);
+            }
+        }
+    }
+
     /// Returns slots that no request uses, and reports the use of the others.
     pub fn report_slots(&mut self, cx: &mut Cx<'_>) {
         self.routes.report_slots(cx);
--- a/crates/skylarkshore-core/src/serving/notices.rs
+++ b/crates/skylarkshore-core/src/serving/notices.rs
@@ -7,9 +7,11 @@
 use crate::collections::OrderedMap;
 use crate::cx::Cx;
 use crate::event::ReportedLoad;
-use crate::id::{Incarnation, UpstreamId};
+use crate::id::{HostId, Incarnation, UpstreamId};
 use crate::notice::UpstreamNotice;
+use crate::peer::KnownNotices;
 use crate::serving::leaving::LeavingUpstreams;
+use crate::serving::notice_inquiry::NoticeInquiry;
 use crate::serving::others_load::OthersLoad;
 use crate::serving::request_limits::RequestLimits;
 use crate::serving::rests::Rests;
@@ -22,6 +24,8 @@
 /// What the upstreams have said of themselves.
 #[derive(Debug, Default)]
 pub(super) struct Notices {
+    /// Whether this process knows what was said before it started.
+    pub(super) inquiry: NoticeInquiry,
     /// The load of other processes.
     loads: OrderedMap<UpstreamId, OthersLoad>,
     /// The limits on requests.
@@ -72,6 +76,26 @@
         !self.leaving.contains(cx, upstream) && self.rests.end(cx.now, upstream).is_none()
     }
 
+    /// Returns what this process knows that others have to know too.
+    pub(super) fn known(&self, cx: &Cx<'_>) -> KnownNotices {
+        KnownNotices {
+            is_complete: self.inquiry.has_ended(),
+            limits: self.slots.limits(cx.now),
+            leaving: self.leaving.all(cx),
+        }
+    }
+
+    /// Takes over what a peer knows.
+    pub(super) fn adopt(&mut self, cx: &mut Cx<'_>, from: &HostId, known: &KnownNotices) {
+        for limit in &known.limits {
+            self.slots.on_named(cx, limit);
+        }
+        for upstream in &known.leaving {
+            self.leaving.record_told(cx, upstream);
+        }
+        self.inquiry.on_answer(cx, from, known.is_complete);
+    }
+
     fn record_load(&mut self, now: Time, upstream: &UpstreamId, load: ReportedLoad, own_requests: u32) {
         let others = (load.running + load.waiting).saturating_sub(own_requests);
         let load = self
--- a/crates/skylarkshore-core/src/serving/routing.rs
+++ b/crates/skylarkshore-core/src/serving/routing.rs
@@ -323,7 +323,8 @@
     pub(super) fn isolation_replicas(&self, cx: &Cx<'_>, service: &ServiceName) -> Vec<UpstreamId> {
         let replicas = self.replicas(cx, service);
         let is_free = |id: &&UpstreamId| {
-            self.in_flight(id) == 0
+            self.notices.inquiry.has_ended()
+                && self.in_flight(id) == 0
                 && self.notices.limits.may_send(cx.now, id)
                 && self.notices.slots.has_free(cx.now, id, 0) != Some(false)
         };
--- a/crates/skylarkshore-core/src/serving/routing/candidates.rs
+++ b/crates/skylarkshore-core/src/serving/routing/candidates.rs
@@ -131,6 +131,7 @@
         // An upstream that seems full is sent nothing and so reports nothing. Its room is therefore
         // judged by an estimate that decays, its cost by the mean.
         let room = match load(others_decayed) {
+            _ if !self.notices.inquiry.has_ended() => Room::Full,
             _ if own >= concurrency || !self.notices.limits.may_send(cx.now, upstream) => Room::Full,
             _ if let Some(has_free) = self.notices.slots.has_free(cx.now, upstream, own) => {
                 if has_free {
--- a/crates/skylarkshore-core/src/serving/slot_leases.rs
+++ b/crates/skylarkshore-core/src/serving/slot_leases.rs
@@ -16,7 +16,9 @@
 use crate::dump::DumpEntry;
 use crate::event::Target;
 use crate::id::UpstreamId;
-use crate::peer::{LendingTerm, PeerMessage, ReportNumber, SlotMessage, SlotReport, SlotsLent};
+use crate::peer::{
+    LendingTerm, PeerMessage, RejectionLimit, ReportNumber, SlotMessage, SlotReport, SlotsLent,
+};
 use crate::serving::counting_hosts::{Answers, CountingHosts, Purpose};
 use crate::time::Time;
 
@@ -205,21 +207,25 @@
     }
 
     /// Records that a peer knows an upstream to withstand few rejections.
-    pub(super) fn on_named(
-        &mut self,
-        cx: &mut Cx<'_>,
-        upstream: &UpstreamId,
-        withstands: u32,
-        needed_in: Duration,
-        term: &LendingTerm,
-    ) {
-        self.insert(cx, upstream, withstands, needed_in.min(NOTICE_TIME));
-        if let Some(lease) = self.leases.get_mut(upstream) {
+    pub(super) fn on_named(&mut self, cx: &mut Cx<'_>, limit: &RejectionLimit) {
+        self.insert(cx, &limit.upstream, limit.withstands, limit.needed_in.min(NOTICE_TIME));
+        if let (Some(term), Some(lease)) = (&limit.term, self.leases.get_mut(&limit.upstream)) {
             lease.follow(term);
             lease.answers.record();
         }
     }
 
+    /// Returns the upstreams that withstand few rejections.
+    pub(super) fn limits(&self, now: Time) -> Vec<RejectionLimit> {
+        let limit = |(upstream, lease): (&UpstreamId, &Lease)| RejectionLimit {
+            upstream: upstream.clone(),
+            withstands: lease.withstands,
+            needed_in: lease.needed_from.remaining(now),
+            term: lease.term.clone(),
+        };
+        self.leases.iter().map(limit).collect()
+    }
+
     /// Forgets a term that has ended without a successor, so that others are asked who lends.
     pub(super) fn abandon(&mut self, upstream: &UpstreamId, term: &LendingTerm) {
         let Some(lease) = self.leases.get_mut(upstream) else { return };
--- a/crates/skylarkshore-standins/src/world/meter.rs
+++ b/crates/skylarkshore-standins/src/world/meter.rs
@@ -73,7 +73,7 @@
         | PeerMessage::LoadSlotReturned { .. } => "load_slot",
         PeerMessage::PowerWanted { .. } => "power_wanted",
         PeerMessage::Stream(_) => "streams",
-        PeerMessage::Slot(_) | PeerMessage::UpstreamFull { .. } => "slots",
+        PeerMessage::Slot(_) | PeerMessage::Notice(_) | PeerMessage::UpstreamFull { .. } => "slots",
         PeerMessage::Suspects { .. }
         | PeerMessage::SuspectsNoted { .. }
         | PeerMessage::LossesNoted { .. }
--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -8,6 +8,7 @@
 //! the engines on which it may be loaded.
 
 mod credit;
+mod notice;
 mod slot;
 mod stream;
 mod view;
@@ -29,6 +30,7 @@
 use crate::keys::{InvalidKey, InvalidValue, KeyText, StoredValue};
 
 pub use credit::CreditMessageWire;
+pub use notice::{NoticeMessageWire, RejectionLimitWire};
 pub use slot::{LendingTermWire, SlotMessageWire};
 pub use stream::{StreamMessageWire, StreamOriginWire};
 pub use view::{EngineViewWire, ModelViewWire, ReadinessWire};
@@ -231,6 +233,8 @@
     Slot(SlotMessageWire),
     /// An upstream has asked for rest in an answer that the receiver relayed.
     UpstreamRests { upstream: UpstreamId, rest_ms: u64 },
+    /// What upstreams have said of themselves, for hosts that have just started.
+    Notice(NoticeMessageWire),
 }
 
 /// Encodes a message for the wire.
@@ -447,6 +451,7 @@
             M::Credit(message) => Self::Credit(message.into()),
             M::Stream(message) => Self::Stream(message.into()),
             M::Slot(message) => Self::Slot(message.into()),
+            M::Notice(message) => Self::Notice(message.into()),
             M::News(news) => news.into(),
             M::StateWanted => Self::StateWanted,
             M::StateComing => Self::StateComing,
@@ -543,6 +548,7 @@
             W::Credit(message) => Self::Credit(message.into()),
             W::Stream(message) => Self::Stream(message.into()),
             W::Slot(message) => Self::Slot(message.into()),
+            W::Notice(message) => Self::Notice(message.into()),
             W::News { .. } => return Err(InvalidMessage::Retired),
             W::PackedNews { after, upto, body } => {
                 Self::News(News { after, upto, age: None, body: body.into() })
--- a/crates/skylarkshore-wire/tests/formats.rs
+++ b/crates/skylarkshore-wire/tests/formats.rs
@@ -11,8 +11,8 @@
     StoreRevision, StreamId, UpstreamId,
 };
 use skylarkshore_core::peer::{
-    CreditMessage, LendingTerm, News, PeerMessage, ReportNumber, SlotMessage, SlotReport, SlotsLent,
-    StatePart, StreamMessage, StreamOrigin,
+    CreditMessage, KnownNotices, LendingTerm, News, NoticeMessage, PeerMessage, RejectionLimit, ReportNumber,
+    SlotMessage, SlotReport, SlotsLent, StatePart, StreamMessage, StreamOrigin,
 };
 use skylarkshore_core::rules::ServiceOrder;
 use skylarkshore_core::store::{
@@ -247,6 +247,21 @@
     messages.into_iter().map(PeerMessage::Slot).collect()
 }
 
+fn notice_messages() -> Vec<PeerMessage> {
+    let upstream: UpstreamId = "market-1".parse().unwrap();
+    let term = Some(LendingTerm { number: 3, lender: "entry-2".parse().unwrap() });
+    let limit = RejectionLimit {
+        upstream: upstream.clone(),
+        withstands: 4,
+        needed_in: Duration::from_millis(700),
+        term: None,
+    };
+    let limits = vec![limit.clone(), RejectionLimit { term, ..limit }];
+    let known = KnownNotices { is_complete: true, limits, leaving: vec![upstream] };
+    let messages = [NoticeMessage::Wanted, NoticeMessage::Known(known)];
+    messages.into_iter().map(PeerMessage::Notice).collect()
+}
+
 fn stream_messages() -> Vec<PeerMessage> {
     let stream = StreamId(Digest([3; 32]));
     let software: Option<SoftwareVersion> = Some("v1.1".parse().unwrap());
@@ -286,8 +301,9 @@
 
 #[test]
 fn messages_survive_a_round_trip() {
+    let about_upstreams = slot_messages().into_iter().chain(notice_messages());
     for message in
-        messages().into_iter().chain(credit_messages()).chain(stream_messages()).chain(slot_messages())
+        messages().into_iter().chain(credit_messages()).chain(stream_messages()).chain(about_upstreams)
     {
         assert_eq!(decode(&encode(&message).unwrap()).unwrap(), message);
     }
