--- a/crates/skylarkshore-core/src/serving/notice_inquiry.rs
+++ b/crates/skylarkshore-core/src/serving/notice_inquiry.rs
@@ -78,11 +78,12 @@
 
     /// Records a peer's answer.
     pub(super) fn on_answer(&mut self, cx: &mut Cx<'_>, from: &HostId, is_complete: bool) {
-        let Stage::Asking { began, asked, uninformed, .. } = &mut self.stage else { return };
-        let began = *began;
-        if is_complete {
+        if is_complete && !self.has_ended() {
+            let began = if let Stage::Asking { began, .. } = self.stage { began } else { cx.now };
             return self.end(cx, began, "answered");
         }
+        let Stage::Asking { began, asked, uninformed, .. } = &mut self.stage else { return };
+        let began = *began;
         uninformed.insert(from.clone());
         if asked.is_subset(uninformed) {
             self.end(cx, began, "peers_uninformed");
--- a/crates/skylarkshore-core/tests/serving/notices.rs
+++ b/crates/skylarkshore-core/tests/serving/notices.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
+use skylarkshore_core::config::Limits;
 use skylarkshore_core::effect::{Effect, RefusalReason};
 use skylarkshore_core::event::{AttemptOutcome, Rejection};
-use skylarkshore_core::id::{HostId, Incarnation, UpstreamId};
+use skylarkshore_core::id::{CatalogueRevision, HostId, Incarnation, UpstreamId};
 use skylarkshore_core::notice::{Rest, UpstreamNotice};
-use skylarkshore_core::peer::PeerMessage;
+use skylarkshore_core::peer::{KnownNotices, NoticeMessage, PeerMessage};
 use skylarkshore_core::view::Readiness;
 
 use crate::support::serving::*;
@@ -133,3 +134,49 @@
     assert_eq!(told, [name("b")]);
     assert!(!p.effects.iter().any(|effect| matches!(effect, Effect::Send { .. })));
 }
+
+/// Returns a process that has just started, with a request, and the peers that it has asked.
+fn just_started() -> (Process, Vec<HostId>) {
+    let mut p = Process::just_started("a", 1, Limits::default());
+    p.document.catalogue_revision = CatalogueRevision(1);
+    p.arrive(1, arrival(&p, service("booking"), 1));
+    p.advance(50);
+    let asked = p.take_messages(|message| matches!(message, PeerMessage::Notice(NoticeMessage::Wanted)));
+    (p, asked.into_iter().map(|(host, _)| host).collect())
+}
+
+fn answer(p: &mut Process, from: &str, known: KnownNotices) {
+    p.peer(from, &PeerMessage::Notice(NoticeMessage::Known(known)));
+}
+
+/// Guards against requests to upstreams of which a host that has just started knows nothing yet.
+#[test]
+fn a_host_that_has_just_started_sends_nothing_before_a_peer_has_told_what_it_knows() {
+    let (mut p, asked) = just_started();
+    assert_eq!(asked.len(), 2);
+    assert!(p.take_sent().is_empty());
+    let leaving: Vec<UpstreamId> = p.upstreams.iter().map(|listed| listed.id.clone()).collect();
+    answer(&mut p, "b", KnownNotices { is_complete: true, leaving, ..KnownNotices::default() });
+    p.advance(1000);
+    assert!(p.take_sent().is_empty());
+}
+
+/// Guards against hosts that start together and wait for one another.
+#[test]
+fn hosts_that_have_all_just_started_send_once_each_has_said_so() {
+    let (mut p, _) = just_started();
+    answer(&mut p, "b", KnownNotices::default());
+    assert!(p.take_sent().is_empty());
+    answer(&mut p, "c", KnownNotices::default());
+    assert_eq!(p.take_sent().len(), 1);
+}
+
+/// Guards against requests that wait for peers that don't answer.
+#[test]
+fn a_host_whose_peers_are_silent_sends_after_half_a_second() {
+    let (mut p, _) = just_started();
+    p.advance(400);
+    assert!(p.take_sent().is_empty());
+    p.advance(150);
+    assert_eq!(p.take_sent().len(), 1);
+}
--- a/crates/skylarkshore-core/tests/support/serving.rs
+++ b/crates/skylarkshore-core/tests/support/serving.rs
@@ -14,7 +14,7 @@
 use skylarkshore_core::id::{
     AttemptId, CallId, Digest, Fence, HostId, Incarnation, LeaseId, RequestId, StoreRevision, UpstreamId,
 };
-use skylarkshore_core::peer::PeerMessage;
+use skylarkshore_core::peer::{KnownNotices, NoticeMessage, PeerMessage};
 use skylarkshore_core::rules::{MinuteOfDay, Rules};
 use skylarkshore_core::serving::Serving;
 use skylarkshore_core::store::{
@@ -123,6 +123,13 @@
     }
 
     pub fn with_limits(host: &str, seed: u64, limits: Limits) -> Self {
+        let mut process = Self::just_started(host, seed, limits);
+        process.learn_notices();
+        process
+    }
+
+    /// Creates a process that hasn't asked its peers yet what upstreams have said.
+    pub fn just_started(host: &str, seed: u64, limits: Limits) -> Self {
         let cfg = NodeConfig {
             host: name(host),
             incarnation: Incarnation(1),
@@ -161,6 +168,13 @@
         process
     }
 
+    /// Ends the inquiry after the start: the process has run for a while.
+    fn learn_notices(&mut self) {
+        let known = KnownNotices { is_complete: true, ..KnownNotices::default() };
+        self.peer("elsewhere", &PeerMessage::Notice(NoticeMessage::Known(known)));
+        self.effects.clear();
+    }
+
     pub fn cache(&mut self, key: &Key, record: Option<Record>) {
         self.cache_revision += 1;
         let revision = StoreRevision(self.cache_revision);
