Order what the store says by its era before its revision

Cause: revisions are given out again in a new era, and everything that orders changes went by them alone and only forward. Class: an order that is only valid within one history, compared across two. Store-Era was read nowhere.

A StoreRevision is now a place in the service's history, era before revision, in one number whose upper bits are the era: each comparison, news, heartbeat, state, read and fence carries it, and the formats stay as they are. A new era is one event (Event::StoreEra, or a peer's heartbeat) that the core handles in one place: the lease is given up, the shared keys are read again, upstreams that the copy lacks are kept for the grace period, and all engines are dropped and taken over again under fences of the new era, after the time in which any former owner may have sent an order; an owner record of a former era names no owner. The product's own service (etcd) has one era, 0.

--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -76,7 +76,7 @@
 use crate::cx::Cx;
 use crate::dump::{DumpEntry, Gauge};
 use crate::effect::Effect;
-use crate::id::{CallId, HostId, Incarnation, ModelName, StoreRevision, UpstreamId};
+use crate::id::{CallId, HostId, Incarnation, ModelName, StoreEra, StoreRevision, UpstreamId};
 use crate::peer::{News, PeerMessage};
 use crate::store::{Key, StoreResult, Versioned, WriteOutcome};
 use crate::time::Time;
@@ -294,6 +294,14 @@
         }
     }
 
+    /// Gives up what was written or granted in earlier eras of the key-value service, and reads it again.
+    pub fn on_new_era(&mut self, cx: &mut Cx<'_>, era: StoreEra) {
+        self.membership.on_new_era(cx);
+        self.ownership.on_new_era(cx, era);
+        self.store_sync.on_new_era(cx);
+        self.changed = true;
+    }
+
     /// Records that the key-value service did not answer a watch.
     pub fn on_watch_timed_out(&mut self) {
         self.store_sync.set_watch_answered(false);
@@ -418,6 +426,7 @@
             membership: &self.membership,
             peers: &self.peers,
             store_sync: &self.store_sync,
+            era: self.ownership.era(),
             inventory: &self.inventory,
             eligible: &self.eligible,
             eligible_since: self.eligible_since,
--- a/crates/skylarkshore-core/src/control/context.rs
+++ b/crates/skylarkshore-core/src/control/context.rs
@@ -7,7 +7,7 @@
 use super::peers::Peers;
 use super::store_sync::StoreSync;
 use crate::cx::Cx;
-use crate::id::HostId;
+use crate::id::{HostId, StoreEra};
 use crate::time::Time;
 
 /// Number of engines that each host owns in a cluster with more than [`MAX_ENGINES_ALL_OWNED`] engines.
@@ -21,6 +21,8 @@
     pub(super) membership: &'a Membership,
     pub(super) peers: &'a Peers,
     pub(super) store_sync: &'a StoreSync,
+    /// The era of the key-value service.
+    pub(super) era: StoreEra,
     pub(super) inventory: &'a EngineInventory,
     /// The live members that may become owners.
     pub(super) eligible: &'a [HostId],
--- a/crates/skylarkshore-core/src/control/membership.rs
+++ b/crates/skylarkshore-core/src/control/membership.rs
@@ -268,6 +268,14 @@
         cx.log_event("superseded", cx.cfg.host.clone(), why);
     }
 
+    /// Gives up the lease: it may be gone, and its number may be granted again to another process.
+    pub(super) fn on_new_era(&mut self, cx: &mut Cx<'_>) {
+        if matches!(self.stage, Stage::Active | Stage::Leaving) {
+            self.lose_lease(cx, "the key-value service came back from an older copy");
+            self.write_backoff.reset();
+        }
+    }
+
     fn lose_lease(&mut self, cx: &mut Cx<'_>, why: &str) {
         self.lease = None;
         self.call = None;
--- a/crates/skylarkshore-core/src/control/ownership.rs
+++ b/crates/skylarkshore-core/src/control/ownership.rs
@@ -17,7 +17,7 @@
 use crate::collections::{OrderedMap, OrderedSet};
 use crate::config::NodeConfig;
 use crate::cx::Cx;
-use crate::id::{Fence, HostId, Incarnation, StoreRevision, UpstreamId};
+use crate::id::{Fence, HostId, Incarnation, StoreEra, StoreRevision, UpstreamId};
 use crate::store::{Expect, Key, OwnerRecord, Record, WriteOutcome, WriteRequest};
 use crate::time::Time;
 use crate::upstream::FenceCheck;
@@ -69,6 +69,8 @@
     next_handover: Time,
     changes: Vec<OwnershipChange>,
     retired: bool,
+    /// The era of the key-value service.
+    era: StoreEra,
 }
 
 impl Ownership {
@@ -81,6 +83,27 @@
         &self.owned_engines
     }
 
+    /// Returns the era of the key-value service.
+    pub(super) const fn era(&self) -> StoreEra {
+        self.era
+    }
+
+    /// Drops all engines: the copy of a new era may lack the record of a later owner.
+    ///
+    /// They are taken over again under fences of the new era, once the last order of any former owner must
+    /// have been sent.
+    pub(super) fn on_new_era(&mut self, cx: &mut Cx<'_>, era: StoreEra) {
+        self.era = era;
+        let owned: Vec<UpstreamId> = self.owned_engines.keys().cloned().collect();
+        for engine in owned {
+            self.drop_ownership(cx, &engine);
+        }
+        self.take_overs.clear();
+        self.backing_off.clear();
+        self.vacancies.clear();
+        self.is_scan_due = true;
+    }
+
     /// Returns an engine that this process owns and is not handing over.
     pub(super) fn held(&self, engine: &UpstreamId) -> Option<&OwnedEngine> {
         self.owned_engines.get(engine).filter(|owned| owned.is_held())
@@ -150,7 +173,7 @@
         let record = cx.cache.owner(engine);
         let own = record
             .filter(|(_, owner)| owner.host == cx.cfg.host && owner.incarnation == cx.cfg.incarnation)
-            .filter(|_| !self.retired)
+            .filter(|(_, owner)| !self.retired && owner.is_of_era(self.era))
             .map(|(revision, owner)| OwnRecord { revision, fence: owner.fence });
         let owned = self.owned_engines.get_mut(engine);
         match (own, owned) {
@@ -387,10 +410,12 @@
 
     fn take_over(&mut self, cx: &mut Cx<'_>, vacant: Vacant) {
         let Vacant { engine, former } = vacant;
-        let fence = next_fence(cx, former.as_ref());
+        let fence = next_fence(cx, former.as_ref()).max(Fence::first_of(self.era));
         let based_on = former.as_ref().map_or(StoreRevision(0), |former| former.revision);
         let late_orders_until = former.as_ref().map_or(Time::START, |former| late_order_deadline(cx, former));
-        let needs_no_order_gap = former.as_ref().is_none_or(|former| former.owner.host == cx.cfg.host);
+        let needs_no_order_gap = former
+            .as_ref()
+            .is_none_or(|former| former.owner.host == cx.cfg.host && former.owner.is_of_era(self.era));
         self.take_overs
             .insert(engine.clone(), TakeOver { fence, based_on, late_orders_until, needs_no_order_gap });
         if let Some(former) = &former {
--- a/crates/skylarkshore-core/src/control/store_sync.rs
+++ b/crates/skylarkshore-core/src/control/store_sync.rs
@@ -17,6 +17,7 @@
 use super::completeness::Completeness;
 use super::hashing;
 use super::peers::{Peers, data_centre_peers};
+use super::relay::has_many_members;
 use super::relay_tree::RelayTree;
 use crate::config::Watchers;
 use crate::cx::Cx;
@@ -49,6 +50,8 @@
 ///
 /// News that is on its way makes every peer seem ahead now and then.
 const LASTING_LEAD: Duration = Duration::from_millis(500);
+/// Time over which the hosts of a large cluster spread their reads in a new era, before jitter.
+const NEW_ERA_SPREAD: Duration = Duration::from_secs(1);
 /// Timeout of the read of all shared keys, as a multiple of `store_timeout`.
 ///
 /// The read takes a call for each page, and each call has a timeout of its own.
@@ -264,6 +267,24 @@
         cx.log_event("watch_broken", cx.cfg.host.clone(), "reading all shared keys again");
     }
 
+    /// Reads all shared keys again: what changed on the way to the new era isn't in the history.
+    pub(super) fn on_new_era(&mut self, cx: &mut Cx<'_>) {
+        self.read = None;
+        self.peer_lead = None;
+        self.unanswered_lead = None;
+        if self.watch.is_none() && !self.is_read_pending {
+            return;
+        }
+        self.stop(cx);
+        self.is_read_pending = true;
+        self.read_backoff.reset();
+        if has_many_members(cx) {
+            // All hosts read now; the pages of a large deployment keep the service's link busy.
+            self.read_backoff.delay_until(cx.now.after(cx.jitter(NEW_ERA_SPREAD)));
+        }
+        self.read_when_due(cx);
+    }
+
     /// Records the range that a peer's batch covers.
     pub(super) fn on_records(
         &mut self,
--- a/crates/skylarkshore-core/src/control/vacancy.rs
+++ b/crates/skylarkshore-core/src/control/vacancy.rs
@@ -32,6 +32,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum OwnerState {
     Live,
+    /// Its record was written in an earlier era of the key-value service; a later one may have been lost.
+    OfEarlierEra,
     /// Its member key was absent at a revision after the owner record was written.
     Deregistered,
     /// Its incarnation has definitely ended.
@@ -150,7 +152,7 @@
                     self.request_probe(context, engine, &owner);
                 }
             }
-            OwnerState::Ended => {}
+            OwnerState::Ended | OwnerState::OfEarlierEra => {}
         }
         let ended = state == OwnerState::Ended;
         let since = self.record_vacancy(cx, context, engine, revision, &owner, ended)?;
@@ -225,6 +227,9 @@
     record_revision: StoreRevision,
     owner: &OwnerRecord,
 ) -> OwnerState {
+    if !owner.is_of_era(context.era) {
+        return OwnerState::OfEarlierEra;
+    }
     if context.peers.has_ended(&owner.host, owner.incarnation) {
         return OwnerState::Ended;
     }
@@ -254,6 +259,9 @@
         FenceCheck::Refuses => Duration::ZERO,
         FenceCheck::Ignores => timings.hold + timings.hold_margin,
     };
+    if !owner.is_of_era(context.era) {
+        return cx.now.after(hold);
+    }
     // An owner that has probably lost only its lease gets time to register again: this
     // process lost its own lease recently too, the owner still sends heartbeats, or many
     // leases expired at once.
--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -8,8 +8,8 @@
 use crate::catalogue::ModelTarget;
 use crate::config::Settings;
 use crate::id::{
-    AttemptId, CallId, CallerId, Digest, HostId, Incarnation, OrderId, RequestId, ServiceName, StoreRevision,
-    StreamId, UpstreamId,
+    AttemptId, CallId, CallerId, Digest, HostId, Incarnation, OrderId, RequestId, ServiceName, StoreEra,
+    StoreRevision, StreamId, UpstreamId,
 };
 use crate::notice::UpstreamNotice;
 use crate::peer::{News, PeerMessage};
@@ -269,6 +269,8 @@
     ///
     /// `State` or the result of the read delivers the same changes to this process.
     NewsSkipped(News),
+    /// The key-value service names its era in an answer; a new one means that it came back from an older copy.
+    StoreEra(StoreEra),
     /// The watch call timed out and is repeated from the same revision.
     WatchTimedOut,
     /// The watch ended and may have missed changes.
--- a/crates/skylarkshore-core/src/id.rs
+++ b/crates/skylarkshore-core/src/id.rs
@@ -142,8 +142,73 @@
     Fence
 }
 number! {
-    /// A revision of the key-value service.
-    StoreRevision
+    /// An era of the key-value service; a new one begins when the service comes back from an older copy.
+    StoreEra
+}
+
+/// A place in the history of the key-value service: an era and a revision within it.
+///
+/// Revisions that were given out in an earlier era are given out again, so the era goes before the
+/// revision in the order. On the wire, where earlier versions know no eras, both are one number with the
+/// era in the upper bits.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    derive_more::FromStr,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct StoreRevision(pub u64);
+
+impl StoreRevision {
+    /// Number of bits of a revision within an era; the largest places stay below 2^53 for 8,192 eras, so
+    /// that fences made of them are exact in JSON.
+    const NUMBER_BITS: u32 = 40;
+
+    /// Returns the place of a revision of an era.
+    pub const fn in_era(era: StoreEra, number: u64) -> Self {
+        Self((era.0 << Self::NUMBER_BITS) | (number & ((1 << Self::NUMBER_BITS) - 1)))
+    }
+
+    /// Returns the era.
+    pub const fn era(self) -> StoreEra {
+        StoreEra(self.0 >> Self::NUMBER_BITS)
+    }
+
+    /// Returns the revision within its era, as the service counts.
+    pub const fn number(self) -> u64 {
+        self.0 & ((1 << Self::NUMBER_BITS) - 1)
+    }
+
+    /// Returns the next revision of the era.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl std::fmt::Display for StoreRevision {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self.era() {
+            StoreEra(0) => write!(f, "{}", self.number()),
+            era => write!(f, "{era}:{}", self.number()),
+        }
+    }
+}
+
+impl Fence {
+    /// Returns the lowest fence of an era; all fences of earlier eras are lower.
+    pub const fn first_of(era: StoreEra) -> Self {
+        Self(StoreRevision::in_era(era, 0).0)
+    }
 }
 number! {
     /// Revision of the rules document, assigned by the operators.
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -18,7 +18,7 @@
 use crate::dump::{DumpEntry, Gauge};
 use crate::effect::Effect;
 use crate::event::Event;
-use crate::id::{CallId, HostId, StoreRevision};
+use crate::id::{CallId, HostId, StoreEra, StoreRevision};
 use crate::loading::Loading;
 use crate::peer::{Envelope, PeerMessage};
 use crate::removal_grace::RemovalGrace;
@@ -47,6 +47,8 @@
     loading: Loading,
     serving: Serving,
     paths: UpstreamPaths,
+    /// The era of the key-value service, once it is known.
+    era: Option<StoreEra>,
     shutdown: Shutdown,
 }
 
@@ -88,6 +90,7 @@
             loading: Loading::new(&cfg),
             serving: Serving::new(&cfg),
             paths: UpstreamPaths::new(),
+            era: None,
             shutdown: Shutdown::NotRequested,
             cfg,
         };
@@ -208,6 +211,7 @@
             Event::NewsMissed { lasts } => {
                 self.with_cx(now, effects, |cx, parts| parts.control.on_news_gap(cx, lasts));
             }
+            Event::StoreEra(era) => self.observe_era(now, era, effects),
             Event::WatchTimedOut => {
                 self.removal_grace.record_store_failure();
                 self.control.on_watch_timed_out();
@@ -262,6 +266,22 @@
         }
     }
 
+    /// Takes note of the service's era; with a new one begins what was decided by the earlier ones anew.
+    fn observe_era(&mut self, now: Time, era: StoreEra, effects: &mut Vec<Effect>) {
+        let Some(before) = self.era.replace(self.era.map_or(era, |known| known.max(era))) else { return };
+        if era <= before {
+            return;
+        }
+        // Upstreams that the copy lacks register again.
+        self.removal_grace.record_store_failure();
+        self.removal_grace.record_store_success(now);
+        self.with_cx(now, effects, |cx, parts| {
+            cx.log_event("store_era_begun", era, format!("before={before}"));
+            parts.control.on_new_era(cx, era);
+            parts.serving.on_new_era();
+        });
+    }
+
     fn on_store_result(&mut self, now: Time, call: CallId, result: &StoreResult, effects: &mut Vec<Effect>) {
         match result {
             Ok(_) => self.removal_grace.record_store_success(now),
@@ -352,6 +372,11 @@
     }
 
     fn on_peer(&mut self, now: Time, from: &HostId, message: PeerMessage, effects: &mut Vec<Effect>) {
+        if let PeerMessage::Heartbeat { store, .. } = &message
+            && *store > StoreRevision(0)
+        {
+            self.observe_era(now, store.era(), effects);
+        }
         if let PeerMessage::Records(batch) = message {
             self.apply_batch(now, from, batch, effects);
             return;
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -184,6 +184,11 @@
         }
     }
 
+    /// Gives up the lease for the records of idempotency keys: the key-value service may have lost it.
+    pub fn on_new_era(&mut self) {
+        self.once_claims.on_new_era();
+    }
+
     /// Records that an answer has begun.
     pub fn on_answer_started(&mut self, cx: &mut Cx<'_>, attempt: AttemptId) {
         let Some(id) = self.attempts.get(&attempt) else {
--- a/crates/skylarkshore-core/src/serving/once.rs
+++ b/crates/skylarkshore-core/src/serving/once.rs
@@ -137,6 +137,11 @@
         });
     }
 
+    /// Gives up the lease of the records: the key-value service may have lost it.
+    pub(super) fn on_new_era(&mut self) {
+        self.lease = OnceLease::default();
+    }
+
     /// Releases a claim under which nothing ran; reports whether a deletion is pending.
     pub(super) fn release(&mut self, cx: &mut Cx<'_>, key: Digest, waiter: RequestId) -> bool {
         let Some(claim) = self.claims.get_mut(&key).filter(|claim| claim.waiter == Some(waiter)) else {
--- a/crates/skylarkshore-core/src/store.rs
+++ b/crates/skylarkshore-core/src/store.rs
@@ -11,8 +11,8 @@
 use crate::catalogue::{ConfiguredCatalogue, Document};
 use crate::collections::OrderedMap;
 use crate::id::{
-    CallId, DataCentre, Digest, Fence, HostId, Incarnation, LeaseId, ModelName, SiteName, StoreRevision,
-    UpstreamId,
+    CallId, DataCentre, Digest, Fence, HostId, Incarnation, LeaseId, ModelName, SiteName, StoreEra,
+    StoreRevision, UpstreamId,
 };
 use crate::units::{Capacity, Watts};
 
@@ -88,6 +88,13 @@
     pub fence: Fence,
 }
 
+impl OwnerRecord {
+    /// Reports whether the engine was taken over in an era of the key-value service, or in a later one.
+    pub fn is_of_era(&self, era: StoreEra) -> bool {
+        self.fence >= Fence::first_of(era)
+    }
+}
+
 /// The homes of a model: the engines on which it may be loaded.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct HomesRecord {
--- a/crates/skylarkshore-host/src/http.rs
+++ b/crates/skylarkshore-host/src/http.rs
@@ -41,6 +41,8 @@
 pub struct Answer {
     /// The status.
     pub status: StatusCode,
+    /// The headers.
+    pub headers: http::HeaderMap,
     /// The whole body.
     pub body: Bytes,
 }
@@ -167,9 +169,10 @@
 
 async fn read_complete(res: http::Response<Incoming>) -> Result<Answer, CallError> {
     let status = res.status();
+    let headers = res.headers().clone();
     let body = Limited::new(res.into_body(), MAX_ANSWER_LEN);
     let body = body.collect().await.map_err(|err| CallError::Lost { reason: err.to_string() })?;
-    Ok(Answer { status, body: body.to_bytes() })
+    Ok(Answer { status, headers, body: body.to_bytes() })
 }
 
 fn not_connected(reason: &str) -> CallError {
