--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -267,6 +267,10 @@
     Rest::from(Duration::from_millis(ms))
 }
 
+fn news(after: StoreRevision, upto: StoreRevision, age_ms: Option<u64>, body: Vec<u8>) -> News {
+    News { after, upto, age: age_ms.map(Duration::from_millis), body: body.into() }
+}
+
 /// Rounds up, so that what is relayed many times never seems younger than it is.
 fn millis_up(d: Duration) -> u64 {
     millis(d.saturating_add(Duration::from_millis(1)).saturating_sub(Duration::from_nanos(1)))
@@ -550,13 +554,8 @@
             W::Slot(message) => Self::Slot(message.into()),
             W::Notice(message) => Self::Notice(message.into()),
             W::News { .. } => return Err(InvalidMessage::Retired),
-            W::PackedNews { after, upto, body } => {
-                Self::News(News { after, upto, age: None, body: body.into() })
-            }
-            W::AgedNews { after, upto, age_ms, body } => {
-                let age = Some(Duration::from_millis(age_ms));
-                Self::News(News { after, upto, age, body: body.into() })
-            }
+            W::PackedNews { after, upto, body } => Self::News(news(after, upto, None, body)),
+            W::AgedNews { after, upto, age_ms, body } => Self::News(news(after, upto, Some(age_ms), body)),
             W::StateWanted => Self::StateWanted,
             W::StateComing => Self::StateComing,
             W::PermitsWanted { upstream, limit, count } => Self::PermitsWanted { upstream, limit, count },
