Take no relayed owner record of the copy for one's own before knowing of the era

The new test of ownership over drills showed it: a host that the store still left out got the copy's owner records from a peer, took one that names it for its own, and could have given orders under fence 7 where 8 had been used. A record counts now only if its fence is of the era of the record, or of a later known one. On the users' platform the adapter tells the core of the era before it applies anything of it, so this concerns hosts that peers send records to.

--- a/crates/skylarkshore-core/src/control/ownership.rs
+++ b/crates/skylarkshore-core/src/control/ownership.rs
@@ -173,7 +173,7 @@
         let record = cx.cache.owner(engine);
         let own = record
             .filter(|(_, owner)| owner.host == cx.cfg.host && owner.incarnation == cx.cfg.incarnation)
-            .filter(|(_, owner)| !self.retired && owner.is_of_era(self.era))
+            .filter(|(revision, owner)| !self.retired && owner.is_of_era(self.era.max(revision.era())))
             .map(|(revision, owner)| OwnRecord { revision, fence: owner.fence });
         let owned = self.owned_engines.get_mut(engine);
         match (own, owned) {
--- a/crates/skylarkshore-core/tests/control.rs
+++ b/crates/skylarkshore-core/tests/control.rs
@@ -7,6 +7,8 @@
 #[path = "support/store.rs"]
 mod store;
 
+#[path = "control/eras.rs"]
+mod eras;
 #[path = "control/homes.rs"]
 mod homes;
 #[path = "control/leases.rs"]
--- a/crates/skylarkshore-core/tests/support/cluster.rs
+++ b/crates/skylarkshore-core/tests/support/cluster.rs
@@ -12,7 +12,7 @@
 use skylarkshore_core::control::Control;
 use skylarkshore_core::cx::Counters;
 use skylarkshore_core::effect::Effect;
-use skylarkshore_core::id::{Digest, HostId, Incarnation, StoreRevision, UpstreamId};
+use skylarkshore_core::id::{Digest, HostId, Incarnation, StoreEra, StoreRevision, UpstreamId};
 use skylarkshore_core::peer::PeerMessage;
 use skylarkshore_core::rules::{RuleOutcome, Rules, ServiceOrder};
 use skylarkshore_core::store::{
@@ -206,6 +206,16 @@
         process.with(now, &mut effects, |cx, parts| parts.control.on_host_list(cx, &touched));
     }
 
+    /// Lets a process reach the key-value service and learn its era.
+    pub fn reach_era(&mut self, host: &str, era: StoreEra) {
+        let now = self.now;
+        let mut effects = Vec::new();
+        let process = self.process(host);
+        process.store_unreachable = false;
+        process.with(now, &mut effects, |cx, parts| parts.control.on_new_era(cx, era));
+        self.execute_effects(&name(host), effects);
+    }
+
     /// Breaks a process's watch as a store outage would.
     pub fn break_watch(&mut self, host: &str) {
         let now = self.now;
