--- a/crates/skylarkshore-core/tests/control/eras.rs
+++ b/crates/skylarkshore-core/tests/control/eras.rs
@@ -3,15 +3,32 @@
 use std::collections::BTreeMap;
 
 use skylarkshore_core::authority::Authority;
-use skylarkshore_core::id::{Fence, UpstreamId};
+use skylarkshore_core::id::{Fence, StoreEra, StoreRevision, UpstreamId};
 use skylarkshore_core::upstream::FenceCheck;
 
 use crate::cluster::{
     Cluster, assert_one_owner_each, cluster_with_owners, config, is_every_engine_owned, secs,
 };
+use crate::store::Store;
 
 const HOSTS: [&str; 3] = ["a", "b", "c"];
 
+/// Brings the service back from a copy in a new era, which is returned; leases have paused meanwhile.
+fn restore(cluster: &mut Cluster, copy: Store) -> StoreEra {
+    let era = StoreEra(cluster.store.revision().era().0 + 1);
+    let place = |revision: StoreRevision| StoreRevision::in_era(era, revision.number());
+    let now = cluster.now;
+    cluster.store = Store { log: Vec::new(), ..copy };
+    cluster.store.revision = place(cluster.store.revision);
+    for entry in cluster.store.entries.values_mut() {
+        entry.versioned.revision = place(entry.versioned.revision);
+    }
+    for lease in cluster.store.leases.values_mut() {
+        lease.expires_at = now.after(lease.ttl);
+    }
+    era
+}
+
 /// Checks that no process may send orders to an engine under a lower fence than any process could before.
 fn assert_fences_rise(cluster: &Cluster, highest: &mut BTreeMap<UpstreamId, Fence>) {
     for engine in cluster.engines.keys() {
@@ -61,7 +78,7 @@
             cluster.run(secs(length), |cluster| check(cluster, &mut highest));
         };
         run(&mut cluster, 5);
-        let copy = cluster.store.copy();
+        let copy = cluster.store.clone();
         // Other processes take engines over; the copy names the one before.
         let former = HOSTS[(usize::try_from(seed).expect("the seed is small") + drill) % HOSTS.len()];
         if drill == 1 {
@@ -75,9 +92,10 @@
         }
         run(&mut cluster, 5);
         assert_fences_rise(&cluster, &mut highest);
-        let now = cluster.now;
-        let era = cluster.store.restore(copy, now);
-        HOSTS.iter().for_each(|host| cluster.process(host).store_unreachable = true);
+        let era = restore(&mut cluster, copy);
+        for host in HOSTS {
+            cluster.process(host).store_unreachable = true;
+        }
         for host in HOSTS {
             cluster.reach_era(host, era);
             cluster.run(secs(1 + seed % 3), |cluster| check(cluster, &mut highest));
--- a/crates/skylarkshore-core/tests/support/store.rs
+++ b/crates/skylarkshore-core/tests/support/store.rs
@@ -3,27 +3,27 @@
 use std::collections::BTreeMap;
 
 use skylarkshore_core::Time;
-use skylarkshore_core::id::{LeaseId, StoreEra, StoreRevision};
+use skylarkshore_core::id::{LeaseId, StoreRevision};
 use skylarkshore_core::store::{Expect, Key, Record, StoreAnswer, StoreCall, Versioned};
 
 #[derive(Clone)]
-struct Entry {
-    versioned: Versioned,
+pub struct Entry {
+    pub versioned: Versioned,
     lease: Option<LeaseId>,
 }
 
 #[derive(Clone)]
-struct Lease {
-    ttl: std::time::Duration,
-    expires_at: Time,
+pub struct Lease {
+    pub ttl: std::time::Duration,
+    pub expires_at: Time,
 }
 
 /// The service's state.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Store {
-    revision: StoreRevision,
-    entries: BTreeMap<Key, Entry>,
-    leases: BTreeMap<LeaseId, Lease>,
+    pub revision: StoreRevision,
+    pub entries: BTreeMap<Key, Entry>,
+    pub leases: BTreeMap<LeaseId, Lease>,
     /// All changes, read by watches.
     pub log: Vec<Versioned>,
     /// The number of calls so far.
@@ -35,32 +35,6 @@
         self.revision
     }
 
-    /// Returns a copy from which the service can come back.
-    pub fn copy(&self) -> Self {
-        Self {
-            revision: self.revision,
-            entries: self.entries.clone(),
-            leases: self.leases.clone(),
-            log: Vec::new(),
-            calls: self.calls,
-        }
-    }
-
-    /// Comes back from a copy in a new era, which is returned; leases have paused meanwhile.
-    pub fn restore(&mut self, copy: Self, now: Time) -> StoreEra {
-        let era = StoreEra(self.revision.era().0 + 1);
-        let place = |revision: StoreRevision| StoreRevision::in_era(era, revision.number());
-        *self = copy;
-        self.revision = place(self.revision);
-        for entry in self.entries.values_mut() {
-            entry.versioned.revision = place(entry.versioned.revision);
-        }
-        for lease in self.leases.values_mut() {
-            lease.expires_at = now.after(lease.ttl);
-        }
-        era
-    }
-
     pub fn record(&self, key: &Key) -> Option<&Record> {
         self.entries.get(key).and_then(|entry| entry.versioned.record.as_ref())
     }
