Revoke no lease of a former era

A process that was about to end its lease as the store came back from an older copy went on to revoke it by its number, which may be granted again in the new era: the lease and all keys of another process would end.

The test of drills checks each fence more strictly: whenever a process gets one, it is above all earlier ones of the engine, also for engines that check fences, which that test left out at each step.

--- a/crates/skylarkshore-core/src/control/membership.rs
+++ b/crates/skylarkshore-core/src/control/membership.rs
@@ -269,11 +269,14 @@
     }
 
     /// Gives up the lease: it may be gone, and its number may be granted again to another process.
+    ///
+    /// A process that is about to revoke it doesn't, since it could end that other process's lease.
     pub(super) fn on_new_era(&mut self, cx: &mut Cx<'_>) {
-        if matches!(self.stage, Stage::Active | Stage::Leaving) {
-            self.lose_lease(cx, "the key-value service came back from an older copy");
-            self.write_backoff.reset();
+        if self.is_deregistered() {
+            return;
         }
+        self.lose_lease(cx, "the key-value service came back from an older copy");
+        self.write_backoff.reset();
     }
 
     fn lose_lease(&mut self, cx: &mut Cx<'_>, why: &str) {
--- a/crates/skylarkshore-core/tests/control/eras.rs
+++ b/crates/skylarkshore-core/tests/control/eras.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeMap;
 
 use skylarkshore_core::authority::Authority;
-use skylarkshore_core::id::{Fence, StoreEra, StoreRevision, UpstreamId};
+use skylarkshore_core::id::{Fence, HostId, LeaseId, StoreEra, StoreRevision, UpstreamId};
 use skylarkshore_core::upstream::FenceCheck;
 
 use crate::cluster::{
     Cluster, assert_one_owner_each, cluster_with_owners, config, is_every_engine_owned, secs,
 };
-use crate::store::Store;
+use crate::store::{Lease, Store};
 
 const HOSTS: [&str; 3] = ["a", "b", "c"];
 
@@ -29,17 +29,28 @@
     era
 }
 
-/// Checks that no process may send orders to an engine under a lower fence than any process could before.
-fn assert_fences_rise(cluster: &Cluster, highest: &mut BTreeMap<UpstreamId, Fence>) {
-    for engine in cluster.engines.keys() {
-        for process in cluster.processes.values() {
-            let Some(permit) = process.control.permit(cluster.now, engine) else { continue };
-            if permit.not_after.is_due(cluster.now) {
-                continue;
+/// The fences under which processes might send orders so far.
+#[derive(Default)]
+struct Fences {
+    highest: BTreeMap<UpstreamId, Fence>,
+    held: BTreeMap<(HostId, UpstreamId), Fence>,
+}
+
+impl Fences {
+    /// Checks that each fence is above all earlier ones of its engine when a process gets it.
+    ///
+    /// A former owner that is cut off from the service keeps its own, which engines that check fences refuse.
+    fn assert_rise(&mut self, cluster: &Cluster) {
+        for engine in cluster.engines.keys() {
+            for process in cluster.processes.values().filter(|process| process.holds(cluster.now, engine)) {
+                let Some(permit) = process.control.permit(cluster.now, engine) else { continue };
+                let holder = (process.cfg.host.clone(), engine.clone());
+                if self.held.insert(holder, permit.fence) == Some(permit.fence) {
+                    continue;
+                }
+                let before = self.highest.insert(engine.clone(), permit.fence);
+                assert!(before < Some(permit.fence), "{engine} has had {before:?}, then {}", permit.fence);
             }
-            let known = highest.entry(engine.clone()).or_insert(permit.fence);
-            assert!(permit.fence >= *known, "{engine} has had {known}, then {}", permit.fence);
-            *known = permit.fence;
         }
     }
 }
@@ -50,10 +61,7 @@
 #[test]
 fn engines_have_one_owner_and_rising_fences_after_the_service_came_back_from_an_older_copy() {
     for seed in 0..12 {
-        play_drills(seed, FenceCheck::Ignores, |cluster, highest| {
-            assert_one_owner_each(cluster);
-            assert_fences_rise(cluster, highest);
-        });
+        play_drills(seed, FenceCheck::Ignores, assert_one_owner_each);
     }
 }
 
@@ -61,22 +69,20 @@
 #[test]
 fn engines_that_check_fences_get_higher_ones_after_the_service_came_back_from_an_older_copy() {
     for seed in 0..12 {
-        play_drills(seed, FenceCheck::Refuses, |_, _| {});
+        play_drills(seed, FenceCheck::Refuses, |_| {});
     }
 }
 
-/// Plays two drills; `check` is called at each step.
-fn play_drills(
-    seed: u64,
-    fence_check: FenceCheck,
-    check: impl Fn(&mut Cluster, &mut BTreeMap<UpstreamId, Fence>),
-) {
+/// Plays two drills, in which fences have to rise; `check` is called at each step, too.
+fn play_drills(seed: u64, fence_check: FenceCheck, check: impl Fn(&mut Cluster)) {
     let mut cluster = cluster_with_owners(seed, &HOSTS, 6, fence_check);
-    let mut highest = BTreeMap::new();
+    let mut fences = Fences::default();
+    let mut check = |cluster: &mut Cluster| {
+        check(cluster);
+        fences.assert_rise(cluster);
+    };
     for drill in 1..=2 {
-        let mut run = |cluster: &mut Cluster, length: u64| {
-            cluster.run(secs(length), |cluster| check(cluster, &mut highest));
-        };
+        let mut run = |cluster: &mut Cluster, length: u64| cluster.run(secs(length), &mut check);
         run(&mut cluster, 5);
         let copy = cluster.store.clone();
         // Other processes take engines over; the copy names the one before.
@@ -91,19 +97,42 @@
             cluster.start(config(former, 2, seed));
         }
         run(&mut cluster, 5);
-        assert_fences_rise(&cluster, &mut highest);
         let era = restore(&mut cluster, copy);
         for host in HOSTS {
             cluster.process(host).store_unreachable = true;
         }
         for host in HOSTS {
             cluster.reach_era(host, era);
-            cluster.run(secs(1 + seed % 3), |cluster| check(cluster, &mut highest));
+            cluster.run(secs(1 + seed % 3), &mut check);
         }
         cluster.run_until("every engine has an owner again", secs(60), |cluster| {
-            check(cluster, &mut highest);
+            check(cluster);
             is_every_engine_owned(cluster)
         });
-        assert_fences_rise(&cluster, &mut highest);
     }
 }
+
+/// Guards against a process that shuts down and ends the lease of another one, which was granted under the
+/// same number in the new era.
+#[test]
+fn a_lease_of_a_former_era_is_not_revoked() {
+    let mut cluster = cluster_with_owners(1, &["a", "b"], 2, FenceCheck::Refuses);
+    let copy = cluster.store.clone();
+    cluster.start(config("c", 1, 1));
+    cluster.run(secs(2), |_| {});
+    let lost: Vec<LeaseId> =
+        cluster.store.leases.keys().filter(|lease| !copy.leases.contains_key(*lease)).copied().collect();
+    assert_eq!(lost.len(), 1);
+    cluster.shut_down("c");
+    cluster.run_until("c has given its engines away", secs(30), |cluster| {
+        cluster.engines.keys().all(|engine| cluster.holders(engine).iter().all(|host| host.as_str() != "c"))
+    });
+    let era = restore(&mut cluster, copy);
+    // Another process is granted the lost number.
+    let lease = Lease { ttl: secs(60), expires_at: cluster.now.after(secs(60)) };
+    cluster.store.leases.insert(lost[0], lease);
+    cluster.finish_draining("c");
+    cluster.reach_era("c", era);
+    cluster.run_until("c may exit", secs(30), |cluster| cluster.process("c").control.has_deregistered());
+    assert!(cluster.store.leases.contains_key(&lost[0]));
+}
