Let hosts that start in a new era own engines

After the store came back from an older copy once, hosts that were started later could own no engine: no model was loaded, and requests for models failed until all records were deleted.

Cause: the era reached the decisions on owners with the event of a new one only. A process that has known no earlier era has no such event, took fences of the former era, and then read its own records as those of a former era. The era is that of the latest known record now, or the later one that was announced.

hosts_that_start_after_the_service_came_back_own_the_engines failed (no owner within 60 s) and passes, with the 43 tests of control.

--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -426,7 +426,7 @@
             membership: &self.membership,
             peers: &self.peers,
             store_sync: &self.store_sync,
-            era: self.ownership.era(),
+            era: self.ownership.era(cx),
             inventory: &self.inventory,
             eligible: &self.eligible,
             eligible_since: self.eligible_since,
--- a/crates/skylarkshore-core/src/control/ownership.rs
+++ b/crates/skylarkshore-core/src/control/ownership.rs
@@ -69,7 +69,7 @@
     next_handover: Time,
     changes: Vec<OwnershipChange>,
     retired: bool,
-    /// The era of the key-value service.
+    /// The era that this process was told of last; its records may not have arrived yet.
     era: StoreEra,
 }
 
@@ -83,9 +83,9 @@
         &self.owned_engines
     }
 
-    /// Returns the era of the key-value service.
-    pub(super) const fn era(&self) -> StoreEra {
-        self.era
+    /// Returns the era of the key-value service, also where this process has known no earlier one.
+    pub(super) fn era(&self, cx: &Cx<'_>) -> StoreEra {
+        self.era.max(cx.cache.latest_revision().era())
     }
 
     /// Drops all engines: the copy of a new era may lack the record of a later owner.
@@ -170,10 +170,11 @@
 
     /// Compares an engine's owner record with the local state, and acquires or drops the engine.
     pub(super) fn reconcile(&mut self, cx: &mut Cx<'_>, inventory: &EngineInventory, engine: &UpstreamId) {
+        let era = self.era(cx);
         let record = cx.cache.owner(engine);
         let own = record
             .filter(|(_, owner)| owner.host == cx.cfg.host && owner.incarnation == cx.cfg.incarnation)
-            .filter(|(revision, owner)| !self.retired && owner.is_of_era(self.era.max(revision.era())))
+            .filter(|(_, owner)| !self.retired && owner.is_of_era(era))
             .map(|(revision, owner)| OwnRecord { revision, fence: owner.fence });
         let owned = self.owned_engines.get_mut(engine);
         match (own, owned) {
@@ -410,12 +411,13 @@
 
     fn take_over(&mut self, cx: &mut Cx<'_>, vacant: Vacant) {
         let Vacant { engine, former } = vacant;
-        let fence = next_fence(cx, former.as_ref()).max(Fence::first_of(self.era));
+        let era = self.era(cx);
+        let fence = next_fence(cx, former.as_ref()).max(Fence::first_of(era));
         let based_on = former.as_ref().map_or(StoreRevision(0), |former| former.revision);
         let late_orders_until = former.as_ref().map_or(Time::START, |former| late_order_deadline(cx, former));
         let needs_no_order_gap = former
             .as_ref()
-            .is_none_or(|former| former.owner.host == cx.cfg.host && former.owner.is_of_era(self.era));
+            .is_none_or(|former| former.owner.host == cx.cfg.host && former.owner.is_of_era(era));
         self.take_overs
             .insert(engine.clone(), TakeOver { fence, based_on, late_orders_until, needs_no_order_gap });
         if let Some(former) = &former {
--- a/crates/skylarkshore-core/src/control/vacancy.rs
+++ b/crates/skylarkshore-core/src/control/vacancy.rs
@@ -227,7 +227,7 @@
     record_revision: StoreRevision,
     owner: &OwnerRecord,
 ) -> OwnerState {
-    if !owner.is_of_era(context.era.max(record_revision.era())) {
+    if !owner.is_of_era(context.era) {
         return OwnerState::OfEarlierEra;
     }
     if context.peers.has_ended(&owner.host, owner.incarnation) {
--- a/crates/skylarkshore-core/tests/control/eras.rs
+++ b/crates/skylarkshore-core/tests/control/eras.rs
@@ -112,6 +112,25 @@
     }
 }
 
+/// Guards against engines without an owner for ever, as hosts that start after a drill know of one era only.
+#[test]
+fn hosts_that_start_after_the_service_came_back_own_the_engines() {
+    for fence_check in [FenceCheck::Ignores, FenceCheck::Refuses] {
+        let mut cluster = cluster_with_owners(1, &HOSTS, 6, fence_check);
+        let copy = cluster.store.clone();
+        cluster.run(secs(2), |_| {});
+        restore(&mut cluster, copy);
+        for host in HOSTS {
+            cluster.kill(host);
+            cluster.start(config(host, 2, 1));
+        }
+        cluster.run_until("every engine has an owner", secs(60), |cluster| {
+            assert_one_owner_each(cluster);
+            is_every_engine_owned(cluster)
+        });
+    }
+}
+
 /// Guards against a process that shuts down and ends the lease of another one, which was granted under the
 /// same number in the new era.
 #[test]
