--- /dev/null
+++ b/review/standins/src/bin/same_port.rs
@@ -0,0 +1,192 @@
+//! A caller's directory connection has the same source port as another one's booking connection, and ends
+//! while the booking runs.
+//!
+//! usage: same_port REPOSITORY FOLDER, with TROUBLE=0 for a run without the disruption
+
+use std::collections::BTreeMap;
+use std::io::{self, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::process::ExitCode;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use review_standins::config::{booking, configuration, lookup, resolve};
+use review_standins::host::{Host, end_after};
+use review_standins::http::{Message, read_message};
+use review_standins::record::Record;
+use review_standins::replica::{Replica, Work, body};
+use review_standins::store::Store;
+
+const ZONES: [&str; 3] = ["bern-a", "olten-b", "aarau-c"];
+/// The connections that the callers keep open to the first host.
+const KEPT_CONNECTIONS: usize = 60;
+const ROUNDS: usize = 3;
+const WORK: Work = Work { time: Duration::from_millis(400), answer_len: 800 };
+/// How long after the booking was sent the directory's caller leaves.
+const LEAVES_AFTER: Duration = Duration::from_millis(150);
+const DEADLINE_MS: u32 = 4000;
+/// How long a pair of connections with one port is looked for in each round.
+const SEARCH_LIMIT: Duration = Duration::from_secs(25);
+const CASE_LIMIT: Duration = Duration::from_secs(110);
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().collect();
+    let is_troubled = std::env::var("TROUBLE").as_deref() != Ok("0");
+    end_after(CASE_LIMIT);
+    match run(Path::new(&args[1]), Path::new(&args[2]), is_troubled) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::from(1),
+        Err(err) => {
+            eprintln!("the case couldn't run: {err}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// A connection that a caller keeps open.
+struct Kept {
+    stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Kept {
+    fn open(address: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(address)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+        Ok(Self { reader: BufReader::new(stream.try_clone()?), stream })
+    }
+
+    fn port(&self) -> u16 {
+        self.stream.local_addr().map_or(0, |address| address.port())
+    }
+
+    fn ask(&mut self, request: &str) -> io::Result<Message> {
+        self.stream.write_all(request.as_bytes())?;
+        self.answer()
+    }
+
+    fn answer(&mut self) -> io::Result<Message> {
+        read_message(&mut self.reader)?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+    }
+}
+
+/// Runs the case and returns how many answers broke the rule.
+fn run(repository: &Path, folder: &Path, is_troubled: bool) -> io::Result<usize> {
+    let record = Record::create(&folder.join("record.txt"))?;
+    let temp = std::env::temp_dir().join(format!("review-same-port-{}", std::process::id()));
+    std::fs::create_dir_all(&temp)?;
+    let result = run_in(repository, &temp, is_troubled, &record);
+    _ = std::fs::remove_dir_all(&temp);
+    if let Err(err) = &result {
+        record.line(&format!("the case couldn't run: {err}"));
+    }
+    result
+}
+
+fn run_in(repository: &Path, temp: &Path, is_troubled: bool, record: &Record) -> io::Result<usize> {
+    record.line(if is_troubled { "with the disruption" } else { "without the disruption (TROUBLE=0)" });
+    let store = Store::start()?;
+    store.put("op/config", &configuration(DEADLINE_MS));
+    let mut replicas = Vec::new();
+    for (i, zone) in ZONES.iter().enumerate() {
+        replicas.push(Replica::start(&format!("i-market{i}"), "lh-market", zone, WORK, &store, record)?);
+    }
+    let mut hosts = Vec::new();
+    for zone in ZONES {
+        hosts.push(Host::start(repository, temp, &format!("edge-{zone}-1"), zone, store.address)?);
+    }
+    for host in &hosts {
+        host.wait_ready(Duration::from_secs(20))?;
+    }
+    record.line("three hosts are ready");
+    let host = &hosts[0];
+    let mut broken = 0;
+    let mut played = 0;
+    for round in 0..ROUNDS {
+        if let Some(is_broken) = play(host, round, is_troubled, record)? {
+            played += 1;
+            broken += usize::from(is_broken);
+        }
+    }
+    if played == 0 {
+        return Err(io::Error::other("the kernel gave no port to two connections"));
+    }
+    for replica in &replicas {
+        let ids: Vec<String> = replica.runs().into_iter().map(|(id, _)| id).filter(|id| id.starts_with('b')).collect();
+        record.line(&format!("{} has run the bookings {ids:?}", replica.id));
+    }
+    record.line(&format!("{broken} of {played} bookings break MIXED"));
+    Ok(broken)
+}
+
+/// Plays one booking and reports whether its answer breaks the rule; `None` if no port came twice.
+fn play(host: &Host, round: usize, is_troubled: bool, record: &Record) -> io::Result<Option<bool>> {
+    let mut kept = BTreeMap::new();
+    for number in 0..KEPT_CONNECTIONS {
+        let mut connection = Kept::open(host.callers)?;
+        // Some of the connections have been used before.
+        if number % 20 == 0 {
+            let answer = connection.ask(&lookup(&format!("l{round}-{number}"), DEADLINE_MS))?;
+            if answer.word(1) != "200" {
+                return Err(io::Error::other(format!("a look-up got {}", answer.first_line)));
+            }
+        }
+        kept.insert(connection.port(), connection);
+    }
+    // The kernel chooses the ports of both kinds of connections.
+    let begun = Instant::now();
+    let mut asked = 0;
+    let directory = loop {
+        let mut connection = Kept::open(host.directory)?;
+        asked += 1;
+        let is_same = kept.contains_key(&connection.port());
+        if is_same || asked == 1 {
+            let answer = connection.ask(&resolve())?;
+            if answer.word(1) != "200" {
+                return Err(io::Error::other(format!("the directory answers {}", answer.first_line)));
+            }
+        }
+        if is_same {
+            break connection;
+        }
+        if begun.elapsed() > SEARCH_LIMIT {
+            record.line(&format!("round {round}: no port came twice in {asked} connections"));
+            return Ok(None);
+        }
+    };
+    let port = directory.port();
+    record.line(&format!(
+        "round {round}: port {port} of the callers' address is used to the frontend and, after {asked} connections, \
+         to the directory"
+    ));
+    let mut caller = kept.remove(&port).expect("the port was found there");
+    let id = format!("b{round}");
+    caller.stream.write_all(booking(&id, DEADLINE_MS).as_bytes())?;
+    record.line(&format!("{id} is sent from port {port} to the frontend"));
+    thread::sleep(LEAVES_AFTER);
+    let mut stays = Some(directory);
+    if is_troubled {
+        stays = None;
+        record.line(&format!("the directory's caller at port {port} closes its connection"));
+    }
+    let answer = caller.answer();
+    drop(stays);
+    let (verdict, is_broken) = judge(&id, &answer);
+    record.line(&format!("{id} gets {verdict}"));
+    Ok(Some(is_broken))
+}
+
+/// MIXED: a success without the replica's stamp, or with another body than the replica's whole one.
+fn judge(id: &str, answer: &io::Result<Message>) -> (String, bool) {
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(err) => return (format!("no answer: {err}"), false),
+    };
+    let stamp = answer.header("x-server-stamp");
+    let is_whole = answer.body == body(id, WORK.answer_len);
+    let seen = format!("{}, stamp {stamp:?}, {} bytes, whole body: {is_whole}", answer.first_line, answer.body.len());
+    let is_success = answer.word(1).starts_with('2');
+    (seen, is_success && (stamp.is_none() || !is_whole))
+}
--- /dev/null
+++ b/review/standins/src/host.rs
@@ -0,0 +1,147 @@
+//! Entry hosts: the project's own program, started by the command of the deploy file.
+
+use std::fs;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Mutex;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::{http, lock};
+
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The ids of the processes that run.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the case after a time, with all processes that it started.
+pub fn end_after(limit: Duration) {
+    thread::spawn(move || {
+        thread::sleep(limit);
+        eprintln!("the case couldn't run: it takes too long");
+        for pid in lock(&RUNNING).iter() {
+            _ = Command::new("kill").arg("-KILL").arg(pid.to_string()).status();
+        }
+        std::process::exit(2);
+    });
+}
+
+/// A running entry host, killed when it is dropped.
+#[derive(Debug)]
+pub struct Host {
+    pub name: String,
+    pub callers: SocketAddr,
+    pub directory: SocketAddr,
+    pub readiness: SocketAddr,
+    pub log: PathBuf,
+    child: Child,
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        let id = self.child.id();
+        lock(&RUNNING).retain(|pid| *pid != id);
+        _ = self.child.kill();
+        _ = self.child.wait();
+    }
+}
+
+/// Returns a free loopback address.
+pub fn free_address() -> io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
+
+impl Host {
+    /// Starts a host with the settings that the platform would fill in for a machine of the small sites.
+    ///
+    /// The hosts share one loopback address, so that each has its own port for operators, too.
+    pub fn start(repository: &Path, folder: &Path, name: &str, zone: &str, store: SocketAddr) -> io::Result<Self> {
+        let [callers, directory, readiness, peers, operators] =
+            [free_address()?, free_address()?, free_address()?, free_address()?, free_address()?];
+        let values = [
+            ("node_name", name.to_owned()),
+            ("zone", zone.to_owned()),
+            ("ip", peers.ip().to_string()),
+            ("port_range.0", peers.port().to_string()),
+            ("listen.frontend", callers.to_string()),
+            ("listen.directory", directory.to_string()),
+            ("listen.readiness", readiness.to_string()),
+            ("platform.address", store.to_string()),
+            ("platform.ttl_min_ms", "1000".to_owned()),
+            ("limits.memory_mb", "260".to_owned()),
+            ("limits.cpu_share", "0.25".to_owned()),
+            ("heartbeat_ms", "1200".to_owned()),
+            ("bounds.drain_ms", "2000".to_owned()),
+            ("bounds.config_apply_ms", "2000".to_owned()),
+            ("bounds.budget_slack", "56".to_owned()),
+            ("bounds.retry_budget_ratio", "0.2".to_owned()),
+            ("bounds.budget_window_s", "10".to_owned()),
+            ("bounds.lease_ms", "3000".to_owned()),
+        ];
+        let template = fs::read_to_string(repository.join("deploy/settings.jsonc"))?;
+        let text = fill_in(&template, &values).replace(":9464", &format!(":{}", operators.port()));
+        let settings = folder.join(format!("{name}.jsonc"));
+        fs::write(&settings, text)?;
+        let log = folder.join(format!("{name}.log"));
+        let out = fs::File::create(&log)?;
+        // The platform's settings take the place of the path in the deploy file.
+        let child = Command::new(repository.join("target/release/skylarkshore"))
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .stdout(out.try_clone()?)
+            .stderr(out)
+            .spawn()?;
+        lock(&RUNNING).push(child.id());
+        Ok(Self { name: name.to_owned(), callers, directory, readiness, log, child })
+    }
+
+    /// Waits until the host says that it is ready.
+    pub fn wait_ready(&self, limit: Duration) -> io::Result<()> {
+        let until = Instant::now() + limit;
+        while !http::get(self.readiness, "/-/readyz").is_ok_and(|answer| answer.word(1) == "200") {
+            if Instant::now() > until {
+                return Err(io::Error::other(format!("{} isn't ready in time", self.name)));
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+        Ok(())
+    }
+
+    /// Sends a signal by the system's `kill` program.
+    pub fn signal(&self, signal: &str) -> io::Result<()> {
+        let status = Command::new("kill").arg(format!("-{signal}")).arg(self.child.id().to_string()).status()?;
+        if status.success() { Ok(()) } else { Err(io::Error::other("the signal can't be sent")) }
+    }
+
+    /// Returns the exit status if the process has ended.
+    pub fn ended(&mut self) -> io::Result<Option<ExitStatus>> {
+        let status = self.child.try_wait()?;
+        if status.is_some() {
+            let id = self.child.id();
+            lock(&RUNNING).retain(|pid| *pid != id);
+        }
+        Ok(status)
+    }
+}
+
+/// Fills in the template of the settings; sections that depend on an absent value are omitted.
+fn fill_in(template: &str, values: &[(&str, String)]) -> String {
+    let mut text = template.to_owned();
+    while let Some(begin) = text.find("{{#").or_else(|| text.find("{{^")) {
+        let name_end = begin + text[begin..].find("}}").expect("sections are closed");
+        let name = text[begin + 3..name_end].to_owned();
+        let close = format!("{{{{/{name}}}}}");
+        let end = name_end + text[name_end..].find(&close).expect("sections have an end");
+        let is_present = values.iter().any(|(known, _)| *known == name);
+        let is_included = is_present == text[begin..].starts_with("{{#");
+        let section = if is_included { text[name_end + 2..end].to_owned() } else { String::new() };
+        text.replace_range(begin..end + close.len(), &section);
+    }
+    for (name, value) in values {
+        text = text.replace(&format!("{{{{{name}}}}}"), value);
+    }
+    assert!(!text.contains("{{"), "every placeholder is filled in");
+    text
+}
--- /dev/null
+++ b/review/standins/src/replica.rs
@@ -0,0 +1,103 @@
+//! Replicas of a plain service.
+
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use crate::http::{self, Message};
+use crate::lock;
+use crate::record::Record;
+use crate::store::Store;
+
+const HEARTBEAT: Duration = Duration::from_millis(1200);
+
+/// What a replica does with a request: how long it works, and the length of its body.
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    pub time: Duration,
+    pub answer_len: usize,
+}
+
+/// A running replica.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    pub id: String,
+    pub address: SocketAddr,
+    /// The ids of the requests that it has run, and whether the whole answer was written.
+    runs: Arc<Mutex<Vec<(String, bool)>>>,
+}
+
+impl Replica {
+    /// Starts a replica, registers it, and renews its entry for good.
+    pub fn start(id: &str, service: &str, zone: &str, work: Work, store: &Store, record: &Record) -> io::Result<Self> {
+        let runs = Arc::new(Mutex::new(Vec::new()));
+        let (name, known, log) = (id.to_owned(), Arc::clone(&runs), record.clone());
+        let address = http::serve(move |request, out| handle(&name, work, &known, &log, request, out))?;
+        let key = format!("servers/{id}");
+        let entry = format!(
+            "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
+             \"slots\":6,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":"
+        );
+        let store = store.clone();
+        store.put(&key, &format!("{entry}1}}"));
+        thread::spawn(move || {
+            for number in 2.. {
+                thread::sleep(HEARTBEAT);
+                store.put(&key, &format!("{entry}{number}}}"));
+            }
+        });
+        Ok(Self { id: id.to_owned(), address, runs })
+    }
+
+    /// Returns the ids of the requests that it has run, and whether their answers were written to the end.
+    pub fn runs(&self) -> Vec<(String, bool)> {
+        lock(&self.runs).clone()
+    }
+}
+
+fn handle(
+    id: &str,
+    work: Work,
+    runs: &Mutex<Vec<(String, bool)>>,
+    record: &Record,
+    request: &Message,
+    out: &mut TcpStream,
+) -> io::Result<()> {
+    if request.path() == "/healthz" {
+        return http::write_answer(out, "200 OK", &[("X-Replica-Id", id), ("X-Replica-Load", "0,0,6")], b"");
+    }
+    let Some(attempt) = request.header("x-attempt-id") else {
+        return http::write_answer(out, "400 Bad Request", &[("X-Not-Executed", "1")], b"");
+    };
+    if request.header("x-expect-instance").is_some_and(|expected| expected != id) {
+        return http::write_answer(out, "421 Misdirected Request", &[("X-Replica-Id", id)], b"");
+    }
+    record.line(&format!("replica {id} runs {attempt}: {}", request.first_line));
+    let number = {
+        let mut runs = lock(runs);
+        runs.push((attempt.to_owned(), false));
+        runs.len() - 1
+    };
+    thread::sleep(work.time);
+    let stamp = format!("{id}.{attempt}");
+    let headers = [("X-Attempt-Id", attempt), ("X-Server-Stamp", stamp.as_str()), ("X-Replica-Id", id), ("X-Replica-Load", "1,0,6")];
+    let body = body(attempt, work.answer_len);
+    match http::write_answer(out, "200 OK", &headers, &body).and_then(|()| out.flush()) {
+        Ok(()) => {
+            lock(runs)[number].1 = true;
+            record.line(&format!("replica {id} has written its whole answer to {attempt}, {} bytes", body.len()));
+            Ok(())
+        }
+        Err(err) => {
+            record.line(&format!("replica {id} can't write its answer to {attempt}: {err}"));
+            Err(err)
+        }
+    }
+}
+
+/// Returns the body of the answer to a request; callers compare what they get with it.
+pub fn body(attempt: &str, len: usize) -> Vec<u8> {
+    attempt.bytes().chain(*b" done ").cycle().take(len).collect()
+}
