--- a/review/standins/src/bin/same_port.rs
+++ b/review/standins/src/bin/same_port.rs
@@ -12,17 +12,17 @@
 use std::time::{Duration, Instant};
 
 use review_standins::config::{booking, configuration, lookup, resolve};
-use review_standins::host::{Host, end_after};
+use review_standins::host::{Host, LAGERHELV, end_after};
 use review_standins::http::{Message, read_message};
 use review_standins::record::Record;
-use review_standins::replica::{Replica, Work, body};
+use review_standins::replica::{Replica, Work};
 use review_standins::store::Store;
 
 const ZONES: [&str; 3] = ["bern-a", "olten-b", "aarau-c"];
 /// The connections that the callers keep open to the first host.
 const KEPT_CONNECTIONS: usize = 60;
 const ROUNDS: usize = 3;
-const WORK: Work = Work { time: Duration::from_millis(400), answer_len: 800 };
+const WORK: Work = Work { time: Duration::from_millis(400), answer_len: 800, len_step: 0 };
 /// How long after the booking was sent the directory's caller leaves.
 const LEAVES_AFTER: Duration = Duration::from_millis(150);
 const DEADLINE_MS: u32 = 4000;
@@ -95,7 +95,7 @@
     }
     let mut hosts = Vec::new();
     for zone in ZONES {
-        hosts.push(Host::start(repository, temp, &format!("edge-{zone}-1"), zone, store.address)?);
+        hosts.push(Host::start(repository, temp, &format!("edge-{zone}-1"), zone, store.address, LAGERHELV)?);
     }
     for host in &hosts {
         host.wait_ready(Duration::from_secs(20))?;
@@ -185,7 +185,7 @@
         Err(err) => return (format!("no answer: {err}"), false),
     };
     let stamp = answer.header("x-server-stamp");
-    let is_whole = answer.body == body(id, WORK.answer_len);
+    let is_whole = answer.body == WORK.body(id);
     let seen = format!("{}, stamp {stamp:?}, {} bytes, whole body: {is_whole}", answer.first_line, answer.body.len());
     let is_success = answer.word(1).starts_with('2');
     (seen, is_success && (stamp.is_none() || !is_whole))
--- a/review/standins/src/host.rs
+++ b/review/standins/src/host.rs
@@ -2,10 +2,11 @@
 
 use std::fs;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -48,16 +49,64 @@
     }
 }
 
-/// Returns a free loopback address.
+/// Returns a free loopback address, below the ports that the kernel gives to outgoing connections.
 pub fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    const FIRST_PORT: u32 = 20_000;
+    const PORTS: u32 = 12_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    for _ in 0..PORTS {
+        let offset = std::process::id().wrapping_mul(37).wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = (FIRST_PORT + offset % PORTS) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
 }
 
+/// The figures of a machine and the bounds of a site, as its sheet gives them.
+pub type Sheet = [(&'static str, &'static str)];
+
+/// The sheet of `lagerhelv`.
+pub const LAGERHELV: &Sheet = &[
+    ("limits.memory_mb", "260"),
+    ("limits.cpu_share", "0.25"),
+    ("bounds.drain_ms", "2000"),
+    ("bounds.config_apply_ms", "2000"),
+    ("bounds.budget_slack", "56"),
+    ("bounds.retry_budget_ratio", "0.2"),
+    ("bounds.budget_window_s", "10"),
+    ("bounds.lease_ms", "3000"),
+];
+
+/// The sheet of `quiz-nordeste-grown`.
+pub const QUIZ_NORDESTE_GROWN: &Sheet = &[
+    ("limits.memory_mb", "512"),
+    ("limits.cpu_share", "0.5"),
+    ("bounds.drain_ms", "3000"),
+    ("bounds.config_apply_ms", "3000"),
+    ("bounds.budget_slack", "208"),
+    ("bounds.retry_budget_ratio", "0.2"),
+    ("bounds.budget_window_s", "10"),
+    ("bounds.lease_ms", "3000"),
+    ("bounds.quota_window_s", "8"),
+    ("bounds.quota_overage", "0.1"),
+    ("bounds.quota_slack", "17000"),
+];
+
 impl Host {
-    /// Starts a host with the settings that the platform would fill in for a machine of the small sites.
+    /// Starts a host with the settings that the platform would fill in for a machine of a site.
     ///
     /// The hosts share one loopback address, so that each has its own port for operators, too.
-    pub fn start(repository: &Path, folder: &Path, name: &str, zone: &str, store: SocketAddr) -> io::Result<Self> {
+    pub fn start(
+        repository: &Path,
+        folder: &Path,
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        sheet: &Sheet,
+    ) -> io::Result<Self> {
         let [callers, directory, readiness, peers, operators] =
             [free_address()?, free_address()?, free_address()?, free_address()?, free_address()?];
         let values = [
@@ -70,16 +119,10 @@
             ("listen.readiness", readiness.to_string()),
             ("platform.address", store.to_string()),
             ("platform.ttl_min_ms", "1000".to_owned()),
-            ("limits.memory_mb", "260".to_owned()),
-            ("limits.cpu_share", "0.25".to_owned()),
             ("heartbeat_ms", "1200".to_owned()),
-            ("bounds.drain_ms", "2000".to_owned()),
-            ("bounds.config_apply_ms", "2000".to_owned()),
-            ("bounds.budget_slack", "56".to_owned()),
-            ("bounds.retry_budget_ratio", "0.2".to_owned()),
-            ("bounds.budget_window_s", "10".to_owned()),
-            ("bounds.lease_ms", "3000".to_owned()),
         ];
+        let sheet = sheet.iter().map(|(name, value)| (*name, (*value).to_owned()));
+        let values: Vec<_> = values.into_iter().chain(sheet).collect();
         let template = fs::read_to_string(repository.join("deploy/settings.jsonc"))?;
         let text = fill_in(&template, &values).replace(":9464", &format!(":{}", operators.port()));
         let settings = folder.join(format!("{name}.jsonc"));
--- a/review/standins/src/replica.rs
+++ b/review/standins/src/replica.rs
@@ -13,11 +13,22 @@
 
 const HEARTBEAT: Duration = Duration::from_millis(1200);
 
-/// What a replica does with a request: how long it works, and the length of its body.
+/// What a replica does with a request: how long it works, and the length of its answer's body.
 #[derive(Clone, Copy, Debug)]
 pub struct Work {
     pub time: Duration,
     pub answer_len: usize,
+    /// The body is longer by this for each number at the end of the request's id.
+    pub len_step: usize,
+}
+
+impl Work {
+    /// Returns the body of the answer to a request; callers compare what they get with it.
+    pub fn body(&self, attempt: &str) -> Vec<u8> {
+        let digits = attempt.rsplit(|c: char| !c.is_ascii_digit()).next().unwrap_or_default();
+        let len = self.answer_len + self.len_step * digits.parse::<usize>().unwrap_or(0);
+        attempt.bytes().chain(*b" done ").cycle().take(len).collect()
+    }
 }
 
 /// A running replica.
@@ -83,7 +94,7 @@
     thread::sleep(work.time);
     let stamp = format!("{id}.{attempt}");
     let headers = [("X-Attempt-Id", attempt), ("X-Server-Stamp", stamp.as_str()), ("X-Replica-Id", id), ("X-Replica-Load", "1,0,6")];
-    let body = body(attempt, work.answer_len);
+    let body = work.body(attempt);
     match http::write_answer(out, "200 OK", &headers, &body).and_then(|()| out.flush()) {
         Ok(()) => {
             lock(runs)[number].1 = true;
@@ -96,8 +107,3 @@
         }
     }
 }
-
-/// Returns the body of the answer to a request; callers compare what they get with it.
-pub fn body(attempt: &str, len: usize) -> Vec<u8> {
-    attempt.bytes().chain(*b" done ").cycle().take(len).collect()
-}
