--- a/review/standins/src/bin/same_port.rs
+++ b/review/standins/src/bin/same_port.rs
@@ -114,7 +114,8 @@
         return Err(io::Error::other("the kernel gave no port to two connections"));
     }
     for replica in &replicas {
-        let ids: Vec<String> = replica.runs().into_iter().map(|(id, _)| id).filter(|id| id.starts_with('b')).collect();
+        let ids: Vec<String> =
+            replica.runs().into_iter().map(|(id, _)| id).filter(|id| id.starts_with('b')).collect();
         record.line(&format!("{} has run the bookings {ids:?}", replica.id));
     }
     record.line(&format!("{broken} of {played} bookings break MIXED"));
@@ -186,7 +187,11 @@
     };
     let stamp = answer.header("x-server-stamp");
     let is_whole = answer.body == WORK.body(id);
-    let seen = format!("{}, stamp {stamp:?}, {} bytes, whole body: {is_whole}", answer.first_line, answer.body.len());
+    let seen = format!(
+        "{}, stamp {stamp:?}, {} bytes, whole body: {is_whole}",
+        answer.first_line,
+        answer.body.len()
+    );
     let is_success = answer.word(1).starts_with('2');
     (seen, is_success && (stamp.is_none() || !is_whole))
 }
--- a/review/standins/src/bin/slow_reader.rs
+++ b/review/standins/src/bin/slow_reader.rs
@@ -68,7 +68,14 @@
     }
     let mut hosts = Vec::new();
     for zone in ZONES {
-        hosts.push(Host::start(repository, temp, &format!("edge-{zone}-1"), zone, store.address, QUIZ_NORDESTE_GROWN)?);
+        hosts.push(Host::start(
+            repository,
+            temp,
+            &format!("edge-{zone}-1"),
+            zone,
+            store.address,
+            QUIZ_NORDESTE_GROWN,
+        )?);
     }
     for host in &hosts {
         host.wait_ready(Duration::from_secs(20))?;
@@ -83,7 +90,13 @@
 }
 
 /// Sends bookings to a host, stops it, and returns how many answers broke the rule.
-fn play(round: usize, host: &mut Host, replicas: &[Replica], is_troubled: bool, record: &Record) -> io::Result<usize> {
+fn play(
+    round: usize,
+    host: &mut Host,
+    replicas: &[Replica],
+    is_troubled: bool,
+    record: &Record,
+) -> io::Result<usize> {
     let address = host.callers;
     let callers: Vec<_> = (0..CALLERS)
         .map(|i| {
@@ -106,7 +119,9 @@
         }
     }
     let log = std::fs::read_to_string(&host.log)?;
-    let is_wanted = |line: &&str| ["event=leaving", "event=intake_closed", "event=left"].iter().any(|event| line.contains(event));
+    let is_wanted = |line: &&str| {
+        ["event=leaving", "event=intake_closed", "event=left"].iter().any(|event| line.contains(event))
+    };
     for line in log.lines().filter(is_wanted) {
         record.line(&format!("its log: {line}"));
     }
@@ -137,7 +152,12 @@
     let whole = WORK.body(id);
     let is_whole = result.is_ok() && got == whole;
     let end = result.map_or_else(|err| err.to_string(), |head| head);
-    record.line(&format!("{id} got {} of {} bytes within {:?}: {end}", got.len(), whole.len(), begun.elapsed()));
+    record.line(&format!(
+        "{id} got {} of {} bytes within {:?}: {end}",
+        got.len(),
+        whole.len(),
+        begun.elapsed()
+    ));
     (id.to_owned(), is_whole)
 }
 
--- a/review/standins/src/config.rs
+++ b/review/standins/src/config.rs
@@ -32,7 +32,9 @@
 
 /// Returns a look-up as a client sends it.
 pub fn lookup(id: &str, deadline_ms: u32) -> String {
-    format!("GET /lookup/2f HTTP/1.1\r\nHost: {SITE}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\n\r\n")
+    format!(
+        "GET /lookup/2f HTTP/1.1\r\nHost: {SITE}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\n\r\n"
+    )
 }
 
 /// Returns a question for the directory.
--- a/review/standins/src/host.rs
+++ b/review/standins/src/host.rs
@@ -154,7 +154,8 @@
 
     /// Sends a signal by the system's `kill` program.
     pub fn signal(&self, signal: &str) -> io::Result<()> {
-        let status = Command::new("kill").arg(format!("-{signal}")).arg(self.child.id().to_string()).status()?;
+        let status =
+            Command::new("kill").arg(format!("-{signal}")).arg(self.child.id().to_string()).status()?;
         if status.success() { Ok(()) } else { Err(io::Error::other("the signal can't be sent")) }
     }
 
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -97,7 +97,12 @@
 }
 
 /// Writes an answer with a length.
-pub fn write_answer(out: &mut impl Write, status: &str, headers: &[(&str, &str)], body: &[u8]) -> io::Result<()> {
+pub fn write_answer(
+    out: &mut impl Write,
+    status: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<()> {
     let mut head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n", body.len());
     for (name, value) in headers {
         head.push_str(&format!("{name}: {value}\r\n"));
--- a/review/standins/src/json.rs
+++ b/review/standins/src/json.rs
@@ -180,7 +180,11 @@
 
     fn number(&mut self) -> Option<Json> {
         let begin = self.at;
-        while self.bytes.get(self.at).is_some_and(|byte| matches!(byte, b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E')) {
+        while self
+            .bytes
+            .get(self.at)
+            .is_some_and(|byte| matches!(byte, b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E'))
+        {
             self.at += 1;
         }
         std::str::from_utf8(&self.bytes[begin..self.at]).ok()?.parse().ok().map(Json::Number)
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -22,7 +22,8 @@
     const ALPHABET: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let group = chunk.iter().fold(0_u32, |group, byte| group << 8 | u32::from(*byte)) << (8 * (3 - chunk.len()));
+        let group =
+            chunk.iter().fold(0_u32, |group, byte| group << 8 | u32::from(*byte)) << (8 * (3 - chunk.len()));
         for i in 0..4 {
             let digit = ALPHABET[(group >> (18 - 6 * i) & 63) as usize] as char;
             text.push(if i <= chunk.len() { digit } else { '=' });
--- a/review/standins/src/replica.rs
+++ b/review/standins/src/replica.rs
@@ -42,7 +42,14 @@
 
 impl Replica {
     /// Starts a replica, registers it, and renews its entry for good.
-    pub fn start(id: &str, service: &str, zone: &str, work: Work, store: &Store, record: &Record) -> io::Result<Self> {
+    pub fn start(
+        id: &str,
+        service: &str,
+        zone: &str,
+        work: Work,
+        store: &Store,
+        record: &Record,
+    ) -> io::Result<Self> {
         let runs = Arc::new(Mutex::new(Vec::new()));
         let (name, known, log) = (id.to_owned(), Arc::clone(&runs), record.clone());
         let address = http::serve(move |request, out| handle(&name, work, &known, &log, request, out))?;
@@ -93,12 +100,20 @@
     };
     thread::sleep(work.time);
     let stamp = format!("{id}.{attempt}");
-    let headers = [("X-Attempt-Id", attempt), ("X-Server-Stamp", stamp.as_str()), ("X-Replica-Id", id), ("X-Replica-Load", "1,0,6")];
+    let headers = [
+        ("X-Attempt-Id", attempt),
+        ("X-Server-Stamp", stamp.as_str()),
+        ("X-Replica-Id", id),
+        ("X-Replica-Load", "1,0,6"),
+    ];
     let body = work.body(attempt);
     match http::write_answer(out, "200 OK", &headers, &body).and_then(|()| out.flush()) {
         Ok(()) => {
             lock(runs)[number].1 = true;
-            record.line(&format!("replica {id} has written its whole answer to {attempt}, {} bytes", body.len()));
+            record.line(&format!(
+                "replica {id} has written its whole answer to {attempt}, {} bytes",
+                body.len()
+            ));
             Ok(())
         }
         Err(err) => {
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -93,10 +93,12 @@
         let handler = Arc::clone(&shared);
         let address = http::serve(move |request, stream| answer(&handler, request, stream))?;
         let expiring = Arc::clone(&shared);
-        thread::spawn(move || loop {
-            thread::sleep(EXPIRY_INTERVAL);
-            lock(&expiring.0).expire();
-            expiring.1.notify_all();
+        thread::spawn(move || {
+            loop {
+                thread::sleep(EXPIRY_INTERVAL);
+                lock(&expiring.0).expire();
+                expiring.1.notify_all();
+            }
         });
         Ok(Self { shared, address })
     }
@@ -163,7 +165,8 @@
     let after = parameter("after");
     let prefix = request.parameter("prefix").unwrap_or_default();
     let until = Instant::now() + Duration::from_millis(parameter("wait_ms"));
-    let is_told = |event: &&(u64, String)| event.0 > after && event.1.starts_with(&format!("{{\"key\":\"{prefix}"));
+    let is_told =
+        |event: &&(u64, String)| event.0 > after && event.1.starts_with(&format!("{{\"key\":\"{prefix}"));
     let mut state = lock(&shared.0);
     while !state.history.iter().rev().take_while(|event| event.0 > after).any(|event| is_told(&event)) {
         let left = until.saturating_duration_since(Instant::now());
