--- a/review/standins/src/host.rs
+++ b/review/standins/src/host.rs
@@ -37,6 +37,8 @@
     pub directory: SocketAddr,
     pub readiness: SocketAddr,
     pub log: PathBuf,
+    program: PathBuf,
+    settings: PathBuf,
     child: Child,
 }
 
@@ -128,16 +130,15 @@
         let settings = folder.join(format!("{name}.jsonc"));
         fs::write(&settings, text)?;
         let log = folder.join(format!("{name}.log"));
-        let out = fs::File::create(&log)?;
-        // The platform's settings take the place of the path in the deploy file.
-        let child = Command::new(repository.join("target/release/skylarkshore"))
-            .arg(&settings)
-            .stdin(Stdio::null())
-            .stdout(out.try_clone()?)
-            .stderr(out)
-            .spawn()?;
-        lock(&RUNNING).push(child.id());
-        Ok(Self { name: name.to_owned(), callers, directory, readiness, log, child })
+        let program = repository.join("target/release/skylarkshore");
+        let child = spawn(&program, &settings, &log)?;
+        Ok(Self { name: name.to_owned(), callers, directory, readiness, log, program, settings, child })
+    }
+
+    /// Starts the host again, after it has ended, with the same settings.
+    pub fn start_again(&mut self) -> io::Result<()> {
+        self.child = spawn(&self.program, &self.settings, &self.log)?;
+        Ok(())
     }
 
     /// Waits until the host says that it is ready.
@@ -170,6 +171,19 @@
     }
 }
 
+/// Starts the program by the command of the deploy file; the path of the settings is the only difference.
+fn spawn(program: &Path, settings: &Path, log: &Path) -> io::Result<Child> {
+    let out = fs::File::options().create(true).append(true).open(log)?;
+    let child = Command::new(program)
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(out.try_clone()?)
+        .stderr(out)
+        .spawn()?;
+    lock(&RUNNING).push(child.id());
+    Ok(child)
+}
+
 /// Fills in the template of the settings; sections that depend on an absent value are omitted.
 fn fill_in(template: &str, values: &[(&str, String)]) -> String {
     let mut text = template.to_owned();
