Play case 1 also where the kernel repeats no port

After 30 s a caller now sets the port of both connections itself; the record tells which way was taken.

--- a/review/standins/src/bin/same_port.rs
+++ b/review/standins/src/bin/same_port.rs
@@ -16,6 +16,7 @@
 use review_standins::http::{Message, read_message};
 use review_standins::record::Record;
 use review_standins::replica::{Replica, Work};
+use review_standins::same_port::connect_from;
 use review_standins::store::Store;
 
 const ZONES: [&str; 3] = ["bern-a", "olten-b", "aarau-c"];
@@ -29,8 +30,8 @@
 /// How long after the booking was sent the directory's caller leaves.
 const LEAVES_AFTER: Duration = Duration::from_millis(150);
 const DEADLINE_MS: u32 = 4000;
-/// How long the callers go on before the case is given up.
-const SEARCH_LIMIT: Duration = Duration::from_secs(90);
+/// How long the callers wait for the kernel to repeat a port before one of them sets it.
+const SEARCH_LIMIT: Duration = Duration::from_secs(30);
 const CASE_LIMIT: Duration = Duration::from_secs(110);
 
 fn main() -> ExitCode {
@@ -55,7 +56,10 @@
 
 impl Kept {
     fn open(address: SocketAddr) -> io::Result<Self> {
-        let stream = TcpStream::connect(address)?;
+        Self::over(TcpStream::connect(address)?)
+    }
+
+    fn over(stream: TcpStream) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_secs(10)))?;
         Ok(Self { reader: BufReader::new(stream.try_clone()?), stream })
@@ -121,12 +125,11 @@
         let connection = Kept::open(host.callers)?;
         kept.insert(connection.port(), connection);
     }
-    let (directory, asked) = find_same_port(host, &mut kept)?;
+    let (directory, mut caller) = match find_same_port(host, &mut kept, record)? {
+        Some(pair) => pair,
+        None => set_same_port(host, record)?,
+    };
     let port = directory.port();
-    record.line(&format!(
-        "port {port} of the callers' address is used to the frontend and, after {asked} questions, to the directory"
-    ));
-    let mut caller = kept.remove(&port).expect("the port was found there");
     let id = "b0";
     caller.stream.write_all(booking(id, DEADLINE_MS).as_bytes())?;
     record.line(&format!("{id} is sent from port {port} to the frontend"));
@@ -146,8 +149,12 @@
 /// Lets each caller ask the directory over a new connection once in [`ENTRY_TTL`], and use its kept connection now and
 /// then, until the kernel gives a directory connection the port of a kept one.
 ///
-/// Returns that connection, whose question is answered, and the number of questions.
-fn find_same_port(host: &Host, kept: &mut BTreeMap<u16, Kept>) -> io::Result<(Kept, usize)> {
+/// Returns that connection, whose question is answered, and the kept one; `None` if it takes too long.
+fn find_same_port(
+    host: &Host,
+    kept: &mut BTreeMap<u16, Kept>,
+    record: &Record,
+) -> io::Result<Option<(Kept, Kept)>> {
     let begun = Instant::now();
     for asked in 1.. {
         let mut connection = Kept::open(host.directory)?;
@@ -155,8 +162,10 @@
         if answer.word(1) != "200" {
             return Err(io::Error::other(format!("the directory answers {}", answer.first_line)));
         }
-        if kept.contains_key(&connection.port()) {
-            return Ok((connection, asked));
+        if let Some(caller) = kept.remove(&connection.port()) {
+            let port = connection.port();
+            record.line(&format!("the kernel gives port {port} to the directory, too, at question {asked}"));
+            return Ok(Some((connection, caller)));
         }
         drop(connection);
         if asked % QUESTIONS_PER_LOOKUP == 0 {
@@ -169,12 +178,27 @@
             }
         }
         if begun.elapsed() > SEARCH_LIMIT {
+            record.line(&format!("the kernel gave no port twice in {asked} questions"));
             break;
         }
         let next = ENTRY_TTL.mul_f64(asked as f64 / CALLERS as f64);
         thread::sleep(next.saturating_sub(begun.elapsed()));
     }
-    Err(io::Error::other("the kernel gave no port to two connections"))
+    Ok(None)
+}
+
+/// Lets a caller set the source port of both connections itself.
+fn set_same_port(host: &Host, record: &Record) -> io::Result<(Kept, Kept)> {
+    let mut caller = Kept::over(connect_from(0, host.callers)?)?;
+    // The host takes note of the earlier connection first.
+    let answer = caller.ask(&lookup("l-last", DEADLINE_MS))?;
+    let mut directory = Kept::over(connect_from(caller.port(), host.directory)?)?;
+    let found = directory.ask(&resolve())?;
+    if answer.word(1) != "200" || found.word(1) != "200" {
+        return Err(io::Error::other("a look-up or the directory isn't served"));
+    }
+    record.line(&format!("a caller sets port {} for both connections", caller.port()));
+    Ok((directory, caller))
 }
 
 /// MIXED: a success without the replica's stamp, or with another body than the replica's whole one.
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod json;
 pub mod record;
 pub mod replica;
+pub mod same_port;
 pub mod store;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
