Let each request know its own connection

Cause: a request found its connection by its caller's address in a map that three listeners shared. The later connection overwrote the entry, whichever ended first removed it, and the end of a watch was answered by a response that nobody was expected to read, a 200. The watch held a second handle to the socket, so that a connection stayed open after the server had dropped it.

Ruled out: upstreams' connections (each request names its instance) and those of peers (told by identity and stream, by reading).

Now the server serves each connection in a scope that holds its handle; there is no map. The watch, the forced close and the server use one socket, which is shut down when the server drops it. Idle connections end by themselves at a shutdown. The answer to a caller who has ended what it sends is a 502 with an unknown outcome, so that no mistake about an end can become a success.

--- a/crates/skylarkshore-core/src/effect.rs
+++ b/crates/skylarkshore-core/src/effect.rs
@@ -75,7 +75,7 @@
     /// It ran, but its answer was too large to record.
     #[display("the request was run, but its answer wasn't kept")]
     AnswerNotKept,
-    /// The caller closed its connection; this reason appears only in the log.
+    /// The caller closed its connection, or the side of it on which it sends.
     #[display("the caller closed its connection")]
     CallerGone,
     /// It has crashed upstreams before.
--- a/crates/skylarkshore-host/src/callers.rs
+++ b/crates/skylarkshore-host/src/callers.rs
@@ -7,7 +7,6 @@
 mod request_error;
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use http::header::{AUTHORIZATION, CONNECTION, HeaderName};
@@ -26,7 +25,7 @@
 use crate::accounts;
 use crate::digest::request_digest;
 use crate::driver::Snapshot;
-use crate::exchange::{CheckedRequest, Exchange, WatchedListener, read_off};
+use crate::exchange::{CheckedRequest, Exchange, read_off};
 use crate::pending::{JsonRefusalFormat, Outgoing};
 use crate::probe::HEALTH_PATH;
 use crate::server::{self, MAX_HEADERS};
@@ -55,11 +54,10 @@
     listener: std::net::TcpListener,
 ) -> std::io::Result<server::RunningServer> {
     let connections = Arc::clone(&exchange.connections);
-    let watched_listener = WatchedListener::new(listener, connections, tokio::runtime::Handle::current());
     let head_timeout = exchange.intake.head_timeout;
     let state = CallerState { exchange, rotation: discovery::Rotation::default() };
     let app = App::new().with_state(state).at("/", fn_service(handle)).at("/{*path}", fn_service(handle));
-    server::start(app.serve(), [watched_listener], head_timeout, server::caller_workers())
+    server::start(app.finish(), [listener], &connections, head_timeout, server::caller_workers())
 }
 
 async fn handle(mut ctx: WebContext<'_, CallerState>) -> Result<WebResponse, Infallible> {
@@ -99,7 +97,6 @@
     method: Method,
     uri: Uri,
     headers: HeaderMap,
-    caller: SocketAddr,
     begun: Instant,
 }
 
@@ -110,7 +107,6 @@
             method: req.method().clone(),
             uri: req.uri().clone(),
             headers: req.headers().clone(),
-            caller: *req.body().socket_addr(),
             begun: Instant::now(),
         }
     }
@@ -240,7 +236,6 @@
         outgoing: Outgoing,
     ) -> WebResponse {
         let checked = CheckedRequest {
-            caller: head.caller,
             begun: head.begun,
             target,
             arrival,
--- a/crates/skylarkshore-host/src/driver/effects.rs
+++ b/crates/skylarkshore-host/src/driver/effects.rs
@@ -14,10 +14,10 @@
 use slog::{debug, info};
 use tokio::task::AbortHandle;
 
+use crate::connections::Connections;
 use crate::driver::Inbox;
 use crate::engines::{EngineOrder, EngineProtocol};
 use crate::env::Env;
-use crate::exchange::Connections;
 use crate::peers::Peers;
 use crate::probe;
 use crate::store::{BoxFuture, ChangeBatch, Store, WatchSink};
--- a/crates/skylarkshore-host/src/exchange.rs
+++ b/crates/skylarkshore-host/src/exchange.rs
@@ -1,10 +1,8 @@
 //! Connects a platform's caller interface with the core. Start with [`Exchange::run`].
 
 mod body;
-mod connections;
 mod reply;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,12 +18,12 @@
 use crate::answer_buffer::AnswerBuffer;
 use crate::byte_budget::ByteBudget;
 use crate::config::{BufferLimits, Intake};
+use crate::connections::{Connection, Connections};
 use crate::driver::Snapshot;
 use crate::env::Env;
 use crate::pending::{Outgoing, PendingRequest, RefusalFormat};
 
 pub use body::{BodyFault, read as read_body, read_off};
-pub use connections::{Connections, WatchedListener};
 
 use reply::{ReadingLimits, RequestGuard};
 
@@ -65,8 +63,6 @@
 /// A validated request, ready for the core.
 #[expect(missing_debug_implementations, reason = "the refusal format has no useful debug output")]
 pub struct CheckedRequest {
-    /// The caller's socket address.
-    pub caller: SocketAddr,
     /// When its head arrived.
     pub begun: Instant,
     /// The kind of target, as a metrics label.
@@ -87,14 +83,14 @@
 
     /// Submits a request to the core and waits for the head of its answer.
     pub async fn run(&self, checked: CheckedRequest) -> WebResponse {
-        let CheckedRequest { caller, begun, target, arrival, outgoing, refusals } = checked;
+        let CheckedRequest { begun, target, arrival, outgoing, refusals } = checked;
         let label = outgoing.label.clone();
         let buffer = AnswerBuffer::new(self.answers.clone(), self.buffers.answer);
         let (pending, reply) = PendingRequest::new(outgoing, Arc::clone(&refusals), buffer.clone());
         let hard_deadline = self.env.clock.instant(arrival.deadline.after(ANSWER_GRACE));
         let request = self.env.requests.insert(pending);
-        let watched = self.connections.get(caller);
-        let guard = RequestGuard::begin(self.env.clone(), request, target, label, begun, watched, buffer);
+        let connection = Connection::current();
+        let guard = RequestGuard::begin(self.env.clone(), request, target, label, begun, connection, buffer);
         self.env.inbox.event(Event::Arrived { request, arrival }).await;
         let limits = ReadingLimits { hard_deadline, stall: self.buffers.stall };
         guard.respond(reply, limits, &*refusals).await
--- a/crates/skylarkshore-host/src/exchange/reply.rs
+++ b/crates/skylarkshore-host/src/exchange/reply.rs
@@ -1,6 +1,7 @@
 //! Forwards an answer to the caller as it arrives. Start with [`RequestGuard::respond`].
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -8,6 +9,8 @@
 use derive_more::{Display, Error};
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
+use http::HeaderValue;
+use http::header::CONNECTION;
 use skylarkshore_core::Event;
 use skylarkshore_core::effect::{Refusal, RefusalOutcome, RefusalReason};
 use skylarkshore_core::id::RequestId;
@@ -19,8 +22,8 @@
 use xitca_web::http::WebResponse;
 
 use crate::answer_buffer::AnswerBuffer;
+use crate::connections::Connection;
 use crate::env::Env;
-use crate::exchange::connections::WatchedConnection;
 use crate::metrics::RequestEnd;
 use crate::pending::{Piece, RefusalFormat, Reply, ReplyBody};
 
@@ -33,7 +36,7 @@
     request: RequestId,
     target: &'static str,
     begun: Instant,
-    watched: Option<WatchedConnection>,
+    connection: Option<Arc<Connection>>,
     /// The request id that the caller chose, for the log; `request` is the host's own id.
     label: String,
     timing: DeliveryTiming,
@@ -81,19 +84,16 @@
         target: &'static str,
         label: String,
         begun: Instant,
-        watched: Option<WatchedConnection>,
+        connection: Option<Arc<Connection>>,
         buffer: AnswerBuffer,
     ) -> Self {
         env.metrics.request_begun();
-        if let Some(watched) = &watched {
-            watched.set_busy(true);
-        }
         Self {
             env,
             request,
             target,
             begun,
-            watched,
+            connection,
             label,
             timing: DeliveryTiming::default(),
             buffer,
@@ -110,12 +110,12 @@
         refusals: &dyn RefusalFormat,
     ) -> WebResponse {
         let ReadingLimits { hard_deadline, .. } = limits;
-        let mut watched = self.watched.clone();
+        let connection = self.connection.clone();
         let reply = tokio::select! {
             reply = reply => reply.ok(),
-            () = disconnected(watched.as_mut()) => {
-                // The caller has disconnected; dropping `self` notifies the core.
-                return WebResponse::new(ResponseBody::empty());
+            () = disconnected(connection.as_deref()) => {
+                // Dropping `self` notifies the core. A caller that has closed its sending side only reads this.
+                return refusal_of_unknown_outcome(refusals, RefusalReason::CallerGone);
             }
             () = tokio::time::sleep_until(hard_deadline) => None,
         };
@@ -125,7 +125,7 @@
             self.end(RequestEnd::Refused("unknown"));
             // For the core this is like a disconnect: the upstream's work has to stop.
             self.env.inbox.event(Event::CallerGone { request: self.request }).await;
-            return unanswered_refusal(refusals);
+            return refusal_of_unknown_outcome(refusals, RefusalReason::DeadlinePassedRunning);
         };
         self.env.metrics.answer_started(self.target, self.begun.elapsed());
         self.schedule_close(limits);
@@ -137,7 +137,7 @@
     /// The server waits without limit for a caller that reads nothing. Such a
     /// caller would hold its connection and the request's memory forever.
     fn schedule_close(&mut self, limits: ReadingLimits) {
-        let Some(watched) = self.watched.clone() else { return };
+        let Some(connection) = self.connection.clone() else { return };
         let (env, request, label) = (self.env.clone(), self.request, self.label.clone());
         let buffer = self.buffer.clone();
         let task = tokio::spawn(async move {
@@ -146,7 +146,7 @@
                 () = answer_overdue(&buffer, limits.hard_deadline) => {}
                 () = buffer.until_stalled(limits.stall) => log_stalled(&env, request, &label, &buffer),
             }
-            watched.force_close();
+            connection.force_close();
         });
         self.watchdog = Some(task.abort_handle());
     }
@@ -175,9 +175,6 @@
         if let Some(watchdog) = self.watchdog.take().filter(|_| self.buffer.len() == 0) {
             watchdog.abort();
         }
-        if let Some(watched) = &self.watched {
-            watched.set_busy(false);
-        }
         let took = self.begun.elapsed();
         self.env.requests.remove(self.request);
         self.env.metrics.request_ended(self.target, end, took);
@@ -215,24 +212,22 @@
     }
 }
 
-async fn disconnected(watched: Option<&mut WatchedConnection>) {
-    match watched {
-        Some(watched) => watched.disconnected().await,
+async fn disconnected(connection: Option<&Connection>) {
+    match connection {
+        Some(connection) => connection.disconnected().await,
         None => std::future::pending().await,
     }
 }
 
-/// Builds the refusal for a request that the core left unanswered; its outcome is unknown.
-fn unanswered_refusal(refusals: &dyn RefusalFormat) -> WebResponse {
-    let refusal = Refusal {
-        outcome: RefusalOutcome::Unknown,
-        reason: RefusalReason::DeadlinePassedRunning,
-        retry_after: Some(Duration::from_secs(1)),
-    };
+/// Builds the refusal of a request that may run or have run; its connection is closed.
+fn refusal_of_unknown_outcome(refusals: &dyn RefusalFormat, reason: RefusalReason) -> WebResponse {
+    let refusal =
+        Refusal { outcome: RefusalOutcome::Unknown, reason, retry_after: Some(Duration::from_secs(1)) };
     let formatted = refusals.whole(&refusal);
     let mut res = WebResponse::new(ResponseBody::bytes(formatted.body));
     *res.status_mut() = formatted.status;
     *res.headers_mut() = formatted.headers;
+    res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     res
 }
 
@@ -248,14 +243,14 @@
 
 impl ForwardedBody {
     fn new(guard: RequestGuard, pieces: mpsc::Receiver<Piece>, len: Option<u64>) -> Self {
-        let mut watched = guard.watched.clone();
-        let disconnected = async move { disconnected(watched.as_mut()).await }.boxed();
+        let connection = guard.connection.clone();
+        let disconnected = async move { disconnected(connection.as_deref()).await }.boxed();
         Self { guard, pieces, len, disconnected, broken_off: false }
     }
 
     fn break_off(&mut self) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
-        if let Some(watched) = &self.guard.watched {
-            watched.force_close();
+        if let Some(connection) = &self.guard.connection {
+            connection.force_close();
         }
         Poll::Ready(Some(Err(BrokenOff)))
     }
--- a/crates/skylarkshore-host/src/lib.rs
+++ b/crates/skylarkshore-host/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod call_error;
 pub mod clock;
 pub mod config;
+pub mod connections;
 pub mod digest;
 pub mod driver;
 pub mod engines;
--- a/crates/skylarkshore-host/src/operators.rs
+++ b/crates/skylarkshore-host/src/operators.rs
@@ -43,7 +43,7 @@
 ) -> std::io::Result<server::RunningServer> {
     let head_timeout = std::time::Duration::from_secs(5);
     let app = App::new().with_state(state).at("/", fn_service(handle)).at("/{*path}", fn_service(handle));
-    server::start(app.serve(), [listener], head_timeout, server::OPERATOR_WORKERS)
+    server::start(app.finish(), [listener], &Arc::default(), head_timeout, server::OPERATOR_WORKERS)
 }
 
 async fn handle(ctx: WebContext<'_, OperatorState>) -> Result<WebResponse, Infallible> {
--- a/crates/skylarkshore-host/src/server.rs
+++ b/crates/skylarkshore-host/src/server.rs
@@ -1,7 +1,9 @@
 //! The HTTP server used for callers and operators. Start with [`start`].
 
 use std::fmt;
+use std::net::{SocketAddr, TcpListener};
 use std::num::NonZero;
+use std::sync::Arc;
 use std::thread::available_parallelism;
 use std::time::Duration;
 
@@ -9,13 +11,16 @@
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Request, Response, StatusCode};
 use serde::Serialize;
-use xitca_server::ServerHandle;
-use xitca_server::net::IntoListener;
-use xitca_web::HttpServer;
+use xitca_http::HttpServiceBuilder;
+use xitca_http::config::HttpServiceConfig;
+use xitca_io::net::TcpStream;
+use xitca_server::{Builder, ServerHandle};
 use xitca_web::body::{Body, RequestBody, ResponseBody};
 use xitca_web::http::{RequestExt, WebResponse};
-use xitca_web::service::Service;
 use xitca_web::service::ready::ReadyService;
+use xitca_web::service::{Service, ServiceExt};
+
+use crate::connections::{AcceptorMaker, ClosableListener, Connections, ScopeMaker, TrackerMaker};
 
 /// The most headers of a request; more are refused with an error body.
 pub const MAX_HEADERS: usize = 64;
@@ -29,6 +34,9 @@
 /// Idle time-out of connections between requests.
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
 
+/// The name of a server's service, the same on all of its listeners.
+const SERVICE_NAME: &str = "http";
+
 /// The most threads that serve callers.
 const MAX_CALLER_WORKERS: usize = 2;
 /// Threads that serve operators.
@@ -57,14 +65,15 @@
     }
 }
 
-/// Starts a server on one or more listeners.
+/// Starts a server on one or more listeners, until [`Connections::close`] or [`RunningServer::stop`].
 ///
 /// # Errors
 ///
 /// The system can't start threads.
-pub fn start<S, B, L>(
-    server: HttpServer<S>,
-    listeners: impl IntoIterator<Item = L>,
+pub fn start<S, B>(
+    app: S,
+    listeners: impl IntoIterator<Item = TcpListener>,
+    connections: &Arc<Connections>,
     head_timeout: Duration,
     workers: usize,
 ) -> std::io::Result<RunningServer>
@@ -75,22 +84,26 @@
     <S::Response as Service<Request<RequestExt<RequestBody>>>>::Error: fmt::Debug,
     B: Body<Data = Bytes> + 'static,
     B::Error: fmt::Debug + 'static,
-    L: IntoListener + 'static,
 {
-    let mut server = server
-        .server_threads(1)
-        .worker_threads(workers)
-        .worker_max_blocking_threads(1)
-        .disable_signal()
+    let config = HttpServiceConfig::new()
         .keep_alive_timeout(KEEP_ALIVE)
         .request_head_timeout(head_timeout)
         .max_request_headers::<HARD_MAX_HEADERS>()
         .max_read_buf_size::<HARD_MAX_HEAD_LEN>()
         .max_write_buf_size::<WRITE_BUF_LEN>();
+    let http = HttpServiceBuilder::h1().config(config).with_tls(AcceptorMaker(Arc::clone(connections)));
+    let service = Arc::new(app.enclosed(TrackerMaker).enclosed(http).enclosed(ScopeMaker));
+    let mut server = Builder::new()
+        .server_threads(1)
+        .worker_threads(workers)
+        .worker_max_blocking_threads(1)
+        .disable_signal();
     for listener in listeners {
-        server = server.listen(listener)?;
+        let listener = ClosableListener::new(listener, Arc::clone(connections));
+        server =
+            server.listen::<_, _, _, (TcpStream, SocketAddr)>(SERVICE_NAME, listener, Arc::clone(&service));
     }
-    let mut server = server.run();
+    let mut server = server.build();
     let handle = server.handle()?;
     // The server owns a runtime, which must not be dropped inside another one.
     std::thread::Builder::new().name("skylarkshore-accept".to_owned()).spawn(move || server.wait())?;
