Run no request whose body its caller has cut short

What callers saw: a caller who closed its connection, or its sending side, within the body of a request could have the first part of it run as if it were the whole request.

Cause: the HTTP server reports the end of what a caller sends as the end of the body, with a stated length as well as with chunks. The request was submitted, and whether a replica got it depended on whether the caller's leaving was noticed before the request was written upstream.

The connection records a read that ends within the body of the request in progress, which is exact for both framings: a complete body is never read beyond its end.

--- a/crates/skylarkshore-host/src/connections.rs
+++ b/crates/skylarkshore-host/src/connections.rs
@@ -11,7 +11,7 @@
 use std::cell::OnceCell;
 use std::net::Shutdown;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 
 use socket2::SockRef;
 use tokio::io::Interest;
@@ -81,12 +81,15 @@
     stream: TcpStream,
     /// A [`Phase`].
     phase: AtomicU8,
+    /// Whether the caller has ended what it sends within the body of the request in progress.
+    is_body_cut: AtomicBool,
     connections: Arc<Connections>,
 }
 
 impl Connection {
     const fn new(stream: TcpStream, connections: Arc<Connections>) -> Self {
-        Self { stream, phase: AtomicU8::new(Phase::Idle as u8), connections }
+        let phase = AtomicU8::new(Phase::Idle as u8);
+        Self { stream, phase, is_body_cut: AtomicBool::new(false), connections }
     }
 
     /// Returns the connection of the request that the current task handles; `None` outside of a server.
@@ -113,6 +116,18 @@
         _ = SockRef::from(&self.stream).shutdown(Shutdown::Both);
     }
 
+    /// Reports whether the caller has ended what it sends within the body of the request in progress.
+    ///
+    /// To the server, such a body looks complete.
+    pub(crate) fn is_body_cut(&self) -> bool {
+        self.is_body_cut.load(Ordering::Relaxed)
+    }
+
+    fn begin_request(&self) {
+        self.is_body_cut.store(false, Ordering::Relaxed);
+        self.set_phase(Phase::Handling);
+    }
+
     fn set_phase(&self, phase: Phase) {
         self.phase.store(phase as u8, Ordering::Relaxed);
     }
--- a/crates/skylarkshore-host/src/connections/serve.rs
+++ b/crates/skylarkshore-host/src/connections/serve.rs
@@ -122,10 +122,13 @@
 
     async fn call(&self, req: Request<RequestExt<RequestBody>>) -> Result<Response<B>, S::Error> {
         let connection = Connection::current();
-        let set_phase = |phase| connection.iter().for_each(|connection| connection.set_phase(phase));
-        set_phase(Phase::Handling);
+        if let Some(connection) = &connection {
+            connection.begin_request();
+        }
         let res = self.0.call(req).await;
-        set_phase(Phase::Answering);
+        if let Some(connection) = &connection {
+            connection.set_phase(Phase::Answering);
+        }
         res
     }
 }
--- a/crates/skylarkshore-host/src/connections/stream.rs
+++ b/crates/skylarkshore-host/src/connections/stream.rs
@@ -4,6 +4,7 @@
 use std::net::Shutdown;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use socket2::SockRef;
 use xitca_io::io::{AsyncBufRead, AsyncBufWrite, BoundedBuf, BoundedBufMut};
@@ -27,7 +28,11 @@
     async fn read<B: BoundedBufMut>(&self, buf: B) -> (io::Result<usize>, B) {
         let mut read = pin!(AsyncBufRead::read(&self.0.stream, buf));
         if self.0.is_in(Phase::Handling) {
-            return read.await;
+            let read = read.await;
+            if matches!(read.0, Ok(0)) {
+                self.0.is_body_cut.store(true, Ordering::Relaxed);
+            }
+            return read;
         }
         self.0.set_phase(Phase::Idle);
         tokio::select! {
--- a/crates/skylarkshore-host/src/exchange/body.rs
+++ b/crates/skylarkshore-host/src/exchange/body.rs
@@ -12,6 +12,7 @@
 
 use crate::byte_budget::{ByteBudget, Held};
 use crate::config::Intake;
+use crate::connections::Connection;
 
 /// How long the rest of a refused body is read, so that the sender can read the answer.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
@@ -79,6 +80,9 @@
                 return Err(BodyFault::NoRoom);
             }
         }
+        if Connection::current().is_some_and(|connection| connection.is_body_cut()) {
+            return Err(BodyFault::Broken);
+        }
         if buf.is_empty() {
             return Ok(Bytes::new());
         }
