Conclude a stream's version from the host list alone

What callers saw, in the users' report from a system like this one: after a kill of all hosts, streams that were taken up were joined from two versions.

Cause: where no host keeps a stream's version, it went on if one version alone had served while it could have begun. How old it could be was worked out from the time that its caller stated and the route's time-out of now; a host list that had been read once counted as the latest, however old; and a peer that knew of two versions answered like one that knew nothing.

Now a stream may be an hour old, whatever its caller states. A host that hasn't known the list for so long must have started with the whole system (first_start, which the platform states as bootstrap) or be told by a peer that hasn't missed anything. Peers name the versions that they have seen, and a second one outweighs all claims. A stream waits until this host's list is known as of its arrival, 1.5 s at most; a host whose list is older than 3 s claims nothing. A complete list that is read after a gap begins a new history.

One check was wrong and is replaced: it let a stream go on at version 1, on the word of one peer, at a host that had both versions on its own list. That case now has to be refused, and the case in which the stream may go on is kept with a host that sees one version only.

--- a/crates/skylarkshore-core/src/config.rs
+++ b/crates/skylarkshore-core/src/config.rs
@@ -34,6 +34,8 @@
     pub watchers: Watchers,
     /// The host's capacity relative to the others.
     pub capacity: Capacity,
+    /// Whether the whole system starts for the first time, so that no stream can have begun before.
+    pub is_first_start: bool,
 }
 
 /// Which processes watch the key-value service.
--- a/crates/skylarkshore-core/src/cx.rs
+++ b/crates/skylarkshore-core/src/cx.rs
@@ -8,6 +8,7 @@
 use crate::config::NodeConfig;
 use crate::effect::{Decision, Effect, LogEvent};
 use crate::id::{AttemptId, CallId, HostId, OrderId, RequestId};
+use crate::list_knowledge::ListKnowledge;
 use crate::peer::{Envelope, PeerMessage};
 use crate::rules::MinuteOfDay;
 use crate::store::{StoreCache, WriteRequest};
@@ -37,6 +38,8 @@
     pub cache: &'a StoreCache,
     /// Upstreams (engines and service replicas), which the host list names.
     pub upstreams: &'a UpstreamList,
+    /// Up to when the host list is known, and since when nothing of it was missed.
+    pub list: ListKnowledge,
     /// Collected effects.
     pub effects: &'a mut Vec<Effect>,
     /// Write requests collected from the handler, which are queued when it returns.
--- a/crates/skylarkshore-core/src/event.rs
+++ b/crates/skylarkshore-core/src/event.rs
@@ -1,7 +1,5 @@
 //! Inputs to the state machine. [`Event`] is the type to start with; [`Arrival`] describes a request.
 
-use std::time::Duration;
-
 use derive_more::Display;
 
 use crate::accounts::Charge;
@@ -82,8 +80,6 @@
     Rest {
         /// The stream, if the caller names it.
         stream: Option<StreamId>,
-        /// How long before the request arrived the stream can have begun.
-        max_age: Duration,
     },
 }
 
--- a/crates/skylarkshore-core/src/lib.rs
+++ b/crates/skylarkshore-core/src/lib.rs
@@ -19,6 +19,7 @@
 mod evidence;
 pub mod follower;
 pub mod id;
+pub mod list_knowledge;
 pub mod loading;
 mod member_count;
 pub mod node;
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -19,6 +19,7 @@
 use crate::effect::Effect;
 use crate::event::Event;
 use crate::id::{CallId, HostId, StoreEra, StoreRevision};
+use crate::list_knowledge::ListKnowledge;
 use crate::loading::Loading;
 use crate::peer::{Envelope, PeerMessage};
 use crate::removal_grace::RemovalGrace;
@@ -39,6 +40,7 @@
     document: Arc<Document>,
     cache: StoreCache,
     upstreams: UpstreamList,
+    list: ListKnowledge,
     removal_grace: RemovalGrace,
     counters: Counters,
     rng: SmallRng,
@@ -82,6 +84,7 @@
             document: Arc::new(Document { rules: cfg.default_rules.clone(), ..Document::default() }),
             cache: StoreCache::default(),
             upstreams: UpstreamList::default(),
+            list: ListKnowledge::default(),
             removal_grace: RemovalGrace::new(),
             counters: Counters::default(),
             rng: SmallRng::seed_from_u64(cfg.seed),
@@ -108,6 +111,7 @@
             switched
         });
         self.dispatch(now, event, &mut effects);
+        self.list.on_complete(self.control.complete_at(), self.cfg.is_first_start);
         if switched.is_some() {
             self.with_cx(now, &mut effects, |cx, parts| parts.serving.on_paths_switched(cx));
         }
@@ -181,6 +185,7 @@
             }
             Event::Shutdown => self.on_shutdown(now, effects),
             Event::HostList(list) => {
+                self.list.on_list(now, self.cfg.is_first_start);
                 let grace = self.cfg.timings.list_grace;
                 let changes = self.removal_grace.changes_for_list(now, grace, list, &self.upstreams);
                 self.apply_upstream_changes(now, changes, effects);
@@ -202,6 +207,7 @@
                 self.with_cx(now, effects, |cx, parts| parts.control.on_news_skipped(cx, &news));
             }
             Event::State { upto, records } => {
+                self.list.on_state();
                 self.apply_snapshot(now, upto, records, effects);
                 self.with_cx(now, effects, |cx, parts| parts.control.on_snapshot(cx, upto));
             }
@@ -507,6 +513,7 @@
             document: &self.document,
             cache: &self.cache,
             upstreams: &self.upstreams,
+            list: self.list,
             effects,
             writes: &mut write_requests,
             counters: &mut self.counters,
--- a/crates/skylarkshore-core/src/peer/stream.rs
+++ b/crates/skylarkshore-core/src/peer/stream.rs
@@ -46,7 +46,16 @@
     /// This version began it.
     Kept(StatedVersion),
     /// Nothing is kept, but this version alone has served since the stream can have begun.
+    ///
+    /// Hosts of the version before this one answer so.
     OnlyServed(StatedVersion),
     /// Nothing is known.
     Unknown,
+    /// Nothing is kept.
+    Served {
+        /// The versions that are known to have served while the stream can have begun.
+        versions: Vec<StatedVersion>,
+        /// Whether none is missing.
+        is_complete: bool,
+    },
 }
--- a/crates/skylarkshore-core/src/serving/served_versions.rs
+++ b/crates/skylarkshore-core/src/serving/served_versions.rs
@@ -4,15 +4,18 @@
 
 use std::time::Duration;
 
-use crate::collections::{HashMap, OrderedMap};
+use crate::collections::{HashMap, OrderedMap, OrderedSet};
 use crate::cx::Cx;
 use crate::id::UpstreamId;
 use crate::serving::budget::Destination;
 use crate::time::Time;
 use crate::upstream::{StatedVersion, Upstream, UpstreamKind};
 
-/// How long a version is remembered that nothing runs any more; longer than any stream lasts.
-const USE_TTL: Duration = Duration::from_hours(1);
+/// The greatest age of a stream that a caller takes up, and how long a version is remembered that nothing
+/// runs any more.
+///
+/// The time that a caller states and a route's time-out, which may have been changed, prove no lower age.
+pub(super) const MAX_STREAM_AGE: Duration = Duration::from_hours(1);
 
 /// The version that an upstream runs, and whom it serves.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -41,8 +44,6 @@
 /// The versions on the host list, now and lately.
 #[derive(Debug, Default)]
 pub(super) struct ServedVersions {
-    /// When the host list was first read.
-    since: Option<Time>,
     listed: HashMap<UpstreamId, Service>,
     uses: OrderedMap<Service, Use>,
 }
@@ -50,7 +51,6 @@
 impl ServedVersions {
     /// Applies changes of the host list.
     pub(super) fn on_host_list(&mut self, cx: &Cx<'_>, touched: &[UpstreamId]) {
-        self.since.get_or_insert(cx.now);
         for id in touched {
             let after = cx.upstreams.get(id).map(Service::from);
             if self.listed.get(id) == after.as_ref() {
@@ -76,27 +76,24 @@
         }
     }
 
-    /// Returns the version that alone has served a destination for the last `span`, if that is known.
-    pub(super) fn only_one(
-        &self,
-        now: Time,
-        destination: &Destination,
-        span: Duration,
-    ) -> Option<StatedVersion> {
-        if !self.since?.after(span).is_due(now) {
-            return None;
-        }
-        let has_served = |used: &Use| used.ended_at.is_none_or(|at| !at.after(span).is_due(now));
-        let mut served = self
+    /// Returns the versions that have served a destination while a stream can have begun, as far as this
+    /// process knows.
+    pub(super) fn seen(&self, now: Time, destination: &Destination) -> OrderedSet<StatedVersion> {
+        let has_served = |used: &Use| used.ended_at.is_none_or(|at| !at.after(MAX_STREAM_AGE).is_due(now));
+        let served = self
             .uses
             .iter()
             .filter(|(service, used)| service.destination == *destination && has_served(used));
-        let (first, _) = served.next()?;
-        served.next().is_none().then(|| first.software.clone())
+        served.map(|(service, _)| service.software.clone()).collect()
     }
 
     /// Forgets versions that nothing has run for long.
     pub(super) fn remove_expired(&mut self, now: Time) {
-        self.uses.retain(|_, used| used.ended_at.is_none_or(|at| !at.after(USE_TTL).is_due(now)));
+        self.uses.retain(|_, used| used.ended_at.is_none_or(|at| !at.after(MAX_STREAM_AGE).is_due(now)));
     }
 }
+
+/// Reports whether this process has missed no version that has served while a stream can have begun.
+pub(super) fn is_complete(cx: &Cx<'_>) -> bool {
+    cx.list.coverage().is_some_and(|coverage| coverage.covers(cx.now, MAX_STREAM_AGE))
+}
--- a/crates/skylarkshore-core/src/serving/stream_origins.rs
+++ b/crates/skylarkshore-core/src/serving/stream_origins.rs
@@ -46,10 +46,25 @@
 struct Lookup {
     requests: Vec<RequestId>,
     unanswered: OrderedSet<HostId>,
-    only_served: OrderedSet<StatedVersion>,
+    served: Served,
     until: Time,
 }
 
+/// The versions that have served while a stream can have begun, as far as hosts know.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Served {
+    pub(super) versions: OrderedSet<StatedVersion>,
+    /// Whether one of the hosts has missed none.
+    pub(super) is_complete: bool,
+}
+
+impl Served {
+    fn add(&mut self, versions: impl IntoIterator<Item = StatedVersion>, is_complete: bool) {
+        self.versions.extend(versions);
+        self.is_complete |= is_complete;
+    }
+}
+
 /// The result of a lookup.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct Found {
@@ -57,8 +72,15 @@
     pub(super) requests: Vec<RequestId>,
     /// The version that began the stream, if a host keeps it.
     pub(super) kept: Option<StatedVersion>,
-    /// The versions of which hosts say that they alone have served.
-    pub(super) only_served: OrderedSet<StatedVersion>,
+    /// What the hosts asked know of the versions that have served.
+    pub(super) served: Served,
+}
+
+/// A request that takes up a stream as soon as the host list is known as of its arrival.
+#[derive(Clone, Debug)]
+pub(super) struct Unconfirmed {
+    pub(super) request: RequestId,
+    pub(super) served: Served,
 }
 
 /// The versions that this host keeps, and what it waits for.
@@ -67,6 +89,7 @@
     kept: OrderedMap<StreamId, Kept>,
     withheld: OrderedMap<AttemptId, Withheld>,
     lookups: OrderedMap<StreamId, Lookup>,
+    unconfirmed: Vec<Unconfirmed>,
 }
 
 impl StreamOrigins {
@@ -142,7 +165,7 @@
         let lookup = Lookup {
             requests: vec![request],
             unanswered: asked.into_iter().collect(),
-            only_served: OrderedSet::new(),
+            served: Served::default(),
             until: cx.now.after(LOOKUP_TIMEOUT),
         };
         self.lookups.insert(stream, lookup);
@@ -163,7 +186,11 @@
                 let lookup = self.lookups.remove(&stream)?;
                 return Some(Found { kept: Some(software.clone()), ..lookup.into() });
             }
-            StreamOrigin::OnlyServed(software) => _ = lookup.only_served.insert(software.clone()),
+            StreamOrigin::Served { versions, is_complete } => {
+                lookup.served.add(versions.iter().cloned(), *is_complete);
+            }
+            // A host of the version before this one may have taken an old list for the latest.
+            StreamOrigin::OnlyServed(software) => lookup.served.add([software.clone()], false),
             StreamOrigin::Unknown => {}
         }
         if !lookup.unanswered.is_empty() {
@@ -172,6 +199,16 @@
         self.lookups.remove(&stream).map(Found::from)
     }
 
+    /// Adds a request that waits for the host list to be confirmed.
+    pub(super) fn await_confirmation(&mut self, unconfirmed: Unconfirmed) {
+        self.unconfirmed.push(unconfirmed);
+    }
+
+    /// Takes the requests that wait for the host list to be confirmed.
+    pub(super) fn take_unconfirmed(&mut self) -> Vec<Unconfirmed> {
+        std::mem::take(&mut self.unconfirmed)
+    }
+
     /// Takes the lookups whose time is over.
     pub(super) fn on_tick(&mut self, now: Time) -> Vec<Found> {
         let overdue = self.lookups.extract_if(.., |_, lookup| lookup.until.is_due(now));
@@ -186,7 +223,7 @@
 
 impl From<Lookup> for Found {
     fn from(lookup: Lookup) -> Self {
-        Self { requests: lookup.requests, kept: None, only_served: lookup.only_served }
+        Self { requests: lookup.requests, kept: None, served: lookup.served }
     }
 }
 
--- a/crates/skylarkshore-core/src/serving/take_up.rs
+++ b/crates/skylarkshore-core/src/serving/take_up.rs
@@ -1,7 +1,10 @@
 //! Streams that callers take up after they were broken off, here or at another host.
 //!
 //! A stream goes on only at the software version that began it. Where that isn't known, the request is
-//! refused, unless one version alone has served while the stream can have begun.
+//! refused, unless one version alone has served while the stream can have begun. That conclusion rests on
+//! the host list alone: this host has known it without a gap for [`MAX_STREAM_AGE`], or since the whole
+//! system started, or another host has; it is known as of the request's arrival; and no host that is asked
+//! knows of a second version. Nothing that a caller states is part of it.
 
 use std::time::Duration;
 
@@ -16,7 +19,8 @@
 use crate::serving::budget::destination;
 use crate::serving::disposition::Disposition;
 use crate::serving::request::{Run, State};
-use crate::serving::stream_origins::Found;
+use crate::serving::served_versions::{self, MAX_STREAM_AGE};
+use crate::serving::stream_origins::{Found, Unconfirmed};
 use crate::serving::version_pin::VersionPin;
 use crate::upstream::StatedVersion;
 
@@ -24,8 +28,15 @@
 const KEPT_FACTOR: u32 = 2;
 /// The least time for which the version of a stream is kept.
 const MIN_KEPT: Duration = Duration::from_secs(30);
-/// How much earlier or later hosts may read a change of the host list.
-const LISTING_SKEW: Duration = Duration::from_secs(3);
+/// The greatest age of a host list by which other hosts are told that no version is missing.
+const MAX_LIST_AGE: Duration = Duration::from_secs(3);
+/// For how long a host must know the list by itself to go by what others know of the time before: their
+/// greatest age, and the time of their answers.
+const MIN_OVERLAP: Duration = Duration::from_secs(4);
+/// Longest time that a request waits until the host list is known as of its arrival.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(1500);
+/// The most versions that other hosts are told; from two on their number doesn't matter.
+const MAX_TOLD: usize = 2;
 
 impl Serving {
     /// Keeps the version of a stream that begins, and forwards its first event once another host has it.
@@ -64,65 +75,62 @@
     /// be queued now.
     pub(super) fn find_origin(&mut self, cx: &mut Cx<'_>, id: RequestId) -> bool {
         let Some(request) = self.requests.get_mut(&id) else { return false };
-        let Some(StreamPart::Rest { stream, max_age }) = request.arrival.stream else { return true };
+        let Some(StreamPart::Rest { stream }) = request.arrival.stream else { return true };
         if request.pin != VersionPin::Any {
             return true;
         }
+        request.set_state(State::FindingOrigin, cx.now);
         let destination = destination(cx, &request.arrival.target);
-        let Some(stream) = stream else {
-            self.find_only_served(cx, id, destination, max_age);
-            return false;
-        };
-        if let Some(software) = self.origins.get(stream) {
+        if let Some(software) = stream.and_then(|stream| self.origins.get(stream)) {
             let kept = Some(software.clone());
             self.settle_origin(cx, Found { requests: vec![id], kept, ..Found::default() });
             return false;
         }
-        request.set_state(State::FindingOrigin, cx.now);
-        let wanted = StreamMessage::Wanted { stream, destination, max_age };
+        // An unnamed stream is of no interest to others if this host has missed no version.
+        if stream.is_none() && served_versions::is_complete(cx) {
+            self.settle_origin(cx, Found { requests: vec![id], ..Found::default() });
+            return false;
+        }
+        let stream = stream.unwrap_or_else(|| stand_in(&destination));
+        let wanted = StreamMessage::Wanted { stream, destination, max_age: MAX_STREAM_AGE };
         if let Some(found) = self.origins.look_up(cx, stream, id, &wanted) {
             self.settle_origin(cx, found);
         }
         false
     }
 
-    /// Finds out for a stream that its caller doesn't name whether one version alone has served.
-    ///
-    /// Other hosts are asked under an id that stands for the destination and names no stream.
-    fn find_only_served(
-        &mut self,
-        cx: &mut Cx<'_>,
-        id: RequestId,
-        destination: Destination,
-        max_age: Duration,
-    ) {
-        if self.only_served(cx, &destination, max_age).is_some() {
-            return self.settle_origin(cx, Found { requests: vec![id], ..Found::default() });
-        }
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.set_state(State::FindingOrigin, cx.now);
-        }
-        let stream = stand_in(&destination, max_age);
-        let wanted = StreamMessage::Wanted { stream, destination, max_age };
-        if let Some(found) = self.origins.look_up(cx, stream, id, &wanted) {
-            self.settle_origin(cx, found);
+    /// Queues or refuses the requests whose stream's version was looked up.
+    fn settle_origin(&mut self, cx: &mut Cx<'_>, found: Found) {
+        let Found { requests, kept, served } = found;
+        for request in requests {
+            match &kept {
+                Some(software) => self.resume_or_refuse(cx, request, Some(software.clone()), "kept"),
+                None => self.settle_by_served(cx, Unconfirmed { request, served: served.clone() }),
+            }
         }
     }
 
-    /// Queues or refuses the requests whose stream's version was looked up.
-    fn settle_origin(&mut self, cx: &mut Cx<'_>, found: Found) {
-        let Found { requests, kept, only_served } = found;
-        for id in requests {
-            let Some(request) = self.requests.get(&id) else { continue };
-            let Some(StreamPart::Rest { max_age, .. }) = request.arrival.stream else { continue };
-            let mut only_served = only_served.clone();
-            let destination = destination(cx, &request.arrival.target);
-            only_served.extend(self.only_served(cx, &destination, max_age + cx.now.since(request.arrived)));
-            // Hosts that disagree haven't read the same host list.
-            let only_one = (only_served.len() == 1).then(|| only_served.pop_first()).flatten();
-            let source = if kept.is_some() { "kept" } else { "only_served" };
-            self.resume_or_refuse(cx, id, kept.clone().or(only_one), source);
+    /// Settles a stream of which no host keeps the version by the versions that have served.
+    fn settle_by_served(&mut self, cx: &mut Cx<'_>, unconfirmed: Unconfirmed) {
+        let Unconfirmed { request: id, ref served } = unconfirmed;
+        let Some(request) = self.requests.get(&id) else { return };
+        let destination = destination(cx, &request.arrival.target);
+        let mut versions = self.served_versions.seen(cx.now, &destination);
+        versions.extend(served.versions.iter().cloned());
+        // What others know reaches up to when this host began to know the list by itself.
+        let overlaps = || cx.list.coverage().is_some_and(|coverage| coverage.covers(cx.now, MIN_OVERLAP));
+        let is_complete = served_versions::is_complete(cx) || served.is_complete && overlaps();
+        if versions.len() != 1 || !is_complete {
+            return self.resume_or_refuse(cx, id, None, "none");
         }
+        // A version that has begun to serve since the list was last confirmed may have begun the stream.
+        if cx.list.known_at().is_some_and(|known_at| known_at >= request.arrived) {
+            return self.resume_or_refuse(cx, id, versions.pop_first(), "only_served");
+        }
+        if request.arrived.after(CONFIRMATION_TIMEOUT).is_due(cx.now) {
+            return self.resume_or_refuse(cx, id, None, "unconfirmed");
+        }
+        self.origins.await_confirmation(unconfirmed);
     }
 
     fn resume_or_refuse(
@@ -133,7 +141,7 @@
         source: &str,
     ) {
         let Some(software) = software else {
-            cx.log_decision(id, "stream_unknown", "source=none".to_owned());
+            cx.log_decision(id, "stream_unknown", format!("source={source}"));
             let reason = RefusalReason::StreamUnknown;
             let disposition = Disposition::Refuse { reason, retry_after: None };
             return self.apply_disposition(cx, id, disposition);
@@ -142,21 +150,19 @@
         cx.log_decision(id, "stream_taken_up", format!("version={named} source={source}"));
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.pin = VersionPin::Only(software.clone());
-        if let Some(StreamPart::Rest { stream: Some(stream), .. }) = request.arrival.stream {
+        if let Some(StreamPart::Rest { stream: Some(stream) }) = request.arrival.stream {
             self.keep_origin(cx, id, stream, software);
             self.origins.send(cx, stream);
         }
         self.admit(cx, id);
     }
 
-    /// Returns the version that alone has served a destination since a stream can have begun.
-    fn only_served(
-        &self,
-        cx: &Cx<'_>,
-        destination: &Destination,
-        max_age: Duration,
-    ) -> Option<StatedVersion> {
-        self.served_versions.only_one(cx.now, destination, max_age + LISTING_SKEW)
+    /// Returns what this host tells others of the versions that have served a destination.
+    fn served(&self, cx: &Cx<'_>, destination: &Destination) -> StreamOrigin {
+        let versions = self.served_versions.seen(cx.now, destination).into_iter().take(MAX_TOLD).collect();
+        // A host that was frozen or cut off can have missed what others know.
+        let is_confirmed = cx.list.known_at().is_some_and(|at| at.after(MAX_LIST_AGE) >= cx.now);
+        StreamOrigin::Served { versions, is_complete: is_confirmed && served_versions::is_complete(cx) }
     }
 
     /// Handles a peer's message about a stream.
@@ -171,11 +177,9 @@
                 let attempts = self.origins.on_noted(*stream);
                 self.forward_withheld(cx, attempts);
             }
-            StreamMessage::Wanted { stream, destination, max_age } => {
-                let only_served =
-                    || self.only_served(cx, destination, *max_age).map(StreamOrigin::OnlyServed);
+            StreamMessage::Wanted { stream, destination, .. } => {
                 let kept = self.origins.get(*stream).cloned().map(StreamOrigin::Kept);
-                let origin = kept.or_else(only_served).unwrap_or(StreamOrigin::Unknown);
+                let origin = kept.unwrap_or_else(|| self.served(cx, destination));
                 cx.send(from, PeerMessage::Stream(StreamMessage::Known { stream: *stream, origin }));
             }
             StreamMessage::Known { stream, origin } => {
@@ -193,6 +197,9 @@
         for found in self.origins.on_tick(cx.now) {
             self.settle_origin(cx, found);
         }
+        for unconfirmed in self.origins.take_unconfirmed() {
+            self.settle_by_served(cx, unconfirmed);
+        }
     }
 
     /// Forgets streams that callers no longer take up, and versions that nothing has run since.
@@ -203,12 +210,9 @@
 }
 
 /// Returns an id that stands for the streams of a service or pool and is no stream's own.
-///
-/// Requests whose streams can be equally old, to a second, share it.
-fn stand_in(destination: &Destination, max_age: Duration) -> StreamId {
+fn stand_in(destination: &Destination) -> StreamId {
     let name = destination.as_ref().map_or("", ServiceName::as_str);
     let mut bytes = [0; 32];
     bytes[..8].copy_from_slice(&name_hash(name).to_le_bytes());
-    bytes[8..16].copy_from_slice(&max_age.as_secs().to_le_bytes());
     StreamId(Digest(bytes))
 }
--- a/crates/skylarkshore-core/tests/fleet_size.rs
+++ b/crates/skylarkshore-core/tests/fleet_size.rs
@@ -41,6 +41,7 @@
         default_rules: Rules::default(),
         watchers: Watchers::Relayed,
         capacity: capacity(number),
+        is_first_start: false,
     }
 }
 
--- a/crates/skylarkshore-core/tests/knowledge_age.rs
+++ b/crates/skylarkshore-core/tests/knowledge_age.rs
@@ -34,6 +34,7 @@
         default_rules: Rules::default(),
         watchers: Watchers::Relayed,
         capacity: Capacity(100),
+        is_first_start: false,
     };
     Node::start(cfg, START).0
 }
--- a/crates/skylarkshore-core/tests/permits.rs
+++ b/crates/skylarkshore-core/tests/permits.rs
@@ -46,6 +46,7 @@
         default_rules: Rules::default(),
         watchers: Watchers::All,
         capacity: Capacity(500),
+        is_first_start: false,
     };
     Node::start(cfg, Time::START).0
 }
--- a/crates/skylarkshore-core/tests/serving/streams.rs
+++ b/crates/skylarkshore-core/tests/serving/streams.rs
@@ -5,16 +5,18 @@
 use skylarkshore_core::effect::{Effect, RefusalOutcome, RefusalReason};
 use skylarkshore_core::event::{Arrival, AttemptOutcome, StreamPart};
 use skylarkshore_core::id::{HostId, Incarnation, StreamId};
+use skylarkshore_core::list_knowledge::ListKnowledge;
 use skylarkshore_core::peer::{PeerMessage, StreamMessage, StreamOrigin};
+use skylarkshore_core::time::Time;
 
 use crate::support::serving::*;
 
 const STREAM: StreamId = StreamId(skylarkshore_core::id::Digest([9; 32]));
-/// Longer than the streams here can have lasted.
-const LONG_MS: u64 = 15_000;
+/// The greatest age of a stream that is taken up.
+const MAX_AGE: Duration = Duration::from_hours(1);
 
 const fn rest(stream: Option<StreamId>) -> StreamPart {
-    StreamPart::Rest { stream, max_age: Duration::from_secs(9) }
+    StreamPart::Rest { stream }
 }
 
 fn stream(p: &Process, part: StreamPart) -> Arrival {
@@ -117,37 +119,173 @@
     assert_refused_as_unknown(&mut p);
 }
 
-/// Guards against streams that are refused although one version alone has served, and against hosts that
-/// disagree which one that is.
+fn served(versions: &[&str], is_complete: bool) -> StreamOrigin {
+    StreamOrigin::Served { versions: versions.iter().map(|text| Some(name(text))).collect(), is_complete }
+}
+
+/// Creates a process that knows the host list from a time on, with one version.
+fn with_one_version(known_for: Duration) -> Process {
+    let mut p = Process::new("a", 1);
+    for replica in ["s1", "s2"] {
+        p.change_listed(replica, |listed| listed.software = Some(name("1")));
+    }
+    p.now = p.now.after(known_for);
+    p.confirm_list();
+    p
+}
+
+/// Guards against streams that are refused although one version alone has served while they can have begun,
+/// by this host's own knowledge, by another's, or since the whole system has started.
 #[test]
 fn a_stream_of_an_unknown_version_goes_on_where_one_version_alone_has_served() {
-    let only = |text| StreamOrigin::OnlyServed(Some(name(text)));
-    let mut p = with_versions();
+    let mut p = with_one_version(MAX_AGE);
+    p.arrive(1, stream(&p, rest(None)));
+    assert_eq!(p.take_sent().len(), 1);
+
+    let mut p = with_one_version(Duration::from_secs(5));
     p.arrive(1, stream(&p, rest(Some(STREAM))));
-    known(&mut p, "b", only("1"));
-    known(&mut p, "c", StreamOrigin::Unknown);
+    known(&mut p, "b", served(&["1"], true));
+    known(&mut p, "c", served(&["1"], false));
     assert_eq!(p.take_sent().len(), 1);
 
+    let mut p = Process::new("a", 1);
+    p.list = ListKnowledge::default();
+    p.cfg.is_first_start = true;
+    p.confirm_list();
+    p.change_listed("s1", |listed| listed.software = Some(name("1")));
+    p.arrive(1, stream(&p, rest(None)));
+    assert_eq!(p.take_sent().len(), 1);
+}
+
+/// Guards against joined streams after a kill of all hosts: the version that began a stream has left before
+/// this host first read the host list.
+#[test]
+fn what_has_served_since_a_start_says_nothing_of_streams_that_may_be_older() {
+    for known_for in [Duration::from_secs(20), Duration::from_mins(59)] {
+        let mut p = with_one_version(known_for);
+        p.arrive(1, stream(&p, rest(None)));
+        known(&mut p, "b", served(&["1"], false));
+        p.advance(300);
+        assert_refused_as_unknown(&mut p);
+    }
+}
+
+/// Guards against hosts that know of a second version and go by another that doesn't, since that was frozen
+/// or has started later.
+#[test]
+fn one_host_that_knows_of_a_second_version_outweighs_all_others() {
     let mut p = with_versions();
+    p.now = p.now.after(MAX_AGE);
+    p.confirm_list();
     p.arrive(1, stream(&p, rest(Some(STREAM))));
-    known(&mut p, "b", only("1"));
-    known(&mut p, "c", only("1.1"));
+    known(&mut p, "b", served(&["1"], true));
+    known(&mut p, "c", served(&["1"], true));
     assert_refused_as_unknown(&mut p);
 
-    let mut p = Process::new("a", 1);
-    for replica in ["s1", "s2"] {
-        p.change_listed(replica, |listed| listed.software = Some(name("1")));
-    }
-    p.advance(LONG_MS);
-    p.arrive(1, stream(&p, rest(None)));
+    let mut p = with_one_version(MAX_AGE);
+    p.arrive(1, stream(&p, rest(Some(STREAM))));
+    known(&mut p, "b", served(&["1"], true));
+    known(&mut p, "c", served(&["1", "1.1"], false));
+    assert_refused_as_unknown(&mut p);
+
+    let mut p = with_one_version(MAX_AGE);
+    p.arrive(1, stream(&p, rest(Some(STREAM))));
+    known(&mut p, "b", StreamOrigin::OnlyServed(Some(name("1.1"))));
+    known(&mut p, "c", StreamOrigin::Unknown);
+    assert_refused_as_unknown(&mut p);
+}
+
+/// Guards against the claims of hosts of the version before this one, which may rest on an old host list.
+#[test]
+fn a_claim_that_one_version_alone_has_served_is_no_proof() {
+    let mut p = with_one_version(Duration::from_secs(20));
+    p.arrive(1, stream(&p, rest(Some(STREAM))));
+    known(&mut p, "b", StreamOrigin::OnlyServed(Some(name("1"))));
+    known(&mut p, "c", StreamOrigin::OnlyServed(Some(name("1"))));
+    assert_refused_as_unknown(&mut p);
+}
+
+/// Guards against a host that goes by what others know up to a moment from which on it knows nothing itself.
+#[test]
+fn what_others_know_counts_only_once_this_host_follows_the_list_itself() {
+    let mut p = with_one_version(Duration::from_secs(1));
+    p.arrive(1, stream(&p, rest(Some(STREAM))));
+    known(&mut p, "b", served(&["1"], true));
+    known(&mut p, "c", served(&["1"], true));
+    assert_refused_as_unknown(&mut p);
+}
+
+/// Guards against a host that was frozen, or cut off, and takes its old list for the latest: a stream may
+/// have begun at a version that came meanwhile.
+#[test]
+fn a_stream_waits_until_the_host_list_is_known_as_of_its_arrival() {
+    let arrived = || {
+        let mut p = with_one_version(MAX_AGE);
+        p.now = p.now.after(Duration::from_millis(400));
+        p.arrive(1, stream(&p, rest(None)));
+        assert_eq!(p.take_sent(), []);
+        p
+    };
+    let mut p = arrived();
+    p.confirm_list();
+    p.advance(50);
     assert_eq!(p.take_sent().len(), 1);
+
+    let mut p = arrived();
     p.restart("s1", 1);
     p.change_listed("s1", |listed| listed.software = Some(name("1.1")));
-    p.arrive(2, stream(&p, rest(None)));
-    p.advance(300);
+    p.confirm_list();
+    p.advance(50);
+    assert_refused_as_unknown(&mut p);
+
+    let mut p = arrived();
+    p.advance(1500);
     assert_refused_as_unknown(&mut p);
 }
 
+/// Guards against other hosts that go by what a frozen host, or one that is cut off, tells them.
+#[test]
+fn a_host_whose_list_is_old_does_not_say_that_it_misses_no_version() {
+    for (age, is_complete) in [(Duration::from_secs(2), true), (Duration::from_secs(4), false)] {
+        let mut p = with_one_version(MAX_AGE);
+        p.now = p.now.after(age);
+        let destination = Some(name("booking"));
+        let wanted = StreamMessage::Wanted { stream: STREAM, destination, max_age: MAX_AGE };
+        p.peer("b", &PeerMessage::Stream(wanted));
+        let (to, told) = take_stream_messages(&mut p).remove(0);
+        let expected = StreamMessage::Known { stream: STREAM, origin: served(&["1"], is_complete) };
+        assert_eq!((to, told), (name("b"), expected));
+    }
+}
+
+/// Guards against a complete list that is taken for all that was on the list while this host couldn't read it.
+#[test]
+fn a_list_that_was_read_after_a_gap_begins_a_new_history() {
+    let secs = Duration::from_secs;
+    let covers = |list: ListKnowledge, now: Time| list.coverage().expect("it was read").covers(now, MAX_AGE);
+    let read_after = |gap: Duration, is_state: bool| {
+        let mut list = ListKnowledge::default();
+        list.on_complete(Some(Time::from_millis(1000)), false);
+        let before = Time::from_millis(1000).after(MAX_AGE);
+        list.on_complete(Some(before), false);
+        if is_state {
+            list.on_state();
+        }
+        list.on_complete(Some(before.after(gap)), false);
+        covers(list, before.after(gap))
+    };
+    assert!(read_after(secs(10), false), "changes that follow one another leave no gap");
+    assert!(read_after(secs(2), true));
+    assert!(!read_after(secs(10), true));
+
+    let mut polled = ListKnowledge::default();
+    polled.on_list(Time::from_millis(1000), true);
+    polled.on_complete(Some(Time::from_millis(9000)), true);
+    assert_eq!(polled.known_at(), Some(Time::from_millis(1000)), "the shared keys say nothing of this list");
+    polled.on_list(Time::from_millis(9000), true);
+    assert!(!covers(polled, Time::from_millis(9000)));
+}
+
 /// Guards against callers who wait for a version that nothing runs any more.
 #[test]
 fn a_stream_whose_version_is_gone_is_refused_at_once() {
--- a/crates/skylarkshore-core/tests/support/cluster.rs
+++ b/crates/skylarkshore-core/tests/support/cluster.rs
@@ -75,6 +75,7 @@
         default_rules: Rules::default(),
         watchers: Watchers::default(),
         capacity: Capacity::default(),
+        is_first_start: false,
     }
 }
 
--- a/crates/skylarkshore-core/tests/support/fleet.rs
+++ b/crates/skylarkshore-core/tests/support/fleet.rs
@@ -15,6 +15,7 @@
 use skylarkshore_core::id::{
     AccountName, CatalogueRevision, Digest, HostId, Incarnation, RequestId, StoreRevision,
 };
+use skylarkshore_core::list_knowledge::ListKnowledge;
 use skylarkshore_core::peer::{CreditMessage, Envelope, PeerMessage};
 use skylarkshore_core::quota::{CreditDecision, CreditOutcome, Quota};
 use skylarkshore_core::rules::{MinuteOfDay, Rules};
@@ -155,6 +156,7 @@
             default_rules: Rules::default(),
             watchers: Watchers::default(),
             capacity: Capacity::default(),
+            is_first_start: false,
         };
         Self {
             cfg,
@@ -415,6 +417,7 @@
             document: &self.document,
             cache: &self.cache,
             upstreams: &upstreams,
+            list: ListKnowledge::default(),
             effects: &mut effects,
             writes: &mut writes,
             counters: &mut host.counters,
--- a/crates/skylarkshore-core/tests/support/loading.rs
+++ b/crates/skylarkshore-core/tests/support/loading.rs
@@ -18,6 +18,7 @@
 use skylarkshore_core::id::{
     CallId, DataCentre, Digest, Fence, HostId, Incarnation, ModelName, OrderId, StoreRevision, UpstreamId,
 };
+use skylarkshore_core::list_knowledge::ListKnowledge;
 use skylarkshore_core::loading::Loading;
 use skylarkshore_core::peer::{Envelope, PeerMessage};
 use skylarkshore_core::rules::{IdleAfter, MinuteOfDay, Rules, ServiceOrder};
@@ -155,6 +156,7 @@
         default_rules: Rules::default(),
         watchers: Watchers::default(),
         capacity: Capacity::default(),
+        is_first_start: false,
     }
 }
 
@@ -527,6 +529,7 @@
             document: &self.document,
             cache: &self.cache,
             upstreams: &self.upstreams,
+            list: ListKnowledge::default(),
             effects,
             writes: &mut Vec::new(),
             counters: &mut self.counters,
--- a/crates/skylarkshore-core/tests/support/process.rs
+++ b/crates/skylarkshore-core/tests/support/process.rs
@@ -13,6 +13,7 @@
 use skylarkshore_core::cx::{Counters, Cx};
 use skylarkshore_core::effect::Effect;
 use skylarkshore_core::id::{CallId, HostId, Incarnation, ModelName, StoreRevision, UpstreamId};
+use skylarkshore_core::list_knowledge::ListKnowledge;
 use skylarkshore_core::peer::PeerMessage;
 use skylarkshore_core::rules::{MinuteOfDay, ServiceOrder};
 use skylarkshore_core::store::{
@@ -114,6 +115,7 @@
             document: &self.document,
             cache: &self.cache,
             upstreams: &self.upstreams,
+            list: ListKnowledge::default(),
             effects,
             writes: &mut write_requests,
             counters: &mut self.counters,
--- a/crates/skylarkshore-core/tests/support/relay.rs
+++ b/crates/skylarkshore-core/tests/support/relay.rs
@@ -190,6 +190,7 @@
         default_rules: Rules::default(),
         watchers: Watchers::Relayed,
         capacity: if number < LARGE_HOSTS { Capacity(500) } else { Capacity(120) },
+        is_first_start: false,
     }
 }
 
--- a/crates/skylarkshore-core/tests/support/serving.rs
+++ b/crates/skylarkshore-core/tests/support/serving.rs
@@ -14,6 +14,7 @@
 use skylarkshore_core::id::{
     AttemptId, CallId, Digest, Fence, HostId, Incarnation, LeaseId, RequestId, StoreRevision, UpstreamId,
 };
+use skylarkshore_core::list_knowledge::ListKnowledge;
 use skylarkshore_core::peer::{KnownNotices, NoticeMessage, PeerMessage};
 use skylarkshore_core::rules::{MinuteOfDay, Rules};
 use skylarkshore_core::serving::Serving;
@@ -103,6 +104,8 @@
     pub document: Document,
     pub cache: StoreCache,
     pub upstreams: UpstreamList,
+    /// Up to when the host list is known; tests of processes that were frozen or cut off leave it behind.
+    pub list: ListKnowledge,
     pub serving: Serving,
     /// The effects since they were last taken.
     pub effects: Vec<Effect>,
@@ -143,6 +146,7 @@
             default_rules: Rules::default(),
             watchers: Watchers::default(),
             capacity: Capacity::default(),
+            is_first_start: false,
         };
         let mut process = Self {
             now: Time::from_millis(1000),
@@ -151,12 +155,14 @@
             document: document(),
             cache: StoreCache::default(),
             upstreams: upstreams(),
+            list: ListKnowledge::default(),
             effects: Vec::new(),
             writes: WriteQueue::default(),
             counters: Counters::default(),
             rng: SmallRng::seed_from_u64(seed),
             cache_revision: 0,
         };
+        process.confirm_list();
         for (engine, owner) in [("e1", "b"), ("e2", "c"), ("e3", "a")] {
             process.cache_owner(engine, owner, 1);
         }
@@ -168,6 +174,11 @@
         process
     }
 
+    /// Records that the host list is known up to now.
+    pub fn confirm_list(&mut self) {
+        self.list.on_complete(Some(self.now), self.cfg.is_first_start);
+    }
+
     /// Ends the inquiry after the start: the process has run for a while.
     fn learn_notices(&mut self) {
         let known = KnownNotices { is_complete: true, ..KnownNotices::default() };
@@ -238,6 +249,7 @@
             document: &self.document,
             cache: &self.cache,
             upstreams: &self.upstreams,
+            list: self.list,
             effects: &mut self.effects,
             writes: &mut wanted,
             counters: &mut self.counters,
--- a/crates/skylarkshore-host/src/config.rs
+++ b/crates/skylarkshore-host/src/config.rs
@@ -50,6 +50,8 @@
     pub default_rules: Rules,
     /// Which hosts watch the key-value service.
     pub watchers: Watchers,
+    /// Whether the whole system starts for the first time.
+    pub is_first_start: bool,
     /// The host's capacity relative to the others.
     pub capacity: Capacity,
     /// The lowest level that is logged.
@@ -230,6 +232,7 @@
     let default_rules = read_rules(&mut root, report);
     let everyone_watches = root.optional(report, "everyone_watches", false, boolean);
     let news_relayed = root.optional(report, "news_relayed", false, boolean);
+    let is_first_start = root.optional(report, "first_start", false, boolean);
     let capacity = root.optional(report, "cores", Capacity::default(), limits::capacity);
     let log_level = read_log(&mut root, report);
     let memory = root.optional(report, "memory_mb", limits::DEFAULT_MEMORY, limits::memory);
@@ -244,6 +247,7 @@
         operator_address: operator_address?,
         platform: platform?,
         default_rules,
+        is_first_start,
         watchers: match (everyone_watches, news_relayed) {
             (false, _) => Watchers::OnePerDataCentre,
             (true, false) => Watchers::All,
--- a/crates/skylarkshore-host/src/run.rs
+++ b/crates/skylarkshore-host/src/run.rs
@@ -191,6 +191,7 @@
         default_rules: config.default_rules.clone(),
         watchers: config.watchers,
         capacity: config.capacity,
+        is_first_start: config.is_first_start,
     }
 }
 
--- a/crates/skylarkshore-standins/src/world/host.rs
+++ b/crates/skylarkshore-standins/src/world/host.rs
@@ -68,6 +68,7 @@
             default_rules: Rules::default(),
             watchers: Watchers::default(),
             capacity: Capacity::default(),
+            is_first_start: false,
         };
         Self {
             id: host.host.clone(),
--- a/crates/skylarkshore-standins/tests/world/stream_callers.rs
+++ b/crates/skylarkshore-standins/tests/world/stream_callers.rs
@@ -82,8 +82,7 @@
             caller.tries += 1;
             let number = world.callers.requests.len() as u64 + 100_000;
             let left = caller.deadline.remaining(now);
-            let part =
-                StreamPart::Rest { stream: Some(caller.stream), max_age: TIMEOUT.saturating_sub(left) };
+            let part = StreamPart::Rest { stream: Some(caller.stream) };
             caller.key = world.ask(host, &Self::ask(number, part, left));
         }
         self.reading.retain(|caller| !caller.deadline.is_due(now));
--- a/crates/skylarkshore-wire/src/peer/stream.rs
+++ b/crates/skylarkshore-wire/src/peer/stream.rs
@@ -23,6 +23,7 @@
     Kept(Option<SoftwareVersion>),
     OnlyServed(Option<SoftwareVersion>),
     Unknown,
+    Served { versions: Vec<Option<SoftwareVersion>>, is_complete: bool },
 }
 
 impl From<&StreamMessage> for StreamMessageWire {
@@ -61,6 +62,7 @@
             StreamOrigin::Kept(software) => Self::Kept(software),
             StreamOrigin::OnlyServed(software) => Self::OnlyServed(software),
             StreamOrigin::Unknown => Self::Unknown,
+            StreamOrigin::Served { versions, is_complete } => Self::Served { versions, is_complete },
         }
     }
 }
@@ -71,6 +73,7 @@
             StreamOriginWire::Kept(software) => Self::Kept(software),
             StreamOriginWire::OnlyServed(software) => Self::OnlyServed(software),
             StreamOriginWire::Unknown => Self::Unknown,
+            StreamOriginWire::Served { versions, is_complete } => Self::Served { versions, is_complete },
         }
     }
 }
--- a/crates/skylarkshore-wire/tests/formats.rs
+++ b/crates/skylarkshore-wire/tests/formats.rs
@@ -271,6 +271,7 @@
         StreamOrigin::Kept(None),
         StreamOrigin::OnlyServed(software.clone()),
         StreamOrigin::Unknown,
+        StreamOrigin::Served { versions: vec![software.clone(), None], is_complete: true },
     ];
     let known = origins.map(|origin| StreamMessage::Known { stream, origin });
     let messages = [
--- a/crates/skylarkshore/tests/command_line.rs
+++ b/crates/skylarkshore/tests/command_line.rs
@@ -73,7 +73,7 @@
       line 10, timings.hold_ms: is longer than lease_ttl_ms; make it shorter
       line 10, timings.renew_every_ms: leaves no second try within hold_ms; make it at most half of that
       line 10, timings.hold_ms: stands twice; remove one of them
-      line 11, colour: is unknown; remove it, or use one of: host, data_centre, caller_address, peer_address, operator_address, registry, store, hosts, default_rules, everyone_watches, news_relayed, cores, log, memory_mb, limits, timings
+      line 11, colour: is unknown; remove it, or use one of: host, data_centre, caller_address, peer_address, operator_address, registry, store, hosts, default_rules, everyone_watches, news_relayed, first_start, cores, log, memory_mb, limits, timings
     "#);
 }
 
