End a leaving host only after the ends of its answers are written

Cause: a request ended when the server had taken the last piece of its answer, of which up to 16 KB still waited in the server for the caller. The forced close of idle connections and the exit of the process went by that. The first half is mended since each request knows its own connection, as a connection closes by itself when the server reads the next head. The exit now waits until no connection has a request in progress or an answer that isn't written, and requests_cut_off counts these.

--- a/crates/skylarkshore-host/src/connections.rs
+++ b/crates/skylarkshore-host/src/connections.rs
@@ -11,7 +11,7 @@
 use std::cell::OnceCell;
 use std::net::Shutdown;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
 
 use socket2::SockRef;
 use tokio::io::Interest;
@@ -30,11 +30,13 @@
 #[derive(Debug)]
 pub struct Connections {
     closed: watch::Sender<bool>,
+    /// Those on which a request is handled or answered.
+    busy: AtomicUsize,
 }
 
 impl Default for Connections {
     fn default() -> Self {
-        Self { closed: watch::Sender::new(false) }
+        Self { closed: watch::Sender::new(false), busy: AtomicUsize::new(0) }
     }
 }
 
@@ -52,6 +54,12 @@
         *self.closed.borrow()
     }
 
+    /// Returns how many connections have a request in progress, or an answer of which the server still
+    /// holds a part.
+    pub fn busy(&self) -> usize {
+        self.busy.load(Ordering::Relaxed)
+    }
+
     async fn until_closed(&self) {
         // The sender lives as long as `self`, so this can't fail.
         _ = self.closed.subscribe().wait_for(|closed| *closed).await;
@@ -128,8 +136,14 @@
         self.set_phase(Phase::Handling);
     }
 
+    /// Only the server's task of this connection calls it.
     fn set_phase(&self, phase: Phase) {
-        self.phase.store(phase as u8, Ordering::Relaxed);
+        let was_idle = self.phase.swap(phase as u8, Ordering::Relaxed) == Phase::Idle as u8;
+        match (was_idle, phase == Phase::Idle) {
+            (true, false) => _ = self.connections.busy.fetch_add(1, Ordering::Relaxed),
+            (false, true) => _ = self.connections.busy.fetch_sub(1, Ordering::Relaxed),
+            _ => {}
+        }
     }
 
     fn is_in(&self, phase: Phase) -> bool {
--- a/crates/skylarkshore-host/src/connections/stream.rs
+++ b/crates/skylarkshore-host/src/connections/stream.rs
@@ -58,6 +58,7 @@
 
 impl Drop for ServedStream {
     fn drop(&mut self) {
+        self.0.set_phase(Phase::Idle);
         self.0.force_close();
     }
 }
--- a/crates/skylarkshore-host/src/run.rs
+++ b/crates/skylarkshore-host/src/run.rs
@@ -158,7 +158,7 @@
     let platform = platforms(&config, incarnation);
     let exchange = exchange(&config, incarnation, &env, snapshots.clone());
     let connections = Arc::clone(&exchange.connections);
-    let executor = effect_executor(&config, &*platform, &env, peers.clone(), connections);
+    let executor = effect_executor(&config, &*platform, &env, peers.clone(), Arc::clone(&connections));
     let (node, initial_effects) = Node::start(node_config, env.clock.now());
     let driver = Driver::new(node, env.clock, executor, snapshot, Arc::clone(&env.metrics));
     let operator_state = OperatorState {
@@ -171,8 +171,8 @@
     let operators = operators::serve(operator_state, sockets.operators).map_err(runtime_error)?;
     let callers = platform.serve(exchange, sockets.callers)?;
     platform.follow_upstreams(&env);
-    let code =
-        run_until_exit(driver, receiver, initial_effects, signals, || reload(source, &env), &env).await;
+    let reload = || reload(source, &env);
+    let code = run_until_exit(driver, receiver, initial_effects, signals, reload, &env, &connections).await;
     stop(&callers, &operators, &peers);
     Ok(code)
 }
@@ -243,16 +243,23 @@
 /// Runs until the core has exited and the callers have read their answers.
 ///
 /// For the core a request ends when its upstream has sent the last of the
-/// answer. A slow caller may still be reading it; exiting then would cut it off.
-async fn run_until_drained(driver: Driver, receiver: InboxReceiver, initial_effects: Vec<Effect>, env: &Env) {
+/// answer, and for the exchange when the server has taken that. A slow caller
+/// may still be reading it; exiting then would cut it off.
+async fn run_until_drained(
+    driver: Driver,
+    receiver: InboxReceiver,
+    initial_effects: Vec<Effect>,
+    env: &Env,
+    connections: &Connections,
+) {
     Box::pin(driver.run(receiver, initial_effects)).await;
     let deadline = Instant::now() + DRAIN_TIMEOUT;
-    while env.requests.len() > 0 && Instant::now() < deadline {
+    while env.requests.len().max(connections.busy()) > 0 && Instant::now() < deadline {
         sleep(FLUSH_INTERVAL).await;
     }
-    // The server writes the end of an answer after it has received the last piece.
+    // The server may be about to begin with the end of an answer.
     sleep(FLUSH_INTERVAL).await;
-    info!(env.log, "left"; "requests_cut_off" => env.requests.len());
+    info!(env.log, "left"; "requests_cut_off" => env.requests.len().max(connections.busy()));
 }
 
 async fn run_until_exit(
@@ -262,11 +269,12 @@
     signals: Signals,
     reload: impl Fn(),
     env: &Env,
+    connections: &Connections,
 ) -> ExitCode {
     tokio::select! {
-        () = run_until_drained(driver, receiver, initial_effects, env) => ExitCode::SUCCESS,
+        () = run_until_drained(driver, receiver, initial_effects, env, connections) => ExitCode::SUCCESS,
         () = signals.until_second_signal(env.clone(), reload) => {
-            let cut = env.requests.len();
+            let cut = env.requests.len().max(connections.busy());
             eprintln!("skylarkshore: ended at the second signal; {cut} requests in progress were cut off");
             ExitCode::FAILURE
         }
