Begin a new history of the host list after each complete read

What callers could see: streams joined from two versions, where one came and went while a host couldn't follow the host list.

Cause, found on reading the change again: only a peer's complete state counted as one after a gap. A host's own complete read, which follows when the service has forgotten its history, and the news by which a peer relays what such a read found, went as changes without a gap.

Evidence: a_complete_state_after_a_gap_begins_a_new_history_of_the_host_list failed with the code before at the host's own read (knowledge_age.rs:221) and passes now, with its four cases: changes, a peer's state, an own read, news without an age.

--- a/crates/skylarkshore-core/src/list_knowledge.rs
+++ b/crates/skylarkshore-core/src/list_knowledge.rs
@@ -62,8 +62,9 @@
         self.advance(now, is_first_start);
     }
 
-    /// Records that the complete state of the shared keys has taken the place of changes.
-    pub const fn on_state(&mut self) {
+    /// Records that a complete state of the shared keys has taken the place of changes, some of which may be
+    /// missing from it.
+    pub const fn on_replaced(&mut self) {
         self.is_replaced = true;
     }
 
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -140,6 +140,11 @@
         self.control.complete_at()
     }
 
+    /// Returns up to when the host list is known, and since when nothing of it was missed.
+    pub const fn list_knowledge(&self) -> ListKnowledge {
+        self.list
+    }
+
     /// Returns the upstreams (engines and service replicas), which the host list names.
     pub const fn upstreams(&self) -> &UpstreamList {
         &self.upstreams
@@ -207,7 +212,6 @@
                 self.with_cx(now, effects, |cx, parts| parts.control.on_news_skipped(cx, &news));
             }
             Event::State { upto, records } => {
-                self.list.on_state();
                 self.apply_snapshot(now, upto, records, effects);
                 self.with_cx(now, effects, |cx, parts| parts.control.on_snapshot(cx, upto));
             }
@@ -400,6 +404,10 @@
         }
         // Only the platform adapter can decode news; the changes return in `Event::Watched`.
         if let PeerMessage::News(news) = &message {
+            // A peer that has read everything relays what it found as news without an age.
+            if news.age.is_none() {
+                self.list.on_replaced();
+            }
             effects.push(Effect::ApplyNews(news.clone()));
         }
         // Control relays a broadcast; its inner message is then handled as if it came from the origin.
@@ -437,6 +445,7 @@
         records: Vec<Versioned>,
         effects: &mut Vec<Effect>,
     ) {
+        self.list.on_replaced();
         let changed = self.cache.apply_snapshot(revision, records);
         self.notify_changed_keys(now, &changed, effects);
     }
--- a/crates/skylarkshore-core/tests/knowledge_age.rs
+++ b/crates/skylarkshore-core/tests/knowledge_age.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use skylarkshore_core::config::{Limits, NodeConfig, Timings, Watchers};
-use skylarkshore_core::id::{Digest, HostId, Incarnation, StoreRevision};
+use skylarkshore_core::id::{CallId, Digest, HostId, Incarnation, StoreRevision};
 use skylarkshore_core::peer::{News, PeerMessage, StatePart};
 use skylarkshore_core::rules::{MinuteOfDay, Rules};
+use skylarkshore_core::store::StoreAnswer;
 use skylarkshore_core::units::Capacity;
 use skylarkshore_core::{Effect, Event, Node, Time};
 
@@ -193,3 +194,38 @@
     apply_state(&mut node, at(2_000), 2_000);
     assert_eq!(node.complete_at(), Some(at(999)));
 }
+
+/// Guards against streams that go on at another version than the one that began them: a version came and went
+/// while this host couldn't follow the host list, and the complete state that it reads afterwards, from the
+/// service or from a peer that has read it, doesn't tell.
+#[test]
+fn a_complete_state_after_a_gap_begins_a_new_history_of_the_host_list() {
+    let secs = Duration::from_secs;
+    let is_covered = |node: &Node, now: Time| {
+        let coverage = node.list_knowledge().coverage().expect("the list was read");
+        coverage.covers(now, now.since(START))
+    };
+    let later = |catch_up: fn(&mut Node)| {
+        let mut node = informed();
+        catch_up(&mut node);
+        hear_news(&mut node, at(10_000), news(20, 20, Some(0)));
+        apply_news(&mut node, at(10_000), 20);
+        assert_eq!(node.list_knowledge().known_at(), Some(at(10_000)));
+        is_covered(&node, START.after(secs(10)))
+    };
+    assert!(later(|node| {
+        hear_news(node, at(9_900), news(10, 20, Some(0)));
+        apply_news(node, at(9_900), 20);
+    }));
+    assert!(!later(|node| apply_state(node, at(9_900), 20)));
+    assert!(!later(|node| {
+        let records = Vec::new();
+        let read = StoreAnswer::Shared { revision: StoreRevision(20), records };
+        node.handle(at(9_900), Event::Store { call: CallId(999), result: Ok(read) });
+        apply_news(node, at(9_900), 20);
+    }));
+    assert!(!later(|node| {
+        hear_news(node, at(9_900), news(10, 20, None));
+        apply_news(node, at(9_900), 20);
+    }));
+}
--- a/crates/skylarkshore-core/tests/serving/streams.rs
+++ b/crates/skylarkshore-core/tests/serving/streams.rs
@@ -269,7 +269,7 @@
         let before = Time::from_millis(1000).after(MAX_AGE);
         list.on_complete(Some(before), false);
         if is_state {
-            list.on_state();
+            list.on_replaced();
         }
         list.on_complete(Some(before.after(gap)), false);
         covers(list, before.after(gap))
