Count the overlap of two hosts' knowledge up to the request's arrival

What callers could see: a stream joined from two versions, taken up at a host that was frozen right after its start. It went by what a peer had known before the freeze, while its own knowledge began after that.

Cause, found on reading the change again: whether this host had known the host list for long enough was asked when the answers were read, which may be long after the question.

Evidence: what_others_know_counts_only_once_this_host_follows_the_list_itself with a freeze of 20 s between question and answers failed before (the other 15 tests of streams passed) and passes now.

--- a/crates/skylarkshore-core/src/serving/take_up.rs
+++ b/crates/skylarkshore-core/src/serving/take_up.rs
@@ -118,16 +118,17 @@
         let mut versions = self.served_versions.seen(cx.now, &destination);
         versions.extend(served.versions.iter().cloned());
         // What others know reaches up to when this host began to know the list by itself.
-        let overlaps = || cx.list.coverage().is_some_and(|coverage| coverage.covers(cx.now, MIN_OVERLAP));
+        let arrived = request.arrived;
+        let overlaps = || cx.list.coverage().is_some_and(|coverage| coverage.covers(arrived, MIN_OVERLAP));
         let is_complete = served_versions::is_complete(cx) || served.is_complete && overlaps();
         if versions.len() != 1 || !is_complete {
             return self.resume_or_refuse(cx, id, None, "none");
         }
         // A version that has begun to serve since the list was last confirmed may have begun the stream.
-        if cx.list.known_at().is_some_and(|known_at| known_at >= request.arrived) {
+        if cx.list.known_at().is_some_and(|known_at| known_at >= arrived) {
             return self.resume_or_refuse(cx, id, versions.pop_first(), "only_served");
         }
-        if request.arrived.after(CONFIRMATION_TIMEOUT).is_due(cx.now) {
+        if arrived.after(CONFIRMATION_TIMEOUT).is_due(cx.now) {
             return self.resume_or_refuse(cx, id, None, "unconfirmed");
         }
         self.origins.await_confirmation(unconfirmed);
--- a/crates/skylarkshore-core/tests/serving/streams.rs
+++ b/crates/skylarkshore-core/tests/serving/streams.rs
@@ -205,14 +205,19 @@
     assert_refused_as_unknown(&mut p);
 }
 
-/// Guards against a host that goes by what others know up to a moment from which on it knows nothing itself.
+/// Guards against a host that goes by what others know up to a moment from which on it knows nothing itself,
+/// also where their answers reach it only after it was frozen.
 #[test]
 fn what_others_know_counts_only_once_this_host_follows_the_list_itself() {
-    let mut p = with_one_version(Duration::from_secs(1));
-    p.arrive(1, stream(&p, rest(Some(STREAM))));
-    known(&mut p, "b", served(&["1"], true));
-    known(&mut p, "c", served(&["1"], true));
-    assert_refused_as_unknown(&mut p);
+    for frozen in [Duration::ZERO, Duration::from_secs(20)] {
+        let mut p = with_one_version(Duration::from_secs(1));
+        p.arrive(1, stream(&p, rest(Some(STREAM))));
+        p.now = p.now.after(frozen);
+        p.confirm_list();
+        known(&mut p, "b", served(&["1"], true));
+        known(&mut p, "c", served(&["1"], true));
+        assert_refused_as_unknown(&mut p);
+    }
 }
 
 /// Guards against a host that was frozen, or cut off, and takes its old list for the latest: a stream may
