Order the starts of a host by its registrations

The host stayed ready.

Cause: the number of a start is the time of day, and whoever compared two starts went by the number. The process found its former entry, which stays until its lease ends, with a higher number, took itself for replaced, and stopped its watch for good, ready all the while. Peers kept the highest number of a host for ten minutes, so that a start with a lower one counted as ended to them also after the entry had gone: it got no engines, and its owner records, heartbeats and reports on lent slots counted for nothing.

What was written under the host's name after this process had registered is now of a later process, in one era of the key-value service; before that, an entry at this host's own addresses is of an earlier start, as nothing else can listen there. A start takes a number above those that it finds before it registers. One that finds a higher number at other addresses stands by until the entry goes. Peers follow the registrations; a number only shows an end until the next start is registered. A process that is replaced or stands by isn't ready, refuses requests, and neither sends to peers nor writes. A start that finds an earlier one is not the first start of the system.

--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -78,7 +78,7 @@
 use crate::effect::Effect;
 use crate::id::{CallId, HostId, Incarnation, ModelName, StoreEra, StoreRevision, UpstreamId};
 use crate::peer::{News, PeerMessage};
-use crate::store::{Key, StoreResult, Versioned, WriteOutcome};
+use crate::store::{Key, Record, StoreResult, Versioned, WriteOutcome};
 use crate::time::Time;
 use crate::units::Watts;
 
@@ -158,10 +158,16 @@
     /// Runs everything that is due.
     pub fn on_tick(&mut self, cx: &mut Cx<'_>, engine_use: &dyn EngineUse) {
         self.membership.on_tick(cx);
-        self.peers.on_tick(cx, self.local_status());
+        if self.membership.is_superseded() {
+            return;
+        }
+        let is_on_standby = self.is_on_standby();
+        if !is_on_standby {
+            self.peers.on_tick(cx, self.local_status());
+        }
         self.store_sync.on_tick(cx);
         self.bootstrap.on_tick(cx, &mut self.store_sync, &mut self.peers);
-        if self.store_sync.is_synced() {
+        if self.store_sync.is_synced() && !is_on_standby {
             self.relay.on_tick(cx, &mut self.peers);
             self.relay_root.on_tick(cx, self.relay.is_root());
             self.news_pull.on_tick(cx, self.store_sync.is_watch_unanswered());
@@ -204,6 +210,27 @@
         self.relay.on_own_news(cx, news);
     }
 
+    /// Reports whether another process may act under this host's name, so that this one must not.
+    pub fn is_on_standby(&self) -> bool {
+        self.membership.is_on_standby()
+    }
+
+    /// Reports whether another process has replaced this one for good.
+    pub fn is_superseded(&self) -> bool {
+        self.membership.is_superseded()
+    }
+
+    /// Reports whether this host is known to have run a process before this one.
+    pub const fn has_earlier_start(&self) -> bool {
+        self.membership.has_earlier_start()
+    }
+
+    /// Returns the incarnation that this process has to take before it registers, if its own isn't above those
+    /// of earlier starts of this host.
+    pub fn raised_incarnation(&self, own: Incarnation) -> Option<Incarnation> {
+        self.membership.raised_incarnation(own)
+    }
+
     /// Starts an orderly shutdown.
     pub fn on_shutdown(&mut self, _cx: &mut Cx<'_>) {
         self.membership.leave();
@@ -258,11 +285,30 @@
         self.changed = true;
         match key {
             Key::Member(host) => self.on_member(cx, host),
-            Key::Owner(engine) => self.ownership.reconcile(cx, &self.inventory, engine),
+            Key::Owner(engine) => self.on_owner(cx, engine),
             Key::Homes(model) => self.homes.on_change(cx, &self.inventory, model),
             Key::Power(site) => self.power.on_change(cx, site),
             Key::Document | Key::Catalogue => self.homes.update_all(cx, &self.inventory),
-            Key::RelayRoot(_) | Key::Once(_) => {}
+            Key::RelayRoot(_) => self.on_relay_root(cx, key),
+            Key::Once(_) => {}
+        }
+    }
+
+    fn on_owner(&mut self, cx: &mut Cx<'_>, engine: &UpstreamId) {
+        if let Some((_, owner)) = cx.cache.owner(engine).filter(|(_, owner)| owner.host == cx.cfg.host) {
+            self.membership.on_named(cx, owner.incarnation);
+        }
+        self.ownership.reconcile(cx, &self.inventory, engine);
+    }
+
+    /// Handles a change of the record of a relay root, which this process may have claimed before it registered.
+    fn on_relay_root(&mut self, cx: &mut Cx<'_>, key: &Key) {
+        let record = cx.cache.get(key).and_then(|entry| entry.record.as_ref());
+        if let Some(Record::RelayRoot(root)) = record
+            && root.host == cx.cfg.host
+            && root.incarnation != cx.cfg.incarnation
+        {
+            self.membership.on_named(cx, root.incarnation);
         }
     }
 
@@ -336,6 +382,9 @@
 
     /// Handles a peer message.
     pub fn on_peer(&mut self, cx: &mut Cx<'_>, from: &HostId, message: &PeerMessage) {
+        if self.membership.is_superseded() {
+            return;
+        }
         self.peers.on_peer(cx, from, message);
         self.news_pull.on_peer(cx.now, self.store_sync.frontier(), from, message);
         self.store_sync.on_peer(cx, from, message);
@@ -418,6 +467,9 @@
         if !self.membership.is_deregistered() {
             self.store_sync.review(cx, &self.peers, &self.eligible);
         }
+        if self.is_on_standby() {
+            return;
+        }
         if self.next_inventory_review.is_due(cx.now) {
             self.next_inventory_review = cx.now.after(REVIEW_INTERVAL);
             self.inventory.review(cx, &recorded_engines(cx));
--- a/crates/skylarkshore-core/src/control/membership.rs
+++ b/crates/skylarkshore-core/src/control/membership.rs
@@ -8,7 +8,7 @@
 use crate::config::NodeConfig;
 use crate::cx::Cx;
 use crate::effect::Effect;
-use crate::id::{CallId, LeaseId, StoreRevision};
+use crate::id::{CallId, Incarnation, LeaseId, StoreRevision};
 use crate::store::{
     Expect, Key, MemberRecord, Record, StoreAnswer, StoreCall, StoreResult, WriteOutcome, WriteRequest,
 };
@@ -70,10 +70,21 @@
         deadline: Time,
     },
     Deregistered,
-    /// A later incarnation of the process runs on this host.
+    /// A process that started later has registered under this host's name.
     Superseded,
 }
 
+/// Another process that is registered under this host's name, in relation to this one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OtherProcess {
+    /// It has ended; its entry stays until its lease expires.
+    Earlier,
+    /// It registered after this process.
+    Later,
+    /// It may be either, and may still run.
+    Unclear,
+}
+
 /// The lease and the member key of this process.
 #[derive(Debug)]
 pub(super) struct Membership {
@@ -84,6 +95,12 @@
     call_backoff: Backoff,
     registration: Registration,
     write_backoff: Backoff,
+    /// The revision of the last registration that the key-value service has confirmed.
+    last_registered: Option<StoreRevision>,
+    /// Whether the key names another process that may still run.
+    is_contested: bool,
+    /// The highest number that is known of earlier starts of this host.
+    earlier_start: Option<Incarnation>,
     /// When the key was last written again after the lease was lost.
     re_registered_at: Option<Time>,
     lease_was_lost: bool,
@@ -100,17 +117,39 @@
             call_backoff: Backoff::default(),
             registration: Registration::Absent,
             write_backoff: Backoff::default(),
+            last_registered: None,
+            is_contested: false,
+            earlier_start: None,
             re_registered_at: None,
             lease_was_lost: false,
             store_reachable: false,
         }
     }
 
-    /// Reports whether a later incarnation of the process runs on this host.
+    /// Reports whether a process that started later has registered under this host's name.
     pub(super) fn is_superseded(&self) -> bool {
         self.stage == Stage::Superseded
     }
 
+    /// Reports whether another process may act under this host's name, so that this one must not.
+    pub(super) fn is_on_standby(&self) -> bool {
+        self.is_superseded() || self.is_contested
+    }
+
+    /// Reports whether this host is known to have run a process before this one.
+    pub(super) const fn has_earlier_start(&self) -> bool {
+        self.earlier_start.is_some()
+    }
+
+    /// Returns the incarnation that this process has to take before it registers, if its own isn't above those
+    /// of earlier starts.
+    ///
+    /// Peers order the starts of a host by number until they have read of the registration.
+    pub(super) fn raised_incarnation(&self, own: Incarnation) -> Option<Incarnation> {
+        let earlier = self.earlier_start.filter(|earlier| *earlier >= own)?;
+        self.last_registered.is_none().then(|| earlier.next())
+    }
+
     pub(super) fn is_leaving(&self) -> bool {
         self.stage != Stage::Active
     }
@@ -221,19 +260,22 @@
     /// Handles the outcome of a write of the member key.
     pub(super) fn on_write(&mut self, cx: &mut Cx<'_>, outcome: &WriteOutcome) {
         let Registration::Writing { lease, leaving, first } = self.registration else { return };
-        let WriteOutcome::Done(written) = outcome else {
-            // If the key exists, only a change of `leaving` was written, so it keeps the other value.
-            self.registration = first.map_or(Registration::Absent, |first| Registration::Registered {
-                lease,
-                leaving: !leaving,
-                first,
-            });
-            self.write_backoff.record_failure(cx);
-            return;
-        };
+        let written =
+            match outcome {
+                WriteOutcome::Done(written) if is_own(cx, written.record.as_ref()) => written,
+                _ => {
+                    // If the key exists, only a change of `leaving` was written, so it keeps the other value.
+                    self.registration = first.map_or(Registration::Absent, |first| {
+                        Registration::Registered { lease, leaving: !leaving, first }
+                    });
+                    self.write_backoff.record_failure(cx);
+                    return;
+                }
+            };
         self.write_backoff.reset();
         let first = first.unwrap_or(written.revision);
         self.registration = Registration::Registered { lease, leaving, first };
+        self.last_registered = self.last_registered.max(Some(first));
         if self.registration_revision().is_some() && std::mem::take(&mut self.lease_was_lost) {
             self.re_registered_at = Some(cx.now);
             cx.log_event("member_returned", cx.cfg.host.clone(), "registered again after its lease was lost");
@@ -244,19 +286,75 @@
     pub(super) fn on_change(&mut self, cx: &mut Cx<'_>) {
         let Some(entry) = cx.cache.get(&own_key(cx)) else { return };
         let revision = entry.revision;
-        match entry.record.as_ref() {
-            Some(Record::Member(member)) if member.incarnation > cx.cfg.incarnation => {
-                let later = member.incarnation;
-                self.supersede(cx, &format!("incarnation {later} runs on this host"));
-            }
-            None if self.registration_revision().is_some_and(|first| first < revision) => {
+        let found = entry.record.as_ref();
+        if is_own(cx, found) {
+            self.last_registered = self.last_registered.max(Some(revision));
+        }
+        let Some(Record::Member(other)) = found.filter(|_| !is_own(cx, found)) else {
+            self.set_contested(cx, false, "the member key names no other process");
+            if found.is_none() && self.registration_revision().is_some_and(|first| first < revision) {
                 self.lose_lease(cx, "the member key vanished");
             }
-            _ => {}
+            return;
+        };
+        let relation = self.relation_to(cx, revision, other);
+        let detail = format!("incarnation {} at {} is registered", other.incarnation, other.peer_address);
+        self.set_contested(cx, relation == OtherProcess::Unclear, &detail);
+        match relation {
+            OtherProcess::Earlier => self.on_earlier_start(cx, other.incarnation),
+            OtherProcess::Later => self.supersede(cx, &detail),
+            OtherProcess::Unclear => {}
         }
     }
 
-    /// Stops for good after a later incarnation has registered on this host.
+    /// Returns whether another process started before this one.
+    ///
+    /// Their numbers don't tell, since the time of day may go back between two starts:
+    ///
+    /// - What was written after this process had registered is of a later one. The revisions of two eras
+    ///   of the key-value service can't be compared, as its copy may hold the entry of an earlier start.
+    /// - A process can't run at this host's addresses while this one listens there.
+    fn relation_to(&self, cx: &Cx<'_>, revision: StoreRevision, other: &MemberRecord) -> OtherProcess {
+        let registered = self.last_registered.filter(|registered| registered.era() == revision.era());
+        if registered.is_some_and(|registered| registered < revision) {
+            return OtherProcess::Later;
+        }
+        let has_own_addresses =
+            other.caller_address == cx.cfg.caller_address && other.peer_address == cx.cfg.peer_address;
+        if has_own_addresses || other.incarnation < cx.cfg.incarnation {
+            OtherProcess::Earlier
+        } else {
+            OtherProcess::Unclear
+        }
+    }
+
+    /// Handles a record that names an incarnation of this host.
+    ///
+    /// Before this process has registered, that is an earlier one.
+    pub(super) fn on_named(&mut self, cx: &mut Cx<'_>, incarnation: Incarnation) {
+        if self.last_registered.is_none() && !self.is_contested {
+            self.on_earlier_start(cx, incarnation);
+        }
+    }
+
+    fn on_earlier_start(&mut self, cx: &mut Cx<'_>, earlier: Incarnation) {
+        self.earlier_start = self.earlier_start.max(Some(earlier));
+        if let Some(raised) = self.raised_incarnation(cx.cfg.incarnation) {
+            let detail = format!("from={} to={raised}", cx.cfg.incarnation);
+            cx.log_event("incarnation_raised", cx.cfg.host.clone(), detail);
+        }
+    }
+
+    fn set_contested(&mut self, cx: &mut Cx<'_>, is_contested: bool, why: &str) {
+        if self.is_contested == is_contested || self.is_superseded() {
+            return;
+        }
+        self.is_contested = is_contested;
+        let event = if is_contested { "standby_begun" } else { "standby_ended" };
+        cx.log_event(event, cx.cfg.host.clone(), why);
+    }
+
+    /// Stops for good after a process that started later has registered under this host's name.
     fn supersede(&mut self, cx: &mut Cx<'_>, why: &str) {
         if self.stage == Stage::Superseded {
             return;
@@ -338,6 +436,10 @@
 
     fn register_when_due(&mut self, cx: &mut Cx<'_>) {
         let Some(lease) = self.lease else { return };
+        // The write must carry the incarnation that this process is about to take.
+        if self.is_contested || self.raised_incarnation(cx.cfg.incarnation).is_some() {
+            return;
+        }
         let leaving = self.is_leaving();
         let first = self.registration_revision();
         let due = match self.registration {
@@ -370,6 +472,14 @@
     Key::Member(cx.cfg.host.clone())
 }
 
+/// Reports whether a member record was written by this process.
+///
+/// Each process has a certificate of its own, also where two starts have the same number.
+fn is_own(cx: &Cx<'_>, record: Option<&Record>) -> bool {
+    let Some(Record::Member(member)) = record else { return false };
+    member.incarnation == cx.cfg.incarnation && member.fingerprint == cx.cfg.fingerprint
+}
+
 fn own_record(cfg: &NodeConfig, leaving: bool) -> MemberRecord {
     MemberRecord {
         incarnation: cfg.incarnation,
--- a/crates/skylarkshore-core/src/control/peers.rs
+++ b/crates/skylarkshore-core/src/control/peers.rs
@@ -14,9 +14,9 @@
 use crate::config::Watchers;
 use crate::cx::Cx;
 use crate::effect::Effect;
-use crate::id::{HostId, Incarnation, StoreRevision};
+use crate::id::{Digest, HostId, Incarnation, StoreRevision};
 use crate::peer::PeerMessage;
-use crate::store::MemberRecord;
+use crate::store::{Key, MemberRecord};
 use crate::time::Time;
 
 /// Number of ring successors that receive every heartbeat.
@@ -41,16 +41,28 @@
 #[derive(Clone, Copy, Debug)]
 struct LastRegistration {
     incarnation: Incarnation,
+    /// Tells two starts with the same number apart.
+    fingerprint: Digest,
+    /// The first revision at which it was read.
+    revision: StoreRevision,
     address: SocketAddr,
 }
 
 /// What is known about another process.
+///
+/// The starts of a host are in the order of their registrations, which the key-value service decides. Their
+/// numbers are times of day, which may go back between two starts; they tell the order only until the
+/// later one is registered.
 #[derive(Clone, Copy, Debug, Default)]
 struct Peer {
     last_heartbeat: Option<LastHeartbeat>,
     registration: Option<LastRegistration>,
-    /// Every lower incarnation has definitely ended.
-    min_incarnation: Incarnation,
+    /// The incarnation taken for the latest one.
+    latest: Incarnation,
+    /// The highest incarnation that the registered one has replaced.
+    replaced_upto: Incarnation,
+    /// The incarnation whose address was found closed, or used by another one.
+    refused: Option<Incarnation>,
     next_probe: Time,
     /// When it registered, or last reported that it reaches the key-value service.
     store_reached_at: Time,
@@ -58,6 +70,52 @@
     last_seen: Time,
 }
 
+impl Peer {
+    fn is_registered(&self, incarnation: Incarnation) -> bool {
+        self.registration.is_some_and(|registration| registration.incarnation == incarnation)
+    }
+
+    /// Reports whether an incarnation has definitely ended, which a record named at a revision.
+    fn has_ended(&self, incarnation: Incarnation, named_at: StoreRevision) -> bool {
+        if self.refused == Some(incarnation) {
+            return true;
+        }
+        let Some(registration) = self.registration else { return incarnation < self.latest };
+        if registration.incarnation == incarnation {
+            return incarnation < self.latest;
+        }
+        registration.revision > named_at
+    }
+
+    /// Reports whether a process may be the latest one by its number.
+    fn may_be_latest(&self, incarnation: Incarnation) -> bool {
+        incarnation == self.latest || incarnation > self.latest.max(self.replaced_upto)
+    }
+
+    /// Takes over a registration; reports whether it is that of another process than the one before.
+    fn register(&mut self, revision: StoreRevision, member: &MemberRecord) -> bool {
+        let known = self.registration.filter(|known| {
+            known.incarnation == member.incarnation && known.fingerprint == member.fingerprint
+        });
+        let former = self.registration.map(|known| known.incarnation);
+        self.registration = Some(LastRegistration {
+            incarnation: member.incarnation,
+            fingerprint: member.fingerprint,
+            revision: known.map_or(revision, |known| known.revision),
+            address: member.caller_address,
+        });
+        if known.is_some() {
+            return false;
+        }
+        let replaced = former.into_iter().chain(self.refused).chain([self.latest]);
+        let replaced = replaced.filter(|replaced| *replaced != member.incarnation).max();
+        self.replaced_upto = self.replaced_upto.max(replaced.unwrap_or_default());
+        self.latest = member.incarnation;
+        self.refused = None;
+        true
+    }
+}
+
 /// State of this process that its heartbeats carry.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LocalStatus {
@@ -84,9 +142,16 @@
 }
 
 impl Peers {
-    /// Reports whether this incarnation of a process has definitely ended.
-    pub(super) fn has_ended(&self, host: &HostId, incarnation: Incarnation) -> bool {
-        self.by_host.get(host).is_some_and(|peer| incarnation < peer.min_incarnation)
+    /// Reports whether an incarnation of a process has definitely ended, which a record named at a revision.
+    pub(super) fn has_ended(&self, host: &HostId, incarnation: Incarnation, named_at: StoreRevision) -> bool {
+        self.by_host.get(host).is_some_and(|peer| peer.has_ended(incarnation, named_at))
+    }
+
+    /// Reports whether the process that is registered under a host's name has definitely ended.
+    fn has_registered_ended(&self, host: &HostId) -> bool {
+        let peer = self.by_host.get(host);
+        let registered = peer.and_then(|peer| Some((peer, peer.registration?)));
+        registered.is_some_and(|(peer, known)| peer.has_ended(known.incarnation, known.revision))
     }
 
     /// Reports whether a heartbeat of this incarnation arrived within the peer timeout.
@@ -127,7 +192,7 @@
         };
         let is_replaced = |host: &HostId, member: &MemberRecord| {
             let is_other_incarnation = *host == cx.cfg.host && member.incarnation != cx.cfg.incarnation;
-            is_other_incarnation || self.has_ended(host, member.incarnation)
+            is_other_incarnation || self.has_registered_ended(host)
         };
         let members = cx.cache.members();
         members
@@ -141,10 +206,10 @@
         let peer = self.by_host.entry(from.clone()).or_default();
         peer.last_seen = cx.now;
         if let PeerMessage::Heartbeat { incarnation, store_reachable, .. } = message {
-            if *incarnation < peer.min_incarnation {
+            if !peer.may_be_latest(*incarnation) {
                 return;
             }
-            peer.min_incarnation = *incarnation;
+            peer.latest = *incarnation;
             peer.last_heartbeat = Some(LastHeartbeat { incarnation: *incarnation, at: cx.now });
             if *store_reachable {
                 peer.store_reached_at = cx.now;
@@ -156,10 +221,10 @@
     pub(super) fn on_connection_refused(&mut self, cx: &mut Cx<'_>, host: &HostId, incarnation: Incarnation) {
         let peer = self.by_host.entry(host.clone()).or_default();
         peer.last_seen = cx.now;
-        if incarnation < peer.min_incarnation {
+        if peer.refused == Some(incarnation) || !peer.is_registered(incarnation) {
             return;
         }
-        peer.min_incarnation = incarnation.next();
+        peer.refused = Some(incarnation);
         cx.log_event("process_ended", host.clone(), format!("incarnation {incarnation} refuses connections"));
     }
 
@@ -167,16 +232,14 @@
     pub(super) fn on_member(&mut self, cx: &Cx<'_>, host: &HostId) {
         let peer = self.by_host.entry(host.clone()).or_default();
         peer.last_seen = cx.now;
-        let Some(member) = cx.cache.member(host) else {
+        let entry = cx.cache.get(&Key::Member(host.clone()));
+        let Some((revision, member)) = entry.map(|entry| entry.revision).zip(cx.cache.member(host)) else {
             self.recent_expiries.push_back(cx.now);
             return;
         };
-        peer.min_incarnation = peer.min_incarnation.max(member.incarnation);
-        if peer.registration.is_none_or(|previous| previous.incarnation != member.incarnation) {
+        if peer.register(revision, member) {
             peer.store_reached_at = cx.now;
         }
-        peer.registration =
-            Some(LastRegistration { incarnation: member.incarnation, address: member.caller_address });
     }
 
     /// Probes whether an incarnation has ended, at a limited rate.
--- a/crates/skylarkshore-core/src/control/vacancy.rs
+++ b/crates/skylarkshore-core/src/control/vacancy.rs
@@ -34,11 +34,12 @@
     Live,
     /// Its record was written in an earlier era of the key-value service; a later one may have been lost.
     OfEarlierEra,
-    /// Its member key was absent at a revision after the owner record was written.
+    /// Its member key was absent, or named another incarnation, at a revision after the owner record was written.
     Deregistered,
     /// Its incarnation has definitely ended.
     Ended,
-    /// Its member key was absent only at revisions before the owner record was written.
+    /// Its member key was absent, or named another incarnation, only at revisions before the owner record was
+    /// written.
     Uncertain,
 }
 
@@ -230,17 +231,20 @@
     if !owner.is_of_era(context.era) {
         return OwnerState::OfEarlierEra;
     }
-    if context.peers.has_ended(&owner.host, owner.incarnation) {
-        return OwnerState::Ended;
-    }
-    if owner.host == cx.cfg.host && owner.incarnation < cx.cfg.incarnation {
+    if context.peers.has_ended(&owner.host, owner.incarnation, record_revision) {
         return OwnerState::Ended;
     }
     let key = Key::Member(owner.host.clone());
     let entry = cx.cache.get(&key);
-    if entry.is_some_and(|entry| entry.record.is_some()) {
+    let registered = cx.cache.member(&owner.host).map(|member| member.incarnation);
+    if registered == Some(owner.incarnation) {
         return OwnerState::Live;
     }
+    // A record that names an incarnation after another one has registered: it was handed over late.
+    if registered.is_some() {
+        let is_known = context.store_sync.frontier() >= record_revision;
+        return if is_known { OwnerState::Deregistered } else { OwnerState::Uncertain };
+    }
     // A member key that was absent before the owner record was written may exist again:
     // the owner lost its lease, registered again and confirmed the record. A take-over
     // now would give an engine that ignores fences two owners.
--- a/crates/skylarkshore-core/src/effect.rs
+++ b/crates/skylarkshore-core/src/effect.rs
@@ -93,6 +93,9 @@
     /// The process is shutting down.
     #[display("this host is about to go; use another one")]
     Leaving,
+    /// Another process acts, or may act, under this host's name.
+    #[display("another process serves under this host's name; use another host")]
+    Standby,
     /// The client account has reached its limit.
     #[display("the client account is over its limit; ask again later")]
     OverLimit,
--- a/crates/skylarkshore-core/src/list_knowledge.rs
+++ b/crates/skylarkshore-core/src/list_knowledge.rs
@@ -68,6 +68,13 @@
         self.is_replaced = true;
     }
 
+    /// Records that the system has run before this process started, so that there may have been something before.
+    pub fn on_earlier_start(&mut self) {
+        if self.coverage == Some(Coverage::Whole) {
+            self.coverage = self.known_at.map(Coverage::Since);
+        }
+    }
+
     /// Records up to when the shared keys are complete, with which the changes of the list come.
     pub fn on_complete(&mut self, complete_at: Option<Time>, is_first_start: bool) {
         if let Some(at) = complete_at.filter(|_| !self.is_polled) {
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -111,6 +111,7 @@
             switched
         });
         self.dispatch(now, event, &mut effects);
+        self.adopt_start();
         self.list.on_complete(self.control.complete_at(), self.cfg.is_first_start);
         if switched.is_some() {
             self.with_cx(now, &mut effects, |cx, parts| parts.serving.on_paths_switched(cx));
@@ -155,9 +156,18 @@
         self.shutdown != Shutdown::NotRequested
     }
 
-    /// Reports whether the process has a document and upstreams and isn't shutting down.
+    /// Reports whether another process acts, or may act, under this host's name.
+    pub fn is_on_standby(&self) -> bool {
+        self.control.is_on_standby()
+    }
+
+    /// Reports whether the process has a document and upstreams, isn't shutting down and is the only one of
+    /// its host.
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.document.is_configured() && !self.upstreams.is_empty()
+        !self.is_leaving()
+            && !self.is_on_standby()
+            && self.document.is_configured()
+            && !self.upstreams.is_empty()
     }
 
     /// Returns the state dump.
@@ -276,6 +286,19 @@
         }
     }
 
+    /// Takes over what is known of earlier starts of this host: its number must be above theirs, and the
+    /// system has run before.
+    fn adopt_start(&mut self) {
+        if let Some(incarnation) = self.control.raised_incarnation(self.cfg.incarnation) {
+            self.cfg.incarnation = incarnation;
+            self.control.configure(&self.cfg);
+        }
+        if self.cfg.is_first_start && self.control.has_earlier_start() {
+            self.cfg.is_first_start = false;
+            self.list.on_earlier_start();
+        }
+    }
+
     /// Takes note of the service's era; with a new one begins what was decided by the earlier ones anew.
     fn observe_era(&mut self, now: Time, era: StoreEra, effects: &mut Vec<Effect>) {
         let Some(before) = self.era.replace(self.era.map_or(era, |known| known.max(era))) else { return };
@@ -328,6 +351,7 @@
             parts.loading.on_tick(cx, &*parts.control);
             let is_stranded = parts.paths.is_stranded(cx);
             parts.serving.set_stranded(cx, is_stranded);
+            parts.serving.set_on_standby(cx, parts.control.is_on_standby());
             parts.serving.on_tick(cx);
         });
         self.exit_when_done(now, effects);
@@ -382,6 +406,10 @@
     }
 
     fn on_peer(&mut self, now: Time, from: &HostId, message: PeerMessage, effects: &mut Vec<Effect>) {
+        // A process that was replaced must neither lend, grant nor forward anything.
+        if self.control.is_superseded() {
+            return;
+        }
         if let PeerMessage::Heartbeat { store, .. } = &message
             && *store > StoreRevision(0)
         {
@@ -482,6 +510,9 @@
                 parts.serving.on_change(cx, key);
             });
         }
+        if self.control.is_superseded() {
+            self.write_queue.discard_shared();
+        }
     }
 
     fn apply_ownership_changes(&mut self, now: Time, effects: &mut Vec<Effect>) {
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -130,6 +130,8 @@
     is_closed: bool,
     /// Whether this host reaches no upstream, neither directly nor through a peer.
     is_stranded: bool,
+    /// Whether another process may act under this host's name.
+    is_on_standby: bool,
     /// The state of this host's own links to the upstreams.
     links: Links,
 }
@@ -159,6 +161,7 @@
             housekeeping_due: Time::START,
             is_closed: false,
             is_stranded: false,
+            is_on_standby: false,
             links: Links::default(),
         }
     }
@@ -302,6 +305,14 @@
         self.is_stranded = is_stranded;
     }
 
+    /// Refuses requests for as long as another process may act under this host's name.
+    pub(crate) fn set_on_standby(&mut self, cx: &mut Cx<'_>, is_on_standby: bool) {
+        self.is_on_standby = is_on_standby;
+        if is_on_standby {
+            self.refuse_queued(cx, &RefusalReason::Standby, disposition::RETRY_AFTER);
+        }
+    }
+
     /// Handles the result of a probe of an upstream over this host's own links.
     pub(crate) fn on_probed(&mut self, cx: &mut Cx<'_>, upstream: &UpstreamId, reached: bool) {
         if reached {
--- a/crates/skylarkshore-core/src/serving/arrival.rs
+++ b/crates/skylarkshore-core/src/serving/arrival.rs
@@ -55,11 +55,8 @@
         self.timers.insert(Due { at: first_byte_deadline, request: id });
         match rules_result {
             Ok(_) if deadline.is_due(cx.now) => self.refuse_late(cx, id),
-            Ok(_) if self.is_stranded => {
-                let reason = RefusalReason::NoUpstream;
-                let disposition = Disposition::Refuse { reason, retry_after: Some(RETRY_AFTER) };
-                self.apply_disposition(cx, id, disposition);
-            }
+            Ok(_) if self.is_on_standby => self.refuse_on_arrival(cx, id, RefusalReason::Standby),
+            Ok(_) if self.is_stranded => self.refuse_on_arrival(cx, id, RefusalReason::NoUpstream),
             Ok(_) => match admission {
                 Admission::Free | Admission::Trial => self.request_credit(cx, id),
                 Admission::HeldBack(held) => {
@@ -73,6 +70,11 @@
         }
     }
 
+    fn refuse_on_arrival(&mut self, cx: &mut Cx<'_>, id: RequestId, reason: RefusalReason) {
+        let disposition = Disposition::Refuse { reason, retry_after: Some(RETRY_AFTER) };
+        self.apply_disposition(cx, id, disposition);
+    }
+
     /// Returns the order of service for a request, or why the rules refuse it.
     fn apply_rules(
         &self,
--- a/crates/skylarkshore-core/src/serving/counters.rs
+++ b/crates/skylarkshore-core/src/serving/counters.rs
@@ -79,6 +79,7 @@
         RefusalReason::VersionGone => "refused_version_gone_total",
         RefusalReason::StreamUnknown => "refused_stream_unknown_total",
         RefusalReason::Leaving => "refused_leaving_total",
+        RefusalReason::Standby => "refused_standby_total",
         RefusalReason::OverLimit => "refused_over_limit_total",
         RefusalReason::BeyondLimit => "refused_beyond_limit_total",
         RefusalReason::KeyWithdrawn => "refused_key_withdrawn_total",
--- a/crates/skylarkshore-core/src/serving/slot_lender.rs
+++ b/crates/skylarkshore-core/src/serving/slot_lender.rs
@@ -43,6 +43,8 @@
 #[derive(Debug, Default)]
 struct Borrower {
     number: ReportNumber,
+    /// Whether its process has been seen registered.
+    was_registered: bool,
     held: u32,
     wanted: u32,
     /// Slots lent to it so far, and those of them that it had received when it sent its last report.
@@ -74,6 +76,17 @@
         self.heard_at = now;
     }
 
+    /// Reports whether another process is registered that started after the borrower.
+    ///
+    /// Only before the borrower's own registration do the numbers tell, since the time of day may go back
+    /// between two starts.
+    fn has_been_replaced(&mut self, cx: &Cx<'_>, host: &HostId) -> bool {
+        let Some(registered) = cx.cache.member(host).map(|member| member.incarnation) else { return false };
+        let own = self.number.incarnation;
+        self.was_registered |= registered == own;
+        registered > own || self.was_registered && registered != own
+    }
+
     fn is_active(&self) -> bool {
         self.occupied() > 0 || self.wanted > 0
     }
@@ -178,15 +191,10 @@
             !expires_at.is_due(now)
         });
         self.ended.retain(|ended| !ended.until.is_due(now));
-        let is_former = |host: &HostId, borrower: &Borrower| {
-            let member = cx.cache.member(host);
-            member.is_some_and(|member| member.incarnation > borrower.number.incarnation)
-        };
         let former: Vec<HostId> = self
             .borrowers
-            .iter()
-            .filter(|(host, borrower)| is_former(host, borrower))
-            .map(|(host, _)| host.clone())
+            .iter_mut()
+            .filter_map(|(host, borrower)| borrower.has_been_replaced(cx, host).then(|| host.clone()))
             .collect();
         for host in former {
             self.record_end(now, &host);
@@ -227,7 +235,7 @@
             self.record_end(now, from);
         }
         // A process that has started since can't tell what the one before it used.
-        if self.unreported.get(from).is_some_and(|asked| *asked >= incarnation) {
+        if self.unreported.get(from) == Some(&incarnation) {
             self.unreported.remove(from);
         }
         self.reported.insert(from.clone());
--- a/crates/skylarkshore-core/src/store/writes.rs
+++ b/crates/skylarkshore-core/src/store/writes.rs
@@ -114,6 +114,13 @@
         None
     }
 
+    /// Abandons the writes of shared keys, which another process decides by now.
+    pub fn discard_shared(&mut self) {
+        self.pending.retain(|key, _| matches!(key, Key::Once(_)));
+        self.queued.retain(|req| matches!(req.key, Key::Once(_)));
+        self.calls.retain(|_, key| self.pending.contains_key(key));
+    }
+
     /// Retries writes whose backoff has elapsed, and abandons those past their deadline.
     pub fn on_tick(&mut self, cx: &mut Cx<'_>) -> Vec<(Key, WriteOutcome)> {
         let now = cx.now;
--- a/crates/skylarkshore-core/tests/control.rs
+++ b/crates/skylarkshore-core/tests/control.rs
@@ -19,5 +19,7 @@
 mod power;
 #[path = "control/stale.rs"]
 mod stale;
+#[path = "control/starts.rs"]
+mod starts;
 #[path = "control/storm.rs"]
 mod storm;
--- a/crates/skylarkshore-core/tests/control/eras.rs
+++ b/crates/skylarkshore-core/tests/control/eras.rs
@@ -14,7 +14,7 @@
 const HOSTS: [&str; 3] = ["a", "b", "c"];
 
 /// Brings the service back from a copy in a new era, which is returned; leases have paused meanwhile.
-fn restore(cluster: &mut Cluster, copy: Store) -> StoreEra {
+pub fn restore(cluster: &mut Cluster, copy: Store) -> StoreEra {
     let era = StoreEra(cluster.store.revision().era().0 + 1);
     let place = |revision: StoreRevision| StoreRevision::in_era(era, revision.number());
     let now = cluster.now;
--- a/crates/skylarkshore-core/tests/support/cluster.rs
+++ b/crates/skylarkshore-core/tests/support/cluster.rs
@@ -56,7 +56,7 @@
     pub engines: BTreeMap<UpstreamId, Upstream>,
     pub faults: Faults,
     rng: SmallRng,
-    killed_incarnations: BTreeMap<HostId, Incarnation>,
+    killed_incarnations: BTreeSet<(HostId, Incarnation)>,
     delayed_calls: Vec<(Time, StoreCall)>,
 }
 
@@ -133,7 +133,7 @@
             engines: BTreeMap::new(),
             faults: Faults::default(),
             rng: SmallRng::seed_from_u64(seed),
-            killed_incarnations: BTreeMap::new(),
+            killed_incarnations: BTreeSet::new(),
             delayed_calls: Vec::new(),
         }
     }
@@ -187,7 +187,7 @@
     pub fn kill(&mut self, host: &str) {
         let host: HostId = name(host);
         if let Some(process) = self.processes.remove(&host) {
-            self.killed_incarnations.insert(host, process.cfg.incarnation);
+            self.killed_incarnations.insert((host, process.cfg.incarnation));
         }
     }
 
@@ -345,7 +345,9 @@
                     let result = self.call_store(host, request);
                     self.deliver(host, Inbound::Result(call, result));
                 }
-                Effect::Watch { from } => self.set_watched(host, Some(StoreRevision(from.0 - 1))),
+                Effect::Watch { from } => {
+                    self.set_watched(host, Some(StoreRevision(from.0.saturating_sub(1))));
+                }
                 Effect::Unwatch => self.set_watched(host, None),
                 Effect::Peer(envelope)
                     if envelope.to != *host && self.is_injected(self.faults.lost_messages) => {}
@@ -356,7 +358,8 @@
                     if let Some(process) = self.processes.get_mut(host) {
                         process.notes.push(("probe", asked.to_string()));
                     }
-                    if self.killed_incarnations.get(&asked).is_some_and(|killed| *killed >= incarnation) {
+                    let runs = self.processes.get(&asked).is_some_and(|p| p.cfg.incarnation == incarnation);
+                    if !runs && self.killed_incarnations.contains(&(asked.clone(), incarnation)) {
                         self.deliver(host, Inbound::Refused(asked, incarnation));
                     }
                 }
--- a/crates/skylarkshore-core/tests/support/process.rs
+++ b/crates/skylarkshore-core/tests/support/process.rs
@@ -127,6 +127,10 @@
             self.writes.begin(&mut cx, req);
         }
         self.changes.extend(self.control.take_changes());
+        if let Some(incarnation) = self.control.raised_incarnation(self.cfg.incarnation) {
+            self.cfg.incarnation = incarnation;
+            self.control.configure(&self.cfg);
+        }
         value
     }
 
--- a/crates/skylarkshore-host/src/callers.rs
+++ b/crates/skylarkshore-host/src/callers.rs
@@ -260,7 +260,8 @@
     }
 
     fn health(&self) -> WebResponse {
-        let health = Health { host: self.exchange.host.clone(), incarnation: self.exchange.incarnation };
+        let health =
+            Health { host: self.exchange.host.clone(), incarnation: self.exchange.snapshot().incarnation };
         server::json(StatusCode::OK, &health)
     }
 
--- a/crates/skylarkshore-host/src/driver/snapshot.rs
+++ b/crates/skylarkshore-host/src/driver/snapshot.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use skylarkshore_core::catalogue::Document;
-use skylarkshore_core::id::{DataCentre, Digest, HostId, StoreRevision};
+use skylarkshore_core::id::{DataCentre, Digest, HostId, Incarnation, StoreRevision};
 use skylarkshore_core::{Node, Time};
 
 /// A live process of the fleet.
@@ -27,6 +27,8 @@
 /// The part of the core's state that the interfaces read, at one moment.
 #[derive(Clone, Debug, Default)]
 pub struct Snapshot {
+    /// The incarnation of this process, which may rise before it registers.
+    pub incarnation: Incarnation,
     /// The operators' document in force.
     pub document: Arc<Document>,
     /// The highest revision of the key-value service seen so far.
@@ -41,9 +43,16 @@
     pub ready: bool,
     /// Whether the process is shutting down.
     pub leaving: bool,
+    /// Whether another process acts, or may act, under this host's name.
+    pub on_standby: bool,
 }
 
 impl Snapshot {
+    /// Creates the snapshot of a process that has just started.
+    pub(crate) fn at_start(incarnation: Incarnation) -> Self {
+        Self { incarnation, ..Self::default() }
+    }
+
     /// Takes a snapshot of a node; reuses the previous member list if it is unchanged.
     pub(crate) fn of(node: &Node, before: &Self) -> Self {
         let version = node.cache().members_version();
@@ -51,6 +60,7 @@
         let members =
             if is_unchanged { Arc::clone(&before.members) } else { Arc::new(collect_members(node)) };
         Self {
+            incarnation: node.config().incarnation,
             document: Arc::clone(node.document()),
             store_revision: node.cache().latest_revision(),
             members,
@@ -58,6 +68,7 @@
             complete_at: node.complete_at(),
             ready: node.is_ready(),
             leaving: node.is_leaving(),
+            on_standby: node.is_on_standby(),
         }
     }
 
@@ -72,6 +83,8 @@
             || self.complete_at != node.complete_at()
             || self.ready != node.is_ready()
             || self.leaving != node.is_leaving()
+            || self.on_standby != node.is_on_standby()
+            || self.incarnation != node.config().incarnation
     }
 }
 
--- a/crates/skylarkshore-host/src/exchange.rs
+++ b/crates/skylarkshore-host/src/exchange.rs
@@ -9,7 +9,7 @@
 use http::HeaderMap;
 use skylarkshore_core::Event;
 use skylarkshore_core::event::Arrival;
-use skylarkshore_core::id::{DataCentre, HostId, Incarnation};
+use skylarkshore_core::id::{DataCentre, HostId};
 use tokio::sync::watch;
 use tokio::time::Instant;
 use xitca_web::body::RequestBody;
@@ -52,8 +52,6 @@
     pub bodies: ByteBudget,
     /// The host's name.
     pub host: HostId,
-    /// The incarnation of the process.
-    pub incarnation: Incarnation,
     /// The host's data centre.
     pub data_centre: DataCentre,
     /// How long callers may cache the list of entry hosts.
--- a/crates/skylarkshore-host/src/operators.rs
+++ b/crates/skylarkshore-host/src/operators.rs
@@ -7,7 +7,7 @@
 
 use http::{Method, StatusCode};
 use skylarkshore_core::Event;
-use skylarkshore_core::id::{DataCentre, HostId, Incarnation};
+use skylarkshore_core::id::{DataCentre, HostId};
 use skylarkshore_wire::caller::{ErrorBody, ErrorText, OutcomeWire};
 use skylarkshore_wire::document::DocumentWire;
 use skylarkshore_wire::operator::Health;
@@ -28,7 +28,6 @@
     pub(crate) env: Env,
     pub(crate) snapshots: watch::Receiver<Arc<Snapshot>>,
     pub(crate) host: HostId,
-    pub(crate) incarnation: Incarnation,
     pub(crate) data_centre: DataCentre,
 }
 
@@ -86,7 +85,7 @@
     }
 
     fn health(&self) -> WebResponse {
-        let health = Health { host: self.host.clone(), incarnation: self.incarnation };
+        let health = Health { host: self.host.clone(), incarnation: self.snapshot().incarnation };
         server::json(StatusCode::OK, &health)
     }
 
@@ -97,6 +96,8 @@
         }
         let reason = if snapshot.leaving {
             "leaving"
+        } else if snapshot.on_standby {
+            "another process serves under this host's name; stop it, or give this host another name"
         } else if snapshot.document.revision.0 == 0 {
             "no document yet; apply one with skylarkctl rules apply, or mend the key-value service"
         } else {
--- a/crates/skylarkshore-host/src/probe.rs
+++ b/crates/skylarkshore-host/src/probe.rs
@@ -32,22 +32,23 @@
 
 /// Reports whether the incarnation of the process has ended.
 ///
-/// This is certain if its address refuses connections, or if a later
-/// incarnation of the same host answers there. The kernel still accepts
-/// connections for a frozen process. A time-out proves nothing.
+/// This is certain if its address refuses connections, or if another
+/// incarnation of the same host answers there, since only one at a time can
+/// listen. The kernel still accepts connections for a frozen process. A
+/// time-out proves nothing.
 pub(crate) async fn has_ended(host: &HostId, incarnation: Incarnation, address: SocketAddr) -> bool {
     match timeout(TIMEOUT, TcpStream::connect(address)).await {
         Err(_elapsed) => false,
         Ok(Err(err)) => err.kind() == ErrorKind::ConnectionRefused,
-        Ok(Ok(_stream)) => later_incarnation_answers(host, incarnation, address).await,
+        Ok(Ok(_stream)) => other_incarnation_answers(host, incarnation, address).await,
     }
 }
 
-async fn later_incarnation_answers(host: &HostId, incarnation: Incarnation, address: SocketAddr) -> bool {
+async fn other_incarnation_answers(host: &HostId, incarnation: Incarnation, address: SocketAddr) -> bool {
     let req = json_request(Method::GET, address, HEALTH_PATH, Bytes::new());
     let Ok(Some(answer)) = call_anew(address, req, || true, Instant::now() + TIMEOUT).await else {
         return false;
     };
     let health = serde_json::from_slice::<Health>(&answer.body);
-    health.is_ok_and(|health| health.host == *host && health.incarnation > incarnation)
+    health.is_ok_and(|health| health.host == *host && health.incarnation != incarnation)
 }
--- a/crates/skylarkshore-host/src/run.rs
+++ b/crates/skylarkshore-host/src/run.rs
@@ -145,9 +145,9 @@
         log,
     };
     let node_config = node_config(&config, &identity);
-    log_start(&config, node_config.incarnation, &env);
-    let (snapshot, snapshots) = watch::channel(Arc::new(Snapshot::default()));
     let incarnation = node_config.incarnation;
+    log_start(&config, incarnation, &env);
+    let (snapshot, snapshots) = watch::channel(Arc::new(Snapshot::at_start(incarnation)));
     let peers = Peers::listen(
         env.clone(),
         sockets.peers,
@@ -156,7 +156,7 @@
         snapshots.clone(),
     )?;
     let platform = platforms(&config, incarnation);
-    let exchange = exchange(&config, incarnation, &env, snapshots.clone());
+    let exchange = exchange(&config, &env, snapshots.clone());
     let connections = Arc::clone(&exchange.connections);
     let executor = effect_executor(&config, &*platform, &env, peers.clone(), Arc::clone(&connections));
     let (node, initial_effects) = Node::start(node_config, env.clock.now());
@@ -165,7 +165,6 @@
         env: env.clone(),
         snapshots,
         host: config.host.clone(),
-        incarnation,
         data_centre: config.data_centre.clone(),
     };
     let operators = operators::serve(operator_state, sockets.operators).map_err(runtime_error)?;
@@ -219,12 +218,7 @@
     EffectExecutor::new(env.clone(), store, engines, upstreams, peers, connections)
 }
 
-fn exchange(
-    config: &Config,
-    incarnation: Incarnation,
-    env: &Env,
-    snapshots: watch::Receiver<Arc<Snapshot>>,
-) -> Exchange {
+fn exchange(config: &Config, env: &Env, snapshots: watch::Receiver<Arc<Snapshot>>) -> Exchange {
     Exchange {
         env: env.clone(),
         snapshots,
@@ -234,7 +228,6 @@
         answers: ByteBudget::new(config.buffers.answers, env.metrics.held_bytes("answers")),
         bodies: ByteBudget::new(config.buffers.bodies, env.metrics.held_bytes("requests")),
         host: config.host.clone(),
-        incarnation,
         data_centre: config.data_centre.clone(),
         entry_ttl: config.timings.entry_ttl,
     }
--- a/crates/skylarkshore-host/src/upstreams/native.rs
+++ b/crates/skylarkshore-host/src/upstreams/native.rs
@@ -22,7 +22,9 @@
 
 impl NativeUpstreams {
     pub(crate) fn new(host: &HostId, incarnation: Incarnation) -> Self {
-        Self { id_prefix: format!("{host}-{incarnation}") }
+        // Two starts may have the same number, as the time of day may go back.
+        let start: u32 = rand::random();
+        Self { id_prefix: format!("{host}-{incarnation}-{start:08x}") }
     }
 
     fn request_id(&self, call: &Call<'_>) -> HeaderValue {
--- a/crates/skylarkshore-wire/src/caller.rs
+++ b/crates/skylarkshore-wire/src/caller.rs
@@ -157,6 +157,7 @@
         RefusalReason::VersionGone => "version_gone",
         RefusalReason::StreamUnknown => "stream_unknown",
         RefusalReason::Leaving => "leaving",
+        RefusalReason::Standby => "standby",
         RefusalReason::OverLimit => "over_limit",
         RefusalReason::BeyondLimit => "beyond_limit",
         RefusalReason::KeyWithdrawn => "key_withdrawn",
@@ -185,6 +186,7 @@
         | RefusalReason::MayCrashUpstreams
         | RefusalReason::VersionGone
         | RefusalReason::StreamUnknown
-        | RefusalReason::Leaving => 503,
+        | RefusalReason::Leaving
+        | RefusalReason::Standby => 503,
     }
 }
