Find the owner of a cut-off connection before anything is forwarded

Cause: the relay of the stand-ins closes the connections of a process that is cut off, and finds their owner in the kernel's table of sockets, which has over ten thousand rows while all tests run. Each connection read the table anew, on the one thread of its test. A host takes a link for restored that stays open for 200 ms, which is what "in between" may take to close it.

Ruled out: the host's probes count no connection that is closed within 200 ms.

The tests and the product's time-outs are unchanged.

--- a/crates/skylarkshore-standins/src/relay.rs
+++ b/crates/skylarkshore-standins/src/relay.rs
@@ -130,15 +130,33 @@
             continue;
         }
         tokio::spawn(async move {
+            // Nothing is forwarded before it is known whose connection it is.
+            if is_cut_off(&mut cut_off, peer.port()).await {
+                return;
+            }
             tokio::select! {
-                // The sender has dropped the connections before the relay ends.
-                _ = cut_off.wait_for(|pids| pids.iter().any(|pid| owns_port(*pid, peer.port()))) => {}
+                () = await_cut_off(cut_off, peer.port()) => {}
                 () = relay_connection(from, target, line) => {}
             }
         });
     }
 }
 
+/// Reports whether the process that owns a port is cut off.
+async fn is_cut_off(cut_off: &mut watch::Receiver<Vec<u32>>, port: u16) -> bool {
+    let pids = cut_off.borrow_and_update().clone();
+    !pids.is_empty() && owns_port(pids, port).await
+}
+
+/// Waits until the process that owns a port is cut off, or the relay ends.
+async fn await_cut_off(mut cut_off: watch::Receiver<Vec<u32>>, port: u16) {
+    while cut_off.changed().await.is_ok() {
+        if is_cut_off(&mut cut_off, port).await {
+            return;
+        }
+    }
+}
+
 async fn relay_connection(from: TcpStream, target: SocketAddr, mut line: watch::Receiver<Line>) {
     let Ok(to) = TcpStream::connect(target).await else { return };
     _ = from.set_nodelay(true);
