--- a/review/standins-2/src/bin/pool_sizes.rs
+++ b/review/standins-2/src/bin/pool_sizes.rs
@@ -21,6 +21,8 @@
 /// The size of the first two models in the new pool.
 const NEW_MODEL_MB: f64 = 34_300.0;
 const REPLICA_MB: f64 = 200_000.0;
+/// The pause after a refusal.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
 
 fn pool(name: &str, models: &[&str], mb: f64) -> Value {
     let models: Vec<Value> = models
@@ -115,6 +117,9 @@
                             record.line(&format!("client: {attempt} for {wanted} gets {}", res.status()));
                             if res.status() == 200 {
                                 whole.fetch_add(1, Ordering::Relaxed);
+                            } else {
+                                // Callers come back later, as they are told.
+                                thread::sleep(RETRY_AFTER);
                             }
                         }
                         Err(err) => {
