Take no request at shutdown that the grace period can't finish

Cause: a host knew how long callers keep its address, and not when it is killed. It took what came until the first tick after 3 s, whatever a request still needed.

Change: the settings state the grace period. After the signal a request is sent only if its deadline lies within it, or if it may be repeated and the longest recent run of its service or pool fits; it is refused at once as not run otherwise, at its arrival and before each send. Related paths: bodies that end after the intake has closed, also when the core has ended; requests that wait for credit, a key or a stream's origin; connections relayed for peers; refusals on connections whose body is still coming.

Without the setting a host behaves as before, but for the clock in place of the tick.

--- a/crates/skylarkshore-core/src/config.rs
+++ b/crates/skylarkshore-core/src/config.rs
@@ -95,6 +95,9 @@
     pub entry_ttl: Duration,
     /// How long callers may still connect after this host has left the entry list.
     pub entry_kept: Duration,
+    /// How long after the request to shut down the process is killed; `None` if it is given the time that it
+    /// needs.
+    pub shutdown_grace: Option<Duration>,
     /// How long an engine that left the host list remains a home of its models.
     pub gone_after: Duration,
     /// The minimum time between the last order of an engine's former owner on another
@@ -126,6 +129,7 @@
             close_grace: Duration::from_secs(2),
             entry_ttl: Duration::from_secs(10),
             entry_kept: Duration::from_secs(10),
+            shutdown_grace: None,
             gone_after: Duration::from_secs(30),
             order_gap: Duration::ZERO,
             upstream_heartbeat: Duration::from_millis(1500),
--- a/crates/skylarkshore-core/src/node/paths.rs
+++ b/crates/skylarkshore-core/src/node/paths.rs
@@ -9,7 +9,12 @@
 impl Node {
     /// Returns an upstream to which this host can relay connections of its peers: one that is listed, that
     /// it reaches directly, and that takes requests from it.
+    ///
+    /// A host that shuts down opens no more of them: they would end with it.
     pub fn relay_target(&mut self, now: Time, id: &UpstreamId) -> Option<&Upstream> {
+        if self.is_leaving() {
+            return None;
+        }
         let takes_requests =
             self.with_cx(now, &mut Vec::new(), |cx, parts| parts.serving.takes_requests(cx, id));
         self.upstreams.get(id).filter(|_| takes_requests && self.paths.reaches_directly(id))
--- a/crates/skylarkshore-core/src/serving.rs
+++ b/crates/skylarkshore-core/src/serving.rs
@@ -28,6 +28,7 @@
 mod counting_hosts;
 mod credit;
 mod demand;
+mod departure;
 mod disposition;
 mod expected_retries;
 mod isolation;
@@ -78,6 +79,7 @@
 use budget::RetryBudget;
 use counters::RequestCounters;
 use demand::Demand;
+use departure::Departure;
 use disposition::Disposition;
 use once::OnceClaims;
 use permits::Permits;
@@ -85,6 +87,7 @@
 use queue::Queue;
 use request::{Caller, Due, Request, RunHistory, State};
 use routing::Routes;
+use run_times::DestinationRunTimes;
 use served_versions::ServedVersions;
 use slot_lender::SlotLender;
 use stream_origins::StreamOrigins;
@@ -117,6 +120,7 @@
     evidence: Evidence,
     budget: RetryBudget,
     waits: WaitEstimator,
+    run_times: DestinationRunTimes,
     /// Grants requests credit, which counts against the limits of their client accounts.
     quota: Quota,
     /// Permits for the requests of all hosts to upstreams that have named a limit.
@@ -125,6 +129,8 @@
     slot_lender: SlotLender,
     counters: RequestCounters,
     housekeeping_due: Time,
+    /// The shutdown of this process, once it is requested.
+    departure: Option<Departure>,
     /// Whether callers have been redirected to other hosts, so that no request may wait any
     /// longer.
     is_closed: bool,
@@ -154,11 +160,13 @@
             evidence: Evidence::new(cfg.limits.suspects),
             budget: RetryBudget::new(cfg.limits.retries),
             waits: WaitEstimator::default(),
+            run_times: DestinationRunTimes::default(),
             quota: Quota::new(),
             permits: Permits::default(),
             slot_lender: SlotLender::default(),
             counters: RequestCounters::default(),
             housekeeping_due: Time::START,
+            departure: None,
             is_closed: false,
             is_stranded: false,
             is_on_standby: false,
@@ -261,6 +269,7 @@
         self.demand.retain_waiting_times(&self.waiting_models(cx));
         self.refuse_all_unservable(cx);
         self.dispatch_waiting(cx);
+        self.refuse_unfinishable(cx);
         if self.is_closed {
             self.refuse_waiting(cx);
         }
@@ -278,6 +287,7 @@
         self.suspects.remove_expired(cx);
         self.evidence.remove_expired(cx);
         self.remove_expired_streams(cx);
+        self.run_times.remove_expired(cx.now);
         self.demand.send_usage(cx, &mut self.waits);
         self.report_refused_callers(cx);
         self.budget.record_host_count(cx.now, cx.cache.members().count());
@@ -423,11 +433,13 @@
 
     /// Begins shutdown; requests in progress continue.
     ///
-    /// New requests are still accepted, because callers cache the list of hosts for a
-    /// while.
+    /// New requests that can end in time are still accepted, because callers cache the list of hosts
+    /// for a while.
     pub fn on_shutdown(&mut self, cx: &mut Cx<'_>) {
         self.quota.on_shutdown(cx);
+        self.departure = Some(Departure::begin(cx.now, &cx.cfg.timings));
         cx.log_event("serving_drains", self.requests.len(), "requests in progress will be completed");
+        self.refuse_unfinishable(cx);
     }
 
     /// Refuses all waiting requests once callers have been redirected and the process ends
--- a/crates/skylarkshore-core/src/serving/arrival.rs
+++ b/crates/skylarkshore-core/src/serving/arrival.rs
@@ -50,12 +50,15 @@
         let order = rules_result.as_ref().map_or(ServiceOrder::default(), |order| *order);
         let order = ServiceOrder(order.0.saturating_add_signed(arrival.policy.order_offset));
         let admission = self.evidence.admission(cx, Suspects::from(&arrival));
-        self.requests.insert(id, Request::new(arrival, order, cx.now));
+        let request = Request::new(arrival, order, cx.now);
+        let is_too_late = self.refuses_arrival(cx, &request);
+        self.requests.insert(id, request);
         self.timers.insert(Due { at: deadline, request: id });
         self.timers.insert(Due { at: first_byte_deadline, request: id });
         match rules_result {
             Ok(_) if deadline.is_due(cx.now) => self.refuse_late(cx, id),
             Ok(_) if self.is_on_standby => self.refuse_on_arrival(cx, id, RefusalReason::Standby),
+            Ok(_) if is_too_late => self.refuse_leaving(cx, id),
             Ok(_) if self.is_stranded => self.refuse_on_arrival(cx, id, RefusalReason::NoUpstream),
             Ok(_) => match admission {
                 Admission::Free | Admission::Trial => self.request_credit(cx, id),
--- a/crates/skylarkshore-core/src/serving/attempt.rs
+++ b/crates/skylarkshore-core/src/serving/attempt.rs
@@ -83,6 +83,8 @@
         );
         self.waits.record_ended(cx.now, &request.arrival.target, answered.then(|| cx.now.since(run.sent)));
         if answered {
+            let destination = destination(cx, &request.arrival.target);
+            self.run_times.record(cx.now, destination, cx.now.since(run.sent));
             self.evidence.on_alive(cx, &SentTo::from(&run));
         }
         self.record_answer(cx, id, &run, &end);
--- a/crates/skylarkshore-core/src/serving/disposition.rs
+++ b/crates/skylarkshore-core/src/serving/disposition.rs
@@ -63,6 +63,9 @@
         isolation: Isolation,
     ) {
         let Some(request) = self.requests.get(&id) else { return };
+        if !request.passed_on && !self.can_finish(cx, request) {
+            return self.refuse_leaving(cx, id);
+        }
         let suspects = Suspects::from(&request.arrival);
         match self.evidence.admission(cx, suspects) {
             Admission::Free => self.send(cx, id, upstream, isolation, false),
--- a/crates/skylarkshore-core/src/serving/supply.rs
+++ b/crates/skylarkshore-core/src/serving/supply.rs
@@ -117,11 +117,6 @@
         }
     }
 
-    /// Refuses every waiting request; another host has to serve them.
-    pub(super) fn refuse_waiting(&mut self, cx: &mut Cx<'_>) {
-        self.refuse_queued(cx, &RefusalReason::Leaving, Duration::ZERO);
-    }
-
     /// Refuses every queued request.
     pub(super) fn refuse_queued(&mut self, cx: &mut Cx<'_>, reason: &RefusalReason, retry_after: Duration) {
         let mut targets = self.queue.targets();
--- a/crates/skylarkshore-core/tests/serving_requests.rs
+++ b/crates/skylarkshore-core/tests/serving_requests.rs
@@ -6,6 +6,7 @@
 
 mod serving {
     mod crash;
+    mod departure;
     mod evidence;
     mod flow;
     mod notices;
--- a/crates/skylarkshore-host/src/callers.rs
+++ b/crates/skylarkshore-host/src/callers.rs
@@ -63,6 +63,7 @@
 async fn handle(mut ctx: WebContext<'_, CallerState>) -> Result<WebResponse, Infallible> {
     let state = ctx.state().clone();
     if state.exchange.connections.is_closed() {
+        read_off(ctx.body_get_mut()).await;
         let mut res = RequestError::NotReady.response();
         res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         return Ok(res);
--- a/crates/skylarkshore-host/src/config/timings.rs
+++ b/crates/skylarkshore-host/src/config/timings.rs
@@ -8,6 +8,7 @@
 use crate::config::section::{Report, Section, fraction};
 
 const MAX_MILLIS: u32 = 3_600_000;
+const MAX_GRACE_SECS: f64 = 86_400.0;
 
 /// Returns a reader for milliseconds within a range.
 pub(super) fn millis(min: u32, max: u32) -> impl Fn(&Value<'_>) -> Result<Duration, String> {
@@ -47,6 +48,9 @@
     timings.list_grace = section.optional(report, "list_grace_ms", none, millis(0, MAX_MILLIS));
     let entry_ttl = timings.entry_ttl;
     timings.entry_kept = section.optional(report, "entry_kept_ms", entry_ttl, millis(10, MAX_MILLIS));
+    let seconds = |value: &Value<'_>| fraction(value, 0.1, MAX_GRACE_SECS).map(Duration::from_secs_f64);
+    timings.shutdown_grace =
+        section.optional(report, "shutdown_grace_s", None, |value| seconds(value).map(Some));
     check(&timings, &section, report);
     section.finish(report);
     timings
--- a/crates/skylarkshore-host/src/driver.rs
+++ b/crates/skylarkshore-host/src/driver.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Waits until the driver has ended, after which no event is handled any more.
+    pub(crate) async fn closed(&self) {
+        self.tx.closed().await;
+    }
+
     /// Requests the state dump; `None` if the driver has ended.
     pub(crate) async fn dump(&self) -> Option<StateDump> {
         let (tx, rx) = oneshot::channel();
--- a/crates/skylarkshore-host/src/exchange.rs
+++ b/crates/skylarkshore-host/src/exchange.rs
@@ -80,8 +80,13 @@
     }
 
     /// Submits a request to the core and waits for the head of its answer.
+    ///
+    /// The intake can close while the body of a request is read.
     pub async fn run(&self, checked: CheckedRequest) -> WebResponse {
         let CheckedRequest { begun, target, arrival, outgoing, refusals } = checked;
+        if self.connections.is_closed() {
+            return reply::refusal_of_leaving_host(&*refusals);
+        }
         let label = outgoing.label.clone();
         let buffer = AnswerBuffer::new(self.answers.clone(), self.buffers.answer);
         let (pending, reply) = PendingRequest::new(outgoing, Arc::clone(&refusals), buffer.clone());
--- a/crates/skylarkshore-host/src/exchange/reply.rs
+++ b/crates/skylarkshore-host/src/exchange/reply.rs
@@ -112,11 +112,17 @@
         let ReadingLimits { hard_deadline, .. } = limits;
         let connection = self.connection.clone();
         let reply = tokio::select! {
+            biased;
             reply = reply => reply.ok(),
             () = disconnected(connection.as_deref()) => {
                 // Dropping `self` notifies the core. A caller that has closed its sending side only reads this.
                 return refusal_of_unknown_outcome(refusals, RefusalReason::CallerGone);
             }
+            // The core ends only when no request is in progress, so it hasn't taken this one in.
+            () = self.env.inbox.closed() => {
+                self.end(RequestEnd::Refused("not_run"));
+                return refusal_of_leaving_host(refusals);
+            }
             () = tokio::time::sleep_until(hard_deadline) => None,
         };
         let Some(reply) = reply else {
@@ -219,11 +225,27 @@
     }
 }
 
-/// Builds the refusal of a request that may run or have run; its connection is closed.
+/// Builds the refusal of a request that the core has not taken in, as this host shuts down.
+pub(super) fn refusal_of_leaving_host(refusals: &dyn RefusalFormat) -> WebResponse {
+    closing_refusal(
+        refusals,
+        &Refusal {
+            outcome: RefusalOutcome::NotRun,
+            reason: RefusalReason::Leaving,
+            retry_after: Some(Duration::ZERO),
+        },
+    )
+}
+
+/// Builds the refusal of a request that may run or have run.
 fn refusal_of_unknown_outcome(refusals: &dyn RefusalFormat, reason: RefusalReason) -> WebResponse {
-    let refusal =
-        Refusal { outcome: RefusalOutcome::Unknown, reason, retry_after: Some(Duration::from_secs(1)) };
-    let formatted = refusals.whole(&refusal);
+    let retry_after = Some(Duration::from_secs(1));
+    closing_refusal(refusals, &Refusal { outcome: RefusalOutcome::Unknown, reason, retry_after })
+}
+
+/// Builds a refusal after which the connection is closed.
+fn closing_refusal(refusals: &dyn RefusalFormat, refusal: &Refusal) -> WebResponse {
+    let formatted = refusals.whole(refusal);
     let mut res = WebResponse::new(ResponseBody::bytes(formatted.body));
     *res.status_mut() = formatted.status;
     *res.headers_mut() = formatted.headers;
--- a/crates/skylarkshore-host/src/peers.rs
+++ b/crates/skylarkshore-host/src/peers.rs
@@ -10,6 +10,7 @@
 mod verifier;
 
 use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 
@@ -60,6 +61,8 @@
     timings: LinkTimings,
     queues: Mutex<HashMap<HostId, mpsc::Sender<Bytes>>>,
     connections: Mutex<HashMap<HostId, Pinned>>,
+    /// The connections to upstreams that this host relays for its peers.
+    relayed: AtomicUsize,
 }
 
 /// A connection with the fingerprint of the peer's certificate, which changes with each start of the peer.
@@ -96,6 +99,7 @@
             timings,
             queues: Mutex::default(),
             connections: Mutex::default(),
+            relayed: AtomicUsize::new(0),
         };
         let this = Self { shared: Arc::new(shared) };
         tokio::spawn(this.clone().update_directory(snapshots));
@@ -119,6 +123,11 @@
         }
     }
 
+    /// Returns how many connections to upstreams this host relays for its peers.
+    pub(crate) fn relayed(&self) -> usize {
+        self.shared.relayed.load(Ordering::Relaxed)
+    }
+
     /// Closes all connections, so that peers don't wait for a time-out.
     pub(crate) fn close(&self) {
         self.shared.endpoint.close(0_u32.into(), b"leaving");
--- a/crates/skylarkshore-host/src/peers/tunnel.rs
+++ b/crates/skylarkshore-host/src/peers/tunnel.rs
@@ -1,5 +1,6 @@
 //! Connections to upstreams that a peer relays. Start with [`Peers::open_tunnel`] and [`Peers::serve_tunnels`].
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use quinn::{Connection, RecvStream, SendStream, VarInt};
@@ -75,7 +76,10 @@
             return;
         }
         match opened {
-            Ok(stream) => relay(stream, send, recv).await,
+            Ok(stream) => {
+                let _counted = CountedRelay::begin(&self.shared.relayed);
+                relay(stream, send, recv).await;
+            }
             // The answer is the whole stream.
             Err(_) => _ = send.finish(),
         }
@@ -88,6 +92,22 @@
     }
 }
 
+/// Counts a relayed connection while it is open.
+struct CountedRelay<'a>(&'a AtomicUsize);
+
+impl<'a> CountedRelay<'a> {
+    fn begin(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for CountedRelay<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 async fn read_request(recv: &mut RecvStream) -> Option<UpstreamId> {
     let mut text = vec![0; usize::from(recv.read_u8().await.ok()?)];
     recv.read_exact(&mut text).await.ok()?;
--- a/crates/skylarkshore-host/src/run.rs
+++ b/crates/skylarkshore-host/src/run.rs
@@ -34,7 +34,7 @@
 
 /// The most threads for the core, its calls and its peer messages.
 const MAX_WORKERS: usize = 4;
-/// How long slow callers may take to read the last answers.
+/// How long slow callers may take to read the last answers, and peers to end what is relayed for them.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(30);
 const FLUSH_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -171,7 +171,8 @@
     let callers = platform.serve(exchange, sockets.callers)?;
     platform.follow_upstreams(&env);
     let reload = || reload(source, &env);
-    let code = run_until_exit(driver, receiver, initial_effects, signals, reload, &env, &connections).await;
+    let remaining = Remaining { env: &env, connections: &connections, peers: &peers };
+    let code = run_until_exit(driver, receiver, initial_effects, signals, reload, &remaining).await;
     stop(&callers, &operators, &peers);
     Ok(code)
 }
@@ -233,7 +234,27 @@
     }
 }
 
-/// Runs until the core has exited and the callers have read their answers.
+/// What other processes still do with a host that has nothing left to decide.
+struct Remaining<'a> {
+    env: &'a Env,
+    connections: &'a Connections,
+    peers: &'a Peers,
+}
+
+impl Remaining<'_> {
+    /// Returns the requests of callers that are in progress, or whose answers are being read.
+    fn requests(&self) -> usize {
+        self.env.requests.len().max(self.connections.busy())
+    }
+
+    /// Reports whether the process can exit without cutting anything off.
+    fn is_done(&self) -> bool {
+        self.requests() == 0 && self.peers.relayed() == 0
+    }
+}
+
+/// Runs until the core has exited, the callers have read their answers, and the peers' requests that this
+/// host relays have ended.
 ///
 /// For the core a request ends when its upstream has sent the last of the
 /// answer, and for the exchange when the server has taken that. A slow caller
@@ -242,17 +263,17 @@
     driver: Driver,
     receiver: InboxReceiver,
     initial_effects: Vec<Effect>,
-    env: &Env,
-    connections: &Connections,
+    remaining: &Remaining<'_>,
 ) {
     Box::pin(driver.run(receiver, initial_effects)).await;
     let deadline = Instant::now() + DRAIN_TIMEOUT;
-    while env.requests.len().max(connections.busy()) > 0 && Instant::now() < deadline {
+    while !remaining.is_done() && Instant::now() < deadline {
         sleep(FLUSH_INTERVAL).await;
     }
     // The server may be about to begin with the end of an answer.
     sleep(FLUSH_INTERVAL).await;
-    info!(env.log, "left"; "requests_cut_off" => env.requests.len().max(connections.busy()));
+    info!(remaining.env.log, "left";
+        "relayed_cut_off" => remaining.peers.relayed(), "requests_cut_off" => remaining.requests());
 }
 
 async fn run_until_exit(
@@ -261,13 +282,12 @@
     initial_effects: Vec<Effect>,
     signals: Signals,
     reload: impl Fn(),
-    env: &Env,
-    connections: &Connections,
+    remaining: &Remaining<'_>,
 ) -> ExitCode {
     tokio::select! {
-        () = run_until_drained(driver, receiver, initial_effects, env, connections) => ExitCode::SUCCESS,
-        () = signals.until_second_signal(env.clone(), reload) => {
-            let cut = env.requests.len().max(connections.busy());
+        () = run_until_drained(driver, receiver, initial_effects, remaining) => ExitCode::SUCCESS,
+        () = signals.until_second_signal(remaining.env.clone(), reload) => {
+            let cut = remaining.requests();
             eprintln!("skylarkshore: ended at the second signal; {cut} requests in progress were cut off");
             ExitCode::FAILURE
         }
