Let a model belong to its pool

Cause: the identity of a model was its name.

Change: ModelName is the name and the pool, so that everything kept for a model is kept by both. A route chooses the pool, among those that list the model; what an engine holds is of its own pool. What other processes read stays as it was while one pool lists a name: messages and keys without the pool are read, and written, in the former form. A second model of a name gets a key and a message with its pool.

--- a/crates/skylarkshore-core/src/catalogue.rs
+++ b/crates/skylarkshore-core/src/catalogue.rs
@@ -167,17 +167,44 @@
         of_host.filter(|route| path.starts_with(&route.prefix)).max_by_key(|route| route.prefix.len())
     }
 
+    /// Returns the models that have the name of a model, in any pool or none.
+    pub fn namesakes(&self, model: &ModelName) -> impl Iterator<Item = &ModelName> {
+        // The name without a pool comes before those with one.
+        let named = self.models.range(model.without_pool()..).map(|(known, _)| known);
+        named.take_while(|known| known.as_str() == model.as_str())
+    }
+
+    /// Returns the only model of a name; `None` if several pools list one, or none does.
+    pub fn only_namesake(&self, model: &ModelName) -> Option<&ModelName> {
+        let mut namesakes = self.namesakes(model);
+        namesakes.next().filter(|_| namesakes.next().is_none())
+    }
+
+    /// Reports whether two pools list models of the same name.
+    pub fn has_namesakes(&self) -> bool {
+        self.models.keys().zip(self.models.keys().skip(1)).any(|(one, next)| one.as_str() == next.as_str())
+    }
+
     /// Resolves `name` to a model, or to an adapter with its base model.
+    ///
+    /// A model that several pools list is named POOL/MODEL.
     pub fn resolve(&self, name: &str) -> Option<ModelTarget> {
-        if let Ok(model) = name.parse::<ModelName>()
-            && self.models.contains_key(&model)
-        {
+        if let Some(model) = self.resolve_model(name) {
             return Some(ModelTarget { model, adapter: None });
         }
         let adapter = name.parse::<AdapterName>().ok()?;
         let (model, _) = self.models.iter().find(|(_, m)| m.adapters.contains_key(&adapter))?;
         Some(ModelTarget { model: model.clone(), adapter: Some(adapter) })
     }
+
+    fn resolve_model(&self, name: &str) -> Option<ModelName> {
+        if let Some(only) = self.only_namesake(&name.parse().ok()?) {
+            return Some(only.clone());
+        }
+        let (pool, name) = name.rsplit_once('/')?;
+        let model = name.parse::<ModelName>().ok()?.in_pool(&pool.parse().ok()?);
+        self.models.contains_key(&model).then_some(model)
+    }
 }
 
 /// The operators' document: the catalogue, the power caps and the rules.
--- a/crates/skylarkshore-core/src/control.rs
+++ b/crates/skylarkshore-core/src/control.rs
@@ -273,7 +273,7 @@
         match key {
             Key::Member(_) => self.membership.on_write(cx, outcome),
             Key::Owner(engine) => self.ownership.on_write(cx, &self.inventory, engine, outcome),
-            Key::Homes(model) => self.homes.on_write(cx, &self.inventory, model, outcome),
+            Key::Homes(_) => self.homes.on_write(cx, &self.inventory, key, outcome),
             Key::Power(site) => self.power.on_write(cx, site, outcome),
             Key::RelayRoot(_) => self.on_root_written(cx, outcome),
             Key::Document | Key::Catalogue | Key::Once(_) => {}
--- a/crates/skylarkshore-core/src/control/homes.rs
+++ b/crates/skylarkshore-core/src/control/homes.rs
@@ -57,6 +57,8 @@
 /// A write of a model's homes that is not settled yet.
 #[derive(Clone, Debug)]
 struct Pending {
+    /// The key that is written.
+    key: Key,
     based_on: StoreRevision,
     /// The engines that lose the home with this write.
     closing: Vec<UpstreamId>,
@@ -149,9 +151,12 @@
         &mut self,
         cx: &mut Cx<'_>,
         inventory: &EngineInventory,
-        model: &ModelName,
+        key: &Key,
         outcome: &WriteOutcome,
     ) {
+        let Key::Homes(named) = key else { return };
+        let written = self.pending.iter().find(|(_, pending)| pending.key == *key);
+        let model = &written.map_or_else(|| cx.cache.model_at(named), |(model, _)| model).clone();
         let next_try = cx.now.after(cx.jitter(RETRY_DELAY));
         if let Some(pending) = self.pending.get_mut(model) {
             match (outcome, pending.state) {
@@ -311,11 +316,13 @@
             cx.log_event("homes_changing", model.clone(), format!("to [{}]", names.join(" ")));
         }
         self.lacking_since.remove(model);
+        let key = cx.cache.homes_key(&cx.document.catalogue, model);
+        let state = PendingState::Writing;
         self.pending
-            .insert(model.clone(), Pending { based_on, closing: plan.closing, state: PendingState::Writing });
+            .insert(model.clone(), Pending { key: key.clone(), based_on, closing: plan.closing, state });
         let record = (!plan.engines.is_empty())
             .then_some(Record::Homes(HomesRecord { engines: plan.engines, evicted_from: plan.evicted_from }));
-        write_homes(cx, model, expect, record);
+        write_homes(cx, key, expect, record);
     }
 
     /// Rewrites the current record if an earlier write may still take effect.
@@ -332,7 +339,8 @@
             match cx.cache.homes(model) {
                 Some((revision, homes)) => {
                     let record = Record::Homes(homes.clone());
-                    write_homes(cx, model, Expect::At(revision), Some(record));
+                    pending.key = cx.cache.homes_key(&cx.document.catalogue, model);
+                    write_homes(cx, pending.key.clone(), Expect::At(revision), Some(record));
                 }
                 // The first homes of a model take none away, so nothing has to be settled.
                 None => pending.state = PendingState::BackingOff { until: cx.now },
@@ -355,7 +363,7 @@
 
 /// Reports whether it is this process's turn to add a home that the model has lacked since `since`.
 fn is_own_turn(cx: &Cx<'_>, hosts: &HashedHosts<'_>, model: &ModelName, since: Time) -> bool {
-    let key = format!("homes/{model}");
+    let key = format!("homes/{}", model.as_str());
     if hosts.winner(&key) == Some(&cx.cfg.host) {
         return true;
     }
@@ -367,11 +375,11 @@
 }
 
 fn revision_of(cx: &Cx<'_>, model: &ModelName) -> StoreRevision {
-    cx.cache.get(&Key::Homes(model.clone())).map_or(StoreRevision(0), |entry| entry.revision)
+    let key = cx.cache.homes_key(&cx.document.catalogue, model);
+    cx.cache.get(&key).map_or(StoreRevision(0), |entry| entry.revision)
 }
 
-fn write_homes(cx: &mut Cx<'_>, model: &ModelName, expect: Expect, record: Option<Record>) {
-    let key = Key::Homes(model.clone());
+fn write_homes(cx: &mut Cx<'_>, key: Key, expect: Expect, record: Option<Record>) {
     let deadline = cx.now.after(WRITE_DEADLINE);
     cx.write(WriteRequest { key, expect, record, lease: None, deadline });
 }
--- a/crates/skylarkshore-core/src/id.rs
+++ b/crates/skylarkshore-core/src/id.rs
@@ -96,10 +96,6 @@
     /// A site with a common power cap.
     SiteName
 }
-name! {
-    /// A base model.
-    ModelName
-}
 name! {
     /// An adapter on a base model.
     AdapterName
@@ -133,6 +129,77 @@
     AccountName
 }
 
+/// A base model: its name, and the pool of engines that it belongs to if models are configured by pool.
+///
+/// Two pools may list a model of the same name, with other weights and for other callers. Everything that is
+/// kept for a model is kept under both, or the requests of one pool would be run by the other.
+///
+/// As text it is the name alone, which is how engines, operators' rules and processes of earlier versions
+/// name it; [`Display`](std::fmt::Display) shows the pool as well.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct ModelName {
+    // Comes first, so that the models of one name are adjacent in ordered collections.
+    name: Arc<str>,
+    pool: Option<ServiceName>,
+}
+
+impl ModelName {
+    /// Returns the name without the pool.
+    pub fn as_str(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the pool; `None` if models aren't configured by pool, or the pool isn't known.
+    pub const fn pool(&self) -> Option<&ServiceName> {
+        self.pool.as_ref()
+    }
+
+    /// Returns the model of this name in a pool.
+    #[must_use]
+    pub fn in_pool(&self, pool: &ServiceName) -> Self {
+        Self { name: Arc::clone(&self.name), pool: Some(pool.clone()) }
+    }
+
+    /// Returns the name alone.
+    #[must_use]
+    pub fn without_pool(&self) -> Self {
+        Self { name: Arc::clone(&self.name), pool: None }
+    }
+}
+
+impl std::fmt::Display for ModelName {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match &self.pool {
+            Some(pool) => write!(f, "{pool}/{}", self.name),
+            None => f.write_str(&self.name),
+        }
+    }
+}
+
+impl FromStr for ModelName {
+    type Err = InvalidName;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        validate_name(s)?;
+        Ok(Self { name: s.into(), pool: None })
+    }
+}
+
+impl TryFrom<String> for ModelName {
+    type Error = InvalidName;
+
+    fn try_from(s: String) -> Result<Self, Self::Error> {
+        s.parse()
+    }
+}
+
+impl From<ModelName> for String {
+    fn from(model: ModelName) -> Self {
+        model.as_str().to_owned()
+    }
+}
+
 number! {
     /// An incarnation of a process or upstream; a restart has a higher number.
     Incarnation
--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -3,6 +3,8 @@
 //! [`Node`] is the entry point.
 
 mod documents;
+mod homes;
+mod model_names;
 mod paths;
 
 use std::sync::Arc;
@@ -118,6 +120,7 @@
         }
         self.apply_ownership_changes(now, &mut effects);
         self.deliver_messages_to_self(now, &mut effects);
+        self.remove_pools(&mut effects);
         self.choose_paths(now, effects)
     }
 
@@ -399,17 +402,21 @@
         if updated.is_empty() {
             return;
         }
+        if self.document.catalogue.has_namesakes() {
+            self.assign_all_homes(now, effects);
+        }
         self.with_cx(now, effects, |cx, parts| {
             parts.control.on_host_list(cx, &updated);
             parts.serving.on_host_list(cx, &updated);
         });
     }
 
-    fn on_peer(&mut self, now: Time, from: &HostId, message: PeerMessage, effects: &mut Vec<Effect>) {
+    fn on_peer(&mut self, now: Time, from: &HostId, mut message: PeerMessage, effects: &mut Vec<Effect>) {
         // A process that was replaced must neither lend, grant nor forward anything.
         if self.control.is_superseded() {
             return;
         }
+        self.add_pools(&mut message);
         if let PeerMessage::Heartbeat { store, .. } = &message
             && *store > StoreRevision(0)
         {
@@ -502,19 +509,28 @@
 
     fn notify_changed_keys(&mut self, now: Time, changed: &[Key], effects: &mut Vec<Effect>) {
         for key in changed {
-            if matches!(key, Key::Document | Key::Catalogue) {
-                self.activate_newer_document(now, effects);
+            match key {
+                Key::Document | Key::Catalogue => {
+                    self.activate_newer_document(now, effects);
+                    self.assign_all_homes(now, effects);
+                    self.notify_key(now, key, effects);
+                }
+                Key::Homes(named) => self.assign_homes(now, named, effects),
+                _ => self.notify_key(now, key, effects),
             }
-            self.with_cx(now, effects, |cx, parts| {
-                parts.control.on_key_change(cx, key);
-                parts.serving.on_change(cx, key);
-            });
         }
         if self.control.is_superseded() {
             self.write_queue.discard_shared();
         }
     }
 
+    fn notify_key(&mut self, now: Time, key: &Key, effects: &mut Vec<Effect>) {
+        self.with_cx(now, effects, |cx, parts| {
+            parts.control.on_key_change(cx, key);
+            parts.serving.on_change(cx, key);
+        });
+    }
+
     fn apply_ownership_changes(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let changes: Vec<OwnershipChange> = self.control.take_changes();
         for change in changes {
--- a/crates/skylarkshore-core/src/rules.rs
+++ b/crates/skylarkshore-core/src/rules.rs
@@ -122,7 +122,7 @@
 impl Condition {
     /// Reports whether the condition holds for the given input.
     pub fn holds(&self, input: &RuleInput<'_>) -> bool {
-        one_of(self.models.as_ref(), input.model)
+        names_one(self.models.as_ref(), input.model)
             && one_of(self.adapters.as_ref(), input.adapter)
             && one_of(self.callers.as_ref(), input.caller)
             && one_of(self.services.as_ref(), input.service)
@@ -139,6 +139,11 @@
     required.is_none_or(|set| known.is_some_and(|value| set.contains(value)))
 }
 
+/// Reports whether the model is one of these; rules name models without their pool.
+fn names_one(required: Option<&OrderedSet<ModelName>>, known: Option<&ModelName>) -> bool {
+    required.is_none_or(|set| known.is_some_and(|model| set.contains(&model.without_pool())))
+}
+
 fn at_least<T: PartialOrd>(required: Option<T>, known: Option<T>) -> bool {
     match (required, known) {
         (None, _) => true,
--- a/crates/skylarkshore-core/src/serving/supply.rs
+++ b/crates/skylarkshore-core/src/serving/supply.rs
@@ -215,7 +215,7 @@
     pub(super) fn ask_new_owners(&mut self, cx: &mut Cx<'_>, key: &Key) {
         for model in self.waiting_models(cx) {
             let affected = match key {
-                Key::Homes(changed) => *changed == model.model,
+                Key::Homes(changed) => changed.as_str() == model.model.as_str(),
                 Key::Owner(engine) => {
                     cx.cache.homes(&model.model).is_some_and(|(_, homes)| homes.engines.contains(engine))
                 }
--- a/crates/skylarkshore-core/src/store.rs
+++ b/crates/skylarkshore-core/src/store.rs
@@ -16,6 +16,7 @@
 };
 use crate::units::{Capacity, Watts};
 
+pub(crate) use cache::HomesContext;
 pub use cache::StoreCache;
 pub use writes::{WriteOutcome, WriteQueue, WriteRequest};
 
--- a/crates/skylarkshore-core/src/store/cache.rs
+++ b/crates/skylarkshore-core/src/store/cache.rs
@@ -1,8 +1,12 @@
 //! A process's copy of the shared keys; see [`StoreCache`].
 
+mod homes;
+
+pub(crate) use homes::HomesContext;
+
 use crate::collections::{HashSet, OrderedMap};
 use crate::id::{HostId, ModelName, SiteName, StoreRevision, UpstreamId};
-use crate::store::{HomesRecord, Key, MemberRecord, OwnerRecord, PowerRecord, Record, Versioned};
+use crate::store::{Key, MemberRecord, OwnerRecord, PowerRecord, Record, Versioned};
 
 /// A process's copy of the shared keys, in which the revision of a key never decreases.
 ///
@@ -12,7 +16,10 @@
 pub struct StoreCache {
     members: OrderedMap<HostId, Versioned>,
     owners: OrderedMap<UpstreamId, Versioned>,
+    /// By the model that the key names; see [`homes`].
     homes: OrderedMap<ModelName, Versioned>,
+    /// The models whose homes stand under keys that name no pool, by that key.
+    unpooled_homes: OrderedMap<ModelName, ModelName>,
     others: OrderedMap<Key, Versioned>,
     latest_revision: StoreRevision,
     members_version: u64,
@@ -119,17 +126,6 @@
         self.owners.iter().filter_map(|(engine, entry)| Some((engine, owner_of(entry)?)))
     }
 
-    /// Returns a model's homes, with the revision of that record.
-    pub fn homes(&self, model: &ModelName) -> Option<(StoreRevision, &HomesRecord)> {
-        let entry = self.homes.get(model)?;
-        Some((entry.revision, homes_of(entry)?))
-    }
-
-    /// Returns every model's homes.
-    pub fn all_homes(&self) -> impl Iterator<Item = (&ModelName, &HomesRecord)> {
-        self.homes.iter().filter_map(|(model, entry)| Some((model, homes_of(entry)?)))
-    }
-
     /// Returns a site's power grants, with the revision of that record.
     pub fn power(&self, site: &SiteName) -> Option<(StoreRevision, &PowerRecord)> {
         let entry = self.others.get(&Key::Power(site.clone()))?;
@@ -153,10 +149,3 @@
         _ => None,
     }
 }
-
-const fn homes_of(entry: &Versioned) -> Option<&HomesRecord> {
-    match &entry.record {
-        Some(Record::Homes(record)) => Some(record),
-        _ => None,
-    }
-}
--- a/crates/skylarkshore-core/src/upstream.rs
+++ b/crates/skylarkshore-core/src/upstream.rs
@@ -125,6 +125,14 @@
 }
 
 impl WeightCopies {
+    /// Returns the copies as those of the models of a pool.
+    #[must_use]
+    pub fn in_pool(&self, pool: &ServiceName) -> Self {
+        let in_pool =
+            |models: &OrderedSet<ModelName>| models.iter().map(|model| model.in_pool(pool)).collect();
+        Self { in_memory: in_pool(&self.in_memory), on_disk: in_pool(&self.on_disk) }
+    }
+
     /// Reports whether there is a copy of the model in memory or on disk.
     pub fn has(&self, model: &ModelName) -> bool {
         self.in_memory.contains(model) || self.on_disk.contains(model)
--- a/crates/skylarkshore-wire/src/catalogue.rs
+++ b/crates/skylarkshore-wire/src/catalogue.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 use skylarkshore_core::catalogue::{
-    CallerLimits, Catalogue, ConfiguredCatalogue, Destination, Route, RouteKind,
+    CallerLimits, Catalogue, ConfiguredCatalogue, Destination, Model, Route, RouteKind,
 };
 use skylarkshore_core::id::{AccountName, CatalogueRevision, ModelName, RouteName, ServiceName};
 use skylarkshore_core::units::LoadRate;
@@ -21,8 +21,12 @@
 pub struct CatalogueWire {
     /// Number of accepted changes.
     pub revision: CatalogueRevision,
-    /// The base models.
+    /// The base models, by their names. Of those that several pools list, the one of the last pool, as
+    /// processes of earlier versions have it.
     pub models: BTreeMap<ModelName, ModelWire>,
+    /// The other models of these names, which differ in their pools.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub namesakes: Vec<(ModelName, ModelWire)>,
     /// Services other than models.
     pub services: BTreeMap<ServiceName, ServiceWire>,
     /// Routes by which requests are classified.
@@ -175,9 +179,18 @@
 impl From<&ConfiguredCatalogue> for CatalogueWire {
     fn from(configured: &ConfiguredCatalogue) -> Self {
         let catalogue = &configured.catalogue;
+        let mut models = BTreeMap::new();
+        let mut namesakes = Vec::new();
+        for (name, model) in &catalogue.models {
+            let unpooled = name.without_pool();
+            if let Some(other) = models.insert(unpooled.clone(), ModelWire::from(model)) {
+                namesakes.push((unpooled, other));
+            }
+        }
         Self {
             revision: configured.revision,
-            models: catalogue.models.iter().map(|(name, model)| (name.clone(), model.into())).collect(),
+            models,
+            namesakes,
             services: catalogue.services.iter().map(|(name, s)| (name.clone(), s.into())).collect(),
             routes: catalogue.routes.iter().map(RouteWire::from).collect(),
             caller_limits: catalogue.caller_limits.map(Into::into),
@@ -187,13 +200,20 @@
     }
 }
 
+/// Returns a model under its name in its pool.
+fn in_its_pool(name: &ModelName, model: Model) -> (ModelName, Model) {
+    let name = model.pool.as_ref().map_or_else(|| name.clone(), |pool| name.in_pool(pool));
+    (name, model)
+}
+
 impl TryFrom<CatalogueWire> for ConfiguredCatalogue {
     type Error = InvalidAccount;
 
     fn try_from(wire: CatalogueWire) -> Result<Self, Self::Error> {
         let accounts = accounts_from_wire(wire.accounts)?;
+        let models = wire.models.into_iter().chain(wire.namesakes);
         let catalogue = Catalogue {
-            models: wire.models.into_iter().map(|(name, model)| (name, model.into())).collect(),
+            models: models.map(|(name, model)| in_its_pool(&name, model.into())).collect(),
             services: wire.services.into_iter().map(|(name, service)| (name, service.into())).collect(),
             routes: wire.routes.into_iter().map(Route::from).collect(),
             caller_limits: wire.caller_limits.map(Into::into),
--- a/crates/skylarkshore-wire/src/keys.rs
+++ b/crates/skylarkshore-wire/src/keys.rs
@@ -9,7 +9,7 @@
 
 use derive_more::{Display, Error, From};
 use skylarkshore_core::id::{
-    DataCentre, Digest, HostId, InvalidDigest, InvalidName, ModelName, SiteName, UpstreamId,
+    DataCentre, Digest, HostId, InvalidDigest, InvalidName, ModelName, ServiceName, SiteName, UpstreamId,
 };
 use skylarkshore_core::store::Key;
 
@@ -81,7 +81,7 @@
             Key::Catalogue => CATALOGUE_KEY.to_owned(),
             Key::Member(host) => shared_key(MEMBERS_FOLDER, host.as_str()),
             Key::Owner(engine) => shared_key(OWNERS_FOLDER, engine.as_str()),
-            Key::Homes(model) => shared_key(HOMES_FOLDER, model.as_str()),
+            Key::Homes(model) => homes_key(model),
             Key::Power(site) => shared_key(POWER_FOLDER, site.as_str()),
             Key::RelayRoot(data_centre) => shared_key(RELAY_ROOTS_FOLDER, data_centre.as_str()),
             Key::Once(digest) => format!("{ONCE_PREFIX}{digest}"),
@@ -119,7 +119,7 @@
         return Ok(Key::Owner(decode_name::<UpstreamId>(name)?));
     }
     if let Some(name) = rest.strip_prefix(HOMES_FOLDER) {
-        return Ok(Key::Homes(decode_name::<ModelName>(name)?));
+        return parse_homes(name);
     }
     if let Some(name) = rest.strip_prefix(POWER_FOLDER) {
         return Ok(Key::Power(decode_name::<SiteName>(name)?));
@@ -130,6 +130,21 @@
     Err(InvalidKeyReason::Prefix)
 }
 
+/// Returns the key of a model's homes; the pool, if there is one, is a path segment of its own.
+fn homes_key(model: &ModelName) -> String {
+    let folder = model.pool().map_or_else(
+        || HOMES_FOLDER.to_owned(),
+        |pool| format!("{HOMES_FOLDER}{}/", percent::encode(pool.as_str())),
+    );
+    shared_key(&folder, model.as_str())
+}
+
+fn parse_homes(rest: &str) -> Result<Key, InvalidKeyReason> {
+    let Some((pool, name)) = rest.split_once('/') else { return Ok(Key::Homes(decode_name(rest)?)) };
+    let pool: ServiceName = decode_name(pool)?;
+    Ok(Key::Homes(decode_name::<ModelName>(name)?.in_pool(&pool)))
+}
+
 fn decode_name<T: FromStr<Err = InvalidName>>(encoded: &str) -> Result<T, InvalidKeyReason> {
     Ok(percent::decode(encoded)?.parse()?)
 }
--- a/crates/skylarkshore-wire/src/peer.rs
+++ b/crates/skylarkshore-wire/src/peer.rs
@@ -9,6 +9,7 @@
 
 mod credit;
 mod notice;
+mod pool;
 mod slot;
 mod stream;
 mod view;
@@ -19,7 +20,8 @@
 use serde::{Deserialize, Serialize};
 use skylarkshore_core::catalogue::ModelTarget;
 use skylarkshore_core::id::{
-    AdapterName, Digest, HostId, Incarnation, ModelName, RulesRevision, SiteName, StoreRevision, UpstreamId,
+    AdapterName, Digest, HostId, Incarnation, ModelName, RulesRevision, ServiceName, SiteName, StoreRevision,
+    UpstreamId,
 };
 use skylarkshore_core::notice::Rest;
 use skylarkshore_core::peer::{CannotLoad, News, PeerMessage, StatePart};
@@ -67,6 +69,10 @@
     #[display("a broadcast message contains another broadcast message; the peer is faulty")]
     #[from(skip)]
     Nested,
+    /// A [`PeerMessageWire::InPool`] contains a message that is about no model.
+    #[display("a message names a pool and no model of it; the peer is faulty")]
+    #[from(skip)]
+    NoModel,
     /// Invalid key in the message.
     #[display("{_0}")]
     Key(InvalidKey),
@@ -235,6 +241,9 @@
     UpstreamRests { upstream: UpstreamId, rest_ms: u64 },
     /// What upstreams have said of themselves, for hosts that have just started.
     Notice(NoticeMessageWire),
+    /// A message about a model whose name several pools list; processes of earlier versions don't understand
+    /// it, as they can't tell the models apart.
+    InPool { pool: ServiceName, message: Box<PeerMessageWire> },
 }
 
 /// Encodes a message for the wire.
@@ -243,7 +252,7 @@
 ///
 /// The message is larger than [`MAX_MESSAGE_LEN`].
 pub fn encode(message: &PeerMessage) -> Result<Vec<u8>, InvalidMessage> {
-    let bytes = postcard::to_stdvec(&PeerMessageWire::from(message))?;
+    let bytes = postcard::to_stdvec(&pool::to_wire(message))?;
     if bytes.len() > MAX_MESSAGE_LEN {
         return Err(InvalidMessage::TooLarge { len: bytes.len() });
     }
@@ -572,6 +581,7 @@
                 let age = Some(Duration::from_millis(age_ms));
                 Self::State(StatePart { series, upto, age, part, parts, body: body.into() })
             }
+            W::InPool { pool, message } => pool::join(&pool, *message)?,
             W::Spread { message, .. } if matches!(*message, W::Spread { .. }) => {
                 return Err(InvalidMessage::Nested);
             }
--- a/crates/skylarkshore-wire/tests/formats.rs
+++ b/crates/skylarkshore-wire/tests/formats.rs
@@ -5,10 +5,11 @@
 
 use proptest::prelude::*;
 use skylarkshore_core::accounts::{Account, AccountLimit, KeyDigest, LimitUnit};
-use skylarkshore_core::catalogue::{ConfiguredCatalogue, Document, ModelTarget};
+use skylarkshore_core::catalogue::{ConfiguredCatalogue, Document, Model, ModelTarget};
+use skylarkshore_core::collections::OrderedMap;
 use skylarkshore_core::id::{
-    AccountName, CallId, CatalogueRevision, Digest, Fence, Incarnation, RulesRevision, SoftwareVersion,
-    StoreRevision, StreamId, UpstreamId,
+    AccountName, CallId, CatalogueRevision, Digest, Fence, Incarnation, ModelName, RulesRevision,
+    SoftwareVersion, StoreRevision, StreamId, UpstreamId,
 };
 use skylarkshore_core::peer::{
     CreditMessage, KnownNotices, LendingTerm, News, NoticeMessage, PeerMessage, RejectionLimit, ReportNumber,
@@ -19,10 +20,10 @@
     HomesRecord, Key, MemberRecord, OnceRecord, OnceState, OwnerRecord, PowerRecord, Record, RecordBatch,
     RecordedAnswer, RelayRootRecord, Versioned, Writer,
 };
-use skylarkshore_core::units::{Capacity, CreditRate, Credits, Watts};
+use skylarkshore_core::units::{Capacity, CreditRate, Credits, Mebibytes, Watts};
 use skylarkshore_core::view::{EngineView, ModelView, Readiness, ViewVersion};
 use skylarkshore_wire::keys::{KeyText, StoredValue};
-use skylarkshore_wire::peer::{InvalidMessage, MAX_MESSAGE_LEN, decode, encode};
+use skylarkshore_wire::peer::{InvalidMessage, MAX_MESSAGE_LEN, PeerMessageWire, decode, encode};
 
 fn writer() -> Writer {
     Writer { host: "entry-1".parse().unwrap(), incarnation: Incarnation(7), call: CallId(12) }
@@ -300,6 +301,68 @@
     insta::assert_snapshot!(json, @r#"{"writer":{"host":"entry-1","incarnation":7,"call":12},"value":{"revision":4,"models":{},"services":{},"routes":[],"caller_limits":null,"load_rate":null,"accounts":{"orchard":{"key_digests":["abababababababababababababababababababababababababababababababab"],"priority":1,"plain_tokens":200,"limit":{"per_kilosecond":34647000,"burst":34647}}}}}"#);
 }
 
+/// Returns a model of a pool.
+fn model_of(pool: &str, name: &str) -> ModelName {
+    name.parse::<ModelName>().unwrap().in_pool(&pool.parse().unwrap())
+}
+
+/// Guards against a pool that loses its models where another one lists models of the same names, when a
+/// catalogue is passed between hosts.
+#[test]
+fn catalogue_with_models_of_one_name_survives_a_round_trip() {
+    let model = |pool: &str| Model {
+        version: "v1".parse().unwrap(),
+        weights: Mebibytes(1000),
+        kv_cache: Mebibytes(0),
+        load_time: Duration::from_secs(6),
+        copy_load_times: None,
+        pool: Some(pool.parse().unwrap()),
+        adapters: OrderedMap::new(),
+    };
+    let mut configured = ConfiguredCatalogue { revision: CatalogueRevision(4), ..Default::default() };
+    for (pool, name) in [("writers", "owl"), ("twins", "owl"), ("writers", "elk")] {
+        configured.catalogue.models.insert(model_of(pool, name), model(pool));
+    }
+    let value = StoredValue { writer: writer(), record: Record::Catalogue(Arc::new(configured)) };
+    assert_eq!(StoredValue::from_json(&Key::Catalogue, value.to_json().as_bytes()).unwrap(), value);
+}
+
+/// Guards against processes of the version before that can't read what is said of the models of a single
+/// pool, and against models of one name that are mixed up.
+#[test]
+fn keys_and_messages_name_the_pool_only_where_they_must() {
+    let owl: ModelName = "owl".parse().unwrap();
+    let twin = model_of("lh-models/next", "owl");
+    assert_eq!(KeyText::from(&Key::Homes(owl.clone())).as_str(), "skylarkshore/shared/homes/owl");
+    let key = KeyText::from(&Key::Homes(twin.clone()));
+    assert_eq!(key.as_str(), "skylarkshore/shared/homes/lh-models%2Fnext/owl");
+    assert_eq!(Key::try_from(&key).unwrap(), Key::Homes(twin.clone()));
+
+    let used = |model: &ModelName| PeerMessage::Used {
+        target: ModelTarget { model: model.clone(), adapter: None },
+        arrived: 3,
+        late: 1,
+        run_time: Duration::from_millis(40),
+        waited_for: false,
+    };
+    assert_eq!(decode(&encode(&used(&twin)).unwrap()).unwrap(), used(&twin));
+    assert_ne!(encode(&used(&twin)).unwrap(), encode(&used(&owl)).unwrap());
+    // The engine tells the pool.
+    let held = |model: &ModelName| PeerMessage::LoadSlotHeld {
+        upstream: "engine-1".parse().unwrap(),
+        model: model.clone(),
+    };
+    assert_eq!(encode(&held(&twin)).unwrap(), encode(&held(&owl)).unwrap());
+}
+
+/// Guards against a message that says of a pool what is said of no model.
+#[test]
+fn a_pool_without_a_model_is_refused() {
+    let message = Box::new(PeerMessageWire::StateWanted);
+    let wire = PeerMessageWire::InPool { pool: "twins".parse().unwrap(), message };
+    assert!(matches!(PeerMessage::try_from(wire), Err(InvalidMessage::NoModel)));
+}
+
 #[test]
 fn messages_survive_a_round_trip() {
     let about_upstreams = slot_messages().into_iter().chain(notice_messages());
