Take no status beyond 200 to 599 for that of an answer

Cause: whatever the library parsed was forwarded.

Change: any other status makes the answer unusable, directly and relayed, for requests that may be repeated and those that may not; the upstream doesn't count as ended. Answers to orders, reports and store calls go the same way.

--- a/crates/skylarkshore-host/src/http.rs
+++ b/crates/skylarkshore-host/src/http.rs
@@ -167,8 +167,16 @@
     }
 }
 
+/// Reports whether a status ends an exchange: it is neither an interim one nor beyond the protocol's classes.
+pub(crate) fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 async fn read_complete(res: http::Response<Incoming>) -> Result<Answer, CallError> {
     let status = res.status();
+    if !is_final_status(status) {
+        return Err(CallError::Lost { reason: format!("{status} is no status of an answer") });
+    }
     let headers = res.headers().clone();
     let body = Limited::new(res.into_body(), MAX_ANSWER_LEN);
     let body = body.collect().await.map_err(|err| CallError::Lost { reason: err.to_string() })?;
--- a/crates/skylarkshore-host/src/upstreams/attempt.rs
+++ b/crates/skylarkshore-host/src/upstreams/attempt.rs
@@ -13,6 +13,7 @@
 use skylarkshore_core::store::RecordedAnswer;
 use slog::{debug, warn};
 
+use crate::http::is_final_status;
 use crate::pending::{Delivered, Head, NotForwarded, PendingRequest};
 use crate::pool::{Connection, reason};
 use crate::upstream_path::{PathError, UpstreamPath};
@@ -151,6 +152,9 @@
         res: Response<Incoming>,
         connection: Connection,
     ) -> Result<AttemptOutcome, AnswerError> {
+        if !is_final_status(res.status()) {
+            return Err(self.status_invalid(res.status()));
+        }
         let protocol = &self.upstreams.protocol;
         let verdict = protocol.read_head(call, res.status(), res.headers());
         // Another upstream that answers at the address says nothing of this one.
@@ -196,6 +200,14 @@
         self.forward_body(started).await
     }
 
+    /// Logs an answer with a status that no upstream may give; the request may have run.
+    fn status_invalid(&self, status: StatusCode) -> AnswerError {
+        self.upstreams.env.metrics.count_event("answer_status_invalid");
+        warn!(self.upstreams.env.log, "answer_status_invalid"; "status" => status.as_u16(),
+            "upstream" => %self.dispatch.upstream.id, "request" => %self.dispatch.request);
+        AnswerError::Unusable
+    }
+
     /// Tells the core what the upstream says of itself, before it learns how the attempt ends.
     async fn report_notice(&self, status: StatusCode, headers: &HeaderMap) {
         let Upstreams { protocol, env, .. } = self.upstreams;
