Bound the answers of engines to orders and reports

Cause: all calls but those of callers' requests shared the bound for the store's largest pages.

Change: engines' answers are read up to 256 KiB; a longer one counts as lost and its connection is closed. Heads on pooled connections end at 64 KiB.

--- a/crates/skylarkshore-host/src/host_list.rs
+++ b/crates/skylarkshore-host/src/host_list.rs
@@ -12,7 +12,7 @@
 
 use crate::config::HttpUrl;
 use crate::driver::Inbox;
-use crate::http::{PooledClient, call, client, json_request};
+use crate::http::{MAX_STORE_ANSWER_LEN, PooledClient, call, client, json_request};
 
 const POLL_INTERVAL: Duration = Duration::from_secs(2);
 const TIMEOUT: Duration = Duration::from_secs(2);
@@ -41,7 +41,9 @@
 
 async fn fetch(client: &PooledClient, url: &HttpUrl, log: &Logger) -> Result<CheckedHostList, String> {
     let req = json_request(Method::GET, url.address, &url.path, Bytes::new());
-    let answer = call(client, req, Instant::now() + TIMEOUT).await.map_err(|err| err.to_string())?;
+    let answer = call(client, req, MAX_STORE_ANSWER_LEN, Instant::now() + TIMEOUT)
+        .await
+        .map_err(|err| err.to_string())?;
     if answer.status != StatusCode::OK {
         return Err(format!("status {}", answer.status));
     }
--- a/crates/skylarkshore-host/src/http.rs
+++ b/crates/skylarkshore-host/src/http.rs
@@ -33,8 +33,14 @@
 const KEEPALIVE_RETRIES: u32 = 3;
 /// The most idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
-/// The largest answer, in bytes.
-const MAX_ANSWER_LEN: usize = 16 * 1024 * 1024;
+/// The largest answer of a store or a host list, in bytes.
+pub const MAX_STORE_ANSWER_LEN: usize = 16 * 1024 * 1024;
+/// The largest answer of an engine to an order or a request for a report, in bytes.
+///
+/// A host may own hundreds of engines; one that is faulty may answer without an end.
+const MAX_ENGINE_ANSWER_LEN: usize = 256 * 1024;
+/// The largest head of an answer, in bytes.
+const MAX_HEAD_LEN: usize = 64 * 1024;
 
 /// A complete answer.
 #[derive(Debug)]
@@ -63,6 +69,7 @@
     connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
     Client::builder(TokioExecutor::new())
         .retry_canceled_requests(false)
+        .http1_max_buf_size(MAX_HEAD_LEN)
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_max_idle_per_host(MAX_IDLE_PER_ADDRESS)
@@ -78,7 +85,8 @@
     req
 }
 
-/// Sends a request on a pooled connection and reads the complete answer by `deadline`.
+/// Sends a request on a pooled connection and reads the complete answer, of at most `max_len` bytes, by
+/// `deadline`.
 ///
 /// # Errors
 ///
@@ -86,6 +94,7 @@
 pub async fn call(
     client: &PooledClient,
     req: Request<Full<Bytes>>,
+    max_len: usize,
     deadline: Instant,
 ) -> Result<Answer, CallError> {
     let exchange = async {
@@ -93,12 +102,12 @@
             let reason = chain(&err);
             if err.is_connect() { CallError::NotConnected { reason } } else { CallError::Lost { reason } }
         })?;
-        read_complete(res).await
+        read_complete(res, max_len).await
     };
     tokio::time::timeout_at(deadline, exchange).await.unwrap_or_else(|_elapsed| Err(timed_out()))
 }
 
-/// Sends a request on a new connection if `may_send` permits it, and reads the complete answer.
+/// Sends a request to an engine on a new connection if `may_send` permits it, and reads the complete answer.
 ///
 /// Returns `None` if `may_send` returns false; nothing was sent then. It is
 /// called after connecting, since the permission can expire in the meantime.
@@ -121,7 +130,7 @@
     call_on(connection, address, req, deadline).await.map(Some)
 }
 
-/// Sends a request to an upstream by a path: on a pooled connection, or on a new one that a peer relays.
+/// Sends a request to an engine by a path: on a pooled connection, or on a new one that a peer relays.
 ///
 /// # Errors
 ///
@@ -134,7 +143,7 @@
     deadline: Instant,
 ) -> Result<Answer, CallError> {
     if path.is_direct() {
-        return call(client, req, deadline).await;
+        return call(client, req, MAX_ENGINE_ANSWER_LEN, deadline).await;
     }
     let connection = tokio::time::timeout_at(deadline, path.open(upstream))
         .await
@@ -152,7 +161,7 @@
     to_origin_form(&mut req, address);
     let exchange = async {
         let res = connection.send(req).await.map_err(|err| CallError::Lost { reason: chain(&err) })?;
-        read_complete(res).await
+        read_complete(res, MAX_ENGINE_ANSWER_LEN).await
     };
     tokio::time::timeout_at(deadline, exchange).await.unwrap_or_else(|_elapsed| Err(timed_out()))
 }
@@ -172,13 +181,13 @@
     (200..600).contains(&status.as_u16())
 }
 
-async fn read_complete(res: http::Response<Incoming>) -> Result<Answer, CallError> {
+async fn read_complete(res: http::Response<Incoming>, max_len: usize) -> Result<Answer, CallError> {
     let status = res.status();
     if !is_final_status(status) {
         return Err(CallError::Lost { reason: format!("{status} is no status of an answer") });
     }
     let headers = res.headers().clone();
-    let body = Limited::new(res.into_body(), MAX_ANSWER_LEN);
+    let body = Limited::new(res.into_body(), max_len);
     let body = body.collect().await.map_err(|err| CallError::Lost { reason: err.to_string() })?;
     Ok(Answer { status, headers, body: body.to_bytes() })
 }
--- a/crates/skylarkshore-host/src/store/etcd.rs
+++ b/crates/skylarkshore-host/src/store/etcd.rs
@@ -24,7 +24,7 @@
 
 use crate::call_error::chain;
 use crate::config::HttpUrl;
-use crate::http::{Answer, CallError, PooledClient, call, client, json_request};
+use crate::http::{Answer, CallError, MAX_STORE_ANSWER_LEN, PooledClient, call, client, json_request};
 use crate::metrics::Metrics;
 use crate::store::{BoxFuture, ChangeBatch, Store, WatchSink};
 
@@ -115,7 +115,7 @@
             let index = (first + i) % self.endpoints.len();
             let url = &self.endpoints[index];
             let req = json_request(Method::POST, url.address, &format!("{}{path}", url.path), body.clone());
-            match call(&self.client, req, deadline).await {
+            match call(&self.client, req, MAX_STORE_ANSWER_LEN, deadline).await {
                 Ok(answer) => {
                     self.current.store(index, Ordering::Relaxed);
                     return self.parse_answer(path, &answer);
