Pass resets on in the stand-in of links

Cause: registered the scripted replica by a relay, so that tests can cut its link. The host isn't at fault. The relay now resets the other side.

--- a/crates/skylarkshore-standins/src/relay.rs
+++ b/crates/skylarkshore-standins/src/relay.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -157,24 +157,30 @@
     }
 }
 
-async fn relay_connection(from: TcpStream, target: SocketAddr, mut line: watch::Receiver<Line>) {
-    let Ok(to) = TcpStream::connect(target).await else { return };
+async fn relay_connection(mut from: TcpStream, target: SocketAddr, mut line: watch::Receiver<Line>) {
+    let Ok(mut to) = TcpStream::connect(target).await else { return };
     _ = from.set_nodelay(true);
     _ = to.set_nodelay(true);
-    let (from_reader, from_writer) = from.into_split();
-    let (to_reader, to_writer) = to.into_split();
-    let out = forward(from_reader, to_writer, Direction::Out, line.clone());
-    let back = forward(to_reader, from_writer, Direction::Back, line.clone());
-    tokio::select! {
-        // A failure on either side closes the connection on both, as without the relay.
-        _ = async { tokio::try_join!(out, back) } => {}
-        _ = line.wait_for(|line| *line == Line::Cut) => {}
+    let copied = {
+        let (from_reader, from_writer) = from.split();
+        let (to_reader, to_writer) = to.split();
+        let out = forward(from_reader, to_writer, Direction::Out, line.clone());
+        let back = forward(to_reader, from_writer, Direction::Back, line.clone());
+        tokio::select! {
+            copied = async { tokio::try_join!(out, back) } => copied.map(|_| ()),
+            _ = line.wait_for(|line| *line == Line::Cut) => Ok(()),
+        }
+    };
+    if copied.is_err() {
+        // A connection that one side resets must not look closed in order to the other.
+        _ = from.set_zero_linger();
+        _ = to.set_zero_linger();
     }
 }
 
 async fn forward(
-    mut reader: OwnedReadHalf,
-    mut writer: OwnedWriteHalf,
+    mut reader: ReadHalf<'_>,
+    mut writer: WriteHalf<'_>,
     direction: Direction,
     line: watch::Receiver<Line>,
 ) -> io::Result<()> {
