Hold removals back only after a possible loss of entries

Cause: a failed call or a cut watch of one host counted as an outage of the store until the next successful call other than a watch, up to 2 s later; removals were held back until then and for 2.5 s more. A cut watch, or a host that alone is turned away, says nothing of upstreams' entries.

Change: a host keeps the latest time at which the store answered it or, by the age of relayed changes, another host. Failures count as an outage only if there was no answer for longer than the heartbeat of upstreams; an entry outlives two renewals that fail.

--- a/crates/skylarkshore-core/src/node.rs
+++ b/crates/skylarkshore-core/src/node.rs
@@ -24,7 +24,7 @@
 use crate::list_knowledge::ListKnowledge;
 use crate::loading::Loading;
 use crate::peer::{Envelope, PeerMessage};
-use crate::removal_grace::RemovalGrace;
+use crate::removal_grace::{GraceTerms, RemovalGrace};
 use crate::rules::MinuteOfDay;
 use crate::serving::Serving;
 use crate::store::{
@@ -204,13 +204,13 @@
             Event::Shutdown => self.on_shutdown(now, effects),
             Event::HostList(list) => {
                 self.list.on_list(now, self.cfg.is_first_start);
-                let grace = self.cfg.timings.list_grace;
-                let changes = self.removal_grace.changes_for_list(now, grace, list, &self.upstreams);
+                let terms = self.grace_terms();
+                let changes = self.removal_grace.changes_for_list(now, terms, list, &self.upstreams);
                 self.apply_upstream_changes(now, changes, effects);
             }
             Event::Upstreams(changes) => {
-                let grace = self.cfg.timings.list_grace;
-                let changes = self.removal_grace.filter_changes(now, grace, changes, &self.upstreams);
+                let terms = self.grace_terms();
+                let changes = self.removal_grace.filter_changes(now, terms, changes, &self.upstreams);
                 self.apply_upstream_changes(now, changes, effects);
             }
             Event::Store { call, result } => self.on_store_result(now, call, &result, effects),
@@ -219,6 +219,7 @@
                 self.with_cx(now, effects, |cx, parts| parts.control.on_watched(cx, changes, upto));
             }
             Event::NewsRead(news) => {
+                self.removal_grace.record_store_answer(now, now, self.grace_terms());
                 self.with_cx(now, effects, |cx, parts| parts.control.on_news_read(cx, &news));
             }
             Event::NewsSkipped(news) => {
@@ -309,8 +310,7 @@
             return;
         }
         // Upstreams that the copy lacks register again.
-        self.removal_grace.record_store_failure();
-        self.removal_grace.record_store_success(now);
+        self.removal_grace.record_lost_entries(now);
         self.with_cx(now, effects, |cx, parts| {
             cx.log_event("store_era_begun", era, format!("before={before}"));
             parts.control.on_new_era(cx, era);
@@ -320,7 +320,7 @@
 
     fn on_store_result(&mut self, now: Time, call: CallId, result: &StoreResult, effects: &mut Vec<Effect>) {
         match result {
-            Ok(_) => self.removal_grace.record_store_success(now),
+            Ok(_) => self.removal_grace.record_store_answer(now, now, self.grace_terms()),
             Err(_failure) => self.removal_grace.record_store_failure(),
         }
         if let Ok(StoreAnswer::Shared { revision, records }) = result {
@@ -391,8 +391,13 @@
         }
     }
 
+    const fn grace_terms(&self) -> GraceTerms {
+        let timings = &self.cfg.timings;
+        GraceTerms { grace: timings.list_grace, heartbeat: timings.upstream_heartbeat }
+    }
+
     fn remove_missing_upstreams(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let gone = self.removal_grace.take_expired(now, self.cfg.timings.list_grace);
+        let gone = self.removal_grace.take_expired(now, self.grace_terms());
         let gone = gone.into_iter().collect();
         self.apply_upstream_changes(now, UpstreamChanges { changed: Vec::new(), gone }, effects);
     }
@@ -440,8 +445,11 @@
         // Only the platform adapter can decode news; the changes return in `Event::Watched`.
         if let PeerMessage::News(news) = &message {
             // A peer that has read everything relays what it found as news without an age.
-            if news.age.is_none() {
-                self.list.on_replaced();
+            match news.age {
+                Some(age) => {
+                    self.removal_grace.record_store_answer(now, now.before(age), self.grace_terms());
+                }
+                None => self.list.on_replaced(),
             }
             effects.push(Effect::ApplyNews(news.clone()));
         }
